Fix the core's events, effects, messages and tables

Events, effects, peer messages, the configuration document, the table of error kinds, the numbered log events and the settings are typed here, so that the packages can be written side by side.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,32 @@
-//! x
+//! The decisions of one entry VM as a pure state machine.
+//!
+//! [`Node`] holds everything that one entry VM knows. It is driven by [`Node::step`], which takes the time, an
+//! [`Event`](event::Event) and a buffer for [`Effect`](effect::Effect)s. The crate does no I/O, starts no thread,
+//! reads no clock and holds no globals: the same events bring the same effects, byte for byte, and many nodes
+//! live side by side in one process.
+
+mod catalog;
+mod claim;
+pub mod config;
+mod domain;
+pub mod effect;
+pub mod entity;
+pub mod error;
+pub mod event;
+mod fleet;
+pub mod id;
+pub mod log;
+pub mod metric;
+mod names;
+mod node;
+pub mod operator;
+mod ops;
+pub mod peer;
+pub mod platform;
+pub mod settings;
+mod sync;
+pub mod time;
+mod traffic;
+mod verify;
+
+pub use node::Node;
--- /dev/null
+++ b/crates/core/src/log.rs
@@ -0,0 +1,139 @@
+//! Numbered log events. The catalogue in `docs/EVENTS.md` is held equal to this table by a test.
+
+use serde::{Deserialize, Serialize};
+
+/// How grave an event is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Of use when looking for a fault.
+    Debug,
+    /// Ordinary news.
+    Info,
+    /// Something that an operator may want to look at.
+    Warn,
+    /// A promise is at risk, or the VM can't work.
+    Error,
+}
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $code:ident = $number:literal $level:ident $advice:literal;)*) => {
+        /// A kind of log event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub enum Code {
+            $($(#[doc = $doc])* $code = $number,)*
+        }
+
+        impl Code {
+            /// Every kind, by number.
+            pub const ALL: &[Self] = &[$(Self::$code),*];
+
+            /// The number.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// How grave it is.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self { $(Self::$code => Level::$level,)* }
+            }
+
+            /// What it means.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$code => concat!($($doc),*),)* }
+            }
+
+            /// What an operator does about it.
+            #[must_use]
+            pub const fn advice(self) -> &'static str {
+                match self { $(Self::$code => $advice,)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The daemon started.
+    Started = 100 Info "Nothing.";
+    /// The daemon began to drain.
+    Draining = 101 Info "Nothing; new connections go to other VMs.";
+    /// The daemon stopped with nothing left in progress.
+    Stopped = 102 Info "Nothing.";
+    /// The daemon was told to stop at once and cut requests in progress.
+    Cutting = 103 Warn "Check why a second signal was sent.";
+    /// The node was not run for longer than a pause allows and gave its leases and grants up.
+    Paused = 104 Warn "Look for a frozen or overcommitted VM.";
+    /// An edition of the configuration is in force on this VM.
+    EditionInForce = 200 Info "Nothing.";
+    /// A configuration that was read does not hold together and was not applied.
+    EditionRejected = 201 Error "Compare the key-value service's content with `dahliactl rules history`.";
+    /// An operator's edit was accepted.
+    EditAccepted = 202 Info "Nothing.";
+    /// An operator's edit was refused.
+    EditRefused = 203 Info "The operator sees both versions and decides.";
+    /// The key-value service stopped answering.
+    PlatformLost = 300 Warn "Check the key-value service; what is resident is served on.";
+    /// The key-value service answers again.
+    PlatformBack = 301 Info "Nothing.";
+    /// This VM holds a control domain.
+    LeaseTaken = 400 Info "Nothing.";
+    /// This VM gave a control domain up.
+    LeaseLost = 401 Info "Another VM takes it within seconds.";
+    /// A load was ordered.
+    LoadOrdered = 410 Debug "Nothing.";
+    /// A load is done.
+    LoadDone = 411 Debug "Nothing.";
+    /// A load failed.
+    LoadFailed = 412 Warn "If it repeats, check the weight store and the adapter's files.";
+    /// An adapter is revoked so that another can take its slot.
+    RevokeBegun = 413 Debug "Nothing.";
+    /// A revoked adapter is still in use somewhere long after it was revoked.
+    RevokeSlow = 414 Warn "Look for a VM that is frozen or cut off.";
+    /// A backend server does not answer.
+    ServerLost = 420 Warn "Check the server.";
+    /// A backend server started anew.
+    ServerRestarted = 421 Warn "Nothing if it was planned; its adapters are loaded again.";
+    /// A backend server is leaving and gets no new work.
+    ServerLeaving = 422 Info "Nothing.";
+    /// A piece of an answer came for an attempt that is over, and was dropped.
+    PieceDropped = 500 Debug "Nothing.";
+    /// A backend server answered with another adapter or version than asked.
+    WrongAdapter = 501 Error "Take the server out and check its engine.";
+    /// A request failed after it may have run.
+    MayHaveRun = 502 Warn "The caller was told so.";
+    /// A request was refused.
+    Refused = 503 Debug "Nothing.";
+    /// An idempotency key came a second time.
+    Duplicate = 504 Info "Nothing.";
+    /// Another entry VM joined.
+    PeerJoined = 600 Info "Nothing.";
+    /// Another entry VM is suspected to be gone.
+    PeerSuspected = 601 Warn "Check the VM if it was not replaced.";
+    /// Another entry VM is gone.
+    PeerGone = 602 Info "Nothing.";
+    /// An internal invariant does not hold.
+    Broken = 900 Error "Report it with the log around it.";
+}
+
+/// A log event.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Its kind.
+    pub code: Code,
+    /// What tells it apart, as `name=value` words.
+    pub detail: String,
+}
+
+impl Record {
+    /// A log event.
+    #[must_use]
+    pub fn new(code: Code, detail: impl Into<String>) -> Self {
+        Self {
+            code,
+            detail: detail.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/metric.rs
@@ -0,0 +1,86 @@
+//! Figures that the shell hands to the metrics recorder.
+
+use std::borrow::Cow;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+macro_rules! figures {
+    ($($(#[doc = $doc:literal])* $figure:ident $name:literal $unit:literal;)*) => {
+        /// A figure that is counted or observed.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub enum Figure {
+            $($(#[doc = $doc])* $figure,)*
+        }
+
+        impl Figure {
+            /// Every figure.
+            pub const ALL: &[Self] = &[$(Self::$figure),*];
+
+            /// The name under which it is exported.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$figure => $name,)* }
+            }
+
+            /// The unit of its values; `1` for plain counts.
+            #[must_use]
+            pub const fn unit(self) -> &'static str {
+                match self { $(Self::$figure => $unit,)* }
+            }
+
+            /// One sentence for the docs.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$figure => concat!($($doc),*),)* }
+            }
+        }
+    };
+}
+
+figures! {
+    /// How long a request waited for its adapter to become resident.
+    LoadStall "dahliastile_load_stall_seconds" "s";
+    /// How long a request waited in this VM before it was sent.
+    QueueWait "dahliastile_queue_wait_seconds" "s";
+    /// The time from arrival to the first token.
+    FirstToken "dahliastile_first_token_seconds" "s";
+    /// The time between two tokens of one answer.
+    TokenGap "dahliastile_token_gap_seconds" "s";
+    /// The time from arrival to the end of the whole answer.
+    WholeAnswer "dahliastile_whole_answer_seconds" "s";
+    /// The share of an engine's batch that was in use, per load report.
+    BatchFill "dahliastile_batch_fill_ratio" "ratio";
+    /// Answers given whole.
+    Answered "dahliastile_answered_total" "1";
+    /// Requests refused or failed, by kind and `ran`.
+    Refused "dahliastile_refused_total" "1";
+    /// Attempts sent to backend servers.
+    Attempts "dahliastile_attempts_total" "1";
+    /// Attempts sent after a first one failed.
+    Retries "dahliastile_retries_total" "1";
+    /// Loads ordered.
+    Loads "dahliastile_loads_total" "1";
+    /// Calls of the key-value service, by kind.
+    PlatformCalls "dahliastile_platform_calls_total" "1";
+    /// Late, crossed or duplicated pieces of answers that were dropped.
+    Dropped "dahliastile_dropped_pieces_total" "1";
+}
+
+/// One value of a figure.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sample {
+    /// The figure.
+    pub figure: Figure,
+    /// The value, in the figure's unit; 1 for plain counts.
+    pub value: f64,
+    /// The tenant it is counted for.
+    pub tenant: Option<id::Tenant>,
+    /// The class it is counted for.
+    pub class: Option<id::Class>,
+    /// What else tells it apart, such as the kind of a refusal.
+    pub label: Option<Cow<'static, str>>,
+}
+
+impl Eq for Sample {}
--- /dev/null
+++ b/crates/core/src/traffic/route.rs
@@ -0,0 +1,1 @@
+//! To be written.
