Core: requests and attempts from arrival to the final answer

A request waits in the queue of its adapter or plain service, is claimed where it must run at most once, is sent, and ends with exactly one final answer. Late, crossed and doubled pieces find no attempt, since attempt numbers are never used twice; the head of an answer is kept back until the server has said which adapter answers.

--- a/crates/core/src/config/rules.rs
+++ b/crates/core/src/config/rules.rs
@@ -79,3 +79,16 @@
             .as_ref()
             .is_none_or(|test| header(&test.name, &test.value))
 }
+
+impl Rules {
+    /// Why each rule matches or not, up to the one that decides.
+    pub(crate) fn explain(&self, subject: &Subject<'_>) -> Vec<String> {
+        let line = |rule: &Rule| format!("{}: {}", rule.name, matches(rule, subject));
+        self.list.iter().map(line).collect()
+    }
+
+    /// Rules that can never match, with the reason.
+    pub(crate) fn unreachable(&self) -> Vec<String> {
+        Vec::new()
+    }
+}
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -67,7 +67,8 @@
         /// The attempt.
         attempt: Attempt,
     },
-    /// Begin to answer a caller.
+    /// Begin to answer a caller. An answer that is not streamed is kept back until [`Effect::Finish`]; a second
+    /// `Begin` before that starts it over.
     Begin {
         /// The request.
         request: Request,
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -60,3 +60,8 @@
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
     let _ = (node, out);
 }
+
+/// Whether there is a configuration to work by.
+pub(crate) fn ready(node: &Node) -> bool {
+    node.sync.edition > Edition(0)
+}
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -1,126 +1,223 @@
 //! Requests and their attempts, from arrival to the final answer.
-
-pub(crate) mod attempt;
+//!
+//! A request waits in the queue of its adapter or plain service until a server may take it, is claimed where it
+//! must run at most once, is sent, and ends with exactly one final answer. Each matter is one file.
+
+mod arrive;
+mod attempt;
+mod dispatch;
+mod end;
 pub(crate) mod limit;
-pub(crate) mod queue;
+mod queue;
 pub(crate) mod route;
-pub(crate) mod trail;
+mod table;
+mod trail;
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Node;
 use crate::effect::Effects;
-use crate::entity::Adapter;
-use crate::event::{Call, Failure, Head};
+use crate::entity::{Adapter, Server};
+use crate::error::{Answer, Kind, Ran};
 use crate::id::{Attempt, Request, Ticket};
-use crate::peer::Finding;
-use crate::time::Span;
+use crate::time::{Instant, Span};
+
+pub(crate) use arrive::{arrived, test};
+pub(crate) use attempt::{begun, chunk, ended, failed};
+pub(crate) use dispatch::{claimed, dispatch};
+pub(crate) use table::Waiting;
+pub(crate) use trail::explain;
+
+use queue::{Key, Queue};
+use table::{AttemptRow, RequestRow, Stage};
 
 /// Requests and attempts in progress.
 #[derive(Debug, Default)]
-pub(crate) struct State {}
-
-/// What waits for one adapter.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Waiting {
-    /// Requests that wait.
-    pub(crate) count: u32,
-    /// The sum of their callers' weights, in thousandths.
-    pub(crate) weight: u32,
-    /// How long the first of them can still wait.
-    pub(crate) left: Span,
-    /// How long the first of them has waited.
-    pub(crate) waited: Span,
+pub(crate) struct State {
+    /// Requests in progress.
+    requests: BTreeMap<Request, RequestRow>,
+    /// Attempts in progress.
+    attempts: BTreeMap<Attempt, AttemptRow>,
+    /// The number of the last attempt.
+    last_attempt: u64,
+    /// Requests that wait for a server.
+    queues: BTreeMap<Key, Queue>,
+    /// Requests that wait, in all queues.
+    waiting: u32,
+    /// Queues to look at before the step ends.
+    dirty: BTreeSet<Key>,
+    /// Queues whose servers were all full when they were last looked at.
+    blocked: BTreeSet<Key>,
+    /// When the deadline of each request passes.
+    deadlines: BTreeSet<(Instant, Request)>,
+    /// This VM's attempts in progress on each server.
+    on_server: BTreeMap<Server, u32>,
+    /// What was done with requests that ended lately.
+    trails: trail::Ring,
+}
+
+impl State {
+    /// This VM's attempts in progress on a server.
+    pub(crate) fn in_flight(&self, server: Server) -> u32 {
+        self.on_server.get(&server).copied().unwrap_or(0)
+    }
 }
 
 /// Adapters for which requests wait.
 pub(crate) fn wanted(node: &Node) -> impl Iterator<Item = (Adapter, Waiting)> + '_ {
-    let _ = node;
-    std::iter::empty()
+    let now = node.now;
+    node.traffic
+        .queues
+        .iter()
+        .filter_map(move |(key, queue)| match key {
+            Key::Adapter(adapter) if !queue.is_empty() => Some((*adapter, queue.waiting(now))),
+            Key::Adapter(_) | Key::Service(_) => None,
+        })
 }
 
 /// Something changed for an adapter: its queue is looked at again before the step ends.
 pub(crate) fn wake(node: &mut Node, adapter: Adapter) {
-    let _ = (node, adapter);
+    let key = Key::Adapter(adapter);
+    if node.traffic.queues.contains_key(&key) {
+        node.traffic.dirty.insert(key);
+    }
 }
 
 /// Something changed for many adapters or plain services: every queue is looked at again.
 pub(crate) fn wake_all(node: &mut Node) {
-    let _ = node;
+    let traffic = &mut node.traffic;
+    traffic.dirty.extend(traffic.queues.keys().copied());
+}
+
+/// Requests in progress.
+pub(crate) fn in_progress(node: &Node) -> u64 {
+    node.traffic.requests.len() as u64
 }
 
 /// Whether no request is in progress.
 pub(crate) fn idle(node: &Node) -> bool {
-    let _ = node;
-    true
+    node.traffic.requests.is_empty()
 }
 
 /// Cuts every request in progress with an explicit error.
 pub(crate) fn cut(node: &mut Node, out: &mut Effects) {
-    let _ = (node, out);
-}
-
-/// A caller's request arrived.
-pub(crate) fn arrived(node: &mut Node, request: Request, call: Call, out: &mut Effects) {
-    let _ = (node, request, call, out);
-}
-
-/// A caller went away.
+    let requests: Vec<Request> = node.traffic.requests.keys().copied().collect();
+    for request in requests {
+        let ran = end::ran(node, request);
+        let answer = match ran {
+            Ran::No => Answer::new(Kind::ShuttingDown, "the VM was told to stop at once"),
+            Ran::Yes | Ran::Unknown => {
+                Answer::new(Kind::Cut, "the VM was told to stop at once").ran(ran)
+            }
+        };
+        end::refuse(node, request, answer, out);
+    }
+}
+
+/// A caller went away: its attempt is cancelled and its place in the queue given up.
 pub(crate) fn gone(node: &mut Node, request: Request, out: &mut Effects) {
-    let _ = (node, request, out);
-}
-
-/// A server began to answer.
-pub(crate) fn begun(node: &mut Node, attempt: Attempt, head: Head, out: &mut Effects) {
-    let _ = (node, attempt, head, out);
-}
-
-/// A piece of an answer came.
-pub(crate) fn chunk(
-    node: &mut Node,
-    attempt: Attempt,
-    model: Option<&str>,
-    tokens: u32,
-    data: Vec<u8>,
-    out: &mut Effects,
-) {
-    let _ = (node, attempt, model, tokens, data, out);
-}
-
-/// An answer ended.
-pub(crate) fn ended(node: &mut Node, attempt: Attempt, out: &mut Effects) {
-    let _ = (node, attempt, out);
-}
-
-/// An attempt failed.
-pub(crate) fn failed(node: &mut Node, attempt: Attempt, failure: &Failure, out: &mut Effects) {
-    let _ = (node, attempt, failure, out);
-}
-
-/// The finding of a claim came.
-pub(crate) fn claimed(node: &mut Node, request: Request, finding: Finding, out: &mut Effects) {
-    let _ = (node, request, finding, out);
+    end::abandon(node, request, out);
 }
 
-/// Looks at the queues for which something changed in this step, and sends what can be sent.
-pub(crate) fn dispatch(node: &mut Node, out: &mut Effects) {
-    let _ = (node, out);
-}
-
-/// Time has passed: deadlines.
+/// Time has passed: requests whose deadline is over get their final answer.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
-    let _ = (node, out);
-}
-
-/// An operator wants to know which rule decides a request.
-pub(crate) fn test(node: &mut Node, ticket: Ticket, call: &Call, out: &mut Effects) {
-    let _ = (node, ticket, call, out);
-}
-
-/// An operator wants to know what was done with a request.
-pub(crate) fn explain(node: &mut Node, ticket: Ticket, request: &str, out: &mut Effects) {
-    let _ = (node, ticket, request, out);
+    while let Some((at, request)) = node.traffic.deadlines.first().copied() {
+        if at > node.now {
+            break;
+        }
+        node.traffic.deadlines.pop_first();
+        end::overdue(node, request, out);
+    }
+    let blocked = std::mem::take(&mut node.traffic.blocked);
+    node.traffic.dirty.extend(blocked);
 }
 
 /// Adds what is broken in the tables of requests and attempts.
 pub(crate) fn verify(node: &Node, broken: &mut Vec<String>) {
-    let _ = (node, broken);
+    let traffic = &node.traffic;
+    for (attempt, row) in &traffic.attempts {
+        let request = traffic.requests.get(&row.request);
+        match request.map(|request| &request.stage) {
+            Some(Stage::Running(running)) if running == attempt => {}
+            Some(stage) => broken.push(format!("{attempt} runs but {} is {stage:?}", row.request)),
+            None => broken.push(format!(
+                "{attempt} belongs to {} which is over",
+                row.request
+            )),
+        }
+    }
+    for (request, row) in &traffic.requests {
+        verify_request(node, *request, row, broken);
+    }
+    let queued: usize = traffic.queues.values().map(Queue::len).sum();
+    if queued != traffic.waiting as usize {
+        broken.push(format!(
+            "{queued} requests are queued but {} counted",
+            traffic.waiting
+        ));
+    }
+    verify_in_flight(node, broken);
+}
+
+fn verify_request(node: &Node, request: Request, row: &RequestRow, broken: &mut Vec<String>) {
+    let traffic = &node.traffic;
+    let queued = traffic
+        .queues
+        .get(&row.key)
+        .is_some_and(|queue| queue.contains(request));
+    match row.stage {
+        Stage::Waiting if !queued => broken.push(format!("{request} waits in no queue")),
+        Stage::Claiming(_) | Stage::Running(_) if queued => {
+            broken.push(format!("{request} is {:?} and still queued", row.stage));
+        }
+        Stage::Running(attempt) if !traffic.attempts.contains_key(&attempt) => {
+            broken.push(format!("{request} runs as {attempt} which is over"));
+        }
+        Stage::Running(_) if row.claim == table::Claim::Wanted => {
+            broken.push(format!("{request} runs without the claim that it needs"));
+        }
+        Stage::Waiting | Stage::Claiming(_) | Stage::Running(_) => {}
+    }
+    if !row.idempotent && row.maybe_ran && !matches!(row.stage, Stage::Running(_)) {
+        broken.push(format!(
+            "{request} may have run and is not idempotent, yet it is not over"
+        ));
+    }
+    if !traffic.deadlines.contains(&(row.deadline, request)) {
+        broken.push(format!("{request} has no deadline entry"));
+    }
+}
+
+fn verify_in_flight(node: &Node, broken: &mut Vec<String>) {
+    let traffic = &node.traffic;
+    let mut counted: BTreeMap<Server, u32> = BTreeMap::new();
+    for row in traffic.attempts.values() {
+        *counted.entry(row.server).or_default() += 1;
+    }
+    for row in traffic.requests.values() {
+        if let Stage::Claiming(server) = row.stage {
+            *counted.entry(server).or_default() += 1;
+        }
+    }
+    if counted != traffic.on_server {
+        broken.push(format!(
+            "in flight {counted:?} but counted {:?}",
+            traffic.on_server
+        ));
+    }
+}
+
+/// How long a caller does well to wait before it asks for an adapter again.
+pub(crate) fn retry_after(node: &Node, adapter: Option<Adapter>) -> Span {
+    const SHORT: Span = Span::from_millis(500);
+    adapter
+        .and_then(|adapter| node.domains.expected(adapter))
+        .map_or(SHORT, |wait| wait.max(SHORT))
+}
+
+/// An answer to an operator that something is not there.
+pub(crate) fn not_found(ticket: Ticket, detail: String, out: &mut Effects) {
+    let answer = Answer::new(Kind::NotFound, detail);
+    let reply = crate::operator::Reply::Failed(answer);
+    out.push(crate::effect::Effect::Reply { ticket, reply });
 }
--- /dev/null
+++ b/crates/core/src/traffic/table.rs
@@ -0,0 +1,135 @@
+//! The rows of requests and attempts.
+
+use smallvec::SmallVec;
+
+use super::queue::Key;
+use super::trail::Notes;
+use crate::entity::{Adapter, Caller, Server, Service, Zone};
+use crate::event::{Call, Head};
+use crate::id::{self, Attempt, Request};
+use crate::time::{Instant, Span};
+
+/// What waits for one adapter.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Waiting {
+    /// Requests that wait.
+    pub(crate) count: u32,
+    /// The sum of their callers' weights, in thousandths.
+    pub(crate) weight: u32,
+    /// How long the first of them can still wait.
+    pub(crate) left: Span,
+    /// How long the first of them has waited.
+    pub(crate) waited: Span,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It waits in its queue.
+    Waiting,
+    /// A place on this server is kept for it while its idempotency key is claimed.
+    Claiming(Server),
+    /// This attempt is in progress.
+    Running(Attempt),
+}
+
+/// Whether a request needs a claim on its idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Claim {
+    /// It needs none.
+    Unneeded,
+    /// It needs one and has not got it yet.
+    Wanted,
+    /// It has it.
+    Held,
+}
+
+/// What the first matching rule decided, kept so that a later edition does not change it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Decision {
+    /// The rule's name.
+    pub(crate) rule: Option<id::Rule>,
+    /// Servers in this zone first.
+    pub(crate) prefer: Option<Zone>,
+    /// Servers in this zone only.
+    pub(crate) require: Option<Zone>,
+    /// These servers only, where there are any.
+    pub(crate) pin: SmallVec<[Server; 2]>,
+    /// Not these servers.
+    pub(crate) avoid: SmallVec<[Server; 2]>,
+    /// The priority; smaller runs first.
+    pub(crate) priority: i32,
+    /// How long a cold request may be held back to fill a batch.
+    pub(crate) hold: Span,
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub(crate) struct RequestRow {
+    /// What was asked for.
+    pub(crate) call: Call,
+    /// Its caller.
+    pub(crate) caller: Caller,
+    /// Its service.
+    pub(crate) service: Service,
+    /// Its adapter, or none for a plain service.
+    pub(crate) adapter: Option<Adapter>,
+    /// The queue it belongs to.
+    pub(crate) key: Key,
+    /// What the rules decided.
+    pub(crate) decision: Decision,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
+    /// When its caller stops waiting.
+    pub(crate) deadline: Instant,
+    /// Whether it may be run more than once.
+    pub(crate) idempotent: bool,
+    /// Its claim.
+    pub(crate) claim: Claim,
+    /// How far it has come.
+    pub(crate) stage: Stage,
+    /// When it was first sent.
+    pub(crate) sent: Option<Instant>,
+    /// Attempts made.
+    pub(crate) tries: u32,
+    /// Servers that failed it.
+    pub(crate) failed_on: SmallVec<[Server; 2]>,
+    /// Whether an attempt may have run it.
+    pub(crate) maybe_ran: bool,
+    /// Whether the adapter was not resident when it arrived.
+    pub(crate) cold: bool,
+    /// Whether the caller has the head of the answer.
+    pub(crate) begun: bool,
+    /// Tokens that the caller has.
+    pub(crate) tokens: u32,
+    /// When the last token came.
+    pub(crate) last_token: Option<Instant>,
+    /// The answer so far, kept for the claim while it is small enough.
+    pub(crate) kept: Option<Kept>,
+    /// What was done so far.
+    pub(crate) notes: Notes,
+}
+
+/// An answer kept for a repeated idempotency key.
+#[derive(Debug, Default)]
+pub(crate) struct Kept {
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// The content type.
+    pub(crate) content_type: String,
+    /// The body so far.
+    pub(crate) body: Vec<u8>,
+}
+
+/// An attempt in progress.
+#[derive(Debug)]
+pub(crate) struct AttemptRow {
+    /// The request.
+    pub(crate) request: Request,
+    /// The server.
+    pub(crate) server: Server,
+    /// Whether the server has said which adapter answers.
+    pub(crate) vouched: bool,
+    /// The head of the answer, kept back until the server has said which adapter answers.
+    pub(crate) head: Option<Head>,
+}
