--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod node;
 pub mod operator;
 mod ops;
+pub mod pages;
 pub mod peer;
 pub mod platform;
 pub mod settings;
