--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,202 @@
+//! One HTTP exchange, with an exact deadline and a token that ends it early.
+
+use crate::cancel::Cancel;
+use crate::error::{Error, Result};
+use crate::pump::{self, Message};
+use crate::unit::Endpoint;
+use flume::{Receiver, RecvError, Selector};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Pieces of a body that may wait for the calling thread before the reader thread stops reading.
+const WAITING_PIECES: usize = 16;
+
+/// How the end of a body was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// By its length: the body is whole.
+    Length,
+    /// By its last chunk. A connection that closes between two chunks looks the same.
+    Chunked,
+    /// By the end of the connection: nothing shows whether the body is whole.
+    Closed,
+}
+
+/// A request to one server.
+pub(crate) struct Request {
+    /// The server.
+    pub(crate) endpoint: Endpoint,
+    /// The method.
+    pub(crate) method: String,
+    /// The path with its query.
+    pub(crate) path: String,
+    /// The headers, but for the body's length.
+    pub(crate) headers: Vec<(String, String)>,
+    /// The body, if any.
+    pub(crate) body: Option<Vec<u8>>,
+    /// When the whole exchange has to be over.
+    pub(crate) deadline: Instant,
+    /// When the head of the answer has to be there, if before that.
+    pub(crate) head_by: Option<Instant>,
+    /// When it is too late for the first byte.
+    pub(crate) start_by: Option<Instant>,
+    /// Whether the answer is read line by line as it comes.
+    pub(crate) streaming: bool,
+}
+
+impl Request {
+    /// A GET.
+    pub(crate) fn get(endpoint: Endpoint, path: &str, timeout: Duration) -> Self {
+        Self {
+            endpoint,
+            method: "GET".into(),
+            path: path.into(),
+            headers: Vec::new(),
+            body: None,
+            deadline: Instant::now() + timeout,
+            head_by: None,
+            start_by: None,
+            streaming: false,
+        }
+    }
+
+    /// A POST with a JSON body.
+    pub(crate) fn post(endpoint: Endpoint, path: &str, body: Vec<u8>, timeout: Duration) -> Self {
+        Self {
+            method: "POST".into(),
+            headers: vec![("Content-Type".into(), "application/json".into())],
+            body: Some(body),
+            ..Self::get(endpoint, path, timeout)
+        }
+    }
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Head {
+    /// The status.
+    pub(crate) status: u16,
+    /// The headers, names in lower case.
+    pub(crate) headers: HashMap<String, String>,
+}
+
+/// A running exchange, from the calling thread's side.
+pub(crate) struct Exchange {
+    /// The head of the answer.
+    head: Head,
+    /// What the reader thread sends.
+    messages: Receiver<Result<Message>>,
+    /// The caller's token.
+    cancel: Cancel,
+    /// When the exchange has to be over.
+    deadline: Instant,
+    /// How the body ended, once it has.
+    ending: Option<Ending>,
+}
+
+/// What ended a wait for the reader thread.
+enum Wake {
+    /// The reader's next message, or its end without one.
+    Message(std::result::Result<Result<Message>, RecvError>),
+    /// The caller's token.
+    Cancelled,
+}
+
+impl Exchange {
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) fn open(request: Request, cancel: &Cancel) -> Result<Self> {
+        if cancel.is_cancelled() {
+            return Err(Error::Unsent("cancelled".into()));
+        }
+        let deadline = request.deadline;
+        let head_by = request
+            .head_by
+            .map_or(deadline, |head_by| head_by.min(deadline));
+        let (sender, messages) = flume::bounded(WAITING_PIECES);
+        thread::Builder::new()
+            .name("platform-read".into())
+            .spawn(move || pump::run(request, &sender))
+            .map_err(|error| Error::Unsent(error.to_string()))?;
+        match wait(&messages, cancel, head_by)? {
+            Some(Message::Head(head)) => Ok(Self {
+                head,
+                messages,
+                cancel: cancel.clone(),
+                deadline,
+                ending: None,
+            }),
+            _ => Err(Error::ResetBefore("the reader thread ended".into())),
+        }
+    }
+
+    /// The head of the answer.
+    pub(crate) fn head(&self) -> &Head {
+        &self.head
+    }
+
+    /// The next piece of the body, or nothing at its end.
+    pub(crate) fn piece(&mut self) -> Result<Option<Vec<u8>>> {
+        if self.ending.is_some() {
+            return Ok(None);
+        }
+        match wait(&self.messages, &self.cancel, self.deadline)? {
+            Some(Message::Data(data)) => Ok(Some(data)),
+            Some(Message::End(ending)) => {
+                self.ending = Some(ending);
+                Ok(None)
+            }
+            _ => Err(Error::Broken("the reader thread ended".into())),
+        }
+    }
+
+    /// Reads the rest of the body, up to a limit.
+    pub(crate) fn whole(mut self, limit: usize) -> Result<(Head, Vec<u8>, Ending)> {
+        let mut body = Vec::new();
+        while let Some(piece) = self.piece()? {
+            if body.len() + piece.len() > limit {
+                return Err(Error::Broken(format!("body longer than {limit} bytes")));
+            }
+            body.extend_from_slice(&piece);
+        }
+        let ending = self.ending.unwrap_or(Ending::Closed);
+        Ok((self.head, body, ending))
+    }
+}
+
+/// Waits for the reader's next message; nothing means that the reader ended without one.
+fn wait(
+    messages: &Receiver<Result<Message>>,
+    cancel: &Cancel,
+    deadline: Instant,
+) -> Result<Option<Message>> {
+    // A selector picks at random among what is ready, and a cancelled exchange should end at once.
+    if cancel.is_cancelled() {
+        return Err(Error::Cancelled);
+    }
+    let wake = Selector::new()
+        .recv(messages, Wake::Message)
+        .recv(cancel.receiver(), |_| Wake::Cancelled)
+        .wait_deadline(deadline);
+    match wake {
+        Ok(Wake::Message(Ok(message))) => message.map(Some),
+        Ok(Wake::Message(Err(_))) => Ok(None),
+        Ok(Wake::Cancelled) => Err(Error::Cancelled),
+        Err(_) => Err(Error::Timeout),
+    }
+}
+
+/// Runs an exchange whose answer is read as a whole; a status of failure becomes an error.
+pub(crate) fn call(request: Request, limit: usize, cancel: &Cancel) -> Result<Vec<u8>> {
+    let (head, body, _) = Exchange::open(request, cancel)?.whole(limit)?;
+    match head.status {
+        200..=299 => Ok(body),
+        status => Err(Error::from_answer(status, body)),
+    }
+}
+
+/// Parses a JSON answer. JSON proves its own end, so a cut body is found here as well.
+pub(crate) fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| Error::Broken(error.to_string()))
+}
