Test the key-value, VM list and plain clients over scripted connections

Cause: the effect of each lost or broken answer has to be shown, not assumed.

Ruled out: an address that was bound and released as the one nobody listens on, since a test running beside it may be given the same port.

--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -6,7 +6,7 @@
 )]
 
 use dahliastile_platform::Endpoint;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -110,6 +110,30 @@
     }
 }
 
+/// A server that takes connections and never reads from them.
+pub struct Listener {
+    pub endpoint: Endpoint,
+    listener: TcpListener,
+}
+
+impl Listener {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Self {
+            endpoint: endpoint(listener.local_addr().unwrap()),
+            listener,
+        }
+    }
+
+    /// Whether nobody has connected.
+    pub fn is_untouched(&self) -> bool {
+        self.listener
+            .accept()
+            .is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
 fn endpoint(address: SocketAddr) -> Endpoint {
     match address {
         SocketAddr::V4(address) => Endpoint(address),
