Leave out headers that a connection header nominates

Cause: a forwarded call may name further headers of one connection only; they were passed on to the plain service and back to the caller.

Change: they are left out both ways. The crate's page says what cancelling and failing connects can and cannot show.

--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -68,7 +68,8 @@
     /// stream or the whole answer.
     ///
     /// Returns `Ok` only for a whole answer: a stream that ended with its end event, or a whole JSON
-    /// body. The served models are handed up and not compared with the one asked for. When `sink`
+    /// body. A stream that the engine was told to abort may end so as well; its last event's finish
+    /// reason says it. The served models are handed up and not compared with the one asked for. When `sink`
     /// breaks, the call ends as [`Error::Cancelled`]. An engine may run on after any failure until it is
     /// told to [`abort`](Self::abort).
     ///
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,7 +16,11 @@
 //!   as proof that nothing happens.
 //! * It takes a connection that closes at a chunk boundary for the proper end of a chunked body.
 //!   [`Ending`] says how a body ended; JSON bodies and event streams prove their end by themselves.
-//! * It keeps one value for each header name, and addresses are IPv4 only.
+//! * It keeps one value for each header name of an answer, and addresses are IPv4 only.
+//! * It hides its socket. A cancelled call stops waiting at once, but the server sees the connection
+//!   close only when the reader ends, so that an engine has to be told to [abort](engine::Client::abort).
+//! * Of the failures to connect, only a refused connection can be told from one that broke later. A
+//!   server that does not answer at all is a timeout, which proves nothing.
 
 mod cancel;
 mod error;
--- a/crates/platform/src/plain.rs
+++ b/crates/platform/src/plain.rs
@@ -94,7 +94,8 @@
         };
         let (head, body, ending) = Exchange::open(request, cancel)?.whole(self.limit.0)?;
         let mut headers = head.headers;
-        headers.retain(|name, _| !is_own(name));
+        let nominated = headers.remove("connection").unwrap_or_default();
+        headers.retain(|name, _| !is_own(name, &nominated));
         Ok(Answer {
             status: head.status,
             headers,
@@ -136,14 +137,22 @@
             .all(|byte| byte.is_ascii_alphanumeric() || is_symbol(byte))
 }
 
-fn is_own(name: &str) -> bool {
-    OWN_HEADERS.iter().any(|own| own.eq_ignore_ascii_case(name))
+/// Whether a header belongs to one connection, by itself or as named by the `Connection` header.
+fn is_own(name: &str, nominated: &str) -> bool {
+    let nominated = nominated.split(',').map(str::trim);
+    let mut own = OWN_HEADERS.into_iter().chain(nominated);
+    own.any(|own| own.eq_ignore_ascii_case(name))
 }
 
 /// The headers to send, repeated ones joined as the standard allows, since `minreq` keeps one value.
 fn forwarded(headers: &[(String, String)]) -> Vec<(String, String)> {
+    let connection = headers
+        .iter()
+        .filter(|(name, _)| name.eq_ignore_ascii_case("connection"));
+    let nominated: Vec<&str> = connection.map(|(_, value)| value.as_str()).collect();
+    let nominated = nominated.join(",");
     let mut joined = BTreeMap::<String, String>::new();
-    for (name, value) in headers.iter().filter(|(name, _)| !is_own(name)) {
+    for (name, value) in headers.iter().filter(|(name, _)| !is_own(name, &nominated)) {
         let name = name.to_ascii_lowercase();
         let separator = if name == "cookie" { "; " } else { ", " };
         joined
--- a/crates/platform/tests/plain.rs
+++ b/crates/platform/tests/plain.rs
@@ -29,6 +29,8 @@
         pair("X-A", "1"),
         pair("x-a", "2"),
         pair("Host", "elsewhere"),
+        pair("Connection", "keep-alive, X-Hop"),
+        pair("x-hop", "3"),
         pair("Transfer-Encoding", "chunked"),
         pair("content-length", "99"),
     ];
