Add the other stand-ins, their faults and the process form

The VM list, weight store and plain service join the key-value service and the engine; the example program runs each one.

Found while testing: minreq answers 503 for a connection that closes without a byte, so the caller tells that apart; a cut connection lost chunks in flight, so a broken stream now closes behind its last chunk; the engine held its lock while it fetched an adapter (load_while_serving hung before the change). Checking for a lost answer by the status alone was ruled out, since 503 is a real refusal.

--- a/crates/standin/examples/standin.rs
+++ b/crates/standin/examples/standin.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dahliastile_standin::{Host, Service, engine, kv};
+use dahliastile_standin::{Host, Service, engine, kv, plain, vms, weights};
 use gumdrop::Options;
 use serde_json::json;
 
@@ -26,8 +26,14 @@
 enum Command {
     #[options(help = "key-value service")]
     Kv(Kv),
+    #[options(help = "VM list")]
+    Vms(Vms),
+    #[options(help = "weight store")]
+    Weights(Weights),
     #[options(help = "model engine")]
     Engine(Engine),
+    #[options(help = "plain service")]
+    Plain(Plain),
 }
 
 /// Runs a key-value service.
@@ -41,6 +47,41 @@
     second_ms: u64,
 }
 
+/// Runs a VM list.
+#[derive(Debug, Options)]
+struct Vms {
+    /// Print this help.
+    help: bool,
+    #[options(help = "address to listen on", default = "127.0.0.1:0")]
+    listen: SocketAddr,
+    #[options(help = "milliseconds by which the list lags", default = "0")]
+    lag_ms: u64,
+    #[options(help = "the first VMs as a JSON array", default = "[]")]
+    first: String,
+}
+
+/// Runs a weight store.
+#[derive(Debug, Options)]
+struct Weights {
+    /// Print this help.
+    help: bool,
+    #[options(help = "address to listen on", default = "127.0.0.1:0")]
+    listen: SocketAddr,
+    #[options(help = "milliseconds of one load", default = "333")]
+    load_ms: u64,
+}
+
+/// Runs a plain service.
+#[derive(Debug, Options)]
+struct Plain {
+    /// Print this help.
+    help: bool,
+    #[options(help = "address to listen on", default = "127.0.0.1:0")]
+    listen: SocketAddr,
+    #[options(help = "milliseconds of one run", default = "0")]
+    work_ms: u64,
+}
+
 /// Runs a model engine.
 #[derive(Debug, Options)]
 struct Engine {
@@ -102,6 +143,21 @@
             let second = Duration::from_millis(given.second_ms);
             run(given.listen, kv::Kv::new(kv::Settings { second }))
         }
+        Some(Command::Vms(given)) => {
+            let vms = serde_json::from_str(&given.first)?;
+            run(
+                given.listen,
+                vms::Vms::new(vms, Duration::from_millis(given.lag_ms)),
+            )
+        }
+        Some(Command::Weights(given)) => {
+            let load_time = Duration::from_millis(given.load_ms);
+            run(given.listen, weights::Weights::new(load_time))
+        }
+        Some(Command::Plain(given)) => run(
+            given.listen,
+            plain::Plain::new(Duration::from_millis(given.work_ms)),
+        ),
         Some(Command::Engine(given)) => run(given.listen, engine::Engine::new(given.into())),
         None => eyre::bail!("name a stand-in, or see --help"),
     }
--- a/crates/standin/src/call.rs
+++ b/crates/standin/src/call.rs
@@ -119,9 +119,12 @@
              Cache-Control: no-cache\r\n"
         );
         for (name, value) in headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
+            head += name;
+            head += ": ";
+            head += value;
+            head += "\r\n";
         }
-        head.push_str("\r\n");
+        head += "\r\n";
         let mut stream = Stream {
             writer: self.request.into_writer(),
             link: self.link,
@@ -153,10 +156,10 @@
         self.write(b"0\r\n\r\n")
     }
 
-    /// Breaks the answer off and drops the connection.
+    /// Breaks the answer off behind the last chunk and drops the connection.
     pub(crate) fn vanish(self) {
         if let Some(link) = &self.link {
-            link.cut();
+            link.close();
         }
     }
 
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller for tests: sends one completion, reads its events as they come, checks the answer.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 
@@ -12,12 +13,27 @@
 /// The longest time that a request may take, in seconds.
 const TIMEOUT: u64 = 60;
 
+/// The reason phrase that `minreq` makes up, with status 503, when the connection closes before the
+/// first byte of an answer.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// What starts each event's data.
 const DATA: &str = "data: ";
 
 /// The data of a stream's last event.
 const DONE: &str = "[DONE]";
 
+/// Tells an answer from the one that `minreq` makes up for a connection closed without an answer.
+///
+/// # Errors
+/// With `UnexpectedEof` when there was no answer.
+pub fn answered(reason_phrase: &str) -> Result<(), minreq::Error> {
+    match reason_phrase {
+        NO_STATUS_LINE => Err(minreq::Error::IoError(io::ErrorKind::UnexpectedEof.into())),
+        _ => Ok(()),
+    }
+}
+
 /// Which API a request uses.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Api {
@@ -119,6 +135,7 @@
             .with_body(self.body.to_string())
             .with_timeout(TIMEOUT)
             .send_lazy()?;
+        answered(&response.reason_phrase)?;
         let mut answer = Answer::new(&response);
         let streamed = response.headers.get("content-type");
         if streamed.is_some_and(|media| media.starts_with("text/event-stream")) {
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -33,7 +33,7 @@
                 json!({"delta": {"content": token.text}}),
             ),
         };
-        self.wrap(
+        wrap(
             &token.request_id,
             &token.model,
             object,
@@ -51,24 +51,24 @@
                 ("chat.completion", json!({ "message": message }))
             }
         };
-        let mut answer = self.wrap(request_id, model, object, content, tokens.last());
+        let mut answer = wrap(request_id, model, object, content, tokens.last());
         answer["usage"] = json!({"completion_tokens": tokens.len()});
         answer
     }
+}
 
-    fn wrap(
-        self,
-        request_id: &str,
-        model: &Model,
-        object: &str,
-        mut choice: Value,
-        last: Option<&Token>,
-    ) -> Value {
-        let finish = last.and_then(|token| token.finish);
-        choice["index"] = json!(0);
-        choice["finish_reason"] = json!(finish.map(super::batch::Finish::reason));
-        json!({"id": request_id, "object": object, "model": model, "choices": [choice]})
-    }
+/// Puts a choice into the frame that all answers have.
+fn wrap(
+    request_id: &str,
+    model: &Model,
+    object: &str,
+    mut choice: Value,
+    last: Option<&Token>,
+) -> Value {
+    let finish = last.and_then(|token| token.finish);
+    choice["index"] = json!(0);
+    choice["finish_reason"] = json!(finish.map(super::batch::Finish::reason));
+    json!({"id": request_id, "object": object, "model": model, "choices": [choice]})
 }
 
 /// The fields of a request that the engine looks at.
--- a/crates/standin/src/engine/order.rs
+++ b/crates/standin/src/engine/order.rs
@@ -82,7 +82,9 @@
     let outcome = match begun {
         Ok(Loading::Already) => Ok(Loaded::Answered),
         Ok(Loading::Started(boot)) => {
-            let fetched = fetch(&shared.lock().settings.source.clone(), model);
+            // The lock must not be held while the adapter is fetched.
+            let source = shared.lock().settings.source.clone();
+            let fetched = fetch(&source, model);
             finish(&mut shared.lock(), model, boot, fetched)
         }
         Err(refusal) => Err(refusal),
@@ -112,7 +114,7 @@
     let now = Instant::now();
     let mut state = shared.lock();
     let outcome = state.unload(now, &order.lora_name, order.fence);
-    let word = word(&outcome);
+    let word = word(outcome);
     state.ordered(
         now,
         "unload_lora_adapter",
@@ -150,7 +152,7 @@
     let now = Instant::now();
     let mut state = shared.lock();
     let outcome = state.check_fence(fence);
-    state.ordered(now, name, None, fence, word(&outcome));
+    state.ordered(now, name, None, fence, word(outcome));
     state.note(now);
     drop(state);
     reply(call, outcome);
@@ -203,11 +205,8 @@
     }
 }
 
-fn word(outcome: &Result<(), Refusal>) -> &'static str {
-    outcome
-        .as_ref()
-        .err()
-        .map_or("ok", |refusal| refusal.code())
+fn word(outcome: Result<(), Refusal>) -> &'static str {
+    outcome.err().map_or("ok", |refusal| refusal.code())
 }
 
 fn reply(call: Call, outcome: Result<(), Refusal>) {
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -73,6 +73,12 @@
         let _ = self.inner.shutdown(Shutdown::Both);
     }
 
+    /// Closes both sides as soon as the client has what the server sent so far.
+    pub(crate) fn close(&self) {
+        // The relay still reads what has arrived, then finds the end and cuts.
+        let _ = self.inner.shutdown(Shutdown::Read);
+    }
+
     fn lose_client(&self) {
         self.alive
             .lock()
@@ -187,7 +193,9 @@
     /// Cuts all open connections.
     pub(crate) fn cut(&self) {
         let links: Vec<_> = self.lock().links.drain().map(|(_, link)| link).collect();
-        links.iter().for_each(|link| link.cut());
+        for link in links {
+            link.cut();
+        }
     }
 
     /// Ends the relay and cuts its connections.
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -59,7 +59,6 @@
 }
 
 /// A running stand-in; it stops when it is dropped.
-
 pub struct Host<S: Service> {
     /// What the request threads share.
     inner: Arc<Inner<S>>,
--- a/crates/standin/src/kv/json.rs
+++ b/crates/standin/src/kv/json.rs
@@ -15,6 +15,10 @@
 
 impl Int {
     /// Whether the number is zero, which the mapping leaves out.
+    #[expect(
+        clippy::trivially_copy_pass_by_ref,
+        reason = "serde hands over a reference"
+    )]
     pub(crate) fn is_zero(&self) -> bool {
         self.0 == 0
     }
@@ -80,6 +84,7 @@
 }
 
 /// `POST /v3/kv/range`.
+#[expect(clippy::struct_field_names, reason = "the names of the mapping")]
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct Range {
--- a/crates/standin/src/kv/mod.rs
+++ b/crates/standin/src/kv/mod.rs
@@ -1,6 +1,8 @@
 //! The key-value service: etcd v3's JSON mapping over one versioned store.
 
+mod feed;
 mod json;
+mod lease;
 mod store;
 mod watch;
 
--- a/crates/standin/src/kv/store.rs
+++ b/crates/standin/src/kv/store.rs
@@ -1,15 +1,14 @@
 //! The versioned items, leases and watchers of the key-value service.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::Serialize;
 use serde_json::{Value, json};
 
+use super::feed::{Change, Span, Watcher, Watching};
 use super::json::{Bytes, Compare, Delete, Int, Op, Put, Range, Relation, Target, Txn};
-
-/// The range end that means all keys from the first on.
-const TO_THE_END: &[u8] = &[0];
+use super::lease::Lease;
 
 /// One key's item at one revision.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
@@ -50,100 +49,25 @@
 /// A result of the store.
 pub(crate) type Result<T> = std::result::Result<T, Refusal>;
 
-/// A granted lease.
-#[derive(Debug)]
-struct Lease {
-    /// The time to live, in seconds.
-    ttl: Int,
-    /// When it expires unless it is kept alive.
-    deadline: Instant,
-    /// The keys attached to it.
-    keys: BTreeSet<Vec<u8>>,
-}
-
-/// A span of keys.
-#[derive(Clone, Debug)]
-pub(crate) struct Span {
-    /// The first key.
-    first: Vec<u8>,
-    /// The key behind the last; empty for one key.
-    end: Vec<u8>,
-}
-
-impl Span {
-    /// A span as the mapping writes it.
-    pub(crate) fn new(key: &Bytes, range_end: &Bytes) -> Self {
-        Self {
-            first: key.0.clone(),
-            end: range_end.0.clone(),
-        }
-    }
-
-    fn contains(&self, key: &[u8]) -> bool {
-        match self.end.as_slice() {
-            [] => key == self.first,
-            TO_THE_END => key >= self.first.as_slice(),
-            end => key >= self.first.as_slice() && key < end,
-        }
-    }
-}
-
-/// What a watcher gets: one revision's events.
-#[derive(Clone, Debug)]
-pub(crate) struct Batch {
-    /// The revision.
-    pub(crate) revision: Int,
-    /// The events in the mapping's form.
-    pub(crate) events: Vec<Value>,
-}
-
-/// A client that waits for changes.
-#[derive(Debug)]
-struct Watcher {
-    /// The keys it watches.
-    span: Span,
-    /// The first revision it wants.
-    from: Int,
-    /// Where its events go.
-    batches: flume::Sender<Batch>,
-}
-
-/// One key's change.
-#[derive(Clone, Debug)]
-struct Change {
-    /// The key.
-    key: Vec<u8>,
-    /// The new item; `None` after a deletion.
-    item: Option<Item>,
-}
-
-/// How a watch begins.
-pub(crate) enum Watching {
-    /// Its start lies below this compacted revision.
-    Compacted(Int),
-    /// It waits here.
-    Started(flume::Receiver<Batch>),
-}
-
 /// All items with their history.
 #[derive(Debug)]
 pub(crate) struct Store {
     /// The length of one second of a lease.
-    second: Duration,
+    pub(super) second: Duration,
     /// The latest revision.
     revision: Int,
     /// The revision of the last compaction.
     compacted: Int,
     /// The present items.
-    items: BTreeMap<Vec<u8>, Item>,
+    pub(super) items: BTreeMap<Vec<u8>, Item>,
     /// The changes by revision, from the compacted one on.
     log: BTreeMap<Int, Vec<Change>>,
     /// The items as of the compacted revision.
     base: BTreeMap<Vec<u8>, Item>,
     /// The granted leases.
-    leases: BTreeMap<Int, Lease>,
+    pub(super) leases: BTreeMap<Int, Lease>,
     /// The number of leases granted so far.
-    granted: i64,
+    pub(super) granted: i64,
     /// The waiting watches.
     watchers: Vec<Watcher>,
 }
@@ -200,9 +124,9 @@
         };
         found.truncate(if range.count_only { 0 } else { limit });
         if range.keys_only {
-            found
-                .iter_mut()
-                .for_each(|item| item.value = Bytes::default());
+            for item in &mut found {
+                item.value = Bytes::default();
+            }
         }
         let mut answer = json!({"header": self.header()});
         if !found.is_empty() {
@@ -266,68 +190,6 @@
         Ok(self.with_header(answer))
     }
 
-    /// Grants a lease.
-    pub(crate) fn grant(&mut self, id: Int, ttl: Int, now: Instant) -> Result<Value> {
-        self.granted += 1;
-        let id = if id.is_zero() {
-            Int(lease_id(self.granted))
-        } else {
-            id
-        };
-        if self.leases.contains_key(&id) {
-            return Err(Refusal::LeaseExists);
-        }
-        let ttl = Int(ttl.0.max(1));
-        let lease = Lease {
-            ttl,
-            deadline: now + self.span_of(ttl),
-            keys: BTreeSet::new(),
-        };
-        self.leases.insert(id, lease);
-        Ok(json!({"header": self.header(), "ID": id, "TTL": ttl}))
-    }
-
-    /// Renews a lease; the answer lacks the time to live when there is no such lease.
-    pub(crate) fn keep_alive(&mut self, id: Int, now: Instant) -> Value {
-        let header = self.header();
-        let second = self.second;
-        match self.leases.get_mut(&id) {
-            Some(lease) => {
-                lease.deadline = now + seconds(second, lease.ttl);
-                json!({"header": header, "ID": id, "TTL": lease.ttl})
-            }
-            None => json!({"header": header, "ID": id}),
-        }
-    }
-
-    /// Ends a lease and deletes the keys attached to it.
-    pub(crate) fn revoke(&mut self, id: Int) -> Result<Value> {
-        let lease = self.leases.remove(&id).ok_or(Refusal::NoLease)?;
-        let mut changes = Vec::new();
-        for key in lease.keys {
-            self.items.remove(&key);
-            changes.push(Change { key, item: None });
-        }
-        self.commit(changes);
-        Ok(self.with_header(json!({})))
-    }
-
-    /// Ends the leases whose time is over and returns when the next one ends.
-    pub(crate) fn expire(&mut self, now: Instant) -> Option<Instant> {
-        let over = |lease: &Lease| lease.deadline <= now;
-        let ids: Vec<Int> = self
-            .leases
-            .iter()
-            .filter(|(_, l)| over(l))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in ids {
-            // The lease was found just now, so that it can be revoked.
-            let _ = self.revoke(id);
-        }
-        self.leases.values().map(|lease| lease.deadline).min()
-    }
-
     /// Forgets the history below a revision.
     pub(crate) fn compact(&mut self, at: Int) -> Result<Value> {
         match at {
@@ -378,15 +240,11 @@
         self.watchers.clear();
     }
 
-    fn with_header(&self, mut answer: Value) -> Value {
+    pub(super) fn with_header(&self, mut answer: Value) -> Value {
         answer["header"] = self.header();
         answer
     }
 
-    fn span_of(&self, ttl: Int) -> Duration {
-        seconds(self.second, ttl)
-    }
-
     /// The revision that the changes in hand will get.
     fn next(&self) -> Int {
         Int(self.revision.0 + 1)
@@ -475,9 +333,10 @@
             key,
             item: Some(item),
         });
+        let header = json!({ "revision": revision });
         match former {
-            Some(former) if put.prev_kv => json!({"prev_kv": former}),
-            _ => json!({}),
+            Some(former) if put.prev_kv => json!({"header": header, "prev_kv": former}),
+            _ => json!({ "header": header }),
         }
     }
 
@@ -493,7 +352,7 @@
             }
             changes.push(Change { key, item: None });
         }
-        let mut answer = json!({});
+        let mut answer = json!({"header": {"revision": self.next()}});
         if !former.is_empty() {
             answer["deleted"] = json!(former.len().to_string());
         }
@@ -504,7 +363,7 @@
     }
 
     /// Gives the changes a revision and tells the watchers.
-    fn commit(&mut self, changes: Vec<Change>) {
+    pub(super) fn commit(&mut self, changes: Vec<Change>) {
         if changes.is_empty() {
             return;
         }
@@ -516,32 +375,6 @@
     }
 }
 
-impl Watcher {
-    fn tell(&self, revision: Int, changes: &[Change]) {
-        let seen = changes
-            .iter()
-            .filter(|change| self.span.contains(&change.key));
-        let events: Vec<Value> = seen.map(|change| change.event(revision)).collect();
-        if revision >= self.from && !events.is_empty() {
-            // A watcher that went away is removed at the next watch.
-            let _ = self.batches.send(Batch { revision, events });
-        }
-    }
-}
-
-impl Change {
-    /// The mapping's form; `PUT` is its default and left out.
-    fn event(&self, revision: Int) -> Value {
-        match &self.item {
-            Some(item) => json!({ "kv": item }),
-            None => {
-                let key = Bytes(self.key.clone());
-                json!({"type": "DELETE", "kv": {"key": key, "mod_revision": revision}})
-            }
-        }
-    }
-}
-
 fn check_key(key: &Bytes) -> Result<()> {
     if key.is_empty() {
         Err(Refusal::EmptyKey)
@@ -549,13 +382,3 @@
         Ok(())
     }
 }
-
-fn seconds(second: Duration, ttl: Int) -> Duration {
-    second.saturating_mul(u32::try_from(ttl.0).unwrap_or(u32::MAX))
-}
-
-/// The number of the n-th lease, kept apart from the numbers that clients choose.
-fn lease_id(granted: i64) -> i64 {
-    const FIRST: i64 = 1 << 32;
-    FIRST + granted
-}
--- a/crates/standin/src/kv/watch.rs
+++ b/crates/standin/src/kv/watch.rs
@@ -5,8 +5,9 @@
 
 use serde_json::{Value, json};
 
+use super::feed::{Span, Watching};
 use super::json::{Create, Int};
-use super::store::{Span, Store, Watching};
+use super::store::Store;
 use crate::call::{Call, Stream};
 
 /// Streams events until the client goes or the watch ends.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,9 @@
 mod gate;
 mod host;
 pub mod kv;
+pub mod plain;
+pub mod vms;
+pub mod weights;
 
 pub use call::Call;
 pub use gate::Outage;
