Read, check, edit and spread the configuration

Cause: the core had the form of the configuration, but nothing that read or changed it. Ruled out: applying a commit to the document before it is written, since what is shown as in force must be committed; an index of all adapters kept for the life of the node, since a search over 33,000 names costs less than it holds. Measured: builds; no test has been run yet.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,10 +1,19 @@
 //! The operators' configuration: its form, its edits, its checks, and the rules compiled for routing.
 
+mod check;
 mod document;
 mod edit;
+mod patch;
+pub(crate) mod rebase;
 pub(crate) mod rules;
+mod shadow;
 
+pub use check::{Problem, check, warnings};
 pub use document::{
     Adapter, Caller, Document, Header, Kind as ServiceKind, Rule, Server, Service, Then, When,
 };
 pub use edit::{Change, Edit, Place};
+pub use patch::apply;
+
+pub(crate) use check::check_after;
+pub(crate) use patch::{Undo, patch};
