--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -5,8 +5,7 @@
 mod edit;
 mod patch;
 pub(crate) mod rebase;
-pub(crate) mod rules;
-mod shadow;
+pub mod rules;
 
 pub use check::{Problem, check, warnings};
 pub use document::{
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -7,7 +7,7 @@
 
 use super::document::{Adapter, Caller, Document, Kind, Rule, Server, Service};
 use super::edit::{Change, Edit};
-use super::shadow;
+use super::rules::Rules;
 use crate::id;
 
 /// The length of a BLAKE3 hash in hexadecimal digits.
@@ -49,7 +49,11 @@
 /// What an operator may want to look at in a configuration that holds together.
 #[must_use]
 pub fn warnings(document: &Document) -> Vec<Problem> {
-    let mut problems = shadow::warnings(&document.rules);
+    let unreachable = Rules::new(document.rules.clone()).unreachable();
+    let unreachable = unreachable.into_iter();
+    let mut problems: Vec<_> = unreachable
+        .map(|text| Problem::new("rules", text))
+        .collect();
     problems.extend(never(document));
     problems.extend(zones(document));
     problems
