--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -10,6 +10,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {}
 
+impl State {
+    /// Whether the key-value service did not answer when it was last asked.
+    pub(crate) fn platform_lost(&self) -> bool {
+        false
+    }
+}
+
 /// Takes a claim for a request of this VM. The finding comes by [`crate::traffic::claimed`].
 pub(crate) fn take(node: &mut Node, request: Request, key: Key, digest: u64, out: &mut Effects) {
     let _ = (node, request, key, digest, out);
