Wire: links between entry VMs over capnp-rpc

Cause: entry VMs exchange the core's messages and must prove themselves at connect; a stranger gets nothing.

Ruled out: one connection used both ways, which needs a rule for two crossing connects; streaming calls, whose window notices a silent peer only once it is full; a stream kept by the RPC system alone, which stays open while any capability of it is held.

Change: Link runs one thread with a single-threaded event loop. Both sides prove the shared secret by a keyed hash over role, both random numbers, both names and starts; the server proves it first, so that a caller tells no names to a stranger. Bounded queue and window per peer, time limits for connect, handshake and delivery, back-off, bounded strangers and guests, 16 KiB from a stranger at most. A new link of a VM replaces its earlier one.

--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -12,6 +12,7 @@
 use capnp::traits::OwnedStruct;
 use dahliastile_core::peer::Message;
 
+pub(crate) use self::field::{array, name};
 use crate::error::Result;
 use crate::peer_capnp::message;
 
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -34,6 +34,12 @@
     /// Bytes follow the end of the message.
     #[error("{0} bytes follow the end of the message")]
     Trailing(usize),
+    /// The shared secret is shorter than this many bytes.
+    #[error("the secret must have at least {0} bytes")]
+    ShortSecret(usize),
+    /// The system gives no random numbers.
+    #[error("no random numbers: {0}")]
+    Randomness(String),
     /// The address can't be listened on.
     #[error("can't listen on {address}: {cause}")]
     Listen {
@@ -109,5 +115,12 @@
     }
 }
 
+/// What went wrong on this side of a remote call is told to the other side as text.
+impl From<Error> for capnp::Error {
+    fn from(error: Error) -> Self {
+        Self::failed(error.to_string())
+    }
+}
+
 /// The result of encoding, decoding and link operations.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod convert;
 mod error;
+mod link;
 mod message;
 #[allow(
     clippy::all,
@@ -29,4 +30,5 @@
 mod peer_capnp;
 
 pub use error::{Error, Result, Step};
+pub use link::{Counts, Incoming, Limits, Link, Secret, Settings};
 pub use message::{MAX_MESSAGE, decode, encode, encoded_len};
