Incarnations are ordered: a later start of a VM has a higher number

Cause: membership takes the higher of two starts of one name as the later one, but starts were numbered at random, so a restarted VM could be told that it was the older one and stopped itself (test harness fleet_time_passes failed: vm 1 stops). Ruled out: unordered starts, since messages of two starts may cross and nothing else says which is over. After: fleet_time_passes passes.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -218,7 +218,7 @@
     Order, "ord";
     /// One call of an operator.
     Ticket, "tkt";
-    /// One start of the daemon. Random, and different after each start.
+    /// One start of the daemon, higher with each start of a VM's name: made of the wall clock and random bits.
     Incarnation, "inc";
     /// A fencing number: the revision at which a domain's lease key was created. A higher one wins.
     Fence, "fence";
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -156,7 +156,7 @@
     pub zone: id::Zone,
     /// Its address for peers.
     pub address: String,
-    /// This start's number: random, and never used by an earlier start.
+    /// This start's number: higher than that of any earlier start of this VM's name.
     pub incarnation: id::Incarnation,
     /// The seed of its random numbers.
     pub seed: u64,
--- a/crates/core/tests/support/vm.rs
+++ b/crates/core/tests/support/vm.rs
@@ -91,7 +91,8 @@
 
     /// Starts a VM that is down, with a new incarnation and nothing kept.
     pub fn start(&mut self, vm: usize) {
-        let (incarnation, seed) = (Incarnation(self.rng.random()), self.rng.random());
+        let low = u64::from(self.rng.random::<u16>());
+        let (incarnation, seed) = (Incarnation((self.now + 1) << 16 | low), self.rng.random());
         let row = &mut self.vms[vm];
         assert!(row.node.is_none(), "vm {vm} is up");
         row.incarnation = incarnation;
