Hold control domains: leases, grants, orders and placement

Cause: the domain module was a skeleton; nothing was granted or loaded. Change: leases and seats, the record with grantees and intents, grants on both sides, reports, orders, evictions and placement, one decision a file. Measured: builds; no test has run yet.

--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -1,56 +1,170 @@
 //! Control domains: leases, residency grants, placement and loads, on the holder's and on the grantee's side.
+//!
+//! One decision a file: `lease` and `seat` say which VM holds which domain, `record` keeps what must outlast a
+//! holder, `holder`, `grant` and `update` keep and spread grants, `ask` and `grantee` use them, `report` and `order`
+//! talk to backend servers, `place` and `evict` decide what is loaded and unloaded, and `verify` checks the tables.
+
+pub(crate) mod ask;
+pub(crate) mod assign;
+pub(crate) mod backoff;
+pub(crate) mod cache;
+pub(crate) mod call;
+pub(crate) mod demand;
+pub(crate) mod evict;
+pub(crate) mod grant;
+pub(crate) mod grantee;
+pub(crate) mod holder;
+pub(crate) mod host;
+pub(crate) mod keys;
+pub(crate) mod lease;
+pub(crate) mod order;
+pub(crate) mod place;
+pub(crate) mod record;
+pub(crate) mod report;
+pub(crate) mod seat;
+pub(crate) mod store;
+pub(crate) mod update;
+pub(crate) mod view;
+
+use std::collections::BTreeMap;
+
+use cranelift_entity::SecondaryMap;
+use smallvec::SmallVec;
 
 use crate::Node;
+use crate::catalog::Catalog;
 use crate::effect::Effects;
-use crate::entity::{Adapter, Server};
+use crate::entity::{Adapter, Domain, Server, Service};
 use crate::event::{Cached, Ordered, Report};
-use crate::id::{self, Incarnation, Op, Order};
+use crate::id::{self, Fence, Incarnation, Op, Order};
 use crate::peer::{Ask, Holder, NotHolder, Update};
 use crate::platform::Outcome;
-use crate::time::Span;
+use crate::time::{Instant, Span};
+use crate::traffic;
+
+pub(crate) use view::{status, verify};
+
+/// Time between two looks for answers that are long overdue.
+const EXPIRE: Span = Span::from_secs(1);
 
 /// What this VM holds and what it is granted.
 #[derive(Debug, Default)]
-pub(crate) struct State {}
+pub(crate) struct State {
+    /// The lease of this VM.
+    lease: lease::Lease,
+    /// Who holds each domain.
+    seats: BTreeMap<Domain, seat::Seat>,
+    /// Which VM is to hold each domain.
+    spread: seat::Spread,
+    /// Domains that this VM holds.
+    held: BTreeMap<Domain, holder::Held>,
+    /// Domains that this VM uses.
+    used: BTreeMap<Domain, grantee::Used>,
+    /// What this VM may use.
+    grants: grantee::Grants,
+    /// Calls of the key-value service in progress.
+    calls: call::Table,
+    /// Orders in progress.
+    orders: BTreeMap<Order, order::Row>,
+    /// The number of the last order.
+    last_order: u64,
+    /// Weight stores.
+    stores: store::Table,
+    /// The domains of each service.
+    domains_of: SecondaryMap<Service, SmallVec<[Domain; 2]>>,
+    /// Prefix caches.
+    caches: cache::Table,
+    /// Whether this VM is handing its domains over.
+    closing: bool,
+    /// The time of the last tick.
+    clock: Instant,
+    /// When overdue answers were last looked for.
+    expired: Instant,
+}
 
 impl State {
     /// The servers on which this VM may send work for an adapter right now.
     pub(crate) fn usable(&self, adapter: Adapter) -> &[Server] {
-        let _ = adapter;
-        &[]
+        &self.grants.usable[adapter]
     }
 
-    /// A server's last load report, with its present age, as far as this VM has it.
+    /// A server's last load report as far as this VM has it. Its age is that at the time of receipt; `made` says
+    /// when its figures were made.
     pub(crate) fn load(&self, server: Server) -> Option<&Report> {
-        let _ = server;
-        None
+        self.grants.loads[server].as_ref().map(|load| &load.report)
+    }
+
+    /// When the figures of a server's last load report were made.
+    pub(crate) fn made(&self, server: Server) -> Option<Instant> {
+        self.grants.loads[server].as_ref().map(|load| load.made)
     }
 
-    /// How long it takes until an adapter is expected to be resident, where the holder has said so.
+    /// How long it takes until an adapter is expected to be resident, as its domain's holder last said.
     pub(crate) fn expected(&self, adapter: Adapter) -> Option<Span> {
-        let _ = adapter;
-        None
+        let at = self.grants.expected.get(&adapter)?;
+        Some(at.since(self.clock))
+    }
+
+    /// How many of a prompt's prefix blocks a server's cache is known to hold.
+    pub(crate) fn cached(&self, server: Server, prefix: &[u64]) -> usize {
+        self.caches.longest(server, prefix)
+    }
+
+    /// A domain held under this number.
+    fn held_under(&mut self, domain: Domain, fence: Fence) -> Option<&mut holder::Held> {
+        self.held
+            .get_mut(&domain)
+            .filter(|held| held.fence == fence)
+    }
+
+    /// A server of a held domain.
+    fn host(&mut self, domain: Domain, server: Server) -> Option<&mut host::Host> {
+        self.held.get_mut(&domain)?.hosts.get_mut(&server)
+    }
+
+    /// The seat of a domain.
+    fn seat(&mut self, domain: Domain) -> &mut seat::Seat {
+        self.seats.entry(domain).or_default()
+    }
+
+    /// Whether an order of a domain is on its way.
+    fn orders_of(&self, domain: Domain) -> bool {
+        self.orders.values().any(|row| row.domain == domain)
     }
 }
 
+/// This VM's present start.
+fn start(node: &Node) -> record::Start {
+    record::Start {
+        vm: node.settings.vm.clone(),
+        incarnation: node.settings.incarnation,
+    }
+}
+
+/// Whether a server refuses orders with an old fencing number.
+fn checks_fences(catalog: &Catalog, server: Server) -> bool {
+    let service = catalog.servers.get(server).service;
+    catalog.services.get(service).fenced
+}
+
 /// Work for an adapter begins on a server of this VM's grants.
 pub(crate) fn begin_use(node: &mut Node, server: Server, adapter: Adapter) {
-    let _ = (node, server, adapter);
+    grantee::begin_use(node, (server, adapter));
 }
 
 /// Work for an adapter ended on a server, however it ended.
 pub(crate) fn end_use(node: &mut Node, server: Server, adapter: Adapter, out: &mut Effects) {
-    let _ = (node, server, adapter, out);
+    grantee::end_use(node, (server, adapter), out);
 }
 
 /// A request arrived for an adapter; with `cold`, nothing is granted and it waits for that.
 pub(crate) fn arrived(node: &mut Node, adapter: Adapter, cold: bool, out: &mut Effects) {
-    let _ = (node, adapter, cold, out);
+    ask::arrived(node, adapter, cold, out);
 }
 
 /// A server said that an adapter is not resident though it was granted.
 pub(crate) fn missing(node: &mut Node, server: Server, adapter: Adapter, out: &mut Effects) {
-    let _ = (node, server, adapter, out);
+    grantee::missing(node, (server, adapter), out);
 }
 
 /// A load report came, or the server did not answer.
@@ -60,22 +174,25 @@
     report: Option<Report>,
     out: &mut Effects,
 ) {
-    let _ = (node, server, report, out);
+    report::reported(node, server, report, out);
 }
 
 /// Changes of a prefix cache came.
 pub(crate) fn cached(node: &mut Node, server: &id::Server, changes: &[Cached], out: &mut Effects) {
-    let _ = (node, server, changes, out);
+    let _ = out;
+    if let Some(server) = node.catalog.servers.find(server) {
+        node.domains.caches.changed(server, changes);
+    }
 }
 
 /// An order came back.
 pub(crate) fn ordered(node: &mut Node, order: Order, outcome: Ordered, out: &mut Effects) {
-    let _ = (node, order, outcome, out);
+    order::ordered(node, order, outcome, out);
 }
 
 /// An operation on the key-value service came back.
 pub(crate) fn platform(node: &mut Node, op: Op, outcome: Outcome, out: &mut Effects) {
-    let _ = (node, op, outcome, out);
+    call::ended(node, op, &outcome, out);
 }
 
 /// A grantee asks.
@@ -86,41 +203,106 @@
     ask: Ask,
     out: &mut Effects,
 ) {
-    let _ = (node, from, incarnation, ask, out);
+    grant::asked(node, from, incarnation, &ask, out);
 }
 
 /// A holder tells what may be used.
 pub(crate) fn updated(node: &mut Node, from: &id::Vm, update: Update, out: &mut Effects) {
-    let _ = (node, from, update, out);
+    grantee::updated(node, from, update, out);
 }
 
 /// A VM says that it does not hold a domain.
 pub(crate) fn not_holder(node: &mut Node, from: &id::Vm, notice: NotHolder, out: &mut Effects) {
-    let _ = (node, from, notice, out);
+    let Some(domain) = node.catalog.domains.find(&notice.domain) else {
+        return;
+    };
+    seat::denied(node, domain, from);
+    if let Some(holder) = notice.holder {
+        holder_is(node, holder, out);
+    }
 }
 
 /// News of a domain's holder came with a heartbeat.
 pub(crate) fn holder_is(node: &mut Node, holder: Holder, out: &mut Effects) {
-    let _ = (node, holder, out);
+    let Some(domain) = node.catalog.domains.find(&holder.domain) else {
+        return;
+    };
+    let known = seat::Known {
+        vm: holder.vm,
+        incarnation: None,
+        fence: holder.fence,
+    };
+    if seat::heard(node, domain, known, out) {
+        ask::holder_changed(node, domain, out);
+    }
 }
 
 /// The configuration changed.
 pub(crate) fn configured(node: &mut Node, out: &mut Effects) {
-    let _ = (node, out);
+    index_services(node);
+    seat::configured(node);
+    let held: Vec<Domain> = node.domains.held.keys().copied().collect();
+    for domain in held {
+        if node.domains.seats.contains_key(&domain) {
+            holder::configured(node, domain);
+            grant::withdraw(node, domain);
+            holder::pump(node, domain, out);
+        } else {
+            holder::drop_domain(node, domain, "not_configured", out);
+        }
+    }
+    grantee::configured(node);
+}
+
+/// Lists the domains of each service.
+fn index_services(node: &mut Node) {
+    let domains_of = &mut node.domains.domains_of;
+    domains_of.clear();
+    for (domain, row) in node.catalog.domains.iter() {
+        for server in &row.servers {
+            let service = node.catalog.servers.get(*server).service;
+            let domains = &mut domains_of[service];
+            if !domains.contains(&domain) {
+                domains.push(domain);
+            }
+        }
+    }
 }
 
-/// This VM was not run for a while: leases and grants kept by time are void.
+/// This VM was not run for a while: leases and grants kept by time are void. Whether its lease still holds is
+/// decided by its clock before each order.
 pub(crate) fn paused(node: &mut Node, out: &mut Effects) {
-    let _ = (node, out);
+    grantee::paused(node);
+    ask::tick(node, out);
 }
 
 /// This VM is leaving: hands its domains over. Says whether all is handed over.
 pub(crate) fn hand_over(node: &mut Node, out: &mut Effects) -> bool {
-    let _ = (node, out);
-    true
+    node.domains.closing = true;
+    if node.domains.held.is_empty() {
+        return traffic::idle(node) && ask::leave(node, out);
+    }
+    // Orders on their way are waited for: each has an outcome within its timeout.
+    if node.domains.orders.is_empty() {
+        lease::revoke(node, out);
+    }
+    false
 }
 
 /// Time has passed.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
-    let _ = (node, out);
+    let now = node.now;
+    node.domains.clock = now;
+    if now.since(node.domains.expired) >= EXPIRE {
+        node.domains.expired = now;
+        call::expire(node, out);
+        order::expire(node, out);
+    }
+    lease::tick(node, out);
+    seat::tick(node, out);
+    let held: Vec<Domain> = node.domains.held.keys().copied().collect();
+    for domain in held {
+        holder::tick(node, domain, out);
+    }
+    ask::tick(node, out);
 }
--- /dev/null
+++ b/crates/core/src/domain/ask.rs
@@ -0,0 +1,287 @@
+//! Asks to holders: when they are due, to whom they go, and what they say.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+use super::assign;
+use super::grantee::{self, Used};
+use super::seat;
+use crate::Node;
+use crate::effect::Effects;
+use crate::entity::{Adapter, Domain};
+use crate::id;
+use crate::peer::{Ask, Held, Message, Use, Want};
+use crate::time::Span;
+use crate::traffic;
+
+/// Adapters that are waited for, by which the shortest time between two asks grows by itself once.
+const WANTS_PER_PACE: usize = 16;
+/// How long a domain is asked for after the last request, where nothing there is held.
+const KEEP: Span = Span::from_secs(30);
+
+/// The domain that an adapter's requests ask for: where it is usable, else the one that its name hashes to, so that
+/// all VMs ask the same holder.
+pub(crate) fn home(node: &Node, adapter: Adapter) -> Option<Domain> {
+    let usable = node.domains.grants.usable[adapter].first();
+    if let Some(domain) = usable.and_then(|server| node.catalog.servers.get(*server).domain) {
+        return Some(domain);
+    }
+    let row = node.catalog.adapters.get(adapter);
+    let domains = &node.domains.domains_of[row.service];
+    match domains.as_slice() {
+        [] => None,
+        [only] => Some(*only),
+        _ => domains.iter().copied().max_by_key(|domain| {
+            let name = &node.catalog.domains.get(*domain).name;
+            assign::score(&row.name, name)
+        }),
+    }
+}
+
+/// A request arrived for an adapter.
+pub(crate) fn arrived(node: &mut Node, adapter: Adapter, cold: bool, out: &mut Effects) {
+    let Some(domain) = home(node, adapter) else {
+        return;
+    };
+    let now = node.now;
+    let used = node.domains.used.entry(domain).or_default();
+    *used.arrived.entry(adapter).or_default() += 1;
+    used.used = now;
+    if cold {
+        used.due = true;
+        used.wanting = used.wanting.max(1);
+        settle_with(node, domain, Some(adapter), out);
+    }
+}
+
+/// Sends an ask that is due, if the pace allows; otherwise a later tick does.
+pub(crate) fn settle(node: &mut Node, domain: Domain, out: &mut Effects) {
+    settle_with(node, domain, None, out);
+}
+
+fn settle_with(node: &mut Node, domain: Domain, new: Option<Adapter>, out: &mut Effects) {
+    let now = node.now;
+    let least = Span::from_millis(node.settings.tuning.ask_min_ms);
+    let Some(used) = node.domains.used.get(&domain) else {
+        return;
+    };
+    if used.due && now.since(used.asked) >= pace(used, least) {
+        let mut wants = wants(node);
+        let mut wants = wants.remove(&domain).unwrap_or_default();
+        if let Some(adapter) = new {
+            add_new(node, adapter, &mut wants);
+        }
+        send(node, domain, wants, out);
+    }
+}
+
+/// A request that arrives in the present step may not be in the queue yet.
+fn add_new(node: &Node, adapter: Adapter, wants: &mut Vec<Want>) {
+    let row = node.catalog.adapters.get(adapter);
+    if wants.iter().any(|want| want.adapter == row.name) {
+        return;
+    }
+    wants.push(Want {
+        adapter: row.name.clone(),
+        waiting: 1,
+        weight: 1_000,
+        left: node.catalog.services.get(row.service).timeout,
+        waited: Span::ZERO,
+    });
+}
+
+fn pace(used: &Used, least: Span) -> Span {
+    least.times(1 + (used.wanting / WANTS_PER_PACE) as u64)
+}
+
+/// Sends the asks that are due.
+pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
+    let now = node.now;
+    let tuning = &node.settings.tuning;
+    let least = Span::from_millis(tuning.ask_min_ms);
+    let retry = Span::from_millis(tuning.ask_retry_ms);
+    let longest = Span::from_millis(tuning.ask_max_ms);
+    let grants = &node.domains.grants;
+    let due: Vec<Domain> = node
+        .domains
+        .used
+        .iter()
+        .filter(|(_, used)| {
+            let waited = now.since(used.asked);
+            let unheard = used.full.is_some() || used.answered < used.nonce || used.wanting > 0;
+            let live = !used.places.is_empty() || grantee::idle(used, now) < KEEP;
+            let wait = match (used.due, unheard && live) {
+                (true, _) if used.answered >= used.nonce => pace(used, least),
+                (true, _) => pace(used, least).times(2).max(retry.min(longest)),
+                (false, true) => retry,
+                (false, false) if live => longest,
+                (false, false) => return false,
+            };
+            waited >= wait
+        })
+        .map(|(domain, _)| *domain)
+        .collect();
+    let _ = grants;
+    if due.is_empty() {
+        return;
+    }
+    let mut wants = wants(node);
+    for domain in due {
+        let wants = wants.remove(&domain).unwrap_or_default();
+        send(node, domain, wants, out);
+    }
+    node.domains.used.retain(|_, used| {
+        !used.places.is_empty() || used.full.is_some() || now.since(used.used) < KEEP.times(20)
+    });
+}
+
+/// What requests wait for, by the domain that is asked for it.
+fn wants(node: &Node) -> BTreeMap<Domain, Vec<Want>> {
+    let mut wants: BTreeMap<Domain, Vec<Want>> = BTreeMap::new();
+    for (adapter, waiting) in traffic::wanted(node) {
+        let Some(domain) = home(node, adapter) else {
+            continue;
+        };
+        wants.entry(domain).or_default().push(Want {
+            adapter: node.catalog.adapters.get(adapter).name.clone(),
+            waiting: waiting.count,
+            weight: waiting.weight,
+            left: waiting.left,
+            waited: waiting.waited,
+        });
+    }
+    wants
+}
+
+fn send(node: &mut Node, domain: Domain, wants: Vec<Want>, out: &mut Effects) {
+    let now = node.now;
+    let Some(to) = addressee(node, domain) else {
+        if let Some(used) = node.domains.used.get_mut(&domain) {
+            used.asked = now;
+        }
+        return;
+    };
+    let uses = uses(node, domain);
+    let held = held(node, domain);
+    let Some(used) = node.domains.used.get_mut(&domain) else {
+        return;
+    };
+    used.nonce += 1;
+    used.asked = now;
+    used.due = false;
+    used.wanting = wants.len();
+    used.arrived.clear();
+    let nonce = used.nonce;
+    if let Some(first) = &mut used.full {
+        *first = (*first).min(nonce);
+    }
+    for first in used.released.values_mut() {
+        first.get_or_insert(nonce);
+    }
+    let full = used.full.is_some();
+    let ask = Ask {
+        domain: node.catalog.domains.get(domain).name.clone(),
+        nonce,
+        fence: used.fence,
+        seen: used.seq,
+        full,
+        held: if full { held } else { Vec::new() },
+        released: used.released.keys().copied().collect(),
+        wants,
+        uses,
+    };
+    node.send(&to, Message::Ask(ask), out);
+}
+
+/// The holder as far as it is known, else the VM that is to hold the domain.
+fn addressee(node: &Node, domain: Domain) -> Option<id::Vm> {
+    if node.domains.held.contains_key(&domain) {
+        return Some(node.settings.vm.clone());
+    }
+    let seat = node.domains.seats.get(&domain)?;
+    match &seat.holder {
+        Some(known) => Some(known.vm.clone()),
+        None => {
+            let name = &node.catalog.domains.get(domain).name;
+            let target = node.domains.spread.targets.get(name)?;
+            (*target != node.settings.vm).then(|| target.clone())
+        }
+    }
+}
+
+/// Requests that arrived since the last ask, and those in flight.
+fn uses(node: &Node, domain: Domain) -> Vec<Use> {
+    let Some(used) = node.domains.used.get(&domain) else {
+        return Vec::new();
+    };
+    let mut uses: BTreeMap<Adapter, (u32, u32)> = BTreeMap::new();
+    for (adapter, arrived) in &used.arrived {
+        uses.entry(*adapter).or_default().0 = *arrived;
+    }
+    for place in &used.places {
+        let row = node.domains.grants.rows.get(place);
+        let in_flight = row.map_or(0, |row| row.in_flight);
+        if in_flight > 0 {
+            uses.entry(place.1).or_default().1 += in_flight;
+        }
+    }
+    uses.into_iter()
+        .map(|(adapter, (arrived, in_flight))| Use {
+            adapter: node.catalog.adapters.get(adapter).name.clone(),
+            arrived,
+            in_flight,
+        })
+        .collect()
+}
+
+fn held(node: &Node, domain: Domain) -> Vec<Held> {
+    let Some(used) = node.domains.used.get(&domain) else {
+        return Vec::new();
+    };
+    let rows: &FxHashMap<_, _> = &node.domains.grants.rows;
+    used.places
+        .iter()
+        .filter_map(|place| {
+            Some(Held {
+                server: node.catalog.servers.get(place.0).name.clone(),
+                adapter: node.catalog.adapters.get(place.1).name.clone(),
+                in_flight: rows.get(place)?.in_flight,
+            })
+        })
+        .collect()
+}
+
+/// This VM leaves: tells every holder that it holds nothing any more. Says whether that is done.
+pub(crate) fn leave(node: &mut Node, out: &mut Effects) -> bool {
+    let rows: Vec<_> = node.domains.grants.rows.keys().copied().collect();
+    for place in rows {
+        grantee::drop_row(node, place);
+    }
+    let domains: Vec<Domain> = node.domains.used.keys().copied().collect();
+    for domain in domains {
+        if node
+            .domains
+            .used
+            .get(&domain)
+            .is_some_and(|used| used.full.is_some())
+        {
+            send(node, domain, Vec::new(), out);
+        }
+    }
+    node.domains.used.clear();
+    true
+}
+
+/// News of a holder came: it is asked with all that this VM holds.
+pub(crate) fn holder_changed(node: &mut Node, domain: Domain, out: &mut Effects) {
+    if !node.domains.used.contains_key(&domain) {
+        return;
+    }
+    let top = node.domains.seats.get(&domain).map(|seat| seat.top);
+    if let Some(top) = top {
+        grantee::follow(node, domain, top);
+    }
+    settle(node, domain, out);
+    let _ = seat::hint;
+}
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -83,6 +83,8 @@
     ask_min_ms "ms" 5, 1..=1_000;
     /// The longest time between two asks to one domain's holder while it is used.
     ask_max_ms "ms" 1_000, 10..=10_000;
+    /// Time after which an ask or update that was not confirmed is sent again.
+    ask_retry_ms "ms" 200, 5..=10_000;
     /// Time between two load reports fetched from one server by its domain's holder.
     poll_ms "ms" 250, 5..=10_000;
     /// How long a server may fail to report before it counts as lost.
