--- /dev/null
+++ b/crates/core/tests/sync_commit.rs
@@ -0,0 +1,248 @@
+//! Operators' edits: accepted means committed, nothing is accepted twice, and clashing edits are refused.
+
+mod support;
+
+use dahliastile_core::config::{Change, Document, Edit, Place, Rule, Then, When};
+use dahliastile_core::error::{Kind, Ran};
+use dahliastile_core::id::{Edition, Ticket};
+use dahliastile_core::log::Code;
+use dahliastile_core::operator::{Command, Reply};
+use support::setup::Size;
+use support::{Fleet, MS, SEC};
+
+fn rule(name: &str, zone: &str) -> Rule {
+    Rule {
+        name: name.parse().unwrap(),
+        when: When {
+            zone: Some(zone.parse().unwrap()),
+            ..When::default()
+        },
+        then: Then {
+            priority: Some(1),
+            ..Then::default()
+        },
+    }
+}
+
+fn insert(name: &str, zone: &str) -> Change {
+    Change::InsertRule {
+        rule: rule(name, zone),
+        place: Place::Last,
+    }
+}
+
+fn edit(id: &str, base: u64, changes: Vec<Change>) -> Edit {
+    Edit {
+        id: id.to_owned(),
+        author: format!("author-of-{id}"),
+        base: Edition(base),
+        changes,
+    }
+}
+
+fn give(fleet: &mut Fleet, vm: usize, edit: Edit) -> Ticket {
+    fleet.command(vm, Command::Edit(edit))
+}
+
+fn reply(fleet: &mut Fleet, ticket: Ticket) -> Reply {
+    let answered = fleet.run_while(|fleet| !fleet.replies.contains_key(&ticket), 10 * SEC);
+    assert!(answered, "an operator got no answer");
+    fleet.replies[&ticket].clone()
+}
+
+fn accepted(fleet: &mut Fleet, ticket: Ticket) -> Edition {
+    match reply(fleet, ticket) {
+        Reply::Accepted { edition, .. } => edition,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn failed(fleet: &mut Fleet, ticket: Ticket) -> (Kind, Ran) {
+    match reply(fleet, ticket) {
+        Reply::Failed(answer) => (answer.kind, answer.ran),
+        other => panic!("not failed: {other:?}"),
+    }
+}
+
+fn shown(fleet: &mut Fleet, vm: usize) -> (Edition, Document) {
+    match fleet.answer(vm, Command::Show, SEC) {
+        Some(Reply::Show { edition, document }) => (edition, *document),
+        other => panic!("not shown: {other:?}"),
+    }
+}
+
+fn names(fleet: &mut Fleet, vm: usize) -> Vec<String> {
+    let (_, document) = shown(fleet, vm);
+    document
+        .rules
+        .iter()
+        .map(|rule| rule.name.to_string())
+        .collect()
+}
+
+/// A fleet with edition 1 in force.
+fn fleet(seed: u64) -> Fleet {
+    let fleet = Size::small().fleet(seed);
+    assert_eq!(fleet.logged(Code::EditionRejected), 0);
+    fleet
+}
+
+#[test]
+fn edit_everywhere() {
+    let mut fleet = fleet(1);
+    for vm in 0..3 {
+        let (edition, document) = shown(&mut fleet, vm);
+        assert_eq!(edition, Edition(1));
+        assert_eq!(document, Size::small().document());
+    }
+}
+
+#[test]
+fn race_disjoint_both_stay() {
+    for seed in 0..20 {
+        let mut fleet = fleet(seed);
+        let tickets = ["a", "b", "c"].map(|name| {
+            let vm = usize::from(name.as_bytes()[0] - b'a');
+            give(&mut fleet, vm, edit(name, 1, vec![insert(name, name)]))
+        });
+        let mut editions = tickets.map(|ticket| accepted(&mut fleet, ticket).0);
+        editions.sort_unstable();
+        assert_eq!(editions, [2, 3, 4]);
+        fleet.run_for(2 * SEC);
+        let first = names(&mut fleet, 0);
+        assert_eq!(first.len(), 3);
+        assert_eq!(names(&mut fleet, 1), first);
+        assert_eq!(names(&mut fleet, 2), first);
+    }
+}
+
+#[test]
+fn race_clash_one_stays() {
+    for seed in 0..20 {
+        let mut fleet = fleet(seed);
+        fleet.edit(0, vec![insert("r", "east")]);
+        fleet.run_for(SEC);
+        let tickets = [("a", "north"), ("b", "south"), ("c", "up")].map(|(id, zone)| {
+            let vm = usize::from(id.as_bytes()[0] - b'a');
+            let rule = rule("r", zone);
+            give(
+                &mut fleet,
+                vm,
+                edit(id, 2, vec![Change::ReplaceRule { rule }]),
+            )
+        });
+        let replies = tickets.map(|ticket| reply(&mut fleet, ticket));
+        let won = replies
+            .iter()
+            .filter(|reply| matches!(reply, Reply::Accepted { .. }));
+        assert_eq!(won.count(), 1);
+        for reply in &replies {
+            if let Reply::Clash(clash) = reply {
+                assert_eq!(clash.subject, "rule r");
+                assert_ne!(clash.yours, clash.theirs);
+                assert!(clash.author.starts_with("author-of-"));
+            }
+        }
+        fleet.run_for(2 * SEC);
+        assert_eq!(shown(&mut fleet, 2).0, Edition(3));
+    }
+}
+
+#[test]
+fn repeat_changes_nothing_twice() {
+    let mut fleet = fleet(3);
+    let once = edit("once", 1, vec![insert("r", "east")]);
+    let ticket = give(&mut fleet, 0, once.clone());
+    assert_eq!(accepted(&mut fleet, ticket), Edition(2));
+    for vm in 0..3 {
+        let ticket = give(&mut fleet, vm, once.clone());
+        assert_eq!(accepted(&mut fleet, ticket), Edition(2));
+    }
+    assert_eq!(shown(&mut fleet, 0).0, Edition(2));
+}
+
+#[test]
+fn lost_answer_is_found() {
+    for effective in [true, false] {
+        let mut fleet = fleet(4);
+        fleet.kv.faults.only = Some("txn");
+        fleet.kv.faults.lose_answers = u32::from(effective);
+        fleet.kv.faults.lose_calls = u32::from(!effective);
+        let ticket = give(&mut fleet, 1, edit("lost", 1, vec![insert("r", "east")]));
+        assert_eq!(accepted(&mut fleet, ticket), Edition(2));
+        fleet.run_for(2 * SEC);
+        assert_eq!(names(&mut fleet, 0), ["r"]);
+    }
+}
+
+#[test]
+fn lost_answer_then_down_is_unknown() {
+    for effective in [true, false] {
+        let mut fleet = fleet(5);
+        fleet.kv.faults.only = Some("txn");
+        fleet.kv.faults.lose_answers = u32::from(effective);
+        fleet.kv.faults.lose_calls = u32::from(!effective);
+        let lost = edit("lost", 1, vec![insert("r", "east")]);
+        let ticket = give(&mut fleet, 1, lost.clone());
+        fleet.run_for(100 * MS);
+        fleet.kv_down(false);
+        assert_eq!(
+            failed(&mut fleet, ticket),
+            (Kind::EditUnknown, Ran::Unknown)
+        );
+        fleet.kv_up();
+        fleet.run_for(5 * SEC);
+        let ticket = give(&mut fleet, 2, lost);
+        assert_eq!(accepted(&mut fleet, ticket), Edition(2));
+        fleet.run_for(2 * SEC);
+        assert_eq!(names(&mut fleet, 0), ["r"]);
+    }
+}
+
+#[test]
+fn outage_refuses_not_run() {
+    let mut fleet = fleet(6);
+    fleet.kv_down(false);
+    fleet.run_for(SEC);
+    let ticket = give(&mut fleet, 0, edit("refused", 1, vec![insert("r", "east")]));
+    assert_eq!(failed(&mut fleet, ticket), (Kind::PlatformDown, Ran::No));
+    fleet.kv_up();
+    fleet.run_for(10 * SEC);
+    assert_eq!(shown(&mut fleet, 0).0, Edition(1));
+}
+
+#[test]
+fn silent_outage_is_bounded() {
+    let mut fleet = fleet(7);
+    fleet.kv_down(true);
+    let ticket = give(&mut fleet, 0, edit("silent", 1, vec![insert("r", "east")]));
+    let before = fleet.now;
+    let (kind, _) = failed(&mut fleet, ticket);
+    assert!(matches!(kind, Kind::EditUnknown | Kind::PlatformDown));
+    assert!(fleet.now - before <= 7 * SEC);
+}
+
+#[test]
+fn invalid_edit_is_refused() {
+    let mut fleet = fleet(8);
+    let mut bad = rule("r", "east");
+    bad.then.pin = vec!["nobody".parse().unwrap()];
+    let place = Place::First;
+    let ticket = give(
+        &mut fleet,
+        0,
+        edit("bad", 1, vec![Change::InsertRule { rule: bad, place }]),
+    );
+    match reply(&mut fleet, ticket) {
+        Reply::Failed(answer) => {
+            assert_eq!((answer.kind, answer.ran), (Kind::BadConfiguration, Ran::No));
+            assert!(
+                answer.detail.contains("rules[0].then.pin[0]"),
+                "{}",
+                answer.detail
+            );
+        }
+        other => panic!("not refused: {other:?}"),
+    }
+    assert_eq!(shown(&mut fleet, 0).1, Size::small().document());
+}
