Daemon: settings, listeners, the node's thread and attempts

The shell turns bytes into events and effects into bytes: YAML settings checked against one table with every fault's line and column, both listeners, the thread that owns the node, attempts, orders, polls and calls of the key-value service.

tiny_http answers malformed heads with an empty body, keeps heads and connections without bounds, sets aside as much memory as Content-Length announces, and never tells that a caller has hung up. A gate in front of it holds the callers' sockets, checks heads and relays bytes; raising the limits in the library itself was not possible. thiserror is added to this package for its error list.

Compiles; not run yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,5 +28,7 @@
 pub mod time;
 mod traffic;
 mod verify;
+mod view;
 
 pub use node::Node;
+pub use view::View;
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,300 @@
+//! One running entry VM: its listeners, the thread that owns the node, and its orderly end.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use dahliastile_core::event::{Event, Listed};
+use dahliastile_core::id::Incarnation;
+use dahliastile_core::log::Code;
+use dahliastile_core::settings as core;
+use dahliastile_platform::{Cancel, vms};
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::driver::{Driver, Mailbox, Parts, Shared};
+use crate::error::{Error, Result};
+use crate::http::{Callers, Ids, Limits, Operators, Server};
+use crate::logs::Journal;
+use crate::metrics::Figures;
+use crate::peers::Peers;
+use crate::settings::Settings;
+
+/// Operators' connections at a time.
+const OPERATOR_CONNECTIONS: usize = 64;
+
+/// Operators' calls in progress at a time.
+const OPERATOR_CALLS: usize = 16;
+
+/// The largest body of an operator's command; a whole configuration fits.
+const OPERATOR_BODY: usize = 64 * 1024 * 1024;
+
+/// Time for a read of the list of VMs.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other entry VMs.
+    pub peers: SocketAddr,
+}
+
+/// A handle with which a daemon is told to stop from any thread.
+#[derive(Clone)]
+pub struct Stopper {
+    /// Whether it has been told to.
+    draining: Arc<AtomicBool>,
+    /// The way to the node.
+    mailbox: Mailbox,
+    /// Wakes the thread that waits for the end.
+    stop: flume::Sender<()>,
+}
+
+impl Stopper {
+    /// Tells the daemon to stop: it takes no more requests and finishes those in progress. With `now`, it cuts them
+    /// with an explicit error instead.
+    pub fn stop(&self, now: bool) {
+        self.draining.store(true, Ordering::SeqCst);
+        self.mailbox.event(Event::Shutdown { now });
+        // The thread has been woken already where the channel is full.
+        let _ = self.stop.try_send(());
+    }
+}
+
+/// Wakes the thread that waits for the end, also when the node's thread panics.
+struct Ended(flume::Sender<()>);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = self.0.try_send(());
+    }
+}
+
+/// One running entry VM.
+pub struct Daemon {
+    /// Where it listens.
+    addresses: Addresses,
+    /// Tells it to stop.
+    stopper: Stopper,
+    /// Says that it is told to stop, or that the node has stopped by itself.
+    stopping: flume::Receiver<()>,
+    /// Callers' listener.
+    callers: Server,
+    /// Operators' listener.
+    operators: Server,
+    /// The thread that owns the node.
+    driver: JoinHandle<()>,
+    /// Ends the housekeeping: what it calls, and its pauses.
+    housekeeping: (Cancel, flume::Sender<Infallible>),
+    /// The thread that does it.
+    housekeeper: JoinHandle<()>,
+    /// The log.
+    journal: Journal,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    /// An address that can't be listened on, or a thread that can't be started.
+    pub fn start(settings: Settings) -> Result<Self> {
+        let journal = Journal::new(settings.log, settings.vm.clone())?;
+        let figures = Figures::new(settings.vm.as_str())?;
+        let handle = figures.handle();
+        let (mailbox, inputs) = Mailbox::new();
+        let shared = Shared::default();
+        let draining = Arc::new(AtomicBool::new(false));
+        let peers = Peers::start(settings.listen.peers, mailbox.clone())?;
+        let own = own_settings(&settings, peers.address()?);
+        let ids = Ids::new(&own.vm, own.incarnation);
+        let callers = Server::start(
+            settings.listen.callers,
+            callers_limits(&settings),
+            settings.limits.requests,
+            mailbox.clone(),
+            Callers::new(ids, shared.clone(), mailbox.clone()),
+        )?;
+        let operators = Server::start(
+            settings.listen.operators,
+            operators_limits(&settings),
+            OPERATOR_CALLS,
+            mailbox.clone(),
+            Operators::new(
+                settings.operators,
+                shared.clone(),
+                Arc::clone(&draining),
+                handle.clone(),
+                mailbox.clone(),
+            ),
+        )?;
+        let addresses = Addresses {
+            callers: callers.address(),
+            operators: operators.address(),
+            peers: peers.address()?,
+        };
+        journal.event(
+            Code::Started,
+            format!(
+                "version={} incarnation={:x} callers={} operators={} peers={}",
+                env!("CARGO_PKG_VERSION"),
+                own.incarnation.0,
+                addresses.callers,
+                addresses.operators,
+                addresses.peers,
+            ),
+        );
+        let parts = Parts {
+            settings: own,
+            inputs,
+            mailbox: mailbox.clone(),
+            shared,
+            journal: journal.clone(),
+            figures,
+            peers,
+            endpoints: settings.platform.endpoints.clone(),
+            attempts: settings.limits.attempts,
+            answer_bytes: settings.limits.answer_bytes,
+            slow: settings.limits.slow,
+        };
+        let (stop, stopping) = flume::bounded(1);
+        let ended = stop.clone();
+        let driver = thread::Builder::new()
+            .name("node".to_owned())
+            .spawn(move || {
+                let _ended = Ended(ended);
+                Driver::new(parts).run();
+            })?;
+        let housekeeping = Cancel::new();
+        let (housekeeping_end, ended) = flume::bounded(0);
+        let tokens = (housekeeping.clone(), ended);
+        let housekeeper = housekeeper(&settings, handle, mailbox.clone(), tokens)?;
+        Ok(Self {
+            addresses,
+            stopper: Stopper {
+                draining,
+                mailbox,
+                stop,
+            },
+            stopping,
+            callers,
+            operators,
+            driver,
+            housekeeping: (housekeeping, housekeeping_end),
+            housekeeper,
+            journal,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// A handle with which to stop it.
+    #[must_use]
+    pub fn stopper(&self) -> Stopper {
+        self.stopper.clone()
+    }
+
+    /// Waits until it has been told to stop, the node has finished, and every answer is written.
+    ///
+    /// # Errors
+    /// [`Error::Panicked`] where the node did not stop by itself.
+    pub fn wait(self) -> Result<()> {
+        // Disconnected or not, the end has come.
+        let _ = self.stopping.recv();
+        self.callers.close();
+        let driver = self.driver.join();
+        self.callers.finish();
+        self.operators.finish();
+        let (cancel, pauses) = self.housekeeping;
+        cancel.cancel();
+        drop(pauses);
+        let housekeeper = self.housekeeper.join();
+        self.journal.event(Code::Stopped, "");
+        driver.and(housekeeper).map_err(|_| Error::Panicked)
+    }
+
+    /// Stops it and waits for its end.
+    ///
+    /// # Errors
+    /// As [`Daemon::wait`].
+    pub fn shutdown(self, now: bool) -> Result<()> {
+        self.stopper.stop(now);
+        self.wait()
+    }
+}
+
+fn own_settings(settings: &Settings, peers: SocketAddr) -> core::Settings {
+    let advertise = settings.advertise.clone();
+    core::Settings {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        address: advertise.unwrap_or_else(|| peers.to_string()),
+        incarnation: Incarnation(rand::random()),
+        seed: rand::random(),
+        prefix: settings.platform.prefix.clone(),
+        tuning: settings.tuning.clone(),
+    }
+}
+
+fn callers_limits(settings: &Settings) -> Limits {
+    let limits = &settings.limits;
+    Limits {
+        header_bytes: limits.header_bytes,
+        body_bytes: limits.body_bytes,
+        connections: limits.connections,
+        idle: limits.idle,
+        slow: limits.slow,
+    }
+}
+
+fn operators_limits(settings: &Settings) -> Limits {
+    Limits {
+        body_bytes: OPERATOR_BODY,
+        connections: OPERATOR_CONNECTIONS,
+        ..callers_limits(settings)
+    }
+}
+
+/// Reads the list of entry VMs, and folds the figures' raw values away so that they take no more room.
+fn housekeeper(
+    settings: &Settings,
+    figures: PrometheusHandle,
+    mailbox: Mailbox,
+    (cancel, ended): (Cancel, flume::Receiver<Infallible>),
+) -> Result<JoinHandle<()>> {
+    let client = vms::Client::new(settings.platform.vms, LIST_TIMEOUT);
+    let pause = settings.platform.list;
+    let thread = thread::Builder::new()
+        .name("housekeeping".to_owned())
+        .spawn(move || {
+            while !cancel.is_cancelled() {
+                if let Ok(list) = client.list(&cancel) {
+                    let vms = list.into_iter().filter_map(listed).collect();
+                    mailbox.event(Event::List { vms });
+                }
+                figures.run_upkeep();
+                // Nothing is ever sent: the wait ends early when the other side is dropped.
+                let _ = ended.recv_timeout(pause);
+            }
+        })?;
+    Ok(thread)
+}
+
+/// A VM as the core knows it; one with a name that is none is left out.
+fn listed(vm: vms::Vm) -> Option<Listed> {
+    Some(Listed {
+        vm: vm.name.parse().ok()?,
+        address: vm.address,
+        zone: vm.zone.parse().ok()?,
+        leaving: vm.state == vms::State::Leaving,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/http/gate.rs
@@ -0,0 +1,327 @@
+//! The TCP front of a listener: limits, and callers that go away.
+//!
+//! The HTTP library keeps its sockets to itself: it bounds neither connections nor heads, and a caller that hangs up
+//! goes unnoticed until something is written to it. A gate holds the callers' sockets, checks each head, and relays
+//! bytes to the library's own listener on the loopback interface.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use dahliastile_core::event::Event;
+use dahliastile_core::id::Request;
+
+use super::head::Refusal;
+use super::relay;
+use crate::driver::{Input, Mailbox};
+
+/// The stack of a thread that only moves bytes.
+pub(super) const STACK: usize = 128 * 1024;
+
+/// What a gate lets through.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// The largest head, in bytes.
+    pub(crate) header_bytes: usize,
+    /// The largest body, in bytes.
+    pub(crate) body_bytes: usize,
+    /// Connections at a time.
+    pub(crate) connections: usize,
+    /// How long a connection may stay without a byte from its caller.
+    pub(crate) idle: Duration,
+    /// How long a caller may leave its answer unread.
+    pub(crate) slow: Duration,
+}
+
+/// What is known of a connection.
+#[derive(Debug, Default)]
+struct State {
+    /// Whether part of a request has been read.
+    reading: bool,
+    /// Requests passed on and not yet answered.
+    pending: usize,
+    /// The numbers of those that the node knows of.
+    requests: Vec<Request>,
+    /// Whether the caller has gone away.
+    gone: bool,
+    /// Why the next answer is a refusal; the connection ends with it.
+    refusal: Option<Refusal>,
+}
+
+/// One caller's connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    /// The caller's socket.
+    pub(super) caller: TcpStream,
+    /// The socket towards the HTTP library.
+    pub(super) inner: TcpStream,
+    /// Where the node hears of callers that went away.
+    mailbox: Mailbox,
+    /// What is known of it.
+    state: Mutex<State>,
+}
+
+impl Connection {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes whether part of a request has been read.
+    pub(super) fn set_reading(&self, reading: bool) {
+        self.lock().reading = reading;
+    }
+
+    /// Notes that a request is passed on.
+    pub(super) fn pass(&self) {
+        self.lock().pending += 1;
+    }
+
+    /// Whether an answer is due.
+    pub(super) fn is_busy(&self) -> bool {
+        self.lock().pending > 0
+    }
+
+    /// Notes that a refusal takes the place of the next request.
+    pub(super) fn refuse(&self, refusal: Refusal) {
+        let mut state = self.lock();
+        state.refusal = Some(refusal);
+        state.pending += 1;
+    }
+
+    /// Whether the connection ends with a refusal.
+    pub(super) fn is_refused(&self) -> bool {
+        self.lock().refusal.is_some()
+    }
+
+    /// The refusal that takes the place of a request.
+    pub(super) fn refusal(&self) -> Option<Refusal> {
+        self.lock().refusal.clone()
+    }
+
+    /// Ties a request of the node to the connection, unless the caller has gone away already.
+    pub(super) fn begin(&self, request: Request) -> bool {
+        let mut state = self.lock();
+        if !state.gone {
+            state.requests.push(request);
+        }
+        !state.gone
+    }
+
+    /// Notes that a request is over for the node.
+    pub(super) fn finish(&self, request: Request) {
+        self.lock().requests.retain(|other| *other != request);
+    }
+
+    /// Notes that a request is answered.
+    pub(super) fn answered(&self) {
+        let mut state = self.lock();
+        state.pending = state.pending.saturating_sub(1);
+    }
+
+    /// The caller has gone away: its requests are given up and both sockets closed.
+    pub(super) fn lose(&self) {
+        let requests = {
+            let mut state = self.lock();
+            state.gone = true;
+            std::mem::take(&mut state.requests)
+        };
+        for request in requests {
+            self.mailbox.post(Input::Event(Event::Gone { request }));
+        }
+        self.cut();
+    }
+
+    /// Closes both sockets.
+    pub(super) fn cut(&self) {
+        // Either may be closed already, which is as good.
+        let _ = self.caller.shutdown(Shutdown::Both);
+        let _ = self.inner.shutdown(Shutdown::Both);
+    }
+}
+
+/// The connections of a gate.
+#[derive(Debug, Default)]
+struct Open {
+    /// Whether the gate takes no more.
+    closing: bool,
+    /// The connections, by the address that the HTTP library sees.
+    connections: HashMap<SocketAddr, Arc<Connection>>,
+}
+
+/// What the threads of a gate share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    /// What is let through.
+    pub(super) limits: Limits,
+    /// The HTTP library's listener.
+    inner: SocketAddr,
+    /// Where the node hears of callers that went away.
+    mailbox: Mailbox,
+    /// The connections.
+    open: Mutex<Open>,
+    /// Signalled when a connection ends.
+    ended: Condvar,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Open> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the gate takes no more.
+    pub(super) fn is_closing(&self) -> bool {
+        self.lock().closing
+    }
+}
+
+/// A front of a listener.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    /// What its threads share.
+    shared: Arc<Shared>,
+    /// Where callers are listened for.
+    address: SocketAddr,
+    /// The thread that accepts connections.
+    acceptor: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Gate {
+    /// Begins to accept connections and to relay them to `inner`.
+    pub(crate) fn start(
+        listener: TcpListener,
+        inner: SocketAddr,
+        limits: Limits,
+        mailbox: Mailbox,
+    ) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            limits,
+            inner,
+            mailbox,
+            open: Mutex::default(),
+            ended: Condvar::new(),
+        });
+        let accepting = Arc::clone(&shared);
+        let acceptor = thread::Builder::new()
+            .name("accept".to_owned())
+            .stack_size(STACK)
+            .spawn(move || accept(&accepting, &listener))?;
+        Ok(Self {
+            shared,
+            address,
+            acceptor: Mutex::new(Some(acceptor)),
+        })
+    }
+
+    /// Where callers are listened for.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The connection that the HTTP library sees under an address.
+    pub(super) fn connection(&self, inner: &SocketAddr) -> Option<Arc<Connection>> {
+        self.shared.lock().connections.get(inner).cloned()
+    }
+
+    /// Stops accepting. Connections without a request end; others end when they are answered.
+    pub(crate) fn close(&self) {
+        let idle: Vec<Arc<Connection>> = {
+            let mut open = self.shared.lock();
+            open.closing = true;
+            let idle = |connection: &&Arc<Connection>| !connection.lock().reading;
+            open.connections.values().filter(idle).cloned().collect()
+        };
+        for connection in idle {
+            let _ = connection.caller.shutdown(Shutdown::Read);
+        }
+        let acceptor = self
+            .acceptor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(acceptor) = acceptor {
+            // The acceptor waits for a connection; this one wakes it.
+            let port = self.address.port();
+            drop(TcpStream::connect((Ipv4Addr::LOCALHOST, port)));
+            drop(TcpStream::connect(self.address));
+            let _ = acceptor.join();
+        }
+    }
+
+    /// Waits until every connection has ended.
+    pub(crate) fn drain(&self) {
+        let mut open = self.shared.lock();
+        while !open.connections.is_empty() {
+            open = self
+                .shared
+                .ended
+                .wait(open)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
+/// Sets `TCP_NODELAY` on a listener, whose connections inherit it: pieces of a stream leave at once.
+pub(super) fn without_delay(listener: TcpListener) -> io::Result<TcpListener> {
+    let socket = TcpStream::from(OwnedFd::from(listener));
+    socket.set_nodelay(true)?;
+    Ok(TcpListener::from(OwnedFd::from(socket)))
+}
+
+fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
+    for caller in listener.incoming() {
+        if shared.is_closing() {
+            return;
+        }
+        // A connection that fails at once, or for which nothing is left, is its caller's loss only.
+        if let Ok(caller) = caller {
+            let _ = welcome(shared, caller);
+        }
+    }
+}
+
+fn welcome(shared: &Arc<Shared>, caller: TcpStream) -> io::Result<()> {
+    caller.set_nodelay(true)?;
+    caller.set_read_timeout(Some(shared.limits.idle))?;
+    caller.set_write_timeout(Some(shared.limits.slow))?;
+    if shared.lock().connections.len() >= shared.limits.connections {
+        return relay::turn_away(&caller);
+    }
+    let inner = TcpStream::connect(shared.inner)?;
+    inner.set_nodelay(true)?;
+    let key = inner.local_addr()?;
+    let connection = Arc::new(Connection {
+        caller,
+        inner,
+        mailbox: shared.mailbox.clone(),
+        state: Mutex::default(),
+    });
+    {
+        let mut open = shared.lock();
+        if open.closing {
+            return Ok(());
+        }
+        open.connections.insert(key, Arc::clone(&connection));
+    }
+    let relaying = Arc::clone(shared);
+    let started = thread::Builder::new()
+        .name("relay".to_owned())
+        .stack_size(STACK)
+        .spawn(move || {
+            relay::run(&relaying, &connection);
+            forget(&relaying, &key);
+        });
+    if started.is_err() {
+        forget(shared, &key);
+    }
+    started.map(drop)
+}
+
+fn forget(shared: &Shared, key: &SocketAddr) {
+    shared.lock().connections.remove(key);
+    shared.ended.notify_all();
+}
