Daemon: links to other VMs

Messages go through the wire package's link, and what comes in is passed to the node's mailbox by one thread. The peers' secret is checked by that package's own rule at the start. Compiles; not run yet.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -81,7 +81,7 @@
             None => ExitCode::from(WRONG),
         },
         (Some(file), None) => match load(file, &arguments.set) {
-            Some(settings) => serve(settings),
+            Some(settings) => serve(&settings),
             None => ExitCode::from(WRONG),
         },
         (None, None) => {
@@ -111,7 +111,7 @@
     }
 }
 
-fn serve(settings: Settings) -> ExitCode {
+fn serve(settings: &Settings) -> ExitCode {
     match start(settings).and_then(|daemon| Ok(daemon.wait()?)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
@@ -121,7 +121,7 @@
     }
 }
 
-fn start(settings: Settings) -> eyre::Result<Daemon> {
+fn start(settings: &Settings) -> eyre::Result<Daemon> {
     let signals = Signals::new([SIGTERM, SIGINT]).wrap_err("can't listen for signals")?;
     let daemon = Daemon::start(settings).wrap_err("can't start")?;
     let stopper = daemon.stopper();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -94,8 +94,6 @@
     housekeeping: (Cancel, flume::Sender<Infallible>),
     /// The thread that does it.
     housekeeper: JoinHandle<()>,
-    /// The log.
-    journal: Journal,
 }
 
 impl Daemon {
@@ -103,26 +101,33 @@
     ///
     /// # Errors
     /// An address that can't be listened on, or a thread that can't be started.
-    pub fn start(settings: Settings) -> Result<Self> {
+    pub fn start(settings: &Settings) -> Result<Self> {
         let journal = Journal::new(settings.log, settings.vm.clone())?;
         let figures = Figures::new(settings.vm.as_str())?;
         let handle = figures.handle();
         let (mailbox, inputs) = Mailbox::new();
         let shared = Shared::default();
         let draining = Arc::new(AtomicBool::new(false));
-        let peers = Peers::start(settings.listen.peers, mailbox.clone())?;
-        let own = own_settings(&settings, peers.address()?);
+        let incarnation = Incarnation(rand::random());
+        let peers = Peers::start(
+            settings.vm.clone(),
+            incarnation,
+            settings.listen.peers,
+            settings.secret.clone(),
+            mailbox.clone(),
+        )?;
+        let own = own_settings(settings, incarnation, peers.address());
         let ids = Ids::new(&own.vm, own.incarnation);
         let callers = Server::start(
             settings.listen.callers,
-            callers_limits(&settings),
+            callers_limits(settings),
             settings.limits.requests,
             mailbox.clone(),
             Callers::new(ids, shared.clone(), mailbox.clone()),
         )?;
         let operators = Server::start(
             settings.listen.operators,
-            operators_limits(&settings),
+            operators_limits(settings),
             OPERATOR_CALLS,
             mailbox.clone(),
             Operators::new(
@@ -136,7 +141,7 @@
         let addresses = Addresses {
             callers: callers.address(),
             operators: operators.address(),
-            peers: peers.address()?,
+            peers: peers.address(),
         };
         journal.event(
             Code::Started,
@@ -173,7 +178,7 @@
         let housekeeping = Cancel::new();
         let (housekeeping_end, ended) = flume::bounded(0);
         let tokens = (housekeeping.clone(), ended);
-        let housekeeper = housekeeper(&settings, handle, mailbox.clone(), tokens)?;
+        let housekeeper = housekeeper(settings, handle, mailbox.clone(), tokens)?;
         Ok(Self {
             addresses,
             stopper: Stopper {
@@ -187,7 +192,6 @@
             driver,
             housekeeping: (housekeeping, housekeeping_end),
             housekeeper,
-            journal,
         })
     }
 
@@ -218,7 +222,6 @@
         cancel.cancel();
         drop(pauses);
         let housekeeper = self.housekeeper.join();
-        self.journal.event(Code::Stopped, "");
         driver.and(housekeeper).map_err(|_| Error::Panicked)
     }
 
@@ -232,13 +235,17 @@
     }
 }
 
-fn own_settings(settings: &Settings, peers: SocketAddr) -> core::Settings {
+fn own_settings(
+    settings: &Settings,
+    incarnation: Incarnation,
+    peers: SocketAddr,
+) -> core::Settings {
     let advertise = settings.advertise.clone();
     core::Settings {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         address: advertise.unwrap_or_else(|| peers.to_string()),
-        incarnation: Incarnation(rand::random()),
+        incarnation,
         seed: rand::random(),
         prefix: settings.platform.prefix.clone(),
         tuning: settings.tuning.clone(),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -200,6 +200,18 @@
                 }
             }
         }
+        self.finish();
+    }
+
+    /// Passes on what is left of answers that are over for the node.
+    fn finish(mut self) {
+        while !self.answers.is_empty() {
+            for request in self.answers.overdue() {
+                self.answers.remove(request);
+            }
+            // What arrives now is too late for the node; its callers hear that the daemon has ended.
+            let _ = self.inputs.recv_timeout(self.tick);
+        }
     }
 
     fn tick(&mut self) {
@@ -290,7 +302,7 @@
                 to,
                 address,
                 message,
-            } => self.peers.send(&to, &address, message),
+            } => self.peers.send(&to, &address, &message),
             Effect::Platform { op, call } => self.outside.platform(op, call),
             Effect::Unwatch { op } => self.outside.unwatch(op),
             Effect::Poll { server, address } => self.outside.poll(server, &address),
--- a/crates/daemon/src/driver/answers.rs
+++ b/crates/daemon/src/driver/answers.rs
@@ -1,7 +1,7 @@
 //! Where the answers of requests in progress go. A caller that reads slowly never holds the node up: what does not
 //! fit its channel is kept here, and a caller that stays behind for too long counts as gone.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use dahliastile_core::id::Request;
@@ -53,7 +53,7 @@
     /// By request.
     ways: HashMap<Request, Way>,
     /// Requests with kept pieces.
-    behind: BTreeMap<Request, ()>,
+    behind: BTreeSet<Request>,
     /// How long a caller may stay behind.
     slow: Duration,
 }
@@ -63,7 +63,7 @@
     pub(super) fn new(slow: Duration) -> Self {
         Self {
             ways: HashMap::new(),
-            behind: BTreeMap::new(),
+            behind: BTreeSet::new(),
             slow,
         }
     }
@@ -87,7 +87,7 @@
         way.kept.push_back(piece);
         way.push();
         if !way.kept.is_empty() {
-            self.behind.insert(request, ());
+            self.behind.insert(request);
         }
     }
 
@@ -109,7 +109,7 @@
     pub(super) fn overdue(&mut self) -> Vec<Request> {
         let mut overdue = Vec::new();
         let mut done = Vec::new();
-        for request in self.behind.keys() {
+        for request in &self.behind {
             let Some(way) = self.ways.get_mut(request) else {
                 done.push(*request);
                 continue;
--- a/crates/daemon/src/driver/attempt.rs
+++ b/crates/daemon/src/driver/attempt.rs
@@ -63,11 +63,11 @@
 }
 
 /// Makes an attempt.
-pub(super) fn run(context: &Context, job: Job) {
+pub(super) fn run(context: &Context, job: &Job) {
     let attempt = job.work.attempt;
     let result = match (job.work.address.parse::<Endpoint>(), &*job.body) {
         (Err(error), _) => Err(Error::Unsent(error.to_string())),
-        (Ok(endpoint), Body::Plain(call)) => forward(context, &job, endpoint, call),
+        (Ok(endpoint), Body::Plain(call)) => forward(context, job, endpoint, call),
         (
             Ok(endpoint),
             Body::Model {
@@ -75,7 +75,7 @@
                 body,
                 stream,
             },
-        ) => complete(context, &job, endpoint, (*route, body, *stream)),
+        ) => complete(context, job, endpoint, (*route, body, *stream)),
     };
     let event = match result {
         Ok(()) => Event::Ended { attempt },
--- a/crates/daemon/src/driver/outside.rs
+++ b/crates/daemon/src/driver/outside.rs
@@ -83,10 +83,17 @@
             bodies: HashMap::new(),
             cancels: HashMap::new(),
             watches: HashMap::new(),
-            attempts: Pool::new("attempt", parts.attempts, attempt, attempt::run),
+            attempts: Pool::new("attempt", parts.attempts, attempt, |context, job| {
+                attempt::run(context, &job);
+            }),
             kv: Pool::new("kv", KV_THREADS, kv, kv::run),
             polls: Pool::new("poll", POLL_THREADS, poll, run_poll),
-            orders: Pool::new("order", ORDER_THREADS, mailbox.clone(), run_order),
+            orders: Pool::new(
+                "order",
+                ORDER_THREADS,
+                mailbox.clone(),
+                |mailbox, command| run_order(mailbox, &command),
+            ),
             mailbox,
             endpoints: parts.endpoints.clone(),
             kv_timeout,
@@ -270,8 +277,8 @@
     }
 }
 
-fn run_order(mailbox: &Mailbox, command: Command) {
-    let outcome = match give_order(&command) {
+fn run_order(mailbox: &Mailbox, command: &Command) {
+    let outcome = match give_order(command) {
         Ok(()) => Ordered::Done,
         Err(Error::Unsent(_) | Error::Refused) => Ordered::NotSent,
         Err(Error::NotRun { code, .. }) => Ordered::Refused(attempt::reason(&code)),
--- a/crates/daemon/src/http/answer.rs
+++ b/crates/daemon/src/http/answer.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Write};
 
 use dahliastile_core::error::Answer;
+use dahliastile_core::time::Span;
 use serde_json::{Value, json};
 use tiny_http::{HTTPVersion, Header, Request, Response};
 
@@ -32,7 +33,7 @@
     json!({ "error": {
         "kind": answer.kind,
         "ran": answer.ran,
-        "retry_after_ms": answer.retry_after.map(|span| span.as_millis()),
+        "retry_after_ms": answer.retry_after.map(Span::as_millis),
         "request_id": (!request_id.is_empty()).then_some(request_id),
         "message": answer.detail,
     } })
--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -174,7 +174,7 @@
 fn refuse(connection: &Connection, refusal: Refusal) -> io::Result<End> {
     connection.refuse(refusal);
     (&connection.inner).write_all(STAND_IN)?;
-    (&connection.inner).shutdown(Shutdown::Write)?;
+    connection.inner.shutdown(Shutdown::Write)?;
     connection.caller.set_read_timeout(Some(LINGER_SILENCE))?;
     let mut buffer = [0; BUFFER];
     let mut thrown = 0;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -13,6 +13,7 @@
 use dahliastile_core::id;
 use dahliastile_core::settings::Tuning;
 use dahliastile_platform::Endpoint;
+use dahliastile_wire::Secret;
 
 pub use fault::{Fault, Place};
 pub use table::{Entry, Form, entries};
@@ -83,7 +84,7 @@
 }
 
 /// Everything that the daemon is told at its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Settings {
     /// The name of this VM.
     pub vm: id::Vm,
@@ -98,7 +99,7 @@
     /// The BLAKE3 hash of the operators' token.
     pub operators: blake3::Hash,
     /// The secret that all entry VMs share.
-    pub secret: String,
+    pub secret: Secret,
     /// What is taken in at most.
     pub limits: Limits,
     /// What is logged.
@@ -228,24 +229,23 @@
     value.texts.iter().map(|text| text.parse().ok()).collect()
 }
 
-fn secret(check: &mut Check) -> Option<String> {
-    let [inline, file, variable] = check::SECRETS.map(|name| check.values.get(name).cloned());
-    let text = |value: &check::Value| value.texts.first().cloned();
-    match (inline, file, variable) {
-        (Some(value), _, _) => text(&value),
-        (_, Some(value), _) => {
-            let content = std::fs::read_to_string(text(&value)?).ok()?;
-            let secret = content.trim().to_owned();
-            if secret.is_empty() {
-                check.fault(
-                    value.place,
-                    "`peers.secret_file`: the file is empty".to_owned(),
-                );
-            }
-            Some(secret)
+fn secret(check: &mut Check) -> Option<Secret> {
+    let given = |name: &&str| check.values.contains_key(*name);
+    let name = check::SECRETS.into_iter().find(given)?;
+    let value = check.values.get(name).cloned()?;
+    let text = value.texts.into_iter().next()?;
+    // A file or variable that can't be read is a fault already.
+    let secret = match name {
+        "peers.secret_file" => std::fs::read_to_string(&text).ok()?.trim().to_owned(),
+        "peers.secret_env" => std::env::var(&text).ok()?,
+        _ => text,
+    };
+    match secret.parse() {
+        Ok(secret) => Some(secret),
+        Err(error) => {
+            check.fault(value.place, format!("`{name}`: {error}"));
+            None
         }
-        (_, _, Some(value)) => std::env::var(text(&value)?).ok(),
-        (None, None, None) => None,
     }
 }
 
--- a/crates/daemon/src/settings/tree.rs
+++ b/crates/daemon/src/settings/tree.rs
@@ -19,7 +19,7 @@
     /// A whole number.
     Number(i128),
     /// A number with a fraction.
-    Float(f64),
+    Fraction,
     /// A text.
     Text(String),
     /// A sequence.
@@ -35,7 +35,7 @@
             Self::Null => "nothing",
             Self::Bool(_) => "true or false",
             Self::Number(_) => "a whole number",
-            Self::Float(_) => "a number with a fraction",
+            Self::Fraction => "a number with a fraction",
             Self::Text(_) => "a text",
             Self::List(_) => "a list",
             Self::Map(_) => "a mapping",
@@ -101,8 +101,8 @@
         Ok(Node::Number(i128::try_from(value).unwrap_or(i128::MAX)))
     }
 
-    fn visit_f64<E>(self, value: f64) -> Result<Node, E> {
-        Ok(Node::Float(value))
+    fn visit_f64<E>(self, _: f64) -> Result<Node, E> {
+        Ok(Node::Fraction)
     }
 
     fn visit_str<E>(self, value: &str) -> Result<Node, E> {
