--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -177,6 +177,16 @@
     report::reported(node, server, report, out);
 }
 
+/// A server refused a connection: its holder, where this VM is that, looks at it at once.
+pub(crate) fn unreachable(node: &mut Node, server: Server) {
+    let now = node.now;
+    if let Some(domain) = node.catalog.servers.get(server).domain
+        && let Some(host) = node.domains.host(domain, server)
+    {
+        host.poll.next = now;
+    }
+}
+
 /// Changes of a prefix cache came.
 pub(crate) fn cached(node: &mut Node, server: &id::Server, changes: &[Cached], out: &mut Effects) {
     let _ = out;
@@ -300,6 +310,7 @@
     }
     lease::tick(node, out);
     seat::tick(node, out);
+    grantee::tick(node, out);
     let held: Vec<Domain> = node.domains.held.keys().copied().collect();
     for domain in held {
         holder::tick(node, domain, out);
--- a/crates/core/src/domain/grantee.rs
+++ b/crates/core/src/domain/grantee.rs
@@ -31,6 +31,8 @@
     pub(crate) revoked: bool,
     /// Requests in flight.
     pub(crate) in_flight: u32,
+    /// When the last of them ended, or began.
+    pub(crate) touched: Instant,
 }
 
 /// A server's load as this VM knows it.
@@ -94,6 +96,8 @@
     pub(crate) loads: SecondaryMap<Server, Option<Load>>,
     /// When adapters are expected.
     pub(crate) expected: FxHashMap<Adapter, Instant>,
+    /// Revoked grants that are given back once their last request is over for long enough.
+    pub(crate) lingering: BTreeSet<Place>,
 }
 
 /// Brings the list of usable servers in line with the grant of one place.
@@ -200,6 +204,7 @@
             grant: None,
             revoked: false,
             in_flight: 0,
+            touched: Instant::default(),
         });
         row.grant = Some(granted.grant);
         row.revoked = false;
@@ -234,14 +239,21 @@
     }
 }
 
-/// Gives a revoked grant back once nothing is in flight on it.
+/// Gives a revoked grant back once nothing is in flight on it. A request that was cut off may still be on its way
+/// to the server, where no report shows it yet, so some time must have passed since the last one.
 pub(crate) fn close(node: &mut Node, place: Place) {
+    let guard = Span::from_millis(node.settings.tuning.release_guard_ms);
+    node.domains.grants.lingering.remove(&place);
     let Some(row) = node.domains.grants.rows.get(&place).copied() else {
         return;
     };
     if !row.revoked || row.in_flight > 0 {
         return;
     }
+    if row.touched != Instant::default() && node.now.since(row.touched) < guard {
+        node.domains.grants.lingering.insert(place);
+        return;
+    }
     node.domains.grants.rows.remove(&place);
     if let Some(used) = node.domains.used.get_mut(&row.domain) {
         used.places.remove(&place);
@@ -314,6 +326,7 @@
     );
     if let Some(row) = row {
         row.in_flight += 1;
+        row.touched = node.now;
     }
 }
 
@@ -323,6 +336,7 @@
         return;
     };
     row.in_flight = row.in_flight.saturating_sub(1);
+    row.touched = node.now;
     let (domain, over) = (row.domain, row.revoked && row.in_flight == 0);
     if over {
         close(node, place);
@@ -345,6 +359,18 @@
     ask::settle(node, domain, out);
 }
 
+/// Gives back what was revoked and has been idle for long enough.
+pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
+    let lingering: Vec<Place> = node.domains.grants.lingering.iter().copied().collect();
+    for place in lingering {
+        let domain = node.domains.grants.rows.get(&place).map(|row| row.domain);
+        close(node, place);
+        if let Some(domain) = domain {
+            ask::settle(node, domain, out);
+        }
+    }
+}
+
 /// This VM was not run for a while: gives up what nothing is in flight on, and asks anew.
 pub(crate) fn paused(node: &mut Node) {
     let idle: Vec<Place> = node
@@ -352,7 +378,7 @@
         .grants
         .rows
         .iter()
-        .filter(|(_, row)| row.in_flight == 0)
+        .filter(|(_, row)| row.in_flight == 0 && !row.revoked)
         .map(|(place, _)| *place)
         .collect();
     for place in idle {
--- a/crates/core/src/domain/view.rs
+++ b/crates/core/src/domain/view.rs
@@ -95,7 +95,7 @@
         if usable != ought {
             broken.push(format!("{place:?}: usable is {usable}, grant {row:?}"));
         }
-        if row.revoked && row.in_flight == 0 {
+        if row.revoked && row.in_flight == 0 && !grants.lingering.contains(place) {
             broken.push(format!("{place:?}: revoked, idle and not released"));
         }
         let listed = node
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -85,6 +85,8 @@
     ask_max_ms "ms" 1_000, 10..=10_000;
     /// Time after which an ask or update that was not confirmed is sent again.
     ask_retry_ms "ms" 200, 5..=10_000;
+    /// How long a grant must have been idle before it is given back; longer than a request is on its way to a server.
+    release_guard_ms "ms" 500, 0..=30_000;
     /// Time between two load reports fetched from one server by its domain's holder.
     poll_ms "ms" 250, 5..=10_000;
     /// How long a server may fail to report before it counts as lost.
--- a/crates/core/src/traffic/attempt.rs
+++ b/crates/core/src/traffic/attempt.rs
@@ -154,8 +154,7 @@
             domain::missing(node, server, adapter, out);
         }
         (Failure::Refused, Some(_)) => {
-            let name = node.catalog.servers.get(server).name.clone();
-            domain::reported(node, &name, None, out);
+            domain::unreachable(node, server);
         }
         _ => {}
     }
--- a/crates/core/src/verify.rs
+++ b/crates/core/src/verify.rs
@@ -6,5 +6,6 @@
 pub(crate) fn run(node: &Node) -> Vec<String> {
     let mut broken = Vec::new();
     crate::traffic::verify(node, &mut broken);
+    crate::domain::verify(node, &mut broken);
     broken
 }
