--- a/crates/core/benches/policy/ours.rs
+++ b/crates/core/benches/policy/ours.rs
@@ -127,7 +127,7 @@
                 name: format!("s{at}").parse().expect("a name"),
                 service: "plan".parse().expect("a name"),
                 zone: name(&format!("zone{}", at % 3)),
-                address: format!("{at}"),
+                address: format!("10.1.0.1:{}", at + 1),
                 domain: Some("dom".parse().expect("a name")),
                 leaving: false,
             }));
@@ -197,7 +197,7 @@
                 }
             }
             Effect::Poll { server, address } => {
-                let report = report(world, address.parse().expect("an engine's number"));
+                let report = report(world, engine_of(&address));
                 let event = Event::Report {
                     server,
                     report: Some(report),
@@ -216,7 +216,7 @@
     }
 
     fn send(&mut self, world: &mut World, vm: usize, work: &Work) {
-        let engine = work.address.parse().expect("an engine's number");
+        let engine = engine_of(&work.address);
         let ask = self.asks[&(vm, work.request)];
         self.after(world, NEAR, Later::Submit(vm, engine, work.attempt, ask));
     }
@@ -231,7 +231,7 @@
     }
 
     fn order(&mut self, world: &mut World, vm: usize, command: Command) {
-        let engine: usize = command.address.parse().expect("an engine's number");
+        let engine = engine_of(&command.address);
         let outcome = match &command.action {
             Action::Fence => Ordered::Done,
             Action::Load(adapter) => {
@@ -272,6 +272,11 @@
     }
 }
 
+fn engine_of(address: &str) -> usize {
+    let port = address.rsplit(':').next().expect("an address has a port");
+    port.parse::<usize>().expect("a port") - 1
+}
+
 fn report(world: &World, at: usize) -> Report {
     let engine = &world.engines[at];
     let ready = engine
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Borrow;
 use std::fmt;
+use std::hash::{Hash, Hasher};
 use std::str::FromStr;
 use std::sync::Arc;
 
@@ -113,7 +114,7 @@
 }
 
 /// One adapter at one version, written `<adapter>@<version>`.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Adapter {
     /// The whole text.
@@ -176,6 +177,13 @@
     }
 }
 
+// A map keyed by adapters is looked up by text, so both must hash alike.
+impl Hash for Adapter {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.as_str().hash(state);
+    }
+}
+
 impl Borrow<str> for Adapter {
     fn borrow(&self) -> &str {
         &self.text
