Limits: rates, retry budget, fair shares, admission by pace, shedding

Cause: everything that was refused was refused by one count over all callers and services. Ruled out: floats in the tables (the same events must bring the same effects); an equal split of the queue into slots for each caller (wastes room while others are quiet). Change: pure tables (Bucket, Budget, Clock and Shares, Pace) under traffic/limit, asked in turn by limit::admit; a full queue sheds the lowest priority, then the caller most over its share; places are ordered by priority and a fair-queueing tag. A row keeps its place: a caller's weight may be edited while it waits, and a place worked out anew was then not found in its queue. push and pull are the only ways into and out of a queue.

--- a/crates/core/src/config/rules.rs
+++ b/crates/core/src/config/rules.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::config::document::{Rule, Then, When};
-use crate::entity;
+use crate::{entity, id};
 
 /// What rules test of a request.
 #[derive(Clone, Copy, Debug)]
@@ -222,20 +222,16 @@
     let same = |wanted: Option<&str>, value: &str| wanted.is_none_or(|wanted| wanted == value);
     let header =
         |name: &str, value: &str| subject.headers.iter().any(|(n, v)| n == name && v == value);
-    same(
-        when.caller.as_ref().map(|name| name.as_str()),
-        subject.caller,
-    ) && same(
-        when.tenant.as_ref().map(|name| name.as_str()),
-        subject.tenant,
-    ) && same(when.class.as_ref().map(|name| name.as_str()), subject.class)
+    same(when.caller.as_ref().map(id::Caller::as_str), subject.caller)
+        && same(when.tenant.as_ref().map(id::Tenant::as_str), subject.tenant)
+        && same(when.class.as_ref().map(id::Class::as_str), subject.class)
         && same(when.adapter.as_deref(), subject.adapter)
         && same(when.version.as_deref(), subject.version)
         && same(
-            when.service.as_ref().map(|name| name.as_str()),
+            when.service.as_ref().map(id::Service::as_str),
             subject.service,
         )
-        && same(when.zone.as_ref().map(|name| name.as_str()), subject.zone)
+        && same(when.zone.as_ref().map(id::Zone::as_str), subject.zone)
         && when
             .header
             .as_ref()
@@ -281,13 +277,13 @@
 /// The values that a condition wants.
 fn wanted(when: &When) -> [Option<&str>; FIELDS] {
     [
-        when.caller.as_ref().map(|name| name.as_str()),
-        when.tenant.as_ref().map(|name| name.as_str()),
-        when.class.as_ref().map(|name| name.as_str()),
+        when.caller.as_ref().map(id::Caller::as_str),
+        when.tenant.as_ref().map(id::Tenant::as_str),
+        when.class.as_ref().map(id::Class::as_str),
         when.adapter.as_deref(),
         when.version.as_deref(),
-        when.service.as_ref().map(|name| name.as_str()),
-        when.zone.as_ref().map(|name| name.as_str()),
+        when.service.as_ref().map(id::Service::as_str),
+        when.zone.as_ref().map(id::Zone::as_str),
     ]
 }
 
@@ -305,19 +301,19 @@
 }
 
 fn hash(value: &str) -> u64 {
-    let mut hasher = FxHasher::default();
-    value.hash(&mut hasher);
-    hasher.finish()
+    let mut state = FxHasher::default();
+    value.hash(&mut state);
+    state.finish()
 }
 
 /// The hash of the values of the fields in `mask`, and of a header's value.
 fn combine(mask: Mask, hashes: &[u64; FIELDS], header: Option<&str>) -> u64 {
-    let mut hasher = FxHasher::default();
+    let mut state = FxHasher::default();
     let mut left = mask;
     while left != 0 {
-        hasher.write_u64(hashes[left.trailing_zeros() as usize]);
+        state.write_u64(hashes[left.trailing_zeros() as usize]);
         left &= left - 1;
     }
-    header.hash(&mut hasher);
-    hasher.finish()
+    header.hash(&mut state);
+    state.finish()
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,3 +31,11 @@
 mod verify;
 
 pub use node::Node;
+
+/// The tables and choices behind the decisions that stand on their own, for tests, benches and other uses.
+pub mod policy {
+    pub use crate::traffic::limit::bucket::Bucket;
+    pub use crate::traffic::limit::budget::Budget;
+    pub use crate::traffic::limit::fair::{Clock, Shares};
+    pub use crate::traffic::limit::pace::Pace;
+}
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -52,6 +52,8 @@
     deadlines: BTreeSet<(Instant, Request)>,
     /// This VM's attempts in progress on each server.
     on_server: BTreeMap<Server, u32>,
+    /// What is counted against limits.
+    limits: limit::State,
     /// What was done with requests that ended lately.
     trails: trail::Ring,
 }
@@ -156,6 +158,14 @@
             traffic.waiting
         ));
     }
+    let counts = traffic.limits.shares.values();
+    let with_share: u32 = counts.map(limit::fair::Shares::count).sum();
+    if with_share != traffic.waiting {
+        broken.push(format!(
+            "{with_share} requests have a share but {} wait",
+            traffic.waiting
+        ));
+    }
     verify_in_flight(node, broken);
 }
 
--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -1,6 +1,7 @@
 //! A request arrives: who asks, for what, which rule decides, and whether it is taken in.
 
-use super::queue::{Key, Place};
+use super::limit::{self, Asked};
+use super::queue::{self, Key, Place};
 use super::table::{Claim, Decision, RequestRow, Stage};
 use super::trail::{Note, Notes};
 use crate::Node;
@@ -28,13 +29,18 @@
         !node.traffic.requests.contains_key(&request),
         "{request} came twice"
     );
-    match admit(node, request, call) {
-        Ok((row, place)) => enqueue(node, request, row, place, out),
+    match admit(node, request, call, out) {
+        Ok(row) => enqueue(node, request, row, out),
         Err(answer) => super::end::turn_away(node, request, answer, out),
     }
 }
 
-fn admit(node: &mut Node, request: Request, call: Call) -> Result<(RequestRow, Place), Answer> {
+fn admit(
+    node: &mut Node,
+    request: Request,
+    call: Call,
+    out: &mut Effects,
+) -> Result<RequestRow, Answer> {
     if node.fleet.draining {
         let answer = Answer::new(Kind::ShuttingDown, "this VM is shutting down");
         return Err(answer.after(Span::from_millis(100)));
@@ -54,10 +60,19 @@
     let non_idempotent = then
         .and_then(|then| then.non_idempotent)
         .unwrap_or(node.catalog.services.get(named.service).non_idempotent);
-    super::limit::admit(node, named.caller, named.service, rule)?;
+    let asked = Asked {
+        caller: named.caller,
+        service: named.service,
+        adapter: named.adapter,
+        rule,
+        priority: decision.priority,
+        timeout,
+    };
+    limit::admit(node, &asked, out)?;
     let idempotent = !(non_idempotent || call.non_idempotent);
     let place = Place {
         priority: decision.priority,
+        tag: limit::tag(node, named.caller, call.max_tokens),
         arrived: node.now,
         request,
         deadline: node.now + timeout,
@@ -71,6 +86,7 @@
         key: named
             .adapter
             .map_or(Key::Service(named.service), Key::Adapter),
+        place,
         decision,
         arrived: node.now,
         deadline: place.deadline,
@@ -93,28 +109,20 @@
         notes: Notes::default(),
         call,
     };
-    Ok((row, place))
+    Ok(row)
 }
 
-fn enqueue(
-    node: &mut Node,
-    request: Request,
-    mut row: RequestRow,
-    place: Place,
-    out: &mut Effects,
-) {
+fn enqueue(node: &mut Node, request: Request, mut row: RequestRow, out: &mut Effects) {
     let candidates = row.adapter.map_or_else(
         || node.catalog.services.get(row.service).servers.len(),
         |adapter| node.domains.usable(adapter).len(),
     );
     row.cold = candidates == 0;
     row.notes.add(Span::ZERO, Note::Queued { candidates });
-    let (key, adapter, cold) = (row.key, row.adapter, row.cold);
+    let (adapter, cold) = (row.adapter, row.cold);
     node.traffic.deadlines.insert((row.deadline, request));
     node.traffic.requests.insert(request, row);
-    node.traffic.queues.entry(key).or_default().push(place);
-    node.traffic.waiting += 1;
-    node.traffic.dirty.insert(key);
+    queue::push(node, request);
     if let Some(adapter) = adapter {
         domain::arrived(node, adapter, cold, out);
     }
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -1,10 +1,10 @@
 //! Sends what waits: looks at the queues for which something changed, chooses servers, and claims and sends.
 
-use super::queue::{Key, Place};
+use super::queue::{self, Key, Place};
 use super::route::{self, Choice};
 use super::table::{AttemptRow, Claim, Stage};
 use super::trail::Note;
-use super::{end, retry_after};
+use super::{end, limit, retry_after};
 use crate::effect::{Effect, Effects, Work};
 use crate::entity::Server;
 use crate::error::{Answer, Kind, Ran};
@@ -66,12 +66,13 @@
     out: &mut Effects,
 ) {
     let request = place.request;
+    queue::pull(node, request);
+    limit::served(node, place);
+    let now = node.now;
     if let Some(queue) = node.traffic.queues.get_mut(&key) {
-        queue.remove(place);
-        node.traffic.waiting -= 1;
+        queue.served(now);
     }
     occupy(node, request, server);
-    let now = node.now;
     let Some(row) = node.traffic.requests.get_mut(&request) else {
         return;
     };
@@ -125,6 +126,7 @@
     row.stage = Stage::Running(attempt);
     row.tries += 1;
     let first = row.sent.replace(now).is_none();
+    let service = row.service;
     let caller = node.catalog.callers.get(row.caller);
     let work = Work {
         attempt,
@@ -171,6 +173,9 @@
             head: None,
         },
     );
+    if first {
+        limit::attempted(node, service);
+    }
 }
 
 /// The finding of a claim came.
--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -1,7 +1,7 @@
 //! How requests end, and when a failed one is tried again. Each ends with exactly one final answer, sent at once.
 
 use super::attempt::may_start_over;
-use super::queue::Place;
+use super::queue::{self, Queue};
 use super::table::{Claim, RequestRow, Stage};
 use super::trail::{self, Outcome};
 use super::{limit, retry_after};
@@ -144,6 +144,15 @@
     trail::keep(node, request, row, Outcome::Gone);
 }
 
+/// A waiting request has to go for another.
+pub(super) fn shed(node: &mut Node, request: Request, answer: Answer, out: &mut Effects) {
+    let answer = match ran(node, request) {
+        Ran::No => answer,
+        ran => Answer::new(Kind::ServerBroke, "there is no room to try it again").ran(ran),
+    };
+    refuse(node, request, answer, out);
+}
+
 /// No server is left that may take a waiting request.
 pub(super) fn no_server(node: &mut Node, request: Request, out: &mut Effects) {
     let answer = match ran(node, request) {
@@ -209,29 +218,13 @@
 }
 
 fn unqueue(node: &mut Node, request: Request) {
-    let row = &node.traffic.requests[&request];
-    let (key, place) = (row.key, place(node, request, row));
-    let Some(queue) = node.traffic.queues.get_mut(&key) else {
-        return;
-    };
-    if queue.remove(&place) {
-        node.traffic.waiting -= 1;
-    }
-    if queue.is_empty() {
+    queue::pull(node, request);
+    let key = node.traffic.requests[&request].key;
+    if node.traffic.queues.get(&key).is_some_and(Queue::is_empty) {
         node.traffic.queues.remove(&key);
     }
 }
 
-fn place(node: &Node, request: Request, row: &RequestRow) -> Place {
-    Place {
-        priority: row.decision.priority,
-        arrived: row.arrived,
-        request,
-        deadline: row.deadline,
-        weight: node.catalog.callers.get(row.caller).weight,
-    }
-}
-
 /// Says how a claimed request ended: free again if it certainly was not run.
 fn release_claim(
     node: &mut Node,
@@ -263,11 +256,7 @@
         row.tokens = 0;
         row.last_token = None;
     }
-    let row = &node.traffic.requests[&request];
-    let (key, place) = (row.key, place(node, request, row));
-    node.traffic.queues.entry(key).or_default().push(place);
-    node.traffic.waiting += 1;
-    node.traffic.dirty.insert(key);
+    queue::push(node, request);
 }
 
 /// Tries a request whose attempt failed again where that is allowed, and refuses it at once where not.
@@ -282,10 +271,10 @@
     let resumable = row.idempotent && row.begun && row.call.stream && row.adapter.is_some();
     let allowed = may_start_over(row) || resumable;
     let hopeless = matches!(failure, Failure::NotRun(Reason::BadRequest));
-    if allowed && !hopeless && row.tries < most && limit::retry(node, row.service) {
+    let (adapter, service, tries) = (row.adapter, row.service, row.tries);
+    if allowed && !hopeless && tries < most && limit::retry(node, service) {
         return requeue(node, request);
     }
-    let adapter = row.adapter;
     let ran = ran(node, request);
     let answer = match (ran, failure) {
         (Ran::No, Failure::NotRun(Reason::BadRequest)) => {
--- a/crates/core/src/traffic/queue.rs
+++ b/crates/core/src/traffic/queue.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 
+use super::limit::pace::Pace;
 use super::table::Waiting;
+use crate::Node;
 use crate::entity::{Adapter, Service};
 use crate::id::Request;
-use crate::time::Instant;
+use crate::time::{Instant, Span};
 
 /// What a queue waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -21,6 +23,8 @@
 pub(crate) struct Place {
     /// The priority.
     pub(crate) priority: i32,
+    /// The tag of fair queueing.
+    pub(crate) tag: u64,
     /// When the request arrived.
     pub(crate) arrived: Instant,
     /// The request.
@@ -38,17 +42,48 @@
     places: BTreeSet<Place>,
     /// The sum of their weights.
     weight: u32,
+    /// How fast it is served since it was last empty.
+    pace: Option<Pace>,
+}
+
+/// Puts a request into its queue.
+pub(super) fn push(node: &mut Node, request: Request) {
+    let Some(row) = node.traffic.requests.get(&request) else {
+        return;
+    };
+    let queue = node.traffic.queues.entry(row.key).or_default();
+    queue.push(row.place, node.now);
+    let shares = node.traffic.limits.shares.entry(row.service).or_default();
+    shares.add(row.place.priority, row.caller, row.place.weight, request);
+    node.traffic.waiting += 1;
+    node.traffic.dirty.insert(row.key);
+}
+
+/// Takes a request out of its queue, which stays even where it is then empty.
+pub(super) fn pull(node: &mut Node, request: Request) {
+    let Some(row) = node.traffic.requests.get(&request) else {
+        return;
+    };
+    let queue = node.traffic.queues.get_mut(&row.key);
+    if !queue.is_some_and(|queue| queue.remove(&row.place)) {
+        return;
+    }
+    if let Some(shares) = node.traffic.limits.shares.get_mut(&row.service) {
+        shares.remove(row.place.priority, row.caller, request);
+    }
+    node.traffic.waiting -= 1;
 }
 
 impl Queue {
     /// Adds a request.
-    pub(crate) fn push(&mut self, place: Place) {
+    fn push(&mut self, place: Place, now: Instant) {
+        self.pace.get_or_insert_with(|| Pace::new(now));
         self.weight = self.weight.saturating_add(place.weight);
         self.places.insert(place);
     }
 
     /// Removes a request.
-    pub(crate) fn remove(&mut self, place: &Place) -> bool {
+    fn remove(&mut self, place: &Place) -> bool {
         let removed = self.places.remove(place);
         if removed {
             self.weight = self.weight.saturating_sub(place.weight);
@@ -56,6 +91,24 @@
         removed
     }
 
+    /// Notes that the first request is on its way to a server.
+    pub(super) fn served(&mut self, now: Instant) {
+        if let Some(pace) = self.pace.as_mut() {
+            pace.leave(now);
+        }
+    }
+
+    /// How many are served before a request of that priority and tag.
+    pub(super) fn ahead(&self, priority: i32, tag: u64) -> u64 {
+        let before = |place: &&Place| (place.priority, place.tag) <= (priority, tag);
+        self.places.iter().take_while(before).count() as u64
+    }
+
+    /// How long it takes until so many have been served, where that can be said.
+    pub(super) fn wait(&self, now: Instant, ahead: u64) -> Option<Span> {
+        self.pace?.wait(now, ahead)
+    }
+
     /// The requests in order.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Place> {
         self.places.iter()
--- a/crates/core/src/traffic/table.rs
+++ b/crates/core/src/traffic/table.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::queue::Key;
+use super::queue::{Key, Place};
 use super::trail::Notes;
 use crate::entity::{Adapter, Caller, Server, Service, Zone};
 use crate::event::{Call, Head};
@@ -76,6 +76,8 @@
     pub(crate) adapter: Option<Adapter>,
     /// The queue it belongs to.
     pub(crate) key: Key,
+    /// Its place there. Kept, since a caller's weight may change while it waits.
+    pub(crate) place: Place,
     /// What the rules decided.
     pub(crate) decision: Decision,
     /// When it arrived.
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -1,4 +1,6 @@
 //! The compiled rules against the naive scan.
+// Properties get their cases by value.
+#![allow(clippy::needless_pass_by_value)]
 
 use dahliastile_core::config::rules::{Rules, Subject};
 use dahliastile_core::config::{Header, Rule, Then, When};
