Routing: servers scored by room, zone, load corrected for lag, prefix and weights

Cause: servers were chosen by raw counts, all queues were looked at whenever any request ended, and queues took turns in the order of their numbers, so that the first starved the others. Ruled out: discounting old reports towards the mean (hides a full batch); a random choice of two (adapters have few copies); a bound on own requests alone (eight VMs overfill a batch eightfold). Change: a pure Candidate with rank and room; a ring of own changes corrects late reports; a server that failed is avoided for a second; queues that wait for room are kept by server and take turns by their first requests.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,4 +38,6 @@
     pub use crate::traffic::limit::budget::Budget;
     pub use crate::traffic::limit::fair::{Clock, Shares};
     pub use crate::traffic::limit::pace::Pace;
+    pub use crate::traffic::route::recent::Recent;
+    pub use crate::traffic::route::score::{Candidate, Figures, Rank, bias};
 }
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -15,6 +15,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use cranelift_entity::SecondaryMap;
+
 use crate::Node;
 use crate::effect::Effects;
 use crate::entity::{Adapter, Server};
@@ -29,6 +31,7 @@
 pub(crate) use trail::explain;
 
 use queue::{Key, Queue};
+use route::Own;
 use table::{AttemptRow, RequestRow, Stage};
 
 /// Requests and attempts in progress.
@@ -46,12 +49,14 @@
     waiting: u32,
     /// Queues to look at before the step ends.
     dirty: BTreeSet<Key>,
-    /// Queues whose servers were all full when they were last looked at.
-    blocked: BTreeSet<Key>,
+    /// Queues that wait for room on a server: all of their servers were full when they were last looked at.
+    blocked: BTreeSet<(Server, Key)>,
     /// When the deadline of each request passes.
     deadlines: BTreeSet<(Instant, Request)>,
-    /// This VM's attempts in progress on each server.
-    on_server: BTreeMap<Server, u32>,
+    /// When every queue is looked at again, in case that a change was not noticed.
+    look_again: Instant,
+    /// This VM's own work on each server.
+    own: SecondaryMap<Server, Own>,
     /// What is counted against limits.
     limits: limit::State,
     /// What was done with requests that ended lately.
@@ -61,7 +66,7 @@
 impl State {
     /// This VM's attempts in progress on a server.
     pub(crate) fn in_flight(&self, server: Server) -> u32 {
-        self.on_server.get(&server).copied().unwrap_or(0)
+        self.own[server].in_flight
     }
 }
 
@@ -121,6 +126,9 @@
     end::abandon(node, request, out);
 }
 
+/// Time between two looks at every queue.
+const LOOK_AGAIN: Span = Span::from_secs(1);
+
 /// Time has passed: requests whose deadline is over get their final answer.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
     while let Some((at, request)) = node.traffic.deadlines.first().copied() {
@@ -131,7 +139,12 @@
         end::overdue(node, request, out);
     }
     let blocked = std::mem::take(&mut node.traffic.blocked);
-    node.traffic.dirty.extend(blocked);
+    let keys = blocked.into_iter().map(|(_, key)| key);
+    node.traffic.dirty.extend(keys);
+    if node.now >= node.traffic.look_again {
+        node.traffic.look_again = node.now + LOOK_AGAIN;
+        wake_all(node);
+    }
 }
 
 /// Adds what is broken in the tables of requests and attempts.
@@ -209,11 +222,10 @@
             *counted.entry(server).or_default() += 1;
         }
     }
-    if counted != traffic.on_server {
-        broken.push(format!(
-            "in flight {counted:?} but counted {:?}",
-            traffic.on_server
-        ));
+    let own = traffic.own.iter().filter(|(_, own)| own.in_flight > 0);
+    let own: BTreeMap<Server, u32> = own.map(|(server, own)| (server, own.in_flight)).collect();
+    if counted != own {
+        broken.push(format!("in flight {counted:?} but counted {own:?}"));
     }
 }
 
--- a/crates/core/src/traffic/attempt.rs
+++ b/crates/core/src/traffic/attempt.rs
@@ -1,9 +1,9 @@
 //! What comes back from backend servers: late, crossed and doubled pieces find no attempt and are dropped; an answer
 //! for another adapter than asked is never passed on.
 
-use super::end;
 use super::table::{RequestRow, Stage};
 use super::trail::Note;
+use super::{end, route};
 use crate::effect::{Effect, Effects};
 use crate::error::{Answer, Kind, Ran};
 use crate::event::{Failure, Head, Reason};
@@ -149,6 +149,7 @@
     row.failed_on.push(server);
     row.maybe_ran |= !proves_not_run(failure);
     let adapter = row.adapter;
+    route::trouble(node, server, failure);
     match (failure, adapter) {
         (Failure::NotRun(Reason::NotLoaded), Some(adapter)) => {
             domain::missing(node, server, adapter, out);
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -1,5 +1,9 @@
 //! Sends what waits: looks at the queues for which something changed, chooses servers, and claims and sends.
 
+use std::collections::BTreeSet;
+
+use smallvec::SmallVec;
+
 use super::queue::{self, Key, Place};
 use super::route::{self, Choice};
 use super::table::{AttemptRow, Claim, Stage};
@@ -16,41 +20,68 @@
 use crate::{Node, claim, domain};
 
 /// Looks at the queues for which something changed in this step, and sends what can be sent.
+///
+/// Queues take turns in the order of their first requests, since they may wait for the same server.
 pub(crate) fn dispatch(node: &mut Node, out: &mut Effects) {
     while let Some(key) = node.traffic.dirty.pop_first() {
-        drain(node, key, out);
+        if node.traffic.dirty.is_empty() {
+            while serve(node, key, out) {}
+            continue;
+        }
+        let mut turns = BTreeSet::new();
+        let dirty = std::mem::take(&mut node.traffic.dirty);
+        for key in dirty.into_iter().chain([key]) {
+            turns.extend(first(node, key).map(|place| (place, key)));
+        }
+        while let Some((_, key)) = turns.pop_first() {
+            if serve(node, key, out) {
+                turns.extend(first(node, key).map(|place| (place, key)));
+            }
+        }
     }
 }
 
 /// How many requests of one queue are looked at when the first of them can't be sent: rules may bar only some.
 const LOOK_AHEAD: usize = 16;
 
-fn drain(node: &mut Node, key: Key, out: &mut Effects) {
-    let mut barred = 0;
-    while let Some(place) = nth(node, key, barred) {
+/// Sends or ends one request of a queue. Says whether it is worth looking at the queue again.
+fn serve(node: &mut Node, key: Key, out: &mut Effects) -> bool {
+    for barred in 0..LOOK_AHEAD {
+        let Some(place) = nth(node, key, barred) else {
+            break;
+        };
         let row = &node.traffic.requests[&place.request];
         match route::choose(node, row) {
-            Choice::Server(server, among) => start(node, key, &place, server, among, out),
+            Choice::Server(server, among) => {
+                start(node, key, &place, server, among, out);
+                queue::drop_empty(node, key);
+                return true;
+            }
             Choice::Full => {
-                node.traffic.blocked.insert(key);
-                return;
+                block(node, key, &place);
+                return false;
             }
             Choice::Nobody if route::hopeless(node, row) => {
                 end::no_server(node, place.request, out);
+                return true;
             }
-            Choice::Nobody if barred + 1 < LOOK_AHEAD => barred += 1,
-            Choice::Nobody => break,
+            Choice::Nobody => {}
         }
     }
-    match node.traffic.queues.get(&key) {
-        Some(queue) if queue.is_empty() => {
-            node.traffic.queues.remove(&key);
-        }
-        Some(_) => {
-            node.traffic.blocked.insert(key);
-        }
-        None => {}
-    }
+    false
+}
+
+/// A queue waits until one of its servers has room.
+fn block(node: &mut Node, key: Key, place: &Place) {
+    let row = &node.traffic.requests[&place.request];
+    let servers: SmallVec<[Server; 8]> = route::usable(node, row).into();
+    node.traffic
+        .blocked
+        .extend(servers.into_iter().map(|server| (server, key)));
+}
+
+fn first(node: &Node, key: Key) -> Option<Place> {
+    nth(node, key, 0)
 }
 
 fn nth(node: &Node, key: Key, skip: usize) -> Option<Place> {
@@ -91,7 +122,7 @@
 
 /// Keeps a place on a server for a request, so that its adapter is not evicted there.
 fn occupy(node: &mut Node, request: Request, server: Server) {
-    *node.traffic.on_server.entry(server).or_default() += 1;
+    node.traffic.own[server].change(node.now, 1);
     if let Some(adapter) = node.traffic.requests[&request].adapter {
         domain::begin_use(node, server, adapter);
     }
--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -1,12 +1,12 @@
 //! How requests end, and when a failed one is tried again. Each ends with exactly one final answer, sent at once.
 
 use super::attempt::may_start_over;
-use super::queue::{self, Queue};
+use super::queue::{self, Key};
 use super::table::{Claim, RequestRow, Stage};
 use super::trail::{self, Outcome};
 use super::{limit, retry_after};
 use crate::effect::{Effect, Effects};
-use crate::entity::Server;
+use crate::entity::{Adapter, Server};
 use crate::error::{Answer, Kind, Ran};
 use crate::event::{Failure, Head, Reason};
 use crate::id::Request;
@@ -188,20 +188,28 @@
     };
     row.stage = Stage::Waiting;
     let adapter = row.adapter;
-    match node.traffic.on_server.get_mut(&server) {
-        Some(1) | None => {
-            node.traffic.on_server.remove(&server);
-        }
-        Some(count) => *count -= 1,
-    }
+    node.traffic.own[server].change(node.now, -1);
     if let Some(adapter) = adapter {
         domain::end_use(node, server, adapter, out);
     }
-    let blocked = std::mem::take(&mut node.traffic.blocked);
-    node.traffic.dirty.extend(blocked);
+    wake_blocked(node, server);
     Some(server)
 }
 
+/// Queues that wait for room on a server are looked at again.
+fn wake_blocked(node: &mut Node, server: Server) {
+    let least = Key::Adapter(Adapter::from_u32(0));
+    let traffic = &mut node.traffic;
+    loop {
+        let next = traffic.blocked.range((server, least)..).next().copied();
+        let Some(blocked) = next.filter(|(other, _)| *other == server) else {
+            return;
+        };
+        traffic.blocked.remove(&blocked);
+        traffic.dirty.insert(blocked.1);
+    }
+}
+
 /// Removes a request from all tables, and cancels its attempt if one is in progress.
 fn remove(node: &mut Node, request: Request, out: &mut Effects) -> Option<RequestRow> {
     let stage = node.traffic.requests.get(&request)?.stage;
@@ -220,9 +228,7 @@
 fn unqueue(node: &mut Node, request: Request) {
     queue::pull(node, request);
     let key = node.traffic.requests[&request].key;
-    if node.traffic.queues.get(&key).is_some_and(Queue::is_empty) {
-        node.traffic.queues.remove(&key);
-    }
+    queue::drop_empty(node, key);
 }
 
 /// Says how a claimed request ended: free again if it certainly was not run.
--- a/crates/core/src/traffic/queue.rs
+++ b/crates/core/src/traffic/queue.rs
@@ -59,7 +59,7 @@
     node.traffic.dirty.insert(row.key);
 }
 
-/// Takes a request out of its queue, which stays even where it is then empty.
+/// Takes a request out of its queue, which stays until [`drop_empty`] even where it is then empty.
 pub(super) fn pull(node: &mut Node, request: Request) {
     let Some(row) = node.traffic.requests.get(&request) else {
         return;
@@ -74,6 +74,13 @@
     node.traffic.waiting -= 1;
 }
 
+/// Removes a queue in which nothing waits.
+pub(super) fn drop_empty(node: &mut Node, key: Key) {
+    if node.traffic.queues.get(&key).is_some_and(Queue::is_empty) {
+        node.traffic.queues.remove(&key);
+    }
+}
+
 impl Queue {
     /// Adds a request.
     fn push(&mut self, place: Place, now: Instant) {
--- a/crates/core/src/traffic/route.rs
+++ b/crates/core/src/traffic/route.rs
@@ -1,10 +1,21 @@
 //! The choice among the servers that may take a request.
 
+pub(crate) mod recent;
+pub(crate) mod score;
+
+use std::hash::{Hash, Hasher};
+
+use rustc_hash::FxHasher;
+
 use super::table::RequestRow;
 use crate::Node;
-use crate::entity::Server;
-use crate::event::Report;
-use crate::time::Span;
+use crate::entity::{Server, Zone};
+use crate::event::{Failure, Reason, Report};
+use crate::id::Request;
+use crate::time::{Instant, Span};
+
+use recent::Recent;
+use score::{Candidate, Figures};
 
 /// What became of a choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,34 +28,100 @@
     Nobody,
 }
 
+/// This VM's own work on a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Own {
+    /// Requests in progress.
+    pub(super) in_flight: u32,
+    /// How that changed lately.
+    recent: Recent,
+    /// Until when it is avoided because it failed.
+    sick_until: Instant,
+}
+
+impl Own {
+    /// A request begins or ends.
+    pub(super) fn change(&mut self, now: Instant, change: i32) {
+        self.in_flight = self.in_flight.saturating_add_signed(change);
+        self.recent.add(now, change);
+    }
+}
+
+/// How long a server that failed is avoided while others can take the work.
+const SICK: Span = Span::from_secs(1);
+/// How long a server that took no more work is avoided.
+const BUSY: Span = Span::from_millis(100);
+/// From this age on a report says nothing.
+const STALE: Span = Span::from_secs(5);
+
+/// Servers with room, well and in the preferred zone, among which the best is good enough.
+const ENOUGH: u32 = 32;
+/// Spreads request numbers over a list.
+const SCATTER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Chooses a server for a request.
 pub(crate) fn choose(node: &Node, row: &RequestRow) -> Choice {
-    let servers = match row.adapter {
-        Some(adapter) => node.domains.usable(adapter),
-        None => &node.catalog.services.get(row.service).servers,
-    };
-    let allowed = servers
-        .iter()
-        .copied()
-        .filter(|server| allows(node, row, *server));
-    let among = allowed.clone().count();
-    let room = |server: &Server| row.adapter.is_none() || has_room(node, *server);
-    let best = allowed
-        .filter(room)
-        .min_by_key(|server| cost(node, row, *server));
+    let service = node.catalog.services.get(row.service);
+    let bias = score::bias(service.stall_weight, service.batch_weight);
+    let home = node.catalog.zones.find(&node.settings.zone);
+    let (mut among, mut near, mut best) = (0, 0, None);
+    for server in turned(usable(node, row), row.place.request) {
+        if near == ENOUGH {
+            break;
+        }
+        if !allows(node, row, server) {
+            continue;
+        }
+        among += 1;
+        let candidate = candidate(node, row, server, home);
+        if candidate.has_room() {
+            near += u32::from(!candidate.far && !candidate.sick);
+            let rank = (candidate.rank(bias), server);
+            best = Some(best.map_or(rank, |best| rank.min(best)));
+        }
+    }
     match best {
-        Some(server) => Choice::Server(server, among),
+        Some((_, server)) => Choice::Server(server, among),
         None if among > 0 => Choice::Full,
         None => Choice::Nobody,
     }
 }
 
+/// The servers, beginning at a place of the list that differs from request to request where there are many.
+fn turned(servers: &[Server], request: Request) -> impl Iterator<Item = Server> {
+    let many = servers.len() > ENOUGH as usize;
+    let start = match many {
+        true => usize::try_from(request.0.wrapping_mul(SCATTER)).unwrap_or(0) % servers.len(),
+        false => 0,
+    };
+    let (before, after) = servers.split_at(start);
+    after.iter().chain(before).copied()
+}
+
+/// The servers on which a request could run right now, whatever the rules say.
+pub(crate) fn usable<'a>(node: &'a Node, row: &RequestRow) -> &'a [Server] {
+    match row.adapter {
+        Some(adapter) => node.domains.usable(adapter),
+        None => &node.catalog.services.get(row.service).servers,
+    }
+}
+
 /// Whether no server of the service may ever take a request, whatever is loaded.
 pub(crate) fn hopeless(node: &Node, row: &RequestRow) -> bool {
     let servers = &node.catalog.services.get(row.service).servers;
     !servers.iter().any(|server| allows(node, row, *server))
 }
 
+/// An attempt on a server failed: it is avoided for a while where others can take the work.
+pub(crate) fn trouble(node: &mut Node, server: Server, failure: &Failure) {
+    let span = match failure {
+        Failure::Refused | Failure::Broken | Failure::Timeout => SICK,
+        Failure::NotRun(Reason::Overloaded | Reason::NotReady) => BUSY,
+        Failure::NotRun(_) | Failure::Rejected { .. } => return,
+    };
+    node.traffic.own[server].sick_until = node.now + span;
+}
+
 fn allows(node: &Node, row: &RequestRow, server: Server) -> bool {
     let rule = &row.decision;
     let place = node.catalog.servers.get(server);
@@ -56,29 +133,41 @@
         && !row.failed_on.contains(&server)
 }
 
-fn has_room(node: &Node, server: Server) -> bool {
-    const SLACK: u32 = 2;
-    let batch = node
-        .domains
-        .load(server)
-        .map_or(u32::MAX, |report| report.batch);
-    node.traffic.in_flight(server) < batch.saturating_add(SLACK)
+fn candidate(node: &Node, row: &RequestRow, server: Server, home: Option<Zone>) -> Candidate {
+    let own = &node.traffic.own[server];
+    let zone = node.catalog.servers.get(server).zone;
+    let report = node.domains.load(server);
+    let report = report.filter(|report| report.age <= STALE);
+    let change = report.map_or(0, |report| own.recent.since(node.now.back(report.age)));
+    Candidate {
+        sick: own.sick_until > node.now,
+        far: row.decision.prefer.is_some_and(|prefer| prefer != zone),
+        remote: home.is_some_and(|home| home != zone),
+        own: own.in_flight,
+        change,
+        figures: report.map(figures),
+        uncached: uncached(node, row, server),
+        spread: spread(node, server),
+    }
 }
 
-fn cost(node: &Node, row: &RequestRow, server: Server) -> (bool, u32) {
-    let far = row
-        .decision
-        .prefer
-        .is_some_and(|zone| zone != node.catalog.servers.get(server).zone);
-    let reported = node.domains.load(server).map_or(0, others);
-    (far, node.traffic.in_flight(server).saturating_add(reported))
+fn figures(report: &Report) -> Figures {
+    Figures {
+        load: report.running.saturating_add(report.waiting),
+        batch: report.batch,
+        step: report.step,
+        age: report.age,
+    }
 }
 
-fn others(report: &Report) -> u32 {
-    const STALE: Span = Span::from_secs(5);
-    if report.age > STALE {
-        0
-    } else {
-        report.running + report.waiting
-    }
+/// Prefix blocks of a request that are not in a server's cache, as far as its late events tell.
+fn uncached(node: &Node, row: &RequestRow, server: Server) -> u32 {
+    let _ = (node, server);
+    u32::try_from(row.call.prefix.len()).unwrap_or(u32::MAX)
+}
+
+fn spread(node: &Node, server: Server) -> u64 {
+    let mut state = FxHasher::default();
+    (node.settings.seed, server.as_u32()).hash(&mut state);
+    state.finish()
 }
