--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,8 +29,10 @@
 pub mod time;
 mod traffic;
 mod verify;
+mod view;
 
 pub use node::Node;
+pub use view::View;
 
 /// The tables and choices behind the decisions that stand on their own, for tests, benches and other uses.
 pub mod policy {
