Adapters are found by their text; routing uses late reports and prefix caches

Cause: an adapter's name was hashed with the place of its @, so a look-up by text never found it and each request was refused as unknown_version. Ruled out: look-ups by a parsed name (allocates for each request). Change: the name hashes as its text; the choice of a server takes the report's time and the prefix cache from the domains. Measured: traffic test ask_answers_whole failed before (unknown_version) and passes after.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Borrow;
 use std::fmt;
+use std::hash::{Hash, Hasher};
 use std::str::FromStr;
 use std::sync::Arc;
 
@@ -113,7 +114,7 @@
 }
 
 /// One adapter at one version, written `<adapter>@<version>`.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Adapter {
     /// The whole text.
@@ -142,6 +143,13 @@
     }
 }
 
+/// The same hash as that of its text, as [`Borrow`] asks for.
+impl Hash for Adapter {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.text.hash(state);
+    }
+}
+
 impl fmt::Display for Adapter {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.text)
--- a/crates/core/src/traffic/route.rs
+++ b/crates/core/src/traffic/route.rs
@@ -136,34 +136,35 @@
 fn candidate(node: &Node, row: &RequestRow, server: Server, home: Option<Zone>) -> Candidate {
     let own = &node.traffic.own[server];
     let zone = node.catalog.servers.get(server).zone;
-    let report = node.domains.load(server);
-    let report = report.filter(|report| report.age <= STALE);
-    let change = report.map_or(0, |report| own.recent.since(node.now.back(report.age)));
+    let made = node.domains.made(server);
+    let made = made.filter(|made| node.now.since(*made) <= STALE);
+    let report = made.zip(node.domains.load(server));
     Candidate {
         sick: own.sick_until > node.now,
         far: row.decision.prefer.is_some_and(|prefer| prefer != zone),
         remote: home.is_some_and(|home| home != zone),
         own: own.in_flight,
-        change,
-        figures: report.map(figures),
+        change: made.map_or(0, |made| own.recent.since(made)),
+        figures: report.map(|(made, report)| figures(report, node.now.since(made))),
         uncached: uncached(node, row, server),
         spread: spread(node, server),
     }
 }
 
-fn figures(report: &Report) -> Figures {
+fn figures(report: &Report, age: Span) -> Figures {
     Figures {
         load: report.running.saturating_add(report.waiting),
         batch: report.batch,
         step: report.step,
-        age: report.age,
+        age,
     }
 }
 
 /// Prefix blocks of a request that are not in a server's cache, as far as its late events tell.
 fn uncached(node: &Node, row: &RequestRow, server: Server) -> u32 {
-    let _ = (node, server);
-    u32::try_from(row.call.prefix.len()).unwrap_or(u32::MAX)
+    let prefix = &row.call.prefix;
+    let cached = node.domains.cached(server, prefix);
+    u32::try_from(prefix.len().saturating_sub(cached)).unwrap_or(u32::MAX)
 }
 
 fn spread(node: &Node, server: Server) -> u64 {
