--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -143,6 +143,13 @@
     }
 }
 
+/// The same hash as that of its text, as [`Borrow`] asks for.
+impl Hash for Adapter {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.text.hash(state);
+    }
+}
+
 impl fmt::Display for Adapter {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.text)
