Touch only the rows of changed adapters after an edit

Change: edits of rules and adapters look only at what they touch; a service edit checks only the services of adapters.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -62,16 +62,15 @@
 /// Everything for which a document is refused after an edit, where it held together before.
 ///
 /// The short lists are checked whole. Of the adapters, of which there are tens of thousands, only those that the
-/// edit touches are looked at, unless it touches a service.
+/// edit touches are looked at, and where it touches a service, the services of all others.
 pub(crate) fn check_after(document: &Document, edit: &Edit) -> Vec<Problem> {
     let service =
         |change: &Change| matches!(change, Change::PutService(_) | Change::RemoveService(_));
     let mut checker = Checker::new(document);
     checker.short_lists();
+    checker.some_adapters(edit);
     if edit.changes.iter().any(service) {
-        checker.all_adapters();
-    } else {
-        checker.some_adapters(edit);
+        checker.services_of_adapters();
     }
     checker.problems
 }
@@ -248,29 +247,36 @@
     }
 
     fn some_adapters(&mut self, edit: &Edit) {
-        let put = |change: &'_ Change| match change {
-            Change::PutAdapter(adapter) => Some(adapter.name.clone()),
-            _ => None,
-        };
-        let names: FxHashSet<String> = edit.changes.iter().filter_map(put).collect();
+        let names: FxHashSet<&str> = edit.changes.iter().filter_map(put_adapter).collect();
         if names.is_empty() {
             return;
         }
         let document = self.document;
         for (number, adapter) in document.adapters.iter().enumerate() {
-            if names.contains(&adapter.name) {
+            if names.contains(adapter.name.as_str()) {
                 self.adapter(number, adapter);
             }
         }
     }
 
-    fn adapter(&mut self, number: usize, adapter: &Adapter) {
-        let path = |field: &str| format!("adapters[{number}].{field}");
+    fn services_of_adapters(&mut self) {
+        for (number, adapter) in self.document.adapters.iter().enumerate() {
+            self.service_of_adapter(number, adapter);
+        }
+    }
+
+    fn service_of_adapter(&mut self, number: usize, adapter: &Adapter) {
+        let path = || format!("adapters[{number}].service");
         match self.services.get(&adapter.service).map(|item| item.kind) {
             Some(Kind::Model) => {}
-            Some(Kind::Plain) => self.report(path("service"), "is not a model service"),
-            None => self.report(path("service"), "names no service"),
+            Some(Kind::Plain) => self.report(path(), "is not a model service"),
+            None => self.report(path(), "names no service"),
         }
+    }
+
+    fn adapter(&mut self, number: usize, adapter: &Adapter) {
+        let path = |field: &str| format!("adapters[{number}].{field}");
+        self.service_of_adapter(number, adapter);
         self.refuse(adapter.versions.is_empty(), || path("versions"), "is empty");
         for (position, version) in adapter.versions.iter().enumerate() {
             let path = || format!("adapters[{number}].versions[{position}]");
@@ -343,6 +349,14 @@
     }
 }
 
+/// The name of the adapter that a change adds or replaces.
+fn put_adapter(change: &Change) -> Option<&str> {
+    match change {
+        Change::PutAdapter(adapter) => Some(&adapter.name),
+        _ => None,
+    }
+}
+
 /// What rules may name.
 struct Known<'a> {
     /// Callers.
--- a/crates/core/src/config/patch.rs
+++ b/crates/core/src/config/patch.rs
@@ -61,10 +61,17 @@
         }
     }
 
-    /// Whether the edit touched nothing but rules.
-    pub(crate) fn only_rules(&self) -> bool {
-        let lists = self.callers.is_some() || self.services.is_some() || self.servers.is_some();
-        !lists && self.adapters.is_empty()
+    /// Whether the edit touched callers, services or servers.
+    pub(crate) fn touched_lists(&self) -> bool {
+        self.callers.is_some() || self.services.is_some() || self.servers.is_some()
+    }
+
+    /// For each change of an adapter, in order, the adapter as it was before.
+    pub(crate) fn into_adapters(self) -> impl Iterator<Item = Option<Adapter>> {
+        self.adapters.into_iter().map(|step| match step {
+            Step::Added => None,
+            Step::Replaced(_, adapter) | Step::Removed(_, adapter) => Some(adapter),
+        })
     }
 }
 
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -5,6 +5,7 @@
 
 mod apply;
 mod commit;
+mod entities;
 mod history;
 mod log;
 mod read;
--- a/crates/core/src/sync/apply.rs
+++ b/crates/core/src/sync/apply.rs
@@ -1,10 +1,11 @@
 //! Puts new editions in force: the next edits, or a whole snapshot. Nothing older is ever taken.
 
+use super::entities::Work;
 use super::log::Kept;
 use super::store::{self, Damage, Digest, Segment, Snapshot};
 use crate::Node;
 use crate::config::rules::Rules;
-use crate::config::{self, Problem, Undo};
+use crate::config::{self, Edit, Problem, Undo};
 use crate::effect::{Effect, Effects};
 use crate::id::Edition;
 use crate::log::{Code, Record};
@@ -26,12 +27,12 @@
     out: &mut Effects,
 ) -> Run {
     let mut run = Run::default();
-    let mut entities = false;
+    let mut work = Work::default();
     for text in texts {
         match one(node, text) {
-            Ok(Some(undo)) => {
+            Ok(Some((edit, undo))) => {
                 run.applied += 1;
-                entities |= !undo.only_rules();
+                work.add(edit, undo);
             }
             Ok(None) => {}
             Err(damage) => {
@@ -43,13 +44,13 @@
         }
     }
     if run.applied > 0 {
-        put_in_force(node, entities, out);
+        put_in_force(node, work, out);
     }
     run
 }
 
 /// Applies one edit, or none where it is not the next.
-fn one(node: &mut Node, text: Vec<u8>) -> Result<Option<Undo>, Damage> {
+fn one(node: &mut Node, text: Vec<u8>) -> Result<Option<(Edit, Undo)>, Damage> {
     let (kept, segment) = Kept::read(text)?;
     let state = &mut node.sync;
     if segment.edition != Edition(state.edition.0 + 1) {
@@ -62,7 +63,7 @@
     state.edition = segment.edition;
     state.chain = kept.digest;
     state.log.push(kept);
-    Ok(Some(undo))
+    Ok(Some((segment.edit, undo)))
 }
 
 /// Changes the document, unless the result does not hold together.
@@ -97,7 +98,7 @@
     state.chain = snapshot.chain;
     state.document = snapshot.document;
     state.log.reset(edition);
-    put_in_force(node, true, out);
+    put_in_force(node, Work::all(), out);
     Ok(())
 }
 
@@ -116,11 +117,9 @@
     }
 }
 
-/// Brings the tables in line with the document. Rules alone leave the entities as they are.
-fn put_in_force(node: &mut Node, entities: bool, out: &mut Effects) {
-    if entities {
-        node.catalog.apply(&node.sync.document);
-    }
+/// Brings the tables in line with the document.
+fn put_in_force(node: &mut Node, work: Work, out: &mut Effects) {
+    work.run(&mut node.catalog, &node.sync.document);
     node.rules = Rules::new(node.sync.document.rules.clone());
     domain::configured(node, out);
     traffic::wake_all(node);
--- a/crates/core/src/sync/snapshot.rs
+++ b/crates/core/src/sync/snapshot.rs
@@ -49,6 +49,8 @@
     call: Option<Pending>,
     /// No call before this time.
     retry_at: Instant,
+    /// Whether an edit was committed since it was last seen whether a snapshot is due.
+    asked: bool,
 }
 
 impl Writer {
@@ -58,8 +60,13 @@
     }
 }
 
-/// An edit of this VM was committed: begins a snapshot where one is due.
+/// An edit of this VM was committed: a snapshot may be due at the next tick.
 pub(crate) fn consider(node: &mut Node) {
+    node.sync.writer.asked = true;
+}
+
+/// Begins a snapshot where one is due.
+fn begin(node: &mut Node) {
     let Some(known) = node.sync.reader.known() else {
         return;
     };
@@ -213,8 +220,11 @@
     }
 }
 
-/// Gives up a call that is not answered.
+/// Begins a snapshot where one is due, and gives up a call that is not answered.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
+    if std::mem::take(&mut node.sync.writer.asked) {
+        begin(node);
+    }
     let lost = call_timeout(&node.settings.tuning);
     let call = &node.sync.writer.call;
     if call
