--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -30,6 +30,7 @@
 
 /// The members of the fleet as this VM sees them.
 #[derive(Debug)]
+#[allow(clippy::struct_excessive_bools)]
 pub(crate) struct State {
     /// Whether this VM is shutting down.
     pub(crate) draining: bool,
@@ -355,7 +356,7 @@
     if !fleet.live.is_sorted() {
         add("live VMs are not in order".to_owned());
     }
-    if fleet.own.beat % member::BEAT != 0 {
+    if !fleet.own.beat.is_multiple_of(member::BEAT) {
         add(format!("own beat {} is odd", fleet.own.beat));
     }
     for (vm, _) in &fleet.live {
--- a/crates/core/src/fleet/drain.rs
+++ b/crates/core/src/fleet/drain.rs
@@ -56,7 +56,7 @@
     };
     let handed = domain::hand_over(node, out);
     match idle_since(node) {
-        Some(idle) if handed && claim::drained(node) => stop(node, out),
+        Some(_) if handed && claim::drained(node) => stop(node, out),
         Some(idle) if node.now >= idle + HAND_OVER => stop(node, out),
         _ if node.now < drain.deadline => {}
         _ if drain.cut => stop(node, out),
--- a/crates/core/src/fleet/member.rs
+++ b/crates/core/src/fleet/member.rs
@@ -14,6 +14,7 @@
 
 /// One other entry VM.
 #[derive(Clone, Debug)]
+#[allow(clippy::struct_excessive_bools)]
 pub(super) struct Row {
     /// The latest news of it.
     pub(super) member: Member,
@@ -126,5 +127,5 @@
 
 /// Whether news says that a VM is suspected.
 pub(super) const fn suspicion(member: &Member) -> bool {
-    member.beat % BEAT != 0
+    !member.beat.is_multiple_of(BEAT)
 }
--- a/crates/core/src/verify.rs
+++ b/crates/core/src/verify.rs
@@ -5,6 +5,8 @@
 /// Every invariant that does not hold.
 pub(crate) fn run(node: &Node) -> Vec<String> {
     let mut broken = Vec::new();
+    crate::fleet::verify(node, &mut broken);
+    crate::claim::verify(node, &mut broken);
     crate::traffic::verify(node, &mut broken);
     broken
 }
--- a/crates/core/tests/support/vm.rs
+++ b/crates/core/tests/support/vm.rs
@@ -91,7 +91,9 @@
 
     /// Starts a VM that is down, with a new incarnation and nothing kept.
     pub fn start(&mut self, vm: usize) {
-        let (incarnation, seed) = (Incarnation(self.rng.random()), self.rng.random());
+        // Later starts have greater numbers, as where a number begins with the wall clock's time.
+        let (time, low, seed) = (self.now + 1, self.rng.random::<u16>(), self.rng.random());
+        let incarnation = Incarnation(time << 16 | u64::from(low));
         let row = &mut self.vms[vm];
         assert!(row.node.is_none(), "vm {vm} is up");
         row.incarnation = incarnation;
