Settings tests; a refused value is remembered by name

The check that a relation is not reported for a value that is refused already searched the messages for the name, and so hid the second of two relations.

--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -1,6 +1,6 @@
 //! Holds a tree of settings against the table of known ones and collects every fault.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::str::FromStr;
 
@@ -29,6 +29,8 @@
     pub(super) values: BTreeMap<String, Value>,
     /// What is wrong.
     pub(super) faults: Vec<Fault>,
+    /// Settings that were given a value that was refused.
+    refused: BTreeSet<String>,
 }
 
 impl Check {
@@ -38,6 +40,7 @@
             entries: table::entries(),
             values: BTreeMap::new(),
             faults: Vec::new(),
+            refused: BTreeSet::new(),
         }
     }
 
@@ -75,7 +78,7 @@
     pub(super) fn relations(&mut self) {
         for entry in self.entries.clone() {
             let missing = !self.values.contains_key(&entry.name);
-            if entry.required && missing && !self.faulty(&entry.name) {
+            if entry.required && missing && !self.refused.contains(&entry.name) {
                 self.fault(Place::File, format!("`{}` is required", entry.name));
             }
         }
@@ -160,7 +163,7 @@
             (other, form) => {
                 let wanted = wanted(form);
                 let message = format!("`{}` is {wanted}, not {}", entry.name, other.kind());
-                self.fault(place, message);
+                self.refuse(&entry.name, place, message);
             }
         }
     }
@@ -170,12 +173,14 @@
         for item in list {
             match &item.value {
                 Node::Text(text) => match fault_in(entry, text) {
-                    Some(message) => self.fault(tree::place(item.referenced), message),
+                    Some(message) => {
+                        self.refuse(&entry.name, tree::place(item.referenced), message);
+                    }
                     None => texts.push(text.clone()),
                 },
                 other => {
                     let message = format!("`{}` lists texts, not {}", entry.name, other.kind());
-                    self.fault(tree::place(item.referenced), message);
+                    self.refuse(&entry.name, tree::place(item.referenced), message);
                 }
             }
         }
@@ -189,18 +194,16 @@
     fn accept(&mut self, entry: &Entry, place: Place, texts: Vec<String>) {
         let faults: Vec<String> = texts.iter().filter_map(|t| fault_in(entry, t)).collect();
         for message in faults {
-            self.fault(place.clone(), message);
+            self.refuse(&entry.name, place.clone(), message);
         }
         self.values
             .insert(entry.name.clone(), Value { place, texts });
     }
 
-    /// Whether a value was given but refused.
-    fn faulty(&self, name: &str) -> bool {
-        let quoted = format!("`{name}`");
-        self.faults
-            .iter()
-            .any(|fault| fault.message.contains(&quoted))
+    /// Reports a value that is refused.
+    fn refuse(&mut self, name: &str, place: Place, message: String) {
+        self.refused.insert(name.to_owned());
+        self.fault(place, message);
     }
 
     fn one_secret(&mut self) {
@@ -210,7 +213,7 @@
             .collect();
         match given.as_slice() {
             [_] => {}
-            [] if SECRETS.iter().any(|name| self.faulty(name)) => {}
+            [] if SECRETS.iter().any(|name| self.refused.contains(*name)) => {}
             [] => self.fault(
                 Place::File,
                 "one of `peers.secret`, `peers.secret_file` and `peers.secret_env` is required"
@@ -231,7 +234,8 @@
             .iter()
             .find_map(|name| self.values.get(*name))
             .map_or(Place::File, |value| value.place.clone());
-        if small >= large && !self.faulty(low) && !self.faulty(high) {
+        let refused = self.refused.contains(low) || self.refused.contains(high);
+        if small >= large && !refused {
             self.fault(
                 place,
                 format!("`{low}` ({small}) must be below `{high}` ({large})"),
