--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -47,6 +47,9 @@
 /// Time between two looks for answers that are long overdue.
 const EXPIRE: Span = Span::from_secs(1);
 
+/// How long handing over waits for the record to be written.
+const HAND_OVER: Span = Span::from_secs(3);
+
 /// What this VM holds and what it is granted.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -74,8 +77,8 @@
     domains_of: SecondaryMap<Service, SmallVec<[Domain; 2]>>,
     /// Prefix caches.
     caches: cache::Table,
-    /// Whether this VM is handing its domains over.
-    closing: bool,
+    /// Since when this VM is handing its domains over.
+    closing: Option<Instant>,
     /// The time of the last tick.
     clock: Instant,
     /// When overdue answers were last looked for.
@@ -288,12 +291,21 @@
 
 /// This VM is leaving: hands its domains over. Says whether all is handed over.
 pub(crate) fn hand_over(node: &mut Node, out: &mut Effects) -> bool {
-    node.domains.closing = true;
+    let now = node.now;
+    let since = *node.domains.closing.get_or_insert(now);
     if node.domains.held.is_empty() {
         return traffic::idle(node) && ask::leave(node, out);
     }
-    // Orders on their way are waited for: each has an outcome within its timeout.
-    if node.domains.orders.is_empty() {
+    let held: Vec<Domain> = node.domains.held.keys().copied().collect();
+    for domain in held {
+        evict::cancel_all(node, domain);
+        record::flush(node, domain, out);
+    }
+    // Orders on their way are waited for: each has an outcome within its timeout. The record is then free of
+    // unloads, unless the key-value service does not answer.
+    let settled = node.domains.held.values().all(|held| held.writer.settled());
+    let waited = now.since(since) >= HAND_OVER;
+    if node.domains.orders.is_empty() && (settled || waited) {
         lease::revoke(node, out);
     }
     false
--- a/crates/core/src/domain/evict.rs
+++ b/crates/core/src/domain/evict.rs
@@ -112,7 +112,22 @@
 fn wanted_back(held: &Held, place: Place, now: Instant) -> bool {
     held.waiting.contains_key(&place.1)
         && !held.blocked(place, now)
-        && grant::residences(held, place.1).is_empty()
+        && grant::residences(held, place.1, now).is_empty()
+}
+
+/// Keeps every adapter whose unload was not ordered yet.
+pub(crate) fn cancel_all(node: &mut Node, domain: Domain) {
+    let Some(held) = node.domains.held.get(&domain) else {
+        return;
+    };
+    let open = |place: &Place| {
+        held.entry(*place)
+            .is_some_and(|entry| entry.phase == Phase::Evicting)
+    };
+    let places: Vec<Place> = held.evicting.iter().copied().filter(open).collect();
+    for place in places {
+        cancel(node, domain, place);
+    }
 }
 
 fn cancel(node: &mut Node, domain: Domain, place: Place) {
--- a/crates/core/src/domain/grant.rs
+++ b/crates/core/src/domain/grant.rs
@@ -349,14 +349,14 @@
     peer.wants.contains(&adapter) || peer.uses.contains_key(&adapter)
 }
 
-/// Servers on which an adapter is resident.
-pub(crate) fn residences(held: &Held, adapter: Adapter) -> Vec<Server> {
+/// Servers on which an adapter is resident and may be granted.
+pub(crate) fn residences(held: &Held, adapter: Adapter, now: Instant) -> Vec<Server> {
     held.hosts
         .iter()
-        .filter(|(_, host)| {
-            host.entries
-                .get(&adapter)
-                .is_some_and(|entry| entry.phase == Phase::Resident)
+        .filter(|(server, host)| {
+            let entry = host.entries.get(&adapter);
+            entry.is_some_and(|entry| entry.phase == Phase::Resident)
+                && !held.blocked((**server, adapter), now)
         })
         .map(|(server, _)| *server)
         .collect()
@@ -375,7 +375,7 @@
         let Some(adapter) = catalog.adapters.find(name) else {
             continue;
         };
-        for server in residences(held, adapter) {
+        for server in residences(held, adapter, now) {
             offer(held, catalog, (server, adapter), now);
         }
     }
--- a/crates/core/src/domain/host.rs
+++ b/crates/core/src/domain/host.rs
@@ -43,6 +43,8 @@
     pub(crate) phase: Phase,
     /// When that began. Reports with older figures say nothing against it.
     pub(crate) since: Instant,
+    /// When it was loaded by an order of this holder.
+    pub(crate) loaded: Instant,
     /// Grants that are not released.
     pub(crate) lent: SmallVec<[Lent; 4]>,
     /// When the last grant was released.
@@ -59,6 +61,7 @@
         Self {
             phase,
             since: now,
+            loaded: Instant::default(),
             lent: SmallVec::new(),
             released: now,
             in_flight: 0,
--- a/crates/core/src/domain/lease.rs
+++ b/crates/core/src/domain/lease.rs
@@ -67,7 +67,7 @@
     if !held && now >= lease.until {
         lease.id = None;
     }
-    if lease.busy || !lease.backoff.ready(now) || node.domains.closing {
+    if lease.busy || !lease.backoff.ready(now) || node.domains.closing.is_some() {
         return;
     }
     match lease.id {
--- a/crates/core/src/domain/order.rs
+++ b/crates/core/src/domain/order.rs
@@ -1,7 +1,7 @@
 //! Orders to backend servers: each is sent once under a number of its own, and its outcome is Done, refused, not
 //! sent, or unknown. An unknown outcome is settled by what the server reports later.
 
-use super::host::{Phase, Place};
+use super::host::Phase;
 use super::{checks_fences, evict, grant, holder, lease, place, report, seat};
 use crate::Node;
 use crate::effect::{Action, Command, Effect, Effects};
@@ -14,6 +14,9 @@
 /// How long after its timeout an order's outcome is waited for.
 const GRACE: Span = Span::from_secs(1);
 
+/// How long an order may take that moves no weights.
+const QUICK: Span = Span::from_secs(5);
+
 /// What an order is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -40,12 +43,14 @@
     pub(crate) kind: Kind,
     /// When it was sent.
     pub(crate) sent: Instant,
+    /// How long it may take.
+    timeout: Span,
 }
 
 /// Whether this VM may give orders to a server now. One whose lease may have lapsed goes on only where servers
 /// refuse the orders of all but the newest holder.
 pub(crate) fn allowed(node: &Node, server: Server) -> bool {
-    !node.domains.closing && (lease::valid(node) || checks_fences(&node.catalog, server))
+    node.domains.closing.is_none() && (lease::valid(node) || checks_fences(&node.catalog, server))
 }
 
 /// Sends an order, where that is allowed.
@@ -59,6 +64,11 @@
     if !allowed(node, server) {
         return None;
     }
+    let longest = Span::from_millis(node.settings.tuning.order_timeout_ms);
+    let timeout = match kind {
+        Kind::Load(_) => longest,
+        Kind::Unload(_) | Kind::Fence => longest.min(QUICK),
+    };
     let held = node.domains.held.get(&domain)?;
     let row = Row {
         domain,
@@ -67,6 +77,7 @@
         boot: held.hosts.get(&server).and_then(|host| host.boot),
         kind,
         sent: node.now,
+        timeout,
     };
     node.domains.last_order += 1;
     let order = Order(node.domains.last_order);
@@ -83,7 +94,7 @@
             Kind::Fence => Action::Fence,
         },
         fence: row.fence,
-        timeout: Span::from_millis(node.settings.tuning.order_timeout_ms),
+        timeout,
     }));
     Some(order)
 }
@@ -186,6 +197,7 @@
     match outcome {
         Ordered::Done if !restarted => {
             entry.enter(Phase::Resident, now);
+            entry.loaded = now;
             held.plan.loaded((row.server, adapter));
             out.push(Effect::Log(Record::new(Code::LoadDone, detail)));
         }
@@ -231,13 +243,12 @@
 
 /// Counts orders whose outcome is long overdue as unknown.
 pub(crate) fn expire(node: &mut Node, out: &mut Effects) {
-    let limit = Span::from_millis(node.settings.tuning.order_timeout_ms) + GRACE;
     let now = node.now;
     let overdue: Vec<Order> = node
         .domains
         .orders
         .iter()
-        .filter(|(_, row)| now.since(row.sent) > limit)
+        .filter(|(_, row)| now.since(row.sent) > row.timeout + GRACE)
         .map(|(order, _)| *order)
         .collect();
     for order in overdue {
@@ -259,10 +270,3 @@
     }
 }
 
-/// The place of an order, where it is about an adapter.
-pub(crate) fn target(row: &Row) -> Option<Place> {
-    match row.kind {
-        Kind::Load(adapter) | Kind::Unload(adapter) => Some((row.server, adapter)),
-        Kind::Fence => None,
-    }
-}
--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -106,7 +106,7 @@
     let Some(held) = node.domains.held.get(&domain) else {
         return;
     };
-    if !held.active || node.domains.closing {
+    if !held.active || node.domains.closing.is_some() {
         return;
     }
     for service in services(held, &node.catalog) {
@@ -217,10 +217,11 @@
 /// Copies of each adapter that are resident, or loading and not overdue.
 fn placed(held: &Held, now: Instant, overdue: Span) -> FxHashMap<Adapter, u32> {
     let mut copies = FxHashMap::default();
-    for host in held.hosts.values() {
+    for (server, host) in &held.hosts {
         for (adapter, entry) in &host.entries {
             let counts = match entry.phase {
-                Phase::Resident => !host.lost,
+                // One that an earlier unload may still hit can't be granted, so it serves nobody.
+                Phase::Resident => !host.lost && !held.blocked((*server, *adapter), now),
                 Phase::Loading(_) => now.since(entry.since) <= overdue,
                 Phase::Absent | Phase::Evicting | Phase::Unloading(_) => false,
             };
@@ -252,6 +253,8 @@
 /// The server to load an adapter on: one with a free slot, the least busy.
 fn target(node: &Node, domain: Domain, service: Service, adapter: Adapter) -> Option<Server> {
     let now = node.now;
+    let key = store::key(node, service);
+    let overdue = node.domains.stores.get(&key).map(store::Store::overdue)?;
     let held = node.domains.held.get(&domain)?;
     held.hosts
         .iter()
@@ -260,7 +263,7 @@
                 && host.free() > 0
                 && now >= host.rest
                 && !host.entries.contains_key(&adapter)
-                && !loading(host)
+                && !loading(host, now, overdue)
                 && held.plan.may_load((**server, adapter), now)
                 && !held.blocked((**server, adapter), now)
         })
@@ -281,10 +284,11 @@
         && order::allowed(node, server)
 }
 
-fn loading(host: &Host) -> bool {
-    host.entries
-        .values()
-        .any(|entry| matches!(entry.phase, Phase::Loading(_)))
+/// Whether a server is busy with a load that is not overdue.
+fn loading(host: &Host, now: Instant, overdue: Span) -> bool {
+    host.entries.values().any(|entry| {
+        matches!(entry.phase, Phase::Loading(_)) && now.since(entry.since) <= overdue
+    })
 }
 
 fn load(node: &mut Node, domain: Domain, place: Place, out: &mut Effects) -> bool {
@@ -365,9 +369,11 @@
         }
         let crowd = usize_to_f64(host.free() + host.freeing());
         for (adapter, entry) in &host.entries {
-            let resting = now.since(entry.since) >= STAY;
+            let blocked = held.blocked((*server, *adapter), now);
+            let resting = now.since(entry.loaded) >= STAY;
             let copied = copies.get(adapter).copied().unwrap_or(0) > 1;
-            if entry.phase != Phase::Resident || !resting || held.waiting.contains_key(adapter) {
+            let needed = !resting || held.waiting.contains_key(adapter);
+            if entry.phase != Phase::Resident || (needed && !blocked) {
                 continue;
             }
             let used = entry.in_flight > 0 || (!copied && busy.contains(adapter));
@@ -378,6 +384,7 @@
             let listed = node.catalog.adapters.get(*adapter).listed;
             let cost = match (listed, copied) {
                 (false, _) => -1.0,
+                _ if blocked => -1.0,
                 (true, true) => rate * COPY_COST,
                 (true, false) => rate,
             };
--- a/crates/core/src/domain/record.rs
+++ b/crates/core/src/domain/record.rs
@@ -87,6 +87,11 @@
         self.dirty = true;
     }
 
+    /// Whether the key holds what it is to hold.
+    pub(crate) fn settled(&self) -> bool {
+        !self.busy && !self.dirty && !self.unread
+    }
+
     /// Whether a read or write is in progress.
     pub(crate) fn busy(&self) -> bool {
         self.busy
@@ -117,7 +122,8 @@
         return;
     }
     let since = *writer.stale.get_or_insert(now);
-    if writer.committed.covers(&desired) && now.since(since) < LAZY {
+    let closing = node.domains.closing.is_some();
+    if writer.committed.covers(&desired) && now.since(since) < LAZY && !closing {
         return;
     }
     write(node, domain, desired, out);
--- a/crates/core/src/domain/report.rs
+++ b/crates/core/src/domain/report.rs
@@ -225,7 +225,10 @@
     }
     match entry.phase {
         Phase::Absent if made >= entry.since => entry.enter(Phase::Resident, now),
-        Phase::Loading(_) => entry.enter(Phase::Resident, now),
+        Phase::Loading(_) => {
+            entry.enter(Phase::Resident, now);
+            entry.loaded = now;
+        }
         _ => {}
     }
 }
--- a/crates/core/src/domain/seat.rs
+++ b/crates/core/src/domain/seat.rs
@@ -111,7 +111,7 @@
 /// Takes free domains, and gives some up where this VM holds more than its share.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
     let now = node.now;
-    if now < node.domains.spread.next || node.domains.closing || node.fleet.draining {
+    if now < node.domains.spread.next || node.domains.closing.is_some() || node.fleet.draining {
         return;
     }
     node.domains.spread.next = now + PASS;
@@ -239,7 +239,7 @@
         seat.empty = node.now;
     }
     holder::drop_domain(node, domain, "key_gone", out);
-    if taking && !node.domains.closing && !node.fleet.draining {
+    if taking && node.domains.closing.is_none() && !node.fleet.draining {
         create(node, domain, out);
     }
 }
--- a/crates/core/tests/domain_faults.rs
+++ b/crates/core/tests/domain_faults.rs
@@ -292,6 +292,9 @@
             }
             churn(&mut fleet, 2 * SEC, 100 * MS, 20);
         }
+        for engine in &mut fleet.engines {
+            engine.faults = support::engine::Faults::default();
+        }
         assert!(fleet.finish_all(90 * SEC));
         fleet.run_for(40 * SEC);
         for adapter in 0..12 {
@@ -386,6 +389,7 @@
         let up = fleet.run_while(|fleet| fleet.vms[vm].node.is_some(), 60 * SEC);
         assert!(up, "vm {vm} does not stop");
         fleet.start(vm);
+        fleet.run_for(2 * SEC);
         churn(&mut fleet, 5 * SEC, 100 * MS, 30);
     }
     assert!(fleet.finish_all(60 * SEC));
