--- a/crates/core/src/domain/ask.rs
+++ b/crates/core/src/domain/ask.rs
@@ -6,7 +6,6 @@
 
 use super::assign;
 use super::grantee::{self, Used};
-use super::seat;
 use crate::Node;
 use crate::effect::Effects;
 use crate::entity::{Adapter, Domain};
@@ -102,7 +101,6 @@
     let least = Span::from_millis(tuning.ask_min_ms);
     let retry = Span::from_millis(tuning.ask_retry_ms);
     let longest = Span::from_millis(tuning.ask_max_ms);
-    let grants = &node.domains.grants;
     let due: Vec<Domain> = node
         .domains
         .used
@@ -110,7 +108,9 @@
         .filter(|(_, used)| {
             let waited = now.since(used.asked);
             let unheard = used.full.is_some() || used.answered < used.nonce || used.wanting > 0;
-            let live = !used.places.is_empty() || grantee::idle(used, now) < KEEP;
+            let live = !used.places.is_empty()
+                || !used.released.is_empty()
+                || grantee::idle(used, now) < KEEP;
             let wait = match (used.due, unheard && live) {
                 (true, _) if used.answered >= used.nonce => pace(used, least),
                 (true, _) => pace(used, least).times(2).max(retry.min(longest)),
@@ -122,7 +122,6 @@
         })
         .map(|(domain, _)| *domain)
         .collect();
-    let _ = grants;
     if due.is_empty() {
         return;
     }
@@ -131,9 +130,6 @@
         let wants = wants.remove(&domain).unwrap_or_default();
         send(node, domain, wants, out);
     }
-    node.domains.used.retain(|_, used| {
-        !used.places.is_empty() || used.full.is_some() || now.since(used.used) < KEEP.times(20)
-    });
 }
 
 /// What requests wait for, by the domain that is asked for it.
@@ -283,5 +279,4 @@
         grantee::follow(node, domain, top);
     }
     settle(node, domain, out);
-    let _ = seat::hint;
 }
--- a/crates/core/src/domain/host.rs
+++ b/crates/core/src/domain/host.rs
@@ -12,6 +12,9 @@
 /// How long an unload is remembered, to tell old reports that still show the adapter.
 const REMEMBER: Span = Span::from_secs(60);
 
+/// How long an eviction may take before others are begun in its place.
+const SLOW: Span = Span::from_secs(2);
+
 /// What happens to an adapter on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -157,11 +160,13 @@
         self.slots().saturating_sub(taken)
     }
 
-    /// Slots that are being freed.
-    pub(crate) fn freeing(&self) -> usize {
+    /// Slots that are being freed, without those that take long: work may be in flight there for minutes.
+    pub(crate) fn freeing(&self, now: Instant) -> usize {
+        let brisk = |entry: &&Entry| now.since(entry.since) < SLOW;
         self.entries
             .values()
             .filter(|entry| matches!(entry.phase, Phase::Evicting | Phase::Unloading(_)))
+            .filter(brisk)
             .count()
     }
 
--- a/crates/core/src/domain/order.rs
+++ b/crates/core/src/domain/order.rs
@@ -269,4 +269,3 @@
         place::store_done(node, order, false);
     }
 }
-
--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -286,9 +286,9 @@
 
 /// Whether a server is busy with a load that is not overdue.
 fn loading(host: &Host, now: Instant, overdue: Span) -> bool {
-    host.entries.values().any(|entry| {
-        matches!(entry.phase, Phase::Loading(_)) && now.since(entry.since) <= overdue
-    })
+    host.entries
+        .values()
+        .any(|entry| matches!(entry.phase, Phase::Loading(_)) && now.since(entry.since) <= overdue)
 }
 
 fn load(node: &mut Node, domain: Domain, place: Place, out: &mut Effects) -> bool {
@@ -325,6 +325,7 @@
 /// Frees slots: as many as loads that wait need, and a few ahead, so that the next cold request need not wait for
 /// grants to be collected.
 fn make_room(node: &mut Node, domain: Domain, service: Service, cold: usize, out: &mut Effects) {
+    let now = node.now;
     let pace = store::row(node, service).pace();
     let Some(held) = node.domains.held.get(&domain) else {
         return;
@@ -336,7 +337,7 @@
             .map(|(_, host)| host)
     };
     let slots: usize = hosts().map(Host::slots).sum();
-    let free: usize = hosts().map(|host| host.free() + host.freeing()).sum();
+    let free: usize = hosts().map(|host| host.free() + host.freeing(now)).sum();
     let ahead = ahead(held, slots, pace);
     let wanted = ahead.max(cold.min(AHEAD_MAX));
     for _ in free..wanted {
@@ -367,7 +368,7 @@
         if !usable(node, service, *server, host) {
             continue;
         }
-        let crowd = usize_to_f64(host.free() + host.freeing());
+        let crowd = usize_to_f64(host.free() + host.freeing(now));
         for (adapter, entry) in &host.entries {
             let blocked = held.blocked((*server, *adapter), now);
             let resting = now.since(entry.loaded) >= STAY;
