--- a/crates/core/tests/domain_faults.rs
+++ b/crates/core/tests/domain_faults.rs
@@ -107,12 +107,13 @@
     };
     let mut fleet = size.fleet(11);
     let (frozen, engine, adapter) = frozen_before_unload(&mut fleet);
-    if restart {
-        fleet.restart_engine(engine, SEC);
-    }
     // Its lease lapses and another VM holds the domain.
     let gone = |fleet: &Fleet| holder(fleet).is_none_or(|vm| vm == frozen);
     assert!(fleet.run_while(gone, 60 * SEC), "nobody took the domain");
+    fleet.run_for(SEC);
+    if restart {
+        fleet.restart_engine(engine, SEC);
+    }
     fleet.run_for(8 * SEC);
     // The victim is in use all the time, wherever it may be.
     let others: Vec<usize> = (0..3).filter(|vm| *vm != frozen).collect();
--- a/crates/core/tests/domain_messages.rs
+++ b/crates/core/tests/domain_messages.rs
@@ -484,6 +484,10 @@
     hand.request(9, 0);
     hand.run(SEC);
     assert_eq!(hand.sent, 0, "sent under a grant that was given back");
+    // What was seen never goes back either: a holder may rely on it.
+    hand.hear(update(&hand, 2, Vec::new(), vec![Grant(1)]));
+    hand.run(SEC);
+    assert_eq!(hand.asks()[0].seen, 3);
 }
 
 #[test]
