--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -285,6 +285,7 @@
 /// This VM was not run for a while: leases and grants kept by time are void. Whether its lease still holds is
 /// decided by its clock before each order.
 pub(crate) fn paused(node: &mut Node, out: &mut Effects) {
+    node.domains.lease.paused();
     grantee::paused(node);
     ask::tick(node, out);
 }
--- a/crates/core/src/domain/evict.rs
+++ b/crates/core/src/domain/evict.rs
@@ -140,7 +140,7 @@
     if let Some(entry) = held.entry_mut(place) {
         entry.enter(Phase::Resident, now);
     }
-    grant::offer(held, &node.catalog, place, now);
+    grant::offer(held, &node.catalog, &node.domains.lease, place, now);
 }
 
 /// Orders the unload. From here on until its outcome is known, and some time more where it stays unknown, the
--- a/crates/core/src/domain/grant.rs
+++ b/crates/core/src/domain/grant.rs
@@ -4,6 +4,7 @@
 
 use super::holder::{self, Held, Out, Wanted};
 use super::host::{Entry, Lent, Phase, Place};
+use super::lease::Lease;
 use super::record::Start;
 use super::{checks_fences, seat};
 use crate::Node;
@@ -312,7 +313,7 @@
 }
 
 /// Whether a place may be granted to anyone right now.
-pub(crate) fn open(held: &Held, catalog: &Catalog, place: Place, now: Instant) -> bool {
+fn open(held: &Held, catalog: &Catalog, lease: &Lease, place: Place, now: Instant) -> bool {
     let (Some(host), Some(entry)) = (held.hosts.get(&place.0), held.entry(place)) else {
         return false;
     };
@@ -320,6 +321,7 @@
     held.active
         && entry.phase == Phase::Resident
         && entry.doubt.is_none()
+        && lease.vouches(now, entry.since, checks_fences(catalog, place.0))
         && !host.lost
         && row.listed
         && !row.leaving
@@ -328,8 +330,8 @@
 }
 
 /// Grants a resident adapter to all who want or use it.
-pub(crate) fn offer(held: &mut Held, catalog: &Catalog, place: Place, now: Instant) {
-    if !open(held, catalog, place, now) {
+pub(crate) fn offer(held: &mut Held, catalog: &Catalog, lease: &Lease, place: Place, now: Instant) {
+    if !open(held, catalog, lease, place, now) {
         return;
     }
     let peers: Vec<u32> = held
@@ -366,6 +368,7 @@
 fn offer_asked(node: &mut Node, domain: Domain, ask: &Ask) {
     let now = node.now;
     let catalog = &node.catalog;
+    let lease = &node.domains.lease;
     let Some(held) = node.domains.held.get_mut(&domain) else {
         return;
     };
@@ -376,7 +379,7 @@
             continue;
         };
         for server in residences(held, adapter, now) {
-            offer(held, catalog, (server, adapter), now);
+            offer(held, catalog, lease, (server, adapter), now);
         }
     }
 }
@@ -385,6 +388,7 @@
 pub(crate) fn offer_all(node: &mut Node, domain: Domain) {
     let now = node.now;
     let catalog = &node.catalog;
+    let lease = &node.domains.lease;
     let Some(held) = node.domains.held.get_mut(&domain) else {
         return;
     };
@@ -394,19 +398,25 @@
         .flat_map(|(server, host)| host.entries.keys().map(|adapter| (*server, *adapter)))
         .collect();
     for place in places {
-        offer(held, catalog, place, now);
+        offer(held, catalog, lease, place, now);
     }
 }
 
 /// Grants what is resident on one server to those who want or use it.
-pub(crate) fn offer_server(held: &mut Held, catalog: &Catalog, server: Server, now: Instant) {
+pub(crate) fn offer_server(
+    held: &mut Held,
+    catalog: &Catalog,
+    lease: &Lease,
+    server: Server,
+    now: Instant,
+) {
     let adapters: Vec<Adapter> = held
         .hosts
         .get(&server)
         .map(|host| host.entries.keys().copied().collect())
         .unwrap_or_default();
     for adapter in adapters {
-        offer(held, catalog, (server, adapter), now);
+        offer(held, catalog, lease, (server, adapter), now);
     }
 }
 
--- a/crates/core/src/domain/holder.rs
+++ b/crates/core/src/domain/holder.rs
@@ -241,9 +241,18 @@
             .collect();
         let foreign = self.foreign.iter().map(|foreign| foreign.intent.clone());
         let own = self.own_intents(catalog, now);
+        let boots = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| host.clean)
+            .filter_map(|(server, host)| {
+                Some((catalog.servers.get(*server).name.clone(), host.boot?))
+            })
+            .collect();
         Record {
             grantees,
             intents: foreign.chain(own).collect(),
+            boots,
         }
     }
 
@@ -425,8 +434,13 @@
     }
     let half_life = Span::from_millis(node.settings.tuning.demand_half_life_ms);
     held.demand.sweep(now, half_life);
+    let known = !held.unknown();
     for host in held.hosts.values_mut() {
         host.forget(now);
+        if known && !host.clean && host.boot.is_some() && !host.owed() {
+            host.clean = true;
+            held.writer.touch();
+        }
     }
     collect_gone(node, domain);
     super::order::fence_hosts(node, domain, out);
@@ -482,6 +496,7 @@
 /// Whether nothing of a place is granted, so that it may be unloaded as far as grants go.
 pub(crate) fn collected(held: &Held, place: Place) -> bool {
     let entry = held.entry(place);
-    !held.unknown()
-        && entry.is_some_and(|entry| entry.lent.is_empty() && entry.phase == Phase::Evicting)
+    entry.is_some_and(|entry| {
+        (entry.own || !held.unknown()) && entry.lent.is_empty() && entry.phase == Phase::Evicting
+    })
 }
--- a/crates/core/src/domain/host.rs
+++ b/crates/core/src/domain/host.rs
@@ -48,6 +48,9 @@
     pub(crate) since: Instant,
     /// When it was loaded by an order of this holder.
     pub(crate) loaded: Instant,
+    /// Whether it was loaded by this holder where nobody held a grant on it, not even grantees of earlier holders
+    /// that have not told yet what they hold.
+    pub(crate) own: bool,
     /// Grants that are not released.
     pub(crate) lent: SmallVec<[Lent; 4]>,
     /// When the last grant was released.
@@ -65,6 +68,7 @@
             phase,
             since: now,
             loaded: Instant::default(),
+            own: false,
             lent: SmallVec::new(),
             released: now,
             in_flight: 0,
@@ -125,6 +129,8 @@
     pub(crate) poll: Poll,
     /// Whether the server, in its present start, has taken an order under the holder's number.
     pub(crate) fenced: bool,
+    /// Whether, in its present start, only what is resident is granted to anyone.
+    pub(crate) clean: bool,
     /// The order that tells it the number, while one is on its way.
     pub(crate) fencing: Option<Order>,
     /// Adapters there.
@@ -177,6 +183,12 @@
         })
     }
 
+    /// Whether grants are out on adapters that are not resident.
+    pub(crate) fn owed(&self) -> bool {
+        let owed = |entry: &Entry| entry.phase == Phase::Absent && !entry.lent.is_empty();
+        self.entries.values().any(owed)
+    }
+
     /// Whether an earlier unload of an adapter may still take effect.
     pub(crate) fn blocks(&self, adapter: Adapter, now: Instant) -> bool {
         self.blocked.get(&adapter).is_some_and(|until| *until > now)
--- a/crates/core/src/domain/lease.rs
+++ b/crates/core/src/domain/lease.rs
@@ -26,6 +26,8 @@
     busy: bool,
     /// Whether a domain waits for a lease.
     wanted: bool,
+    /// Whether this VM was not run for a while since the last renewal.
+    doubtful: bool,
     /// Whether its lapse was logged.
     lapsed: bool,
     /// Delays after failures.
@@ -37,6 +39,18 @@
     pub(crate) fn valid(&self, now: Instant, guard: Span) -> bool {
         self.id.is_some() && now + guard < self.until
     }
+
+    /// Whether what is resident since some time may be granted. A holder whose lease may be over grants on only
+    /// what was resident while it certainly held; on servers that check fencing numbers also what it has loaded
+    /// since, unless it was not run for a while, in which a newer holder may have loaded the same there.
+    pub(crate) fn vouches(&self, now: Instant, since: Instant, fenced: bool) -> bool {
+        now < self.until || since < self.until || (fenced && !self.doubtful)
+    }
+
+    /// This VM was not run for a while.
+    pub(crate) fn paused(&mut self) {
+        self.doubtful = true;
+    }
 }
 
 /// Whether this VM's lease holds right now.
@@ -151,6 +165,7 @@
     lease.until = sent + Span::from_millis(tuning.lease_ttl_ms);
     lease.renew = sent + Span::from_millis(tuning.lease_renew_ms);
     lease.lapsed = false;
+    lease.doubtful = false;
     lease.backoff.clear();
 }
 
--- a/crates/core/src/domain/order.rs
+++ b/crates/core/src/domain/order.rs
@@ -144,7 +144,7 @@
     let now = node.now;
     if let Some(held) = node.domains.held.get_mut(&row.domain) {
         held.writer.touch();
-        grant::offer_server(held, &node.catalog, row.server, now);
+        grant::offer_server(held, &node.catalog, &node.domains.lease, row.server, now);
     }
     holder::pump(node, row.domain, out);
 }
@@ -198,6 +198,7 @@
         Ordered::Done if !restarted => {
             entry.enter(Phase::Resident, now);
             entry.loaded = now;
+            entry.own = host.clean;
             held.plan.loaded((row.server, adapter));
             out.push(Effect::Log(Record::new(Code::LoadDone, detail)));
         }
--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -363,6 +363,7 @@
     let held = node.domains.held.get(&domain)?;
     let copies = placed(held, now, Span(u64::MAX));
     let busy = busy(held);
+    let known = !held.unknown();
     let mut best: Option<(f64, Place)> = None;
     for (server, host) in &held.hosts {
         if !usable(node, service, *server, host) {
@@ -374,7 +375,9 @@
             let resting = now.since(entry.loaded) >= STAY;
             let copied = copies.get(adapter).copied().unwrap_or(0) > 1;
             let needed = !resting || held.waiting.contains_key(adapter);
-            if entry.phase != Phase::Resident || (needed && !blocked) {
+            // Until all grantees of earlier holders are heard, only what this holder loaded can be collected.
+            let sure = known || entry.own;
+            if entry.phase != Phase::Resident || (needed && !blocked) || !sure {
                 continue;
             }
             let used = entry.in_flight > 0 || (!copied && busy.contains(adapter));
--- a/crates/core/src/domain/record.rs
+++ b/crates/core/src/domain/record.rs
@@ -1,7 +1,7 @@
 //! A domain's record in the key-value service: which starts of VMs may hold grants, and which unloads may still
 //! reach a server. Only the holder can write it, since each write also compares the lease key's creation revision.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -11,7 +11,7 @@
 use crate::Node;
 use crate::effect::Effects;
 use crate::entity::Domain;
-use crate::id::{self, Fence, Incarnation, Revision};
+use crate::id::{self, Boot, Fence, Incarnation, Revision};
 use crate::platform::{Call, Compare, Outcome, Put};
 use crate::time::{Instant, Span};
 
@@ -44,7 +44,11 @@
     /// Starts that may hold grants.
     pub(crate) grantees: BTreeSet<Start>,
     /// Unloads that may still take effect.
+    #[serde(default)]
     pub(crate) intents: BTreeSet<Intent>,
+    /// Starts of servers in which only what is resident is granted to anyone.
+    #[serde(default)]
+    pub(crate) boots: BTreeMap<id::Server, Boot>,
 }
 
 impl Record {
--- a/crates/core/src/domain/report.rs
+++ b/crates/core/src/domain/report.rs
@@ -89,7 +89,7 @@
     let Some(held) = node.domains.held.get_mut(&domain) else {
         return;
     };
-    grant::offer_server(held, &node.catalog, server, now);
+    grant::offer_server(held, &node.catalog, &node.domains.lease, server, now);
     holder::pump(node, domain, out);
 }
 
@@ -141,8 +141,13 @@
         return;
     }
     let restarted = host.boot.is_some_and(|boot| boot != report.boot);
+    let first = host.boot.is_none();
     host.made = made;
     host.boot = Some(report.boot);
+    if first {
+        let name = &node.catalog.servers.get(server).name;
+        host.clean = held.writer.committed.boots.get(name) == Some(&report.boot);
+    }
     host.report = Some(Report {
         residents: Vec::new(),
         ..report
@@ -190,6 +195,7 @@
         return;
     };
     host.fenced = false;
+    host.clean = false;
     host.fencing = None;
     host.unloaded.clear();
     host.rest = now;
--- a/crates/core/tests/domain_faults.rs
+++ b/crates/core/tests/domain_faults.rs
@@ -112,6 +112,8 @@
     assert!(fleet.run_while(gone, 60 * SEC), "nobody took the domain");
     fleet.run_for(SEC);
     if restart {
+        // Nothing waits any more that would take the slots first.
+        fleet.finish_all(60 * SEC);
         fleet.restart_engine(engine, SEC);
     }
     fleet.run_for(8 * SEC);
