--- a/crates/core/src/domain/holder.rs
+++ b/crates/core/src/domain/holder.rs
@@ -355,6 +355,11 @@
     };
     if !held.active {
         held.active = true;
+        for (server, host) in &mut held.hosts {
+            let name = &catalog.servers.get(*server).name;
+            let before = held.writer.committed.boots.get(name);
+            host.clean = host.boot.is_some() && host.boot.as_ref() == before;
+        }
         for start in held.writer.committed.grantees.clone() {
             let peer = held.peer(&start, now);
             if let Some(peer) = held.peers.get_mut(&peer) {
--- a/crates/core/tests/domain_faults.rs
+++ b/crates/core/tests/domain_faults.rs
@@ -217,6 +217,38 @@
     }
 }
 
+#[test]
+fn takeover_silentgrantee() {
+    for fenced in [false, true] {
+        let mut fleet = size(fenced).fleet(22);
+        let lead = holder(&fleet).expect("a holder");
+        let (cut, next) = ((lead + 1) % 3, (lead + 2) % 3);
+        for adapter in 0..3 {
+            assert!(served(&mut fleet, cut, adapter, 3, 20 * SEC));
+        }
+        // Cut off from all but the engines, it serves on under what it was granted by a holder that dies.
+        fleet.partition(&[cut]);
+        fleet.net.cut(End::Vm(cut), End::Kv);
+        fleet.crash(lead);
+        for turn in 0..80 {
+            fleet.ask(cut, setup::model(turn % 3, fleet.now, 15));
+            fleet.ask(next, setup::model(3 + turn % 9, fleet.now, 3));
+            fleet.run_for(250 * MS);
+        }
+        assert!(holder(&fleet) == Some(next));
+        let loads: u64 = fleet.engines.iter().map(|engine| engine.loads).sum();
+        assert!(loads > 6, "the free slots were not used");
+        fleet.finish_all(60 * SEC);
+        fleet.check();
+        fleet.net.mend_all();
+        fleet.run_for(5 * SEC);
+        for adapter in 0..12 {
+            assert!(served(&mut fleet, cut, adapter, 3, 20 * SEC), "{adapter}");
+        }
+        fleet.check();
+    }
+}
+
 #[test]
 fn grantee_dies() {
     let mut fleet = size(false).fleet(15);
