--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -184,13 +184,6 @@
     }
 }
 
-// A map keyed by adapters is looked up by text, so both must hash alike.
-impl Hash for Adapter {
-    fn hash<H: Hasher>(&self, state: &mut H) {
-        self.as_str().hash(state);
-    }
-}
-
 impl Borrow<str> for Adapter {
     fn borrow(&self) -> &str {
         &self.text
--- a/crates/core/src/verify.rs
+++ b/crates/core/src/verify.rs
@@ -1,12 +1,14 @@
 //! Walks the tables and reports every broken invariant in readable text.
 
-use crate::Node;
+use crate::{Node, claim, domain, fleet, sync, traffic};
 
 /// Every invariant that does not hold.
 pub(crate) fn run(node: &Node) -> Vec<String> {
     let mut broken = Vec::new();
-    crate::fleet::verify(node, &mut broken);
-    crate::claim::verify(node, &mut broken);
-    crate::traffic::verify(node, &mut broken);
+    fleet::verify(node, &mut broken);
+    sync::verify(node, &mut broken);
+    domain::verify(node, &mut broken);
+    claim::verify(node, &mut broken);
+    traffic::verify(node, &mut broken);
     broken
 }
