--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -183,8 +183,7 @@
         while !*self.stop.borrow_and_update() {
             tokio::select! {
                 Some(vm) = self.requests.recv() => {
-                    let courier = Courier::new(self.context.clone(), vm, self.stop.clone());
-                    couriers.spawn_local(courier.run());
+                    couriers.spawn_local(self.courier(vm).run());
                 }
                 Some(_) = couriers.join_next() => {}
                 _ = self.stop.changed() => {}
@@ -198,8 +197,15 @@
         self.flush(couriers).await;
     }
 
-    /// Waits until the couriers have delivered what they have.
-    async fn flush(self, mut couriers: JoinSet<()>) {
+    fn courier(&self, vm: id::Vm) -> Courier {
+        Courier::new(self.context.clone(), vm, self.stop.clone())
+    }
+
+    /// Waits until all that was sent before the stop is delivered.
+    async fn flush(mut self, mut couriers: JoinSet<()>) {
+        while let Ok(vm) = self.requests.try_recv() {
+            couriers.spawn_local(self.courier(vm).run());
+        }
         let limit = duration(self.context.limits.flush);
         let delivered = async { while couriers.join_next().await.is_some() {} };
         // What is not delivered by then is lost, as it would be on the network.
--- a/crates/wire/src/link/proof.rs
+++ b/crates/wire/src/link/proof.rs
@@ -18,7 +18,7 @@
 const MIN_SECRET: usize = 16;
 
 /// Separates this use of the secret from any other.
-const CONTEXT: &str = "dahliastile-wire 2025 secret shared by entry VMs";
+const CONTEXT: &str = "dahliastile-wire: secret shared by entry VMs";
 
 /// The length of a proof, in bytes.
 pub(crate) const PROOF: usize = blake3::OUT_LEN;
--- a/crates/wire/src/link/session.rs
+++ b/crates/wire/src/link/session.rs
@@ -1,5 +1,6 @@
 //! A proved connection to another VM.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -89,13 +90,15 @@
     let address: SocketAddr = address
         .parse()
         .map_err(|_| Error::Address(address.to_owned()))?;
-    let refused = std::io::ErrorKind::ConnectionRefused;
-    TcpStream::connect(address)
-        .await
-        .map_err(|error| match error.kind() {
-            kind if kind == refused => Error::ConnectionRefused,
-            _ => Error::Connect(error.to_string()),
-        })
+    match TcpStream::connect(address).await {
+        // TCP joins a connection to itself when the system picks the target's port for its near end.
+        Ok(stream) if stream.local_addr().is_ok_and(|near| near == address) => {
+            Err(Error::ConnectionRefused)
+        }
+        Ok(stream) => Ok(stream),
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => Err(Error::ConnectionRefused),
+        Err(error) => Err(Error::Connect(error.to_string())),
+    }
 }
 
 /// Proves the secret to each other. Names are told only to a server that has proved the secret.
--- a/crates/wire/tests/fleet/mod.rs
+++ b/crates/wire/tests/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! Links for tests, and what to wait for on them.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use dahliastile_core::id::{self, Edition, Incarnation};
@@ -121,9 +121,3 @@
         message: message(number),
     }
 }
-
-/// An address of this machine where nothing listens.
-pub(crate) fn deserted() -> String {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    listener.local_addr().unwrap().to_string()
-}
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -2,13 +2,30 @@
 
 mod fleet;
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 
 use dahliastile_core::id::{Edition, Incarnation};
 use dahliastile_core::peer::{Message, Piece};
 use dahliastile_core::time::Span;
 use dahliastile_wire::{Error, Limits, MAX_MESSAGE, Step};
-use fleet::{Node, Plan, deserted, heard, vm};
+use fleet::{Node, Plan, heard, vm};
+use tokio::net::TcpSocket;
+
+/// An address where nothing listens, and which nobody else gets while this is held.
+struct Deserted(TcpSocket);
+
+impl Deserted {
+    fn new() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        Self(socket)
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+}
 
 #[test]
 fn send_delivers_both_ways() {
@@ -36,8 +53,8 @@
 
 #[test]
 fn send_to_deserted_address_reports_refused() {
-    let a = Node::new("a");
-    a.send_to("b", &deserted(), 1);
+    let (a, deserted) = (Node::new("a"), Deserted::new());
+    a.send_to("b", &deserted.address().to_string(), 1);
     assert_eq!(
         a.next_down(),
         ("b".to_owned(), true, Error::ConnectionRefused)
@@ -75,12 +92,11 @@
 
 #[test]
 fn send_after_failure_connects_again() {
-    let a = Node::new("a");
-    let address = deserted();
-    a.send_to("b", &address, 1);
+    let (a, deserted) = (Node::new("a"), Deserted::new());
+    a.send_to("b", &deserted.address().to_string(), 1);
     a.next_down();
     let mut plan = Plan::new("b");
-    plan.listen = address.parse().unwrap();
+    plan.listen = deserted.address();
     let b = plan.start();
     assert_eq!(a.send_until_heard("b", &b), Incarnation(1));
 }
@@ -111,12 +127,13 @@
 
 #[test]
 fn send_of_too_large_message_is_counted() {
-    let a = Node::new("a");
+    let (a, deserted) = (Node::new("a"), Deserted::new());
     let piece = Message::Piece(Piece::Edits {
         first: Edition(1),
         edits: vec![vec![1; MAX_MESSAGE]],
     });
-    a.link.send(&vm("b"), &deserted(), &piece);
+    a.link
+        .send(&vm("b"), &deserted.address().to_string(), &piece);
     assert_eq!(a.link.counts().oversized, 1);
 }
 
