Queues and shares in one set each; notes and addresses without allocations

Cause: a routed request allocated four times: a set for its queue, a set for its caller's share, a list of notes, and its server's address. Ruled out: a sorted list a queue (moves all of it at each arrival). Change: one ordered set over all queues, one over all shares; the first notes stand in the row; Work::address is shared text.

--- a/crates/core/benches/decision/main.rs
+++ b/crates/core/benches/decision/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod naive;
 
+use std::collections::VecDeque;
 use std::time::Instant as Wall;
 
 use dahliastile_core::config::rules::Rules;
@@ -19,6 +20,8 @@
 
 /// Requests measured at each size, after as many to warm up.
 const REQUESTS: u64 = 40_000;
+/// Requests in flight.
+const IN_FLIGHT: usize = 200;
 /// Requests between two ticks.
 const A_TICK: u64 = 50;
 
@@ -69,6 +72,7 @@
 fn run(deployment: &mut Deployment, first: u64) -> [Cost; 3] {
     let [mut arrive, mut answer, mut tick] = [(); 3].map(|()| Cost::default());
     let mut effects = Effects::with_capacity(64);
+    let mut in_flight = VecDeque::with_capacity(IN_FLIGHT + 1);
     for number in first..first + REQUESTS {
         let call = Box::new(deployment.call(number));
         let request = Request(number);
@@ -77,34 +81,53 @@
         let node = &mut deployment.node;
         arrive.time(|| node.step(now, Event::Arrived { request, call }, &mut effects));
         let attempt = attempt(&effects).unwrap_or_else(|| panic!("{request}: {effects:?}"));
-        let model = Some(deployment.model(number));
-        let head = Head {
-            status: 200,
-            content_type: "application/json".to_owned(),
-            model: model.clone(),
-        };
-        let chunk = Event::Chunk {
-            attempt,
-            model,
-            tokens: 1,
-            data: vec![0; 64],
-        };
-        effects.clear();
-        let node = &mut deployment.node;
-        answer.time(|| {
-            node.step(now, Event::Begun { attempt, head }, &mut effects);
-            node.step(now, chunk, &mut effects);
-            node.step(now, Event::Ended { attempt }, &mut effects);
-        });
+        in_flight.push_back((attempt, deployment.model(number)));
+        if in_flight.len() > IN_FLIGHT {
+            let (attempt, model) = in_flight.pop_front().expect("not empty");
+            finish(deployment, attempt, model, &mut effects, &mut answer);
+        }
         if number % A_TICK == 0 {
             effects.clear();
             tick.time(|| deployment.node.step(now, Event::Tick, &mut effects));
             deployment.refresh();
         }
     }
+    for (attempt, model) in in_flight {
+        finish(deployment, attempt, model, &mut effects, &mut answer);
+    }
     [arrive, answer, tick]
 }
 
+/// The whole answer to an attempt: its head, one piece and its end.
+fn finish(
+    deployment: &mut Deployment,
+    attempt: Attempt,
+    model: String,
+    effects: &mut Effects,
+    cost: &mut Cost,
+) {
+    let model = Some(model);
+    let head = Head {
+        status: 200,
+        content_type: "application/json".to_owned(),
+        model: model.clone(),
+    };
+    let chunk = Event::Chunk {
+        attempt,
+        model,
+        tokens: 1,
+        data: vec![0; 64],
+    };
+    let now = deployment.pass(0);
+    let node = &mut deployment.node;
+    effects.clear();
+    cost.time(|| {
+        node.step(now, Event::Begun { attempt, head }, effects);
+        node.step(now, chunk, effects);
+        node.step(now, Event::Ended { attempt }, effects);
+    });
+}
+
 /// The compiled rules and the scan over the same requests.
 fn rules(deployment: &Deployment) -> [Cost; 2] {
     let compiled = Rules::new(deployment.document.rules.clone());
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -1,6 +1,8 @@
 //! The entities that the configuration in force names. References stay good for the life of the node; a row
 //! that the configuration no longer names is marked as not listed.
 
+use std::sync::Arc;
+
 use crate::config::{Document, ServiceKind};
 use crate::entity::{Adapter, Caller, Domain, Server, Service, Zone};
 use crate::id;
@@ -65,7 +67,7 @@
     /// Its availability zone.
     pub(crate) zone: Zone,
     /// Its address, as host and port.
-    pub(crate) address: String,
+    pub(crate) address: Arc<str>,
     /// Its control domain.
     pub(crate) domain: Option<Domain>,
     /// Whether it is leaving and gets no new work.
@@ -197,7 +199,7 @@
                 name: server.name.clone(),
                 service,
                 zone,
-                address: server.address.clone(),
+                address: server.address.as_str().into(),
                 domain,
                 leaving: server.leaving,
                 listed: true,
--- a/crates/core/src/domain/order.rs
+++ b/crates/core/src/domain/order.rs
@@ -76,7 +76,7 @@
     out.push(Effect::Order(Command {
         order,
         server: target.name.clone(),
-        address: target.address.clone(),
+        address: target.address.as_ref().to_owned(),
         action: match kind {
             Kind::Load(adapter) => Action::Load(name(adapter)),
             Kind::Unload(adapter) => Action::Unload(name(adapter)),
--- a/crates/core/src/domain/report.rs
+++ b/crates/core/src/domain/report.rs
@@ -47,7 +47,7 @@
         host.poll.next = now + pace;
         out.push(Effect::Poll {
             server: row.name.clone(),
-            address: row.address.clone(),
+            address: row.address.as_ref().to_owned(),
         });
     }
 }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -1,5 +1,7 @@
 //! What a node wants done: everything that leaves it.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::error::Answer;
@@ -18,7 +20,7 @@
     /// The server.
     pub server: id::Server,
     /// Its address, as host and port.
-    pub address: String,
+    pub address: Arc<str>,
     /// The adapter, or none for a plain service.
     pub adapter: Option<id::Adapter>,
     /// The engine's priority; smaller runs first.
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -30,7 +30,7 @@
 pub(crate) use table::Waiting;
 pub(crate) use trail::explain;
 
-use queue::{Key, Queue};
+use queue::{Key, Queues};
 use route::Own;
 use table::{AttemptRow, RequestRow, Stage};
 
@@ -44,9 +44,7 @@
     /// The number of the last attempt.
     last_attempt: u64,
     /// Requests that wait for a server.
-    queues: BTreeMap<Key, Queue>,
-    /// Requests that wait, in all queues.
-    waiting: u32,
+    queues: Queues,
     /// Queues to look at before the step ends.
     dirty: BTreeSet<Key>,
     /// Queues that wait for room on a server: all of their servers were full when they were last looked at.
@@ -72,20 +70,17 @@
 
 /// Adapters for which requests wait.
 pub(crate) fn wanted(node: &Node) -> impl Iterator<Item = (Adapter, Waiting)> + '_ {
-    let now = node.now;
-    node.traffic
-        .queues
-        .iter()
-        .filter_map(move |(key, queue)| match key {
-            Key::Adapter(adapter) if !queue.is_empty() => Some((*adapter, queue.waiting(now))),
-            Key::Adapter(_) | Key::Service(_) => None,
-        })
+    let queues = &node.traffic.queues;
+    queues.keys().filter_map(move |key| match key {
+        Key::Adapter(adapter) => Some((adapter, queues.waiting(key, node.now))),
+        Key::Service(_) => None,
+    })
 }
 
 /// Something changed for an adapter: its queue is looked at again before the step ends.
 pub(crate) fn wake(node: &mut Node, adapter: Adapter) {
     let key = Key::Adapter(adapter);
-    if node.traffic.queues.contains_key(&key) {
+    if node.traffic.queues.holds(key) {
         node.traffic.dirty.insert(key);
     }
 }
@@ -93,7 +88,7 @@
 /// Something changed for many adapters or plain services: every queue is looked at again.
 pub(crate) fn wake_all(node: &mut Node) {
     let traffic = &mut node.traffic;
-    traffic.dirty.extend(traffic.queues.keys().copied());
+    traffic.dirty.extend(traffic.queues.keys());
 }
 
 /// Requests in progress.
@@ -164,19 +159,17 @@
     for (request, row) in &traffic.requests {
         verify_request(node, *request, row, broken);
     }
-    let queued: usize = traffic.queues.values().map(Queue::len).sum();
-    if queued != traffic.waiting as usize {
+    let (queued, counted) = (traffic.queues.len(), traffic.queues.counted());
+    if queued != counted {
         broken.push(format!(
-            "{queued} requests are queued but {} counted",
-            traffic.waiting
+            "{queued} requests are queued but {counted} counted"
         ));
     }
     let counts = traffic.limits.shares.values();
-    let with_share: u32 = counts.map(limit::fair::Shares::count).sum();
-    if with_share != traffic.waiting {
+    let with_share: usize = counts.map(|shares| shares.count() as usize).sum();
+    if with_share != queued {
         broken.push(format!(
-            "{with_share} requests have a share but {} wait",
-            traffic.waiting
+            "{with_share} requests have a share but {queued} wait"
         ));
     }
     verify_in_flight(node, broken);
@@ -184,10 +177,7 @@
 
 fn verify_request(node: &Node, request: Request, row: &RequestRow, broken: &mut Vec<String>) {
     let traffic = &node.traffic;
-    let queued = traffic
-        .queues
-        .get(&row.key)
-        .is_some_and(|queue| queue.contains(request));
+    let queued = traffic.queues.contains(row.key, &row.place);
     match row.stage {
         Stage::Waiting if !queued => broken.push(format!("{request} waits in no queue")),
         Stage::Claiming(_) | Stage::Running(_) if queued => {
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -54,7 +54,6 @@
         match route::choose(node, row) {
             Choice::Server(server, among) => {
                 start(node, key, &place, server, among, out);
-                queue::drop_empty(node, key);
                 return true;
             }
             Choice::Full => {
@@ -85,7 +84,7 @@
 }
 
 fn nth(node: &Node, key: Key, skip: usize) -> Option<Place> {
-    node.traffic.queues.get(&key)?.iter().nth(skip).copied()
+    node.traffic.queues.nth(key, skip)
 }
 
 fn start(
@@ -97,12 +96,10 @@
     out: &mut Effects,
 ) {
     let request = place.request;
+    let now = node.now;
+    node.traffic.queues.served(key, now);
     queue::pull(node, request);
     limit::served(node, place);
-    let now = node.now;
-    if let Some(queue) = node.traffic.queues.get_mut(&key) {
-        queue.served(now);
-    }
     occupy(node, request, server);
     let Some(row) = node.traffic.requests.get_mut(&request) else {
         return;
--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -215,7 +215,7 @@
     let stage = node.traffic.requests.get(&request)?.stage;
     match stage {
         Stage::Running(attempt) => out.push(Effect::Cancel { attempt }),
-        Stage::Waiting => unqueue(node, request),
+        Stage::Waiting => queue::pull(node, request),
         Stage::Claiming(_) => {}
     }
     vacate(node, request, out);
@@ -225,12 +225,6 @@
     Some(row)
 }
 
-fn unqueue(node: &mut Node, request: Request) {
-    queue::pull(node, request);
-    let key = node.traffic.requests[&request].key;
-    queue::drop_empty(node, key);
-}
-
 /// Says how a claimed request ended: free again if it certainly was not run.
 fn release_claim(
     node: &mut Node,
--- a/crates/core/src/traffic/limit.rs
+++ b/crates/core/src/traffic/limit.rs
@@ -114,12 +114,10 @@
     let key = asked
         .adapter
         .map_or(Key::Service(asked.service), Key::Adapter);
-    let Some(queue) = node.traffic.queues.get(&key) else {
-        return Ok(());
-    };
+    let queues = &node.traffic.queues;
     let tag = node.traffic.limits.clock.start(asked.caller);
-    let ahead = queue.ahead(asked.priority, tag);
-    match queue.wait(node.now, ahead) {
+    let ahead = queues.ahead(key, asked.priority, tag);
+    match queues.wait(key, node.now, ahead) {
         Some(wait) if wait > asked.timeout => {
             let detail = format!("{ahead} requests wait before this one, about {wait}");
             Err(Answer::new(Kind::Overloaded, detail).after(wait - asked.timeout))
@@ -176,7 +174,7 @@
     let queue = node.catalog.services.get(asked.service).queue;
     let full = if waiting(asked.service) >= queue {
         Some(asked.service)
-    } else if u64::from(node.traffic.waiting) >= node.settings.tuning.queue {
+    } else if node.traffic.queues.len() as u64 >= node.settings.tuning.queue {
         // The VM is full: the service that has most waiting gives way.
         let shares = limits.shares.iter();
         shares
--- a/crates/core/src/traffic/limit/fair.rs
+++ b/crates/core/src/traffic/limit/fair.rs
@@ -43,44 +43,48 @@
 }
 
 /// What one caller has waiting at one priority.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Row {
     /// The caller's weight.
     weight: u32,
-    /// Its requests; later ones have higher numbers.
-    requests: BTreeSet<Request>,
+    /// How many requests.
+    count: u64,
 }
 
 /// The waiting requests of one service by priority and caller.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
+    /// What each caller has waiting at each priority.
     rows: BTreeMap<(i32, Caller), Row>,
-    count: u32,
+    /// The requests; later ones of a caller have higher numbers.
+    requests: BTreeSet<(i32, Caller, Request)>,
 }
 
 impl Shares {
     /// A request begins to wait.
     pub fn add(&mut self, priority: i32, caller: Caller, weight: u32, request: Request) {
-        let row = self.rows.entry((priority, caller)).or_default();
-        row.weight = weight.max(1);
-        self.count += u32::from(row.requests.insert(request));
+        if self.requests.insert((priority, caller, request)) {
+            let row = self.rows.entry((priority, caller)).or_default();
+            row.weight = weight;
+            row.count += 1;
+        }
     }
 
     /// A request waits no more.
     pub fn remove(&mut self, priority: i32, caller: Caller, request: Request) {
-        let Some(row) = self.rows.get_mut(&(priority, caller)) else {
-            return;
-        };
-        self.count -= u32::from(row.requests.remove(&request));
-        if row.requests.is_empty() {
-            self.rows.remove(&(priority, caller));
+        let key = (priority, caller);
+        let removed = self.requests.remove(&(priority, caller, request));
+        match self.rows.get_mut(&key) {
+            Some(row) if removed && row.count > 1 => row.count -= 1,
+            Some(_) if removed => drop(self.rows.remove(&key)),
+            Some(_) | None => {}
         }
     }
 
     /// How many wait.
     #[must_use]
     pub fn count(&self) -> u32 {
-        self.count
+        u32::try_from(self.requests.len()).unwrap_or(u32::MAX)
     }
 
     /// Which waiting request has to go so that one more can wait; none where the new one itself is the one that
@@ -94,24 +98,29 @@
         let own = (priority == *worst).then_some(caller);
         let others = self.rows.range((*worst, Caller::from_u32(0))..);
         let others = others.filter(|((_, other), _)| own != Some(*other));
-        let most = others.max_by(|(_, a), (_, b)| a.excess(0).cmp(&b.excess(0)));
-        let (_, most) = most?;
-        let beside = own.and_then(|caller| self.rows.get(&(*worst, caller)));
-        let mine = own.map(|_| match beside {
+        let ((_, who), most) = others.max_by_key(|(_, row)| row.excess(0))?;
+        let mine = own.map(|caller| match self.rows.get(&(*worst, caller)) {
             Some(row) => row.excess(1),
             None => Excess::new(1, weight),
         });
         // On equal terms the new request goes: it is the newest.
         match mine {
             Some(mine) if mine >= most.excess(0) => None,
-            _ => most.requests.last().copied(),
+            _ => self.newest(*worst, *who),
         }
     }
+
+    fn newest(&self, priority: i32, caller: Caller) -> Option<Request> {
+        let least = (priority, caller, Request(0));
+        let most = (priority, caller, Request(u64::MAX));
+        let last = self.requests.range(least..=most).next_back();
+        last.map(|(_, _, request)| *request)
+    }
 }
 
 impl Row {
     fn excess(&self, more: u64) -> Excess {
-        Excess::new(self.requests.len() as u64 + more, self.weight)
+        Excess::new(self.count + more, self.weight)
     }
 }
 
--- a/crates/core/src/traffic/queue.rs
+++ b/crates/core/src/traffic/queue.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a server, in the order in which they are to be served.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::limit::pace::Pace;
 use super::table::Waiting;
@@ -35,15 +35,16 @@
     pub(crate) weight: u32,
 }
 
-/// The requests that wait for one adapter or plain service.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Queue {
-    /// The requests, first to be served first.
-    places: BTreeSet<Place>,
-    /// The sum of their weights.
-    weight: u32,
-    /// How fast it is served since it was last empty.
-    pace: Option<Pace>,
+impl Place {
+    /// A place before all others.
+    const FIRST: Self = Self {
+        priority: i32::MIN,
+        tag: 0,
+        arrived: Instant(0),
+        request: Request(0),
+        deadline: Instant(0),
+        weight: 0,
+    };
 }
 
 /// Puts a request into its queue.
@@ -51,99 +52,136 @@
     let Some(row) = node.traffic.requests.get(&request) else {
         return;
     };
-    let queue = node.traffic.queues.entry(row.key).or_default();
-    queue.push(row.place, node.now);
+    node.traffic.queues.push(row.key, row.place, node.now);
     let shares = node.traffic.limits.shares.entry(row.service).or_default();
     shares.add(row.place.priority, row.caller, row.place.weight, request);
-    node.traffic.waiting += 1;
     node.traffic.dirty.insert(row.key);
 }
 
-/// Takes a request out of its queue, which stays until [`drop_empty`] even where it is then empty.
+/// Takes a request out of its queue.
 pub(super) fn pull(node: &mut Node, request: Request) {
     let Some(row) = node.traffic.requests.get(&request) else {
         return;
     };
-    let queue = node.traffic.queues.get_mut(&row.key);
-    if !queue.is_some_and(|queue| queue.remove(&row.place)) {
+    if !node.traffic.queues.remove(row.key, &row.place) {
         return;
     }
     if let Some(shares) = node.traffic.limits.shares.get_mut(&row.service) {
         shares.remove(row.place.priority, row.caller, request);
     }
-    node.traffic.waiting -= 1;
 }
 
-/// Removes a queue in which nothing waits.
-pub(super) fn drop_empty(node: &mut Node, key: Key) {
-    if node.traffic.queues.get(&key).is_some_and(Queue::is_empty) {
-        node.traffic.queues.remove(&key);
-    }
+/// The requests that wait, by what they wait for. All stand in one set, so that a queue that comes and goes with each
+/// request allocates nothing of its own.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Queues {
+    /// The requests of each queue, first to be served first.
+    places: BTreeSet<(Key, Place)>,
+    /// The queues in which anything waits.
+    rows: BTreeMap<Key, Row>,
 }
 
-impl Queue {
-    /// Adds a request.
-    fn push(&mut self, place: Place, now: Instant) {
-        self.pace.get_or_insert_with(|| Pace::new(now));
-        self.weight = self.weight.saturating_add(place.weight);
-        self.places.insert(place);
+/// The requests that wait for one adapter or plain service.
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    /// How many there are.
+    count: u32,
+    /// The sum of their weights.
+    weight: u32,
+    /// How fast they are served since the queue was last empty.
+    pace: Pace,
+}
+
+impl Queues {
+    fn push(&mut self, key: Key, place: Place, now: Instant) {
+        if !self.places.insert((key, place)) {
+            return;
+        }
+        let row = self.rows.entry(key).or_insert(Row {
+            count: 0,
+            weight: 0,
+            pace: Pace::new(now),
+        });
+        row.count += 1;
+        row.weight = row.weight.saturating_add(place.weight);
     }
 
-    /// Removes a request.
-    fn remove(&mut self, place: &Place) -> bool {
-        let removed = self.places.remove(place);
-        if removed {
-            self.weight = self.weight.saturating_sub(place.weight);
+    fn remove(&mut self, key: Key, place: &Place) -> bool {
+        let removed = self.places.remove(&(key, *place));
+        match self.rows.get_mut(&key) {
+            Some(row) if removed && row.count > 1 => {
+                row.count -= 1;
+                row.weight = row.weight.saturating_sub(place.weight);
+            }
+            Some(_) if removed => drop(self.rows.remove(&key)),
+            Some(_) | None => {}
         }
         removed
     }
 
-    /// Notes that the first request is on its way to a server.
-    pub(super) fn served(&mut self, now: Instant) {
-        if let Some(pace) = self.pace.as_mut() {
-            pace.leave(now);
+    /// Notes that a request of a queue is on its way to a server.
+    pub(super) fn served(&mut self, key: Key, now: Instant) {
+        if let Some(row) = self.rows.get_mut(&key) {
+            row.pace.leave(now);
         }
     }
 
-    /// How many are served before a request of that priority and tag.
-    pub(super) fn ahead(&self, priority: i32, tag: u64) -> u64 {
+    /// The request that is served after so many others of its queue.
+    pub(super) fn nth(&self, key: Key, skip: usize) -> Option<Place> {
+        self.of(key).nth(skip).copied()
+    }
+
+    /// How many of a queue are served before a request of that priority and tag.
+    pub(super) fn ahead(&self, key: Key, priority: i32, tag: u64) -> u64 {
         let before = |place: &&Place| (place.priority, place.tag) <= (priority, tag);
-        self.places.iter().take_while(before).count() as u64
+        self.of(key).take_while(before).count() as u64
     }
 
-    /// How long it takes until so many have been served, where that can be said.
-    pub(super) fn wait(&self, now: Instant, ahead: u64) -> Option<Span> {
-        self.pace?.wait(now, ahead)
+    /// How long it takes until so many of a queue have been served, where that can be said.
+    pub(super) fn wait(&self, key: Key, now: Instant, ahead: u64) -> Option<Span> {
+        self.rows.get(&key)?.pace.wait(now, ahead)
     }
 
-    /// The requests in order.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &Place> {
-        self.places.iter()
+    /// What is waited for.
+    pub(super) fn keys(&self) -> impl Iterator<Item = Key> + '_ {
+        self.rows.keys().copied()
     }
 
-    /// Whether nothing waits.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.places.is_empty()
+    /// Whether anything waits in a queue.
+    pub(super) fn holds(&self, key: Key) -> bool {
+        self.rows.contains_key(&key)
+    }
+
+    /// Whether a request waits in a queue.
+    pub(super) fn contains(&self, key: Key, place: &Place) -> bool {
+        self.places.contains(&(key, *place))
     }
 
     /// How many wait.
-    pub(crate) fn len(&self) -> usize {
+    pub(super) fn len(&self) -> usize {
         self.places.len()
     }
 
-    /// Whether a request waits here. Walks the queue: for the verifier only.
-    pub(crate) fn contains(&self, request: Request) -> bool {
-        self.places.iter().any(|place| place.request == request)
+    /// How many wait by the queues' own counts: for the verifier.
+    pub(super) fn counted(&self) -> usize {
+        self.rows.values().map(|row| row.count as usize).sum()
     }
 
-    /// What the holder of a domain is told of this queue.
-    pub(crate) fn waiting(&self, now: Instant) -> Waiting {
-        let first = self.places.first();
+    /// What the holder of a domain is told of a queue.
+    pub(super) fn waiting(&self, key: Key, now: Instant) -> Waiting {
+        let first = self.of(key).next();
+        let row = self.rows.get(&key);
         Waiting {
-            count: u32::try_from(self.places.len()).unwrap_or(u32::MAX),
-            weight: self.weight.saturating_mul(1_000),
-            left: first.map_or_else(Default::default, |place| place.deadline.since(now)),
-            waited: first.map_or_else(Default::default, |place| now.since(place.arrived)),
+            count: row.map_or(0, |row| row.count),
+            weight: row.map_or(0, |row| row.weight.saturating_mul(1_000)),
+            left: first.map_or(Span::ZERO, |place| place.deadline.since(now)),
+            waited: first.map_or(Span::ZERO, |place| now.since(place.arrived)),
         }
     }
+
+    fn of(&self, key: Key) -> impl Iterator<Item = &Place> {
+        let from = self.places.range((key, Place::FIRST)..);
+        from.take_while(move |(other, _)| *other == key)
+            .map(|(_, place)| place)
+    }
 }
--- a/crates/core/src/traffic/trail.rs
+++ b/crates/core/src/traffic/trail.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 
+use smallvec::SmallVec;
+
 use super::table::RequestRow;
 use crate::Node;
 use crate::effect::{Effect, Effects};
@@ -38,7 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Notes {
     /// The notes with the time since arrival.
-    list: Vec<(Span, Note)>,
+    list: SmallVec<[(Span, Note); 4]>,
 }
 
 /// Notes kept of one request; one that is tried over and over drops the rest.
--- a/crates/core/tests/support/engine.rs
+++ b/crates/core/tests/support/engine.rs
@@ -328,7 +328,7 @@
     }
 
     pub(crate) fn send(&mut self, origin: Origin, work: Work) {
-        let address = work.address.clone();
+        let address = work.address.to_string();
         self.vms[origin.vm]
             .sent
             .insert(work.attempt, address.clone());
@@ -338,9 +338,11 @@
             return self.tell(origin, SILENCE, Event::Failed { attempt, failure });
         }
         let delay = self.delay_to(origin, &work.address);
-        self.after(delay, move |fleet| match fleet.servers.get(&work.address) {
-            Some(&at) => fleet.engine_takes(origin, at, work),
-            None => fleet.plain_takes(origin, work),
+        self.after(delay, move |fleet| {
+            match fleet.servers.get(&*work.address) {
+                Some(&at) => fleet.engine_takes(origin, at, work),
+                None => fleet.plain_takes(origin, work),
+            }
         });
     }
 
--- a/crates/core/tests/support/plain.rs
+++ b/crates/core/tests/support/plain.rs
@@ -68,7 +68,7 @@
     pub(crate) fn plain_takes(&mut self, origin: Origin, work: Work) {
         let attempt = work.attempt;
         let fail = |failure| Event::Failed { attempt, failure };
-        let plain = self.plains.iter_mut().find(|p| p.address == work.address);
+        let plain = self.plains.iter_mut().find(|p| p.address == *work.address);
         let Some(plain) = plain.filter(|plain| plain.up) else {
             return self.tell(origin, MS, fail(Failure::Refused));
         };
