A warm request is sent at once; rows stay where they are put

Cause: each warm request went through its queue and its share and out again, and large rows were moved about inside the nodes of an ordered map. Ruled out: a box a row (allocates). Change: where nothing waits before it and a server has room, a request is sent without queueing; requests stand in a table whose places are used again; a call stays in the box it came in; the ring of trails keeps names, not text.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -129,7 +129,7 @@
     fn handle(&mut self, event: Event, out: &mut Effects) {
         match event {
             Event::Tick => self.tick(out),
-            Event::Arrived { request, call } => traffic::arrived(self, request, *call, out),
+            Event::Arrived { request, call } => traffic::arrived(self, request, call, out),
             Event::Gone { request } => traffic::gone(self, request, out),
             Event::Begun { attempt, head } => traffic::begun(self, attempt, head, out),
             Event::Chunk {
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -10,6 +10,7 @@
 pub(crate) mod limit;
 mod queue;
 pub(crate) mod route;
+mod rows;
 mod table;
 mod trail;
 
@@ -32,13 +33,14 @@
 
 use queue::{Key, Queues};
 use route::Own;
+use rows::Rows;
 use table::{AttemptRow, RequestRow, Stage};
 
 /// Requests and attempts in progress.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     /// Requests in progress.
-    requests: BTreeMap<Request, RequestRow>,
+    requests: Rows<Request, RequestRow>,
     /// Attempts in progress.
     attempts: BTreeMap<Attempt, AttemptRow>,
     /// The number of the last attempt.
@@ -156,7 +158,7 @@
             )),
         }
     }
-    for (request, row) in &traffic.requests {
+    for (request, row) in traffic.requests.iter() {
         verify_request(node, *request, row, broken);
     }
     let (queued, counted) = (traffic.queues.len(), traffic.queues.counted());
@@ -207,7 +209,7 @@
     for row in traffic.attempts.values() {
         *counted.entry(row.server).or_default() += 1;
     }
-    for row in traffic.requests.values() {
+    for (_, row) in traffic.requests.iter() {
         if let Stage::Claiming(server) = row.stage {
             *counted.entry(server).or_default() += 1;
         }
--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -1,5 +1,6 @@
 //! A request arrives: who asks, for what, which rule decides, and whether it is taken in.
 
+use super::dispatch;
 use super::limit::{self, Asked};
 use super::queue::{self, Key, Place};
 use super::table::{Claim, Decision, RequestRow, Stage};
@@ -24,7 +25,7 @@
 }
 
 /// A caller's request arrived.
-pub(crate) fn arrived(node: &mut Node, request: Request, call: Call, out: &mut Effects) {
+pub(crate) fn arrived(node: &mut Node, request: Request, call: Box<Call>, out: &mut Effects) {
     debug_assert!(
         !node.traffic.requests.contains_key(&request),
         "{request} came twice"
@@ -38,7 +39,7 @@
 fn admit(
     node: &mut Node,
     request: Request,
-    call: Call,
+    call: Box<Call>,
     out: &mut Effects,
 ) -> Result<RequestRow, Answer> {
     if node.fleet.draining {
@@ -122,7 +123,9 @@
     let (adapter, cold) = (row.adapter, row.cold);
     node.traffic.deadlines.insert((row.deadline, request));
     node.traffic.requests.insert(request, row);
-    queue::push(node, request);
+    if cold || !dispatch::at_once(node, request, out) {
+        queue::push(node, request);
+    }
     if let Some(adapter) = adapter {
         domain::arrived(node, adapter, cold, out);
     }
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -41,6 +41,22 @@
     }
 }
 
+/// Sends a request that has just arrived, where none waits before it and a server has room. Says whether it did.
+pub(super) fn at_once(node: &mut Node, request: Request, out: &mut Effects) -> bool {
+    let row = &node.traffic.requests[&request];
+    let (key, place) = (row.key, row.place);
+    if node.traffic.queues.holds(key) {
+        return false;
+    }
+    match route::choose(node, row) {
+        Choice::Server(server, among) => {
+            start(node, key, &place, server, among, out);
+            true
+        }
+        Choice::Full | Choice::Nobody => false,
+    }
+}
+
 /// How many requests of one queue are looked at when the first of them can't be sent: rules may bar only some.
 const LOOK_AHEAD: usize = 16;
 
--- /dev/null
+++ b/crates/core/src/traffic/rows.rs
@@ -0,0 +1,92 @@
+//! A table of large rows by number.
+
+use std::collections::BTreeMap;
+use std::ops::Index;
+
+/// Rows by number. Only the numbers stand in order; the rows stay where they are put, so that adding one does not move
+/// its neighbours, and places are used again, so that a table that no longer grows allocates nothing for them.
+#[derive(Debug)]
+pub(super) struct Rows<K, T> {
+    /// The place of each row.
+    places: BTreeMap<K, usize>,
+    /// The rows.
+    rows: Vec<Option<T>>,
+    /// Places that are free.
+    free: Vec<usize>,
+}
+
+impl<K, T> Default for Rows<K, T> {
+    fn default() -> Self {
+        Self {
+            places: BTreeMap::new(),
+            rows: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+}
+
+impl<K: Ord, T> Rows<K, T> {
+    /// Adds a row in place of an earlier one of the same number.
+    pub(super) fn insert(&mut self, key: K, row: T) {
+        self.remove(&key);
+        let place = self.free.pop().unwrap_or(self.rows.len());
+        match self.rows.get_mut(place) {
+            Some(free) => *free = Some(row),
+            None => self.rows.push(Some(row)),
+        }
+        self.places.insert(key, place);
+    }
+
+    /// Takes a row out.
+    pub(super) fn remove(&mut self, key: &K) -> Option<T> {
+        let place = self.places.remove(key)?;
+        self.free.push(place);
+        self.rows[place].take()
+    }
+
+    /// A row.
+    pub(super) fn get(&self, key: &K) -> Option<&T> {
+        let place = *self.places.get(key)?;
+        self.rows[place].as_ref()
+    }
+
+    /// A row, to change it.
+    pub(super) fn get_mut(&mut self, key: &K) -> Option<&mut T> {
+        let place = *self.places.get(key)?;
+        self.rows[place].as_mut()
+    }
+
+    /// Whether there is a row of that number.
+    pub(super) fn contains_key(&self, key: &K) -> bool {
+        self.places.contains_key(key)
+    }
+
+    /// The numbers in order.
+    pub(super) fn keys(&self) -> impl Iterator<Item = &K> {
+        self.places.keys()
+    }
+
+    /// The rows in the order of their numbers.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&K, &T)> {
+        let row = |(key, place): (_, &usize)| Some((key, self.rows[*place].as_ref()?));
+        self.places.iter().filter_map(row)
+    }
+
+    /// How many rows there are.
+    pub(super) fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether there is none.
+    pub(super) fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+}
+
+impl<K: Ord, T> Index<&K> for Rows<K, T> {
+    type Output = T;
+
+    fn index(&self, key: &K) -> &T {
+        self.get(key).expect("the caller has seen the row")
+    }
+}
--- a/crates/core/src/traffic/table.rs
+++ b/crates/core/src/traffic/table.rs
@@ -67,7 +67,7 @@
 #[derive(Debug)]
 pub(crate) struct RequestRow {
     /// What was asked for.
-    pub(crate) call: Call,
+    pub(crate) call: Box<Call>,
     /// Its caller.
     pub(crate) caller: Caller,
     /// Its service.
--- a/crates/core/src/traffic/trail.rs
+++ b/crates/core/src/traffic/trail.rs
@@ -1,6 +1,6 @@
 //! What was done with each request, kept compactly for the operators.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::fmt::Write;
 
 use smallvec::SmallVec;
@@ -10,8 +10,8 @@
 use crate::effect::{Effect, Effects};
 use crate::entity::Server;
 use crate::error::Answer;
-use crate::event::Failure;
-use crate::id::{Attempt, Request, Ticket};
+use crate::event::{Failure, Target};
+use crate::id::{self, Attempt, Request, Ticket};
 use crate::operator::{Reply, Trail};
 use crate::time::Span;
 
@@ -74,52 +74,58 @@
     /// Its row's notes.
     notes: Notes,
     /// What it asked for.
-    target: String,
+    target: Target,
     /// Its caller.
-    caller: String,
+    caller: id::Caller,
     /// The rule that decided.
-    rule: Option<String>,
+    rule: Option<id::Rule>,
     /// How it ended.
     outcome: Outcome,
     /// How long it took.
     took: Span,
 }
 
-/// Requests that ended lately.
+/// Requests that ended lately, oldest first.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Ring {
-    /// Their numbers, oldest first.
-    order: VecDeque<Request>,
     /// Their trails.
-    ended: BTreeMap<Request, Ended>,
+    ended: VecDeque<(Request, Ended)>,
+}
+
+impl Ring {
+    /// Looks a trail up. Walks the ring: operators ask rarely, and an index would cost each request.
+    fn get(&self, request: Request) -> Option<&Ended> {
+        let mut newest_first = self.ended.iter().rev();
+        let found = newest_first.find(|(other, _)| *other == request);
+        found.map(|(_, ended)| ended)
+    }
 }
 
 /// Keeps the trail of a request that ended.
 pub(crate) fn keep(node: &mut Node, request: Request, row: RequestRow, outcome: Outcome) {
     let most = usize::try_from(node.settings.tuning.trails).unwrap_or(usize::MAX);
+    let call = *row.call;
     let ended = Ended {
-        target: target(&row),
-        caller: row.call.caller.to_string(),
-        rule: row.decision.rule.as_ref().map(ToString::to_string),
+        target: call.target,
+        caller: call.caller,
+        rule: row.decision.rule,
         took: node.now.since(row.arrived),
         notes: row.notes,
         outcome,
     };
-    let ring = &mut node.traffic.trails;
-    ring.order.push_back(request);
-    ring.ended.insert(request, ended);
-    while ring.order.len() > most {
-        let Some(oldest) = ring.order.pop_front() else {
-            break;
-        };
-        ring.ended.remove(&oldest);
+    let ring = &mut node.traffic.trails.ended;
+    while ring.len() >= most.max(1) {
+        ring.pop_front();
+    }
+    if most > 0 {
+        ring.push_back((request, ended));
     }
 }
 
-fn target(row: &RequestRow) -> String {
-    match &row.call.target {
-        crate::event::Target::Model(name) => format!("model {name}"),
-        crate::event::Target::Service(name) => format!("service {name}"),
+fn target(target: &Target) -> String {
+    match target {
+        Target::Model(name) => format!("model {name}"),
+        Target::Service(name) => format!("service {name}"),
     }
 }
 
@@ -137,13 +143,13 @@
     let id = format!("{prefix}{}", request.0);
     match (
         node.traffic.requests.get(&request),
-        node.traffic.trails.ended.get(&request),
+        node.traffic.trails.get(request),
     ) {
         (Some(row), _) => {
             let since = node.now.since(row.arrived);
             let trail = Trail {
                 request: id,
-                target: target(row),
+                target: target(&row.call.target),
                 caller: row.call.caller.to_string(),
                 rule: row.decision.rule.as_ref().map(ToString::to_string),
                 steps: lines(node, &row.notes),
@@ -157,9 +163,9 @@
         (None, Some(ended)) => {
             let trail = Trail {
                 request: id,
-                target: ended.target.clone(),
-                caller: ended.caller.clone(),
-                rule: ended.rule.clone(),
+                target: target(&ended.target),
+                caller: ended.caller.to_string(),
+                rule: ended.rule.as_ref().map(ToString::to_string),
                 steps: lines(node, &ended.notes),
                 outcome: outcome(ended),
             };
