No ordered maps on the warm path of a request

Cause: numbers only grow, so ordered maps of requests, attempts and deadlines kept allocating nodes at one end. Change: rows are found by hash (sorted where they are walked), deadlines stand in a heap that is swept.

--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -5,6 +5,7 @@
 
 mod arrive;
 mod attempt;
+mod deadline;
 mod dispatch;
 mod end;
 pub(crate) mod limit;
@@ -31,6 +32,7 @@
 pub(crate) use table::Waiting;
 pub(crate) use trail::explain;
 
+use deadline::Deadlines;
 use queue::{Key, Queues};
 use route::Own;
 use rows::Rows;
@@ -42,7 +44,7 @@
     /// Requests in progress.
     requests: Rows<Request, RequestRow>,
     /// Attempts in progress.
-    attempts: BTreeMap<Attempt, AttemptRow>,
+    attempts: Rows<Attempt, AttemptRow>,
     /// The number of the last attempt.
     last_attempt: u64,
     /// Requests that wait for a server.
@@ -52,7 +54,7 @@
     /// Queues that wait for room on a server: all of their servers were full when they were last looked at.
     blocked: BTreeSet<(Server, Key)>,
     /// When the deadline of each request passes.
-    deadlines: BTreeSet<(Instant, Request)>,
+    deadlines: Deadlines,
     /// When every queue is looked at again, in case that a change was not noticed.
     look_again: Instant,
     /// This VM's own work on each server.
@@ -105,7 +107,7 @@
 
 /// Cuts every request in progress with an explicit error.
 pub(crate) fn cut(node: &mut Node, out: &mut Effects) {
-    let requests: Vec<Request> = node.traffic.requests.keys().copied().collect();
+    let requests = node.traffic.requests.keys();
     for request in requests {
         let ran = end::ran(node, request);
         let answer = match ran {
@@ -128,13 +130,13 @@
 
 /// Time has passed: requests whose deadline is over get their final answer.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
-    while let Some((at, request)) = node.traffic.deadlines.first().copied() {
-        if at > node.now {
-            break;
-        }
-        node.traffic.deadlines.pop_first();
+    while let Some(request) = node.traffic.deadlines.pop(node.now) {
         end::overdue(node, request, out);
     }
+    let traffic = &mut node.traffic;
+    let requests = &traffic.requests;
+    let in_progress = |request| requests.contains_key(&request);
+    traffic.deadlines.sweep(requests.len(), in_progress);
     let blocked = std::mem::take(&mut node.traffic.blocked);
     let keys = blocked.into_iter().map(|(_, key)| key);
     node.traffic.dirty.extend(keys);
@@ -147,10 +149,10 @@
 /// Adds what is broken in the tables of requests and attempts.
 pub(crate) fn verify(node: &Node, broken: &mut Vec<String>) {
     let traffic = &node.traffic;
-    for (attempt, row) in &traffic.attempts {
+    for (attempt, row) in traffic.attempts.iter() {
         let request = traffic.requests.get(&row.request);
         match request.map(|request| &request.stage) {
-            Some(Stage::Running(running)) if running == attempt => {}
+            Some(Stage::Running(running)) if *running == attempt => {}
             Some(stage) => broken.push(format!("{attempt} runs but {} is {stage:?}", row.request)),
             None => broken.push(format!(
                 "{attempt} belongs to {} which is over",
@@ -158,8 +160,12 @@
             )),
         }
     }
+    let deadlines = traffic.deadlines.all();
     for (request, row) in traffic.requests.iter() {
-        verify_request(node, *request, row, broken);
+        if !deadlines.contains(&(row.deadline, request)) {
+            broken.push(format!("{request} has no deadline entry"));
+        }
+        verify_request(node, request, row, broken);
     }
     let (queued, counted) = (traffic.queues.len(), traffic.queues.counted());
     if queued != counted {
@@ -198,15 +204,12 @@
             "{request} may have run and is not idempotent, yet it is not over"
         ));
     }
-    if !traffic.deadlines.contains(&(row.deadline, request)) {
-        broken.push(format!("{request} has no deadline entry"));
-    }
 }
 
 fn verify_in_flight(node: &Node, broken: &mut Vec<String>) {
     let traffic = &node.traffic;
     let mut counted: BTreeMap<Server, u32> = BTreeMap::new();
-    for row in traffic.attempts.values() {
+    for (_, row) in traffic.attempts.iter() {
         *counted.entry(row.server).or_default() += 1;
     }
     for (_, row) in traffic.requests.iter() {
--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -121,7 +121,7 @@
     row.cold = candidates == 0;
     row.notes.add(Span::ZERO, Note::Queued { candidates });
     let (adapter, cold) = (row.adapter, row.cold);
-    node.traffic.deadlines.insert((row.deadline, request));
+    node.traffic.deadlines.push(row.deadline, request);
     node.traffic.requests.insert(request, row);
     if cold || !dispatch::at_once(node, request, out) {
         queue::push(node, request);
--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -220,7 +220,6 @@
     }
     vacate(node, request, out);
     let mut row = node.traffic.requests.remove(&request)?;
-    node.traffic.deadlines.remove(&(row.deadline, request));
     row.maybe_ran |= matches!(stage, Stage::Running(_));
     Some(row)
 }
--- a/crates/core/src/traffic/rows.rs
+++ b/crates/core/src/traffic/rows.rs
@@ -1,14 +1,16 @@
 //! A table of large rows by number.
 
-use std::collections::BTreeMap;
+use std::hash::Hash;
 use std::ops::Index;
 
-/// Rows by number. Only the numbers stand in order; the rows stay where they are put, so that adding one does not move
-/// its neighbours, and places are used again, so that a table that no longer grows allocates nothing for them.
+use rustc_hash::FxHashMap;
+
+/// Rows by number. The rows stay where they are put, so that adding one does not move its neighbours, and places are
+/// used again, so that a table that no longer grows allocates nothing.
 #[derive(Debug)]
 pub(super) struct Rows<K, T> {
     /// The place of each row.
-    places: BTreeMap<K, usize>,
+    places: FxHashMap<K, usize>,
     /// The rows.
     rows: Vec<Option<T>>,
     /// Places that are free.
@@ -18,14 +20,14 @@
 impl<K, T> Default for Rows<K, T> {
     fn default() -> Self {
         Self {
-            places: BTreeMap::new(),
+            places: FxHashMap::default(),
             rows: Vec::new(),
             free: Vec::new(),
         }
     }
 }
 
-impl<K: Ord, T> Rows<K, T> {
+impl<K: Copy + Hash + Ord, T> Rows<K, T> {
     /// Adds a row in place of an earlier one of the same number.
     pub(super) fn insert(&mut self, key: K, row: T) {
         self.remove(&key);
@@ -61,15 +63,17 @@
         self.places.contains_key(key)
     }
 
-    /// The numbers in order.
-    pub(super) fn keys(&self) -> impl Iterator<Item = &K> {
-        self.places.keys()
+    /// The numbers in order. Sorts them: not for the warm path.
+    pub(super) fn keys(&self) -> Vec<K> {
+        let mut keys: Vec<K> = self.places.keys().copied().collect();
+        keys.sort_unstable();
+        keys
     }
 
-    /// The rows in the order of their numbers.
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&K, &T)> {
-        let row = |(key, place): (_, &usize)| Some((key, self.rows[*place].as_ref()?));
-        self.places.iter().filter_map(row)
+    /// The rows in the order of their numbers. Sorts them: not for the warm path.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (K, &T)> {
+        let row = |key| Some((key, self.get(&key)?));
+        self.keys().into_iter().filter_map(row)
     }
 
     /// How many rows there are.
@@ -83,7 +87,7 @@
     }
 }
 
-impl<K: Ord, T> Index<&K> for Rows<K, T> {
+impl<K: Copy + Hash + Ord, T> Index<&K> for Rows<K, T> {
     type Output = T;
 
     fn index(&self, key: &K) -> &T {
