--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use dahliastile_core::event::{Event, Listed};
 use dahliastile_core::id::Incarnation;
@@ -108,7 +108,7 @@
         let (mailbox, inputs) = Mailbox::new();
         let shared = Shared::default();
         let draining = Arc::new(AtomicBool::new(false));
-        let incarnation = Incarnation(rand::random());
+        let incarnation = new_incarnation();
         let peers = Peers::start(
             settings.vm.clone(),
             incarnation,
@@ -235,6 +235,17 @@
     }
 }
 
+/// The number of this start: the wall clock in milliseconds above random bits, so that a later start has a higher one.
+fn new_incarnation() -> Incarnation {
+    const RANDOM_BITS: u32 = 20;
+    let since = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    let millis = u64::try_from(since.as_millis()).unwrap_or(0);
+    let low: u32 = rand::random::<u32>() >> (u32::BITS - RANDOM_BITS);
+    Incarnation(millis << RANDOM_BITS | u64::from(low))
+}
+
 fn own_settings(
     settings: &Settings,
     incarnation: Incarnation,
--- a/crates/standin/examples/standin.rs
+++ b/crates/standin/examples/standin.rs
@@ -3,7 +3,7 @@
 //! Prints one JSON line with its addresses when it is ready and exits at the end of its standard
 //! input; SIGTERM ends it as any process.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -170,6 +170,7 @@
     let mut output = io::stdout().lock();
     writeln!(output, "{line}")?;
     output.flush()?;
-    io::stdin().lock().read_to_end(&mut Vec::new())?;
+    // What comes on standard input means nothing; only its end does.
+    io::copy(&mut io::stdin().lock(), &mut io::sink())?;
     Ok(())
 }
