Test the spread of the configuration among peers

Cause: fetches from peers had no test, as there was no fleet yet. Ruled out: a watch begun again at once after a compaction, which loops where the service compacts all the time; it waits now. The watchers are chosen anew only when the list of live VMs changes.

--- a/crates/core/src/sync/read.rs
+++ b/crates/core/src/sync/read.rs
@@ -307,7 +307,7 @@
 }
 
 /// Puts the next call off, longer each time, by a random share so that VMs do not call together.
-fn wait(node: &mut Node) {
+pub(crate) fn wait(node: &mut Node) {
     let tuning = &node.settings.tuning;
     let (least, most) = (tuning.platform_backoff_ms, tuning.platform_backoff_max_ms);
     let (least, most) = (Span::from_millis(least), Span::from_millis(most));
--- a/crates/core/src/sync/watch.rs
+++ b/crates/core/src/sync/watch.rs
@@ -7,7 +7,6 @@
 use crate::id::{self, Op, Revision};
 use crate::ops::Owner;
 use crate::platform::{Call, Notice, Pair};
-use crate::settings::Tuning;
 use crate::time::{Instant, Span};
 
 /// Time between two reads of the head by a VM that watches it, in case the watch is silently lost.
@@ -25,8 +24,8 @@
     mine: bool,
     /// Whether the head was read after the last watch ended.
     fresh: bool,
-    /// When the live VMs were last looked at.
-    looked: Option<Instant>,
+    /// The version of the list of live VMs that was last looked at.
+    looked: Option<u64>,
     /// When the head was last read or seen.
     seen: Instant,
 }
@@ -59,15 +58,8 @@
 
 /// Decides whether this VM watches, and reads the head anew from time to time.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
-    let every = Tuning::span(node.settings.tuning.heartbeat_ms);
-    let now = node.now;
-    if node
-        .sync
-        .watch
-        .looked
-        .is_none_or(|looked| now.since(looked) >= every)
-    {
-        node.sync.watch.looked = Some(now);
+    let (now, version) = (node.now, node.fleet.version);
+    if node.sync.watch.looked.replace(version) != Some(version) {
         node.sync.watch.mine = chosen(node);
     }
     let watch = &mut node.sync.watch;
@@ -112,7 +104,10 @@
         Notice::Changed(pairs) => changed(node, &pairs, out),
         // A head that is gone is read again, so that it is known and logged; the edition in force stays.
         Notice::Deleted(..) => node.sync.reader.want_head(),
-        Notice::Compacted => lost(node),
+        Notice::Compacted => {
+            lost(node);
+            read::wait(node);
+        }
         Notice::Broken => {
             lost(node);
             read::failed(node, out);
--- a/crates/core/tests/sync_commit.rs
+++ b/crates/core/tests/sync_commit.rs
@@ -1,85 +1,17 @@
 //! Operators' edits: accepted means committed, nothing is accepted twice, and clashing edits are refused.
 
+mod edits;
 mod support;
 
-use dahliastile_core::config::{Change, Document, Edit, Place, Rule, Then, When};
+use dahliastile_core::config::{Change, Place};
 use dahliastile_core::error::{Kind, Ran};
-use dahliastile_core::id::{Edition, Ticket};
+use dahliastile_core::id::Edition;
 use dahliastile_core::log::Code;
-use dahliastile_core::operator::{Command, Reply};
+use dahliastile_core::operator::Reply;
+use edits::{accepted, edit, failed, give, insert, names, reply, rule, shown};
 use support::setup::Size;
 use support::{Fleet, MS, SEC};
 
-fn rule(name: &str, zone: &str) -> Rule {
-    Rule {
-        name: name.parse().unwrap(),
-        when: When {
-            zone: Some(zone.parse().unwrap()),
-            ..When::default()
-        },
-        then: Then {
-            priority: Some(1),
-            ..Then::default()
-        },
-    }
-}
-
-fn insert(name: &str, zone: &str) -> Change {
-    Change::InsertRule {
-        rule: rule(name, zone),
-        place: Place::Last,
-    }
-}
-
-fn edit(id: &str, base: u64, changes: Vec<Change>) -> Edit {
-    Edit {
-        id: id.to_owned(),
-        author: format!("author-of-{id}"),
-        base: Edition(base),
-        changes,
-    }
-}
-
-fn give(fleet: &mut Fleet, vm: usize, edit: Edit) -> Ticket {
-    fleet.command(vm, Command::Edit(edit))
-}
-
-fn reply(fleet: &mut Fleet, ticket: Ticket) -> Reply {
-    let answered = fleet.run_while(|fleet| !fleet.replies.contains_key(&ticket), 10 * SEC);
-    assert!(answered, "an operator got no answer");
-    fleet.replies[&ticket].clone()
-}
-
-fn accepted(fleet: &mut Fleet, ticket: Ticket) -> Edition {
-    match reply(fleet, ticket) {
-        Reply::Accepted { edition, .. } => edition,
-        other => panic!("not accepted: {other:?}"),
-    }
-}
-
-fn failed(fleet: &mut Fleet, ticket: Ticket) -> (Kind, Ran) {
-    match reply(fleet, ticket) {
-        Reply::Failed(answer) => (answer.kind, answer.ran),
-        other => panic!("not failed: {other:?}"),
-    }
-}
-
-fn shown(fleet: &mut Fleet, vm: usize) -> (Edition, Document) {
-    match fleet.answer(vm, Command::Show, SEC) {
-        Some(Reply::Show { edition, document }) => (edition, *document),
-        other => panic!("not shown: {other:?}"),
-    }
-}
-
-fn names(fleet: &mut Fleet, vm: usize) -> Vec<String> {
-    let (_, document) = shown(fleet, vm);
-    document
-        .rules
-        .iter()
-        .map(|rule| rule.name.to_string())
-        .collect()
-}
-
 /// A fleet with edition 1 in force.
 fn fleet(seed: u64) -> Fleet {
     let fleet = Size::small().fleet(seed);
@@ -103,7 +35,7 @@
         let mut fleet = fleet(seed);
         let tickets = ["a", "b", "c"].map(|name| {
             let vm = usize::from(name.as_bytes()[0] - b'a');
-            give(&mut fleet, vm, edit(name, 1, vec![insert(name, name)]))
+            give(&mut fleet, vm, edit(name, 1, vec![insert(name)]))
         });
         let mut editions = tickets.map(|ticket| accepted(&mut fleet, ticket).0);
         editions.sort_unstable();
@@ -120,7 +52,7 @@
 fn race_clash_one_stays() {
     for seed in 0..20 {
         let mut fleet = fleet(seed);
-        fleet.edit(0, vec![insert("r", "east")]);
+        fleet.edit(0, vec![insert("r")]);
         fleet.run_for(SEC);
         let tickets = [("a", "north"), ("b", "south"), ("c", "up")].map(|(id, zone)| {
             let vm = usize::from(id.as_bytes()[0] - b'a');
@@ -151,7 +83,7 @@
 #[test]
 fn repeat_changes_nothing_twice() {
     let mut fleet = fleet(3);
-    let once = edit("once", 1, vec![insert("r", "east")]);
+    let once = edit("once", 1, vec![insert("r")]);
     let ticket = give(&mut fleet, 0, once.clone());
     assert_eq!(accepted(&mut fleet, ticket), Edition(2));
     for vm in 0..3 {
@@ -168,7 +100,7 @@
         fleet.kv.faults.only = Some("txn");
         fleet.kv.faults.lose_answers = u32::from(effective);
         fleet.kv.faults.lose_calls = u32::from(!effective);
-        let ticket = give(&mut fleet, 1, edit("lost", 1, vec![insert("r", "east")]));
+        let ticket = give(&mut fleet, 1, edit("lost", 1, vec![insert("r")]));
         assert_eq!(accepted(&mut fleet, ticket), Edition(2));
         fleet.run_for(2 * SEC);
         assert_eq!(names(&mut fleet, 0), ["r"]);
@@ -182,7 +114,7 @@
         fleet.kv.faults.only = Some("txn");
         fleet.kv.faults.lose_answers = u32::from(effective);
         fleet.kv.faults.lose_calls = u32::from(!effective);
-        let lost = edit("lost", 1, vec![insert("r", "east")]);
+        let lost = edit("lost", 1, vec![insert("r")]);
         let ticket = give(&mut fleet, 1, lost.clone());
         fleet.run_for(100 * MS);
         fleet.kv_down(false);
@@ -204,7 +136,7 @@
     let mut fleet = fleet(6);
     fleet.kv_down(false);
     fleet.run_for(SEC);
-    let ticket = give(&mut fleet, 0, edit("refused", 1, vec![insert("r", "east")]));
+    let ticket = give(&mut fleet, 0, edit("refused", 1, vec![insert("r")]));
     assert_eq!(failed(&mut fleet, ticket), (Kind::PlatformDown, Ran::No));
     fleet.kv_up();
     fleet.run_for(10 * SEC);
@@ -215,7 +147,7 @@
 fn silent_outage_is_bounded() {
     let mut fleet = fleet(7);
     fleet.kv_down(true);
-    let ticket = give(&mut fleet, 0, edit("silent", 1, vec![insert("r", "east")]));
+    let ticket = give(&mut fleet, 0, edit("silent", 1, vec![insert("r")]));
     let before = fleet.now;
     let (kind, _) = failed(&mut fleet, ticket);
     assert!(matches!(kind, Kind::EditUnknown | Kind::PlatformDown));
--- a/crates/core/tests/sync_read.rs
+++ b/crates/core/tests/sync_read.rs
@@ -1,54 +1,19 @@
 //! Reading the configuration from the key-value service: starts, outages, gaps of the watch, damage and snapshots.
 
+mod edits;
 mod support;
 
-use dahliastile_core::config::{Change, Document, Place, Rule, Then, When};
-use dahliastile_core::id::Edition;
+use dahliastile_core::config::Change;
+use dahliastile_core::error::{Kind, Ran};
 use dahliastile_core::log::Code;
 use dahliastile_core::operator::{Command, Reply};
+use edits::{accepted, edit, edit_up_to, edition, failed, give, insert, names, reach, shown};
 use support::net::End;
 use support::setup::Size;
-use support::{Fleet, MS, Micros, SEC};
+use support::{Fleet, MS, SEC};
 
 const HEAD: &str = "dahliastile/config/head";
 
-fn insert(number: usize) -> Change {
-    Change::InsertRule {
-        rule: Rule {
-            name: format!("r{number}").parse().unwrap(),
-            when: When {
-                version: Some(format!("v{number}")),
-                ..When::default()
-            },
-            then: Then::default(),
-        },
-        place: Place::Last,
-    }
-}
-
-fn shown(fleet: &mut Fleet, vm: usize) -> (Edition, Document) {
-    match fleet.answer(vm, Command::Show, SEC) {
-        Some(Reply::Show { edition, document }) => (edition, *document),
-        other => panic!("not shown: {other:?}"),
-    }
-}
-
-fn edition(fleet: &mut Fleet, vm: usize) -> u64 {
-    shown(fleet, vm).0.0
-}
-
-/// Runs until a VM has an edition in force.
-fn reaches(fleet: &mut Fleet, vm: usize, wanted: u64, limit: Micros) -> bool {
-    let end = fleet.now + limit;
-    while fleet.now < end {
-        if edition(fleet, vm) >= wanted {
-            return true;
-        }
-        fleet.run_for(20 * MS);
-    }
-    false
-}
-
 /// A fleet of a few VMs whose snapshots are written after `snapshot_edits` edits.
 fn fleet(seed: u64, vms: usize, snapshot_edits: u64) -> Fleet {
     let mut size = Size::small();
@@ -57,16 +22,6 @@
     size.fleet(seed)
 }
 
-/// Makes edits at one VM until an edition is reached.
-fn edit_up_to(fleet: &mut Fleet, vm: usize, wanted: u64) {
-    let from = usize::try_from(edition(fleet, vm)).unwrap();
-    for number in from..usize::try_from(wanted).unwrap() {
-        fleet.edit(vm, vec![insert(number)]);
-        fleet.run_for(50 * MS);
-    }
-    assert_eq!(edition(fleet, vm), wanted);
-}
-
 fn keys(fleet: &Fleet, part: &str) -> Vec<String> {
     let keys = fleet.kv.pairs.keys();
     keys.filter(|key| key.contains(part)).cloned().collect()
@@ -116,7 +71,7 @@
     fleet.run_for(10 * SEC);
     edit_up_to(&mut fleet, 1, 4);
     for vm in 0..3 {
-        assert!(reaches(&mut fleet, vm, 4, 4 * SEC));
+        assert!(reach(&mut fleet, &[vm], 4, 4 * SEC));
     }
 }
 
@@ -125,7 +80,7 @@
     let mut fleet = fleet(4, 2, 256);
     fleet.kv.faults.slow = 1_500 * MS;
     edit_up_to(&mut fleet, 0, 2);
-    assert!(reaches(&mut fleet, 1, 2, 10 * SEC));
+    assert!(reach(&mut fleet, &[1], 2, 10 * SEC));
 }
 
 #[test]
@@ -143,7 +98,7 @@
         }
         assert_eq!(edition(&mut fleet, 1), 1);
         fleet.net.mend_all();
-        assert!(reaches(&mut fleet, 1, 6, 4 * SEC));
+        assert!(reach(&mut fleet, &[1], 6, 4 * SEC));
     }
 }
 
@@ -257,7 +212,7 @@
     assert_eq!(edition(&mut fleet, 0), 0);
     assert!(fleet.logged(Code::EditionRejected) >= 1);
     damage(&mut fleet, &part);
-    assert!(reaches(&mut fleet, 0, 30, 5 * SEC));
+    assert!(reach(&mut fleet, &[0], 30, 5 * SEC));
 }
 
 #[test]
@@ -295,3 +250,50 @@
     let reads = fleet.kv.calls["get"] - before;
     assert!(reads <= 3 * 11, "{reads} reads in 100 s");
 }
+
+#[test]
+fn watch_compacted_is_begun_again() {
+    let mut fleet = fleet(15, 2, 256);
+    fleet.net.cut(End::Vm(1), End::Vm(0));
+    fleet.kv_down(false);
+    fleet.kv_up();
+    // Whatever is read is compacted away before the watch that follows it begins.
+    for _ in 0..300 {
+        fleet.kv.revision += 5;
+        fleet.kv.compact();
+        fleet.run_for(MS);
+    }
+    assert!(fleet.kv.calls["watch"] > 4);
+    edit_up_to(&mut fleet, 0, 3);
+    assert!(reach(&mut fleet, &[1], 3, 4 * SEC));
+}
+
+#[test]
+fn watch_lost_silently_is_made_good() {
+    let mut fleet = fleet(16, 2, 256);
+    fleet.net.cut(End::Vm(1), End::Vm(0));
+    let origin = fleet.vms[1].origin(1);
+    fleet.kv.drop_watches(origin);
+    edit_up_to(&mut fleet, 0, 3);
+    assert!(reach(&mut fleet, &[1], 3, 11 * SEC));
+}
+
+#[test]
+fn late_write_is_found() {
+    let mut fleet = fleet(17, 2, 256);
+    fleet.run_for(SEC);
+    // The call arrives long after the VM has given it up.
+    fleet.net.kv = 8 * SEC;
+    let late = edit("late", 1, vec![insert("r")]);
+    let ticket = give(&mut fleet, 0, late.clone());
+    assert_eq!(
+        failed(&mut fleet, ticket),
+        (Kind::EditUnknown, Ran::Unknown)
+    );
+    assert_eq!(edition(&mut fleet, 0), 1);
+    fleet.net.kv = 2 * MS;
+    assert!(reach(&mut fleet, &[0, 1], 2, 20 * SEC));
+    let ticket = give(&mut fleet, 1, late);
+    assert_eq!(accepted(&mut fleet, ticket).0, 2);
+    assert_eq!(names(&mut fleet, 0), ["r"]);
+}
