--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use dahliastile_core::event::{Event, Listed};
 use dahliastile_core::id::Incarnation;
@@ -108,7 +108,7 @@
         let (mailbox, inputs) = Mailbox::new();
         let shared = Shared::default();
         let draining = Arc::new(AtomicBool::new(false));
-        let incarnation = Incarnation(rand::random());
+        let incarnation = incarnation();
         let peers = Peers::start(
             settings.vm.clone(),
             incarnation,
@@ -235,6 +235,17 @@
     }
 }
 
+/// The number of this start, higher than that of any earlier start as long as the wall clock is not set back by
+/// more than the pause between them.
+fn incarnation() -> Incarnation {
+    const RANDOM_BITS: u32 = 20;
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |since| since.as_millis());
+    let clock = u64::try_from(millis).unwrap_or(u64::MAX) << RANDOM_BITS;
+    let random: u64 = rand::random();
+    Incarnation(clock | random >> (u64::BITS - RANDOM_BITS))
+}
+
 fn own_settings(
     settings: &Settings,
     incarnation: Incarnation,
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -80,7 +80,7 @@
         let hash = blake3::hash(TOKEN.as_bytes()).to_hex();
         json!({ "edit": { "id": "first", "author": "test", "base": 0, "changes": [
             { "put_caller": { "name": "skipper", "tenant": "barges", "token_hash": hash.as_str() } },
-            { "put_service": { "name": "plans", "kind": "model" } },
+            { "put_service": { "name": "plans", "kind": "model", "store": "weights" } },
             { "put_service": { "name": "berths", "kind": "plain" } },
             { "put_server": {
                 "name": "engine-1", "service": "plans", "zone": "botlek",
@@ -172,7 +172,11 @@
     let chunked = head
         .to_ascii_lowercase()
         .contains("transfer-encoding: chunked");
-    let body = if chunked { unchunk(rest) } else { rest.to_vec() };
+    let body = if chunked {
+        unchunk(rest)
+    } else {
+        rest.to_vec()
+    };
     Reply { status, head, body }
 }
 
