--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -323,13 +323,18 @@
     let bytes = request("POST", "/services/berths/a", &[&bearer()], "{}");
     stream.write_all(&bytes).unwrap();
     let operators = rig.daemon.addresses().operators;
-    let in_progress = || {
-        let reply = support::post_operator(operators, &json!("status"));
-        reply.json()["status"]["in_progress"].as_u64()
+    // It is the first request of this start.
+    let outcome = || {
+        let explain = json!({ "explain": { "request": "1" } });
+        let reply = support::post_operator(operators, &explain).json();
+        reply["explain"]["outcome"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
     };
-    until(|| in_progress() == Some(1));
+    until(|| outcome().contains("Running"));
     stream.shutdown(Shutdown::Both).unwrap();
-    until(|| in_progress() == Some(0));
+    until(|| outcome().starts_with("the caller went away"));
     rig.end();
 }
 
