--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,3 +33,13 @@
 
 pub use node::Node;
 pub use view::View;
+
+/// The tables and choices behind the decisions that stand on their own, for tests, benches and other uses.
+pub mod policy {
+    pub use crate::traffic::limit::bucket::Bucket;
+    pub use crate::traffic::limit::budget::Budget;
+    pub use crate::traffic::limit::fair::{Clock, Shares};
+    pub use crate::traffic::limit::pace::Pace;
+    pub use crate::traffic::route::recent::Recent;
+    pub use crate::traffic::route::score::{Candidate, Figures, Rank, bias};
+}
