--- a/crates/core/benches/decision/deployment.rs
+++ b/crates/core/benches/decision/deployment.rs
@@ -5,7 +5,7 @@
 use dahliastile_core::Node;
 use dahliastile_core::config::rules::Subject;
 use dahliastile_core::config::{
-    Adapter, Caller, Document, Header, Rule, Server, Service, ServiceKind, Then, When,
+    Adapter, Caller, Change, Document, Edit, Header, Rule, Server, Service, ServiceKind, Then, When,
 };
 use dahliastile_core::effect::Effects;
 use dahliastile_core::event::{Call, Event, Listed, Report, Target};
@@ -61,6 +61,7 @@
     seed: u64,
     beat: u64,
     edition: u64,
+    chain: String,
     names: Vec<String>,
 }
 
@@ -84,6 +85,7 @@
             seed,
             beat: 0,
             edition: 0,
+            chain: "00".repeat(32),
             names: (0..size.adapters)
                 .map(|i| format!("adapter-{i}@1"))
                 .collect(),
@@ -96,7 +98,7 @@
         };
         let vms = (0..2).map(listed).collect();
         deployment.step(Event::List { vms });
-        deployment.configure_again();
+        deployment.configure();
         deployment.heartbeat();
         deployment.grant();
         deployment
@@ -108,8 +110,8 @@
         self.now
     }
 
-    /// Sends the whole configuration as a newer edition; says how long it took to put it in force.
-    pub fn configure_again(&mut self) -> Duration {
+    /// Sends the whole configuration.
+    fn configure(&mut self) {
         self.edition += 1;
         let snapshot = json!({
             "edition": self.edition,
@@ -117,12 +119,35 @@
             "document": self.document,
         });
         let data = serde_json::to_vec(&snapshot).unwrap();
-        let piece = Piece::Snapshot {
+        self.hear(Message::Piece(Piece::Snapshot {
             edition: Edition(self.edition),
             offset: 0,
             total: data.len() as u64,
             hash: *blake3::hash(&data).as_bytes(),
             data,
+        }));
+        assert_eq!(self.node.edition(), Edition(self.edition));
+    }
+
+    /// Sends an edit that follows the edition in force; says how long it took to put it in force.
+    pub fn edit(&mut self, change: Change) -> Duration {
+        self.edition += 1;
+        let segment = json!({
+            "edition": self.edition,
+            "prev": self.chain,
+            "edit": Edit {
+                id: format!("edit-{}", self.edition),
+                author: "operator".to_owned(),
+                base: Edition(self.edition - 1),
+                changes: vec![change],
+            },
+        });
+        let body = serde_json::to_string(&segment).unwrap();
+        self.chain = blake3::hash(body.as_bytes()).to_hex().to_string();
+        let text = format!("{}\n{body}", self.chain).into_bytes();
+        let piece = Piece::Edits {
+            first: Edition(self.edition),
+            edits: vec![text],
         };
         let wall = Wall::now();
         self.hear(Message::Piece(piece));
--- a/crates/core/benches/decision/main.rs
+++ b/crates/core/benches/decision/main.rs
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 use std::time::Instant as Wall;
 
+use dahliastile_core::config::Change;
 use dahliastile_core::config::rules::Rules;
 use dahliastile_core::effect::{Effect, Effects};
 use dahliastile_core::event::{Event, Head};
@@ -165,7 +166,11 @@
         let name = deployment.model(number);
         naive.time(|| router.choose(&subject, &name).expect("granted somewhere"));
     }
-    let configure = deployment.configure_again();
+    let mut leaving = deployment.document.servers[0].clone();
+    leaving.leaving = true;
+    let server_edit = deployment.edit(Change::PutServer(leaving));
+    let rule = deployment.document.rules[0].clone();
+    let rule_edit = deployment.edit(Change::ReplaceRule { rule });
     println!(
         "{}",
         json!({
@@ -188,7 +193,8 @@
             "tick_ns": tick.mean(),
             "tick_p99_ns": tick.quantile(990),
             "tick_allocations": tick.allocations(),
-            "configure_us": configure.as_micros() as u64,
+            "server_edit_us": server_edit.as_micros() as u64,
+            "rule_edit_us": rule_edit.as_micros() as u64,
         })
     );
 }
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::config::{Document, ServiceKind};
+use crate::config::{self, Document, ServiceKind};
 use crate::entity::{Adapter, Caller, Domain, Server, Service, Zone};
 use crate::id;
 use crate::names::Table;
@@ -147,7 +147,7 @@
             row.listed = false;
             row.servers.clear();
         }
-        self.names.clear();
+        self.names.values_mut().for_each(|versions| *versions = 0);
     }
 
     fn apply_callers(&mut self, document: &Document) {
@@ -195,22 +195,38 @@
             };
             let zone = self.zone(&server.zone);
             let domain = server.domain.as_ref().map(|name| self.domain(name));
+            let entity = self.server(server, service, zone);
+            let row = self.servers.get_mut(entity);
+            row.service = service;
+            row.zone = zone;
+            row.domain = domain;
+            row.leaving = server.leaving;
+            row.listed = true;
+            if *row.address != *server.address {
+                row.address = server.address.as_str().into();
+            }
+            self.services.get_mut(service).servers.push(entity);
+            if let Some(domain) = domain {
+                self.domains.get_mut(domain).servers.push(entity);
+            }
+        }
+    }
+
+    /// The reference of a server, new where its name is new.
+    fn server(&mut self, server: &config::Server, service: Service, zone: Zone) -> Server {
+        let known = self.servers.find(&server.name);
+        known.unwrap_or_else(|| {
             let row = || ServerRow {
                 name: server.name.clone(),
                 service,
                 zone,
                 address: server.address.as_str().into(),
-                domain,
-                leaving: server.leaving,
-                listed: true,
+                domain: None,
+                leaving: false,
+                listed: false,
             };
-            let entity = self.servers.intern(server.name.clone(), row);
-            *self.servers.get_mut(entity) = row();
-            self.services.get_mut(service).servers.push(entity);
-            if let Some(domain) = domain {
-                self.domains.get_mut(domain).servers.push(entity);
-            }
-        }
+            self.servers.intern(server.name.clone(), row)
+        })
     }
 
     fn domain(&mut self, name: &id::Domain) -> Domain {
@@ -221,25 +237,43 @@
     }
 
     fn apply_adapters(&mut self, document: &Document) {
+        let mut text = String::new();
         for adapter in &document.adapters {
             let Some(service) = self.services.find(&adapter.service) else {
                 debug_assert!(false, "{} names a service that is not there", adapter.name);
                 continue;
             };
             for version in &adapter.versions {
-                let Ok(name) = format!("{}@{version}", adapter.name).parse::<id::Adapter>() else {
-                    debug_assert!(false, "{}@{version} is not a name", adapter.name);
+                text.clear();
+                text.extend([adapter.name.as_str(), "@", version]);
+                let Some(entity) = self.adapter(&text, service) else {
+                    debug_assert!(false, "{text} is not a name");
                     continue;
                 };
-                let row = || AdapterRow {
-                    name: name.clone(),
-                    service,
-                    listed: true,
-                };
-                let entity = self.adapters.intern(name.clone(), row);
-                *self.adapters.get_mut(entity) = row();
+                let row = self.adapters.get_mut(entity);
+                row.service = service;
+                row.listed = true;
+            }
+            match self.names.get_mut(&adapter.name) {
+                Some(versions) => *versions += 1,
+                None => drop(self.names.insert(adapter.name.clone(), 1)),
             }
-            *self.names.entry(adapter.name.clone()).or_default() += 1;
         }
+        self.names.retain(|_, versions| *versions > 0);
+    }
+
+    /// The reference of an adapter, new where its name is new. One that is known costs a look-up and no more: there
+    /// are tens of thousands, of which an edit changes a few.
+    fn adapter(&mut self, text: &str, service: Service) -> Option<Adapter> {
+        if let Some(known) = self.adapters.find(text) {
+            return Some(known);
+        }
+        let name: id::Adapter = text.parse().ok()?;
+        let row = || AdapterRow {
+            name: name.clone(),
+            service,
+            listed: false,
+        };
+        Some(self.adapters.intern(name.clone(), row))
     }
 }
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -65,13 +65,6 @@
     trails: trail::Ring,
 }
 
-impl State {
-    /// This VM's attempts in progress on a server.
-    pub(crate) fn in_flight(&self, server: Server) -> u32 {
-        self.own[server].in_flight
-    }
-}
-
 /// Adapters for which requests wait.
 pub(crate) fn wanted(node: &Node) -> impl Iterator<Item = (Adapter, Waiting)> + '_ {
     let queues = &node.traffic.queues;
--- a/crates/core/src/traffic/limit/fair.rs
+++ b/crates/core/src/traffic/limit/fair.rs
@@ -113,8 +113,8 @@
     fn newest(&self, priority: i32, caller: Caller) -> Option<Request> {
         let least = (priority, caller, Request(0));
         let most = (priority, caller, Request(u64::MAX));
-        let last = self.requests.range(least..=most).next_back();
-        last.map(|(_, _, request)| *request)
+        let mut own = self.requests.range(least..=most);
+        own.next_back().map(|(_, _, request)| *request)
     }
 }
 
--- a/crates/core/src/traffic/route.rs
+++ b/crates/core/src/traffic/route.rs
@@ -89,10 +89,10 @@
 
 /// The servers, beginning at a place of the list that differs from request to request where there are many.
 fn turned(servers: &[Server], request: Request) -> impl Iterator<Item = Server> {
-    let many = servers.len() > ENOUGH as usize;
-    let start = match many {
-        true => usize::try_from(request.0.wrapping_mul(SCATTER)).unwrap_or(0) % servers.len(),
-        false => 0,
+    let start = if servers.len() > ENOUGH as usize {
+        usize::try_from(request.0.wrapping_mul(SCATTER)).unwrap_or(0) % servers.len()
+    } else {
+        0
     };
     let (before, after) = servers.split_at(start);
     after.iter().chain(before).copied()
--- a/crates/core/src/traffic/route/score.rs
+++ b/crates/core/src/traffic/route/score.rs
@@ -123,13 +123,11 @@
 /// A load by an old report, rounded: several VMs see the same report, and where it decides to the last sequence all
 /// of them choose the same server at once.
 fn rough(load: i64, batch: i64, age: Span) -> i64 {
-    match age > ROUGH {
-        true => {
-            let grain = (batch / 8).max(1);
-            load / grain * grain
-        }
-        false => load,
+    if age <= ROUGH {
+        return load;
     }
+    let grain = (batch / 8).max(1);
+    load / grain * grain
 }
 
 /// The bias for a service's weights of load stalls and batch efficiency.
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -9,7 +9,9 @@
 pub mod engine;
 pub mod kv;
 pub mod net;
+pub mod orders;
 pub mod plain;
+pub mod serve;
 pub mod setup;
 pub mod vm;
 
