--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -192,11 +192,12 @@
         "peers.secret=a secret of the whole fleet",
     ]
     .map(str::to_owned);
-    let filled = Settings::manual()
-        .lines()
-        .filter(|line| !line.ends_with("# required"))
-        .map(|line| format!("{line}\n"))
-        .collect::<String>();
+    let manual = Settings::manual();
+    let lines = manual.lines().filter(|line| !line.ends_with("# required"));
+    let filled = lines.collect::<Vec<_>>().join(
+        "
+",
+    );
     let settings = Settings::parse(&filled, &set).unwrap();
     assert_eq!(
         settings.tuning,
@@ -207,6 +208,10 @@
 /// Whatever the text is, it is refused or read, and a fault in the file lies within it.
 #[test]
 fn parse_any_text() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands values over"
+    )]
     fn property(words: Vec<(u8, String)>) -> bool {
         let keys = [
             "vm",
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::time::Duration;
@@ -15,27 +16,27 @@
 use serde_json::{Value, json};
 
 /// The caller's token.
-pub const TOKEN: &str = "skipper";
+pub(crate) const TOKEN: &str = "skipper";
 
 /// The operators' token.
-pub const OPERATOR: &str = "operator";
+pub(crate) const OPERATOR: &str = "operator";
 
 /// The adapter in the configuration.
-pub const MODEL: &str = "lock@3";
+pub(crate) const MODEL: &str = "lock@3";
 
 /// Bounds every wait of a test; none is expected to come near it.
 const AMPLE: Duration = Duration::from_secs(30);
 
 /// The stand-ins around daemons.
-pub struct Site {
+pub(crate) struct Site {
     /// The key-value service.
-    pub kv: kv::Server,
+    pub(crate) kv: kv::Server,
     /// The list of entry VMs.
-    pub vms: vms::Server,
+    pub(crate) vms: vms::Server,
     /// The engine.
-    pub engine: engine::Server,
+    pub(crate) engine: engine::Server,
     /// The plain service's server.
-    pub plain: plain::Server,
+    pub(crate) plain: plain::Server,
 }
 
 fn host<S: Service>(service: S) -> Host<S> {
@@ -44,7 +45,7 @@
 
 impl Site {
     /// Starts all stand-ins.
-    pub fn start() -> Self {
+    pub(crate) fn start() -> Self {
         Self {
             kv: host(Kv::new(kv::Settings::default())),
             vms: host(Vms::new(Vec::new(), Duration::ZERO)),
@@ -54,7 +55,7 @@
     }
 
     /// The settings file of a daemon at this site.
-    pub fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         let hash = blake3::hash(OPERATOR.as_bytes());
         format!(
             "vm: entry-1\nzone: botlek\n\
@@ -69,19 +70,19 @@
     }
 
     /// The settings of a daemon at this site.
-    pub fn settings(&self, more: &[&str]) -> Settings {
+    pub(crate) fn settings(&self, more: &[&str]) -> Settings {
         let text = self.text();
         let more: Vec<String> = more.iter().map(|text| (*text).to_owned()).collect();
         Settings::parse(&text, &more).unwrap()
     }
 
     /// A daemon at this site.
-    pub fn daemon(&self, more: &[&str]) -> Daemon {
+    pub(crate) fn daemon(&self, more: &[&str]) -> Daemon {
         Daemon::start(&self.settings(more)).unwrap()
     }
 
     /// The edit that makes the first configuration.
-    pub fn first_edit(&self) -> Value {
+    pub(crate) fn first_edit(&self) -> Value {
         let hash = blake3::hash(TOKEN.as_bytes()).to_hex();
         json!({ "edit": { "id": "first", "author": "test", "base": 0, "changes": [
             { "put_caller": { "name": "skipper", "tenant": "barges", "token_hash": hash.as_str() } },
@@ -100,7 +101,7 @@
     }
 
     /// Puts the first configuration in force.
-    pub fn configure(&self, daemon: &Daemon) {
+    pub(crate) fn configure(&self, daemon: &Daemon) {
         let address = daemon.addresses().operators;
         let answer = post_operator(address, &self.first_edit());
         assert_eq!(answer.status, 200, "{}", answer.text());
@@ -109,7 +110,7 @@
 }
 
 /// Waits until a condition holds. Each look is an exchange with the daemon, which paces the loop.
-pub fn until(mut condition: impl FnMut() -> bool) {
+pub(crate) fn until(mut condition: impl FnMut() -> bool) {
     let begun = std::time::Instant::now();
     while !condition() {
         assert!(begun.elapsed() < AMPLE, "the condition never held");
@@ -119,30 +120,30 @@
 
 /// An answer as it came.
 #[derive(Debug)]
-pub struct Reply {
+pub(crate) struct Reply {
     /// The status.
-    pub status: u16,
+    pub(crate) status: u16,
     /// The head.
-    pub head: String,
+    pub(crate) head: String,
     /// The body, without its framing.
-    pub body: Vec<u8>,
+    pub(crate) body: Vec<u8>,
 }
 
 impl Reply {
     /// The body as text.
-    pub fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
     /// The body as JSON.
-    pub fn json(&self) -> Value {
+    pub(crate) fn json(&self) -> Value {
         serde_json::from_slice(&self.body).unwrap_or_else(|error| {
             panic!("{error} in {:?}", self.text());
         })
     }
 
     /// The kind and `ran` of an error.
-    pub fn error(&self) -> (String, String) {
+    pub(crate) fn error(&self) -> (String, String) {
         let error = &self.json()["error"];
         let text = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
         (text("kind"), text("ran"))
@@ -150,14 +151,14 @@
 }
 
 /// Opens a connection.
-pub fn connect(address: SocketAddr) -> TcpStream {
+pub(crate) fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(AMPLE)).unwrap();
     stream
 }
 
 /// Writes bytes and reads what comes until the daemon closes.
-pub fn raw(address: SocketAddr, bytes: &[u8]) -> Reply {
+pub(crate) fn raw(address: SocketAddr, bytes: &[u8]) -> Reply {
     let mut stream = connect(address);
     stream.write_all(bytes).unwrap();
     let mut answer = Vec::new();
@@ -166,7 +167,7 @@
 }
 
 /// Takes an answer apart.
-pub fn parse(answer: &[u8]) -> Reply {
+pub(crate) fn parse(answer: &[u8]) -> Reply {
     let end = answer
         .windows(4)
         .position(|bytes| bytes == b"\r\n\r\n")
@@ -203,25 +204,31 @@
 }
 
 /// A request with a token and a body.
-pub fn request(method: &str, path: &str, headers: &[&str], body: &str) -> Vec<u8> {
+pub(crate) fn request(method: &str, path: &str, headers: &[&str], body: &str) -> Vec<u8> {
     let mut text = format!("{method} {path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n");
     for header in headers {
         text.push_str(header);
         text.push_str("\r\n");
     }
     if !body.is_empty() {
-        text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        let _ = write!(text, "Content-Length: {}\r\n", body.len());
     }
     format!("{text}\r\n{body}").into_bytes()
 }
 
 /// The header with the caller's token.
-pub fn bearer() -> String {
+pub(crate) fn bearer() -> String {
     format!("Authorization: Bearer {TOKEN}")
 }
 
 /// Sends a request with the caller's token.
-pub fn send(address: SocketAddr, method: &str, path: &str, headers: &[&str], body: &str) -> Reply {
+pub(crate) fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[&str],
+    body: &str,
+) -> Reply {
     let bearer = bearer();
     let mut all = vec![bearer.as_str()];
     all.extend(headers);
@@ -229,14 +236,14 @@
 }
 
 /// Sends an operator's command.
-pub fn post_operator(address: SocketAddr, command: &Value) -> Reply {
+pub(crate) fn post_operator(address: SocketAddr, command: &Value) -> Reply {
     let bearer = format!("Authorization: Bearer {OPERATOR}");
     let body = command.to_string();
     raw(address, &request("POST", "/operator", &[&bearer], &body))
 }
 
 /// Reads a page of the operators' listener.
-pub fn get(address: SocketAddr, path: &str) -> Reply {
+pub(crate) fn get(address: SocketAddr, path: &str) -> Reply {
     let bearer = format!("Authorization: Bearer {OPERATOR}");
     raw(address, &request("GET", path, &[&bearer], ""))
 }
