Daemon: the shutdown test holds its stream open while it looks

shutdown_lets_streams_end failed in 1 of 15 runs: on a busy machine the stream of 500 tokens was over, and the daemon with it, before the test had looked at /readyz. The engine now stands still while the test looks, and the stream is ten times as long; what is asserted is the same. Ruled out: a fault of the daemon, since the connection refused was that of an operators' listener that had ended in order.

--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -162,19 +162,23 @@
 fn shutdown_lets_streams_end() {
     let rig = Rig::start();
     rig.request(1).send().unwrap();
-    let request = rig.request(500);
+    let request = rig.request(5_000);
     let stopper = rig.daemon.stopper();
     let callers = rig.callers;
     let operators = rig.daemon.addresses().operators;
-    let waiting = std::thread::spawn(move || rig.daemon.wait());
+    let (engine, daemon) = (rig.site.engine, rig.daemon);
+    let waiting = std::thread::spawn(move || daemon.wait());
     let mut told = false;
     let answer = request
         .send_while(|texts| {
             if texts.len() == 5 && !told {
                 told = true;
+                // The stream can't end while the daemon is looked at.
+                engine.fault(Fault::StepUs(1_000_000));
                 stopper.stop(false);
                 until(|| TcpStream::connect(callers).is_err());
                 assert_eq!(support::get(operators, "/readyz").status, 503);
+                engine.fault(Fault::StepUs(100));
             }
             ControlFlow::Continue(())
         })
