--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -215,22 +215,15 @@
     let stage = node.traffic.requests.get(&request)?.stage;
     match stage {
         Stage::Running(attempt) => out.push(Effect::Cancel { attempt }),
-        Stage::Waiting => unqueue(node, request),
+        Stage::Waiting => queue::pull(node, request),
         Stage::Claiming(_) => {}
     }
     vacate(node, request, out);
     let mut row = node.traffic.requests.remove(&request)?;
-    node.traffic.deadlines.remove(&(row.deadline, request));
     row.maybe_ran |= matches!(stage, Stage::Running(_));
     Some(row)
 }
 
-fn unqueue(node: &mut Node, request: Request) {
-    queue::pull(node, request);
-    let key = node.traffic.requests[&request].key;
-    queue::drop_empty(node, key);
-}
-
 /// Says how a claimed request ended: free again if it certainly was not run.
 fn release_claim(
     node: &mut Node,
