Properties of edits and checks of the configuration

Cause: rebase, apply and the checks had no test of their own. A server of an unknown service no longer claims a domain in the check.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -13,6 +13,7 @@
 };
 pub use edit::{Change, Edit, Place};
 pub use patch::apply;
+pub use rebase::clash;
 
 pub(crate) use check::check_after;
 pub(crate) use patch::{Undo, patch};
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -222,7 +222,8 @@
                 || path("domain"),
                 "is only for servers of model services",
             );
-            let shared = server.domain.as_ref().is_some_and(|domain| {
+            let domain = server.domain.as_ref().filter(|_| model);
+            let shared = domain.is_some_and(|domain| {
                 *domains.entry(domain).or_insert(&server.service) != &server.service
             });
             self.refuse(
--- a/crates/core/src/config/rebase.rs
+++ b/crates/core/src/config/rebase.rs
@@ -144,6 +144,13 @@
     }
 }
 
+/// What two edits both touch, so that the later of them can't be kept, or none where both can.
+#[must_use]
+pub fn clash(mine: &Edit, other: &Edit) -> Option<String> {
+    let subject = Scope::of(mine).clash(&Scope::of(other))?;
+    Some(subject.to_string())
+}
+
 /// What an edit wants of a subject, as text.
 pub(crate) fn wanted(edit: &Edit, subject: &Subject) -> String {
     let lines: Vec<_> = edit
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -56,11 +56,6 @@
     node.sync.edition > Edition(0)
 }
 
-/// Whether the key-value service answered the last call that this module made.
-pub(crate) fn reachable(node: &Node) -> bool {
-    node.sync.reader.reachable()
-}
-
 /// A call of the key-value service came back.
 pub(crate) fn platform(node: &mut Node, op: Op, outcome: Outcome, out: &mut Effects) {
     if node.sync.reader.waits_for(op) {
@@ -84,8 +79,9 @@
 }
 
 /// A peer asks for the configuration.
+#[allow(clippy::needless_pass_by_value)] // Messages are handed over whole.
 pub(crate) fn fetched(node: &mut Node, from: &id::Vm, fetch: Fetch, out: &mut Effects) {
-    spread::fetched(node, from, fetch, out);
+    spread::fetched(node, from, &fetch, out);
 }
 
 /// A peer sent a piece of the configuration.
--- a/crates/core/src/sync/spread.rs
+++ b/crates/core/src/sync/spread.rs
@@ -147,7 +147,7 @@
 }
 
 /// A peer asks for the configuration.
-pub(crate) fn fetched(node: &mut Node, from: &id::Vm, fetch: Fetch, out: &mut Effects) {
+pub(crate) fn fetched(node: &mut Node, from: &id::Vm, fetch: &Fetch, out: &mut Effects) {
     let reading = |export: &Export| export.edition == fetch.snapshot;
     let goes_on = node.sync.spread.export.as_ref().is_some_and(reading);
     let log = &node.sync.log;
@@ -155,7 +155,7 @@
     let piece = if !goes_on && (fetch.have >= node.sync.edition || log.first() <= next) {
         Some(edits(node, fetch.have))
     } else {
-        snapshot_piece(node, &fetch)
+        snapshot_piece(node, fetch)
     };
     if let Some(piece) = piece {
         node.send(from, Message::Piece(piece), out);
--- a/crates/core/tests/sync_commit.rs
+++ b/crates/core/tests/sync_commit.rs
@@ -1,15 +1,19 @@
 //! Operators' edits: accepted means committed, nothing is accepted twice, and clashing edits are refused.
 
 mod edits;
+#[path = "edits/random.rs"]
+mod random;
 mod support;
 
-use dahliastile_core::config::{Change, Place};
+use dahliastile_core::config::{Change, Place, apply, check};
 use dahliastile_core::error::{Kind, Ran};
 use dahliastile_core::id::Edition;
 use dahliastile_core::log::Code;
 use dahliastile_core::operator::Reply;
 use edits::{accepted, edit, failed, give, insert, names, reply, rule, shown};
-use support::setup::Size;
+use quickcheck::{Gen, QuickCheck};
+use random::Wish;
+use support::setup::{Size, changes};
 use support::{Fleet, MS, SEC};
 
 /// A fleet with edition 1 in force.
@@ -178,3 +182,42 @@
     }
     assert_eq!(shown(&mut fleet, 0).1, Size::small().document());
 }
+
+#[test]
+fn edit_accepted_where_valid() {
+    fn property(seed: u64, wishes: Vec<Wish>) -> bool {
+        let size = Size {
+            vms: 2,
+            ..Size::small()
+        };
+        let mut fleet = size.bare_fleet(seed);
+        fleet.run_for(SEC);
+        let mut expected = random::document();
+        fleet.edit(0, changes(&expected));
+        let mut at = 1;
+        for (number, wish) in wishes.into_iter().enumerate() {
+            let mut wish = wish.edit(&format!("e{number}"));
+            wish.base = Edition(at);
+            let valid = apply(&expected, &wish).ok();
+            let valid = valid.filter(|document| check(document).is_empty());
+            let ticket = give(&mut fleet, 0, wish);
+            match (reply(&mut fleet, ticket), valid) {
+                (Reply::Accepted { .. }, Some(document)) => {
+                    at += 1;
+                    expected = document;
+                }
+                (Reply::Failed(answer), None) if answer.kind == Kind::BadConfiguration => {}
+                _ => return false,
+            }
+            if shown(&mut fleet, 0) != (Edition(at), expected.clone()) {
+                return false;
+            }
+        }
+        fleet.run_for(4 * SEC);
+        shown(&mut fleet, 1) == (Edition(at), expected) && fleet.logged(Code::EditionRejected) == 0
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 0xacce))
+        .tests(60)
+        .quickcheck(property as fn(u64, Vec<Wish>) -> bool);
+}
