Split the configuration's larger files; a restored platform is noticed

A VM chosen as a watcher after it took its configuration from a peer never read the platform. A key-value service put back to an older state was read as old news. Ruled out: building on what a restored service has left, as it lacks editions that are in force: such edits are refused with ran no. Change: warnings, drafts of edits and the reader's state have files of their own; a new watcher reads the head; a read that is older than what was known when it was sent replaces it.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -7,7 +7,6 @@
 
 use super::document::{Adapter, Caller, Document, Kind, Rule, Server, Service};
 use super::edit::{Change, Edit};
-use super::rules::Rules;
 use crate::id;
 
 /// The length of a BLAKE3 hash in hexadecimal digits.
@@ -46,19 +45,6 @@
     checker.problems
 }
 
-/// What an operator may want to look at in a configuration that holds together.
-#[must_use]
-pub fn warnings(document: &Document) -> Vec<Problem> {
-    let unreachable = Rules::new(document.rules.clone()).unreachable();
-    let unreachable = unreachable.into_iter();
-    let mut problems: Vec<_> = unreachable
-        .map(|text| Problem::new("rules", text))
-        .collect();
-    problems.extend(never(document));
-    problems.extend(zones(document));
-    problems
-}
-
 /// Everything for which a document is refused after an edit, where it held together before.
 ///
 /// The short lists are checked whole. Of the adapters, of which there are tens of thousands, only those that the
@@ -196,14 +182,7 @@
         for (number, server) in servers.iter().enumerate() {
             let path = |field: &str| format!("servers[{number}].{field}");
             self.unique(names.insert(&server.name), path("name"), &server.name);
-            let port = server.address.rsplit_once(':');
-            let good =
-                port.is_some_and(|(host, port)| !host.is_empty() && port.parse::<u16>().is_ok());
-            self.refuse(
-                !good,
-                || path("address"),
-                "is not a host and a port such as 10.0.0.1:8000",
-            );
+            self.address(server, path);
             let kind = self
                 .services
                 .get(&server.service)
@@ -260,6 +239,13 @@
         }
     }
 
+    fn address(&mut self, server: &Server, path: impl Fn(&str) -> String) {
+        let port = server.address.rsplit_once(':');
+        let good = port.is_some_and(|(host, port)| !host.is_empty() && port.parse::<u16>().is_ok());
+        let message = "is not a host and a port such as 10.0.0.1:8000";
+        self.refuse(!good, || path("address"), message);
+    }
+
     fn services_of_adapters(&mut self) {
         for (number, adapter) in self.document.adapters.iter().enumerate() {
             self.service_of_adapter(number, adapter);
@@ -359,17 +345,17 @@
 }
 
 /// What rules may name.
-struct Known<'a> {
+pub(super) struct Known<'a> {
     /// Callers.
-    callers: FxHashMap<&'a id::Caller, &'a Caller>,
+    pub(super) callers: FxHashMap<&'a id::Caller, &'a Caller>,
     /// Servers.
     servers: FxHashSet<&'a id::Server>,
     /// Adapters, but only those that some rule names: a table of all of them would cost more than the check.
-    adapters: FxHashMap<&'a str, &'a Adapter>,
+    pub(super) adapters: FxHashMap<&'a str, &'a Adapter>,
 }
 
 impl<'a> Known<'a> {
-    fn new(document: &'a Document) -> Self {
+    pub(super) fn new(document: &'a Document) -> Self {
         let named = document.rules.iter();
         let named: FxHashSet<&str> = named
             .filter_map(|rule| rule.when.adapter.as_deref())
@@ -388,90 +374,3 @@
         }
     }
 }
-
-/// Rules whose own condition nothing can meet.
-fn never(document: &Document) -> Vec<Problem> {
-    let known = Known::new(document);
-    let mut problems = Vec::new();
-    for (number, rule) in document.rules.iter().enumerate() {
-        for (field, reason) in contradictions(rule, &known) {
-            let path = format!("rules[{number}].when.{field}");
-            problems.push(Problem::new(
-                path,
-                format!("rule {} can never match: {reason}", rule.name),
-            ));
-        }
-    }
-    problems
-}
-
-fn contradictions(rule: &Rule, known: &Known<'_>) -> Vec<(&'static str, String)> {
-    let when = &rule.when;
-    let mut found = Vec::new();
-    if let Some(caller) = when
-        .caller
-        .as_ref()
-        .and_then(|name| known.callers.get(name))
-    {
-        if when
-            .tenant
-            .as_ref()
-            .is_some_and(|tenant| *tenant != caller.tenant)
-        {
-            found.push((
-                "tenant",
-                format!("the caller's tenant is {}", caller.tenant),
-            ));
-        }
-        if when
-            .class
-            .as_ref()
-            .is_some_and(|class| *class != caller.class)
-        {
-            found.push(("class", format!("the caller's class is {}", caller.class)));
-        }
-    }
-    if let Some(adapter) = when
-        .adapter
-        .as_deref()
-        .and_then(|name| known.adapters.get(name))
-    {
-        if when
-            .version
-            .as_ref()
-            .is_some_and(|version| !adapter.versions.contains(version))
-        {
-            found.push(("version", "the adapter has no such version".to_owned()));
-        }
-        if when
-            .service
-            .as_ref()
-            .is_some_and(|service| *service != adapter.service)
-        {
-            found.push((
-                "service",
-                format!("the adapter's service is {}", adapter.service),
-            ));
-        }
-    }
-    found
-}
-
-/// Zones that rules name and that have no server.
-fn zones(document: &Document) -> Vec<Problem> {
-    let zones: FxHashSet<_> = document.servers.iter().map(|server| &server.zone).collect();
-    let mut problems = Vec::new();
-    for (number, rule) in document.rules.iter().enumerate() {
-        let fields = [
-            ("prefer_zone", &rule.then.prefer_zone),
-            ("require_zone", &rule.then.require_zone),
-        ];
-        for (field, zone) in fields {
-            if zone.as_ref().is_some_and(|zone| !zones.contains(zone)) {
-                let path = format!("rules[{number}].then.{field}");
-                problems.push(Problem::new(path, "names a zone that has no server"));
-            }
-        }
-    }
-    problems
-}
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -5,10 +5,12 @@
 
 mod apply;
 mod commit;
+mod draft;
 mod entities;
 mod history;
 mod log;
 mod read;
+mod reader;
 mod snapshot;
 mod spread;
 mod store;
@@ -36,7 +38,7 @@
     /// The last edits.
     log: log::Log,
     /// What is read from the platform.
-    reader: read::Reader,
+    reader: reader::Reader,
     /// The watch of the head.
     watch: watch::Watch,
     /// Operators' edits on their way.
--- a/crates/core/src/sync/commit.rs
+++ b/crates/core/src/sync/commit.rs
@@ -6,16 +6,16 @@
 
 use std::collections::VecDeque;
 
-use super::store::{self, Damage, Head, Segment};
-use super::{apply, call_timeout, edit_timeout, read, snapshot};
+use super::draft::{self, Draft};
+use super::store::{self, Head};
+use super::{apply, call_timeout, edit_timeout, reader, snapshot};
 use crate::Node;
-use crate::config::rebase::{self, Scope};
-use crate::config::{self, Edit, Problem};
+use crate::config::Edit;
 use crate::effect::{Effect, Effects};
 use crate::error::{Answer, Kind, Ran};
 use crate::id::{Edition, MAX_NAME, Op, Revision, Ticket};
 use crate::log::{Code, Record};
-use crate::operator::{Clash, Reply};
+use crate::operator::Reply;
 use crate::ops::Owner;
 use crate::platform::{Call, Compare, Outcome, Put};
 use crate::settings::Tuning;
@@ -27,12 +27,6 @@
 /// Reads of a head that is lower than the edition in force before an edit is refused for it.
 const MAX_LOWER: u32 = 3;
 
-/// Edits that one write deletes at most, besides adding one.
-const TRIM: u64 = 16;
-
-/// Problems that a refusal names at most.
-const MAX_PROBLEMS: usize = 10;
-
 /// An edit that waits to be committed.
 #[derive(Debug)]
 struct Pending {
@@ -104,16 +98,6 @@
     }
 }
 
-/// An edit that may be written.
-struct Draft {
-    /// The new head.
-    head: Head,
-    /// The text of the edit.
-    text: Vec<u8>,
-    /// What the operator may want to look at.
-    warnings: Vec<String>,
-}
-
 /// An operator wants a change.
 pub(crate) fn begin(node: &mut Node, ticket: Ticket, edit: Edit, out: &mut Effects) {
     if let Some(reply) = refuse_at_once(node, &edit) {
@@ -212,12 +196,15 @@
     if node.sync.log.first() > next {
         return older(node, pending, next);
     }
-    if let Some(clash) = clash(node, &pending.edit) {
+    if let Some(clash) = draft::clash(node, &pending.edit) {
         return Step::reply(Reply::Clash(Box::new(clash)));
     }
-    match draft(node, &pending.edit) {
+    match draft::draft(node, &pending.edit) {
         Ok(draft) => Step::Write(Box::new(draft)),
-        Err(problems) => Step::reply(fail(Kind::BadConfiguration, list(&problems, base, edition))),
+        Err(problems) => Step::reply(fail(
+            Kind::BadConfiguration,
+            draft::list(&problems, base, edition),
+        )),
     }
 }
 
@@ -239,82 +226,6 @@
     Step::reply(fail(Kind::EditUnknown, detail))
 }
 
-/// The clash of an edit with those accepted after its base.
-fn clash(node: &Node, edit: &Edit) -> Option<Clash> {
-    let scope = Scope::of(edit);
-    let state = &node.sync;
-    for (_, other) in state.log.edits_after(edit.base).rev() {
-        let Some(subject) = scope.clash(&Scope::of(&other)) else {
-            continue;
-        };
-        return Some(Clash {
-            edition: state.edition,
-            yours: rebase::wanted(edit, &subject),
-            theirs: rebase::in_force(&state.document, &subject),
-            subject: subject.to_string(),
-            author: other.author,
-        });
-    }
-    None
-}
-
-/// Tries an edit on the document, which is left as it was, and prepares its write.
-fn draft(node: &mut Node, edit: &Edit) -> Result<Draft, Vec<Problem>> {
-    let state = &mut node.sync;
-    let undo = config::patch(&mut state.document, edit).map_err(|problem| vec![problem])?;
-    let problems = config::check_after(&state.document, edit);
-    let warnings = match problems.as_slice() {
-        [] => config::warnings(&state.document),
-        _ => Vec::new(),
-    };
-    undo.run(&mut state.document);
-    if !problems.is_empty() {
-        return Err(problems);
-    }
-    let unwritable = |damage: &Damage| vec![Problem::new("changes", damage.to_string())];
-    let segment = Segment {
-        edition: Edition(state.edition.0 + 1),
-        prev: state.chain,
-        edit: edit.clone(),
-    };
-    let (text, _) = store::seal(&segment).map_err(|damage| unwritable(&damage))?;
-    if text.len() > store::MAX_EDIT_BYTES {
-        let message = format!(
-            "are {} bytes; split them into edits of {} bytes at most",
-            text.len(),
-            store::MAX_EDIT_BYTES
-        );
-        return Err(vec![Problem::new("changes", message)]);
-    }
-    let head = new_head(node, &segment);
-    let warnings = warnings.iter().map(ToString::to_string).collect();
-    Ok(Draft {
-        head,
-        text,
-        warnings,
-    })
-}
-
-/// The head after an edit. Edits that the last snapshot makes needless go, a few with each write.
-fn new_head(node: &Node, segment: &Segment) -> Head {
-    let old = node
-        .sync
-        .reader
-        .known()
-        .map(|known| known.head.clone())
-        .unwrap_or_default();
-    let keep = node.settings.tuning.snapshot_edits;
-    let shown = old.snapshot.as_ref().map_or(0, |stored| stored.edition.0);
-    let needed = shown.saturating_sub(keep) + 1;
-    let first = old.first.0.max(1);
-    Head {
-        edition: segment.edition,
-        last: segment.edit.id.clone(),
-        first: Edition(needed.min(first + TRIM).max(first)),
-        snapshot: old.snapshot,
-    }
-}
-
 fn write(node: &mut Node, draft: Draft, out: &mut Effects) {
     let Some(known) = node.sync.reader.known() else {
         return;
@@ -361,23 +272,23 @@
     };
     match outcome {
         Outcome::Done(reply) => {
-            read::succeeded(node, out);
+            reader::succeeded(node, out);
             node.sync
                 .reader
                 .learn(write.head.clone(), reply.revision, reply.revision);
             accepted(node, write, out);
         }
         Outcome::Conflict => {
-            read::succeeded(node, out);
+            reader::succeeded(node, out);
             node.sync.reader.want_head();
         }
         Outcome::NotSent => {
-            read::failed(node, out);
+            reader::failed(node, out);
             node.sync.reader.want_head();
             unread(node, true, out);
         }
         Outcome::Unknown => {
-            read::failed(node, out);
+            reader::failed(node, out);
             node.sync.reader.want_head();
             if let Some(pending) = node.sync.commits.waiting.front_mut() {
                 pending.unsure = Some(write.revision);
@@ -475,23 +386,6 @@
     Reply::Failed(Answer::new(kind, detail))
 }
 
-fn list(problems: &[Problem], base: Edition, edition: Edition) -> String {
-    let mut lines: Vec<_> = problems
-        .iter()
-        .take(MAX_PROBLEMS)
-        .map(ToString::to_string)
-        .collect();
-    if problems.len() > MAX_PROBLEMS {
-        lines.push(format!("and {} more", problems.len() - MAX_PROBLEMS));
-    }
-    if base < edition {
-        lines.push(format!(
-            "the edit was made on {base}; {edition} is in force now"
-        ));
-    }
-    lines.join("; ")
-}
-
 fn answer(ticket: Ticket, edit: &Edit, reply: Reply, out: &mut Effects) {
     let who = format!("id={} author={}", edit.id, edit.author);
     let (code, detail) = match &reply {
--- a/crates/core/src/sync/read.rs
+++ b/crates/core/src/sync/read.rs
@@ -1,18 +1,16 @@
 //! Reads the configuration from the key-value service: the head, then what is missing, one call at a time.
 
-use rand::Rng;
-
 use super::apply;
 use super::log::Kept;
-use super::store::{self, BLOCK, Head, Known, Stored};
+use super::reader::{Pending, What, failed, retry, succeeded};
+use super::store::{self, BLOCK, Head, Stored};
 use super::{call_timeout, commit, history, watch};
 use crate::Node;
-use crate::effect::{Effect, Effects};
-use crate::id::{Edition, Op, Revision};
-use crate::log::{Code, Record};
+use crate::effect::Effects;
+use crate::id::{Edition, Revision};
 use crate::ops::Owner;
 use crate::platform::{Call, Outcome, Pair, Reply};
-use crate::time::{Instant, Span};
+use crate::time::Span;
 
 /// How long a VM waits for the platform's list and for peers' heartbeats before its first read.
 const FIRST_READ: Span = Span::from_millis(100);
@@ -23,138 +21,6 @@
 /// Time between two reads of a head that is not there, by a VM that does not watch it.
 const ABSENT_WAIT: Span = Span::from_secs(10);
 
-/// How often the wait after a useless read doubles at most.
-const MAX_DOUBLINGS: u32 = 16;
-
-/// What a call reads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum What {
-    /// The head.
-    Head,
-    /// The next part of a snapshot.
-    Part,
-    /// Edits after the edition in force.
-    Edits,
-    /// Edits before those kept in memory.
-    Older,
-}
-
-/// A call in progress.
-#[derive(Debug)]
-struct Pending {
-    /// The operation.
-    op: Op,
-    /// When it was sent.
-    sent: Instant,
-    /// What it reads.
-    what: What,
-}
-
-/// What is known of the platform's configuration, and what is to be read.
-#[derive(Debug, Default)]
-pub(crate) struct Reader {
-    /// The call in progress.
-    call: Option<Pending>,
-    /// The head as it was last read, written or seen by the watch.
-    known: Option<Known>,
-    /// When the head was last read.
-    read_at: Instant,
-    /// Whether the head is to be read.
-    wanted: bool,
-    /// The snapshot that is being read.
-    source: Option<Stored>,
-    /// Its parts so far.
-    bytes: Vec<u8>,
-    /// The number of its parts so far.
-    parts: u32,
-    /// The oldest edition whose edit is wanted in memory.
-    older: Option<Edition>,
-    /// The edition whose edit or snapshot was last rejected.
-    rejected: Option<Edition>,
-    /// No call before this time, after one has failed.
-    retry_at: Instant,
-    /// The delay after the next failure.
-    backoff: Span,
-    /// Whether the last call failed.
-    down: bool,
-    /// Reads in a row that were answered and brought nothing that can be used.
-    useless: u32,
-}
-
-impl Reader {
-    /// Whether it waits for an operation.
-    pub(crate) fn waits_for(&self, op: Op) -> bool {
-        self.call.as_ref().is_some_and(|pending| pending.op == op)
-    }
-
-    /// Whether the last call was answered.
-    pub(crate) fn reachable(&self) -> bool {
-        !self.down
-    }
-
-    /// The head as it was last known.
-    pub(crate) fn known(&self) -> Option<&Known> {
-        self.known.as_ref()
-    }
-
-    /// Whether a read of the head is due or in progress.
-    pub(crate) fn reads_head(&self) -> bool {
-        let reading = |pending: &Pending| pending.what == What::Head;
-        self.wanted || self.call.as_ref().is_some_and(reading)
-    }
-
-    /// Has the head read as soon as the platform may be called.
-    pub(crate) fn want_head(&mut self) {
-        self.wanted = true;
-    }
-
-    /// Has the platform called at once, whatever failed before: an operator waits.
-    pub(crate) fn hurry(&mut self) {
-        self.retry_at = Instant::default();
-    }
-
-    /// Has older edits read, down to the one that made an edition.
-    pub(crate) fn want_older(&mut self, edition: Edition) {
-        let lowest = self.older.map_or(edition, |wanted| wanted.min(edition));
-        self.older = Some(lowest.max(Edition(1)));
-    }
-
-    /// Whether older edits are being read.
-    pub(crate) fn reads_older(&self) -> bool {
-        self.older.is_some()
-    }
-
-    /// Takes a newer head in.
-    pub(crate) fn learn(&mut self, head: Head, revision: Revision, seen: Revision) {
-        let newer = self.known.as_ref().is_none_or(|known| seen >= known.seen);
-        if newer {
-            self.known = Some(Known {
-                head,
-                revision,
-                seen,
-            });
-        }
-    }
-
-    /// Notes that an edition was rejected; says whether that is new.
-    pub(crate) fn reject(&mut self, edition: Edition) -> bool {
-        self.rejected.replace(edition) != Some(edition)
-    }
-
-    /// A newer edition is in force.
-    pub(crate) fn progressed(&mut self) {
-        self.rejected = None;
-        self.useless = 0;
-    }
-
-    /// Gives up reading a snapshot.
-    fn drop_parts(&mut self) {
-        self.source = None;
-        self.parts = 0;
-        self.bytes = Vec::new();
-    }
-}
-
 /// Decides when the head is read without any other cause, and gives up calls that are not answered.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
     let lost = call_timeout(&node.settings.tuning);
@@ -201,7 +67,14 @@
     };
     let op = node.ops.call(Owner::Sync, call, out);
     let sent = node.now;
-    node.sync.reader.call = Some(Pending { op, sent, what });
+    let seen = node.sync.reader.seen();
+    let pending = Pending {
+        op,
+        sent,
+        what,
+        seen,
+    };
+    node.sync.reader.call = Some(pending);
 }
 
 /// What to read next.
@@ -262,7 +135,7 @@
     match outcome {
         Outcome::Done(reply) => {
             succeeded(node, out);
-            done(node, pending.what, reply, out);
+            done(node, &pending, reply, out);
         }
         Outcome::NotSent | Outcome::Unknown | Outcome::Conflict => {
             failed(node, out);
@@ -283,51 +156,21 @@
     }
 }
 
-/// A call was answered.
-pub(crate) fn succeeded(node: &mut Node, out: &mut Effects) {
-    let reader = &mut node.sync.reader;
-    reader.backoff = Span::ZERO;
-    if std::mem::take(&mut reader.down) {
-        out.push(Effect::Log(Record::new(
-            Code::PlatformBack,
-            "for=configuration",
-        )));
-    }
-}
-
-/// A call failed: the next one waits.
-pub(crate) fn failed(node: &mut Node, out: &mut Effects) {
-    wait(node);
-    if !std::mem::replace(&mut node.sync.reader.down, true) {
-        out.push(Effect::Log(Record::new(
-            Code::PlatformLost,
-            "for=configuration",
-        )));
-    }
-}
-
-/// Puts the next call off, longer each time, by a random share so that VMs do not call together.
-pub(crate) fn wait(node: &mut Node) {
-    let tuning = &node.settings.tuning;
-    let (least, most) = (tuning.platform_backoff_ms, tuning.platform_backoff_max_ms);
-    let (least, most) = (Span::from_millis(least), Span::from_millis(most));
-    let reader = &mut node.sync.reader;
-    reader.backoff = reader.backoff.times(2).clamp(least, most.max(least));
-    let half = reader.backoff.0 / 2;
-    reader.retry_at = node.now + Span(half + node.rng.random_range(0..=half));
-}
-
-fn done(node: &mut Node, what: What, reply: Reply, out: &mut Effects) {
-    match what {
-        What::Head => head_read(node, reply, out),
+fn done(node: &mut Node, pending: &Pending, reply: Reply, out: &mut Effects) {
+    match pending.what {
+        What::Head => head_read(node, pending, reply, out),
         What::Part => part_read(node, reply, out),
         What::Edits => edits_read(node, reply, out),
         What::Older => older_read(node, reply),
     }
 }
 
-fn head_read(node: &mut Node, reply: Reply, out: &mut Effects) {
+fn head_read(node: &mut Node, pending: &Pending, reply: Reply, out: &mut Effects) {
     node.sync.reader.read_at = node.now;
+    if reply.revision < pending.seen {
+        // The service went back, as after a restore. What was known of it says nothing any more.
+        node.sync.reader.known = None;
+    }
     match reply.pairs.into_iter().next() {
         Some(pair) => head_pair(node, &pair, reply.revision, out),
         None => node
@@ -350,17 +193,6 @@
     }
 }
 
-/// Reads everything again after a while, since what was read can't be used.
-fn retry(node: &mut Node) {
-    let tuning = &node.settings.tuning;
-    let (least, most) = (tuning.platform_backoff_ms, tuning.platform_backoff_max_ms);
-    let reader = &mut node.sync.reader;
-    reader.useless = (reader.useless + 1).min(MAX_DOUBLINGS);
-    let wait = Span::from_millis(least << (reader.useless - 1));
-    reader.retry_at = node.now + wait.min(Span::from_millis(most));
-    reader.want_head();
-}
-
 fn part_read(node: &mut Node, reply: Reply, out: &mut Effects) {
     let reader = &mut node.sync.reader;
     let Some(stored) = reader.source.clone() else {
--- a/crates/core/src/sync/snapshot.rs
+++ b/crates/core/src/sync/snapshot.rs
@@ -4,7 +4,7 @@
 //! head never names a snapshot that is not whole. A snapshot that its writer could not finish is never read.
 
 use super::store::{self, Digest, Head, PART_BYTES, Stored};
-use super::{apply, call_timeout, read};
+use super::{apply, call_timeout, reader};
 use crate::Node;
 use crate::effect::Effects;
 use crate::id::{Op, Revision};
@@ -16,6 +16,9 @@
 /// Failed calls after which a snapshot is given up; the next edit begins another.
 const MAX_FAILURES: u32 = 8;
 
+/// Parts of the snapshot before that one write deletes at most: the service bounds the length of a transaction.
+const MAX_DELETES: u32 = 100;
+
 /// A snapshot on its way.
 #[derive(Debug)]
 struct Job {
@@ -179,7 +182,7 @@
 
 fn parts(prefix: &str, stored: &Stored) -> Vec<String> {
     let key = |part| store::part_key(prefix, stored.edition, part);
-    (0..stored.parts).map(key).collect()
+    (0..stored.parts.min(MAX_DELETES)).map(key).collect()
 }
 
 /// The call in progress came back.
@@ -189,11 +192,11 @@
     };
     match (outcome, pending.head) {
         (Outcome::Done(reply), Some(head)) => {
-            read::succeeded(node, out);
+            reader::succeeded(node, out);
             named(node, head, reply.revision);
         }
         (Outcome::Done(_), None) => {
-            read::succeeded(node, out);
+            reader::succeeded(node, out);
             if let Some(job) = &mut node.sync.writer.job {
                 job.next += 1;
             }
--- a/crates/core/src/sync/watch.rs
+++ b/crates/core/src/sync/watch.rs
@@ -1,7 +1,6 @@
 //! A few VMs watch the head; which ones is decided by hashing over the live VMs.
 
-use super::read;
-use super::store;
+use super::{read, reader, store};
 use crate::Node;
 use crate::effect::Effects;
 use crate::id::{self, Op, Revision};
@@ -92,7 +91,7 @@
             let op = node.ops.call(Owner::Sync, call, out);
             node.sync.watch.op = Some(op);
         }
-        None if known.is_some() => node.sync.reader.want_head(),
+        None if known.is_some() || super::ready(node) => node.sync.reader.want_head(),
         // The first read waits for the platform's list.
         None => {}
     }
@@ -106,11 +105,11 @@
         Notice::Deleted(..) => node.sync.reader.want_head(),
         Notice::Compacted => {
             lost(node);
-            read::wait(node);
+            reader::wait(node);
         }
         Notice::Broken => {
             lost(node);
-            read::failed(node, out);
+            reader::failed(node, out);
         }
     }
 }
--- a/crates/core/tests/config_rebase.rs
+++ b/crates/core/tests/config_rebase.rs
@@ -1,4 +1,5 @@
 //! Edits against a naive version of their rules, and edits of two operators in both orders.
+#![allow(clippy::needless_pass_by_value)] // A property takes its values whole.
 
 #[path = "edits/random.rs"]
 mod random;
@@ -145,7 +146,7 @@
                 (Ok(new), Some(expected))
                     if unordered(new.clone()) == unordered(expected.clone()) =>
                 {
-                    at = new
+                    at = new;
                 }
                 (Err(_), None) => {}
                 _ => return false,
--- a/crates/core/tests/edits/random.rs
+++ b/crates/core/tests/edits/random.rs
@@ -35,7 +35,7 @@
 }
 
 fn service(number: usize) -> Service {
-    let model = number % 2 == 0;
+    let model = number.is_multiple_of(2);
     Service {
         name: format!("s{number}").parse().unwrap(),
         kind: if model {
@@ -61,7 +61,9 @@
         service: format!("s{service}").parse().unwrap(),
         zone: "east".parse().unwrap(),
         address: format!("b{number}:80"),
-        domain: (service % 2 == 0).then(|| format!("d{service}").parse().unwrap()),
+        domain: service
+            .is_multiple_of(2)
+            .then(|| format!("d{service}").parse().unwrap()),
         leaving: false,
     }
 }
--- a/crates/core/tests/sync_read.rs
+++ b/crates/core/tests/sync_read.rs
@@ -116,6 +116,24 @@
     assert_eq!(edition(&mut fleet, 0), 2);
 }
 
+#[test]
+fn restored_platform_is_not_built_on() {
+    let mut fleet = fleet(18, 2, 256);
+    edit_up_to(&mut fleet, 0, 3);
+    fleet.run_for(SEC);
+    let (pairs, revision) = (fleet.kv.pairs.clone(), fleet.kv.revision);
+    edit_up_to(&mut fleet, 0, 6);
+    fleet.run_for(SEC);
+    (fleet.kv.pairs, fleet.kv.revision) = (pairs, revision);
+    fleet.run_for(30 * SEC);
+    for vm in 0..2 {
+        let change = insert("on-sand");
+        let ticket = give(&mut fleet, vm, edit(&format!("late-{vm}"), 6, vec![change]));
+        assert_eq!(failed(&mut fleet, ticket), (Kind::PlatformDown, Ran::No));
+        assert_eq!(edition(&mut fleet, vm), 6);
+    }
+}
+
 #[test]
 fn head_gone_takes_nothing_back() {
     let mut fleet = fleet(7, 2, 256);
--- a/crates/core/tests/sync_spread.rs
+++ b/crates/core/tests/sync_spread.rs
@@ -311,7 +311,7 @@
     fn property(seed: u64, steps: Vec<u8>) -> bool {
         let mut fleet = fleet(seed, 4);
         (fleet.net.loss, fleet.net.twice, fleet.net.jitter) = (300, 200, 80 * MS);
-        let mut last = vec![(Incarnation(0), 0); 4];
+        let mut last = [(Incarnation(0), 0); 4];
         for (number, step) in steps.into_iter().take(40).enumerate() {
             let vm = usize::from(step) % 4;
             match step / 4 % 10 {
@@ -354,3 +354,18 @@
         .tests(30)
         .quickcheck(property as fn(u64, Vec<u8>) -> bool);
 }
+
+#[test]
+fn isolated_vm_watches_itself() {
+    let mut fleet = fleet(8, 5);
+    fleet.run_for(SEC);
+    fleet.kv_down(false);
+    fleet.restart(4, SEC);
+    fleet.run_for(10 * SEC);
+    assert_eq!(edition(&mut fleet, 4), 1);
+    fleet.kv_up();
+    fleet.run_for(10 * SEC);
+    fleet.partition(&[4]);
+    fleet.edit(0, vec![insert("r")]);
+    assert!(reach(&mut fleet, &[4], 2, 30 * SEC));
+}
