--- a/crates/core/src/claim/home.rs
+++ b/crates/core/src/claim/home.rs
@@ -22,6 +22,9 @@
 /// Times longer than a claim that an end may wait to be written, so that more fit into one write.
 const END_WAITS: u64 = 25;
 
+/// By how much the pause after a write grows at most, with the number of items written: a busy slot writes less often.
+const STRETCH: u64 = 4;
+
 /// Into how many parts the time for which keys are kept is divided; each part's segments share a lease.
 const LEASE_PARTS: u64 = 4;
 
@@ -254,7 +257,7 @@
         puts,
         deletes: Vec::new(),
     };
-    slot.not_before = now + pause;
+    slot.not_before = now + pause.times((batch.items.len() as u64).clamp(1, STRETCH));
     let op = call(node, number, txn, out);
     enter(node, number, Phase::Write(op, batch));
 }
--- a/crates/core/src/claim/slot.rs
+++ b/crates/core/src/claim/slot.rs
@@ -279,12 +279,14 @@
         said
     }
 
-    /// Claims of requests that certainly are in no log and can't get there now.
+    /// Claims of requests that certainly are in no log and can't get there now. Of a key that is in doubt nothing is
+    /// said.
     pub(super) fn deny(&mut self) -> Vec<Item> {
         let all = std::mem::take(&mut self.waiting);
-        let (denied, left) = all
-            .into_iter()
-            .partition(|item| item.step == Step::Take && !item.maybe);
+        let doubtful = all.iter().filter(|item| item.maybe);
+        let doubtful: FxHashSet<Key> = doubtful.map(|item| item.key).collect();
+        let certain = |item: &Item| item.step == Step::Take && !doubtful.contains(&item.key);
+        let (denied, left) = all.into_iter().partition(certain);
         self.waiting = left;
         Vec::from(denied)
     }
--- a/crates/core/tests/support/kv.rs
+++ b/crates/core/tests/support/kv.rs
@@ -127,6 +127,12 @@
         self.history.clear();
     }
 
+    /// Ends every lease, as if each had lapsed.
+    pub fn end_leases(&mut self) {
+        let leases: Vec<Lease> = self.leases.keys().copied().collect();
+        leases.into_iter().for_each(|lease| self.end_lease(lease));
+    }
+
     pub(crate) fn unwatch(&mut self, origin: Origin, op: Op) {
         self.watches
             .retain(|watch| watch.origin != origin || watch.op != op);
