--- /dev/null
+++ b/crates/ctl/src/file.rs
@@ -0,0 +1,86 @@
+//! Files: read, parsed, and every problem named with its line and column.
+
+use std::fmt;
+use std::io::Read;
+
+use dahliastile_core::config::{Document, Rule};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::error::{Error, Result};
+
+/// Something wrong in a file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Problem {
+    /// The line, from 1; zero where none can be named.
+    pub line: u64,
+    /// The column, from 1; zero where none can be named.
+    pub column: u64,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.line, self.column, self.message)
+    }
+}
+
+/// The name that stands for standard input.
+const STDIN: &str = "-";
+
+/// Reads a file.
+///
+/// # Errors
+/// When it can't be read.
+pub(crate) fn read(path: &str) -> Result<String> {
+    let mut text = String::new();
+    let read = match path {
+        STDIN => std::io::stdin().read_to_string(&mut text).map(|_| text),
+        path => std::fs::read_to_string(path),
+    };
+    read.map_err(|error| Error::Read {
+        path: path.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
+/// Reads a document.
+///
+/// # Errors
+/// When the file can't be read or is wrong.
+pub(crate) fn document(path: &str) -> Result<Document> {
+    parse(path, &read(path)?)
+}
+
+/// Reads one rule, a list of rules, or the rules of a document.
+///
+/// # Errors
+/// When the file can't be read or is wrong.
+pub(crate) fn rules(path: &str) -> Result<Vec<Rule>> {
+    let text = read(path)?;
+    match parse::<Value>(path, &text)? {
+        Value::Object(fields) if fields.contains_key("rules") => {
+            parse::<Document>(path, &text).map(|document| document.rules)
+        }
+        Value::Object(_) => parse(path, &text).map(|rule| vec![rule]),
+        _ => parse(path, &text),
+    }
+}
+
+fn parse<T: DeserializeOwned>(path: &str, text: &str) -> Result<T> {
+    serde_saphyr::from_str(text).map_err(|error| Error::File {
+        path: path.to_owned(),
+        problems: vec![problem(&error)],
+    })
+}
+
+fn problem(error: &serde_saphyr::Error) -> Problem {
+    let place = error.location();
+    Problem {
+        line: place.map_or(0, |place| place.line()),
+        column: place.map_or(0, |place| place.column()),
+        message: error.without_snippet().to_string(),
+    }
+}
