Operators' tool: commands over HTTP, checks with line and column, edits cut to size

Operators need one tool that reads, tests and edits the configuration. Edits carry the edition they were made on and a random id, and are sent again under the same id when an answer is lost. Rules lists are turned into the smallest script of changes, so that edits of others to other rules stay; a whole SetRules was ruled out where the base is at hand, since it clashes with every other edit of rules. Builds; not yet run against a daemon.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -41,9 +41,25 @@
     let gone_adapters = gone(adapters, |row| &row.name);
     let gone_servers = gone(servers, |row| row.name.as_str());
     let gone_services = gone(services, |row| row.name.as_str());
-    all.extend(gone_callers.iter().map(|row| Change::RemoveCaller(row.name.clone())));
-    all.extend(gone_adapters.iter().map(|row| Change::RemoveAdapter(row.name.clone())));
-    all.extend(gone_servers.iter().map(|row| Change::RemoveServer(row.name.clone())));
-    all.extend(gone_services.iter().map(|row| Change::RemoveService(row.name.clone())));
+    all.extend(
+        gone_callers
+            .iter()
+            .map(|row| Change::RemoveCaller(row.name.clone())),
+    );
+    all.extend(
+        gone_adapters
+            .iter()
+            .map(|row| Change::RemoveAdapter(row.name.clone())),
+    );
+    all.extend(
+        gone_servers
+            .iter()
+            .map(|row| Change::RemoveServer(row.name.clone())),
+    );
+    all.extend(
+        gone_services
+            .iter()
+            .map(|row| Change::RemoveService(row.name.clone())),
+    );
     all
 }
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -42,11 +42,7 @@
     )]
     pub token: Option<String>,
     /// Who makes the edits.
-    #[options(
-        no_short,
-        help = "your name in the history [USER]",
-        meta = "NAME"
-    )]
+    #[options(no_short, help = "your name in the history [USER]", meta = "NAME")]
     pub author: Option<String>,
     /// How long to go on trying.
     #[options(
@@ -144,7 +140,10 @@
     #[options(help = "print this help")]
     pub help: bool,
     /// Whether to stay up.
-    #[options(no_short, help = "stay up afterwards and print curl lines; ends with ctrl-c")]
+    #[options(
+        no_short,
+        help = "stay up afterwards and print curl lines; ends with ctrl-c"
+    )]
     pub hold: bool,
     /// Whether to show the log.
     #[options(no_short, help = "print the VMs' numbered events on standard error")]
@@ -216,7 +215,7 @@
     pub help: bool,
     /// The rule.
     #[options(free, required, help = "the rule's name")]
-    pub name: String,
+    pub rule: String,
     /// The edition it was made on.
     #[options(no_short, help = "the edition that the edit was made on", meta = "N")]
     pub base: Option<u64>,
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use dahliastile_core::config::{Document, Edit};
-use dahliastile_core::error::{Answer, Kind};
+use dahliastile_core::error::{Answer, Kind, Ran};
 use dahliastile_core::id::Edition;
 use dahliastile_core::operator::{Command, Entry, Reply, Status};
+use serde::Deserialize;
 
 use crate::error::{Error, Result};
 use crate::progress::Progress;
@@ -19,7 +20,7 @@
 
 /// What an accepted edit made.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Accepted {
+pub(crate) struct Accepted {
     /// The edition.
     pub edition: Edition,
     /// What the operator may want to look at.
@@ -28,7 +29,7 @@
 
 /// Talks to the daemons.
 #[derive(Clone, Debug)]
-pub struct Client {
+pub(crate) struct Client {
     /// The operators' listeners, in the order in which they are tried.
     servers: Vec<String>,
     /// The operators' token.
@@ -47,32 +48,67 @@
     Final(Error),
 }
 
+/// What a daemon answers: the node's reply, or the listener's refusal.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Body {
+    /// From the node.
+    Reply(Box<Reply>),
+    /// From the listener.
+    Refusal {
+        /// The refusal.
+        error: Refusal,
+    },
+}
+
+/// A refusal as callers and operators get it.
+#[derive(Deserialize)]
+struct Refusal {
+    /// Its kind.
+    kind: Kind,
+    /// Whether the command ran.
+    ran: Ran,
+    /// One sentence.
+    message: String,
+}
+
+impl From<Refusal> for Answer {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            kind: refusal.kind,
+            ran: refusal.ran,
+            retry_after: None,
+            detail: refusal.message,
+        }
+    }
+}
+
 impl Client {
     /// A client of these listeners, separated by commas.
     ///
     /// # Errors
     /// When none is named.
-    pub fn new(servers: &str, token: &str, patience: Duration) -> Result<Self> {
+    pub(crate) fn new(servers: &str, token: &str, patience: Duration) -> Result<Self> {
         let named = servers.split(',').map(str::trim);
         let servers: Vec<String> = named
             .filter(|server| !server.is_empty())
             .map(str::to_owned)
             .collect();
-        match servers.is_empty() {
-            true => Err(Error::Usage(
+        if servers.is_empty() {
+            return Err(Error::Usage(
                 "no daemon is named: give --server or set DAHLIACTL_SERVER".to_owned(),
-            )),
-            false => Ok(Self {
-                servers,
-                token: token.to_owned(),
-                patience,
-            }),
+            ));
         }
+        Ok(Self {
+            servers,
+            token: token.to_owned(),
+            patience,
+        })
     }
 
     /// How long to go on trying.
     #[must_use]
-    pub fn patience(&self) -> Duration {
+    pub(crate) fn patience(&self) -> Duration {
         self.patience
     }
 
@@ -80,7 +116,7 @@
     ///
     /// # Errors
     /// When no daemon shows it.
-    pub fn show(&self) -> Result<(Edition, Document)> {
+    pub(crate) fn show(&self) -> Result<(Edition, Document)> {
         match self.ask(&Command::Show)? {
             Reply::Show { edition, document } => Ok((edition, *document)),
             other => Err(self.strange(&other)),
@@ -91,7 +127,7 @@
     ///
     /// # Errors
     /// When no daemon shows them.
-    pub fn history(&self, limit: u32) -> Result<Vec<Entry>> {
+    pub(crate) fn history(&self, limit: u32) -> Result<Vec<Entry>> {
         match self.ask(&Command::History { limit })? {
             Reply::History(entries) => Ok(entries),
             other => Err(self.strange(&other)),
@@ -102,7 +138,7 @@
     ///
     /// # Errors
     /// When no daemon shows it.
-    pub fn status(&self) -> Result<Status> {
+    pub(crate) fn status(&self) -> Result<Status> {
         match self.ask(&Command::Status)? {
             Reply::Status(status) => Ok(*status),
             other => Err(self.strange(&other)),
@@ -113,7 +149,7 @@
     ///
     /// # Errors
     /// When none carries the command out; the last one's reason.
-    pub fn ask(&self, command: &Command) -> Result<Reply> {
+    pub(crate) fn ask(&self, command: &Command) -> Result<Reply> {
         let mut last = Error::Unreachable("no daemon is named".to_owned());
         for server in &self.servers {
             match self.call(server, command) {
@@ -131,7 +167,7 @@
     ///
     /// # Errors
     /// When it is refused or clashes, or when it is still not known whether it was accepted.
-    pub fn edit(&self, edit: &Edit, progress: &mut Progress) -> Result<Accepted> {
+    pub(crate) fn edit(&self, edit: &Edit, progress: &mut Progress) -> Result<Accepted> {
         let command = Command::Edit(edit.clone());
         let started = Instant::now();
         let mut pause = FIRST_PAUSE;
@@ -159,7 +195,10 @@
                     });
                 }
             }
-            progress.say(&format!("edit {}: no answer yet, sending it again", edit.id));
+            progress.say(&format!(
+                "edit {}: no answer yet, sending it again",
+                edit.id
+            ));
             std::thread::sleep(pause);
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
@@ -189,10 +228,13 @@
                 reason,
             })
         };
-        match (answer.status_code, serde_json::from_slice(answer.as_bytes())) {
-            (401 | 403, _) => Err(Lost::Final(Error::Denied(server.to_owned()))),
-            (_, Ok(Reply::Failed(failed))) => Err(refused(failed)),
-            (_, Ok(reply)) => Ok(reply),
+        match (
+            answer.status_code,
+            serde_json::from_slice(answer.as_bytes()),
+        ) {
+            (401, _) => Err(Lost::Final(Error::Denied(server.to_owned()))),
+            (_, Ok(Body::Reply(reply))) => replied(*reply),
+            (_, Ok(Body::Refusal { error })) => Err(refused(error.into())),
             (status, Err(error)) => Err(strange(format!("status {status}, {error}"))),
         }
     }
@@ -208,6 +250,13 @@
     }
 }
 
+fn replied(reply: Reply) -> std::result::Result<Reply, Lost> {
+    match reply {
+        Reply::Failed(answer) => Err(refused(answer)),
+        reply => Ok(reply),
+    }
+}
+
 /// What a failed call means. Only a connection that was refused certainly left no trace.
 fn lost(server: &str, error: &minreq::Error) -> Lost {
     let reason = format!("{server}: {error}");
--- a/crates/ctl/src/diff.rs
+++ b/crates/ctl/src/diff.rs
@@ -2,16 +2,21 @@
 
 use std::collections::HashMap;
 
-use dahliastile_core::config::{Change, Place, Rule};
+use dahliastile_core::config::{self, Change, Document, Edit, Place, Rule};
+use dahliastile_core::id::Edition;
 
 /// The changes that make `old` into `new`. Rules that keep their order are not touched, so that edits of other
 /// operators to other rules can stand beside these.
 #[must_use]
 pub fn script(old: &[Rule], new: &[Rule]) -> Vec<Change> {
-    let places: HashMap<&str, usize> = old.iter().zip(0..).map(|(r, i)| (r.name.as_str(), i)).collect();
+    let there: HashMap<&str, usize> = old
+        .iter()
+        .zip(0..)
+        .map(|(r, i)| (r.name.as_str(), i))
+        .collect();
     let found: Vec<Option<usize>> = new
         .iter()
-        .map(|rule| places.get(rule.name.as_str()).copied())
+        .map(|rule| there.get(rule.name.as_str()).copied())
         .collect();
     let kept = longest_rising(&found);
     let mut changes = Vec::new();
@@ -69,45 +74,27 @@
 ///
 /// # Errors
 /// When a change names a rule that is not there, or adds one that is.
-pub fn patched(mut rules: Vec<Rule>, changes: &[Change]) -> Result<Vec<Rule>, String> {
-    for change in changes {
-        match change {
-            Change::InsertRule { rule, .. } if find(&rules, rule.name.as_str()).is_ok() => {
-                return Err(format!("rule {} is there already", rule.name));
-            }
-            Change::InsertRule { rule, place } => put(&mut rules, rule.clone(), place)?,
-            Change::MoveRule { name, place } => {
-                let at = find(&rules, name.as_str())?;
-                let rule = rules.remove(at);
-                put(&mut rules, rule, place)?;
-            }
-            Change::ReplaceRule { rule } => {
-                let at = find(&rules, rule.name.as_str())?;
-                rules[at] = rule.clone();
-            }
-            Change::RemoveRule { name } => {
-                let at = find(&rules, name.as_str())?;
-                rules.remove(at);
-            }
-            Change::SetRules { rules: whole } => rules.clone_from(whole),
-            _ => {}
-        }
-    }
-    Ok(rules)
-}
-
-fn find(rules: &[Rule], name: &str) -> Result<usize, String> {
-    let at = rules.iter().position(|rule| rule.name.as_str() == name);
-    at.ok_or_else(|| format!("rule {name} is not there"))
-}
-
-fn put(rules: &mut Vec<Rule>, rule: Rule, place: &Place) -> Result<(), String> {
-    let at = match place {
-        Place::First => 0,
-        Place::Last => rules.len(),
-        Place::Before(name) => find(rules, name.as_str())?,
-        Place::After(name) => find(rules, name.as_str())? + 1,
+pub fn patched(rules: Vec<Rule>, changes: &[Change]) -> Result<Vec<Rule>, String> {
+    let on_rules = |change: &&Change| {
+        matches!(
+            change,
+            Change::InsertRule { .. }
+                | Change::MoveRule { .. }
+                | Change::ReplaceRule { .. }
+                | Change::RemoveRule { .. }
+                | Change::SetRules { .. }
+        )
+    };
+    let document = Document {
+        rules,
+        ..Document::default()
+    };
+    let edit = Edit {
+        id: String::new(),
+        author: String::new(),
+        base: Edition(0),
+        changes: changes.iter().filter(on_rules).cloned().collect(),
     };
-    rules.insert(at, rule);
-    Ok(())
+    let after = config::apply(&document, &edit).map_err(|problem| problem.message)?;
+    Ok(after.rules)
 }
--- a/crates/ctl/src/edit.rs
+++ b/crates/ctl/src/edit.rs
@@ -14,7 +14,7 @@
 
 /// A new edit with a random id.
 #[must_use]
-pub fn new(author: &str, base: Edition, changes: Vec<Change>) -> Edit {
+pub(crate) fn new(author: &str, base: Edition, changes: Vec<Change>) -> Edit {
     Edit {
         id: format!("{:016x}", rand::random::<u64>()),
         author: author.to_owned(),
@@ -55,7 +55,7 @@
 ///
 /// # Errors
 /// When an edit is not accepted; those before it stay in force.
-pub fn send(
+pub(crate) fn send(
     client: &Client,
     author: &str,
     base: Edition,
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -125,7 +125,8 @@
     /// The failure for programs.
     #[must_use]
     pub fn json(&self) -> Value {
-        let mut body = json!({"exit": self.code(), "message": self.to_string(), "next": self.advice()});
+        let mut body =
+            json!({"exit": self.code(), "message": self.to_string(), "next": self.advice()});
         match self {
             Self::File { problems, .. } => body["problems"] = json!(problems),
             Self::Clash(clash) => body["clash"] = json!(clash),
--- a/crates/ctl/src/file.rs
+++ b/crates/ctl/src/file.rs
@@ -1,13 +1,12 @@
-//! Files: read, parsed, and every problem named with its line and column.
+//! Files and what is wrong in them.
 
 use std::fmt;
 use std::io::Read;
 
 use dahliastile_core::config::{Document, Rule};
-use serde::de::DeserializeOwned;
 use serde::Serialize;
-use serde_json::Value;
 
+use crate::check;
 use crate::error::{Error, Result};
 
 /// Something wrong in a file.
@@ -51,7 +50,7 @@
 /// # Errors
 /// When the file can't be read or is wrong.
 pub(crate) fn document(path: &str) -> Result<Document> {
-    parse(path, &read(path)?)
+    check::document(path, &read(path)?)
 }
 
 /// Reads one rule, a list of rules, or the rules of a document.
@@ -59,28 +58,5 @@
 /// # Errors
 /// When the file can't be read or is wrong.
 pub(crate) fn rules(path: &str) -> Result<Vec<Rule>> {
-    let text = read(path)?;
-    match parse::<Value>(path, &text)? {
-        Value::Object(fields) if fields.contains_key("rules") => {
-            parse::<Document>(path, &text).map(|document| document.rules)
-        }
-        Value::Object(_) => parse(path, &text).map(|rule| vec![rule]),
-        _ => parse(path, &text),
-    }
-}
-
-fn parse<T: DeserializeOwned>(path: &str, text: &str) -> Result<T> {
-    serde_saphyr::from_str(text).map_err(|error| Error::File {
-        path: path.to_owned(),
-        problems: vec![problem(&error)],
-    })
-}
-
-fn problem(error: &serde_saphyr::Error) -> Problem {
-    let place = error.location();
-    Problem {
-        line: place.map_or(0, |place| place.line()),
-        column: place.map_or(0, |place| place.column()),
-        message: error.without_snippet().to_string(),
-    }
+    check::rules(path, &read(path)?)
 }
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -24,9 +24,10 @@
     /// The form that is asked for.
     #[must_use]
     pub fn print(&self, json: bool) -> String {
-        match json {
-            true => format!("{:#}", self.json),
-            false => self.text.clone(),
+        if json {
+            format!("{:#}", self.json)
+        } else {
+            self.text.clone()
         }
     }
 }
--- a/crates/ctl/src/progress.rs
+++ b/crates/ctl/src/progress.rs
@@ -7,7 +7,7 @@
 
 /// Says what is waited for, without saying the same over and over.
 #[derive(Debug)]
-pub struct Progress {
+pub(crate) struct Progress {
     /// Whether anything is printed.
     loud: bool,
     /// The last line and when it was printed.
@@ -17,12 +17,12 @@
 impl Progress {
     /// Progress that prints, or that keeps silent.
     #[must_use]
-    pub fn new(loud: bool) -> Self {
+    pub(crate) fn new(loud: bool) -> Self {
         Self { loud, last: None }
     }
 
     /// Says what is going on.
-    pub fn say(&mut self, line: &str) {
+    pub(crate) fn say(&mut self, line: &str) {
         let said = self.last.as_ref();
         let fresh = said.is_none_or(|(at, text)| text != line || at.elapsed() >= REPEAT);
         if fresh && self.loud {
--- a/crates/ctl/src/render.rs
+++ b/crates/ctl/src/render.rs
@@ -9,7 +9,7 @@
 
 /// A table whose columns are as wide as their widest cell.
 #[must_use]
-pub fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+pub(crate) fn table(head: &[&str], rows: &[Vec<String>]) -> String {
     let width = |column: usize| {
         let cells = rows.iter().filter_map(|row| row.get(column));
         let widest = cells.map(|cell| cell.chars().count()).max();
@@ -18,21 +18,34 @@
     let widths: Vec<usize> = (0..head.len()).map(width).collect();
     let line = |cells: &mut dyn Iterator<Item = &str>| {
         let cells = cells.zip(&widths);
-        let padded: Vec<String> = cells.map(|(cell, width)| format!("{cell:width$}")).collect();
+        let padded: Vec<String> = cells
+            .map(|(cell, width)| format!("{cell:width$}"))
+            .collect();
         padded.join("  ").trim_end().to_owned()
     };
     let mut lines = vec![line(&mut head.iter().copied())];
-    lines.extend(rows.iter().map(|row| line(&mut row.iter().map(String::as_str))));
+    lines.extend(
+        rows.iter()
+            .map(|row| line(&mut row.iter().map(String::as_str))),
+    );
     lines.join("\n")
 }
 
 /// A rule in one line.
 #[must_use]
-pub fn rule(rule: &Rule) -> String {
+pub(crate) fn rule(rule: &Rule) -> String {
     let when = fields(serde_json::to_value(&rule.when).unwrap_or_default());
     let then = fields(serde_json::to_value(&rule.then).unwrap_or_default());
-    let when = if when.is_empty() { "always".to_owned() } else { format!("when {when}") };
-    let then = if then.is_empty() { "nothing special".to_owned() } else { then };
+    let when = if when.is_empty() {
+        "always".to_owned()
+    } else {
+        format!("when {when}")
+    };
+    let then = if then.is_empty() {
+        "nothing special".to_owned()
+    } else {
+        then
+    };
     format!("{}: {when} then {then}", rule.name)
 }
 
@@ -54,27 +67,30 @@
         other => other.to_string(),
     };
     let set = fields.iter().filter(|(_, value)| !value.is_null());
-    let set: Vec<String> = set.map(|(name, value)| format!("{name}={}", text(value))).collect();
+    let set: Vec<String> = set
+        .map(|(name, value)| format!("{name}={}", text(value)))
+        .collect();
     set.join(" ")
 }
 
 /// The rules in order, numbered.
 #[must_use]
-pub fn rules(list: &[Rule]) -> String {
+pub(crate) fn rules(list: &[Rule]) -> String {
     let lines: Vec<String> = list
         .iter()
         .zip(1..)
         .map(|(row, number)| format!("{number:>4}  {}", rule(row)))
         .collect();
-    match lines.is_empty() {
-        true => "no rules: the services' settings decide".to_owned(),
-        false => lines.join("\n"),
+    if lines.is_empty() {
+        "no rules: the services' settings decide".to_owned()
+    } else {
+        lines.join("\n")
     }
 }
 
 /// One change in one line; a replaced rule with what it was, where that is given.
 #[must_use]
-pub fn change(change: &Change, old: &[Rule]) -> String {
+pub(crate) fn change(change: &Change, old: &[Rule]) -> String {
     match change {
         Change::InsertRule { rule: new, place } => format!("+ {}  ({})", rule(new), at(place)),
         Change::MoveRule { name, place } => format!("> {name}  ({})", at(place)),
@@ -110,11 +126,12 @@
 
 /// Changes, one a line.
 #[must_use]
-pub fn changes(list: &[Change], old: &[Rule]) -> String {
+pub(crate) fn changes(list: &[Change], old: &[Rule]) -> String {
     let lines: Vec<String> = list.iter().map(|row| change(row, old)).collect();
-    match lines.is_empty() {
-        true => "no difference".to_owned(),
-        false => lines.join("\n"),
+    if lines.is_empty() {
+        "no difference".to_owned()
+    } else {
+        lines.join("\n")
     }
 }
 
@@ -140,41 +157,58 @@
 
 /// Edits, newest first.
 #[must_use]
-pub fn history(entries: &[Entry]) -> String {
+pub(crate) fn history(entries: &[Entry]) -> String {
     let entry = |entry: &Entry| {
         let edit = &entry.edit;
-        let head = format!("edition {}  by {}  (id {})", entry.edition.0, edit.author, edit.id);
-        let lines = edit.changes.iter().map(|row| format!("    {}", change(row, &[])));
-        [head].into_iter().chain(lines).collect::<Vec<_>>().join("\n")
+        let head = format!(
+            "edition {}  by {}  (id {})",
+            entry.edition.0, edit.author, edit.id
+        );
+        let lines = edit
+            .changes
+            .iter()
+            .map(|row| format!("    {}", change(row, &[])));
+        [head]
+            .into_iter()
+            .chain(lines)
+            .collect::<Vec<_>>()
+            .join("\n")
     };
     let entries: Vec<String> = entries.iter().map(entry).collect();
-    match entries.is_empty() {
-        true => "no edits yet".to_owned(),
-        false => entries.join("\n"),
+    if entries.is_empty() {
+        "no edits yet".to_owned()
+    } else {
+        entries.join("\n")
     }
 }
 
 /// Which rule decides, and why.
 #[must_use]
-pub fn decided(decided: &Decided) -> String {
+pub(crate) fn decided(decided: &Decided) -> String {
     let head = match (&decided.rule, decided.position) {
         (Some(found), Some(position)) => format!("rule {position} decides\n  {}", rule(found)),
         (Some(found), None) => format!("this rule decides\n  {}", rule(found)),
         (None, _) => "no rule decides: the service's settings do".to_owned(),
     };
     let reasons = decided.reasons.iter().map(|reason| format!("  {reason}"));
-    let warnings = decided.warnings.iter().map(|text| format!("warning: {text}"));
+    let warnings = decided
+        .warnings
+        .iter()
+        .map(|text| format!("warning: {text}"));
     let lines = [head].into_iter().chain(reasons).chain(warnings);
     lines.collect::<Vec<_>>().join("\n")
 }
 
 /// What was done with a request.
 #[must_use]
-pub fn trail(trail: &Trail) -> String {
+pub(crate) fn trail(trail: &Trail) -> String {
     let rule = trail.rule.as_deref().unwrap_or("none");
     let mut lines = vec![
         format!("request {}", trail.request),
-        format!("  asked for {} by {}, rule: {rule}", trail.target, trail.caller),
+        format!(
+            "  asked for {} by {}, rule: {rule}",
+            trail.target, trail.caller
+        ),
     ];
     lines.extend(trail.steps.iter().map(|step| format!("  {step}")));
     lines.push(format!("  {}", trail.outcome));
@@ -183,18 +217,28 @@
 
 /// The state of the fleet.
 #[must_use]
-pub fn status(status: &Status) -> String {
+pub(crate) fn status(status: &Status) -> String {
     let yes = |value: bool, yes: &'static str, no: &'static str| if value { yes } else { no };
     let vms: Vec<Vec<String>> = status
         .vms
         .iter()
-        .map(|vm| vec![vm.vm.to_string(), vm.zone.to_string(), vm.state.clone(), vm.edition.0.to_string()])
+        .map(|vm| {
+            vec![
+                vm.vm.to_string(),
+                vm.zone.to_string(),
+                vm.state.clone(),
+                vm.edition.0.to_string(),
+            ]
+        })
         .collect();
     let domains: Vec<Vec<String>> = status
         .domains
         .iter()
         .map(|row| {
-            let holder = row.holder.as_ref().map_or("nobody".to_owned(), ToString::to_string);
+            let holder = row
+                .holder
+                .as_ref()
+                .map_or("nobody".to_owned(), ToString::to_string);
             vec![row.domain.to_string(), holder, row.fence.0.to_string()]
         })
         .collect();
@@ -218,13 +262,20 @@
             status.vm,
             yes(status.ready, "ready", "not ready"),
             status.edition.0,
-            yes(status.everywhere, "in force everywhere", "not yet everywhere"),
+            yes(
+                status.everywhere,
+                "in force everywhere",
+                "not yet everywhere"
+            ),
             yes(status.platform, "answers", "does not answer"),
             status.in_progress,
         ),
         table(&["VM", "zone", "state", "edition"], &vms),
         table(&["domain", "holder", "fence"], &domains),
-        table(&["server", "state", "running", "waiting", "resident"], &servers),
+        table(
+            &["server", "state", "running", "waiting", "resident"],
+            &servers,
+        ),
     ]
     .join("\n\n")
 }
--- a/crates/ctl/src/revert.rs
+++ b/crates/ctl/src/revert.rs
@@ -23,7 +23,11 @@
     let from = match earlier.iter().position(sets) {
         Some(from) => &earlier[..=from],
         None if edition == Edition(1) => &[],
-        None => return Err(missing("the rules before it can't be told from the edits kept")),
+        None => {
+            return Err(missing(
+                "the rules before it can't be told from the edits kept",
+            ));
+        }
     };
     let replay = |rules: Vec<Rule>, entry: &Entry| {
         patched(rules, &entry.edit.changes).map_err(|reason| missing(&reason))
@@ -52,11 +56,13 @@
                 (theirs, yours) if theirs == yours => Change::RemoveRule { name },
                 (theirs, _) => return Err(clash(edition, None, theirs)),
             },
-            Change::ReplaceRule { rule } => match (present(rule.name.as_str()), then(rule.name.as_str())) {
-                (Some(theirs), _) if *theirs == rule => continue,
-                (theirs, yours) if theirs == yours => Change::ReplaceRule { rule },
-                (theirs, _) => return Err(clash(edition, Some(&rule), theirs)),
-            },
+            Change::ReplaceRule { rule } => {
+                match (present(rule.name.as_str()), then(rule.name.as_str())) {
+                    (Some(theirs), _) if *theirs == rule => continue,
+                    (theirs, yours) if theirs == yours => Change::ReplaceRule { rule },
+                    (theirs, _) => return Err(clash(edition, Some(&rule), theirs)),
+                }
+            }
             Change::InsertRule { rule, .. } => match present(rule.name.as_str()) {
                 Some(theirs) if *theirs == rule => continue,
                 None => Change::InsertRule {
--- a/crates/ctl/src/rules.rs
+++ b/crates/ctl/src/rules.rs
@@ -22,7 +22,7 @@
 pub(crate) fn run(session: &mut Session, command: &RulesCommand) -> Result<Output> {
     match command {
         RulesCommand::List(_) => list(session),
-        RulesCommand::Get(named) => get(session, &named.name),
+        RulesCommand::Get(named) => get(session, &named.rule),
         RulesCommand::Insert(options) => insert(session, options),
         RulesCommand::Move(options) => shift(session, options),
         RulesCommand::Replace(options) => {
@@ -31,7 +31,7 @@
             send(session, options.base, changes.collect())
         }
         RulesCommand::Remove(named) => {
-            let name = parse(&named.name)?;
+            let name = parse(&named.rule)?;
             send(session, named.base, vec![Change::RemoveRule { name }])
         }
         RulesCommand::Apply(options) => apply(session, &options.file, options.base),
@@ -48,12 +48,18 @@
 fn list(session: &Session) -> Result<Output> {
     let (edition, document) = session.client.show()?;
     let text = format!("edition {}\n{}", edition.0, render::rules(&document.rules));
-    Ok(Output::new(text, &json!({"edition": edition, "rules": document.rules})))
+    Ok(Output::new(
+        text,
+        &json!({"edition": edition, "rules": document.rules}),
+    ))
 }
 
 fn get(session: &Session, name: &str) -> Result<Output> {
     let (_, document) = session.client.show()?;
-    let found = document.rules.iter().find(|rule| rule.name.as_str() == name);
+    let found = document
+        .rules
+        .iter()
+        .find(|rule| rule.name.as_str() == name);
     let rule = found.ok_or_else(|| Error::Missing(format!("there is no rule {name}")))?;
     let text = serde_saphyr::to_string(rule).map_err(|error| Error::Usage(error.to_string()))?;
     Ok(Output::new(text.trim_end(), rule))
@@ -75,7 +81,11 @@
     let (before, after) = (options.before.as_deref(), options.after.as_deref());
     let place = place(before, after, options.first, options.last)?;
     let name = parse(&options.name)?;
-    send(session, options.base, vec![Change::MoveRule { name, place }])
+    send(
+        session,
+        options.base,
+        vec![Change::MoveRule { name, place }],
+    )
 }
 
 fn apply(session: &mut Session, path: &str, base: Option<u64>) -> Result<Output> {
@@ -83,7 +93,9 @@
     let (edition, document) = session.client.show()?;
     match base {
         // The list as it was is not at hand, so the daemon merges the whole list.
-        Some(base) if base != edition.0 => send(session, Some(base), vec![Change::SetRules { rules }]),
+        Some(base) if base != edition.0 => {
+            send(session, Some(base), vec![Change::SetRules { rules }])
+        }
         _ => send(session, Some(edition.0), script(&document.rules, &rules)),
     }
 }
@@ -93,7 +105,10 @@
     let (edition, document) = session.client.show()?;
     let changes = script(&document.rules, &rules);
     let text = render::changes(&changes, &document.rules);
-    Ok(Output::new(text, &json!({"edition": edition, "changes": changes})))
+    Ok(Output::new(
+        text,
+        &json!({"edition": edition, "changes": changes}),
+    ))
 }
 
 fn test(session: &Session, words: &[String]) -> Result<Output> {
@@ -126,13 +141,21 @@
 /// What is printed of an accepted edit.
 pub(crate) fn accepted_output(accepted: Option<Accepted>) -> Output {
     let Some(accepted) = accepted else {
-        return Output::new("nothing to change", &json!({"edition": null, "warnings": []}));
+        return Output::new(
+            "nothing to change",
+            &json!({"edition": null, "warnings": []}),
+        );
     };
     let mut lines = vec![format!(
         "accepted as edition {}; `dahliactl status --wait` returns when it is in force everywhere",
         accepted.edition.0
     )];
-    lines.extend(accepted.warnings.iter().map(|text| format!("warning: {text}")));
+    lines.extend(
+        accepted
+            .warnings
+            .iter()
+            .map(|text| format!("warning: {text}")),
+    );
     let body = json!({"edition": accepted.edition, "warnings": accepted.warnings});
     Output::new(lines.join("\n"), &body)
 }
@@ -141,7 +164,7 @@
 ///
 /// # Errors
 /// When a word is not understood, or the caller or the target is not given.
-pub fn call(words: &[String]) -> Result<Call> {
+pub(crate) fn call(words: &[String]) -> Result<Call> {
     let (mut caller, mut target, mut zone) = (None, None, None);
     let mut headers = Vec::new();
     for word in words {
@@ -178,4 +201,3 @@
         "{word:?} is not one of caller=, model=, service=, zone=, header.NAME="
     ))
 }
-
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -17,7 +17,7 @@
 
 /// What the commands that talk to daemons need.
 #[derive(Debug)]
-pub struct Session {
+pub(crate) struct Session {
     /// The way to the daemons.
     pub(crate) client: Client,
     /// Who makes the edits.
@@ -66,7 +66,11 @@
         let author = given(&args.author, "USER");
         Ok(Self {
             client: Client::new(&servers, &token, args.patience())?,
-            author: if author.is_empty() { "unknown".to_owned() } else { author },
+            author: if author.is_empty() {
+                "unknown".to_owned()
+            } else {
+                author
+            },
             progress: Progress::new(true),
         })
     }
@@ -108,7 +112,10 @@
         let changes = apply::changes(&document, &wanted, options.prune);
         if options.dry_run {
             let text = render::changes(&changes, &document.rules);
-            return Ok(Output::new(text, &json!({"edition": edition, "changes": changes})));
+            return Ok(Output::new(
+                text,
+                &json!({"edition": edition, "changes": changes}),
+            ));
         }
         let (client, author) = (&self.client, &self.author);
         let accepted = edit::send(client, author, edition, changes, &mut self.progress)?;
