An answer that can't be read leaves an edit in doubt

minreq turns a connection that ends without an answer into one of status 503, which was taken for a refusal; the edit was then given up as not accepted.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -43,7 +43,7 @@
     /// The call certainly had no effect here: another daemon may be asked.
     Nothing(Error),
     /// The call may have had an effect.
-    Unknown(String),
+    Unknown(Error),
     /// No other daemon would answer differently.
     Final(Error),
 }
@@ -155,8 +155,7 @@
             match self.call(server, command) {
                 Ok(reply) => return Ok(reply),
                 Err(Lost::Final(error)) => return Err(error),
-                Err(Lost::Nothing(error)) => last = error,
-                Err(Lost::Unknown(reason)) => last = Error::Unreachable(reason),
+                Err(Lost::Nothing(error) | Lost::Unknown(error)) => last = error,
             }
         }
         Err(last)
@@ -176,7 +175,7 @@
             for server in &self.servers {
                 match self.call(server, &command) {
                     Ok(reply) => return self.accepted(reply),
-                    Err(Lost::Unknown(reason)) => doubt = Some(reason),
+                    Err(Lost::Unknown(error)) => doubt = Some(error.to_string()),
                     Err(Lost::Final(error)) => return Err(error),
                     // A refusal after a lost answer does not tell what became of the first try.
                     Err(Lost::Nothing(error)) => match (&doubt, &error) {
@@ -222,8 +221,9 @@
             .with_timeout(CALL_TIMEOUT)
             .send()
             .map_err(|error| lost(server, &error))?;
+        // The library takes a connection that ends without an answer for an answer of its own making.
         let strange = |reason: String| {
-            Lost::Nothing(Error::Strange {
+            Lost::Unknown(Error::Strange {
                 server: server.to_owned(),
                 reason,
             })
@@ -265,14 +265,14 @@
         minreq::Error::IoError(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
             Lost::Nothing(Error::Unreachable(reason))
         }
-        _ => Lost::Unknown(reason),
+        _ => Lost::Unknown(Error::Unreachable(reason)),
     }
 }
 
 /// What a refusal means for the other daemons.
 fn refused(answer: Answer) -> Lost {
     match answer.kind {
-        Kind::EditUnknown => Lost::Unknown(answer.detail),
+        Kind::EditUnknown => Lost::Unknown(Error::Refused(answer)),
         Kind::NotReady | Kind::ShuttingDown | Kind::NotFound | Kind::PlatformDown => {
             Lost::Nothing(Error::Refused(answer))
         }
