--- /dev/null
+++ b/crates/ctl/src/demo/script.rs
@@ -0,0 +1,466 @@
+//! The parts of the demonstration, one after the other, and the promises each one checks.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use dahliastile_core::config::{Change, Document, Place, Rule};
+use dahliastile_core::id::Edition;
+use dahliastile_standin::{Fault, Outage, engine, plain};
+use serde_json::json;
+
+use super::board::{Board, Done, Ending, Phase};
+use super::figures::Stalls;
+use super::ledger;
+use super::report::{Check, Report};
+use super::stage::{OPERATOR_TOKEN, PLAIN, Stage, adapter, failed};
+use super::traffic::{Call, Traffic};
+use super::watch::Watch;
+use crate::client::Client;
+use crate::error::{Error, Result};
+use crate::progress::Progress;
+use crate::revert::{around, opposite};
+use crate::{apply, edit};
+
+/// How soon an accepted edit must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+/// The longest wait for anything else.
+const LIMIT: Duration = Duration::from_secs(5);
+/// Calls that are made again through another VM.
+const REPEATS: usize = 24;
+/// Streams in progress on the VM that is shut down.
+const STREAMS: usize = 6;
+/// Tokens of these: about a second's work.
+const STREAM_TOKENS: u64 = 100;
+/// The VM that is shut down.
+const LAST: usize = 2;
+/// Whole answers of each model service that a part waits for.
+const ENOUGH: usize = 30;
+
+/// What the parts use.
+struct Play<'a> {
+    stage: &'a mut Stage,
+    traffic: Traffic,
+    watch: Watch,
+    client: Client,
+    progress: Progress,
+    checks: Vec<Check>,
+    stopped: Option<Instant>,
+}
+
+/// Plays all parts.
+pub(super) fn play(stage: &mut Stage) -> Result<Report> {
+    let began = Instant::now();
+    let operators: Vec<String> = stage
+        .vms
+        .iter()
+        .map(|vm| vm.addresses.operators.to_string())
+        .collect();
+    let traffic = Traffic {
+        board: Arc::new(Board::new(stage.vms.len())),
+        vms: Arc::new(stage.vms.iter().map(|vm| vm.addresses.callers).collect()),
+        numbers: Arc::new(AtomicU64::new(1)),
+    };
+    let mut play = Play {
+        client: Client::new(&operators.join(","), OPERATOR_TOKEN, LIMIT)?,
+        watch: Watch::start(&operators)?,
+        stage,
+        traffic,
+        progress: Progress::new(true),
+        checks: Vec::new(),
+        stopped: None,
+    };
+    let configured = play.configure();
+    let callers = play.traffic.start();
+    let played = configured.and_then(|()| play.parts());
+    play.traffic.board.close();
+    for caller in callers {
+        caller
+            .join()
+            .map_err(|_| Error::Demo("a caller's thread panicked".to_owned()))?;
+    }
+    let stalls = played?;
+    Ok(play.conclude(&stalls, began))
+}
+
+impl Play<'_> {
+    /// Puts the configuration in force, as `dahliactl apply` does.
+    fn configure(&mut self) -> Result<()> {
+        self.progress
+            .say("starting three VMs and putting the configuration in force");
+        let document = self.stage.document()?;
+        let changes = apply::changes(&Document::default(), &document, false);
+        let accepted = edit::send(
+            &self.client,
+            "demo",
+            Edition(0),
+            changes,
+            &mut self.progress,
+        )?;
+        let edition = accepted
+            .ok_or_else(|| failed("the configuration is empty"))?
+            .edition;
+        self.in_force("the first configuration is in force everywhere", edition);
+        Ok(())
+    }
+
+    fn parts(&mut self) -> Result<Stalls> {
+        self.start();
+        self.rule()?;
+        self.repeat();
+        self.outage();
+        self.restart();
+        self.shutdown()
+    }
+
+    /// Ordinary traffic from cold engines.
+    fn start(&mut self) {
+        self.progress
+            .say("traffic for both deployments, from cold engines");
+        self.flows(Phase::Start, "traffic flows from cold engines");
+    }
+
+    /// A rule is put in force while traffic runs, and taken back as a new edition.
+    fn rule(&mut self) -> Result<()> {
+        self.begin(
+            Phase::Rule,
+            "editing a rule while traffic runs, and taking it back",
+        );
+        let drilled = "passage-drill";
+        let rule =
+            json!({"name": "drill", "when": {"adapter": drilled}, "then": {"refuse": "a drill"}});
+        let rule: Rule = serde_json::from_value(rule).map_err(failed)?;
+        let (base, _) = self.client.show()?;
+        let place = Place::First;
+        let changes = vec![Change::InsertRule { rule, place }];
+        let edition = self.edit(base, changes)?;
+        self.in_force("an edited rule is in force everywhere", edition);
+        let refused = self.everywhere(drilled);
+        let wrong = refused
+            .iter()
+            .filter(|ending| !is_refused(ending, "refused_by_rule"))
+            .count();
+        self.check(
+            wrong == 0,
+            "every VM decides by the edited rule",
+            format!("{refused:?}"),
+        );
+        let entries = self.client.history(10)?;
+        let (before, after) = around(&entries, edition)?;
+        let (now, document) = self.client.show()?;
+        let changes = opposite((&before, &after), (now, &document.rules))?;
+        let edition = self.edit(now, changes)?;
+        self.in_force("the rule taken back is gone everywhere", edition);
+        let whole = self.everywhere(drilled);
+        let wrong = whole
+            .iter()
+            .filter(|ending| **ending != Ending::Whole)
+            .count();
+        self.check(
+            wrong == 0,
+            "no VM decides by the rule taken back",
+            format!("{whole:?}"),
+        );
+        self.flows(Phase::Rule, "traffic flows during edits");
+        Ok(())
+    }
+
+    /// Calls that must not run twice are made through two VMs, at once and after each other, on servers that lose
+    /// answers and refuse.
+    fn repeat(&mut self) {
+        self.begin(
+            Phase::Repeat,
+            "repeating non-idempotent calls through other VMs",
+        );
+        for server in self
+            .stage
+            .plain
+            .iter()
+            .filter(|server| server.service == PLAIN[0].0)
+        {
+            server.host.fault(plain::Fault::ResetAfterRun(2));
+            server.host.fault(plain::Fault::Refuse(2));
+        }
+        let traffic = &self.traffic;
+        let differing = thread::scope(|scope| {
+            let pairs: Vec<_> = (0..REPEATS)
+                .map(|number| scope.spawn(move || twice(traffic, number)))
+                .collect();
+            let joined = pairs.into_iter().map(|pair| pair.join().unwrap_or(true));
+            joined.filter(|differs| *differs).count()
+        });
+        let seen =
+            format!("{REPEATS} calls made twice, {differing} got two different whole answers");
+        self.check(
+            differing == 0,
+            "a repeated call gets the first run's answer",
+            seen,
+        );
+    }
+
+    /// The key-value service goes away and comes back.
+    fn outage(&mut self) {
+        self.begin(Phase::Outage, "the key-value service is away");
+        self.stage.kv.disturb(Fault::Outage(Outage::Refused));
+        let noticed = self
+            .watch
+            .wait(&[0, 1, 2], LIMIT, |status| !status.platform);
+        self.check(
+            noticed.is_some(),
+            "every VM notices that the key-value service is away",
+            spelled(noticed),
+        );
+        self.flows(
+            Phase::Outage,
+            "what is resident is served on without the key-value service",
+        );
+        let board = &self.traffic.board;
+        let refused = board.wait(LIMIT, Phase::Outage, 3, |done| {
+            done.service == PLAIN[0].0 && done.refused("platform_down")
+        });
+        self.check(
+            refused,
+            "calls that need a claim are refused as not run",
+            "platform_down".to_owned(),
+        );
+        self.begin(Phase::Return, "the key-value service is back");
+        self.stage.kv.disturb(Fault::Outage(Outage::None));
+        let back = self.watch.wait(&[0, 1, 2], LIMIT, |status| status.platform);
+        self.check(
+            back.is_some(),
+            "every VM notices that it is back",
+            spelled(back),
+        );
+        let board = &self.traffic.board;
+        let booked = board.wait(LIMIT, Phase::Return, 3, |done| {
+            done.service == PLAIN[0].0 && done.whole()
+        });
+        self.check(booked, "calls that need a claim work again", String::new());
+        self.flows(Phase::Return, "traffic flows after the outage");
+    }
+
+    /// An engine loses everything and starts cold.
+    fn restart(&mut self) {
+        self.begin(Phase::Restart, "an engine restarts cold");
+        if let Some(engine) = self.stage.engines.first() {
+            engine.host.fault(engine::Fault::Restart);
+        }
+        self.flows(Phase::Restart, "traffic flows after an engine's restart");
+    }
+
+    /// One VM is shut down while streams run on it.
+    fn shutdown(&mut self) -> Result<Stalls> {
+        self.begin(
+            Phase::Shutdown,
+            "shutting one VM down while streams run on it",
+        );
+        let mut stalls = Stalls::default();
+        (0..self.stage.vms.len()).for_each(|vm| stalls.read(self.stage, vm));
+        let daemon = self.stage.vms[LAST].daemon.take();
+        let daemon = daemon.ok_or_else(|| failed("the VM is gone already"))?;
+        let stopper = daemon.stopper();
+        let (begun, started) = flume::unbounded();
+        let traffic = &self.traffic;
+        let (ended, endings, stopped) = thread::scope(|scope| {
+            let streams: Vec<_> = (0..STREAMS)
+                .map(|number| {
+                    let begun = begun.clone();
+                    scope.spawn(move || stream(traffic, number, &begun))
+                })
+                .collect();
+            let running = (0..STREAMS).all(|_| started.recv_timeout(LIMIT).is_ok());
+            let stopped = Instant::now();
+            stopper.stop(false);
+            traffic.board.spare(LAST);
+            let ended = daemon.wait();
+            let endings: Vec<Option<Ending>> = streams
+                .into_iter()
+                .map(|stream| stream.join().ok())
+                .collect();
+            (running.then_some(ended), endings, stopped)
+        });
+        self.stopped = Some(stopped);
+        self.stage.unlist();
+        let whole = endings
+            .iter()
+            .filter(|ending| **ending == Some(Ending::Whole))
+            .count();
+        let seen = format!("{whole} of {STREAMS} streams in progress ended whole");
+        self.check(
+            whole == STREAMS,
+            "a graceful shutdown interrupts no stream",
+            seen,
+        );
+        let seen = format!("{ended:?}");
+        self.check(matches!(ended, Some(Ok(()))), "the VM ends in order", seen);
+        self.flows(Phase::Shutdown, "traffic flows on the VMs that are left");
+        Ok(stalls)
+    }
+
+    /// The checks over everything that happened.
+    fn conclude(mut self, stalls: &Stalls, began: Instant) -> Report {
+        let done = self.traffic.board.done();
+        let broken = |done: &&Done| matches!(done.ending, Ending::Broken(_));
+        let all: Vec<String> = done.iter().filter(broken).map(described).collect();
+        let cut = |done: &&Done| {
+            let begun = self.stopped.is_some_and(|stopped| done.sent < stopped);
+            let not_run = matches!(&done.ending, Ending::Refused { ran, .. } if ran == "no");
+            begun && done.vm == LAST && done.phase == Phase::Shutdown && !done.whole() && !not_run
+        };
+        let interrupted = done.iter().filter(cut);
+        let interrupted: Vec<String> = interrupted.map(described).collect();
+        let lists = [
+            (
+                "every answer is whole, checked token by token, or an explicit refusal",
+                all,
+            ),
+            ("interrupted answers at shutdown: 0", interrupted),
+            (
+                "double runs of non-idempotent work: 0",
+                ledger::double_runs(self.stage),
+            ),
+            (
+                "ran: no is true by the stand-ins' records",
+                ledger::untrue(self.stage, &done),
+            ),
+            (
+                "no adapter is unloaded while in use",
+                ledger::violations(self.stage),
+            ),
+            ("no edition goes back on any VM", self.watch.close()),
+        ];
+        for (promise, found) in lists {
+            self.checks.push(Check {
+                kept: found.is_empty(),
+                promise,
+                seen: shortened(&found),
+            });
+        }
+        Report::new(self.stage, &done, stalls, self.checks, began.elapsed())
+    }
+
+    fn begin(&mut self, phase: Phase, line: &str) {
+        self.progress.say(line);
+        self.traffic.board.begin(phase);
+    }
+
+    fn check(&mut self, kept: bool, promise: &'static str, seen: String) {
+        self.checks.push(Check {
+            kept,
+            promise,
+            seen,
+        });
+    }
+
+    fn edit(&mut self, base: Edition, changes: Vec<Change>) -> Result<Edition> {
+        let edit = edit::new("demo", base, changes);
+        let accepted = self.client.edit(&edit, &mut self.progress)?;
+        Ok(accepted.edition)
+    }
+
+    fn in_force(&mut self, promise: &'static str, edition: Edition) {
+        let took = self
+            .watch
+            .wait(&[0, 1, 2], IN_FORCE, |status| status.edition >= edition);
+        let seen = format!("edition {} in force after {}", edition.0, spelled(took));
+        self.check(took.is_some(), promise, seen);
+    }
+
+    /// Waits until every model service gave enough whole answers in a part.
+    fn flows(&mut self, phase: Phase, promise: &'static str) {
+        let board = &self.traffic.board;
+        let enough = ["passage", "planogram"].map(|service| {
+            board.wait(LIMIT, phase, ENOUGH, |done| {
+                done.service == service && done.whole()
+            })
+        });
+        let done = board.done();
+        let whole = |service: &str| {
+            let done = done
+                .iter()
+                .filter(|done| done.phase == phase && done.service == service);
+            done.filter(|done| done.whole()).count()
+        };
+        let seen = format!(
+            "{} passage and {} planogram answers whole",
+            whole("passage"),
+            whole("planogram")
+        );
+        self.check(enough == [true, true], promise, seen);
+    }
+
+    /// Asks each VM for a completion by an adapter.
+    fn everywhere(&self, adapter: &str) -> Vec<Ending> {
+        let ask = |vm: usize| {
+            let request = self
+                .traffic
+                .request(vm, "skipper", &format!("{adapter}@1"), 4);
+            self.traffic.model(vm, "passage", &request)
+        };
+        (0..self.stage.vms.len()).map(ask).collect()
+    }
+}
+
+/// Makes one call through two VMs, at once or one after the other; whether both answers are whole and differ.
+fn twice(traffic: &Traffic, number: usize) -> bool {
+    let call = Call {
+        service: PLAIN[0].0,
+        caller: "terminal",
+        key: Some(format!("repeat-{number}")),
+    };
+    let vms = traffic.vms.len();
+    let (first, second) = (number % vms, (number + 1) % vms);
+    let ((one, one_body), (two, two_body)) = if number.is_multiple_of(2) {
+        thread::scope(|scope| {
+            let other = scope.spawn(|| traffic.call(second, &call));
+            let one = traffic.call(first, &call);
+            let lost = || {
+                (
+                    Ending::Broken("a caller's thread panicked".to_owned()),
+                    String::new(),
+                )
+            };
+            (one, other.join().unwrap_or_else(|_| lost()))
+        })
+    } else {
+        (traffic.call(first, &call), traffic.call(second, &call))
+    };
+    one == Ending::Whole && two == Ending::Whole && one_body != two_body
+}
+
+/// A long stream on the VM that is shut down; says when its first token came.
+fn stream(traffic: &Traffic, number: usize, begun: &flume::Sender<()>) -> Ending {
+    let model = format!("{}@1", adapter("passage", number % 3));
+    let request = traffic.request(LAST, "skipper", &model, STREAM_TOKENS);
+    traffic.stream(LAST, "passage", &request, begun)
+}
+
+fn is_refused(ending: &Ending, wanted: &str) -> bool {
+    matches!(ending, Ending::Refused { kind, .. } if kind == wanted)
+}
+
+fn described(done: &Done) -> String {
+    format!(
+        "{} on VM {} ({:?}): {:?}",
+        done.subject,
+        done.vm + 1,
+        done.phase,
+        done.ending
+    )
+}
+
+fn spelled(took: Option<Duration>) -> String {
+    took.map_or("not in time".to_owned(), |took| {
+        format!("{} ms", took.as_millis())
+    })
+}
+
+/// The number of what was found, and the first few.
+fn shortened(found: &[String]) -> String {
+    const SHOWN: usize = 3;
+    match found.len() {
+        0 => "0".to_owned(),
+        count => format!("{count}, such as {}", found[..count.min(SHOWN)].join("; ")),
+    }
+}
