--- a/crates/ctl/src/demo/stage.rs
+++ b/crates/ctl/src/demo/stage.rs
@@ -299,7 +299,7 @@
 listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}
 platform: {{endpoints: ['{kv}'], vms: '{list}', list_ms: 200}}
 operators: {{token_hash: {hash}}}
-peers: {{secret: demo-secret}}
+peers: {{secret: demo-secret-of-three-vms}}
 log: {{level: {level}}}
 tuning:
   lease_ttl_ms: 3000
