Operators see the domains as the domains module knows them

status built its own view of domains and servers beside the one of the domains module, which then stood unused; one of them goes. sync says again whether the platform answers.

--- a/crates/core/src/fleet/status.rs
+++ b/crates/core/src/fleet/status.rs
@@ -1,10 +1,9 @@
 //! The state of the fleet as an operator sees it.
 
 use crate::Node;
-use crate::event::Report;
 use crate::id::Edition;
-use crate::operator::{DomainStatus, ServerStatus, Status, VmStatus};
-use crate::{sync, traffic};
+use crate::operator::{Status, VmStatus};
+use crate::{domain, sync, traffic};
 
 use super::member::Row;
 
@@ -12,6 +11,7 @@
 pub(super) fn report(node: &Node) -> Status {
     let edition = node.sync.edition;
     let fleet = &node.fleet;
+    let (domains, servers) = domain::status(node);
     Status {
         vm: node.settings.vm.to_string(),
         ready: edition > Edition(0) && !fleet.draining,
@@ -23,8 +23,8 @@
             .all(|row| row.member.edition >= edition),
         platform: sync::reachable(node) && !node.claims.platform_lost(),
         vms: vms(node),
-        domains: domains(node),
-        servers: servers(node),
+        domains,
+        servers,
         in_progress: traffic::in_progress(node),
     }
 }
@@ -66,51 +66,3 @@
         edition: row.member.edition,
     }
 }
-
-fn domains(node: &Node) -> Vec<DomainStatus> {
-    let named = node
-        .catalog
-        .domains
-        .iter()
-        .filter(|(_, row)| !row.servers.is_empty());
-    named
-        .map(|(_, row)| {
-            let holder = node.fleet.holders.get(&row.name).map(|news| &news.holder);
-            DomainStatus {
-                domain: row.name.clone(),
-                holder: holder.map(|holder| holder.vm.clone()),
-                fence: holder.map(|holder| holder.fence).unwrap_or_default(),
-            }
-        })
-        .collect()
-}
-
-fn servers(node: &Node) -> Vec<ServerStatus> {
-    let listed = node.catalog.servers.iter().filter(|(_, row)| row.listed);
-    listed
-        .map(|(server, row)| {
-            let load = node.domains.load(server);
-            let state = match load {
-                _ if row.leaving => "leaving",
-                Some(report) if report.ready => "ready",
-                Some(_) => "starting",
-                None if row.domain.is_none() => "ready",
-                None => "lost",
-            };
-            let residents = |report: &Report| {
-                let names = report
-                    .residents
-                    .iter()
-                    .map(|resident| resident.adapter.clone());
-                names.collect()
-            };
-            ServerStatus {
-                server: row.name.clone(),
-                state: state.to_owned(),
-                residents: load.map(residents).unwrap_or_default(),
-                running: load.map_or(0, |report| report.running),
-                waiting: load.map_or(0, |report| report.waiting),
-            }
-        })
-        .collect()
-}
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -58,6 +58,11 @@
     node.sync.edition > Edition(0)
 }
 
+/// Whether the key-value service answered the last call that this module made.
+pub(crate) fn reachable(node: &Node) -> bool {
+    node.sync.reader.reachable()
+}
+
 /// A call of the key-value service came back.
 pub(crate) fn platform(node: &mut Node, op: Op, outcome: Outcome, out: &mut Effects) {
     if node.sync.reader.waits_for(op) {
