An edit that may still be written is not called refused

Cause: where the service had gone back while a write was unanswered, the operator was told that nothing was changed, which is not known. Ruled out: nothing. Change: such an edit is answered with edit_unknown.

--- a/crates/core/src/sync/commit.rs
+++ b/crates/core/src/sync/commit.rs
@@ -160,9 +160,10 @@
     match head.cmp(&edition) {
         _ if reader.reads_head() => Step::Wait,
         std::cmp::Ordering::Greater => Step::Wait,
-        std::cmp::Ordering::Less if pending.lower >= MAX_LOWER => {
-            Step::reply(lost_history(head, edition))
-        }
+        std::cmp::Ordering::Less if pending.lower >= MAX_LOWER => match pending.unsure {
+            None => Step::reply(lost_history(head, edition)),
+            Some(_) => Step::reply(unknown()),
+        },
         std::cmp::Ordering::Less => {
             pending.lower += 1;
             reader.want_head();
