--- a/crates/core/tests/sync_commit.rs
+++ b/crates/core/tests/sync_commit.rs
@@ -5,15 +5,16 @@
 mod random;
 mod support;
 
-use dahliastile_core::config::{Change, Place, apply, check};
+use dahliastile_core::config::{Adapter, Change, Place, apply, check};
 use dahliastile_core::error::{Kind, Ran};
+use dahliastile_core::event::Target;
 use dahliastile_core::id::Edition;
 use dahliastile_core::log::Code;
 use dahliastile_core::operator::Reply;
 use edits::{accepted, edit, failed, give, insert, names, reply, rule, shown};
 use quickcheck::{Gen, QuickCheck};
 use random::Wish;
-use support::setup::{Size, changes};
+use support::setup::{Size, changes, model};
 use support::{Fleet, MS, SEC};
 
 /// A fleet with edition 1 in force.
@@ -183,6 +184,40 @@
     assert_eq!(shown(&mut fleet, 0).1, Size::small().document());
 }
 
+#[test]
+fn adapters_come_and_go() {
+    let mut fleet = fleet(9);
+    let known = |fleet: &mut Fleet, number: usize, version: &str| {
+        let mut call = model(number, 1, 1);
+        call.target = Target::Model(format!("a{number}@{version}"));
+        let ask = fleet.ask(1, call);
+        let refusal = fleet.finish(ask, 20 * SEC).refusal();
+        refusal.map(|answer| answer.kind)
+    };
+    let put = |number: usize, versions: &[&str]| {
+        Change::PutAdapter(Adapter {
+            name: format!("a{number}"),
+            service: "model".parse().unwrap(),
+            versions: versions.iter().map(|text| (*text).to_owned()).collect(),
+        })
+    };
+    assert_eq!(known(&mut fleet, 20, "1"), Some(Kind::UnknownAdapter));
+    // Several edits at once: the last word on each adapter counts.
+    fleet.edit(0, vec![put(20, &["1"]), put(5, &["2"]), put(6, &["2"])]);
+    fleet.edit(
+        0,
+        vec![put(6, &["1", "3"]), Change::RemoveAdapter("a7".to_owned())],
+    );
+    fleet.run_for(2 * SEC);
+    let unknown = [Kind::UnknownAdapter, Kind::UnknownVersion].map(Some);
+    assert!(!unknown.contains(&known(&mut fleet, 20, "1")));
+    assert_eq!(known(&mut fleet, 5, "1"), Some(Kind::UnknownVersion));
+    assert!(!unknown.contains(&known(&mut fleet, 5, "2")));
+    assert_eq!(known(&mut fleet, 6, "2"), Some(Kind::UnknownVersion));
+    assert!(!unknown.contains(&known(&mut fleet, 6, "3")));
+    assert_eq!(known(&mut fleet, 7, "1"), Some(Kind::UnknownAdapter));
+}
+
 #[test]
 fn edit_accepted_where_valid() {
     fn property(seed: u64, wishes: Vec<Wish>) -> bool {
