--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -41,6 +41,22 @@
     }
 }
 
+/// Sends a request that has just arrived, where none waits before it and a server has room. Says whether it did.
+pub(super) fn at_once(node: &mut Node, request: Request, out: &mut Effects) -> bool {
+    let row = &node.traffic.requests[&request];
+    let (key, place) = (row.key, row.place);
+    if node.traffic.queues.holds(key) {
+        return false;
+    }
+    match route::choose(node, row) {
+        Choice::Server(server, among) => {
+            start(node, key, &place, server, among, out);
+            true
+        }
+        Choice::Full | Choice::Nobody => false,
+    }
+}
+
 /// How many requests of one queue are looked at when the first of them can't be sent: rules may bar only some.
 const LOOK_AHEAD: usize = 16;
 
@@ -54,7 +70,6 @@
         match route::choose(node, row) {
             Choice::Server(server, among) => {
                 start(node, key, &place, server, among, out);
-                queue::drop_empty(node, key);
                 return true;
             }
             Choice::Full => {
@@ -85,7 +100,7 @@
 }
 
 fn nth(node: &Node, key: Key, skip: usize) -> Option<Place> {
-    node.traffic.queues.get(&key)?.iter().nth(skip).copied()
+    node.traffic.queues.nth(key, skip)
 }
 
 fn start(
@@ -97,12 +112,10 @@
     out: &mut Effects,
 ) {
     let request = place.request;
+    let now = node.now;
+    node.traffic.queues.served(key, now);
     queue::pull(node, request);
     limit::served(node, place);
-    let now = node.now;
-    if let Some(queue) = node.traffic.queues.get_mut(&key) {
-        queue.served(now);
-    }
     occupy(node, request, server);
     let Some(row) = node.traffic.requests.get_mut(&request) else {
         return;
