--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -24,26 +24,23 @@
 ///
 /// # Errors
 /// When it can't be run, or when a promise was broken.
-pub(crate) fn run(options: &Demo, json: bool) -> Result<Output> {
+pub(crate) fn run(options: &Demo) -> Result<Output> {
     let mut stage = Stage::start(options.log)?;
-    let report = script::play(&mut stage)?;
+    let report = script::play(&mut stage, options.log)?;
     let output = Output::new(report.text(), &report);
     let broken = report.broken();
     if options.hold {
-        println!("{}\n\n{}", output.print(json), hints(&stage));
+        eprintln!("{}\n\n{}", output.text, hints(&stage));
         let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(failed)?;
         signals.forever().next();
     }
-    match (broken.is_empty(), options.hold) {
-        (true, false) => Ok(output),
-        (true, true) => Ok(Output::new("ended", &"ended")),
-        (false, held) => {
-            if !held {
-                println!("{}", output.print(json));
-            }
-            Err(Error::Broken(broken))
-        }
+    if broken.is_empty() {
+        return Ok(output);
     }
+    Err(Error::Broken {
+        promises: broken,
+        report: Box::new(output),
+    })
 }
 
 /// Lines to paste into a shell.
--- a/crates/ctl/src/demo/board.rs
+++ b/crates/ctl/src/demo/board.rs
@@ -34,6 +34,10 @@
         kind: String,
         /// What it says of whether the request ran.
         ran: String,
+        /// What it says to a person.
+        detail: String,
+        /// The request's id.
+        request: String,
     },
     /// Nothing listened: the request was never sent.
     Unreached,
--- a/crates/ctl/src/demo/figures.rs
+++ b/crates/ctl/src/demo/figures.rs
@@ -11,9 +11,9 @@
 /// The share of requests that the high bound covers.
 const HIGH: f64 = 0.95;
 
-/// Counts by upper bound, for each tenant.
+/// Counts by upper bound, for each tenant and class.
 #[derive(Debug, Default)]
-pub(super) struct Stalls(BTreeMap<String, Vec<(f64, f64)>>);
+pub(super) struct Stalls(BTreeMap<(String, String), Vec<(f64, f64)>>);
 
 impl Stalls {
     /// Adds the figures of one VM.
@@ -30,10 +30,10 @@
             .for_each(|line| self.take(line));
     }
 
-    /// How many requests of a tenant waited for a load, and the bound below which 95 in a hundred of them stayed, in
+    /// How many requests of a tenant and class waited for a load, and the bound below which 95 in a hundred of them stayed, in
     /// milliseconds.
-    pub(super) fn high(&self, tenant: &str) -> (u64, Option<f64>) {
-        let Some(buckets) = self.0.get(tenant) else {
+    pub(super) fn high(&self, tenant: &str, class: &str) -> (u64, Option<f64>) {
+        let Some(buckets) = self.0.get(&(tenant.to_owned(), class.to_owned())) else {
             return (0, None);
         };
         let total = buckets.iter().map(|(_, count)| *count).fold(0.0, f64::max);
@@ -56,12 +56,17 @@
             let (_, rest) = labels.split_once(&format!("{name}=\""))?;
             rest.split_once('"').map(|(value, _)| value)
         };
-        let (Some(tenant), Some(bound)) = (label("tenant"), label("le")) else {
+        let (Some(tenant), Some(class), Some(bound)) =
+            (label("tenant"), label("class"), label("le"))
+        else {
             return;
         };
         let bound = bound.parse().unwrap_or(f64::INFINITY);
         let value = value.trim().parse().unwrap_or(0.0);
-        let buckets = self.0.entry(tenant.to_owned()).or_default();
+        let buckets = self
+            .0
+            .entry((tenant.to_owned(), class.to_owned()))
+            .or_default();
         match buckets
             .iter_mut()
             .find(|(there, _)| there.total_cmp(&bound).is_eq())
--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -49,7 +49,7 @@
 
 /// Refusals of one kind.
 #[derive(Debug, Serialize)]
-struct Refusal {
+pub(super) struct Refusal {
     /// The part in which the requests were sent.
     phase: Phase,
     /// The service.
@@ -60,6 +60,10 @@
     ran: String,
     /// How many.
     count: usize,
+    /// What one of them said.
+    example: String,
+    /// That one's request.
+    pub(super) request: String,
 }
 
 /// The whole result.
@@ -70,7 +74,7 @@
     /// By service.
     services: Vec<Row>,
     /// By part, service and kind.
-    refusals: Vec<Refusal>,
+    pub(super) refusals: Vec<Refusal>,
     /// The promises.
     pub(super) checks: Vec<Check>,
 }
@@ -85,7 +89,7 @@
         took: Duration,
     ) -> Self {
         let models = DEPLOYMENTS.iter().map(|deployment| {
-            let (count, bound) = stalls.high(deployment.tenant);
+            let (count, bound) = stalls.high(deployment.tenant, deployment.class);
             Row {
                 stalls: count,
                 stall_ms: bound,
@@ -129,6 +133,7 @@
                 row.kind.clone(),
                 row.ran.clone(),
                 row.count.to_string(),
+                row.example.clone(),
             ]
         });
         let checks = self.checks.iter().map(|check| {
@@ -157,7 +162,7 @@
             ),
             table(&head, &services.collect::<Vec<_>>()),
             table(
-                &["during", "service", "refused as", "ran", "count"],
+                &["during", "service", "refused as", "ran", "count", "such as"],
                 &refusals.collect::<Vec<_>>(),
             ),
             table(&["", "promise", "seen"], &checks.collect::<Vec<_>>()),
@@ -194,22 +199,29 @@
 }
 
 fn refusals(done: &[Done]) -> Vec<Refusal> {
-    let mut counts: BTreeMap<(Phase, &'static str, &str, &str), usize> = BTreeMap::new();
+    let mut rows: BTreeMap<(Phase, &'static str, &str, &str), Refusal> = BTreeMap::new();
     for done in done {
-        if let Ending::Refused { kind, ran } = &done.ending {
-            *counts
-                .entry((done.phase, done.service, kind, ran))
-                .or_default() += 1;
-        }
+        let Ending::Refused {
+            kind,
+            ran,
+            detail,
+            request,
+        } = &done.ending
+        else {
+            continue;
+        };
+        let row = rows
+            .entry((done.phase, done.service, kind, ran))
+            .or_insert_with(|| Refusal {
+                phase: done.phase,
+                service: done.service,
+                kind: kind.clone(),
+                ran: ran.clone(),
+                count: 0,
+                example: detail.clone(),
+                request: request.clone(),
+            });
+        row.count += 1;
     }
-    let row = |((phase, service, kind, ran), count): ((Phase, &'static str, &str, &str), usize)| {
-        Refusal {
-            phase,
-            service,
-            kind: kind.to_owned(),
-            ran: ran.to_owned(),
-            count,
-        }
-    };
-    counts.into_iter().map(row).collect()
+    rows.into_values().collect()
 }
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -7,6 +7,7 @@
 
 use dahliastile_core::config::{Change, Document, Place, Rule};
 use dahliastile_core::id::Edition;
+use dahliastile_core::operator::{Command, Reply};
 use dahliastile_standin::{Fault, Outage, engine, plain};
 use serde_json::json;
 
@@ -21,7 +22,7 @@
 use crate::error::{Error, Result};
 use crate::progress::Progress;
 use crate::revert::{around, opposite};
-use crate::{apply, edit};
+use crate::{apply, edit, render};
 
 /// How soon an accepted edit must be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(4);
@@ -49,8 +50,8 @@
     stopped: Option<Instant>,
 }
 
-/// Plays all parts.
-pub(super) fn play(stage: &mut Stage) -> Result<Report> {
+/// Plays all parts. With `trails`, also says what was done with one request of each kind of refusal.
+pub(super) fn play(stage: &mut Stage, trails: bool) -> Result<Report> {
     let began = Instant::now();
     let operators: Vec<String> = stage
         .vms
@@ -81,7 +82,23 @@
             .map_err(|_| Error::Demo("a caller's thread panicked".to_owned()))?;
     }
     let stalls = played?;
-    Ok(play.conclude(&stalls, began))
+    let client = play.client.clone();
+    let report = play.conclude(&stalls, began);
+    if trails {
+        report
+            .refusals
+            .iter()
+            .for_each(|row| explain(&client, &row.request));
+    }
+    Ok(report)
+}
+
+/// Prints what was done with a request, where a VM that is left still knows it.
+fn explain(client: &Client, request: &str) {
+    let request = request.to_owned();
+    if let Ok(Reply::Explain(trail)) = client.ask(&Command::Explain { request }) {
+        eprintln!("{}", render::trail(&trail));
+    }
 }
 
 impl Play<'_> {
@@ -144,7 +161,7 @@
         self.check(
             wrong == 0,
             "every VM decides by the edited rule",
-            format!("{refused:?}"),
+            said(&refused),
         );
         let entries = self.client.history(10)?;
         let (before, after) = around(&entries, edition)?;
@@ -160,7 +177,7 @@
         self.check(
             wrong == 0,
             "no VM decides by the rule taken back",
-            format!("{whole:?}"),
+            said(&whole),
         );
         self.flows(Phase::Rule, "traffic flows during edits");
         Ok(())
@@ -236,7 +253,16 @@
         let booked = board.wait(LIMIT, Phase::Return, 3, |done| {
             done.service == PLAIN[0].0 && done.whole()
         });
-        self.check(booked, "calls that need a claim work again", String::new());
+        let seen = if booked {
+            "3 calls whole"
+        } else {
+            "fewer than 3 calls whole"
+        };
+        self.check(
+            booked,
+            "calls that need a claim work again",
+            seen.to_owned(),
+        );
         self.flows(Phase::Return, "traffic flows after the outage");
     }
 
@@ -301,8 +327,8 @@
     /// The checks over everything that happened.
     fn conclude(mut self, stalls: &Stalls, began: Instant) -> Report {
         let done = self.traffic.board.done();
-        let broken = |done: &&Done| matches!(done.ending, Ending::Broken(_));
-        let all: Vec<String> = done.iter().filter(broken).map(described).collect();
+        let unclear = |done: &&Done| matches!(done.ending, Ending::Broken(_));
+        let unclear: Vec<String> = done.iter().filter(unclear).map(described).collect();
         let cut = |done: &&Done| {
             let begun = self.stopped.is_some_and(|stopped| done.sent < stopped);
             let not_run = matches!(&done.ending, Ending::Refused { ran, .. } if ran == "no");
@@ -313,7 +339,7 @@
         let lists = [
             (
                 "every answer is whole, checked token by token, or an explicit refusal",
-                all,
+                unclear,
             ),
             ("interrupted answers at shutdown: 0", interrupted),
             (
@@ -436,6 +462,17 @@
     traffic.stream(LAST, "passage", &request, begun)
 }
 
+/// What three VMs answered, in one line.
+fn said(endings: &[Ending]) -> String {
+    let word = |ending: &Ending| match ending {
+        Ending::Whole => "whole".to_owned(),
+        Ending::Refused { kind, ran, .. } => format!("{kind} (ran: {ran})"),
+        Ending::Unreached => "nothing listened".to_owned(),
+        Ending::Broken(reason) => reason.clone(),
+    };
+    endings.iter().map(word).collect::<Vec<_>>().join(", ")
+}
+
 fn is_refused(ending: &Ending, wanted: &str) -> bool {
     matches!(ending, Ending::Refused { kind, .. } if kind == wanted)
 }
--- a/crates/ctl/src/demo/stage.rs
+++ b/crates/ctl/src/demo/stage.rs
@@ -40,6 +40,8 @@
     pub(super) service: &'static str,
     /// Its tenant.
     pub(super) tenant: &'static str,
+    /// The class of its callers.
+    pub(super) class: &'static str,
     /// The length of an engine step.
     step: Duration,
     /// How long the base model takes to load, a hundredth of the real time.
@@ -55,6 +57,7 @@
     Deployment {
         service: "passage",
         tenant: "kolenvaart",
+        class: "interactive",
         step: Duration::from_millis(9),
         base_load: Duration::from_millis(700),
         fenced: true,
@@ -63,6 +66,7 @@
     Deployment {
         service: "planogram",
         tenant: "rak-nusantara",
+        class: "wave",
         step: Duration::from_millis(8),
         base_load: Duration::from_millis(350),
         fenced: false,
--- a/crates/ctl/src/demo/traffic.rs
+++ b/crates/ctl/src/demo/traffic.rs
@@ -263,6 +263,8 @@
     Some(Ending::Refused {
         kind: error["kind"].as_str()?.to_owned(),
         ran: error["ran"].as_str()?.to_owned(),
+        detail: error["message"].as_str().unwrap_or_default().to_owned(),
+        request: error["request_id"].as_str().unwrap_or_default().to_owned(),
     })
 }
 
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::file::Problem;
+use crate::output::Output;
 
 /// The result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -71,8 +72,13 @@
         missing: Vec<String>,
     },
     /// Promises were broken.
-    #[error("{} promise(s) broken", .0.len())]
-    Broken(Vec<String>),
+    #[error("{} promise(s) broken", promises.len())]
+    Broken {
+        /// The promises and what was seen.
+        promises: Vec<String>,
+        /// The whole report.
+        report: Box<Output>,
+    },
     /// The demonstration could not be run.
     #[error("the demonstration could not be run: {0}")]
     Demo(String),
@@ -91,7 +97,7 @@
             Self::Missing(_)
             | Self::Refused(_)
             | Self::Denied(_)
-            | Self::Broken(_)
+            | Self::Broken { .. }
             | Self::Demo(_) => 1,
         }
     }
@@ -117,7 +123,7 @@
                  since it makes only the changes that are still missing"
             }
             Self::Waiting { .. } => "run `dahliactl status --wait` again",
-            Self::Broken(_) => "run `dahliactl demo --log` and look at the events",
+            Self::Broken { .. } => "run `dahliactl demo --log` and look at the events",
             Self::Demo(_) => "run `dahliactl demo --log` and look at the last events",
         }
     }
@@ -131,7 +137,10 @@
             Self::File { problems, .. } => body["problems"] = json!(problems),
             Self::Clash(clash) => body["clash"] = json!(clash),
             Self::Refused(answer) => body["answer"] = json!(answer),
-            Self::Broken(promises) => body["broken"] = json!(promises),
+            Self::Broken { promises, report } => {
+                body["broken"] = json!(promises);
+                body["report"] = report.json.clone();
+            }
             _ => {}
         }
         json!({ "error": body })
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -59,7 +59,10 @@
             }
         }
         Error::Clash(clash) => eprintln!("{}", clash_text(clash)),
-        Error::Broken(promises) => {
+        Error::Broken { promises, report } => {
+            if !json {
+                println!("{}", report.text);
+            }
             for text in promises {
                 eprintln!("broken: {text}");
             }
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -35,7 +35,7 @@
     let command = command.ok_or_else(|| Error::Usage("no command is given".to_owned()))?;
     match command {
         Command::Check(options) => return check::run(&options.file),
-        Command::Demo(options) => return crate::demo::run(options, args.json),
+        Command::Demo(options) => return crate::demo::run(options),
         _ => {}
     }
     let mut session = Session::new(args, env)?;
