--- a/crates/core/benches/policy/main.rs
+++ b/crates/core/benches/policy/main.rs
@@ -20,7 +20,13 @@
 
 fn report(world: &World, policy: &str, seed: u64) {
     let deployment = &world.deployment;
-    let mut stalls: Vec<u64> = world.fates.iter().filter_map(|fate| fate.stall).collect();
+    let deadline = deployment.deadline;
+    // A request that never got its adapter has stalled until its deadline.
+    let mut stalls: Vec<u64> = world
+        .fates
+        .iter()
+        .map(|fate| fate.stall.unwrap_or(deadline))
+        .collect();
     stalls.sort_unstable();
     let mean = stalls.iter().sum::<u64>() as f64 / stalls.len().max(1) as f64 / 1e3;
     let p99 = stalls.get(stalls.len() * 99 / 100).copied().unwrap_or(0) as f64 / 1e3;
@@ -52,7 +58,6 @@
             "whole_mean_ms": round(whole_mean),
             "loads": world.loads,
             "refused": refused,
-            "unfinished": lost,
             "goodput": round(whole as f64 / (RUN / SEC) as f64),
         })
     );
--- a/crates/core/benches/policy/ours.rs
+++ b/crates/core/benches/policy/ours.rs
@@ -47,7 +47,8 @@
     effects: Effects,
     kv: Kv,
     loads: BTreeMap<(usize, usize), Waiting>,
-    running: BTreeMap<Ask, (usize, Attempt)>,
+    running: BTreeMap<Ask, (usize, Attempt, usize)>,
+    attempts: BTreeMap<(usize, Attempt), Ask>,
     asks: BTreeMap<(usize, Request), Ask>,
     names: BTreeMap<String, usize>,
 }
@@ -78,6 +79,7 @@
             kv: Kv::default(),
             loads: BTreeMap::new(),
             running: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             asks: BTreeMap::new(),
             names: (0..world.deployment.adapters)
                 .map(|at| (format!("a{at}@1"), at))
@@ -204,6 +206,14 @@
                 };
                 self.tell(world, 2 * NEAR, vm, event);
             }
+            Effect::Cancel { attempt } => {
+                let ask = self.attempts.remove(&(vm, attempt));
+                if let Some((ask, (_, _, engine))) =
+                    ask.and_then(|ask| self.running.remove_entry(&ask))
+                {
+                    world.cancel(engine, ask);
+                }
+            }
             Effect::Order(command) => self.after(world, NEAR, Later::Order(vm, command)),
             Effect::Reply {
                 reply: operator::Reply::Failed(answer),
@@ -223,7 +233,8 @@
 
     fn submit(&mut self, world: &mut World, vm: usize, engine: usize, attempt: Attempt, ask: Ask) {
         if world.submit(engine, ask) {
-            self.running.insert(ask, (vm, attempt));
+            self.running.insert(ask, (vm, attempt, engine));
+            self.attempts.insert((vm, attempt), ask);
             return;
         }
         let failure = Failure::NotRun(Reason::NotLoaded);
@@ -344,9 +355,10 @@
     }
 
     fn done(&mut self, world: &mut World, _engine: usize, ask: Ask) {
-        let Some((vm, attempt)) = self.running.remove(&ask) else {
+        let Some((vm, attempt, _)) = self.running.remove(&ask) else {
             return;
         };
+        self.attempts.remove(&(vm, attempt));
         let model = Some(format!("a{}@1", world.trace[ask].adapter));
         let head = Head {
             status: 200,
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -258,6 +258,18 @@
         true
     }
 
+    /// Gives up a request that runs or waits on an engine.
+    pub fn cancel(&mut self, engine: usize, ask: Ask) {
+        let row = &mut self.engines[engine];
+        let before = row.busy();
+        row.running.retain(|(running, _)| *running != ask);
+        row.waiting.retain(|waiting| *waiting != ask);
+        if row.busy() < before {
+            let resident = row.residents.get_mut(&self.trace[ask].adapter);
+            resident.expect("an adapter in use is resident").in_use -= 1;
+        }
+    }
+
     fn start(&mut self, engine: usize) {
         let deployment = &self.deployment;
         let row = &mut self.engines[engine];
@@ -280,6 +292,9 @@
         row.stepping = false;
         row.steps += 1;
         row.filled += row.running.len() as u64;
+        if row.running.is_empty() {
+            row.steps -= 1;
+        }
         row.running.iter_mut().for_each(|(_, left)| *left -= 1);
         let (over, running): (Vec<_>, Vec<_>) =
             row.running.iter().partition(|(_, left)| *left == 0);
