--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -5,10 +5,12 @@
 
 mod apply;
 mod commit;
+mod draft;
 mod entities;
 mod history;
 mod log;
 mod read;
+mod reader;
 mod snapshot;
 mod spread;
 mod store;
@@ -36,7 +38,7 @@
     /// The last edits.
     log: log::Log,
     /// What is read from the platform.
-    reader: read::Reader,
+    reader: reader::Reader,
     /// The watch of the head.
     watch: watch::Watch,
     /// Operators' edits on their way.
@@ -84,8 +86,9 @@
 }
 
 /// A peer asks for the configuration.
+#[allow(clippy::needless_pass_by_value)] // Messages are handed over whole.
 pub(crate) fn fetched(node: &mut Node, from: &id::Vm, fetch: Fetch, out: &mut Effects) {
-    spread::fetched(node, from, fetch, out);
+    spread::fetched(node, from, &fetch, out);
 }
 
 /// A peer sent a piece of the configuration.
--- a/crates/core/src/sync/watch.rs
+++ b/crates/core/src/sync/watch.rs
@@ -1,13 +1,11 @@
 //! A few VMs watch the head; which ones is decided by hashing over the live VMs.
 
-use super::read;
-use super::store;
+use super::{read, reader, store};
 use crate::Node;
 use crate::effect::Effects;
 use crate::id::{self, Op, Revision};
 use crate::ops::Owner;
 use crate::platform::{Call, Notice, Pair};
-use crate::settings::Tuning;
 use crate::time::{Instant, Span};
 
 /// Time between two reads of the head by a VM that watches it, in case the watch is silently lost.
@@ -25,8 +23,8 @@
     mine: bool,
     /// Whether the head was read after the last watch ended.
     fresh: bool,
-    /// When the live VMs were last looked at.
-    looked: Option<Instant>,
+    /// The version of the list of live VMs that was last looked at.
+    looked: Option<u64>,
     /// When the head was last read or seen.
     seen: Instant,
 }
@@ -59,15 +57,8 @@
 
 /// Decides whether this VM watches, and reads the head anew from time to time.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
-    let every = Tuning::span(node.settings.tuning.heartbeat_ms);
-    let now = node.now;
-    if node
-        .sync
-        .watch
-        .looked
-        .is_none_or(|looked| now.since(looked) >= every)
-    {
-        node.sync.watch.looked = Some(now);
+    let (now, version) = (node.now, node.fleet.version);
+    if node.sync.watch.looked.replace(version) != Some(version) {
         node.sync.watch.mine = chosen(node);
     }
     let watch = &mut node.sync.watch;
@@ -100,7 +91,7 @@
             let op = node.ops.call(Owner::Sync, call, out);
             node.sync.watch.op = Some(op);
         }
-        None if known.is_some() => node.sync.reader.want_head(),
+        None if known.is_some() || super::ready(node) => node.sync.reader.want_head(),
         // The first read waits for the platform's list.
         None => {}
     }
@@ -112,10 +103,13 @@
         Notice::Changed(pairs) => changed(node, &pairs, out),
         // A head that is gone is read again, so that it is known and logged; the edition in force stays.
         Notice::Deleted(..) => node.sync.reader.want_head(),
-        Notice::Compacted => lost(node),
+        Notice::Compacted => {
+            lost(node);
+            reader::wait(node);
+        }
         Notice::Broken => {
             lost(node);
-            read::failed(node, out);
+            reader::failed(node, out);
         }
     }
 }
