Spread domains evenly over VMs: tests; lints of the domain files

Cause: evenness and gentle moves were not shown; pedantic lints were open in the domain files. The fake engine no longer sends later pieces of an answer after one was lost to a cut: a connection has no holes.

--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -204,8 +204,8 @@
 }
 
 /// An operation on the key-value service came back.
-pub(crate) fn platform(node: &mut Node, op: Op, outcome: Outcome, out: &mut Effects) {
-    call::ended(node, op, &outcome, out);
+pub(crate) fn platform(node: &mut Node, op: Op, outcome: &Outcome, out: &mut Effects) {
+    call::ended(node, op, outcome, out);
 }
 
 /// A grantee asks.
@@ -213,14 +213,14 @@
     node: &mut Node,
     from: &id::Vm,
     incarnation: Incarnation,
-    ask: Ask,
+    ask: &Ask,
     out: &mut Effects,
 ) {
-    grant::asked(node, from, incarnation, &ask, out);
+    grant::asked(node, from, incarnation, ask, out);
 }
 
 /// A holder tells what may be used.
-pub(crate) fn updated(node: &mut Node, from: &id::Vm, update: Update, out: &mut Effects) {
+pub(crate) fn updated(node: &mut Node, from: &id::Vm, update: &Update, out: &mut Effects) {
     grantee::updated(node, from, update, out);
 }
 
--- a/crates/core/src/domain/ask.rs
+++ b/crates/core/src/domain/ask.rs
@@ -46,7 +46,7 @@
     let now = node.now;
     let used = node.domains.used.entry(domain).or_default();
     *used.arrived.entry(adapter).or_default() += 1;
-    used.used = now;
+    used.last = now;
     if cold {
         used.due = true;
         used.wanting = used.wanting.max(1);
@@ -158,7 +158,7 @@
         }
         return;
     };
-    let uses = uses(node, domain);
+    let in_use = uses(node, domain);
     let held = held(node, domain);
     let Some(used) = node.domains.used.get_mut(&domain) else {
         return;
@@ -185,25 +185,24 @@
         held: if full { held } else { Vec::new() },
         released: used.released.keys().copied().collect(),
         wants,
-        uses,
+        uses: in_use,
     };
     node.send(&to, Message::Ask(ask), out);
 }
 
 /// The holder as far as it is known, else the VM that is to hold the domain.
 fn addressee(node: &Node, domain: Domain) -> Option<id::Vm> {
+    let me = &node.settings.vm;
     if node.domains.held.contains_key(&domain) {
-        return Some(node.settings.vm.clone());
+        return Some(me.clone());
     }
     let seat = node.domains.seats.get(&domain)?;
-    match &seat.holder {
-        Some(known) => Some(known.vm.clone()),
-        None => {
-            let name = &node.catalog.domains.get(domain).name;
-            let target = node.domains.spread.targets.get(name)?;
-            (*target != node.settings.vm).then(|| target.clone())
-        }
+    if let Some(known) = &seat.holder {
+        return Some(known.vm.clone());
     }
+    let name = &node.catalog.domains.get(domain).name;
+    let target = node.domains.spread.targets.get(name)?;
+    (target != me).then(|| target.clone())
 }
 
 /// Requests that arrived since the last ask, and those in flight.
@@ -211,18 +210,18 @@
     let Some(used) = node.domains.used.get(&domain) else {
         return Vec::new();
     };
-    let mut uses: BTreeMap<Adapter, (u32, u32)> = BTreeMap::new();
+    let mut rows: BTreeMap<Adapter, (u32, u32)> = BTreeMap::new();
     for (adapter, arrived) in &used.arrived {
-        uses.entry(*adapter).or_default().0 = *arrived;
+        rows.entry(*adapter).or_default().0 = *arrived;
     }
     for place in &used.places {
-        let row = node.domains.grants.rows.get(place);
-        let in_flight = row.map_or(0, |row| row.in_flight);
+        let grant = node.domains.grants.rows.get(place);
+        let in_flight = grant.map_or(0, |row| row.in_flight);
         if in_flight > 0 {
-            uses.entry(place.1).or_default().1 += in_flight;
+            rows.entry(place.1).or_default().1 += in_flight;
         }
     }
-    uses.into_iter()
+    rows.into_iter()
         .map(|(adapter, (arrived, in_flight))| Use {
             adapter: node.catalog.adapters.get(adapter).name.clone(),
             arrived,
--- a/crates/core/src/domain/grantee.rs
+++ b/crates/core/src/domain/grantee.rs
@@ -74,7 +74,7 @@
     /// The last ask that the holder has answered.
     pub(crate) answered: u64,
     /// When a request last arrived.
-    pub(crate) used: Instant,
+    pub(crate) last: Instant,
 }
 
 impl Used {
@@ -124,7 +124,7 @@
 }
 
 /// The holder of a domain tells what may be used.
-pub(crate) fn updated(node: &mut Node, from: &id::Vm, update: Update, out: &mut Effects) {
+pub(crate) fn updated(node: &mut Node, from: &id::Vm, update: &Update, out: &mut Effects) {
     let Some(domain) = node.catalog.domains.find(&update.domain) else {
         return;
     };
@@ -148,10 +148,10 @@
         fence: update.fence,
     };
     seat::heard(node, domain, known, out);
-    take_grants(node, domain, &update);
+    take_grants(node, domain, update);
     take_revokes(node, domain, &update.revokes);
-    take_loads(node, &update);
-    take_expected(node, &update);
+    take_loads(node, update);
+    take_expected(node, update);
     ask::settle(node, domain, out);
 }
 
@@ -412,5 +412,5 @@
 
 /// How long ago a domain was last used.
 pub(crate) fn idle(used: &Used, now: Instant) -> Span {
-    now.since(used.used)
+    now.since(used.last)
 }
--- a/crates/core/src/domain/holder.rs
+++ b/crates/core/src/domain/holder.rs
@@ -50,6 +50,7 @@
 
 /// A grantee.
 #[derive(Debug)]
+#[allow(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 pub(crate) struct Peer {
     /// Its start.
     pub(crate) start: Start,
--- a/crates/core/src/domain/lease.rs
+++ b/crates/core/src/domain/lease.rs
@@ -15,6 +15,7 @@
 
 /// The lease of this VM.
 #[derive(Debug, Default)]
+#[allow(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 pub(crate) struct Lease {
     /// Its number, while it is not known to be over.
     pub(crate) id: Option<id::Lease>,
--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -145,9 +145,8 @@
             Some((adapter, server)) if load(node, domain, (server, adapter), out) => {
                 cold.retain(|row| row.adapter != adapter);
             }
-            Some(_) => {}
             None if cold.is_empty() && !store.contended() => spare(node, domain, service, out),
-            None => {}
+            Some(_) | None => {}
         }
     }
     make_room(node, domain, service, cold.len(), out);
@@ -191,10 +190,7 @@
 /// How much of a deployment's weight is on batch efficiency.
 fn batch_share(stall: f64, batch: f64) -> f64 {
     let sum = stall + batch;
-    match sum > 0.0 {
-        true => batch / sum,
-        false => 0.5,
-    }
+    if sum > 0.0 { batch / sum } else { 0.5 }
 }
 
 /// What it is worth to load an adapter next: the weight that waits, more with age and near the deadline. Batch
@@ -342,10 +338,10 @@
     let wanted = ahead.max(cold.min(AHEAD_MAX));
     for _ in free..wanted {
         let must = cold > 0 && free == 0;
-        let Some(place) = victim(node, domain, service, must) else {
+        let Some(chosen) = victim(node, domain, service, must) else {
             break;
         };
-        evict::begin(node, domain, place, out);
+        evict::begin(node, domain, chosen, out);
     }
 }
 
@@ -373,20 +369,20 @@
         for (adapter, entry) in &host.entries {
             let blocked = held.blocked((*server, *adapter), now);
             let resting = now.since(entry.loaded) >= STAY;
-            let copied = copies.get(adapter).copied().unwrap_or(0) > 1;
+            let elsewhere = copies.get(adapter).copied().unwrap_or(0) > 1;
             let needed = !resting || held.waiting.contains_key(adapter);
             // Until all grantees of earlier holders are heard, only what this holder loaded can be collected.
             let sure = known || entry.own;
             if entry.phase != Phase::Resident || (needed && !blocked) || !sure {
                 continue;
             }
-            let used = entry.in_flight > 0 || (!copied && busy.contains(adapter));
+            let used = entry.in_flight > 0 || (!elsewhere && busy.contains(adapter));
             if used && !must {
                 continue;
             }
             let rate = held.demand.rate(*adapter, now, half_life);
             let listed = node.catalog.adapters.get(*adapter).listed;
-            let cost = match (listed, copied) {
+            let cost = match (listed, elsewhere) {
                 (false, _) => -1.0,
                 _ if blocked => -1.0,
                 (true, true) => rate * COPY_COST,
--- a/crates/core/src/domain/report.rs
+++ b/crates/core/src/domain/report.rs
@@ -124,11 +124,13 @@
     domain: Domain,
     server: Server,
     made: Instant,
-    report: Report,
+    mut report: Report,
     out: &mut Effects,
 ) {
     let now = node.now;
     let residents = residents(node, server, &report);
+    let boot = report.boot;
+    report.residents.clear();
     let Some(held) = node.domains.held.get_mut(&domain) else {
         return;
     };
@@ -140,18 +142,15 @@
     if made < host.made {
         return;
     }
-    let restarted = host.boot.is_some_and(|boot| boot != report.boot);
+    let restarted = host.boot.is_some_and(|before| before != boot);
     let first = host.boot.is_none();
     host.made = made;
-    host.boot = Some(report.boot);
+    host.boot = Some(boot);
     if first {
         let name = &node.catalog.servers.get(server).name;
-        host.clean = held.writer.committed.boots.get(name) == Some(&report.boot);
+        host.clean = held.writer.committed.boots.get(name) == Some(&boot);
     }
-    host.report = Some(Report {
-        residents: Vec::new(),
-        ..report
-    });
+    host.report = Some(report);
     if restarted {
         let name = &node.catalog.servers.get(server).name;
         out.push(Effect::Log(Record::new(
--- a/crates/core/src/domain/seat.rs
+++ b/crates/core/src/domain/seat.rs
@@ -190,10 +190,7 @@
 
 /// Whether a start is certainly over.
 pub(crate) fn is_gone(node: &Node, vm: &id::Vm, incarnation: Incarnation) -> bool {
-    match *vm == node.settings.vm {
-        true => incarnation != node.settings.incarnation,
-        false => node.fleet.gone(vm, incarnation),
-    }
+    node.fleet.gone(vm, incarnation)
 }
 
 /// Looks at a domain's key as soon as no call for it is in progress.
@@ -264,13 +261,11 @@
         };
         heard(node, domain, known, out);
     }
-    match mine {
-        true => holder::hold(node, domain, fence, out),
+    if mine {
+        holder::hold(node, domain, fence, out);
+    } else if taking && (me || is_gone(node, &start.vm, start.incarnation)) {
         // A key of a start that is over, or of an earlier lease of this start, is in the way until it lapses.
-        false if taking && (me || is_gone(node, &start.vm, start.incarnation)) => {
-            delete(node, domain, created, What::Delete(domain), out);
-        }
-        false => {}
+        delete(node, domain, created, What::Delete(domain), out);
     }
 }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -171,7 +171,7 @@
 
     fn platform(&mut self, op: id::Op, outcome: Outcome, out: &mut Effects) {
         match self.ops.take(op) {
-            Some(Owner::Domain) => domain::platform(self, op, outcome, out),
+            Some(Owner::Domain) => domain::platform(self, op, &outcome, out),
             Some(Owner::Claim) => claim::platform(self, op, outcome, out),
             Some(Owner::Sync) => sync::platform(self, op, outcome, out),
             None => {}
@@ -197,8 +197,8 @@
         }
         match message {
             Message::Heartbeat(beat) => fleet::heartbeat(self, from, beat, out),
-            Message::Ask(ask) => domain::asked(self, from, incarnation, ask, out),
-            Message::Update(update) => domain::updated(self, from, update, out),
+            Message::Ask(ask) => domain::asked(self, from, incarnation, &ask, out),
+            Message::Update(update) => domain::updated(self, from, &update, out),
             Message::NotHolder(notice) => domain::not_holder(self, from, notice, out),
             Message::Claim(claim) => claim::claimed(self, from, incarnation, claim, out),
             Message::Verdict(verdict) => claim::verdict(self, from, verdict, out),
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -16,11 +16,11 @@
 pub mod vm;
 
 use std::cmp::{Ordering, Reverse};
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use dahliastile_core::effect::Effect;
 use dahliastile_core::event::{Event, Listed};
-use dahliastile_core::id::{Incarnation, Request, Ticket};
+use dahliastile_core::id::{Attempt, Incarnation, Request, Ticket};
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::metric::Sample;
 use dahliastile_core::operator::{Command, Reply};
@@ -113,6 +113,8 @@
     servers: BTreeMap<String, usize>,
     requests: BTreeMap<(Origin, Request), usize>,
     key_runs: BTreeMap<(String, String), usize>,
+    /// Answers of which a piece was lost: a connection carries nothing after a hole.
+    holed: BTreeSet<(Origin, Attempt)>,
     heap: BinaryHeap<Reverse<Due>>,
     seq: u64,
     last_ticket: u64,
@@ -143,6 +145,7 @@
             servers: BTreeMap::new(),
             requests: BTreeMap::new(),
             key_runs: BTreeMap::new(),
+            holed: BTreeSet::new(),
             heap: BinaryHeap::new(),
             seq: 0,
             last_ticket: 0,
