Name the place of a grant that is revoked before it was confirmed

Cause: a grant kept from an earlier holder could be revoked before the grantee had heard its new number. It gave the bare number back, kept the place, and the holder unloaded what was still used. Change: an update names unconfirmed grants also when they are revoked in the same update.

--- a/crates/core/src/domain/update.rs
+++ b/crates/core/src/domain/update.rs
@@ -64,7 +64,9 @@
     let grants = peer
         .grants
         .iter()
-        .filter(|(_, row)| !row.confirmed && !row.revoked)
+        // Also those that are revoked already: a grantee that keeps a place from an earlier holder learns only here
+        // which number stands for it.
+        .filter(|(_, row)| !row.confirmed)
         .map(|(grant, row)| Granted {
             grant: *grant,
             server: catalog.servers.get(row.place.0).name.clone(),
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -137,7 +137,7 @@
     pub seq: u64,
     /// The nonce of the last ask that the holder has processed.
     pub nonce: u64,
-    /// The grants that the grantee has not yet confirmed.
+    /// The grants that the grantee has not yet confirmed, also those that are revoked already.
     pub grants: Vec<Granted>,
     /// Grants that the grantee is to release, until it has.
     pub revokes: Vec<Grant>,
--- a/crates/core/tests/domain_messages.rs
+++ b/crates/core/tests/domain_messages.rs
@@ -420,6 +420,40 @@
     assert!(hand.unloads().is_empty(), "unloaded while granted");
 }
 
+#[test]
+fn revoke_namesplace() {
+    let mut hand = Hand::new(true, false);
+    hand.run_reporting(SEC, 1, &[0, 1]);
+    hand.hear(Message::Ask(hand.ask(1)));
+    hand.run(100_000);
+    // It keeps both from an earlier holder, and never hears the numbers that they get here.
+    let seen = hand.ask(2).seen;
+    let kept = |i: usize| Held {
+        server: ENGINE.parse().unwrap(),
+        adapter: adapter(i),
+        in_flight: 0,
+    };
+    let full = Ask {
+        full: true,
+        held: vec![kept(0), kept(1)],
+        ..hand.ask(2)
+    };
+    hand.hear(Message::Ask(full));
+    hand.run_reporting(2 * SEC, 1, &[0, 1]);
+    hand.hear(Message::Ask(Ask {
+        seen,
+        ..hand.ask(3)
+    }));
+    let revoked = hand.pressed();
+    // A number alone would tell it nothing of the place that it is to give back.
+    let named = |update: &&Update| update.grants.iter().any(|row| row.grant == revoked);
+    assert!(
+        hand.updates().iter().take(1).any(named),
+        "{:?}",
+        hand.updates()[0]
+    );
+}
+
 #[test]
 fn grant_awaitsfence() {
     let mut hand = Hand::new(true, true);
@@ -552,6 +586,28 @@
     assert_eq!(hand.sent, 1);
 }
 
+#[test]
+fn holder_newerrevokes() {
+    let mut hand = Hand::new(false, false);
+    hand.hear(update(&hand, 1, vec![grant(1, 0), grant(2, 1)], Vec::new()));
+    let newer = |hand: &Hand, grants: Vec<Granted>, revokes: Vec<Grant>| {
+        let Message::Update(update) = update(hand, 7, grants, revokes) else {
+            unreachable!()
+        };
+        Message::Update(Update {
+            fence: Fence(901),
+            ..update
+        })
+    };
+    // The first update of the newer holder that comes through already takes one back.
+    hand.hear(newer(&hand, vec![grant(1, 0), grant(2, 1)], vec![Grant(1)]));
+    hand.request(9, 0);
+    hand.request(10, 1);
+    hand.run(SEC);
+    assert_eq!(hand.sent, 1);
+    assert_eq!(hand.asks()[0].released, [Grant(1)]);
+}
+
 #[test]
 fn release_awaitsguard() {
     let mut hand = Hand::new(false, false);
