Demonstration: an outage longer than a lease, cold requests in it, orderly end of all VMs

The outage ended as soon as thirty answers had come, often before the leases lapsed, which hid that an unfenced domain loses its grants then. Refused connections no longer count as interrupted.

--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -9,6 +9,7 @@
 mod stage;
 mod traffic;
 mod watch;
+mod words;
 
 use std::fmt::Write;
 
@@ -34,6 +35,7 @@
         let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(failed)?;
         signals.forever().next();
     }
+    stage.close()?;
     if broken.is_empty() {
         return Ok(output);
     }
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -7,7 +7,6 @@
 
 use dahliastile_core::config::{Change, Document, Place, Rule};
 use dahliastile_core::id::Edition;
-use dahliastile_core::operator::{Command, Reply};
 use dahliastile_standin::{Fault, Outage, engine, plain};
 use serde_json::json;
 
@@ -15,19 +14,22 @@
 use super::figures::Stalls;
 use super::ledger;
 use super::report::{Check, Report};
-use super::stage::{OPERATOR_TOKEN, PLAIN, Stage, adapter, failed};
-use super::traffic::{Call, Traffic};
+use super::stage::{GUARDED, OPERATOR_TOKEN, Stage, adapter, failed};
+use super::traffic::{Traffic, twice};
 use super::watch::Watch;
+use super::words::{described, explain, said, shortened, spelled};
 use crate::client::Client;
 use crate::error::{Error, Result};
 use crate::progress::Progress;
 use crate::revert::{around, opposite};
-use crate::{apply, edit, render};
+use crate::{apply, edit};
 
 /// How soon an accepted edit must be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(4);
+/// How long the key-value service is away at least: longer than a lease lives.
+const OUTAGE: Duration = Duration::from_millis(3500);
 /// The longest wait for anything else.
-const LIMIT: Duration = Duration::from_secs(5);
+const LIMIT: Duration = Duration::from_secs(4);
 /// Calls that are made again through another VM.
 const REPEATS: usize = 24;
 /// Streams in progress on the VM that is shut down.
@@ -93,14 +95,6 @@
     Ok(report)
 }
 
-/// Prints what was done with a request, where a VM that is left still knows it.
-fn explain(client: &Client, request: &str) {
-    let request = request.to_owned();
-    if let Ok(Reply::Explain(trail)) = client.ask(&Command::Explain { request }) {
-        eprintln!("{}", render::trail(&trail));
-    }
-}
-
 impl Play<'_> {
     /// Puts the configuration in force, as `dahliactl apply` does.
     fn configure(&mut self) -> Result<()> {
@@ -194,7 +188,7 @@
             .stage
             .plain
             .iter()
-            .filter(|server| server.service == PLAIN[0].0)
+            .filter(|server| server.service == GUARDED)
         {
             server.host.fault(plain::Fault::ResetAfterRun(2));
             server.host.fault(plain::Fault::Refuse(2));
@@ -228,13 +222,17 @@
             "every VM notices that the key-value service is away",
             spelled(noticed),
         );
+        self.traffic
+            .board
+            .wait(OUTAGE, Phase::Outage, usize::MAX, Done::whole);
         self.flows(
             Phase::Outage,
             "what is resident is served on without the key-value service",
         );
+        self.cold();
         let board = &self.traffic.board;
         let refused = board.wait(LIMIT, Phase::Outage, 3, |done| {
-            done.service == PLAIN[0].0 && done.refused("platform_down")
+            done.service == GUARDED && done.refused("platform_down")
         });
         self.check(
             refused,
@@ -251,7 +249,7 @@
         );
         let board = &self.traffic.board;
         let booked = board.wait(LIMIT, Phase::Return, 3, |done| {
-            done.service == PLAIN[0].0 && done.whole()
+            done.service == GUARDED && done.whole()
         });
         let seen = if booked {
             "3 calls whole"
@@ -266,6 +264,22 @@
         self.flows(Phase::Return, "traffic flows after the outage");
     }
 
+    /// Asks for an adapter that is nowhere resident, of the deployment whose servers do not check fencing numbers.
+    fn cold(&mut self) {
+        let began = Instant::now();
+        let request = self
+            .traffic
+            .request(0, "merchandiser", "planogram-cold@1", 4);
+        let ending = self.traffic.model(0, "planogram", &request);
+        let kept = matches!(&ending, Ending::Refused { ran, .. } if ran == "no");
+        let seen = format!(
+            "{} after {} ms",
+            said(&[ending]),
+            began.elapsed().as_millis()
+        );
+        self.check(kept, "what is cold there is refused as not run", seen);
+    }
+
     /// An engine loses everything and starts cold.
     fn restart(&mut self) {
         self.begin(Phase::Restart, "an engine restarts cold");
@@ -285,7 +299,7 @@
         (0..self.stage.vms.len()).for_each(|vm| stalls.read(self.stage, vm));
         let daemon = self.stage.vms[LAST].daemon.take();
         let daemon = daemon.ok_or_else(|| failed("the VM is gone already"))?;
-        let stopper = daemon.stopper();
+        let handle = daemon.stopper();
         let (begun, started) = flume::unbounded();
         let traffic = &self.traffic;
         let (ended, endings, stopped) = thread::scope(|scope| {
@@ -297,7 +311,7 @@
                 .collect();
             let running = (0..STREAMS).all(|_| started.recv_timeout(LIMIT).is_ok());
             let stopped = Instant::now();
-            stopper.stop(false);
+            handle.stop(false);
             traffic.board.spare(LAST);
             let ended = daemon.wait();
             let endings: Vec<Option<Ending>> = streams
@@ -326,15 +340,19 @@
 
     /// The checks over everything that happened.
     fn conclude(mut self, stalls: &Stalls, began: Instant) -> Report {
-        let done = self.traffic.board.done();
+        let all = self.traffic.board.done();
         let unclear = |done: &&Done| matches!(done.ending, Ending::Broken(_));
-        let unclear: Vec<String> = done.iter().filter(unclear).map(described).collect();
+        let unclear: Vec<String> = all.iter().filter(unclear).map(described).collect();
         let cut = |done: &&Done| {
             let begun = self.stopped.is_some_and(|stopped| done.sent < stopped);
-            let not_run = matches!(&done.ending, Ending::Refused { ran, .. } if ran == "no");
-            begun && done.vm == LAST && done.phase == Phase::Shutdown && !done.whole() && !not_run
+            let fine = match &done.ending {
+                Ending::Whole | Ending::Unreached => true,
+                Ending::Refused { ran, .. } => ran == "no",
+                Ending::Broken(_) => false,
+            };
+            begun && done.vm == LAST && done.phase == Phase::Shutdown && !fine
         };
-        let interrupted = done.iter().filter(cut);
+        let interrupted = all.iter().filter(cut);
         let interrupted: Vec<String> = interrupted.map(described).collect();
         let lists = [
             (
@@ -348,7 +366,7 @@
             ),
             (
                 "ran: no is true by the stand-ins' records",
-                ledger::untrue(self.stage, &done),
+                ledger::untrue(self.stage, &all),
             ),
             (
                 "no adapter is unloaded while in use",
@@ -363,7 +381,7 @@
                 seen: shortened(&found),
             });
         }
-        Report::new(self.stage, &done, stalls, self.checks, began.elapsed())
+        Report::new(self.stage, &all, stalls, self.checks, began.elapsed())
     }
 
     fn begin(&mut self, phase: Phase, line: &str) {
@@ -401,12 +419,11 @@
                 done.service == service && done.whole()
             })
         });
-        let done = board.done();
+        let all = board.done();
         let whole = |service: &str| {
-            let done = done
-                .iter()
-                .filter(|done| done.phase == phase && done.service == service);
-            done.filter(|done| done.whole()).count()
+            let here =
+                |done: &&Done| done.phase == phase && done.service == service && done.whole();
+            all.iter().filter(here).count()
         };
         let seen = format!(
             "{} passage and {} planogram answers whole",
@@ -428,33 +445,6 @@
     }
 }
 
-/// Makes one call through two VMs, at once or one after the other; whether both answers are whole and differ.
-fn twice(traffic: &Traffic, number: usize) -> bool {
-    let call = Call {
-        service: PLAIN[0].0,
-        caller: "terminal",
-        key: Some(format!("repeat-{number}")),
-    };
-    let vms = traffic.vms.len();
-    let (first, second) = (number % vms, (number + 1) % vms);
-    let ((one, one_body), (two, two_body)) = if number.is_multiple_of(2) {
-        thread::scope(|scope| {
-            let other = scope.spawn(|| traffic.call(second, &call));
-            let one = traffic.call(first, &call);
-            let lost = || {
-                (
-                    Ending::Broken("a caller's thread panicked".to_owned()),
-                    String::new(),
-                )
-            };
-            (one, other.join().unwrap_or_else(|_| lost()))
-        })
-    } else {
-        (traffic.call(first, &call), traffic.call(second, &call))
-    };
-    one == Ending::Whole && two == Ending::Whole && one_body != two_body
-}
-
 /// A long stream on the VM that is shut down; says when its first token came.
 fn stream(traffic: &Traffic, number: usize, begun: &flume::Sender<()>) -> Ending {
     let model = format!("{}@1", adapter("passage", number % 3));
@@ -462,42 +452,6 @@
     traffic.stream(LAST, "passage", &request, begun)
 }
 
-/// What three VMs answered, in one line.
-fn said(endings: &[Ending]) -> String {
-    let word = |ending: &Ending| match ending {
-        Ending::Whole => "whole".to_owned(),
-        Ending::Refused { kind, ran, .. } => format!("{kind} (ran: {ran})"),
-        Ending::Unreached => "nothing listened".to_owned(),
-        Ending::Broken(reason) => reason.clone(),
-    };
-    endings.iter().map(word).collect::<Vec<_>>().join(", ")
-}
-
 fn is_refused(ending: &Ending, wanted: &str) -> bool {
     matches!(ending, Ending::Refused { kind, .. } if kind == wanted)
 }
-
-fn described(done: &Done) -> String {
-    format!(
-        "{} on VM {} ({:?}): {:?}",
-        done.subject,
-        done.vm + 1,
-        done.phase,
-        done.ending
-    )
-}
-
-fn spelled(took: Option<Duration>) -> String {
-    took.map_or("not in time".to_owned(), |took| {
-        format!("{} ms", took.as_millis())
-    })
-}
-
-/// The number of what was found, and the first few.
-fn shortened(found: &[String]) -> String {
-    const SHOWN: usize = 3;
-    match found.len() {
-        0 => "0".to_owned(),
-        count => format!("{count}, such as {}", found[..count.min(SHOWN)].join("; ")),
-    }
-}
--- a/crates/ctl/src/demo/stage.rs
+++ b/crates/ctl/src/demo/stage.rs
@@ -74,9 +74,12 @@
     },
 ];
 
+/// The plain service whose calls must not be repeated.
+pub(super) const GUARDED: &str = "booking";
+
 /// A plain service: its name, its tenant, and whether its calls must not be repeated.
 pub(super) const PLAIN: [(&str, &str, bool); 2] = [
-    ("booking", "kolenvaart", true),
+    (GUARDED, "kolenvaart", true),
     ("store", "rak-nusantara", false),
 ];
 
@@ -177,6 +180,21 @@
         self.list.service().set(self.listed());
     }
 
+    /// Shuts the VMs that are left down, gracefully and at the same time.
+    pub(super) fn close(&mut self) -> Result<()> {
+        let daemons: Vec<Daemon> = self
+            .vms
+            .iter_mut()
+            .filter_map(|vm| vm.daemon.take())
+            .collect();
+        for daemon in &daemons {
+            daemon.stopper().stop(false);
+        }
+        daemons
+            .into_iter()
+            .try_for_each(|daemon| daemon.wait().map_err(failed))
+    }
+
     /// The configuration.
     pub(super) fn document(&self) -> Result<Document> {
         let caller = |(name, tenant, class): (&str, &str, &str)| {
--- a/crates/ctl/src/demo/traffic.rs
+++ b/crates/ctl/src/demo/traffic.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 
 use super::board::{Board, Done, Ending, Phase};
-use super::stage::{ADAPTERS, DEPLOYMENTS, ZONES, adapter, token};
+use super::stage::{ADAPTERS, DEPLOYMENTS, GUARDED, ZONES, adapter, token};
 
 /// Callers of each model deployment at a time.
 const CALLERS: u64 = 8;
@@ -22,7 +22,7 @@
 /// The fewest and the most tokens of an answer.
 const TOKENS: (u64, u64) = (6, 20);
 /// How long a caller waits for its answer, in milliseconds.
-const TIMEOUT_MS: &str = "6000";
+const TIMEOUT_MS: &str = "3000";
 /// The longest time for a plain call, in seconds.
 const PLAIN_TIMEOUT: u64 = 10;
 
@@ -61,7 +61,7 @@
                 }));
             }
         }
-        for (service, caller) in [("booking", "terminal"), ("store", "manager")] {
+        for (service, caller) in [(GUARDED, "terminal"), ("store", "manager")] {
             for worker in 0..PLAIN_CALLERS {
                 let traffic = self.clone();
                 threads.push(thread::spawn(move || {
@@ -177,7 +177,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(1_000 + worker);
         while let Some(targets) = self.board.targets() {
             let vm = pick(&mut rng, &targets);
-            let key = (service == "booking").then(|| format!("booking-{}", self.number()));
+            let key = (service == GUARDED).then(|| format!("booking-{}", self.number()));
             let call = Call {
                 service,
                 caller,
@@ -208,6 +208,33 @@
     }
 }
 
+/// Makes one call through two VMs, at once or one after the other; whether both answers are whole and differ.
+pub(super) fn twice(traffic: &Traffic, number: usize) -> bool {
+    let call = Call {
+        service: GUARDED,
+        caller: "terminal",
+        key: Some(format!("repeat-{number}")),
+    };
+    let vms = traffic.vms.len();
+    let (first, second) = (number % vms, (number + 1) % vms);
+    let ((one, one_body), (two, two_body)) = if number.is_multiple_of(2) {
+        thread::scope(|scope| {
+            let other = scope.spawn(|| traffic.call(second, &call));
+            let one = traffic.call(first, &call);
+            let lost = || {
+                (
+                    Ending::Broken("a caller's thread panicked".to_owned()),
+                    String::new(),
+                )
+            };
+            (one, other.join().unwrap_or_else(|_| lost()))
+        })
+    } else {
+        (traffic.call(first, &call), traffic.call(second, &call))
+    };
+    one == Ending::Whole && two == Ending::Whole && one_body != two_body
+}
+
 /// A caller that was refused comes back a little later, as well-behaved callers do.
 fn back_off(ending: &Ending) {
     const PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
--- a/crates/ctl/tests/ctl/commands.rs
+++ b/crates/ctl/tests/ctl/commands.rs
@@ -1,6 +1,6 @@
 //! Commands against a scripted listener: what is sent, what is printed, and the exit codes.
 
-use crate::support::{Answer, File, Listener, accepted, names, rule, rules, run_with, show};
+use crate::support::{Answer, File, Listener, accepted, names, reply, rule, rules, run_with, show};
 use dahliastile_core::config::{Change, Edit, Place};
 use dahliastile_core::error::{Answer as Failed, Kind};
 use dahliastile_core::id::Edition;
@@ -65,7 +65,7 @@
         theirs: "prefer_zone: y".to_owned(),
         author: "bea".to_owned(),
     };
-    let listener = Listener::start(vec![Answer::Reply(Reply::Clash(Box::new(clash)))]);
+    let listener = Listener::start(vec![reply(Reply::Clash(Box::new(clash)))]);
     let words = ["rules", "remove", "a", "--base", "4"];
     let error = listener.run(&words).expect_err("a clash");
     assert_eq!(error.code(), 3);
@@ -128,7 +128,7 @@
     ]});
     let history = serde_json::from_value(history).expect("a reply");
     let now = vec![rule("new", "n"), rule("a", "drill")];
-    let script = vec![Answer::Reply(history), show(3, now), accepted(4)];
+    let script = vec![reply(history), show(3, now), accepted(4)];
     let listener = Listener::start(script);
     listener.run(&["rules", "revert", "2"]).expect("accepted");
     let edit = &edits(&listener)[0];
@@ -141,8 +141,8 @@
 fn test_request_is_read_from_words() {
     let decided = serde_json::json!({"test": {"rule": rule("a", "z"), "position": 1,
         "reasons": ["rule 1 (a) matches: it tests nothing"], "warnings": []}});
-    let reply = serde_json::from_value(decided).expect("a reply");
-    let listener = Listener::start(vec![Answer::Reply(reply)]);
+    let decided = serde_json::from_value(decided).expect("a reply");
+    let listener = Listener::start(vec![reply(decided)]);
     let words = [
         "rules",
         "test",
@@ -166,7 +166,7 @@
             edition: Edition(3),
             ..Status::default()
         };
-        Answer::Reply(Reply::Status(Box::new(status)))
+        reply(Reply::Status(Box::new(status)))
     };
     let listener = Listener::start(vec![status(false), status(true)]);
     let output = listener.run(&["status", "--wait"]).expect("everywhere");
@@ -202,7 +202,7 @@
     assert_eq!(code(Answer::Text(400, refusal)), 1);
     assert_eq!(code(Answer::Text(200, "<html>")), 4);
     let bad = Failed::new(Kind::BadConfiguration, "no such zone");
-    assert_eq!(code(Answer::Reply(Reply::Failed(bad))), 2);
+    assert_eq!(code(reply(Reply::Failed(bad))), 2);
 }
 
 #[test]
--- a/crates/ctl/tests/ctl/diff.rs
+++ b/crates/ctl/tests/ctl/diff.rs
@@ -39,7 +39,8 @@
 fn script_any_lists_leads_from_one_to_the_other() {
     fn property(old: List, new: List) -> bool {
         let script = script(&old.0, &new.0);
-        patched(old.0, &script).expect("the script fits") == new.0
+        let List(wanted) = new;
+        patched(old.0, &script).expect("the script fits") == wanted
     }
     check(property as fn(List, List) -> bool);
 }
@@ -67,8 +68,8 @@
     fn property(before: List, after: List) -> bool {
         let now = (Edition(9), &after.0[..]);
         let changes = opposite((&before.0, &after.0), now).expect("nothing came between");
-        let restored = patched(after.0.clone(), &changes).expect("the changes fit");
-        restored == before.0
+        let List(wanted) = before;
+        patched(after.0, &changes).expect("the changes fit") == wanted
     }
     check(property as fn(List, List) -> bool);
 }
@@ -99,7 +100,7 @@
     );
 }
 
-fn entry(edition: u64, changes: Vec<Change>) -> Entry {
+fn entry(edition: u64, changes: &[Change]) -> Entry {
     let edit = serde_json::json!({"id": "i", "author": "a", "base": 0, "changes": changes});
     Entry {
         edition: Edition(edition),
@@ -116,10 +117,10 @@
         name: name.parse().expect("a name"),
     };
     let entries = [
-        entry(9, vec![remove("b")]),
-        entry(8, vec![remove("a")]),
-        entry(7, vec![set]),
-        entry(6, vec![remove("unknown")]),
+        entry(9, &[remove("b")]),
+        entry(8, &[remove("a")]),
+        entry(7, &[set]),
+        entry(6, &[remove("unknown")]),
     ];
     let (before, after) = around(&entries, Edition(8)).expect("edition 7 sets the list");
     assert_eq!((names(&before), names(&after)), (vec!["a", "b"], vec!["b"]));
@@ -127,7 +128,7 @@
 
 #[test]
 fn around_too_old_says_so() {
-    let entries = [entry(9, Vec::new()), entry(8, Vec::new())];
+    let entries = [entry(9, &[]), entry(8, &[])];
     let error = around(&entries, Edition(9)).expect_err("nothing sets the list");
     assert_eq!(error.code(), 1);
 }
--- a/crates/ctl/tests/ctl/files.rs
+++ b/crates/ctl/tests/ctl/files.rs
@@ -1,6 +1,8 @@
 //! Checks of files: every problem, with line and column.
 
 use crate::support::{File, run_with};
+use std::fmt::Write;
+
 use dahliastile_ctl::{Error, Problem};
 
 fn problems(text: &str) -> Vec<(u64, u64, String)> {
@@ -97,9 +99,7 @@
 fn check_large_document_is_read() {
     let mut text = String::from("services:\n- {name: s, kind: model, store: w}\nadapters:\n");
     for number in 0..33_000 {
-        text.push_str(&format!(
-            "- {{name: a{number}, service: s, versions: [\"1\"]}}\n"
-        ));
+        let _ = writeln!(text, "- {{name: a{number}, service: s, versions: [\"1\"]}}");
     }
     let file = File::new(&text);
     let output = run_with(&["check", file.path()], &|_| None).expect("it holds together");
--- a/crates/ctl/tests/ctl/support.rs
+++ b/crates/ctl/tests/ctl/support.rs
@@ -15,7 +15,7 @@
 /// What the listener does with one call.
 pub(crate) enum Answer {
     /// Replies.
-    Reply(Reply),
+    Reply(Box<Reply>),
     /// Answers with this status and text.
     Text(u16, &'static str),
     /// Drops the connection without an answer.
@@ -161,7 +161,7 @@
 }
 
 pub(crate) fn show(edition: u64, rules: Vec<Rule>) -> Answer {
-    Answer::Reply(Reply::Show {
+    reply(Reply::Show {
         edition: Edition(edition),
         document: Box::new(Document {
             rules,
@@ -171,8 +171,12 @@
 }
 
 pub(crate) fn accepted(edition: u64) -> Answer {
-    Answer::Reply(Reply::Accepted {
+    reply(Reply::Accepted {
         edition: Edition(edition),
         warnings: Vec::new(),
     })
 }
+
+pub(crate) fn reply(reply: Reply) -> Answer {
+    Answer::Reply(Box::new(reply))
+}
