--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -5,11 +5,13 @@
 
 mod arrive;
 mod attempt;
+mod deadline;
 mod dispatch;
 mod end;
 pub(crate) mod limit;
 mod queue;
 pub(crate) mod route;
+mod rows;
 mod table;
 mod trail;
 
@@ -30,29 +32,29 @@
 pub(crate) use table::Waiting;
 pub(crate) use trail::explain;
 
-use queue::{Key, Queue};
+use deadline::Deadlines;
+use queue::{Key, Queues};
 use route::Own;
+use rows::Rows;
 use table::{AttemptRow, RequestRow, Stage};
 
 /// Requests and attempts in progress.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     /// Requests in progress.
-    requests: BTreeMap<Request, RequestRow>,
+    requests: Rows<Request, RequestRow>,
     /// Attempts in progress.
-    attempts: BTreeMap<Attempt, AttemptRow>,
+    attempts: Rows<Attempt, AttemptRow>,
     /// The number of the last attempt.
     last_attempt: u64,
     /// Requests that wait for a server.
-    queues: BTreeMap<Key, Queue>,
-    /// Requests that wait, in all queues.
-    waiting: u32,
+    queues: Queues,
     /// Queues to look at before the step ends.
     dirty: BTreeSet<Key>,
     /// Queues that wait for room on a server: all of their servers were full when they were last looked at.
     blocked: BTreeSet<(Server, Key)>,
     /// When the deadline of each request passes.
-    deadlines: BTreeSet<(Instant, Request)>,
+    deadlines: Deadlines,
     /// When every queue is looked at again, in case that a change was not noticed.
     look_again: Instant,
     /// This VM's own work on each server.
@@ -72,20 +74,17 @@
 
 /// Adapters for which requests wait.
 pub(crate) fn wanted(node: &Node) -> impl Iterator<Item = (Adapter, Waiting)> + '_ {
-    let now = node.now;
-    node.traffic
-        .queues
-        .iter()
-        .filter_map(move |(key, queue)| match key {
-            Key::Adapter(adapter) if !queue.is_empty() => Some((*adapter, queue.waiting(now))),
-            Key::Adapter(_) | Key::Service(_) => None,
-        })
+    let queues = &node.traffic.queues;
+    queues.keys().filter_map(move |key| match key {
+        Key::Adapter(adapter) => Some((adapter, queues.waiting(key, node.now))),
+        Key::Service(_) => None,
+    })
 }
 
 /// Something changed for an adapter: its queue is looked at again before the step ends.
 pub(crate) fn wake(node: &mut Node, adapter: Adapter) {
     let key = Key::Adapter(adapter);
-    if node.traffic.queues.contains_key(&key) {
+    if node.traffic.queues.holds(key) {
         node.traffic.dirty.insert(key);
     }
 }
@@ -93,7 +92,7 @@
 /// Something changed for many adapters or plain services: every queue is looked at again.
 pub(crate) fn wake_all(node: &mut Node) {
     let traffic = &mut node.traffic;
-    traffic.dirty.extend(traffic.queues.keys().copied());
+    traffic.dirty.extend(traffic.queues.keys());
 }
 
 /// Requests in progress.
@@ -108,7 +107,7 @@
 
 /// Cuts every request in progress with an explicit error.
 pub(crate) fn cut(node: &mut Node, out: &mut Effects) {
-    let requests: Vec<Request> = node.traffic.requests.keys().copied().collect();
+    let requests = node.traffic.requests.keys();
     for request in requests {
         let ran = end::ran(node, request);
         let answer = match ran {
@@ -131,13 +130,13 @@
 
 /// Time has passed: requests whose deadline is over get their final answer.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
-    while let Some((at, request)) = node.traffic.deadlines.first().copied() {
-        if at > node.now {
-            break;
-        }
-        node.traffic.deadlines.pop_first();
+    while let Some(request) = node.traffic.deadlines.pop(node.now) {
         end::overdue(node, request, out);
     }
+    let traffic = &mut node.traffic;
+    let requests = &traffic.requests;
+    let in_progress = |request| requests.contains_key(&request);
+    traffic.deadlines.sweep(requests.len(), in_progress);
     let blocked = std::mem::take(&mut node.traffic.blocked);
     let keys = blocked.into_iter().map(|(_, key)| key);
     node.traffic.dirty.extend(keys);
@@ -150,10 +149,10 @@
 /// Adds what is broken in the tables of requests and attempts.
 pub(crate) fn verify(node: &Node, broken: &mut Vec<String>) {
     let traffic = &node.traffic;
-    for (attempt, row) in &traffic.attempts {
+    for (attempt, row) in traffic.attempts.iter() {
         let request = traffic.requests.get(&row.request);
         match request.map(|request| &request.stage) {
-            Some(Stage::Running(running)) if running == attempt => {}
+            Some(Stage::Running(running)) if *running == attempt => {}
             Some(stage) => broken.push(format!("{attempt} runs but {} is {stage:?}", row.request)),
             None => broken.push(format!(
                 "{attempt} belongs to {} which is over",
@@ -161,22 +160,24 @@
             )),
         }
     }
-    for (request, row) in &traffic.requests {
-        verify_request(node, *request, row, broken);
+    let deadlines = traffic.deadlines.all();
+    for (request, row) in traffic.requests.iter() {
+        if !deadlines.contains(&(row.deadline, request)) {
+            broken.push(format!("{request} has no deadline entry"));
+        }
+        verify_request(node, request, row, broken);
     }
-    let queued: usize = traffic.queues.values().map(Queue::len).sum();
-    if queued != traffic.waiting as usize {
+    let (queued, counted) = (traffic.queues.len(), traffic.queues.counted());
+    if queued != counted {
         broken.push(format!(
-            "{queued} requests are queued but {} counted",
-            traffic.waiting
+            "{queued} requests are queued but {counted} counted"
         ));
     }
     let counts = traffic.limits.shares.values();
-    let with_share: u32 = counts.map(limit::fair::Shares::count).sum();
-    if with_share != traffic.waiting {
+    let with_share: usize = counts.map(|shares| shares.count() as usize).sum();
+    if with_share != queued {
         broken.push(format!(
-            "{with_share} requests have a share but {} wait",
-            traffic.waiting
+            "{with_share} requests have a share but {queued} wait"
         ));
     }
     verify_in_flight(node, broken);
@@ -184,10 +185,7 @@
 
 fn verify_request(node: &Node, request: Request, row: &RequestRow, broken: &mut Vec<String>) {
     let traffic = &node.traffic;
-    let queued = traffic
-        .queues
-        .get(&row.key)
-        .is_some_and(|queue| queue.contains(request));
+    let queued = traffic.queues.contains(row.key, &row.place);
     match row.stage {
         Stage::Waiting if !queued => broken.push(format!("{request} waits in no queue")),
         Stage::Claiming(_) | Stage::Running(_) if queued => {
@@ -206,18 +204,15 @@
             "{request} may have run and is not idempotent, yet it is not over"
         ));
     }
-    if !traffic.deadlines.contains(&(row.deadline, request)) {
-        broken.push(format!("{request} has no deadline entry"));
-    }
 }
 
 fn verify_in_flight(node: &Node, broken: &mut Vec<String>) {
     let traffic = &node.traffic;
     let mut counted: BTreeMap<Server, u32> = BTreeMap::new();
-    for row in traffic.attempts.values() {
+    for (_, row) in traffic.attempts.iter() {
         *counted.entry(row.server).or_default() += 1;
     }
-    for row in traffic.requests.values() {
+    for (_, row) in traffic.requests.iter() {
         if let Stage::Claiming(server) = row.stage {
             *counted.entry(server).or_default() += 1;
         }
