--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -2,28 +2,26 @@
 //!
 //! What is claimed to callers is held against the stand-ins' own records. Every wait is on a condition.
 
+#[path = "processes/checks.rs"]
+mod checks;
 #[path = "processes/fleet.rs"]
 mod fleet;
 #[path = "processes/process.rs"]
 mod process;
 mod support;
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
+use checks::{begin, broken, repeated, whole, whole_or_not_run};
 use dahliastile_standin::caller::Request;
-use fleet::{FENCED, Fleet, UNFENCED, Vm, error};
+use fleet::{FENCED, Fleet, Standin, UNFENCED, error, server};
 use process::until;
-use serde_json::json;
-use support::Reply;
-
-/// Sends a request and checks that its answer is whole and by the adapter it names.
-fn whole(request: &Request) {
-    let answer = request.send().unwrap();
-    answer
-        .verify(request)
-        .unwrap_or_else(|fault| panic!("{fault}: {answer:?}"));
-}
+use serde_json::{Value, json};
+use support::{bearer, connect, raw, request};
 
 #[test]
 fn traffic_whole_on_every_vm() {
@@ -49,22 +47,6 @@
     fleet.assert_harmless();
 }
 
-/// Sends requests one after the other through all VMs; each is whole, or refused without having run.
-fn whole_or_not_run(vm: &Vm, models: &[&str], tokens: u64) -> usize {
-    let mut answered = 0;
-    for model in models {
-        let request = vm
-            .completion(model, "from Rotterdam", tokens)
-            .header("X-Timeout-Ms", "1500");
-        let answer = request.send().unwrap();
-        match answer.verify(&request) {
-            Ok(()) => answered += 1,
-            Err(fault) => assert_eq!(error(&answer).1, "no", "{fault}: {answer:?}"),
-        }
-    }
-    answered
-}
-
 #[test]
 fn refused_bookings_did_not_run() {
     let fleet = Fleet::start();
@@ -109,19 +91,6 @@
     until("loads work again", || whole_or_not_run(vm, &FENCED, 4) == 4);
 }
 
-/// A repeated key is answered with the first run's result, or says that it may have run.
-fn repeated(vm: &Vm, key: &str, first: Option<&Reply>) {
-    let again = vm.book(key);
-    match first {
-        Some(first) if again.status == 200 => assert_eq!(again.body, first.body),
-        _ => {
-            let (kind, ran) = again.error();
-            assert_eq!(kind, "duplicate");
-            assert_ne!(ran, "no", "{key} ran");
-        }
-    }
-}
-
 #[test]
 fn keys_run_once() {
     let fleet = Fleet::start();
@@ -143,7 +112,7 @@
     let callers = fleet.vms[0].callers;
     let running = thread::spawn(move || {
         // This caller's VM is killed, so that it reads no answer.
-        let mut stream = support::connect(callers);
+        let mut stream = connect(callers);
         stream.write_all(&fleet::booking("running")).unwrap();
         let _ = stream.read_to_end(&mut Vec::new());
     });
@@ -191,3 +160,318 @@
     }
     fleet.assert_harmless();
 }
+
+#[test]
+fn residents_served_while_the_platform_is_frozen() {
+    let mut fleet = Fleet::start();
+    let residents = [FENCED[0], UNFENCED[0]];
+    for vm in &fleet.vms {
+        until("both are resident", || {
+            whole_or_not_run(vm, &residents, 3) == 2
+        });
+    }
+    let holders = [fleet.holder("plans"), fleet.holder("tides")];
+    fleet.kv.process.signal("STOP");
+    fleet.list.outage("refused");
+    for holder in holders {
+        fleet.vms[holder].process.wrote("lapsed");
+    }
+    for vm in &fleet.vms {
+        until("the outage is noticed", || vm.status()["platform"] == false);
+        for model in residents.repeat(20) {
+            whole(&vm.completion(model, "in the outage", 3));
+        }
+    }
+    fleet.kv.process.signal("CONT");
+    fleet.list.outage("none");
+    for vm in &fleet.vms {
+        until("the platform is back", || vm.status()["platform"] == true);
+        until("cold ones are served", || {
+            whole_or_not_run(vm, &FENCED, 3) == 4
+        });
+        until("cold ones are served", || {
+            whole_or_not_run(vm, &UNFENCED, 3) == 4
+        });
+    }
+    fleet.assert_harmless();
+}
+
+#[test]
+fn platform_killed_and_a_vm_started() {
+    let mut fleet = Fleet::start();
+    for vm in &fleet.vms {
+        until("it is resident", || {
+            whole_or_not_run(vm, &FENCED[..1], 3) == 1
+        });
+    }
+    fleet.kv.process.kill();
+    for vm in &fleet.vms {
+        until("the outage is noticed", || vm.status()["platform"] == false);
+    }
+    fleet.vms[2].process.kill();
+    fleet.restart(2);
+    until("a VM is ready by a peer", || fleet.vms[2].ready());
+    assert_eq!(fleet.vms[2].status()["edition"], 1);
+    whole_or_not_run(&fleet.vms[2], &FENCED, 3);
+    for vm in &fleet.vms {
+        let (kind, ran) = vm.book("unsafe").error();
+        assert_eq!((kind.as_str(), ran.as_str()), ("platform_down", "no"));
+    }
+    for vm in &fleet.vms[..2] {
+        whole(&vm.completion(FENCED[0], "after the outage", 3));
+    }
+    assert_eq!(fleet.booked("unsafe"), 0);
+    fleet.assert_harmless();
+}
+
+#[test]
+fn edit_in_force_on_every_vm() {
+    let fleet = Fleet::start();
+    let rule =
+        json!({ "name": "closed", "when": { "adapter": "gate" }, "then": { "refuse": "repairs" } });
+    let changes = json!([{ "insert_rule": { "rule": rule, "place": "first" } }]);
+    let edition = fleet.vms[1].edit("close", 1, &changes);
+    for vm in &fleet.vms {
+        until("the edition is in force everywhere", || {
+            let status = vm.status();
+            status["edition"] == edition && status["everywhere"] == true
+        });
+        let answer = vm.completion("gate@1", "a", 3).send().unwrap();
+        assert_eq!(
+            error(&answer),
+            ("refused_by_rule".to_owned(), "no".to_owned())
+        );
+        whole(&vm.completion("lock@1", "a", 3));
+    }
+    // The same edit again, as after a lost answer, changes nothing twice.
+    assert_eq!(fleet.vms[2].edit("close", 1, &changes), edition);
+}
+
+#[test]
+fn engine_killed_in_a_stream() {
+    let mut fleet = Fleet::start();
+    fleet.fenced.fault(&json!({ "step_us": 5_000 }));
+    let long = fleet.vms[2].completion("lock@1", "a long way", 2_000);
+    let stream = begin(&long);
+    fleet.fenced.process.kill();
+    broken(&stream.join().unwrap(), "server_broke");
+    let address = fleet.fenced.address.to_string();
+    fleet.fenced = Standin::engine(fleet.weights.address, &["--listen", &address]);
+    for vm in &fleet.vms {
+        until("the new engine serves", || {
+            whole_or_not_run(vm, &FENCED, 3) == 4
+        });
+    }
+    fleet.assert_harmless();
+}
+
+#[test]
+fn engine_cut_off_in_a_stream() {
+    let fleet = Fleet::start();
+    fleet.unfenced.fault(&json!({ "step_us": 5_000 }));
+    let stream = begin(&fleet.vms[0].completion("ebb@1", "a long way", 2_000));
+    fleet.unfenced.outage("refused");
+    broken(&stream.join().unwrap(), "server_broke");
+    fleet.unfenced.outage("none");
+    for vm in &fleet.vms {
+        until("the engine serves again", || {
+            whole_or_not_run(vm, &UNFENCED, 3) == 4
+        });
+    }
+    fleet.assert_harmless();
+}
+
+#[test]
+fn engine_killed_where_another_can_go_on() {
+    let mut fleet = Fleet::start();
+    let mut spare = Standin::engine(fleet.weights.address, &[]);
+    let more = json!([server("engine-3", "plans", spare.address)]);
+    fleet.vms[0].edit("spare", 1, &more);
+    until("the edition is in force everywhere", || {
+        fleet.vms[2].status()["everywhere"] == true
+    });
+    for engine in [&fleet.fenced, &spare] {
+        engine.fault(&json!({ "step_us": 2_000 }));
+    }
+    let long = fleet.vms[2].completion("lock@1", "a long way", 200);
+    let stream = begin(&long);
+    if fleet.fenced.runs().runs.is_empty() {
+        spare.process.kill();
+    } else {
+        fleet.fenced.process.kill();
+    }
+    let answer = stream.join().unwrap();
+    match answer.error {
+        None => assert_eq!(answer.verify(&long), Ok(())),
+        Some(_) => broken(&answer, "server_broke"),
+    }
+}
+
+#[test]
+fn sigterm_in_a_stream() {
+    let mut fleet = Fleet::start();
+    let place = fleet.holder("plans");
+    fleet.fenced.fault(&json!({ "step_us": 5_000 }));
+    let long = fleet.vms[place].completion("lock@1", "a long way", 300);
+    let stream = begin(&long);
+    let vm = &mut fleet.vms[place];
+    vm.process.signal("TERM");
+    until("no caller is taken", || {
+        TcpStream::connect(vm.callers).is_err()
+    });
+    assert!(!vm.ready());
+    assert_eq!(stream.join().unwrap().verify(&long), Ok(()));
+    let (code, log) = vm.process.end();
+    assert_eq!(code, Some(0));
+    assert!(log.contains("draining") && log.contains("stopped"));
+    let name = vm.name;
+    for vm in fleet.vms.iter().filter(|vm| vm.name != name) {
+        until("the domain is handed over", || {
+            vm.holder("plans").is_some_and(|holder| holder != name)
+        });
+        until("all adapters are served", || {
+            whole_or_not_run(vm, &FENCED, 3) == 4
+        });
+    }
+    fleet.assert_harmless();
+}
+
+#[test]
+fn second_sigterm_says_what_it_cuts() {
+    let mut fleet = Fleet::start();
+    fleet.fenced.fault(&json!({ "step_us": 5_000 }));
+    let stream = begin(&fleet.vms[1].completion("lock@1", "a long way", 5_000));
+    let process = &mut fleet.vms[1].process;
+    process.signal("TERM");
+    process.wrote("draining");
+    process.signal("TERM");
+    broken(&stream.join().unwrap(), "cut");
+    let (code, log) = process.end();
+    assert_eq!(code, Some(0));
+    assert!(
+        log.contains("cutting") && log.contains("may_have_run"),
+        "{log}"
+    );
+}
+
+/// What callers see while VMs are replaced.
+#[derive(Default)]
+struct Tally {
+    whole: usize,
+    turned_away: usize,
+    /// Connections that ended without any answer, which the caller can't tell from a run.
+    silent: Vec<String>,
+}
+
+/// Asks one VM after the other until told to stop.
+fn load(rotation: &Mutex<Vec<SocketAddr>>, over: &AtomicBool, number: usize) -> Tally {
+    let mut tally = Tally::default();
+    let models = FENCED.iter().chain(&UNFENCED).cycle().skip(number);
+    for (turn, model) in models.enumerate() {
+        if over.load(Ordering::SeqCst) {
+            break;
+        }
+        let address = rotation.lock().unwrap()[(turn + number) % 3];
+        let request = fleet::authorized(Request::completion(address, model, "under load", 10));
+        match request.send() {
+            Ok(answer) if answer.verify(&request) == Ok(()) => tally.whole += 1,
+            Ok(answer) => {
+                assert_eq!(error(&answer).1, "no", "interrupted: {answer:?}");
+                tally.turned_away += 1;
+            }
+            // Nothing was sent.
+            Err(minreq::Error::IoError(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                tally.turned_away += 1;
+            }
+            Err(error) => tally.silent.push(error.to_string()),
+        }
+    }
+    tally
+}
+
+#[test]
+fn vms_replaced_one_by_one_under_load() {
+    let mut fleet = Fleet::start();
+    let rotation = Mutex::new(fleet.vms.iter().map(|vm| vm.callers).collect::<Vec<_>>());
+    let over = AtomicBool::new(false);
+    let tallies = thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|number| {
+                scope.spawn({
+                    let (rotation, over) = (&rotation, &over);
+                    move || load(rotation, over, number)
+                })
+            })
+            .collect();
+        for place in 0..fleet.vms.len() {
+            fleet.vms[place].process.signal("TERM");
+            assert_eq!(fleet.vms[place].process.end().0, Some(0));
+            fleet.restart(place);
+            fleet.settled(&fleet.vms[place]);
+            rotation.lock().unwrap()[place] = fleet.vms[place].callers;
+            let edition = fleet.vms[place].edit(&format!("after {place}"), 1, &json!([{
+                "put_adapter": { "name": format!("tug-{place}"), "service": "plans", "versions": ["1"] },
+            }]));
+            assert_eq!(edition, place as u64 + 2, "no edition is lost");
+        }
+        over.store(true, Ordering::SeqCst);
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect::<Vec<_>>()
+    });
+    let silent: Vec<_> = tallies.iter().flat_map(|tally| &tally.silent).collect();
+    assert!(silent.is_empty(), "{silent:?}");
+    assert!(tallies.iter().all(|tally| tally.whole > 0));
+    fleet.assert_harmless();
+}
+
+/// A completion with this body.
+fn completion(body: &Value) -> Vec<u8> {
+    request("POST", "/v1/completions", &[&bearer()], &body.to_string())
+}
+
+#[test]
+fn bad_input_is_named() {
+    let fleet = Fleet::start();
+    let vm = &fleet.vms[0];
+    whole(&vm.completion("lock@1", "before", 3));
+    let open = vm.process.open_files();
+    let model = |model: &str| completion(&json!({ "model": model, "prompt": "a" }));
+    let large = completion(&json!({ "model": "lock@1", "prompt": "a".repeat(2 << 20) }));
+    let post = |headers: &[&str], body| request("POST", "/v1/completions", headers, body);
+    let bearer = bearer();
+    let cases = [
+        (b"BREAD AND CHEESE\r\n\r\n".to_vec(), "bad_request"),
+        (post(&[&bearer], "{\"model\": "), "bad_json"),
+        (post(&["Authorization: Bearer thief"], "{}"), "unauthorized"),
+        (
+            post(
+                &[&bearer, "X-Timeout-Ms: 0"],
+                "{\"model\": \"lock@1\", \"prompt\": \"a\"}",
+            ),
+            "deadline_past",
+        ),
+        (model("tug@1"), "unknown_adapter"),
+        (model("lock@9"), "unknown_version"),
+        (model("lock"), "missing_version"),
+        (large, "body_too_large"),
+    ];
+    for (bytes, kind) in cases.iter().cycle().take(5 * cases.len()) {
+        let error = raw(vm.callers, bytes).error();
+        assert_eq!(error, ((*kind).to_owned(), "no".to_owned()));
+    }
+    assert_eq!(fleet.fenced.runs().runs.len(), 1, "none of them ran");
+    whole(&vm.completion("lock@1", "after", 3));
+    until("nothing is left open", || vm.process.open_files() <= open);
+    assert_eq!(vm.status()["in_progress"], 0);
+}
+
+#[test]
+fn bad_settings_are_named() {
+    let mut process = fleet::daemon("vm: vm-1\nzone: 7\nlisten: { caller: '127.0.0.1:0' }\n");
+    let (code, faults) = process.end();
+    assert_eq!(code, Some(2));
+    assert!(faults.contains(":2:7: "), "{faults}");
+    assert!(faults.contains(":3:"), "{faults}");
+}
--- a/crates/daemon/tests/processes/fleet.rs
+++ b/crates/daemon/tests/processes/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex, PoisonError};
@@ -139,14 +139,8 @@
              log: {{ format: json, level: debug }}\n\
              tuning: {{ {TUNING} }}\n"
         );
-        let file = settings_file(&text);
-        let program = env!("CARGO_BIN_EXE_dahliastiled");
-        let mut process =
-            Process::start_logging(Command::new(program).arg("--settings").arg(&file));
-        let line: Value =
-            serde_json::from_str(&process.line(|line| line.contains("started"))).unwrap();
-        // The settings are read by now.
-        fs::remove_file(&file).unwrap();
+        let process = daemon(&text);
+        let line: Value = serde_json::from_str(process.first()).unwrap();
         let words = line["detail"].as_str().unwrap().to_owned();
         let address = |name: &str| {
             let mut pairs = words.split(' ').filter_map(|word| word.split_once('='));
@@ -206,7 +200,8 @@
     }
 }
 
-fn authorized(request: Request) -> Request {
+/// A request with the token of the caller.
+pub(crate) fn authorized(request: Request) -> Request {
     request.header("Authorization", &format!("Bearer {TOKEN}"))
 }
 
@@ -217,13 +212,18 @@
     support::request("POST", "/services/berths/book", &headers, "{\"quay\": 7}")
 }
 
-fn settings_file(text: &str) -> PathBuf {
+/// Starts a daemon with the text of its settings, which is gone once the daemon says something.
+pub(crate) fn daemon(text: &str) -> Process {
     static LAST: AtomicU64 = AtomicU64::new(0);
     let number = LAST.fetch_add(1, Ordering::Relaxed);
     let name = format!("vm-{}-{number}.yaml", std::process::id());
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::write(&path, text).unwrap();
-    path
+    let program = env!("CARGO_BIN_EXE_dahliastiled");
+    let mut process = Process::start_logging(Command::new(program).arg("--settings").arg(&path));
+    process.line(|_| true);
+    fs::remove_file(&path).unwrap();
+    process
 }
 
 /// All processes of one test.
--- a/crates/daemon/tests/processes/process.rs
+++ b/crates/daemon/tests/processes/process.rs
@@ -1,5 +1,6 @@
 //! Processes that a test starts, signals and ends by their own ids.
 
+use std::fs;
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -93,6 +94,25 @@
         }
     }
 
+    /// The first line that was read.
+    pub(crate) fn first(&self) -> &str {
+        &self.seen[0]
+    }
+
+    /// Waits for a line that has a word.
+    pub(crate) fn wrote(&mut self, word: &str) {
+        // It may have been read already, on the way to another line.
+        if !self.seen.iter().any(|line| line.contains(word)) {
+            self.line(|line| line.contains(word));
+        }
+    }
+
+    /// The number of files and sockets that the process has open.
+    pub(crate) fn open_files(&self) -> usize {
+        let files = fs::read_dir(format!("/proc/{}/fd", self.id()));
+        files.unwrap().count()
+    }
+
     /// Sends a signal, such as `TERM`.
     pub(crate) fn signal(&self, name: &str) {
         let (signal, id) = (format!("-{name}"), self.id().to_string());
