--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -472,6 +472,9 @@
     let mut process = fleet::daemon("vm: vm-1\nzone: 7\nlisten: { caller: '127.0.0.1:0' }\n");
     let (code, faults) = process.end();
     assert_eq!(code, Some(2));
-    assert!(faults.contains(":2:7: "), "{faults}");
-    assert!(faults.contains(":3:"), "{faults}");
+    assert!(faults.contains("line 2, column 7: `zone`"), "{faults}");
+    assert!(
+        faults.contains("line 3, column 11: there is no setting"),
+        "{faults}"
+    );
 }
--- a/crates/daemon/tests/processes/checks.rs
+++ b/crates/daemon/tests/processes/checks.rs
@@ -53,7 +53,8 @@
     let stream = thread::spawn(move || {
         let answer = request.send_while(|tokens| {
             if tokens.len() == FIRST {
-                sender.send(()).unwrap();
+                // An event without a token shows the same ones again.
+                let _ = sender.try_send(());
             }
             ControlFlow::Continue(())
         });
