Requests of connected callers are answered also when the VM stops

The listener was closed with connections in its backlog, and reading was shut on connections whose request was still on its way. Ruled out: to keep listening until the node has stopped, since balancers and callers are to see refused connections at once; to close idle connections only, since a request may be on its way on each of them. Change: the acceptor takes the backlog in before the listener ends; connected callers have two seconds to send a request, which is refused with ran: no, as the node may have stopped by then. Measured: sigterm_between_connection_and_request fails without the change (no head in the answer) and passes with it.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -123,7 +123,7 @@
             callers_limits(settings),
             settings.limits.requests,
             mailbox.clone(),
-            Callers::new(ids, shared.clone(), mailbox.clone()),
+            Callers::new(ids, shared.clone(), Arc::clone(&draining), mailbox.clone()),
         )?;
         let operators = Server::start(
             settings.listen.operators,
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use dahliastile_core::View;
 use dahliastile_core::error::{Answer, Kind, Ran};
@@ -23,16 +24,24 @@
     ids: Ids,
     /// The configuration in force.
     shared: Shared,
+    /// Whether the daemon is told to stop.
+    draining: Arc<AtomicBool>,
     /// The way to the node.
     mailbox: Mailbox,
 }
 
 impl Callers {
     /// A service in front of a node.
-    pub(crate) fn new(ids: Ids, shared: Shared, mailbox: Mailbox) -> Self {
+    pub(crate) fn new(
+        ids: Ids,
+        shared: Shared,
+        draining: Arc<AtomicBool>,
+        mailbox: Mailbox,
+    ) -> Self {
         Self {
             ids,
             shared,
+            draining,
             mailbox,
         }
     }
@@ -84,6 +93,11 @@
             return self.refuse_with(exchange, request, &answer);
         }
         match ask::read(&mut exchange.request, &self.shared.view()) {
+            // The node may have stopped by now, and could not say that the request did not run.
+            Ok(Ask::Work(..)) if self.draining.load(Ordering::SeqCst) => {
+                let answer = Answer::new(Kind::ShuttingDown, "this VM is shutting down");
+                self.refuse_with(exchange, request, &answer.after(Span::from_millis(100)));
+            }
             Ok(Ask::Work(call, body)) => self.work(exchange, request, call, body),
             Ok(Ask::Models(view)) => {
                 let id = self.ids.text(request);
--- a/crates/daemon/src/http/gate.rs
+++ b/crates/daemon/src/http/gate.rs
@@ -25,6 +25,9 @@
 /// The pause after a failure to accept a connection, mostly for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long callers that are connected when the listener closes may take to send a request, which is still answered.
+const GRACE: Duration = Duration::from_secs(2);
+
 /// What a gate lets through.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limits {
@@ -159,8 +162,8 @@
     mailbox: Mailbox,
     /// The connections.
     open: Mutex<Open>,
-    /// Signalled when a connection ends.
-    ended: Condvar,
+    /// Signalled when a connection ends, and when a request comes.
+    changed: Condvar,
 }
 
 impl Shared {
@@ -172,6 +175,20 @@
     pub(super) fn is_closing(&self) -> bool {
         self.lock().closing
     }
+
+    /// Wakes who waits for requests or for the end of connections.
+    pub(super) fn notify(&self) {
+        // The lock makes sure that who waits has not just looked.
+        drop(self.lock());
+        self.changed.notify_all();
+    }
+
+    /// Waits until each connection has a request, or the grace is over.
+    fn await_requests(&self) -> MutexGuard<'_, Open> {
+        let idle = |open: &mut Open| open.connections.values().any(|c| !c.is_busy());
+        let waited = self.changed.wait_timeout_while(self.lock(), GRACE, idle);
+        waited.unwrap_or_else(PoisonError::into_inner).0
+    }
 }
 
 /// A front of a listener.
@@ -199,7 +216,7 @@
             inner,
             mailbox,
             open: Mutex::default(),
-            ended: Condvar::new(),
+            changed: Condvar::new(),
         });
         let accepting = Arc::clone(&shared);
         let acceptor = thread::Builder::new()
@@ -223,17 +240,19 @@
         self.shared.lock().connections.get(inner).cloned()
     }
 
-    /// Stops accepting, and reading more than what has arrived. Connections end when they are answered.
+    /// Stops accepting, and, after a grace, reading more than what has arrived. Connections end when they are
+    /// answered.
     pub(crate) fn close(&self) {
-        let connections: Vec<Arc<Connection>> = {
-            let mut open = self.shared.lock();
-            open.closing = true;
-            open.connections.values().cloned().collect()
-        };
-        for connection in connections {
+        self.shared.lock().closing = true;
+        self.stop_accepting();
+        let open = self.shared.await_requests();
+        for connection in open.connections.values() {
             // One that is closed already is as good.
             let _ = connection.caller.shutdown(Shutdown::Read);
         }
+    }
+
+    fn stop_accepting(&self) {
         let acceptor = self
             .acceptor
             .lock()
@@ -254,7 +273,7 @@
         while !open.connections.is_empty() {
             open = self
                 .shared
-                .ended
+                .changed
                 .wait(open)
                 .unwrap_or_else(PoisonError::into_inner);
         }
@@ -270,14 +289,24 @@
 
 fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
     for caller in listener.incoming() {
-        if shared.is_closing() {
-            return;
-        }
         match caller {
             // A connection that fails at once, or for which nothing is left, is its caller's loss only.
             Ok(caller) => drop(welcome(shared, caller)),
             Err(_) => thread::sleep(ACCEPT_PAUSE),
         }
+        if shared.is_closing() {
+            return accept_rest(shared, listener);
+        }
+    }
+}
+
+/// Accepts the connections that the system has taken already, as it would reset them with the listener's end.
+fn accept_rest(shared: &Arc<Shared>, listener: &TcpListener) {
+    if listener.set_nonblocking(true).is_err() {
+        return;
+    }
+    while let Ok((caller, _)) = listener.accept() {
+        drop(welcome(shared, caller));
     }
 }
 
@@ -297,13 +326,8 @@
         mailbox: shared.mailbox.clone(),
         state: Mutex::default(),
     });
-    {
-        let mut open = shared.lock();
-        if open.closing {
-            return Ok(());
-        }
-        open.connections.insert(key, Arc::clone(&connection));
-    }
+    let entry = Arc::clone(&connection);
+    shared.lock().connections.insert(key, entry);
     let relaying = Arc::clone(shared);
     let started = thread::Builder::new()
         .name("relay".to_owned())
@@ -320,5 +344,5 @@
 
 fn forget(shared: &Shared, key: &SocketAddr) {
     shared.lock().connections.remove(key);
-    shared.ended.notify_all();
+    shared.changed.notify_all();
 }
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -336,6 +336,22 @@
     fleet.assert_harmless();
 }
 
+#[test]
+fn sigterm_between_connection_and_request() {
+    let mut fleet = Fleet::start();
+    let vm = &mut fleet.vms[0];
+    let mut caller = connect(vm.callers);
+    vm.process.signal("TERM");
+    until("no caller is taken", || TcpStream::connect(vm.callers).is_err());
+    caller.write_all(&fleet::booking("late")).unwrap();
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).unwrap();
+    let (kind, ran) = support::parse(&answer).error();
+    assert_eq!((kind.as_str(), ran.as_str()), ("shutting_down", "no"));
+    assert_eq!(vm.process.end().0, Some(0));
+    assert_eq!(fleet.booked("late"), 0);
+}
+
 #[test]
 fn second_sigterm_says_what_it_cuts() {
     let mut fleet = Fleet::start();
