--- a/crates/core/benches/control/kv.rs
+++ b/crates/core/benches/control/kv.rs
@@ -172,6 +172,13 @@
         }
     }
 
+    /// The length of the snapshots of the configuration.
+    pub fn snapshot_bytes(&self) -> usize {
+        let parts = self.pairs.values().map(|row| &row.0);
+        let parts = parts.filter(|pair| pair.key.contains("/config/snap/"));
+        parts.map(|pair| pair.value.len()).sum()
+    }
+
     /// Ends the leases that are over.
     pub fn pass_time(&mut self, now: Micros) {
         let over = self.leases.iter().filter(|(_, (_, end))| *end <= now);
--- a/crates/core/benches/control/main.rs
+++ b/crates/core/benches/control/main.rs
@@ -195,6 +195,7 @@
         "cpu_us_per_s_worst": rate(worst(|vm| vm.control.total) / 1_000),
         "state_bytes": states().sum::<i64>() / states().count().max(1) as i64,
         "state_bytes_worst": states().max(),
+        "config_bytes": fleet.kv.snapshot_bytes(),
         "config_in_force_ms": delay(delays.len() / 2),
         "config_in_force_ms_worst": delay(delays.len().saturating_sub(1)),
         "edits": delays.len(),
