--- a/crates/core/benches/control/fleet.rs
+++ b/crates/core/benches/control/fleet.rs
@@ -40,6 +40,9 @@
 const FIRST: Micros = 300 * MS;
 const WHOLE: Micros = 9_600 * MS;
 const TOKENS: u32 = 290;
+/// Edits after which the first configuration has a snapshot, and changes in one of them at most.
+const SNAPSHOT: usize = 8;
+const CHANGES: usize = 4_000;
 /// Adapters that an engine holds, and sequences in its batch.
 const SLOTS: usize = 16;
 const BATCH: u32 = 256;
@@ -128,18 +131,19 @@
 
     /// Has one VM write the configuration and a snapshot of it, and ends that VM.
     pub fn configure(&mut self) {
-        self.tuning.snapshot_edits = 8;
+        self.tuning.snapshot_edits = SNAPSHOT as u64;
         self.start(0);
         self.run(SEC);
         let changes = self.size.changes();
-        let part = changes.len().div_ceil(8).min(4_000);
-        for (at, part) in changes.chunks(part).enumerate() {
+        let parts = SNAPSHOT * changes.len().div_ceil(SNAPSHOT * CHANGES);
+        for (at, part) in changes.chunks(changes.len().div_ceil(parts)).enumerate() {
             self.edit(0, part.to_vec());
             while self.vms[0].edition <= at as u64 {
                 self.run(20 * MS);
             }
         }
-        while !self.kv.pairs.keys().any(|key| key.contains("/snap/")) {
+        let last = format!("/snap/{parts}/");
+        while !self.kv.pairs.keys().any(|key| key.contains(&last)) {
             self.run(20 * MS);
         }
         self.run(SEC);
