Fleet: live VMs are found anew only where one became live or ceased to be

Ruled out: doing it once a tick; what a heartbeat tells must count in the same step, since grants and homes are decided on it. Change: a flag that is set where news changes whether a VM is live. Tests: fleet_members 15, sync_commit 10, sync_read 19, sync_spread 12 pass (debug, table invariants checked each step).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -54,6 +54,8 @@
     live: Vec<(id::Vm, u64)>,
     /// The neighbours.
     links: Links,
+    /// Whether [`State::live`] is to be brought in line with the rows.
+    stale: bool,
     /// Whether the neighbours are to be found anew.
     dirty: bool,
     /// Whether there is news that does not wait for the next round.
@@ -104,6 +106,7 @@
             rows: BTreeMap::new(),
             live: vec![(settings.vm.clone(), hash)],
             links: Links::default(),
+            stale: false,
             dirty: false,
             urgent: false,
             sent: Instant::default(),
@@ -163,6 +166,7 @@
 
     /// Brings the list of live VMs in line with the rows.
     fn refresh(&mut self) {
+        self.stale = false;
         let own = !(self.draining || self.listed_leaving);
         let own = own.then_some((&self.own.vm, self.hash));
         let others = self.rows.values().filter(|row| row.live());
--- a/crates/core/src/fleet/gossip.rs
+++ b/crates/core/src/fleet/gossip.rs
@@ -99,7 +99,9 @@
             learn(node, from, news, sheet, out);
         }
     }
-    node.fleet.refresh();
+    if node.fleet.stale {
+        node.fleet.refresh();
+    }
     for holder in beat.holders {
         domain::holder_is(node, holder.clone(), out);
         spread(node, holder);
@@ -223,6 +225,7 @@
     let back = was.suspected() && row.present();
     let newcomer = joined && itself && row.member.beat <= FRESH;
     let present = row.present();
+    fleet.stale |= row.live() != was.live();
     if joined || lost || left || back {
         fleet.dirty = true;
         if !sheet {
