Rules can hold cold requests back to fill a batch

Cause: hold_ms was accepted and did nothing. Ruled out: hiding held requests from the holder's wants alone, since their arrivals still raised the demand and the holder loaded the adapter at once (the new test failed so). Change: a held cold request counts as arrived for the holder when its hold is over; a warm one is not held. After: hold_delays_load_not_warm passes; what it costs is the hold itself, as a load stall.

--- a/crates/core/benches/policy/main.rs
+++ b/crates/core/benches/policy/main.rs
@@ -39,7 +39,6 @@
         .filter(|fate| fate.ended.is_some())
         .count();
     let refused = world.fates.iter().filter(|fate| fate.refused).count();
-    let lost = world.fates.len() - whole - refused;
     let times = world.trace.iter().zip(&world.fates);
     let took: Vec<u64> = times
         .filter_map(|(a, f)| f.ended.map(|end| end - a.at))
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -15,16 +15,17 @@
 mod table;
 mod trail;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use cranelift_entity::SecondaryMap;
 
-use crate::Node;
 use crate::effect::Effects;
 use crate::entity::{Adapter, Server};
 use crate::error::{Answer, Kind, Ran};
 use crate::id::{Attempt, Request, Ticket};
 use crate::time::{Instant, Span};
+use crate::{Node, domain};
 
 pub(crate) use arrive::{arrived, test};
 pub(crate) use attempt::{begun, chunk, ended, failed};
@@ -55,6 +56,8 @@
     blocked: BTreeSet<(Server, Key)>,
     /// When the deadline of each request passes.
     deadlines: Deadlines,
+    /// When requests that are held back to fill a batch are held back no longer.
+    holds: BinaryHeap<Reverse<(Instant, Adapter)>>,
     /// When every queue is looked at again, in case that a change was not noticed.
     look_again: Instant,
     /// This VM's own work on each server.
@@ -69,8 +72,10 @@
 pub(crate) fn wanted(node: &Node) -> impl Iterator<Item = (Adapter, Waiting)> + '_ {
     let queues = &node.traffic.queues;
     queues.keys().filter_map(move |key| match key {
-        Key::Adapter(adapter) => Some((adapter, queues.waiting(key, node.now))),
-        Key::Service(_) => None,
+        Key::Adapter(adapter) if queues.asks(key, node.now) => {
+            Some((adapter, queues.waiting(key, node.now)))
+        }
+        Key::Adapter(_) | Key::Service(_) => None,
     })
 }
 
@@ -130,6 +135,7 @@
     let requests = &traffic.requests;
     let in_progress = |request| requests.contains_key(&request);
     traffic.deadlines.sweep(requests.len(), in_progress);
+    end_holds(node, out);
     let blocked = std::mem::take(&mut node.traffic.blocked);
     let keys = blocked.into_iter().map(|(_, key)| key);
     node.traffic.dirty.extend(keys);
@@ -139,6 +145,18 @@
     }
 }
 
+/// Requests that are held back no longer count as arrived for the holder of their domain.
+fn end_holds(node: &mut Node, out: &mut Effects) {
+    while let Some(Reverse((until, adapter))) = node.traffic.holds.peek().copied() {
+        if until > node.now {
+            return;
+        }
+        node.traffic.holds.pop();
+        let cold = node.traffic.queues.holds(Key::Adapter(adapter));
+        domain::arrived(node, adapter, cold, out);
+    }
+}
+
 /// Adds what is broken in the tables of requests and attempts.
 pub(crate) fn verify(node: &Node, broken: &mut Vec<String>) {
     let traffic = &node.traffic;
--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -1,5 +1,7 @@
 //! A request arrives: who asks, for what, which rule decides, and whether it is taken in.
 
+use std::cmp::Reverse;
+
 use super::dispatch;
 use super::limit::{self, Asked};
 use super::queue::{self, Key, Place};
@@ -120,14 +122,18 @@
     );
     row.cold = candidates == 0;
     row.notes.add(Span::ZERO, Note::Queued { candidates });
-    let (adapter, cold) = (row.adapter, row.cold);
+    let (adapter, cold, held_until) = (row.adapter, row.cold, row.held_until());
     node.traffic.deadlines.push(row.deadline, request);
     node.traffic.requests.insert(request, row);
     if cold || !dispatch::at_once(node, request, out) {
         queue::push(node, request);
     }
     if let Some(adapter) = adapter {
-        domain::arrived(node, adapter, cold, out);
+        if held_until > node.now {
+            node.traffic.holds.push(Reverse((held_until, adapter)));
+        } else {
+            domain::arrived(node, adapter, cold, out);
+        }
     }
 }
 
--- a/crates/core/src/traffic/queue.rs
+++ b/crates/core/src/traffic/queue.rs
@@ -52,7 +52,8 @@
     let Some(row) = node.traffic.requests.get(&request) else {
         return;
     };
-    node.traffic.queues.push(row.key, row.place, node.now);
+    let held = row.held_until();
+    node.traffic.queues.push(row.key, row.place, held, node.now);
     let shares = node.traffic.limits.shares.entry(row.service).or_default();
     shares.add(row.place.priority, row.caller, row.place.weight, request);
     node.traffic.dirty.insert(row.key);
@@ -90,10 +91,12 @@
     weight: u32,
     /// How fast they are served since the queue was last empty.
     pace: Pace,
+    /// Until when all of them are held back to fill a batch.
+    held: Instant,
 }
 
 impl Queues {
-    fn push(&mut self, key: Key, place: Place, now: Instant) {
+    fn push(&mut self, key: Key, place: Place, held: Instant, now: Instant) {
         if !self.places.insert((key, place)) {
             return;
         }
@@ -101,8 +104,10 @@
             count: 0,
             weight: 0,
             pace: Pace::new(now),
+            held,
         });
         row.count += 1;
+        row.held = row.held.min(held);
         row.weight = row.weight.saturating_add(place.weight);
     }
 
@@ -167,6 +172,11 @@
         self.rows.values().map(|row| row.count as usize).sum()
     }
 
+    /// Whether a queue holds more than requests that are held back.
+    pub(super) fn asks(&self, key: Key, now: Instant) -> bool {
+        self.rows.get(&key).is_some_and(|row| row.held <= now)
+    }
+
     /// What the holder of a domain is told of a queue.
     pub(super) fn waiting(&self, key: Key, now: Instant) -> Waiting {
         let first = self.of(key).next();
--- a/crates/core/src/traffic/table.rs
+++ b/crates/core/src/traffic/table.rs
@@ -112,6 +112,18 @@
     pub(crate) notes: Notes,
 }
 
+impl RequestRow {
+    /// Until when no load is asked for on account of this request, so that others can join its batch.
+    pub(crate) fn held_until(&self) -> Instant {
+        let hold = if self.cold {
+            self.decision.hold
+        } else {
+            Span::ZERO
+        };
+        (self.arrived + hold).min(self.deadline)
+    }
+}
+
 /// An answer kept for a repeated idempotency key.
 #[derive(Debug, Default)]
 pub(crate) struct Kept {
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -251,3 +251,31 @@
     assert_eq!(kinds(&fleet, Kind::RefusedByRule), 10);
     fleet.check();
 }
+
+#[test]
+fn hold_delays_load_not_warm() {
+    let mut fleet = Size::small().fleet(12);
+    let hold = Then {
+        hold_ms: Some(2_000),
+        ..Then::default()
+    };
+    fleet.set_rules(vec![rule("fill", When::default(), hold)]);
+    let loads = |fleet: &Fleet| {
+        fleet
+            .engines
+            .iter()
+            .filter(|engine| engine.holds("a3@1"))
+            .count()
+    };
+    fleet.ask(0, model(3, 1, 5));
+    fleet.run_for(1_800 * MS);
+    assert_eq!(loads(&fleet), 0, "the load began before the hold was over");
+    fleet.ask(1, model(3, 2, 5));
+    assert!(fleet.finish_all(10 * SEC));
+    assert!(loads(&fleet) > 0);
+    let before = fleet.now;
+    let warm = fleet.ask(0, model(3, 3, 5));
+    assert!(fleet.finish(warm, SEC).finished());
+    assert!(fleet.now - before < 2 * SEC, "a warm request was held back");
+    fleet.check();
+}
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -342,7 +342,9 @@
     let vm = &mut fleet.vms[0];
     let mut caller = connect(vm.callers);
     vm.process.signal("TERM");
-    until("no caller is taken", || TcpStream::connect(vm.callers).is_err());
+    until("no caller is taken", || {
+        TcpStream::connect(vm.callers).is_err()
+    });
     caller.write_all(&fleet::booking("late")).unwrap();
     let mut answer = Vec::new();
     caller.read_to_end(&mut answer).unwrap();
