--- a/crates/core/benches/control/fleet.rs
+++ b/crates/core/benches/control/fleet.rs
@@ -6,14 +6,12 @@
 use dahliastile_core::Node;
 use dahliastile_core::config::{Change, Edit};
 use dahliastile_core::effect::{Action, Command, Effect, Effects};
-use dahliastile_core::event::{
-    Call, Event, Head, Listed, Ordered, Reason, Report, Resident, Target,
-};
+use dahliastile_core::event::{Event, Head, Listed, Ordered, Reason, Report, Resident, Target};
 use dahliastile_core::id::{Attempt, Boot, Edition, Incarnation, Op, Request, Ticket};
 use dahliastile_core::log::Code;
 use dahliastile_core::operator::{self, Reply};
 use dahliastile_core::peer::Message;
-use dahliastile_core::platform::Notice;
+use dahliastile_core::platform::{Call, Notice, Outcome};
 use dahliastile_core::settings::{Settings, Tuning};
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_wire::{decode, encode};
@@ -103,6 +101,10 @@
     pub rng: ChaCha8Rng,
     /// Starts that are due, by time.
     pub starts: BTreeSet<(Micros, usize)>,
+    /// Whether the first region is cut off from the others and from the platform.
+    pub cut: bool,
+    /// Whether the last zone is lost, with its VMs and servers.
+    pub lost: bool,
     engines: Vec<Engine>,
     later: BTreeMap<(Micros, u64), (Origin, Later)>,
     last: u64,
@@ -121,6 +123,8 @@
             meter: Meter::new(size.vms),
             rng: ChaCha8Rng::seed_from_u64(seed),
             starts: BTreeSet::new(),
+            cut: false,
+            lost: false,
             engines: (0..size.replicas).map(|_| Engine::default()).collect(),
             later: BTreeMap::new(),
             last: 0,
@@ -212,6 +216,27 @@
         Origin { vm, life }
     }
 
+    /// Whether a zone is in the region that is cut off.
+    fn apart(&self, zone: usize) -> bool {
+        self.cut && self.size.region(zone) == 0
+    }
+
+    /// Cuts the first region off; what its VMs watched is silent from now on.
+    pub fn cut_off(&mut self) {
+        self.cut = true;
+        let size = self.size;
+        let whole = |vm: usize| size.region(size.zone(vm)) != 0;
+        self.kv.watches.retain(|(origin, _), _| whole(origin.vm));
+    }
+
+    /// Loses the last zone.
+    pub fn lose_zone(&mut self) {
+        self.lost = true;
+        let size = self.size;
+        let last = (0..size.vms).filter(|vm| size.zone(*vm) == size.zones - 1);
+        last.for_each(|vm| self.stop(vm));
+    }
+
     fn after(&mut self, origin: Origin, delay: Micros, later: Later) {
         self.last += 1;
         self.later
@@ -259,6 +284,9 @@
                 self.step(to.vm, || Event::Tick);
                 self.after(to, 20 * MS, Later::Tick);
             }
+            Later::List if self.apart(self.size.zone(to.vm)) => {
+                self.after(to, LIST_EVERY, Later::List);
+            }
             Later::List => {
                 let up = (0..self.size.vms).filter(|vm| self.vms[*vm].node.is_some());
                 let up: Vec<usize> = up.collect();
@@ -323,6 +351,17 @@
         let origin = self.origin(vm);
         match effect {
             Effect::Peer { to, message, .. } => self.send(vm, number(to.as_str()), message),
+            Effect::Platform { op, call } if self.apart(self.size.zone(vm)) => {
+                let (op, outcome) = (*op, Outcome::Unknown);
+                let event = match call {
+                    Call::Watch { .. } => Event::Watch {
+                        op,
+                        notice: Notice::Broken,
+                    },
+                    _ => Event::Platform { op, outcome },
+                };
+                self.after(origin, 2 * SEC, Later::Event(event));
+            }
             Effect::Platform { op, call } => {
                 let outcome = self.kv.call(self.now, origin, *op, call);
                 if let Some(outcome) = outcome {
@@ -373,12 +412,18 @@
     fn send(&mut self, vm: usize, to: usize, message: &Message) {
         let bytes = encode(message);
         self.meter.sent(vm, message_kind(message), bytes.len());
-        let delay = self.size.delay(self.size.zone(vm), self.size.zone(to));
+        let zones = (self.size.zone(vm), self.size.zone(to));
+        if self.apart(zones.0) != self.apart(zones.1) {
+            return;
+        }
+        let delay = self.size.delay(zones.0, zones.1);
         let (from, to) = (self.origin(vm), self.origin(to));
         self.after(to, delay, Later::Message(from, bytes));
     }
 
     fn report(&mut self, vm: usize, server: usize) {
+        let zone = self.size.zone(server);
+        let gone = self.lost && zone == self.size.zones - 1;
         let engine = &self.engines[server];
         let running = engine.residents.values().sum();
         let resident = |(adapter, in_flight): (&String, &u32)| Resident {
@@ -398,10 +443,11 @@
         };
         let bytes = serde_json::to_vec(&make()).map_or(0, |text| text.len());
         self.meter.polled(bytes);
-        let report = make();
+        let hears = !gone && self.apart(zone) == self.apart(self.size.zone(vm));
+        let report = hears.then(make);
         let event = move || Event::Report {
             server: format!("server-{server}").parse().unwrap(),
-            report: Some(report),
+            report,
         };
         self.step(vm, event);
     }
@@ -465,7 +511,7 @@
     pub fn arrive(&mut self, vm: usize, adapter: usize) {
         self.last += 1;
         let request = Request(self.last);
-        let call = Call {
+        let call = dahliastile_core::event::Call {
             caller: "caller".parse().unwrap(),
             target: Target::Model(format!("adapter-{adapter}@1")),
             zone: None,
--- a/crates/core/benches/control/main.rs
+++ b/crates/core/benches/control/main.rs
@@ -3,6 +3,8 @@
 //!
 //! `cargo bench -p dahliastile-core --bench control -- --seed N --vms 9,30,90 --seconds N --backend N --phases LIST`
 //!
+//! Phases: `steady`; `change` at the letter's rates; `serving` with its requests; `cut`, with the first region cut off
+//! from the others and the platform; `healed` after that; `zone`, with the last zone lost.
 //! `--backend N` gives every fleet the servers and adapters of a fleet of N VMs.
 #![allow(missing_docs, unreachable_pub, clippy::pedantic)]
 
@@ -231,6 +233,11 @@
         eprintln!("{size:?} settled in {} ms", settled / 1_000);
         for phase in phases.split(',') {
             let rates = Rates::of(phase, &size);
+            match phase {
+                "cut" => fleet.cut_off(),
+                "zone" => fleet.lose_zone(),
+                _ => fleet.cut = false,
+            }
             if rates.requests > 0.0 {
                 run(&mut fleet, rates, 20 * SEC);
             }
--- a/crates/core/benches/control/meter.rs
+++ b/crates/core/benches/control/meter.rs
@@ -118,7 +118,8 @@
     match event {
         Event::Tick => "tick",
         Event::Arrived { .. } | Event::Gone { .. } => "request",
-        Event::Begun { .. } | Event::Chunk { .. } => "answer",
+        Event::Begun { .. } => "begun",
+        Event::Chunk { .. } => "chunk",
         Event::Ended { .. } | Event::Failed { .. } => "end",
         Event::Report { .. } => "report",
         Event::Cache { .. } => "cache",
@@ -134,7 +135,7 @@
 
 /// Whether such an event is control, not the request path.
 pub fn is_control(kind: &str) -> bool {
-    !matches!(kind, "request" | "answer" | "end")
+    !matches!(kind, "request" | "begun" | "chunk" | "end")
 }
 
 /// The name under which a message is counted.
--- a/crates/core/benches/control/size.rs
+++ b/crates/core/benches/control/size.rs
@@ -57,12 +57,16 @@
         at % self.zones
     }
 
+    /// The region of a zone.
+    pub fn region(&self, zone: usize) -> usize {
+        zone % REGIONS.min(self.zones.div_ceil(2))
+    }
+
     /// One way between two zones.
     pub fn delay(&self, from: usize, to: usize) -> Micros {
-        let region = |zone: usize| zone % REGIONS.min(self.zones.div_ceil(2));
         match () {
             () if from == to => 200,
-            () if region(from) == region(to) => 1_500,
+            () if self.region(from) == self.region(to) => 1_500,
             () => 40_000,
         }
     }
