--- a/crates/core/src/domain/record.rs
+++ b/crates/core/src/domain/record.rs
@@ -1,7 +1,7 @@
 //! A domain's record in the key-value service: which starts of VMs may hold grants, and which unloads may still
 //! reach a server. Only the holder can write it, since each write also compares the lease key's creation revision.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -11,7 +11,7 @@
 use crate::Node;
 use crate::effect::Effects;
 use crate::entity::Domain;
-use crate::id::{self, Fence, Incarnation, Revision};
+use crate::id::{self, Boot, Fence, Incarnation, Revision};
 use crate::platform::{Call, Compare, Outcome, Put};
 use crate::time::{Instant, Span};
 
@@ -44,7 +44,11 @@
     /// Starts that may hold grants.
     pub(crate) grantees: BTreeSet<Start>,
     /// Unloads that may still take effect.
+    #[serde(default)]
     pub(crate) intents: BTreeSet<Intent>,
+    /// Starts of servers in which only what is resident is granted to anyone.
+    #[serde(default)]
+    pub(crate) boots: BTreeMap<id::Server, Boot>,
 }
 
 impl Record {
@@ -87,6 +91,11 @@
         self.dirty = true;
     }
 
+    /// Whether the key holds what it is to hold.
+    pub(crate) fn settled(&self) -> bool {
+        !self.busy && !self.dirty && !self.unread
+    }
+
     /// Whether a read or write is in progress.
     pub(crate) fn busy(&self) -> bool {
         self.busy
@@ -117,7 +126,8 @@
         return;
     }
     let since = *writer.stale.get_or_insert(now);
-    if writer.committed.covers(&desired) && now.since(since) < LAZY {
+    let closing = node.domains.closing.is_some();
+    if writer.committed.covers(&desired) && now.since(since) < LAZY && !closing {
         return;
     }
     write(node, domain, desired, out);
