--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -339,26 +339,22 @@
 #[test]
 fn sigterm_before_a_request_is_whole() {
     let mut fleet = Fleet::start();
-    let vm = &mut fleet.vms[0];
     let booking = fleet::booking("late");
-    // Part of the head, part of the body, and nothing comes before the signal.
     let body = booking.len() - 4;
-    let mut callers = [body - 20, body + 2, 0].map(|sent| {
+    // Nothing, part of the head, and part of the body come before the signal.
+    for (vm, sent) in fleet.vms.iter_mut().zip([0, body - 20, body + 2]) {
         let mut caller = connect(vm.callers);
         caller.write_all(&booking[..sent]).unwrap();
-        (caller, sent)
-    });
-    vm.process.signal("TERM");
-    until("no caller is taken", || {
-        TcpStream::connect(vm.callers).is_err()
-    });
-    for (caller, sent) in &mut callers {
-        caller.write_all(&booking[*sent..]).unwrap();
+        vm.process.signal("TERM");
+        until("no caller is taken", || {
+            TcpStream::connect(vm.callers).is_err()
+        });
+        caller.write_all(&booking[sent..]).unwrap();
         let mut answer = Vec::new();
         caller.read_to_end(&mut answer).unwrap();
-        assert_eq!(support::parse(&answer).error(), turned_away());
+        assert_eq!(support::parse(&answer).error(), turned_away(), "{sent}");
+        assert_eq!(vm.process.end().0, Some(0));
     }
-    assert_eq!(vm.process.end().0, Some(0));
     assert_eq!(fleet.booked("late"), 0);
 }
 
