--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -8,6 +8,7 @@
 mod script;
 mod stage;
 mod traffic;
+mod verdict;
 mod watch;
 mod words;
 
@@ -37,7 +38,8 @@
     }
     stage.close()?;
     if broken.is_empty() {
-        return Ok(output);
+        let text = if options.hold { "ended" } else { &output.text };
+        return Ok(Output::new(text, &output.json));
     }
     Err(Error::Broken {
         promises: broken,
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -12,12 +12,12 @@
 
 use super::board::{Board, Done, Ending, Phase};
 use super::figures::Stalls;
-use super::ledger;
 use super::report::{Check, Report};
 use super::stage::{GUARDED, OPERATOR_TOKEN, Stage, adapter, failed};
 use super::traffic::{Traffic, twice};
+use super::verdict;
 use super::watch::Watch;
-use super::words::{described, explain, said, shortened, spelled};
+use super::words::{explain, said, spelled};
 use crate::client::Client;
 use crate::error::{Error, Result};
 use crate::progress::Progress;
@@ -37,7 +37,7 @@
 /// Tokens of these: about a second's work.
 const STREAM_TOKENS: u64 = 100;
 /// The VM that is shut down.
-const LAST: usize = 2;
+pub(super) const LAST: usize = 2;
 /// Whole answers of each model service that a part waits for.
 const ENOUGH: usize = 30;
 
@@ -49,7 +49,7 @@
     client: Client,
     progress: Progress,
     checks: Vec<Check>,
-    stopped: Option<Instant>,
+    told: Option<Instant>,
 }
 
 /// Plays all parts. With `trails`, also says what was done with one request of each kind of refusal.
@@ -72,7 +72,7 @@
         traffic,
         progress: Progress::new(true),
         checks: Vec::new(),
-        stopped: None,
+        told: None,
     };
     let configured = play.configure();
     let callers = play.traffic.start();
@@ -302,7 +302,7 @@
         let handle = daemon.stopper();
         let (begun, started) = flume::unbounded();
         let traffic = &self.traffic;
-        let (ended, endings, stopped) = thread::scope(|scope| {
+        let (ended, endings, told) = thread::scope(|scope| {
             let streams: Vec<_> = (0..STREAMS)
                 .map(|number| {
                     let begun = begun.clone();
@@ -310,7 +310,7 @@
                 })
                 .collect();
             let running = (0..STREAMS).all(|_| started.recv_timeout(LIMIT).is_ok());
-            let stopped = Instant::now();
+            let told = Instant::now();
             handle.stop(false);
             traffic.board.spare(LAST);
             let ended = daemon.wait();
@@ -318,9 +318,9 @@
                 .into_iter()
                 .map(|stream| stream.join().ok())
                 .collect();
-            (running.then_some(ended), endings, stopped)
+            (running.then_some(ended), endings, told)
         });
-        self.stopped = Some(stopped);
+        self.told = Some(told);
         self.stage.unlist();
         let whole = endings
             .iter()
@@ -341,46 +341,9 @@
     /// The checks over everything that happened.
     fn conclude(mut self, stalls: &Stalls, began: Instant) -> Report {
         let all = self.traffic.board.done();
-        let unclear = |done: &&Done| matches!(done.ending, Ending::Broken(_));
-        let unclear: Vec<String> = all.iter().filter(unclear).map(described).collect();
-        let cut = |done: &&Done| {
-            let begun = self.stopped.is_some_and(|stopped| done.sent < stopped);
-            let fine = match &done.ending {
-                Ending::Whole | Ending::Unreached => true,
-                Ending::Refused { ran, .. } => ran == "no",
-                Ending::Broken(_) => false,
-            };
-            begun && done.vm == LAST && done.phase == Phase::Shutdown && !fine
-        };
-        let interrupted = all.iter().filter(cut);
-        let interrupted: Vec<String> = interrupted.map(described).collect();
-        let lists = [
-            (
-                "every answer is whole, checked token by token, or an explicit refusal",
-                unclear,
-            ),
-            ("interrupted answers at shutdown: 0", interrupted),
-            (
-                "double runs of non-idempotent work: 0",
-                ledger::double_runs(self.stage),
-            ),
-            (
-                "ran: no is true by the stand-ins' records",
-                ledger::untrue(self.stage, &all),
-            ),
-            (
-                "no adapter is unloaded while in use",
-                ledger::violations(self.stage),
-            ),
-            ("no edition goes back on any VM", self.watch.close()),
-        ];
-        for (promise, found) in lists {
-            self.checks.push(Check {
-                kept: found.is_empty(),
-                promise,
-                seen: shortened(&found),
-            });
-        }
+        let backwards = self.watch.close();
+        self.checks
+            .extend(verdict::checks(self.stage, &all, self.told, backwards));
         Report::new(self.stage, &all, stalls, self.checks, began.elapsed())
     }
 
