--- a/crates/core/benches/control/fleet.rs
+++ b/crates/core/benches/control/fleet.rs
@@ -5,45 +5,40 @@
 
 use dahliastile_core::Node;
 use dahliastile_core::config::{Change, Edit};
-use dahliastile_core::effect::{Action, Command, Effect, Effects};
-use dahliastile_core::event::{Event, Head, Listed, Ordered, Reason, Report, Resident, Target};
-use dahliastile_core::id::{Attempt, Boot, Edition, Incarnation, Op, Request, Ticket};
+use dahliastile_core::effect::{Effect, Effects};
+use dahliastile_core::event::{Event, Listed};
+use dahliastile_core::id::{Attempt, Edition, Incarnation, Op, Ticket};
 use dahliastile_core::log::Code;
 use dahliastile_core::operator::{self, Reply};
 use dahliastile_core::peer::Message;
 use dahliastile_core::platform::{Call, Notice, Outcome};
 use dahliastile_core::settings::{Settings, Tuning};
-use dahliastile_core::time::{Instant, Span};
+use dahliastile_core::time::Instant;
 use dahliastile_wire::{decode, encode};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::engine::Engine;
 use crate::heap;
 use crate::kv::Kv;
 use crate::meter::{Meter, event_kind, is_control, message_kind};
-use crate::size::{LOAD_MS, Size};
+use crate::size::Size;
 
 /// Virtual time in microseconds.
 pub type Micros = u64;
 /// A second.
 pub const SEC: Micros = 1_000_000;
-const MS: Micros = 1_000;
+/// A millisecond.
+pub const MS: Micros = 1_000;
 /// One way to the key-value service.
 const KV_WAY: Micros = 2 * MS;
 /// One way to an engine.
-const NEAR: Micros = MS;
+pub const NEAR: Micros = MS;
 /// Time between two reads of the platform's list, as the daemon's default has it.
 const LIST_EVERY: Micros = SEC;
-/// From a request's sending to its first token, and to its end at 33 ms a token.
-const FIRST: Micros = 300 * MS;
-const WHOLE: Micros = 9_600 * MS;
-const TOKENS: u32 = 290;
 /// Edits after which the first configuration has a snapshot, and changes in one of them at most.
 const SNAPSHOT: usize = 8;
 const CHANGES: usize = 4_000;
-/// Adapters that an engine holds, and sequences in its batch.
-const SLOTS: usize = 16;
-const BATCH: u32 = 256;
 
 /// One start of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,7 +50,7 @@
 }
 
 /// What happens later.
-enum Later {
+pub enum Later {
     Tick,
     List,
     Report(usize),
@@ -79,12 +74,6 @@
     pub state: i64,
 }
 
-#[derive(Default)]
-struct Engine {
-    /// What is resident, with the requests in flight.
-    residents: BTreeMap<String, u32>,
-}
-
 /// The fleet and what is around it.
 pub struct Fleet {
     /// Its size.
@@ -105,9 +94,11 @@
     pub cut: bool,
     /// Whether the last zone is lost, with its VMs and servers.
     pub lost: bool,
-    engines: Vec<Engine>,
+    /// The engines.
+    pub engines: Vec<Engine>,
     later: BTreeMap<(Micros, u64), (Origin, Later)>,
-    last: u64,
+    /// The number given last.
+    pub last: u64,
     effects: Effects,
     tuning: Tuning,
 }
@@ -217,7 +208,7 @@
     }
 
     /// Whether a zone is in the region that is cut off.
-    fn apart(&self, zone: usize) -> bool {
+    pub(crate) fn apart(&self, zone: usize) -> bool {
         self.cut && self.size.region(zone) == 0
     }
 
@@ -237,7 +228,7 @@
         last.for_each(|vm| self.stop(vm));
     }
 
-    fn after(&mut self, origin: Origin, delay: Micros, later: Later) {
+    pub(crate) fn after(&mut self, origin: Origin, delay: Micros, later: Later) {
         self.last += 1;
         self.later
             .insert((self.now + delay, self.last), (origin, later));
@@ -266,7 +257,7 @@
         self.now = end;
     }
 
-    fn handle(&mut self, to: Origin, later: Later) {
+    pub(crate) fn handle(&mut self, to: Origin, later: Later) {
         let alive = self.vms[to.vm].node.is_some();
         match later {
             Later::Message(from, bytes) if alive => self.deliver(from, to.vm, &bytes),
@@ -321,7 +312,7 @@
     }
 
     /// Gives a VM an event and carries out what it wants done.
-    fn step(&mut self, vm: usize, make: impl FnOnce() -> Event) {
+    pub(crate) fn step(&mut self, vm: usize, make: impl FnOnce() -> Event) {
         let now = Instant(self.now);
         let mut effects = std::mem::take(&mut self.effects);
         let base = heap::live();
@@ -421,115 +412,6 @@
         self.after(to, delay, Later::Message(from, bytes));
     }
 
-    fn report(&mut self, vm: usize, server: usize) {
-        let zone = self.size.zone(server);
-        let gone = self.lost && zone == self.size.zones - 1;
-        let engine = &self.engines[server];
-        let running = engine.residents.values().sum();
-        let resident = |(adapter, in_flight): (&String, &u32)| Resident {
-            adapter: adapter.parse().unwrap(),
-            in_flight: *in_flight,
-        };
-        let make = || Report {
-            boot: Boot(1),
-            ready: true,
-            running,
-            waiting: 0,
-            batch: BATCH,
-            step: Span(33 * MS),
-            slots: SLOTS as u32,
-            age: Span(NEAR),
-            residents: engine.residents.iter().map(resident).collect(),
-        };
-        let bytes = serde_json::to_vec(&make()).map_or(0, |text| text.len());
-        self.meter.polled(bytes);
-        let hears = !gone && self.apart(zone) == self.apart(self.size.zone(vm));
-        let report = hears.then(make);
-        let event = move || Event::Report {
-            server: format!("server-{server}").parse().unwrap(),
-            report,
-        };
-        self.step(vm, event);
-    }
-
-    fn order(&mut self, origin: Origin, command: &Command) {
-        let engine = &mut self.engines[number(command.server.as_str())];
-        let full = engine.residents.len() >= SLOTS;
-        let (outcome, takes) = match &command.action {
-            Action::Fence => (Ordered::Done, 0),
-            Action::Load(_) if full => (Ordered::Refused(Reason::NoSlot), 0),
-            Action::Load(adapter) => {
-                engine.residents.entry(adapter.to_string()).or_default();
-                self.meter.loads += 1;
-                (Ordered::Done, LOAD_MS * MS)
-            }
-            Action::Unload(adapter) if engine.residents.get(adapter.as_str()) > Some(&0) => {
-                (Ordered::Refused(Reason::InUse), 0)
-            }
-            Action::Unload(adapter) => {
-                engine.residents.remove(adapter.as_str());
-                (Ordered::Done, 0)
-            }
-        };
-        let order = command.order;
-        let event = Event::Ordered { order, outcome };
-        self.after(origin, 2 * NEAR + takes, Later::Event(event));
-    }
-
-    fn submit(&mut self, origin: Origin, engine: usize, attempt: Attempt, adapter: String) {
-        let Some(count) = self.engines[engine].residents.get_mut(&adapter) else {
-            let failure = dahliastile_core::event::Failure::NotRun(Reason::NotLoaded);
-            let event = Event::Failed { attempt, failure };
-            return self.after(origin, 2 * NEAR, Later::Event(event));
-        };
-        *count += 1;
-        let head = Head {
-            status: 200,
-            content_type: String::new(),
-            model: Some(adapter.clone()),
-        };
-        let begun = Event::Begun { attempt, head };
-        self.after(origin, FIRST, Later::Event(begun));
-        self.after(origin, WHOLE, Later::Done(engine, attempt, adapter));
-    }
-
-    fn done(&mut self, origin: Origin, engine: usize, attempt: Attempt, adapter: &str) {
-        if let Some(count) = self.engines[engine].residents.get_mut(adapter) {
-            *count = count.saturating_sub(1);
-        }
-        let chunk = Event::Chunk {
-            attempt,
-            model: Some(adapter.to_owned()),
-            tokens: TOKENS,
-            data: Vec::new(),
-        };
-        self.handle(origin, Later::Event(chunk));
-        self.handle(origin, Later::Event(Event::Ended { attempt }));
-    }
-
-    /// A caller's request for an adapter arrives at a VM.
-    pub fn arrive(&mut self, vm: usize, adapter: usize) {
-        self.last += 1;
-        let request = Request(self.last);
-        let call = dahliastile_core::event::Call {
-            caller: "caller".parse().unwrap(),
-            target: Target::Model(format!("adapter-{adapter}@1")),
-            zone: None,
-            headers: Vec::new(),
-            key: None,
-            digest: self.last,
-            non_idempotent: false,
-            timeout: None,
-            stream: true,
-            prefix: Vec::new(),
-            prompt_tokens: 100,
-            max_tokens: TOKENS,
-        };
-        let call = Box::new(call);
-        self.meter.arrived += 1;
-        self.step(vm, || Event::Arrived { request, call });
-    }
-
     /// An operator's edit at a VM, on the edition in force there.
     pub fn edit(&mut self, vm: usize, changes: Vec<Change>) {
         self.last += 1;
@@ -563,7 +445,8 @@
     format!("zone-{}", size.zone(vm))
 }
 
-fn number(name: &str) -> usize {
+/// The number at the end of a name.
+pub fn number(name: &str) -> usize {
     let digits = name.rsplit('-').next();
     digits
         .and_then(|digits| digits.parse().ok())
--- a/crates/core/benches/control/main.rs
+++ b/crates/core/benches/control/main.rs
@@ -8,6 +8,7 @@
 //! `--backend N` gives every fleet the servers and adapters of a fleet of N VMs.
 #![allow(missing_docs, unreachable_pub, clippy::pedantic)]
 
+mod engine;
 mod fleet;
 mod heap;
 mod kv;
