--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -59,9 +59,4 @@
     pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (E, &mut T)> {
         self.rows.iter_mut()
     }
-
-    /// The number of rows.
-    pub(crate) fn len(&self) -> usize {
-        self.rows.len()
-    }
 }
--- a/crates/core/src/operator.rs
+++ b/crates/core/src/operator.rs
@@ -56,7 +56,7 @@
     /// The last edits, newest first.
     History(Vec<Entry>),
     /// Which rule decides.
-    Test(Decided),
+    Test(Box<Decided>),
     /// The state of the fleet.
     Status(Box<Status>),
     /// What was done with a request.
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -238,9 +238,29 @@
 /// How long a caller does well to wait before it asks for an adapter again.
 pub(crate) fn retry_after(node: &Node, adapter: Option<Adapter>) -> Span {
     const SHORT: Span = Span::from_millis(500);
-    adapter
-        .and_then(|adapter| node.domains.expected(adapter))
-        .map_or(SHORT, |wait| wait.max(SHORT))
+    let Some(adapter) = adapter else {
+        return SHORT;
+    };
+    let wait = node.domains.expected(adapter).unwrap_or(SHORT);
+    wait.max(cold_start(node, adapter)).max(SHORT)
+}
+
+/// How long it takes on average until an engine is ready, where all that report are still loading their base model.
+fn cold_start(node: &Node, adapter: Adapter) -> Span {
+    let service = node
+        .catalog
+        .services
+        .get(node.catalog.adapters.get(adapter).service);
+    let mut reports = service
+        .servers
+        .iter()
+        .filter_map(|server| node.domains.load(*server));
+    let starting = reports.clone().next().is_some() && reports.all(|report| !report.ready);
+    if starting {
+        Span(service.base_load.0 / 2)
+    } else {
+        Span::ZERO
+    }
 }
 
 /// An answer to an operator that something is not there.
--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -275,6 +275,6 @@
     };
     out.push(Effect::Reply {
         ticket,
-        reply: Reply::Test(decided),
+        reply: Reply::Test(Box::new(decided)),
     });
 }
--- a/crates/core/src/traffic/rows.rs
+++ b/crates/core/src/traffic/rows.rs
@@ -11,8 +11,8 @@
 pub(super) struct Rows<K, T> {
     /// The place of each row.
     places: FxHashMap<K, usize>,
-    /// The rows.
-    rows: Vec<Option<T>>,
+    /// The slots.
+    slots: Vec<Option<T>>,
     /// Places that are free.
     free: Vec<usize>,
 }
@@ -21,7 +21,7 @@
     fn default() -> Self {
         Self {
             places: FxHashMap::default(),
-            rows: Vec::new(),
+            slots: Vec::new(),
             free: Vec::new(),
         }
     }
@@ -31,10 +31,10 @@
     /// Adds a row in place of an earlier one of the same number.
     pub(super) fn insert(&mut self, key: K, row: T) {
         self.remove(&key);
-        let place = self.free.pop().unwrap_or(self.rows.len());
-        match self.rows.get_mut(place) {
+        let place = self.free.pop().unwrap_or(self.slots.len());
+        match self.slots.get_mut(place) {
             Some(free) => *free = Some(row),
-            None => self.rows.push(Some(row)),
+            None => self.slots.push(Some(row)),
         }
         self.places.insert(key, place);
     }
@@ -43,19 +43,19 @@
     pub(super) fn remove(&mut self, key: &K) -> Option<T> {
         let place = self.places.remove(key)?;
         self.free.push(place);
-        self.rows[place].take()
+        self.slots[place].take()
     }
 
     /// A row.
     pub(super) fn get(&self, key: &K) -> Option<&T> {
         let place = *self.places.get(key)?;
-        self.rows[place].as_ref()
+        self.slots[place].as_ref()
     }
 
     /// A row, to change it.
     pub(super) fn get_mut(&mut self, key: &K) -> Option<&mut T> {
         let place = *self.places.get(key)?;
-        self.rows[place].as_mut()
+        self.slots[place].as_mut()
     }
 
     /// Whether there is a row of that number.
--- a/crates/core/src/traffic/table.rs
+++ b/crates/core/src/traffic/table.rs
@@ -65,6 +65,10 @@
 
 /// A request in progress.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fact of its own, not a state"
+)]
 pub(crate) struct RequestRow {
     /// What was asked for.
     pub(crate) call: Box<Call>,
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -227,7 +227,9 @@
         rule("closed", caller(2), refuse),
     ]);
     for i in 0..10 {
-        (0..3).for_each(|c| drop(fleet.ask(c, by_caller(booking_call(i), c))));
+        for c in 0..3 {
+            fleet.ask(c, by_caller(booking_call(i), c));
+        }
         fleet.run_for(10 * MS);
     }
     assert!(fleet.finish_all(20 * SEC));
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -294,19 +294,30 @@
     let thread = thread::Builder::new()
         .name("housekeeping".to_owned())
         .spawn(move || {
+            let mut turns = 1;
             while !cancel.is_cancelled() {
                 if let Ok(list) = client.list(&cancel) {
-                    let vms = list.into_iter().filter_map(listed).collect();
+                    let vms: Vec<Listed> = list.into_iter().filter_map(listed).collect();
+                    turns = turns_of(&vms);
                     mailbox.event(Event::List { vms });
                 }
                 figures.run_upkeep();
                 // Nothing is ever sent: the wait ends early when the other side is dropped.
-                let _ = ended.recv_timeout(pause);
+                let _ = ended.recv_timeout(pause.saturating_mul(turns));
             }
         })?;
     Ok(thread)
 }
 
+/// In how many times the pause a VM reads the list once, so that the fleet's reads and a VM's bytes do not grow with it.
+fn turns_of(vms: &[Listed]) -> u32 {
+    /// VMs that may each read the list at the full rate.
+    const READERS: usize = 20;
+    u32::try_from(vms.len().div_ceil(READERS))
+        .unwrap_or(u32::MAX)
+        .max(1)
+}
+
 /// A VM as the core knows it; one with a name that is none is left out.
 fn listed(vm: vms::Vm) -> Option<Listed> {
     Some(Listed {
