--- a/crates/core/benches/policy/ours.rs
+++ b/crates/core/benches/policy/ours.rs
@@ -47,7 +47,8 @@
     effects: Effects,
     kv: Kv,
     loads: BTreeMap<(usize, usize), Waiting>,
-    running: BTreeMap<Ask, (usize, Attempt)>,
+    running: BTreeMap<Ask, (usize, Attempt, usize)>,
+    attempts: BTreeMap<(usize, Attempt), Ask>,
     asks: BTreeMap<(usize, Request), Ask>,
     names: BTreeMap<String, usize>,
 }
@@ -78,6 +79,7 @@
             kv: Kv::default(),
             loads: BTreeMap::new(),
             running: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             asks: BTreeMap::new(),
             names: (0..world.deployment.adapters)
                 .map(|at| (format!("a{at}@1"), at))
@@ -127,7 +129,7 @@
                 name: format!("s{at}").parse().expect("a name"),
                 service: "plan".parse().expect("a name"),
                 zone: name(&format!("zone{}", at % 3)),
-                address: format!("{at}"),
+                address: format!("10.1.0.1:{}", at + 1),
                 domain: Some("dom".parse().expect("a name")),
                 leaving: false,
             }));
@@ -197,13 +199,21 @@
                 }
             }
             Effect::Poll { server, address } => {
-                let report = report(world, address.parse().expect("an engine's number"));
+                let report = report(world, engine_of(&address));
                 let event = Event::Report {
                     server,
                     report: Some(report),
                 };
                 self.tell(world, 2 * NEAR, vm, event);
             }
+            Effect::Cancel { attempt } => {
+                let ask = self.attempts.remove(&(vm, attempt));
+                if let Some((ask, (_, _, engine))) =
+                    ask.and_then(|ask| self.running.remove_entry(&ask))
+                {
+                    world.cancel(engine, ask);
+                }
+            }
             Effect::Order(command) => self.after(world, NEAR, Later::Order(vm, command)),
             Effect::Reply {
                 reply: operator::Reply::Failed(answer),
@@ -216,14 +226,15 @@
     }
 
     fn send(&mut self, world: &mut World, vm: usize, work: &Work) {
-        let engine = work.address.parse().expect("an engine's number");
+        let engine = engine_of(&work.address);
         let ask = self.asks[&(vm, work.request)];
         self.after(world, NEAR, Later::Submit(vm, engine, work.attempt, ask));
     }
 
     fn submit(&mut self, world: &mut World, vm: usize, engine: usize, attempt: Attempt, ask: Ask) {
         if world.submit(engine, ask) {
-            self.running.insert(ask, (vm, attempt));
+            self.running.insert(ask, (vm, attempt, engine));
+            self.attempts.insert((vm, attempt), ask);
             return;
         }
         let failure = Failure::NotRun(Reason::NotLoaded);
@@ -231,7 +242,7 @@
     }
 
     fn order(&mut self, world: &mut World, vm: usize, command: Command) {
-        let engine: usize = command.address.parse().expect("an engine's number");
+        let engine = engine_of(&command.address);
         let outcome = match &command.action {
             Action::Fence => Ordered::Done,
             Action::Load(adapter) => {
@@ -272,6 +283,11 @@
     }
 }
 
+fn engine_of(address: &str) -> usize {
+    let port = address.rsplit(':').next().expect("an address has a port");
+    port.parse::<usize>().expect("a port") - 1
+}
+
 fn report(world: &World, at: usize) -> Report {
     let engine = &world.engines[at];
     let ready = engine
@@ -339,9 +355,10 @@
     }
 
     fn done(&mut self, world: &mut World, _engine: usize, ask: Ask) {
-        let Some((vm, attempt)) = self.running.remove(&ask) else {
+        let Some((vm, attempt, _)) = self.running.remove(&ask) else {
             return;
         };
+        self.attempts.remove(&(vm, attempt));
         let model = Some(format!("a{}@1", world.trace[ask].adapter));
         let head = Head {
             status: 200,
--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -1,12 +1,12 @@
 //! How requests end, and when a failed one is tried again. Each ends with exactly one final answer, sent at once.
 
 use super::attempt::may_start_over;
-use super::queue::Place;
+use super::queue::{self, Key};
 use super::table::{Claim, RequestRow, Stage};
 use super::trail::{self, Outcome};
-use super::{limit, retry_after};
+use super::{limit, retry_after, route};
 use crate::effect::{Effect, Effects};
-use crate::entity::Server;
+use crate::entity::{Adapter, Server};
 use crate::error::{Answer, Kind, Ran};
 use crate::event::{Failure, Head, Reason};
 use crate::id::Request;
@@ -144,6 +144,15 @@
     trail::keep(node, request, row, Outcome::Gone);
 }
 
+/// A waiting request has to go for another.
+pub(super) fn shed(node: &mut Node, request: Request, answer: Answer, out: &mut Effects) {
+    let answer = match ran(node, request) {
+        Ran::No => answer,
+        ran => Answer::new(Kind::ServerBroke, "there is no room to try it again").ran(ran),
+    };
+    refuse(node, request, answer, out);
+}
+
 /// No server is left that may take a waiting request.
 pub(super) fn no_server(node: &mut Node, request: Request, out: &mut Effects) {
     let answer = match ran(node, request) {
@@ -179,59 +188,42 @@
     };
     row.stage = Stage::Waiting;
     let adapter = row.adapter;
-    match node.traffic.on_server.get_mut(&server) {
-        Some(1) | None => {
-            node.traffic.on_server.remove(&server);
-        }
-        Some(count) => *count -= 1,
-    }
+    node.traffic.own[server].change(node.now, -1);
     if let Some(adapter) = adapter {
         domain::end_use(node, server, adapter, out);
     }
-    let blocked = std::mem::take(&mut node.traffic.blocked);
-    node.traffic.dirty.extend(blocked);
+    wake_blocked(node, server);
     Some(server)
 }
 
+/// Queues that wait for room on a server are looked at again.
+fn wake_blocked(node: &mut Node, server: Server) {
+    let least = Key::Adapter(Adapter::from_u32(0));
+    let traffic = &mut node.traffic;
+    loop {
+        let next = traffic.blocked.range((server, least)..).next().copied();
+        let Some(blocked) = next.filter(|(other, _)| *other == server) else {
+            return;
+        };
+        traffic.blocked.remove(&blocked);
+        traffic.dirty.insert(blocked.1);
+    }
+}
+
 /// Removes a request from all tables, and cancels its attempt if one is in progress.
 fn remove(node: &mut Node, request: Request, out: &mut Effects) -> Option<RequestRow> {
     let stage = node.traffic.requests.get(&request)?.stage;
     match stage {
         Stage::Running(attempt) => out.push(Effect::Cancel { attempt }),
-        Stage::Waiting => unqueue(node, request),
+        Stage::Waiting => queue::pull(node, request),
         Stage::Claiming(_) => {}
     }
     vacate(node, request, out);
     let mut row = node.traffic.requests.remove(&request)?;
-    node.traffic.deadlines.remove(&(row.deadline, request));
     row.maybe_ran |= matches!(stage, Stage::Running(_));
     Some(row)
 }
 
-fn unqueue(node: &mut Node, request: Request) {
-    let row = &node.traffic.requests[&request];
-    let (key, place) = (row.key, place(node, request, row));
-    let Some(queue) = node.traffic.queues.get_mut(&key) else {
-        return;
-    };
-    if queue.remove(&place) {
-        node.traffic.waiting -= 1;
-    }
-    if queue.is_empty() {
-        node.traffic.queues.remove(&key);
-    }
-}
-
-fn place(node: &Node, request: Request, row: &RequestRow) -> Place {
-    Place {
-        priority: row.decision.priority,
-        arrived: row.arrived,
-        request,
-        deadline: row.deadline,
-        weight: node.catalog.callers.get(row.caller).weight,
-    }
-}
-
 /// Says how a claimed request ended: free again if it certainly was not run.
 fn release_claim(
     node: &mut Node,
@@ -263,11 +255,7 @@
         row.tokens = 0;
         row.last_token = None;
     }
-    let row = &node.traffic.requests[&request];
-    let (key, place) = (row.key, place(node, request, row));
-    node.traffic.queues.entry(key).or_default().push(place);
-    node.traffic.waiting += 1;
-    node.traffic.dirty.insert(key);
+    queue::push(node, request);
 }
 
 /// Tries a request whose attempt failed again where that is allowed, and refuses it at once where not.
@@ -281,11 +269,12 @@
     let most = u32::try_from(node.settings.tuning.attempts_max).unwrap_or(u32::MAX);
     let resumable = row.idempotent && row.begun && row.call.stream && row.adapter.is_some();
     let allowed = may_start_over(row) || resumable;
-    let hopeless = matches!(failure, Failure::NotRun(Reason::BadRequest));
-    if allowed && !hopeless && row.tries < most && limit::retry(node, row.service) {
+    let unreadable = matches!(failure, Failure::NotRun(Reason::BadRequest));
+    let hopeless = unreadable || route::hopeless(node, row);
+    let (adapter, service, tries) = (row.adapter, row.service, row.tries);
+    if allowed && !hopeless && tries < most && limit::retry(node, service) {
         return requeue(node, request);
     }
-    let adapter = row.adapter;
     let ran = ran(node, request);
     let answer = match (ran, failure) {
         (Ran::No, Failure::NotRun(Reason::BadRequest)) => {
--- a/crates/core/src/traffic/table.rs
+++ b/crates/core/src/traffic/table.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::queue::Key;
+use super::queue::{Key, Place};
 use super::trail::Notes;
 use crate::entity::{Adapter, Caller, Server, Service, Zone};
 use crate::event::{Call, Head};
@@ -67,7 +67,7 @@
 #[derive(Debug)]
 pub(crate) struct RequestRow {
     /// What was asked for.
-    pub(crate) call: Call,
+    pub(crate) call: Box<Call>,
     /// Its caller.
     pub(crate) caller: Caller,
     /// Its service.
@@ -76,6 +76,8 @@
     pub(crate) adapter: Option<Adapter>,
     /// The queue it belongs to.
     pub(crate) key: Key,
+    /// Its place there. Kept, since a caller's weight may change while it waits.
+    pub(crate) place: Place,
     /// What the rules decided.
     pub(crate) decision: Decision,
     /// When it arrived.
@@ -110,6 +112,18 @@
     pub(crate) notes: Notes,
 }
 
+impl RequestRow {
+    /// Until when no load is asked for on account of this request, so that others can join its batch.
+    pub(crate) fn held_until(&self) -> Instant {
+        let hold = if self.cold {
+            self.decision.hold
+        } else {
+            Span::ZERO
+        };
+        (self.arrived + hold).min(self.deadline)
+    }
+}
+
 /// An answer kept for a repeated idempotency key.
 #[derive(Debug, Default)]
 pub(crate) struct Kept {
