Tell updates to earlier starts of a VM apart; let a start taken for gone come back

Cause: an update meant for an earlier start of a VM was taken in by the new one, with grants that the holder ended as soon as it knew that start to be over; and the numbers of that update made the new start ignore its own. A start that was taken for gone and spoke again got a row whose numbers began anew, so that it ignored all updates. Ruled out: a new field in the update; the number of the last ask, which it has, tells the start if each start counts from a base of its own. Change: that base; rows of starts taken for gone keep their numbers, and NotHolder naming its sender asks for a full list.

--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -229,9 +229,14 @@
     let Some(domain) = node.catalog.domains.find(&notice.domain) else {
         return;
     };
-    seat::denied(node, domain, from);
-    if let Some(holder) = notice.holder {
-        holder_is(node, holder, out);
+    match notice.holder {
+        // It does hold the domain, but took this VM for gone and forgot what it granted.
+        Some(holder) if holder.vm == *from => ask::forgotten(node, domain, holder.fence, out),
+        Some(holder) => {
+            seat::denied(node, domain, from);
+            holder_is(node, holder, out);
+        }
+        None => seat::denied(node, domain, from),
     }
 }
 
--- a/crates/core/src/domain/ask.rs
+++ b/crates/core/src/domain/ask.rs
@@ -9,7 +9,7 @@
 use crate::Node;
 use crate::effect::Effects;
 use crate::entity::{Adapter, Domain};
-use crate::id;
+use crate::id::{self, Fence};
 use crate::peer::{Ask, Held, Message, Use, Want};
 use crate::time::Span;
 use crate::traffic;
@@ -160,10 +160,11 @@
     };
     let in_use = uses(node, domain);
     let held = held(node, domain);
+    let base = grantee::base(node.settings.incarnation);
     let Some(used) = node.domains.used.get_mut(&domain) else {
         return;
     };
-    used.nonce += 1;
+    used.nonce = used.nonce.max(base) + 1;
     used.asked = now;
     used.due = false;
     used.wanting = wants.len();
@@ -268,6 +269,16 @@
     true
 }
 
+/// The holder does not know what it granted to this VM: it is told all.
+pub(crate) fn forgotten(node: &mut Node, domain: Domain, fence: Fence, out: &mut Effects) {
+    if let Some(used) = node.domains.used.get_mut(&domain)
+        && used.fence == fence
+    {
+        used.retell();
+        settle(node, domain, out);
+    }
+}
+
 /// News of a holder came: it is asked with all that this VM holds.
 pub(crate) fn holder_changed(node: &mut Node, domain: Domain, out: &mut Effects) {
     if !node.domains.used.contains_key(&domain) {
--- a/crates/core/src/domain/grant.rs
+++ b/crates/core/src/domain/grant.rs
@@ -48,6 +48,7 @@
         holder::acknowledged(node, domain, &start);
     }
     if take_in(node, domain, &start, ask) {
+        estranged(node, domain, &start, out);
         offer_asked(node, domain, ask);
         holder::pump(node, domain, out);
     }
@@ -62,6 +63,22 @@
     node.send(from, Message::NotHolder(notice), out);
 }
 
+/// A start that was taken for gone and speaks is told that this VM knows nothing of its grants.
+fn estranged(node: &mut Node, domain: Domain, start: &Start, out: &mut Effects) {
+    let Some(held) = node.domains.held.get(&domain) else {
+        return;
+    };
+    let peer = held.starts.get(start).and_then(|peer| held.peers.get(peer));
+    if !peer.is_some_and(|peer| peer.estranged) {
+        return;
+    }
+    let notice = NotHolder {
+        domain: node.catalog.domains.get(domain).name.clone(),
+        holder: seat::hint(node, domain),
+    };
+    node.send(&start.vm, Message::NotHolder(notice), out);
+}
+
 /// Writes what an ask says into the tables. Says whether it was news.
 fn take_in(node: &mut Node, domain: Domain, start: &Start, ask: &Ask) -> bool {
     let now = node.now;
@@ -80,11 +97,11 @@
     if ask.nonce <= peer.nonce {
         return false;
     }
-    let first = peer.nonce == 0;
+    let admit = !peer.recorded;
     peer.nonce = ask.nonce;
     peer.heard = now;
     peer.due = true;
-    if first {
+    if admit {
         held.writer.touch();
     }
     take_wants(held, catalog, number, ask, now);
@@ -197,6 +214,7 @@
     let cleared = held.unknown();
     if let Some(peer) = held.peers.get_mut(&number) {
         peer.full = true;
+        peer.estranged = false;
     }
     if cleared && !held.unknown() {
         held.cleared = now;
@@ -291,6 +309,7 @@
     let unknown = held.unknown();
     if let Some(peer) = held.peers.remove(&number) {
         held.starts.remove(&peer.start);
+        held.forgotten.insert(peer.start, (peer.seq, peer.nonce));
     }
     if unknown && !held.unknown() {
         held.cleared = now;
--- a/crates/core/src/domain/grantee.rs
+++ b/crates/core/src/domain/grantee.rs
@@ -1,5 +1,8 @@
 //! The grantee's side of a control domain: the grants that this VM has, and what it asks the holder.
 //!
+//! Asks are numbered from a base that belongs to this start of the VM, and every update repeats the number of the last
+//! ask that its sender has processed. So an update that was meant for an earlier start of this VM is told apart.
+//!
 //! A grant's number is taken at most once: numbers only grow within one holder's fencing number, so one that is not
 //! above the highest ever seen and not held was dropped before, and a late or repeated update can't bring it back.
 
@@ -10,16 +13,21 @@
 use smallvec::SmallVec;
 
 use super::host::Place;
-use super::{ask, seat};
+use super::{ask, assign, seat};
 use crate::Node;
 use crate::effect::Effects;
 use crate::entity::{Adapter, Domain, Server};
 use crate::event::Report;
-use crate::id::{self, Fence, Grant};
+use crate::id::{self, Fence, Grant, Incarnation};
 use crate::peer::Update;
 use crate::time::{Instant, Span};
 use crate::traffic;
 
+/// Bits of an ask's number that count the asks of one start.
+const COUNTER: u32 = 32;
+/// The bits that belong to the start.
+const BASE: u64 = u64::MAX << COUNTER;
+
 /// A grant as this VM has it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Row {
@@ -129,9 +137,21 @@
         return;
     };
     let now = node.now;
+    let base = base(node.settings.incarnation);
+    if update.nonce != 0 && update.nonce & BASE != base {
+        return;
+    }
     follow(node, domain, update.fence);
     let used = node.domains.used.entry(domain).or_default();
-    if update.fence != used.fence || update.seq <= used.seq {
+    if update.fence != used.fence {
+        return;
+    }
+    if update.nonce == 0 {
+        // The holder has not heard this start: it grants nothing yet, and wants to know all.
+        ask::settle(node, domain, out);
+        return;
+    }
+    if update.seq <= used.seq {
         return;
     }
     used.seq = update.seq;
@@ -155,6 +175,13 @@
     ask::settle(node, domain, out);
 }
 
+/// The numbers of asks of one start begin here.
+pub(crate) fn base(incarnation: Incarnation) -> u64 {
+    let hash = assign::score(&incarnation, &());
+    // Never zero, which means that no ask was processed.
+    (hash | 1 << COUNTER) & BASE
+}
+
 /// Follows a newer holder: numbers of the earlier one mean nothing any more, what it granted is kept without one.
 pub(crate) fn follow(node: &mut Node, domain: Domain, fence: Fence) {
     let Some(used) = node.domains.used.get_mut(&domain) else {
--- a/crates/core/src/domain/holder.rs
+++ b/crates/core/src/domain/holder.rs
@@ -60,6 +60,8 @@
     pub(crate) inherited: bool,
     /// Whether it has told all that it holds under this holder's number.
     pub(crate) full: bool,
+    /// Whether it was taken for gone, and so does not know that it must tell.
+    pub(crate) estranged: bool,
     /// Its last ask.
     pub(crate) nonce: u64,
     /// The last update that it has processed.
@@ -89,6 +91,7 @@
             recorded: false,
             inherited: false,
             full: false,
+            estranged: false,
             nonce: 0,
             seen: 0,
             seq: 0,
@@ -134,6 +137,9 @@
     pub(crate) writer: Writer,
     /// Grantees.
     pub(crate) peers: BTreeMap<u32, Peer>,
+    /// The last update and the last ask of starts that were taken for gone. If one of them speaks after all, its
+    /// numbers go on, so that nothing late is taken for new.
+    pub(crate) forgotten: BTreeMap<Start, (u64, u64)>,
     /// Grantees by their starts.
     pub(crate) starts: BTreeMap<Start, u32>,
     /// The number of the last grantee.
@@ -167,6 +173,7 @@
             active: false,
             writer: Writer::new(),
             peers: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             starts: BTreeMap::new(),
             last_peer: 0,
             last_grant: 0,
@@ -195,7 +202,13 @@
         self.last_peer += 1;
         let peer = self.last_peer;
         self.starts.insert(start.clone(), peer);
-        self.peers.insert(peer, Peer::new(start.clone(), now));
+        let mut row = Peer::new(start.clone(), now);
+        if let Some((seq, nonce)) = self.forgotten.remove(start) {
+            (row.seq, row.nonce) = (seq, nonce);
+            row.estranged = true;
+            row.inherited = true;
+        }
+        self.peers.insert(peer, row);
         peer
     }
 
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -176,7 +176,8 @@
     pub wait: Span,
 }
 
-/// The answer of a VM that is asked for a domain it does not hold.
+/// The answer of a VM that is asked for a domain it does not hold, or, where it names itself as the holder, that it
+/// knows nothing of the asking start's grants and needs to be told all of them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NotHolder {
     /// The domain.
--- a/crates/core/tests/domain_messages.rs
+++ b/crates/core/tests/domain_messages.rs
@@ -544,6 +544,58 @@
     assert_eq!(hand.sent, 2);
 }
 
+#[test]
+fn update_earlierstart() {
+    let mut hand = Hand::new(false, false);
+    hand.hear(update(&hand, 1, Vec::new(), Vec::new()));
+    // Meant for an earlier start of this VM, whose grants the holder ends as soon as it knows that it is over.
+    let Message::Update(old) = update(&hand, 40, vec![grant(7, 0)], Vec::new()) else {
+        unreachable!()
+    };
+    hand.hear(Message::Update(Update {
+        nonce: old.nonce ^ (1 << 40),
+        ..old
+    }));
+    hand.request(9, 0);
+    hand.run(SEC);
+    assert_eq!(hand.sent, 0, "sent under a grant of an earlier start");
+    hand.hear(update(&hand, 2, vec![grant(8, 0)], Vec::new()));
+    assert_eq!(hand.sent, 1);
+}
+
+#[test]
+fn start_forgotten() {
+    let mut hand = Hand::new(true, false);
+    hand.granted();
+    let seq = hand.updates()[0].seq;
+    let last = Ask {
+        uses: vec![dahliastile_core::peer::Use {
+            adapter: adapter(0),
+            arrived: 1,
+            in_flight: 0,
+        }],
+        ..hand.ask(9)
+    };
+    // It seems to be gone for a while, and is not: its numbers go on, and it must tell all that it holds.
+    for _ in 0..8 {
+        let vm = hand.other.0.clone();
+        hand.step(Event::PeerDown { vm, refused: true });
+        hand.run_reporting(2 * SEC, 1, &[0, 1]);
+    }
+    hand.told.clear();
+    hand.hear(Message::Ask(last.clone()));
+    let asked = |message: &Message| matches!(message, Message::NotHolder(_));
+    assert!(hand.told.iter().any(asked), "{:?}", hand.told);
+    assert!(hand.updates().iter().all(|update| update.grants.is_empty()));
+    assert!(hand.updates()[0].seq > seq);
+    hand.hear(Message::Ask(Ask {
+        full: true,
+        nonce: 10,
+        ..last
+    }));
+    assert_eq!(hand.updates()[0].grants.len(), 1);
+}
+
 #[test]
 fn holder_older() {
     let mut hand = Hand::new(false, false);
