--- a/crates/daemon/tests/processes/fleet.rs
+++ b/crates/daemon/tests/processes/fleet.rs
@@ -72,7 +72,8 @@
         let program = daemon.with_file_name("examples").join("standin");
         assert!(
             program.exists(),
-            "cargo test --workspace builds {program:?}"
+            "cargo test --workspace builds {}",
+            program.display()
         );
         let mut process = Process::start(Command::new(program).args(arguments));
         let line: Value = serde_json::from_str(&process.line(|_| true)).unwrap();
@@ -191,6 +192,21 @@
         found["holder"].as_str().map(str::to_owned)
     }
 
+    /// Waits until the VM serves, sees all others and knows who holds the domains.
+    pub(crate) fn settle(&self) {
+        until("a VM is ready", || self.ready());
+        until("a VM sees all others", || {
+            let status = self.status();
+            let seen = status["vms"].as_array().unwrap();
+            seen.iter().filter(|vm| vm["state"] == "live").count() == VMS.len()
+        });
+        until("the domains are held", || {
+            ["plans", "tides"]
+                .iter()
+                .all(|domain| self.holder(domain).is_some())
+        });
+    }
+
     /// Makes an edit and says which edition it made.
     pub(crate) fn edit(&self, id: &str, base: u64, changes: &Value) -> u64 {
         let edit = json!({ "id": id, "author": "test", "base": base, "changes": changes });
@@ -257,7 +273,7 @@
         fleet.list_vms();
         fleet.vms[0].edit("first", 0, &fleet.configuration());
         for vm in &fleet.vms {
-            fleet.settled(vm);
+            vm.settle();
         }
         fleet
     }
@@ -269,21 +285,6 @@
         self.list.fault(&json!({ "set": list }));
     }
 
-    /// Waits until a VM serves, sees all others and knows who holds the domains.
-    pub(crate) fn settled(&self, vm: &Vm) {
-        until("a VM is ready", || vm.ready());
-        until("a VM sees all others", || {
-            let status = vm.status();
-            let seen = status["vms"].as_array().unwrap();
-            seen.iter().filter(|vm| vm["state"] == "live").count() == VMS.len()
-        });
-        until("the domains are held", || {
-            ["plans", "tides"]
-                .iter()
-                .all(|domain| vm.holder(domain).is_some())
-        });
-    }
-
     fn configuration(&self) -> Value {
         let hash = blake3::hash(TOKEN.as_bytes()).to_hex();
         let service = |name: &str, fenced: bool| {
--- a/crates/daemon/tests/processes/process.rs
+++ b/crates/daemon/tests/processes/process.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 /// Bounds every wait; none is expected to come near it.
-pub(crate) const AMPLE: Duration = Duration::from_secs(60);
+pub(crate) const AMPLE: Duration = Duration::from_mins(1);
 
 /// A condition is looked at again after this time where no process has said anything.
 const LOOK: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/daemon/tests/processes/shutdown.rs
@@ -0,0 +1,167 @@
+//! VMs that are told to stop: nothing in progress is interrupted, and what was not taken in did not run.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+use dahliastile_standin::caller::Request;
+use serde_json::json;
+
+use crate::checks::{begin, broken, whole_or_not_run};
+use crate::fleet::{self, FENCED, Fleet, UNFENCED, error};
+use crate::process::until;
+use crate::support::{self, connect};
+
+#[test]
+fn sigterm_in_a_stream() {
+    let mut fleet = Fleet::start();
+    let place = fleet.holder("plans");
+    fleet.fenced.fault(&json!({ "step_us": 5_000 }));
+    let long = fleet.vms[place].completion("lock@1", "a long way", 300);
+    let stream = begin(&long);
+    let vm = &mut fleet.vms[place];
+    vm.process.signal("TERM");
+    until("no caller is taken", || {
+        TcpStream::connect(vm.callers).is_err()
+    });
+    assert!(!vm.ready());
+    assert_eq!(stream.join().unwrap().verify(&long), Ok(()));
+    let (code, lines) = vm.process.end();
+    assert_eq!(code, Some(0));
+    assert!(lines.contains("draining") && lines.contains("stopped"));
+    let name = vm.name;
+    for vm in fleet.vms.iter().filter(|vm| vm.name != name) {
+        until("the domain is handed over", || {
+            vm.holder("plans").is_some_and(|holder| holder != name)
+        });
+        until("all adapters are served", || {
+            whole_or_not_run(vm, &FENCED, 3) == 4
+        });
+    }
+    fleet.assert_harmless();
+}
+
+#[test]
+fn sigterm_before_a_request_is_whole() {
+    let mut fleet = Fleet::start();
+    let booking = fleet::booking("late");
+    let body = booking.len() - 4;
+    // Nothing, part of the head, and part of the body come before the signal.
+    for (vm, sent) in fleet.vms.iter_mut().zip([0, body - 20, body + 2]) {
+        let mut caller = connect(vm.callers);
+        caller.write_all(&booking[..sent]).unwrap();
+        vm.process.signal("TERM");
+        until("no caller is taken", || {
+            TcpStream::connect(vm.callers).is_err()
+        });
+        caller.write_all(&booking[sent..]).unwrap();
+        let mut answer = Vec::new();
+        caller.read_to_end(&mut answer).unwrap();
+        assert_eq!(support::parse(&answer).error(), turned_away(), "{sent}");
+        assert_eq!(vm.process.end().0, Some(0));
+    }
+    assert_eq!(fleet.booked("late"), 0);
+}
+
+#[test]
+fn second_sigterm_says_what_it_cuts() {
+    let mut fleet = Fleet::start();
+    fleet.fenced.fault(&json!({ "step_us": 5_000 }));
+    let stream = begin(&fleet.vms[1].completion("lock@1", "a long way", 5_000));
+    let process = &mut fleet.vms[1].process;
+    process.signal("TERM");
+    process.wrote("draining");
+    process.signal("TERM");
+    broken(&stream.join().unwrap(), "cut");
+    let (code, log) = process.end();
+    assert_eq!(code, Some(0));
+    assert!(
+        log.contains("cutting") && log.contains("may_have_run"),
+        "{log}"
+    );
+}
+
+/// What callers see while VMs are replaced.
+#[derive(Default)]
+struct Tally {
+    /// Whole answers.
+    whole: usize,
+    /// Requests that a VM which is shutting down did not take.
+    turned_away: usize,
+    /// Everything else.
+    faults: Vec<String>,
+}
+
+impl Tally {
+    fn count(&mut self, request: &Request) {
+        match request.send() {
+            Ok(answer) if answer.verify(request) == Ok(()) => self.whole += 1,
+            Ok(answer) if answer.error.is_some() && error(&answer) == turned_away() => {
+                self.turned_away += 1;
+            }
+            // Nothing was sent.
+            Err(minreq::Error::IoError(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                self.turned_away += 1;
+            }
+            other => self.faults.push(format!("{} got {other:?}", request.body)),
+        }
+    }
+}
+
+fn turned_away() -> (String, String) {
+    ("shutting_down".to_owned(), "no".to_owned())
+}
+
+/// Asks one VM after the other until told to stop.
+fn load(rotation: &Mutex<Vec<SocketAddr>>, over: &AtomicBool, number: usize) -> Tally {
+    let mut tally = Tally::default();
+    let models = FENCED.iter().chain(&UNFENCED).cycle().skip(number);
+    for (turn, model) in models.enumerate() {
+        if over.load(Ordering::SeqCst) {
+            break;
+        }
+        let address = rotation.lock().unwrap()[(turn + number) % 3];
+        let request = Request::completion(address, model, "under load", 10);
+        tally.count(&fleet::authorized(request).header("X-Timeout-Ms", "10000"));
+    }
+    tally
+}
+
+#[test]
+fn vms_replaced_one_by_one_under_load() {
+    let mut fleet = Fleet::start();
+    let rotation = Mutex::new(fleet.vms.iter().map(|vm| vm.callers).collect::<Vec<_>>());
+    let over = AtomicBool::new(false);
+    let tallies = thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|number| {
+                scope.spawn({
+                    let (rotation, over) = (&rotation, &over);
+                    move || load(rotation, over, number)
+                })
+            })
+            .collect();
+        for place in 0..fleet.vms.len() {
+            fleet.vms[place].process.signal("TERM");
+            assert_eq!(fleet.vms[place].process.end().0, Some(0));
+            fleet.restart(place);
+            fleet.vms[place].settle();
+            rotation.lock().unwrap()[place] = fleet.vms[place].callers;
+            let edition = fleet.vms[place].edit(&format!("after {place}"), 1, &json!([{
+                "put_adapter": { "name": format!("tug-{place}"), "service": "plans", "versions": ["1"] },
+            }]));
+            assert_eq!(edition, place as u64 + 2, "no edition is lost");
+        }
+        over.store(true, Ordering::SeqCst);
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect::<Vec<_>>()
+    });
+    let faults: Vec<_> = tallies.iter().flat_map(|tally| &tally.faults).collect();
+    assert!(faults.is_empty(), "{faults:#?}");
+    assert!(tallies.iter().all(|tally| tally.whole > 0));
+    fleet.assert_harmless();
+}
