--- a/crates/core/src/domain/ask.rs
+++ b/crates/core/src/domain/ask.rs
@@ -6,7 +6,6 @@
 
 use super::assign;
 use super::grantee::{self, Used};
-use super::seat;
 use crate::Node;
 use crate::effect::Effects;
 use crate::entity::{Adapter, Domain};
@@ -47,7 +46,7 @@
     let now = node.now;
     let used = node.domains.used.entry(domain).or_default();
     *used.arrived.entry(adapter).or_default() += 1;
-    used.used = now;
+    used.last = now;
     if cold {
         used.due = true;
         used.wanting = used.wanting.max(1);
@@ -102,7 +101,6 @@
     let least = Span::from_millis(tuning.ask_min_ms);
     let retry = Span::from_millis(tuning.ask_retry_ms);
     let longest = Span::from_millis(tuning.ask_max_ms);
-    let grants = &node.domains.grants;
     let due: Vec<Domain> = node
         .domains
         .used
@@ -110,7 +108,9 @@
         .filter(|(_, used)| {
             let waited = now.since(used.asked);
             let unheard = used.full.is_some() || used.answered < used.nonce || used.wanting > 0;
-            let live = !used.places.is_empty() || grantee::idle(used, now) < KEEP;
+            let live = !used.places.is_empty()
+                || !used.released.is_empty()
+                || grantee::idle(used, now) < KEEP;
             let wait = match (used.due, unheard && live) {
                 (true, _) if used.answered >= used.nonce => pace(used, least),
                 (true, _) => pace(used, least).times(2).max(retry.min(longest)),
@@ -122,7 +122,6 @@
         })
         .map(|(domain, _)| *domain)
         .collect();
-    let _ = grants;
     if due.is_empty() {
         return;
     }
@@ -131,9 +130,6 @@
         let wants = wants.remove(&domain).unwrap_or_default();
         send(node, domain, wants, out);
     }
-    node.domains.used.retain(|_, used| {
-        !used.places.is_empty() || used.full.is_some() || now.since(used.used) < KEEP.times(20)
-    });
 }
 
 /// What requests wait for, by the domain that is asked for it.
@@ -162,7 +158,7 @@
         }
         return;
     };
-    let uses = uses(node, domain);
+    let in_use = uses(node, domain);
     let held = held(node, domain);
     let Some(used) = node.domains.used.get_mut(&domain) else {
         return;
@@ -189,25 +185,24 @@
         held: if full { held } else { Vec::new() },
         released: used.released.keys().copied().collect(),
         wants,
-        uses,
+        uses: in_use,
     };
     node.send(&to, Message::Ask(ask), out);
 }
 
 /// The holder as far as it is known, else the VM that is to hold the domain.
 fn addressee(node: &Node, domain: Domain) -> Option<id::Vm> {
+    let me = &node.settings.vm;
     if node.domains.held.contains_key(&domain) {
-        return Some(node.settings.vm.clone());
+        return Some(me.clone());
     }
     let seat = node.domains.seats.get(&domain)?;
-    match &seat.holder {
-        Some(known) => Some(known.vm.clone()),
-        None => {
-            let name = &node.catalog.domains.get(domain).name;
-            let target = node.domains.spread.targets.get(name)?;
-            (*target != node.settings.vm).then(|| target.clone())
-        }
+    if let Some(known) = &seat.holder {
+        return Some(known.vm.clone());
     }
+    let name = &node.catalog.domains.get(domain).name;
+    let target = node.domains.spread.targets.get(name)?;
+    (target != me).then(|| target.clone())
 }
 
 /// Requests that arrived since the last ask, and those in flight.
@@ -215,18 +210,18 @@
     let Some(used) = node.domains.used.get(&domain) else {
         return Vec::new();
     };
-    let mut uses: BTreeMap<Adapter, (u32, u32)> = BTreeMap::new();
+    let mut rows: BTreeMap<Adapter, (u32, u32)> = BTreeMap::new();
     for (adapter, arrived) in &used.arrived {
-        uses.entry(*adapter).or_default().0 = *arrived;
+        rows.entry(*adapter).or_default().0 = *arrived;
     }
     for place in &used.places {
-        let row = node.domains.grants.rows.get(place);
-        let in_flight = row.map_or(0, |row| row.in_flight);
+        let grant = node.domains.grants.rows.get(place);
+        let in_flight = grant.map_or(0, |row| row.in_flight);
         if in_flight > 0 {
-            uses.entry(place.1).or_default().1 += in_flight;
+            rows.entry(place.1).or_default().1 += in_flight;
         }
     }
-    uses.into_iter()
+    rows.into_iter()
         .map(|(adapter, (arrived, in_flight))| Use {
             adapter: node.catalog.adapters.get(adapter).name.clone(),
             arrived,
@@ -283,5 +278,4 @@
         grantee::follow(node, domain, top);
     }
     settle(node, domain, out);
-    let _ = seat::hint;
 }
--- a/crates/core/src/domain/host.rs
+++ b/crates/core/src/domain/host.rs
@@ -12,6 +12,9 @@
 /// How long an unload is remembered, to tell old reports that still show the adapter.
 const REMEMBER: Span = Span::from_secs(60);
 
+/// How long an eviction may take before others are begun in its place.
+const SLOW: Span = Span::from_secs(2);
+
 /// What happens to an adapter on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -43,6 +46,11 @@
     pub(crate) phase: Phase,
     /// When that began. Reports with older figures say nothing against it.
     pub(crate) since: Instant,
+    /// When it was loaded by an order of this holder.
+    pub(crate) loaded: Instant,
+    /// Whether it was loaded by this holder where nobody held a grant on it, not even grantees of earlier holders
+    /// that have not told yet what they hold.
+    pub(crate) own: bool,
     /// Grants that are not released.
     pub(crate) lent: SmallVec<[Lent; 4]>,
     /// When the last grant was released.
@@ -59,6 +67,8 @@
         Self {
             phase,
             since: now,
+            loaded: Instant::default(),
+            own: false,
             lent: SmallVec::new(),
             released: now,
             in_flight: 0,
@@ -119,6 +129,8 @@
     pub(crate) poll: Poll,
     /// Whether the server, in its present start, has taken an order under the holder's number.
     pub(crate) fenced: bool,
+    /// Whether, in its present start, only what is resident is granted to anyone.
+    pub(crate) clean: bool,
     /// The order that tells it the number, while one is on its way.
     pub(crate) fencing: Option<Order>,
     /// Adapters there.
@@ -154,11 +166,13 @@
         self.slots().saturating_sub(taken)
     }
 
-    /// Slots that are being freed.
-    pub(crate) fn freeing(&self) -> usize {
+    /// Slots that are being freed, without those that take long: work may be in flight there for minutes.
+    pub(crate) fn freeing(&self, now: Instant) -> usize {
+        let brisk = |entry: &&Entry| now.since(entry.since) < SLOW;
         self.entries
             .values()
             .filter(|entry| matches!(entry.phase, Phase::Evicting | Phase::Unloading(_)))
+            .filter(brisk)
             .count()
     }
 
@@ -169,6 +183,12 @@
         })
     }
 
+    /// Whether grants are out on adapters that are not resident.
+    pub(crate) fn owed(&self) -> bool {
+        let owed = |entry: &Entry| entry.phase == Phase::Absent && !entry.lent.is_empty();
+        self.entries.values().any(owed)
+    }
+
     /// Whether an earlier unload of an adapter may still take effect.
     pub(crate) fn blocks(&self, adapter: Adapter, now: Instant) -> bool {
         self.blocked.get(&adapter).is_some_and(|until| *until > now)
--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -106,7 +106,7 @@
     let Some(held) = node.domains.held.get(&domain) else {
         return;
     };
-    if !held.active || node.domains.closing {
+    if !held.active || node.domains.closing.is_some() {
         return;
     }
     for service in services(held, &node.catalog) {
@@ -145,9 +145,8 @@
             Some((adapter, server)) if load(node, domain, (server, adapter), out) => {
                 cold.retain(|row| row.adapter != adapter);
             }
-            Some(_) => {}
             None if cold.is_empty() && !store.contended() => spare(node, domain, service, out),
-            None => {}
+            Some(_) | None => {}
         }
     }
     make_room(node, domain, service, cold.len(), out);
@@ -191,10 +190,7 @@
 /// How much of a deployment's weight is on batch efficiency.
 fn batch_share(stall: f64, batch: f64) -> f64 {
     let sum = stall + batch;
-    match sum > 0.0 {
-        true => batch / sum,
-        false => 0.5,
-    }
+    if sum > 0.0 { batch / sum } else { 0.5 }
 }
 
 /// What it is worth to load an adapter next: the weight that waits, more with age and near the deadline. Batch
@@ -217,10 +213,11 @@
 /// Copies of each adapter that are resident, or loading and not overdue.
 fn placed(held: &Held, now: Instant, overdue: Span) -> FxHashMap<Adapter, u32> {
     let mut copies = FxHashMap::default();
-    for host in held.hosts.values() {
+    for (server, host) in &held.hosts {
         for (adapter, entry) in &host.entries {
             let counts = match entry.phase {
-                Phase::Resident => !host.lost,
+                // One that an earlier unload may still hit can't be granted, so it serves nobody.
+                Phase::Resident => !host.lost && !held.blocked((*server, *adapter), now),
                 Phase::Loading(_) => now.since(entry.since) <= overdue,
                 Phase::Absent | Phase::Evicting | Phase::Unloading(_) => false,
             };
@@ -252,6 +249,8 @@
 /// The server to load an adapter on: one with a free slot, the least busy.
 fn target(node: &Node, domain: Domain, service: Service, adapter: Adapter) -> Option<Server> {
     let now = node.now;
+    let key = store::key(node, service);
+    let overdue = node.domains.stores.get(&key).map(store::Store::overdue)?;
     let held = node.domains.held.get(&domain)?;
     held.hosts
         .iter()
@@ -260,7 +259,7 @@
                 && host.free() > 0
                 && now >= host.rest
                 && !host.entries.contains_key(&adapter)
-                && !loading(host)
+                && !loading(host, now, overdue)
                 && held.plan.may_load((**server, adapter), now)
                 && !held.blocked((**server, adapter), now)
         })
@@ -281,10 +280,11 @@
         && order::allowed(node, server)
 }
 
-fn loading(host: &Host) -> bool {
+/// Whether a server is busy with a load that is not overdue.
+fn loading(host: &Host, now: Instant, overdue: Span) -> bool {
     host.entries
         .values()
-        .any(|entry| matches!(entry.phase, Phase::Loading(_)))
+        .any(|entry| matches!(entry.phase, Phase::Loading(_)) && now.since(entry.since) <= overdue)
 }
 
 fn load(node: &mut Node, domain: Domain, place: Place, out: &mut Effects) -> bool {
@@ -321,6 +321,7 @@
 /// Frees slots: as many as loads that wait need, and a few ahead, so that the next cold request need not wait for
 /// grants to be collected.
 fn make_room(node: &mut Node, domain: Domain, service: Service, cold: usize, out: &mut Effects) {
+    let now = node.now;
     let pace = store::row(node, service).pace();
     let Some(held) = node.domains.held.get(&domain) else {
         return;
@@ -332,15 +333,15 @@
             .map(|(_, host)| host)
     };
     let slots: usize = hosts().map(Host::slots).sum();
-    let free: usize = hosts().map(|host| host.free() + host.freeing()).sum();
+    let free: usize = hosts().map(|host| host.free() + host.freeing(now)).sum();
     let ahead = ahead(held, slots, pace);
     let wanted = ahead.max(cold.min(AHEAD_MAX));
     for _ in free..wanted {
         let must = cold > 0 && free == 0;
-        let Some(place) = victim(node, domain, service, must) else {
+        let Some(chosen) = victim(node, domain, service, must) else {
             break;
         };
-        evict::begin(node, domain, place, out);
+        evict::begin(node, domain, chosen, out);
     }
 }
 
@@ -358,26 +359,32 @@
     let held = node.domains.held.get(&domain)?;
     let copies = placed(held, now, Span(u64::MAX));
     let busy = busy(held);
+    let known = !held.unknown();
     let mut best: Option<(f64, Place)> = None;
     for (server, host) in &held.hosts {
         if !usable(node, service, *server, host) {
             continue;
         }
-        let crowd = usize_to_f64(host.free() + host.freeing());
+        let crowd = usize_to_f64(host.free() + host.freeing(now));
         for (adapter, entry) in &host.entries {
-            let resting = now.since(entry.since) >= STAY;
-            let copied = copies.get(adapter).copied().unwrap_or(0) > 1;
-            if entry.phase != Phase::Resident || !resting || held.waiting.contains_key(adapter) {
+            let blocked = held.blocked((*server, *adapter), now);
+            let resting = now.since(entry.loaded) >= STAY;
+            let elsewhere = copies.get(adapter).copied().unwrap_or(0) > 1;
+            let needed = !resting || held.waiting.contains_key(adapter);
+            // Until all grantees of earlier holders are heard, only what this holder loaded can be collected.
+            let sure = known || entry.own;
+            if entry.phase != Phase::Resident || (needed && !blocked) || !sure {
                 continue;
             }
-            let used = entry.in_flight > 0 || (!copied && busy.contains(adapter));
+            let used = entry.in_flight > 0 || (!elsewhere && busy.contains(adapter));
             if used && !must {
                 continue;
             }
             let rate = held.demand.rate(*adapter, now, half_life);
             let listed = node.catalog.adapters.get(*adapter).listed;
-            let cost = match (listed, copied) {
+            let cost = match (listed, elsewhere) {
                 (false, _) => -1.0,
+                _ if blocked => -1.0,
                 (true, true) => rate * COPY_COST,
                 (true, false) => rate,
             };
--- a/crates/core/src/domain/report.rs
+++ b/crates/core/src/domain/report.rs
@@ -89,7 +89,7 @@
     let Some(held) = node.domains.held.get_mut(&domain) else {
         return;
     };
-    grant::offer_server(held, &node.catalog, server, now);
+    grant::offer_server(held, &node.catalog, &node.domains.lease, server, now);
     holder::pump(node, domain, out);
 }
 
@@ -124,11 +124,13 @@
     domain: Domain,
     server: Server,
     made: Instant,
-    report: Report,
+    mut report: Report,
     out: &mut Effects,
 ) {
     let now = node.now;
     let residents = residents(node, server, &report);
+    let boot = report.boot;
+    report.residents.clear();
     let Some(held) = node.domains.held.get_mut(&domain) else {
         return;
     };
@@ -140,13 +142,15 @@
     if made < host.made {
         return;
     }
-    let restarted = host.boot.is_some_and(|boot| boot != report.boot);
+    let restarted = host.boot.is_some_and(|before| before != boot);
+    let first = host.boot.is_none();
     host.made = made;
-    host.boot = Some(report.boot);
-    host.report = Some(Report {
-        residents: Vec::new(),
-        ..report
-    });
+    host.boot = Some(boot);
+    if first {
+        let name = &node.catalog.servers.get(server).name;
+        host.clean = held.writer.committed.boots.get(name) == Some(&boot);
+    }
+    host.report = Some(report);
     if restarted {
         let name = &node.catalog.servers.get(server).name;
         out.push(Effect::Log(Record::new(
@@ -190,6 +194,7 @@
         return;
     };
     host.fenced = false;
+    host.clean = false;
     host.fencing = None;
     host.unloaded.clear();
     host.rest = now;
@@ -225,7 +230,10 @@
     }
     match entry.phase {
         Phase::Absent if made >= entry.since => entry.enter(Phase::Resident, now),
-        Phase::Loading(_) => entry.enter(Phase::Resident, now),
+        Phase::Loading(_) => {
+            entry.enter(Phase::Resident, now);
+            entry.loaded = now;
+        }
         _ => {}
     }
 }
--- a/crates/core/src/domain/seat.rs
+++ b/crates/core/src/domain/seat.rs
@@ -111,7 +111,7 @@
 /// Takes free domains, and gives some up where this VM holds more than its share.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
     let now = node.now;
-    if now < node.domains.spread.next || node.domains.closing || node.fleet.draining {
+    if now < node.domains.spread.next || node.domains.closing.is_some() || node.fleet.draining {
         return;
     }
     node.domains.spread.next = now + PASS;
@@ -190,10 +190,7 @@
 
 /// Whether a start is certainly over.
 pub(crate) fn is_gone(node: &Node, vm: &id::Vm, incarnation: Incarnation) -> bool {
-    match *vm == node.settings.vm {
-        true => incarnation != node.settings.incarnation,
-        false => node.fleet.gone(vm, incarnation),
-    }
+    node.fleet.gone(vm, incarnation)
 }
 
 /// Looks at a domain's key as soon as no call for it is in progress.
@@ -239,7 +236,7 @@
         seat.empty = node.now;
     }
     holder::drop_domain(node, domain, "key_gone", out);
-    if taking && !node.domains.closing && !node.fleet.draining {
+    if taking && node.domains.closing.is_none() && !node.fleet.draining {
         create(node, domain, out);
     }
 }
@@ -264,13 +261,11 @@
         };
         heard(node, domain, known, out);
     }
-    match mine {
-        true => holder::hold(node, domain, fence, out),
+    if mine {
+        holder::hold(node, domain, fence, out);
+    } else if taking && (me || is_gone(node, &start.vm, start.incarnation)) {
         // A key of a start that is over, or of an earlier lease of this start, is in the way until it lapses.
-        false if taking && (me || is_gone(node, &start.vm, start.incarnation)) => {
-            delete(node, domain, created, What::Delete(domain), out);
-        }
-        false => {}
+        delete(node, domain, created, What::Delete(domain), out);
     }
 }
 
