A request may meet the caller's own deadline while it runs

Cause: vm_frozen_past_its_lease failed in one of five runs on a busy machine: a request waited 1.5 s for its adapter, was sent 9 ms before its caller's deadline, and was answered deadline_in_run, ran: unknown, which is true. Ruled out: a longer deadline, which moves the case and slows the waits down. Change: exactly that kind with exactly ran: unknown is let through and counts as not answered; every wait still ends only with all adapters answered whole, and no unload in flight.

--- a/crates/daemon/tests/processes/checks.rs
+++ b/crates/daemon/tests/processes/checks.rs
@@ -16,7 +16,7 @@
         .unwrap_or_else(|fault| panic!("{fault}: {answer:?}"));
 }
 
-/// Sends requests one after the other through all VMs; each is whole, or refused without having run.
+/// Sends one request after the other and counts the whole answers; others did not run, or met the deadline in their run.
 pub(crate) fn whole_or_not_run(vm: &Vm, models: &[&str], tokens: u64) -> usize {
     let mut answered = 0;
     for model in models {
@@ -26,12 +26,17 @@
         let answer = request.send().unwrap();
         match answer.verify(&request) {
             Ok(()) => answered += 1,
+            Err(_) if error(&answer) == late() => {}
             Err(fault) => assert_eq!(error(&answer).1, "no", "{fault}: {answer:?}"),
         }
     }
     answered
 }
 
+fn late() -> (String, String) {
+    ("deadline_in_run".to_owned(), "unknown".to_owned())
+}
+
 /// A repeated key is answered with the first run's result, or says that it may have run.
 pub(crate) fn repeated(vm: &Vm, key: &str, first: Option<&Reply>) {
     let again = vm.book(key);
