--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -28,6 +28,8 @@
 const IN_FORCE: Duration = Duration::from_secs(4);
 /// How long the key-value service is away at least: longer than a lease lives.
 const OUTAGE: Duration = Duration::from_millis(3500);
+/// How long a part waits for its whole answers at most.
+const FLOW: Duration = Duration::from_secs(4);
 /// The longest wait for anything else.
 const LIMIT: Duration = Duration::from_secs(4);
 /// Calls that are made again through another VM.
@@ -377,8 +379,10 @@
     /// Waits until every model service gave enough whole answers in a part.
     fn flows(&mut self, phase: Phase, promise: &'static str) {
         let board = &self.traffic.board;
+        let until = Instant::now() + FLOW;
         let enough = ["passage", "planogram"].map(|service| {
-            board.wait(LIMIT, phase, ENOUGH, |done| {
+            let left = until.saturating_duration_since(Instant::now());
+            board.wait(left, phase, ENOUGH, |done| {
                 done.service == service && done.whole()
             })
         });
