--- a/crates/core/benches/control/main.rs
+++ b/crates/core/benches/control/main.rs
@@ -3,9 +3,12 @@
 //!
 //! `cargo bench -p dahliastile-core --bench control -- --seed N --vms 9,30,90 --seconds N --backend N --phases LIST`
 //!
+//! Phases: `steady`; `change` at the letter's rates; `serving` with its requests; `cut`, with the first region cut off
+//! from the others and the platform; `healed` after that; `zone`, with the last zone lost.
 //! `--backend N` gives every fleet the servers and adapters of a fleet of N VMs.
 #![allow(missing_docs, unreachable_pub, clippy::pedantic)]
 
+mod engine;
 mod fleet;
 mod heap;
 mod kv;
@@ -195,6 +198,7 @@
         "cpu_us_per_s_worst": rate(worst(|vm| vm.control.total) / 1_000),
         "state_bytes": states().sum::<i64>() / states().count().max(1) as i64,
         "state_bytes_worst": states().max(),
+        "config_bytes": fleet.kv.snapshot_bytes(),
         "config_in_force_ms": delay(delays.len() / 2),
         "config_in_force_ms_worst": delay(delays.len().saturating_sub(1)),
         "edits": delays.len(),
@@ -230,6 +234,11 @@
         eprintln!("{size:?} settled in {} ms", settled / 1_000);
         for phase in phases.split(',') {
             let rates = Rates::of(phase, &size);
+            match phase {
+                "cut" => fleet.cut_off(),
+                "zone" => fleet.lose_zone(),
+                _ => fleet.cut = false,
+            }
             if rates.requests > 0.0 {
                 run(&mut fleet, rates, 20 * SEC);
             }
--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -47,6 +47,9 @@
 /// Time between two looks for answers that are long overdue.
 const EXPIRE: Span = Span::from_secs(1);
 
+/// How long handing over waits for the record to be written.
+const HAND_OVER: Span = Span::from_secs(3);
+
 /// What this VM holds and what it is granted.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -74,8 +77,8 @@
     domains_of: SecondaryMap<Service, SmallVec<[Domain; 2]>>,
     /// Prefix caches.
     caches: cache::Table,
-    /// Whether this VM is handing its domains over.
-    closing: bool,
+    /// Since when this VM is handing its domains over.
+    closing: Option<Instant>,
     /// The time of the last tick.
     clock: Instant,
     /// When overdue answers were last looked for.
@@ -177,6 +180,16 @@
     report::reported(node, server, report, out);
 }
 
+/// A server refused a connection: its holder, where this VM is that, looks at it at once.
+pub(crate) fn unreachable(node: &mut Node, server: Server) {
+    let now = node.now;
+    if let Some(domain) = node.catalog.servers.get(server).domain
+        && let Some(host) = node.domains.host(domain, server)
+    {
+        host.poll.next = now;
+    }
+}
+
 /// Changes of a prefix cache came.
 pub(crate) fn cached(node: &mut Node, server: &id::Server, changes: &[Cached], out: &mut Effects) {
     let _ = out;
@@ -191,8 +204,8 @@
 }
 
 /// An operation on the key-value service came back.
-pub(crate) fn platform(node: &mut Node, op: Op, outcome: Outcome, out: &mut Effects) {
-    call::ended(node, op, &outcome, out);
+pub(crate) fn platform(node: &mut Node, op: Op, outcome: &Outcome, out: &mut Effects) {
+    call::ended(node, op, outcome, out);
 }
 
 /// A grantee asks.
@@ -200,14 +213,14 @@
     node: &mut Node,
     from: &id::Vm,
     incarnation: Incarnation,
-    ask: Ask,
+    ask: &Ask,
     out: &mut Effects,
 ) {
-    grant::asked(node, from, incarnation, &ask, out);
+    grant::asked(node, from, incarnation, ask, out);
 }
 
 /// A holder tells what may be used.
-pub(crate) fn updated(node: &mut Node, from: &id::Vm, update: Update, out: &mut Effects) {
+pub(crate) fn updated(node: &mut Node, from: &id::Vm, update: &Update, out: &mut Effects) {
     grantee::updated(node, from, update, out);
 }
 
@@ -272,18 +285,28 @@
 /// This VM was not run for a while: leases and grants kept by time are void. Whether its lease still holds is
 /// decided by its clock before each order.
 pub(crate) fn paused(node: &mut Node, out: &mut Effects) {
+    node.domains.lease.paused();
     grantee::paused(node);
     ask::tick(node, out);
 }
 
 /// This VM is leaving: hands its domains over. Says whether all is handed over.
 pub(crate) fn hand_over(node: &mut Node, out: &mut Effects) -> bool {
-    node.domains.closing = true;
+    let now = node.now;
+    let since = *node.domains.closing.get_or_insert(now);
     if node.domains.held.is_empty() {
         return traffic::idle(node) && ask::leave(node, out);
     }
-    // Orders on their way are waited for: each has an outcome within its timeout.
-    if node.domains.orders.is_empty() {
+    let held: Vec<Domain> = node.domains.held.keys().copied().collect();
+    for domain in held {
+        evict::cancel_all(node, domain);
+        record::flush(node, domain, out);
+    }
+    // Orders on their way are waited for: each has an outcome within its timeout. The record is then free of
+    // unloads, unless the key-value service does not answer.
+    let settled = node.domains.held.values().all(|held| held.writer.settled());
+    let waited = now.since(since) >= HAND_OVER;
+    if node.domains.orders.is_empty() && (settled || waited) {
         lease::revoke(node, out);
     }
     false
@@ -300,6 +323,7 @@
     }
     lease::tick(node, out);
     seat::tick(node, out);
+    grantee::tick(node, out);
     let held: Vec<Domain> = node.domains.held.keys().copied().collect();
     for domain in held {
         holder::tick(node, domain, out);
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -12,11 +12,12 @@
 
 use super::board::{Board, Done, Ending, Phase};
 use super::figures::Stalls;
-use super::ledger;
 use super::report::{Check, Report};
-use super::stage::{OPERATOR_TOKEN, PLAIN, Stage, adapter, failed};
-use super::traffic::{Call, Traffic};
+use super::stage::{GUARDED, OPERATOR_TOKEN, Stage, adapter, failed};
+use super::traffic::{Traffic, twice};
+use super::verdict;
 use super::watch::Watch;
+use super::words::{explain, said, spelled};
 use crate::client::Client;
 use crate::error::{Error, Result};
 use crate::progress::Progress;
@@ -25,8 +26,10 @@
 
 /// How soon an accepted edit must be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(4);
+/// How long the key-value service is away at least: longer than a lease lives.
+const OUTAGE: Duration = Duration::from_millis(3500);
 /// The longest wait for anything else.
-const LIMIT: Duration = Duration::from_secs(5);
+const LIMIT: Duration = Duration::from_secs(4);
 /// Calls that are made again through another VM.
 const REPEATS: usize = 24;
 /// Streams in progress on the VM that is shut down.
@@ -34,7 +37,7 @@
 /// Tokens of these: about a second's work.
 const STREAM_TOKENS: u64 = 100;
 /// The VM that is shut down.
-const LAST: usize = 2;
+pub(super) const LAST: usize = 2;
 /// Whole answers of each model service that a part waits for.
 const ENOUGH: usize = 30;
 
@@ -46,11 +49,11 @@
     client: Client,
     progress: Progress,
     checks: Vec<Check>,
-    stopped: Option<Instant>,
+    told: Option<Instant>,
 }
 
-/// Plays all parts.
-pub(super) fn play(stage: &mut Stage) -> Result<Report> {
+/// Plays all parts. With `trails`, also says what was done with one request of each kind of refusal.
+pub(super) fn play(stage: &mut Stage, trails: bool) -> Result<Report> {
     let began = Instant::now();
     let operators: Vec<String> = stage
         .vms
@@ -69,7 +72,7 @@
         traffic,
         progress: Progress::new(true),
         checks: Vec::new(),
-        stopped: None,
+        told: None,
     };
     let configured = play.configure();
     let callers = play.traffic.start();
@@ -81,7 +84,15 @@
             .map_err(|_| Error::Demo("a caller's thread panicked".to_owned()))?;
     }
     let stalls = played?;
-    Ok(play.conclude(&stalls, began))
+    let client = play.client.clone();
+    let report = play.conclude(&stalls, began);
+    if trails {
+        report
+            .refusals
+            .iter()
+            .for_each(|row| explain(&client, &row.request));
+    }
+    Ok(report)
 }
 
 impl Play<'_> {
@@ -144,7 +155,7 @@
         self.check(
             wrong == 0,
             "every VM decides by the edited rule",
-            format!("{refused:?}"),
+            said(&refused),
         );
         let entries = self.client.history(10)?;
         let (before, after) = around(&entries, edition)?;
@@ -160,7 +171,7 @@
         self.check(
             wrong == 0,
             "no VM decides by the rule taken back",
-            format!("{whole:?}"),
+            said(&whole),
         );
         self.flows(Phase::Rule, "traffic flows during edits");
         Ok(())
@@ -177,7 +188,7 @@
             .stage
             .plain
             .iter()
-            .filter(|server| server.service == PLAIN[0].0)
+            .filter(|server| server.service == GUARDED)
         {
             server.host.fault(plain::Fault::ResetAfterRun(2));
             server.host.fault(plain::Fault::Refuse(2));
@@ -211,13 +222,17 @@
             "every VM notices that the key-value service is away",
             spelled(noticed),
         );
+        self.traffic
+            .board
+            .wait(OUTAGE, Phase::Outage, usize::MAX, Done::whole);
         self.flows(
             Phase::Outage,
             "what is resident is served on without the key-value service",
         );
+        self.cold();
         let board = &self.traffic.board;
         let refused = board.wait(LIMIT, Phase::Outage, 3, |done| {
-            done.service == PLAIN[0].0 && done.refused("platform_down")
+            done.service == GUARDED && done.refused("platform_down")
         });
         self.check(
             refused,
@@ -234,12 +249,37 @@
         );
         let board = &self.traffic.board;
         let booked = board.wait(LIMIT, Phase::Return, 3, |done| {
-            done.service == PLAIN[0].0 && done.whole()
+            done.service == GUARDED && done.whole()
         });
-        self.check(booked, "calls that need a claim work again", String::new());
+        let seen = if booked {
+            "3 calls whole"
+        } else {
+            "fewer than 3 calls whole"
+        };
+        self.check(
+            booked,
+            "calls that need a claim work again",
+            seen.to_owned(),
+        );
         self.flows(Phase::Return, "traffic flows after the outage");
     }
 
+    /// Asks for an adapter that is nowhere resident, of the deployment whose servers do not check fencing numbers.
+    fn cold(&mut self) {
+        let began = Instant::now();
+        let request = self
+            .traffic
+            .request(0, "merchandiser", "planogram-cold@1", 4);
+        let ending = self.traffic.model(0, "planogram", &request);
+        let kept = matches!(&ending, Ending::Refused { ran, .. } if ran == "no");
+        let seen = format!(
+            "{} after {} ms",
+            said(&[ending]),
+            began.elapsed().as_millis()
+        );
+        self.check(kept, "what is cold there is refused as not run", seen);
+    }
+
     /// An engine loses everything and starts cold.
     fn restart(&mut self) {
         self.begin(Phase::Restart, "an engine restarts cold");
@@ -259,10 +299,10 @@
         (0..self.stage.vms.len()).for_each(|vm| stalls.read(self.stage, vm));
         let daemon = self.stage.vms[LAST].daemon.take();
         let daemon = daemon.ok_or_else(|| failed("the VM is gone already"))?;
-        let stopper = daemon.stopper();
+        let handle = daemon.stopper();
         let (begun, started) = flume::unbounded();
         let traffic = &self.traffic;
-        let (ended, endings, stopped) = thread::scope(|scope| {
+        let (ended, endings, told) = thread::scope(|scope| {
             let streams: Vec<_> = (0..STREAMS)
                 .map(|number| {
                     let begun = begun.clone();
@@ -270,17 +310,17 @@
                 })
                 .collect();
             let running = (0..STREAMS).all(|_| started.recv_timeout(LIMIT).is_ok());
-            let stopped = Instant::now();
-            stopper.stop(false);
+            let told = Instant::now();
+            handle.stop(false);
             traffic.board.spare(LAST);
             let ended = daemon.wait();
             let endings: Vec<Option<Ending>> = streams
                 .into_iter()
                 .map(|stream| stream.join().ok())
                 .collect();
-            (running.then_some(ended), endings, stopped)
+            (running.then_some(ended), endings, told)
         });
-        self.stopped = Some(stopped);
+        self.told = Some(told);
         self.stage.unlist();
         let whole = endings
             .iter()
@@ -300,44 +340,11 @@
 
     /// The checks over everything that happened.
     fn conclude(mut self, stalls: &Stalls, began: Instant) -> Report {
-        let done = self.traffic.board.done();
-        let broken = |done: &&Done| matches!(done.ending, Ending::Broken(_));
-        let all: Vec<String> = done.iter().filter(broken).map(described).collect();
-        let cut = |done: &&Done| {
-            let begun = self.stopped.is_some_and(|stopped| done.sent < stopped);
-            let not_run = matches!(&done.ending, Ending::Refused { ran, .. } if ran == "no");
-            begun && done.vm == LAST && done.phase == Phase::Shutdown && !done.whole() && !not_run
-        };
-        let interrupted = done.iter().filter(cut);
-        let interrupted: Vec<String> = interrupted.map(described).collect();
-        let lists = [
-            (
-                "every answer is whole, checked token by token, or an explicit refusal",
-                all,
-            ),
-            ("interrupted answers at shutdown: 0", interrupted),
-            (
-                "double runs of non-idempotent work: 0",
-                ledger::double_runs(self.stage),
-            ),
-            (
-                "ran: no is true by the stand-ins' records",
-                ledger::untrue(self.stage, &done),
-            ),
-            (
-                "no adapter is unloaded while in use",
-                ledger::violations(self.stage),
-            ),
-            ("no edition goes back on any VM", self.watch.close()),
-        ];
-        for (promise, found) in lists {
-            self.checks.push(Check {
-                kept: found.is_empty(),
-                promise,
-                seen: shortened(&found),
-            });
-        }
-        Report::new(self.stage, &done, stalls, self.checks, began.elapsed())
+        let all = self.traffic.board.done();
+        let backwards = self.watch.close();
+        self.checks
+            .extend(verdict::checks(self.stage, &all, self.told, backwards));
+        Report::new(self.stage, &all, stalls, self.checks, began.elapsed())
     }
 
     fn begin(&mut self, phase: Phase, line: &str) {
@@ -375,12 +382,11 @@
                 done.service == service && done.whole()
             })
         });
-        let done = board.done();
+        let all = board.done();
         let whole = |service: &str| {
-            let done = done
-                .iter()
-                .filter(|done| done.phase == phase && done.service == service);
-            done.filter(|done| done.whole()).count()
+            let here =
+                |done: &&Done| done.phase == phase && done.service == service && done.whole();
+            all.iter().filter(here).count()
         };
         let seen = format!(
             "{} passage and {} planogram answers whole",
@@ -402,33 +408,6 @@
     }
 }
 
-/// Makes one call through two VMs, at once or one after the other; whether both answers are whole and differ.
-fn twice(traffic: &Traffic, number: usize) -> bool {
-    let call = Call {
-        service: PLAIN[0].0,
-        caller: "terminal",
-        key: Some(format!("repeat-{number}")),
-    };
-    let vms = traffic.vms.len();
-    let (first, second) = (number % vms, (number + 1) % vms);
-    let ((one, one_body), (two, two_body)) = if number.is_multiple_of(2) {
-        thread::scope(|scope| {
-            let other = scope.spawn(|| traffic.call(second, &call));
-            let one = traffic.call(first, &call);
-            let lost = || {
-                (
-                    Ending::Broken("a caller's thread panicked".to_owned()),
-                    String::new(),
-                )
-            };
-            (one, other.join().unwrap_or_else(|_| lost()))
-        })
-    } else {
-        (traffic.call(first, &call), traffic.call(second, &call))
-    };
-    one == Ending::Whole && two == Ending::Whole && one_body != two_body
-}
-
 /// A long stream on the VM that is shut down; says when its first token came.
 fn stream(traffic: &Traffic, number: usize, begun: &flume::Sender<()>) -> Ending {
     let model = format!("{}@1", adapter("passage", number % 3));
@@ -439,28 +418,3 @@
 fn is_refused(ending: &Ending, wanted: &str) -> bool {
     matches!(ending, Ending::Refused { kind, .. } if kind == wanted)
 }
-
-fn described(done: &Done) -> String {
-    format!(
-        "{} on VM {} ({:?}): {:?}",
-        done.subject,
-        done.vm + 1,
-        done.phase,
-        done.ending
-    )
-}
-
-fn spelled(took: Option<Duration>) -> String {
-    took.map_or("not in time".to_owned(), |took| {
-        format!("{} ms", took.as_millis())
-    })
-}
-
-/// The number of what was found, and the first few.
-fn shortened(found: &[String]) -> String {
-    const SHOWN: usize = 3;
-    match found.len() {
-        0 => "0".to_owned(),
-        count => format!("{count}, such as {}", found[..count.min(SHOWN)].join("; ")),
-    }
-}
--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -84,6 +84,8 @@
         if !pass_body(connection, &mut bytes, head.body)? {
             return Ok(());
         }
+        connection.passed();
+        shared.notify();
         if shared.is_closing() {
             return Ok(());
         }
