A server that lost an adapter may serve its request once it has it again

Cause: a request that a server refused as not loaded never went back to that server. Where the holder then loaded the adapter just there, the request waited beside it until its deadline (deadline_in_queue after 30 s); with one engine it was refused at once. Ruled out: a lost grant. The holder had granted the place again; only this request's list of failed servers barred it. Change: not_loaded gives the grant back, so it bars nothing by itself; a new grant says that the adapter is there again. Tries and the retry budget bound it as before.

--- a/crates/core/src/traffic/attempt.rs
+++ b/crates/core/src/traffic/attempt.rs
@@ -146,9 +146,13 @@
             failure: failure.clone(),
         },
     );
-    row.failed_on.push(server);
     row.maybe_ran |= !proves_not_run(failure);
     let adapter = row.adapter;
+    match (failure, adapter) {
+        // The grant is given back. A new one means that the adapter is there again.
+        (Failure::NotRun(Reason::NotLoaded), Some(_)) => {}
+        _ => row.failed_on.push(server),
+    }
     route::trouble(node, server, failure);
     match (failure, adapter) {
         (Failure::NotRun(Reason::NotLoaded), Some(adapter)) => {
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -279,3 +279,25 @@
     assert!(fleet.now - before < 2 * SEC, "a warm request was held back");
     fleet.check();
 }
+
+#[test]
+fn retry_where_the_adapter_is_loaded_again() {
+    for engines in [1, 2] {
+        let size = Size {
+            engines,
+            ..Size::small()
+        };
+        let mut fleet = size.fleet(9);
+        let first = fleet.ask(0, model(0, 1, 3));
+        assert!(fleet.finish(first, 10 * SEC).finished());
+        // The engine loses the adapter by itself, and says so when it is asked for it.
+        for engine in &mut fleet.engines {
+            engine.residents.clear();
+        }
+        let again = fleet.ask(0, model(0, 2, 3));
+        let again = fleet.finish(again, 40 * SEC);
+        assert!(again.finished(), "{engines} engines: {again:?}");
+        assert!(again.ended.unwrap() - again.at < 5 * SEC);
+        fleet.check();
+    }
+}
