Fake engines let two runs on different adapters change places

Cause: the fault sent one piece under another run's number, also between two runs on one adapter. Such a piece bears no mark of whose it is, and the run that lost it ends whole as far as the protocol tells, so nobody downstream could hold the promise; no test used it. Change: two runs on different adapters swap their attempts for good, which is stricter for what can be seen: pieces and ends come crossed, both ways, until the attempts end. What crosses between two runs on one adapter stays unproven; it needs the engine to repeat the request's id in each piece.

--- a/crates/core/tests/support/engine.rs
+++ b/crates/core/tests/support/engine.rs
@@ -46,7 +46,8 @@
     pub after_cancel: u32,
     /// Runs whose last piece and end come twice.
     pub twice: u32,
-    /// Pieces that are sent as another run's on the engine.
+    /// Pairs of runs on different adapters of which each goes on as the answer to the other's attempt. What crosses
+    /// between two runs on the same adapter bears no mark by which anyone could tell.
     pub cross: u32,
     /// Runs that make no tokens until the caller gives up.
     pub hang: u32,
@@ -81,6 +82,7 @@
     pub(crate) twice: bool,
     pub(crate) lingers: u32,
     pub(crate) cancelled: bool,
+    pub(crate) crossed: bool,
     pub(crate) text: Vec<u8>,
     pub(crate) tokens: u32,
 }
@@ -275,6 +277,20 @@
         }
     }
 
+    /// Lets two runs on different adapters change places, where that is due.
+    pub(crate) fn cross(&mut self) {
+        let mut straight = self.running.iter_mut().filter(|run| !run.crossed);
+        let Some(first) = straight.next() else {
+            return;
+        };
+        let other = straight.find(|run| run.adapter != first.adapter);
+        if let Some(other) = other.filter(|_| take(&mut self.faults.cross)) {
+            (first.crossed, other.crossed) = (true, true);
+            std::mem::swap(&mut first.origin, &mut other.origin);
+            std::mem::swap(&mut first.attempt, &mut other.attempt);
+        }
+    }
+
     /// The effects of an order on this engine, or why it is refused.
     pub(crate) fn check(&mut self, now: Micros, command: &Command) -> Result<(), Reason> {
         match &command.action {
