Test of grants that a new holder takes over and revokes before it has told of them

Cause: domain/update.rs, build: grants that are not confirmed are told only while they are not revoked. A new holder numbers the grants that a grantee keeps (adopt). Where it revokes them in the same step, or where the update with the numbers is lost, the grantee is told to release numbers that it can't match with a place; it answers that they are released and goes on using the places, and the holder unloads.

--- /dev/null
+++ b/crates/core/tests/domain_adopted.rs
@@ -0,0 +1,94 @@
+//! Grants that a new holder takes over and revokes in the same step.
+
+mod support;
+
+use dahliastile_core::effect::{Action, Effect};
+use dahliastile_core::log::Code;
+use dahliastile_core::peer::Message;
+use support::setup::{self, Size};
+use support::{Fleet, MS, SEC};
+
+fn holder(fleet: &Fleet) -> Option<usize> {
+    let value = fleet.kv.value("dahliastile/lease/base")?;
+    let text = String::from_utf8_lossy(value).into_owned();
+    let named = |vm: &support::vm::Vm| text.contains(&format!("\"{}\"", vm.name));
+    fleet.vms.iter().position(named)
+}
+
+fn unloads(effect: &Effect) -> bool {
+    matches!(effect, Effect::Order(order) if matches!(order.action, Action::Unload(_)))
+}
+
+/// Whether a grantee is told of grants, and it is not this one.
+fn tells(effect: &Effect, told: &str) -> bool {
+    match effect {
+        Effect::Peer {
+            to,
+            message: Message::Update(update),
+            ..
+        } => !update.grants.is_empty() && to.as_str() != told,
+        _ => false,
+    }
+}
+
+/// Runs until a VM is paused.
+fn paused(fleet: &mut Fleet) -> usize {
+    let one = |fleet: &Fleet| fleet.vms.iter().position(|vm| vm.paused);
+    fleet.run_while(|fleet| one(fleet).is_none(), 30 * SEC);
+    one(fleet).expect("no VM came to where it is to be paused")
+}
+
+/// The holder dies while another adapter is wanted in the only slot. The next holder numbers the grants that the
+/// others keep, and what it tells the last of them of that is lost until it revokes them. Right before it orders the unload, the
+/// others get work for the adapter that is about to go: none of it may be sent under a grant that the holder counts
+/// as released.
+fn adopted(fenced: bool) {
+    let size = Size {
+        vms: 4,
+        engines: 1,
+        slots: 1,
+        fenced,
+        ..Size::small()
+    };
+    let mut fleet = size.fleet(1);
+    for vm in 0..4 {
+        let ask = fleet.ask(vm, setup::model(0, vm as u64, 3));
+        assert!(fleet.finish(ask, 10 * SEC).finished());
+    }
+    fleet.run_for(2 * SEC);
+    let first = holder(&fleet).expect("a holder");
+    fleet.crash(first);
+    for vm in (0..4).filter(|vm| *vm != first) {
+        fleet.ask(vm, setup::model(1, 100, 3));
+        fleet.pause_at(vm, |effect| tells(effect, ""));
+    }
+    let next = paused(&mut fleet);
+    fleet.pause_at(next, |effect| tells(effect, "vm-3"));
+    fleet.resume(next);
+    assert_eq!(paused(&mut fleet), next);
+    fleet.net.loss = 1_000;
+    fleet.resume(next);
+    let revoked = |fleet: &Fleet| fleet.logged(Code::RevokeBegun) > 0;
+    assert!(fleet.run_while(|fleet| !revoked(fleet), 30 * SEC));
+    fleet.run_for(10 * MS);
+    fleet.net.loss = 0;
+    fleet.pause_at(next, unloads);
+    assert_eq!(paused(&mut fleet), next);
+    for vm in (0..4).filter(|vm| ![first, next].contains(vm)) {
+        fleet.ask(vm, setup::model(0, 200 + vm as u64, 400));
+    }
+    fleet.run_for(20 * MS);
+    fleet.resume(next);
+    fleet.run_for(SEC);
+    fleet.check();
+}
+
+#[test]
+fn revoke_withadoptionunfenced() {
+    adopted(false);
+}
+
+#[test]
+fn revoke_withadoptionfenced() {
+    adopted(true);
+}
