A request goes back to the server that failed it where no other has its adapter

Cause: a server that failed a request was left out for it for good. Where its adapter was resident only there, the request waited for a copy that the holder had no reason to load, until its deadline. Ruled out: telling the holder to load elsewhere. It costs a load and an eviction for what is mostly a broken connection. Change: such a server is left out for 1 s, doubling with each failure, and then may be chosen where no other has the adapter; plain services go elsewhere as before. Tries and the retry budget bound it.

--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -16,7 +16,7 @@
 use crate::event::{Call, Target};
 use crate::id::{self, Request, Ticket};
 use crate::operator::{Decided, Reply};
-use crate::time::Span;
+use crate::time::{Instant, Span};
 use crate::{domain, sync};
 
 /// A caller, service and adapter that a call names, all in the configuration in force.
@@ -103,6 +103,7 @@
         sent: None,
         tries: 0,
         failed_on: smallvec::SmallVec::new(),
+        barred_until: Instant::default(),
         maybe_ran: false,
         cold: false,
         begun: false,
--- a/crates/core/src/traffic/attempt.rs
+++ b/crates/core/src/traffic/attempt.rs
@@ -151,7 +151,7 @@
     match (failure, adapter) {
         // The grant is given back. A new one means that the adapter is there again.
         (Failure::NotRun(Reason::NotLoaded), Some(_)) => {}
-        _ => row.failed_on.push(server),
+        _ => row.bar(server, now),
     }
     route::trouble(node, server, failure);
     match (failure, adapter) {
@@ -245,7 +245,7 @@
             said: said.to_owned(),
         },
     );
-    row.failed_on.push(server);
+    row.bar(server, now);
     row.maybe_ran = true;
     if may_start_over(row) {
         return end::requeue(node, request);
--- a/crates/core/src/traffic/route.rs
+++ b/crates/core/src/traffic/route.rs
@@ -59,8 +59,18 @@
 /// Spreads request numbers over a list.
 const SCATTER: u64 = 0x9e37_79b9_7f4a_7c15;
 
-/// Chooses a server for a request.
+/// Chooses a server for a request: one that has not failed it, or after a while one that has, where no other has its
+/// adapter. The holder of the domain sees the adapter resident there, so waiting for another copy may be in vain.
 pub(crate) fn choose(node: &Node, row: &RequestRow) -> Choice {
+    let again = row.adapter.is_some() && !row.failed_on.is_empty() && row.barred_until <= node.now;
+    match best(node, row, allows) {
+        Choice::Nobody if again => best(node, row, permits),
+        choice => choice,
+    }
+}
+
+/// Chooses among the servers for which `may` holds.
+fn best(node: &Node, row: &RequestRow, may: fn(&Node, &RequestRow, Server) -> bool) -> Choice {
     let service = node.catalog.services.get(row.service);
     let bias = score::bias(service.stall_weight, service.batch_weight);
     let home = node.catalog.zones.find(&node.settings.zone);
@@ -69,7 +79,7 @@
         if near == ENOUGH {
             break;
         }
-        if !allows(node, row, server) {
+        if !may(node, row, server) {
             continue;
         }
         among += 1;
@@ -122,7 +132,13 @@
     node.traffic.own[server].sick_until = node.now + span;
 }
 
+/// Whether a request may go to a server, which has not failed it before.
 fn allows(node: &Node, row: &RequestRow, server: Server) -> bool {
+    permits(node, row, server) && !row.failed_on.contains(&server)
+}
+
+/// Whether configuration and rules let a request go to a server.
+fn permits(node: &Node, row: &RequestRow, server: Server) -> bool {
     let rule = &row.decision;
     let place = node.catalog.servers.get(server);
     place.listed
@@ -130,7 +146,6 @@
         && rule.require.is_none_or(|zone| zone == place.zone)
         && (rule.pin.is_empty() || rule.pin.contains(&server))
         && !rule.avoid.contains(&server)
-        && !row.failed_on.contains(&server)
 }
 
 fn candidate(node: &Node, row: &RequestRow, server: Server, home: Option<Zone>) -> Candidate {
--- a/crates/core/src/traffic/table.rs
+++ b/crates/core/src/traffic/table.rs
@@ -96,6 +96,8 @@
     pub(crate) tries: u32,
     /// Servers that failed it.
     pub(crate) failed_on: SmallVec<[Server; 2]>,
+    /// Until when those are left out even where no other server has its adapter.
+    pub(crate) barred_until: Instant,
     /// Whether an attempt may have run it.
     pub(crate) maybe_ran: bool,
     /// Whether the adapter was not resident when it arrived.
@@ -112,7 +114,19 @@
     pub(crate) notes: Notes,
 }
 
+/// How long a server that failed a request is left out for it at first; it doubles with each failure.
+const BARRED: Span = Span::from_secs(1);
+/// How often it doubles at most.
+const MAX_DOUBLINGS: u32 = 6;
+
 impl RequestRow {
+    /// A server failed this request.
+    pub(super) fn bar(&mut self, server: Server, now: Instant) {
+        let failures = u32::try_from(self.failed_on.len()).unwrap_or(u32::MAX);
+        self.failed_on.push(server);
+        self.barred_until = now + BARRED.times(1 << failures.min(MAX_DOUBLINGS));
+    }
+
     /// Until when no load is asked for on account of this request, so that others can join its batch.
     pub(crate) fn held_until(&self) -> Instant {
         let hold = if self.cold {
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -301,3 +301,29 @@
         fleet.check();
     }
 }
+
+#[test]
+fn retry_where_alone_resident() {
+    let mut fleet = Size::small().fleet(10);
+    let first = fleet.ask(0, model(0, 1, 3));
+    assert!(fleet.finish(first, 10 * SEC).finished());
+    let faults: [fn(&mut support::engine::Faults); 4] = [
+        |faults| faults.break_first = 1,
+        |faults| faults.break_streams = 1,
+        |faults| faults.reject = 1,
+        |faults| faults.refuse = 1,
+    ];
+    for (digest, fault) in faults.iter().enumerate() {
+        for engine in &mut fleet.engines {
+            engine.faults = support::engine::Faults::default();
+            fault(&mut engine.faults);
+        }
+        let again = fleet.ask(1, model(0, 10 + digest as u64, 5));
+        let again = fleet.finish(again, 40 * SEC);
+        assert!(again.finished(), "fault {digest}: {again:?}");
+        assert!(again.ended.unwrap() - again.at < 5 * SEC);
+        // Not again at once: the server may need a moment.
+        assert!(again.ended.unwrap() - again.at > 500 * MS);
+    }
+    fleet.check();
+}
