Wrong answers are tried again only as often as failures are

Cause: a request whose server answered for another adapter was put back without regard to the tries it had left and to the retry budget, so an engine that keeps doing that was asked until the deadline. Change: the same check as for failures, in one function. Measured: retry_of_wrong_answers_ends first failing (5 runs in 30 s), then passing (3 at most, over within 10 s).

--- a/crates/core/src/traffic/attempt.rs
+++ b/crates/core/src/traffic/attempt.rs
@@ -247,7 +247,7 @@
     );
     row.bar(server, now);
     row.maybe_ran = true;
-    if may_start_over(row) {
+    if may_start_over(row) && end::may_try_again(node, request) {
         return end::requeue(node, request);
     }
     let answer = Answer::new(
--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -258,6 +258,14 @@
     queue::push(node, request);
 }
 
+/// Whether a request has a try left, a server to try, and a retry in its service's budget, which is taken.
+pub(super) fn may_try_again(node: &mut Node, request: Request) -> bool {
+    let row = &node.traffic.requests[&request];
+    let most = u32::try_from(node.settings.tuning.attempts_max).unwrap_or(u32::MAX);
+    let (service, tries) = (row.service, row.tries);
+    tries < most && !route::hopeless(node, row) && limit::retry(node, service)
+}
+
 /// Tries a request whose attempt failed again where that is allowed, and refuses it at once where not.
 pub(super) fn retry_or_refuse(
     node: &mut Node,
@@ -266,13 +274,11 @@
     out: &mut Effects,
 ) {
     let row = &node.traffic.requests[&request];
-    let most = u32::try_from(node.settings.tuning.attempts_max).unwrap_or(u32::MAX);
     let resumable = row.idempotent && row.begun && row.call.stream && row.adapter.is_some();
-    let allowed = may_start_over(row) || resumable;
     let unreadable = matches!(failure, Failure::NotRun(Reason::BadRequest));
-    let hopeless = unreadable || route::hopeless(node, row);
-    let (adapter, service, tries) = (row.adapter, row.service, row.tries);
-    if allowed && !hopeless && tries < most && limit::retry(node, service) {
+    let allowed = (may_start_over(row) || resumable) && !unreadable;
+    let adapter = row.adapter;
+    if allowed && may_try_again(node, request) {
         return requeue(node, request);
     }
     let ran = ran(node, request);
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -327,3 +327,24 @@
     }
     fleet.check();
 }
+
+#[test]
+fn retry_of_wrong_answers_ends() {
+    let mut fleet = Size::small().fleet(11);
+    for adapter in 0..6 {
+        let ask = fleet.ask(0, model(adapter, 1, 3));
+        assert!(fleet.finish(ask, 10 * SEC).finished());
+    }
+    for engine in &mut fleet.engines {
+        engine.faults.wrong_adapter = u32::MAX;
+    }
+    for adapter in 0..3 {
+        let ask = fleet.ask(0, model(adapter, 2, 3));
+        let ask = fleet.finish(ask, 40 * SEC);
+        let refusal = ask.refusal().expect("nothing of another adapter counts");
+        assert_eq!(refusal.ran, Ran::Unknown);
+        assert!(ask.data.is_empty() && ask.runs.len() <= 3, "{ask:?}");
+        assert!(ask.ended.unwrap() - ask.at < 10 * SEC, "{ask:?}");
+    }
+    fleet.check();
+}
