--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -235,7 +235,7 @@
         Finding::Granted => {
             row.claim = Claim::Held;
             row.notes.add(now.since(row.arrived), Note::Claimed);
-            send(node, request, server, out);
+            send_claimed(node, request, server, out);
         }
         Finding::Taken(outcome) => repeated(node, request, outcome, out),
         Finding::Reused => {
@@ -254,6 +254,15 @@
     }
 }
 
+/// Sends a request whose claim has come, unless its server may not take it any more: the claim may have taken long.
+fn send_claimed(node: &mut Node, request: Request, server: Server, out: &mut Effects) {
+    if route::permits(node, &node.traffic.requests[&request], server) {
+        return send(node, request, server, out);
+    }
+    end::vacate(node, request, out);
+    end::requeue(node, request);
+}
+
 fn repeated(node: &mut Node, request: Request, outcome: Option<Outcome>, out: &mut Effects) {
     let id = format!("{request} repeats a key: {outcome:.40?}");
     out.push(Effect::Log(Record::new(Code::Duplicate, id)));
--- a/crates/core/src/traffic/route.rs
+++ b/crates/core/src/traffic/route.rs
@@ -138,7 +138,7 @@
 }
 
 /// Whether configuration and rules let a request go to a server.
-fn permits(node: &Node, row: &RequestRow, server: Server) -> bool {
+pub(super) fn permits(node: &Node, row: &RequestRow, server: Server) -> bool {
     let rule = &row.decision;
     let place = node.catalog.servers.get(server);
     place.listed
