--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -281,3 +281,72 @@
     assert!(fleet.now - before < 2 * SEC, "a warm request was held back");
     fleet.check();
 }
+
+#[test]
+fn retry_where_the_adapter_is_loaded_again() {
+    for engines in [1, 2] {
+        let size = Size {
+            engines,
+            ..Size::small()
+        };
+        let mut fleet = size.fleet(9);
+        let first = fleet.ask(0, model(0, 1, 3));
+        assert!(fleet.finish(first, 10 * SEC).finished());
+        // The engine loses the adapter by itself, and says so when it is asked for it.
+        for engine in &mut fleet.engines {
+            engine.residents.clear();
+        }
+        let again = fleet.ask(0, model(0, 2, 3));
+        let again = fleet.finish(again, 40 * SEC);
+        assert!(again.finished(), "{engines} engines: {again:?}");
+        assert!(again.ended.unwrap() - again.at < 5 * SEC);
+        fleet.check();
+    }
+}
+
+#[test]
+fn retry_where_alone_resident() {
+    let mut fleet = Size::small().fleet(10);
+    let first = fleet.ask(0, model(0, 1, 3));
+    assert!(fleet.finish(first, 10 * SEC).finished());
+    let faults: [fn(&mut support::engine::Faults); 4] = [
+        |faults| faults.break_first = 1,
+        |faults| faults.break_streams = 1,
+        |faults| faults.reject = 1,
+        |faults| faults.refuse = 1,
+    ];
+    for (digest, fault) in faults.iter().enumerate() {
+        for engine in &mut fleet.engines {
+            engine.faults = support::engine::Faults::default();
+            fault(&mut engine.faults);
+        }
+        let again = fleet.ask(1, model(0, 10 + digest as u64, 5));
+        let again = fleet.finish(again, 40 * SEC);
+        assert!(again.finished(), "fault {digest}: {again:?}");
+        assert!(again.ended.unwrap() - again.at < 5 * SEC);
+        // Not again at once: the server may need a moment.
+        assert!(again.ended.unwrap() - again.at > 500 * MS);
+    }
+    fleet.check();
+}
+
+#[test]
+fn retry_of_wrong_answers_ends() {
+    let mut fleet = Size::small().fleet(11);
+    for adapter in 0..6 {
+        let ask = fleet.ask(0, model(adapter, 1, 3));
+        assert!(fleet.finish(ask, 10 * SEC).finished());
+    }
+    for engine in &mut fleet.engines {
+        engine.faults.wrong_adapter = u32::MAX;
+    }
+    for adapter in 0..3 {
+        let ask = fleet.ask(0, model(adapter, 2, 3));
+        let ask = fleet.finish(ask, 40 * SEC);
+        let refusal = ask.refusal().expect("nothing of another adapter counts");
+        assert_eq!(refusal.ran, Ran::Unknown);
+        assert!(ask.data.is_empty() && ask.runs.len() <= 3, "{ask:?}");
+        assert!(ask.ended.unwrap() - ask.at < 10 * SEC, "{ask:?}");
+    }
+    fleet.check();
+}
