Load order: by what waits and what is expected, not by age; the bench tells of each minute

By age, every cold request waited nearly as long as the backlog, popular adapters among them.

The price is that some requests for rare adapters in the wave are never served.

--- a/crates/core/benches/policy/main.rs
+++ b/crates/core/benches/policy/main.rs
@@ -1,10 +1,11 @@
 //! Load stalls and batch efficiency of our policy against baselines, for both deployments at today's sizes, in virtual
 //! time. Prints one JSON line a run; the same seed gives the same figures.
 //!
-//! `cargo bench -p dahliastile-core --bench policy -- --seed N --policy NAME`
+//! `cargo bench -p dahliastile-core --bench policy -- --seed N --policy NAME --minutes`
 #![allow(missing_docs, unreachable_pub, clippy::pedantic)]
 
 mod baseline;
+mod minute;
 mod ours;
 mod trace;
 mod world;
@@ -39,7 +40,6 @@
         .filter(|fate| fate.ended.is_some())
         .count();
     let refused = world.fates.iter().filter(|fate| fate.refused).count();
-    let lost = world.fates.len() - whole - refused;
     let times = world.trace.iter().zip(&world.fates);
     let took: Vec<u64> = times
         .filter_map(|(a, f)| f.ended.map(|end| end - a.at))
@@ -61,6 +61,9 @@
             "goodput": round(whole as f64 / (RUN / SEC) as f64),
         })
     );
+    if std::env::args().any(|arg| arg == "--minutes") {
+        println!("{}", minute::report(world, ours::SETTLE));
+    }
 }
 
 fn round(value: f64) -> f64 {
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
+use crate::minute::Diary;
 use crate::trace::{Arrival, Deployment, Micros};
 
 /// A request by its position in the trace.
@@ -38,6 +39,8 @@
     pub in_use: u32,
     /// When it was last used.
     pub used: Micros,
+    /// Whether any request came to it since its load.
+    pub worked: bool,
 }
 
 /// An engine.
@@ -95,6 +98,8 @@
     pub fates: Vec<Fate>,
     /// Loads made.
     pub loads: u64,
+    /// Loads and evictions by the minute.
+    pub diary: Diary,
     /// Loads that wait for the weight store.
     pub store: VecDeque<(usize, usize)>,
     store_busy: bool,
@@ -118,6 +123,7 @@
             warm: vec![0; trace.len()],
             deployment: deployment.clone(),
             loads: 0,
+            diary: Diary::default(),
             store: VecDeque::new(),
             store_busy: false,
             heap: BinaryHeap::new(),
@@ -193,6 +199,7 @@
             ready: false,
             in_use: 0,
             used: self.now,
+            worked: false,
         };
         let before = self.engines[engine].residents.insert(adapter, resident);
         assert!(
@@ -200,6 +207,8 @@
             "adapter {adapter} is on engine {engine} already"
         );
         self.loads += 1;
+        let copy = self.warm_engines(adapter) != 0;
+        self.diary.load(self.now, adapter, copy);
         self.store.push_back((engine, adapter));
         self.next_load();
     }
@@ -233,6 +242,7 @@
             resident.ready && resident.in_use == 0,
             "adapter {adapter} is in use"
         );
+        self.diary.evict(self.now, adapter, resident.worked);
     }
 
     /// Sends a request to an engine that has its adapter; says whether it does.
@@ -252,6 +262,7 @@
         }
         resident.in_use += 1;
         resident.used = now;
+        resident.worked = true;
         self.fates[ask].stall = Some(if warm { 0 } else { now - at });
         self.engines[engine].waiting.push_back(ask);
         self.start(engine);
--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -42,6 +42,8 @@
 const ROOM_SHARE: f64 = 0.7;
 /// Demand, in requests a second, below which nothing is loaded that nobody waits for.
 const PREFETCH_RATE: f64 = 0.02;
+/// Requests that are expected within this time count as if they waited already.
+const AWAITED: Span = Span::from_secs(30);
 /// How much less an adapter costs that is resident elsewhere too.
 const COPY_COST: f64 = 0.2;
 
@@ -157,7 +159,7 @@
 fn cold(node: &mut Node, domain: Domain, service: Service) -> Vec<Cold> {
     let now = node.now;
     let store = *store::row(node, service);
-    let row = node.catalog.services.get(service);
+    let half_life = Span::from_millis(node.settings.tuning.demand_half_life_ms);
     let Some(held) = node.domains.held.get(&domain) else {
         return Vec::new();
     };
@@ -173,9 +175,9 @@
             adapter: *adapter,
             score: score(
                 rows,
+                held.demand.rate(*adapter, now, half_life),
                 now,
                 store.pace(),
-                batch_share(row.stall_weight, row.batch_weight),
             ),
         })
         .collect();
@@ -188,30 +190,17 @@
     cold
 }
 
-/// How much of a deployment's weight is on batch efficiency.
-fn batch_share(stall: f64, batch: f64) -> f64 {
-    let sum = stall + batch;
-    match sum > 0.0 {
-        true => batch / sum,
-        false => 0.5,
-    }
-}
-
-/// What it is worth to load an adapter next: the weight that waits, more with age and near the deadline. Batch
-/// efficiency favours the adapters that many wait for; load stalls favour those who have waited long.
-fn score(rows: &[Wanted], now: Instant, pace: Span, batch: f64) -> f64 {
-    let weight: u32 = rows.iter().map(|row| row.weight.max(1)).sum();
-    let since = rows.iter().map(|row| row.since).min().unwrap_or(now);
-    let until = rows.iter().map(|row| row.until).min().unwrap_or(now);
-    let weight = f64::from(weight) / 1_000.0;
-    let age = now.since(since).as_secs_f64();
-    let left = until.since(now);
-    let urgency = match left {
-        left if left < pace => 0.1,
-        left if left < pace.times(4) => 2.0,
-        _ => 1.0,
-    };
-    weight.powf(1.0 + batch / 2.0) * (1.0 + (1.0 - batch) * age) * urgency
+/// What it is worth to load an adapter next: the weight of the requests that wait and of those that are expected soon.
+/// Waiting alone earns nothing: while more is cold than the store can load, serving by age lets all wait long, and each
+/// unpopular adapter that is loaded takes the slot of one that would have been used. What can't be there in time is last.
+fn score(rows: &[Wanted], rate: f64, now: Instant, pace: Span) -> f64 {
+    let in_time = |row: &&Wanted| row.until.since(now) >= pace;
+    let weight: u32 = rows
+        .iter()
+        .filter(in_time)
+        .map(|row| row.weight.max(1))
+        .sum();
+    f64::from(weight) / 1_000.0 + rate * AWAITED.as_secs_f64()
 }
 
 /// Copies of each adapter that are resident, or loading and not overdue.
