Demand is forgotten by half in 60 s instead of 30 s

Cause: with 96 slots, Kolenvaart's least popular resident is asked for once in two minutes; a half-life of 30 s can't tell it from one that was asked for once.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -102,7 +102,7 @@
     /// The longest delay after failed loads.
     load_backoff_max_ms "ms" 30_000, 10..=600_000;
     /// The half-life of an adapter's demand.
-    demand_half_life_ms "ms" 30_000, 100..=3_600_000;
+    demand_half_life_ms "ms" 60_000, 100..=3_600_000;
     /// Time between two heartbeats to each neighbour.
     heartbeat_ms "ms" 500, 10..=10_000;
     /// How long a member may be silent before it is suspected.
