Copies of an adapter whose servers are full are loaded in turn with what is cold

Cause: in Rak Nusantara's wave 973 of 1,013 refusals and 4,525 of 5,012 ms of the mean stall fall, with 125 loads in that minute of 180 possible and no copy among them. A copy was loaded only while nothing was cold and slots were free beyond those kept ahead, which is never so in a wave; a popular adapter stayed on one engine, its queue full, and most engines stood half empty.

Change: an adapter for which at least four requests wait though it is resident takes its turn in the load queue, by the same worth; one copy on its way at a time. Slots of engines with room are freed first.

--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -38,6 +38,10 @@
 const FREEING: Span = Span::from_millis(500);
 /// A second copy is loaded where one adapter keeps this share of a batch busy.
 const COPY_SHARE: f64 = 0.5;
+/// So many requests that wait for a resident adapter are worth another copy.
+const COPY_WAITING: u32 = 4;
+/// What it costs more to free a slot of a server whose batch is full: what is loaded there has to wait.
+const FULL_COST: f64 = 10.0;
 /// A server above this share of its batch gets no second copies.
 const ROOM_SHARE: f64 = 0.7;
 /// Demand, in requests a second, below which nothing is loaded that nobody waits for.
@@ -93,7 +97,7 @@
     }
 }
 
-/// An adapter that requests wait for and that is nowhere resident or loading.
+/// An adapter that requests wait for: it is nowhere resident or loading, or all servers that have it are full.
 #[derive(Clone, Copy, Debug)]
 struct Cold {
     /// The adapter.
@@ -168,7 +172,11 @@
         .iter()
         .filter(|(adapter, _)| {
             let row = node.catalog.adapters.get(**adapter);
-            row.service == service && row.listed && !resident.contains_key(adapter)
+            row.service == service && row.listed
+        })
+        .filter(|(adapter, rows)| match resident.get(adapter) {
+            None => true,
+            Some(_) => crowded_out(held, **adapter, rows, now),
         })
         .map(|(adapter, rows)| Cold {
             adapter: *adapter,
@@ -189,6 +197,18 @@
     cold
 }
 
+/// Whether so many wait for a resident adapter that another copy is worth a load. None is while one is on its way.
+fn crowded_out(held: &Held, adapter: Adapter, rows: &[Wanted], now: Instant) -> bool {
+    let waiting: u32 = rows.iter().map(|row| row.waiting).sum();
+    let moving = |entry: &Entry| match entry.phase {
+        Phase::Loading(_) => true,
+        Phase::Resident => now.since(entry.loaded) < STAY,
+        Phase::Absent | Phase::Evicting | Phase::Unloading(_) => false,
+    };
+    let mut entries = held.hosts.values().filter_map(|h| h.entries.get(&adapter));
+    waiting >= COPY_WAITING && !entries.any(moving)
+}
+
 /// What it is worth to load an adapter next: the weight of the requests that wait and of those that are expected soon.
 /// Waiting alone earns nothing: while more is cold than the store can load, serving by age lets all wait long, and each
 /// unpopular adapter that is loaded takes the slot of one that would have been used. What can't be there in time is last.
@@ -358,6 +378,7 @@
             continue;
         }
         let crowd = usize_to_f64(host.free() + host.freeing(now));
+        let full = if host.fill() < 1.0 { 0.0 } else { FULL_COST };
         for (adapter, entry) in &host.entries {
             let blocked = held.blocked((*server, *adapter), now);
             let resting = now.since(entry.loaded) >= STAY;
@@ -381,7 +402,7 @@
                 (true, false) => rate,
             };
             // Free slots are better spread over servers; work in flight delays the slot.
-            let cost = cost * (1.0 + crowd) + if used { 1_000.0 } else { 0.0 };
+            let cost = cost * (1.0 + crowd) + full + if used { 1_000.0 } else { 0.0 };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, (*server, *adapter)));
             }
