Placement in smaller files: worth of loads, slots, copies; its page and properties

Change: worth.rs (pure: order of loads, choice by load), room.rs (slots and victims), copy.rs (loads that nobody waits for); docs/design/placement.md; the order equals a naive one, more weight is never later, the fullest server with room is taken; the bench's minutes tell the mean time of whole requests. The age of what waits is no longer kept.

--- a/crates/core/benches/policy/minute.rs
+++ b/crates/core/benches/policy/minute.rs
@@ -64,6 +64,11 @@
         let fates: Vec<&Fate> = rows.filter(|(a, _)| of(a.at)).map(|(_, f)| f).collect();
         let lost = world.deployment.deadline;
         let stall: u64 = fates.iter().map(|fate| fate.stall.unwrap_or(lost)).sum();
+        let rows = world.trace.iter().zip(&world.fates);
+        let took: Vec<Micros> = rows
+            .filter(|(a, _)| of(a.at))
+            .filter_map(|(a, fate)| Some(fate.ended? - a.at))
+            .collect();
         // The loads' minutes begin with the clock, so they are off by the time to settle.
         let loads = world
             .diary
@@ -74,6 +79,7 @@
         json!({
             "minute": minute,
             "stall_share_ms": stall / 1_000 / world.fates.len().max(1) as u64,
+            "whole_mean_ms": took.iter().sum::<u64>() / 1_000 / took.len().max(1) as u64,
             "refused": fates.iter().filter(|fate| fate.refused).count(),
             "stalled": fates.iter().filter(|fate| fate.stall != Some(0)).count(),
             "loads": loads.begun,
--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -9,6 +9,7 @@
 pub(crate) mod backoff;
 pub(crate) mod cache;
 pub(crate) mod call;
+pub(crate) mod copy;
 pub(crate) mod demand;
 pub(crate) mod evict;
 pub(crate) mod grant;
@@ -21,10 +22,12 @@
 pub(crate) mod place;
 pub(crate) mod record;
 pub(crate) mod report;
+pub(crate) mod room;
 pub(crate) mod seat;
 pub(crate) mod store;
 pub(crate) mod update;
 pub(crate) mod view;
+pub(crate) mod worth;
 
 use std::collections::BTreeMap;
 
--- a/crates/core/src/domain/grant.rs
+++ b/crates/core/src/domain/grant.rs
@@ -107,7 +107,6 @@
             waiting: want.waiting,
             weight: want.weight,
             until: now + want.left,
-            since: now.back(want.waited),
         };
         held.waiting.entry(adapter).or_default().push(row);
         wants.push(adapter);
--- a/crates/core/src/domain/holder.rs
+++ b/crates/core/src/domain/holder.rs
@@ -44,8 +44,6 @@
     pub(crate) weight: u32,
     /// When the first of them gives up.
     pub(crate) until: Instant,
-    /// When the first of them came.
-    pub(crate) since: Instant,
 }
 
 /// A grantee.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 
 /// The tables and choices behind the decisions that stand on their own, for tests, benches and other uses.
 pub mod policy {
+    pub use crate::domain::worth::{Cold, order, unwelcome};
     pub use crate::traffic::limit::bucket::Bucket;
     pub use crate::traffic::limit::budget::Budget;
     pub use crate::traffic::limit::fair::{Clock, Shares};
