--- a/crates/core/src/domain/place.rs
+++ b/crates/core/src/domain/place.rs
@@ -19,6 +19,7 @@
 use crate::log::{Code, Record};
 use crate::metric::{Figure, Sample};
 use crate::time::{Instant, Span};
+use crate::traffic::route::score::bias;
 
 /// The shortest time between two full passes while nothing can be ordered anyway.
 const PASS: Span = Span::from_millis(50);
@@ -38,10 +39,18 @@
 const FREEING: Span = Span::from_millis(500);
 /// A second copy is loaded where one adapter keeps this share of a batch busy.
 const COPY_SHARE: f64 = 0.5;
+/// So many requests that wait for a resident adapter are worth another copy.
+const COPY_WAITING: u32 = 4;
+/// What it costs more to free a slot of a server whose batch is full: what is loaded there has to wait.
+const FULL_COST: f64 = 10.0;
+/// What it costs more, in requests a second, to free a slot of an idle server where batches are to be filled.
+const IDLE_COST: f64 = 0.1;
 /// A server above this share of its batch gets no second copies.
 const ROOM_SHARE: f64 = 0.7;
 /// Demand, in requests a second, below which nothing is loaded that nobody waits for.
 const PREFETCH_RATE: f64 = 0.02;
+/// Requests that are expected within this time count as if they waited already.
+const AWAITED: Span = Span::from_secs(30);
 /// How much less an adapter costs that is resident elsewhere too.
 const COPY_COST: f64 = 0.2;
 
@@ -91,7 +100,7 @@
     }
 }
 
-/// An adapter that requests wait for and that is nowhere resident or loading.
+/// An adapter that requests wait for: it is nowhere resident or loading, or all servers that have it are full.
 #[derive(Clone, Copy, Debug)]
 struct Cold {
     /// The adapter.
@@ -156,7 +165,7 @@
 fn cold(node: &mut Node, domain: Domain, service: Service) -> Vec<Cold> {
     let now = node.now;
     let store = *store::row(node, service);
-    let row = node.catalog.services.get(service);
+    let half_life = Span::from_millis(node.settings.tuning.demand_half_life_ms);
     let Some(held) = node.domains.held.get(&domain) else {
         return Vec::new();
     };
@@ -166,15 +175,19 @@
         .iter()
         .filter(|(adapter, _)| {
             let row = node.catalog.adapters.get(**adapter);
-            row.service == service && row.listed && !resident.contains_key(adapter)
+            row.service == service && row.listed
+        })
+        .filter(|(adapter, rows)| match resident.get(adapter) {
+            None => true,
+            Some(_) => crowded_out(held, **adapter, rows, now),
         })
         .map(|(adapter, rows)| Cold {
             adapter: *adapter,
             score: score(
                 rows,
+                held.demand.rate(*adapter, now, half_life),
                 now,
                 store.pace(),
-                batch_share(row.stall_weight, row.batch_weight),
             ),
         })
         .collect();
@@ -187,27 +200,29 @@
     cold
 }
 
-/// How much of a deployment's weight is on batch efficiency.
-fn batch_share(stall: f64, batch: f64) -> f64 {
-    let sum = stall + batch;
-    if sum > 0.0 { batch / sum } else { 0.5 }
+/// Whether so many wait for a resident adapter that another copy is worth a load. None is while one is on its way.
+fn crowded_out(held: &Held, adapter: Adapter, rows: &[Wanted], now: Instant) -> bool {
+    let waiting: u32 = rows.iter().map(|row| row.waiting).sum();
+    let moving = |entry: &Entry| match entry.phase {
+        Phase::Loading(_) => true,
+        Phase::Resident => now.since(entry.loaded) < STAY,
+        Phase::Absent | Phase::Evicting | Phase::Unloading(_) => false,
+    };
+    let mut entries = held.hosts.values().filter_map(|h| h.entries.get(&adapter));
+    waiting >= COPY_WAITING && !entries.any(moving)
 }
 
-/// What it is worth to load an adapter next: the weight that waits, more with age and near the deadline. Batch
-/// efficiency favours the adapters that many wait for; load stalls favour those who have waited long.
-fn score(rows: &[Wanted], now: Instant, pace: Span, batch: f64) -> f64 {
-    let weight: u32 = rows.iter().map(|row| row.weight.max(1)).sum();
-    let since = rows.iter().map(|row| row.since).min().unwrap_or(now);
-    let until = rows.iter().map(|row| row.until).min().unwrap_or(now);
-    let weight = f64::from(weight) / 1_000.0;
-    let age = now.since(since).as_secs_f64();
-    let left = until.since(now);
-    let urgency = match left {
-        left if left < pace => 0.1,
-        left if left < pace.times(4) => 2.0,
-        _ => 1.0,
-    };
-    weight.powf(1.0 + batch / 2.0) * (1.0 + (1.0 - batch) * age) * urgency
+/// What it is worth to load an adapter next: the weight of the requests that wait and of those that are expected soon.
+/// Waiting alone earns nothing: while more is cold than the store can load, serving by age lets all wait long, and each
+/// unpopular adapter that is loaded takes the slot of one that would have been used. What can't be there in time is last.
+fn score(rows: &[Wanted], rate: f64, now: Instant, pace: Span) -> f64 {
+    let in_time = |row: &&Wanted| row.until.since(now) >= pace;
+    let weight: u32 = rows
+        .iter()
+        .filter(in_time)
+        .map(|row| row.weight.max(1))
+        .sum();
+    f64::from(weight) / 1_000.0 + rate * AWAITED.as_secs_f64()
 }
 
 /// Copies of each adapter that are resident, or loading and not overdue.
@@ -246,12 +261,14 @@
     }
 }
 
-/// The server to load an adapter on: one with a free slot, the least busy.
+/// The server to load an adapter on: one with a free slot, the least busy; where batches are to be filled, the busiest
+/// that has room.
 fn target(node: &Node, domain: Domain, service: Service, adapter: Adapter) -> Option<Server> {
     let now = node.now;
     let key = store::key(node, service);
     let overdue = node.domains.stores.get(&key).map(store::Store::overdue)?;
     let held = node.domains.held.get(&domain)?;
+    let packs = packs(node, service);
     held.hosts
         .iter()
         .filter(|(server, host)| {
@@ -264,13 +281,28 @@
                 && !held.blocked((**server, adapter), now)
         })
         .min_by(|(one, first), (other, second)| {
-            let fill = first.fill().total_cmp(&second.fill());
+            let fill = idle(first, packs).total_cmp(&idle(second, packs));
             fill.then(second.free().cmp(&first.free()))
                 .then(one.cmp(other))
         })
         .map(|(server, _)| *server)
 }
 
+/// Whether batches are to be filled rather than work spread, by the service's weights.
+fn packs(node: &Node, service: Service) -> bool {
+    let row = node.catalog.services.get(service);
+    bias(row.stall_weight, row.batch_weight) < 0
+}
+
+/// How unwelcome more work is on a server: its load, or where batches are to be filled, the room that is left in one
+/// that still has some.
+fn idle(host: &Host, packs: bool) -> f64 {
+    match host.fill() {
+        fill if packs && fill < ROOM_SHARE => ROOM_SHARE - fill,
+        fill => fill,
+    }
+}
+
 fn usable(node: &Node, service: Service, server: Server, host: &Host) -> bool {
     let row = node.catalog.servers.get(server);
     row.service == service
@@ -359,6 +391,7 @@
     let held = node.domains.held.get(&domain)?;
     let copies = placed(held, now, Span(u64::MAX));
     let busy = busy(held);
+    let packs = packs(node, service);
     let known = !held.unknown();
     let mut best: Option<(f64, Place)> = None;
     for (server, host) in &held.hosts {
@@ -366,6 +399,12 @@
             continue;
         }
         let crowd = usize_to_f64(host.free() + host.freeing(now));
+        let full = if host.fill() < 1.0 { 0.0 } else { FULL_COST };
+        let apart = if packs {
+            idle(host, true) * IDLE_COST
+        } else {
+            0.0
+        };
         for (adapter, entry) in &host.entries {
             let blocked = held.blocked((*server, *adapter), now);
             let resting = now.since(entry.loaded) >= STAY;
@@ -389,7 +428,7 @@
                 (true, false) => rate,
             };
             // Free slots are better spread over servers; work in flight delays the slot.
-            let cost = cost * (1.0 + crowd) + if used { 1_000.0 } else { 0.0 };
+            let cost = cost * (1.0 + crowd) + full + apart + if used { 1_000.0 } else { 0.0 };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, (*server, *adapter)));
             }
--- a/crates/core/src/traffic/attempt.rs
+++ b/crates/core/src/traffic/attempt.rs
@@ -146,9 +146,13 @@
             failure: failure.clone(),
         },
     );
-    row.failed_on.push(server);
     row.maybe_ran |= !proves_not_run(failure);
     let adapter = row.adapter;
+    match (failure, adapter) {
+        // The grant is given back. A new one means that the adapter is there again.
+        (Failure::NotRun(Reason::NotLoaded), Some(_)) => {}
+        _ => row.bar(server, now),
+    }
     route::trouble(node, server, failure);
     match (failure, adapter) {
         (Failure::NotRun(Reason::NotLoaded), Some(adapter)) => {
@@ -241,9 +245,9 @@
             said: said.to_owned(),
         },
     );
-    row.failed_on.push(server);
+    row.bar(server, now);
     row.maybe_ran = true;
-    if may_start_over(row) {
+    if may_start_over(row) && end::may_try_again(node, request) {
         return end::requeue(node, request);
     }
     let answer = Answer::new(
