Asks: domains of the VM's own zone, quiet asks under a budget, offers to the asker alone

Cause: a VM used every domain of every region, asked each of them once a second whatever had changed, and the holder looked at all its grantees for each ask.

Ruled out: quiet asks up to 5 s apart, as reports count for nothing from 5 s on; a longer ring of a VM's own recent work, as its memory grows with servers.

Change: a cold adapter's home is among the domains with servers in the VM's zone, or in the zone that a rule requires or prefers, or that of a pinned server; all where there is none, or once its requests have waited for 10 s. Asks that have nothing new are spread to 8 a second a VM, at most 4 s apart. With reports that old, the change of this VM's own work since then is counted from its number at that time, not from the ring of the last second. An ask is answered with offers to its sender alone; passes over loads and evictions run at once only where it wants, releases or tells all.

--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -29,18 +29,19 @@
 use std::collections::BTreeMap;
 
 use cranelift_entity::SecondaryMap;
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 use crate::Node;
 use crate::catalog::Catalog;
 use crate::effect::Effects;
-use crate::entity::{Adapter, Domain, Server, Service};
+use crate::entity::{Adapter, Domain, Server, Service, Zone};
 use crate::event::{Cached, Ordered, Report};
 use crate::id::{self, Fence, Incarnation, Op, Order};
 use crate::peer::{Ask, Holder, NotHolder, Update};
 use crate::platform::Outcome;
 use crate::time::{Instant, Span};
-use crate::traffic;
+use crate::traffic::{self, Wish};
 
 pub(crate) use view::{status, verify};
 
@@ -75,6 +76,8 @@
     stores: store::Table,
     /// The domains of each service.
     domains_of: SecondaryMap<Service, SmallVec<[Domain; 2]>>,
+    /// Those of them that have servers of the service in a zone which are not leaving.
+    domains_in: FxHashMap<(Service, Zone), SmallVec<[Domain; 2]>>,
     /// Prefix caches.
     caches: cache::Table,
     /// Since when this VM is handing its domains over.
@@ -102,6 +105,13 @@
         self.grants.loads[server].as_ref().map(|load| load.made)
     }
 
+    /// How many requests of this VM were in progress on a server when those figures were made.
+    pub(crate) fn own(&self, server: Server) -> i64 {
+        self.grants.loads[server]
+            .as_ref()
+            .map_or(0, |load| load.own)
+    }
+
     /// How long it takes until an adapter is expected to be resident, as its domain's holder last said.
     pub(crate) fn expected(&self, adapter: Adapter) -> Option<Span> {
         let at = self.grants.expected.get(&adapter)?;
@@ -161,8 +171,14 @@
 }
 
 /// A request arrived for an adapter; with `cold`, nothing is granted and it waits for that.
-pub(crate) fn arrived(node: &mut Node, adapter: Adapter, cold: bool, out: &mut Effects) {
-    ask::arrived(node, adapter, cold, out);
+pub(crate) fn arrived(
+    node: &mut Node,
+    adapter: Adapter,
+    wish: Wish,
+    cold: bool,
+    out: &mut Effects,
+) {
+    ask::arrived(node, adapter, wish, cold, out);
 }
 
 /// A server said that an adapter is not resident though it was granted.
@@ -270,18 +286,28 @@
 /// Lists the domains of each service.
 fn index_services(node: &mut Node) {
     let domains_of = &mut node.domains.domains_of;
+    let domains_in = &mut node.domains.domains_in;
     domains_of.clear();
+    domains_in.clear();
     for (domain, row) in node.catalog.domains.iter() {
         for server in &row.servers {
-            let service = node.catalog.servers.get(*server).service;
-            let domains = &mut domains_of[service];
-            if !domains.contains(&domain) {
-                domains.push(domain);
+            let server = node.catalog.servers.get(*server);
+            note(&mut domains_of[server.service], domain);
+            if !server.leaving {
+                let zone = (server.service, server.zone);
+                note(domains_in.entry(zone).or_default(), domain);
             }
         }
     }
 }
 
+/// Adds a domain to a list unless it was the last one added; domains come one after the other.
+fn note(domains: &mut SmallVec<[Domain; 2]>, domain: Domain) {
+    if domains.last() != Some(&domain) {
+        domains.push(domain);
+    }
+}
+
 /// This VM was not run for a while: leases and grants kept by time are void. Whether its lease still holds is
 /// decided by its clock before each order.
 pub(crate) fn paused(node: &mut Node, out: &mut Effects) {
--- a/crates/core/src/domain/ask.rs
+++ b/crates/core/src/domain/ask.rs
@@ -11,36 +11,70 @@
 use crate::entity::{Adapter, Domain};
 use crate::id;
 use crate::peer::{Ask, Held, Message, Use, Want};
+use crate::time::Instant;
 use crate::time::Span;
-use crate::traffic;
+use crate::traffic::{self, Wish};
 
 /// Adapters that are waited for, by which the shortest time between two asks grows by itself once.
 const WANTS_PER_PACE: usize = 16;
 /// How long a domain is asked for after the last request, where nothing there is held.
 const KEEP: Span = Span::from_secs(30);
 
-/// The domain that an adapter's requests ask for: where it is usable, else the one that its name hashes to, so that
-/// all VMs ask the same holder.
-pub(crate) fn home(node: &Node, adapter: Adapter) -> Option<Domain> {
-    let usable = node.domains.grants.usable[adapter].first();
-    if let Some(domain) = usable.and_then(|server| node.catalog.servers.get(*server).domain) {
+/// Quiet asks that a VM sends a second, to all holders together.
+const QUIET_ASKS: u64 = 8;
+/// The longest time between two quiet asks to one holder. Loads come with the answers, and must not grow stale.
+const QUIET_MAX: Span = Span::from_secs(4);
+/// How long requests wait for a domain of their own zone. After that any domain of the service may take them, as
+/// the servers of the zone may be down.
+const SPILL: Span = Span::from_secs(10);
+
+/// The domain that an adapter's requests ask for: that of a named server, else where it is usable, else the one that
+/// its name hashes to among those of the zone, so that all VMs of a zone ask the same holder and a VM uses few.
+fn home(node: &Node, adapter: Adapter, wish: Wish, waited: Span) -> Option<Domain> {
+    let servers = &node.catalog.servers;
+    if let Some(domain) = wish.pin.and_then(|server| servers.get(server).domain) {
         return Some(domain);
     }
-    let row = node.catalog.adapters.get(adapter);
-    let domains = &node.domains.domains_of[row.service];
-    match domains.as_slice() {
+    let usable = node.domains.grants.usable[adapter]
+        .iter()
+        .map(|server| servers.get(*server))
+        .find(|row| wish.require.is_none_or(|zone| zone == row.zone));
+    if let Some(domain) = usable.and_then(|row| row.domain) {
+        return Some(domain);
+    }
+    let domains = candidates(node, adapter, wish, waited);
+    match domains {
         [] => None,
         [only] => Some(*only),
         _ => domains.iter().copied().max_by_key(|domain| {
             let name = &node.catalog.domains.get(*domain).name;
-            assign::score(&row.name, name)
+            assign::score(&node.catalog.adapters.get(adapter).name, name)
         }),
     }
 }
 
+/// The domains of an adapter's service in the zone that a rule names or else in this VM's; all where there is none.
+fn candidates(node: &Node, adapter: Adapter, wish: Wish, waited: Span) -> &[Domain] {
+    let service = node.catalog.adapters.get(adapter).service;
+    let own = || node.catalog.zones.find(&node.settings.zone);
+    let zone = match wish.require {
+        None if waited >= SPILL => None,
+        None => wish.prefer.or_else(own),
+        required => required,
+    };
+    zone.and_then(|zone| node.domains.domains_in.get(&(service, zone)))
+        .unwrap_or(&node.domains.domains_of[service])
+}
+
 /// A request arrived for an adapter.
-pub(crate) fn arrived(node: &mut Node, adapter: Adapter, cold: bool, out: &mut Effects) {
-    let Some(domain) = home(node, adapter) else {
+pub(crate) fn arrived(
+    node: &mut Node,
+    adapter: Adapter,
+    wish: Wish,
+    cold: bool,
+    out: &mut Effects,
+) {
+    let Some(domain) = home(node, adapter, wish, Span::ZERO) else {
         return;
     };
     let now = node.now;
@@ -94,6 +128,18 @@
     least.times(1 + (used.wanting / WANTS_PER_PACE) as u64)
 }
 
+/// Whether a domain is to be asked from time to time.
+fn live(used: &Used, now: Instant) -> bool {
+    !used.places.is_empty() || !used.released.is_empty() || grantee::idle(used, now) < KEEP
+}
+
+/// The time between two asks that have nothing new: it grows with the domains in use, so that their number does not
+/// make the asks of a VM grow.
+fn quiet(domains: usize, longest: Span) -> Span {
+    let even = Span(Span::from_secs(1).times(domains as u64).0 / QUIET_ASKS);
+    even.min(QUIET_MAX).max(longest)
+}
+
 /// Sends the asks that are due.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
     let now = node.now;
@@ -101,21 +147,22 @@
     let least = Span::from_millis(tuning.ask_min_ms);
     let retry = Span::from_millis(tuning.ask_retry_ms);
     let longest = Span::from_millis(tuning.ask_max_ms);
-    let due: Vec<Domain> = node
-        .domains
-        .used
+    let used = &node.domains.used;
+    let quiet = quiet(
+        used.values().filter(|used| live(used, now)).count(),
+        longest,
+    );
+    let due: Vec<Domain> = used
         .iter()
         .filter(|(_, used)| {
             let waited = now.since(used.asked);
             let unheard = used.full.is_some() || used.answered < used.nonce || used.wanting > 0;
-            let live = !used.places.is_empty()
-                || !used.released.is_empty()
-                || grantee::idle(used, now) < KEEP;
+            let live = live(used, now);
             let wait = match (used.due, unheard && live) {
                 (true, _) if used.answered >= used.nonce => pace(used, least),
                 (true, _) => pace(used, least).times(2).max(retry.min(longest)),
                 (false, true) => retry,
-                (false, false) if live => longest,
+                (false, false) if live => quiet,
                 (false, false) => return false,
             };
             waited >= wait
@@ -130,13 +177,27 @@
         let wants = wants.remove(&domain).unwrap_or_default();
         send(node, domain, wants, out);
     }
+    for domain in wants.into_keys() {
+        spilled(node, domain);
+    }
+}
+
+/// A domain is wanted from now on because requests have waited for another for long: it is asked with the next tick.
+fn spilled(node: &mut Node, domain: Domain) {
+    let now = node.now;
+    let used = node.domains.used.entry(domain).or_default();
+    if used.wanting == 0 {
+        used.wanting = 1;
+        used.due = true;
+        used.last = now;
+    }
 }
 
 /// What requests wait for, by the domain that is asked for it.
 fn wants(node: &Node) -> BTreeMap<Domain, Vec<Want>> {
     let mut wants: BTreeMap<Domain, Vec<Want>> = BTreeMap::new();
     for (adapter, waiting) in traffic::wanted(node) {
-        let Some(domain) = home(node, adapter) else {
+        let Some(domain) = home(node, adapter, waiting.wish, waiting.waited) else {
             continue;
         };
         wants.entry(domain).or_default().push(Want {
--- a/crates/core/src/domain/grant.rs
+++ b/crates/core/src/domain/grant.rs
@@ -6,7 +6,7 @@
 use super::host::{Entry, Lent, Phase, Place};
 use super::lease::Lease;
 use super::record::Start;
-use super::{checks_fences, seat};
+use super::{checks_fences, record, seat, update};
 use crate::Node;
 use crate::catalog::Catalog;
 use crate::effect::Effects;
@@ -47,9 +47,16 @@
     if fence == Some(ask.fence) {
         holder::acknowledged(node, domain, &start);
     }
-    if take_in(node, domain, &start, ask) {
-        offer_asked(node, domain, ask);
+    let Some(number) = take_in(node, domain, &start, ask) else {
+        return;
+    };
+    offer_asked(node, domain, number, ask);
+    if ask.full || !ask.wants.is_empty() || !ask.released.is_empty() {
         holder::pump(node, domain, out);
+    } else {
+        // Nothing that loads or evictions wait for: those stay on their own pace, and the asker gets its answer.
+        update::answer(node, domain, number, out);
+        record::flush(node, domain, out);
     }
 }
 
@@ -62,23 +69,19 @@
     node.send(from, Message::NotHolder(notice), out);
 }
 
-/// Writes what an ask says into the tables. Says whether it was news.
-fn take_in(node: &mut Node, domain: Domain, start: &Start, ask: &Ask) -> bool {
+/// Writes what an ask says into the tables. Says whose it is, if it was news.
+fn take_in(node: &mut Node, domain: Domain, start: &Start, ask: &Ask) -> Option<u32> {
     let now = node.now;
     let half_life = Span::from_millis(node.settings.tuning.demand_half_life_ms);
     let catalog = &node.catalog;
-    let Some(held) = node.domains.held.get_mut(&domain) else {
-        return false;
-    };
+    let held = node.domains.held.get_mut(&domain)?;
     if !held.active {
-        return false;
+        return None;
     }
     let number = held.peer(start, now);
-    let Some(peer) = held.peers.get_mut(&number) else {
-        return false;
-    };
+    let peer = held.peers.get_mut(&number)?;
     if ask.nonce <= peer.nonce {
-        return false;
+        return None;
     }
     let first = peer.nonce == 0;
     peer.nonce = ask.nonce;
@@ -92,7 +95,7 @@
     if ask.fence == held.fence {
         take_grants(held, catalog, number, ask, now);
     }
-    true
+    Some(number)
 }
 
 fn take_wants(held: &mut Held, catalog: &Catalog, number: u32, ask: &Ask, now: Instant) {
@@ -337,16 +340,30 @@
     let peers: Vec<u32> = held
         .peers
         .iter()
-        .filter(|(_, peer)| peer.recorded && peer.full && wants(peer, place.1))
+        .filter(|(_, peer)| eligible(peer, place.1))
         .map(|(number, _)| *number)
         .collect();
     for number in peers {
-        if !lent_to(held, number, place) {
-            give(held, number, place);
-        }
+        offer_to(held, number, place);
     }
 }
 
+/// Grants a place that is open to one grantee, if it may have grants, wants it and has it not.
+fn offer_to(held: &mut Held, number: u32, place: Place) {
+    let eligible = held
+        .peers
+        .get(&number)
+        .is_some_and(|peer| eligible(peer, place.1));
+    if eligible && !lent_to(held, number, place) {
+        give(held, number, place);
+    }
+}
+
+/// Whether a grantee may be granted an adapter, and wants it.
+fn eligible(peer: &holder::Peer, adapter: Adapter) -> bool {
+    peer.recorded && peer.full && wants(peer, adapter)
+}
+
 fn wants(peer: &holder::Peer, adapter: Adapter) -> bool {
     peer.wants.contains(&adapter) || peer.uses.contains_key(&adapter)
 }
@@ -364,8 +381,9 @@
         .collect()
 }
 
-/// Grants what an ask wants or uses, as far as it is resident.
-fn offer_asked(node: &mut Node, domain: Domain, ask: &Ask) {
+/// Grants what an ask wants or uses to its sender, as far as it is resident. Others ask for themselves, so that the
+/// work does not grow with the number of grantees.
+fn offer_asked(node: &mut Node, domain: Domain, number: u32, ask: &Ask) {
     let now = node.now;
     let catalog = &node.catalog;
     let lease = &node.domains.lease;
@@ -379,7 +397,10 @@
             continue;
         };
         for server in residences(held, adapter, now) {
-            offer(held, catalog, lease, (server, adapter), now);
+            let place = (server, adapter);
+            if open(held, catalog, lease, place, now) {
+                offer_to(held, number, place);
+            }
         }
     }
 }
--- a/crates/core/src/domain/grantee.rs
+++ b/crates/core/src/domain/grantee.rs
@@ -42,6 +42,8 @@
     pub(crate) report: Report,
     /// When its figures were made.
     pub(crate) made: Instant,
+    /// Requests of this VM that were in progress there then.
+    pub(crate) own: i64,
 }
 
 /// A domain that this VM uses.
@@ -276,6 +278,7 @@
             continue;
         };
         let made = now.back(load.report.age);
+        let own = traffic::route::own_at(node, server, made);
         let row = &mut node.domains.grants.loads[server];
         if row.as_ref().is_some_and(|row| row.made >= made) {
             continue;
@@ -283,6 +286,7 @@
         *row = Some(Load {
             report: load.report.clone(),
             made,
+            own,
         });
         wake_server(node, server);
     }
--- a/crates/core/src/domain/update.rs
+++ b/crates/core/src/domain/update.rs
@@ -29,6 +29,15 @@
     }
 }
 
+/// Sends one grantee the update that it is due.
+pub(crate) fn answer(node: &mut Node, domain: Domain, number: u32, out: &mut Effects) {
+    let held = node.domains.held.get_mut(&domain);
+    let peer = held.and_then(|held| held.peers.get_mut(&number));
+    if peer.is_some_and(|peer| std::mem::take(&mut peer.due)) {
+        send(node, domain, number, out);
+    }
+}
+
 fn send(node: &mut Node, domain: Domain, number: u32, out: &mut Effects) {
     let now = node.now;
     let Some(held) = node.domains.held.get_mut(&domain) else {
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -30,7 +30,7 @@
 pub(crate) use arrive::{arrived, test};
 pub(crate) use attempt::{begun, chunk, ended, failed};
 pub(crate) use dispatch::{claimed, dispatch};
-pub(crate) use table::Waiting;
+pub(crate) use table::{Waiting, Wish};
 pub(crate) use trail::explain;
 
 use deadline::Deadlines;
@@ -72,13 +72,20 @@
 pub(crate) fn wanted(node: &Node) -> impl Iterator<Item = (Adapter, Waiting)> + '_ {
     let queues = &node.traffic.queues;
     queues.keys().filter_map(move |key| match key {
-        Key::Adapter(adapter) if queues.asks(key, node.now) => {
-            Some((adapter, queues.waiting(key, node.now)))
-        }
+        Key::Adapter(adapter) if queues.asks(key, node.now) => Some((adapter, waiting(node, key))),
         Key::Adapter(_) | Key::Service(_) => None,
     })
 }
 
+/// What waits in a queue. The rules of its first request count for all.
+fn waiting(node: &Node, key: Key) -> Waiting {
+    let traffic = &node.traffic;
+    let first = traffic.queues.first(key);
+    let row = first.and_then(|request| traffic.requests.get(&request));
+    let wish = row.map(|row| row.decision.wish()).unwrap_or_default();
+    traffic.queues.waiting(key, wish, node.now)
+}
+
 /// Something changed for an adapter: its queue is looked at again before the step ends.
 pub(crate) fn wake(node: &mut Node, adapter: Adapter) {
     let key = Key::Adapter(adapter);
@@ -153,7 +160,8 @@
         }
         node.traffic.holds.pop();
         let cold = node.traffic.queues.holds(Key::Adapter(adapter));
-        domain::arrived(node, adapter, cold, out);
+        let wish = waiting(node, Key::Adapter(adapter)).wish;
+        domain::arrived(node, adapter, wish, cold, out);
     }
 }
 
--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -123,6 +123,7 @@
     row.cold = candidates == 0;
     row.notes.add(Span::ZERO, Note::Queued { candidates });
     let (adapter, cold, held_until) = (row.adapter, row.cold, row.held_until());
+    let wish = row.decision.wish();
     node.traffic.deadlines.push(row.deadline, request);
     node.traffic.requests.insert(request, row);
     if cold || !dispatch::at_once(node, request, out) {
@@ -132,7 +133,7 @@
         if held_until > node.now {
             node.traffic.holds.push(Reverse((held_until, adapter)));
         } else {
-            domain::arrived(node, adapter, cold, out);
+            domain::arrived(node, adapter, wish, cold, out);
         }
     }
 }
--- a/crates/core/src/traffic/queue.rs
+++ b/crates/core/src/traffic/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::limit::pace::Pace;
-use super::table::Waiting;
+use super::table::{Waiting, Wish};
 use crate::Node;
 use crate::entity::{Adapter, Service};
 use crate::id::Request;
@@ -178,7 +178,7 @@
     }
 
     /// What the holder of a domain is told of a queue.
-    pub(super) fn waiting(&self, key: Key, now: Instant) -> Waiting {
+    pub(super) fn waiting(&self, key: Key, wish: Wish, now: Instant) -> Waiting {
         let first = self.of(key).next();
         let row = self.rows.get(&key);
         Waiting {
@@ -186,9 +186,15 @@
             weight: row.map_or(0, |row| row.weight.saturating_mul(1_000)),
             left: first.map_or(Span::ZERO, |place| place.deadline.since(now)),
             waited: first.map_or(Span::ZERO, |place| now.since(place.arrived)),
+            wish,
         }
     }
 
+    /// The request that is served first.
+    pub(super) fn first(&self, key: Key) -> Option<Request> {
+        self.of(key).next().map(|place| place.request)
+    }
+
     fn of(&self, key: Key) -> impl Iterator<Item = &Place> {
         let from = self.places.range((key, Place::FIRST)..);
         from.take_while(move |(other, _)| *other == key)
--- a/crates/core/src/traffic/route.rs
+++ b/crates/core/src/traffic/route.rs
@@ -144,13 +144,24 @@
         far: row.decision.prefer.is_some_and(|prefer| prefer != zone),
         remote: home.is_some_and(|home| home != zone),
         own: own.in_flight,
-        change: made.map_or(0, |made| own.recent.since(made)),
+        change: made.map_or(0, |_| change(own, node.domains.own(server))),
         figures: report.map(|(made, report)| figures(report, node.now.since(made))),
         uncached: uncached(node, row, server),
         spread: spread(node, server),
     }
 }
 
+/// How this VM's work on a server changed since its load report was made, which may be seconds ago.
+fn change(own: &Own, then: i64) -> i32 {
+    i32::try_from(i64::from(own.in_flight) - then).unwrap_or(0)
+}
+
+/// How many requests of this VM were in progress on a server at a time less than a second ago.
+pub(crate) fn own_at(node: &Node, server: Server, then: Instant) -> i64 {
+    let own = &node.traffic.own[server];
+    i64::from(own.in_flight) - i64::from(own.recent.since(then))
+}
+
 fn figures(report: &Report, age: Span) -> Figures {
     Figures {
         load: report.running.saturating_add(report.waiting),
--- a/crates/core/src/traffic/table.rs
+++ b/crates/core/src/traffic/table.rs
@@ -9,6 +9,17 @@
 use crate::id::{self, Attempt, Request};
 use crate::time::{Instant, Span};
 
+/// Where the rules let requests run, as far as it matters for the domain that is asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Wish {
+    /// Servers in this zone first.
+    pub(crate) prefer: Option<Zone>,
+    /// Servers in this zone only.
+    pub(crate) require: Option<Zone>,
+    /// This server, as the first of those that are named.
+    pub(crate) pin: Option<Server>,
+}
+
 /// What waits for one adapter.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Waiting {
@@ -20,6 +31,8 @@
     pub(crate) left: Span,
     /// How long the first of them has waited.
     pub(crate) waited: Span,
+    /// Where the first of them may run.
+    pub(crate) wish: Wish,
 }
 
 /// How far a request has come.
@@ -63,6 +76,17 @@
     pub(crate) hold: Span,
 }
 
+impl Decision {
+    /// Where it lets a request run.
+    pub(crate) fn wish(&self) -> Wish {
+        Wish {
+            prefer: self.prefer,
+            require: self.require,
+            pin: self.pin.first().copied(),
+        }
+    }
+}
+
 /// A request in progress.
 #[derive(Debug)]
 pub(crate) struct RequestRow {
