Seats: a domain is free since its holder was first seen not to be live

Cause: the patience of VMs that are not to hold a free domain was counted from when no holder was known, long before, so all of them read its key as soon as its holder went.

Ruled out: the same patience from the right time on: where the lease takes 9 s to lapse, half of the VMs would still read, as it spreads them over 8 steps whatever their number.

Change: each pass notes holders that turned silent or gone; the time counts from there, and the VM that is to hold the domain looks at its key at once, also when it looked lately. The others come one a step of an eighth of the lease's time to live, as many steps as VMs are live, at least 8 as before.

--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -1,6 +1,6 @@
 //! Control domains: leases, residency grants, placement and loads, on the holder's and on the grantee's side.
 //!
-//! One decision a file: `lease` and `seat` say which VM holds which domain, `record` keeps what must outlast a
+//! One decision a file: `lease`, `seat` and `vacancy` say which VM holds which domain, `record` keeps what must outlast a
 //! holder, `holder`, `grant` and `update` keep and spread grants, `ask` and `grantee` use them, `report` and `order`
 //! talk to backend servers, `place` and `evict` decide what is loaded and unloaded, and `verify` checks the tables.
 
@@ -24,6 +24,7 @@
 pub(crate) mod seat;
 pub(crate) mod store;
 pub(crate) mod update;
+pub(crate) mod vacancy;
 pub(crate) mod view;
 
 use std::collections::BTreeMap;
--- a/crates/core/src/domain/seat.rs
+++ b/crates/core/src/domain/seat.rs
@@ -11,6 +11,7 @@
 use super::backoff::Backoff;
 use super::call::{self, What};
 use super::record::Start;
+use super::vacancy::{self, Standing};
 use super::{assign, holder, keys, lease};
 use crate::Node;
 use crate::effect::Effects;
@@ -57,14 +58,16 @@
     pub(crate) holder: Option<Known>,
     /// The highest fencing number heard of.
     pub(crate) top: Fence,
-    /// Since when no holder is known.
-    empty: Instant,
+    /// Since when no holder is known, or the known one is not live.
+    pub(crate) empty: Instant,
+    /// How the holder stood when it was last looked at.
+    pub(crate) standing: Standing,
     /// Whether a call for the seat is in progress.
     busy: bool,
     /// Whether this VM wants the domain and creates the key if it is not there.
     taking: bool,
     /// When this VM looks at the key again.
-    next: Instant,
+    pub(crate) next: Instant,
     /// Delays after failures.
     backoff: Backoff,
     /// When this VM last gave its key up to get a higher number.
@@ -116,6 +119,7 @@
     }
     node.domains.spread.next = now + PASS;
     refresh(node);
+    vacancy::watch(node);
     let due: Vec<Domain> = node
         .domains
         .seats
@@ -163,31 +167,17 @@
         return false;
     };
     let mine = node.domains.spread.targets.get(name) == Some(&node.settings.vm);
-    let free = match &seat.holder {
-        Some(known) => {
-            known.vm == node.settings.vm
-                || known
-                    .incarnation
-                    .is_some_and(|incarnation| is_gone(node, &known.vm, incarnation))
-                || !node.fleet.live().any(|vm| *vm == known.vm)
-        }
-        None => true,
-    };
-    // The VM that is to hold the domain looks now and then also when a holder is known: its lease may be over.
-    match (mine, free) {
-        (true, _) => true,
-        (false, true) => node.now.since(seat.empty) >= patience(node, name),
-        (false, false) => false,
+    let waited = || node.now.since(seat.empty) >= vacancy::patience(node, name);
+    match &seat.holder {
+        // The VM that is to hold the domain looks now and then also when a holder is known: its lease may be over.
+        _ if mine => true,
+        // Known as the holder, but not so by its own tables.
+        Some(known) if known.vm == node.settings.vm => true,
+        Some(_) if seat.standing == Standing::Live => false,
+        Some(_) | None => waited(),
     }
 }
 
-/// How long this VM leaves a free domain to the VM that is to hold it.
-fn patience(node: &Node, name: &id::Domain) -> Span {
-    let ttl = Span::from_millis(node.settings.tuning.lease_ttl_ms);
-    let part = assign::score(name, &node.settings.vm) % 8;
-    Span(ttl.0 / 2 + ttl.0 / 8 * part)
-}
-
 /// Whether a start is certainly over.
 pub(crate) fn is_gone(node: &Node, vm: &id::Vm, incarnation: Incarnation) -> bool {
     node.fleet.gone(vm, incarnation)
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -133,6 +133,11 @@
         self.live.iter().map(|(vm, _)| vm)
     }
 
+    /// Whether a VM is among them.
+    pub(crate) fn is_live(&self, vm: &id::Vm) -> bool {
+        self.live.binary_search_by(|row| row.0.cmp(vm)).is_ok()
+    }
+
     /// The live VM that a key belongs to, by rendezvous hashing.
     pub(crate) fn home(&self, key: &[u8]) -> Option<&id::Vm> {
         let key = ring::digest(key);
