Tests: no order after a lapse, nothing of a silent grantee unloaded

Change: the outage test counts loads after the lapse; the takeover test asks that what a silent grantee holds stays.

--- a/crates/core/tests/domain_faults.rs
+++ b/crates/core/tests/domain_faults.rs
@@ -239,7 +239,14 @@
         assert!(holder(&fleet) == Some(next));
         let loads: u64 = fleet.engines.iter().map(|engine| engine.loads).sum();
         assert!(loads > 6, "the free slots were not used");
+        for adapter in 0..3 {
+            let name = format!("a{adapter}@1");
+            let kept = fleet.engines.iter().any(|engine| engine.holds(&name));
+            assert!(kept, "{name} was unloaded while granted");
+        }
         fleet.finish_all(60 * SEC);
+        let mut own = fleet.asks.iter().filter(|ask| ask.origin.vm == cut);
+        assert!(own.all(|ask| ask.finished() && ask.runs.len() == 1));
         fleet.check();
         fleet.net.mend_all();
         fleet.run_for(5 * SEC);
@@ -382,6 +389,8 @@
         }
         fleet.kv_down(silent);
         fleet.run_for(180 * SEC);
+        let loads = |fleet: &Fleet| fleet.engines.iter().map(|engine| engine.loads).sum::<u64>();
+        let before = loads(&fleet);
         // What is resident is served on.
         for vm in 0..3 {
             assert!(served(&mut fleet, vm, 4, 3, SEC), "vm {vm}");
@@ -394,6 +403,7 @@
             let answer = done.refusal().expect("a refusal");
             assert_eq!((answer.kind, answer.ran), (Kind::NotResident, Ran::No));
             assert!(answer.retry_after.is_some());
+            assert_eq!(loads(&fleet), before, "ordered after the lease had lapsed");
         }
         fleet.kv_up();
         fleet.run_for(20 * SEC);
