--- a/crates/core/tests/promises.rs
+++ b/crates/core/tests/promises.rs
@@ -4,7 +4,7 @@
 mod edits;
 mod support;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use dahliastile_core::config::{Adapter, Change, Document, Server};
@@ -14,8 +14,9 @@
 use dahliastile_core::id::Attempt;
 use dahliastile_core::log::Code;
 use dahliastile_core::operator::Reply;
+use dahliastile_core::peer::{Message, Piece};
 use dahliastile_core::time::Span;
-use edits::{edit, edition, give, insert, names, reach};
+use edits::{edit, edit_up_to, edition, give, insert, names, reach};
 use support::callers::Ask;
 use support::net::End;
 use support::setup::{Size, booking_call, model, once};
@@ -25,6 +26,16 @@
     matches!(effect, Effect::Order(order) if matches!(order.action, Action::Unload(_)))
 }
 
+fn revokes(effect: &Effect) -> bool {
+    match effect {
+        Effect::Peer {
+            message: Message::Update(update),
+            ..
+        } => !update.revokes.is_empty(),
+        _ => false,
+    }
+}
+
 /// Asks that got their whole answer.
 fn whole(fleet: &Fleet, asks: &[usize]) -> usize {
     asks.iter()
@@ -99,9 +110,8 @@
 
 /// An adapter that serves a request is not evicted meanwhile.
 ///
-/// Guard: the holder orders an unload only when every grant of the place is released (`domain::holder::collected`)
-/// and a report made after that shows nothing in flight (`domain::report::proves_idle`). The test begins long streams
-/// on what is being collected, and more right before the order leaves.
+/// Guard: the two below, each of which would do in most cases. The test begins long streams on what is being
+/// collected, and more right before the order leaves.
 #[test]
 fn eviction_never_in_use() {
     for fenced in [false, true] {
@@ -215,6 +225,41 @@
     fleet.check();
 }
 
+/// What a grantee still holds is not evicted, although it hears nothing of its revocation.
+///
+/// Guard: the holder orders an unload only when every grant of the place is released (`domain::holder::collected`).
+#[test]
+fn eviction_never_in_use_unheard() {
+    let size = Size {
+        engines: 1,
+        slots: 1,
+        ..Size::small()
+    };
+    let mut fleet = size.fleet(11);
+    for vm in 0..3 {
+        let ask = fleet.ask(vm, model(0, 1, 1));
+        assert!(fleet.finish(ask, 10 * SEC).finished());
+    }
+    let holder = fleet.holder("base").expect("a holder");
+    let grantee = (holder + 1) % 3;
+    fleet.pause_at(holder, revokes);
+    let waits = fleet.ask(holder, model(1, 2, 5));
+    assert!(fleet.run_while(|fleet| !fleet.vms[holder].paused, 5 * SEC));
+    fleet.net.cut(End::Vm(holder), End::Vm(grantee));
+    fleet.pause_at(holder, unloads);
+    fleet.resume(holder);
+    fleet.run_while(|fleet| !fleet.vms[holder].paused, 3 * SEC);
+    let stream = fleet.ask(grantee, model(0, 3, 200));
+    fleet.run_for(20 * MS);
+    fleet.resume(holder);
+    assert!(fleet.finish(stream, 5 * SEC).finished());
+    fleet.pause_at(holder, |_| false);
+    fleet.net.mend_all();
+    fleet.resume(holder);
+    assert!(fleet.finish(waits, 20 * SEC).finished());
+    fleet.check();
+}
+
 /// Work that a server goes on with, although its VM lost the connection, is in use as well.
 ///
 /// Guard: a report made after the grants are released must show nothing in flight (`domain::report::proves_idle`).
@@ -404,7 +449,7 @@
 /// An accepted configuration is in force everywhere within 4 s and never goes back.
 ///
 /// Guard: an edit is accepted only when its write was seen to have taken effect, by compare-and-swap on the head
-/// (`sync::commit`), and nothing below the edition in force is applied (`sync::apply`).
+/// (`sync::commit`).
 #[test]
 fn configuration_in_force_and_never_back() {
     for seed in 0..6 {
@@ -459,6 +504,53 @@
     }
 }
 
+/// A snapshot that a peer sent long ago takes nothing back.
+///
+/// Guard: nothing below the edition in force is applied (`sync::spread::snapshot_came`, `sync::apply::snapshot`).
+#[test]
+fn configuration_never_back_by_a_late_peer() {
+    let mut size = Size::small();
+    size.tuning.snapshot_edits = 8;
+    let mut fleet = size.fleet(12);
+    edit_up_to(&mut fleet, 0, 30);
+    // All begin with the platform's snapshot, so they lack the edits before it and send snapshots to others.
+    (0..3).for_each(|vm| fleet.restart(vm, 50 * MS));
+    fleet.run_for(5 * SEC);
+    let kept = Rc::new(RefCell::new(None));
+    for vm in 0..3 {
+        let kept = Rc::clone(&kept);
+        fleet.pause_at(vm, move |effect| {
+            if let Effect::Peer { message, .. } = effect
+                && let Message::Piece(Piece::Snapshot { .. }) = message
+            {
+                *kept.borrow_mut() = Some(message.clone());
+            }
+            false
+        });
+    }
+    fleet.kv_down(false);
+    fleet.restart(1, 50 * MS);
+    fleet.run_for(100 * MS);
+    assert!(reach(&mut fleet, &[1], 30, 10 * SEC));
+    let message = kept.borrow().clone().expect("a peer sent a snapshot");
+    fleet.kv_up();
+    fleet.run_for(5 * SEC);
+    edit_up_to(&mut fleet, 0, 33);
+    assert!(reach(&mut fleet, &[0, 1, 2], 33, 4 * SEC));
+    for vm in 0..3 {
+        let from = (vm + 1) % 3;
+        let (name, incarnation) = (fleet.vms[from].name.clone(), fleet.vms[from].incarnation);
+        let late = Event::Peer {
+            from: name,
+            incarnation,
+            message: message.clone(),
+        };
+        fleet.step(vm, late);
+        assert_eq!(edition(&mut fleet, vm), 33);
+    }
+    fleet.check();
+}
+
 /// A refusal names its reason and when to come back, at once, while the platform is down for minutes.
 ///
 /// Guard: what needs the platform is refused as `platform_down` with `ran: no` (`traffic::dispatch::claimed`).
