--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -9,6 +9,7 @@
 pub(crate) mod backoff;
 pub(crate) mod cache;
 pub(crate) mod call;
+pub(crate) mod copy;
 pub(crate) mod demand;
 pub(crate) mod evict;
 pub(crate) mod grant;
@@ -21,10 +22,12 @@
 pub(crate) mod place;
 pub(crate) mod record;
 pub(crate) mod report;
+pub(crate) mod room;
 pub(crate) mod seat;
 pub(crate) mod store;
 pub(crate) mod update;
 pub(crate) mod view;
+pub(crate) mod worth;
 
 use std::collections::BTreeMap;
 
@@ -229,9 +232,14 @@
     let Some(domain) = node.catalog.domains.find(&notice.domain) else {
         return;
     };
-    seat::denied(node, domain, from);
-    if let Some(holder) = notice.holder {
-        holder_is(node, holder, out);
+    match notice.holder {
+        // It does hold the domain, but took this VM for gone and forgot what it granted.
+        Some(holder) if holder.vm == *from => ask::forgotten(node, domain, holder.fence, out),
+        Some(holder) => {
+            seat::denied(node, domain, from);
+            holder_is(node, holder, out);
+        }
+        None => seat::denied(node, domain, from),
     }
 }
 
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -13,7 +13,7 @@
 use super::board::{Board, Done, Ending, Phase};
 use super::figures::Stalls;
 use super::report::{Check, Report};
-use super::stage::{GUARDED, OPERATOR_TOKEN, Stage, adapter, failed};
+use super::stage::{DRAIN, GUARDED, OPERATOR_TOKEN, Stage, adapter, failed};
 use super::traffic::{Traffic, twice};
 use super::verdict;
 use super::watch::Watch;
@@ -28,6 +28,8 @@
 const IN_FORCE: Duration = Duration::from_secs(4);
 /// How long the key-value service is away at least: longer than a lease lives.
 const OUTAGE: Duration = Duration::from_millis(3500);
+/// How long a part waits for its whole answers at most.
+const FLOW: Duration = Duration::from_secs(4);
 /// The longest wait for anything else.
 const LIMIT: Duration = Duration::from_secs(4);
 /// Calls that are made again through another VM.
@@ -332,8 +334,10 @@
             "a graceful shutdown interrupts no stream",
             seen,
         );
-        let seen = format!("{ended:?}");
-        self.check(matches!(ended, Some(Ok(()))), "the VM ends in order", seen);
+        let took = told.elapsed();
+        let fine = matches!(ended, Some(Ok(()))) && took < DRAIN;
+        let seen = format!("{ended:?} after {} ms", took.as_millis());
+        self.check(fine, "the VM ends in order, within its drain time", seen);
         self.flows(Phase::Shutdown, "traffic flows on the VMs that are left");
         Ok(stalls)
     }
@@ -377,8 +381,10 @@
     /// Waits until every model service gave enough whole answers in a part.
     fn flows(&mut self, phase: Phase, promise: &'static str) {
         let board = &self.traffic.board;
+        let until = Instant::now() + FLOW;
         let enough = ["passage", "planogram"].map(|service| {
-            board.wait(LIMIT, phase, ENOUGH, |done| {
+            let left = until.saturating_duration_since(Instant::now());
+            board.wait(left, phase, ENOUGH, |done| {
                 done.service == service && done.whole()
             })
         });
