Round the time of a lease up to whole seconds

Cause: lease_grant cut the time to whole seconds, so that a lease of 1.5 s lapsed after 1 s, while its holder believed in it for longer. Ruled out: using the time that the service grants, which the core does not take. Change: the time is rounded up, to one second at least. Measured: kv::lease_grant_rounds_up failed before (1001 ms sent as 1) and passes now.

--- a/crates/platform/src/kv/client.rs
+++ b/crates/platform/src/kv/client.rs
@@ -135,7 +135,7 @@
     /// Grants a lease. One whose answer was lost lapses by itself.
     #[must_use]
     pub fn lease_grant(&self, ttl: Duration) -> Outcome<(Lease, Duration)> {
-        let body = json!({ "TTL": ttl.as_secs().max(1).to_string(), "ID": "0" });
+        let body = json!({ "TTL": whole_seconds(ttl).to_string(), "ID": "0" });
         let answer = self.call("/v3/lease/grant", &body, self.timeouts.lease, Effect::Write);
         Outcome::from_result(answer.and_then(|body| http::parse::<Grant>(&body)?.granted()))
     }
@@ -287,6 +287,12 @@
     result: Grant,
 }
 
+/// The service counts whole seconds. A lease must not be shorter than its holder believes, so the time is rounded up.
+fn whole_seconds(ttl: Duration) -> u64 {
+    let part = u64::from(ttl.subsec_nanos() > 0);
+    ttl.as_secs().saturating_add(part).max(1)
+}
+
 /// The answer to a renewal is a stream of which one line is wanted.
 fn first_line(body: &[u8]) -> &[u8] {
     body.split(|&byte| byte == b'\n').next().unwrap_or(body)
--- a/crates/platform/tests/kv.rs
+++ b/crates/platform/tests/kv.rs
@@ -291,3 +291,26 @@
     assert_eq!(watch.next(), Some(Notice::Broken(Error::Cancelled)));
     assert_eq!(watch.next(), None);
 }
+
+#[test]
+fn lease_grant_rounds_up() {
+    let cases = [
+        (0, "1"),
+        (1, "1"),
+        (1_000, "1"),
+        (1_001, "2"),
+        (1_500, "2"),
+        (3_000, "3"),
+        (3_999, "4"),
+    ];
+    for (millis, expected) in cases {
+        let server = serve(r#"{"ID":"7","TTL":"4"}"#);
+        let outcome = client(&[server.endpoint]).lease_grant(Duration::from_millis(millis));
+        assert!(
+            matches!(outcome, Outcome::Done((Lease(7), _))),
+            "{outcome:?}"
+        );
+        let expected = json!({ "TTL": expected, "ID": "0" });
+        assert_eq!(body(&server.join()[0]), expected, "{millis} ms");
+    }
+}
