Open a watch anew at the end of its life

Cause: a watch lives for 30 s at most, so that a dead connection is noticed. Its ordinary end came to the node as a broken watch, and platform_lost and platform_back were logged every 30 s. Ruled out: opening anew after any break, which would spin against a service that accepts and closes at once; the node paces those. Change: after a timeout the watch is opened from the revision after the last change passed on; the node hears of a break only where that fails. The revision of the opening moves nothing on, as older changes may follow it. Measured: no test: the life is a constant of 30 s and the scripted servers can't shorten it.

--- a/crates/daemon/src/driver/kv.rs
+++ b/crates/daemon/src/driver/kv.rs
@@ -7,7 +7,7 @@
 use dahliastile_core::platform::{self, Call, Notice, Outcome, Pair};
 use dahliastile_core::time::Span;
 use dahliastile_platform::kv::{self, Change, Client, Entry, Timeouts};
-use dahliastile_platform::{Cancel, Endpoint, Lease, Revision};
+use dahliastile_platform::{Cancel, Endpoint, Error, Lease, Revision};
 
 use super::Mailbox;
 
@@ -79,20 +79,49 @@
     }
 }
 
-/// Runs a watch until it is over or cancelled.
+/// Runs a watch until it is over or cancelled. One whose life has ended in order is opened anew.
 pub(super) fn watch(client: &Client, mailbox: &Mailbox, op: Op, prefix: &str, from: id::Revision) {
     let post = |notice| mailbox.event(Event::Watch { op, notice });
-    let Ok(notices) = client.watch(prefix.as_bytes(), own_revision(from)) else {
-        return post(Notice::Broken);
-    };
+    let mut next = own_revision(from);
+    loop {
+        let Ok(notices) = client.watch(prefix.as_bytes(), next) else {
+            return post(Notice::Broken);
+        };
+        match pass(notices, &mut next, post) {
+            // The end of its life is no fault; any other break is left to the node, which paces new ones.
+            Some(Error::Timeout) => {}
+            Some(_) => return post(Notice::Broken),
+            None => return,
+        }
+    }
+}
+
+/// Passes the notices of one watch on, and says why it broke, if it did.
+fn pass(notices: kv::Watch, next: &mut Revision, post: impl Fn(Notice)) -> Option<Error> {
     for notice in notices {
         match notice {
+            // Changes up to the revision of the opening may still follow, so that it moves nothing on.
             kv::Notice::Opened(_) => {}
-            kv::Notice::Changes(_, changes) => changes.into_iter().for_each(|c| post(changed(c))),
+            kv::Notice::Changes(_, changes) => {
+                for change in changes {
+                    *next = (*next).max(after(&change));
+                    post(changed(change));
+                }
+            }
             kv::Notice::Compacted(_) => post(Notice::Compacted),
-            kv::Notice::Broken(_) => post(Notice::Broken),
+            kv::Notice::Broken(error) => return Some(error),
         }
     }
+    None
+}
+
+/// The revision after a change.
+fn after(change: &Change) -> Revision {
+    let revision = match change {
+        Change::Put(entry) => entry.changed,
+        Change::Delete { revision, .. } => *revision,
+    };
+    Revision(revision.0.saturating_add(1))
 }
 
 fn changed(change: Change) -> Notice {
