Answer what is queued at the stop, and show callers an edition at once

Cause: flume keeps queued messages until the last sender goes, and the listeners hold senders. A command or request that was queued when the node stopped kept its reply sender and went unanswered, for 30 s at an operator. The listeners' view was renewed on a tick only, so that the status named an edition while callers got not_ready. Ruled out: draining once at the end, which misses a message that is sent between the drain and the drop. Change: the mailbox has a flag for closed. Who closes it answers what is left with shutting_down (ran no); who sends after that empties the queue in the same way. The receiving side closes when dropped, also by a panic. Replies that the node left open are dropped at the stop: an operator hears shutting_down, or edit_unknown for an edit. The view is renewed after the step that changed the edition, before its effects are carried out.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempt;
 mod kv;
+mod mailbox;
 mod outside;
 
 use std::collections::HashMap;
@@ -12,7 +13,7 @@
 use dahliastile_core::effect::{Effect, Effects};
 use dahliastile_core::error::{Answer, Kind};
 use dahliastile_core::event::{Call, Event, Head};
-use dahliastile_core::id::{Request, Ticket};
+use dahliastile_core::id::{Edition, Request, Ticket};
 use dahliastile_core::metric::{Figure, Sample};
 use dahliastile_core::operator::{Command, Reply};
 use dahliastile_core::settings as core;
@@ -25,11 +26,9 @@
 use answers::Answers;
 pub(crate) use answers::CHANNEL;
 pub(crate) use attempt::Body;
+pub(crate) use mailbox::{Inbox, Mailbox};
 use outside::Outside;
 
-/// Messages that may wait for the node before those who send more have to wait.
-const MAILBOX: usize = 65_536;
-
 /// Messages handled between two looks at the clock.
 const BATCH: usize = 256;
 
@@ -77,28 +76,6 @@
     },
 }
 
-/// The sending side of the mailbox.
-#[derive(Clone, Debug)]
-pub(crate) struct Mailbox(flume::Sender<Input>);
-
-impl Mailbox {
-    /// A mailbox and the side that drains it.
-    pub(crate) fn new() -> (Self, flume::Receiver<Input>) {
-        let (sender, receiver) = flume::bounded(MAILBOX);
-        (Self(sender), receiver)
-    }
-
-    /// Sends a message, and waits while the mailbox is full. A node that has stopped needs none.
-    pub(crate) fn post(&self, input: Input) {
-        let _ = self.0.send(input);
-    }
-
-    /// Sends an event.
-    pub(crate) fn event(&self, event: Event) {
-        self.post(Input::Event(event));
-    }
-}
-
 /// The view of the configuration in force, shared with the listeners.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Shared(Arc<RwLock<Arc<View>>>);
@@ -119,7 +96,7 @@
     /// The settings of the node.
     pub(crate) settings: core::Settings,
     /// The mailbox's draining side.
-    pub(crate) inputs: flume::Receiver<Input>,
+    pub(crate) inputs: Inbox,
     /// The mailbox, for those who work for the node.
     pub(crate) mailbox: Mailbox,
     /// The view for the listeners.
@@ -146,7 +123,7 @@
     effects: Effects,
     origin: Instant,
     tick: Duration,
-    inputs: flume::Receiver<Input>,
+    inputs: Inbox,
     shared: Shared,
     journal: Journal,
     figures: Figures,
@@ -154,6 +131,7 @@
     outside: Outside,
     answers: Answers,
     replies: HashMap<Ticket, flume::Sender<Reply>>,
+    shown: Edition,
     stopped: bool,
 }
 
@@ -162,6 +140,7 @@
     pub(crate) fn new(parts: Parts) -> Self {
         let tick = Duration::from_millis(parts.settings.tuning.tick_ms);
         let outside = Outside::new(&parts);
+        let shown = parts.shared.view().edition;
         Self {
             node: Node::new(parts.settings),
             effects: Effects::new(),
@@ -175,6 +154,7 @@
             outside,
             answers: Answers::new(parts.slow),
             replies: HashMap::new(),
+            shown,
             stopped: false,
         }
     }
@@ -203,14 +183,16 @@
         self.finish();
     }
 
-    /// Passes on what is left of answers that are over for the node.
+    /// Passes on what is left of answers that are over for the node, and answers what comes too late for it.
     fn finish(mut self) {
+        self.inputs.close();
+        // Operators whose commands the node has left open hear of it as their senders go.
+        self.replies.clear();
         while !self.answers.is_empty() {
             for request in self.answers.overdue() {
                 self.answers.remove(request);
             }
-            // What arrives now is too late for the node; its callers hear that the daemon has ended.
-            let _ = self.inputs.recv_timeout(self.tick);
+            self.inputs.refuse_for(self.tick);
         }
     }
 
@@ -221,7 +203,13 @@
             self.outside.forget(request);
             self.step(Event::Gone { request });
         }
-        if self.node.edition() != self.shared.view().edition {
+    }
+
+    /// Shows the listeners a configuration that has come in force.
+    fn show(&mut self) {
+        let edition = self.node.edition();
+        if edition != self.shown {
+            self.shown = edition;
             self.shared.set(self.node.view());
         }
     }
@@ -279,6 +267,8 @@
         let now = time::Instant(u64::try_from(micros).unwrap_or(u64::MAX));
         let mut effects = std::mem::take(&mut self.effects);
         self.node.step(now, event, &mut effects);
+        // Before the effects: who hears that an edition is in force may rely on it.
+        self.show();
         for effect in effects.drain(..) {
             self.carry_out(now, effect);
         }
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -7,6 +7,7 @@
 use dahliastile_core::error::{Answer, Kind};
 use dahliastile_core::id::Ticket;
 use dahliastile_core::operator::{Command, Reply};
+use flume::RecvTimeoutError;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 use tiny_http::Method;
@@ -123,14 +124,9 @@
             command,
             reply: sender,
         });
-        let reply = replies.recv_timeout(REPLY).unwrap_or_else(|_| {
-            let answer = if is_edit {
-                Answer::new(Kind::EditUnknown, "the node did not reply in time")
-            } else {
-                Answer::new(Kind::Overloaded, "the node did not reply in time")
-            };
-            Reply::Failed(answer)
-        });
+        let reply = replies
+            .recv_timeout(REPLY)
+            .unwrap_or_else(|error| Reply::Failed(unanswered(error, is_edit)));
         let status = match &reply {
             Reply::Failed(answer) => answer.kind.row().status,
             Reply::Clash(_) => Kind::EditClash.row().status,
@@ -144,6 +140,24 @@
     }
 }
 
+/// The answer to a command without a reply. An edit may have been made all the same.
+fn unanswered(error: RecvTimeoutError, is_edit: bool) -> Answer {
+    match (error, is_edit) {
+        (RecvTimeoutError::Timeout, true) => {
+            Answer::new(Kind::EditUnknown, "the node did not reply in time")
+        }
+        (RecvTimeoutError::Timeout, false) => {
+            Answer::new(Kind::Overloaded, "the node did not reply in time")
+        }
+        (RecvTimeoutError::Disconnected, true) => {
+            Answer::new(Kind::EditUnknown, "the VM ended before the node replied")
+        }
+        (RecvTimeoutError::Disconnected, false) => {
+            Answer::new(Kind::ShuttingDown, "the VM ended before the node replied")
+        }
+    }
+}
+
 fn text(status: u16, body: &str) -> Page {
     Page {
         status,
