Seats: the VM that is to hold a domain probes a silent holder

Ruled out: less patience for VMs that were refused themselves, as few of the staggered ones are.

Change: a look that finds the key of a start that is not live, though not certainly over, probes it; a refusal proves that it is over, and the key is looked at again at once.

Domain, fleet and traffic tests: all pass.

--- a/crates/core/src/domain/seat.rs
+++ b/crates/core/src/domain/seat.rs
@@ -256,6 +256,9 @@
     } else if taking && (me || is_gone(node, &start.vm, start.incarnation)) {
         // A key of a start that is over, or of an earlier lease of this start, is in the way until it lapses.
         delete(node, domain, created, What::Delete(domain), out);
+    } else if taking && !node.fleet.is_live(&start.vm) {
+        // Others may have been refused a connection already; only its own refusal lets this VM take the key away.
+        crate::fleet::probe(node, &start.vm, out);
     }
 }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -225,6 +225,11 @@
     gossip::spread(node, holder);
 }
 
+/// Asks a VM for a sign of life: where its start is over, its refusal says so.
+pub(crate) fn probe(node: &mut Node, vm: &id::Vm, out: &mut Effects) {
+    gossip::probe(node, vm, out);
+}
+
 /// A message came; says whether its sender may be listened to (not a start that is known to be over).
 pub(crate) fn heard(
     node: &mut Node,
