Seats: the spread is looked at only when the live VMs or the domains changed

Cause: each pass, ten times a second, copied and sorted the names of all live VMs and domains to compare them.

Ruled out: doing without the comparison of names, as the version also counts VMs that come and go in between.

Change: names are compared only where fleet.version has changed or domains have come or gone.

Domain, fleet and traffic tests: all pass.

--- a/crates/core/src/domain/seat.rs
+++ b/crates/core/src/domain/seat.rs
@@ -79,6 +79,10 @@
 pub(crate) struct Spread {
     /// The VM that is to hold each domain.
     pub(crate) targets: BTreeMap<id::Domain, id::Vm>,
+    /// The version of the list of live VMs that was last compared.
+    version: u64,
+    /// Whether domains have come or gone since then.
+    stale: bool,
     /// The live VMs that it was computed from.
     vms: Vec<id::Vm>,
     /// The domains that it was computed from.
@@ -109,6 +113,7 @@
             ..Seat::default()
         });
     }
+    node.domains.spread.stale = true;
 }
 
 /// Takes free domains, and gives some up where this VM holds more than its share.
@@ -138,6 +143,13 @@
 
 /// Computes the spread anew where the live VMs or the domains have changed.
 fn refresh(node: &mut Node) {
+    let version = node.fleet.version;
+    let spread = &mut node.domains.spread;
+    if spread.version == version && !spread.stale {
+        return;
+    }
+    spread.version = version;
+    spread.stale = false;
     let mut vms: Vec<id::Vm> = node.fleet.live().cloned().collect();
     if vms.is_empty() {
         vms.push(node.settings.vm.clone());
