Asks: a request waits half its time, 30 s at most, before another zone's domain is asked

Cause: after a cold start of the whole fleet, loads within the zone took over 10 s, requests spilled into other zones and the VMs went on using domains there.

Ruled out: never asking another zone, as a zone whose engines are down would serve nothing that is cold.

Domain, fleet and traffic tests: all pass.

--- a/crates/core/src/domain/ask.rs
+++ b/crates/core/src/domain/ask.rs
@@ -24,13 +24,13 @@
 const QUIET_ASKS: u64 = 8;
 /// The longest time between two quiet asks to one holder. Loads come with the answers, and must not grow stale.
 const QUIET_MAX: Span = Span::from_secs(4);
-/// How long requests wait for a domain of their own zone. After that any domain of the service may take them, as
-/// the servers of the zone may be down.
-const SPILL: Span = Span::from_secs(10);
+/// How long requests wait for a domain of their own zone, if not half of their time is over before. After that any
+/// domain of the service may take them, as the servers of the zone may be down.
+const SPILL: Span = Span::from_secs(30);
 
 /// The domain that an adapter's requests ask for: that of a named server, else where it is usable, else the one that
 /// its name hashes to among those of the zone, so that all VMs of a zone ask the same holder and a VM uses few.
-fn home(node: &Node, adapter: Adapter, wish: Wish, waited: Span) -> Option<Domain> {
+fn home(node: &Node, adapter: Adapter, wish: Wish, spills: bool) -> Option<Domain> {
     let servers = &node.catalog.servers;
     if let Some(domain) = wish.pin.and_then(|server| servers.get(server).domain) {
         return Some(domain);
@@ -42,7 +42,7 @@
     if let Some(domain) = usable.and_then(|row| row.domain) {
         return Some(domain);
     }
-    let domains = candidates(node, adapter, wish, waited);
+    let domains = candidates(node, adapter, wish, spills);
     match domains {
         [] => None,
         [only] => Some(*only),
@@ -54,11 +54,11 @@
 }
 
 /// The domains of an adapter's service in the zone that a rule names or else in this VM's; all where there is none.
-fn candidates(node: &Node, adapter: Adapter, wish: Wish, waited: Span) -> &[Domain] {
+fn candidates(node: &Node, adapter: Adapter, wish: Wish, spills: bool) -> &[Domain] {
     let service = node.catalog.adapters.get(adapter).service;
     let own = || node.catalog.zones.find(&node.settings.zone);
     let zone = match wish.require {
-        None if waited >= SPILL => None,
+        None if spills => None,
         None => wish.prefer.or_else(own),
         required => required,
     };
@@ -74,7 +74,7 @@
     cold: bool,
     out: &mut Effects,
 ) {
-    let Some(domain) = home(node, adapter, wish, Span::ZERO) else {
+    let Some(domain) = home(node, adapter, wish, false) else {
         return;
     };
     let now = node.now;
@@ -197,7 +197,8 @@
 fn wants(node: &Node) -> BTreeMap<Domain, Vec<Want>> {
     let mut wants: BTreeMap<Domain, Vec<Want>> = BTreeMap::new();
     for (adapter, waiting) in traffic::wanted(node) {
-        let Some(domain) = home(node, adapter, waiting.wish, waiting.waited) else {
+        let spills = waiting.waited >= SPILL.min(waiting.left);
+        let Some(domain) = home(node, adapter, waiting.wish, spills) else {
             continue;
         };
         wants.entry(domain).or_default().push(Want {
