--- a/crates/core/tests/faults.rs
+++ b/crates/core/tests/faults.rs
@@ -112,6 +112,7 @@
 
 #[test]
 fn fault_pairs_random() {
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
     fn property(plan: Plan) -> TestResult {
         let flaws = plan.run();
         match flaws.first() {
