--- a/crates/core/src/domain/record.rs
+++ b/crates/core/src/domain/record.rs
@@ -78,6 +78,11 @@
 }
 
 impl Writer {
+    /// Whether the last read or write failed, so that nothing new can be named in the record for now.
+    pub(crate) fn stuck(&self) -> bool {
+        self.backoff.failures() > 0
+    }
+
     /// A record that has not been read.
     pub(crate) fn new() -> Self {
         Self {
--- a/crates/core/src/domain/room.rs
+++ b/crates/core/src/domain/room.rs
@@ -47,6 +47,11 @@
     let free: usize = hosts().map(|host| host.free() + host.freeing(now)).sum();
     let ahead = ahead(held, slots, pace);
     let wanted = ahead.max(cold.min(AHEAD_MAX));
+    // Where an unload must stand in the record before it is sent, grants would be collected for nothing, and what is
+    // resident would be served by nobody.
+    if held.writer.stuck() && !node.catalog.services.get(service).fenced {
+        return;
+    }
     for _ in free..wanted {
         let must = cold > 0 && free == 0;
         let Some(chosen) = victim(node, domain, service, must) else {
