--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -66,6 +66,10 @@
     Cutting = 103 Warn "Check why a second signal was sent.";
     /// The node was not run for longer than a pause allows and gave its leases and grants up.
     Paused = 104 Warn "Look for a frozen or overcommitted VM.";
+    /// The settings file was read again and its figures are in force.
+    Reloaded = 105 Info "Nothing.";
+    /// The settings file was read again and can't be used; the figures stay as they were.
+    ReloadFailed = 106 Warn "Correct the file and have it read again.";
     /// An edition of the configuration is in force on this VM.
     EditionInForce = 200 Info "Nothing.";
     /// A configuration that was read does not hold together and was not applied.
@@ -114,6 +118,40 @@
     PeerSuspected = 601 Warn "Check the VM if it was not replaced.";
     /// Another entry VM is gone.
     PeerGone = 602 Info "Nothing.";
+    /// The key-value service no longer has the history that was asked for; everything is listed anew.
+    StoreCompacted = 310 Info "Nothing.";
+    /// The entry of a backend server lapsed while the key-value service was away.
+    EntryLapsed = 311 Info "Nothing; it counts as gone if it does not come back.";
+    /// This VM's lease in the key-value service ended.
+    StoreLeaseLost = 312 Warn "Check the VM's way to the key-value service if it repeats.";
+    /// The key-value service names the VM that schedules a service's engines.
+    HolderNamed = 320 Info "Nothing.";
+    /// No VM schedules a service's engines.
+    HolderGone = 321 Info "Another VM takes over within seconds.";
+    /// The VM that schedules a service's engines does not answer.
+    HolderSilent = 322 Warn "Check that VM; what is resident is served on.";
+    /// A backend server has seen a higher fencing number than this VM's.
+    Fenced = 323 Warn "Nothing; this VM gave the seat up.";
+    /// A backend server is listed.
+    ServerListed = 423 Info "Nothing.";
+    /// A backend server is no longer listed.
+    ServerGone = 424 Info "Nothing.";
+    /// A newer version of an adapter is named.
+    VersionNamed = 425 Info "Nothing.";
+    /// An order to a backend server came back.
+    OrderAnswered = 426 Debug "Nothing.";
+    /// A request was given a place at an engine.
+    Placed = 510 Debug "Nothing.";
+    /// A request was sent to a backend server.
+    Sent = 511 Debug "Nothing.";
+    /// A backend server did not answer a request well.
+    SendFailed = 512 Info "If it repeats for one server, check that server.";
+    /// A request got its whole answer.
+    Served = 513 Debug "Nothing.";
+    /// A caller left before its answer.
+    CallerLeft = 514 Debug "Nothing.";
+    /// A request's time was over before its answer.
+    TimedOut = 515 Info "Look at the lines of the same id for where it waited.";
     /// An internal invariant does not hold.
     Broken = 900 Error "Report it with the log around it.";
 }
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -63,7 +63,7 @@
     /// Loads ordered.
     Loads "dahliastile_loads_total" "1";
     /// Calls of the key-value service, by kind.
-    PlatformCalls "dahliastile_platform_calls_total" "1";
+    PlatformCalls "dahliastile_outside_calls_total" "1";
     /// Late, crossed or duplicated pieces of answers that were dropped.
     Dropped "dahliastile_dropped_pieces_total" "1";
 }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -32,6 +32,13 @@
     #[options(help = "the settings file to run with", meta = "FILE")]
     settings: Option<String>,
 
+    #[options(
+        no_short,
+        help = "run on the users' platform, with the settings file that this variable names",
+        meta = "VARIABLE"
+    )]
+    platform: Option<String>,
+
     #[options(no_short, help = "check a settings file and exit", meta = "FILE")]
     check: Option<String>,
 
@@ -73,6 +80,9 @@
             print!("{}", Settings::manual());
             ExitCode::SUCCESS
         }
+        _ if arguments.platform.is_some() => {
+            platform(arguments.platform.as_deref().unwrap_or_default())
+        }
         (_, Some(file)) => match load(file, &arguments.set) {
             Some(_) => {
                 println!("{file}: no faults");
@@ -111,6 +121,25 @@
     }
 }
 
+/// Runs on the users' platform.
+fn platform(variable: &str) -> ExitCode {
+    let Ok(path) = std::env::var(variable) else {
+        eprintln!("dahliastiled: {variable} does not name a settings file");
+        return ExitCode::from(WRONG);
+    };
+    match dahliastile_platform::run(&path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) if report.is::<dahliastile_platform::Wrong>() => {
+            eprintln!("dahliastiled: {report:#}");
+            ExitCode::from(WRONG)
+        }
+        Err(report) => {
+            eprintln!("dahliastiled: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn serve(settings: &Settings) -> ExitCode {
     match start(settings).and_then(|daemon| Ok(daemon.wait()?)) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,7 +11,7 @@
 use dahliastile_core::id::Incarnation;
 use dahliastile_core::log::Code;
 use dahliastile_core::settings as core;
-use dahliastile_platform::{Cancel, vms};
+use dahliastile_outside::{Cancel, vms};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::driver::{Driver, Mailbox, Parts, Shared};
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -108,7 +108,7 @@
     /// The links to other entry VMs.
     pub(crate) peers: Peers,
     /// The addresses of the key-value service.
-    pub(crate) endpoints: Vec<dahliastile_platform::Endpoint>,
+    pub(crate) endpoints: Vec<dahliastile_outside::Endpoint>,
     /// Attempts in progress at a time.
     pub(crate) attempts: usize,
     /// The largest answer that is not streamed.
--- a/crates/daemon/src/driver/attempt.rs
+++ b/crates/daemon/src/driver/attempt.rs
@@ -7,7 +7,7 @@
 use dahliastile_core::effect::Work;
 use dahliastile_core::event::{Event, Failure, Head, Reason};
 use dahliastile_core::id::{self, Attempt};
-use dahliastile_platform::{Cancel, Ending, Endpoint, Error, Size, engine, plain};
+use dahliastile_outside::{Cancel, Ending, Endpoint, Error, Size, engine, plain};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
--- a/crates/daemon/src/driver/kv.rs
+++ b/crates/daemon/src/driver/kv.rs
@@ -6,8 +6,8 @@
 use dahliastile_core::id::{self, Op};
 use dahliastile_core::platform::{self, Call, Notice, Outcome, Pair};
 use dahliastile_core::time::Span;
-use dahliastile_platform::kv::{self, Change, Client, Entry, Timeouts};
-use dahliastile_platform::{Cancel, Endpoint, Error, Lease, Revision};
+use dahliastile_outside::kv::{self, Change, Client, Entry, Timeouts};
+use dahliastile_outside::{Cancel, Endpoint, Error, Lease, Revision};
 
 use super::Mailbox;
 
--- a/crates/daemon/src/driver/outside.rs
+++ b/crates/daemon/src/driver/outside.rs
@@ -11,8 +11,8 @@
 use dahliastile_core::id::{self, Attempt, Boot, Op, Request};
 use dahliastile_core::platform::{Call, Notice};
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_platform::engine::{self, CacheKind, Client, Limit};
-use dahliastile_platform::{Cancel, Endpoint, Error, Fence};
+use dahliastile_outside::engine::{self, CacheKind, Client, Limit};
+use dahliastile_outside::{Cancel, Endpoint, Error, Fence};
 
 use super::attempt::{self, Body};
 use super::{Mailbox, Parts, kv};
--- a/crates/daemon/src/http/ask.rs
+++ b/crates/daemon/src/http/ask.rs
@@ -8,7 +8,7 @@
 use dahliastile_core::event::{Call, Target};
 use dahliastile_core::id;
 use dahliastile_core::time::Span;
-use dahliastile_platform::{engine, plain};
+use dahliastile_outside::{engine, plain};
 use serde_json::{Map, Value};
 use tiny_http::{Method, Request};
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,7 +12,7 @@
 
 use dahliastile_core::id;
 use dahliastile_core::settings::Tuning;
-use dahliastile_platform::Endpoint;
+use dahliastile_outside::Endpoint;
 use dahliastile_wire::Secret;
 
 pub use fault::{Fault, Place};
--- /dev/null
+++ b/crates/gateway/src/agent.rs
@@ -0,0 +1,325 @@
+//! This VM's side of the scheduling: it asks the holder of a service for places, and goes on by itself with what was
+//! resident where no holder answers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Service, Vm};
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+
+use crate::effect::{Effect, Effects};
+use crate::event::RequestId;
+use crate::fact::{Fact, Holder, Resident, Revision, Subject, Version};
+use crate::flow::State as Flow;
+use crate::message::{Holding, Message, Progress, Running, Want};
+use crate::node::Gateway;
+use crate::timer::Timer;
+
+/// The time without any word of the holder after which this VM goes on by itself: three of the holder's digests.
+pub(crate) const SILENCE: Span = Span::from_millis(900);
+
+/// What this VM knows of a service's scheduler.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// The VM that holds the seat, as far as is known.
+    pub(crate) holder: Option<Vm>,
+    /// The highest fencing number heard of.
+    pub(crate) fence: u64,
+    /// When the holder was last heard.
+    heard: Instant,
+    /// Whether it counts as silent.
+    silent: bool,
+    /// What each engine held by its last word.
+    residents: BTreeMap<Server, Vec<Resident>>,
+}
+
+impl Gateway {
+    /// Asks the scheduler for a place.
+    pub(crate) fn ask_place(&mut self, request: RequestId, out: &mut Effects) {
+        let now = self.now;
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let Some(want) = flow.want(request, &self.settings.zone, now) else {
+            return;
+        };
+        let service = flow.service.clone();
+        let me = self.settings.vm.clone();
+        if let Some(desk) = self.desks.get_mut(&service) {
+            desk.want(now, &me, want);
+            return;
+        }
+        let agent = self.agents.entry(service.clone()).or_default();
+        match agent.holder.clone() {
+            Some(holder) if !agent.silent => self.send(&holder, Message::Want(service, want), out),
+            _ => self.place_alone(request, out),
+        }
+    }
+
+    /// Places a request without the scheduler, where its adapter was resident by the last word.
+    fn place_alone(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let Some(work) = &flow.call.work else {
+            return;
+        };
+        let newest = work
+            .adapter
+            .as_ref()
+            .map_or(0, |a| self.newest(&work.model, a));
+        let Some(agent) = self.agents.get(&flow.service) else {
+            return;
+        };
+        let holds = |server: &Server| match &work.adapter {
+            None => true,
+            Some(adapter) => agent.residents.get(server).is_some_and(|held| {
+                held.iter()
+                    .any(|r| r.adapter == *adapter && r.version >= newest)
+            }),
+        };
+        let rows = self.servers.iter();
+        let fit = rows.filter(|(s, row)| row.backend.service == flow.service && holds(s));
+        let version = work.adapter.as_ref().map(|_| newest).filter(|v| *v > 0);
+        let choice = crate::plain::choose(
+            fit,
+            &flow.failed,
+            &self.settings.zone,
+            self.now,
+            &mut self.rng,
+        );
+        if let Some(server) = choice {
+            self.send_to(request, &server, version, out);
+        }
+    }
+
+    /// The newest version of an adapter that is known, 0 where none was named.
+    pub(crate) fn newest(&self, model: &Arc<str>, adapter: &Arc<str>) -> Version {
+        let subject = Subject::Version(model.clone(), adapter.clone());
+        match self.facts.get(&subject).and_then(|c| c.fact.as_ref()) {
+            Some(Fact::Version(version)) => *version,
+            _ => 0,
+        }
+    }
+
+    /// Tells the scheduler how a request goes.
+    pub(crate) fn tell_progress(
+        &mut self,
+        request: RequestId,
+        progress: Progress,
+        out: &mut Effects,
+    ) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        if flow.call.work.is_none() {
+            return;
+        }
+        let service = flow.service.clone();
+        let me = self.settings.vm.clone();
+        if let Some(desk) = self.desks.get_mut(&service) {
+            desk.progress(self.now, &me, request, progress);
+            return;
+        }
+        let holder = self
+            .agents
+            .get(&service)
+            .and_then(|agent| agent.holder.clone());
+        if let Some(holder) = holder {
+            self.send(&holder, Message::Progress(service, request, progress), out);
+        }
+    }
+
+    /// The key-value service names the holder of a seat.
+    pub(crate) fn holder_named(
+        &mut self,
+        service: &Service,
+        holder: &Holder,
+        fence: Revision,
+        out: &mut Effects,
+    ) {
+        let agent = self.agents.entry(service.clone()).or_default();
+        if fence < agent.fence {
+            return;
+        }
+        let changed = agent.fence != fence || agent.holder.as_ref() != Some(&holder.vm);
+        agent.fence = fence;
+        agent.holder = Some(holder.vm.clone());
+        if !changed {
+            return;
+        }
+        Self::log(
+            out,
+            Code::HolderNamed,
+            format!("service={service} vm={} fence={fence}", holder.vm),
+        );
+        if holder.vm == self.settings.vm && holder.incarnation == self.settings.incarnation {
+            self.seat_won(service, fence, out);
+        } else {
+            self.seat_lost(service, out);
+            self.introduce(service, out);
+        }
+    }
+
+    /// The seat is free.
+    pub(crate) fn holder_gone(&mut self, service: &Service, out: &mut Effects) {
+        let agent = self.agents.entry(service.clone()).or_default();
+        let old = agent.holder.take();
+        Self::log(
+            out,
+            Code::HolderGone,
+            format!("service={service} fence={} was={old:?}", agent.fence),
+        );
+        if old.as_ref() == Some(&self.settings.vm) {
+            self.seat_lost(service, out);
+        }
+        self.go_alone(service, out);
+        self.seats_changed(out);
+    }
+
+    /// Whether a message of a scheduler counts: it does unless a newer one is known.
+    pub(crate) fn follows(
+        &mut self,
+        service: &Service,
+        fence: u64,
+        from: &Vm,
+        out: &mut Effects,
+    ) -> bool {
+        let now = self.now;
+        let agent = self.agents.entry(service.clone()).or_default();
+        if fence < agent.fence {
+            out.push(Effect::Count("old_scheduler"));
+            return false;
+        }
+        let changed = fence > agent.fence || agent.holder.as_ref() != Some(from) || agent.silent;
+        agent.fence = fence;
+        agent.holder = Some(from.clone());
+        agent.heard = now;
+        agent.silent = false;
+        self.timers.set(now + SILENCE, Timer::Seat);
+        if changed {
+            Self::log(
+                out,
+                Code::HolderNamed,
+                format!("service={service} vm={from} fence={fence} by=peer"),
+            );
+            self.seat_lost(service, out);
+            self.introduce(service, out);
+        }
+        true
+    }
+
+    /// Keeps what the scheduler says is resident.
+    pub(crate) fn keep_residents(&mut self, service: &Service, residents: Vec<Holding>) {
+        let agent = self.agents.entry(service.clone()).or_default();
+        let rows = residents
+            .into_iter()
+            .map(|holding| (holding.server, holding.adapters));
+        agent.residents = rows.collect();
+    }
+
+    /// A link broke: where it led to a holder, this VM goes on alone until it hears of one again.
+    pub(crate) fn peer_down(&mut self, address: SocketAddr, out: &mut Effects) {
+        let services: Vec<Service> = self.agents.keys().cloned().collect();
+        for service in services {
+            let holder = self.agents[&service].holder.clone();
+            let at = holder.and_then(|vm| self.member_address(&vm));
+            if at == Some(address) {
+                self.holder_silent(&service, "link_down", out);
+            }
+        }
+    }
+
+    /// Looks whether the holders have been silent for too long.
+    pub(crate) fn watch_holders(&mut self, out: &mut Effects) {
+        let now = self.now;
+        let me = &self.settings.vm;
+        let silent = |a: &State| {
+            !a.silent && a.holder.as_ref().is_some_and(|h| h != me) && now.since(a.heard) >= SILENCE
+        };
+        let services: Vec<Service> = self
+            .agents
+            .iter()
+            .filter(|(_, a)| silent(a))
+            .map(|(s, _)| s.clone())
+            .collect();
+        for service in services {
+            self.holder_silent(&service, "no_word", out);
+        }
+    }
+
+    fn holder_silent(&mut self, service: &Service, why: &str, out: &mut Effects) {
+        let Some(agent) = self.agents.get_mut(service) else {
+            return;
+        };
+        if agent.silent {
+            return;
+        }
+        agent.silent = true;
+        Self::log(
+            out,
+            Code::HolderSilent,
+            format!("service={service} vm={:?} why={why}", agent.holder),
+        );
+        self.go_alone(service, out);
+    }
+
+    /// Places what waits without the scheduler, as far as its adapters are resident.
+    fn go_alone(&mut self, service: &Service, out: &mut Effects) {
+        let waiting: Vec<RequestId> = self
+            .flows
+            .iter()
+            .filter(|(_, f)| f.service == *service && f.state == Flow::Waiting)
+            .map(|(id, _)| *id)
+            .collect();
+        for request in waiting {
+            self.place_alone(request, out);
+        }
+    }
+
+    /// Tells a new scheduler all that runs and waits here.
+    fn introduce(&mut self, service: &Service, out: &mut Effects) {
+        let Some(agent) = self.agents.get_mut(service) else {
+            return;
+        };
+        agent.silent = false;
+        agent.heard = self.now;
+        let Some(holder) = agent.holder.clone().filter(|vm| *vm != self.settings.vm) else {
+            return;
+        };
+        let (running, wants) = self.state_for(service);
+        self.timers.set(self.now + SILENCE, Timer::Seat);
+        self.send(
+            &holder,
+            Message::Hello(service.clone(), running, wants),
+            out,
+        );
+    }
+
+    /// All that runs and waits on this VM for a service.
+    pub(crate) fn state_for(&self, service: &Service) -> (Vec<Running>, Vec<Want>) {
+        let mut running = Vec::new();
+        let mut wants = Vec::new();
+        for (request, flow) in self.flows.iter().filter(|(_, f)| f.service == *service) {
+            match (flow.server(), &flow.call.work) {
+                (Some(server), Some(work)) => running.push(Running {
+                    request: *request,
+                    server: server.clone(),
+                    work: work.clone(),
+                }),
+                _ => wants.extend(flow.want(*request, &self.settings.zone, self.now)),
+            }
+        }
+        (running, wants)
+    }
+
+    fn member_address(&self, vm: &Vm) -> Option<SocketAddr> {
+        let change = self.facts.get(&Subject::Member(vm.clone()))?;
+        match change.fact.as_ref()? {
+            Fact::Member(member) => Some(member.address),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk.rs
@@ -0,0 +1,321 @@
+//! The scheduler of one service's engines: which adapter is loaded where, and which request goes to which engine.
+//!
+//! It runs on the VM that holds the service's seat. VMs ask it for a place for each request and tell it how the
+//! request goes, so it knows what runs where without asking the engines. An adapter that a request uses is never
+//! chosen to make room, and the engines themselves refuse what they can't run.
+
+mod demand;
+mod engine;
+mod job;
+mod load;
+mod order;
+mod place;
+mod refuse;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Vm};
+use dahliastile_core::log::Record;
+use dahliastile_core::time::{Instant, Span};
+
+use crate::config::{Application, Engine as Shape};
+use crate::effect::{Order, OrderId};
+use crate::event::{Ordered, Report, RequestId};
+use crate::fact::{Backend, Version};
+use crate::message::{Holding, Progress, Running, Want};
+use crate::settings::Settings;
+
+use self::demand::Demand;
+use self::engine::Engine;
+use self::job::{Job, JobId, Jobs};
+use self::load::BaseRate;
+
+/// What a request needs resident: a base model, and an adapter of it where one is named.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// The base model.
+    pub model: Arc<str>,
+    /// The adapter.
+    pub adapter: Arc<str>,
+}
+
+/// How often VMs are told that the scheduler is there: three fit into the silence after which they go on alone.
+const ALIVE_EVERY: Span = Span::from_millis(250);
+
+/// How often VMs are told what is resident, for the time without a scheduler.
+const RESIDENTS_EVERY: Span = Span::from_millis(1_000);
+
+/// Something that the scheduler decided.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// A request of a VM goes to a server, which must hold the adapter's version.
+    Place(Vm, RequestId, Server, Option<Version>),
+    /// A request of a VM can't be served in time and may come back after the span.
+    Refuse(Vm, RequestId, Span),
+    /// An order to a server.
+    Order(OrderId, Server, SocketAddr, Order),
+    /// A server is asked for its report.
+    Report(Server, SocketAddr),
+    /// What is resident, for all VMs.
+    Residents(Vec<Holding>),
+    /// The scheduler is there, for all VMs.
+    Alive,
+    /// A log event.
+    Log(Record),
+}
+
+/// The scheduler of one service.
+#[derive(Debug)]
+pub struct Desk {
+    /// What its engines hold.
+    pub(crate) shape: Shape,
+    /// The fencing number of its orders.
+    fence: u64,
+    /// What this VM was told.
+    pub(crate) settings: Settings,
+    /// The engines.
+    pub(crate) engines: BTreeMap<Server, Engine>,
+    /// The requests that wait or run.
+    pub(crate) jobs: Jobs,
+    /// What is asked for, by adapter.
+    pub(crate) demand: BTreeMap<Key, Demand>,
+    /// The newest versions named.
+    pub(crate) newest: BTreeMap<Key, Version>,
+    /// The time a load of an adapter takes, as measured.
+    pub(crate) load_time: Span,
+    /// The rate of loads of base models.
+    pub(crate) base_rate: BaseRate,
+    /// The last order's number.
+    pub(crate) last_order: OrderId,
+    /// Log events of what came back since the last run.
+    pub(crate) notes: Vec<Record>,
+    /// Whether something changed since the last run.
+    dirty: bool,
+    /// When the next run is due without a change.
+    pub(crate) due: Instant,
+    /// When VMs are next told that the scheduler is there.
+    alive_due: Instant,
+    /// When VMs are next told what is resident.
+    residents_due: Instant,
+}
+
+impl Desk {
+    /// A scheduler that knows no engine yet.
+    #[must_use]
+    pub fn new(now: Instant, application: &Application, fence: u64, settings: Settings) -> Self {
+        let shape = application.engine.clone().unwrap_or_else(|| Shape {
+            batch: 1,
+            tokens: 0,
+            memory_mb: 0.0,
+            places: 0,
+            loads_per_s: 0.0,
+            models: Vec::new(),
+        });
+        Self {
+            base_rate: BaseRate::new(now, shape.loads_per_s),
+            load_time: settings.tuning.adapter_load,
+            shape,
+            fence,
+            engines: BTreeMap::new(),
+            jobs: Jobs::default(),
+            demand: BTreeMap::new(),
+            newest: BTreeMap::new(),
+            // Numbers of orders are never used twice: a later scheduler has a higher fencing number.
+            last_order: fence << 24,
+            notes: Vec::new(),
+            dirty: true,
+            due: now,
+            alive_due: now,
+            residents_due: now,
+            settings,
+        }
+    }
+
+    /// The fencing number of its orders.
+    #[must_use]
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// When it is to be run without a change.
+    #[must_use]
+    pub fn wake(&self) -> Instant {
+        self.due
+    }
+
+    /// Has it run at the next step.
+    pub fn touch(&mut self) {
+        self.dirty = true;
+    }
+
+    /// An engine is listed, or describes itself anew.
+    pub fn server(&mut self, now: Instant, server: &Server, backend: &Arc<Backend>) {
+        self.dirty = true;
+        match self.engines.get_mut(server) {
+            Some(engine) => engine.described(now, backend),
+            None => {
+                self.engines
+                    .insert(server.clone(), Engine::new(backend.clone()));
+            }
+        }
+    }
+
+    /// An engine is gone.
+    pub fn server_gone(&mut self, server: &Server) {
+        self.dirty = true;
+        self.engines.remove(server);
+    }
+
+    /// A newer version of an adapter is named.
+    pub fn newer(&mut self, model: &Arc<str>, adapter: &Arc<str>, version: Version) {
+        self.dirty = true;
+        let key = Key {
+            model: model.clone(),
+            adapter: adapter.clone(),
+        };
+        let newest = self.newest.entry(key).or_default();
+        *newest = version.max(*newest);
+    }
+
+    /// A VM wants a place for a request.
+    pub fn want(&mut self, now: Instant, vm: &Vm, want: Want) {
+        self.dirty = true;
+        let id = JobId {
+            vm: vm.clone(),
+            request: want.request,
+        };
+        let job = Job::waiting(now, want);
+        if let (Some(key), true) = (job.key(), job.failed.is_empty()) {
+            self.demand.entry(key).or_default().add(now);
+        }
+        self.release(&id);
+        self.jobs.insert(id, job);
+    }
+
+    /// A VM says how a request goes.
+    pub fn progress(&mut self, now: Instant, vm: &Vm, request: RequestId, progress: Progress) {
+        self.dirty = true;
+        let id = JobId {
+            vm: vm.clone(),
+            request,
+        };
+        match progress {
+            Progress::Begun => self.job_begun(now, &id),
+            Progress::Over => self.job_over(&id),
+            Progress::Failed(ran, cause) => self.job_failed(now, &id, ran, cause),
+        }
+    }
+
+    /// A VM says all that runs and waits there, in place of all it said before.
+    pub fn hello(&mut self, now: Instant, vm: &Vm, running: &[Running], wants: Vec<Want>) {
+        self.vm_gone(vm);
+        for run in running {
+            let id = JobId {
+                vm: vm.clone(),
+                request: run.request,
+            };
+            let job = Job::running(now, run);
+            self.occupy(&job, &run.server);
+            self.jobs.insert(id, job);
+        }
+        for want in wants {
+            self.want(now, vm, want);
+        }
+    }
+
+    /// A VM is gone, and its requests with it.
+    pub fn vm_gone(&mut self, vm: &Vm) {
+        self.dirty = true;
+        for id in self.jobs.of(vm) {
+            self.job_over(&id);
+        }
+    }
+
+    /// An order came back. Says whether a server has seen a higher fencing number.
+    pub fn ordered(&mut self, now: Instant, order: OrderId, outcome: Ordered) -> bool {
+        self.dirty = true;
+        self.order_answered(now, order, outcome)
+    }
+
+    /// Whether an order is one of this scheduler's.
+    #[must_use]
+    pub fn owns(&self, order: OrderId) -> bool {
+        order >> 24 == self.fence
+    }
+
+    /// An engine's report came, or it gave none.
+    pub fn reported(&mut self, now: Instant, server: &Server, report: Option<&Report>) {
+        self.dirty = true;
+        self.take_report(now, server, report);
+    }
+
+    /// Decides what can be decided now.
+    pub fn run(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        if !self.dirty && now < self.due {
+            return;
+        }
+        self.dirty = false;
+        self.due = now + ALIVE_EVERY;
+        out.extend(self.notes.drain(..).map(Decision::Log));
+        self.settle(now, out);
+        self.place_jobs(now, out);
+        self.plan_loads(now, out);
+        self.refuse_jobs(now, out);
+        self.send_orders(now, out);
+        self.tell(now, out);
+    }
+
+    /// Has the next run come no later than at a time.
+    pub(crate) fn by(&mut self, at: Instant) {
+        self.due = self.due.min(at);
+    }
+
+    /// Everything that does not hold together.
+    #[must_use]
+    pub fn verify(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for (server, engine) in &self.engines {
+            let places = engine.places.len();
+            if places > self.shape.places && self.shape.places > 0 && engine.known {
+                faults.push(format!(
+                    "{server} has {places} places of {}",
+                    self.shape.places
+                ));
+            }
+            for (key, place) in &engine.places {
+                let used = self.jobs.using(server, key);
+                if used != place.used {
+                    faults.push(format!(
+                        "{server} {}: {} counted, {used} run",
+                        key.adapter, place.used
+                    ));
+                }
+            }
+        }
+        faults
+    }
+
+    fn tell(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        if now >= self.alive_due {
+            self.alive_due = now + ALIVE_EVERY;
+            out.push(Decision::Alive);
+        }
+        if now >= self.residents_due {
+            self.residents_due = now + RESIDENTS_EVERY;
+            out.push(Decision::Residents(self.residents()));
+        }
+        let next = self.alive_due.min(self.residents_due);
+        self.by(next);
+    }
+
+    fn residents(&self) -> Vec<Holding> {
+        let engines = self.engines.iter();
+        let holding = |(server, engine): (&Server, &Engine)| Holding {
+            server: server.clone(),
+            adapters: engine.residents(),
+        };
+        engines.map(holding).collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk/engine.rs
@@ -0,0 +1,245 @@
+//! One engine as the scheduler sees it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use dahliastile_core::time::{Instant, Span};
+
+use super::Key;
+use crate::effect::OrderId;
+use crate::event::Report;
+use crate::fact::{Backend, Resident, Version};
+use crate::health::Health;
+
+/// Prompt tokens that an engine reads in a millisecond until some were measured: between the two deployments' figures.
+const FIRST_RATE: f64 = 20.0;
+
+/// The weight of one measurement of that rate.
+const RATE_WEIGHT: f64 = 0.1;
+
+/// The bounds within which a measured rate is believed, in tokens a millisecond.
+const RATES: (f64, f64) = (3.0, 60.0);
+
+/// How long after the last order a report is asked for: reports show the engine as of some hundred milliseconds before.
+pub(crate) const REPORT_LAG: Span = Span::from_millis(250);
+
+/// Whether an adapter can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It is to be loaded, and the order is not accepted yet.
+    Wanted,
+    /// It is being loaded, and expected then.
+    Coming(Instant),
+    /// It is there.
+    Ready,
+    /// It is to be unloaded.
+    Leaving,
+}
+
+/// One adapter at an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    /// Its version; 0 where none was ever named.
+    pub(crate) version: Version,
+    /// Whether it can be used.
+    pub(crate) stage: Stage,
+    /// Requests that use it.
+    pub(crate) used: u32,
+    /// How often it was refused since it was expected to be there.
+    pub(crate) refusals: u32,
+}
+
+/// Something to be ordered of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Intent {
+    /// An adapter is loaded, at a version where one was named.
+    Load(Key, Option<Version>),
+    /// An adapter is unloaded.
+    Unload(Key),
+    /// A base model is loaded.
+    Base(Arc<str>),
+}
+
+/// An order that has no answer yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    /// Its number.
+    pub(crate) id: OrderId,
+    /// What was ordered.
+    pub(crate) intent: Intent,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    /// How it describes itself.
+    pub(crate) backend: Arc<Backend>,
+    /// Whether what it holds is known, by a report and all orders since.
+    pub(crate) known: bool,
+    /// When it was asked for a report that has not come.
+    pub(crate) asked: Option<Instant>,
+    /// Orders that it has accepted.
+    pub(crate) orders: u64,
+    /// The base models that it holds.
+    pub(crate) bases: Vec<Arc<str>>,
+    /// Until when a base model is on its way to it.
+    pub(crate) base_due: Option<Instant>,
+    /// Its adapters.
+    pub(crate) places: BTreeMap<Key, Place>,
+    /// Requests there.
+    pub(crate) running: u32,
+    /// Prompt tokens of the requests there whose answers have not begun.
+    pub(crate) unread: u64,
+    /// When the last answer began, or work came to an idle engine.
+    pub(crate) last_begun: Instant,
+    /// Prompt tokens it reads in a millisecond, as measured.
+    pub(crate) rate: f64,
+    /// What is to be ordered next.
+    pub(crate) queue: VecDeque<Intent>,
+    /// The order that has no answer yet.
+    pub(crate) pending: Option<Pending>,
+    /// How often the present order was sent.
+    pub(crate) tries: u32,
+    /// When it last took an order.
+    pub(crate) last_order: Instant,
+    /// What requests say of its health.
+    pub(crate) health: Health,
+}
+
+impl Engine {
+    pub(crate) fn new(backend: Arc<Backend>) -> Self {
+        Self {
+            orders: backend.orders,
+            backend,
+            known: false,
+            asked: None,
+            bases: Vec::new(),
+            base_due: None,
+            places: BTreeMap::new(),
+            running: 0,
+            unread: 0,
+            last_begun: Instant::default(),
+            rate: FIRST_RATE,
+            queue: VecDeque::new(),
+            pending: None,
+            tries: 0,
+            last_order: Instant::default(),
+            health: Health::default(),
+        }
+    }
+
+    /// It describes itself anew.
+    pub(crate) fn described(&mut self, now: Instant, backend: &Arc<Backend>) {
+        let bases = |b: &Backend| b.models.iter().map(|m| m.model.clone()).collect::<Vec<_>>();
+        if bases(backend) != bases(&self.backend) && bases(backend) != self.bases {
+            self.forget(now);
+        }
+        self.backend = backend.clone();
+    }
+
+    /// What it holds is no longer known.
+    pub(crate) fn forget(&mut self, _now: Instant) {
+        self.known = false;
+        self.asked = None;
+        self.queue.clear();
+        self.pending = None;
+        self.tries = 0;
+    }
+
+    /// Whether it takes requests and orders.
+    pub(crate) fn usable(&self) -> bool {
+        self.known && self.backend.ready
+    }
+
+    /// The time until the prompts that it was given are read, as estimated.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    pub(crate) fn backlog(&self, now: Instant) -> Span {
+        let work = Span((self.unread as f64 / self.rate * 1_000.0) as u64);
+        work - now.since(self.last_begun)
+    }
+
+    /// A request of so many prompt tokens was sent there.
+    pub(crate) fn add(&mut self, now: Instant, prompt: u32) {
+        if self.unread == 0 {
+            self.last_begun = now;
+        }
+        self.running += 1;
+        self.unread += u64::from(prompt);
+    }
+
+    /// The answer to a request of so many prompt tokens, sent at `since`, has begun.
+    #[allow(clippy::cast_precision_loss)]
+    pub(crate) fn read(&mut self, now: Instant, prompt: u32, since: Instant) {
+        let took = now.since(self.last_begun.max(since)).0 as f64 / 1_000.0;
+        if took > 1.0 {
+            let rate = (f64::from(prompt) / took).clamp(RATES.0, RATES.1);
+            self.rate += (rate - self.rate) * RATE_WEIGHT;
+        }
+        self.last_begun = now;
+        self.unread = self.unread.saturating_sub(u64::from(prompt));
+    }
+
+    /// Adapters on their way to it.
+    pub(crate) fn coming(&self) -> usize {
+        let coming = |place: &&Place| matches!(place.stage, Stage::Coming(_) | Stage::Wanted);
+        self.places.values().filter(coming).count()
+    }
+
+    /// The adapters that can be used.
+    pub(crate) fn residents(&self) -> Vec<Resident> {
+        let ready = self
+            .places
+            .iter()
+            .filter(|(_, place)| place.stage == Stage::Ready);
+        let resident = |(key, place): (&Key, &Place)| Resident {
+            adapter: key.adapter.clone(),
+            version: place.version,
+        };
+        ready.map(resident).collect()
+    }
+
+    /// Takes a report in place of all that was believed.
+    pub(crate) fn take(&mut self, now: Instant, report: &Report, load_time: Span) {
+        self.known = true;
+        self.asked = None;
+        self.orders = report.orders;
+        self.bases = report
+            .models
+            .iter()
+            .map(|base| base.model.clone())
+            .collect();
+        self.places.clear();
+        for base in &report.models {
+            for resident in &base.adapters {
+                let key = Key {
+                    model: base.model.clone(),
+                    adapter: resident.adapter.clone(),
+                };
+                self.places
+                    .insert(key, place(resident.version, Stage::Ready));
+            }
+        }
+        for (model, adapter, version) in &report.coming {
+            let key = Key {
+                model: model.clone(),
+                adapter: adapter.clone(),
+            };
+            self.places
+                .insert(key, place(*version, Stage::Coming(now + load_time)));
+        }
+    }
+}
+
+/// A place that nothing uses yet.
+pub(crate) fn place(version: Version, stage: Stage) -> Place {
+    Place {
+        version,
+        stage,
+        used: 0,
+        refusals: 0,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk/load.rs
@@ -0,0 +1,282 @@
+//! Which adapter is loaded where, and which one makes room.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use dahliastile_core::id::Server;
+use dahliastile_core::log::{Code, Record};
+use dahliastile_core::time::{Instant, Span};
+
+use super::engine::{Engine, Intent, Stage, place};
+use super::{Decision, Desk, Key};
+
+/// The cost of taking away an adapter that one request asked for a moment ago, as a time: its next request waits for
+/// a load.
+const VICTIM: Span = Span::from_millis(150);
+
+/// The backlog of an adapter's engines from which a further copy is worth a load: with it the first event still comes
+/// within the objective.
+const COPY_FROM: Span = Span::from_millis(350);
+
+/// How much of the rate of the weight store is used for base models: a restart of the scheduler forgets what it began.
+const RATE_USED: f64 = 0.8;
+
+/// Loads of base models that may begin at once.
+const BURST: f64 = 2.0;
+
+/// The rate of loads of base models from the weight store.
+#[derive(Clone, Debug)]
+pub(crate) struct BaseRate {
+    /// Loads a second.
+    per_s: f64,
+    /// Loads that may begin now.
+    saved: f64,
+    /// When `saved` was computed.
+    at: Instant,
+}
+
+impl BaseRate {
+    pub(crate) fn new(now: Instant, per_s: f64) -> Self {
+        Self {
+            per_s: per_s * RATE_USED,
+            saved: BURST,
+            at: now,
+        }
+    }
+
+    /// Takes one load, if one may begin.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        let earned = now.since(self.at).as_secs_f64() * self.per_s;
+        self.saved = (self.saved + earned).min(BURST);
+        self.at = now;
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// Where an adapter could go.
+struct Choice {
+    /// The engine.
+    server: Server,
+    /// The adapter that makes room.
+    victim: Option<Key>,
+    /// The cost.
+    cost: Span,
+}
+
+impl Desk {
+    /// Plans loads for the requests that wait for an adapter, in their order.
+    pub(crate) fn plan_loads(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        self.plan_bases(now);
+        let wanted = self.wanted(now);
+        let needed: BTreeSet<Key> = wanted.iter().map(|(key, _)| key.clone()).collect();
+        for (key, copy) in wanted {
+            if self.loading() >= self.settings.tuning.loads_at_once {
+                return;
+            }
+            let Some(choice) = self.choose(now, &key, &needed) else {
+                continue;
+            };
+            if copy.is_none_or(|backlog| choice.cost + self.load_time < backlog) {
+                self.load(now, &key, choice, out);
+            }
+        }
+    }
+
+    /// The adapters that requests wait for and that are not on their way, in the order of the requests; with the
+    /// backlog of the engines that hold it already.
+    fn wanted(&self, now: Instant) -> Vec<(Key, Option<Span>)> {
+        let mut wanted = Vec::new();
+        let mut seen = BTreeSet::new();
+        for id in self.jobs.waiting(now) {
+            let Some((job, key)) = self.jobs.get(&id).and_then(|job| Some((job, job.key()?)))
+            else {
+                continue;
+            };
+            if !seen.insert(key.clone()) || self.on_its_way(&key) {
+                continue;
+            }
+            match self.best(now, job) {
+                None => wanted.push((key, None)),
+                Some((_, cost)) if cost > COPY_FROM => wanted.push((key, Some(cost))),
+                Some(_) => {}
+            }
+        }
+        wanted
+    }
+
+    /// Whether an adapter is on its way to an engine that takes requests.
+    fn on_its_way(&self, key: &Key) -> bool {
+        self.engines
+            .values()
+            .filter(|engine| engine.usable())
+            .any(|engine| {
+                engine
+                    .places
+                    .get(key)
+                    .is_some_and(|place| matches!(place.stage, Stage::Wanted | Stage::Coming(_)))
+            })
+    }
+
+    /// Adapters on their way to all engines.
+    fn loading(&self) -> usize {
+        self.engines.values().map(Engine::coming).sum()
+    }
+
+    /// The engine where an adapter is loaded at the least cost.
+    fn choose(&self, now: Instant, key: &Key, needed: &BTreeSet<Key>) -> Option<Choice> {
+        let fit = self.engines.iter().filter(|(_, engine)| {
+            engine.usable()
+                && engine.bases.contains(&key.model)
+                && !engine.health.shunned(now)
+                && engine.coming() < self.settings.tuning.loads_per_server
+        });
+        let choices = fit.filter_map(|(server, engine)| {
+            let (victim, cost) = self.room(now, engine, key, needed)?;
+            Some(Choice {
+                server: server.clone(),
+                victim,
+                cost: cost + engine.backlog(now),
+            })
+        });
+        choices.min_by_key(|choice| choice.cost)
+    }
+
+    /// What has to make room at an engine for an adapter, and what that costs; none where there can be no room.
+    fn room(
+        &self,
+        now: Instant,
+        engine: &Engine,
+        key: &Key,
+        needed: &BTreeSet<Key>,
+    ) -> Option<(Option<Key>, Span)> {
+        match engine.places.get(key) {
+            Some(old) if old.used == 0 && old.stage == Stage::Ready => {
+                return Some((None, Span::ZERO));
+            }
+            Some(_) => return None,
+            None => {}
+        }
+        if engine.places.len() < self.shape.places && self.fits(engine, key) {
+            return Some((None, Span::ZERO));
+        }
+        let idle = engine
+            .places
+            .iter()
+            .filter(|(_, place)| place.used == 0 && place.stage == Stage::Ready);
+        let costs = idle
+            .filter(|(other, _)| !needed.contains(other))
+            .map(|(other, _)| (other, self.value(now, other)));
+        let (victim, cost) = costs.min_by_key(|(_, cost)| *cost)?;
+        Some((Some(victim.clone()), cost))
+    }
+
+    /// Whether an engine's memory has room for one more adapter of a base model.
+    fn fits(&self, engine: &Engine, key: &Key) -> bool {
+        let models = &self.shape.models;
+        let size = |name: &Arc<str>| models.iter().find(|m| m.name == *name);
+        let bases: f64 = engine
+            .bases
+            .iter()
+            .filter_map(size)
+            .map(|m| m.size_mb)
+            .sum();
+        let adapters: f64 = engine
+            .places
+            .keys()
+            .filter_map(|k| size(&k.model))
+            .map(|m| m.adapter_mb)
+            .sum();
+        let more = size(&key.model).map_or(0.0, |m| m.adapter_mb);
+        bases + adapters + more <= self.shape.memory_mb
+    }
+
+    /// What it costs to take an adapter away from one engine.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    fn value(&self, now: Instant, key: &Key) -> Span {
+        let demand = self.demand.get(key).map_or(0.0, |demand| demand.now(now));
+        let holds = |engine: &&Engine| {
+            engine
+                .places
+                .get(key)
+                .is_some_and(|p| p.stage == Stage::Ready)
+        };
+        let copies = self.engines.values().filter(holds).count().max(1);
+        let stale = self
+            .engines
+            .values()
+            .filter_map(|e| e.places.get(key))
+            .all(|p| p.version < self.version_of(key));
+        if stale {
+            return Span::ZERO;
+        }
+        Span((VICTIM.0 as f64 * demand / copies as f64) as u64)
+    }
+
+    fn load(&mut self, now: Instant, key: &Key, choice: Choice, out: &mut Vec<Decision>) {
+        let version = self.version_of(key);
+        let demand = self.demand.get(key).map_or(0.0, |demand| demand.now(now));
+        let Some(engine) = self.engines.get_mut(&choice.server) else {
+            return;
+        };
+        let victim = choice.victim.as_ref().map_or("-", |victim| &victim.adapter);
+        let detail = format!(
+            "adapter={} version={version} server={} victim={victim} demand={demand:.2} cost={}",
+            key.adapter, choice.server, choice.cost
+        );
+        out.push(Decision::Log(Record::new(Code::LoadOrdered, detail)));
+        if let Some(victim) = choice.victim {
+            if let Some(place) = engine.places.get_mut(&victim) {
+                place.stage = Stage::Leaving;
+            }
+            engine.queue.push_back(Intent::Unload(victim));
+        }
+        engine
+            .places
+            .insert(key.clone(), place(version, Stage::Wanted));
+        engine
+            .queue
+            .push_back(Intent::Load(key.clone(), Some(version).filter(|v| *v > 0)));
+    }
+
+    /// Plans loads of base models onto engines that hold none.
+    fn plan_bases(&mut self, now: Instant) {
+        let mut copies: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for model in &self.shape.models {
+            let held = self
+                .engines
+                .values()
+                .filter(|e| e.bases.contains(&model.name))
+                .count();
+            copies.insert(model.name.clone(), held);
+        }
+        let Some((model, _)) = copies.iter().min_by_key(|(_, held)| **held) else {
+            return;
+        };
+        let load = self
+            .shape
+            .models
+            .iter()
+            .find(|m| m.name == *model)
+            .map_or(Span::ZERO, |m| m.load);
+        let model = model.clone();
+        for engine in self.engines.values_mut() {
+            let idle = engine.usable() && engine.bases.is_empty() && engine.base_due.is_none();
+            if idle
+                && engine.queue.is_empty()
+                && engine.pending.is_none()
+                && self.base_rate.take(now)
+            {
+                engine.base_due = Some(now + load);
+                engine.queue.push_back(Intent::Base(model.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk/order.rs
@@ -0,0 +1,183 @@
+//! Orders to engines: one at a time each, and none forgotten before its outcome is known.
+//!
+//! Each order names how many the engine must have accepted before it. An order whose answer was lost is repeated as it
+//! was: whichever copy comes first is carried out, and every other one is refused by that count, also seconds later.
+
+use dahliastile_core::id::Server;
+use dahliastile_core::log::{Code, Record};
+use dahliastile_core::time::{Instant, Span};
+
+use super::engine::{Engine, Intent, Pending, REPORT_LAG, Stage};
+use super::{Decision, Desk};
+use crate::effect::{Order, OrderId};
+use crate::event::{Ordered, Report};
+
+/// How often an order without an answer is sent before the engine counts as dead for a while.
+const TRIES: u32 = 3;
+
+/// The pause between two requests for a report that did not come.
+const REPORT_AGAIN: Span = Span::from_millis(400);
+
+impl Desk {
+    /// Moves on what time alone moves: adapters that are expected, reports that are due.
+    pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        let mut next = Instant::NEVER;
+        for (server, engine) in &mut self.engines {
+            for place in engine.places.values_mut() {
+                match place.stage {
+                    Stage::Coming(at) if at <= now => place.stage = Stage::Ready,
+                    Stage::Coming(at) => next = next.min(at),
+                    _ => {}
+                }
+            }
+            if let Some(due) = engine.base_due {
+                let look = due + REPORT_LAG;
+                if look <= now && engine.known {
+                    engine.base_due = None;
+                    engine.forget(now);
+                }
+                next = next.min(look);
+            }
+            if engine.known {
+                continue;
+            }
+            let at = engine
+                .asked
+                .map_or(engine.last_order + REPORT_LAG, |asked| asked + REPORT_AGAIN);
+            let first = engine.last_order == Instant::default() && engine.asked.is_none();
+            if first || at <= now {
+                engine.asked = Some(now);
+                out.push(Decision::Report(server.clone(), engine.backend.address));
+                next = next.min(now + REPORT_AGAIN);
+            } else {
+                next = next.min(at);
+            }
+        }
+        self.by(next);
+    }
+
+    /// Takes an engine's report in.
+    pub(crate) fn take_report(&mut self, now: Instant, server: &Server, report: Option<&Report>) {
+        let load_time = self.load_time;
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        let Some(report) = report else {
+            engine.health.dead(now);
+            return;
+        };
+        if engine.known {
+            return;
+        }
+        engine.take(now, report, load_time);
+        if report.busy {
+            engine.base_due = Some(now + REPORT_AGAIN);
+        }
+        let keys: Vec<_> = engine.places.keys().cloned().collect();
+        for key in keys {
+            let used = self.jobs.using(server, &key);
+            if let Some(place) = self
+                .engines
+                .get_mut(server)
+                .and_then(|e| e.places.get_mut(&key))
+            {
+                place.used = used;
+            }
+        }
+    }
+
+    /// Sends each engine the order that is next.
+    pub(crate) fn send_orders(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        let fence = self.fence();
+        for (server, engine) in &mut self.engines {
+            if !engine.usable() || engine.pending.is_some() {
+                continue;
+            }
+            let Some(intent) = engine.queue.pop_front() else {
+                continue;
+            };
+            self.last_order += 1;
+            let order = order(&intent, engine.orders, fence);
+            engine.last_order = now;
+            engine.pending = Some(Pending {
+                id: self.last_order,
+                intent,
+            });
+            engine.tries += 1;
+            let address = engine.backend.address;
+            out.push(Decision::Order(
+                self.last_order,
+                server.clone(),
+                address,
+                order,
+            ));
+        }
+    }
+
+    /// An order came back. Says whether the engine has seen a higher fencing number.
+    pub(crate) fn order_answered(&mut self, now: Instant, id: OrderId, outcome: Ordered) -> bool {
+        let load_time = self.load_time;
+        let sent = |engine: &Engine| engine.pending.as_ref().is_some_and(|p| p.id == id);
+        let found = self.engines.iter_mut().find(|(_, engine)| sent(engine));
+        let Some((server, engine)) = found else {
+            return false;
+        };
+        let Some(pending) = engine.pending.take() else {
+            return false;
+        };
+        let detail = format!(
+            "server={server} order={id} intent={:?} outcome={outcome:?} tries={}",
+            pending.intent, engine.tries
+        );
+        self.notes.push(Record::new(Code::OrderAnswered, detail));
+        engine.last_order = now;
+        match (outcome, &pending.intent) {
+            (Ordered::Fenced, _) => return true,
+            (Ordered::Accepted, Intent::Load(key, _)) => {
+                engine.orders += 1;
+                if let Some(place) = engine.places.get_mut(key) {
+                    place.stage = Stage::Coming(now + load_time);
+                }
+            }
+            (Ordered::Accepted, Intent::Base(_)) => engine.orders += 1,
+            (Ordered::Holds, Intent::Unload(key)) => {
+                engine.orders += 1;
+                engine.places.remove(key);
+            }
+            (Ordered::Holds, Intent::Load(key, _)) => {
+                if let Some(place) = engine.places.get_mut(key) {
+                    place.stage = Stage::Ready;
+                }
+            }
+            (Ordered::Unknown | Ordered::NotSent, _) if engine.tries < TRIES => {
+                engine.queue.push_front(pending.intent);
+                return false;
+            }
+            (Ordered::Unknown | Ordered::NotSent, _) => {
+                engine.health.dead(now);
+                engine.forget(now);
+            }
+            // An unload that waits for runs, a count that differs, or an engine that is another one: only its report
+            // tells what holds.
+            _ => engine.forget(now),
+        }
+        engine.tries = 0;
+        false
+    }
+}
+
+fn order(intent: &Intent, expected: u64, fence: u64) -> Order {
+    let (load, model, adapter, version) = match intent {
+        Intent::Load(key, version) => (true, &key.model, Some(key.adapter.clone()), *version),
+        Intent::Unload(key) => (false, &key.model, Some(key.adapter.clone()), None),
+        Intent::Base(model) => (true, model, None, None),
+    };
+    Order {
+        load,
+        model: model.clone(),
+        adapter,
+        version,
+        expected,
+        fence,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk/place.rs
@@ -0,0 +1,227 @@
+//! Which request goes to which engine, and what its way there tells.
+
+use dahliastile_core::id::Server;
+use dahliastile_core::log::{Code, Record};
+use dahliastile_core::time::{Instant, Span};
+
+use super::engine::{Engine, Stage};
+use super::job::{Job, JobId, State};
+use super::{Decision, Desk, Key};
+use crate::event::{Cause, Ran};
+use crate::fact::Version;
+
+/// The cost of another availability zone, as a time: bytes between zones cost about a twentieth of a plan's worth, which
+/// a wait of this length costs too.
+const OTHER_ZONE: Span = Span::from_millis(15);
+
+/// What each request that runs already costs one more: its tokens lengthen each step.
+const EACH_RUNNING: Span = Span::from_millis(4);
+
+/// What is added for an engine that fails requests: more than any backlog.
+const SHUNNED: Span = Span::from_secs(60);
+
+/// How long an adapter that was refused right after it was expected is given: a fifth of its usual time.
+const NOT_YET: Span = Span::from_millis(50);
+
+/// How often an adapter may be refused before the engine's report is read.
+const REFUSALS: u32 = 3;
+
+/// The longest pause between two looks at requests that wait for room.
+const LOOK_AGAIN: Span = Span::from_millis(25);
+
+impl Desk {
+    /// Gives places to the requests that can have one now.
+    pub(crate) fn place_jobs(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        for id in self.jobs.waiting(now) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let Some((server, cost)) = self.best(now, job) else {
+                continue;
+            };
+            let engine = &self.engines[&server];
+            let tuning = &self.settings.tuning;
+            let room = engine.running < tuning.running_per_engine.min(self.shape.batch);
+            if room && engine.backlog(now) <= tuning.backlog && cost < SHUNNED {
+                self.give(now, &id, &server, out);
+            } else {
+                self.by(now + LOOK_AGAIN);
+            }
+        }
+    }
+
+    /// The engine that could run a request at the least cost, of those that hold what it needs.
+    pub(crate) fn best(&self, now: Instant, job: &Job) -> Option<(Server, Span)> {
+        let key = job.key();
+        let fit = self.engines.iter().filter(|(server, engine)| {
+            engine.usable() && !job.failed.contains(server) && self.holds(engine, job, key.as_ref())
+        });
+        let costs = fit.map(|(server, engine)| (server, cost(engine, job, now)));
+        costs
+            .min_by_key(|(_, cost)| *cost)
+            .map(|(server, cost)| (server.clone(), cost))
+    }
+
+    /// Whether an engine holds what a request needs, in the newest version.
+    fn holds(&self, engine: &Engine, job: &Job, key: Option<&Key>) -> bool {
+        match key {
+            None => engine.bases.contains(&job.work.model),
+            Some(key) => engine.places.get(key).is_some_and(|place| {
+                place.stage == Stage::Ready && place.version >= self.version_of(key)
+            }),
+        }
+    }
+
+    /// The newest version of an adapter, 0 where none was named.
+    pub(crate) fn version_of(&self, key: &Key) -> Version {
+        self.newest.get(key).copied().unwrap_or(0)
+    }
+
+    fn give(&mut self, now: Instant, id: &JobId, server: &Server, out: &mut Vec<Decision>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.state = State::Running {
+            server: server.clone(),
+            since: now,
+            begun: false,
+        };
+        let job = job.clone();
+        let version = job
+            .key()
+            .map(|key| self.version_of(&key))
+            .filter(|v| *v > 0);
+        self.occupy(&job, server);
+        if let Some(engine) = self.engines.get_mut(server) {
+            engine.add(now, job.work.prompt);
+            let waited = now.since(job.arrived);
+            let adapter = job.work.adapter.as_deref().unwrap_or("-");
+            let detail = format!(
+                "vm={} request={} adapter={adapter} version={version:?} server={server} waited={waited} running={} backlog={}",
+                id.vm,
+                id.request,
+                engine.running,
+                engine.backlog(now)
+            );
+            out.push(Decision::Log(Record::new(Code::Placed, detail)));
+        }
+        out.push(Decision::Place(
+            id.vm.clone(),
+            id.request,
+            server.clone(),
+            version,
+        ));
+    }
+
+    /// Counts a request on its adapter's place.
+    pub(crate) fn occupy(&mut self, job: &Job, server: &Server) {
+        let Some(key) = job.key() else {
+            return;
+        };
+        let engine = self.engines.get_mut(server);
+        if let Some(place) = engine.and_then(|engine| engine.places.get_mut(&key)) {
+            place.used += 1;
+        }
+    }
+
+    /// Takes a request off the engine where it was.
+    pub(crate) fn release(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let State::Running { server, begun, .. } = job.state.clone() else {
+            return;
+        };
+        let (key, prompt) = (job.key(), u64::from(job.work.prompt));
+        let Some(engine) = self.engines.get_mut(&server) else {
+            return;
+        };
+        engine.running = engine.running.saturating_sub(1);
+        if !begun {
+            engine.unread = engine.unread.saturating_sub(prompt);
+        }
+        if let Some(place) = key.and_then(|key| engine.places.get_mut(&key)) {
+            place.used = place.used.saturating_sub(1);
+        }
+    }
+
+    /// The answer to a request has begun.
+    pub(crate) fn job_begun(&mut self, now: Instant, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let (key, prompt) = (job.key(), job.work.prompt);
+        let State::Running {
+            server,
+            since,
+            begun,
+        } = &mut job.state
+        else {
+            return;
+        };
+        if std::mem::replace(begun, true) {
+            return;
+        }
+        let (server, since) = (server.clone(), *since);
+        let Some(engine) = self.engines.get_mut(&server) else {
+            return;
+        };
+        engine.read(now, prompt, since);
+        engine.health.good();
+        if let Some(place) = key.and_then(|key| engine.places.get_mut(&key)) {
+            place.refusals = 0;
+        }
+    }
+
+    /// A request is over.
+    pub(crate) fn job_over(&mut self, id: &JobId) {
+        self.release(id);
+        self.jobs.remove(id);
+    }
+
+    /// An engine failed a request.
+    pub(crate) fn job_failed(&mut self, now: Instant, id: &JobId, ran: Ran, cause: Cause) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let (key, state) = (job.key(), job.state.clone());
+        self.job_over(id);
+        let State::Running { server, .. } = state else {
+            return;
+        };
+        let load_time = self.load_time;
+        let Some(engine) = self.engines.get_mut(&server) else {
+            return;
+        };
+        match cause {
+            Cause::Missing | Cause::Full if ran == Ran::No => {
+                let place = key.and_then(|key| engine.places.get_mut(&key));
+                match place {
+                    Some(place) if place.refusals < REFUSALS => {
+                        place.refusals += 1;
+                        place.stage = Stage::Coming(now + NOT_YET);
+                        self.load_time = (load_time + Span::from_millis(5)).min(load_time.times(2));
+                    }
+                    _ => engine.forget(now),
+                }
+            }
+            Cause::Missing | Cause::Full => {}
+            Cause::Unreachable | Cause::Broken => engine.health.dead(now),
+            Cause::Malformed | Cause::Status(_) => engine.health.bad(),
+        }
+    }
+}
+
+/// What a request costs at an engine, as a time.
+fn cost(engine: &Engine, job: &Job, now: Instant) -> Span {
+    let away = match &job.zone {
+        Some(zone) if *zone != engine.backend.zone => OTHER_ZONE,
+        _ => Span::ZERO,
+    };
+    let shunned = if engine.health.shunned(now) {
+        SHUNNED
+    } else {
+        Span::ZERO
+    };
+    engine.backlog(now) + EACH_RUNNING.times(u64::from(engine.running)) + away + shunned
+}
--- /dev/null
+++ b/crates/gateway/src/effect.rs
@@ -0,0 +1,123 @@
+//! What a gateway wants done.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Vm};
+use dahliastile_core::log::Record;
+use dahliastile_core::time::Span;
+
+use crate::event::{Lease, RequestId};
+use crate::fact::{Change, Revision, Subject, Version};
+use crate::message::Message;
+
+/// The number of a call of the key-value service.
+pub type OpId = u64;
+
+/// The number of an order.
+pub type OrderId = u64;
+
+/// Why a request gets no answer of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// No route fits.
+    NoRoute,
+    /// No configuration is known yet.
+    NoConfig,
+    /// No server could take it in time; it has not run.
+    Overloaded,
+    /// A server may have run it, and no whole answer came.
+    Failed,
+    /// The route's time is over; it may have run.
+    TimedOut,
+}
+
+/// One send of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Send {
+    /// The server.
+    pub server: Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The time left for it.
+    pub left: Span,
+    /// The version of the adapter that it must hold.
+    pub version: Option<Version>,
+    /// How its turn compares at the server, 0 first.
+    pub priority: u8,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// Whether a broken stream can go on elsewhere.
+    pub resumable: bool,
+}
+
+/// What becomes of a request next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is sent to a server.
+    Send(Box<Send>),
+    /// The server's own failure is the answer.
+    Deliver,
+    /// It is refused, and the caller may come back after the span.
+    Refuse(Reason, Option<Span>),
+    /// Its time is over in the midst of its answer, which is broken off.
+    Cut,
+}
+
+/// What an order asks of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Whether it loads or unloads.
+    pub load: bool,
+    /// The base model.
+    pub model: Arc<str>,
+    /// The adapter; none for the base model itself.
+    pub adapter: Option<Arc<str>>,
+    /// The version to load; none for the newest.
+    pub version: Option<Version>,
+    /// The number of orders that the server must have accepted before.
+    pub expected: u64,
+    /// The fencing number.
+    pub fence: u64,
+}
+
+/// A call of the key-value service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Op {
+    /// Read everything.
+    List,
+    /// Wait for changes after a revision.
+    Watch(Revision, Span),
+    /// Grant a lease.
+    Grant(Span),
+    /// Renew a lease.
+    Renew(Lease),
+    /// End a lease.
+    End(Lease),
+    /// Write a fact under a lease, if the subject is still as of a revision (0: not there); none for no condition.
+    Put(Change, Lease, Option<Revision>),
+    /// Remove a subject that is still as of a revision.
+    Remove(Subject, Revision),
+}
+
+/// Something to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Tells a request's task what to do.
+    Request(RequestId, Verdict),
+    /// Calls the key-value service.
+    Store(OpId, Op),
+    /// Orders something of a server.
+    Order(OrderId, Server, SocketAddr, Order),
+    /// Asks a server for its report.
+    Report(Server, SocketAddr),
+    /// Sends a message to another VM.
+    Peer(Vm, SocketAddr, Message),
+    /// Writes a log event.
+    Log(Record),
+    /// Counts something by name.
+    Count(&'static str),
+}
+
+/// Effects in the order in which they are to be done.
+pub type Effects = Vec<Effect>;
--- /dev/null
+++ b/crates/gateway/src/event.rs
@@ -0,0 +1,167 @@
+//! What can happen to a gateway.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Vm};
+use dahliastile_core::time::Span;
+use serde::{Deserialize, Serialize};
+
+use crate::effect::{OpId, OrderId};
+use crate::fact::{Base, Change, Revision};
+use crate::message::Message;
+use crate::settings::Tuning;
+
+/// The number of a request on this VM, never used twice by one start.
+pub type RequestId = u64;
+
+/// A lease of the key-value service.
+pub type Lease = u64;
+
+/// What a request asks an engine for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// The base model.
+    pub model: Arc<str>,
+    /// The adapter of it, where one is named.
+    pub adapter: Option<Arc<str>>,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// The largest number of tokens asked for.
+    pub output: u32,
+}
+
+/// A caller's request, without its body.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The caller's own id of it.
+    pub id: Arc<str>,
+    /// The host that it names.
+    pub host: String,
+    /// Its path.
+    pub path: String,
+    /// How long the caller waits.
+    pub patience: Option<Span>,
+    /// What it asks an engine for; none for a plain service.
+    pub work: Option<Work>,
+}
+
+/// Whether a request has run at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ran {
+    /// It has not and will not: no byte was sent, or the server says so.
+    No,
+    /// It may have.
+    Maybe,
+    /// It has.
+    Yes,
+}
+
+/// Why a server did not answer a request well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke.
+    Broken,
+    /// The answer was none in the protocol, or another request's.
+    Malformed,
+    /// The server takes no more work.
+    Full,
+    /// The server is another one, or lacks the adapter or its version.
+    Missing,
+    /// The server answered with this status of its own.
+    Status(u16),
+}
+
+/// How an order came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds already.
+    Holds,
+    /// Another order is in progress, or the count of orders differs.
+    Conflict,
+    /// A higher fencing number was seen.
+    Fenced,
+    /// The server is another one.
+    Missing,
+    /// The server can't carry it out.
+    Invalid,
+    /// No answer: it may be carried out, also later.
+    Unknown,
+    /// It certainly did not reach the server.
+    NotSent,
+}
+
+/// What a server says it holds and does, as of some hundred milliseconds before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The base models and their adapters.
+    pub models: Vec<Base>,
+    /// Adapters on their way to it: base model, adapter, version.
+    pub coming: Vec<(Arc<str>, Arc<str>, u64)>,
+    /// Whether an order on a base model is in progress.
+    pub busy: bool,
+    /// Orders accepted.
+    pub orders: u64,
+}
+
+/// How a call of the key-value service came out.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// Items listed, and the revision of the first page.
+    Listed(Vec<Change>, Revision),
+    /// Changes after the revision asked for, and the revision to go on from.
+    Watched(Vec<Change>, Revision),
+    /// The history asked for is gone.
+    Compacted,
+    /// A lease with the time it lives.
+    Granted(Lease, Span),
+    /// The lease lives on.
+    Renewed(Span),
+    /// Written at this revision.
+    Written(Revision),
+    /// A condition did not hold; the subjects as they are now.
+    Conflict(Vec<Change>),
+    /// There is no such lease.
+    NoLease,
+    /// Nothing was done.
+    Refused,
+    /// No answer: it may have been done, also later.
+    Unknown,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The gateway begins.
+    Start,
+    /// A time asked for by [`crate::Gateway::wake`] has come.
+    Tick,
+    /// A caller's request has been read.
+    Arrived(RequestId, Box<Call>),
+    /// The caller has left.
+    Gone(RequestId),
+    /// The first piece of an answer has come.
+    Begun(RequestId),
+    /// The answer is complete, with what the server said of it.
+    Completed(RequestId),
+    /// The server did not answer well.
+    Failed(RequestId, Ran, Cause),
+    /// An order came back.
+    Ordered(OrderId, Ordered),
+    /// A server's report, or none where it gave none.
+    Reported(Server, Option<Report>),
+    /// A call of the key-value service came back.
+    Store(OpId, Outcome),
+    /// A message from another VM.
+    Peer(Vm, Message),
+    /// A link to another VM could not be made or broke.
+    PeerDown(SocketAddr),
+    /// The settings file was read again: its figures, or why it can't be used.
+    Reloaded(Result<Box<Tuning>, String>),
+    /// The process is to stop.
+    Stop,
+}
--- /dev/null
+++ b/crates/gateway/src/fact.rs
@@ -0,0 +1,166 @@
+//! Facts of the key-value service, each with the revision of its last change.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dahliastile_core::id::{Incarnation, Server, Service, Vm, Zone};
+use dahliastile_core::time::Span;
+use serde::{Deserialize, Serialize};
+
+use crate::config::Config;
+
+/// The version of an adapter or a base model; higher is newer.
+pub type Version = u64;
+
+/// The number of a change in the key-value service; higher is later.
+pub type Revision = u64;
+
+/// What a fact is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    /// The operator's configuration.
+    Config,
+    /// The newest version of an adapter of a base model.
+    Version(Arc<str>, Arc<str>),
+    /// A backend server.
+    Server(Server),
+    /// An entry VM.
+    Member(Vm),
+    /// The VM that schedules a service's engines.
+    Holder(Service),
+}
+
+/// An adapter at a version that a server says it holds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Resident {
+    /// The adapter's name.
+    pub adapter: Arc<str>,
+    /// Its version.
+    pub version: Version,
+}
+
+/// A base model that a server says it holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Base {
+    /// Its name.
+    pub model: Arc<str>,
+    /// The version of its weights.
+    pub version: Version,
+    /// Its adapters there.
+    pub adapters: Vec<Resident>,
+}
+
+/// A backend server as it describes itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backend {
+    /// Its service.
+    pub service: Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Span,
+    /// How long until it is gone, where it is taken away at short notice.
+    pub remaining: Option<Span>,
+    /// The base models that it holds.
+    pub models: Vec<Base>,
+    /// Orders it has accepted.
+    pub orders: u64,
+}
+
+/// An entry VM as it describes itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Where other VMs reach it.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its start.
+    pub incarnation: Incarnation,
+}
+
+/// The VM that schedules a service's engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The VM.
+    pub vm: Vm,
+    /// Its start.
+    pub incarnation: Incarnation,
+}
+
+/// What the key-value service says about a subject.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Fact {
+    /// The operator's configuration.
+    Config(Arc<Config>),
+    /// The newest version of an adapter.
+    Version(Version),
+    /// A backend server.
+    Server(Arc<Backend>),
+    /// An entry VM.
+    Member(Member),
+    /// The scheduler of a service.
+    Holder(Holder),
+}
+
+/// A change of one subject; none where it is no longer there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// The subject.
+    pub subject: Subject,
+    /// The revision of the change.
+    pub revision: Revision,
+    /// The revision at which the subject came to be there, 0 where it is gone.
+    pub created: Revision,
+    /// What it is now.
+    pub fact: Option<Fact>,
+}
+
+/// All facts known, with the last revision of each subject, also of those that are gone.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// The last change of each subject.
+    rows: BTreeMap<Subject, Change>,
+}
+
+impl Table {
+    /// Takes a change in, unless the subject's known one is as new. Says whether it was taken.
+    pub fn apply(&mut self, change: Change) -> bool {
+        match self.rows.get(&change.subject) {
+            Some(known) if known.revision >= change.revision => false,
+            _ => {
+                self.rows.insert(change.subject.clone(), change);
+                true
+            }
+        }
+    }
+
+    /// Takes a subject as gone without a change that says so; any later change brings it back.
+    pub fn forget(&mut self, subject: &Subject) {
+        if let Some(row) = self.rows.get_mut(subject) {
+            row.fact = None;
+        }
+    }
+
+    /// The last change of a subject.
+    #[must_use]
+    pub fn get(&self, subject: &Subject) -> Option<&Change> {
+        self.rows.get(subject)
+    }
+
+    /// The changes after a revision.
+    pub fn after(&self, revision: Revision) -> impl Iterator<Item = &Change> {
+        self.rows.values().filter(move |c| c.revision > revision)
+    }
+
+    /// The subjects that are there.
+    pub fn present(&self) -> impl Iterator<Item = &Change> {
+        self.rows.values().filter(|c| c.fact.is_some())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/flow.rs
@@ -0,0 +1,455 @@
+//! The life of one caller's request on this VM, from its arrival to its one final answer.
+//!
+//! A request is refused with a promise that it has not run only if that is certain. One that may have run is sent
+//! again only if its kind allows it, and never to more servers than its route allows.
+
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Service, Zone};
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+use rand::Rng;
+
+use crate::budget::Terms;
+use crate::config::{Kind, Route, Target};
+use crate::effect::{Effect, Effects, Reason, Send, Verdict};
+use crate::event::{Call, Cause, Ran, RequestId};
+use crate::fact::Version;
+use crate::message::{Progress, Want};
+use crate::node::Gateway;
+use crate::plain;
+use crate::timer::Timer;
+
+/// Sends of one request at most, counting those that did not run: more only wear out the shared budget.
+const MAX_SENDS: u32 = 4;
+
+/// When a caller that was refused for want of room may come back: about the time of one answer of a plain service.
+const COME_BACK: Span = Span::from_millis(300);
+
+/// When a caller may come back to a VM that knows no configuration yet: about a start's length.
+const COME_BACK_AFTER_START: Span = Span::from_millis(500);
+
+/// What is left of a request's time below which it is not sent again: one round trip and the shortest work.
+const TOO_LATE: Span = Span::from_millis(30);
+
+/// Where a request stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum State {
+    /// It waits for the scheduler's answer.
+    Waiting,
+    /// It was sent.
+    Sent {
+        /// To this server.
+        server: Server,
+        /// Whether its answer has begun.
+        begun: bool,
+    },
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct Flow {
+    /// What the caller asks.
+    pub(crate) call: Call,
+    /// Its route, as it was at the arrival.
+    pub(crate) route: Arc<Route>,
+    /// The service that it goes to.
+    pub(crate) service: Service,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
+    /// When its final answer is due.
+    pub(crate) ends: Instant,
+    /// Where it stands.
+    pub(crate) state: State,
+    /// How often it was sent.
+    sends: u32,
+    /// On how many servers it has run or may have.
+    ran: u32,
+    /// Servers that have failed it.
+    pub(crate) failed: Vec<Server>,
+}
+
+impl Flow {
+    /// What the scheduler is asked; none for a request of a plain service.
+    pub(crate) fn want(&self, request: RequestId, zone: &Zone, now: Instant) -> Option<Want> {
+        Some(Want {
+            request,
+            work: self.call.work.clone()?,
+            waited: now.since(self.arrived),
+            objective: self.route.objective,
+            left: self.ends.since(now),
+            priority: self.route.priority,
+            zone: zone.clone(),
+            failed: self.failed.clone(),
+        })
+    }
+
+    /// The server where it is, if it was sent.
+    pub(crate) fn server(&self) -> Option<&Server> {
+        match &self.state {
+            State::Sent { server, .. } => Some(server),
+            State::Waiting => None,
+        }
+    }
+}
+
+impl Gateway {
+    /// A caller's request has been read.
+    pub(crate) fn arrived(&mut self, request: RequestId, call: Call, out: &mut Effects) {
+        if self.config.is_none() {
+            Self::log(out, Code::Refused, format!("id={} why=no_config", call.id));
+            out.push(refusal(
+                request,
+                Reason::NoConfig,
+                Some(COME_BACK_AFTER_START),
+            ));
+            return;
+        }
+        let Some(route) = self.index.find(&call.host, &call.path).cloned() else {
+            let version = self.version();
+            Self::log(
+                out,
+                Code::Refused,
+                format!(
+                    "id={} why=no_route config={version} host={} path={}",
+                    call.id, call.host, call.path
+                ),
+            );
+            out.push(refusal(request, Reason::NoRoute, None));
+            return;
+        };
+        let service = self.target(&route.targets);
+        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+        let ends = self.now + patience;
+        self.timers.set(ends, Timer::Flow(request));
+        self.budgets
+            .entry(service.clone())
+            .or_default()
+            .request(self.now);
+        let flow = Flow {
+            call,
+            route,
+            service,
+            arrived: self.now,
+            ends,
+            state: State::Waiting,
+            sends: 0,
+            ran: 0,
+            failed: Vec::new(),
+        };
+        self.flows.insert(request, flow);
+        self.seek(request, out);
+    }
+
+    /// Looks for a server for a request that has none.
+    fn seek(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        flow.state = State::Waiting;
+        let service = flow.service.clone();
+        let engine = self
+            .index
+            .service(service.as_str())
+            .is_some_and(|s| s.engine.is_some());
+        if engine && flow.call.work.is_some() {
+            self.ask_place(request, out);
+            return;
+        }
+        let (zone, now) = (&self.settings.zone, self.now);
+        let rows = self
+            .servers
+            .iter()
+            .filter(|(_, row)| row.backend.service == service);
+        match plain::choose(rows, &flow.failed, zone, now, &mut self.rng) {
+            Some(server) => self.send_to(request, &server, None, out),
+            None => self.give_up(request, Some(COME_BACK), "no_server", out),
+        }
+    }
+
+    /// Sends a request to a server that is known to be listed.
+    pub(crate) fn send_to(
+        &mut self,
+        request: RequestId,
+        server: &Server,
+        version: Option<Version>,
+        out: &mut Effects,
+    ) {
+        let config = self.version();
+        let (Some(flow), Some(row)) = (self.flows.get_mut(&request), self.servers.get_mut(server))
+        else {
+            return;
+        };
+        flow.sends += 1;
+        flow.state = State::Sent {
+            server: server.clone(),
+            begun: false,
+        };
+        row.open += 1;
+        let send = Send {
+            server: server.clone(),
+            address: row.backend.address,
+            left: flow.ends.since(self.now),
+            version,
+            priority: flow.route.priority,
+            stream: flow.route.kind.stream(),
+            resumable: flow.route.kind == Kind::Resumable,
+        };
+        let waited = self.now.since(flow.arrived);
+        let detail = format!(
+            "id={} route={} config={config} server={server} send={} waited={waited} open={}",
+            flow.call.id, flow.route.name, flow.sends, row.open
+        );
+        Self::log(out, Code::Sent, detail);
+        out.push(Effect::Request(request, Verdict::Send(Box::new(send))));
+    }
+
+    /// The first piece of an answer has come.
+    pub(crate) fn begun(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        if let State::Sent { begun, .. } = &mut flow.state {
+            *begun = true;
+        }
+        self.tell_progress(request, Progress::Begun, out);
+    }
+
+    /// A whole answer has gone to the caller.
+    pub(crate) fn completed(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let took = self.now.since(flow.arrived);
+        let server = flow.server().map_or("-", Server::as_str);
+        Self::log(
+            out,
+            Code::Served,
+            format!("id={} server={server} took={took}", flow.call.id),
+        );
+        if let Some(row) = flow
+            .server()
+            .and_then(|server| self.servers.get_mut(server))
+        {
+            row.health.good();
+        }
+        self.end(request, Progress::Over, out);
+    }
+
+    /// The caller has left.
+    pub(crate) fn gone(&mut self, request: RequestId, out: &mut Effects) {
+        if let Some(flow) = self.flows.get(&request) {
+            let took = self.now.since(flow.arrived);
+            Self::log(
+                out,
+                Code::CallerLeft,
+                format!("id={} after={took}", flow.call.id),
+            );
+            self.end(request, Progress::Over, out);
+        }
+    }
+
+    /// A server did not answer a request well.
+    pub(crate) fn failed(&mut self, request: RequestId, ran: Ran, cause: Cause, out: &mut Effects) {
+        let now = self.now;
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        let State::Sent { server, begun } = flow.state.clone() else {
+            return;
+        };
+        flow.failed.push(server.clone());
+        flow.ran += u32::from(ran != Ran::No);
+        if let Some(row) = self.servers.get_mut(&server) {
+            row.open = row.open.saturating_sub(1);
+            judge(&mut row.health, cause, now);
+        }
+        Self::log(
+            out,
+            Code::SendFailed,
+            format!(
+                "id={} server={server} ran={ran:?} cause={cause:?} begun={begun}",
+                flow.call.id
+            ),
+        );
+        self.tell_progress(request, Progress::Failed(ran, cause), out);
+        self.after_failure(request, ran, cause, begun, out);
+    }
+
+    /// Sends a failed request again where that is allowed and of use, or gives it its final answer.
+    fn after_failure(
+        &mut self,
+        request: RequestId,
+        ran: Ran,
+        cause: Cause,
+        begun: bool,
+        out: &mut Effects,
+    ) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let kind = flow.route.kind;
+        let may = ran == Ran::No || kind.idempotent() && flow.ran < flow.route.attempts;
+        let cut = begun && kind != Kind::Resumable && kind != Kind::Safe;
+        let in_time = flow.ends.since(self.now) > TOO_LATE && flow.sends < MAX_SENDS;
+        match cause {
+            _ if cut => self.end(request, Progress::Over, out),
+            _ if may && in_time && self.spend(request) => self.seek(request, out),
+            Cause::Status(_) => {
+                out.push(Effect::Request(request, Verdict::Deliver));
+                self.end(request, Progress::Over, out);
+            }
+            _ => self.give_up(request, Some(COME_BACK), "send_failed", out),
+        }
+    }
+
+    fn spend(&mut self, request: RequestId) -> bool {
+        let Some(flow) = self.flows.get(&request) else {
+            return false;
+        };
+        let tuning = &self.settings.tuning;
+        let vms = self.peers().count() + 1;
+        let terms = Terms {
+            ratio: tuning.retry_ratio,
+            #[allow(clippy::cast_precision_loss)]
+            extra: tuning.retry_extra / vms as f64,
+            window: tuning.retry_window,
+        };
+        let budget = self.budgets.entry(flow.service.clone()).or_default();
+        budget.spend(self.now, terms)
+    }
+
+    /// A request's time is over.
+    pub(crate) fn flow_due(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        if flow.ends > self.now {
+            return;
+        }
+        let begun = matches!(flow.state, State::Sent { begun: true, .. });
+        let sent = matches!(flow.state, State::Sent { .. });
+        let (id, server) = (&flow.call.id, flow.server().map_or("-", Server::as_str));
+        Self::log(
+            out,
+            Code::TimedOut,
+            format!(
+                "id={id} server={server} begun={begun} timeout={}",
+                flow.route.timeout
+            ),
+        );
+        let effect = match sent || flow.ran > 0 {
+            _ if begun => Effect::Request(request, Verdict::Cut),
+            true => refusal(request, Reason::TimedOut, None),
+            false => refusal(request, Reason::Overloaded, Some(COME_BACK)),
+        };
+        out.push(effect);
+        self.end(request, Progress::Over, out);
+    }
+
+    /// The scheduler found a place for a request.
+    pub(crate) fn placed(
+        &mut self,
+        request: RequestId,
+        server: &Server,
+        version: Option<Version>,
+        out: &mut Effects,
+    ) {
+        let waiting = self
+            .flows
+            .get(&request)
+            .is_some_and(|flow| flow.state == State::Waiting);
+        let listed = self
+            .servers
+            .get(server)
+            .is_some_and(|row| row.backend.ready);
+        match waiting {
+            true if listed => self.send_to(request, server, version, out),
+            true => {
+                self.tell_progress(request, Progress::Failed(Ran::No, Cause::Missing), out);
+                self.ask_place(request, out);
+            }
+            false => {}
+        }
+    }
+
+    /// The scheduler can't serve a request in time.
+    pub(crate) fn turned_away(&mut self, request: RequestId, after: Span, out: &mut Effects) {
+        if self
+            .flows
+            .get(&request)
+            .is_some_and(|flow| flow.state == State::Waiting)
+        {
+            self.give_up(request, Some(after), "scheduler", out);
+        }
+    }
+
+    /// Gives a request that is at no server its final answer.
+    pub(crate) fn give_up(
+        &mut self,
+        request: RequestId,
+        after: Option<Span>,
+        why: &str,
+        out: &mut Effects,
+    ) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let waited = self.now.since(flow.arrived);
+        let ran = flow.ran;
+        Self::log(
+            out,
+            Code::Refused,
+            format!(
+                "id={} why={why} waited={waited} sends={} ran={ran}",
+                flow.call.id, flow.sends
+            ),
+        );
+        let reason = if ran > 0 {
+            Reason::Failed
+        } else {
+            Reason::Overloaded
+        };
+        out.push(refusal(request, reason, after.filter(|_| ran == 0)));
+        self.end(request, Progress::Over, out);
+    }
+
+    /// Forgets a request that has its final answer.
+    fn end(&mut self, request: RequestId, progress: Progress, out: &mut Effects) {
+        self.tell_progress(request, progress, out);
+        let Some(flow) = self.flows.remove(&request) else {
+            return;
+        };
+        if let Some(row) = flow
+            .server()
+            .and_then(|server| self.servers.get_mut(server))
+        {
+            row.open = row.open.saturating_sub(1);
+        }
+    }
+
+    /// Draws a target by the weights.
+    fn target(&mut self, targets: &[Target]) -> Service {
+        let total: u32 = targets.iter().map(|t| t.weight).sum();
+        let mut draw = self.rng.random_range(0..total.max(1));
+        for target in targets {
+            if draw < target.weight {
+                return target.service.clone();
+            }
+            draw -= target.weight;
+        }
+        targets[0].service.clone()
+    }
+}
+
+fn refusal(request: RequestId, reason: Reason, after: Option<Span>) -> Effect {
+    Effect::Request(request, Verdict::Refuse(reason, after))
+}
+
+fn judge(health: &mut crate::health::Health, cause: Cause, now: Instant) {
+    match cause {
+        Cause::Unreachable | Cause::Broken => health.dead(now),
+        Cause::Malformed | Cause::Status(_) => health.bad(),
+        Cause::Full | Cause::Missing => {}
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/host.rs
@@ -0,0 +1,102 @@
+//! What reaches the schedulers that run on this VM.
+
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Service, Vm};
+
+use crate::effect::{Effects, OrderId};
+use crate::event::{Ordered, Report, RequestId};
+use crate::fact::{Backend, Version};
+use crate::message::{Progress, Running, Want};
+use crate::node::Gateway;
+
+impl Gateway {
+    /// A server is listed or describes itself anew.
+    pub(crate) fn desk_server(&mut self, server: &Server, backend: &Arc<Backend>) {
+        if let Some(desk) = self.desks.get_mut(&backend.service) {
+            desk.server(self.now, server, backend);
+        }
+    }
+
+    /// A server is gone.
+    pub(crate) fn desk_server_gone(&mut self, server: &Server, service: &Service) {
+        if let Some(desk) = self.desks.get_mut(service) {
+            desk.server_gone(server);
+        }
+    }
+
+    /// A newer version of an adapter is named.
+    pub(crate) fn newer_version(&mut self, model: &Arc<str>, adapter: &Arc<str>, version: Version) {
+        for desk in self.desks.values_mut() {
+            desk.newer(model, adapter, version);
+        }
+    }
+
+    /// A VM is gone.
+    pub(crate) fn desk_vm_gone(&mut self, vm: &Vm) {
+        for desk in self.desks.values_mut() {
+            desk.vm_gone(vm);
+        }
+    }
+
+    /// A VM wants a place for a request. Where this VM does not schedule the service, the VM that asks will hear of
+    /// the one that does, and ask there.
+    pub(crate) fn wanted(&mut self, service: &Service, from: &Vm, want: Want) {
+        if let Some(desk) = self.desks.get_mut(service) {
+            desk.want(self.now, from, want);
+        }
+    }
+
+    /// A VM says how a request goes.
+    pub(crate) fn progressed(
+        &mut self,
+        service: &Service,
+        from: &Vm,
+        request: RequestId,
+        progress: Progress,
+    ) {
+        if let Some(desk) = self.desks.get_mut(service) {
+            desk.progress(self.now, from, request, progress);
+        }
+    }
+
+    /// A VM says all that runs and waits there.
+    pub(crate) fn introduced(
+        &mut self,
+        service: &Service,
+        from: &Vm,
+        running: &[Running],
+        wants: Vec<Want>,
+    ) {
+        if let Some(desk) = self.desks.get_mut(service) {
+            desk.hello(self.now, from, running, wants);
+        }
+    }
+
+    /// An order came back.
+    pub(crate) fn ordered(&mut self, order: OrderId, outcome: Ordered, out: &mut Effects) {
+        let now = self.now;
+        let owner = self.desks.iter_mut().find(|(_, desk)| desk.owns(order));
+        let Some((service, desk)) = owner else {
+            return;
+        };
+        let service = service.clone();
+        if desk.ordered(now, order, outcome) {
+            self.fenced_off(&service, out);
+        }
+    }
+
+    /// A server's report came, or it gave none.
+    pub(crate) fn reported(&mut self, server: &Server, report: Option<&Report>) {
+        let Some(service) = self
+            .servers
+            .get(server)
+            .map(|row| row.backend.service.clone())
+        else {
+            return;
+        };
+        if let Some(desk) = self.desks.get_mut(&service) {
+            desk.reported(self.now, server, report);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,36 @@
+//! The decisions of one entry VM in front of backend servers that say truthfully what they did not run.
+//!
+//! [`Gateway`] is a pure state machine: [`Gateway::step`] takes the time, an [`Event`](event::Event) and a buffer
+//! for [`Effect`](effect::Effect)s. It does no I/O, reads no clock and holds no globals, so dozens of gateways run
+//! side by side in virtual time.
+//!
+//! # How the parts meet
+//! * [`config`], [`fact`]: what the key-value service says, each fact with its revision. A fact of a lower revision
+//!   never replaces a newer one, whatever way it came.
+//! * `flow`: the life of one caller's request on this VM, from arrival to its one final answer.
+//! * `plain`: which server a request of a plain service goes to.
+//! * `agent`: asks the scheduler of an engine service for a place, and goes on without one.
+//! * [`desk`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
+//!   on the one VM that holds the service's lease.
+//! * `seat`: that lease, and the fencing number of orders.
+//! * `follow`: reading and watching the key-value service, and peers when it is away.
+
+mod agent;
+pub mod budget;
+pub mod config;
+pub mod desk;
+pub mod effect;
+pub mod event;
+pub mod fact;
+mod flow;
+mod follow;
+pub mod health;
+mod host;
+pub mod message;
+mod node;
+mod plain;
+mod seat;
+pub mod settings;
+mod timer;
+
+pub use node::Gateway;
--- /dev/null
+++ b/crates/gateway/src/message.rs
@@ -0,0 +1,95 @@
+//! Messages between entry VMs. Each may be lost, late or doubled.
+
+use dahliastile_core::id::{Server, Service, Zone};
+use dahliastile_core::time::Span;
+use serde::{Deserialize, Serialize};
+
+use crate::event::{Cause, Ran, RequestId, Work};
+use crate::fact::{Change, Resident, Revision, Version};
+
+/// A request that wants a place at an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Its number on the VM that asks.
+    pub request: RequestId,
+    /// What it asks for.
+    pub work: Work,
+    /// How long it has waited already.
+    pub waited: Span,
+    /// The time within which its first event is of full use, from its arrival.
+    pub objective: Span,
+    /// The time left until its answer is of no use.
+    pub left: Span,
+    /// Its rank, 0 first.
+    pub priority: u8,
+    /// The availability zone of its VM.
+    pub zone: Zone,
+    /// Servers that have failed it.
+    pub failed: Vec<Server>,
+}
+
+/// A request that runs at an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    /// Its number on the VM that asks.
+    pub request: RequestId,
+    /// Where it runs.
+    pub server: Server,
+    /// What it asks for.
+    pub work: Work,
+}
+
+/// What one engine holds, as its scheduler believes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The engine.
+    pub server: Server,
+    /// The adapters that can be used there.
+    pub adapters: Vec<Resident>,
+}
+
+/// How a placed request went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Progress {
+    /// Its first event came.
+    Begun,
+    /// It is over.
+    Over,
+    /// Its server failed it.
+    Failed(Ran, Cause),
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// To the scheduler: requests that want a place.
+    Want(Service, Want),
+    /// To the scheduler: a request is no longer waited for, or went on.
+    Progress(Service, RequestId, Progress),
+    /// To a new scheduler: all that runs and waits on this VM, in place of all said before.
+    Hello(Service, Vec<Running>, Vec<Want>),
+    /// From the scheduler, under its fencing number: where a request goes.
+    Place(Service, u64, RequestId, Server, Option<Version>),
+    /// From the scheduler: a request can't be served in time; when to come back.
+    Refuse(Service, u64, RequestId, Span),
+    /// From the scheduler: what each engine holds, for the time without a scheduler.
+    Residents(Service, u64, Vec<Holding>),
+    /// From the scheduler: it is there.
+    Alive(Service, u64),
+    /// This VM can't reach the key-value service: all changes after the revision, please.
+    Follow(Revision),
+    /// Changes of the key-value service.
+    Changes(Vec<Change>),
+}
+
+/// Messages as bytes for another VM; none where they can't be written, which no message of this module is.
+#[must_use]
+pub fn encode(messages: &[Message]) -> Option<Vec<u8>> {
+    postcard::to_stdvec(messages).ok()
+}
+
+/// Messages of another VM; none where the bytes are of a version that this one does not know.
+#[must_use]
+pub fn decode(bytes: &[u8]) -> Option<Vec<Message>> {
+    postcard::from_bytes(bytes).ok()
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,262 @@
+//! One entry VM: its tables, and the dispatch of events to the passes that run over them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Service, Vm};
+use dahliastile_core::log::{Code, Record};
+use dahliastile_core::time::Instant;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+
+use crate::agent;
+use crate::budget::Budget;
+use crate::config::{Config, Index, Limits};
+use crate::desk::Desk;
+use crate::effect::{Effect, Effects, Op, OpId};
+use crate::event::{Event, RequestId};
+use crate::fact::{Fact, Subject, Table};
+use crate::flow::Flow;
+use crate::follow;
+use crate::message::Message;
+use crate::plain::Row;
+use crate::seat;
+use crate::settings::{Settings, Tuning};
+use crate::timer::{Timer, Timers};
+
+/// Everything that one entry VM knows.
+#[derive(Debug)]
+pub struct Gateway {
+    /// What it was told.
+    pub(crate) settings: Settings,
+    /// The time of the present step.
+    pub(crate) now: Instant,
+    /// Its random numbers.
+    pub(crate) rng: ChaCha8Rng,
+    /// The facts of the key-value service.
+    pub(crate) facts: Table,
+    /// The configuration in force.
+    pub(crate) config: Option<Arc<Config>>,
+    /// Its index.
+    pub(crate) index: Index,
+    /// The backend servers that take work, and what this VM knows of them.
+    pub(crate) servers: BTreeMap<Server, Row>,
+    /// The requests of this VM's callers.
+    pub(crate) flows: FxHashMap<RequestId, Flow>,
+    /// The budgets of second sends.
+    pub(crate) budgets: BTreeMap<Service, Budget>,
+    /// What this VM knows of the schedulers.
+    pub(crate) agents: BTreeMap<Service, agent::State>,
+    /// The schedulers that run on this VM.
+    pub(crate) desks: BTreeMap<Service, Desk>,
+    /// This VM's lease and the seats it holds or wants.
+    pub(crate) seats: seat::State,
+    /// How the key-value service is followed.
+    pub(crate) follow: follow::State,
+    /// What is to be looked at later.
+    pub(crate) timers: Timers,
+    /// The last number given to a call or order.
+    last_id: u64,
+    /// Whether the process is to stop.
+    pub(crate) stopping: bool,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing but its settings.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            now: Instant::default(),
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            facts: Table::default(),
+            config: None,
+            index: Index::default(),
+            servers: BTreeMap::new(),
+            flows: FxHashMap::default(),
+            budgets: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            desks: BTreeMap::new(),
+            seats: seat::State::default(),
+            follow: follow::State::default(),
+            timers: Timers::default(),
+            last_id: 0,
+            stopping: false,
+            settings,
+        }
+    }
+
+    /// Handles one event at the time `now` of the VM's monotonic clock, and appends what is to be done.
+    pub fn step(&mut self, now: Instant, event: Event, out: &mut Effects) {
+        self.now = self.now.max(now);
+        self.handle(event, out);
+        self.run_timers(out);
+        self.run_desks(out);
+    }
+
+    /// When the next [`Event::Tick`] is due.
+    #[must_use]
+    pub fn wake(&self) -> Instant {
+        self.timers.next()
+    }
+
+    /// Whether new connections are welcome.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.config.is_some() && !self.stopping
+    }
+
+    /// What callers may send.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        self.config
+            .as_ref()
+            .map_or_else(Limits::default, |c| c.limits)
+    }
+
+    /// The version of the configuration in force, 0 where none is known.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |c| c.version)
+    }
+
+    /// The requests in progress.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Everything that does not hold together, as readable text; empty where all is well.
+    #[must_use]
+    pub fn verify(&self) -> Vec<String> {
+        self.desks.values().flat_map(Desk::verify).collect()
+    }
+
+    pub(crate) fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    /// Sends a message to another VM, if its address is known.
+    pub(crate) fn send(&self, to: &Vm, message: Message, out: &mut Effects) {
+        let member = self.facts.get(&Subject::Member(to.clone()));
+        match member.and_then(|change| change.fact.as_ref()) {
+            Some(Fact::Member(member)) => {
+                out.push(Effect::Peer(to.clone(), member.address, message));
+            }
+            _ => out.push(Effect::Count("peer_unknown")),
+        }
+    }
+
+    /// The entry VMs known besides this one.
+    pub(crate) fn peers(&self) -> impl Iterator<Item = &Vm> {
+        self.facts
+            .present()
+            .filter_map(|change| match &change.subject {
+                Subject::Member(vm) if *vm != self.settings.vm => Some(vm),
+                _ => None,
+            })
+    }
+
+    pub(crate) fn store(&mut self, op: Op, out: &mut Effects) -> OpId {
+        let id = self.next_id();
+        out.push(Effect::Store(id, op));
+        id
+    }
+
+    pub(crate) fn log(out: &mut Effects, code: Code, detail: String) {
+        out.push(Effect::Log(Record::new(code, detail)));
+    }
+
+    fn handle(&mut self, event: Event, out: &mut Effects) {
+        match event {
+            Event::Start => self.start(out),
+            Event::Tick => {}
+            Event::Arrived(request, call) => self.arrived(request, *call, out),
+            Event::Gone(request) => self.gone(request, out),
+            Event::Begun(request) => self.begun(request, out),
+            Event::Completed(request) => self.completed(request, out),
+            Event::Failed(request, ran, cause) => self.failed(request, ran, cause, out),
+            Event::Ordered(order, outcome) => self.ordered(order, outcome, out),
+            Event::Reported(server, report) => self.reported(&server, report.as_ref()),
+            Event::Store(op, outcome) => self.answered(op, outcome, out),
+            Event::Peer(from, message) => self.heard(&from, message, out),
+            Event::PeerDown(address) => self.peer_down(address, out),
+            Event::Reloaded(tuning) => self.reloaded(tuning, out),
+            Event::Stop => self.stop(out),
+        }
+    }
+
+    fn start(&mut self, out: &mut Effects) {
+        self.follow_start(out);
+        self.seat_start(out);
+    }
+
+    fn answered(&mut self, op: OpId, outcome: crate::event::Outcome, out: &mut Effects) {
+        if self.follow.op == Some(op) {
+            self.followed(outcome, out);
+        } else {
+            self.seated(op, outcome, out);
+        }
+    }
+
+    fn heard(&mut self, from: &Vm, message: Message, out: &mut Effects) {
+        match message {
+            Message::Follow(revision) => self.follow_asked(from, revision, out),
+            Message::Changes(changes) => self.take_changes(changes, false, out),
+            Message::Want(service, want) => self.wanted(&service, from, want),
+            Message::Progress(service, request, progress) => {
+                self.progressed(&service, from, request, progress);
+            }
+            Message::Hello(service, running, wants) => {
+                self.introduced(&service, from, &running, wants);
+            }
+            Message::Place(service, fence, request, server, version) => {
+                if self.follows(&service, fence, from, out) {
+                    self.placed(request, &server, version, out);
+                }
+            }
+            Message::Refuse(service, fence, request, after) => {
+                if self.follows(&service, fence, from, out) {
+                    self.turned_away(request, after, out);
+                }
+            }
+            Message::Alive(service, fence) => {
+                self.follows(&service, fence, from, out);
+            }
+            Message::Residents(service, fence, residents) => {
+                if self.follows(&service, fence, from, out) {
+                    self.keep_residents(&service, residents);
+                }
+            }
+        }
+    }
+
+    /// Takes new figures from the settings file; a file that can't be used changes nothing.
+    fn reloaded(&mut self, tuning: Result<Box<Tuning>, String>, out: &mut Effects) {
+        match tuning {
+            Ok(tuning) => {
+                self.settings.tuning = *tuning;
+                Self::log(out, Code::Reloaded, "outcome=taken".to_owned());
+            }
+            Err(why) => Self::log(out, Code::ReloadFailed, format!("why={why}")),
+        }
+    }
+
+    fn stop(&mut self, out: &mut Effects) {
+        self.stopping = true;
+        Self::log(out, Code::Draining, format!("open={}", self.flows.len()));
+        self.leave_seats(out);
+    }
+
+    fn run_timers(&mut self, out: &mut Effects) {
+        while let Some(timer) = self.timers.due(self.now) {
+            match timer {
+                Timer::Flow(request) => self.flow_due(request, out),
+                Timer::Seat => self.seat_due(out),
+                Timer::Follow => self.follow_due(out),
+                Timer::Desk(service) => self.desk_due(&service),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/plain.rs
@@ -0,0 +1,74 @@
+//! Servers as this VM sees them, and which one a request of a plain service goes to.
+
+use std::sync::Arc;
+
+use dahliastile_core::id::{Server, Zone};
+use dahliastile_core::time::Instant;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::fact::Backend;
+use crate::health::Health;
+
+/// How many requests more a server of the VM's own zone may have than another one before that is taken instead: bytes
+/// between zones cost, and a queue of one costs about as much time as the way there.
+const ZONE_WORTH: f64 = 0.35;
+
+/// How far two nearly equal servers are told apart by chance, so that all VMs do not choose the same.
+const CHANCE: f64 = 0.1;
+
+/// What is added to the load of a server that comes last: more than any load.
+const SHUNNED: f64 = 1_000.0;
+
+/// One server as this VM sees it.
+#[derive(Debug)]
+pub(crate) struct Row {
+    /// How the server describes itself.
+    pub(crate) backend: Arc<Backend>,
+    /// Requests of this VM there.
+    pub(crate) open: u32,
+    /// What they say of its health.
+    pub(crate) health: Health,
+}
+
+impl Row {
+    pub(crate) fn new(backend: Arc<Backend>) -> Self {
+        Self {
+            backend,
+            open: 0,
+            health: Health::default(),
+        }
+    }
+
+    /// The cost of sending a request there, compared with other servers of its service.
+    fn cost(&self, zone: &Zone, now: Instant) -> f64 {
+        let slots = f64::from(self.backend.slots.max(1));
+        let load = f64::from(self.open) / slots;
+        let away = if self.backend.zone == *zone {
+            0.0
+        } else {
+            ZONE_WORTH
+        };
+        let last = if self.health.shunned(now) {
+            SHUNNED
+        } else {
+            0.0
+        };
+        load + away + last + self.health.failures()
+    }
+}
+
+/// The server that a request goes to: the one that costs least among those that take work and have not failed it.
+pub(crate) fn choose<'a>(
+    rows: impl Iterator<Item = (&'a Server, &'a Row)>,
+    failed: &[Server],
+    zone: &Zone,
+    now: Instant,
+    rng: &mut ChaCha8Rng,
+) -> Option<Server> {
+    let open = rows.filter(|(server, row)| row.backend.ready && !failed.contains(server));
+    let costs =
+        open.map(|(server, row)| (server, row.cost(zone, now) + rng.random_range(0.0..CHANCE)));
+    let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
+    best.map(|(server, _)| server.clone())
+}
--- /dev/null
+++ b/crates/gateway/src/seat.rs
@@ -0,0 +1,411 @@
+//! This VM's lease in the key-value service, and the seats under it: the right to schedule a service's engines.
+//!
+//! The revision at which a seat's key was created is the fencing number of its holder's orders. The holder renews its
+//! lease; when that ends, the key goes and another VM creates it anew, with a higher number. Servers that check
+//! fencing numbers refuse the older holder from the newer one's first order on, so an older holder may go on while
+//! the key-value service is away. Where servers don't check, it stops before its lease can end.
+
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+
+use dahliastile_core::id::{Service, Vm};
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+use rustc_hash::FxHasher;
+
+use crate::desk::{Decision, Desk};
+use crate::effect::{Effect, Effects, Op, OpId};
+use crate::event::{Lease, Outcome};
+use crate::fact::{Change, Fact, Holder, Member, Subject};
+use crate::message::Message;
+use crate::node::Gateway;
+use crate::timer::Timer;
+
+/// The time that a VM waits for each VM before it in the order of candidates before it takes a free seat: some calls
+/// of the key-value service.
+const CANDIDATE_GAP: Span = Span::from_millis(120);
+
+/// What a call of the key-value service was for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// A lease.
+    Grant,
+    /// A renewal.
+    Renew,
+    /// This VM's own entry.
+    Member,
+    /// A seat.
+    Seat(Service),
+    /// Something that nothing depends on.
+    Other,
+}
+
+/// The lease and the seats.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// The lease.
+    lease: Option<Lease>,
+    /// When the lease was last granted or renewed, counted from when the call was sent.
+    renewed: Instant,
+    /// When the next call on the lease is due.
+    next: Instant,
+    /// Whether this VM's own entry has been written under the lease.
+    entered: bool,
+    /// Calls in progress, with the time at which each was sent.
+    calls: BTreeMap<OpId, (Purpose, Instant)>,
+    /// When this VM may take a free seat.
+    turns: BTreeMap<Service, Instant>,
+}
+
+impl Gateway {
+    pub(crate) fn seat_start(&mut self, out: &mut Effects) {
+        let ttl = self.settings.tuning.lease;
+        self.seat_call(Purpose::Grant, Op::Grant(ttl), out);
+    }
+
+    /// A call on the lease or a seat came back.
+    pub(crate) fn seated(&mut self, op: OpId, outcome: Outcome, out: &mut Effects) {
+        let Some((purpose, sent)) = self.seats.calls.remove(&op) else {
+            return;
+        };
+        match (purpose, outcome) {
+            (Purpose::Grant, Outcome::Granted(lease, _)) => {
+                self.seats.lease = Some(lease);
+                self.seats.renewed = sent;
+                self.seats.entered = false;
+                self.enter(out);
+                self.seats_changed(out);
+            }
+            (Purpose::Renew, Outcome::Renewed(_)) => self.seats.renewed = sent,
+            (Purpose::Member, Outcome::Written(_)) => self.seats.entered = true,
+            (Purpose::Seat(service), Outcome::Written(revision)) => {
+                self.seat_written(&service, revision, out);
+            }
+            (Purpose::Seat(_), Outcome::Conflict(changes)) => {
+                self.take_changes(changes, false, out);
+            }
+            (Purpose::Renew | Purpose::Member | Purpose::Seat(_), Outcome::NoLease) => {
+                self.lease_lost(out);
+            }
+            _ => {}
+        }
+        self.plan_renewal(out);
+    }
+
+    pub(crate) fn seat_due(&mut self, out: &mut Effects) {
+        self.watch_holders(out);
+        self.keep_lease(out);
+        self.take_seats(out);
+    }
+
+    /// The configuration or the holders changed.
+    pub(crate) fn seats_changed(&mut self, out: &mut Effects) {
+        let services: Vec<Service> = self.index.engines().map(|s| s.name.clone()).collect();
+        for service in services {
+            let free = self
+                .facts
+                .get(&Subject::Holder(service.clone()))
+                .is_none_or(|c| c.fact.is_none());
+            if free && !self.seats.turns.contains_key(&service) {
+                let at = self.now + CANDIDATE_GAP.times(self.turn(&service));
+                self.seats.turns.insert(service, at);
+                self.timers.set(at, Timer::Seat);
+            }
+        }
+        self.take_seats(out);
+    }
+
+    /// This VM holds a seat.
+    pub(crate) fn seat_won(&mut self, service: &Service, fence: u64, out: &mut Effects) {
+        let Some(application) = self.index.service(service.as_str()).cloned() else {
+            return;
+        };
+        if self
+            .desks
+            .get(service)
+            .is_some_and(|desk| desk.fence() == fence)
+            || self.stopping
+        {
+            return;
+        }
+        Self::log(
+            out,
+            Code::LeaseTaken,
+            format!("service={service} fence={fence}"),
+        );
+        let mut desk = Desk::new(self.now, &application, fence, self.settings.clone());
+        for (server, row) in &self.servers {
+            if row.backend.service == *service {
+                desk.server(self.now, server, &row.backend);
+            }
+        }
+        for change in self.facts.present() {
+            if let (Subject::Version(model, adapter), Some(Fact::Version(version))) =
+                (&change.subject, &change.fact)
+            {
+                desk.newer(model, adapter, *version);
+            }
+        }
+        let (running, wants) = self.state_for(service);
+        desk.hello(self.now, &self.settings.vm, &running, wants);
+        self.desks.insert(service.clone(), desk);
+        self.timers.set(self.now, Timer::Desk(service.clone()));
+    }
+
+    /// Another VM holds a seat, or nobody does.
+    pub(crate) fn seat_lost(&mut self, service: &Service, out: &mut Effects) {
+        if self.desks.remove(service).is_some() {
+            Self::log(out, Code::LeaseLost, format!("service={service}"));
+        }
+    }
+
+    /// A server has seen a higher fencing number than that of this VM's seat.
+    pub(crate) fn fenced_off(&mut self, service: &Service, out: &mut Effects) {
+        let Some(desk) = self.desks.get(service) else {
+            return;
+        };
+        let fence = desk.fence();
+        Self::log(
+            out,
+            Code::Fenced,
+            format!("service={service} fence={fence}"),
+        );
+        self.seat_lost(service, out);
+        let subject = Subject::Holder(service.clone());
+        let mine = self
+            .facts
+            .get(&subject)
+            .filter(|c| c.created == fence)
+            .map(|c| c.revision);
+        if let Some(revision) = mine {
+            self.seat_call(Purpose::Other, Op::Remove(subject, revision), out);
+        }
+    }
+
+    /// Gives all seats up, for a graceful stop.
+    pub(crate) fn leave_seats(&mut self, out: &mut Effects) {
+        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        for service in services {
+            self.seat_lost(&service, out);
+            let subject = Subject::Holder(service.clone());
+            if let Some(revision) = self.facts.get(&subject).map(|c| c.revision) {
+                self.seat_call(Purpose::Other, Op::Remove(subject, revision), out);
+            }
+            if let Some(agent) = self.agents.get_mut(&service) {
+                agent.holder = None;
+            }
+        }
+    }
+
+    /// Runs the schedulers on this VM and passes on what they decided.
+    pub(crate) fn run_desks(&mut self, out: &mut Effects) {
+        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        for service in services {
+            let Some(desk) = self.desks.get_mut(&service) else {
+                continue;
+            };
+            let mut decisions = Vec::new();
+            desk.run(self.now, &mut decisions);
+            let (fence, due) = (desk.fence(), desk.wake());
+            for decision in decisions {
+                self.carry_out(&service, fence, decision, out);
+            }
+            self.timers.set(due, Timer::Desk(service));
+        }
+    }
+
+    pub(crate) fn desk_due(&mut self, service: &Service) {
+        if let Some(desk) = self.desks.get_mut(service) {
+            desk.touch();
+        }
+    }
+
+    fn carry_out(&mut self, service: &Service, fence: u64, decision: Decision, out: &mut Effects) {
+        let me = self.settings.vm.clone();
+        match decision {
+            Decision::Place(vm, request, server, version) if vm == me => {
+                self.placed(request, &server, version, out);
+            }
+            Decision::Place(vm, request, server, version) => {
+                self.send(
+                    &vm,
+                    Message::Place(service.clone(), fence, request, server, version),
+                    out,
+                );
+            }
+            Decision::Refuse(vm, request, after) if vm == me => {
+                self.turned_away(request, after, out);
+            }
+            Decision::Refuse(vm, request, after) => {
+                self.send(
+                    &vm,
+                    Message::Refuse(service.clone(), fence, request, after),
+                    out,
+                );
+            }
+            Decision::Order(id, server, address, order) => {
+                out.push(Effect::Order(id, server, address, order));
+            }
+            Decision::Report(server, address) => out.push(Effect::Report(server, address)),
+            Decision::Residents(residents) => {
+                self.keep_residents(service, residents.clone());
+                let peers: Vec<Vm> = self.peers().cloned().collect();
+                for vm in peers {
+                    self.send(
+                        &vm,
+                        Message::Residents(service.clone(), fence, residents.clone()),
+                        out,
+                    );
+                }
+            }
+            Decision::Alive => {
+                let peers: Vec<Vm> = self.peers().cloned().collect();
+                for vm in peers {
+                    self.send(&vm, Message::Alive(service.clone(), fence), out);
+                }
+            }
+            Decision::Log(record) => out.push(Effect::Log(record)),
+        }
+    }
+
+    fn seat_call(&mut self, purpose: Purpose, op: Op, out: &mut Effects) {
+        let now = self.now;
+        let id = self.store(op, out);
+        self.seats.calls.insert(id, (purpose, now));
+    }
+
+    fn enter(&mut self, out: &mut Effects) {
+        let Some(lease) = self.seats.lease else {
+            return;
+        };
+        let settings = &self.settings;
+        let fact = Fact::Member(Member {
+            address: settings.address,
+            zone: settings.zone.clone(),
+            incarnation: settings.incarnation,
+        });
+        let change = own(Subject::Member(settings.vm.clone()), fact);
+        self.seat_call(Purpose::Member, Op::Put(change, lease, None), out);
+    }
+
+    fn seat_written(&mut self, service: &Service, revision: u64, out: &mut Effects) {
+        let holder = Holder {
+            vm: self.settings.vm.clone(),
+            incarnation: self.settings.incarnation,
+        };
+        let mut change = own(Subject::Holder(service.clone()), Fact::Holder(holder));
+        change.revision = revision;
+        change.created = revision;
+        self.take_changes(vec![change], false, out);
+    }
+
+    fn lease_lost(&mut self, out: &mut Effects) {
+        self.seats.lease = None;
+        self.seats.entered = false;
+        Self::log(out, Code::StoreLeaseLost, "next=grant".to_owned());
+        if !self.settings.tuning.fencing {
+            let services: Vec<Service> = self.desks.keys().cloned().collect();
+            for service in services {
+                self.seat_lost(&service, out);
+            }
+        }
+    }
+
+    /// Sets the time of the next call on the lease.
+    fn plan_renewal(&mut self, _out: &mut Effects) {
+        let tuning = &self.settings.tuning;
+        let pause = match self.seats.lease {
+            Some(_) => tuning.renew,
+            None => tuning.store_retry,
+        };
+        let next = (self.seats.renewed + pause).max(self.now + tuning.store_retry);
+        self.seats.next = next;
+        self.timers.set(next, Timer::Seat);
+    }
+
+    /// Renews the lease, or gets a new one, when it is time.
+    fn keep_lease(&mut self, out: &mut Effects) {
+        let busy = self
+            .seats
+            .calls
+            .values()
+            .any(|(p, _)| matches!(p, Purpose::Grant | Purpose::Renew));
+        if busy || self.now < self.seats.next || self.stopping {
+            return;
+        }
+        match self.seats.lease {
+            None => self.seat_start(out),
+            Some(lease) => self.seat_call(Purpose::Renew, Op::Renew(lease), out),
+        }
+        if self.seats.lease.is_some() && !self.seats.entered {
+            self.enter(out);
+        }
+    }
+
+    /// Tries to take the free seats whose turn has come.
+    fn take_seats(&mut self, out: &mut Effects) {
+        let due: Vec<Service> = self
+            .seats
+            .turns
+            .iter()
+            .filter(|(_, at)| **at <= self.now)
+            .map(|(s, _)| s.clone())
+            .collect();
+        for service in due {
+            self.seats.turns.remove(&service);
+            let free = self
+                .facts
+                .get(&Subject::Holder(service.clone()))
+                .is_none_or(|c| c.fact.is_none());
+            let asked = self
+                .seats
+                .calls
+                .values()
+                .any(|(p, _)| *p == Purpose::Seat(service.clone()));
+            match self.seats.lease {
+                Some(lease) if free && !asked && !self.stopping && self.follow.away.is_none() => {
+                    let holder = Holder {
+                        vm: self.settings.vm.clone(),
+                        incarnation: self.settings.incarnation,
+                    };
+                    let change = own(Subject::Holder(service.clone()), Fact::Holder(holder));
+                    self.seat_call(
+                        Purpose::Seat(service.clone()),
+                        Op::Put(change, lease, Some(0)),
+                        out,
+                    );
+                }
+                _ => {}
+            }
+            if free {
+                let again = self.now + self.settings.tuning.renew;
+                self.seats.turns.insert(service, again);
+                self.timers.set(again, Timer::Seat);
+            }
+        }
+    }
+
+    /// How many live VMs stand before this one in the order of candidates for a seat.
+    fn turn(&self, service: &Service) -> u64 {
+        let mine = rank(service, &self.settings.vm);
+        let before = self.peers().filter(|vm| rank(service, vm) < mine);
+        before.count() as u64
+    }
+}
+
+fn rank(service: &Service, vm: &Vm) -> u64 {
+    let mut hasher = FxHasher::default();
+    service.as_str().hash(&mut hasher);
+    vm.as_str().hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A fact that this VM writes; the key-value service gives it its revision.
+fn own(subject: Subject, fact: Fact) -> Change {
+    Change {
+        subject,
+        revision: 0,
+        created: 0,
+        fact: Some(fact),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,94 @@
+//! What a gateway is told at its start, and the figures behind its decisions.
+
+use std::net::SocketAddr;
+
+use dahliastile_core::id::{Incarnation, Vm, Zone};
+use dahliastile_core::time::Span;
+
+/// What one entry VM is told.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name.
+    pub vm: Vm,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where other VMs reach it.
+    pub address: SocketAddr,
+    /// Its start, larger than that of every earlier start.
+    pub incarnation: Incarnation,
+    /// The seed of its random numbers.
+    pub seed: u64,
+    /// Addresses of some other VMs, possibly stale.
+    pub seeds: Vec<SocketAddr>,
+    /// The figures.
+    pub tuning: Tuning,
+}
+
+/// The figures behind the decisions, each with where it comes from.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    /// How long this VM's lease in the key-value service lives without a renewal. Twice the shortest that the
+    /// service grants: one lost renewal must not end it.
+    pub lease: Span,
+    /// The time between renewals: four fit into a lease.
+    pub renew: Span,
+    /// How long before the end of its lease a holder stops where servers don't check fencing numbers: the longest
+    /// time that an order has been seen on its way.
+    pub lease_guard: Span,
+    /// Whether servers refuse an order under an old fencing number.
+    pub fencing: bool,
+    /// How long a watch waits at the key-value service. Long, since each call is counted against its rates.
+    pub watch: Span,
+    /// The pause after a call of the key-value service that failed.
+    pub store_retry: Span,
+    /// How long a server whose entry lapsed while the key-value service was away may still come back.
+    pub lapse_grace: Span,
+    /// The time an adapter takes from the weight store until one was measured.
+    pub adapter_load: Span,
+    /// How long an order may stay without an answer before it is repeated: several round trips between zones.
+    pub order_timeout: Span,
+    /// Orders of adapters under way over all servers of a service; beyond it each takes longer in proportion.
+    pub loads_at_once: usize,
+    /// Adapters on their way to one server at most: a limit of the servers.
+    pub loads_per_server: usize,
+    /// Requests that the scheduler gives one engine at once. Fewer than the batch holds, since what waits at an
+    /// engine can't go elsewhere any more.
+    pub running_per_engine: u32,
+    /// Prompt work that the scheduler gives one engine ahead of time.
+    pub backlog: Span,
+    /// The share of a service's requests that may be sent a second time, over all VMs.
+    pub retry_ratio: f64,
+    /// Second sends over all VMs in a window that are allowed besides the share.
+    pub retry_extra: f64,
+    /// The length of that window.
+    pub retry_window: Span,
+    /// How long the platform needs to see that a VM is leaving, before it may close connections.
+    pub leave: Span,
+    /// The longest a graceful stop may take.
+    pub grace: Span,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            lease: Span::from_millis(2_000),
+            renew: Span::from_millis(500),
+            lease_guard: Span::from_millis(300),
+            fencing: true,
+            watch: Span::from_secs(10),
+            store_retry: Span::from_millis(150),
+            lapse_grace: Span::from_millis(2_000),
+            adapter_load: Span::from_millis(250),
+            order_timeout: Span::from_millis(300),
+            loads_at_once: 12,
+            loads_per_server: 4,
+            running_per_engine: 16,
+            backlog: Span::from_millis(400),
+            retry_ratio: 0.15,
+            retry_extra: 30.0,
+            retry_window: Span::from_secs(10),
+            leave: Span::from_millis(2_500),
+            grace: Span::from_secs(8),
+        }
+    }
+}
--- a/crates/platform/tests/engine.rs
+++ b/crates/outside/tests/engine.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use dahliastile_platform::engine::{Client, Event, Limit, Route, Work};
-use dahliastile_platform::{Cancel, Endpoint, Error, Fence, Size};
+use dahliastile_outside::engine::{Client, Event, Limit, Route, Work};
+use dahliastile_outside::{Cancel, Endpoint, Error, Fence, Size};
 use serde_json::{Map, Value, json};
 use std::ops::ControlFlow;
 use std::time::{Duration, Instant};
--- a/crates/platform/tests/kv.rs
+++ b/crates/outside/tests/kv.rs
@@ -2,10 +2,8 @@
 
 mod support;
 
-use dahliastile_platform::kv::{
-    Change, Client, Compare, Notice, Outcome, Put, Read, Timeouts, Txn,
-};
-use dahliastile_platform::{Cancel, Endpoint, Error, Lease, Revision};
+use dahliastile_outside::kv::{Change, Client, Compare, Notice, Outcome, Put, Read, Timeouts, Txn};
+use dahliastile_outside::{Cancel, Endpoint, Error, Lease, Revision};
 use serde_json::{Value, json};
 use std::time::Duration;
 use support::{AMPLE, CHUNKED, End, Listener, Nobody, Script, Server, answer, chunk, closes};
--- a/crates/platform/tests/plain.rs
+++ b/crates/outside/tests/plain.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use dahliastile_platform::plain::{Call, Client};
-use dahliastile_platform::{Cancel, Ending, Error, Size, vms};
+use dahliastile_outside::plain::{Call, Client};
+use dahliastile_outside::{Cancel, Ending, Error, Size, vms};
 use support::{AMPLE, CHUNKED, Nobody, Script, Server, answer, chunk, closes};
 
 const LIMIT: Size = Size(20_000);
--- a/crates/platform/tests/sse.rs
+++ b/crates/outside/tests/sse.rs
@@ -1,6 +1,6 @@
 //! Server-sent events: the same events, however their bytes are split.
 
-use dahliastile_platform::{Error, Event, Parser};
+use dahliastile_outside::{Error, Event, Parser};
 use quickcheck::{Arbitrary, Gen};
 
 const SEED: u64 = 0x5EED_0003;
--- a/crates/platform/tests/standin.rs
+++ b/crates/outside/tests/standin.rs
@@ -1,8 +1,8 @@
 //! The clients against the stand-ins of the key-value service and the engine.
 
-use dahliastile_platform::engine::{Client, Event, Limit, Route, Work};
-use dahliastile_platform::kv::{self, Change, Compare, Notice, Outcome, Put, Read, Timeouts, Txn};
-use dahliastile_platform::{Cancel, Endpoint, Error, Fence, Revision};
+use dahliastile_outside::engine::{Client, Event, Limit, Route, Work};
+use dahliastile_outside::kv::{self, Change, Compare, Notice, Outcome, Put, Read, Timeouts, Txn};
+use dahliastile_outside::{Cancel, Endpoint, Error, Fence, Revision};
 use dahliastile_standin::engine::{self, Engine};
 use dahliastile_standin::kv::{Fault, Kv, Settings};
 use dahliastile_standin::{Fault as Trouble, Host, Outage, Service};
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/outside/tests/support/mod.rs
@@ -5,7 +5,7 @@
     reason = "each test file uses a part of this module"
 )]
 
-use dahliastile_platform::Endpoint;
+use dahliastile_outside::Endpoint;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
--- /dev/null
+++ b/crates/shell/src/answer.rs
@@ -0,0 +1,69 @@
+//! The bodies of answers to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::{Either, Full};
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// A whole body, or one that comes piece by piece.
+pub(crate) type Answer = Response<Either<Full<Bytes>, Piped>>;
+
+/// A piece of a body.
+pub(crate) enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The end of a complete body.
+    End,
+}
+
+/// A body is broken off; the connection is closed without the body's end.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer broke off")]
+pub(crate) struct BrokenOff;
+
+/// A body that a task fills. Where the task stops without the end, the body breaks off.
+pub(crate) struct Piped {
+    /// The pieces.
+    pub(crate) pieces: mpsc::Receiver<Piece>,
+    /// Whether the end has come.
+    pub(crate) ended: bool,
+}
+
+impl Body for Piped {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        self.pieces.poll_recv(context).map(|piece| match piece {
+            Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Piece::End) => {
+                self.ended = true;
+                None
+            }
+            None => Some(Err(BrokenOff)),
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
+
+/// An answer with a whole body.
+pub(crate) fn whole(response: Response<Bytes>) -> Answer {
+    response.map(|body| Either::Left(Full::new(body)))
+}
--- /dev/null
+++ b/crates/shell/src/attempt.rs
@@ -0,0 +1,79 @@
+//! One send of a request to a server, up to the head of a stream or the end of a whole answer.
+
+use bytes::Bytes;
+use dahliastile_gateway::effect::Send;
+use dahliastile_gateway::event::{Cause, Ran};
+use http::{Response, request, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use crate::dialect::{Dialect, Reply};
+use crate::hub::Hub;
+use crate::pool::{self, Connection, Fault};
+
+/// The longest answer that is held whole, in bytes: many times the largest of a plain service.
+const LONGEST: usize = 1 << 20;
+
+/// How a send came out.
+pub(crate) enum Tried {
+    /// A whole answer.
+    Whole(Response<Bytes>),
+    /// A stream has begun.
+    Stream(response::Parts, Incoming, Connection),
+    /// The server failed the request; with its own failure, where that can be passed on.
+    Failed(Ran, Cause, Option<Response<Bytes>>),
+}
+
+/// Sends a request to a server; where a stream goes on, after the event with this id.
+pub(crate) async fn attempt<D: Dialect>(
+    hub: &Hub<D>,
+    head: &request::Parts,
+    body: &Bytes,
+    send: &Send,
+    after: Option<&str>,
+) -> Tried {
+    let request = hub
+        .dialect
+        .request(head, body.clone(), send, after)
+        .map(Full::new);
+    let (response, connection) = match hub.pool.send(send.address, request).await {
+        Ok(begun) => begun,
+        Err(Fault::NotSent) => return Tried::Failed(Ran::No, Cause::Unreachable, None),
+        Err(Fault::Malformed) => return Tried::Failed(Ran::Maybe, Cause::Malformed, None),
+        Err(Fault::Broken | Fault::Timeout) => {
+            return Tried::Failed(Ran::Maybe, Cause::Broken, None);
+        }
+    };
+    let (answer, body) = response.into_parts();
+    match hub.dialect.reply(head, &answer) {
+        Reply::Foreign => Tried::Failed(Ran::Maybe, Cause::Malformed, None),
+        Reply::Answer if send.stream => Tried::Stream(answer, body, connection),
+        reply => settle(hub, reply, answer, body, connection).await,
+    }
+}
+
+/// Reads a whole answer.
+async fn settle<D: Dialect>(
+    hub: &Hub<D>,
+    reply: Reply,
+    answer: response::Parts,
+    body: Incoming,
+    connection: Connection,
+) -> Tried {
+    let read = Limited::new(body, LONGEST).collect().await;
+    let whole = match (read, reply) {
+        (Ok(read), _) => {
+            hub.pool.give(connection, pool::keep(&answer.headers));
+            let builder = hub.dialect.answer(&answer);
+            builder.body(read.to_bytes()).ok()
+        }
+        (Err(_), Reply::NotRun(cause)) => return Tried::Failed(Ran::No, cause, None),
+        (Err(_), _) => return Tried::Failed(Ran::Maybe, Cause::Broken, None),
+    };
+    match (reply, whole) {
+        (Reply::NotRun(cause), _) => Tried::Failed(Ran::No, cause, None),
+        (Reply::Failure(status), whole) => Tried::Failed(Ran::Yes, Cause::Status(status), whole),
+        (_, Some(whole)) => Tried::Whole(whole),
+        (_, None) => Tried::Failed(Ran::Maybe, Cause::Malformed, None),
+    }
+}
--- /dev/null
+++ b/crates/shell/src/callers.rs
@@ -0,0 +1,70 @@
+//! Callers' connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::hub::Hub;
+use crate::pool;
+use crate::request;
+
+/// The pause after a connection could not be taken in, mostly for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The least buffer that the HTTP library takes for a head.
+const LEAST_BUFFER: usize = 8_192;
+
+/// How much longer than callers are told an idle connection is kept, so that a request never crosses its end.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Takes callers' connections in. When `leaving` turns true, none is taken in any more, and each is closed after its
+/// request in progress: by then the platform sends callers elsewhere, and one that still comes here is better told at
+/// once than cut off at the end of the grace.
+pub(crate) async fn listen<D: Dialect>(
+    listener: TcpListener,
+    hub: Rc<Hub<D>>,
+    leaving: watch::Receiver<bool>,
+) {
+    let mut stop = leaving.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|leaving| *leaving) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(stream, hub.clone(), leaving.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve<D: Dialect>(stream: TcpStream, hub: Rc<Hub<D>>, mut leaving: watch::Receiver<bool>) {
+    pool::tune(&stream);
+    let service = service_fn(|request| {
+        let hub = hub.clone();
+        async move { Ok::<_, Infallible>(request::serve(hub, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(hub.idle.get() + IDLE_MARGIN)
+        .max_buf_size(hub.head_limit.get().max(LEAST_BUFFER))
+        .title_case_headers(true);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // An error is the caller's doing, or a body that broke off and was told as that.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = leaving.wait_for(|leaving| *leaving) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/shell/src/dialect.rs
@@ -0,0 +1,96 @@
+//! How the outside systems are spoken to.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use dahliastile_core::id::Server;
+use dahliastile_core::time::Span;
+use dahliastile_gateway::effect::{Op, Order, Reason, Send};
+use dahliastile_gateway::event::{Call, Cause, Ordered, Outcome, Report};
+use dahliastile_gateway::settings::Tuning;
+use http::{Request, Response, request, response};
+
+use crate::pool::Client;
+
+/// Why a caller's request can't be taken in at all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// Its head says nothing that could be served.
+    Malformed(&'static str),
+    /// Its body is too large.
+    TooLarge,
+    /// Its body did not come whole.
+    Truncated,
+}
+
+/// What the head of a server's answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The answer to the request, or to be passed on as it is.
+    Answer,
+    /// The server did not run the request and never will.
+    NotRun(Cause),
+    /// The server ran the request, or tried, and failed.
+    Failure(u16),
+    /// No answer to this request.
+    Foreign,
+}
+
+/// Translates between the shell's types and what the outside systems speak. It decides nothing.
+pub trait Dialect: Clone + 'static {
+    /// What a caller's request asks.
+    ///
+    /// # Errors
+    /// Where the head can't be served by any configuration.
+    fn call(&self, head: &request::Parts) -> Result<Call, Rejection>;
+
+    /// The answer to a request that was not taken in.
+    fn rejected(&self, rejection: Rejection) -> Response<Bytes>;
+
+    /// The answer to a request that no server answers, and when its caller may come back.
+    fn refused(&self, reason: Reason, after: Option<Span>) -> Response<Bytes>;
+
+    /// A caller's request as it is sent to a server; where a stream goes on, after the event with this id.
+    fn request(
+        &self,
+        head: &request::Parts,
+        body: Bytes,
+        send: &Send,
+        after: Option<&str>,
+    ) -> Request<Bytes>;
+
+    /// What the head of a server's answer to the request with this head says.
+    fn reply(&self, asked: &request::Parts, answer: &response::Parts) -> Reply;
+
+    /// The head of a server's answer as it is passed on.
+    fn answer(&self, answer: &response::Parts) -> http::response::Builder;
+
+    /// The path at which the platform asks whether this VM is ready.
+    fn readiness_path(&self) -> &'static str;
+
+    /// The figures as the settings file has them now.
+    ///
+    /// # Errors
+    /// Where the file can't be read or is wrong, as a text for the log.
+    fn reload(&self) -> Result<Tuning, String>;
+
+    /// Calls the key-value service.
+    fn store(&self, client: Client, op: Op) -> impl Future<Output = Outcome> + 'static;
+
+    /// Orders something of a server.
+    fn order(
+        &self,
+        client: Client,
+        server: Server,
+        address: SocketAddr,
+        order: Order,
+    ) -> impl Future<Output = Ordered> + 'static;
+
+    /// Asks a server for its report; none where it gave none.
+    fn report(
+        &self,
+        client: Client,
+        server: Server,
+        address: SocketAddr,
+    ) -> impl Future<Output = Option<Report>> + 'static;
+}
--- /dev/null
+++ b/crates/shell/src/driver.rs
@@ -0,0 +1,110 @@
+//! The task that owns the gateway: events in, effects out.
+
+use std::rc::Rc;
+
+use dahliastile_core::time::Instant;
+use dahliastile_gateway::Gateway;
+use dahliastile_gateway::effect::{Effect, Effects, Op};
+use dahliastile_gateway::event::Event;
+
+use crate::clock::{Clock, duration};
+use crate::dialect::Dialect;
+use crate::hub::Hub;
+use crate::journal::Journal;
+use crate::peers::Peers;
+
+/// Events handled before other tasks get their turn.
+const BATCH: usize = 64;
+
+/// Owns the gateway.
+pub(crate) struct Driver<D> {
+    /// The decisions.
+    pub(crate) gateway: Gateway,
+    /// The clock.
+    pub(crate) clock: Clock,
+    /// What the tasks share.
+    pub(crate) hub: Rc<Hub<D>>,
+    /// The links to other VMs.
+    pub(crate) peers: Rc<Peers<D>>,
+    /// The log.
+    pub(crate) journal: Journal,
+    /// The events.
+    pub(crate) mailbox: flume::Receiver<Event>,
+    /// Effects of the present step.
+    pub(crate) effects: Effects,
+}
+
+impl<D: Dialect> Driver<D> {
+    /// Handles events until nothing is in progress after a stop, or the time for that is over.
+    pub(crate) async fn run(&mut self, mut stop: tokio::sync::watch::Receiver<Option<Instant>>) {
+        self.step(Event::Start);
+        loop {
+            let wake = self.clock.at(self.gateway.wake());
+            let deadline = *stop.borrow_and_update();
+            let end = self.clock.at(deadline
+                .unwrap_or(self.clock.now() + dahliastile_core::time::Span::from_secs(3_600)));
+            tokio::select! {
+                event = self.mailbox.recv_async() => match event {
+                    Ok(event) => self.step(event),
+                    Err(_) => return,
+                },
+                () = tokio::time::sleep_until(wake) => self.step(Event::Tick),
+                () = tokio::time::sleep_until(end) => return,
+                _ = stop.changed() => {}
+            }
+            for _ in 0..BATCH {
+                match self.mailbox.try_recv() {
+                    Ok(event) => self.step(event),
+                    Err(_) => break,
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.clock.now();
+        let mut effects = std::mem::take(&mut self.effects);
+        self.gateway.step(now, event, &mut effects);
+        for effect in effects.drain(..) {
+            self.perform(now, effect);
+        }
+        self.effects = effects;
+        let limits = self.gateway.limits();
+        self.hub.ready.set(self.gateway.ready());
+        self.hub.body_limit.set(limits.body);
+        self.hub.head_limit.set(limits.head);
+        self.hub.idle.set(duration(limits.idle_time));
+    }
+
+    fn perform(&mut self, now: Instant, effect: Effect) {
+        match effect {
+            Effect::Request(id, verdict) => self.hub.tell(id, verdict),
+            Effect::Peer(_, address, message) => self.peers.send(address, message),
+            Effect::Log(record) => self.journal.write(now, &record),
+            Effect::Count(_) => {}
+            Effect::Store(id, op) => self.call_store(id, op),
+            Effect::Order(id, server, address, order) => {
+                let hub = self.hub.clone();
+                let answer = hub
+                    .dialect
+                    .order(hub.client.clone(), server, address, order);
+                tokio::task::spawn_local(async move { hub.post(Event::Ordered(id, answer.await)) });
+            }
+            Effect::Report(server, address) => {
+                let hub = self.hub.clone();
+                let answer = hub
+                    .dialect
+                    .report(hub.client.clone(), server.clone(), address);
+                tokio::task::spawn_local(
+                    async move { hub.post(Event::Reported(server, answer.await)) },
+                );
+            }
+        }
+    }
+
+    fn call_store(&self, id: u64, op: Op) {
+        let hub = self.hub.clone();
+        let answer = hub.dialect.store(hub.client.clone(), op);
+        tokio::task::spawn_local(async move { hub.post(Event::Store(id, answer.await)) });
+    }
+}
--- /dev/null
+++ b/crates/shell/src/figures.rs
@@ -0,0 +1,1 @@
+//! Counters and histograms.
--- /dev/null
+++ b/crates/shell/src/hub.rs
@@ -0,0 +1,111 @@
+//! What all tasks of the event loop share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use dahliastile_gateway::effect::Verdict;
+use dahliastile_gateway::event::{Event, RequestId};
+use rustc_hash::FxHashMap;
+use tokio::sync::mpsc;
+
+use crate::pool::{Client, Pool};
+
+/// What all tasks share.
+pub(crate) struct Hub<D> {
+    /// How the outside is spoken to.
+    pub(crate) dialect: D,
+    /// Connections that callers' requests use.
+    pub(crate) pool: Pool,
+    /// Calls to the key-value service, orders and reports.
+    pub(crate) client: Client,
+    /// Where events go.
+    mailbox: flume::Sender<Event>,
+    /// The requests in progress, each with what its task is told through.
+    requests: RefCell<FxHashMap<RequestId, mpsc::UnboundedSender<Verdict>>>,
+    /// The last number given to a request.
+    last: Cell<RequestId>,
+    /// Whether new connections are welcome.
+    pub(crate) ready: Cell<bool>,
+    /// The longest body of a caller.
+    pub(crate) body_limit: Cell<usize>,
+    /// The longest head of a caller.
+    pub(crate) head_limit: Cell<usize>,
+    /// How long a caller's connection may be idle.
+    pub(crate) idle: Cell<std::time::Duration>,
+}
+
+impl<D> Hub<D> {
+    pub(crate) fn new(dialect: D, mailbox: flume::Sender<Event>) -> Rc<Self> {
+        let limits = dahliastile_gateway::config::Limits::default();
+        Rc::new(Self {
+            dialect,
+            pool: Pool::default(),
+            client: Client::new(),
+            mailbox,
+            requests: RefCell::default(),
+            last: Cell::new(0),
+            ready: Cell::new(false),
+            body_limit: Cell::new(limits.body),
+            head_limit: Cell::new(limits.head),
+            idle: Cell::new(crate::clock::duration(limits.idle_time)),
+        })
+    }
+
+    /// Hands an event to the gateway. The mailbox is open as long as the loop runs.
+    pub(crate) fn post(&self, event: Event) {
+        let _ = self.mailbox.send(event);
+    }
+
+    /// A new request, and what its task is told through.
+    pub(crate) fn open(&self) -> (RequestId, mpsc::UnboundedReceiver<Verdict>) {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.requests.borrow_mut().insert(id, sender);
+        (id, receiver)
+    }
+
+    /// Whether requests are in progress.
+    pub(crate) fn busy(&self) -> bool {
+        !self.requests.borrow().is_empty()
+    }
+
+    /// Forgets a request.
+    pub(crate) fn close(&self, id: RequestId) {
+        self.requests.borrow_mut().remove(&id);
+    }
+
+    /// Tells a request's task what to do. One that is over by now hears nothing.
+    pub(crate) fn tell(&self, id: RequestId, verdict: Verdict) {
+        if let Some(sender) = self.requests.borrow().get(&id) {
+            let _ = sender.send(verdict);
+        }
+    }
+}
+
+/// A request's entry in the hub. Dropping it says that the caller has left, unless its end was told.
+pub(crate) struct Ticket<D> {
+    /// The hub.
+    pub(crate) hub: Rc<Hub<D>>,
+    /// The request.
+    pub(crate) id: RequestId,
+    /// Whether the gateway knows that the request is over.
+    pub(crate) done: bool,
+}
+
+impl<D> Ticket<D> {
+    /// Says that the request is over with this event.
+    pub(crate) fn finish(&mut self, event: Event) {
+        self.done = true;
+        self.hub.post(event);
+    }
+}
+
+impl<D> Drop for Ticket<D> {
+    fn drop(&mut self) {
+        self.hub.close(self.id);
+        if !self.done {
+            self.hub.post(Event::Gone(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/shell/src/lib.rs
@@ -0,0 +1,27 @@
+//! One event loop around the decisions of an entry VM.
+//!
+//! One thread runs everything: callers' connections, connections to backend servers, links to other VMs, the
+//! key-value service, timers. One task owns the [`Gateway`](dahliastile_gateway::Gateway) and takes events from a
+//! mailbox; every other task turns bytes into events and effects into bytes, and decides nothing.
+//!
+//! A [`Dialect`] says how the outside systems are spoken to.
+
+mod answer;
+mod attempt;
+mod callers;
+mod clock;
+mod dialect;
+mod driver;
+mod figures;
+mod hub;
+mod journal;
+mod peers;
+mod pool;
+mod probe;
+mod request;
+mod run;
+mod stream;
+
+pub use dialect::{Dialect, Rejection, Reply};
+pub use pool::{Client, Fault, Pool};
+pub use run::{Options, run};
--- /dev/null
+++ b/crates/shell/src/peers.rs
@@ -0,0 +1,139 @@
+//! Links to other entry VMs.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dahliastile_core::id::{Incarnation, Vm};
+use dahliastile_core::time::Span;
+use dahliastile_gateway::event::Event;
+use dahliastile_gateway::message::Message;
+use dahliastile_wire::exchange::{Sender, Sink, serve};
+use rustc_hash::FxHashMap;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::dialect::Dialect;
+use crate::hub::Hub;
+
+/// How long a connection may take to be made.
+const CONNECT: Span = Span::from_millis(300);
+
+/// How long a batch may take to be taken in before the link counts as broken: many round trips between zones.
+const DELIVERY: Span = Span::from_millis(600);
+
+/// The pause after a link broke.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Messages that wait for a link; the oldest are dropped beyond it, since newer ones say more.
+const WAITING: usize = 4_096;
+
+/// The queue of messages to one address.
+#[derive(Default)]
+struct Queue {
+    /// The messages.
+    messages: RefCell<Vec<Message>>,
+    /// Says that there are some.
+    wake: Notify,
+}
+
+/// Links to other VMs, made when there is something to send.
+pub(crate) struct Peers<D> {
+    /// This VM.
+    vm: Vm,
+    /// Its start.
+    incarnation: Incarnation,
+    /// The queues by address.
+    queues: RefCell<FxHashMap<SocketAddr, Rc<Queue>>>,
+    /// Where events go.
+    hub: Rc<Hub<D>>,
+}
+
+impl<D: Dialect> Peers<D> {
+    pub(crate) fn new(vm: Vm, incarnation: Incarnation, hub: Rc<Hub<D>>) -> Rc<Self> {
+        Rc::new(Self {
+            vm,
+            incarnation,
+            queues: RefCell::default(),
+            hub,
+        })
+    }
+
+    /// Sends a message without waiting. It may be lost.
+    pub(crate) fn send(self: &Rc<Self>, address: SocketAddr, message: Message) {
+        let known = self.queues.borrow().get(&address).cloned();
+        let queue = known.unwrap_or_else(|| self.open(address));
+        let mut messages = queue.messages.borrow_mut();
+        if messages.len() >= WAITING {
+            messages.remove(0);
+        }
+        messages.push(message);
+        queue.wake.notify_one();
+    }
+
+    fn open(self: &Rc<Self>, address: SocketAddr) -> Rc<Queue> {
+        let queue = Rc::new(Queue::default());
+        self.queues.borrow_mut().insert(address, queue.clone());
+        tokio::task::spawn_local(self.clone().carry(address, queue.clone()));
+        queue
+    }
+
+    /// Carries messages to one address, with one link after the other.
+    async fn carry(self: Rc<Self>, address: SocketAddr, queue: Rc<Queue>) {
+        loop {
+            queue.wake.notified().await;
+            if let Ok(link) = Sender::open(address, CONNECT).await {
+                queue.wake.notify_one();
+                self.deliver(&link, &queue).await;
+            }
+            queue.messages.borrow_mut().clear();
+            self.hub.post(Event::PeerDown(address));
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Delivers batches until one is not taken in. The next batch does not wait for the last one's answer.
+    async fn deliver(&self, link: &Sender, queue: &Queue) {
+        let mut answers = futures::stream::FuturesUnordered::new();
+        loop {
+            tokio::select! {
+                () = queue.wake.notified() => {
+                    let messages = std::mem::take(&mut *queue.messages.borrow_mut());
+                    match dahliastile_gateway::message::encode(&messages) {
+                        Some(batch) if !messages.is_empty() => {
+                            answers.push(link.deliver(&self.vm, self.incarnation, &batch, DELIVERY));
+                        }
+                        _ => {}
+                    }
+                }
+                Some(answer) = futures::StreamExt::next(&mut answers) => {
+                    let answer: Result<(), dahliastile_wire::Error> = answer;
+                    if answer.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl<D: Dialect> Sink for Peers<D> {
+    fn take(&self, from: Vm, _: Incarnation, batch: &[u8]) {
+        for message in dahliastile_gateway::message::decode(batch).unwrap_or_default() {
+            self.hub.post(Event::Peer(from.clone(), message));
+        }
+    }
+}
+
+/// Takes links in until the process ends.
+pub(crate) async fn listen<D: Dialect>(listener: TcpListener, peers: Rc<Peers<D>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(stream, peers.clone()));
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shell/src/pool.rs
@@ -0,0 +1,225 @@
+//! Connections to servers, kept between requests.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// How long a connection may take to be made. A round trip between zones takes some milliseconds; a first packet that
+/// was lost is sent again after a second, which a caller can't wait for.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// How long an idle connection is kept where the server does not say how long it keeps it.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// How much sooner than the server a connection is given up, so that a request never crosses its end.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// How long the other side may leave bytes unacknowledged before the connection is broken.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+
+/// How long a silent connection waits for its first keep-alive probe, and for each next one.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Keep-alive probes without an answer that break a connection.
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing was sent.
+    NotSent,
+    /// The connection broke after something was sent.
+    Broken,
+    /// The answer can't be read.
+    Malformed,
+    /// No answer came in time.
+    Timeout,
+}
+
+/// A connection that belongs to one request. Dropping it closes it, unless it is given back.
+pub(crate) struct Connection {
+    /// Sends requests.
+    sender: SendRequest<Full<Bytes>>,
+    /// Ends the task that drives it.
+    driver: AbortHandle,
+    /// Whether the task is ended when this is dropped.
+    owned: bool,
+    /// Where it goes back to.
+    address: SocketAddr,
+    /// When it can no longer be used.
+    expires: Instant,
+    /// Whether it has served a request before.
+    used: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.owned {
+            self.driver.abort();
+        }
+    }
+}
+
+/// Connections by address.
+#[derive(Clone, Default)]
+pub struct Pool {
+    /// The idle ones, the last used last.
+    idle: Rc<RefCell<FxHashMap<SocketAddr, Vec<Connection>>>>,
+}
+
+impl Pool {
+    /// Sends a request on a kept connection, or on a new one.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), Fault> {
+        loop {
+            let mut connection = match self.take(address) {
+                Some(connection) => connection,
+                None => connect(address).await?,
+            };
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(mut error) => match error.take_message() {
+                    // Nothing of it was written: another connection can have it.
+                    Some(unsent) if connection.used => request = unsent,
+                    Some(_) => return Err(Fault::NotSent),
+                    None if error.error().is_parse() => return Err(Fault::Malformed),
+                    None => return Err(Fault::Broken),
+                },
+            }
+        }
+    }
+
+    /// Gives a connection back whose answer has been read whole.
+    pub(crate) fn give(&self, mut connection: Connection, keep: Option<Duration>) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let keep = keep.map_or(IDLE, |keep| keep.saturating_sub(IDLE_MARGIN));
+        connection.expires = Instant::now() + keep;
+        connection.used = true;
+        self.idle
+            .borrow_mut()
+            .entry(connection.address)
+            .or_default()
+            .push(connection);
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        let now = Instant::now();
+        connections.retain(|c| c.expires > now && !c.sender.is_closed());
+        let at = connections.iter().rposition(|c| c.sender.is_ready())?;
+        Some(connections.remove(at))
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, Fault> {
+    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = stream else {
+        return Err(Fault::NotSent);
+    };
+    tune(&stream);
+    let mut builder = http1::Builder::new();
+    builder.title_case_headers(true);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| Fault::NotSent)?;
+    // An error of the connection reaches the request that uses it.
+    let driver = tokio::task::spawn_local(async move { drop(connection.await) });
+    Ok(Connection {
+        sender,
+        driver: driver.abort_handle(),
+        owned: true,
+        address,
+        expires: Instant::now(),
+        used: false,
+    })
+}
+
+/// Has a connection break soon when the other side is gone without a word. One that can't be set so still works.
+pub(crate) fn tune(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    let _ = socket.set_tcp_keepalive(&probes);
+}
+
+/// The time that a server says it keeps an idle connection.
+pub(crate) fn keep(headers: &http::HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Calls with small bodies both ways.
+#[derive(Clone)]
+pub struct Client {
+    /// The connections.
+    pool: Pool,
+}
+
+impl Client {
+    /// A client with connections of its own.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            pool: Pool::default(),
+        }
+    }
+
+    /// Calls and reads the whole answer.
+    ///
+    /// # Errors
+    /// Where no whole answer came within the limit.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, Fault> {
+        let call = self.exchange(address, request.map(Full::new));
+        tokio::time::timeout(limit, call)
+            .await
+            .unwrap_or(Err(Fault::Timeout))
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, Fault> {
+        let (response, connection) = self.pool.send(address, request).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(|_| Fault::Broken)?.to_bytes();
+        self.pool.give(connection, keep(&head.headers));
+        Ok(Response::from_parts(head, body))
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/shell/src/request.rs
@@ -0,0 +1,141 @@
+//! The task of one caller's request: it reads it, does what the gateway says, and answers.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use dahliastile_gateway::effect::{Reason, Send, Verdict};
+use dahliastile_gateway::event::{Event, RequestId};
+use http::{Request, Response, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::answer::{Answer, whole};
+use crate::attempt::{Tried, attempt};
+use crate::dialect::{Dialect, Rejection};
+use crate::hub::{Hub, Ticket};
+use crate::stream;
+
+/// A caller's request that has been read whole.
+pub(crate) struct Asked<D> {
+    /// Its entry in the hub.
+    pub(crate) ticket: Ticket<D>,
+    /// Its head.
+    pub(crate) head: request::Parts,
+    /// Its body.
+    pub(crate) body: Bytes,
+    /// What the gateway says.
+    pub(crate) verdicts: UnboundedReceiver<Verdict>,
+}
+
+/// Serves one request.
+pub(crate) async fn serve<D: Dialect>(hub: Rc<Hub<D>>, request: Request<Incoming>) -> Answer {
+    let (head, body) = request.into_parts();
+    let call = match hub.dialect.call(&head) {
+        Ok(call) => call,
+        Err(rejection) => return whole(hub.dialect.rejected(rejection)),
+    };
+    let body = match read(body, hub.body_limit.get()).await {
+        Ok(body) => body,
+        Err(rejection) => return whole(hub.dialect.rejected(rejection)),
+    };
+    let (id, verdicts) = hub.open();
+    let ticket = Ticket {
+        hub: hub.clone(),
+        id,
+        done: false,
+    };
+    hub.post(Event::Arrived(id, Box::new(call)));
+    let asked = Asked {
+        ticket,
+        head,
+        body,
+        verdicts,
+    };
+    asked.run().await
+}
+
+async fn read(body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
+    match Limited::new(body, limit).collect().await {
+        Ok(read) => Ok(read.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Rejection::TooLarge),
+        Err(_) => Err(Rejection::Truncated),
+    }
+}
+
+impl<D: Dialect> Asked<D> {
+    /// Does what the gateway says until there is an answer.
+    async fn run(mut self) -> Answer {
+        let mut kept = None;
+        let mut next = self.verdicts.recv().await;
+        loop {
+            match next {
+                Some(Verdict::Send(send)) => match self.send(&send).await {
+                    Step::Answer(answer) => return whole(answer),
+                    Step::Stream(stream) => return stream::begin(self, *send, *stream),
+                    Step::Failed(response) => {
+                        kept = response;
+                        next = self.verdicts.recv().await;
+                    }
+                    Step::Told(verdict) => next = verdict,
+                },
+                Some(Verdict::Deliver) => {
+                    self.ticket.done = true;
+                    return whole(kept.unwrap_or_else(|| self.refuse(Reason::Failed, None)));
+                }
+                Some(Verdict::Refuse(reason, after)) => {
+                    self.ticket.done = true;
+                    return whole(self.refuse(reason, after));
+                }
+                Some(Verdict::Cut) | None => {
+                    self.ticket.done = true;
+                    return whole(self.refuse(Reason::TimedOut, None));
+                }
+            }
+        }
+    }
+
+    fn refuse(
+        &self,
+        reason: Reason,
+        after: Option<dahliastile_core::time::Span>,
+    ) -> Response<Bytes> {
+        self.ticket.hub.dialect.refused(reason, after)
+    }
+
+    /// Sends the request once, unless the gateway says otherwise meanwhile.
+    async fn send(&mut self, send: &Send) -> Step {
+        let hub = self.ticket.hub.clone();
+        let id: RequestId = self.ticket.id;
+        let tried = tokio::select! {
+            biased;
+            verdict = self.verdicts.recv() => return Step::Told(verdict),
+            tried = attempt(&hub, &self.head, &self.body, send, None) => tried,
+        };
+        match tried {
+            Tried::Whole(response) => {
+                self.ticket.finish(Event::Completed(id));
+                Step::Answer(response)
+            }
+            Tried::Stream(head, body, connection) => {
+                Step::Stream(Box::new((head, body, connection)))
+            }
+            Tried::Failed(ran, cause, response) => {
+                hub.post(Event::Failed(id, ran, cause));
+                Step::Failed(response)
+            }
+        }
+    }
+}
+
+/// How a send came out.
+enum Step {
+    /// The whole answer.
+    Answer(Response<Bytes>),
+    /// A stream has begun.
+    Stream(Box<stream::Begun>),
+    /// The server failed, perhaps with an answer that can be passed on.
+    Failed(Option<Response<Bytes>>),
+    /// The gateway said something meanwhile.
+    Told(Option<Verdict>),
+}
--- /dev/null
+++ b/crates/shell/src/run.rs
@@ -0,0 +1,120 @@
+//! The process: what it listens on, how it starts and how it stops.
+
+use std::net::SocketAddr;
+
+use dahliastile_core::log::{Code, Record};
+use dahliastile_core::time::Span;
+use dahliastile_gateway::Gateway;
+use dahliastile_gateway::event::Event;
+use dahliastile_gateway::settings::Settings;
+use eyre::Context;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::callers;
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::driver::Driver;
+use crate::hub::Hub;
+use crate::journal::Journal;
+use crate::peers::{self, Peers};
+use crate::probe;
+
+/// How long before the end of its grace the process ends by itself.
+const BEFORE_KILL: Span = Span::from_millis(300);
+
+/// How often a stopping process looks whether anything is still in progress.
+const LOOK: Span = Span::from_millis(50);
+
+/// What the process listens on.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the platform's question whether it is ready.
+    pub readiness: SocketAddr,
+    /// For other VMs.
+    pub peers: SocketAddr,
+}
+
+/// Runs an entry VM until it is told to stop.
+///
+/// # Errors
+/// Where it can't listen or can't log.
+pub fn run<D: Dialect>(settings: Settings, options: &Options, dialect: D) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("can't start the event loop")?;
+    LocalSet::new().block_on(&runtime, serve(settings, options, dialect))
+}
+
+async fn serve<D: Dialect>(settings: Settings, options: &Options, dialect: D) -> eyre::Result<()> {
+    let bind = async |address: SocketAddr| {
+        TcpListener::bind(address)
+            .await
+            .wrap_err_with(|| format!("can't listen on {address}"))
+    };
+    let (front, ready, control) = (
+        bind(options.callers).await?,
+        bind(options.readiness).await?,
+        bind(options.peers).await?,
+    );
+    let (sender, mailbox) = flume::unbounded();
+    let hub = Hub::new(dialect, sender);
+    let (leave, leaving) = watch::channel(false);
+    let (end, ending) = watch::channel(None);
+    let peers = Peers::new(settings.vm.clone(), settings.incarnation, hub.clone());
+    tokio::task::spawn_local(callers::listen(front, hub.clone(), leaving));
+    tokio::task::spawn_local(probe::listen(ready, hub.clone()));
+    tokio::task::spawn_local(peers::listen(control, peers.clone()));
+    let clock = Clock::new();
+    let tuning = settings.tuning.clone();
+    let mut journal = Journal::new(settings.vm.clone())?;
+    let started = format!(
+        "incarnation={} callers={} peers={}",
+        settings.incarnation.0, options.callers, options.peers
+    );
+    journal.write(clock.now(), &Record::new(Code::Started, started));
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't listen for signals")?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("can't listen for signals")?;
+    let reloader = hub.clone();
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            reloader.post(Event::Reloaded(reloader.dialect.reload().map(Box::new)));
+        }
+    });
+    let stopper = hub.clone();
+    tokio::task::spawn_local(async move {
+        terminate.recv().await;
+        stopper.post(Event::Stop);
+        let stop = clock.now();
+        tokio::time::sleep_until(clock.at(stop + tuning.leave)).await;
+        // The receivers live as long as the process.
+        let _ = leave.send(true);
+        let last = stop + (tuning.grace - BEFORE_KILL);
+        while stopper.busy() && clock.now() < last {
+            tokio::time::sleep_until(clock.at(clock.now() + LOOK)).await;
+        }
+        let _ = end.send(Some(clock.now() + LOOK));
+    });
+    let mut driver = Driver {
+        gateway: Gateway::new(settings),
+        clock,
+        hub,
+        peers,
+        journal,
+        mailbox,
+        effects: Vec::new(),
+    };
+    driver.run(ending).await;
+    let open = driver.gateway.open();
+    driver.journal.write(
+        clock.now(),
+        &Record::new(Code::Stopped, format!("open={open}")),
+    );
+    driver.journal.flush();
+    Ok(())
+}
--- /dev/null
+++ b/crates/shell/src/stream.rs
@@ -0,0 +1,190 @@
+//! Passing a stream of events on, event by event, and going on elsewhere where its kind allows that.
+
+use bytes::{Bytes, BytesMut};
+use dahliastile_gateway::effect::{Reason, Send, Verdict};
+use dahliastile_gateway::event::{Cause, Event, Ran};
+use http::response;
+use http_body_util::{BodyExt, Either};
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+
+use crate::answer::{Answer, Piece, Piped, whole};
+use crate::attempt::{Tried, attempt};
+use crate::dialect::Dialect;
+use crate::pool::{self, Connection};
+use crate::request::Asked;
+
+/// Pieces that wait for a caller that reads slowly; beyond it the server is not read either.
+const PIECES: usize = 16;
+
+/// The end of an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// The head of a stream, its body and its connection.
+pub(crate) type Begun = (response::Parts, Incoming, Connection);
+
+/// Events as they come, whole ones only.
+#[derive(Default)]
+struct Events {
+    /// Bytes that are no whole event yet.
+    rest: BytesMut,
+    /// The id of the last whole event.
+    last: Option<String>,
+}
+
+impl Events {
+    /// Adds bytes and takes the whole events out.
+    fn add(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.rest.extend_from_slice(bytes);
+        let end = self
+            .rest
+            .windows(EVENT_END.len())
+            .rposition(|w| w == EVENT_END)?;
+        let whole = self.rest.split_to(end + EVENT_END.len()).freeze();
+        let text = String::from_utf8_lossy(&whole);
+        let ids = text.lines().rev().find_map(|line| line.strip_prefix("id:"));
+        if let Some(id) = ids {
+            self.last = Some(id.trim().to_owned());
+        }
+        Some(whole)
+    }
+}
+
+/// How a server's part of a stream ended.
+enum Part {
+    /// With the end of the stream.
+    Whole,
+    /// Without it.
+    Broken,
+    /// The caller has left.
+    Left,
+    /// The gateway said that the time is over.
+    Cut,
+}
+
+/// Answers with a stream that a task of its own passes on.
+pub(crate) fn begin<D: Dialect>(asked: Asked<D>, send: Send, begun: Begun) -> Answer {
+    let (head, body, connection) = begun;
+    let (pieces, receiver) = mpsc::channel(PIECES);
+    let builder = asked.ticket.hub.dialect.answer(&head);
+    let piped = Piped {
+        pieces: receiver,
+        ended: false,
+    };
+    let Ok(answer) = builder.body(Either::Right(piped)) else {
+        return whole(asked.ticket.hub.dialect.refused(Reason::Failed, None));
+    };
+    let keep = pool::keep(&head.headers);
+    tokio::task::spawn_local(pass(asked, send, body, connection, keep, pieces));
+    answer
+}
+
+async fn pass<D: Dialect>(
+    mut asked: Asked<D>,
+    send: Send,
+    mut body: Incoming,
+    mut connection: Connection,
+    mut keep: Option<std::time::Duration>,
+    pieces: mpsc::Sender<Piece>,
+) {
+    let mut events = Events::default();
+    let mut begun = false;
+    loop {
+        let id = asked.ticket.id;
+        let part = part(&mut asked, &mut body, &mut events, &mut begun, &pieces).await;
+        match part {
+            Part::Whole => {
+                asked.ticket.hub.pool.give(connection, keep);
+                let rest = std::mem::take(&mut events.rest).freeze();
+                if !rest.is_empty() {
+                    let _ = pieces.send(Piece::Data(rest)).await;
+                }
+                let _ = pieces.send(Piece::End).await;
+                asked.ticket.finish(Event::Completed(id));
+                return;
+            }
+            Part::Left => return,
+            Part::Cut => {
+                asked.ticket.done = true;
+                return;
+            }
+            Part::Broken => {}
+        }
+        drop(connection);
+        events.rest.clear();
+        asked
+            .ticket
+            .hub
+            .post(Event::Failed(id, Ran::Maybe, Cause::Broken));
+        if !send.resumable {
+            asked.ticket.done = true;
+            return;
+        }
+        match go_on(&mut asked, events.last.as_deref()).await {
+            Some((head, next, link)) => {
+                keep = pool::keep(&head.headers);
+                body = next;
+                connection = link;
+            }
+            None => return,
+        }
+    }
+}
+
+/// Passes on what comes from one server.
+async fn part<D: Dialect>(
+    asked: &mut Asked<D>,
+    body: &mut Incoming,
+    events: &mut Events,
+    begun: &mut bool,
+    pieces: &mpsc::Sender<Piece>,
+) -> Part {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = pieces.closed() => return Part::Left,
+            _ = asked.verdicts.recv() => return Part::Cut,
+            frame = body.frame() => frame,
+        };
+        let data = match frame {
+            None => return Part::Whole,
+            Some(Err(_)) => return Part::Broken,
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let Some(whole) = events.add(&data) else {
+            continue;
+        };
+        if !*begun {
+            *begun = true;
+            asked.ticket.hub.post(Event::Begun(asked.ticket.id));
+        }
+        if pieces.send(Piece::Data(whole)).await.is_err() {
+            return Part::Left;
+        }
+    }
+}
+
+/// Has a stream go on at another server after the last whole event, as the gateway says.
+async fn go_on<D: Dialect>(asked: &mut Asked<D>, after: Option<&str>) -> Option<Begun> {
+    let hub = asked.ticket.hub.clone();
+    let id = asked.ticket.id;
+    loop {
+        let Some(Verdict::Send(send)) = asked.verdicts.recv().await else {
+            asked.ticket.done = true;
+            return None;
+        };
+        let tried = tokio::select! {
+            biased;
+            _ = asked.verdicts.recv() => {
+                asked.ticket.done = true;
+                return None;
+            }
+            tried = attempt(&hub, &asked.head, &asked.body, &send, after) => tried,
+        };
+        match tried {
+            Tried::Stream(head, body, connection) => return Some((head, body, connection)),
+            Tried::Whole(_) => hub.post(Event::Failed(id, Ran::Yes, Cause::Malformed)),
+            Tried::Failed(ran, cause, _) => hub.post(Event::Failed(id, ran, cause)),
+        }
+    }
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -43,7 +43,7 @@
 use self::context::Context;
 use self::courier::Courier;
 use self::inbound::Inbound;
-use self::socket::Socket;
+pub(crate) use self::socket::Socket;
 use crate::error::{Error, Result, Step};
 use crate::message::{MAX_MESSAGE, WORD, encode_bounded};
 
@@ -214,7 +214,7 @@
 }
 
 /// Sets up the RPC system on a connection.
-fn rpc(
+pub(crate) fn rpc(
     socket: &Socket,
     side: Side,
     bootstrap: Option<capnp::capability::Client>,
@@ -226,7 +226,7 @@
 }
 
 /// Waits for a step, but not longer than its limit.
-async fn within<T>(step: Step, limit: Span, work: impl Future<Output = T>) -> Result<T> {
+pub(crate) async fn within<T>(step: Step, limit: Span, work: impl Future<Output = T>) -> Result<T> {
     tokio::time::timeout(duration(limit), work)
         .await
         .map_err(|_| Error::Timeout { step, limit })
