A VM whose keys the store took away is still reached

Found by the lines of one id: arrival, no send, caller left after 3.995 s.

Ruled out: overload (same seconds, other VMs placed at once).

Change: addresses outlive entries (book.rs); a VM counts as gone only when its entry is gone and its link is down; VMs say where they are when they introduce themselves, and one that knows nobody asks the seeds.

Test: vm_revokedisstillserved failed before, passes now; holder_revokedisreplacedandserved passed before.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -222,13 +222,17 @@
 
     /// A link broke: where it led to a holder, this VM goes on alone until it hears of one again.
     pub(crate) fn peer_down(&mut self, address: SocketAddr, out: &mut Effects) {
-        let services: Vec<Service> = self.agents.keys().cloned().collect();
+        let Some((vm, gone)) = self.book.down(address) else {
+            return;
+        };
+        if gone {
+            self.desk_vm_gone(&vm);
+        }
+        let holds = |agent: &State| agent.holder.as_ref() == Some(&vm);
+        let led = self.agents.iter().filter(|(_, agent)| holds(agent));
+        let services: Vec<Service> = led.map(|(service, _)| service.clone()).collect();
         for service in services {
-            let holder = self.agents[&service].holder.clone();
-            let at = holder.and_then(|vm| self.member_address(&vm));
-            if at == Some(address) {
-                self.holder_silent(&service, "link_down", out);
-            }
+            self.holder_silent(&service, "link_down", out);
         }
     }
 
@@ -293,7 +297,7 @@
         self.timers.set(self.now + SILENCE, Timer::Seat);
         self.send(
             &holder,
-            Message::Hello(service.clone(), running, wants),
+            Message::Hello(service.clone(), self.member(), running, wants),
             out,
         );
     }
@@ -314,12 +318,4 @@
         }
         (running, wants)
     }
-
-    fn member_address(&self, vm: &Vm) -> Option<SocketAddr> {
-        let change = self.facts.get(&Subject::Member(vm.clone()))?;
-        match change.fact.as_ref()? {
-            Fact::Member(member) => Some(member.address),
-            _ => None,
-        }
-    }
 }
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use dahliastile_core::id::{Server, Vm};
+use dahliastile_core::id::Server;
 use dahliastile_core::log::Record;
 use dahliastile_core::time::Span;
 
@@ -111,8 +111,8 @@
     Order(OrderId, Server, SocketAddr, Order),
     /// Asks a server for its report.
     Report(Server, SocketAddr),
-    /// Sends a message to another VM.
-    Peer(Vm, SocketAddr, Message),
+    /// Sends a message to the VM at an address.
+    Peer(SocketAddr, Message),
     /// Writes a log event.
     Log(Record),
     /// Counts something by name.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,10 +5,11 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::config::{Config, Index};
-use crate::effect::{Effects, Op, OpId};
+use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::Outcome;
 use crate::fact::{Backend, Change, Fact, Revision, Subject};
 use crate::message::Message;
@@ -149,11 +150,20 @@
         if self.follow.away.is_none() || self.now < self.follow.ask {
             return;
         }
-        let peers: Vec<Vm> = self.peers().cloned().collect();
-        if !peers.is_empty() {
-            let peer = &peers[self.rng.random_range(0..peers.len())];
+        let known = self.peers().filter_map(|vm| self.book.address(vm));
+        let mut addresses: Vec<SocketAddr> = known.collect();
+        if addresses.is_empty() {
+            // Nobody was ever heard of: the settings name some that may be there.
+            let own = self.settings.address;
+            addresses.extend(self.settings.seeds.iter().filter(|seed| **seed != own));
+        }
+        if !addresses.is_empty() {
+            let address = addresses[self.rng.random_range(0..addresses.len())];
             let revision = self.follow.cursor.unwrap_or(0);
-            self.send(peer, Message::Follow(revision), out);
+            out.push(Effect::Peer(
+                address,
+                Message::Follow(self.member(), revision),
+            ));
         }
         self.follow.ask = self.now + ASK_PEERS_EVERY;
         self.timers.set(self.follow.ask, Timer::Follow);
@@ -236,7 +246,8 @@
                 self.holder_named(&service, &holder, change.created, out);
             }
             (Subject::Holder(service), _) => self.holder_gone(&service, out),
-            (Subject::Member(vm), None) => self.desk_vm_gone(&vm),
+            (Subject::Member(vm), Some(Fact::Member(member))) => self.book.listed(&vm, &member),
+            (Subject::Member(vm), _) if self.book.unlisted(&vm) => self.desk_vm_gone(&vm),
             _ => {}
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
 
 mod agent;
+mod book;
 pub mod budget;
 pub mod config;
 pub mod desk;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::event::{Cause, Ran, RequestId, Work};
-use crate::fact::{Change, Resident, Revision, Version};
+use crate::fact::{Change, Member, Resident, Revision, Version};
 
 /// A request that wants a place at an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,8 +66,8 @@
     Want(Service, Want),
     /// To the scheduler: a request is no longer waited for, or went on.
     Progress(Service, RequestId, Progress),
-    /// To a new scheduler: all that runs and waits on this VM, in place of all said before.
-    Hello(Service, Vec<Running>, Vec<Want>),
+    /// To a new scheduler: where this VM is, and all that runs and waits on it, in place of all said before.
+    Hello(Service, Member, Vec<Running>, Vec<Want>),
     /// From the scheduler, under its fencing number: where a request goes.
     Place(Service, u64, RequestId, Server, Option<Version>),
     /// From the scheduler: a request can't be served in time; when to come back.
@@ -76,8 +76,8 @@
     Residents(Service, u64, Vec<Holding>),
     /// From the scheduler: it is there.
     Alive(Service, u64),
-    /// This VM can't reach the key-value service: all changes after the revision, please.
-    Follow(Revision),
+    /// This VM, which is there, can't reach the key-value service: all changes after the revision, please.
+    Follow(Member, Revision),
     /// Changes of the key-value service.
     Changes(Vec<Change>),
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,12 +11,13 @@
 use rustc_hash::FxHashMap;
 
 use crate::agent;
+use crate::book::Book;
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
 use crate::desk::Desk;
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::{Event, RequestId};
-use crate::fact::{Fact, Subject, Table};
+use crate::fact::{Member, Table};
 use crate::flow::Flow;
 use crate::follow;
 use crate::message::Message;
@@ -40,6 +41,8 @@
     pub(crate) config: Option<Arc<Config>>,
     /// Its index.
     pub(crate) index: Index,
+    /// The other entry VMs.
+    pub(crate) book: Book,
     /// The backend servers that take work, and what this VM knows of them.
     pub(crate) servers: BTreeMap<Server, Row>,
     /// The requests of this VM's callers.
@@ -72,6 +75,7 @@
             facts: Table::default(),
             config: None,
             index: Index::default(),
+            book: Book::default(),
             servers: BTreeMap::new(),
             flows: FxHashMap::default(),
             budgets: BTreeMap::new(),
@@ -139,23 +143,25 @@
 
     /// Sends a message to another VM, if its address is known.
     pub(crate) fn send(&self, to: &Vm, message: Message, out: &mut Effects) {
-        let member = self.facts.get(&Subject::Member(to.clone()));
-        match member.and_then(|change| change.fact.as_ref()) {
-            Some(Fact::Member(member)) => {
-                out.push(Effect::Peer(to.clone(), member.address, message));
-            }
-            _ => out.push(Effect::Count("peer_unknown")),
+        match self.book.address(to) {
+            Some(address) => out.push(Effect::Peer(address, message)),
+            None => out.push(Effect::Count("peer_unknown")),
         }
     }
 
-    /// The entry VMs known besides this one.
+    /// The entry VMs that are there besides this one.
     pub(crate) fn peers(&self) -> impl Iterator<Item = &Vm> {
-        self.facts
-            .present()
-            .filter_map(|change| match &change.subject {
-                Subject::Member(vm) if *vm != self.settings.vm => Some(vm),
-                _ => None,
-            })
+        let me = &self.settings.vm;
+        self.book.present(self.now).filter(move |vm| *vm != me)
+    }
+
+    /// This VM as it describes itself.
+    pub(crate) fn member(&self) -> Member {
+        Member {
+            address: self.settings.address,
+            zone: self.settings.zone.clone(),
+            incarnation: self.settings.incarnation,
+        }
     }
 
     pub(crate) fn store(&mut self, op: Op, out: &mut Effects) -> OpId {
@@ -201,14 +207,19 @@
     }
 
     fn heard(&mut self, from: &Vm, message: Message, out: &mut Effects) {
+        self.book.heard(from, self.now);
         match message {
-            Message::Follow(revision) => self.follow_asked(from, revision, out),
+            Message::Follow(member, revision) => {
+                self.book.introduced(from, &member);
+                self.follow_asked(from, revision, out);
+            }
             Message::Changes(changes) => self.take_changes(changes, false, out),
             Message::Want(service, want) => self.wanted(&service, from, want),
             Message::Progress(service, request, progress) => {
                 self.progressed(&service, from, request, progress);
             }
-            Message::Hello(service, running, wants) => {
+            Message::Hello(service, member, running, wants) => {
+                self.book.introduced(from, &member);
                 self.introduced(&service, from, &running, wants);
             }
             Message::Place(service, fence, request, server, version) => {
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -16,7 +16,7 @@
 use crate::desk::{Decision, Desk};
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::{Lease, Outcome};
-use crate::fact::{Change, Fact, Holder, Member, Subject};
+use crate::fact::{Change, Fact, Holder, Subject};
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -278,13 +278,8 @@
         let Some(lease) = self.seats.lease else {
             return;
         };
-        let settings = &self.settings;
-        let fact = Fact::Member(Member {
-            address: settings.address,
-            zone: settings.zone.clone(),
-            incarnation: settings.incarnation,
-        });
-        let change = own(Subject::Member(settings.vm.clone()), fact);
+        let fact = Fact::Member(self.member());
+        let change = own(Subject::Member(self.settings.vm.clone()), fact);
         self.seat_call(Purpose::Member, Op::Put(change, lease, None), out);
     }
 
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -173,3 +173,41 @@
     );
     world.check();
 }
+
+/// The key-value service turns one VM away and takes its keys: the others must still reach it.
+#[test]
+fn vm_revokedisstillserved() {
+    let mut world = warm();
+    let vm = (world.holder().expect("a holder") + 1) % 4;
+    world.revoke(vm);
+    let numbers = traffic(&mut world, Span::from_secs(5));
+    let cold = world.ask(
+        vm,
+        call("cold", "/plan/x", 5_000, Some(work("a77", 600, 15))),
+    );
+    world.run(Span::from_secs(5));
+    let mine: Vec<u64> = numbers
+        .into_iter()
+        .filter(|n| world.asked[n].vm == vm)
+        .collect();
+    assert_eq!(served(&world, &mine), mine.len());
+    assert!(world.first_piece(cold).expect("served") < Span::from_millis(700));
+    world.check();
+}
+
+/// The same for the scheduler's own VM.
+#[test]
+fn holder_revokedisreplacedandserved() {
+    let mut world = warm();
+    let vm = world.holder().expect("a holder");
+    world.revoke(vm);
+    let numbers = traffic(&mut world, Span::from_secs(5));
+    assert_ne!(world.holder(), Some(vm));
+    world.run(Span::from_secs(5));
+    let mine: Vec<u64> = numbers
+        .into_iter()
+        .filter(|n| world.asked[n].vm == vm)
+        .collect();
+    assert_eq!(served(&world, &mine), mine.len());
+    world.check();
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -35,7 +35,7 @@
     /// Its id.
     pub id: Server,
     /// Whether it has adapters.
-    pub engine: bool,
+    pub adapters: bool,
     /// Its adapters.
     pub slots: BTreeMap<Arc<str>, Slot>,
     /// Whether it holds the base model, and from when on.
@@ -63,7 +63,7 @@
     pub fn new(id: &str, engine: bool, places: usize) -> Self {
         Self {
             id: super::setup::name(id),
-            engine,
+            adapters: engine,
             slots: BTreeMap::new(),
             base: Some(Instant::default()),
             places,
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -259,6 +259,17 @@
         self.deliver(vm, Event::Stop);
     }
 
+    /// The key-value service turns a VM away and takes away what it wrote.
+    pub fn revoke(&mut self, vm: usize) {
+        self.hosts[vm].store = false;
+        self.store
+            .remove(&Subject::Member(name(&format!("vm{vm}"))));
+        if self.holder() == Some(vm) {
+            self.store.remove(&Subject::Holder(name(ENGINES)));
+        }
+        self.wake_watchers();
+    }
+
     /// Has a VM stand still for a while.
     pub fn freeze(&mut self, vm: usize, span: Span) {
         let until = self.now + span;
@@ -401,7 +412,7 @@
             }
             Act::Store(vm, start, op, call) => self.call_store(vm, start, op, call),
             Act::Order(vm, start, id, server, order, silent) => {
-                self.carry_out(vm, start, id, &server, &order, silent)
+                self.carry_out(vm, start, id, &server, &order, silent);
             }
             Act::Report(vm, start, server) => {
                 let now = self.now;
@@ -614,7 +625,7 @@
         let (now, start, net) = (self.now, self.hosts[vm].start, self.hosts[vm].net);
         match effect {
             Effect::Request(number, Verdict::Send(send)) if net => {
-                self.at(now + WAY, Act::Arrive(vm, start, number, *send))
+                self.at(now + WAY, Act::Arrive(vm, start, number, *send));
             }
             Effect::Request(number, Verdict::Send(_)) => {
                 let event = Event::Failed(number, Ran::No, Cause::Unreachable);
@@ -639,13 +650,9 @@
                     Act::Event(vm, start, Event::Reported(server, None)),
                 );
             }
-            Effect::Peer(to, _, message) => {
-                let to: usize = to
-                    .as_str()
-                    .trim_start_matches("vm")
-                    .parse()
-                    .expect("a number");
-                if net {
+            Effect::Peer(address, message) => {
+                let to = (0..self.hosts.len()).find(|to| setup::address(1, *to) == address);
+                if let Some(to) = to.filter(|_| net) {
                     self.at(now + WAY, Act::Peer(vm, to, message));
                 }
             }
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -79,7 +79,7 @@
     fn perform(&mut self, now: Instant, effect: Effect) {
         match effect {
             Effect::Request(id, verdict) => self.hub.tell(id, verdict),
-            Effect::Peer(_, address, message) => self.peers.send(address, message),
+            Effect::Peer(address, message) => self.peers.send(address, message),
             Effect::Log(record) => self.journal.write(now, &record),
             Effect::Count(_) => {}
             Effect::Store(id, op) => self.call_store(id, op),
