Failures fade, and never put more than a third of the engines last

Change: the share of failures halves every 1.5 s without news, which gives a trial every second or two; only the worst third of the engines comes last, since a fault common to all is not theirs and work has nowhere better to go.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -24,6 +24,7 @@
 use crate::effect::{Order, OrderId};
 use crate::event::{Ordered, Report, RequestId};
 use crate::fact::{Backend, Version};
+use crate::health::{Health, last};
 use crate::message::{Holding, Progress, Running, Want};
 use crate::settings::Settings;
 
@@ -260,6 +261,7 @@
         self.due = now + ALIVE_EVERY;
         out.extend(self.notes.drain(..).map(Decision::Log));
         self.settle(now, out);
+        self.judge(now);
         self.place_jobs(now, out);
         self.plan_loads(now, out);
         self.refuse_jobs(now, out);
@@ -267,6 +269,15 @@
         self.tell(now, out);
     }
 
+    /// Has the engines that fail most come last for now.
+    fn judge(&mut self, now: Instant) {
+        let health: Vec<&Health> = self.engines.values().map(|engine| &engine.health).collect();
+        let last = last(now, &health);
+        for (at, engine) in self.engines.values_mut().enumerate() {
+            engine.last = last.contains(&at);
+        }
+    }
+
     /// Has the next run come no later than at a time.
     pub(crate) fn by(&mut self, at: Instant) {
         self.due = self.due.min(at);
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -104,6 +104,8 @@
     pub(crate) last_order: Instant,
     /// What requests say of its health.
     pub(crate) health: Health,
+    /// Whether it comes last for now.
+    pub(crate) last: bool,
 }
 
 impl Engine {
@@ -125,6 +127,7 @@
             tries: 0,
             last_order: Instant::default(),
             health: Health::default(),
+            last: false,
         }
     }
 
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -131,7 +131,7 @@
         let fit = self.engines.iter().filter(|(_, engine)| {
             engine.usable()
                 && engine.bases.contains(&key.model)
-                && !engine.health.shunned(now)
+                && !engine.last
                 && engine.coming() < self.settings.tuning.loads_per_server
         });
         let choices = fit.filter_map(|(server, engine)| {
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -167,7 +167,7 @@
             return;
         };
         engine.read(now, prompt, since);
-        engine.health.good();
+        engine.health.good(now);
         if let Some(place) = key.and_then(|key| engine.places.get_mut(&key)) {
             place.refusals = 0;
         }
@@ -207,7 +207,7 @@
             }
             Cause::Missing | Cause::Full => {}
             Cause::Unreachable | Cause::Broken => engine.health.dead(now),
-            Cause::Malformed | Cause::Status(_) => engine.health.bad(),
+            Cause::Malformed | Cause::Status(_) => engine.health.bad(now),
         }
     }
 }
@@ -218,10 +218,6 @@
         Some(zone) if *zone != engine.backend.zone => OTHER_ZONE,
         _ => Span::ZERO,
     };
-    let shunned = if engine.health.shunned(now) {
-        SHUNNED
-    } else {
-        Span::ZERO
-    };
+    let shunned = if engine.last { SHUNNED } else { Span::ZERO };
     engine.backlog(now) + EACH_RUNNING.times(u64::from(engine.running)) + away + shunned
 }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -231,7 +231,7 @@
             .server()
             .and_then(|server| self.servers.get_mut(server))
         {
-            row.health.good();
+            row.health.good(self.now);
         }
         self.end(request, Progress::Over, out);
     }
@@ -449,7 +449,7 @@
 fn judge(health: &mut crate::health::Health, cause: Cause, now: Instant) {
     match cause {
         Cause::Unreachable | Cause::Broken => health.dead(now),
-        Cause::Malformed | Cause::Status(_) => health.bad(),
+        Cause::Malformed | Cause::Status(_) => health.bad(now),
         Cause::Full | Cause::Missing => {}
     }
 }
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -15,11 +15,17 @@
 /// The longest such pause: about the time a crashed server takes to start again.
 const LONGEST_PAUSE: Span = Span::from_millis(3_000);
 
+/// The time in which the share of failures halves without news: a server that comes last gets a trial every second or
+/// two, which is about how long a fault that passes lasts.
+const HALF_LIFE: Span = Span::from_millis(1_500);
+
 /// One server's health.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    /// The share of failures among the last answers.
+    /// The share of failures among the last answers, as of `at`.
     failures: f64,
+    /// When that was computed.
+    at: Instant,
     /// Until when it comes last.
     until: Instant,
     /// The last pause.
@@ -28,19 +34,19 @@
 
 impl Health {
     /// Counts an answer.
-    pub fn good(&mut self) {
-        self.failures *= 1.0 - WEIGHT;
+    pub fn good(&mut self, now: Instant) {
+        self.count(now, 0.0);
         self.pause = Span::ZERO;
     }
 
     /// Counts a failure of the server's work.
-    pub fn bad(&mut self) {
-        self.failures += (1.0 - self.failures) * WEIGHT;
+    pub fn bad(&mut self, now: Instant) {
+        self.count(now, 1.0);
     }
 
     /// Counts a server that does not react at all; it comes last for a while, twice as long each time.
     pub fn dead(&mut self, now: Instant) {
-        self.bad();
+        self.bad(now);
         if now < self.until {
             return;
         }
@@ -51,12 +57,35 @@
     /// Whether the server comes last.
     #[must_use]
     pub fn shunned(&self, now: Instant) -> bool {
-        now < self.until || self.failures > BAD
+        now < self.until || self.failures(now) > BAD
     }
 
     /// The share of failures.
     #[must_use]
-    pub fn failures(&self) -> f64 {
-        self.failures
+    pub fn failures(&self, now: Instant) -> f64 {
+        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.failures * (-halves).exp2()
+    }
+
+    fn count(&mut self, now: Instant, failed: f64) {
+        let share = self.failures(now);
+        self.failures = share + (failed - share) * WEIGHT;
+        self.at = now;
     }
 }
+
+/// The servers that come last, by their place in the list: those that failed most, but never more than a third of all.
+/// Where more fail, the fault is not theirs alone, and work has nowhere better to go.
+#[must_use]
+pub fn last(now: Instant, servers: &[&Health]) -> Vec<usize> {
+    let shunned = servers
+        .iter()
+        .enumerate()
+        .filter(|(_, health)| health.shunned(now));
+    let mut worst: Vec<(usize, f64)> = shunned
+        .map(|(at, health)| (at, health.failures(now)))
+        .collect();
+    worst.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+    worst.truncate(servers.len() / 3);
+    worst.into_iter().map(|(at, _)| at).collect()
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -54,7 +54,7 @@
         } else {
             0.0
         };
-        load + away + last + self.health.failures()
+        load + away + last + self.health.failures(now)
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/health.rs
@@ -0,0 +1,98 @@
+//! Servers that fail what they run, some of them or all, and come back.
+
+mod support;
+
+use dahliastile_core::id::Server;
+use dahliastile_core::time::Span;
+use support::setup::{call, work};
+use support::{Answer, World};
+
+/// Requests for one of eight adapters in turn, every 40 ms for the span; their numbers.
+fn traffic(world: &mut World, span: Span) -> Vec<u64> {
+    let mut numbers = Vec::new();
+    let step = Span::from_millis(40);
+    for at in 0..span.0 / step.0 {
+        let vm = usize::try_from(at).expect("small") % world.hosts.len();
+        let adapter = format!("a{}", at * 5 % 8);
+        let draft = call(
+            &format!("r{at}"),
+            "/plan/x",
+            5_000,
+            Some(work(&adapter, 600, 15)),
+        );
+        numbers.push(world.ask(vm, draft));
+        world.run(step);
+    }
+    numbers
+}
+
+fn served(world: &World, numbers: &[u64]) -> usize {
+    let served = |n: &&u64| matches!(world.answer(**n), Some(Answer::Served(_)));
+    numbers.iter().filter(served).count()
+}
+
+fn fail(world: &mut World, ids: &[&str], failing: bool) {
+    for id in ids {
+        let id: Server = support::setup::name(id);
+        world.servers.get_mut(&id).expect("a server").0.failing = failing;
+    }
+}
+
+fn warm() -> World {
+    let mut world = World::new(3, 4, 1);
+    world.run(Span::from_secs(2));
+    traffic(&mut world, Span::from_secs(2));
+    world
+}
+
+/// All engines fail for some seconds, as when a fault of theirs is common to all: afterwards each must get work again.
+#[test]
+fn engines_allfailandreturn() {
+    let mut world = warm();
+    let all = ["e0", "e1", "e2", "e3"];
+    fail(&mut world, &all, true);
+    traffic(&mut world, Span::from_secs(4));
+    fail(&mut world, &all, false);
+    let after = traffic(&mut world, Span::from_secs(3));
+    world.run(Span::from_secs(5));
+    let good = served(&world, &after);
+    assert!(good * 100 >= after.len() * 97, "{good} of {}", after.len());
+    world.check();
+}
+
+/// One engine of four fails for good while it looks well: the others must serve nearly all.
+#[test]
+fn engine_onefailsisavoided() {
+    let mut world = warm();
+    fail(&mut world, &["e1"], true);
+    traffic(&mut world, Span::from_secs(2));
+    let numbers = traffic(&mut world, Span::from_secs(4));
+    world.run(Span::from_secs(5));
+    let good = served(&world, &numbers);
+    assert!(
+        good * 100 >= numbers.len() * 90,
+        "{good} of {}",
+        numbers.len()
+    );
+    world.check();
+}
+
+/// An engine that failed and is well again gets work again.
+#[test]
+fn engine_wellagainisused() {
+    let mut world = warm();
+    fail(&mut world, &["e1"], true);
+    traffic(&mut world, Span::from_secs(3));
+    fail(&mut world, &["e1"], false);
+    traffic(&mut world, Span::from_secs(6));
+    let from = world.now;
+    traffic(&mut world, Span::from_secs(4));
+    let id: Server = support::setup::name("e1");
+    let runs = world.asked.values().flat_map(|a| &a.runs);
+    assert!(
+        runs.filter(|(at, server)| *at > from && *server == id)
+            .count()
+            > 0
+    );
+    world.check();
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -54,6 +54,8 @@
     pub crash: Option<String>,
     /// The fencing numbers of the orders it accepted, with their times.
     pub fences: Vec<(Instant, u64)>,
+    /// Whether it fails what it runs.
+    pub failing: bool,
     /// Adapters loaded.
     pub loads: u32,
 }
@@ -73,6 +75,7 @@
             up: true,
             crash: None,
             fences: Vec::new(),
+            failing: false,
             loads: 0,
         }
     }
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -555,7 +555,15 @@
             );
             return;
         };
+        let failing = engine.failing;
         asked.runs.push((now, send.server.clone()));
+        if failing {
+            self.at(
+                begun + WAY,
+                Act::Event(vm, start, failed(Ran::Yes, Cause::Status(500))),
+            );
+            return;
+        }
         if let Some(adapter) = call.work.as_ref().and_then(|w| w.adapter.as_ref()) {
             let newest = send.version.unwrap_or(0);
             let ran = self.servers[&send.server].0.slots[adapter].version;
