A seat is taken over when its holder is silent, or was an earlier start of the same VM

Ruled out: a shorter lease alone (a slow store answers in 240 ms and more, renewals would be lost).

Change: the fencing number is the revision at which the seat was last written, so that it can be overwritten under a condition. A VM overwrites its own earlier start's entry at once, and, where engines check fencing numbers, that of a holder that is silent (link down, or no word for 900 ms) and has held for 3.5 s or more. Without fencing the lease decides as before.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -30,7 +30,7 @@
     /// When the holder was last heard.
     heard: Instant,
     /// Whether it counts as silent.
-    silent: bool,
+    pub(crate) silent: bool,
     /// What each engine held by its last word.
     residents: BTreeMap<Server, Vec<Resident>>,
 }
@@ -145,11 +145,15 @@
             return;
         }
         let changed = agent.fence != fence || agent.holder.as_ref() != Some(&holder.vm);
+        let known = agent.holder.is_some();
         agent.fence = fence;
         agent.holder = Some(holder.vm.clone());
         if !changed {
             return;
         }
+        if known {
+            self.seats.note_change(service, self.now);
+        }
         Self::log(
             out,
             Code::HolderNamed,
@@ -160,6 +164,7 @@
         } else {
             self.seat_lost(service, out);
             self.introduce(service, out);
+            self.seats_changed(out);
         }
     }
 
@@ -268,6 +273,7 @@
             format!("service={service} vm={:?} why={why}", agent.holder),
         );
         self.go_alone(service, out);
+        self.seats_changed(out);
     }
 
     /// Places what waits without the scheduler, as far as its adapters are resident.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -243,7 +243,7 @@
             }
             (Subject::Server(server), _) => self.lose_server(&server, out),
             (Subject::Holder(service), Some(Fact::Holder(holder))) => {
-                self.holder_named(&service, &holder, change.created, out);
+                self.holder_named(&service, &holder, change.revision, out);
             }
             (Subject::Holder(service), _) => self.holder_gone(&service, out),
             (Subject::Member(vm), Some(Fact::Member(member))) => self.book.listed(&vm, &member),
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -1,7 +1,7 @@
 //! This VM's lease in the key-value service, and the seats under it: the right to schedule a service's engines.
 //!
-//! The revision at which a seat's key was created is the fencing number of its holder's orders. The holder renews its
-//! lease; when that ends, the key goes and another VM creates it anew, with a higher number. Servers that check
+//! The revision at which a seat's key was written is the fencing number of its holder's orders. The holder renews its
+//! lease; when that ends, the key goes and another VM writes it anew, with a higher number. Servers that check
 //! fencing numbers refuse the older holder from the newer one's first order on, so an older holder may go on while
 //! the key-value service is away. Where servers don't check, it stops before its lease can end.
 
@@ -40,6 +40,23 @@
     Other,
 }
 
+/// Whether this VM may take a seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Vacancy {
+    /// Another VM holds it, or this one does.
+    Held,
+    /// Nobody holds it.
+    Free,
+    /// An earlier start of this VM held it.
+    Mine,
+    /// Its holder is silent, and engines refuse that holder's orders from the next one's first on.
+    Silent,
+}
+
+/// How long a seat stays with a holder that seems silent to this VM: orders of two holders in turn within three seconds
+/// are not wanted, even where fencing numbers keep them harmless.
+const SETTLED: Span = Span::from_millis(3_500);
+
 /// The lease and the seats.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -55,6 +72,20 @@
     calls: BTreeMap<OpId, (Purpose, Instant)>,
     /// When this VM may take a free seat.
     turns: BTreeMap<Service, Instant>,
+    /// When the holder of a seat last changed, as far as this VM saw it.
+    changes: BTreeMap<Service, Instant>,
+}
+
+impl State {
+    /// When the holder of a seat last changed; the start of time where this VM has seen no change.
+    fn changed(&self, service: &Service) -> Instant {
+        self.changes.get(service).copied().unwrap_or_default()
+    }
+
+    /// The holder of a seat changed.
+    pub(crate) fn note_change(&mut self, service: &Service, now: Instant) {
+        self.changes.insert(service.clone(), now);
+    }
 }
 
 impl Gateway {
@@ -98,23 +129,42 @@
         self.take_seats(out);
     }
 
-    /// The configuration or the holders changed.
+    /// The configuration, a holder or what is known of it changed.
     pub(crate) fn seats_changed(&mut self, out: &mut Effects) {
         let services: Vec<Service> = self.index.engines().map(|s| s.name.clone()).collect();
         for service in services {
-            let free = self
-                .facts
-                .get(&Subject::Holder(service.clone()))
-                .is_none_or(|c| c.fact.is_none());
-            if free && !self.seats.turns.contains_key(&service) {
-                let at = self.now + CANDIDATE_GAP.times(self.turn(&service));
-                self.seats.turns.insert(service, at);
-                self.timers.set(at, Timer::Seat);
+            let vacancy = self.vacancy(&service);
+            if vacancy == Vacancy::Held || self.seats.turns.contains_key(&service) {
+                continue;
             }
+            let turn = if vacancy == Vacancy::Mine {
+                0
+            } else {
+                self.turn(&service)
+            };
+            let at = self.now + CANDIDATE_GAP.times(turn);
+            self.seats.turns.insert(service, at);
+            self.timers.set(at, Timer::Seat);
         }
         self.take_seats(out);
     }
 
+    /// Whether this VM may take a seat.
+    fn vacancy(&self, service: &Service) -> Vacancy {
+        let change = self.facts.get(&Subject::Holder(service.clone()));
+        let Some(Fact::Holder(holder)) = change.and_then(|change| change.fact.as_ref()) else {
+            return Vacancy::Free;
+        };
+        let fencing = self.settings.tuning.fencing;
+        let silent = self.agents.get(service).is_some_and(|agent| agent.silent);
+        let settled = self.now.since(self.seats.changed(service)) >= SETTLED;
+        match holder.vm == self.settings.vm {
+            true if holder.incarnation != self.settings.incarnation => Vacancy::Mine,
+            false if fencing && silent && settled => Vacancy::Silent,
+            _ => Vacancy::Held,
+        }
+    }
+
     /// This VM holds a seat.
     pub(crate) fn seat_won(&mut self, service: &Service, fence: u64, out: &mut Effects) {
         let Some(application) = self.index.service(service.as_str()).cloned() else {
@@ -175,7 +225,7 @@
         let mine = self
             .facts
             .get(&subject)
-            .filter(|c| c.created == fence)
+            .filter(|c| c.revision == fence)
             .map(|c| c.revision);
         if let Some(revision) = mine {
             self.seat_call(Purpose::Other, Op::Remove(subject, revision), out);
@@ -337,49 +387,52 @@
         }
     }
 
-    /// Tries to take the free seats whose turn has come.
+    /// Tries to take the seats whose turn has come.
     fn take_seats(&mut self, out: &mut Effects) {
-        let due: Vec<Service> = self
-            .seats
-            .turns
-            .iter()
-            .filter(|(_, at)| **at <= self.now)
-            .map(|(s, _)| s.clone())
-            .collect();
+        let due = self.seats.turns.iter().filter(|(_, at)| **at <= self.now);
+        let due: Vec<Service> = due.map(|(service, _)| service.clone()).collect();
         for service in due {
             self.seats.turns.remove(&service);
-            let free = self
-                .facts
-                .get(&Subject::Holder(service.clone()))
-                .is_none_or(|c| c.fact.is_none());
-            let asked = self
-                .seats
-                .calls
-                .values()
-                .any(|(p, _)| *p == Purpose::Seat(service.clone()));
-            match self.seats.lease {
-                Some(lease) if free && !asked && !self.stopping && self.follow.away.is_none() => {
-                    let holder = Holder {
-                        vm: self.settings.vm.clone(),
-                        incarnation: self.settings.incarnation,
-                    };
-                    let change = own(Subject::Holder(service.clone()), Fact::Holder(holder));
-                    self.seat_call(
-                        Purpose::Seat(service.clone()),
-                        Op::Put(change, lease, Some(0)),
-                        out,
-                    );
-                }
-                _ => {}
-            }
-            if free {
-                let again = self.now + self.settings.tuning.renew;
-                self.seats.turns.insert(service, again);
-                self.timers.set(again, Timer::Seat);
+            if self.vacancy(&service) == Vacancy::Held {
+                continue;
             }
+            let again = self.now + self.settings.tuning.renew;
+            self.seats.turns.insert(service.clone(), again);
+            self.timers.set(again, Timer::Seat);
+            self.take_seat(service, out);
         }
     }
 
+    /// Writes this VM into a seat, if nobody else did since.
+    fn take_seat(&mut self, service: Service, out: &mut Effects) {
+        let purpose = Purpose::Seat(service.clone());
+        let asked = self
+            .seats
+            .calls
+            .values()
+            .any(|(other, _)| *other == purpose);
+        let away = self.follow.away.is_some();
+        let Some(lease) = self
+            .seats
+            .lease
+            .filter(|_| !asked && !away && !self.stopping)
+        else {
+            return;
+        };
+        let holder = Holder {
+            vm: self.settings.vm.clone(),
+            incarnation: self.settings.incarnation,
+        };
+        let subject = Subject::Holder(service);
+        let known = self
+            .facts
+            .get(&subject)
+            .filter(|change| change.fact.is_some());
+        let expected = known.map_or(0, |change| change.revision);
+        let change = own(subject, Fact::Holder(holder));
+        self.seat_call(purpose, Op::Put(change, lease, Some(expected)), out);
+    }
+
     /// How many live VMs stand before this one in the order of candidates for a seat.
     fn turn(&self, service: &Service) -> u64 {
         let mine = rank(service, &self.settings.vm);
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -211,3 +211,62 @@
     assert_eq!(served(&world, &mine), mine.len());
     world.check();
 }
+
+/// All processes are killed and start again: the old holder's key is still there, and waiting for its lease to end would
+/// leave cold requests without a scheduler for two seconds.
+#[test]
+fn all_killedscheduleagainatonce() {
+    let mut world = warm();
+    for vm in 0..4 {
+        world.kill(vm, false);
+    }
+    world.run(Span::from_millis(900));
+    let cold = world.ask(
+        1,
+        call("cold", "/plan/x", 5_000, Some(work("a77", 600, 15))),
+    );
+    world.run(Span::from_secs(4));
+    let first = world.first_piece(cold).expect("served");
+    assert!(first < Span::from_millis(800), "{first}");
+    world.check();
+}
+
+/// The holder's VM is gone without a word: its silence is noticed before its lease ends, and since engines check fencing
+/// numbers another VM takes the seat at once.
+#[test]
+fn holder_gonecoldwaitsonesecond() {
+    let mut world = warm();
+    let old = world.holder().expect("a holder");
+    world.freeze(old, Span::from_secs(30));
+    let vm = (old + 1) % 4;
+    let cold = world.ask(
+        vm,
+        call("cold", "/brief/x", 15_000, Some(work("a77", 600, 15))),
+    );
+    world.run(Span::from_secs(8));
+    let first = world.first_piece(cold).expect("served");
+    assert!(first < Span::from_millis(2_000), "{first}");
+    world.check();
+}
+
+/// Engines that don't check fencing numbers: nobody takes the seat before the lease has ended, and the old holder stops
+/// before that.
+#[test]
+fn holder_unfencedwaitsforthelease() {
+    let tuning = dahliastile_gateway::settings::Tuning {
+        fencing: false,
+        ..Default::default()
+    };
+    let lease = tuning.lease;
+    let mut world = World::tuned(4, 4, 1, tuning);
+    world.run(Span::from_secs(2));
+    traffic(&mut world, Span::from_secs(2));
+    let old = world.holder().expect("a holder");
+    world.freeze(old, Span::from_secs(30));
+    let from = world.now;
+    world.run(lease - Span::from_millis(600));
+    assert_eq!(world.holder(), Some(old));
+    world.run(Span::from_secs(2));
+    assert_ne!(world.holder(), Some(old), "since {from}");
+    world.check();
+}
