--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -45,10 +45,19 @@
     pub(crate) stage: Stage,
     /// Requests that use it.
     pub(crate) used: u32,
+    /// Whether nothing has run on it since it was loaded.
+    pub(crate) fresh: bool,
     /// How often it was refused since it was expected to be there.
     pub(crate) refusals: u32,
 }
 
+impl Place {
+    /// Whether the adapter is there and nothing uses it.
+    pub(crate) fn idle(&self) -> bool {
+        self.used == 0 && self.stage == Stage::Ready
+    }
+}
+
 /// Something to be ordered of an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Intent {
@@ -249,6 +258,7 @@
         version,
         stage,
         used: 0,
+        fresh: true,
         refusals: 0,
     }
 }
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -154,7 +154,8 @@
         needed: &BTreeSet<Key>,
     ) -> Option<(Option<Key>, Span)> {
         match engine.places.get(key) {
-            Some(old) if old.used == 0 && old.stage == Stage::Ready => {
+            // An older version that nothing uses is replaced where it is.
+            Some(old) if old.idle() && old.version < self.version_of(key) => {
                 return Some((None, Span::ZERO));
             }
             Some(_) => return None,
@@ -163,10 +164,7 @@
         if engine.places.len() < self.shape.places && self.fits(engine, key) {
             return Some((None, Span::ZERO));
         }
-        let idle = engine
-            .places
-            .iter()
-            .filter(|(_, place)| place.used == 0 && place.stage == Stage::Ready);
+        let idle = engine.places.iter().filter(|(_, place)| place.idle());
         let costs = idle
             .filter(|(other, _)| !needed.contains(other))
             .map(|(other, _)| (other, self.value(now, other)));
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -23,6 +23,11 @@
 /// How long an adapter that was refused right after it was expected is given: a fifth of its usual time.
 const NOT_YET: Span = Span::from_millis(50);
 
+/// How much longer a load is taken to last after one that was not done when expected, and how much shorter after each
+/// one that was: one in nine comes too early, which costs a rejected arrival and 50 ms.
+const LATER: Span = Span::from_millis(8);
+const SOONER: Span = Span::from_millis(1);
+
 /// How often an adapter may be refused before the engine's report is read.
 const REFUSALS: u32 = 3;
 
@@ -168,8 +173,14 @@
         };
         engine.read(now, prompt, since);
         engine.health.good(now);
-        if let Some(place) = key.and_then(|key| engine.places.get_mut(&key)) {
+        let place = key.and_then(|key| engine.places.get_mut(&key));
+        if let Some(place) = place {
+            let first = std::mem::replace(&mut place.fresh, false);
             place.refusals = 0;
+            if first {
+                let usual = self.settings.tuning.adapter_load;
+                self.load_time = (self.load_time - SOONER).max(usual);
+            }
         }
     }
 
@@ -189,7 +200,7 @@
         let State::Running { server, .. } = state else {
             return;
         };
-        let load_time = self.load_time;
+        let (load_time, usual) = (self.load_time, self.settings.tuning.adapter_load);
         let Some(engine) = self.engines.get_mut(&server) else {
             return;
         };
@@ -200,7 +211,7 @@
                     Some(place) if place.refusals < REFUSALS => {
                         place.refusals += 1;
                         place.stage = Stage::Coming(now + NOT_YET);
-                        self.load_time = (load_time + Span::from_millis(5)).min(load_time.times(2));
+                        self.load_time = (load_time + LATER).min(usual.times(4));
                     }
                     _ => engine.forget(now),
                 }
