--- a/crates/gateway/src/desk/forecast.rs
+++ b/crates/gateway/src/desk/forecast.rs
@@ -77,13 +77,11 @@
             .map(|engine| engine.rate)
             .fold(f64::MAX, f64::min);
         let queued = self.shortened(reading(before, rate), 1);
-        match self.coming_at(&key) {
-            Some(at) => (For::Coming, at.since(now).max(Span::ZERO) + queued),
-            None => {
-                ahead.loads += usize::from(first);
-                (For::Load, self.load_wait(ahead.loads) + queued)
-            }
+        if let Some(at) = self.coming_at(&key) {
+            return (For::Coming, at.since(now) + queued);
         }
+        ahead.loads += usize::from(first);
+        (For::Load, self.load_wait(ahead.loads) + queued)
     }
 
     /// A queue at so many engines, shortened by one more copy of the adapter that takes part after a load's time.
