Decision bench runs again: its updates repeat a number of the node's own asks

Cause: the bench panicked at its first request (no effect). Updates that the bench sends as the peer bore the number u64::MAX / 2; since asks are numbered from a base of the VM's start, a node takes such an update for one meant for an earlier start and drops it, so nothing was ever granted.

Ruled out: the home domains of a zone; rules that bar every server.

Change: the bench has the node ask first and repeats that number. Conclusion: the bench was wrong, not the node.

--- a/crates/core/benches/decision/deployment.rs
+++ b/crates/core/benches/decision/deployment.rs
@@ -7,9 +7,9 @@
 use dahliastile_core::config::{
     Adapter, Caller, Change, Document, Edit, Header, Rule, Server, Service, ServiceKind, Then, When,
 };
-use dahliastile_core::effect::Effects;
+use dahliastile_core::effect::{Effect, Effects};
 use dahliastile_core::event::{Call, Event, Listed, Report, Target};
-use dahliastile_core::id::{Boot, Edition, Fence, Grant, Incarnation};
+use dahliastile_core::id::{Boot, Edition, Fence, Grant, Incarnation, Request};
 use dahliastile_core::peer::{Granted, Heartbeat, Holder, Load, Member, Message, Piece, Update};
 use dahliastile_core::settings::{Settings, Tuning};
 use dahliastile_core::time::{Instant, Span};
@@ -63,6 +63,8 @@
     edition: u64,
     chain: String,
     names: Vec<String>,
+    /// The number that updates repeat: one of this node's own asks, or it takes them for an earlier start's.
+    nonce: u64,
 }
 
 impl Deployment {
@@ -86,6 +88,7 @@
             beat: 0,
             edition: 0,
             chain: "00".repeat(32),
+            nonce: 0,
             names: (0..size.adapters)
                 .map(|i| format!("adapter-{i}@1"))
                 .collect(),
@@ -100,10 +103,36 @@
         deployment.step(Event::List { vms });
         deployment.configure();
         deployment.heartbeat();
+        deployment.listen();
         deployment.grant();
         deployment
     }
 
+    /// Has the node ask its peer for an adapter, and keeps the number that its asks begin with.
+    fn listen(&mut self) {
+        let call = Box::new(self.call(0));
+        let mut effects = Effects::new();
+        let arrived = Event::Arrived {
+            request: Request(0),
+            call,
+        };
+        self.node.step(self.now, arrived, &mut effects);
+        // Asks keep a pace of their own.
+        for _ in 0..100 {
+            let now = self.pass(10_000);
+            self.node.step(now, Event::Tick, &mut effects);
+        }
+        let asked = effects.iter().find_map(|effect| match effect {
+            Effect::Peer {
+                message: Message::Ask(ask),
+                ..
+            } => Some(ask.nonce),
+            _ => None,
+        });
+        // Later asks count up from there.
+        self.nonce = asked.expect("a cold adapter is asked for") | u64::from(u32::MAX >> 1);
+    }
+
     /// Lets time pass.
     pub fn pass(&mut self, micros: u64) -> Instant {
         self.now += Span(micros);
@@ -276,7 +305,7 @@
             domain: format!("domain-{domain}").parse().unwrap(),
             fence: Fence(5),
             seq: self.beat + 1,
-            nonce: u64::MAX / 2,
+            nonce: self.nonce,
             grants,
             revokes: Vec::new(),
             loads: servers.map(load).collect(),
