--- a/crates/core/src/domain/evict.rs
+++ b/crates/core/src/domain/evict.rs
@@ -81,7 +81,11 @@
     {
         return;
     }
-    if wanted_back(held, place, now) {
+    // Where the unload must stand in the record before it is sent and the record can't be written, the eviction would
+    // not end before the key-value service is back, and nobody would serve what is resident until then.
+    let unnamed = !checks_fences(&node.catalog, place.0) && !held.intended(&node.catalog, place);
+    let stopped = unnamed && held.writer.stuck();
+    if stopped || wanted_back(held, place, now) {
         cancel(node, domain, place);
         return;
     }
