--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,9 +18,9 @@
 use crate::error::{Error, Result};
 use crate::http::{Callers, Ids, Limits, Operators, Server};
 use crate::logs::Journal;
-use crate::metrics::Figures;
 use crate::peers::Peers;
 use crate::settings::Settings;
+use dahliastile_shell::Figures;
 
 /// Operators' connections at a time.
 const OPERATOR_CONNECTIONS: usize = 64;
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -21,11 +21,11 @@
 use dahliastile_core::{Node, View};
 
 use crate::logs::Journal;
-use crate::metrics::Figures;
 use crate::peers::Peers;
 use answers::Answers;
 pub(crate) use answers::CHANNEL;
 pub(crate) use attempt::Body;
+use dahliastile_shell::Figures;
 pub(crate) use mailbox::{Inbox, Mailbox};
 use outside::Outside;
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,7 +9,6 @@
 mod error;
 mod http;
 mod logs;
-mod metrics;
 mod peers;
 mod pool;
 mod settings;
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -7,12 +7,14 @@
 
 use dahliastile_core::id::{Server, Service, Vm};
 use dahliastile_core::log::Code;
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::effect::{Effect, Effects};
+use crate::effect::Effects;
 use crate::event::RequestId;
 use crate::fact::{Fact, Holder, Resident, Revision, Subject, Version};
 use crate::flow::State as Flow;
+use crate::measure;
 use crate::message::{Holding, Message, Progress, Running, Want};
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -195,7 +197,7 @@
         let now = self.now;
         let agent = self.agents.entry(service.clone()).or_default();
         if fence < agent.fence {
-            out.push(Effect::Count("old_scheduler"));
+            measure::count(out, Figure::Dropped, service, "old_scheduler");
             return false;
         }
         let changed = fence > agent.fence || agent.holder.as_ref() != Some(from) || agent.silent;
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -5,6 +5,7 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::log::Record;
+use dahliastile_core::metric::Sample;
 use dahliastile_core::time::Span;
 
 use crate::event::{Lease, RequestId};
@@ -100,6 +101,22 @@
     Remove(Subject, Revision),
 }
 
+impl Op {
+    /// What kind of call it is, for figures.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch(..) => "watch",
+            Self::Grant(_) => "lease_grant",
+            Self::Renew(_) => "lease_renew",
+            Self::End(_) => "lease_end",
+            Self::Put(..) => "put",
+            Self::Remove(..) => "remove",
+        }
+    }
+}
+
 /// Something to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
@@ -115,8 +132,8 @@
     Peer(SocketAddr, Message),
     /// Writes a log event.
     Log(Record),
-    /// Counts something by name.
-    Count(&'static str),
+    /// Counts or observes a figure.
+    Measure(Sample),
 }
 
 /// Effects in the order in which they are to be done.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -7,6 +7,7 @@
 
 use dahliastile_core::id::{Server, Service, Zone};
 use dahliastile_core::log::Code;
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
@@ -15,6 +16,7 @@
 use crate::effect::{Effect, Effects, Reason, Send, Verdict};
 use crate::event::{Call, Cause, Ran, RequestId};
 use crate::fact::Version;
+use crate::measure;
 use crate::message::{Progress, Want};
 use crate::node::Gateway;
 use crate::plain;
@@ -201,6 +203,20 @@
             flow.call.id, flow.route.name, flow.sends, row.open
         );
         Self::log(out, Code::Sent, detail);
+        let (first, service) = (flow.sends == 1, flow.service.clone());
+        measure::count(
+            out,
+            if first {
+                Figure::Attempts
+            } else {
+                Figure::Retries
+            },
+            &service,
+            "send",
+        );
+        if first {
+            measure::time(out, Figure::QueueWait, &service, waited);
+        }
         out.push(Effect::Request(request, Verdict::Send(Box::new(send))));
     }
 
@@ -212,6 +228,12 @@
         if let State::Sent { begun, .. } = &mut flow.state {
             *begun = true;
         }
+        measure::time(
+            out,
+            Figure::FirstToken,
+            &flow.service,
+            self.now.since(flow.arrived),
+        );
         self.tell_progress(request, Progress::Begun, out);
     }
 
@@ -227,6 +249,8 @@
             Code::Served,
             format!("id={} server={server} took={took}", flow.call.id),
         );
+        measure::time(out, Figure::WholeAnswer, &flow.service, took);
+        measure::count(out, Figure::Answered, &flow.service, "whole");
         if let Some(row) = flow
             .server()
             .and_then(|server| self.servers.get_mut(server))
@@ -327,6 +351,7 @@
         if flow.ends > self.now {
             return;
         }
+        measure::count(out, Figure::Refused, &flow.service, "timed_out");
         let begun = matches!(flow.state, State::Sent { begun: true, .. });
         let sent = matches!(flow.state, State::Sent { .. });
         let (id, server) = (&flow.call.id, flow.server().map_or("-", Server::as_str));
@@ -389,7 +414,7 @@
         &mut self,
         request: RequestId,
         after: Option<Span>,
-        why: &str,
+        why: &'static str,
         out: &mut Effects,
     ) {
         let Some(flow) = self.flows.get(&request) else {
@@ -405,6 +430,7 @@
                 flow.call.id, flow.sends
             ),
         );
+        measure::count(out, Figure::Refused, &flow.service, why);
         let reason = if ran > 0 {
             Reason::Failed
         } else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod follow;
 pub mod health;
 mod host;
+mod measure;
 pub mod message;
 mod node;
 mod plain;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,6 +5,7 @@
 
 use dahliastile_core::id::{Server, Service, Vm};
 use dahliastile_core::log::{Code, Record};
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::Instant;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -20,6 +21,7 @@
 use crate::fact::{Member, Table};
 use crate::flow::Flow;
 use crate::follow;
+use crate::measure;
 use crate::message::Message;
 use crate::plain::Row;
 use crate::seat;
@@ -145,7 +147,7 @@
     pub(crate) fn send(&self, to: &Vm, message: Message, out: &mut Effects) {
         match self.book.address(to) {
             Some(address) => out.push(Effect::Peer(address, message)),
-            None => out.push(Effect::Count("peer_unknown")),
+            None => measure::plain(out, Figure::Dropped, "peer_unknown"),
         }
     }
 
@@ -165,6 +167,7 @@
     }
 
     pub(crate) fn store(&mut self, op: Op, out: &mut Effects) -> OpId {
+        measure::plain(out, Figure::PlatformCalls, op.name());
         let id = self.next_id();
         out.push(Effect::Store(id, op));
         id
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -10,6 +10,7 @@
 
 use dahliastile_core::id::{Service, Vm};
 use dahliastile_core::log::Code;
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHasher;
 
@@ -17,6 +18,7 @@
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::{Lease, Outcome};
 use crate::fact::{Change, Fact, Holder, Subject};
+use crate::measure;
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -294,6 +296,12 @@
                 );
             }
             Decision::Order(id, server, address, order) => {
+                measure::count(
+                    out,
+                    Figure::Loads,
+                    service,
+                    if order.load { "load" } else { "unload" },
+                );
                 out.push(Effect::Order(id, server, address, order));
             }
             Decision::Report(server, address) => out.push(Effect::Report(server, address)),
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -667,7 +667,7 @@
             Effect::Log(record) => self
                 .lines
                 .push(format!("{now} vm{vm} {:?} {}", record.code, record.detail)),
-            Effect::Count(_) => {}
+            Effect::Measure(_) => {}
         }
     }
 
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::{Clock, duration};
 use crate::dialect::Dialect;
+use crate::figures::Figures;
 use crate::hub::Hub;
 use crate::journal::Journal;
 use crate::peers::Peers;
@@ -28,6 +29,8 @@
     pub(crate) peers: Rc<Peers<D>>,
     /// The log.
     pub(crate) journal: Journal,
+    /// The figures.
+    pub(crate) figures: Figures,
     /// The events.
     pub(crate) mailbox: flume::Receiver<Event>,
     /// Effects of the present step.
@@ -81,7 +84,7 @@
             Effect::Request(id, verdict) => self.hub.tell(id, verdict),
             Effect::Peer(address, message) => self.peers.send(address, message),
             Effect::Log(record) => self.journal.write(now, &record),
-            Effect::Count(_) => {}
+            Effect::Measure(sample) => self.figures.take(sample),
             Effect::Store(id, op) => self.call_store(id, op),
             Effect::Order(id, server, address, order) => {
                 let hub = self.hub.clone();
--- a/crates/shell/src/figures.rs
+++ b/crates/shell/src/figures.rs
@@ -1,1 +1,92 @@
-//! Counters and histograms.
+//! The recorder of one daemon's figures. Several daemons live in one process, so none installs a global recorder.
+
+use dahliastile_core::metric::{Figure, Sample};
+use metrics::{Key, Label, Level, Metadata, Recorder, SharedString, Unit};
+use metrics_exporter_prometheus::{
+    BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
+
+/// Upper bounds of the histograms of times, in seconds.
+const SECONDS: [f64; 19] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 60.0,
+    120.0, 300.0, 600.0,
+];
+
+/// Upper bounds of the histograms of ratios.
+const RATIOS: [f64; 10] = [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0];
+
+/// The suffix of the names of counters.
+const COUNTER: &str = "_total";
+
+const METADATA: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, None);
+
+/// The figures of one daemon.
+pub struct Figures {
+    /// Takes values in.
+    recorder: PrometheusRecorder,
+}
+
+impl Figures {
+    /// A recorder that knows every figure and has seen no value.
+    ///
+    /// # Errors
+    /// Where a figure's bounds are refused.
+    pub fn new(vm: &str) -> Result<Self, BuildError> {
+        let mut builder = PrometheusBuilder::new().add_global_label("vm", vm);
+        for figure in Figure::ALL {
+            let bounds: &[f64] = match figure.unit() {
+                "s" => &SECONDS,
+                "ratio" => &RATIOS,
+                _ => continue,
+            };
+            let matcher = Matcher::Full(figure.name().to_owned());
+            builder = builder.set_buckets_for_metric(matcher, bounds)?;
+        }
+        let recorder = builder.build_recorder();
+        for figure in Figure::ALL {
+            describe(&recorder, *figure);
+        }
+        Ok(Self { recorder })
+    }
+
+    /// Counts or observes a value.
+    pub fn take(&self, sample: Sample) {
+        let name = sample.figure.name();
+        let value = sample.value;
+        let key = Key::from_parts(name, labels(sample));
+        if name.ends_with(COUNTER) {
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let count = value.max(0.0) as u64;
+            self.recorder
+                .register_counter(&key, &METADATA)
+                .increment(count);
+        } else {
+            self.recorder
+                .register_histogram(&key, &METADATA)
+                .record(value);
+        }
+    }
+
+    /// A handle that renders the figures in Prometheus's text form.
+    #[must_use]
+    pub fn handle(&self) -> PrometheusHandle {
+        self.recorder.handle()
+    }
+}
+
+fn describe(recorder: &PrometheusRecorder, figure: Figure) {
+    let name = figure.name().into();
+    let meaning = SharedString::from(figure.meaning().trim());
+    match figure.unit() {
+        "s" => recorder.describe_histogram(name, Some(Unit::Seconds), meaning),
+        "ratio" => recorder.describe_histogram(name, None, meaning),
+        _ => recorder.describe_counter(name, Some(Unit::Count), meaning),
+    }
+}
+
+fn labels(sample: Sample) -> Vec<Label> {
+    let tenant = sample.tenant.map(|t| Label::new("tenant", t.to_string()));
+    let class = sample.class.map(|c| Label::new("class", c.to_string()));
+    let label = sample.label.map(|l| Label::new("label", l));
+    [tenant, class, label].into_iter().flatten().collect()
+}
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -5,6 +5,7 @@
 
 use dahliastile_gateway::effect::Verdict;
 use dahliastile_gateway::event::{Event, RequestId};
+use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
 
@@ -24,6 +25,8 @@
     requests: RefCell<FxHashMap<RequestId, mpsc::UnboundedSender<Verdict>>>,
     /// The last number given to a request.
     last: Cell<RequestId>,
+    /// Renders the figures.
+    pub(crate) figures: PrometheusHandle,
     /// Whether new connections are welcome.
     pub(crate) ready: Cell<bool>,
     /// The longest body of a caller.
@@ -35,13 +38,18 @@
 }
 
 impl<D> Hub<D> {
-    pub(crate) fn new(dialect: D, mailbox: flume::Sender<Event>) -> Rc<Self> {
+    pub(crate) fn new(
+        dialect: D,
+        figures: PrometheusHandle,
+        mailbox: flume::Sender<Event>,
+    ) -> Rc<Self> {
         let limits = dahliastile_gateway::config::Limits::default();
         Rc::new(Self {
             dialect,
             pool: Pool::default(),
             client: Client::new(),
             mailbox,
+            figures,
             requests: RefCell::default(),
             last: Cell::new(0),
             ready: Cell::new(false),
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -23,5 +23,6 @@
 mod stream;
 
 pub use dialect::{Dialect, Rejection, Reply};
+pub use figures::Figures;
 pub use pool::{Client, Fault, Pool};
 pub use run::{Options, run};
--- a/crates/shell/src/probe.rs
+++ b/crates/shell/src/probe.rs
@@ -1,7 +1,8 @@
-//! The platform's question whether this VM is ready.
+//! The platform's question whether this VM is ready, and its figures.
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -15,11 +16,17 @@
 use crate::dialect::Dialect;
 use crate::hub::Hub;
 
-/// Answers the question until the process ends.
+/// The pause after a connection could not be taken in.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The path of the figures.
+const FIGURES: &str = "/metrics";
+
+/// Answers both until the process ends.
 pub(crate) async fn listen<D: Dialect>(listener: TcpListener, hub: Rc<Hub<D>>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let hub = hub.clone();
@@ -28,7 +35,7 @@
                 let hub = hub.clone();
                 async move { Ok::<_, Infallible>(answer(&hub, &request)) }
             });
-            // An error is the platform's doing: it asks again.
+            // An error is the other side's doing: it asks again.
             drop(
                 http1::Builder::new()
                     .serve_connection(TokioIo::new(stream), service)
@@ -39,12 +46,13 @@
 }
 
 fn answer<D: Dialect>(hub: &Hub<D>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let status = match request.uri().path() {
-        path if path != hub.dialect.readiness_path() => StatusCode::NOT_FOUND,
-        _ if hub.ready.get() => StatusCode::OK,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
+    let (status, body) = match request.uri().path() {
+        FIGURES => (StatusCode::OK, hub.figures.render()),
+        path if path != hub.dialect.readiness_path() => (StatusCode::NOT_FOUND, String::new()),
+        _ if hub.ready.get() => (StatusCode::OK, String::new()),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
     };
-    let mut response = Response::new(Full::default());
+    let mut response = Response::new(Full::from(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -1,6 +1,7 @@
 //! The process: what it listens on, how it starts and how it stops.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::Span;
@@ -14,9 +15,10 @@
 use tokio::task::LocalSet;
 
 use crate::callers;
-use crate::clock::Clock;
+use crate::clock::{Clock, duration};
 use crate::dialect::Dialect;
 use crate::driver::Driver;
+use crate::figures::Figures;
 use crate::hub::Hub;
 use crate::journal::Journal;
 use crate::peers::{self, Peers};
@@ -28,6 +30,9 @@
 /// How often a stopping process looks whether anything is still in progress.
 const LOOK: Span = Span::from_millis(50);
 
+/// How often the values of histograms are summed up: at a hundred requests a second some thousands are kept till then.
+const SUM_UP: Span = Span::from_secs(10);
+
 /// What the process listens on.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -37,6 +42,8 @@
     pub readiness: SocketAddr,
     /// For other VMs.
     pub peers: SocketAddr,
+    /// For whoever reads the figures.
+    pub figures: SocketAddr,
 }
 
 /// Runs an entry VM until it is told to stop.
@@ -63,12 +70,15 @@
         bind(options.peers).await?,
     );
     let (sender, mailbox) = flume::unbounded();
-    let hub = Hub::new(dialect, sender);
+    let figures = Figures::new(settings.vm.as_str()).wrap_err("can't set the figures up")?;
+    let hub = Hub::new(dialect, figures.handle(), sender);
     let (leave, leaving) = watch::channel(false);
     let (end, ending) = watch::channel(None);
     let peers = Peers::new(settings.vm.clone(), settings.incarnation, hub.clone());
     tokio::task::spawn_local(callers::listen(front, hub.clone(), leaving));
     tokio::task::spawn_local(probe::listen(ready, hub.clone()));
+    tokio::task::spawn_local(probe::listen(bind(options.figures).await?, hub.clone()));
+    tokio::task::spawn_local(keep_figures(hub.clone()));
     tokio::task::spawn_local(peers::listen(control, peers.clone()));
     let clock = Clock::new();
     let tuning = settings.tuning.clone();
@@ -106,6 +116,7 @@
         hub,
         peers,
         journal,
+        figures,
         mailbox,
         effects: Vec::new(),
     };
@@ -118,3 +129,11 @@
     driver.journal.flush();
     Ok(())
 }
+
+/// Sums up the values of histograms now and then, as the recorder keeps each until it is asked or told to.
+async fn keep_figures<D>(hub: Rc<Hub<D>>) {
+    loop {
+        tokio::time::sleep(duration(SUM_UP)).await;
+        hub.figures.run_upkeep();
+    }
+}
