What a new scheduler is asked before it knows its seat is told again; stand-ins and process tests of the platform path

Cause: store_awayservesall failed in one of three full runs: a request was held until its route's time was over (8 s, then 503). Traced by the logs of a later failing run: vm1 heard from the key-value service that vm2 holds the seat and asked it for a place 30 ms before vm2 got the answer to its own write; vm2, with no scheduler yet, dropped the question, and nothing asked again, as its later messages bore the number that vm1 knew already.

Ruled out: the store's absence (the same happens with it there), load on the machine.

Change: a VM introduces itself again on the first word of a holder under its number, and asks again for a request that has heard nothing for a second. Test: holder_lateknowslosesnothing, in virtual time, failed before (never served) and passes now.

Also here: crates/standin/src/fleet (key-value service, replicas and plain servers of the platform, faults settable) and 20 tests of whole daemons as processes against them: kinds, headers, bad input, smuggled requests, configuration, lost, crossed and refused answers, streams, callers that leave, drains, the store away, the holder killed, SIGTERM, SIGHUP, wrong settings, figures.

--- /dev/null
+++ b/crates/daemon/tests/platform.rs
@@ -0,0 +1,386 @@
+//! Entry VMs as processes on a small stand-in of the users' platform.
+//!
+//! What callers are told is held against what the servers ran. Every wait is on a condition.
+
+#[path = "platform/fleet.rs"]
+mod fleet;
+
+use std::io::Read;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use dahliastile_standin::fleet::{Fault, Replica};
+use fleet::{Fleet, config, read, request, settings_text, until};
+
+fn ran(replicas: &[Replica], id: &str) -> usize {
+    let runs = replicas.iter().flat_map(Replica::runs);
+    runs.filter(|run| {
+        run.asked
+            .headers
+            .get("request-id")
+            .is_some_and(|have| have == id)
+    })
+    .count()
+}
+
+#[test]
+fn kinds_areserved() {
+    let fleet = Fleet::start_ready(2);
+    for (id, path, model) in [
+        ("a", "/post/x", None),
+        ("b", "/query/x", None),
+        ("c", "/plan/x", Some("base/a1")),
+        ("d", "/berth/x", Some("base/a2")),
+    ] {
+        let answer = fleet.vms[0].ask(id, path, model);
+        assert_eq!(
+            (answer.status, answer.whole),
+            (200, true),
+            "{path}: {}",
+            answer.text
+        );
+        assert!(
+            answer.text.to_lowercase().contains("server-seal: seal-"),
+            "{}",
+            answer.text
+        );
+        assert_eq!(ran(&fleet.plain, id) + ran(&fleet.engines, id), 1, "{path}");
+    }
+}
+
+#[test]
+fn headers_oursarenottakenfromcallers() {
+    let fleet = Fleet::start_ready(1);
+    let forged = "POST /post/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: f\r\nDeadline-Ms: 5000\r\nHold: h1\r\nPin-Ms: 9\r\nKv-From: 1.2.3.4:5/x\r\nExpect-Instance: other\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nX-Theirs: 2\r\nContent-Length: 0\r\n\r\n";
+    let answer = fleet.vms[0].raw(forged);
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    let runs: Vec<_> = fleet.plain.iter().flat_map(Replica::runs).collect();
+    let headers = &runs[0].asked.headers;
+    for name in ["hold", "pin-ms", "kv-from", "x-mine"] {
+        assert!(!headers.contains_key(name), "{name} was passed on");
+    }
+    assert_eq!(headers.get("x-theirs").map(String::as_str), Some("2"));
+    let left: u64 = headers["deadline-ms"].parse().expect("a number");
+    assert!(left <= 5_000 && left > 3_000, "{left}");
+    assert!(headers["expect-instance"].starts_with('p'));
+}
+
+#[test]
+fn input_badhasitsownanswer() {
+    let fleet = Fleet::start_ready(1);
+    let vm = &fleet.vms[0];
+    let long = "x".repeat(70_000);
+    let cases = [
+        ("no route", request("n1", "/none/x", None), 404),
+        ("unknown host", request("n2", "/post/x", None).replace("host.example", "other.example"), 404),
+        ("two lengths", request("n3", "/post/x", None).replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 3"), 400),
+        ("no request", "nonsense\r\n\r\n".to_owned(), 400),
+        ("no host", "POST /post/x HTTP/1.1\r\nRequest-Id: n4\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".to_owned(), 400),
+        ("too large", format!("POST /post/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: n5\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{long}", long.len()), 413),
+        ("head too large", format!("POST /post/x HTTP/1.1\r\nHost: host.example\r\nX-Long: {long}\r\n\r\n"), 431),
+    ];
+    for (what, bytes, status) in cases {
+        let answer = vm.raw(&bytes);
+        assert_eq!(answer.status, status, "{what}: {}", answer.text);
+    }
+    assert!(fleet.plain.iter().all(|server| server.runs().is_empty()));
+    assert_eq!(vm.ask("good", "/post/x", None).status, 200);
+}
+
+/// A second request inside the body of the first must not be taken for one.
+#[test]
+fn body_isnotarequest() {
+    let fleet = Fleet::start_ready(1);
+    let inner = "POST /post/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: smuggled\r\nContent-Length: 0\r\n\r\n";
+    let outer = format!(
+        "POST /post/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: outer\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{inner}",
+        inner.len()
+    );
+    assert_eq!(fleet.vms[0].raw(&outer).status, 200);
+    assert_eq!(
+        (ran(&fleet.plain, "outer"), ran(&fleet.plain, "smuggled")),
+        (1, 0)
+    );
+}
+
+#[test]
+fn config_unknownisrefusedwithatime() {
+    let fleet = Fleet::bare(1);
+    let answer = std::cell::RefCell::new(None);
+    until("the VM listens", || {
+        let got = fleet.vms[0].ask("early", "/post/x", None);
+        let listens = got.status != 0;
+        answer.replace(Some(got));
+        listens
+    });
+    let answer = answer.into_inner().expect("it answered");
+    assert_eq!(answer.status, 503);
+    assert!(
+        answer.text.to_lowercase().contains("retry-after: "),
+        "{}",
+        answer.text
+    );
+    assert!(!fleet.vms[0].ready());
+    assert_eq!(ran(&fleet.plain, "early"), 0);
+}
+
+#[test]
+fn config_newerisinforce() {
+    let fleet = Fleet::start_ready(2);
+    let mut newer = config(4);
+    newer["routes"][2]["prefix"] = "/booking/".into();
+    fleet.store.put("op/config", &newer);
+    for vm in &fleet.vms {
+        until("the new route is there", || {
+            vm.ask("n", "/booking/x", None).status == 200
+        });
+        assert_eq!(vm.ask("o", "/post/x", None).status, 404);
+    }
+    // An older version that comes later changes nothing.
+    fleet.store.put("op/config", &config(3));
+    fleet.store.put(
+        "dahliastile/vm/nobody",
+        &serde_json::json!({"address": "127.0.0.1:1", "zone": "north", "incarnation": 1}),
+    );
+    for vm in &fleet.vms {
+        assert_eq!(vm.ask("p", "/booking/x", None).status, 200);
+    }
+}
+
+#[test]
+fn answer_lostisretriedonlywheresafe() {
+    let fleet = Fleet::start_ready(1);
+    let lose = |fault| {
+        fleet
+            .plain
+            .iter()
+            .for_each(|server| server.set_fault(fault))
+    };
+    lose(Fault::LosesAnswer);
+    let posted = fleet.vms[0].ask("unsafe", "/post/x", None);
+    assert_eq!((posted.status, ran(&fleet.plain, "unsafe")), (502, 1));
+    let asked = fleet.vms[0].ask("safe", "/query/x", None);
+    assert_eq!((asked.status, ran(&fleet.plain, "safe")), (502, 2));
+    lose(Fault::None);
+    assert_eq!(fleet.vms[0].ask("again", "/post/x", None).status, 200);
+    fleet.plain[0].set_fault(Fault::LosesAnswer);
+    for number in 0..6 {
+        let answer = fleet.vms[0].ask(&format!("s{number}"), "/query/x", None);
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+}
+
+#[test]
+fn answer_ofanotherisneverpassedon() {
+    let fleet = Fleet::start_ready(1);
+    for server in &fleet.plain {
+        server.set_fault(Fault::AnswersAnother);
+    }
+    assert_eq!(fleet.vms[0].ask("mine", "/post/x", None).status, 502);
+}
+
+#[test]
+fn refusal_istrue() {
+    let fleet = Fleet::start_ready(1);
+    for server in &fleet.plain {
+        server.set_fault(Fault::Full);
+    }
+    let answer = fleet.vms[0].ask("full", "/post/x", None);
+    assert_eq!(answer.status, 503);
+    assert_eq!(ran(&fleet.plain, "full"), 0);
+}
+
+#[test]
+fn stream_comespiecebypiece() {
+    let fleet = Fleet::start_ready(1);
+    for engine in &fleet.engines {
+        engine.set_pace(Duration::from_millis(300));
+    }
+    let mut stream = fleet.vms[0]
+        .open(&request("s", "/plan/x", Some("base/a1")))
+        .expect("a connection");
+    let mut seen = String::new();
+    let mut buffer = [0; 1024];
+    while !seen.contains("token 1") {
+        let count = stream.read(&mut buffer).expect("a piece");
+        assert!(count > 0, "{seen}");
+        seen.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    // The first piece is here long before the last one is made.
+    assert!(!seen.contains("token 5"), "{seen}");
+    assert!(read(stream).text.contains("token 5"));
+}
+
+#[test]
+fn stream_brokenisnotended() {
+    let fleet = Fleet::start_ready(1);
+    for engine in &fleet.engines {
+        engine.set_fault(Fault::CutsStream);
+    }
+    let answer = fleet.vms[0].ask("cut", "/plan/x", Some("base/a1"));
+    assert!(
+        answer.text.contains("token 2") && !answer.whole,
+        "{}",
+        answer.text
+    );
+    assert_eq!(ran(&fleet.engines, "cut"), 1);
+}
+
+#[test]
+fn stream_resumablegoeson() {
+    let fleet = Fleet::start_ready(1);
+    // Both engines hold the adapter only after a copy; one that cuts is tried first wherever it is.
+    fleet.engines[0].set_fault(Fault::CutsStream);
+    for number in 0..6 {
+        let id = format!("r{number}");
+        let answer = fleet.vms[0].ask(&id, "/berth/x", Some("base/a1"));
+        let events: Vec<&str> = answer
+            .text
+            .lines()
+            .filter(|line| line.starts_with("id: "))
+            .collect();
+        let mut sorted = events.clone();
+        sorted.sort_unstable();
+        sorted.dedup();
+        assert_eq!(events, sorted, "{}", answer.text);
+        assert!(!answer.whole || events.len() == 5, "{}", answer.text);
+        assert!(ran(&fleet.engines, &id) <= 2);
+    }
+}
+
+#[test]
+fn caller_leftendsitsrun() {
+    let fleet = Fleet::start_ready(1);
+    for engine in &fleet.engines {
+        engine.set_pace(Duration::from_millis(100));
+    }
+    let stream = fleet.vms[0]
+        .open(&request("gone", "/plan/x", Some("base/a1")))
+        .expect("a connection");
+    until("the run has begun", || ran(&fleet.engines, "gone") == 1);
+    drop(stream);
+    until("the VM has noticed", || {
+        let figures = fleet.vms[0].figures();
+        figures.contains("dahliastile_attempts_total")
+            && !figures.contains("dahliastile_answered_total{")
+    });
+    assert_eq!(fleet.vms[0].ask("next", "/query/x", None).status, 200);
+}
+
+#[test]
+fn server_leavinggetsnothingnew() {
+    let fleet = Fleet::start_ready(1);
+    let leaving = fleet.plain[0].entry("desk", fleet.plain_address(0), "north", "draining");
+    fleet.store.put("servers/p0", &leaving);
+    until("requests go to the other one only", || {
+        let before = fleet.plain[0].runs().len();
+        for number in 0..8 {
+            fleet.vms[0].ask(&format!("d{number}"), "/query/x", None);
+        }
+        fleet.plain[0].runs().len() == before
+    });
+}
+
+#[test]
+fn store_awayservesall() {
+    let fleet = Fleet::start_ready(2);
+    fleet.store.set_down(true);
+    for vm in &fleet.vms {
+        for (id, path, model) in [("a", "/post/x", None), ("b", "/plan/x", Some("base/a9"))] {
+            let answer = vm.ask(id, path, model);
+            assert_eq!(answer.status, 200, "{path}: {}", answer.text);
+        }
+    }
+    fleet.store.set_down(false);
+    assert_eq!(
+        fleet.vms[0].ask("c", "/plan/x", Some("base/a8")).status,
+        200
+    );
+}
+
+#[test]
+fn holder_killedisreplaced() {
+    let mut fleet = Fleet::start_ready(3);
+    let old = fleet.holder().expect("a holder");
+    fleet.vms[old].signal("-KILL");
+    until("it has ended", || !fleet.vms[old].runs());
+    until("another VM holds the seat", || {
+        fleet.holder().is_some_and(|holder| holder != old)
+    });
+    let other = (old + 1) % 3;
+    until("cold requests are served", || {
+        fleet.vms[other].ask("k", "/plan/x", Some("base/a7")).status == 200
+    });
+}
+
+#[test]
+fn stop_finisheswhatruns() {
+    let mut fleet = Fleet::start_ready(2);
+    for engine in &fleet.engines {
+        engine.set_pace(Duration::from_millis(200));
+    }
+    let stream = fleet.vms[0]
+        .open(&request("run", "/plan/x", Some("base/a1")))
+        .expect("a connection");
+    until("the run has begun", || ran(&fleet.engines, "run") == 1);
+    fleet.vms[0].signal("-TERM");
+    until("it says that it is leaving", || !fleet.vms[0].ready());
+    let answer = read(stream);
+    assert!(
+        answer.whole && answer.text.contains("token 5"),
+        "{}",
+        answer.text
+    );
+    until("it has ended", || !fleet.vms[0].runs());
+    assert_eq!(fleet.vms[0].ended(), Some(0));
+    assert_eq!(
+        fleet.vms[1].ask("next", "/plan/x", Some("base/a1")).status,
+        200
+    );
+}
+
+#[test]
+fn hangup_cutsnothing() {
+    let mut fleet = Fleet::start_ready(1);
+    for engine in &fleet.engines {
+        engine.set_pace(Duration::from_millis(100));
+    }
+    let stream = fleet.vms[0]
+        .open(&request("hup", "/plan/x", Some("base/a1")))
+        .expect("a connection");
+    until("the run has begun", || ran(&fleet.engines, "hup") == 1);
+    fleet.vms[0].signal("-HUP");
+    let answer = read(stream);
+    assert!(
+        answer.whole && answer.text.contains("token 5"),
+        "{}",
+        answer.text
+    );
+    assert!(fleet.vms[0].runs());
+}
+
+#[test]
+fn settings_wrongendswithtwo() {
+    let fleet = Fleet::bare(0);
+    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let text =
+        settings_text(9, ip, SocketAddr::new(ip, 1)).replace("graceS = 8", "graceS = \"long\"");
+    let mut vm = fleet.start(9, Some(&text));
+    until("it has ended", || !vm.runs());
+    assert_eq!(vm.ended(), Some(2));
+}
+
+#[test]
+fn figures_areserved() {
+    let fleet = Fleet::start_ready(1);
+    fleet.vms[0].ask("m", "/query/x", None);
+    let figures = fleet.vms[0].figures();
+    for name in [
+        "dahliastile_attempts_total",
+        "dahliastile_answered_total",
+        "dahliastile_whole_answer_seconds_bucket",
+        "dahliastile_outside_calls_total",
+    ] {
+        assert!(figures.contains(name), "{name} is missing in {figures}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -0,0 +1,311 @@
+//! The users' platform in small: a key-value service, two engines, two plain servers, and entry VMs as processes.
+
+use std::fmt::Write as _;
+use std::io::{Read, Write as _};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use dahliastile_standin::fleet::{Replica, Store};
+use serde_json::{Value, json};
+
+/// The longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// The pause between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+/// The variable that names the settings file.
+const VARIABLE: &str = "DAHLIASTILE_SETTINGS";
+
+/// Numbers of fleets in this process, so that each has addresses of its own.
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// An answer as its bytes came.
+pub(crate) struct Answer {
+    /// The status, 0 where there was none.
+    pub(crate) status: u16,
+    /// All of it.
+    pub(crate) text: String,
+    /// Whether its body is whole.
+    pub(crate) whole: bool,
+}
+
+/// An entry VM.
+pub(crate) struct Vm {
+    process: Child,
+    ip: IpAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// All of it.
+pub(crate) struct Fleet {
+    /// The key-value service.
+    pub(crate) store: Store,
+    /// The engines.
+    pub(crate) engines: Vec<Replica>,
+    /// The plain servers.
+    pub(crate) plain: Vec<Replica>,
+    /// The entry VMs.
+    pub(crate) vms: Vec<Vm>,
+    net: (u8, u8),
+}
+
+impl Fleet {
+    /// A fleet of so many VMs whose operator has written nothing yet.
+    pub(crate) fn bare(vms: u8) -> Self {
+        let process = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
+        let net = (process, FLEETS.fetch_add(1, Ordering::Relaxed));
+        let at = |host: u8, port: u16| SocketAddr::new(ip(net, host), port);
+        let store = Store::start(at(250, 8142)).expect("the store listens");
+        let start = |host: u8, id: &str, model| {
+            Replica::start(id, at(host, 8080), model, 2).expect("a replica listens")
+        };
+        let engines = vec![start(10, "e0", Some("base")), start(11, "e1", Some("base"))];
+        let plain = vec![start(20, "p0", None), start(21, "p1", None)];
+        for (number, engine) in (0..).zip(&engines) {
+            store.put(
+                &format!("servers/e{number}"),
+                &engine.entry("drafts", at(10 + number, 8080), "north", "ready"),
+            );
+        }
+        for (number, server) in (0..).zip(&plain) {
+            store.put(
+                &format!("servers/p{number}"),
+                &server.entry("desk", at(20 + number, 8080), "north", "ready"),
+            );
+        }
+        let mut fleet = Self {
+            store,
+            engines,
+            plain,
+            vms: Vec::new(),
+            net,
+        };
+        for number in 0..vms {
+            let vm = fleet.start(number + 1, None);
+            fleet.vms.push(vm);
+        }
+        fleet
+    }
+
+    /// A fleet that is ready.
+    pub(crate) fn start_ready(vms: u8) -> Self {
+        let fleet = Self::bare(vms);
+        fleet.store.put("op/config", &config(1));
+        for vm in &fleet.vms {
+            until("a VM is ready", || vm.ready());
+        }
+        until("an engine service has a scheduler", || {
+            fleet.holder().is_some()
+        });
+        fleet
+    }
+
+    /// The VM that schedules the engines.
+    pub(crate) fn holder(&self) -> Option<usize> {
+        let held = self.store.get("dahliastile/holder/drafts")?;
+        held["vm"]
+            .as_str()?
+            .strip_prefix("vm")?
+            .parse::<usize>()
+            .ok()
+            .map(|n| n - 1)
+    }
+
+    /// Where a plain server listens.
+    pub(crate) fn plain_address(&self, number: u8) -> SocketAddr {
+        SocketAddr::new(ip(self.net, 20 + number), 8080)
+    }
+
+    /// Starts a VM, with other settings than the usual ones where some are given.
+    pub(crate) fn start(&self, number: u8, settings: Option<&str>) -> Vm {
+        let ip = ip(self.net, number);
+        let usual = settings_text(number, ip, SocketAddr::new(self::ip(self.net, 250), 8142));
+        let file = std::env::temp_dir().join(format!(
+            "dahliastile-{}-{}-{number}.toml",
+            self.net.0, self.net.1
+        ));
+        std::fs::write(&file, settings.unwrap_or(&usual)).expect("the settings are written");
+        let process = Command::new(env!("CARGO_BIN_EXE_dahliastiled"))
+            .args(["--platform", VARIABLE])
+            .env(VARIABLE, &file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        Vm {
+            process,
+            ip,
+            settings: file,
+        }
+    }
+}
+
+impl Vm {
+    /// Whether it says that it is ready.
+    pub(crate) fn ready(&self) -> bool {
+        self.get(8141, "/dahliastile/readiness").status == 200
+    }
+
+    /// Its figures.
+    pub(crate) fn figures(&self) -> String {
+        self.get(9464, "/metrics").text
+    }
+
+    /// Sends a request of a caller and reads its answer.
+    pub(crate) fn ask(&self, id: &str, path: &str, model: Option<&str>) -> Answer {
+        self.raw(&request(id, path, model))
+    }
+
+    /// Sends bytes and reads the answer.
+    pub(crate) fn raw(&self, bytes: &str) -> Answer {
+        match self.open(bytes) {
+            Some(stream) => read(stream),
+            None => Answer {
+                status: 0,
+                text: String::new(),
+                whole: false,
+            },
+        }
+    }
+
+    /// Sends bytes on a new connection.
+    pub(crate) fn open(&self, bytes: &str) -> Option<TcpStream> {
+        let mut stream = TcpStream::connect(SocketAddr::new(self.ip, 8149)).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        stream.write_all(bytes.as_bytes()).ok()?;
+        Some(stream)
+    }
+
+    /// Sends it a signal by name.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.process.id().to_string();
+        let sent = Command::new("kill").args([name, &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "{name} is sent");
+    }
+
+    /// Its exit code, once it has ended.
+    pub(crate) fn ended(&mut self) -> Option<i32> {
+        let status = self.process.try_wait().expect("it can be waited for");
+        status.map(|status| status.code().unwrap_or(-1))
+    }
+
+    /// Whether its process runs.
+    pub(crate) fn runs(&mut self) -> bool {
+        self.ended().is_none()
+    }
+
+    fn get(&self, port: u16, path: &str) -> Answer {
+        let Ok(mut stream) = TcpStream::connect(SocketAddr::new(self.ip, port)) else {
+            return Answer {
+                status: 0,
+                text: String::new(),
+                whole: false,
+            };
+        };
+        let head = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        // A write that fails shows as an answer without a status.
+        let _ = stream.write_all(head.as_bytes());
+        read(stream)
+    }
+}
+
+/// A caller's request that closes its connection afterwards.
+pub(crate) fn request(id: &str, path: &str, model: Option<&str>) -> String {
+    let mut text = format!(
+        "POST {path} HTTP/1.1\r\nHost: host.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 10000\r\nConnection: close\r\n"
+    );
+    if let Some(model) = model {
+        write!(text, "Model: {model}\r\nToken-Count: 100,20\r\n").expect("a string takes all");
+    }
+    text + "Content-Length: 2\r\n\r\nhi"
+}
+
+/// Reads an answer to its end.
+pub(crate) fn read(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    // What came before an error counts; a body that is not whole shows by its framing.
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let status = text
+        .split(' ')
+        .nth(1)
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(0);
+    let whole = match text.split_once("\r\n\r\n") {
+        Some((head, body)) if head.to_ascii_lowercase().contains("chunked") => {
+            body.ends_with("0\r\n\r\n")
+        }
+        Some((head, body)) => length(head).is_none_or(|length| length == body.len()),
+        None => false,
+    };
+    Answer {
+        status,
+        text,
+        whole,
+    }
+}
+
+fn length(head: &str) -> Option<usize> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut lengths = lines.filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    lengths.next()?.1.trim().parse().ok()
+}
+
+/// Waits for a condition.
+pub(crate) fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let from = Instant::now();
+    while !condition() {
+        assert!(from.elapsed() < PATIENCE, "not in time: {what}");
+        std::thread::sleep(LOOK);
+    }
+}
+
+/// A configuration with a route of each kind.
+pub(crate) fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u64, resumable: bool| {
+        json!({
+            "name": name, "host": "host.example", "prefix": format!("/{name}/"), "kind": kind, "timeoutMs": 8000,
+            "targetLatencyMs": 1000, "priority": 1, "service": service, "maxAttempts": attempts,
+            "resumable": resumable, "gapAimMs": 400,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("plan", "streaming", "drafts", 1, false), route("berth", "streaming", "drafts", 2, true),
+            route("post", "unsafe", "desk", 1, false), route("query", "safe", "desk", 2, false),
+        ],
+        "services": [
+            {"name": "drafts", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false,
+             "engine": {"slots": 8, "kvCapacity": 100_000, "weightsMb": 1000.0, "adapterSlots": 2, "loadsPerS": 3.0,
+                        "models": [{"name": "base", "weightsMb": 900.0, "loadS": 0.1, "adapters": 100, "adapterMb": 1.0}]}},
+            {"name": "desk", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    })
+}
+
+fn ip(net: (u8, u8), host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, host))
+}
+
+/// The settings file as the platform writes it.
+pub(crate) fn settings_text(number: u8, ip: IpAddr, store: SocketAddr) -> String {
+    format!(
+        "nodeName = \"vm{number}\"\nrole = \"entry\"\nip = \"{ip}\"\nzone = \"north\"\nseeds = []\nunknownField = 1\n\
+         [listen]\nfront = \"{ip}:8149\"\nready = \"{ip}:8141\"\ncontrol = \"{ip}:8144\"\n\
+         [bounds]\nbudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 52\ngraceS = 8\nrequireFencing = true\n\
+         [platform]\naddress = \"{store}\"\nttlMinMs = 1000\n"
+    )
+}
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -22,6 +22,10 @@
 /// The time without any word of the holder after which this VM goes on by itself: three of the holder's digests.
 pub(crate) const SILENCE: Span = Span::from_millis(900);
 
+/// The time after which a request that has heard nothing is asked for again, in case that the first question was lost:
+/// an objective's length, since most are placed within it.
+pub(crate) const ASK_AGAIN: Span = Span::from_millis(1_000);
+
 /// What this VM knows of a service's scheduler.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -31,6 +35,9 @@
     pub(crate) fence: u64,
     /// When the holder was last heard.
     heard: Instant,
+    /// Whether it was heard under the present fencing number. What it was sent before that may have come before it knew
+    /// that it holds the seat, and is told again.
+    met: bool,
     /// Whether it counts as silent.
     pub(crate) silent: bool,
     /// What each engine held by its last word.
@@ -53,6 +60,7 @@
             desk.want(now, &me, want);
             return;
         }
+        self.timers.set(now + ASK_AGAIN, Timer::Flow(request));
         let agent = self.agents.entry(service.clone()).or_default();
         match agent.holder.clone() {
             Some(holder) if !agent.silent => self.send(&holder, Message::Want(service, want), out),
@@ -148,6 +156,7 @@
         }
         let changed = agent.fence != fence || agent.holder.as_ref() != Some(&holder.vm);
         let known = agent.holder.is_some();
+        agent.met = !changed && agent.met;
         agent.fence = fence;
         agent.holder = Some(holder.vm.clone());
         if !changed {
@@ -200,7 +209,11 @@
             measure::count(out, Figure::Dropped, service, "old_scheduler");
             return false;
         }
-        let changed = fence > agent.fence || agent.holder.as_ref() != Some(from) || agent.silent;
+        let changed = fence > agent.fence
+            || agent.holder.as_ref() != Some(from)
+            || agent.silent
+            || !agent.met;
+        agent.met = true;
         agent.fence = fence;
         agent.holder = Some(from.clone());
         agent.heard = now;
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -190,7 +190,8 @@
             request: want.request,
         };
         let job = Job::waiting(now, want);
-        if let (Some(key), true) = (job.key(), job.failed.is_empty()) {
+        let new = job.failed.is_empty() && self.jobs.get(&id).is_none();
+        if let Some(key) = job.key().filter(|_| new) {
             self.demand.entry(key).or_default().add(now);
         }
         self.release(&id);
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -11,6 +11,7 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
+use crate::agent::ASK_AGAIN;
 use crate::budget::Terms;
 use crate::config::{Kind, Route, Target};
 use crate::effect::{Effect, Effects, Reason, Send, Verdict};
@@ -349,6 +350,10 @@
             return;
         };
         if flow.ends > self.now {
+            let unheard = flow.state == State::Waiting && flow.call.work.is_some();
+            if unheard && self.now.since(flow.arrived) >= ASK_AGAIN {
+                self.ask_place(request, out);
+            }
             return;
         }
         measure::count(out, Figure::Refused, &flow.service, "timed_out");
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -270,3 +270,28 @@
     assert_ne!(world.holder(), Some(old), "since {from}");
     world.check();
 }
+
+/// The others hear of a new holder before it does: its answers from the key-value service are late. What they ask it
+/// meanwhile must not be lost. The order of candidates decides who holds, so each VM is the late one once.
+#[test]
+fn holder_lateknowslosesnothing() {
+    let mut late_held = 0;
+    for late in 0..2 {
+        let mut world = World::new(2, 2, 1);
+        world.hosts[late].store_lag = Span::from_millis(150);
+        while world.holder().is_none() {
+            world.run(Span::from_millis(1));
+        }
+        late_held += u32::from(world.holder() == Some(late));
+        world.run(Span::from_millis(6));
+        let cold = world.ask(
+            1 - late,
+            call("cold", "/plan/x", 5_000, Some(work("a77", 600, 15))),
+        );
+        world.run(Span::from_secs(4));
+        let first = world.first_piece(cold).expect("served");
+        assert!(first < Span::from_millis(900), "{first}");
+        world.check();
+    }
+    assert!(late_held > 0);
+}
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -10,7 +10,7 @@
 use dahliastile_gateway::config::Config;
 use dahliastile_gateway::effect::{Effect, Op, Order, Reason, Send, Verdict};
 use dahliastile_gateway::event::{Call, Cause, Event, Ordered, Outcome, Ran};
-use dahliastile_gateway::fact::{Backend, Fact, Subject};
+use dahliastile_gateway::fact::{Backend, Change, Fact, Subject};
 use dahliastile_gateway::message::Message;
 use dahliastile_gateway::settings::Tuning;
 use rand::{Rng, SeedableRng};
@@ -75,6 +75,8 @@
     backlog: Vec<Event>,
     /// Whether it reaches the key-value service.
     pub store: bool,
+    /// How much longer the key-value service's answers take to it that say that it holds the seat.
+    pub store_lag: Span,
     /// Whether it reaches other VMs and servers.
     pub net: bool,
     /// The wake-up that is set.
@@ -160,6 +162,7 @@
                 frozen: None,
                 backlog: Vec::new(),
                 store: true,
+                store_lag: Span::ZERO,
                 net: true,
                 wake: Instant::NEVER,
             });
@@ -463,10 +466,8 @@
             Some(Outcome::Refused)
         };
         if let Some(outcome) = outcome {
-            self.at(
-                self.now + STORE_WAY,
-                Act::Event(vm, start, Event::Store(op, outcome)),
-            );
+            let at = self.now + STORE_WAY + self.lag(vm, &outcome);
+            self.at(at, Act::Event(vm, start, Event::Store(op, outcome)));
         }
         self.wake_watchers();
     }
@@ -492,10 +493,17 @@
 
     fn answer_store(&mut self, vm: usize, op: u64, outcome: Outcome) {
         let start = self.hosts.get(vm).map_or(0, |host| host.start);
-        self.at(
-            self.now + STORE_WAY,
-            Act::Event(vm, start, Event::Store(op, outcome)),
-        );
+        let at = self.now + STORE_WAY + self.lag(vm, &outcome);
+        self.at(at, Act::Event(vm, start, Event::Store(op, outcome)));
+    }
+
+    fn lag(&self, vm: usize, outcome: &Outcome) -> Span {
+        let seat = |change: &Change| matches!(change.fact, Some(Fact::Holder(_)));
+        match outcome {
+            Outcome::Written(_) => self.hosts[vm].store_lag,
+            Outcome::Watched(changes, _) if changes.iter().any(seat) => self.hosts[vm].store_lag,
+            _ => Span::ZERO,
+        }
     }
 
     fn carry_out(
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for the users' platform: its key-value service, model replicas and plain servers.
+//!
+//! They speak what the platform's pages say, as far as one entry VM can see it, and keep a record of what reached them.
+//! Their faults are set while they run.
+
+mod http;
+mod replica;
+mod store;
+
+pub use http::Asked;
+pub use replica::{Fault, Replica, Run};
+pub use store::Store;
--- /dev/null
+++ b/crates/standin/src/fleet/replica.rs
@@ -0,0 +1,232 @@
+//! A backend server: a model replica that holds adapters, or a plain service.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::http::{Asked, Reply, serve};
+
+/// The time a load of an adapter takes.
+const LOAD: Duration = Duration::from_millis(50);
+/// Events of a stream, and the pause before each.
+const EVENTS: u64 = 5;
+
+/// What a replica does with the next requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It serves them.
+    #[default]
+    None,
+    /// It runs them and closes the connection without an answer.
+    LosesAnswer,
+    /// It closes the connection after the second event of a stream.
+    CutsStream,
+    /// It answers with another request's id.
+    AnswersAnother,
+    /// It takes no more work.
+    Full,
+    /// It runs them and fails.
+    Fails,
+}
+
+/// A request that was run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The request as it came.
+    pub asked: Asked,
+    /// The event after which it went on, 0 where it began.
+    pub after: u64,
+}
+
+#[derive(Default)]
+struct State {
+    adapters: BTreeMap<String, Instant>,
+    orders: u64,
+    fence: u64,
+    fault: Fault,
+    runs: Vec<Run>,
+    pace: Duration,
+}
+
+/// A backend server. Clones are the same one.
+#[derive(Clone)]
+pub struct Replica {
+    id: String,
+    /// The base model, or none for a plain service.
+    model: Option<String>,
+    places: usize,
+    state: Arc<Mutex<State>>,
+}
+
+impl Replica {
+    /// A replica with an id that listens at an address; a model replica where it has a base model.
+    ///
+    /// # Errors
+    /// Where it can't listen.
+    pub fn start(
+        id: &str,
+        address: SocketAddr,
+        model: Option<&str>,
+        places: usize,
+    ) -> std::io::Result<Self> {
+        let replica = Self {
+            id: id.to_owned(),
+            model: model.map(str::to_owned),
+            places,
+            state: Arc::default(),
+        };
+        let served = replica.clone();
+        serve(address, move |asked| served.answer(asked))?;
+        Ok(replica)
+    }
+
+    /// The entry that it writes into the key-value service.
+    #[must_use]
+    pub fn entry(&self, service: &str, address: SocketAddr, zone: &str, state: &str) -> Value {
+        let models: Vec<Value> = self
+            .model
+            .iter()
+            .map(|m| json!({"name": m, "version": 1, "adapters": []}))
+            .collect();
+        json!({
+            "service": service, "address": address.to_string(), "zone": zone, "version": "v1", "slots": 8,
+            "state": state, "coldRemainingMs": 0, "stage": "both", "models": models, "seq": 0,
+        })
+    }
+
+    /// What it does with the next requests.
+    pub fn set_fault(&self, fault: Fault) {
+        self.state().fault = fault;
+    }
+
+    /// The pause before each event of a stream.
+    pub fn set_pace(&self, pace: Duration) {
+        self.state().pace = pace;
+    }
+
+    /// The requests that it ran.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.state().runs.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer(&self, asked: &Asked) -> Reply {
+        let expected = asked.headers.get("expect-instance");
+        match asked.path.as_str() {
+            _ if expected.is_some_and(|id| *id != self.id) => self.plainly(421, Vec::new(), ""),
+            "/dahliastile/report" => self.report(),
+            "/dahliastile/order" => self.order(asked),
+            _ => self.work(asked),
+        }
+    }
+
+    fn report(&self) -> Reply {
+        let state = self.state();
+        let now = Instant::now();
+        let names = |there: bool| {
+            let some = state
+                .adapters
+                .iter()
+                .filter(move |(_, ready)| (**ready <= now) == there);
+            some.map(|(name, _)| format!("{name}@1"))
+                .collect::<Vec<_>>()
+        };
+        let coming: Vec<String> = names(false)
+            .iter()
+            .map(|name| format!("{}/{name}", self.model.as_deref().unwrap_or("")))
+            .collect();
+        let models: Vec<Value> = self
+            .model
+            .iter()
+            .map(|m| json!({"name": m, "version": 1, "adapters": names(true)}))
+            .collect();
+        let body = json!({"stage": "both", "models": models, "coming": coming, "busy": false, "seq": state.orders});
+        Reply::Whole(200, Vec::new(), body.to_string().into_bytes())
+    }
+
+    fn order(&self, asked: &Asked) -> Reply {
+        let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+        let mut state = self.state();
+        let fence = body["fencingToken"].as_u64().unwrap_or(0);
+        let adapter = body["adapter"].as_str().unwrap_or_default().to_owned();
+        let status = match body["op"].as_str() {
+            _ if fence < state.fence => 412,
+            _ if body["expected"].as_u64() != Some(state.orders) => 409,
+            Some("load") if state.adapters.len() >= self.places => 400,
+            Some("load") => {
+                state.adapters.insert(adapter, Instant::now() + LOAD);
+                202
+            }
+            _ => {
+                state.adapters.remove(&adapter);
+                200
+            }
+        };
+        if status < 300 {
+            state.orders += 1;
+            state.fence = fence;
+        }
+        self.plainly(status, Vec::new(), "")
+    }
+
+    fn work(&self, asked: &Asked) -> Reply {
+        let mut state = self.state();
+        let named = asked
+            .headers
+            .get("model")
+            .and_then(|model| model.split_once('/'));
+        let held = named.is_none_or(|(_, adapter)| {
+            state
+                .adapters
+                .get(adapter)
+                .is_some_and(|ready| *ready <= Instant::now())
+        });
+        if !held {
+            return self.plainly(421, Vec::new(), "");
+        }
+        if state.fault == Fault::Full {
+            return self.plainly(503, vec![("Not-Executed".to_owned(), "1".to_owned())], "");
+        }
+        let after = asked
+            .headers
+            .get("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
+        state.runs.push(Run {
+            asked: asked.clone(),
+            after,
+        });
+        let id = match state.fault {
+            Fault::AnswersAnother => "another",
+            _ => asked.headers.get("request-id").map_or("", String::as_str),
+        };
+        let headers = vec![
+            ("Request-Id".to_owned(), id.to_owned()),
+            ("Server-Seal".to_owned(), format!("seal-{}", self.id)),
+        ];
+        match state.fault {
+            Fault::LosesAnswer => Reply::Nothing,
+            Fault::Fails => Reply::Whole(500, headers, b"failed".to_vec()),
+            fault if self.model.is_some() => {
+                let ended = fault != Fault::CutsStream;
+                let last = if ended { EVENTS } else { after + 2 };
+                let pace = state.pace;
+                let event = |number: u64| (pace, format!("id: {number}\ndata: token {number}\n\n"));
+                Reply::Stream(headers, (after + 1..=last).map(event).collect(), ended)
+            }
+            _ => Reply::Whole(200, headers, format!("answer of {}", self.id).into_bytes()),
+        }
+    }
+
+    fn plainly(&self, status: u16, mut headers: Vec<(String, String)>, body: &str) -> Reply {
+        headers.push(("Instance-Id".to_owned(), self.id.clone()));
+        Reply::Whole(status, headers, body.as_bytes().to_vec())
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 pub mod caller;
 pub mod engine;
+pub mod fleet;
 mod gate;
 mod host;
 pub mod kv;
