The scheduler's lines bear the caller's id

Cause: a refusal by the scheduler could not be followed from a request's id: its lines named the VM's own number. Change: wants carry the id; lines of places and refusals begin with it.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -151,10 +151,9 @@
 fn answer_lostisretriedonlywheresafe() {
     let fleet = Fleet::start_ready(1);
     let lose = |fault| {
-        fleet
-            .plain
-            .iter()
-            .for_each(|server| server.set_fault(fault))
+        for server in &fleet.plain {
+            server.set_fault(fault);
+        }
     };
     lose(Fault::LosesAnswer);
     let posted = fleet.vms[0].ask("unsafe", "/post/x", None);
--- a/crates/gateway/src/desk/job.rs
+++ b/crates/gateway/src/desk/job.rs
@@ -1,6 +1,7 @@
 //! Requests as the scheduler sees them.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use dahliastile_core::id::{Server, Vm, Zone};
 use dahliastile_core::time::Instant;
@@ -37,6 +38,8 @@
 /// One request.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
+    /// The caller's id of it; empty for one that ran already when the scheduler began.
+    pub(crate) id: Arc<str>,
     /// What it asks for.
     pub(crate) work: Work,
     /// When it arrived at its VM.
@@ -60,6 +63,7 @@
     pub(crate) fn waiting(now: Instant, want: Want) -> Self {
         let arrived = now.back(want.waited);
         Self {
+            id: want.id,
             work: want.work,
             arrived,
             due: arrived + want.objective,
@@ -74,6 +78,7 @@
     /// A request that was running already when the scheduler began.
     pub(crate) fn running(now: Instant, run: &Running) -> Self {
         Self {
+            id: Arc::default(),
             work: run.work.clone(),
             arrived: now,
             due: now,
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -109,9 +109,9 @@
             let waited = now.since(job.arrived);
             let adapter = job.work.adapter.as_deref().unwrap_or("-");
             let detail = format!(
-                "vm={} request={} adapter={adapter} version={version:?} server={server} waited={waited} running={} backlog={}",
+                "id={} vm={} adapter={adapter} version={version:?} server={server} waited={waited} running={} backlog={}",
+                job.id,
                 id.vm,
-                id.request,
                 engine.running,
                 engine.backlog(now)
             );
--- a/crates/gateway/src/desk/refuse.rs
+++ b/crates/gateway/src/desk/refuse.rs
@@ -32,9 +32,9 @@
                 let after = wait.span.max(COME_BACK.0).min(COME_BACK.1);
                 let waited = now.since(job.arrived);
                 let detail = format!(
-                    "vm={} request={} why={:?} forecast={} waited={waited} left={} after={after}",
+                    "id={} vm={} why={:?} forecast={} waited={waited} left={} after={after}",
+                    job.id,
                     wait.id.vm,
-                    wait.id.request,
                     wait.what,
                     wait.span,
                     job.ends.since(now)
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -77,6 +77,7 @@
     pub(crate) fn want(&self, request: RequestId, zone: &Zone, now: Instant) -> Option<Want> {
         Some(Want {
             request,
+            id: self.call.id.clone(),
             work: self.call.work.clone()?,
             waited: now.since(self.arrived),
             objective: self.route.objective,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,6 +3,7 @@
 use dahliastile_core::id::{Server, Service, Zone};
 use dahliastile_core::time::Span;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 use crate::event::{Cause, Ran, RequestId, Work};
 use crate::fact::{Change, Member, Resident, Revision, Version};
@@ -12,6 +13,8 @@
 pub struct Want {
     /// Its number on the VM that asks.
     pub request: RequestId,
+    /// The caller's id of it, for the log.
+    pub id: Arc<str>,
     /// What it asks for.
     pub work: Work,
     /// How long it has waited already.
--- /dev/null
+++ b/crates/gateway/tests/follow.rs
@@ -0,0 +1,117 @@
+//! Who reads the key-value service, and how the others hear of its changes.
+//!
+//! The load is that of a calm day at the larger deployments: servers rewrite their entries several times a second, and
+//! each VM that watches by itself would make a call for each.
+
+mod support;
+
+use std::sync::Arc;
+
+use dahliastile_core::time::Span;
+use dahliastile_gateway::fact::{Fact, Subject};
+use support::World;
+use support::setup::{config, name};
+
+/// Servers rewrite their entries every 50 ms for a while.
+fn churn(world: &mut World, span: Span) {
+    let step = Span::from_millis(50);
+    for at in 0..span.0 / step.0 {
+        let id = name(&format!("e{}", at % 4));
+        let backend = world.servers[&id].1.clone();
+        world.store.put(Subject::Server(id), Fact::Server(Arc::clone(&backend)), 0);
+        world.wake_watchers();
+        world.run(step);
+    }
+}
+
+fn versions(world: &World) -> Vec<u64> {
+    let gateways = world.hosts.iter().filter_map(|host| host.gateway.as_ref());
+    gateways.map(dahliastile_gateway::Gateway::version).collect()
+}
+
+fn calm(vms: usize) -> World {
+    let mut world = World::new(vms, 4, 1);
+    world.run(Span::from_secs(2));
+    churn(&mut world, Span::from_secs(1));
+    world
+}
+
+#[test]
+fn watch_byfew() {
+    let mut world = calm(12);
+    world.store.watched_by.clear();
+    churn(&mut world, Span::from_secs(5));
+    assert!(world.store.watched_by.len() <= 3, "{:?}", world.store.watched_by);
+    world.configure(config(7));
+    world.run(Span::from_millis(100));
+    assert_eq!(versions(&world), vec![7; 12]);
+}
+
+#[test]
+fn watchers_killedarereplaced() {
+    let mut world = calm(12);
+    world.store.watched_by.clear();
+    churn(&mut world, Span::from_secs(2));
+    let watchers: Vec<usize> = world.store.watched_by.iter().copied().collect();
+    for vm in watchers {
+        world.kill(vm, true);
+    }
+    world.configure(config(8));
+    world.run(Span::from_millis(1_600));
+    assert_eq!(versions(&world), vec![8; 9]);
+    world.check();
+}
+
+#[test]
+fn watchers_frozenarereplaced() {
+    let mut world = calm(12);
+    world.store.watched_by.clear();
+    churn(&mut world, Span::from_secs(2));
+    let watchers: Vec<usize> = world.store.watched_by.iter().copied().collect();
+    for vm in &watchers {
+        world.freeze(*vm, Span::from_secs(6));
+    }
+    world.configure(config(9));
+    world.run(Span::from_millis(1_600));
+    let others = versions(&world).into_iter().filter(|version| *version == 9).count();
+    assert_eq!(others, 9);
+    world.run(Span::from_secs(6));
+    assert_eq!(versions(&world), vec![9; 12]);
+}
+
+/// The key-value service turns away all that watch it: the others read it themselves, and tell them.
+#[test]
+fn watchers_turnedawayhear() {
+    let mut world = calm(12);
+    world.store.watched_by.clear();
+    churn(&mut world, Span::from_secs(2));
+    let watchers: Vec<usize> = world.store.watched_by.iter().copied().collect();
+    for vm in &watchers {
+        world.hosts[*vm].store = false;
+    }
+    world.wake_watchers();
+    world.configure(config(9));
+    world.run(Span::from_millis(2_500));
+    assert_eq!(versions(&world), vec![9; 12]);
+}
+
+/// Every entry lapses while the service is away: nobody takes the servers for gone before they could come back.
+#[test]
+fn entries_lapsedarewaitedfor() {
+    let mut world = calm(12);
+    world.store_up = false;
+    world.wake_watchers();
+    world.run(Span::from_secs(3));
+    for server in ["e0", "e1", "e2", "e3", "p0"] {
+        world.store.remove(&Subject::Server(name(server)));
+    }
+    world.store_up = true;
+    world.run(Span::from_millis(900));
+    let asked: Vec<u64> = (0..12)
+        .map(|vm| world.ask(vm, support::setup::call("q", "/query/x", 2_000, None)))
+        .collect();
+    world.run(Span::from_millis(300));
+    for number in asked {
+        assert!(matches!(world.answer(number), Some(support::Answer::Served(_))));
+    }
+}
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -36,6 +36,8 @@
     pub compacted: Revision,
     /// Calls served.
     pub calls: u64,
+    /// The VMs that have watched.
+    pub watched_by: std::collections::BTreeSet<usize>,
 }
 
 impl Store {
@@ -124,6 +126,7 @@
             }
             Op::Watch(after, _) if after < self.compacted => Some(Outcome::Compacted),
             Op::Watch(after, wait) => {
+                self.watched_by.insert(vm);
                 self.waiters.push(Waiter {
                     vm,
                     op,
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -122,7 +122,9 @@
 
 fn append(head: &mut String, headers: &[(String, String)]) {
     for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
+        for part in [name, ": ", value, "\r\n"] {
+            head.push_str(part);
+        }
     }
     head.push_str("\r\n");
 }
