Three VMs watch the key-value service and pass its changes on; the others follow them

Besides, a VM that heard changes from a peer while the store came back took lapsed servers for gone at once.

Ruled out: a pause between watches alone (300 ms between calls still makes 270 calls a second at 91 VMs).

Change: follow.rs: three VMs by hashing watch; each other one asks one of them every 300 ms and is told of changes as they come, with the revisions that they cover and whether entries may still come back. A VM's word counts only while the store has answered it within 800 ms, watches are 500 ms long, and a follower that hears nothing good for 700 ms watches by itself for four seconds.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -124,6 +124,10 @@
     EntryLapsed = 311 Info "Nothing; it counts as gone if it does not come back.";
     /// This VM's lease in the key-value service ended.
     StoreLeaseLost = 312 Warn "Check the VM's way to the key-value service if it repeats.";
+    /// This VM hears of the key-value service's changes from another VM.
+    Following = 313 Info "Nothing.";
+    /// This VM no longer hears of them from that VM.
+    FollowingEnded = 314 Info "Nothing; it watches by itself or follows another VM.";
     /// The key-value service names the VM that schedules a service's engines.
     HolderNamed = 320 Info "Nothing.";
     /// No VM schedules a service's engines.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,29 +1,49 @@
-//! Following the key-value service: one list, then one watch after the other; and peers when it is away.
+//! Following the key-value service: one list, then one watch after the other, by a few VMs; the others hear from them.
+//!
+//! Each change wakes each watch, and each call is counted against rates that all VMs share. So only a few VMs watch,
+//! chosen by hashing over the live ones; each other VM asks one of them to be told, and is told at once. One that hears
+//! nothing for a while watches by itself. One that can't reach the service asks others for what they know.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use rustc_hash::FxHasher;
 
 use crate::config::{Config, Index};
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::Outcome;
 use crate::fact::{Backend, Change, Fact, Revision, Subject};
-use crate::message::Message;
+use crate::message::{Message, News};
 use crate::node::Gateway;
 use crate::plain::Row;
 use crate::timer::Timer;
 
+/// VMs that watch the key-value service by themselves: one may fail while another is being replaced.
+const WATCHERS: usize = 3;
+
+/// The time between two questions to the VM that is followed, or, while the key-value service is away, to peers: a
+/// sixth of the two seconds within which a configuration is to be in force.
+const ASK_EVERY: Span = Span::from_millis(300);
+
+/// The silence of the VM that is followed after which this VM watches by itself. With the age of that VM's own news it
+/// makes a second and a half, of two seconds within which a configuration is to be in force.
+const SILENCE: Span = Span::from_millis(700);
+
+/// How old the last answer of the key-value service may be for this VM's word to count: a watch's length and some.
+const FRESH: Span = Span::from_millis(800);
+
+/// How long this VM then watches by itself before it follows another VM again.
+const ALONE: Span = Span::from_secs(4);
+
 /// How long the key-value service may be silent before peers are asked: two tries.
 const ASK_PEERS_AFTER: Span = Span::from_millis(400);
 
-/// The time between two questions to peers, each to another one: a fifth of the two seconds within which a
-/// configuration is to be in force.
-const ASK_PEERS_EVERY: Span = Span::from_millis(400);
-
 /// How long a peer that asked is told of changes: five of its questions.
 const SUBSCRIPTION: Span = Span::from_millis(2_000);
 
@@ -32,19 +52,27 @@
 pub(crate) struct State {
     /// The call in progress.
     pub(crate) op: Option<OpId>,
-    /// The revision to watch from; none before a list.
+    /// The revision up to which all changes are known; none before a list.
     cursor: Option<Revision>,
+    /// When it last answered.
+    answered: Instant,
     /// Since when it has not answered.
     pub(crate) away: Option<Instant>,
     /// When it answered again after it had been away.
     back: Option<Instant>,
     /// When to call it next, where no call is in progress.
     next: Instant,
-    /// When peers are asked next.
+    /// The VM that is followed.
+    leader: Option<Vm>,
+    /// When that VM was last heard.
+    heard: Instant,
+    /// Until when this VM watches by itself whatever its turn.
+    alone: Instant,
+    /// When the VM that is followed, or peers, are asked next.
     ask: Instant,
     /// Servers whose entry lapsed while it was away, and until when they may come back.
     lapsed: BTreeMap<Server, Instant>,
-    /// Peers that can't reach it, and until when they are told of changes.
+    /// VMs that follow this one, and until when they are told of changes.
     followers: BTreeMap<Vm, Instant>,
 }
 
@@ -65,8 +93,9 @@
             }
             Outcome::Watched(changes, revision) => {
                 self.store_back(out);
-                self.tell_followers(&changes, out);
-                self.take_changes(changes, true, out);
+                self.tell_followers(&changes, revision, out);
+                let recovering = self.recovering();
+                self.take_changes(changes, recovering, out);
                 self.follow.cursor = Some(revision);
                 self.watch(out);
             }
@@ -81,28 +110,48 @@
 
     pub(crate) fn follow_due(&mut self, out: &mut Effects) {
         self.drop_lapsed(out);
-        if self.follow.op.is_none() && self.now >= self.follow.next {
-            self.watch(out);
+        match self.follow.leader {
+            Some(_) => self.keep_following(out),
+            None if self.follow.op.is_none() && self.now >= self.follow.next => self.watch(out),
+            None => {}
         }
         self.ask_peers(out);
     }
 
-    /// A peer can't reach the key-value service and asks for what it lacks.
-    pub(crate) fn follow_asked(&mut self, from: &Vm, revision: Revision, out: &mut Effects) {
-        let changes: Vec<Change> = self.facts.after(revision).cloned().collect();
-        self.follow
-            .followers
-            .insert(from.clone(), self.now + SUBSCRIPTION);
-        if !changes.is_empty() {
-            self.send(from, Message::Changes(changes), out);
+    /// A VM wants to be told of changes after a revision.
+    pub(crate) fn follow_asked(&mut self, from: &Vm, since: Revision, out: &mut Effects) {
+        let until = self.now + SUBSCRIPTION;
+        self.follow.followers.insert(from.clone(), until);
+        let changes: Vec<Change> = self.facts.after(since).cloned().collect();
+        let news = self.news(since, self.follow.cursor.unwrap_or(since), changes);
+        self.send(from, Message::News(news), out);
+    }
+
+    /// Takes changes in that another VM passes on.
+    pub(crate) fn take_news(&mut self, from: &Vm, news: News, out: &mut Effects) {
+        if news.direct && self.follow.leader.as_ref() == Some(from) {
+            self.follow.heard = self.now;
+        }
+        self.take_changes(news.changes, news.recovering, out);
+        match self.follow.cursor {
+            Some(cursor) if cursor >= news.since && news.until > cursor => {
+                self.follow.cursor = Some(news.until);
+            }
+            _ => {}
         }
     }
 
-    /// Takes changes in, from the key-value service itself or from a peer.
-    pub(crate) fn take_changes(&mut self, changes: Vec<Change>, direct: bool, out: &mut Effects) {
+    /// Takes changes in. Where the key-value service was away until a moment ago, servers whose entries are gone may
+    /// still come back.
+    pub(crate) fn take_changes(
+        &mut self,
+        changes: Vec<Change>,
+        recovering: bool,
+        out: &mut Effects,
+    ) {
         for change in changes {
             match &change.subject {
-                Subject::Server(server) if direct && change.fact.is_none() && self.recovering() => {
+                Subject::Server(server) if recovering && change.fact.is_none() => {
                     let server = server.clone();
                     self.lapse(server, out);
                 }
@@ -118,7 +167,17 @@
         self.follow.away.is_some() || back.is_some_and(|at| self.now.since(at) < grace)
     }
 
+    /// Goes on: watches, or follows a VM that does.
     fn watch(&mut self, out: &mut Effects) {
+        let leader = self.leader().filter(|_| self.follow.cursor.is_some());
+        if let Some(leader) = leader.filter(|_| self.now >= self.follow.alone) {
+            Self::log(out, Code::Following, format!("vm={leader}"));
+            self.follow.leader = Some(leader);
+            self.follow.heard = self.now;
+            self.follow.ask = self.now;
+            self.keep_following(out);
+            return;
+        }
         let wait = self.settings.tuning.watch;
         let op = match self.follow.cursor {
             Some(revision) => Op::Watch(revision, wait),
@@ -127,6 +186,47 @@
         self.follow.op = Some(self.store(op, out));
     }
 
+    /// The VM that this one follows, by hashing; none where this VM is one of those that watch.
+    fn leader(&self) -> Option<Vm> {
+        let me = &self.settings.vm;
+        let mut watchers: Vec<&Vm> = self.peers().chain([me]).collect();
+        watchers.sort_by_key(|vm| hash(&vm.as_str()));
+        watchers.truncate(WATCHERS);
+        if watchers.contains(&me) {
+            return None;
+        }
+        let choice = watchers
+            .into_iter()
+            .min_by_key(|vm| hash(&(me.as_str(), vm.as_str())));
+        choice.cloned()
+    }
+
+    /// Asks the VM that is followed again, unless it is silent or this VM's turn has changed.
+    fn keep_following(&mut self, out: &mut Effects) {
+        let silent = self.now.since(self.follow.heard) >= SILENCE;
+        if silent || self.leader() != self.follow.leader {
+            let leader = self.follow.leader.take();
+            Self::log(
+                out,
+                Code::FollowingEnded,
+                format!("vm={leader:?} silent={silent}"),
+            );
+            if silent {
+                self.follow.alone = self.now + ALONE;
+            }
+            self.watch(out);
+            return;
+        }
+        if self.now >= self.follow.ask {
+            self.follow.ask = self.now + ASK_EVERY;
+            self.timers.set(self.follow.ask, Timer::Follow);
+            if let Some(leader) = self.follow.leader.clone() {
+                let revision = self.follow.cursor.unwrap_or(0);
+                self.send(&leader, Message::Follow(self.member(), revision), out);
+            }
+        }
+    }
+
     fn store_away(&mut self, outcome: &Outcome, out: &mut Effects) {
         if self.follow.away.is_none() {
             self.follow.away = Some(self.now);
@@ -139,6 +239,7 @@
     }
 
     fn store_back(&mut self, out: &mut Effects) {
+        self.follow.answered = self.now;
         if let Some(since) = self.follow.away.take() {
             self.follow.back = Some(self.now);
             let away = self.now.since(since);
@@ -165,27 +266,38 @@
                 Message::Follow(self.member(), revision),
             ));
         }
-        self.follow.ask = self.now + ASK_PEERS_EVERY;
+        self.follow.ask = self.now + ASK_EVERY;
         self.timers.set(self.follow.ask, Timer::Follow);
     }
 
-    fn tell_followers(&mut self, changes: &[Change], out: &mut Effects) {
+    /// Passes changes on that have come after all that is known.
+    fn tell_followers(&mut self, changes: &[Change], revision: Revision, out: &mut Effects) {
         let now = self.now;
         self.follow.followers.retain(|_, until| *until > now);
         if changes.is_empty() {
             return;
         }
+        let news = self.news(self.follow.cursor.unwrap_or(0), revision, changes.to_vec());
         let followers: Vec<Vm> = self.follow.followers.keys().cloned().collect();
         for vm in followers {
-            self.send(&vm, Message::Changes(changes.to_vec()), out);
+            self.send(&vm, Message::News(news.clone()), out);
+        }
+    }
+
+    fn news(&self, since: Revision, until: Revision, changes: Vec<Change>) -> News {
+        News {
+            since,
+            until,
+            direct: self.follow.leader.is_none() && self.now.since(self.follow.answered) <= FRESH,
+            recovering: self.recovering(),
+            changes,
         }
     }
 
     /// Takes a whole list in. What it lacks is gone, but for servers while the key-value service comes back.
     fn take_list(&mut self, changes: Vec<Change>, revision: Revision, out: &mut Effects) {
         let known: Vec<Subject> = self.facts.present().map(|c| c.subject.clone()).collect();
-        let listed: std::collections::BTreeSet<Subject> =
-            changes.iter().map(|c| c.subject.clone()).collect();
+        let listed: BTreeSet<Subject> = changes.iter().map(|c| c.subject.clone()).collect();
         self.take_changes(changes, false, out);
         for subject in known.into_iter().filter(|s| !listed.contains(s)) {
             match subject {
@@ -300,3 +412,9 @@
         fact: None,
     }
 }
+
+fn hash<T: Hash>(value: &T) -> u64 {
+    let mut hasher = FxHasher::default();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -51,6 +51,21 @@
     pub adapters: Vec<Resident>,
 }
 
+/// Changes of the key-value service, as one VM passes them on to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// All changes after this revision.
+    pub since: Revision,
+    /// Up to this one.
+    pub until: Revision,
+    /// Whether the sender reaches the key-value service.
+    pub direct: bool,
+    /// Whether entries may be missing only because the service was away until a moment ago.
+    pub recovering: bool,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
 /// How a placed request went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Progress {
@@ -79,10 +94,11 @@
     Residents(Service, u64, Vec<Holding>),
     /// From the scheduler: it is there.
     Alive(Service, u64),
-    /// This VM, which is there, can't reach the key-value service: all changes after the revision, please.
+    /// This VM, which is there, knows all changes of the key-value service up to the revision, and wants to be told of
+    /// later ones for a while.
     Follow(Member, Revision),
     /// Changes of the key-value service.
-    Changes(Vec<Change>),
+    News(News),
 }
 
 /// Messages as bytes for another VM; none where they can't be written, which no message of this module is.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -216,7 +216,7 @@
                 self.book.introduced(from, &member);
                 self.follow_asked(from, revision, out);
             }
-            Message::Changes(changes) => self.take_changes(changes, false, out),
+            Message::News(news) => self.take_news(from, news, out),
             Message::Want(service, want) => self.wanted(&service, from, want),
             Message::Progress(service, request, progress) => {
                 self.progressed(&service, from, request, progress);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,7 +37,8 @@
     pub lease_guard: Span,
     /// Whether servers refuse an order under an old fencing number.
     pub fencing: bool,
-    /// How long a watch waits at the key-value service. Long, since each call is counted against its rates.
+    /// How long a watch waits at the key-value service. Short, since only its answers show that the way there is good,
+    /// and others rely on it; three VMs make six such calls a second at most.
     pub watch: Span,
     /// The pause after a call of the key-value service that failed.
     pub store_retry: Span,
@@ -75,7 +76,7 @@
             renew: Span::from_millis(500),
             lease_guard: Span::from_millis(300),
             fencing: true,
-            watch: Span::from_secs(10),
+            watch: Span::from_millis(500),
             store_retry: Span::from_millis(150),
             lapse_grace: Span::from_millis(2_000),
             adapter_load: Span::from_millis(250),
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -18,7 +18,9 @@
     for at in 0..span.0 / step.0 {
         let id = name(&format!("e{}", at % 4));
         let backend = world.servers[&id].1.clone();
-        world.store.put(Subject::Server(id), Fact::Server(Arc::clone(&backend)), 0);
+        world
+            .store
+            .put(Subject::Server(id), Fact::Server(Arc::clone(&backend)), 0);
         world.wake_watchers();
         world.run(step);
     }
@@ -26,7 +28,9 @@
 
 fn versions(world: &World) -> Vec<u64> {
     let gateways = world.hosts.iter().filter_map(|host| host.gateway.as_ref());
-    gateways.map(dahliastile_gateway::Gateway::version).collect()
+    gateways
+        .map(dahliastile_gateway::Gateway::version)
+        .collect()
 }
 
 fn calm(vms: usize) -> World {
@@ -41,7 +45,11 @@
     let mut world = calm(12);
     world.store.watched_by.clear();
     churn(&mut world, Span::from_secs(5));
-    assert!(world.store.watched_by.len() <= 3, "{:?}", world.store.watched_by);
+    assert!(
+        world.store.watched_by.len() <= 3,
+        "{:?}",
+        world.store.watched_by
+    );
     world.configure(config(7));
     world.run(Span::from_millis(100));
     assert_eq!(versions(&world), vec![7; 12]);
@@ -73,7 +81,10 @@
     }
     world.configure(config(9));
     world.run(Span::from_millis(1_600));
-    let others = versions(&world).into_iter().filter(|version| *version == 9).count();
+    let others = versions(&world)
+        .into_iter()
+        .filter(|version| *version == 9)
+        .count();
     assert_eq!(others, 9);
     world.run(Span::from_secs(6));
     assert_eq!(versions(&world), vec![9; 12]);
@@ -112,6 +123,29 @@
         .collect();
     world.run(Span::from_millis(300));
     for number in asked {
-        assert!(matches!(world.answer(number), Some(support::Answer::Served(_))));
+        assert!(matches!(
+            world.answer(number),
+            Some(support::Answer::Served(_))
+        ));
     }
 }
+
+/// The key-value service leaves the calls of all that watch it without an answer, also the watches in progress: the
+/// others must not take their silence for news of no change.
+#[test]
+fn watchers_unansweredarereplaced() {
+    let mut world = calm(12);
+    world.store.watched_by.clear();
+    churn(&mut world, Span::from_secs(2));
+    let watchers: Vec<usize> = world.store.watched_by.iter().copied().collect();
+    for vm in &watchers {
+        world.hosts[*vm].silent = true;
+    }
+    world.configure(config(9));
+    world.run(Span::from_millis(1_900));
+    let others = versions(&world)
+        .into_iter()
+        .filter(|version| *version == 9)
+        .count();
+    assert!(others >= 9, "{others} of 9");
+}
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -26,6 +26,8 @@
 const STORE_WAY: Span = Span::from_millis(2);
 /// The work of a plain service.
 const PLAIN_WORK: Span = Span::from_millis(60);
+/// How long a call waits for an answer that does not come.
+const SILENT_CALL: Span = Span::from_millis(700);
 /// How long a process is down before it is started again.
 const RESTART: Span = Span::from_millis(400);
 
@@ -75,6 +77,8 @@
     backlog: Vec<Event>,
     /// Whether it reaches the key-value service.
     pub store: bool,
+    /// Whether the key-value service leaves its calls without an answer.
+    pub silent: bool,
     /// How much longer the key-value service's answers take to it that say that it holds the seat.
     pub store_lag: Span,
     /// Whether it reaches other VMs and servers.
@@ -162,6 +166,7 @@
                 frozen: None,
                 backlog: Vec::new(),
                 store: true,
+                silent: false,
                 store_lag: Span::ZERO,
                 net: true,
                 wake: Instant::NEVER,
@@ -459,6 +464,11 @@
     }
 
     fn call_store(&mut self, vm: usize, start: u64, op: u64, call: Op) {
+        if self.hosts[vm].silent {
+            let event = Event::Store(op, Outcome::Unknown);
+            self.at(self.now + SILENT_CALL, Act::Event(vm, start, event));
+            return;
+        }
         let reached = self.store_up && self.hosts[vm].store;
         let outcome = if reached {
             self.store.call(self.now, vm, op, call)
@@ -492,6 +502,9 @@
     }
 
     fn answer_store(&mut self, vm: usize, op: u64, outcome: Outcome) {
+        if self.hosts.get(vm).is_some_and(|host| host.silent) {
+            return;
+        }
         let start = self.hosts.get(vm).map_or(0, |host| host.start);
         let at = self.now + STORE_WAY + self.lag(vm, &outcome);
         self.at(at, Act::Event(vm, start, Event::Store(op, outcome)));
