A holder stops before its lease can end where engines don't check fencing numbers

A holder that reaches neither the key-value service nor the other VMs went on ordering under its number for as long as it lived, also on engines that take any number. Ruled out: the lease's end as seen in the store (such a holder can't see it); its peers' word (it hears none). One function for rendezvous hashing instead of two; parameters that nothing used are gone.

--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -4,10 +4,12 @@
 //! address is kept, and a VM counts as gone only when its entry is gone and its link is down.
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 use dahliastile_core::id::Vm;
 use dahliastile_core::time::{Instant, Span};
+use rustc_hash::FxHasher;
 
 use crate::fact::Member;
 
@@ -98,3 +100,10 @@
         row
     }
 }
+
+/// The score of a choice by rendezvous hashing: the same on every VM.
+pub(crate) fn score<T: Hash + ?Sized>(choice: &T) -> u64 {
+    let mut hasher = FxHasher::default();
+    choice.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -154,10 +154,10 @@
     }
 
     /// An engine is listed, or describes itself anew.
-    pub fn server(&mut self, now: Instant, server: &Server, backend: &Arc<Backend>) {
+    pub fn server(&mut self, server: &Server, backend: &Arc<Backend>) {
         self.dirty = true;
         match self.engines.get_mut(server) {
-            Some(engine) => engine.described(now, backend),
+            Some(engine) => engine.described(backend),
             None => {
                 self.engines
                     .insert(server.clone(), Engine::new(backend.clone()));
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -142,16 +142,16 @@
     }
 
     /// It describes itself anew.
-    pub(crate) fn described(&mut self, now: Instant, backend: &Arc<Backend>) {
+    pub(crate) fn described(&mut self, backend: &Arc<Backend>) {
         let bases = |b: &Backend| b.models.iter().map(|m| m.model.clone()).collect::<Vec<_>>();
         if bases(backend) != bases(&self.backend) && bases(backend) != self.bases {
-            self.forget(now);
+            self.forget();
         }
         self.backend = backend.clone();
     }
 
     /// What it holds is no longer known.
-    pub(crate) fn forget(&mut self, _now: Instant) {
+    pub(crate) fn forget(&mut self) {
         self.known = false;
         self.asked = None;
         self.queue.clear();
--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -34,7 +34,7 @@
                 let look = due + REPORT_LAG;
                 if look <= now && engine.known {
                     engine.base_due = None;
-                    engine.forget(now);
+                    engine.forget();
                 }
                 next = next.min(look);
             }
@@ -155,11 +155,11 @@
             }
             (Ordered::Unknown | Ordered::NotSent, _) => {
                 engine.health.dead(now);
-                engine.forget(now);
+                engine.forget();
             }
             // An unload that waits for runs, a count that differs, or an engine that is another one: only its report
             // tells what holds.
-            _ => engine.forget(now),
+            _ => engine.forget(),
         }
         engine.tries = 0;
         false
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -220,7 +220,7 @@
                         place.stage = Stage::Coming(now + NOT_YET);
                         self.load_time = (load_time + LATER).min(usual.times(4));
                     }
-                    _ => engine.forget(now),
+                    _ => engine.forget(),
                 }
             }
             Cause::Missing | Cause::Full => {}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,7 +5,6 @@
 //! nothing for a while watches by itself. One that can't reach the service asks others for what they know.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -13,8 +12,8 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
-use rustc_hash::FxHasher;
 
+use crate::book;
 use crate::config::{Config, Index};
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::Outcome;
@@ -190,14 +189,14 @@
     fn leader(&self) -> Option<Vm> {
         let me = &self.settings.vm;
         let mut watchers: Vec<&Vm> = self.peers().chain([me]).collect();
-        watchers.sort_by_key(|vm| hash(&vm.as_str()));
+        watchers.sort_by_key(|vm| book::score(vm.as_str()));
         watchers.truncate(WATCHERS);
         if watchers.contains(&me) {
             return None;
         }
         let choice = watchers
             .into_iter()
-            .min_by_key(|vm| hash(&(me.as_str(), vm.as_str())));
+            .min_by_key(|vm| book::score(&(me.as_str(), vm.as_str())));
         choice.cloned()
     }
 
@@ -412,9 +411,3 @@
         fact: None,
     }
 }
-
-fn hash<T: Hash>(value: &T) -> u64 {
-    let mut hasher = FxHasher::default();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,7 +14,7 @@
     /// A server is listed or describes itself anew.
     pub(crate) fn desk_server(&mut self, server: &Server, backend: &Arc<Backend>) {
         if let Some(desk) = self.desks.get_mut(&backend.service) {
-            desk.server(self.now, server, backend);
+            desk.server(server, backend);
         }
     }
 
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -6,14 +6,13 @@
 //! the key-value service is away. Where servers don't check, it stops before its lease can end.
 
 use std::collections::BTreeMap;
-use std::hash::{Hash, Hasher};
 
 use dahliastile_core::id::{Service, Vm};
 use dahliastile_core::log::Code;
 use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
-use rustc_hash::FxHasher;
 
+use crate::book;
 use crate::desk::{Decision, Desk};
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::{Lease, Outcome};
@@ -122,11 +121,12 @@
             }
             _ => {}
         }
-        self.plan_renewal(out);
+        self.plan_renewal();
     }
 
     pub(crate) fn seat_due(&mut self, out: &mut Effects) {
         self.watch_holders(out);
+        self.stop_in_time(out);
         self.keep_lease(out);
         self.take_seats(out);
     }
@@ -188,7 +188,7 @@
         let mut desk = Desk::new(self.now, &application, fence, self.settings.clone());
         for (server, row) in &self.servers {
             if row.backend.service == *service {
-                desk.server(self.now, server, &row.backend);
+                desk.server(server, &row.backend);
             }
         }
         for change in self.facts.present() {
@@ -202,6 +202,7 @@
         desk.hello(self.now, &self.settings.vm, &running, wants);
         self.desks.insert(service.clone(), desk);
         self.timers.set(self.now, Timer::Desk(service.clone()));
+        self.timers.set(self.now, Timer::Seat);
     }
 
     /// Another VM holds a seat, or nobody does.
@@ -357,15 +358,38 @@
         self.seats.entered = false;
         Self::log(out, Code::StoreLeaseLost, "next=grant".to_owned());
         if !self.settings.tuning.fencing {
-            let services: Vec<Service> = self.desks.keys().cloned().collect();
-            for service in services {
-                self.seat_lost(&service, out);
-            }
+            self.lose_seats(out);
+        }
+    }
+
+    /// Stops scheduling before the lease can end, where engines would take the orders of two holders.
+    fn stop_in_time(&mut self, out: &mut Effects) {
+        if self.settings.tuning.fencing || self.desks.is_empty() {
+            return;
+        }
+        let last = self.lease_sure();
+        if self.now >= last {
+            self.lose_seats(out);
+        } else {
+            self.timers.set(last, Timer::Seat);
+        }
+    }
+
+    /// Until when the lease certainly holds, with the time that an order may be on its way.
+    fn lease_sure(&self) -> Instant {
+        let tuning = &self.settings.tuning;
+        self.seats.renewed + (tuning.lease - tuning.lease_guard)
+    }
+
+    fn lose_seats(&mut self, out: &mut Effects) {
+        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        for service in services {
+            self.seat_lost(&service, out);
         }
     }
 
     /// Sets the time of the next call on the lease.
-    fn plan_renewal(&mut self, _out: &mut Effects) {
+    fn plan_renewal(&mut self) {
         let tuning = &self.settings.tuning;
         let pause = match self.seats.lease {
             Some(_) => tuning.renew,
@@ -450,10 +474,7 @@
 }
 
 fn rank(service: &Service, vm: &Vm) -> u64 {
-    let mut hasher = FxHasher::default();
-    service.as_str().hash(&mut hasher);
-    vm.as_str().hash(&mut hasher);
-    hasher.finish()
+    book::score(&(service.as_str(), vm.as_str()))
 }
 
 /// A fact that this VM writes; the key-value service gives it its revision.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -55,7 +55,8 @@
     /// Requests that the scheduler gives one engine at once. Fewer than the batch holds, since what waits at an
     /// engine can't go elsewhere any more.
     pub running_per_engine: u32,
-    /// Prompt work that the scheduler gives one engine ahead of time.
+    /// Prompt work that the scheduler gives one engine at once, the new request's included: two steps filled with other
+    /// prompts make a stream pause longer than the deployments allow (400 ms).
     pub backlog: Span,
     /// The share of a service's requests that may be sent a second time, over all VMs.
     pub retry_ratio: f64,
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -295,3 +295,46 @@
     }
     assert!(late_held > 0);
 }
+
+/// Engines that don't check fencing numbers: a holder that reaches neither the key-value service nor the other VMs, but all
+/// engines, orders nothing more before its lease can end.
+#[test]
+fn holder_unfencedstopsbeforeitsleaseends() {
+    let tuning = dahliastile_gateway::settings::Tuning {
+        fencing: false,
+        ..Default::default()
+    };
+    let mut world = World::tuned(4, 4, 1, tuning);
+    world.run(Span::from_secs(2));
+    traffic(&mut world, Span::from_secs(2));
+    let old = world.holder().expect("a holder");
+    world.hosts[old].store = false;
+    world.hosts[old].peers = false;
+    world.wake_watchers();
+    let mut gone = None;
+    for at in 0..400_u32 {
+        if at % 4 == 0 {
+            let draft = work(&format!("c{at}"), 600, 15);
+            world.ask(old, call(&format!("c{at}"), "/plan/x", 5_000, Some(draft)));
+        }
+        world.run(Span::from_millis(10));
+        if gone.is_none() && world.holder() != Some(old) {
+            gone = Some(world.now);
+        }
+    }
+    let gone = gone.expect("its lease ends");
+    let fences = world
+        .servers
+        .values()
+        .flat_map(|(engine, _)| &engine.fences);
+    let first = fences
+        .clone()
+        .map(|(_, fence)| *fence)
+        .min()
+        .expect("orders");
+    let late = fences
+        .filter(|(at, fence)| *fence == first && *at >= gone)
+        .count();
+    assert_eq!(late, 0);
+    world.check();
+}
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -81,6 +81,8 @@
     pub silent: bool,
     /// How much longer the key-value service's answers take to it that say that it holds the seat.
     pub store_lag: Span,
+    /// Whether it reaches other VMs.
+    pub peers: bool,
     /// Whether it reaches other VMs and servers.
     pub net: bool,
     /// The wake-up that is set.
@@ -167,6 +169,7 @@
                 backlog: Vec::new(),
                 store: true,
                 silent: false,
+                peers: true,
                 store_lag: Span::ZERO,
                 net: true,
                 wake: Instant::NEVER,
@@ -436,7 +439,8 @@
             }
             Act::Peer(from, to, message) => {
                 let sender: Vm = name(&format!("vm{from}"));
-                if self.hosts[to].net && self.hosts[to].gateway.is_some() {
+                let linked = self.hosts[to].peers && self.hosts[from].peers;
+                if linked && self.hosts[to].net && self.hosts[to].gateway.is_some() {
                     self.deliver(to, Event::Peer(sender, message));
                 } else if self.hosts[from].net {
                     self.deliver(from, Event::PeerDown(setup::address(1, to)));
