--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -66,6 +66,8 @@
 }
 
 /// A VM.
+// Its faults are set one by one.
+#[allow(clippy::struct_excessive_bools)]
 pub struct Host {
     /// Its gateway, while it runs.
     pub gateway: Option<Gateway>,
