--- a/crates/outside/src/cancel.rs
+++ b/crates/outside/src/cancel.rs
@@ -1,8 +1,22 @@
 //! A token with which one thread ends another's wait.
 
-use flume::{Receiver, Sender};
+use flume::{Receiver, RecvError, Selector, Sender};
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+/// What ended a wait for a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wake<T> {
+    /// The next message.
+    Message(T),
+    /// Every sender is gone, and every message has been received.
+    Ended,
+    /// The token was cancelled.
+    Cancelled,
+    /// The deadline passed.
+    Timeout,
+}
 
 /// Ends every call that was given this token or a clone of it.
 ///
@@ -47,8 +61,28 @@
         self.receiver.is_disconnected()
     }
 
-    /// The channel that disconnects when the token is cancelled.
-    pub(crate) fn receiver(&self) -> &Receiver<Infallible> {
-        &self.receiver
+    /// Waits for a message until the token is cancelled or the deadline passes.
+    #[must_use]
+    pub fn receive<T>(&self, messages: &Receiver<T>, deadline: Instant) -> Wake<T> {
+        // A selector picks at random among what is ready, and a cancelled wait should end at once.
+        if self.is_cancelled() {
+            return Wake::Cancelled;
+        }
+        let wake = Selector::new()
+            .recv(messages, |message| match message {
+                Ok(message) => Wake::Message(message),
+                Err(RecvError::Disconnected) => last(messages),
+            })
+            .recv(&self.receiver, |_| Wake::Cancelled)
+            .wait_deadline(deadline);
+        wake.unwrap_or(Wake::Timeout)
     }
 }
+
+/// What a channel without senders still holds.
+///
+/// `flume`'s selector looks for a message first and for the end afterwards: it reports the end also where a sender sent
+/// its last messages and went between the two looks. After the end nothing is sent, so one more look is certain.
+fn last<T>(messages: &Receiver<T>) -> Wake<T> {
+    messages.try_recv().map_or(Wake::Ended, Wake::Message)
+}
--- a/crates/outside/src/http.rs
+++ b/crates/outside/src/http.rs
@@ -1,10 +1,10 @@
 //! One HTTP exchange, with an exact deadline and a token that ends it early.
 
-use crate::cancel::Cancel;
+use crate::cancel::{Cancel, Wake};
 use crate::error::{Error, Result};
 use crate::pump::{self, Message};
 use crate::unit::Endpoint;
-use flume::{Receiver, RecvError, Selector};
+use flume::Receiver;
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::thread;
@@ -96,14 +96,6 @@
     ending: Option<Ending>,
 }
 
-/// What ended a wait for the reader thread.
-enum Wake {
-    /// The reader's next message, or its end without one.
-    Message(std::result::Result<Result<Message>, RecvError>),
-    /// The caller's token.
-    Cancelled,
-}
-
 impl Exchange {
     /// Sends a request and waits for the head of the answer.
     pub(crate) fn open(request: Request, cancel: &Cancel) -> Result<Self> {
@@ -171,19 +163,11 @@
     cancel: &Cancel,
     deadline: Instant,
 ) -> Result<Option<Message>> {
-    // A selector picks at random among what is ready, and a cancelled exchange should end at once.
-    if cancel.is_cancelled() {
-        return Err(Error::Cancelled);
-    }
-    let wake = Selector::new()
-        .recv(messages, Wake::Message)
-        .recv(cancel.receiver(), |_| Wake::Cancelled)
-        .wait_deadline(deadline);
-    match wake {
-        Ok(Wake::Message(Ok(message))) => message.map(Some),
-        Ok(Wake::Message(Err(_))) => Ok(None),
-        Ok(Wake::Cancelled) => Err(Error::Cancelled),
-        Err(_) => Err(Error::Timeout),
+    match cancel.receive(messages, deadline) {
+        Wake::Message(message) => message.map(Some),
+        Wake::Ended => Ok(None),
+        Wake::Cancelled => Err(Error::Cancelled),
+        Wake::Timeout => Err(Error::Timeout),
     }
 }
 
--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -34,7 +34,7 @@
 pub mod plain;
 pub mod vms;
 
-pub use cancel::Cancel;
+pub use cancel::{Cancel, Wake};
 pub use error::{Error, Result};
 pub use http::Ending;
 pub use sse::{Event, Parser};
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -113,7 +113,10 @@
 
     /// Waits for a message; `None` when the channel has closed or the client has gone.
     pub(crate) fn wait<T>(&self, messages: &flume::Receiver<T>) -> Option<T> {
-        let selector = flume::Selector::new().recv(messages, Result::ok);
+        // The selector may report the end of a channel that got its last messages in that moment, so it is looked at
+        // once more.
+        let receive = |message: Result<T, _>| message.ok().or_else(|| messages.try_recv().ok());
+        let selector = flume::Selector::new().recv(messages, receive);
         selector.recv(&self.gone, |_| None).wait()
     }
 }
