--- a/crates/outside/tests/cancel.rs
+++ b/crates/outside/tests/cancel.rs
@@ -27,7 +27,7 @@
 /// Receives from a sender that goes right after its last message.
 fn receive_all(round: usize) {
     let cancel = Cancel::new();
-    let deadline = Instant::now() + Duration::from_secs(3_600);
+    let deadline = Instant::now() + Duration::from_hours(1);
     let (sender, messages) = flume::bounded(LAST);
     let sending = thread::spawn(move || {
         for message in 0..LAST {
@@ -49,7 +49,7 @@
     let (_sender, messages) = flume::bounded::<()>(1);
     let waiting = {
         let (cancel, messages) = (cancel.clone(), messages.clone());
-        let deadline = Instant::now() + Duration::from_secs(3_600);
+        let deadline = Instant::now() + Duration::from_hours(1);
         thread::spawn(move || cancel.receive(&messages, deadline))
     };
     cancel.cancel();
