Loads at once grow with the engines: two for three engines

Ruled out: loads at once as a setting of each deployment (the settings don't tell it); learning it from rejected arrivals (their number also follows from versions and answers of orders). Change: 0.67 for each engine, four at least. The four deployments bear 0.53, 0.67, 0.67 and 0.8 for each engine. Test: loads_growwithengines, 447 of 1,000 placed before, over 900 after.

--- a/crates/gateway/src/desk/forecast.rs
+++ b/crates/gateway/src/desk/forecast.rs
@@ -119,8 +119,7 @@
 
     /// How long the load at this place in the queue takes, those that are under way counted.
     fn load_wait(&self, place: usize) -> Span {
-        let at_once = self.settings.tuning.loads_at_once.max(1);
-        let rounds = place.div_ceil(at_once).max(1);
+        let rounds = place.div_ceil(self.loads_at_once()).max(1);
         self.load_time.times(rounds as u64)
     }
 }
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -22,6 +22,9 @@
 /// within the objective.
 const COPY_FROM: Span = Span::from_millis(350);
 
+/// The loads under way that the weight store bears however few engines there are: half of the smallest deployment's.
+const LEAST_LOADS: usize = 4;
+
 /// How much of the rate of the weight store is used for base models: a restart of the scheduler forgets what it began.
 const RATE_USED: f64 = 0.8;
 
@@ -84,7 +87,7 @@
         let wanted = self.wanted(waits, &spread);
         let needed: FxHashSet<Key> = wanted.iter().map(|(key, _)| *key).collect();
         for (key, copy) in wanted {
-            if self.loading() >= self.settings.tuning.loads_at_once {
+            if self.loading() >= self.loads_at_once() {
                 return;
             }
             let Some(choice) = self.choose(now, key, &needed, &spread) else {
@@ -127,6 +130,12 @@
         wanted
     }
 
+    /// How many adapters may be on their way to all engines.
+    pub(crate) fn loads_at_once(&self) -> usize {
+        let hundredths = self.engines.len() * self.settings.tuning.loads_per_engine;
+        hundredths.div_ceil(100).max(LEAST_LOADS)
+    }
+
     /// Adapters on their way to all engines. What waits behind an order without an answer takes nothing from the
     /// weight store.
     pub(crate) fn loading(&self) -> usize {
--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/desk.rs
@@ -140,16 +140,12 @@
     }
 }
 
-/// 400 requests a second, each with three messages: what changes within a few milliseconds is decided together. The figure
-/// is a run each 3 ms, 334 a second; before, each message was a run of its own over all requests and engines, which took
-/// the processor of a small VM whole, so that its peers took the seat from it.
-#[test]
-fn run_costdoesnotgrowwithmessages() {
+/// 1,000 requests, 400 a second, each with three messages, for so many adapters in turn.
+fn busy(adapters: usize) -> Scheduler {
     let mut scheduler = Scheduler::new(ENGINES_LARGE);
-    let begun = scheduler.now;
     let (mut seen, mut over) = (0, 0);
     for number in 0..1_000 {
-        scheduler.want(number, 20, 1);
+        scheduler.want(number, adapters, 1);
         scheduler.step();
         while seen < scheduler.placed.len() {
             scheduler.tell(seen, Progress::Begun);
@@ -161,8 +157,17 @@
         }
         scheduler.run(PAUSE);
     }
-    let millis = scheduler.now.since(begun).0 / 1_000;
-    let most = usize::try_from(millis / 3 + 2).expect("small");
+    scheduler
+}
+
+/// What changes within a few milliseconds is decided together. The figure is a run each 3 ms; before, each message was a
+/// run of its own over all requests and engines, which took the processor of a small VM whole, so that its peers took
+/// the seat from it.
+#[test]
+fn run_costdoesnotgrowwithmessages() {
+    let scheduler = busy(20);
+    let millis = 2_500;
+    let most = millis / 3 + 2;
     assert!(
         scheduler.deciding <= most,
         "{} runs decided something in {millis} ms",
@@ -176,6 +181,20 @@
     );
 }
 
+/// Every adapter cold at first, 120 of them within 300 ms: 40 loads are under way at 60 engines, so that the last is there
+/// after three loads' time, within the objective, and nearly all are served. With the 8 of the small deployments 447 of
+/// 1,000 were.
+#[test]
+fn loads_growwithengines() {
+    let scheduler = busy(120);
+    let served = scheduler.placed.len();
+    assert!(
+        served >= 900,
+        "{served} placed, {} refused",
+        scheduler.refused
+    );
+}
+
 /// Requests that come within one pause are placed by rank, then by age, whatever VM they are of.
 #[test]
 fn run_ordersbyrankthenage() {
