The strongest VMs hold the seat and watch for the others

Cause: on the grown deployments VMs have 0.12 to 0.5 of a core and 10 to 200 Mbit/s. Change: a VM's entry says how much it can do for others (the smaller of hundredths of its core and Mbit/s of its link). The strongest come first as candidates and as those that watch; hashing decides among equals. A VM that has just started waits 600 ms for the entries of others before it counts those before it. Test: holder_isthestrongestthere. The deployments of today have equal VMs; there the order is as before.

--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -305,6 +305,7 @@
     format!(
         "nodeName = \"vm{number}\"\nrole = \"entry\"\nip = \"{ip}\"\nzone = \"north\"\nseeds = []\nunknownField = 1\n\
          [listen]\nfront = \"{ip}:8149\"\nready = \"{ip}:8141\"\ncontrol = \"{ip}:8144\"\n\
+         [limits]\ncpuShare = 0.25\nlinkMbps = 1000.0\n\
          [bounds]\nbudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 52\ngraceS = 8\nrequireFencing = true\n\
          [platform]\naddress = \"{store}\"\nttlMinMs = 1000\n"
     )
--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -21,6 +21,8 @@
 struct Row {
     /// Where it is.
     address: SocketAddr,
+    /// How much it can do for others.
+    strength: u32,
     /// Whether it has an entry in the key-value service.
     listed: bool,
     /// When it was last heard.
@@ -80,6 +82,11 @@
         self.rows.get(vm).map(|row| row.address)
     }
 
+    /// How much a VM can do for others, 0 where it is not known.
+    pub(crate) fn strength(&self, vm: &Vm) -> u32 {
+        self.rows.get(vm).map_or(0, |row| row.strength)
+    }
+
     /// The VMs that are there.
     pub(crate) fn present(&self, now: Instant) -> impl Iterator<Item = &Vm> {
         let there = move |row: &Row| row.listed || !row.down && now.since(row.heard) < KEPT;
@@ -92,11 +99,13 @@
     fn row(&mut self, vm: &Vm, member: &Member) -> &mut Row {
         let row = self.rows.entry(vm.clone()).or_insert(Row {
             address: member.address,
+            strength: member.strength,
             listed: false,
             heard: Instant::default(),
             down: false,
         });
         row.address = member.address;
+        row.strength = member.strength;
         row
     }
 }
--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -101,6 +101,8 @@
     pub zone: Zone,
     /// Its start.
     pub incarnation: Incarnation,
+    /// How much it can do for others.
+    pub strength: u32,
 }
 
 /// The VM that schedules a service's engines.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! chosen by hashing over the live ones; each other VM asks one of them to be told, and is told at once. One that hears
 //! nothing for a while watches by itself. One that can't reach the service asks others for what they know.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -194,7 +195,7 @@
     fn leader(&self) -> Option<Vm> {
         let me = &self.settings.vm;
         let mut watchers: Vec<&Vm> = self.peers().chain([me]).collect();
-        watchers.sort_by_key(|vm| book::score(vm.as_str()));
+        watchers.sort_by_key(|vm| (Reverse(self.strength(vm)), book::score(vm.as_str())));
         watchers.truncate(WATCHERS);
         if watchers.contains(&me) {
             return None;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -157,12 +157,22 @@
         self.book.present(self.now).filter(move |vm| *vm != me)
     }
 
+    /// How much a VM can do for others.
+    pub(crate) fn strength(&self, vm: &Vm) -> u32 {
+        if *vm == self.settings.vm {
+            self.settings.strength
+        } else {
+            self.book.strength(vm)
+        }
+    }
+
     /// This VM as it describes itself.
     pub(crate) fn member(&self) -> Member {
         Member {
             address: self.settings.address,
             zone: self.settings.zone.clone(),
             incarnation: self.settings.incarnation,
+            strength: self.settings.strength,
         }
     }
 
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -5,6 +5,7 @@
 //! fencing numbers refuse the older holder from the newer one's first order on, so an older holder may go on while
 //! the key-value service is away. Where servers don't check, it stops before its lease can end.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use dahliastile_core::id::{Service, Vm};
@@ -26,6 +27,10 @@
 /// of the key-value service.
 const CANDIDATE_GAP: Span = Span::from_millis(120);
 
+/// How long a VM that has just started waits for the entries of others before it counts those before it: all VMs of a
+/// deployment start within 0.3 s of each other, and small ones need as long to write their entries.
+const MEETING: Span = Span::from_millis(600);
+
 /// What a call of the key-value service was for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Purpose {
@@ -41,6 +46,24 @@
     Other,
 }
 
+/// A VM's turn for a seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    /// It looks then who is there, and waits for those before it.
+    Look(Instant),
+    /// It takes the seat then.
+    Take(Instant),
+}
+
+impl Turn {
+    /// When it comes.
+    fn at(self) -> Instant {
+        match self {
+            Self::Look(at) | Self::Take(at) => at,
+        }
+    }
+}
+
 /// Whether this VM may take a seat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Vacancy {
@@ -73,8 +96,10 @@
     entered: bool,
     /// Calls in progress, with the time at which each was sent.
     calls: BTreeMap<OpId, (Purpose, Instant)>,
-    /// When this VM may take a free seat.
-    turns: BTreeMap<Service, Instant>,
+    /// This VM's turns for free seats.
+    turns: BTreeMap<Service, Turn>,
+    /// Until when other VMs that start beside this one may still write their entries.
+    meets: Instant,
     /// When the holder of a seat last changed, as far as this VM saw it.
     changes: BTreeMap<Service, Instant>,
     /// When this VM last ceased to hold a seat.
@@ -102,6 +127,11 @@
 
 impl Gateway {
     pub(crate) fn seat_start(&mut self, out: &mut Effects) {
+        self.seats.meets = self.now + MEETING;
+        self.grant(out);
+    }
+
+    fn grant(&mut self, out: &mut Effects) {
         let ttl = self.settings.tuning.lease;
         self.seat_call(Purpose::Grant, Op::Grant(ttl), out);
     }
@@ -150,18 +180,21 @@
             if vacancy == Vacancy::Held || self.seats.turns.contains_key(&service) {
                 continue;
             }
-            let turn = if vacancy == Vacancy::Mine {
-                0
-            } else {
-                self.turn(&service)
+            let turn = match vacancy {
+                Vacancy::Mine => Turn::Take(self.now),
+                _ if self.now < self.seats.meets => Turn::Look(self.seats.meets),
+                _ => self.turn(&service),
             };
-            let at = self.now + CANDIDATE_GAP.times(turn);
-            self.seats.turns.insert(service, at);
-            self.timers.set(at, Timer::Seat);
+            self.set_turn(service, turn);
         }
         self.take_seats(out);
     }
 
+    fn set_turn(&mut self, service: Service, turn: Turn) {
+        self.timers.set(turn.at(), Timer::Seat);
+        self.seats.turns.insert(service, turn);
+    }
+
     /// Whether this VM may take a seat.
     fn vacancy(&self, service: &Service) -> Vacancy {
         let vacancy = self.vacancy_for_any(service);
@@ -419,7 +452,7 @@
             return;
         }
         match self.seats.lease {
-            None => self.seat_start(out),
+            None => self.grant(out),
             Some(lease) => self.seat_call(Purpose::Renew, Op::Renew(lease), out),
         }
         if self.seats.lease.is_some() && !self.seats.entered {
@@ -429,21 +462,21 @@
 
     /// Tries to take the seats whose turn has come.
     fn take_seats(&mut self, out: &mut Effects) {
-        let due = self.seats.turns.iter().filter(|(_, at)| **at <= self.now);
+        let turns = self.seats.turns.iter();
+        let due = turns.filter(|(_, turn)| turn.at() <= self.now);
         let due: Vec<Service> = due.map(|(service, _)| service.clone()).collect();
         for service in due {
-            self.seats.turns.remove(&service);
-            let vacancy = self.vacancy(&service);
-            let again = match vacancy {
-                Vacancy::Held => continue,
-                Vacancy::Resting => self.seats.rested(&service),
-                _ => self.now + self.settings.tuning.renew,
+            let turn = self.seats.turns.remove(&service);
+            let next = match (self.vacancy(&service), turn) {
+                (Vacancy::Held, _) => continue,
+                (Vacancy::Resting, _) => Turn::Take(self.seats.rested(&service)),
+                (Vacancy::Free, Some(Turn::Look(_))) => self.turn(&service),
+                _ => {
+                    self.take_seat(service.clone(), out);
+                    Turn::Take(self.now + self.settings.tuning.renew)
+                }
             };
-            self.seats.turns.insert(service.clone(), again);
-            self.timers.set(again, Timer::Seat);
-            if vacancy != Vacancy::Resting {
-                self.take_seat(service, out);
-            }
+            self.set_turn(service, next);
         }
     }
 
@@ -477,16 +510,18 @@
         self.seat_call(purpose, Op::Put(change, lease, Some(expected)), out);
     }
 
-    /// How many live VMs stand before this one in the order of candidates for a seat.
-    fn turn(&self, service: &Service) -> u64 {
-        let mine = rank(service, &self.settings.vm);
-        let before = self.peers().filter(|vm| rank(service, vm) < mine);
-        before.count() as u64
+    /// This VM's turn for a seat that is free from now on: after the live VMs that stand before it in the order of
+    /// candidates, the strongest first.
+    fn turn(&self, service: &Service) -> Turn {
+        let mine = self.rank(service, &self.settings.vm);
+        let before = self.peers().filter(|vm| self.rank(service, vm) < mine);
+        Turn::Take(self.now + CANDIDATE_GAP.times(before.count() as u64))
     }
-}
 
-fn rank(service: &Service, vm: &Vm) -> u64 {
-    book::score(&(service.as_str(), vm.as_str()))
+    fn rank(&self, service: &Service, vm: &Vm) -> (Reverse<u32>, u64) {
+        let score = book::score(&(service.as_str(), vm.as_str()));
+        (Reverse(self.strength(vm)), score)
+    }
 }
 
 /// A fact that this VM writes; the key-value service gives it its revision.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -16,6 +16,9 @@
     pub address: SocketAddr,
     /// Its start, larger than that of every earlier start.
     pub incarnation: Incarnation,
+    /// How much it can do for others: the smaller of its share of a core in hundredths and its link in Mbit/s, since what a
+    /// scheduler uses of both is alike at the larger deployments (5 hundredths and 5 Mbit/s).
+    pub strength: u32,
     /// The seed of its random numbers.
     pub seed: u64,
     /// Addresses of some other VMs, possibly stale.
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -7,6 +7,7 @@
 use dahliastile_core::time::Span;
 
 use dahliastile_gateway::fact::Subject;
+use dahliastile_gateway::settings::Tuning;
 use support::World;
 use support::setup::{ENGINES, call, name, work};
 
@@ -374,3 +375,23 @@
     assert!(last.is_some());
     world.check();
 }
+
+/// VMs of the larger deployments have from an eighth of a core and 10 Mbit/s up: a strong one schedules, at the start and
+/// after each loss, and strong ones watch the key-value service for the others.
+#[test]
+fn holder_isthestrongestthere() {
+    let strengths = [12, 10, 25, 12, 50, 10, 25, 12];
+    let mut world = World::uneven(&strengths, 4, 1, Tuning::default());
+    world.run(Span::from_secs(3));
+    assert_eq!(world.holder(), Some(4));
+    world.store.watched_by.clear();
+    traffic(&mut world, Span::from_secs(2));
+    assert_eq!(world.store.watched_by, [2, 4, 6].into());
+    for expected in [[2, 6], [6, 2]] {
+        world.kill(world.holder().expect("a holder"), true);
+        traffic(&mut world, Span::from_secs(6));
+        let holder = world.holder().expect("a holder");
+        assert!(expected.contains(&holder), "vm{holder}");
+    }
+    world.check();
+}
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -43,6 +43,7 @@
         zone: zone(number),
         address: address(1, number),
         incarnation: Incarnation(start),
+        strength: 25,
         seed: 7 + number as u64,
         seeds: Vec::new(),
         tuning: tuning.clone(),
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -79,6 +79,8 @@
     backlog: Vec<Event>,
     /// Whether it reaches the key-value service.
     pub store: bool,
+    /// How much it can do for others.
+    pub strength: u32,
     /// Whether the key-value service leaves its calls without an answer.
     pub silent: bool,
     /// How much longer the key-value service's answers take to it that say that it holds the seat.
@@ -104,6 +106,9 @@
     Thaw(usize),
 }
 
+/// The strength of a VM of the smaller deployments.
+const USUAL: u32 = 25;
+
 /// The fleet.
 pub struct World {
     /// The time.
@@ -142,6 +147,11 @@
 
     /// The same with other figures.
     pub fn tuned(vms: usize, engines: usize, plain: usize, tuning: Tuning) -> Self {
+        Self::uneven(&vec![USUAL; vms], engines, plain, tuning)
+    }
+
+    /// The same with VMs of different strength.
+    pub fn uneven(strengths: &[u32], engines: usize, plain: usize, tuning: Tuning) -> Self {
         let mut world = Self {
             now: Instant(1_000_000),
             hosts: Vec::new(),
@@ -166,8 +176,9 @@
         for number in 0..plain {
             world.add_server(&format!("p{number}"), number, false);
         }
-        for number in 0..vms {
+        for (number, strength) in strengths.iter().enumerate() {
             world.hosts.push(Host {
+                strength: *strength,
                 gateway: None,
                 start: 0,
                 frozen: None,
@@ -408,7 +419,8 @@
         host.start += 1;
         host.frozen = None;
         host.wake = Instant::NEVER;
-        let settings = setup::settings(vm, host.start, &self.tuning);
+        let mut settings = setup::settings(vm, host.start, &self.tuning);
+        settings.strength = host.strength;
         host.gateway = Some(Gateway::new(settings));
         self.deliver(vm, Event::Start);
     }
