A head has a time of its own, from its first byte on

Cause: the HTTP library has one time for an idle connection and for a head, so a head could take as long as a connection may be idle; the configuration's own time for heads was decoded and read by nothing. Change: the bytes of a caller's connection are watched; a head that has taken longer than the configuration says ends its connection, of which nothing was read as a request. Test: head_slowendsbeforeidleones, as processes: before, the idle connection ended with the slow one (status 0), now it is served after the slow one has ended.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -5,7 +5,7 @@
 #[path = "platform/fleet.rs"]
 mod fleet;
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -87,6 +87,23 @@
     assert_eq!(vm.ask("good", "/post/x", None).status, 200);
 }
 
+/// A head that never ends is given up after its own time, and not only after that of an idle connection: one that was opened
+/// before it and rests is still served afterwards.
+#[test]
+fn head_slowendsbeforeidleones() {
+    let fleet = Fleet::start_ready(1);
+    let vm = &fleet.vms[0];
+    let mut idle = vm.open("").expect("a connection");
+    let started = "POST /post/x HTTP/1.1\r\nHost: host";
+    let mut slow = vm.open(started).expect("a connection");
+    let mut rest = Vec::new();
+    slow.read_to_end(&mut rest).unwrap();
+    assert_eq!(String::from_utf8_lossy(&rest), "");
+    let later = request("after", "/post/x", None);
+    idle.write_all(later.as_bytes()).unwrap();
+    assert_eq!(read(idle).status, 200);
+}
+
 /// A second request inside the body of the first must not be taken for one.
 #[test]
 fn body_isnotarequest() {
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -292,7 +292,7 @@
                         "models": [{"name": "base", "weightsMb": 900.0, "loadS": 0.1, "adapters": 100, "adapterMb": 1.0}]}},
             {"name": "desk", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false},
         ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 1000, "idleTimeoutMs": 15000},
     })
 }
 
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
+use crate::head::{Head, Watched};
 use crate::hub::Hub;
 use crate::pool;
 use crate::request;
@@ -49,9 +50,15 @@
 
 async fn serve<D: Dialect>(stream: TcpStream, hub: Rc<Hub<D>>, mut leaving: watch::Receiver<bool>) {
     pool::tune(&stream);
+    let head = Rc::new(Head::default());
     let service = service_fn(|request| {
-        let hub = hub.clone();
-        async move { Ok::<_, Infallible>(request::serve(hub, request).await) }
+        let (hub, head) = (hub.clone(), head.clone());
+        head.come();
+        async move {
+            let answer = request::serve(hub, request).await;
+            head.answered();
+            Ok::<_, Infallible>(answer)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -59,11 +66,14 @@
         .header_read_timeout(hub.idle.get() + IDLE_MARGIN)
         .max_buf_size(hub.head_limit.get().max(LEAST_BUFFER))
         .title_case_headers(true);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let stream = TokioIo::new(Watched::new(stream, head.clone()));
+    let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
     // An error is the caller's doing, or a body that broke off and was told as that.
     tokio::select! {
         _ = connection.as_mut() => return,
+        // Nothing of the request was read whole, so its caller may send it elsewhere.
+        () = head.late(|| hub.head_time.get()) => return,
         _ = leaving.wait_for(|leaving| *leaving) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -76,6 +76,7 @@
         self.hub.ready.set(self.gateway.ready());
         self.hub.body_limit.set(limits.body);
         self.hub.head_limit.set(limits.head);
+        self.hub.head_time.set(duration(limits.head_time));
         self.hub.idle.set(duration(limits.idle_time));
     }
 
--- /dev/null
+++ b/crates/shell/src/head.rs
@@ -0,0 +1,118 @@
+//! Heads that come too slowly. The HTTP library has one time for an idle connection and for a head, so the bytes of a
+//! connection are watched here: the time of a head runs from its first byte.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+/// The head that a caller is sending.
+#[derive(Default)]
+pub(crate) struct Head {
+    /// When its first byte came; none between requests, and while one is served.
+    since: Cell<Option<Instant>>,
+    /// Whether a request is served, so that bytes are its body or wait for its end.
+    serving: Cell<bool>,
+    /// Told when a head begins.
+    begun: Notify,
+}
+
+impl Head {
+    /// A head has come whole.
+    pub(crate) fn come(&self) {
+        self.since.set(None);
+        self.serving.set(true);
+    }
+
+    /// The request was answered.
+    pub(crate) fn answered(&self) {
+        self.serving.set(false);
+    }
+
+    /// Returns when a head has taken longer than the limit.
+    pub(crate) async fn late(&self, limit: impl Fn() -> Duration) {
+        loop {
+            let Some(since) = self.since.get() else {
+                self.begun.notified().await;
+                continue;
+            };
+            sleep_until(since + limit()).await;
+            if self.since.get() == Some(since) {
+                return;
+            }
+        }
+    }
+
+    fn bytes(&self) {
+        if !self.serving.get() && self.since.get().is_none() {
+            self.since.set(Some(Instant::now()));
+            self.begun.notify_one();
+        }
+    }
+}
+
+/// A connection whose bytes are watched.
+pub(crate) struct Watched {
+    /// The connection.
+    stream: TcpStream,
+    /// The head that comes on it.
+    head: Rc<Head>,
+}
+
+impl Watched {
+    pub(crate) fn new(stream: TcpStream, head: Rc<Head>) -> Self {
+        Self { stream, head }
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.head.bytes();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -33,6 +33,8 @@
     pub(crate) body_limit: Cell<usize>,
     /// The longest head of a caller.
     pub(crate) head_limit: Cell<usize>,
+    /// How long a caller's head may take from its first byte on.
+    pub(crate) head_time: Cell<std::time::Duration>,
     /// How long a caller's connection may be idle.
     pub(crate) idle: Cell<std::time::Duration>,
 }
@@ -55,6 +57,7 @@
             ready: Cell::new(false),
             body_limit: Cell::new(limits.body),
             head_limit: Cell::new(limits.head),
+            head_time: Cell::new(crate::clock::duration(limits.head_time)),
             idle: Cell::new(crate::clock::duration(limits.idle_time)),
         })
     }
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -13,6 +13,7 @@
 mod dialect;
 mod driver;
 mod figures;
+mod head;
 mod hub;
 mod journal;
 mod peers;
