--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -161,6 +161,15 @@
     news: Revision,
 }
 
+/// How a change came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// By this VM's own watch, which shows each change of a subject, one after the other.
+    Watched,
+    /// By a list, another VM or a conflict, which may leave earlier changes of the subject out.
+    Told,
+}
+
 /// All facts known, with the last revision of each subject, also of those that are gone.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -170,11 +179,11 @@
 
 impl Table {
     /// Takes a change in, unless the subject's known one is as new. Says whether it was taken.
-    pub fn apply(&mut self, change: Change) -> bool {
+    pub fn apply(&mut self, change: Change, way: Way) -> bool {
         match self.rows.get_mut(&change.subject) {
             Some(known) if known.change.revision >= change.revision => false,
             Some(known) => {
-                if !alike(&known.change, &change) {
+                if way == Way::Told || !alike(&known.change, &change) {
                     known.news = change.revision;
                 }
                 known.change = change;
@@ -189,13 +198,12 @@
         }
     }
 
-    /// Whether a change would tell a VM that knows as much as this one anything that matters to it.
+    /// Whether a watched change tells a VM that knows all up to a revision anything that matters to it. It does also where
+    /// this VM was told of the change before, as the other one may not have been.
     #[must_use]
-    pub fn is_news(&self, change: &Change) -> bool {
+    pub fn is_news(&self, change: &Change, since: Revision) -> bool {
         let known = self.rows.get(&change.subject);
-        known.is_none_or(|known| {
-            known.change.revision < change.revision && !alike(&known.change, change)
-        })
+        known.is_none_or(|known| known.news > since || !alike(&known.change, change))
     }
 
     /// Takes a subject as gone without a change that says so; any later change brings it back.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,7 +18,7 @@
 use crate::config::{Config, Index};
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::Outcome;
-use crate::fact::{Backend, Change, Fact, Revision, Subject};
+use crate::fact::{Backend, Change, Fact, Revision, Subject, Way};
 use crate::message::{Message, News};
 use crate::node::Gateway;
 use crate::plain::Row;
@@ -104,7 +104,7 @@
                 self.store_back(out);
                 self.tell_followers(&changes, revision, out);
                 let recovering = self.recovering();
-                self.take_changes(changes, recovering, out);
+                self.take_changes(changes, Way::Watched, recovering, out);
                 self.follow.cursor = Some(revision);
                 let gap = if self.watches() { WATCH_GAP } else { ALONE_GAP };
                 self.call_in(gap);
@@ -142,7 +142,7 @@
         if news.direct && self.follow.leader.as_ref() == Some(from) {
             self.follow.heard = self.now;
         }
-        self.take_changes(news.changes, news.recovering, out);
+        self.take_changes(news.changes, Way::Told, news.recovering, out);
         match self.follow.cursor {
             Some(cursor) if cursor >= news.since && news.until > cursor => {
                 self.follow.cursor = Some(news.until);
@@ -156,6 +156,7 @@
     pub(crate) fn take_changes(
         &mut self,
         changes: Vec<Change>,
+        way: Way,
         recovering: bool,
         out: &mut Effects,
     ) {
@@ -165,7 +166,7 @@
                     let server = server.clone();
                     self.lapse(server, out);
                 }
-                _ => self.take(change, out),
+                _ => self.take(change, way, out),
             }
         }
     }
@@ -305,12 +306,15 @@
     fn tell_followers(&mut self, changes: &[Change], revision: Revision, out: &mut Effects) {
         let now = self.now;
         self.follow.followers.retain(|_, until| *until > now);
-        let changes = changes.iter().filter(|change| self.facts.is_news(change));
+        let since = self.follow.cursor.unwrap_or(0);
+        let changes = changes
+            .iter()
+            .filter(|change| self.facts.is_news(change, since));
         let changes: Vec<Change> = changes.cloned().collect();
         if changes.is_empty() {
             return;
         }
-        let news = self.news(self.follow.cursor.unwrap_or(0), revision, changes);
+        let news = self.news(since, revision, changes);
         let followers: Vec<Vm> = self.follow.followers.keys().cloned().collect();
         for vm in followers {
             self.send(&vm, Message::News(news.clone()), out);
@@ -331,12 +335,12 @@
     fn take_list(&mut self, changes: Vec<Change>, revision: Revision, out: &mut Effects) {
         let known: Vec<Subject> = self.facts.present().map(|c| c.subject.clone()).collect();
         let listed: BTreeSet<Subject> = changes.iter().map(|c| c.subject.clone()).collect();
-        self.take_changes(changes, false, out);
+        self.take_changes(changes, Way::Told, false, out);
         for subject in known.into_iter().filter(|s| !listed.contains(s)) {
             match subject {
                 Subject::Config | Subject::Version(..) => {}
                 Subject::Server(server) if self.recovering() => self.lapse(server, out),
-                subject => self.take(removal(subject, revision), out),
+                subject => self.take(removal(subject, revision), Way::Told, out),
             }
         }
     }
@@ -368,8 +372,8 @@
     }
 
     /// Takes one change in, unless a newer one of its subject is known.
-    fn take(&mut self, change: Change, out: &mut Effects) {
-        if !self.facts.apply(change.clone()) {
+    fn take(&mut self, change: Change, way: Way, out: &mut Effects) {
+        if !self.facts.apply(change.clone(), way) {
             return;
         }
         match (change.subject, change.fact) {
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -17,7 +17,7 @@
 use crate::desk::{Decision, Desk};
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::{Lease, Outcome};
-use crate::fact::{Change, Fact, Holder, Subject};
+use crate::fact::{Change, Fact, Holder, Subject, Way};
 use crate::measure;
 use crate::message::Message;
 use crate::node::Gateway;
@@ -155,7 +155,7 @@
                 self.seat_written(&service, revision, out);
             }
             (Purpose::Seat(_), Outcome::Conflict(changes)) => {
-                self.take_changes(changes, false, out);
+                self.take_changes(changes, Way::Told, false, out);
             }
             (Purpose::Renew | Purpose::Member | Purpose::Seat(_), Outcome::NoLease) => {
                 self.lease_lost(out);
@@ -397,7 +397,7 @@
         let mut change = own(Subject::Holder(service.clone()), Fact::Holder(holder));
         change.revision = revision;
         change.created = revision;
-        self.take_changes(vec![change], false, out);
+        self.take_changes(vec![change], Way::Told, false, out);
     }
 
     fn lease_lost(&mut self, out: &mut Effects) {
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -7,8 +7,9 @@
 
 use std::sync::Arc;
 
+use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
-use dahliastile_gateway::fact::{Fact, Subject};
+use dahliastile_gateway::fact::{Change, Fact, Subject, Table, Way};
 use support::World;
 use support::setup::{config, name};
 
@@ -201,3 +202,58 @@
     assert!(calls <= most, "{calls} calls");
     world.check();
 }
+
+/// A configuration that is written right after an outage, while some VMs watch, some follow, and each hears of it by another
+/// way: whoever passes changes on must not leave out what it heard of by another way, as the others then believe that they
+/// know all up to there.
+#[test]
+fn news_afteroutagereachesall() {
+    for round in 0..40_u64 {
+        let mut world = calm(24);
+        world.store_up = false;
+        world.wake_watchers();
+        world.run(Span::from_millis(4_500 + 37 * round));
+        world.store_up = true;
+        churn(&mut world, Span::from_millis(50 * (round % 20)));
+        world.run(Span::from_millis(round * 7 % 50));
+        world.configure(config(9));
+        churn(&mut world, Span::from_secs(3));
+        assert_eq!(versions(&world), vec![9; 24], "round {round}");
+    }
+}
+
+/// What a VM was told before its own watch showed it is still news for those that follow it, and so is an entry that was
+/// told, since told entries may skip changes; an entry whose watched changes are alike is not.
+#[test]
+fn news_toldearlierispassedon() {
+    let world = calm(1);
+    let (subject, fact) = (Subject::Config, Fact::Config(Arc::new(config(9))));
+    let config = Change {
+        subject,
+        revision: 5,
+        created: 5,
+        fact: Some(fact),
+    };
+    let mut table = Table::default();
+    assert!(table.is_news(&config, 4));
+    assert!(table.apply(config.clone(), Way::Told));
+    assert!(table.is_news(&config, 4), "the followers know all up to 4");
+    assert!(!table.is_news(&config, 5), "they know it already");
+    let entry = |revision: u64, ready: bool| {
+        let mut backend = (*world.servers[&name::<Server>("e0")].1).clone();
+        (backend.orders, backend.ready) = (revision, ready);
+        Change {
+            subject: Subject::Server(name("e0")),
+            revision,
+            created: 1,
+            fact: Some(Fact::Server(Arc::new(backend))),
+        }
+    };
+    assert!(table.apply(entry(6, true), Way::Watched));
+    assert!(!table.is_news(&entry(7, true), 6));
+    assert!(table.is_news(&entry(7, false), 6));
+    assert!(table.apply(entry(8, true), Way::Told));
+    assert_eq!(table.after(6).count(), 1, "an entry of before may differ");
+    assert!(table.apply(entry(9, true), Way::Watched));
+    assert_eq!(table.after(8).count(), 0);
+}
