--- /dev/null
+++ b/crates/gateway/tests/support/world/act.rs
@@ -0,0 +1,341 @@
+//! What happens in the fleet: the acts that its clock brings about, and what the gateways have done.
+
+use std::cmp::Reverse;
+
+use dahliastile_core::id::{Server, Vm};
+use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::Gateway;
+use dahliastile_gateway::effect::{Effect, Op, Order, Send, Verdict};
+use dahliastile_gateway::event::{Cause, Event, Ordered, Outcome, Ran};
+use dahliastile_gateway::fact::{Change, Fact};
+use rand::Rng;
+
+use super::{Act, Answer, PLAIN_WORK, SILENT_CALL, STORE_WAY, WAY, World};
+use crate::support::setup::{self, name};
+
+impl World {
+    pub(super) fn start(&mut self, vm: usize) {
+        let host = &mut self.hosts[vm];
+        host.start += 1;
+        host.frozen = None;
+        host.wake = Instant::NEVER;
+        let mut settings = setup::settings(vm, host.start, &self.tuning);
+        settings.strength = host.strength;
+        host.gateway = Some(Gateway::new(settings));
+        self.deliver(vm, Event::Start);
+    }
+
+    pub(super) fn at(&mut self, at: Instant, act: Act) {
+        self.seq += 1;
+        self.queue.push(Reverse((at, self.seq)));
+        self.acts.insert(self.seq, act);
+    }
+
+    pub(super) fn act(&mut self, act: Act) {
+        match act {
+            Act::Event(vm, start, event) => {
+                if self.hosts[vm].start == start {
+                    self.deliver(vm, event);
+                }
+            }
+            Act::Wake(vm, start) => {
+                if self.hosts[vm].start == start {
+                    self.hosts[vm].wake = Instant::NEVER;
+                    self.deliver(vm, Event::Tick);
+                }
+            }
+            Act::Store(vm, start, op, call) => self.call_store(vm, start, op, call),
+            Act::Order(vm, start, id, server, order, silent) => {
+                self.carry_out(vm, start, id, &server, &order, silent);
+            }
+            Act::Report(vm, start, server) => {
+                let now = self.now;
+                let report = self
+                    .servers
+                    .get(&server)
+                    .filter(|(e, _)| e.up)
+                    .map(|(e, _)| e.report(now));
+                self.at(
+                    now + WAY,
+                    Act::Event(vm, start, Event::Reported(server, report)),
+                );
+            }
+            Act::Peer(from, to, message) => {
+                let sender: Vm = name(&format!("vm{from}"));
+                let linked = self.hosts[to].peers && self.hosts[from].peers;
+                if linked && self.hosts[to].net && self.hosts[to].gateway.is_some() {
+                    self.deliver(to, Event::Peer(sender, message));
+                } else if self.hosts[from].net {
+                    self.deliver(from, Event::PeerDown(setup::address(1, to)));
+                }
+            }
+            Act::Arrive(vm, start, number, send) => self.arrive(vm, start, number, &send),
+            Act::Restart(vm) => self.start(vm),
+            Act::Expire => {
+                if self.store_up {
+                    self.store.expire(self.now);
+                    self.wake_watchers();
+                } else {
+                    self.store.extend(Span::from_millis(50));
+                }
+                self.at(self.now + Span::from_millis(50), Act::Expire);
+            }
+            Act::Thaw(vm) => {
+                self.hosts[vm].frozen = None;
+                for event in std::mem::take(&mut self.hosts[vm].backlog) {
+                    self.deliver(vm, event);
+                }
+                self.deliver(vm, Event::Tick);
+            }
+        }
+    }
+
+    pub(super) fn call_store(&mut self, vm: usize, start: u64, op: u64, call: Op) {
+        if self.hosts[vm].silent {
+            let event = Event::Store(op, Outcome::Unknown);
+            self.at(self.now + SILENT_CALL, Act::Event(vm, start, event));
+            return;
+        }
+        let reached = self.store_up && self.hosts[vm].store;
+        let outcome = if reached {
+            self.store.call(self.now, vm, op, call)
+        } else {
+            Some(Outcome::Refused)
+        };
+        if let Some(outcome) = outcome {
+            let at = self.now + STORE_WAY + self.lag(vm, &outcome);
+            self.at(at, Act::Event(vm, start, Event::Store(op, outcome)));
+        }
+        self.wake_watchers();
+    }
+
+    /// Answers the watches that have something to hear. Those of a VM that is cut off are cut.
+    pub fn wake_watchers(&mut self) {
+        if !self.store_up {
+            let cut: Vec<_> = self.store.waiters.drain(..).collect();
+            for waiter in cut {
+                self.answer_store(waiter.vm, waiter.op, Outcome::Unknown);
+            }
+            return;
+        }
+        for (vm, op, outcome) in self.store.wake(self.now) {
+            let outcome = if self.hosts[vm].store {
+                outcome
+            } else {
+                Outcome::Unknown
+            };
+            self.answer_store(vm, op, outcome);
+        }
+    }
+
+    pub(super) fn answer_store(&mut self, vm: usize, op: u64, outcome: Outcome) {
+        if self.hosts.get(vm).is_some_and(|host| host.silent) {
+            return;
+        }
+        let start = self.hosts.get(vm).map_or(0, |host| host.start);
+        let at = self.now + STORE_WAY + self.lag(vm, &outcome);
+        self.at(at, Act::Event(vm, start, Event::Store(op, outcome)));
+    }
+
+    pub(super) fn lag(&self, vm: usize, outcome: &Outcome) -> Span {
+        let seat = |change: &Change| matches!(change.fact, Some(Fact::Holder(_)));
+        match outcome {
+            Outcome::Written(_) => self.hosts[vm].store_lag,
+            Outcome::Watched(changes, _) if changes.iter().any(seat) => self.hosts[vm].store_lag,
+            _ => Span::ZERO,
+        }
+    }
+
+    pub(super) fn carry_out(
+        &mut self,
+        vm: usize,
+        start: u64,
+        id: u64,
+        server: &Server,
+        order: &Order,
+        silent: bool,
+    ) {
+        let now = self.now;
+        let newest = order
+            .adapter
+            .as_ref()
+            .and_then(|a| self.versions.get(a))
+            .copied()
+            .unwrap_or(0);
+        let outcome = match self.servers.get_mut(server) {
+            Some((engine, _)) if engine.up => engine.order(now, newest, order),
+            _ => Ordered::Unknown,
+        };
+        if !silent {
+            self.at(
+                now + WAY,
+                Act::Event(vm, start, Event::Ordered(id, outcome)),
+            );
+        }
+    }
+
+    pub(super) fn arrive(&mut self, vm: usize, start: u64, number: u64, send: &Send) {
+        let now = self.now;
+        let Some(asked) = self.asked.get_mut(&number) else {
+            return;
+        };
+        asked.arrivals += 1;
+        let call = asked.call.clone();
+        let failed = |ran, cause| Event::Failed(number, ran, cause);
+        let Some((engine, _)) = self.servers.get_mut(&send.server).filter(|(e, _)| e.up) else {
+            self.at(
+                now + WAY,
+                Act::Event(vm, start, failed(Ran::No, Cause::Unreachable)),
+            );
+            return;
+        };
+        let times = match &call.work {
+            None => Some((now + PLAIN_WORK, now + PLAIN_WORK)),
+            Some(work) => match &work.adapter {
+                Some(adapter) => engine.draft(now, adapter, send.version, work.prompt, work.output),
+                None => Some((now, now)),
+            },
+        };
+        let Some((begun, end)) = times else {
+            self.at(
+                now + WAY,
+                Act::Event(vm, start, failed(Ran::No, Cause::Missing)),
+            );
+            return;
+        };
+        let failing = engine.failing;
+        asked.runs.push((now, send.server.clone()));
+        if failing {
+            self.at(
+                begun + WAY,
+                Act::Event(vm, start, failed(Ran::Yes, Cause::Status(500))),
+            );
+            return;
+        }
+        if let Some(adapter) = call.work.as_ref().and_then(|w| w.adapter.as_ref()) {
+            let newest = send.version.unwrap_or(0);
+            let ran = self.servers[&send.server].0.slots[adapter].version;
+            self.asked
+                .get_mut(&number)
+                .expect("asked")
+                .versions
+                .push((newest, ran));
+        }
+        self.at(begun + WAY, Act::Event(vm, start, Event::Begun(number)));
+        self.at(end + WAY, Act::Event(vm, start, Event::Completed(number)));
+    }
+
+    pub(super) fn deliver(&mut self, vm: usize, event: Event) {
+        let now = self.now;
+        let host = &mut self.hosts[vm];
+        if host.frozen.is_some_and(|until| until > now) {
+            host.backlog.push(event);
+            return;
+        }
+        if host.gateway.is_none() {
+            return;
+        }
+        self.record(vm, &event);
+        let mut effects = Vec::new();
+        let gateway = self.hosts[vm].gateway.as_mut().expect("it runs");
+        gateway.step(now, event, &mut effects);
+        let faults = gateway.verify();
+        assert!(faults.is_empty(), "at {now}: {faults:?}");
+        let wake = gateway.wake();
+        for effect in effects {
+            self.perform(vm, effect);
+        }
+        let host = &mut self.hosts[vm];
+        if wake < host.wake && wake != Instant::NEVER {
+            host.wake = wake;
+            let start = host.start;
+            self.at(wake.max(now), Act::Wake(vm, start));
+        }
+    }
+
+    /// Notes what a caller sees, before the gateway forgets the request.
+    pub(super) fn record(&mut self, vm: usize, event: &Event) {
+        let now = self.now;
+        match event {
+            Event::Begun(number) => {
+                if let Some(asked) = self.asked.get_mut(number).filter(|a| a.ended.is_none()) {
+                    asked.ended = Some((now, Answer::Served(now)));
+                }
+            }
+            Event::Completed(number) => {
+                if let Some(asked) = self.asked.get_mut(number) {
+                    let begun = match &asked.ended {
+                        Some((_, Answer::Served(begun))) => *begun,
+                        Some(_) => return,
+                        None => now,
+                    };
+                    asked.ended = Some((now, Answer::Served(begun)));
+                }
+            }
+            _ => {}
+        }
+        let _ = vm;
+    }
+
+    pub(super) fn perform(&mut self, vm: usize, effect: Effect) {
+        let (now, start, net) = (self.now, self.hosts[vm].start, self.hosts[vm].net);
+        match effect {
+            Effect::Request(number, Verdict::Send(send)) if net => {
+                self.at(now + WAY, Act::Arrive(vm, start, number, *send));
+            }
+            Effect::Request(number, Verdict::Send(_)) => {
+                let event = Event::Failed(number, Ran::No, Cause::Unreachable);
+                self.at(now + Span::from_millis(400), Act::Event(vm, start, event));
+            }
+            Effect::Request(number, verdict) => {
+                let answer = match verdict {
+                    Verdict::Refuse(reason, after) => Answer::Refused(reason, after),
+                    Verdict::Deliver => Answer::Failure,
+                    _ => Answer::Cut,
+                };
+                if let Some(asked) = self.asked.get_mut(&number) {
+                    asked.ended = Some((now, answer));
+                }
+            }
+            Effect::Store(op, call) => self.at(now + STORE_WAY, Act::Store(vm, start, op, call)),
+            Effect::Order(id, server, _, order) => self.send_order(vm, id, server, order),
+            Effect::Report(server, _) if net => self.at(now + WAY, Act::Report(vm, start, server)),
+            Effect::Report(server, _) => {
+                self.at(
+                    now + Span::from_millis(300),
+                    Act::Event(vm, start, Event::Reported(server, None)),
+                );
+            }
+            Effect::Peer(address, message) => {
+                self.messages += 1;
+                let to = (0..self.hosts.len()).find(|to| setup::address(1, *to) == address);
+                if let Some(to) = to.filter(|_| net) {
+                    self.at(now + WAY, Act::Peer(vm, to, message));
+                }
+            }
+            Effect::Log(record) => self
+                .lines
+                .push(format!("{now} vm{vm} {:?} {}", record.code, record.detail)),
+            Effect::Measure(_) => {}
+        }
+    }
+
+    /// Sends an order. A late one gets no answer, and is carried out seconds later.
+    pub(super) fn send_order(&mut self, vm: usize, id: u64, server: Server, order: Order) {
+        let (now, start) = (self.now, self.hosts[vm].start);
+        let late = self.rng.random_range(0.0..1.0) < self.late_orders;
+        if late || !self.hosts[vm].net {
+            let timeout = self.tuning.order_timeout;
+            self.at(
+                now + timeout,
+                Act::Event(vm, start, Event::Ordered(id, Ordered::Unknown)),
+            );
+            if late {
+                let delay = Span::from_millis(self.rng.random_range(2_000..12_000));
+                self.at(now + delay, Act::Order(vm, start, id, server, order, true));
+            }
+            return;
+        }
+        self.at(now + WAY, Act::Order(vm, start, id, server, order, false));
+    }
+}
