--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -132,8 +132,8 @@
 
     /// How many adapters may be on their way to all engines.
     pub(crate) fn loads_at_once(&self) -> usize {
-        let hundredths = self.engines.len() * self.settings.tuning.loads_per_engine;
-        hundredths.div_ceil(100).max(LEAST_LOADS)
+        let hundredfold = self.engines.len() * self.settings.tuning.loads_per_hundred;
+        hundredfold.div_ceil(100).max(LEAST_LOADS)
     }
 
     /// Adapters on their way to all engines. What waits behind an order without an answer takes nothing from the
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -207,9 +207,7 @@
             Cause::Malformed | Cause::Status(_) => engine.health.bad(now),
         }
     }
-}
 
-impl Desk {
     /// A step of the time that a load is taken to last, for the loads that may be under way together.
     fn step(&self, step: Span) -> Span {
         Span(step.0 * STEP_LOADS / self.loads_at_once().max(1) as u64)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -51,10 +51,10 @@
     pub adapter_load: Span,
     /// How long an order may stay without an answer before it is repeated: several round trips between zones.
     pub order_timeout: Span,
-    /// Loads of adapters under way over all engines of a service, in hundredths for each engine: what the weight store
-    /// gives at full speed at the deployments known (0.53, 0.67, 0.67 and 0.8 for each engine), in the middle. Beyond that
-    /// each load takes longer in proportion, and below it loads wait though they need not.
-    pub loads_per_engine: usize,
+    /// Loads of adapters under way over all engines of a service, for each hundred engines: in the middle of what the
+    /// weight store gives at full speed at the deployments known (53, 67, 67 and 80). Beyond that each load takes
+    /// longer in proportion, and below it loads wait though they need not.
+    pub loads_per_hundred: usize,
     /// Adapters on their way to one server at most: a limit of the servers.
     pub loads_per_server: usize,
     /// Requests that the scheduler gives one engine at once. Fewer than the batch holds, since what waits at an
@@ -87,7 +87,7 @@
             lapse_grace: Span::from_millis(2_000),
             adapter_load: Span::from_millis(250),
             order_timeout: Span::from_millis(150),
-            loads_per_engine: 67,
+            loads_per_hundred: 67,
             loads_per_server: 4,
             running_per_engine: 16,
             backlog: Span::from_millis(250),
