--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -43,6 +43,10 @@
 /// Whole answers of each model service that a part waits for.
 const ENOUGH: usize = 30;
 
+/// How often a VM is asked for a cold adapter until its answer shows what it decided: the load may take longer than callers
+/// wait on a busy machine, and five tries of three seconds are many loads.
+const ASKS: usize = 5;
+
 /// What the parts use.
 struct Play<'a> {
     stage: &'a mut Stage,
@@ -402,7 +406,7 @@
         self.check(enough == [true, true], promise, seen);
     }
 
-    /// Asks each VM for a completion by an adapter.
+    /// Asks each VM for a completion by an adapter, again where the answer does not show what the VM decided.
     fn everywhere(&self, adapter: &str) -> Vec<Ending> {
         let ask = |vm: usize| {
             let request = self
@@ -410,7 +414,16 @@
                 .request(vm, "skipper", &format!("{adapter}@1"), 4);
             self.traffic.model(vm, "passage", &request)
         };
-        (0..self.stage.vms.len()).map(ask).collect()
+        let decided = |vm: usize| {
+            let first = ask(vm);
+            (1..ASKS).fold(
+                first,
+                |ending, _| {
+                    if is_late(&ending) { ask(vm) } else { ending }
+                },
+            )
+        };
+        (0..self.stage.vms.len()).map(decided).collect()
     }
 }
 
@@ -421,6 +434,12 @@
     traffic.stream(LAST, "passage", &request, begun)
 }
 
+/// Whether a request was let through and its adapter was not there in its caller's time.
+fn is_late(ending: &Ending) -> bool {
+    const LATE: [&str; 3] = ["deadline_in_queue", "deadline_in_run", "not_resident"];
+    LATE.iter().any(|kind| is_refused(ending, kind))
+}
+
 fn is_refused(ending: &Ending, wanted: &str) -> bool {
     matches!(ending, Ending::Refused { kind, .. } if kind == wanted)
 }
