--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -306,14 +306,18 @@
     pub(crate) fn run_desks(&mut self, out: &mut Effects) {
         let services: Vec<Service> = self.desks.keys().cloned().collect();
         for service in services {
-            let vms = self.peers().count();
-            let Some(desk) = self.desks.get_mut(&service) else {
+            // Most steps find nothing due, and the VMs are counted only where something is.
+            let Some(wake) = self.desks.get(&service).map(Desk::wake) else {
                 continue;
             };
-            if self.now < desk.wake() {
-                self.timers.set_once(desk.wake(), Timer::Desk(service));
+            if self.now < wake {
+                self.timers.set_once(wake, Timer::Desk(service));
                 continue;
             }
+            let vms = self.peers().count();
+            let Some(desk) = self.desks.get_mut(&service) else {
+                continue;
+            };
             desk.audience(vms);
             let mut decisions = Vec::new();
             desk.run(self.now, &mut decisions);
--- a/crates/gateway/tests/health.rs
+++ b/crates/gateway/tests/health.rs
@@ -5,7 +5,7 @@
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
 use support::World;
-use support::setup::{call, work};
+use support::setup::draft;
 
 /// Requests for one of eight adapters in turn, every 40 ms for the span; their numbers.
 fn traffic(world: &mut World, span: Span) -> Vec<u64> {
@@ -14,13 +14,7 @@
     for at in 0..span.0 / step.0 {
         let vm = usize::try_from(at).expect("small") % world.hosts.len();
         let adapter = format!("a{}", at * 5 % 8);
-        let draft = call(
-            &format!("r{at}"),
-            "/plan/x",
-            5_000,
-            Some(work(&adapter, 600, 15)),
-        );
-        numbers.push(world.ask(vm, draft));
+        numbers.push(world.ask(vm, draft(&format!("r{at}"), &adapter)));
         world.run(step);
     }
     numbers
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -9,7 +9,7 @@
 use dahliastile_gateway::fact::Subject;
 use dahliastile_gateway::settings::Tuning;
 use support::World;
-use support::setup::{ENGINES, call, name, work};
+use support::setup::{ENGINES, call, draft, name, work};
 
 /// Requests for one of twelve adapters in turn, every 40 ms for the span, at the VMs that run; their numbers.
 fn traffic(world: &mut World, span: Span) -> Vec<u64> {
@@ -19,13 +19,7 @@
         let vm = usize::try_from(at).expect("small") % world.hosts.len();
         if world.hosts[vm].gateway.is_some() {
             let adapter = format!("a{}", at * 5 % 12);
-            let draft = call(
-                &format!("r{at}"),
-                "/plan/x",
-                5_000,
-                Some(work(&adapter, 600, 15)),
-            );
-            numbers.push(world.ask(vm, draft));
+            numbers.push(world.ask(vm, draft(&format!("r{at}"), &adapter)));
         }
         world.run(step);
     }
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -5,7 +5,7 @@
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
 use support::World;
-use support::setup::{call, work};
+use support::setup::{call, draft, work};
 
 /// Requests for many adapters, so that places change hands all the time: one every 50 ms over sixty adapters.
 fn churn(world: &mut World, span: Span, prefix: &str) -> Vec<u64> {
@@ -14,13 +14,7 @@
     for at in 0..span.0 / step.0 {
         let adapter = format!("{prefix}{}", at * 7 % 60);
         let vm = usize::try_from(at).expect("small") % world.hosts.len();
-        let draft = call(
-            &format!("{prefix}{at}"),
-            "/plan/x",
-            5_000,
-            Some(work(&adapter, 600, 15)),
-        );
-        numbers.push(world.ask(vm, draft));
+        numbers.push(world.ask(vm, draft(&format!("{prefix}{at}"), &adapter)));
         world.run(step);
     }
     numbers
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -130,6 +130,11 @@
     }
 }
 
+/// A short draft by an adapter, as most tests ask for.
+pub fn draft(id: &str, adapter: &str) -> Call {
+    call(id, "/plan/x", 5_000, Some(work(adapter, 600, 15)))
+}
+
 /// A request.
 pub fn call(id: &str, path: &str, patience: u64, work: Option<Work>) -> Call {
     Call {
