At 300 VMs: digests of 64 engines, 64 reports at once, VMs keep where they were sent

Change: a digest tells of 64 engines and the next one goes on from there; 64 reports are waited for at once, and those come first that were not asked for longest. So that a time without a scheduler finds no less, a VM keeps where the scheduler had its own requests run, for as many adapters of an engine as that one holds.

--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -231,13 +231,49 @@
         true
     }
 
-    /// Keeps what the scheduler says is resident.
+    /// Keeps what the scheduler says some engines hold.
     pub(crate) fn keep_residents(&mut self, service: &Service, residents: Vec<Holding>) {
+        let servers = &self.servers;
         let agent = self.agents.entry(service.clone()).or_default();
-        let rows = residents
-            .into_iter()
-            .map(|holding| (holding.server, holding.adapters));
-        agent.residents = rows.collect();
+        agent
+            .residents
+            .retain(|server, _| servers.contains_key(server));
+        for holding in residents {
+            agent.residents.insert(holding.server, holding.adapters);
+        }
+    }
+
+    /// Keeps where the scheduler had a request of this VM run: its adapter is there, until a word of the scheduler says
+    /// otherwise or the engine has had as many newer ones as it holds.
+    pub(crate) fn keep_place(
+        &mut self,
+        request: RequestId,
+        server: &Server,
+        version: Option<Version>,
+    ) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let adapter = flow.call.work.as_ref().and_then(|w| w.adapter.clone());
+        let Some(adapter) = adapter else {
+            return;
+        };
+        // Where no version is named, any will do.
+        let version = version.unwrap_or(0);
+        let shape = self
+            .index
+            .service(flow.service.as_str())
+            .and_then(|application| application.engine.as_ref());
+        let places = shape.map_or(0, |shape| shape.places);
+        let Some(agent) = self.agents.get_mut(&flow.service) else {
+            return;
+        };
+        let row = agent.residents.entry(server.clone()).or_default();
+        row.retain(|resident| resident.adapter != adapter);
+        if row.len() >= places.max(1) {
+            row.remove(0);
+        }
+        row.push(Resident { adapter, version });
     }
 
     /// A link broke: where it led to a holder, this VM goes on alone until it hears of one again.
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -18,6 +18,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use dahliastile_core::id::{Server, Vm};
@@ -43,10 +44,14 @@
 /// How often VMs are told what is resident, for the time without a scheduler, where they are few.
 const RESIDENTS_EVERY: Span = Span::from_millis(1_000);
 
-/// The time that each VM adds to that where they are many: what all are told together, some kilobytes each, stays below
-/// 100 KB a second, a tenth of the smallest link. Requests of a time without a scheduler find a little less.
+/// The time that each VM adds to that where they are many: what all are told together, at most [`RESIDENTS_ROWS`] engines of
+/// some 120 bytes each, stays below 200 KB a second whatever their number, a fifth of the smallest link.
 const RESIDENTS_EACH: Span = Span::from_millis(40);
 
+/// Engines in one digest of what is resident; where there are more, each digest goes on after the last one. VMs know what
+/// they were sent to themselves as well, so a digest that comes round slowly costs little.
+const RESIDENTS_ROWS: usize = 64;
+
 /// The least time between two runs. What changes meanwhile is decided together, so that the cost of runs does not grow with
 /// the number of requests; a third of the time of an engine's step, which a request waits for anyway.
 const RUN_GAP: Span = Span::from_millis(3);
@@ -65,7 +70,7 @@
     Order(OrderId, Server, SocketAddr, Order),
     /// A server is asked for its report.
     Report(Server, SocketAddr),
-    /// What is resident, for all VMs.
+    /// What some engines hold, for all VMs.
     Residents(Vec<Holding>),
     /// The scheduler is there, for all VMs.
     Alive,
@@ -106,6 +111,8 @@
     alive_due: Instant,
     /// When VMs are next told what is resident.
     residents_due: Instant,
+    /// The last engine that they were told of.
+    told: Option<Server>,
     /// When the next line on its state is due.
     summary_due: Instant,
     /// The VMs that are told.
@@ -140,6 +147,7 @@
             due: now,
             alive_due: now,
             residents_due: now,
+            told: None,
             summary_due: now,
             vms: 0,
             settings,
@@ -341,7 +349,8 @@
         if now >= self.residents_due {
             let all = RESIDENTS_EACH.times(self.vms as u64);
             self.residents_due = now + all.max(RESIDENTS_EVERY);
-            out.push(Decision::Residents(self.residents()));
+            let rows = self.next_residents();
+            out.push(Decision::Residents(rows));
         }
         if now >= self.summary_due {
             self.summary_due = now + SUMMARY_EVERY;
@@ -351,12 +360,21 @@
         self.by(next);
     }
 
-    fn residents(&self) -> Vec<Holding> {
-        let engines = self.engines.iter();
+    /// What the engines hold whose turn it is to be told of.
+    fn next_residents(&mut self) -> Vec<Holding> {
+        let after = match self.told.take() {
+            Some(server) => (Bound::Excluded(server), Bound::Unbounded),
+            None => (Bound::Unbounded, Bound::Unbounded),
+        };
+        let turn = self.engines.range(after).take(RESIDENTS_ROWS);
         let holding = |(server, engine): (&Server, &Engine)| Holding {
             server: server.clone(),
             adapters: engine.residents(&self.keys),
         };
-        engines.map(holding).collect()
+        let rows: Vec<Holding> = turn.map(holding).collect();
+        if rows.len() == RESIDENTS_ROWS {
+            self.told = rows.last().map(|row| row.server.clone());
+        }
+        rows
     }
 }
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -88,6 +88,8 @@
     pub(crate) known: bool,
     /// When it was asked for a report that has not come.
     pub(crate) asked: Option<Instant>,
+    /// Whether that report is waited for.
+    pub(crate) reporting: bool,
     /// Orders that it has accepted.
     pub(crate) orders: u64,
     /// The base models that it holds.
@@ -125,6 +127,7 @@
             backend,
             known: false,
             asked: None,
+            reporting: false,
             bases: Vec::new(),
             base_due: None,
             places: BTreeMap::new(),
--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -19,6 +19,10 @@
 /// The pause between two requests for a report that did not come.
 const REPORT_AGAIN: Span = Span::from_millis(400);
 
+/// Reports that are waited for at once: each is a connection, and a VM that has just taken its seat makes them all anew. At
+/// some milliseconds each, 3,000 engines have answered in half a second.
+const REPORTS_AT_ONCE: usize = 64;
+
 impl Desk {
     /// Moves on what time alone moves: adapters that are expected, reports that are due.
     pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Decision>) {
@@ -39,22 +43,34 @@
                 }
                 next = next.min(look);
             }
-            if engine.known {
-                continue;
-            }
-            let at = engine
-                .asked
-                .map_or(engine.last_order + REPORT_LAG, |asked| asked + REPORT_AGAIN);
-            let first = engine.last_order == Instant::default() && engine.asked.is_none();
-            if first || at <= now {
-                engine.asked = Some(now);
-                out.push(Decision::Report(server.clone(), engine.backend.address));
-                next = next.min(now + REPORT_AGAIN);
-            } else {
-                next = next.min(at);
-            }
         }
         self.by(next);
+        self.ask_reports(now, out);
+    }
+
+    /// Asks engines of which nothing is known for their reports, those first that were not asked for longest.
+    fn ask_reports(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        let unknown = self.engines.iter().filter(|(_, engine)| !engine.known);
+        let (mut due, later): (Vec<_>, Vec<_>) = unknown
+            .map(|(server, engine)| (report_due(engine), server.clone()))
+            .partition(|(at, _)| *at <= now);
+        due.sort_unstable();
+        let open = later
+            .iter()
+            .filter(|(_, server)| self.engines[server].reporting);
+        let room = REPORTS_AT_ONCE.saturating_sub(open.count());
+        for (_, server) in due.into_iter().take(room) {
+            let Some(engine) = self.engines.get_mut(&server) else {
+                continue;
+            };
+            engine.asked = Some(now);
+            engine.reporting = true;
+            out.push(Decision::Report(server, engine.backend.address));
+            self.by(now + REPORT_AGAIN);
+        }
+        for (at, _) in later {
+            self.by(at);
+        }
     }
 
     /// Takes an engine's report in.
@@ -63,6 +79,7 @@
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
+        engine.reporting = false;
         let Some(report) = report else {
             engine.health.dead(now);
             return;
@@ -182,6 +199,16 @@
     }
 }
 
+/// When an engine of which nothing is known may be asked for its report.
+fn report_due(engine: &Engine) -> Instant {
+    let never_ordered = engine.last_order == Instant::default();
+    match engine.asked {
+        Some(asked) => asked + REPORT_AGAIN,
+        None if never_ordered => Instant::default(),
+        None => engine.last_order + REPORT_LAG,
+    }
+}
+
 /// An intent for the log.
 fn described(keys: &Keys, intent: &Intent) -> String {
     match intent {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -237,6 +237,7 @@
             }
             Message::Place(service, fence, request, server, version) => {
                 if self.follows(&service, fence, from, out) {
+                    self.keep_place(request, &server, version);
                     self.placed(request, &server, version, out);
                 }
             }
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -148,6 +148,33 @@
     world.check();
 }
 
+/// Without the key-value service and without a holder a VM still serves the adapters of its own last requests, also one that
+/// no digest has told of yet: digests come each second and tell of some engines.
+#[test]
+fn holder_gonewithstoreservesitsown() {
+    for offset in [100, 400, 700, 1_000] {
+        let mut world = warm();
+        world.store_up = false;
+        world.wake_watchers();
+        let old = world.holder().expect("a holder");
+        let vm = (old + 1) % 4;
+        let ask = |world: &mut World, id: &str| {
+            let call = call(id, "/plan/x", 5_000, Some(work("a77", 600, 15)));
+            world.ask(vm, call)
+        };
+        world.run(Span::from_millis(offset));
+        let first = ask(&mut world, "first");
+        while world.first_piece(first).is_none() {
+            world.run(Span::from_millis(5));
+        }
+        world.kill(old, true);
+        let again = ask(&mut world, "again");
+        world.run(Span::from_secs(5));
+        assert_eq!(world.served_of(&[first, again]), 2, "offset {offset}");
+        world.check();
+    }
+}
+
 #[test]
 fn all_killedcomeback() {
     let mut world = warm();
