Another VM is followed before a VM watches alone; entries of servers without what their scheduler knows better

Cause: with 302 VMs three watch the key-value service and each of the others follows one of them. Where one of the three is silent for 0.7 s (killed, frozen, restarted), a hundred VMs watched by themselves for 4 s, and each was sent what 3,000 servers rewrite about once a second. The entries they kept and passed on held each server's adapters, its count of orders, the time until it is warm or gone, and its limit of connections, which nothing reads.

Change, two measured together: a VM whose watcher is silent follows another one, which has 0.4 s, and watches alone only if that one is silent too; the one that was silent is not followed for 4 s. What a server says of itself is decoded without those fields, so that 'the same but for what changes all the time' is plain equality and three comparisons of their own are gone.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -103,8 +103,6 @@
 pub struct Application {
     /// Its name.
     pub name: Service,
-    /// Connections that one of its servers takes from all callers.
-    pub connections: u32,
     /// What its engines hold; none for a plain service.
     pub engine: Option<Engine>,
 }
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -123,7 +123,7 @@
 impl Engine {
     pub(crate) fn new(backend: Arc<Backend>) -> Self {
         Self {
-            orders: backend.orders,
+            orders: 0,
             backend,
             known: false,
             asked: None,
@@ -146,8 +146,7 @@
 
     /// It describes itself anew.
     pub(crate) fn described(&mut self, backend: &Arc<Backend>) {
-        let bases = |b: &Backend| b.models.iter().map(|m| m.model.clone()).collect::<Vec<_>>();
-        if bases(backend) != bases(&self.backend) && bases(backend) != self.bases {
+        if backend.bases != self.backend.bases && backend.bases != self.bases {
             self.forget();
         }
         self.backend = backend.clone();
--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -27,7 +27,7 @@
     /// Moves on what time alone moves: adapters that are expected, reports that are due.
     pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Decision>) {
         let mut next = Instant::NEVER;
-        for (server, engine) in &mut self.engines {
+        for engine in self.engines.values_mut() {
             for place in engine.places.values_mut() {
                 match place.stage {
                     Stage::Coming(at) if at <= now => place.stage = Stage::Ready,
--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use dahliastile_core::id::{Incarnation, Server, Service, Vm, Zone};
-use dahliastile_core::time::Span;
 use serde::{Deserialize, Serialize};
 
 use crate::config::Config;
@@ -51,7 +50,8 @@
     pub adapters: Vec<Resident>,
 }
 
-/// A backend server as it describes itself.
+/// A backend server as it describes itself, as far as it matters to whoever sends work there. Which adapters it holds and how
+/// many orders it has accepted changes all the time, and its scheduler knows better.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
     /// Its service.
@@ -64,32 +64,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub ready: bool,
-    /// How much longer it is slow after its start.
-    pub cold: Span,
-    /// How long until it is gone, where it is taken away at short notice.
-    pub remaining: Option<Span>,
     /// The base models that it holds.
-    pub models: Vec<Base>,
-    /// Orders it has accepted.
-    pub orders: u64,
-}
-
-impl Backend {
-    /// Whether another description of the server says the same to whoever sends work there. Which adapters it holds and how
-    /// many orders it has accepted changes all the time, and its scheduler knows better.
-    #[must_use]
-    pub fn alike(&self, other: &Self) -> bool {
-        let bases = |backend: &Self| {
-            let names = backend.models.iter().map(|base| base.model.clone());
-            names.collect::<Vec<_>>()
-        };
-        let place = |backend: &Self| (backend.address, backend.slots, backend.ready);
-        self.service == other.service
-            && self.zone == other.zone
-            && place(self) == place(other)
-            && self.remaining == other.remaining
-            && bases(self) == bases(other)
-    }
+    pub bases: Vec<Arc<str>>,
 }
 
 /// An entry VM as it describes itself.
@@ -129,16 +105,6 @@
     Holder(Holder),
 }
 
-impl Fact {
-    /// Whether another fact of the subject is the same for all but the one whose it is.
-    fn alike(&self, other: &Self) -> bool {
-        match (self, other) {
-            (Self::Server(one), Self::Server(other)) => one.alike(other),
-            _ => self == other,
-        }
-    }
-}
-
 /// A change of one subject; none where it is no longer there.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
@@ -157,7 +123,7 @@
 struct Row {
     /// Its last change.
     change: Change,
-    /// The revision of its last change that matters to VMs that follow this one.
+    /// The revision of its last change that says anything new to VMs that follow this one.
     news: Revision,
 }
 
@@ -183,7 +149,7 @@
         match self.rows.get_mut(&change.subject) {
             Some(known) if known.change.revision >= change.revision => false,
             Some(known) => {
-                if way == Way::Told || !alike(&known.change, &change) {
+                if way == Way::Told || known.change.fact != change.fact {
                     known.news = change.revision;
                 }
                 known.change = change;
@@ -203,7 +169,7 @@
     #[must_use]
     pub fn is_news(&self, change: &Change, since: Revision) -> bool {
         let known = self.rows.get(&change.subject);
-        known.is_none_or(|known| known.news > since || !alike(&known.change, change))
+        known.is_none_or(|known| known.news > since || known.change.fact != change.fact)
     }
 
     /// Takes a subject as gone without a change that says so; any later change brings it back.
@@ -232,10 +198,3 @@
         changes.filter(|change| change.fact.is_some())
     }
 }
-
-fn alike(one: &Change, other: &Change) -> bool {
-    match (&one.fact, &other.fact) {
-        (Some(one), Some(other)) => one.alike(other),
-        (one, other) => one.is_none() && other.is_none(),
-    }
-}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -40,14 +40,19 @@
 /// sixth of the two seconds within which a configuration is to be in force.
 const ASK_EVERY: Span = Span::from_millis(300);
 
-/// The silence of the VM that is followed after which this VM watches by itself. With the age of that VM's own news it
-/// makes a second and a half, of two seconds within which a configuration is to be in force.
+/// The silence of the VM that is followed after which this VM follows another one.
 const SILENCE: Span = Span::from_millis(700);
 
+/// The silence of that other one after which this VM watches by itself: a question, and one more. With [`SILENCE`], the time
+/// between two looks at it and a call it makes a second and a half, of two seconds within which a configuration is to be in
+/// force.
+const SECOND_SILENCE: Span = Span::from_millis(400);
+
 /// How old the last answer of the key-value service may be for this VM's word to count: a watch's length and some.
 const FRESH: Span = Span::from_millis(800);
 
-/// How long this VM then watches by itself before it follows another VM again.
+/// How long this VM then watches by itself before it follows another VM again, and how long it does not follow one that was
+/// silent.
 const ALONE: Span = Span::from_secs(4);
 
 /// How long the key-value service may be silent before peers are asked: two tries.
@@ -75,6 +80,10 @@
     leader: Option<Vm>,
     /// When that VM was last heard.
     heard: Instant,
+    /// How long it may be silent.
+    patience: Span,
+    /// The last one that was silent, and until when it is not followed again.
+    passed: Option<(Vm, Instant)>,
     /// Until when this VM watches by itself whatever its turn.
     alone: Instant,
     /// When the VM that is followed, or peers, are asked next.
@@ -141,6 +150,7 @@
     pub(crate) fn take_news(&mut self, from: &Vm, news: News, out: &mut Effects) {
         if news.direct && self.follow.leader.as_ref() == Some(from) {
             self.follow.heard = self.now;
+            self.follow.patience = SILENCE;
         }
         self.take_changes(news.changes, Way::Told, news.recovering, out);
         match self.follow.cursor {
@@ -185,6 +195,12 @@
             Self::log(out, Code::Following, format!("vm={leader}"));
             self.follow.leader = Some(leader);
             self.follow.heard = self.now;
+            self.follow.patience = match self.passed() {
+                Some(_) => SECOND_SILENCE,
+                None => SILENCE,
+            };
+            let silent = self.now + self.follow.patience;
+            self.timers.set(silent, Timer::Follow);
             self.follow.ask = self.now;
             self.keep_following(out);
             return;
@@ -210,6 +226,14 @@
         self.watchers().contains(&&self.settings.vm)
     }
 
+    /// The VM that was silent a moment ago.
+    fn passed(&self) -> Option<&Vm> {
+        let passed = self.follow.passed.as_ref();
+        passed
+            .filter(|(_, until)| self.now < *until)
+            .map(|(vm, _)| vm)
+    }
+
     /// The VM that this one follows, by hashing; none where this VM is one of those that watch.
     fn leader(&self) -> Option<Vm> {
         let me = &self.settings.vm;
@@ -217,15 +241,17 @@
         if watchers.contains(&me) {
             return None;
         }
+        let passed = self.passed();
         let choice = watchers
             .into_iter()
+            .filter(|vm| Some(*vm) != passed)
             .min_by_key(|vm| book::score(&(me.as_str(), vm.as_str())));
         choice.cloned()
     }
 
     /// Asks the VM that is followed again, unless it is silent or this VM's turn has changed.
     fn keep_following(&mut self, out: &mut Effects) {
-        let silent = self.now.since(self.follow.heard) >= SILENCE;
+        let silent = self.now.since(self.follow.heard) >= self.follow.patience;
         if silent || self.leader() != self.follow.leader {
             let leader = self.follow.leader.take();
             Self::log(
@@ -233,8 +259,12 @@
                 Code::FollowingEnded,
                 format!("vm={leader:?} silent={silent}"),
             );
-            if silent {
-                self.follow.alone = self.now + ALONE;
+            match leader.filter(|_| silent) {
+                Some(leader) if self.passed().is_none() => {
+                    self.follow.passed = Some((leader, self.now + ALONE));
+                }
+                Some(_) => self.follow.alone = self.now + ALONE,
+                None => {}
             }
             self.watch(out);
             return;
