A busy scheduler is not taken for a silent one: copies of an order wait longer, links live 2 s

A VM that has just taken it hears of all that waits at 80 VMs at once and runs late by some hundred milliseconds for seconds; orders then counted as unanswered after 150 ms three times over, though the engines had answered, so engines were forgotten and asked for their reports again; batches between VMs that were taken in later than 600 ms broke their links, and each broken link made the other side go on alone, drop what waited for the link, and tell the scheduler all anew. Each of these is more work for the VM that is late already.

Change: the second and third copy of an order have twice and four times the 150 ms; a report has 300 ms; a link breaks when a batch is not taken in for 2 s instead of 600 ms (silence of 900 ms alone passes a holder over).

--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -107,7 +107,12 @@
                 continue;
             };
             self.last_order += 1;
-            let order = order(&self.keys, &intent, engine.orders, fence);
+            let patience = self
+                .settings
+                .tuning
+                .order_timeout
+                .times(1_u64 << engine.tries);
+            let order = order(&self.keys, &intent, engine.orders, fence, patience);
             engine.last_order = now;
             engine.pending = Some(Pending {
                 id: self.last_order,
@@ -177,7 +182,7 @@
     }
 }
 
-fn order(keys: &Keys, intent: &Intent, expected: u64, fence: u64) -> Order {
+fn order(keys: &Keys, intent: &Intent, expected: u64, fence: u64, patience: Span) -> Order {
     let (load, model, adapter, version) = match intent {
         Intent::Load(key, version) => {
             let name = keys.name(*key);
@@ -196,6 +201,7 @@
         version,
         expected,
         fence,
+        patience,
     }
 }
 
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -80,6 +80,8 @@
     pub expected: u64,
     /// The fencing number.
     pub fence: u64,
+    /// How long its answer is waited for.
+    pub patience: Span,
 }
 
 /// A call of the key-value service.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -49,8 +49,12 @@
     pub lapse_grace: Span,
     /// The time an adapter takes from the weight store until one was measured.
     pub adapter_load: Span,
-    /// How long an order may stay without an answer before it is repeated: several round trips between zones.
+    /// How long an order may stay without an answer before it is repeated: several round trips between zones. Each further
+    /// copy has twice the time of the one before, since a VM that is busy hears answers late.
     pub order_timeout: Span,
+    /// How long an engine's report may take: less than the time after which it is asked for again, and twice that of an
+    /// order, as a VM that has just taken its seat asks for all at once.
+    pub report_timeout: Span,
     /// Loads of adapters under way over all engines of a service, for each hundred engines: in the middle of what the
     /// weight store gives at full speed at the deployments known (53, 67, 67 and 80). Beyond that each load takes
     /// longer in proportion, and below it loads wait though they need not.
@@ -87,6 +91,7 @@
             lapse_grace: Span::from_millis(2_000),
             adapter_load: Span::from_millis(250),
             order_timeout: Span::from_millis(150),
+            report_timeout: Span::from_millis(300),
             loads_per_hundred: 67,
             loads_per_server: 4,
             running_per_engine: 16,
--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/desk.rs
@@ -57,6 +57,14 @@
     store: Option<Store>,
     /// The adapter of each request.
     asked: BTreeMap<u64, Arc<str>>,
+    /// How late answers to orders come.
+    late: Span,
+    /// Orders that were answered too late to be heard.
+    unheard: usize,
+    /// Answers to orders that are still on their way.
+    answers: Vec<(Instant, u64, Ordered)>,
+    /// Reports that were asked for.
+    reports: usize,
 }
 
 impl Scheduler {
@@ -73,6 +81,10 @@
             digests: 0,
             store: None,
             asked: BTreeMap::new(),
+            late: Span::ZERO,
+            unheard: 0,
+            answers: Vec::new(),
+            reports: 0,
         };
         for number in 0..engines {
             let server: Server = name(&format!("e{number}"));
@@ -86,13 +98,21 @@
     fn run(&mut self, span: Span) {
         let end = self.now + span;
         while self.now < end {
-            self.now = self.desk.wake().max(self.now + Span(100)).min(end);
+            let answer = self.answers.iter().map(|(at, ..)| *at).min();
+            let wake = self.desk.wake().min(answer.unwrap_or(Instant::NEVER));
+            self.now = wake.max(self.now + Span(100)).min(end);
             self.step();
         }
     }
 
     /// Runs the scheduler as a VM does after each event, and carries its orders out.
     fn step(&mut self) {
+        let now = self.now;
+        let (due, rest) = self.answers.drain(..).partition(|(at, ..)| *at <= now);
+        self.answers = rest;
+        for (_, order, outcome) in due {
+            self.desk.ordered(now, order, outcome);
+        }
         let mut out = Vec::new();
         self.desk.run(self.now, &mut out);
         let before = (self.placed.len(), self.refused);
@@ -101,6 +121,7 @@
                 Decision::Place(vm, request, server, _) => self.place(&vm, request, server),
                 Decision::Refuse(..) => self.refused += 1,
                 Decision::Report(server, _) => {
+                    self.reports += 1;
                     self.desk.reported(self.now, &server, Some(&empty()));
                 }
                 Decision::Order(id, server, _, order) => self.carry_out(id, server, order),
@@ -122,7 +143,19 @@
         if let (Some(store), Some(adapter), true) = (&mut self.store, order.adapter, order.load) {
             store.load(self.now, server, adapter);
         }
-        self.desk.ordered(self.now, id, outcome);
+        match order.patience < self.late {
+            true => {
+                self.unheard += 1;
+                let given_up = self.now + order.patience;
+                self.answers.push((given_up, id, Ordered::Unknown));
+            }
+            false if self.late > Span::ZERO => {
+                self.answers.push((self.now + self.late, id, outcome));
+            }
+            false => {
+                self.desk.ordered(self.now, id, outcome);
+            }
+        }
     }
 
     /// A request comes to an engine, which rejects it where its adapter is not there yet, and else answers it at once.
@@ -289,6 +322,23 @@
     }
 }
 
+/// A scheduler that has just taken its seat on a busy VM hears the answers to its orders 400 ms late, as in trouble-3 of the
+/// larger deployment: it waits longer for an order that it repeats, so that each order is heard at its third copy and no
+/// engine counts as dead. With 150 ms for each copy all engines were forgotten and asked for their reports again and again.
+#[test]
+fn orders_lateareheard() {
+    let mut scheduler = Scheduler::new(ENGINES_LARGE);
+    scheduler.late = Span::from_millis(400);
+    let reports = scheduler.reports;
+    for number in 0..10 {
+        scheduler.want(number, usize::MAX, 1);
+    }
+    scheduler.run(Span::from_secs(4));
+    assert_eq!(scheduler.reports, reports);
+    assert!(scheduler.unheard <= 2 * 10, "{} unheard", scheduler.unheard);
+    assert_eq!((scheduler.placed.len(), scheduler.refused), (10, 0));
+}
+
 /// The weight store of the larger deployment: so many loads at once at full speed, each for this long, longer in proportion
 /// beyond.
 const FULL_SPEED: u64 = 32;
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -325,9 +325,8 @@
         let (now, start) = (self.now, self.hosts[vm].start);
         let late = self.rng.random_range(0.0..1.0) < self.late_orders;
         if late || !self.hosts[vm].net {
-            let timeout = self.tuning.order_timeout;
             self.at(
-                now + timeout,
+                now + order.patience,
                 Act::Event(vm, start, Event::Ordered(id, Ordered::Unknown)),
             );
             if late {
--- a/crates/shell/src/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -20,8 +20,9 @@
 /// How long a connection may take to be made.
 const CONNECT: Span = Span::from_millis(300);
 
-/// How long a batch may take to be taken in before the link counts as broken: many round trips between zones.
-const DELIVERY: Span = Span::from_millis(600);
+/// How long a batch may take to be taken in before the link counts as broken: twice the silence after which its VM is passed
+/// over anyway. A VM that is busy for a moment takes it in late; a link made anew would cost it more, and lose what waits.
+const DELIVERY: Span = Span::from_secs(2);
 
 /// The pause after a link broke.
 const PAUSE: Duration = Duration::from_millis(100);
