A line in the log where the event loop is late

Change: E107 Late, once a second at most, where something due is handled 90 ms late or more, with the events that wait and those handled since the last line.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -70,6 +70,8 @@
     Reloaded = 105 Info "Nothing.";
     /// The settings file was read again and can't be used; the figures stay as they were.
     ReloadFailed = 106 Warn "Correct the file and have it read again.";
+    /// The process came to what was due later than other VMs expect, with the events that wait for it.
+    Late = 107 Warn "Look for a VM with too small a share of its processor, or with more work than the others.";
     /// An edition of the configuration is in force on this VM.
     EditionInForce = 200 Info "Nothing.";
     /// A configuration that was read does not hold together and was not applied.
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use dahliastile_core::time::Instant;
+use dahliastile_core::log::{Code, Record};
+use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::Gateway;
 use dahliastile_gateway::effect::{Effect, Effects, Op};
 use dahliastile_gateway::event::Event;
@@ -17,6 +18,21 @@
 /// Events handled before other tasks get their turn.
 const BATCH: usize = 64;
 
+/// The delay of what is due that is worth a line in the log: a tenth of the silence after which other VMs pass this one over.
+const LATE: Span = Span::from_millis(90);
+
+/// The least time between two such lines.
+const LATE_AGAIN: Span = Span::from_secs(1);
+
+/// How late the loop is with what is due, and what it does meanwhile.
+#[derive(Default)]
+pub(crate) struct Lateness {
+    /// Events handled since the last line.
+    steps: u64,
+    /// When the last line was written.
+    told: Instant,
+}
+
 /// Owns the gateway.
 pub(crate) struct Driver<D> {
     /// The decisions.
@@ -35,6 +51,8 @@
     pub(crate) mailbox: flume::Receiver<Event>,
     /// Effects of the present step.
     pub(crate) effects: Effects,
+    /// How late it is.
+    pub(crate) lateness: Lateness,
 }
 
 impl<D: Dialect> Driver<D> {
@@ -42,10 +60,12 @@
     pub(crate) async fn run(&mut self, mut stop: tokio::sync::watch::Receiver<Option<Instant>>) {
         self.step(Event::Start);
         loop {
+            self.note_lateness();
             let wake = self.clock.at(self.gateway.wake());
             let deadline = *stop.borrow_and_update();
-            let end = self.clock.at(deadline
-                .unwrap_or(self.clock.now() + dahliastile_core::time::Span::from_secs(3_600)));
+            let end = self
+                .clock
+                .at(deadline.unwrap_or(self.clock.now() + Span::from_secs(3_600)));
             tokio::select! {
                 event = self.mailbox.recv_async() => match event {
                     Ok(event) => self.step(event),
@@ -64,7 +84,24 @@
         }
     }
 
+    /// Writes a line where the loop is late, with what waits for it.
+    fn note_lateness(&mut self) {
+        let now = self.clock.now();
+        let late = now.since(self.gateway.wake());
+        if late < LATE || now.since(self.lateness.told) < LATE_AGAIN {
+            return;
+        }
+        let (steps, mailbox) = (self.lateness.steps, self.mailbox.len());
+        let detail = format!("late={late} mailbox={mailbox} steps={steps}");
+        self.journal.write(now, &Record::new(Code::Late, detail));
+        self.lateness = Lateness {
+            steps: 0,
+            told: now,
+        };
+    }
+
     fn step(&mut self, event: Event) {
+        self.lateness.steps += 1;
         let now = self.clock.now();
         let mut effects = std::mem::take(&mut self.effects);
         self.gateway.step(now, event, &mut effects);
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -17,7 +17,7 @@
 use crate::callers;
 use crate::clock::{Clock, duration};
 use crate::dialect::Dialect;
-use crate::driver::Driver;
+use crate::driver::{Driver, Lateness};
 use crate::figures::Figures;
 use crate::hub::Hub;
 use crate::journal::Journal;
@@ -119,6 +119,7 @@
         figures,
         mailbox,
         effects: Vec::new(),
+        lateness: Lateness::default(),
     };
     driver.run(ending).await;
     let open = driver.gateway.open();
