An engine lost in its load no longer has the scheduler run without a pause

Cause: the scheduler looks again at an engine when a load of its base model should be done. It did so only where the engine was known, but had that time come as due either way. Where the engine was lost meanwhile (crashed, cut off, forgotten after unanswered orders), the time stayed in the past: each step ran the scheduler, and the event loop woke at once again, until the engine's entry went. That took the whole processor of the VM that schedules, which was late by seconds, lost its lease, and the next one met the same.

Change: of an engine that is not known nothing is due before its report.

Tried as well and left out: no run sooner than 3 ms after the last one, whatever is due.

Test, failing first: size.rs engine_lostinitsloadcostsnothing (1,000 runs in 650 ms of virtual time, with nothing to do; at least 3 s wanted).

--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -35,13 +35,15 @@
                     _ => {}
                 }
             }
-            if let Some(due) = engine.base_due {
-                let look = due + REPORT_LAG;
-                if look <= now && engine.known {
+            match engine.base_due.map(|due| due + REPORT_LAG) {
+                // It is asked for its report anyway, or gone: nothing is due of it before that comes.
+                Some(_) if !engine.known => {}
+                Some(look) if look <= now => {
                     engine.base_due = None;
                     engine.forget();
                 }
-                next = next.min(look);
+                Some(look) => next = next.min(look),
+                None => {}
             }
         }
         self.by(next);
--- a/crates/gateway/tests/size.rs
+++ b/crates/gateway/tests/size.rs
@@ -170,3 +170,29 @@
         .collect();
     assert_eq!(told.len(), servers);
 }
+
+/// An engine is lost while it loads its base model, and never answers again: the scheduler goes on at its pace. What was
+/// due of that engine stayed due, so the scheduler ran without a pause until the engine was gone, took its VM's whole
+/// processor, and was taken for silent in its turn (trouble-3 of raknus-plano-grown, a line "late" each second).
+#[test]
+fn engine_lostinitsloadcostsnothing() {
+    let mut large = Large::new(10);
+    large.run(Span::from_millis(100), 0);
+    let lost = server(0);
+    let mut loading = report(&lost);
+    loading.busy = true;
+    let other = Backend {
+        bases: vec!["other".into()],
+        ..(*backend(0)).clone()
+    };
+    large.desk.server(&lost, &Arc::new(other));
+    large.desk.reported(large.now, &lost, Some(&loading));
+    large.desk.server(&lost, &backend(0));
+    let began = large.now;
+    for _ in 0..1_000 {
+        large.now = large.desk.wake().max(large.now);
+        large.desk.run(large.now, &mut Vec::new());
+    }
+    let took = large.now.since(began);
+    assert!(took >= Span::from_secs(3), "1,000 runs in {took}");
+}
