A fault soak: real daemons, faults from outside them, promises from what callers and servers saw

Entry VMs run as processes before our stand-ins; a loopback proxy on each way to a server and from each VM to the key-value service delays, holds answers back, swallows or resets; VMs are stopped, killed, ended in order, restarted and told to reload by signals; the store goes away, engines start anew, servers fail, lose, cut or cross answers, or say that they leave; configurations are written meanwhile. Troubles come from a seed, in series and beside each other.

Checked: work runs no more often than its kind allows; what was said not to have run has not, also later; a whole answer is that of a run of this request; the model and adapter named; a graceful end cuts nothing and ends with 0; no load beyond an engine's places; no panic, no configuration that goes back; in the calm at the end all kinds are served on each VM, a configuration is in force in 4 s, and a server that leaves gets nothing after 3 s.

A fault of its own was found at first: a VM that was replaced took the settings file of its successor with it.

Left: stand-ins are threads of the soak, not processes; ways between VMs have no proxy, since a VM tells others its own address; clocks can't be set for a process; answers later than their deadline are not checked, as the machine's time decides them.

--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -1,4 +1,5 @@
 //! The users' platform in small: a key-value service, two engines, two plain servers, and entry VMs as processes.
+#![allow(dead_code)] // Two test programs use it, each a part of it.
 
 use std::fmt::Write as _;
 use std::io::{Read, Write as _};
@@ -57,12 +58,24 @@
     pub(crate) plain: Vec<Replica>,
     /// The entry VMs.
     pub(crate) vms: Vec<Vm>,
+    /// Where the output of VMs goes, a file each; none where it is not kept.
+    pub(crate) logs: Option<PathBuf>,
     net: (u8, u8),
 }
 
 impl Fleet {
     /// A fleet of so many VMs whose operator has written nothing yet.
     pub(crate) fn bare(vms: u8) -> Self {
+        let mut fleet = Self::servers();
+        for number in 0..vms {
+            let vm = fleet.start(number + 1, None);
+            fleet.vms.push(vm);
+        }
+        fleet
+    }
+
+    /// A key-value service and servers, and no VM yet.
+    pub(crate) fn servers() -> Self {
         let process = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
         let net = (process, FLEETS.fetch_add(1, Ordering::Relaxed));
         let at = |host: u8, port: u16| SocketAddr::new(ip(net, host), port);
@@ -84,18 +97,19 @@
                 &server.entry("desk", at(20 + number, 8080), "north", "ready"),
             );
         }
-        let mut fleet = Self {
+        Self {
             store,
             engines,
             plain,
             vms: Vec::new(),
+            logs: None,
             net,
-        };
-        for number in 0..vms {
-            let vm = fleet.start(number + 1, None);
-            fleet.vms.push(vm);
         }
-        fleet
+    }
+
+    /// An address of this fleet.
+    pub(crate) fn address(&self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(ip(self.net, host), port)
     }
 
     /// A fleet that is ready.
@@ -139,8 +153,8 @@
         let process = Command::new(env!("CARGO_BIN_EXE_dahliastiled"))
             .args(["--platform", VARIABLE])
             .env(VARIABLE, &file)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(self.output(number))
+            .stderr(self.output(number))
             .spawn()
             .expect("the daemon starts");
         Vm {
@@ -151,6 +165,21 @@
     }
 }
 
+impl Fleet {
+    /// Where a VM's output goes: what its earlier starts wrote stays.
+    fn output(&self, number: u8) -> Stdio {
+        let Some(logs) = &self.logs else {
+            return Stdio::null();
+        };
+        let path = logs.join(format!("vm{number}.log"));
+        let file = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(path);
+        file.expect("the log can be written").into()
+    }
+}
+
 impl Vm {
     /// Whether it says that it is ready.
     pub(crate) fn ready(&self) -> bool {
--- /dev/null
+++ b/crates/daemon/tests/soak/calm.rs
@@ -0,0 +1,92 @@
+//! The end of a round: once nothing is disturbed any more, everything is served as on a calm day.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::callers::{Callers, Kind};
+use crate::fleet::config;
+use crate::stage::Stage;
+
+/// Within what a configuration is in force everywhere, as the users want it, and some for a busy machine.
+const IN_FORCE: Duration = Duration::from_secs(4);
+/// After what a server that leaves gets no new work.
+const LEFT: Duration = Duration::from_secs(3);
+/// How long a leaving server is watched then.
+const WATCHED: Duration = Duration::from_secs(1);
+/// Until when everything must be served again.
+const SERVED: Duration = Duration::from_secs(10);
+/// The pause between two tries.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Checks it; notes what is wrong with the stage.
+pub(crate) fn check(stage: &mut Stage, callers: &Callers) {
+    stage.settle();
+    served(stage, callers);
+    in_force(stage);
+    left(stage);
+}
+
+/// Each VM answers each kind.
+fn served(stage: &mut Stage, callers: &Callers) {
+    let until = Instant::now() + SERVED;
+    for vm in 0..stage.fleet.vms.len() {
+        for kind in Kind::ALL {
+            let mut last = callers.ask(vm, kind, 1);
+            while last.answer.status != 200 && Instant::now() < until {
+                thread::sleep(PAUSE);
+                last = callers.ask(vm, kind, 1);
+            }
+            if last.answer.status != 200 {
+                let fault = format!("vm{} does not serve {kind:?} in calm: {last:?}", vm + 1);
+                stage.faults.push(fault);
+            }
+        }
+    }
+}
+
+/// What is configured is in force on each VM: a route that was not there before.
+fn in_force(stage: &mut Stage) {
+    stage.version += 1;
+    let mut changed = config(stage.version);
+    let mut route = changed["routes"][0].clone();
+    route["name"] = "late".into();
+    route["prefix"] = "/late/".into();
+    if let Some(routes) = changed["routes"].as_array_mut() {
+        routes.push(route);
+    }
+    stage.fleet.store.put("op/config", &changed);
+    let until = Instant::now() + IN_FORCE;
+    for at in 0..stage.fleet.vms.len() {
+        let id = format!("late{at}");
+        let known = |stage: &Stage| stage.fleet.vms[at].ask(&id, "/late/x", None).status != 404;
+        while !known(stage) && Instant::now() < until {
+            thread::sleep(PAUSE);
+        }
+        if !known(stage) {
+            let fault = format!("version {} is not in force on vm{}", stage.version, at + 1);
+            stage.faults.push(fault);
+        }
+    }
+}
+
+/// A server that says that it is leaving gets no new work.
+fn left(stage: &mut Stage) {
+    let last = stage.server_ways.len() - 1;
+    stage.list(last, "draining");
+    thread::sleep(LEFT);
+    let ran = |stage: &Stage| {
+        stage
+            .servers()
+            .nth(last)
+            .map_or(0, |server| server.runs().len())
+    };
+    let before = ran(stage);
+    thread::sleep(WATCHED);
+    let new = ran(stage) - before;
+    if new > 0 {
+        stage
+            .faults
+            .push(format!("{new} runs on a server that has left"));
+    }
+    stage.list(last, "ready");
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/main.rs
@@ -0,0 +1,156 @@
+//! A randomized soak: entry VMs as processes, faults from outside them, and the promises checked from what callers got and
+//! servers ran.
+//!
+//! `cargo test -p dahliastile-daemon --test soak -- --seed 7 --minutes 5 --processes 12` plays rounds of fresh seeds from 7
+//! on. Without options it plays one short round and those seeds that failed once. It is not part of what is shipped.
+
+mod callers;
+mod calm;
+#[path = "../platform/fleet.rs"]
+mod fleet;
+mod promises;
+mod proxy;
+mod stage;
+mod trouble;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use gumdrop::Options;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use stage::Stage;
+
+/// How long troubles come in a round.
+const ROUND: Duration = Duration::from_secs(8);
+/// The same in the short form.
+const SHORT: Duration = Duration::from_secs(4);
+/// VMs of a round where nothing else is said.
+const PROCESSES: u8 = 3;
+/// The seed of the short form.
+const FIRST: u64 = 1;
+/// Seeds that failed once, each with its cause; played again in the short form.
+const REGRESSIONS: [u64; 0] = [];
+
+/// What is played.
+#[derive(Debug, Options)]
+struct Asked {
+    /// Prints this.
+    help: bool,
+    /// The first seed.
+    seed: Option<u64>,
+    /// How long seeds are played, one after the other.
+    #[options(no_short)]
+    minutes: Option<f64>,
+    /// How many seeds are played where no time is given.
+    #[options(no_short)]
+    seeds: Option<u64>,
+    /// Entry VMs in a round.
+    #[options(no_short)]
+    processes: Option<u8>,
+    /// Tests that are passed over, as the test runner is told.
+    #[options(no_short)]
+    skip: Vec<String>,
+    /// Taken, as the test runner takes it; the output is never kept back.
+    #[options(no_short)]
+    nocapture: bool,
+    /// Taken, as the test runner takes it; rounds come one after the other.
+    #[options(no_short)]
+    test_threads: Option<usize>,
+    /// Names of tests, as the test runner is told.
+    #[options(free)]
+    names: Vec<String>,
+}
+
+fn main() -> ExitCode {
+    let asked = match Asked::parse_args_default(&std::env::args().skip(1).collect::<Vec<_>>()) {
+        Ok(asked) => asked,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    if asked.help {
+        println!("{}", Asked::usage());
+        return ExitCode::SUCCESS;
+    }
+    let named = |name: &String| "soak".contains(name.as_str());
+    if asked.skip.iter().any(named) || !asked.names.is_empty() && !asked.names.iter().any(named) {
+        return ExitCode::SUCCESS;
+    }
+    let vms = asked.processes.unwrap_or(PROCESSES);
+    let failed = match asked.seed {
+        None => play([FIRST].into_iter().chain(REGRESSIONS), vms, SHORT),
+        Some(seed) => play(seeds(seed, &asked), vms, ROUND),
+    };
+    println!("seeds that failed: {failed:?}");
+    ExitCode::from(u8::from(!failed.is_empty()))
+}
+
+/// The seeds from the first on, as many as are asked for or as the time allows.
+fn seeds(first: u64, asked: &Asked) -> impl Iterator<Item = u64> {
+    let until = asked
+        .minutes
+        .map(|minutes| Instant::now() + Duration::from_secs_f64(minutes * 60.0));
+    let count = match until {
+        Some(_) => u64::MAX - first,
+        None => asked.seeds.unwrap_or(1),
+    };
+    (first..first + count).take_while(move |_| until.is_none_or(|until| Instant::now() < until))
+}
+
+/// Plays rounds. Returns the seeds that failed.
+fn play(seeds: impl Iterator<Item = u64>, vms: u8, span: Duration) -> Vec<u64> {
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let logs =
+            std::env::temp_dir().join(format!("dahliastile-soak-{}-{seed}", std::process::id()));
+        let (broken, history, requests) = round(seed, vms, span, &logs);
+        println!(
+            "seed {seed}: {requests} requests, {} troubles, {} broken",
+            history.len(),
+            broken.len()
+        );
+        if broken.is_empty() {
+            // Logs that can't be removed do no harm.
+            let _ = std::fs::remove_dir_all(&logs);
+            continue;
+        }
+        failed.push(seed);
+        for line in &history {
+            println!("  {line}");
+        }
+        for line in &broken {
+            println!("  BROKEN {line}");
+        }
+        println!("  logs: {}", logs.display());
+    }
+    failed
+}
+
+/// Plays one round. Returns what was broken, what happened, and how many requests were sent.
+fn round(seed: u64, vms: u8, span: Duration, logs: &Path) -> (Vec<String>, Vec<String>, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut stage = Stage::start(vms, logs);
+    let callers = stage.callers();
+    let threads = callers.start(seed);
+    let history = trouble::play(&mut stage, &mut rng, span);
+    calm::check(&mut stage, &callers);
+    callers.close();
+    for thread in threads {
+        if thread.join().is_err() {
+            stage.faults.push("a caller panicked".to_owned());
+        }
+    }
+    for vm in 0..stage.fleet.vms.len() {
+        stage.terminate(vm);
+    }
+    for vm in 0..stage.fleet.vms.len() {
+        stage.ended(vm);
+    }
+    let asked = callers.asked();
+    let broken = promises::broken(&stage, &asked, logs);
+    (broken, history, asked.len())
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/promises.rs
@@ -0,0 +1,148 @@
+//! What must hold, from what callers got and what servers ran.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Instant;
+
+use dahliastile_standin::fleet::{Replica, Run};
+
+use crate::callers::{Answer, Asked, Kind};
+use crate::stage::Stage;
+
+/// Events of a stream of the stand-ins.
+const EVENTS: u64 = 5;
+
+/// The runs of each request, with the server of each.
+type Runs = BTreeMap<String, Vec<(String, Run)>>;
+
+/// All that does not hold, as readable lines.
+pub(crate) fn broken(stage: &Stage, asked: &[Asked], logs: &Path) -> Vec<String> {
+    let runs = runs(stage.servers());
+    let mut broken = stage.faults.clone();
+    for request in asked {
+        let none = Vec::new();
+        let ran = runs.get(&request.id).unwrap_or(&none);
+        let faults = [
+            once(request, ran),
+            not_run(request, ran),
+            right(request, ran),
+            model(request, ran),
+            uninterrupted(stage, request),
+        ];
+        let told = faults.into_iter().flatten();
+        broken.extend(told.map(|fault| format!("{fault}: {request:?} ran {ran:?}")));
+    }
+    let overfull: usize = stage.fleet.engines.iter().map(Replica::overfull).sum();
+    if overfull > 0 {
+        broken.push(format!("{overfull} loads beyond the places of an engine"));
+    }
+    broken.extend(logged(logs));
+    broken
+}
+
+fn runs<'a>(servers: impl Iterator<Item = &'a Replica>) -> Runs {
+    let mut all = Runs::new();
+    for server in servers {
+        for run in server.runs() {
+            let id = run.asked.headers.get("request-id").cloned();
+            let row = all.entry(id.unwrap_or_default()).or_default();
+            row.push((server.id().to_owned(), run));
+        }
+    }
+    all
+}
+
+/// Work runs no more often than its kind allows.
+fn once(request: &Asked, ran: &[(String, Run)]) -> Option<&'static str> {
+    (ran.len() > request.kind.runs()).then_some("it ran too often")
+}
+
+/// What is said not to have run has not, also later.
+fn not_run(request: &Asked, ran: &[(String, Run)]) -> Option<&'static str> {
+    let said = matches!(request.answer.status, 400..=499 | 503) && request.answer.whole;
+    (said && !ran.is_empty()).then_some("it ran though its answer says that it did not")
+}
+
+/// A whole answer is that of a run of this request, and complete.
+fn right(request: &Asked, ran: &[(String, Run)]) -> Option<&'static str> {
+    let answer = &request.answer;
+    if answer.status != 200 || !answer.whole {
+        return None;
+    }
+    let fits = match request.kind {
+        Kind::Post | Kind::Query => answer.body == format!("answer of {}", answer.seal),
+        Kind::Plan | Kind::Berth => answer.body == stream(),
+    };
+    let sealed = ran.iter().any(|(server, _)| *server == answer.seal);
+    match (fits, sealed) {
+        (true, true) => None,
+        (false, _) => Some("its answer is not a whole one"),
+        (_, false) => Some("its answer is of a server that did not run it"),
+    }
+}
+
+fn stream() -> String {
+    let event = |number| format!("id: {number}\ndata: token {number}\n\n");
+    (1..=EVENTS).map(event).collect()
+}
+
+/// It runs on the model and adapter that it named.
+fn model(request: &Asked, ran: &[(String, Run)]) -> Option<&'static str> {
+    let same = |run: &Run| run.asked.headers.get("model") == request.model.as_ref();
+    (!ran.iter().all(|(_, run)| same(run))).then_some("it ran on another adapter")
+}
+
+/// What runs on a VM that is told to end gets its answer, unless something else cut it.
+fn uninterrupted(stage: &Stage, request: &Asked) -> Option<&'static str> {
+    let meets = |at: Instant| request.sent < at && at < request.ended;
+    let mut told = stage.told.iter();
+    let ended = told.any(|told| told.vm == request.vm && meets(told.at));
+    let mut disturbances = stage.disturbances.iter();
+    let disturbed = disturbances.any(|disturbance| {
+        let its = disturbance.vm.is_none_or(|vm| vm == request.vm);
+        its && disturbance.from < request.ended && request.sent < disturbance.to
+    });
+    let cut = !is_whole(&request.answer) && !request.left;
+    (ended && cut && !disturbed).then_some("a graceful end cut it")
+}
+
+fn is_whole(answer: &Answer) -> bool {
+    answer.status != 0 && answer.whole
+}
+
+/// No VM panics, and none goes back to an older configuration between a start and its end.
+fn logged(logs: &Path) -> Vec<String> {
+    let mut broken = Vec::new();
+    let Ok(files) = std::fs::read_dir(logs) else {
+        return vec![format!("no logs in {}", logs.display())];
+    };
+    for file in files.flatten() {
+        let text = std::fs::read_to_string(file.path()).unwrap_or_default();
+        let name = file.file_name().to_string_lossy().into_owned();
+        if let Some(line) = text.lines().find(|line| line.contains("panicked")) {
+            broken.push(format!("{name}: {line}"));
+        }
+        let mut last = 0;
+        for line in text.lines() {
+            if line.contains("Started") {
+                last = 0;
+            }
+            let version = line
+                .contains("EditionInForce")
+                .then(|| field(line, "version="));
+            match version.flatten() {
+                Some(version) if version < last => {
+                    broken.push(format!("{name}: {line} after {last}"));
+                }
+                Some(version) => last = version,
+                None => {}
+            }
+        }
+    }
+    broken
+}
+
+fn field(line: &str, name: &str) -> Option<u64> {
+    let (_, rest) = line.split_once(name)?;
+    rest.split(' ').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/stage.rs
@@ -0,0 +1,175 @@
+//! A round's fleet: entry VMs as processes, stand-ins of the platform, and a proxy on each way between them.
+
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use dahliastile_standin::fleet::Replica;
+
+use crate::callers::Callers;
+use crate::fleet::{Fleet, config, settings_text, until};
+use crate::proxy::Proxy;
+
+/// The first host number of the proxies of servers, and of those between a VM and the key-value service.
+const SERVER_WAYS: u8 = 100;
+const STORE_WAYS: u8 = 150;
+/// How long a VM may take to end after a signal: the grace of its settings, and some for a busy machine.
+const GRACE: Duration = Duration::from_secs(20);
+
+/// When something was disturbed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Disturbance {
+    /// The VM, or none where servers or the key-value service were.
+    pub(crate) vm: Option<usize>,
+    /// Its begin.
+    pub(crate) from: Instant,
+    /// Its end.
+    pub(crate) to: Instant,
+}
+
+/// What VMs are told by a signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Told {
+    /// The VM.
+    pub(crate) vm: usize,
+    /// When it was told to end.
+    pub(crate) at: Instant,
+}
+
+/// A round's fleet.
+pub(crate) struct Stage {
+    /// The stand-ins and the VMs.
+    pub(crate) fleet: Fleet,
+    /// The ways from all VMs to each server, engines first.
+    pub(crate) server_ways: Vec<Proxy>,
+    /// The ways from each VM to the key-value service.
+    pub(crate) store_ways: Vec<Proxy>,
+    /// The version of the configuration.
+    pub(crate) version: u64,
+    /// What was disturbed, and when.
+    pub(crate) disturbances: Vec<Disturbance>,
+    /// Graceful ends.
+    pub(crate) told: Vec<Told>,
+    /// What was seen to be wrong while the round ran.
+    pub(crate) faults: Vec<String>,
+    settings: Vec<String>,
+}
+
+impl Stage {
+    /// Starts a fleet of so many VMs, whose output goes to a directory.
+    pub(crate) fn start(vms: u8, logs: &Path) -> Self {
+        std::fs::create_dir_all(logs).expect("the directory for logs can be made");
+        let mut fleet = Fleet::servers();
+        fleet.logs = Some(PathBuf::from(logs));
+        let mut stage = Self {
+            server_ways: Vec::new(),
+            store_ways: Vec::new(),
+            version: 1,
+            disturbances: Vec::new(),
+            told: Vec::new(),
+            faults: Vec::new(),
+            settings: Vec::new(),
+            fleet,
+        };
+        let targets = [10, 11, 20, 21];
+        for (way, host) in (SERVER_WAYS..).zip(targets) {
+            let (from, to) = (
+                stage.fleet.address(way, 8080),
+                stage.fleet.address(host, 8080),
+            );
+            stage.server_ways.push(Proxy::start(from, to));
+        }
+        (0..targets.len()).for_each(|server| stage.list(server, "ready"));
+        stage.fleet.store.put("op/config", &config(1));
+        for number in 1..=vms {
+            let way = stage.fleet.address(STORE_WAYS + number, 8142);
+            let store = stage.fleet.address(250, 8142);
+            stage.store_ways.push(Proxy::start(way, store));
+            let ip = stage.fleet.address(number, 0).ip();
+            stage.settings.push(settings_text(number, ip, way));
+            let vm = stage
+                .fleet
+                .start(number, stage.settings.last().map(String::as_str));
+            stage.fleet.vms.push(vm);
+        }
+        stage.settle();
+        stage
+    }
+
+    /// Callers of its VMs.
+    pub(crate) fn callers(&self) -> Callers {
+        let number = |at: usize| u8::try_from(at + 1).expect("few VMs");
+        let address = |at| self.fleet.address(number(at), 8149);
+        Callers::new((0..self.store_ways.len()).map(address).collect())
+    }
+
+    /// All servers, engines first.
+    pub(crate) fn servers(&self) -> impl Iterator<Item = &Replica> {
+        self.fleet.engines.iter().chain(&self.fleet.plain)
+    }
+
+    /// Writes a server's entry, with the address of the way to it.
+    pub(crate) fn list(&self, server: usize, state: &str) {
+        let replica = self.servers().nth(server).expect("one of the servers");
+        let engines = self.fleet.engines.len();
+        let (key, service) = match server.checked_sub(engines) {
+            Some(plain) => (format!("servers/p{plain}"), "desk"),
+            None => (format!("servers/e{server}"), "drafts"),
+        };
+        let way = SERVER_WAYS + u8::try_from(server).expect("few servers");
+        let address = self.fleet.address(way, 8080);
+        let entry = replica.entry(service, address, "north", state);
+        self.fleet.store.put(&key, &entry);
+    }
+
+    /// Notes that something is disturbed from now on for a while.
+    pub(crate) fn disturb(&mut self, vm: Option<usize>, lasts: Duration) {
+        let from = Instant::now();
+        let to = from + lasts;
+        self.disturbances.push(Disturbance { vm, from, to });
+    }
+
+    /// Starts a VM again that has ended.
+    pub(crate) fn restart(&mut self, vm: usize) {
+        let number = u8::try_from(vm + 1).expect("few VMs");
+        // The one that has ended takes its settings file with it, so it goes first.
+        drop(self.fleet.vms.remove(vm));
+        let started = self.fleet.start(number, Some(&self.settings[vm]));
+        self.fleet.vms.insert(vm, started);
+    }
+
+    /// Has a VM end gracefully. It is to end with 0 within its grace.
+    pub(crate) fn terminate(&mut self, vm: usize) {
+        let at = Instant::now();
+        self.told.push(Told { vm, at });
+        self.fleet.vms[vm].signal("-TERM");
+    }
+
+    /// Waits until a VM that was told to end has ended.
+    pub(crate) fn ended(&mut self, vm: usize) {
+        let from = Instant::now();
+        let code = loop {
+            match self.fleet.vms[vm].ended() {
+                Some(code) => break code,
+                None if from.elapsed() > GRACE => {
+                    self.faults.push(format!("vm{} did not end", vm + 1));
+                    return;
+                }
+                None => thread::sleep(Duration::from_millis(20)),
+            }
+        };
+        if code != 0 {
+            self.faults.push(format!("vm{} ended with {code}", vm + 1));
+        }
+    }
+
+    /// Waits until all VMs are ready and the engines have a scheduler.
+    pub(crate) fn settle(&mut self) {
+        for vm in &self.fleet.vms {
+            until("a VM is ready", || vm.ready());
+        }
+        until("the engines have a scheduler", || {
+            self.fleet.holder().is_some()
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -0,0 +1,192 @@
+//! What goes wrong in a round: drawn from its seed, in series and beside each other.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use dahliastile_standin::fleet::Fault;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::fleet::config;
+use crate::proxy::Mode;
+use crate::stage::Stage;
+
+/// How long troubles last, in milliseconds.
+const LASTS: std::ops::Range<u64> = 200..2_500;
+/// The pause until the next one begins, in milliseconds: several run beside each other.
+const NEXT: std::ops::Range<u64> = 100..900;
+/// How often the round looks whether something is over.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Something that goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// A VM stands still.
+    Pause(usize),
+    /// A VM's process is killed and starts again.
+    Kill(usize),
+    /// A VM ends gracefully and starts again.
+    Terminate(usize),
+    /// A VM reads its settings again.
+    Reload(usize),
+    /// A VM's way to the key-value service.
+    StoreWay(usize, Mode),
+    /// The key-value service answers nobody.
+    StoreDown,
+    /// The ways of all VMs to a server.
+    ServerWay(usize, Mode),
+    /// A server fails its requests in some way.
+    Server(usize, Fault),
+    /// An engine starts anew and holds nothing.
+    EngineRestart(usize),
+    /// A server says that it is leaving, and comes back.
+    Leave(usize),
+    /// The operator writes a configuration.
+    Configure,
+}
+
+impl Trouble {
+    /// Draws one.
+    fn draw(rng: &mut ChaCha8Rng, vms: usize, servers: usize, engines: usize) -> Self {
+        let vm = rng.random_range(0..vms);
+        let server = rng.random_range(0..servers);
+        let modes = [Mode::Slow, Mode::OneWay, Mode::Silent, Mode::Reset];
+        let mode = modes[rng.random_range(0..modes.len())];
+        let faults = [
+            Fault::LosesAnswer,
+            Fault::CutsStream,
+            Fault::AnswersAnother,
+            Fault::Full,
+            Fault::Fails,
+        ];
+        match rng.random_range(0..14) {
+            0 | 1 => Self::Pause(vm),
+            2 | 3 => Self::Kill(vm),
+            4 => Self::Terminate(vm),
+            5 => Self::Reload(vm),
+            6 | 7 => Self::StoreWay(vm, mode),
+            8 => Self::StoreDown,
+            9 => Self::ServerWay(server, mode),
+            10 => Self::Server(server, faults[rng.random_range(0..faults.len())]),
+            11 => Self::EngineRestart(server % engines),
+            12 => Self::Leave(server),
+            _ => Self::Configure,
+        }
+    }
+
+    /// What it holds: nothing else happens to that meanwhile.
+    fn holds(self) -> Held {
+        match self {
+            Self::Pause(vm) | Self::Kill(vm) | Self::Terminate(vm) | Self::Reload(vm) => {
+                Held::Vm(vm)
+            }
+            Self::StoreWay(vm, _) => Held::StoreWay(vm),
+            Self::StoreDown => Held::Store,
+            Self::ServerWay(server, _) => Held::ServerWay(server),
+            Self::Server(server, _) | Self::EngineRestart(server) | Self::Leave(server) => {
+                Held::Server(server)
+            }
+            Self::Configure => Held::Configuration,
+        }
+    }
+
+    fn begin(self, stage: &mut Stage, lasts: Duration) {
+        match self {
+            Self::Pause(vm) => {
+                stage.disturb(Some(vm), lasts);
+                stage.fleet.vms[vm].signal("-STOP");
+            }
+            Self::Kill(vm) => {
+                stage.disturb(Some(vm), lasts);
+                stage.fleet.vms[vm].signal("-KILL");
+            }
+            Self::Terminate(vm) => stage.terminate(vm),
+            Self::Reload(vm) => stage.fleet.vms[vm].signal("-HUP"),
+            Self::StoreWay(vm, mode) => stage.store_ways[vm].set(mode),
+            Self::StoreDown => stage.fleet.store.set_down(true),
+            Self::ServerWay(server, mode) => {
+                stage.disturb(None, lasts);
+                stage.server_ways[server].set(mode);
+            }
+            Self::Server(server, fault) => {
+                stage.disturb(None, lasts);
+                replica(stage, server).set_fault(fault);
+            }
+            Self::EngineRestart(engine) => stage.fleet.engines[engine].restart(),
+            Self::Leave(server) => stage.list(server, "draining"),
+            Self::Configure => {
+                stage.version += 1;
+                stage.fleet.store.put("op/config", &config(stage.version));
+            }
+        }
+    }
+
+    fn end(self, stage: &mut Stage) {
+        match self {
+            Self::Pause(vm) => stage.fleet.vms[vm].signal("-CONT"),
+            Self::Kill(vm) => stage.restart(vm),
+            Self::Terminate(vm) => {
+                stage.ended(vm);
+                stage.restart(vm);
+            }
+            Self::StoreWay(vm, _) => stage.store_ways[vm].set(Mode::Pass),
+            Self::StoreDown => stage.fleet.store.set_down(false),
+            Self::ServerWay(server, _) => stage.server_ways[server].set(Mode::Pass),
+            Self::Server(server, _) => replica(stage, server).set_fault(Fault::None),
+            Self::Leave(server) => stage.list(server, "ready"),
+            Self::Reload(_) | Self::EngineRestart(_) | Self::Configure => {}
+        }
+    }
+}
+
+/// What a trouble holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Held {
+    Vm(usize),
+    StoreWay(usize),
+    Store,
+    ServerWay(usize),
+    Server(usize),
+    Configuration,
+}
+
+fn replica(stage: &Stage, server: usize) -> &dahliastile_standin::fleet::Replica {
+    stage.servers().nth(server).expect("one of the servers")
+}
+
+/// Has troubles come for a while, then ends those that still last. Returns what happened, in order.
+pub(crate) fn play(stage: &mut Stage, rng: &mut ChaCha8Rng, span: Duration) -> Vec<String> {
+    let began = Instant::now();
+    let (vms, servers) = (stage.fleet.vms.len(), stage.server_ways.len());
+    let engines = stage.fleet.engines.len();
+    let mut running: Vec<(Trouble, Instant)> = Vec::new();
+    let mut history = Vec::new();
+    let mut next = began;
+    while began.elapsed() < span {
+        let now = Instant::now();
+        let over = running.iter().filter(|(_, to)| *to <= now);
+        let over: Vec<Trouble> = over.map(|(trouble, _)| *trouble).collect();
+        running.retain(|(trouble, _)| !over.contains(trouble));
+        for trouble in over {
+            trouble.end(stage);
+        }
+        if next <= now {
+            next = now + Duration::from_millis(rng.random_range(NEXT));
+            let lasts = Duration::from_millis(rng.random_range(LASTS));
+            let trouble = Trouble::draw(rng, vms, servers, engines);
+            if running
+                .iter()
+                .all(|(other, _)| other.holds() != trouble.holds())
+            {
+                history.push(format!("{:?} {trouble:?} for {lasts:?}", began.elapsed()));
+                trouble.begin(stage, lasts);
+                running.push((trouble, now + lasts));
+            }
+        }
+        thread::sleep(LOOK);
+    }
+    for (trouble, _) in running {
+        trouble.end(stage);
+    }
+    history
+}
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -39,6 +39,8 @@
     pub asked: Asked,
     /// The event after which it went on, 0 where it began.
     pub after: u64,
+    /// When it began.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -49,6 +51,7 @@
     fault: Fault,
     runs: Vec<Run>,
     pace: Duration,
+    overfull: usize,
 }
 
 /// A backend server. Clones are the same one.
@@ -83,6 +86,12 @@
         Ok(replica)
     }
 
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// The entry that it writes into the key-value service.
     #[must_use]
     pub fn entry(&self, service: &str, address: SocketAddr, zone: &str, state: &str) -> Value {
@@ -113,6 +122,20 @@
         self.state().runs.clone()
     }
 
+    /// Orders to load an adapter that would have been one too many.
+    #[must_use]
+    pub fn overfull(&self) -> usize {
+        self.state().overfull
+    }
+
+    /// It starts anew and holds nothing.
+    pub fn restart(&self) {
+        let mut state = self.state();
+        state.adapters.clear();
+        state.orders = 0;
+        state.fence = 0;
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -159,7 +182,10 @@
         let status = match body["op"].as_str() {
             _ if fence < state.fence => 412,
             _ if body["expected"].as_u64() != Some(state.orders) => 409,
-            Some("load") if state.adapters.len() >= self.places => 400,
+            Some("load") if state.adapters.len() >= self.places => {
+                state.overfull += 1;
+                400
+            }
             Some("load") => {
                 state.adapters.insert(adapter, Instant::now() + LOAD);
                 202
@@ -202,6 +228,7 @@
         state.runs.push(Run {
             asked: asked.clone(),
             after,
+            at: Instant::now(),
         });
         let id = match state.fault {
             Fault::AnswersAnother => "another",
