--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -25,11 +25,19 @@
 }
 
 impl Budget {
-    /// Counts a request.
-    pub fn request(&mut self, now: Instant) {
+    /// Counts a request, and forgets what has left the window.
+    pub fn request(&mut self, now: Instant, window: Span) {
+        self.forget(now.back(window));
+
         self.requests.push_back(now);
     }
 
+    /// How many moments are kept.
+    #[must_use]
+    pub fn kept(&self) -> usize {
+        self.requests.len() + self.repeats.len()
+    }
+
     /// Spends one second send, if the budget allows it.
     #[allow(clippy::cast_precision_loss)]
     pub fn spend(&mut self, now: Instant, terms: Terms) -> bool {
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -45,7 +45,7 @@
 const RESIDENTS_EVERY: Span = Span::from_millis(1_000);
 
 /// The time that each VM adds to that where they are many: what all are told together, at most [`RESIDENTS_ROWS`] engines of
-/// some 120 bytes each, stays below 200 KB a second whatever their number, a fifth of the smallest link.
+/// some 120 bytes each, stays below 200 KB a second whatever their number, a sixth of the smallest link.
 const RESIDENTS_EACH: Span = Span::from_millis(40);
 
 /// Engines in one digest of what is resident; where there are more, each digest goes on after the last one. VMs know what
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -130,10 +130,8 @@
         let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
         let ends = self.now + patience;
         self.timers.set(ends, Timer::Flow(request));
-        self.budgets
-            .entry(service.clone())
-            .or_default()
-            .request(self.now);
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.request(self.now, self.settings.tuning.retry_window);
         let flow = Flow {
             call,
             route,
