--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -107,12 +107,13 @@
     for seed in seeds {
         let logs =
             std::env::temp_dir().join(format!("dahliastile-soak-{}-{seed}", std::process::id()));
-        let (broken, history, requests) = round(seed, vms, span, &logs);
-        println!(
-            "seed {seed}: {requests} requests, {} troubles, {} broken",
-            history.len(),
-            broken.len()
-        );
+        let Round {
+            broken,
+            history,
+            requests,
+        } = round(seed, vms, span, &logs);
+        let (troubles, faults) = (history.len(), broken.len());
+        println!("seed {seed}: {requests} requests, {troubles} troubles, {faults} broken");
         if broken.is_empty() {
             // Logs that can't be removed do no harm.
             let _ = std::fs::remove_dir_all(&logs);
@@ -130,8 +131,18 @@
     failed
 }
 
-/// Plays one round. Returns what was broken, what happened, and how many requests were sent.
-fn round(seed: u64, vms: u8, span: Duration, logs: &Path) -> (Vec<String>, Vec<String>, usize) {
+/// How a round went.
+struct Round {
+    /// What did not hold.
+    broken: Vec<String>,
+    /// The troubles, in order.
+    history: Vec<String>,
+    /// How many requests were sent.
+    requests: usize,
+}
+
+/// Plays one round.
+fn round(seed: u64, vms: u8, span: Duration, logs: &Path) -> Round {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut stage = Stage::start(vms, logs);
     let callers = stage.callers();
@@ -151,6 +162,9 @@
         stage.ended(vm);
     }
     let asked = callers.asked();
-    let broken = promises::broken(&stage, &asked, logs);
-    (broken, history, asked.len())
+    Round {
+        broken: promises::broken(&stage, &asked, logs),
+        history,
+        requests: asked.len(),
+    }
 }
