--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -12,7 +12,7 @@
 /// The VMs, and the requests of ten seconds to a service that fails all it runs: each VM gets few, so that its own part of
 /// the budget is a fraction of a send.
 const VMS: usize = 24;
-const REQUESTS: usize = 1_000;
+const REQUESTS: u32 = 1_000;
 
 /// Sends beyond the first of each request, over the given requests.
 fn repeats(world: &World, numbers: &[u64]) -> u32 {
@@ -31,13 +31,13 @@
         world.servers.get_mut(&id).expect("a server").0.failing = true;
     }
     let mut numbers = Vec::new();
-    for at in 0..REQUESTS {
-        numbers.push(world.ask(at % VMS, call(&format!("q{at}"), "/query/x", 2_000, None)));
+    for (at, vm) in (0..REQUESTS).zip((0..VMS).cycle()) {
+        numbers.push(world.ask(vm, call(&format!("q{at}"), "/query/x", 2_000, None)));
         world.run(Span::from_millis(10));
     }
     world.run(Span::from_secs(2));
     let tuning = Tuning::default();
-    let allowed = tuning.retry_ratio * REQUESTS as f64 + tuning.retry_extra;
+    let allowed = tuning.retry_ratio * f64::from(REQUESTS) + tuning.retry_extra;
     let used = f64::from(repeats(&world, &numbers));
     assert!(used <= allowed, "{used} of {allowed}");
     assert!(used >= allowed / 2.0, "{used} of {allowed}");
