Reading: loads under way are counted once a run, base models only looked at where one is wanted

Three answers to waiting requests each wrote the same choice between 'not run' and 'the server broke'. Two listeners each had their own pause after a failed accept.

Ruled out as equal in effect by their guards: a load adds exactly one to those under way, as an engine that is stuck is never chosen; without an engine that awaits a base model the rate of loads was not touched either.

Change: one count a run; no look at base models unless an engine awaits one; one function for the choice; one constant. No decision, bound or text changes.

--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -7,7 +7,6 @@
 pub(crate) mod ask;
 pub(crate) mod assign;
 pub(crate) mod backoff;
-
 pub(crate) mod cache;
 pub(crate) mod call;
 pub(crate) mod copy;
--- a/crates/core/src/traffic/end.rs
+++ b/crates/core/src/traffic/end.rs
@@ -146,36 +146,42 @@
 
 /// A waiting request has to go for another.
 pub(super) fn shed(node: &mut Node, request: Request, answer: Answer, out: &mut Effects) {
-    let answer = match ran(node, request) {
-        Ran::No => answer,
-        ran => Answer::new(Kind::ServerBroke, "there is no room to try it again").ran(ran),
-    };
-    refuse(node, request, answer, out);
+    give_up(
+        node,
+        request,
+        answer,
+        "there is no room to try it again",
+        out,
+    );
 }
 
 /// No server is left that may take a waiting request.
 pub(super) fn no_server(node: &mut Node, request: Request, out: &mut Effects) {
-    let answer = match ran(node, request) {
-        Ran::No => Answer::new(Kind::NoServer, "no server that the rules allow can take it")
-            .after(Span::from_secs(1)),
-        ran => Answer::new(Kind::ServerBroke, "every server that may take it failed").ran(ran),
-    };
-    refuse(node, request, answer, out);
+    let answer = Answer::new(Kind::NoServer, "no server that the rules allow can take it")
+        .after(Span::from_secs(1));
+    let broke = "every server that may take it failed";
+    give_up(node, request, answer, broke, out);
 }
 
 /// What a waiting request needs can't be loaded in its time.
 pub(super) fn unloadable(node: &mut Node, request: Request, out: &mut Effects) {
+    let text = "no adapter can be loaded there while the key-value service does not answer";
+    let answer = Answer::new(Kind::NotResident, text).after(domain::unloadable::COME_BACK);
+    let broke = "the server failed, and no other holds the adapter";
+    give_up(node, request, answer, broke, out);
+}
+
+/// Gives a waiting request an answer where it has not run, and else says that its server broke, and what may have run.
+fn give_up(
+    node: &mut Node,
+    request: Request,
+    not_run: Answer,
+    broke: &'static str,
+    out: &mut Effects,
+) {
     let answer = match ran(node, request) {
-        Ran::No => Answer::new(
-            Kind::NotResident,
-            "no adapter can be loaded there while the key-value service does not answer",
-        )
-        .after(domain::unloadable::COME_BACK),
-        ran => Answer::new(
-            Kind::ServerBroke,
-            "the server failed, and no other holds the adapter",
-        )
-        .ran(ran),
+        Ran::No => not_run,
+        ran => Answer::new(Kind::ServerBroke, broke).ran(ran),
     };
     refuse(node, request, answer, out);
 }
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -166,6 +166,12 @@
         self.known && self.backend.ready
     }
 
+    /// Whether it could load a base model and has none, nor one on its way.
+    pub(crate) fn awaits_base(&self) -> bool {
+        let none = self.bases.is_empty() && self.base_due.is_none();
+        self.usable() && none && self.queue.is_empty() && self.pending.is_none()
+    }
+
     /// The time until the prompts that it was given and one more are read, as estimated.
     pub(crate) fn backlog_with(&self, now: Instant, prompt: u32) -> Span {
         self.backlog(now) + reading(u64::from(prompt), self.rate)
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -1,6 +1,5 @@
 //! Which adapter is loaded where, and which one makes room.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use dahliastile_core::id::Server;
@@ -86,8 +85,9 @@
         self.plan_bases(now);
         let wanted = self.wanted(waits, &spread);
         let needed: FxHashSet<Key> = wanted.iter().map(|(key, _)| *key).collect();
+        let mut room = self.loads_at_once().saturating_sub(self.loading());
         for (key, copy) in wanted {
-            if self.loading() >= self.loads_at_once() {
+            if room == 0 {
                 return;
             }
             let Some(choice) = self.choose(now, key, &needed, &spread) else {
@@ -95,6 +95,7 @@
             };
             if copy.is_none_or(|wait| choice.cost + self.load_time < wait) {
                 self.load(now, key, &choice, out);
+                room -= 1;
                 spread = self.spread();
             }
         }
@@ -263,36 +264,23 @@
             .push_back(Intent::Load(key, Some(version).filter(|v| *v > 0)));
     }
 
-    /// Plans loads of base models onto engines that hold none.
+    /// Plans loads of base models onto engines that hold none: of the one that fewest engines hold.
     fn plan_bases(&mut self, now: Instant) {
-        let mut copies: BTreeMap<Arc<str>, usize> = BTreeMap::new();
-        for model in &self.shape.models {
-            let held = self
-                .engines
-                .values()
-                .filter(|e| e.bases.contains(&model.name))
-                .count();
-            copies.insert(model.name.clone(), held);
+        if !self.engines.values().any(Engine::awaits_base) {
+            return;
         }
-        let Some((model, _)) = copies.iter().min_by_key(|(_, held)| **held) else {
+        let held = |name: &Arc<str>| {
+            let engines = self.engines.values();
+            engines.filter(|e| e.bases.contains(name)).count()
+        };
+        let models = self.shape.models.iter();
+        let Some(model) = models.min_by_key(|m| (held(&m.name), m.name.clone())) else {
             return;
         };
-        let load = self
-            .shape
-            .models
-            .iter()
-            .find(|m| m.name == *model)
-            .map_or(Span::ZERO, |m| m.load);
-        let model = model.clone();
         for engine in self.engines.values_mut() {
-            let idle = engine.usable() && engine.bases.is_empty() && engine.base_due.is_none();
-            if idle
-                && engine.queue.is_empty()
-                && engine.pending.is_none()
-                && self.base_rate.take(now)
-            {
-                engine.base_due = Some(now + load);
-                engine.queue.push_back(Intent::Base(model.clone()));
+            if engine.awaits_base() && self.base_rate.take(now) {
+                engine.base_due = Some(now + model.load);
+                engine.queue.push_back(Intent::Base(model.name.clone()));
             }
         }
     }
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -17,7 +17,7 @@
 use crate::request;
 
 /// The pause after a connection could not be taken in, mostly for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// The least buffer that the HTTP library takes for a head.
 const LEAST_BUFFER: usize = 8_192;
--- a/crates/shell/src/probe.rs
+++ b/crates/shell/src/probe.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -13,12 +12,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::callers::ACCEPT_PAUSE;
 use crate::dialect::Dialect;
 use crate::hub::Hub;
 
-/// The pause after a connection could not be taken in.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// The path of the figures.
 const FIGURES: &str = "/metrics";
 
