Reading: tests share their traffic, backends and requests

Cause: six tests of the gateway wrote the same loop of requests at a steady pace, two the same measure of refusals that came late, two the same backend and report; the soak wrote the platform tests' request again, and kept its proxy's mode as a number with a table beside it.

Change: World::ask_all and World::refused_of, setup::backend and setup::report, request_with, a mode behind a lock. Loads, bounds and assertions are as they were.

--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -251,9 +251,18 @@
 
 /// A caller's request that closes its connection afterwards.
 pub(crate) fn request(id: &str, path: &str, model: Option<&str>) -> String {
-    let mut text = format!(
-        "POST {path} HTTP/1.1\r\nHost: host.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 10000\r\nConnection: close\r\n"
-    );
+    request_with(
+        id,
+        path,
+        model,
+        "Deadline-Ms: 10000\r\nConnection: close\r\n",
+    )
+}
+
+/// A caller's request with further headers.
+pub(crate) fn request_with(id: &str, path: &str, model: Option<&str>, headers: &str) -> String {
+    let mut text =
+        format!("POST {path} HTTP/1.1\r\nHost: host.example\r\nRequest-Id: {id}\r\n{headers}");
     if let Some(model) = model {
         write!(text, "Model: {model}\r\nToken-Count: 100,20\r\n").expect("a string takes all");
     }
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -11,6 +11,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::fleet::request_with;
+
 /// Callers at a time.
 const CALLERS: u64 = 8;
 /// What callers say that they wait.
@@ -180,7 +182,8 @@
         let connection = kept.take().or_else(|| open(self.vms[vm]));
         let mut answer = Answer::default();
         if let Some(mut stream) = connection {
-            let text = request(&id, kind, model.as_deref());
+            let deadline = format!("Deadline-Ms: {DEADLINE_MS}\r\n");
+            let text = request_with(&id, kind.path(), model.as_deref(), &deadline);
             // A connection that takes nothing shows as one without an answer.
             let _ = stream.get_mut().write_all(text.as_bytes());
             if leaves {
@@ -210,16 +213,6 @@
     Some(BufReader::new(stream))
 }
 
-fn request(id: &str, kind: Kind, model: Option<&str>) -> String {
-    let path = kind.path();
-    let model = model.map_or(String::new(), |model| {
-        format!("Model: {model}\r\nToken-Count: 100,20\r\n")
-    });
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: host.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n{model}Content-Length: 2\r\n\r\nhi"
-    )
-}
-
 /// Reads one answer as far as it comes. Says whether the connection can be used again.
 fn read(stream: &mut BufReader<TcpStream>, answer: &mut Answer) -> Option<bool> {
     let mut length = None;
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -2,8 +2,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -15,9 +14,10 @@
 const DELAY: Duration = Duration::from_millis(80);
 
 /// What happens to connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Mode {
     /// All passes.
+    #[default]
     Pass,
     /// Each piece is late.
     Slow,
@@ -29,20 +29,6 @@
     Reset,
 }
 
-impl Mode {
-    const ALL: [Self; 5] = [
-        Self::Pass,
-        Self::Slow,
-        Self::OneWay,
-        Self::Silent,
-        Self::Reset,
-    ];
-
-    fn number(self) -> u8 {
-        u8::try_from(Self::ALL.iter().position(|mode| *mode == self).unwrap_or(0)).unwrap_or(0)
-    }
-}
-
 /// The way of some bytes.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Way {
@@ -53,7 +39,7 @@
 /// A proxy. Clones are the same one.
 #[derive(Clone)]
 pub(crate) struct Proxy {
-    mode: Arc<AtomicU8>,
+    mode: Arc<Mutex<Mode>>,
 }
 
 impl Proxy {
@@ -75,11 +61,11 @@
 
     /// Changes what happens, also to connections that are open.
     pub(crate) fn set(&self, mode: Mode) {
-        self.mode.store(mode.number(), Ordering::Relaxed);
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
     fn mode(&self) -> Mode {
-        Mode::ALL[usize::from(self.mode.load(Ordering::Relaxed))]
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn join(&self, caller: &TcpStream, target: SocketAddr) {
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -30,11 +30,8 @@
         let id: Server = name(id);
         world.servers.get_mut(&id).expect("a server").0.failing = true;
     }
-    let mut numbers = Vec::new();
-    for (at, vm) in (0..REQUESTS).zip((0..VMS).cycle()) {
-        numbers.push(world.ask(vm, call(&format!("q{at}"), "/query/x", 2_000, None)));
-        world.run(Span::from_millis(10));
-    }
+    let query = |at| call(&format!("q{at}"), "/query/x", 2_000, None);
+    let numbers = world.ask_all(REQUESTS as usize, Span::from_millis(10), query);
     world.run(Span::from_secs(2));
     let tuning = Tuning::default();
     let allowed = tuning.retry_ratio * f64::from(REQUESTS) + tuning.retry_extra;
--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/desk.rs
@@ -9,11 +9,10 @@
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::desk::{Decision, Desk};
 use dahliastile_gateway::effect::Order;
-use dahliastile_gateway::event::{Cause, Ordered, Ran, Report};
-use dahliastile_gateway::fact::{Backend, Base};
+use dahliastile_gateway::event::{Cause, Ordered, Ran};
 use dahliastile_gateway::message::{Progress, Want};
 use dahliastile_gateway::settings::Tuning;
-use support::setup::{self, ENGINES, MODEL, name, work, zone};
+use support::setup::{self, name, work, zone};
 
 /// Engines of the larger deployment of the first users.
 const ENGINES_LARGE: usize = 60;
@@ -88,7 +87,7 @@
         };
         for number in 0..engines {
             let server: Server = name(&format!("e{number}"));
-            scheduler.desk.server(&server, &backend(number));
+            scheduler.desk.server(&server, &setup::backend(number));
         }
         scheduler.run(Span::from_secs(1));
         scheduler
@@ -122,7 +121,8 @@
                 Decision::Refuse(..) => self.refused += 1,
                 Decision::Report(server, _) => {
                     self.reports += 1;
-                    self.desk.reported(self.now, &server, Some(&empty()));
+                    self.desk
+                        .reported(self.now, &server, Some(&setup::report(Vec::new())));
                 }
                 Decision::Order(id, server, _, order) => self.carry_out(id, server, order),
                 Decision::Residents(_) => self.digests += 1,
@@ -205,31 +205,6 @@
     }
 }
 
-fn backend(number: usize) -> Arc<Backend> {
-    Arc::new(Backend {
-        service: name(ENGINES),
-        address: setup::address(2, number),
-        zone: zone(number),
-        slots: 64,
-        ready: true,
-        bases: Vec::new(),
-    })
-}
-
-/// The report of an engine with its base model and no adapter.
-fn empty() -> Report {
-    Report {
-        models: vec![Base {
-            model: MODEL.into(),
-            version: 1,
-            adapters: Vec::new(),
-        }],
-        coming: Vec::new(),
-        busy: false,
-        orders: 0,
-    }
-}
-
 /// 1,000 requests, 400 a second, each with three messages, for so many adapters in turn.
 fn busy(adapters: usize) -> Scheduler {
     let mut scheduler = Scheduler::new(ENGINES_LARGE);
--- a/crates/gateway/tests/health.rs
+++ b/crates/gateway/tests/health.rs
@@ -7,17 +7,14 @@
 use support::World;
 use support::setup::draft;
 
+/// The pause between two requests.
+const PAUSE: Span = Span::from_millis(40);
+
 /// Requests for one of eight adapters in turn, every 40 ms for the span; their numbers.
 fn traffic(world: &mut World, span: Span) -> Vec<u64> {
-    let mut numbers = Vec::new();
-    let step = Span::from_millis(40);
-    for at in 0..span.0 / step.0 {
-        let vm = usize::try_from(at).expect("small") % world.hosts.len();
-        let adapter = format!("a{}", at * 5 % 8);
-        numbers.push(world.ask(vm, draft(&format!("r{at}"), &adapter)));
-        world.run(step);
-    }
-    numbers
+    let count = usize::try_from(span.0 / PAUSE.0).expect("small");
+    let call = |at| draft(&format!("r{at}"), &format!("a{}", at * 5 % 8));
+    world.ask_all(count, PAUSE, call)
 }
 
 fn fail(world: &mut World, ids: &[&str], failing: bool) {
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -11,19 +11,14 @@
 use support::World;
 use support::setup::{ENGINES, call, draft, name, work};
 
+/// The pause between two requests.
+const PAUSE: Span = Span::from_millis(40);
+
 /// Requests for one of twelve adapters in turn, every 40 ms for the span, at the VMs that run; their numbers.
 fn traffic(world: &mut World, span: Span) -> Vec<u64> {
-    let mut numbers = Vec::new();
-    let step = Span::from_millis(40);
-    for at in 0..span.0 / step.0 {
-        let vm = usize::try_from(at).expect("small") % world.hosts.len();
-        if world.hosts[vm].gateway.is_some() {
-            let adapter = format!("a{}", at * 5 % 12);
-            numbers.push(world.ask(vm, draft(&format!("r{at}"), &adapter)));
-        }
-        world.run(step);
-    }
-    numbers
+    let count = usize::try_from(span.0 / PAUSE.0).expect("small");
+    let call = |at| draft(&format!("r{at}"), &format!("a{}", at * 5 % 12));
+    world.ask_all(count, PAUSE, call)
 }
 
 fn warm() -> World {
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -3,31 +3,34 @@
 mod support;
 
 use dahliastile_core::time::Span;
+use dahliastile_gateway::event::Call;
+use support::World;
 use support::setup::{call, work};
-use support::{Answer, World};
 
 fn loads(world: &World) -> u32 {
     world.servers.values().map(|(engine, _)| engine.loads).sum()
 }
 
+/// A request for the busiest adapter: 2,400 tokens.
+fn busy(at: usize) -> Call {
+    let work = work("a1", 2_400, 20);
+    call(&format!("r{at}"), "/plan/x", 5_000, Some(work))
+}
+
+/// How many of those that were refused were held for long first.
+fn late(refused: &[Span]) -> usize {
+    let held = refused.iter();
+    held.filter(|held| **held > Span::from_millis(250)).count()
+}
+
 /// One adapter asked for far beyond one engine's prompt speed, as the busiest one at both deployments: it is copied, but
 /// an engine that holds it is not ordered to load it again.
 #[test]
 fn hot_iscopiedonceperengine() {
     let mut world = World::new(3, 4, 1);
     world.run(Span::from_secs(2));
-    let mut numbers = Vec::new();
-    for at in 0..150 {
-        // 25 requests a second of 2,400 tokens are three engines' work at 20 tokens a millisecond.
-        let draft = call(
-            &format!("r{at}"),
-            "/plan/x",
-            5_000,
-            Some(work("a1", 2_400, 20)),
-        );
-        numbers.push(world.ask(at % 3, draft));
-        world.run(Span::from_millis(40));
-    }
+    // 25 requests a second of 2,400 tokens are three engines' work at 20 tokens a millisecond.
+    let numbers = world.ask_all(150, Span::from_millis(40), busy);
     world.run(Span::from_secs(5));
     let ordered = world
         .lines
@@ -44,39 +47,21 @@
     world.check();
 }
 
-/// How long a request was held, where it was refused.
-fn held(world: &World, number: u64) -> Option<Span> {
-    let asked = &world.asked[&number];
-    match &asked.ended {
-        Some((at, Answer::Refused(..))) => Some(at.since(asked.at)),
-        _ => None,
-    }
-}
-
 /// Rare adapters asked for at once, twice as many a second as can be loaded (32): who can't be served in time is refused
 /// at once with a time to come back, and the others are served about as many as the loads allow.
 #[test]
 fn rare_beyondtheloadsisrefusedatonce() {
     let mut world = World::new(3, 12, 1);
     world.run(Span::from_secs(2));
-    let mut numbers = Vec::new();
-    for at in 0..320 {
-        let draft = call(
-            &format!("r{at}"),
-            "/brief/x",
-            15_000,
-            Some(work(&format!("a{at}"), 800, 20)),
-        );
-        numbers.push(world.ask(at % 3, draft));
-        world.run(Span::from_millis(15));
-    }
+    let rare = |at| {
+        let work = work(&format!("a{at}"), 800, 20);
+        call(&format!("r{at}"), "/brief/x", 15_000, Some(work))
+    };
+    let numbers = world.ask_all(320, Span::from_millis(15), rare);
     world.run(Span::from_secs(16));
     let good = world.served_of(&numbers);
-    let refused: Vec<Span> = numbers.iter().filter_map(|n| held(&world, *n)).collect();
-    let late = refused
-        .iter()
-        .filter(|held| **held > Span::from_millis(250))
-        .count();
+    let refused = world.refused_of(&numbers);
+    let late = late(&refused);
     assert_eq!(good + refused.len(), numbers.len());
     assert!(
         late * 20 <= refused.len(),
@@ -93,24 +78,11 @@
 fn hot_beyondtheenginesisrefusedatonce() {
     let mut world = World::new(3, 4, 1);
     world.run(Span::from_secs(2));
-    let mut numbers = Vec::new();
-    for at in 0..240 {
-        let draft = call(
-            &format!("r{at}"),
-            "/plan/x",
-            5_000,
-            Some(work("a1", 2_400, 20)),
-        );
-        numbers.push(world.ask(at % 3, draft));
-        world.run(Span::from_millis(24));
-    }
+    let numbers = world.ask_all(240, Span::from_millis(24), busy);
     world.run(Span::from_secs(6));
     let good = world.served_of(&numbers);
-    let refused: Vec<Span> = numbers.iter().filter_map(|n| held(&world, *n)).collect();
-    let late = refused
-        .iter()
-        .filter(|held| **held > Span::from_millis(250))
-        .count();
+    let refused = world.refused_of(&numbers);
+    let late = late(&refused);
     assert_eq!(good + refused.len(), numbers.len());
     assert!(
         late * 10 <= refused.len(),
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -7,17 +7,19 @@
 use support::World;
 use support::setup::{call, draft, work};
 
+/// The pause between two requests.
+const PAUSE: Span = Span::from_millis(50);
+
 /// Requests for many adapters, so that places change hands all the time: one every 50 ms over sixty adapters.
 fn churn(world: &mut World, span: Span, prefix: &str) -> Vec<u64> {
-    let mut numbers = Vec::new();
-    let step = Span::from_millis(50);
-    for at in 0..span.0 / step.0 {
-        let adapter = format!("{prefix}{}", at * 7 % 60);
-        let vm = usize::try_from(at).expect("small") % world.hosts.len();
-        numbers.push(world.ask(vm, draft(&format!("{prefix}{at}"), &adapter)));
-        world.run(step);
-    }
-    numbers
+    let count = usize::try_from(span.0 / PAUSE.0).expect("small");
+    let call = |at| {
+        draft(
+            &format!("{prefix}{at}"),
+            &format!("{prefix}{}", at * 7 % 60),
+        )
+    };
+    world.ask_all(count, PAUSE, call)
 }
 
 fn ready() -> World {
--- a/crates/gateway/tests/size.rs
+++ b/crates/gateway/tests/size.rs
@@ -12,10 +12,10 @@
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::desk::{Decision, Desk};
 use dahliastile_gateway::event::Report;
-use dahliastile_gateway::fact::{Backend, Base, Resident};
+use dahliastile_gateway::fact::{Backend, Resident};
 use dahliastile_gateway::message::{Message, encode};
 use dahliastile_gateway::settings::Tuning;
-use support::setup::{self, ENGINES, MODEL, name, zone};
+use support::setup::{self, ENGINES, name};
 
 const VMS: usize = 300;
 const SERVERS: usize = 3_000;
@@ -45,7 +45,7 @@
         let mut desk = Desk::new(now, &config.services[0], 1, settings);
         desk.audience(VMS);
         for number in 0..servers {
-            desk.server(&server(number), &backend(number));
+            desk.server(&server(number), &setup::backend(number));
         }
         Self {
             desk,
@@ -111,34 +111,13 @@
     name(&format!("engine-{number}"))
 }
 
-/// What an engine says of itself; the scheduler alone never uses its address.
-fn backend(number: usize) -> Arc<Backend> {
-    Arc::new(Backend {
-        service: name(ENGINES),
-        address: setup::address(2, number % 200),
-        zone: zone(number),
-        slots: 64,
-        ready: true,
-        bases: Vec::new(),
-    })
-}
-
 /// The report of an engine that holds as many adapters as it can.
 fn report(server: &Server) -> Report {
     let resident = |number: usize| Resident {
         adapter: format!("{server}-adapter-{number}").into(),
         version: 1,
     };
-    Report {
-        models: vec![Base {
-            model: MODEL.into(),
-            version: 1,
-            adapters: (0..4).map(resident).collect(),
-        }],
-        coming: Vec::new(),
-        busy: false,
-        orders: 0,
-    }
+    setup::report((0..4).map(resident).collect())
 }
 
 /// A scheduler that has just taken its seat hears of all its engines within a second, though a hundred of them never
@@ -183,11 +162,11 @@
     loading.busy = true;
     let other = Backend {
         bases: vec!["other".into()],
-        ..(*backend(0)).clone()
+        ..(*setup::backend(0)).clone()
     };
     large.desk.server(&lost, &Arc::new(other));
     large.desk.reported(large.now, &lost, Some(&loading));
-    large.desk.server(&lost, &backend(0));
+    large.desk.server(&lost, &setup::backend(0));
     let began = large.now;
     for _ in 0..1_000 {
         large.now = large.desk.wake().max(large.now);
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -8,7 +8,8 @@
 use dahliastile_gateway::config::{
     Application, Config, Engine, Kind, Limits, Model, Route, Target,
 };
-use dahliastile_gateway::event::{Call, Work};
+use dahliastile_gateway::event::{Call, Report, Work};
+use dahliastile_gateway::fact::{Backend, Base, Resident};
 use dahliastile_gateway::settings::{Settings, Tuning};
 
 /// The service with engines.
@@ -28,7 +29,8 @@
 
 /// The address of something by a number of its own.
 pub fn address(kind: u8, number: usize) -> SocketAddr {
-    SocketAddr::from(([10, kind, 0, u8::try_from(number).expect("small")], 80))
+    let number = u16::try_from(number).expect("small").to_be_bytes();
+    SocketAddr::from(([10, kind, number[0], number[1]], 80))
 }
 
 /// The zone of a VM or server, three zones in turn.
@@ -143,3 +145,29 @@
         work,
     }
 }
+
+/// An engine as it describes itself before it is asked for a report.
+pub fn backend(number: usize) -> Arc<Backend> {
+    Arc::new(Backend {
+        service: name(ENGINES),
+        address: address(2, number),
+        zone: zone(number),
+        slots: 64,
+        ready: true,
+        bases: Vec::new(),
+    })
+}
+
+/// The report of an engine that holds its base model and some adapters of it.
+pub fn report(adapters: Vec<Resident>) -> Report {
+    Report {
+        models: vec![Base {
+            model: MODEL.into(),
+            version: 1,
+            adapters,
+        }],
+        coming: Vec::new(),
+        busy: false,
+        orders: 0,
+    }
+}
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -331,6 +331,31 @@
         number
     }
 
+    /// Sends requests at a steady pace, each to the next VM in turn where that one runs, and gives their numbers.
+    pub fn ask_all(&mut self, count: usize, pause: Span, call: impl Fn(usize) -> Call) -> Vec<u64> {
+        let mut numbers = Vec::new();
+        for at in 0..count {
+            let vm = at % self.hosts.len();
+            if self.hosts[vm].gateway.is_some() {
+                numbers.push(self.ask(vm, call(at)));
+            }
+            self.run(pause);
+        }
+        numbers
+    }
+
+    /// How long each of these requests was held that was refused.
+    pub fn refused_of(&self, numbers: &[u64]) -> Vec<Span> {
+        let held = |number: &u64| {
+            let asked = &self.asked[number];
+            match &asked.ended {
+                Some((at, Answer::Refused(..))) => Some(at.since(asked.at)),
+                _ => None,
+            }
+        };
+        numbers.iter().filter_map(held).collect()
+    }
+
     /// The caller of a request leaves.
     pub fn leave(&mut self, number: u64) {
         let vm = self.asked[&number].vm;
