--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -482,9 +482,9 @@
                 let rows = self.servers.iter();
                 let without = rows.filter(|(_, row)| row.backend.start.is_none());
                 let without: Vec<Server> = without.map(|(server, _)| server.clone()).collect();
-                without
-                    .iter()
-                    .for_each(|server| self.lose_server(server, out));
+                for server in without {
+                    self.lose_server(&server, out);
+                }
             }
             None if self.follow.starts => {
                 self.note_unreadable(&Subject::Server(server.clone()), out);
