A holder that stopped in an outage schedules again

Cause: where engines don't check fencing numbers, a holder stops before its lease can end. When the key-value service came back its lease was renewed, so its key stayed, nobody could take the seat, and it did not take it itself: no scheduler until the process ended. Besides, a VM that follows another one went on taking the service for away, and would never have taken a seat. Ruled out: ending the lease instead (another VM would wait for its turn and read all reports anew for nothing). Change: after a renewal a VM whose seat is idle writes it anew under its condition, with a new number; a VM that follows another one takes the service for back when that one says that it reaches it. Two tests, both failed first.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -160,6 +160,7 @@
         if news.direct && self.follow.leader.as_ref() == Some(from) {
             self.follow.heard = self.now;
             self.follow.patience = SILENCE;
+            self.store_back(out);
         }
         self.take_changes(news.changes, Way::Told, news.recovering, out);
         match self.follow.cursor {
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -71,7 +71,7 @@
     Held,
     /// Nobody holds it.
     Free,
-    /// An earlier start of this VM held it.
+    /// An earlier start of this VM held it, or this one, which stopped before its lease could end.
     Mine,
     /// Another VM may take it, and this one later: it held the seat a moment ago.
     Resting,
@@ -149,7 +149,10 @@
                 self.enter(out);
                 self.seats_changed(out);
             }
-            (Purpose::Renew, Outcome::Renewed(_)) => self.seats.renewed = sent,
+            (Purpose::Renew, Outcome::Renewed(_)) => {
+                self.seats.renewed = sent;
+                self.seats_changed(out);
+            }
             (Purpose::Member, Outcome::Written(_)) => self.seats.entered = true,
             (Purpose::Seat(service), Outcome::Written(revision)) => {
                 self.seat_written(&service, revision, out);
@@ -217,11 +220,19 @@
         let settled = self.now.since(self.seats.changed(service)) >= SETTLED;
         match holder.vm == self.settings.vm {
             true if holder.incarnation != self.settings.incarnation => Vacancy::Mine,
+            true if self.idle_seat(service) => Vacancy::Mine,
             false if fencing && silent && settled => Vacancy::Silent,
             _ => Vacancy::Held,
         }
     }
 
+    /// Whether a seat is this VM's, though it has stopped to schedule: its lease could have ended, and did not. Nobody else may
+    /// take the seat as long as the lease goes on, so this VM writes it anew, under a new number.
+    fn idle_seat(&self, service: &Service) -> bool {
+        let sure = self.seats.lease.is_some() && self.now < self.lease_sure();
+        sure && !self.stopping && !self.desks.contains_key(service)
+    }
+
     /// This VM holds a seat.
     pub(crate) fn seat_won(&mut self, service: &Service, fence: u64, out: &mut Effects) {
         let Some(application) = self.index.service(service.as_str()).cloned() else {
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use dahliastile_core::time::Span;
+use dahliastile_core::time::{Instant, Span};
 
 use dahliastile_gateway::fact::Subject;
 use dahliastile_gateway::settings::Tuning;
@@ -411,3 +411,70 @@
     }
     world.check();
 }
+
+/// Engines that don't check fencing numbers, and the key-value service is away for five seconds: the holder stops in time, its
+/// lease goes on afterwards and so does its key. It schedules again under a new number as soon as its lease is sure, though
+/// nobody else may take its seat. Leases that lapse meanwhile are the other case.
+#[test]
+fn holder_unfencedschedulesagain() {
+    for lapse in [false, true] {
+        let tuning = Tuning {
+            fencing: false,
+            ..Tuning::default()
+        };
+        let mut world = World::tuned(4, 4, 1, tuning);
+        world.run(Span::from_secs(2));
+        traffic(&mut world, Span::from_secs(2));
+        world.store_up = false;
+        world.wake_watchers();
+        traffic(&mut world, Span::from_secs(5));
+        if lapse {
+            world.store.expire(Instant::NEVER);
+        }
+        world.store_up = true;
+        world.run(Span::from_millis(1_000));
+        let cold = world.ask(
+            0,
+            call("cold", "/plan/x", 5_000, Some(work("a77", 600, 15))),
+        );
+        world.run(Span::from_secs(4));
+        let first = world.first_piece(cold).expect("served");
+        assert!(first < Span::from_millis(1_500), "{first}, lapse {lapse}");
+        world.check();
+    }
+}
+
+/// After an outage each VM knows that the key-value service is back, also one that watches nothing but follows another VM: it
+/// would else never take a seat again.
+#[test]
+fn outage_isoverforall() {
+    for away in [2, 4, 6, 8] {
+        let mut world = World::new(6, 4, 1);
+        world.run(Span::from_secs(2));
+        world.store_up = false;
+        world.wake_watchers();
+        traffic(&mut world, Span::from_secs(away));
+        world.store_up = true;
+        traffic(&mut world, Span::from_secs(3));
+        for vm in 0..6 {
+            let said = |word: &str| {
+                let lines = world
+                    .lines
+                    .iter()
+                    .filter(|line| line.contains(&format!(" vm{vm} ")));
+                lines.filter(|line| line.contains(word)).count()
+            };
+            assert_eq!(
+                said("PlatformLost"),
+                said("PlatformBack"),
+                "vm{vm}, away {away} s"
+            );
+        }
+        let lost = world
+            .lines
+            .iter()
+            .filter(|line| line.contains("PlatformLost"));
+        assert!(lost.count() >= 3);
+        world.check();
+    }
+}
