--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -94,7 +94,7 @@
             report_timeout: Span::from_millis(300),
             loads_per_hundred: 67,
             loads_per_server: 4,
-            running_per_engine: 16,
+            running_per_engine: 24,
             backlog: Span::from_millis(250),
             retry_ratio: 0.25,
             retry_extra: 50.0,
