--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod forecast;
 mod job;
+mod kept;
 mod key;
 mod load;
 mod order;
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -7,6 +7,8 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::forecast::reading;
+use super::job::Job;
+use super::kept::Kept;
 use super::key::{Key, Keys};
 use super::recent::Recent;
 use crate::effect::OrderId;
@@ -20,6 +22,10 @@
 /// The weight of one measurement of that rate.
 const RATE_WEIGHT: f64 = 0.1;
 
+/// Prompt tokens from which the time to the first event tells the rate: the rest of that time is some 40 ms, as long as
+/// so many tokens take.
+const TELLING: u32 = 500;
+
 /// The bounds within which a measured rate is believed, in tokens a millisecond.
 const RATES: (f64, f64) = (3.0, 60.0);
 
@@ -109,9 +115,11 @@
     pub(crate) places: BTreeMap<Key, Place>,
     /// The adapters that it held recently.
     pub(crate) recent: Recent,
+    /// The parts of prompts that it keeps.
+    pub(crate) kept: Kept,
     /// Requests there.
     pub(crate) running: u32,
-    /// Prompt tokens of the requests there whose answers have not begun.
+    /// Prompt tokens that it has still to read, of the requests there whose answers have not begun.
     pub(crate) unread: u64,
     /// When the last answer began, or work came to an idle engine.
     pub(crate) last_begun: Instant,
@@ -146,6 +154,7 @@
             base_due: None,
             places: BTreeMap::new(),
             recent: Recent::default(),
+            kept: Kept::default(),
             running: 0,
             unread: 0,
             last_begun: Instant::default(),
@@ -179,6 +188,7 @@
         self.base_due = None;
         self.places.clear();
         self.recent = Recent::default();
+        self.kept = Kept::default();
         self.health = Health::default();
         self.last_order = Instant::default();
     }
@@ -203,9 +213,15 @@
         self.usable() && none && self.queue.is_empty() && self.pending.is_none()
     }
 
-    /// The time until the prompts that it was given and one more are read, as estimated.
-    pub(crate) fn backlog_with(&self, now: Instant, prompt: u32) -> Span {
-        self.backlog(now) + reading(u64::from(prompt), self.rate)
+    /// The time until the prompts that it was given and so many tokens more are read, as estimated.
+    pub(crate) fn backlog_with(&self, now: Instant, tokens: u32) -> Span {
+        self.backlog(now) + reading(u64::from(tokens), self.rate)
+    }
+
+    /// The prompt tokens of a request that it would have to read: those that it does not keep.
+    pub(crate) fn reads(&self, job: &Job) -> u32 {
+        let kept = self.kept.of(job.key, &job.work.parts);
+        job.work.prompt.saturating_sub(kept)
     }
 
     /// The time until the prompts that it was given are read, as estimated.
@@ -213,25 +229,25 @@
         reading(self.unread, self.rate) - now.since(self.last_begun)
     }
 
-    /// A request of so many prompt tokens was sent there.
-    pub(crate) fn add(&mut self, now: Instant, prompt: u32) {
+    /// A request was sent there of which it has to read so many prompt tokens.
+    pub(crate) fn add(&mut self, now: Instant, reads: u32) {
         if self.unread == 0 {
             self.last_begun = now;
         }
         self.running += 1;
-        self.unread += u64::from(prompt);
+        self.unread += u64::from(reads);
     }
 
-    /// The answer to a request of so many prompt tokens, sent at `since`, has begun.
+    /// The answer to a request, sent at `since`, of which it had to read so many prompt tokens, has begun.
     #[allow(clippy::cast_precision_loss)]
-    pub(crate) fn read(&mut self, now: Instant, prompt: u32, since: Instant) {
+    pub(crate) fn read(&mut self, now: Instant, reads: u32, since: Instant) {
         let took = now.since(self.last_begun.max(since)).0 as f64 / 1_000.0;
-        if took > 1.0 {
-            let rate = (f64::from(prompt) / took).clamp(RATES.0, RATES.1);
+        if took > 1.0 && reads >= TELLING {
+            let rate = (f64::from(reads) / took).clamp(RATES.0, RATES.1);
             self.rate += (rate - self.rate) * RATE_WEIGHT;
         }
         self.last_begun = now;
-        self.unread = self.unread.saturating_sub(u64::from(prompt));
+        self.unread = self.unread.saturating_sub(u64::from(reads));
     }
 
     /// Whether its present order had no answer before.
--- a/crates/gateway/src/desk/forecast.rs
+++ b/crates/gateway/src/desk/forecast.rs
@@ -72,10 +72,12 @@
             let least = backlogs.map(|engine| engine.backlog(now)).min();
             return (For::Room, least.unwrap_or(Span::ZERO));
         };
+        let holders: Vec<&Engine> = self.holders(job, key, spread).collect();
+        let least = holders.iter().map(|engine| engine.reads(job)).min();
+        let reads = least.unwrap_or(job.work.prompt);
         let first = !ahead.tokens.contains_key(&key);
         let tokens = ahead.tokens.entry(key).or_default();
-        let before = std::mem::replace(tokens, *tokens + u64::from(job.work.prompt));
-        let holders: Vec<&Engine> = self.holders(job, key, spread).collect();
+        let before = std::mem::replace(tokens, *tokens + u64::from(reads));
         if !holders.is_empty() {
             let least = holders.iter().map(|engine| engine.backlog(now)).min();
             let rate: f64 = holders.iter().map(|engine| engine.rate).sum();
--- a/crates/gateway/src/desk/job.rs
+++ b/crates/gateway/src/desk/job.rs
@@ -57,6 +57,8 @@
     pub(crate) zone: Option<Zone>,
     /// Servers that have failed it.
     pub(crate) failed: Vec<Server>,
+    /// The prompt tokens that its server had to read when it was given.
+    pub(crate) reads: u32,
     /// Where it stands.
     state: State,
 }
@@ -75,6 +77,7 @@
             priority: want.priority,
             zone: Some(want.zone),
             failed: want.failed,
+            reads: 0,
             state: State::Waiting,
         }
     }
@@ -91,6 +94,7 @@
             priority: 0,
             zone: None,
             failed: Vec::new(),
+            reads: 0,
             state: State::Running {
                 server: run.server.clone(),
                 since: now,
@@ -149,12 +153,13 @@
         Some(job)
     }
 
-    /// A request that waits is given a place at a server.
-    pub(crate) fn start(&mut self, id: &JobId, server: &Server, now: Instant) {
+    /// A request that waits is given a place at a server, which has to read so many tokens of its prompt.
+    pub(crate) fn start(&mut self, id: &JobId, server: &Server, reads: u32, now: Instant) {
         let Some(job) = self.rows.get_mut(id) else {
             return;
         };
         self.waiting.remove(&job.turn(id));
+        job.reads = reads;
         job.state = State::Running {
             server: server.clone(),
             since: now,
--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -169,6 +169,7 @@
             (Ordered::Holds, Intent::Unload(key)) => {
                 engine.orders += 1;
                 engine.places.remove(key);
+                engine.kept.unloaded(*key);
             }
             (Ordered::Holds, Intent::Load(key, _)) => {
                 if let Some(place) = engine.places.get_mut(key) {
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -51,7 +51,7 @@
             let engine = &self.engines[&server];
             let tuning = &self.settings.tuning;
             let room = engine.running < tuning.running_per_engine.min(self.shape.batch);
-            let ahead = engine.backlog_with(now, job.work.prompt);
+            let ahead = engine.backlog_with(now, engine.reads(job));
             let soon = engine.unread == 0 || ahead <= tuning.backlog;
             if room && soon && cost < SHUNNED {
                 self.give(now, &id, &server, out);
@@ -82,7 +82,8 @@
     }
 
     fn give(&mut self, now: Instant, id: &JobId, server: &Server, out: &mut Vec<Decision>) {
-        self.jobs.start(id, server, now);
+        let reads = self.jobs.get(id).map(|job| self.engines[server].reads(job));
+        self.jobs.start(id, server, reads.unwrap_or(0), now);
         let Some(job) = self.jobs.get(id).cloned() else {
             return;
         };
@@ -92,13 +93,14 @@
         let version = version.filter(|version| *version > 0);
         self.occupy(&job, server);
         if let Some(engine) = self.engines.get_mut(server) {
-            engine.add(now, job.work.prompt);
+            engine.add(now, job.reads);
             let waited = now.since(job.arrived);
             let adapter = job.work.adapter.as_deref().unwrap_or("-");
             let detail = format!(
-                "id={} vm={} adapter={adapter} version={version:?} server={server} waited={waited} running={} backlog={}",
+                "id={} vm={} adapter={adapter} version={version:?} server={server} waited={waited} reads={} running={} backlog={}",
                 job.id,
                 id.vm,
+                job.reads,
                 engine.running,
                 engine.backlog(now)
             );
@@ -117,8 +119,13 @@
         let Some(key) = job.key else {
             return;
         };
-        let engine = self.engines.get_mut(server);
-        if let Some(place) = engine.and_then(|engine| engine.places.get_mut(&key)) {
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        engine
+            .kept
+            .read(job.key, &job.work.parts, self.shape.tokens);
+        if let Some(place) = engine.places.get_mut(&key) {
             place.used += 1;
         }
     }
@@ -131,13 +138,13 @@
         let State::Running { server, begun, .. } = job.state() else {
             return;
         };
-        let (key, prompt) = (job.key, u64::from(job.work.prompt));
+        let (key, reads) = (job.key, u64::from(job.reads));
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
         engine.running = engine.running.saturating_sub(1);
         if !*begun {
-            engine.unread = engine.unread.saturating_sub(prompt);
+            engine.unread = engine.unread.saturating_sub(reads);
         }
         let Some(key) = key else {
             return;
@@ -153,13 +160,13 @@
         let Some((server, since)) = self.jobs.begin(id) else {
             return;
         };
-        let Some((key, prompt)) = self.jobs.get(id).map(|job| (job.key, job.work.prompt)) else {
+        let Some((key, reads)) = self.jobs.get(id).map(|job| (job.key, job.reads)) else {
             return;
         };
         let Some(engine) = self.engines.get_mut(&server) else {
             return;
         };
-        engine.read(now, prompt, since);
+        engine.read(now, reads, since);
         engine.health.good(now);
         let place = key.and_then(|key| engine.places.get_mut(&key));
         if let Some(place) = place {
@@ -238,5 +245,8 @@
         _ => Span::ZERO,
     };
     let shunned = if engine.last { SHUNNED } else { Span::ZERO };
-    engine.backlog(now) + EACH_RUNNING.times(u64::from(engine.running)) + away + shunned
+    engine.backlog_with(now, engine.reads(job))
+        + EACH_RUNNING.times(u64::from(engine.running))
+        + away
+        + shunned
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -29,6 +29,17 @@
     pub prompt: u32,
     /// The largest number of tokens asked for.
     pub output: u32,
+    /// The parts of the prompt, in order.
+    pub parts: Arc<[Part]>,
+}
+
+/// A part of a prompt. Requests share parts; the last one belongs to the request itself or to its session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Its id, the same wherever the same text stands.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
 }
 
 /// A caller's request, without its body.
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -127,6 +127,7 @@
         adapter: Some(adapter.into()),
         prompt,
         output,
+        parts: Arc::default(),
     }
 }
 
