Served lines say what made an answer late; a new scheduler counts what runs

Cause, first: nothing told why an answer was late. Each line on a served request now bears its time to the first piece, the longest pause between two of its events, and which of both went over what its route allows. Cause, second: a scheduler that took its seat did not count the requests that ran already, but took them off when they ended, so that it believed an engine emptier than it was.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -58,6 +58,8 @@
     pub timeout: Span,
     /// The time within which an answer (its first event) is of full use.
     pub objective: Span,
+    /// The longest pause between two events of a stream that is still in time; zero where none is told.
+    pub pause: Span,
     /// How long callers wait for the first event of a stream; the timeout for other kinds.
     pub patience: Span,
     /// The rank, 0 first.
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -186,8 +186,9 @@
                 }
             }
             None => {
-                self.engines
-                    .insert(server.clone(), Engine::new(backend.clone()));
+                let mut engine = Engine::new(backend.clone());
+                engine.running = u32::try_from(self.jobs.at(server).len()).unwrap_or(u32::MAX);
+                self.engines.insert(server.clone(), engine);
             }
         }
     }
@@ -265,6 +266,9 @@
             let key = self.key_of(&run.work);
             let job = Job::running(now, run, key);
             self.occupy(&job, &run.server);
+            if let Some(engine) = self.engines.get_mut(&run.server) {
+                engine.running += 1;
+            }
             self.jobs.insert(id, job);
         }
         for want in wants {
@@ -355,6 +359,11 @@
                     self.shape.places
                 ));
             }
+            let running = self.jobs.at(server).len();
+            if running != engine.running as usize {
+                let counted = engine.running;
+                faults.push(format!("{server}: {counted} counted, {running} run"));
+            }
             for (key, place) in &engine.places {
                 let used = self.jobs.using(server, *key);
                 if used != place.used {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -159,8 +159,8 @@
     Gone(RequestId),
     /// The first piece of an answer has come.
     Begun(RequestId),
-    /// The answer is complete, with what the server said of it.
-    Completed(RequestId),
+    /// The answer is complete, with the longest pause between two pieces of it.
+    Completed(RequestId, Span),
     /// The server did not answer well.
     Failed(RequestId, Ran, Cause),
     /// An order came back.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -72,6 +72,8 @@
     sends: u32,
     /// On how many servers it has run or may have.
     ran: u32,
+    /// How long its first piece took.
+    first: Option<Span>,
     /// Servers that have failed it.
     pub(crate) failed: Vec<Server>,
 }
@@ -141,6 +143,7 @@
             state: State::Waiting,
             sends: 0,
             ran: 0,
+            first: None,
             failed: Vec::new(),
         };
         self.flows.insert(request, flow);
@@ -232,27 +235,26 @@
         if let State::Sent { begun, .. } = &mut flow.state {
             *begun = true;
         }
-        measure::time(
-            out,
-            Figure::FirstToken,
-            &flow.service,
-            self.now.since(flow.arrived),
-        );
+        let took = self.now.since(flow.arrived);
+        flow.first.get_or_insert(took);
+        measure::time(out, Figure::FirstToken, &flow.service, took);
         self.tell_progress(request, Progress::Begun, out);
     }
 
     /// A whole answer has gone to the caller.
-    pub(crate) fn completed(&mut self, request: RequestId, out: &mut Effects) {
+    pub(crate) fn completed(&mut self, request: RequestId, pause: Span, out: &mut Effects) {
         let Some(flow) = self.flows.get(&request) else {
             return;
         };
         let took = self.now.since(flow.arrived);
         let server = flow.server().map_or("-", Server::as_str);
-        Self::log(
-            out,
-            Code::Served,
-            format!("id={} server={server} took={took}", flow.call.id),
+        let first = flow.first.unwrap_or(took);
+        let late = lateness(&flow.route, first, pause);
+        let detail = format!(
+            "id={} route={} server={server} late={late} first={first} pause={pause} took={took}",
+            flow.call.id, flow.route.name
         );
+        Self::log(out, Code::Served, detail);
         measure::time(out, Figure::WholeAnswer, &flow.service, took);
         measure::count(out, Figure::Answered, &flow.service, "whole");
         if let Some(row) = flow
@@ -476,6 +478,15 @@
     }
 }
 
+/// What made an answer late, if anything did.
+fn lateness(route: &Route, first: Span, pause: Span) -> &'static str {
+    match (first > route.objective, pause > route.pause) {
+        (true, _) => "first",
+        (false, true) if route.pause > Span::ZERO => "pause",
+        (false, _) => "no",
+    }
+}
+
 fn refusal(request: RequestId, reason: Reason, after: Option<Span>) -> Effect {
     Effect::Request(request, Verdict::Refuse(reason, after))
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -194,7 +194,7 @@
             Event::Arrived(request, call) => self.arrived(request, *call, out),
             Event::Gone(request) => self.gone(request, out),
             Event::Begun(request) => self.begun(request, out),
-            Event::Completed(request) => self.completed(request, out),
+            Event::Completed(request, pause) => self.completed(request, pause, out),
             Event::Failed(request, ran, cause) => self.failed(request, ran, cause, out),
             Event::Ordered(order, outcome) => self.ordered(order, outcome, out),
             Event::Reported(server, report) => self.reported(&server, report.as_ref()),
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -85,6 +85,7 @@
         kind,
         timeout: Span::from_millis(timeout),
         objective: Span::from_millis(1_000),
+        pause: Span::from_millis(400),
         patience: Span::from_millis(if kind.stream() { 4_000 } else { timeout }),
         priority,
         attempts,
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -225,7 +225,10 @@
                 .push((newest, ran));
         }
         self.at(begun + WAY, Act::Event(vm, start, Event::Begun(number)));
-        self.at(end + WAY, Act::Event(vm, start, Event::Completed(number)));
+        self.at(
+            end + WAY,
+            Act::Event(vm, start, Event::Completed(number, Span::ZERO)),
+        );
     }
 
     pub(super) fn deliver(&mut self, vm: usize, event: Event) {
@@ -265,7 +268,7 @@
                     asked.ended = Some((now, Answer::Served(now)));
                 }
             }
-            Event::Completed(number) => {
+            Event::Completed(number, _) => {
                 if let Some(asked) = self.asked.get_mut(number) {
                     let begun = match &asked.ended {
                         Some((_, Answer::Served(begun))) => *begun,
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Reason, Send, Verdict};
 use dahliastile_gateway::event::{Event, RequestId};
 use http::{Request, Response, request};
@@ -95,11 +96,7 @@
         }
     }
 
-    fn refuse(
-        &self,
-        reason: Reason,
-        after: Option<dahliastile_core::time::Span>,
-    ) -> Response<Bytes> {
+    fn refuse(&self, reason: Reason, after: Option<Span>) -> Response<Bytes> {
         self.ticket.hub.dialect.refused(reason, after)
     }
 
@@ -114,7 +111,7 @@
         };
         match tried {
             Tried::Whole(response) => {
-                self.ticket.finish(Event::Completed(id));
+                self.ticket.finish(Event::Completed(id, Span::ZERO));
                 Step::Answer(response)
             }
             Tried::Stream(head, body, connection) => {
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -1,12 +1,16 @@
 //! Passing a stream of events on, event by event, and going on elsewhere where its kind allows that.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
+use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Reason, Send, Verdict};
 use dahliastile_gateway::event::{Cause, Event, Ran};
 use http::response;
 use http_body_util::{BodyExt, Either};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::answer::{Answer, Piece, Piped, whole};
 use crate::attempt::{Tried, attempt};
@@ -30,6 +34,10 @@
     rest: BytesMut,
     /// The id of the last whole event.
     last: Option<String>,
+    /// When it came.
+    came: Option<Instant>,
+    /// The longest time between two of them.
+    pause: Duration,
 }
 
 impl Events {
@@ -41,6 +49,10 @@
             .windows(EVENT_END.len())
             .rposition(|w| w == EVENT_END)?;
         let whole = self.rest.split_to(end + EVENT_END.len()).freeze();
+        let now = Instant::now();
+        if let Some(came) = self.came.replace(now) {
+            self.pause = self.pause.max(now - came);
+        }
         let text = String::from_utf8_lossy(&whole);
         let ids = text.lines().rev().find_map(|line| line.strip_prefix("id:"));
         if let Some(id) = ids {
@@ -48,6 +60,11 @@
         }
         Some(whole)
     }
+
+    /// The longest time between two events.
+    fn pause(&self) -> Span {
+        Span(u64::try_from(self.pause.as_micros()).unwrap_or(u64::MAX))
+    }
 }
 
 /// How a server's part of a stream ended.
@@ -100,7 +117,7 @@
                     let _ = pieces.send(Piece::Data(rest)).await;
                 }
                 let _ = pieces.send(Piece::End).await;
-                asked.ticket.finish(Event::Completed(id));
+                asked.ticket.finish(Event::Completed(id, events.pause()));
                 return;
             }
             Part::Left => return,
