A scheduler goes on through an outage by the pledges of all other VMs

Ruled out: a longer lease (a dead holder's seat would stay empty as long); going on without asking (another VM may reach the service); a majority of pledges (one VM is enough to take the seat). Change: pledge.rs. A VM whose own renewals have no answer pledges to take no seat for a second; the holder goes on while it has a pledge of each VM it knows, less than 700 ms old; a VM with a new lease waits 1.3 s before it takes a seat. Not covered: a VM that no other knows, started in an outage that all but it are in, waits 1.3 s only.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -124,6 +124,8 @@
     StoreCompacted = 310 Info "Nothing.";
     /// The entry of a backend server lapsed while the key-value service was away.
     EntryLapsed = 311 Info "Nothing; it counts as gone if it does not come back.";
+    /// This VM schedules on though its lease may have ended, as all other VMs have pledged to take no seat meanwhile.
+    HeldByPledges = 324 Warn "Check the key-value service.";
     /// An entry of the key-value service can't be read, and tells nothing of its subject.
     EntryUnreadable = 315 Warn "Look for another program that writes there.";
     /// This VM's lease in the key-value service ended.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`desk`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
 //!   on the one VM that holds the service's lease.
 //! * `seat`: that lease, and the fencing number of orders.
+//! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
 
 mod agent;
@@ -31,6 +32,7 @@
 pub mod message;
 mod node;
 mod plain;
+mod pledge;
 mod seat;
 pub mod settings;
 mod timer;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entry VMs. Each may be lost, late or doubled.
 
 use dahliastile_core::id::{Server, Service, Zone};
-use dahliastile_core::time::Span;
+use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -94,6 +94,10 @@
     Residents(Service, u64, Vec<Holding>),
     /// From the scheduler: it is there.
     Alive(Service, u64),
+    /// From the scheduler, at a time of its own clock: will this VM take no seat for a while?
+    Pledge(Service, u64, Instant),
+    /// To the scheduler that asked so at a time of its clock: it will take none.
+    Pledged(Service, u64, Instant),
     /// This VM, which is there, knows all changes of the key-value service up to the revision, and wants to be told of
     /// later ones for a while.
     Follow(Member, Revision),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::measure;
 use crate::message::Message;
 use crate::plain::Row;
+use crate::pledge;
 use crate::seat;
 use crate::settings::{Settings, Tuning};
 use crate::timer::{Timer, Timers};
@@ -57,6 +58,8 @@
     pub(crate) desks: BTreeMap<Service, Desk>,
     /// This VM's lease and the seats it holds or wants.
     pub(crate) seats: seat::State,
+    /// Pledges given and had.
+    pub(crate) pledges: pledge::State,
     /// How the key-value service is followed.
     pub(crate) follow: follow::State,
     /// What is to be looked at later.
@@ -84,6 +87,7 @@
             agents: BTreeMap::new(),
             desks: BTreeMap::new(),
             seats: seat::State::default(),
+            pledges: pledge::State::default(),
             follow: follow::State::default(),
             timers: Timers::default(),
             last_id: 0,
@@ -249,6 +253,14 @@
             Message::Alive(service, fence) => {
                 self.follows(&service, fence, from, out);
             }
+            Message::Pledge(service, fence, asked) => {
+                if self.follows(&service, fence, from, out) {
+                    self.pledge_asked(&service, fence, asked, from, out);
+                }
+            }
+            Message::Pledged(service, fence, asked) => {
+                self.pledged(&service, fence, asked, from);
+            }
             Message::Residents(service, fence, residents) => {
                 if self.follows(&service, fence, from, out) {
                     self.keep_residents(&service, residents);
--- /dev/null
+++ b/crates/gateway/src/pledge.rs
@@ -0,0 +1,132 @@
+//! A scheduler that goes on without the key-value service, where engines don't check fencing numbers.
+//!
+//! There a holder must stop before its lease can end, as another VM may take its seat from then on. While the key-value
+//! service answers nobody, nobody can take it, and the holder asks all other VMs to say so: a VM that has had no answer
+//! itself for a while pledges not to take the seat for [`PLEDGE`] from when it hears the question. The holder goes on as
+//! long as it has a pledge of each VM that it knows, counted from when it asked. One VM that reaches the service, or is not
+//! heard, is enough to have the holder stop; a VM that has just got a lease waits a pledge's length before it takes a seat.
+//!
+//! It buys the cold requests of an outage: without it none could be placed from 1.7 s on until the service was back, and
+//! each was held until its deadline.
+
+use std::collections::BTreeMap;
+
+use dahliastile_core::id::{Service, Vm};
+use dahliastile_core::time::{Instant, Span};
+
+use crate::effect::Effects;
+use crate::event::Outcome;
+use crate::message::Message;
+use crate::node::Gateway;
+use crate::timer::Timer;
+
+/// How long a pledge holds. The holder asks four times within it, and an order may be on its way for 300 ms of it.
+pub(crate) const PLEDGE: Span = Span::from_millis(1_000);
+
+/// The time between two questions.
+const ASK_EVERY: Span = Span::from_millis(200);
+
+/// How much later than its turn a renewal may be answered before the key-value service counts as away here: fifty times its
+/// usual time.
+const OVERDUE: Span = Span::from_millis(200);
+
+/// How long a write without an answer may still be carried out: the longest that was seen, and some.
+const LATE_WRITE: Span = Span::from_secs(15);
+
+/// Pledges given and had.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// Until when this VM takes no seat of a service.
+    given: BTreeMap<Service, Instant>,
+    /// The pledges that this VM had, each with when it asked for it.
+    had: BTreeMap<(Service, Vm), Instant>,
+    /// When it asks next.
+    next: Instant,
+    /// Until when a write of a seat may be carried out that had no answer.
+    unsure: Instant,
+    /// Whether this VM schedules by pledges alone.
+    pub(crate) holds: bool,
+}
+
+impl State {
+    /// Until when this VM has said that it takes no seat of a service.
+    pub(crate) fn given(&self, service: &Service) -> Instant {
+        self.given.get(service).copied().unwrap_or_default()
+    }
+
+    /// A write of a seat came back.
+    pub(crate) fn seat_written(&mut self, now: Instant, outcome: &Outcome) {
+        if matches!(outcome, Outcome::Unknown) {
+            self.unsure = now + LATE_WRITE;
+        }
+    }
+}
+
+impl Gateway {
+    /// Whether this VM's renewals have had no answer for a while.
+    fn renewal_overdue(&self) -> bool {
+        self.now >= self.overdue_at()
+    }
+
+    fn overdue_at(&self) -> Instant {
+        self.seats.renewed() + self.settings.tuning.renew + OVERDUE
+    }
+
+    /// Asks all other VMs for their pledges, where this one schedules and its renewals have no answer.
+    pub(crate) fn ask_pledges(&mut self, out: &mut Effects) {
+        if self.settings.tuning.fencing || self.desks.is_empty() {
+            return;
+        }
+        let due = self.pledges.next.max(self.overdue_at());
+        if self.now < due {
+            self.timers.set_once(due, Timer::Seat);
+            return;
+        }
+        self.pledges.next = self.now + ASK_EVERY;
+        self.timers.set_once(self.pledges.next, Timer::Seat);
+        for (service, desk) in &self.desks {
+            let question = Message::Pledge(service.clone(), desk.fence(), self.now);
+            self.tell_all(&question, out);
+        }
+    }
+
+    /// The holder of a seat asks for a pledge. It came from the one that this VM takes for the holder.
+    pub(crate) fn pledge_asked(
+        &mut self,
+        service: &Service,
+        fence: u64,
+        asked: Instant,
+        from: &Vm,
+        out: &mut Effects,
+    ) {
+        let may = self.renewal_overdue() && self.now >= self.pledges.unsure;
+        if !may || self.seats.writes(service) || self.desks.contains_key(service) {
+            return;
+        }
+        let until = self.now + PLEDGE;
+        self.pledges.given.insert(service.clone(), until);
+        self.send(from, Message::Pledged(service.clone(), fence, asked), out);
+    }
+
+    /// A VM has given the pledge that this one asked for at a time.
+    pub(crate) fn pledged(&mut self, service: &Service, fence: u64, asked: Instant, from: &Vm) {
+        let holds = self.desks.get(service).map(crate::desk::Desk::fence);
+        if holds != Some(fence) {
+            return;
+        }
+        let had = self.pledges.had.entry((service.clone(), from.clone()));
+        let had = had.or_default();
+        *had = (*had).max(asked);
+    }
+
+    /// Until when all other VMs take no seat of a service, with the time that an order may be on its way.
+    pub(crate) fn pledged_until(&self, service: &Service) -> Instant {
+        let had = |vm: &Vm| self.pledges.had.get(&(service.clone(), vm.clone()));
+        let asked = self.peers().map(|vm| had(vm).copied().unwrap_or_default());
+        let first = asked.min().unwrap_or_default();
+        if first == Instant::default() {
+            return first;
+        }
+        first + (PLEDGE - self.settings.tuning.lease_guard)
+    }
+}
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -21,6 +21,7 @@
 use crate::measure;
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::pledge::PLEDGE;
 use crate::timer::Timer;
 
 /// The time that a VM waits for each VM before it in the order of candidates before it takes a free seat: some calls
@@ -90,6 +91,8 @@
     lease: Option<Lease>,
     /// When the lease was last granted or renewed, counted from when the call was sent.
     renewed: Instant,
+    /// When the lease was granted.
+    granted: Instant,
     /// When the next call on the lease is due.
     next: Instant,
     /// Whether this VM's own entry has been written under the lease.
@@ -119,6 +122,17 @@
         lost.map_or(Instant::default(), |lost| *lost + SETTLED)
     }
 
+    /// When the lease was last renewed.
+    pub(crate) fn renewed(&self) -> Instant {
+        self.renewed
+    }
+
+    /// Whether this VM is about to write itself into a seat.
+    pub(crate) fn writes(&self, service: &Service) -> bool {
+        let mut purposes = self.calls.values().map(|(purpose, _)| purpose);
+        purposes.any(|purpose| *purpose == Purpose::Seat(service.clone()))
+    }
+
     /// The holder of a seat changed.
     pub(crate) fn note_change(&mut self, service: &Service, now: Instant) {
         self.changes.insert(service.clone(), now);
@@ -141,9 +155,13 @@
         let Some((purpose, sent)) = self.seats.calls.remove(&op) else {
             return;
         };
+        if let Purpose::Seat(_) = &purpose {
+            self.pledges.seat_written(self.now, &outcome);
+        }
         match (purpose, outcome) {
             (Purpose::Grant, Outcome::Granted(lease, _)) => {
                 self.seats.lease = Some(lease);
+                self.seats.granted = self.now;
                 self.seats.renewed = sent;
                 self.seats.entered = false;
                 self.enter(out);
@@ -170,6 +188,7 @@
 
     pub(crate) fn seat_due(&mut self, out: &mut Effects) {
         self.watch_holders(out);
+        self.ask_pledges(out);
         self.stop_in_time(out);
         self.keep_lease(out);
         self.take_seats(out);
@@ -193,6 +212,17 @@
         self.take_seats(out);
     }
 
+    /// From when on this VM may take a seat: where engines don't check fencing numbers not before its pledge is over, nor, where
+    /// it has just got a lease, before the pledges of others that it does not know of.
+    fn rested(&self, service: &Service) -> Instant {
+        let rested = self.seats.rested(service);
+        if self.settings.tuning.fencing {
+            return rested;
+        }
+        let others = self.seats.granted + (PLEDGE + self.settings.tuning.lease_guard);
+        rested.max(self.pledges.given(service)).max(others)
+    }
+
     fn set_turn(&mut self, service: Service, turn: Turn) {
         self.timers.set(turn.at(), Timer::Seat);
         self.seats.turns.insert(service, turn);
@@ -202,7 +232,7 @@
     fn vacancy(&self, service: &Service) -> Vacancy {
         let vacancy = self.vacancy_for_any(service);
         let alone = self.peers().next().is_none();
-        let resting = !alone && self.now < self.seats.rested(service);
+        let resting = !alone && self.now < self.rested(service);
         match vacancy {
             Vacancy::Free | Vacancy::Silent if resting => Vacancy::Resting,
             vacancy => vacancy,
@@ -383,7 +413,7 @@
     }
 
     /// Sends a message to all other VMs.
-    fn tell_all(&self, message: &Message, out: &mut Effects) {
+    pub(crate) fn tell_all(&self, message: &Message, out: &mut Effects) {
         for vm in self.peers() {
             self.send(vm, message.clone(), out);
         }
@@ -424,16 +454,27 @@
         }
     }
 
-    /// Stops scheduling before the lease can end, where engines would take the orders of two holders.
+    /// Stops scheduling before the lease can end, where engines would take the orders of two holders, unless all other VMs have
+    /// pledged to take no seat meanwhile.
     fn stop_in_time(&mut self, out: &mut Effects) {
-        if self.settings.tuning.fencing || self.desks.is_empty() {
+        if self.settings.tuning.fencing {
             return;
         }
-        let last = self.lease_sure();
-        if self.now >= last {
-            self.lose_seats(out);
-        } else {
-            self.timers.set(last, Timer::Seat);
+        let sure = self.lease_sure();
+        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        for service in services {
+            let pledged = self.pledged_until(&service);
+            match sure.max(pledged) {
+                last if self.now >= last => self.seat_lost(&service, out),
+                last => self.timers.set_once(last, Timer::Seat),
+            }
+            let alone = self.now >= sure && self.now < pledged;
+            if alone && !self.pledges.holds {
+                let vms = self.peers().count();
+                let detail = format!("service={service} vms={vms} until={pledged}");
+                Self::log(out, Code::HeldByPledges, detail);
+            }
+            self.pledges.holds = alone;
         }
     }
 
@@ -490,7 +531,7 @@
             let turn = self.seats.turns.remove(&service);
             let next = match (self.vacancy(&service), turn) {
                 (Vacancy::Held, _) => continue,
-                (Vacancy::Resting, _) => Turn::Take(self.seats.rested(&service)),
+                (Vacancy::Resting, _) => Turn::Take(self.rested(&service)),
                 (Vacancy::Free, Some(Turn::Look(_))) => self.turn(&service),
                 _ => {
                     self.take_seat(service.clone(), out);
@@ -504,11 +545,7 @@
     /// Writes this VM into a seat, if nobody else did since.
     fn take_seat(&mut self, service: Service, out: &mut Effects) {
         let purpose = Purpose::Seat(service.clone());
-        let asked = self
-            .seats
-            .calls
-            .values()
-            .any(|(other, _)| *other == purpose);
+        let asked = self.seats.writes(&service);
         let away = self.follow.away.is_some();
         let Some(lease) = self
             .seats
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -56,6 +56,8 @@
     pub crash: Option<String>,
     /// The fencing numbers of the orders it accepted, with their times.
     pub fences: Vec<(Instant, u64)>,
+    /// The last order under a lower number than one before, and when it came.
+    pub late_fence: Option<(Instant, u64)>,
     /// Whether it fails what it runs.
     pub failing: bool,
     /// Adapters loaded.
@@ -85,6 +87,7 @@
             up: true,
             crash: None,
             fences: Vec::new(),
+            late_fence: None,
             failing: false,
             loads: 0,
             fetches: 0,
@@ -109,7 +112,10 @@
     /// Carries an order out.
     pub fn order(&mut self, now: Instant, newest: u64, order: &Order) -> Ordered {
         match order {
-            _ if order.fence < self.fence => return Ordered::Fenced,
+            _ if order.fence < self.fence => {
+                self.late_fence = Some((now, order.fence));
+                return Ordered::Fenced;
+            }
             _ if order.expected != self.orders => return Ordered::Conflict,
             _ => self.fence = order.fence,
         }
