--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -9,6 +9,7 @@
 use std::process::ExitCode;
 use std::thread;
 
+use dahliastile_platform::{Mechanism, Without};
 use eyre::Context;
 use gumdrop::Options;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -39,6 +40,13 @@
     )]
     platform: Option<String>,
 
+    #[options(
+        no_short,
+        help = "on the platform, do without a mechanism of the decisions; may be given several times",
+        meta = "NAME"
+    )]
+    without: Vec<Mechanism>,
+
     #[options(no_short, help = "check a settings file and exit", meta = "FILE")]
     check: Option<String>,
 
@@ -81,7 +89,8 @@
             ExitCode::SUCCESS
         }
         _ if arguments.platform.is_some() => {
-            platform(arguments.platform.as_deref().unwrap_or_default())
+            let without = arguments.without.iter().copied().collect();
+            platform(arguments.platform.as_deref().unwrap_or_default(), without)
         }
         (_, Some(file)) => match load(file, &arguments.set) {
             Some(_) => {
@@ -122,12 +131,12 @@
 }
 
 /// Runs on the users' platform.
-fn platform(variable: &str) -> ExitCode {
+fn platform(variable: &str, without: Without) -> ExitCode {
     let Ok(path) = std::env::var(variable) else {
         eprintln!("dahliastiled: {variable} does not name a settings file");
         return ExitCode::from(WRONG);
     };
-    match dahliastile_platform::run(&path) {
+    match dahliastile_platform::run(&path, without) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) if report.is::<dahliastile_platform::Wrong>() => {
             eprintln!("dahliastiled: {report:#}");
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -93,13 +93,8 @@
         let rows = self.servers.iter();
         let fit = rows.filter(|(s, row)| row.backend.service == flow.service && holds(s));
         let version = work.adapter.as_ref().map(|_| newest).filter(|v| *v > 0);
-        let choice = crate::plain::choose(
-            fit,
-            &flow.failed,
-            &self.settings.zone,
-            self.now,
-            &mut self.rng,
-        );
+        let choice =
+            crate::plain::choose(fit, &flow.failed, &self.settings, self.now, &mut self.rng);
         if let Some(server) = choice {
             self.send_to(request, &server, version, out);
         }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -32,6 +32,7 @@
 use crate::event::{Ordered, Report, RequestId, Work};
 use crate::fact::{Backend, Version};
 use crate::health::{Health, last};
+use crate::mechanism::Mechanism;
 use crate::message::{Holding, Progress, Running, Want};
 use crate::settings::Settings;
 
@@ -221,6 +222,7 @@
     ) {
         self.dirty = true;
         let key = self.keys.key(model, adapter);
+        let at = at.filter(|_| self.settings.uses(Mechanism::OldVersions));
         self.keys.named(key, version, at);
     }
 
@@ -336,7 +338,8 @@
     /// Has the engines that fail most come last for now.
     fn judge(&mut self, now: Instant) {
         let health: Vec<&Health> = self.engines.values().map(|engine| &engine.health).collect();
-        let last = last(now, &health);
+        let used = self.settings.uses(Mechanism::HealthRanking);
+        let last = if used { last(now, &health) } else { Vec::new() };
         for (at, engine) in self.engines.values_mut().enumerate() {
             engine.last = last.contains(&at);
         }
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -12,6 +12,7 @@
 use super::key::Key;
 use super::spread::{Spot, Spread};
 use super::{Decision, Desk};
+use crate::mechanism::Mechanism;
 
 /// The cost of taking away an adapter that one request asked for a moment ago, as a time: its next request waits for
 /// a load.
@@ -132,6 +133,7 @@
     /// wait at the engines that hold it already, where it is long enough for a copy.
     fn wanted(&self, waits: &[Wait], spread: &Spread) -> Vec<Wanted> {
         let mut wanted: Vec<Wanted> = Vec::new();
+        let copies = self.settings.uses(Mechanism::Copies);
         let mut rows: FxHashMap<Key, usize> = FxHashMap::default();
         for wait in waits {
             let Some(job) = self.jobs.get(&wait.id).filter(|job| job.waits()) else {
@@ -142,7 +144,7 @@
             };
             let copy = match wait.what {
                 For::Load => None,
-                For::Room if wait.span > COPY_FROM => Some(wait.span),
+                For::Room if copies && wait.span > COPY_FROM => Some(wait.span),
                 For::Room | For::Coming => continue,
             };
             match rows.get(&key) {
@@ -201,7 +203,8 @@
 
     /// Where an adapter lies beside an engine, how many others were held there since it was.
     pub(crate) fn lies_beside(&self, engine: &Engine, key: Key) -> Option<usize> {
-        let depth = engine.recent.depth(key);
+        let used = self.settings.uses(Mechanism::RecentAdapters);
+        let depth = engine.recent.depth(key).filter(|_| used);
         depth.filter(|depth| self.beside.holds(*depth))
     }
 
@@ -247,7 +250,8 @@
             })
         });
         let best = choices.min_by_key(|choice| choice.cost);
-        best.filter(|best| now >= wanted.patient || best.cost <= later)
+        let patient = self.settings.uses(Mechanism::RecentPatience) && now < wanted.patient;
+        best.filter(|best| !patient || best.cost <= later)
     }
 
     /// What has to make room at an engine for an adapter, and what that costs; none where there can be no room.
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -9,6 +9,7 @@
 use super::spread::Spread;
 use super::{Decision, Desk};
 use crate::event::{Cause, Ran};
+use crate::mechanism::Mechanism;
 
 /// The cost of another availability zone, as a time: bytes between zones cost about a twentieth of a plan's worth, which
 /// a wait of this length costs too.
@@ -63,9 +64,10 @@
 
     /// The engine that could run a request at the least cost, of those that hold what it needs.
     fn best(&self, now: Instant, job: &Job, spread: &Spread) -> Option<(Server, Span)> {
+        let zones = self.settings.uses(Mechanism::ZonePreference);
         let cost = |server: &Server, engine: &Engine| {
             let fit = engine.usable() && !job.failed.contains(server);
-            fit.then(|| cost(engine, job, now))
+            fit.then(|| cost(engine, job, now, zones))
         };
         let ready = |key| spread.ready(key).iter();
         let named = job.key.into_iter().flat_map(ready);
@@ -122,9 +124,10 @@
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        engine
-            .kept
-            .read(job.key, &job.work.parts, self.shape.tokens);
+        if self.settings.uses(Mechanism::KeptParts) {
+            let kept = &mut engine.kept;
+            kept.read(job.key, &job.work.parts, self.shape.tokens);
+        }
         if let Some(place) = engine.places.get_mut(&key) {
             place.used += 1;
         }
@@ -239,9 +242,9 @@
 }
 
 /// What a request costs at an engine, as a time.
-fn cost(engine: &Engine, job: &Job, now: Instant) -> Span {
+fn cost(engine: &Engine, job: &Job, now: Instant, zones: bool) -> Span {
     let away = match &job.zone {
-        Some(zone) if *zone != engine.backend.zone => OTHER_ZONE,
+        Some(zone) if zones && *zone != engine.backend.zone => OTHER_ZONE,
         _ => Span::ZERO,
     };
     let shunned = if engine.last { SHUNNED } else { Span::ZERO };
--- a/crates/gateway/src/desk/refuse.rs
+++ b/crates/gateway/src/desk/refuse.rs
@@ -6,6 +6,7 @@
 use super::forecast::Wait;
 use super::job::Job;
 use super::{Decision, Desk};
+use crate::mechanism::Mechanism;
 
 /// The least time from a place to the first event: a short prompt and a few steps.
 const SHORTEST: Span = Span::from_millis(150);
@@ -24,6 +25,9 @@
 impl Desk {
     /// Refuses the waiting requests that can't be served in time, by the forecast.
     pub(crate) fn refuse_jobs(&mut self, now: Instant, waits: &[Wait], out: &mut Vec<Decision>) {
+        if !self.settings.uses(Mechanism::ForecastRefusals) {
+            return;
+        }
         for wait in waits {
             let Some(job) = self.jobs.get(&wait.id) else {
                 continue;
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -165,12 +165,12 @@
             self.ask_place(request, out);
             return;
         }
-        let (zone, now) = (&self.settings.zone, self.now);
+        let now = self.now;
         let rows = self
             .servers
             .iter()
             .filter(|(_, row)| row.backend.service == service);
-        match plain::choose(rows, &flow.failed, zone, now, &mut self.rng) {
+        match plain::choose(rows, &flow.failed, &self.settings, now, &mut self.rng) {
             Some(server) => self.send_to(request, &server, None, out),
             None => self.give_up(request, Some(COME_BACK), "no_server", out),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //!   on the one VM that holds the service's lease.
 //! * `seat`: that lease, and the fencing number of orders.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
+//! * [`mechanism`]: what of all that can be switched off.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
 
 mod agent;
@@ -29,6 +30,7 @@
 pub mod health;
 mod host;
 mod measure;
+pub mod mechanism;
 pub mod message;
 mod node;
 mod plain;
--- /dev/null
+++ b/crates/gateway/src/mechanism.rs
@@ -0,0 +1,111 @@
+//! Parts of the decisions that can be switched off, to measure what each is worth or to do without one in an incident.
+//!
+//! Without any of them everything promised still holds: they only make answers faster and loads fewer.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// Something that the decisions can do without.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Adapters come back to the engine beside which copies of them lie.
+    RecentAdapters,
+    /// A request waits for room at such an engine, though another one has room.
+    RecentPatience,
+    /// An engine that keeps parts of a prompt is preferred, and they don't count as work for it.
+    KeptParts,
+    /// Adapters that are asked for beyond what their engines can read are loaded on more of them.
+    Copies,
+    /// Engines and plain servers of the VM's own availability zone are preferred.
+    ZonePreference,
+    /// What can't be served in time by the forecast is refused at once.
+    ForecastRefusals,
+    /// Servers that fail what they run come last.
+    HealthRanking,
+    /// The version before is used for a moment while the newest one loads.
+    OldVersions,
+    /// A scheduler goes on through an outage by the pledges of the other VMs.
+    Pledges,
+    /// The strongest VMs schedule and watch for the others.
+    Strength,
+}
+
+impl Mechanism {
+    /// All of them, with the names that operators write.
+    pub const ALL: [(Self, &'static str); 10] = [
+        (Self::RecentAdapters, "recent-adapters"),
+        (Self::RecentPatience, "recent-patience"),
+        (Self::KeptParts, "kept-parts"),
+        (Self::Copies, "copies"),
+        (Self::ZonePreference, "zone-preference"),
+        (Self::ForecastRefusals, "forecast-refusals"),
+        (Self::HealthRanking, "health-ranking"),
+        (Self::OldVersions, "old-versions"),
+        (Self::Pledges, "pledges"),
+        (Self::Strength, "strength"),
+    ];
+
+    const fn bit(self) -> u32 {
+        1 << self as u32
+    }
+}
+
+impl fmt::Display for Mechanism {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names = Self::ALL.iter();
+        let name = names.filter(|(mechanism, _)| mechanism == self);
+        f.write_str(name.map(|(_, name)| *name).next().unwrap_or_default())
+    }
+}
+
+/// A name that is none of a mechanism.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is no mechanism; there are: {names}", names = names())]
+pub struct Unknown(String);
+
+fn names() -> String {
+    let names: Vec<&str> = Mechanism::ALL.iter().map(|(_, name)| *name).collect();
+    names.join(", ")
+}
+
+impl FromStr for Mechanism {
+    type Err = Unknown;
+
+    fn from_str(text: &str) -> Result<Self, Unknown> {
+        let mut all = Self::ALL.iter();
+        let found = all.find(|(_, name)| *name == text);
+        let found = found.map(|(mechanism, _)| *mechanism);
+        found.ok_or_else(|| Unknown(text.to_owned()))
+    }
+}
+
+/// The mechanisms that are switched off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Without(u32);
+
+impl Without {
+    /// Whether a mechanism is in use.
+    #[must_use]
+    pub const fn uses(self, mechanism: Mechanism) -> bool {
+        self.0 & mechanism.bit() == 0
+    }
+}
+
+impl FromIterator<Mechanism> for Without {
+    fn from_iter<T: IntoIterator<Item = Mechanism>>(mechanisms: T) -> Self {
+        let bits = mechanisms.into_iter().map(Mechanism::bit);
+        Self(bits.fold(0, |all, bit| all | bit))
+    }
+}
+
+/// The names with commas between; `-` where none is switched off.
+impl fmt::Display for Without {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let off = Mechanism::ALL
+            .iter()
+            .filter(|(mechanism, _)| !self.uses(*mechanism));
+        let names: Vec<&str> = off.map(|(_, name)| *name).collect();
+        f.write_str(if names.is_empty() { "-" } else { "" })?;
+        f.write_str(&names.join(","))
+    }
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,6 +22,7 @@
 use crate::flow::Flow;
 use crate::follow;
 use crate::measure;
+use crate::mechanism::Mechanism;
 use crate::message::Message;
 use crate::plain::Row;
 use crate::pledge;
@@ -163,6 +164,9 @@
 
     /// How much a VM can do for others.
     pub(crate) fn strength(&self, vm: &Vm) -> u32 {
+        if !self.settings.uses(Mechanism::Strength) {
+            return 0;
+        }
         if *vm == self.settings.vm {
             self.settings.strength
         } else {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -9,6 +9,8 @@
 
 use crate::fact::Backend;
 use crate::health::Health;
+use crate::mechanism::{Mechanism, Without};
+use crate::settings::Settings;
 
 /// How many requests more a server of the VM's own zone may have than another one before that is taken instead: bytes
 /// between zones cost, and a queue of one costs about as much time as the way there.
@@ -51,10 +53,11 @@
     }
 
     /// The cost of sending a request there, compared with other servers of its service.
-    fn cost(&self, zone: &Zone, now: Instant) -> f64 {
+    fn cost(&self, zone: &Zone, now: Instant, without: Without) -> f64 {
         let slots = f64::from(self.backend.slots.max(1));
         let load = f64::from(self.open) / slots;
-        let away = if self.backend.zone == *zone {
+        let zones = without.uses(Mechanism::ZonePreference);
+        let away = if !zones || self.backend.zone == *zone {
             0.0
         } else {
             ZONE_WORTH
@@ -64,7 +67,11 @@
         } else {
             0.0
         };
-        load + away + last + self.health.failures(now)
+        if without.uses(Mechanism::HealthRanking) {
+            load + away + last + self.health.failures(now)
+        } else {
+            load + away
+        }
     }
 }
 
@@ -72,13 +79,13 @@
 pub(crate) fn choose<'a>(
     rows: impl Iterator<Item = (&'a Server, &'a Row)>,
     failed: &[Server],
-    zone: &Zone,
+    settings: &Settings,
     now: Instant,
     rng: &mut ChaCha8Rng,
 ) -> Option<Server> {
     let open = rows.filter(|(server, row)| row.backend.ready && !failed.contains(server));
-    let costs =
-        open.map(|(server, row)| (server, row.cost(zone, now) + rng.random_range(0.0..CHANCE)));
+    let cost = |row: &Row| row.cost(&settings.zone, now, settings.without);
+    let costs = open.map(|(server, row)| (server, cost(row) + rng.random_range(0.0..CHANCE)));
     let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
     best.map(|(server, _)| server.clone())
 }
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/pledge.rs
@@ -16,6 +16,7 @@
 
 use crate::effect::Effects;
 use crate::event::Outcome;
+use crate::mechanism::Mechanism;
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -74,7 +75,8 @@
 
     /// Asks all other VMs for their pledges, where this one schedules and its renewals have no answer.
     pub(crate) fn ask_pledges(&mut self, out: &mut Effects) {
-        if self.settings.tuning.fencing || self.desks.is_empty() {
+        let used = self.settings.uses(Mechanism::Pledges);
+        if !used || self.settings.tuning.fencing || self.desks.is_empty() {
             return;
         }
         let due = self.pledges.next.max(self.overdue_at());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,8 @@
 use dahliastile_core::id::{Incarnation, Vm, Zone};
 use dahliastile_core::time::Span;
 
+use crate::mechanism::{Mechanism, Without};
+
 /// What one entry VM is told.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -25,6 +27,16 @@
     pub seeds: Vec<SocketAddr>,
     /// The figures.
     pub tuning: Tuning,
+    /// The mechanisms that are switched off.
+    pub without: Without,
+}
+
+impl Settings {
+    /// Whether a mechanism is in use.
+    #[must_use]
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        self.without.uses(mechanism)
+    }
 }
 
 /// The figures behind the decisions, each with where it comes from.
--- /dev/null
+++ b/crates/gateway/tests/mechanism.rs
@@ -0,0 +1,71 @@
+//! Mechanisms that are switched off.
+
+mod support;
+
+use dahliastile_core::time::Span;
+use dahliastile_gateway::mechanism::{Mechanism, Without};
+use dahliastile_gateway::settings::Tuning;
+use support::World;
+use support::setup::draft;
+
+#[test]
+fn name_isreadback() {
+    for (mechanism, name) in Mechanism::ALL {
+        assert_eq!(mechanism.to_string(), name);
+        assert_eq!(name.parse(), Ok(mechanism));
+    }
+    let error = "copy".parse::<Mechanism>().expect_err("no mechanism");
+    assert!(error.to_string().contains("copies"), "{error}");
+}
+
+#[test]
+fn without_namesthem() {
+    assert_eq!(Without::default().to_string(), "-");
+    let without: Without = [Mechanism::Pledges, Mechanism::Copies]
+        .into_iter()
+        .collect();
+    assert_eq!(without.to_string(), "copies,pledges");
+    assert!(!without.uses(Mechanism::Copies) && without.uses(Mechanism::Strength));
+}
+
+/// Without any one of them, and without all, what is promised holds under an outage, a lost engine, a lost holder and new
+/// versions, and most of a quiet night is served. Engines don't check fencing numbers.
+#[test]
+fn without_anypromisesarekept() {
+    let each = Mechanism::ALL
+        .iter()
+        .map(|(mechanism, _)| [*mechanism].into_iter().collect());
+    let all = Mechanism::ALL
+        .iter()
+        .map(|(mechanism, _)| *mechanism)
+        .collect();
+    for without in each.chain([all]) {
+        let tuning = Tuning {
+            fencing: false,
+            ..Tuning::default()
+        };
+        let mut world = World::without(4, 4, 1, tuning, without);
+        world.run(Span::from_secs(2));
+        let mut numbers = Vec::new();
+        for round in 0..6_u64 {
+            match round {
+                1 => world.name_version("a5", 2),
+                2 => world.crash("e1"),
+                3 => world.kill(world.holder().expect("a holder"), false),
+                4 => world.store_up = false,
+                5 => world.store_up = true,
+                _ => {}
+            }
+            world.wake_watchers();
+            let call = |at: usize| draft(&format!("r{round}-{at}"), &format!("a{}", at * 5 % 12));
+            numbers.extend(world.ask_all(50, Span::from_millis(40), call));
+        }
+        world.run(Span::from_secs(6));
+        let (served, all) = (world.served_of(&numbers), numbers.len());
+        assert!(
+            served * 10 >= all * 7,
+            "{served} of {all} without {without}"
+        );
+        world.check();
+    }
+}
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -10,6 +10,7 @@
 };
 use dahliastile_gateway::event::{Call, Report, Work};
 use dahliastile_gateway::fact::{Backend, Base, Resident};
+use dahliastile_gateway::mechanism::Without;
 use dahliastile_gateway::settings::{Settings, Tuning};
 
 /// The service with engines.
@@ -49,6 +50,7 @@
         seed: 7 + number as u64,
         seeds: Vec::new(),
         tuning: tuning.clone(),
+        without: Without::default(),
     }
 }
 
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -13,6 +13,7 @@
 use dahliastile_gateway::effect::{Op, Order, Reason, Send};
 use dahliastile_gateway::event::{Call, Event};
 use dahliastile_gateway::fact::{Backend, Fact, Subject};
+use dahliastile_gateway::mechanism::Without;
 use dahliastile_gateway::message::Message;
 use dahliastile_gateway::settings::Tuning;
 use rand::SeedableRng;
@@ -138,6 +139,7 @@
     /// Messages that VMs sent to each other.
     pub messages: u64,
     tuning: Tuning,
+    without: Without,
     queue: BinaryHeap<Reverse<(Instant, u64)>>,
     acts: BTreeMap<u64, Act>,
     seq: u64,
@@ -156,8 +158,29 @@
         Self::uneven(&vec![USUAL; vms], engines, plain, tuning)
     }
 
+    /// The same without some mechanisms.
+    pub fn without(
+        vms: usize,
+        engines: usize,
+        plain: usize,
+        tuning: Tuning,
+        without: Without,
+    ) -> Self {
+        Self::build(&vec![USUAL; vms], engines, plain, tuning, without)
+    }
+
     /// The same with VMs of different strength.
     pub fn uneven(strengths: &[u32], engines: usize, plain: usize, tuning: Tuning) -> Self {
+        Self::build(strengths, engines, plain, tuning, Without::default())
+    }
+
+    fn build(
+        strengths: &[u32],
+        engines: usize,
+        plain: usize,
+        tuning: Tuning,
+        without: Without,
+    ) -> Self {
         let mut world = Self {
             now: Instant(1_000_000),
             hosts: Vec::new(),
@@ -171,6 +194,7 @@
             lines: Vec::new(),
             messages: 0,
             tuning,
+            without,
             queue: BinaryHeap::new(),
             acts: BTreeMap::new(),
             seq: 0,
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -21,6 +21,7 @@
         host.wake = Instant::NEVER;
         let mut settings = setup::settings(vm, host.start, &self.tuning);
         settings.strength = host.strength;
+        settings.without = self.without;
         host.gateway = Some(Gateway::new(settings));
         self.deliver(vm, Event::Start);
     }
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -84,8 +84,8 @@
     let tuning = settings.tuning.clone();
     let mut journal = Journal::new(settings.vm.clone())?;
     let started = format!(
-        "incarnation={} callers={} peers={}",
-        settings.incarnation.0, options.callers, options.peers
+        "incarnation={} callers={} peers={} without={}",
+        settings.incarnation.0, options.callers, options.peers, settings.without
     );
     journal.write(clock.now(), &Record::new(Code::Started, started));
     let mut terminate = signal(SignalKind::terminate()).wrap_err("can't listen for signals")?;
