dahliactl budget: where the time of requests goes and how they end, from the logs

A row for each route, each request in exactly one column: in time, begun late, paused too long, refused, failed, timed out, left, open; half and nine tenths of the waits for a place, of the server's part and of the longest pauses.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -66,6 +66,9 @@
     /// Checks a file.
     #[options(help = "check a settings file or a configuration document")]
     Check(File),
+    /// Adds up where the time of requests goes.
+    #[options(help = "say how requests ended and where their time went, from logs of VMs")]
+    Budget(Log),
     /// Shows the fleet.
     #[options(help = "show VMs, domains, servers and editions")]
     Status(Status),
@@ -94,6 +97,21 @@
     pub file: String,
 }
 
+/// A command that takes logs.
+#[derive(Debug, Options)]
+pub struct Log {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The file.
+    #[options(
+        free,
+        required,
+        help = "lines of the VMs' logs, those of all VMs together"
+    )]
+    pub file: String,
+}
+
 /// Options of `status`.
 #[derive(Debug, Options)]
 pub struct Status {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod apply;
 mod args;
+mod budget;
 mod check;
 mod client;
 mod demo;
@@ -22,6 +23,7 @@
 
 pub use apply::changes;
 pub use args::{Args, Command, NOTES};
+pub use budget::{Row, budget};
 pub use diff::{patched, script};
 pub use edit::{MOST_BYTES, parts};
 pub use error::{Error, Result};
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::args::{Apply, Args, Command};
+use crate::budget;
 use crate::client::Client;
 use crate::error::{Error, Result};
 use crate::output::Output;
@@ -35,6 +36,7 @@
     let command = command.ok_or_else(|| Error::Usage("no command is given".to_owned()))?;
     match command {
         Command::Check(options) => return check::run(&options.file),
+        Command::Budget(options) => return budget::run(&options.file),
         Command::Demo(options) => return crate::demo::run(options),
         _ => {}
     }
@@ -48,7 +50,9 @@
             Some(command) => rules::run(&mut session, command),
             None => Err(Error::Usage("no command on rules is given".to_owned())),
         },
-        Command::Check(_) | Command::Demo(_) => Ok(Output::new("", &json!(null))),
+        Command::Check(_) | Command::Budget(_) | Command::Demo(_) => {
+            Ok(Output::new("", &json!(null)))
+        }
     }
 }
 
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operators' tool without a daemon.
 
+mod budget;
 mod commands;
 mod diff;
 mod files;
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -180,12 +180,13 @@
     /// An engine is listed, or describes itself anew.
     pub fn server(&mut self, server: &Server, backend: &Arc<Backend>) {
         self.dirty = true;
-        match self.engines.get_mut(server) {
-            Some(engine) => {
-                if engine.described(backend) {
-                    self.restarted(server, backend.start);
-                }
-            }
+        match self
+            .engines
+            .get_mut(server)
+            .map(|engine| engine.described(backend))
+        {
+            Some(true) => self.restarted(server, backend.start),
+            Some(false) => {}
             None => {
                 let mut engine = Engine::new(backend.clone());
                 engine.running = u32::try_from(self.jobs.at(server).len()).unwrap_or(u32::MAX);
