--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! * `agent`: asks the scheduler of an engine service for a place, and goes on without one.
 //! * [`desk`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
 //!   on the one VM that holds the service's lease.
+//! * `run`: when it runs, and what becomes of its decisions.
 //! * `seat`: that lease, and the fencing number of orders.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
 //! * [`mechanism`]: what of all that can be switched off.
@@ -35,6 +36,7 @@
 mod node;
 mod plain;
 mod pledge;
+mod run;
 mod seat;
 pub mod settings;
 mod timer;
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,89 @@
+//! The schedulers that run on this VM: when each is due, and what becomes of its decisions.
+
+use dahliastile_core::id::Service;
+use dahliastile_core::metric::Figure;
+
+use crate::desk::{Decision, Desk};
+use crate::effect::{Effect, Effects};
+use crate::measure;
+use crate::message::Message;
+use crate::node::Gateway;
+use crate::timer::Timer;
+
+impl Gateway {
+    /// Runs the schedulers on this VM and passes on what they decided.
+    pub(crate) fn run_desks(&mut self, out: &mut Effects) {
+        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        for service in services {
+            // Most steps find nothing due, and the VMs are counted only where something is.
+            let Some(wake) = self.desks.get(&service).map(Desk::wake) else {
+                continue;
+            };
+            if self.now < wake {
+                self.timers.set_once(wake, Timer::Desk(service));
+                continue;
+            }
+            let vms = self.peers().count();
+            let Some(desk) = self.desks.get_mut(&service) else {
+                continue;
+            };
+            desk.audience(vms);
+            let mut decisions = Vec::new();
+            desk.run(self.now, &mut decisions);
+            let (fence, wake) = (desk.fence(), desk.wake());
+            for decision in decisions {
+                self.carry_out(&service, fence, decision, out);
+            }
+            self.timers.set_once(wake, Timer::Desk(service));
+        }
+    }
+
+    fn carry_out(&mut self, service: &Service, fence: u64, decision: Decision, out: &mut Effects) {
+        let me = self.settings.vm.clone();
+        match decision {
+            Decision::Place(vm, request, server, version) if vm == me => {
+                self.placed(request, &server, version, out);
+            }
+            Decision::Place(vm, request, server, version) => {
+                self.send(
+                    &vm,
+                    Message::Place(service.clone(), fence, request, server, version),
+                    out,
+                );
+            }
+            Decision::Refuse(vm, request, after) if vm == me => {
+                self.turned_away(request, after, out);
+            }
+            Decision::Refuse(vm, request, after) => {
+                self.send(
+                    &vm,
+                    Message::Refuse(service.clone(), fence, request, after),
+                    out,
+                );
+            }
+            Decision::Order(id, server, address, order) => {
+                measure::count(
+                    out,
+                    Figure::Loads,
+                    service,
+                    if order.load { "load" } else { "unload" },
+                );
+                out.push(Effect::Order(id, server, address, order));
+            }
+            Decision::Report(server, address) => out.push(Effect::Report(server, address)),
+            Decision::Residents(residents) => {
+                self.keep_residents(service, residents.clone());
+                self.tell_all(&Message::Residents(service.clone(), fence, residents), out);
+            }
+            Decision::Alive => self.tell_all(&Message::Alive(service.clone(), fence), out),
+            Decision::Log(record) => out.push(Effect::Log(record)),
+        }
+    }
+
+    /// Sends a message to all other VMs.
+    pub(crate) fn tell_all(&self, message: &Message, out: &mut Effects) {
+        for vm in self.peers() {
+            self.send(vm, message.clone(), out);
+        }
+    }
+}
