--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -269,9 +269,6 @@
             let key = self.key_of(&run.work);
             let job = Job::running(now, run, key);
             self.occupy(&job, &run.server);
-            if let Some(engine) = self.engines.get_mut(&run.server) {
-                engine.running += 1;
-            }
             self.jobs.insert(id, job);
         }
         for want in wants {
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -220,7 +220,7 @@
 
     /// The prompt tokens of a request that it would have to read: those that it does not keep.
     pub(crate) fn reads(&self, job: &Job) -> u32 {
-        let kept = self.kept.of(job.key, &job.work.parts);
+        let kept = job.key.map_or(0, |key| self.kept.of(key, &job.work.parts));
         job.work.prompt.saturating_sub(kept)
     }
 
@@ -234,7 +234,6 @@
         if self.unread == 0 {
             self.last_begun = now;
         }
-        self.running += 1;
         self.unread += u64::from(reads);
     }
 
--- a/crates/gateway/src/desk/job.rs
+++ b/crates/gateway/src/desk/job.rs
@@ -113,6 +113,11 @@
         self.state == State::Waiting
     }
 
+    /// Whether it was given to a server.
+    fn is_at(&self, server: &Server) -> bool {
+        matches!(&self.state, State::Running { server: at, .. } if at == server)
+    }
+
     /// Its place among those that wait.
     fn turn(&self, id: &JobId) -> Turn {
         (self.priority, self.arrived, id.clone())
@@ -196,9 +201,7 @@
 
     /// The requests that were given to a server.
     pub(crate) fn at(&self, server: &Server) -> Vec<JobId> {
-        let there =
-            |job: &Job| matches!(&job.state, State::Running { server: at, .. } if at == server);
-        let rows = self.rows.iter().filter(|(_, job)| there(job));
+        let rows = self.rows.iter().filter(|(_, job)| job.is_at(server));
         let mut at: Vec<JobId> = rows.map(|(id, _)| id.clone()).collect();
         at.sort_unstable();
         at
@@ -216,10 +219,8 @@
 
     /// How many requests at a server use an adapter.
     pub(crate) fn using(&self, server: &Server, key: Key) -> u32 {
-        let using = self.rows.values().filter(|job| {
-            job.key == Some(key)
-                && matches!(&job.state, State::Running { server: at, .. } if at == server)
-        });
+        let jobs = self.rows.values();
+        let using = jobs.filter(|job| job.key == Some(key) && job.is_at(server));
         u32::try_from(using.count()).unwrap_or(u32::MAX)
     }
 }
--- a/crates/gateway/src/desk/kept.rs
+++ b/crates/gateway/src/desk/kept.rs
@@ -14,8 +14,8 @@
 /// of 2,500 tokens each at a busy engine.
 const SHARE: f64 = 0.6;
 
-/// A part for an adapter; for the base model itself where there is none.
-type Row = (Option<Key>, u64);
+/// A part for an adapter.
+type Row = (Key, u64);
 
 /// The parts that one engine keeps.
 #[derive(Debug, Default)]
@@ -30,7 +30,7 @@
 
 impl Kept {
     /// How many tokens of a prompt are kept, from its begin on.
-    pub(crate) fn of(&self, key: Option<Key>, parts: &[Part]) -> u32 {
+    pub(crate) fn of(&self, key: Key, parts: &[Part]) -> u32 {
         let rows = parts.iter().map(|part| self.rows.get(&(key, part.id)));
         rows.map_while(|row| row.map(|(tokens, _)| tokens)).sum()
     }
@@ -41,7 +41,7 @@
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss
     )]
-    pub(crate) fn read(&mut self, key: Option<Key>, parts: &[Part], memory: u64) {
+    pub(crate) fn read(&mut self, key: Key, parts: &[Part], memory: u64) {
         // The first part is of use as long as any other is, so it is used last.
         for part in parts.iter().rev() {
             self.last += 1;
@@ -61,7 +61,7 @@
     pub(crate) fn unloaded(&mut self, key: Key) {
         let tokens = &mut self.tokens;
         self.rows.retain(|(of, _), (held, _)| {
-            let goes = *of == Some(key);
+            let goes = *of == key;
             *tokens -= if goes { u64::from(*held) } else { 0 };
             !goes
         });
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -116,17 +116,18 @@
         ));
     }
 
-    /// Counts a request on its adapter's place.
+    /// Counts a request on its engine and its adapter's place.
     pub(crate) fn occupy(&mut self, job: &Job, server: &Server) {
-        let Some(key) = job.key else {
+        let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        let Some(engine) = self.engines.get_mut(server) else {
+        engine.running += 1;
+        let Some(key) = job.key else {
             return;
         };
         if self.settings.uses(Mechanism::KeptParts) {
             let kept = &mut engine.kept;
-            kept.read(job.key, &job.work.parts, self.shape.tokens);
+            kept.read(key, &job.work.parts, self.shape.tokens);
         }
         if let Some(place) = engine.places.get_mut(&key) {
             place.used += 1;
--- a/crates/gateway/src/desk/summary.rs
+++ b/crates/gateway/src/desk/summary.rs
@@ -4,7 +4,6 @@
 use dahliastile_core::time::Instant;
 
 use super::Desk;
-use super::engine::Stage;
 use super::forecast::For;
 
 /// The requests that wait, by what they wait for.
@@ -32,10 +31,7 @@
         let engines = self.engines.values();
         let places = engines.clone().flat_map(|engine| engine.places.values());
         let used = places.clone().filter(|place| place.used > 0).count();
-        let coming = places
-            .clone()
-            .filter(|place| matches!(place.stage, Stage::Coming(_) | Stage::Wanted))
-            .count();
+        let coming = places.clone().filter(|place| place.moves()).count();
         let usable = engines.clone().filter(|engine| engine.usable()).count();
         let idle = engines
             .clone()
--- a/crates/gateway/src/mechanism.rs
+++ b/crates/gateway/src/mechanism.rs
@@ -105,7 +105,9 @@
             .iter()
             .filter(|(mechanism, _)| !self.uses(*mechanism));
         let names: Vec<&str> = off.map(|(_, name)| *name).collect();
-        f.write_str(if names.is_empty() { "-" } else { "" })?;
-        f.write_str(&names.join(","))
+        match names.as_slice() {
+            [] => f.write_str("-"),
+            names => f.write_str(&names.join(",")),
+        }
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -62,16 +62,12 @@
         } else {
             ZONE_WORTH
         };
-        let last = if self.health.shunned(now) {
-            SHUNNED
-        } else {
-            0.0
+        let failing = match without.uses(Mechanism::HealthRanking) {
+            true if self.health.shunned(now) => SHUNNED + self.health.failures(now),
+            true => self.health.failures(now),
+            false => 0.0,
         };
-        if without.uses(Mechanism::HealthRanking) {
-            load + away + last + self.health.failures(now)
-        } else {
-            load + away
-        }
+        load + away + failing
     }
 }
 
