An adapter for which a request waits makes no room, and prompts that wait count at the engine their adapter goes to

In the scheduler's lines some 170 of them followed a load of the same adapter within 0.6 s, for one single request: the adapter was loaded, its request waited for prompts before it to be read, and as nothing used the adapter yet it was the victim of the next load. Only adapters that still had to be loaded were spared. The second half of it: engines are chosen by what they were given to read, and prompts that wait for adapters on their way were not part of that, so that adapters asked for together went to one engine, and their prompts waited for each other there.

Change: `desk/claims.rs`: adapters that requests wait for are no victims, and their prompts count in the choice of an engine.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -4,6 +4,7 @@
 //! request goes, so it knows what runs where without asking the engines. An adapter that a request uses is never
 //! chosen to make room, and the engines themselves refuse what they can't run.
 
+mod claims;
 mod demand;
 mod engine;
 mod forecast;
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -5,10 +5,11 @@
 use dahliastile_core::id::Server;
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::{Instant, Span};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 
+use super::claims::Claims;
 use super::engine::{Engine, Intent, Place, Stage, place};
-use super::forecast::{For, Wait};
+use super::forecast::{For, Wait, reading};
 use super::key::Key;
 use super::spread::{Spot, Spread};
 use super::{Decision, Desk};
@@ -116,11 +117,14 @@
     ) {
         self.plan_bases(now);
         let mut wanted = self.wanted(waits, &spread);
-        wanted.extend(self.outdated(now, &spread));
-        let needed: FxHashSet<Key> = wanted.iter().map(|wanted| wanted.key).collect();
+        let mut claims = self.claims(waits);
+        for outdated in self.outdated(now, &spread) {
+            claims.add(outdated.key, 0);
+            wanted.push(outdated);
+        }
         let mut room = self.loads_at_once().saturating_sub(self.loading());
         for wanted in wanted {
-            let Some(choice) = self.choose(now, &wanted, &needed, &spread, room > 0) else {
+            let Some(choice) = self.choose(now, &wanted, &claims, &spread, room > 0) else {
                 continue;
             };
             if wanted.copy.is_none_or(|wait| choice.cost < wait) {
@@ -216,7 +220,7 @@
         &self,
         now: Instant,
         wanted: &Wanted,
-        needed: &FxHashSet<Key>,
+        claims: &Claims,
         spread: &Spread,
         store: bool,
     ) -> Option<Choice> {
@@ -237,8 +241,9 @@
                 None if store => self.load_time + FETCH,
                 None => return None,
             };
-            let cost = load + engine.backlog(now);
-            let Some((victim, loss)) = self.room(now, engine, key, needed, spread) else {
+            let claimed = reading(claims.at(engine, key, spread), engine.rate);
+            let cost = load + engine.backlog(now) + claimed;
+            let Some((victim, loss)) = self.room(now, engine, key, claims, spread) else {
                 if depth.is_some() && !engine.places.contains_key(&key) {
                     later = later.min(cost + ROOM_SOON);
                 }
@@ -262,7 +267,7 @@
         now: Instant,
         engine: &Engine,
         key: Key,
-        needed: &FxHashSet<Key>,
+        claims: &Claims,
         spread: &Spread,
     ) -> Option<(Option<Key>, Span)> {
         match engine.places.get(&key) {
@@ -278,7 +283,7 @@
         }
         let idle = engine.places.iter().filter(|(_, place)| place.idle());
         let costs = idle
-            .filter(|(other, _)| !needed.contains(other))
+            .filter(|(other, _)| !claims.claimed(**other))
             .map(|(other, _)| (*other, self.value(now, *other, spread)));
         let (victim, cost) = costs.min_by_key(|(_, cost)| *cost)?;
         Some((Some(victim), cost))
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -133,3 +133,46 @@
     assert!(fetches >= 400, "{fetches} fetches");
     assert!(early <= 30, "{early} requests before their adapter");
 }
+
+/// Sixteen callers ask at once for as many rare adapters with prompts of 3,000 tokens (150 ms): each of eight engines gets two of
+/// them, so that all answers begin within a load and two prompts, where one engine would read four.
+#[test]
+fn rare_askedtogetherisspreadoverengines() {
+    let mut world = World::new(3, 8, 1);
+    world.run(Span::from_secs(2));
+    let rare = |at| {
+        let work = work(&format!("a{at}"), 3_000, 20);
+        call(&format!("r{at}"), "/brief/x", 15_000, Some(work))
+    };
+    let numbers = world.ask_all(16, Span::ZERO, rare);
+    world.run(Span::from_secs(5));
+    let begun = numbers
+        .iter()
+        .filter_map(|number| world.first_piece(*number));
+    let begun: Vec<Span> = begun.collect();
+    let latest = begun.iter().max().copied();
+    assert_eq!(begun.len(), numbers.len());
+    // Two loads of 250 ms in turn at most, as the weight store bears eight at once, then two prompts.
+    assert!(latest < Some(Span::from_millis(850)), "{latest:?}");
+    world.check();
+}
+
+/// Rare adapters with long prompts and answers of a second, at nearly all that four engines read and hold: an adapter that was loaded waits there for its turn to be
+/// read, and is not taken away for the next one meanwhile. Each is fetched about once.
+#[test]
+fn rare_thatwaitsforreadingstays() {
+    let mut world = World::new(3, 4, 1);
+    world.run(Span::from_secs(2));
+    // 6,000 tokens take 300 ms, so that four engines read 13.3 a second; twelve are asked for.
+    let long = |at| {
+        let work = work(&format!("a{at}"), 6_000, 100);
+        call(&format!("r{at}"), "/brief/x", 15_000, Some(work))
+    };
+    let numbers = world.ask_all(120, Span::from_millis(82), long);
+    world.run(Span::from_secs(16));
+    let fetches = world.servers.values().map(|(engine, _)| engine.fetches);
+    let fetches: u32 = fetches.sum();
+    assert!(fetches <= 126, "{fetches} fetches for 120 adapters");
+    assert_eq!(world.served_of(&numbers), numbers.len());
+    world.check();
+}
