A VM that finds its own key in a seat after a restart takes it at once

Its configuration is listed before the seat; in between the seat counts as free, and the VM sets a turn 0.6 s later, when others may have written their entries. That turn then stood, also when the VM found that the seat was its own.

Ruled out: the lease and its pledge (granted 10 ms after the start; nobody else may take a seat whose key is there).

Change: a turn that was set for a free seat is replaced where the seat turns out to be this VM's.

Test, failing first: all_killedunfencedscheduleagainatonce (882 ms to the first event of a cold request, under 450 ms after).

--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -226,11 +226,14 @@
         let services: Vec<Service> = self.index.engines().map(|s| s.name.clone()).collect();
         for service in services {
             let vacancy = self.vacancy(&service);
-            if vacancy == Vacancy::Held || self.seats.turns.contains_key(&service) {
-                continue;
-            }
+            let waits = self.seats.turns.get(&service).map(|turn| turn.at());
             let turn = match vacancy {
-                Vacancy::Mine | Vacancy::Weary => Turn::Take(self.now),
+                Vacancy::Held => continue,
+                // Nobody else may have it, so it waits for nobody's turn.
+                Vacancy::Mine | Vacancy::Weary if waits.is_none_or(|at| at > self.now) => {
+                    Turn::Take(self.now)
+                }
+                _ if waits.is_some() => continue,
                 _ if self.now < self.seats.meets => Turn::Look(self.seats.meets),
                 _ => self.turn(&service),
             };
--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -323,3 +323,25 @@
     one_at_a_time(&world);
     world.check();
 }
+
+/// All processes are killed and start again where engines don't check fencing numbers: the old holder finds its own key, which nobody
+/// else may take, and waits neither for others to meet nor for pledges.
+#[test]
+fn all_killedunfencedscheduleagainatonce() {
+    let mut world = unfenced();
+    let old = world.holder().expect("a holder");
+    for vm in 0..4 {
+        world.kill(vm, false);
+    }
+    // They start again after 400 ms.
+    world.run(Span::from_millis(410));
+    let cold = world.ask(
+        (old + 1) % 4,
+        call("cold", "/plan/x", 5_000, Some(work("a77", 600, 15))),
+    );
+    world.run(Span::from_secs(4));
+    let first = world.first_piece(cold).expect("served");
+    assert!(first < Span::from_millis(450), "{first}");
+    one_at_a_time(&world);
+    world.check();
+}
