Callers that wait at a VM that starts are held until it knows its configuration

Change: `early.rs` holds what comes in the first 0.3 s, begins with it once the configuration and the servers listed with it are known, counts its time from when it came, and refuses all of it together if they don't come. Later requests are refused at once, as before. Nothing is sent for a caller that leaves meanwhile.

Tests: start_servescallersthatwait fails before. config_unknownisrefusedwithtime asked a VM in the moment of its start, with a configuration there to be read, and wanted a refusal: that was the fault. It now asks with the key-value service away, once at the start and once later, and wants the same refusals. start_sendsnothingforacallerthatleft is new.

--- /dev/null
+++ b/crates/gateway/src/early.rs
@@ -0,0 +1,86 @@
+//! Requests that come before this VM knows a configuration.
+//!
+//! A process that starts again finds callers waiting: the platform goes on sending them to it, and what is to be in force is
+//! there a call of the key-value service later, some 30 ms. Until then they are held, so that a restart of all VMs refuses
+//! nobody who could be served: 115 callers on a heavy day that ends with one, within the first 6 ms. Where the configuration
+//! does not come soon they are refused together, and later ones at once.
+
+use std::collections::BTreeMap;
+
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+
+use crate::effect::{Effects, Reason};
+use crate::event::{Call, RequestId};
+use crate::flow::refusal;
+use crate::node::Gateway;
+use crate::timer::Timer;
+
+/// How long after its start a VM holds requests: ten times what the first answer of the key-value service takes at the
+/// deployments, and as long as the shortest objective of a plain service leaves for it.
+const HELD: Span = Span::from_millis(300);
+
+/// When a caller may come back to a VM that knows no configuration: about a start's length.
+const COME_BACK: Span = Span::from_millis(500);
+
+/// The requests that are held.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// Until when requests are held.
+    until: Instant,
+    /// The requests, each with when it came.
+    calls: BTreeMap<RequestId, (Instant, Call)>,
+}
+
+impl State {
+    /// How many requests are held.
+    pub(crate) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// The caller of a request is gone. Gives what it had asked, if that was held.
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<(Instant, Call)> {
+        self.calls.remove(&request)
+    }
+}
+
+impl Gateway {
+    pub(crate) fn early_start(&mut self) {
+        self.early.until = self.now + HELD;
+        self.timers.set(self.early.until, Timer::Early);
+    }
+
+    /// A request came, and no configuration is known.
+    pub(crate) fn came_early(&mut self, request: RequestId, call: Call, out: &mut Effects) {
+        if self.now < self.early.until {
+            self.early.calls.insert(request, (self.now, call));
+        } else {
+            Self::refuse_early(request, &call, out);
+        }
+    }
+
+    /// Goes on with the requests that are held, once a configuration is known and the servers that came with it.
+    pub(crate) fn release_early(&mut self, out: &mut Effects) {
+        if self.config.is_none() || self.early.calls.is_empty() {
+            return;
+        }
+        for (request, (at, call)) in std::mem::take(&mut self.early.calls) {
+            self.admit(request, call, at, out);
+        }
+    }
+
+    /// The time is over for which requests are held.
+    pub(crate) fn early_due(&mut self, out: &mut Effects) {
+        if self.now < self.early.until {
+            return;
+        }
+        for (request, (_, call)) in std::mem::take(&mut self.early.calls) {
+            Self::refuse_early(request, &call, out);
+        }
+    }
+
+    fn refuse_early(request: RequestId, call: &Call, out: &mut Effects) {
+        Self::log(out, Code::Refused, format!("id={} why=no_config", call.id));
+        out.push(refusal(request, Reason::NoConfig, Some(COME_BACK)));
+    }
+}
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -29,9 +29,6 @@
 /// When a caller that was refused for want of room may come back: about the time of one answer of a plain service.
 const COME_BACK: Span = Span::from_millis(300);
 
-/// When a caller may come back to a VM that knows no configuration yet: about a start's length.
-const COME_BACK_AFTER_START: Span = Span::from_millis(500);
-
 /// What is left of a request's time below which it is not sent again: one round trip and the shortest work.
 const TOO_LATE: Span = Span::from_millis(30);
 
@@ -106,15 +103,20 @@
 impl Gateway {
     /// A caller's request has been read.
     pub(crate) fn arrived(&mut self, request: RequestId, call: Call, out: &mut Effects) {
-        if self.config.is_none() {
-            Self::log(out, Code::Refused, format!("id={} why=no_config", call.id));
-            out.push(refusal(
-                request,
-                Reason::NoConfig,
-                Some(COME_BACK_AFTER_START),
-            ));
-            return;
+        match self.config {
+            Some(_) => self.admit(request, call, self.now, out),
+            None => self.came_early(request, call, out),
         }
+    }
+
+    /// Begins with a request that came at a time.
+    pub(crate) fn admit(
+        &mut self,
+        request: RequestId,
+        call: Call,
+        came: Instant,
+        out: &mut Effects,
+    ) {
         let Some(route) = self.index.find(&call.host, &call.path).cloned() else {
             let version = self.version();
             Self::log(
@@ -130,7 +132,7 @@
         };
         let service = self.target(&route.targets);
         let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
-        let ends = self.now + patience;
+        let ends = came + patience;
         self.timers.set(ends, Timer::Flow(request));
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.request(self.now, self.settings.tuning.retry_window);
@@ -138,7 +140,7 @@
             call,
             route,
             service,
-            arrived: self.now,
+            arrived: came,
             ends,
             state: State::Waiting,
             sends: 0,
@@ -268,17 +270,21 @@
 
     /// The caller has left.
     pub(crate) fn gone(&mut self, request: RequestId, out: &mut Effects) {
+        if let Some((came, call)) = self.early.remove(request) {
+            self.log_left(&call, came, out);
+        }
         if let Some(flow) = self.flows.get(&request) {
-            let took = self.now.since(flow.arrived);
-            Self::log(
-                out,
-                Code::CallerLeft,
-                format!("id={} after={took}", flow.call.id),
-            );
+            self.log_left(&flow.call, flow.arrived, out);
             self.end(request, Progress::Over, out);
         }
     }
 
+    fn log_left(&self, call: &Call, came: Instant, out: &mut Effects) {
+        let after = self.now.since(came);
+        let detail = format!("id={} after={after}", call.id);
+        Self::log(out, Code::CallerLeft, detail);
+    }
+
     /// A server did not answer a request well.
     pub(crate) fn failed(&mut self, request: RequestId, ran: Ran, cause: Cause, out: &mut Effects) {
         let now = self.now;
@@ -487,7 +493,7 @@
     }
 }
 
-fn refusal(request: RequestId, reason: Reason, after: Option<Span>) -> Effect {
+pub(crate) fn refusal(request: RequestId, reason: Reason, after: Option<Span>) -> Effect {
     Effect::Request(request, Verdict::Refuse(reason, after))
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`config`], [`fact`]: what the key-value service says, each fact with its revision. A fact of a lower revision
 //!   never replaces a newer one, whatever way it came.
 //! * `flow`: the life of one caller's request on this VM, from arrival to its one final answer.
+//! * `early`: requests that come before the first configuration is known.
 //! * `plain`: which server a request of a plain service goes to.
 //! * `agent`: asks the scheduler of an engine service for a place, and goes on without one.
 //! * [`desk`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
@@ -23,6 +24,7 @@
 pub mod budget;
 pub mod config;
 pub mod desk;
+mod early;
 pub mod effect;
 pub mod event;
 pub mod fact;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
 use crate::desk::Desk;
+use crate::early;
 use crate::effect::{Effect, Effects, Op, OpId};
 use crate::event::{Event, RequestId};
 use crate::fact::{Member, Table};
@@ -63,6 +64,8 @@
     pub(crate) pledges: pledge::State,
     /// How the key-value service is followed.
     pub(crate) follow: follow::State,
+    /// Requests that came before the first configuration.
+    pub(crate) early: early::State,
     /// What is to be looked at later.
     pub(crate) timers: Timers,
     /// The last number given to a call or order.
@@ -90,6 +93,7 @@
             seats: seat::State::default(),
             pledges: pledge::State::default(),
             follow: follow::State::default(),
+            early: early::State::default(),
             timers: Timers::default(),
             last_id: 0,
             stopping: false,
@@ -101,6 +105,7 @@
     pub fn step(&mut self, now: Instant, event: Event, out: &mut Effects) {
         self.now = self.now.max(now);
         self.handle(event, out);
+        self.release_early(out);
         self.run_timers(out);
         self.run_desks(out);
     }
@@ -134,7 +139,7 @@
     /// The requests in progress.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.flows.len()
+        self.flows.len() + self.early.len()
     }
 
     /// Everything that does not hold together, as readable text; empty where all is well.
@@ -215,6 +220,7 @@
     }
 
     fn start(&mut self, out: &mut Effects) {
+        self.early_start();
         self.follow_start(out);
         self.seat_start(out);
     }
@@ -286,7 +292,7 @@
 
     fn stop(&mut self, out: &mut Effects) {
         self.stopping = true;
-        Self::log(out, Code::Draining, format!("open={}", self.flows.len()));
+        Self::log(out, Code::Draining, format!("open={}", self.open()));
         self.leave_seats(out);
     }
 
@@ -296,6 +302,7 @@
                 Timer::Flow(request) => self.flow_due(request, out),
                 Timer::Seat => self.seat_due(out),
                 Timer::Follow => self.follow_due(out),
+                Timer::Early => self.early_due(out),
                 // The schedulers run after each step, where one is due.
                 Timer::Desk(_) => {}
             }
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -17,6 +17,8 @@
     Seat,
     /// The key-value service.
     Follow,
+    /// The requests that came before the first configuration.
+    Early,
     /// The scheduler of a service.
     Desk(Service),
 }
--- a/crates/gateway/tests/calm.rs
+++ b/crates/gateway/tests/calm.rs
@@ -58,14 +58,48 @@
     );
 }
 
+/// The key-value service is away when a VM starts: what came at once is refused as soon as it is clear that the configuration does
+/// not come soon, and what comes later at once.
 #[test]
 fn config_unknownisrefusedwithtime() {
+    let mut world = World::new(1, 1, 1);
+    world.store_up = false;
+    let early = world.ask(0, call("a", "/query/x", 4_000, None));
+    world.run(Span::from_millis(310));
+    let later = world.ask(0, call("b", "/query/x", 4_000, None));
+    for number in [early, later] {
+        assert!(matches!(
+            world.answer(number),
+            Some(Answer::Refused(Reason::NoConfig, Some(_)))
+        ));
+    }
+}
+
+/// Callers wait at each VM when all start again, before these know their configuration: none of them is refused.
+#[test]
+fn start_servescallersthatwait() {
+    let mut world = ready();
+    for vm in 0..3 {
+        world.kill(vm, false);
+    }
+    world.run(Span::from_millis(401));
+    let call = |at| call(&format!("r{at}"), "/query/x", 4_000, None);
+    let numbers = world.ask_all(120, Span::ZERO, call);
+    assert_eq!(numbers.len(), 120);
+    world.run(Span::from_secs(3));
+    assert_eq!(world.served_of(&numbers), numbers.len());
+    world.check();
+}
+
+/// A caller leaves before the configuration is there: nothing is sent for it.
+#[test]
+fn start_sendsnothingforacallerthatleft() {
     let mut world = World::new(1, 1, 1);
     let number = world.ask(0, call("a", "/query/x", 4_000, None));
-    assert!(matches!(
-        world.answer(number),
-        Some(Answer::Refused(Reason::NoConfig, Some(_)))
-    ));
+    world.leave(number);
+    world.run(Span::from_secs(2));
+    assert_eq!(world.asked[&number].arrivals, 0);
+    world.check();
 }
 
 #[test]
