--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -16,6 +16,7 @@
 mod place;
 mod recent;
 mod refuse;
+mod rooms;
 mod spread;
 mod summary;
 
@@ -41,7 +42,7 @@
 use self::job::{Job, JobId, Jobs};
 use self::key::{Key, Keys};
 use self::load::BaseRate;
-use self::recent::Beside;
+use self::recent::{Beside, Remembering};
 
 /// How often VMs are told that the scheduler is there: three fit into the silence after which they go on alone.
 const ALIVE_EVERY: Span = Span::from_millis(250);
@@ -102,6 +103,8 @@
     pub(crate) load_time: Span,
     /// How many adapters lie beside each engine.
     pub(crate) beside: Beside,
+    /// The engines that remember each adapter.
+    pub(crate) remembering: Remembering,
     /// The rate of loads of base models.
     pub(crate) base_rate: BaseRate,
     /// The last order's number.
@@ -142,6 +145,7 @@
             base_rate: BaseRate::new(now, shape.loads_per_s),
             load_time: settings.tuning.adapter_load,
             beside: Beside::default(),
+            remembering: Remembering::default(),
             shape,
             fence,
             engines: BTreeMap::new(),
@@ -204,13 +208,16 @@
         }
         if let Some(engine) = self.engines.get_mut(server) {
             engine.restarted(start);
+            self.remembering.forget(server, &mut engine.recent);
         }
     }
 
     /// An engine is gone.
     pub fn server_gone(&mut self, server: &Server) {
         self.dirty = true;
-        self.engines.remove(server);
+        if let Some(mut engine) = self.engines.remove(server) {
+            self.remembering.forget(server, &mut engine.recent);
+        }
     }
 
     /// A newer version of an adapter is named.
--- a/crates/gateway/src/desk/claims.rs
+++ b/crates/gateway/src/desk/claims.rs
@@ -31,11 +31,12 @@
 
     /// The prompt tokens that an engine will have to read besides those given to it already, of requests for adapters other
     /// than one. Where several engines hold an adapter, each reads its part.
-    pub(crate) fn at(&self, engine: &Engine, except: Key, spread: &Spread) -> u64 {
-        let others = engine.places.keys().filter(|key| **key != except);
+    pub(crate) fn at(&self, engine: &Engine, except: Option<Key>, spread: &Spread) -> u64 {
+        let others = engine.places.keys().filter(|key| Some(**key) != except);
         let tokens = others.filter_map(|key| {
+            let tokens = self.0.get(key)?;
             let copies = spread.spot(*key).map_or(1, |spot| spot.copies.max(1));
-            Some(self.0.get(key)? / u64::from(copies))
+            Some(tokens / u64::from(copies))
         });
         tokens.sum()
     }
--- a/crates/gateway/src/desk/engine.rs
+++ b/crates/gateway/src/desk/engine.rs
@@ -179,7 +179,8 @@
         other
     }
 
-    /// It has started again: it holds nothing, has taken no orders, and is as healthy as any. How fast it reads stays.
+    /// It has started again: it holds nothing, has taken no orders, and is as healthy as any. How fast it reads stays, and what it
+    /// remembers is for its scheduler to forget.
     pub(crate) fn restarted(&mut self, start: Option<Incarnation>) {
         self.forget();
         self.start = start;
@@ -187,7 +188,6 @@
         self.bases.clear();
         self.base_due = None;
         self.places.clear();
-        self.recent = Recent::default();
         self.kept = Kept::default();
         self.health = Health::default();
         self.last_order = Instant::default();
@@ -301,7 +301,6 @@
                 let key = keys.key(&base.model, &resident.adapter);
                 self.places
                     .insert(key, place(resident.version, Stage::Ready));
-                self.recent.touch(key);
             }
         }
         for (model, adapter, version) in &report.coming {
--- a/crates/gateway/src/desk/forecast.rs
+++ b/crates/gateway/src/desk/forecast.rs
@@ -94,8 +94,7 @@
         if let Some(at) = spread.spot(key).and_then(|spot| spot.coming) {
             return (For::Coming, at.since(now) + queued);
         }
-        let mut engines = self.engines.values();
-        if engines.any(|engine| engine.usable() && self.lies_beside(engine, key).is_some()) {
+        if self.lies_beside_any(key) {
             return (For::Load, ROOM_SOON + self.back_time() + queued);
         }
         ahead.loads += usize::from(first);
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -9,8 +9,9 @@
 
 use super::claims::Claims;
 use super::engine::{Engine, Intent, Place, Stage, place};
-use super::forecast::{For, Wait, reading};
+use super::forecast::{For, Wait};
 use super::key::Key;
+use super::rooms::{Floor, Room, Rooms};
 use super::spread::{Spot, Spread};
 use super::{Decision, Desk};
 use crate::mechanism::Mechanism;
@@ -106,6 +107,28 @@
     patient: Instant,
 }
 
+/// What a choice is made by.
+struct Look<'a> {
+    /// The time.
+    now: Instant,
+    /// What requests that wait claim.
+    claims: &'a Claims,
+    /// Where adapters are.
+    spread: &'a Spread,
+    /// Where there is room for an adapter of the same base model.
+    rooms: &'a Rooms,
+}
+
+/// A load at an engine that has room, which takes so long.
+fn choice(server: &Server, room: &Room, depth: Option<usize>, load: Span) -> Choice {
+    Choice {
+        server: server.clone(),
+        victim: room.victim,
+        depth,
+        cost: load + room.cost,
+    }
+}
+
 impl Desk {
     /// Plans loads for the requests that wait for an adapter, in their order.
     pub(crate) fn plan_loads(
@@ -122,15 +145,35 @@
             claims.add(outdated.key, 0);
             wanted.push(outdated);
         }
+        let mut floor = Floor::default();
         let mut room = self.loads_at_once().saturating_sub(self.loading());
         for wanted in wanted {
-            let Some(choice) = self.choose(now, &wanted, &claims, &spread, room > 0) else {
+            let model = self.keys.name(wanted.key).model.clone();
+            self.look_for_rooms(now, &model, &claims, &spread, &mut floor);
+            let Some(rooms) = floor.of(&model) else {
+                continue;
+            };
+            let look = Look {
+                now,
+                claims: &claims,
+                spread: &spread,
+                rooms,
+            };
+            let Some(choice) = self.choose(&look, &wanted, room > 0) else {
                 continue;
             };
             if wanted.copy.is_none_or(|wait| choice.cost < wait) {
                 room -= usize::from(choice.depth.is_none());
                 self.load(now, wanted.key, &choice, out);
-                spread = self.spread(now);
+                for key in choice.victim.into_iter().chain([wanted.key]) {
+                    self.look_at(now, key, &choice.server, &mut spread);
+                }
+                // What one copy of the adapter that made room is worth has changed at its other engines.
+                let others = choice
+                    .victim
+                    .map_or(&[][..], |victim| spread.holders(victim));
+                let changed = others.iter().chain([&choice.server]);
+                self.look_again(now, changed, &claims, &spread, &mut floor);
             }
         }
     }
@@ -214,99 +257,96 @@
         depth.filter(|depth| self.beside.holds(*depth))
     }
 
+    /// Whether an adapter lies beside any engine that takes requests.
+    pub(crate) fn lies_beside_any(&self, key: Key) -> bool {
+        let servers = self.remembering.servers(key).iter();
+        let mut engines = servers.filter_map(|server| self.engines.get(server));
+        engines.any(|engine| engine.usable() && self.lies_beside(engine, key).is_some())
+    }
+
     /// The engine where an adapter is loaded at the least cost; none where there is no room, or where it is better to wait
     /// for room at an engine beside which it lies. From the weight store it comes only where that bears it.
-    fn choose(
-        &self,
-        now: Instant,
-        wanted: &Wanted,
-        claims: &Claims,
-        spread: &Spread,
-        store: bool,
-    ) -> Option<Choice> {
+    fn choose(&self, look: &Look, wanted: &Wanted, store: bool) -> Option<Choice> {
         let key = wanted.key;
-        let model = &self.keys.name(key).model;
-        let fit = self.engines.iter().filter(|(_, engine)| {
-            engine.usable()
-                && engine.bases.contains(model)
-                && !engine.last
-                && !engine.stuck()
-                && engine.coming() < self.settings.tuning.loads_per_server
-        });
         let mut later = Span(u64::MAX);
-        let choices = fit.filter_map(|(server, engine)| {
+        let mut best = self.replaced(look, key, store);
+        let mut offer = |choice: Choice| {
+            let order = |choice: &Choice| (choice.cost, choice.server.clone());
+            if best
+                .as_ref()
+                .is_none_or(|best| order(&choice) < order(best))
+            {
+                best = Some(choice);
+            }
+        };
+        for (server, engine, depth) in self.beside_engines(look, key) {
+            let load = self.back_time();
+            match look.rooms.at(server) {
+                Some(room) => offer(choice(server, room, Some(depth), load)),
+                None => {
+                    let busy = self.busy_for(look.now, engine, look.claims, None, look.spread);
+                    later = later.min(load + busy + ROOM_SOON);
+                }
+            }
+        }
+        if store {
+            let elsewhere = |server: &Server| {
+                let engine = self.engines.get(server);
+                engine.is_some_and(|e| {
+                    !e.places.contains_key(&key) && self.lies_beside(e, key).is_none()
+                })
+            };
+            let first = look.rooms.cheapest().find(|(server, _)| elsewhere(server));
+            if let Some((server, room)) = first {
+                offer(choice(server, room, None, self.load_time + FETCH));
+            }
+        }
+        let patient = self.settings.uses(Mechanism::RecentPatience) && look.now < wanted.patient;
+        best.filter(|best| !patient || best.cost <= later)
+    }
+
+    /// The engines beside which an adapter lies and that don't hold it, as far as they take orders, with its depth there.
+    fn beside_engines<'a>(
+        &'a self,
+        look: &Look<'_>,
+        key: Key,
+    ) -> impl Iterator<Item = (&'a Server, &'a Engine, usize)> {
+        let model = &self.keys.name(key).model;
+        let holders = look.spread.holders(key);
+        let servers = self.remembering.servers(key).iter();
+        let servers = servers.filter(|server| !holders.contains(server));
+        let engines = servers.filter_map(|server| Some((server, self.engines.get(server)?)));
+        let fit = engines.filter(|(_, engine)| self.takes_adapters(engine, model));
+        let known = fit
+            .filter_map(|(server, engine)| Some((server, engine, self.lies_beside(engine, key)?)));
+        known.collect::<Vec<_>>().into_iter()
+    }
+
+    /// The engine that holds an older version of an adapter which nothing uses, where it is replaced at the least cost.
+    fn replaced(&self, look: &Look, key: Key, store: bool) -> Option<Choice> {
+        let name = self.keys.name(key);
+        let newest = self.keys.newest(key);
+        let choices = look.spread.holders(key).iter().filter_map(|server| {
+            let engine = self.engines.get(server)?;
+            let old = engine.places.get(&key)?;
+            if !old.idle() || old.version >= newest || !self.takes_adapters(engine, &name.model) {
+                return None;
+            }
             let depth = self.lies_beside(engine, key);
             let load = match depth {
                 Some(_) => self.back_time(),
                 None if store => self.load_time + FETCH,
                 None => return None,
             };
-            let claimed = reading(claims.at(engine, key, spread), engine.rate);
-            let cost = load + engine.backlog(now) + claimed;
-            let Some((victim, loss)) = self.room(now, engine, key, claims, spread) else {
-                if depth.is_some() && !engine.places.contains_key(&key) {
-                    later = later.min(cost + ROOM_SOON);
-                }
-                return None;
-            };
+            let busy = self.busy_for(look.now, engine, look.claims, Some(key), look.spread);
             Some(Choice {
                 server: server.clone(),
-                victim,
+                victim: None,
                 depth,
-                cost: cost + loss,
+                cost: load + busy,
             })
         });
-        let best = choices.min_by_key(|choice| choice.cost);
-        let patient = self.settings.uses(Mechanism::RecentPatience) && now < wanted.patient;
-        best.filter(|best| !patient || best.cost <= later)
-    }
-
-    /// What has to make room at an engine for an adapter, and what that costs; none where there can be no room.
-    fn room(
-        &self,
-        now: Instant,
-        engine: &Engine,
-        key: Key,
-        claims: &Claims,
-        spread: &Spread,
-    ) -> Option<(Option<Key>, Span)> {
-        match engine.places.get(&key) {
-            // An older version that nothing uses is replaced where it is.
-            Some(old) if old.idle() && old.version < self.keys.newest(key) => {
-                return Some((None, Span::ZERO));
-            }
-            Some(_) => return None,
-            None => {}
-        }
-        if engine.places.len() < self.shape.places && self.fits(engine, key) {
-            return Some((None, Span::ZERO));
-        }
-        let idle = engine.places.iter().filter(|(_, place)| place.idle());
-        let costs = idle
-            .filter(|(other, _)| !claims.claimed(**other))
-            .map(|(other, _)| (*other, self.value(now, *other, spread)));
-        let (victim, cost) = costs.min_by_key(|(_, cost)| *cost)?;
-        Some((Some(victim), cost))
-    }
-
-    /// Whether an engine's memory has room for one more adapter of a base model.
-    fn fits(&self, engine: &Engine, key: Key) -> bool {
-        let models = &self.shape.models;
-        let size = |name: &Arc<str>| models.iter().find(|m| m.name == *name);
-        let bases: f64 = engine
-            .bases
-            .iter()
-            .filter_map(size)
-            .map(|m| m.size_mb)
-            .sum();
-        let adapters: f64 = engine
-            .places
-            .keys()
-            .filter_map(|key| size(&self.keys.name(*key).model))
-            .map(|m| m.adapter_mb)
-            .sum();
-        let more = size(&self.keys.name(key).model).map_or(0.0, |m| m.adapter_mb);
-        bases + adapters + more <= self.shape.memory_mb
+        choices.min_by_key(|choice| choice.cost)
     }
 
     /// What it costs to take an adapter away from one engine.
@@ -315,7 +355,7 @@
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss
     )]
-    fn value(&self, now: Instant, key: Key, spread: &Spread) -> Span {
+    pub(crate) fn value(&self, now: Instant, key: Key, spread: &Spread) -> Span {
         let (copies, current) = spread
             .spot(key)
             .map_or((1, true), |spot: &Spot| (spot.copies.max(1), spot.current));
--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/desk/order.rs
@@ -101,6 +101,9 @@
         }
         for (key, place) in &mut engine.places {
             place.used = self.jobs.using(server, *key);
+            if place.stage == Stage::Ready {
+                self.remembering.touch(server, &mut engine.recent, *key);
+            }
         }
     }
 
@@ -159,7 +162,7 @@
             (Ordered::Fenced, _) => return true,
             (Ordered::Accepted, Intent::Load(key, _)) => {
                 engine.orders += 1;
-                engine.recent.touch(*key);
+                self.remembering.touch(server, &mut engine.recent, *key);
                 if let Some(place) = engine.places.get_mut(key) {
                     let time = place.depth.map_or(load_time, |_| back_time);
                     place.stage = Stage::Coming(now + time);
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/desk/place.rs
@@ -72,10 +72,10 @@
         let ready = |key| spread.ready(key).iter();
         let named = job.key.into_iter().flat_map(ready);
         let known = named.filter_map(|server| Some((server, self.engines.get(server)?)));
-        let bases = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| job.key.is_none() && engine.bases.contains(&job.work.model));
+        // Only a request that names no adapter looks at all engines.
+        let all = job.key.is_none().then_some(&self.engines);
+        let all = all.into_iter().flatten();
+        let bases = all.filter(|(_, engine)| engine.bases.contains(&job.work.model));
         let costs = known
             .chain(bases)
             .filter_map(|(server, engine)| Some((server, cost(server, engine)?)));
@@ -153,7 +153,7 @@
         let Some(key) = key else {
             return;
         };
-        engine.recent.touch(key);
+        self.remembering.touch(server, &mut engine.recent, key);
         if let Some(place) = engine.places.get_mut(&key) {
             place.used = place.used.saturating_sub(1);
         }
--- a/crates/gateway/src/desk/recent.rs
+++ b/crates/gateway/src/desk/recent.rs
@@ -5,6 +5,7 @@
 //! of 410 (`crates/gateway/tests/load.rs`), and answers earn 0.01 to 0.04 more of what they are worth at three deployments
 //! (three seeds of five heavy days each, with and without).
 
+use dahliastile_core::id::Server;
 use rustc_hash::FxHashMap;
 
 use super::key::Key;
@@ -22,16 +23,17 @@
 }
 
 impl Recent {
-    /// An adapter is loaded or used.
-    pub(crate) fn touch(&mut self, key: Key) {
+    /// An adapter is loaded or used. Gives the one that is no longer remembered for it, if there is one.
+    fn touch(&mut self, key: Key) -> Option<Key> {
         self.last += 1;
         self.turns.insert(key, self.last);
-        if self.turns.len() > REMEMBERED {
-            let oldest = self.turns.iter().min_by_key(|(_, turn)| **turn);
-            if let Some(oldest) = oldest.map(|(key, _)| *key) {
-                self.turns.remove(&oldest);
-            }
+        if self.turns.len() <= REMEMBERED {
+            return None;
         }
+        let oldest = self.turns.iter().min_by_key(|(_, turn)| **turn);
+        let oldest = oldest.map(|(key, _)| *key)?;
+        self.turns.remove(&oldest);
+        Some(oldest)
     }
 
     /// How many other adapters were held since an adapter was; none where it is not remembered.
@@ -41,6 +43,45 @@
     }
 }
 
+/// The engines that remember each adapter, so that a look for them does not go over all engines.
+#[derive(Debug, Default)]
+pub(crate) struct Remembering(FxHashMap<Key, Vec<Server>>);
+
+impl Remembering {
+    /// An adapter is loaded or used at an engine.
+    pub(crate) fn touch(&mut self, server: &Server, recent: &mut Recent, key: Key) {
+        let servers = self.0.entry(key).or_default();
+        if let Err(at) = servers.binary_search(server) {
+            servers.insert(at, server.clone());
+        }
+        if let Some(oldest) = recent.touch(key) {
+            self.remove(server, oldest);
+        }
+    }
+
+    /// An engine remembers nothing any more.
+    pub(crate) fn forget(&mut self, server: &Server, recent: &mut Recent) {
+        for key in std::mem::take(recent).turns.into_keys() {
+            self.remove(server, key);
+        }
+    }
+
+    /// The engines that remember an adapter, in their order.
+    pub(crate) fn servers(&self, key: Key) -> &[Server] {
+        self.0.get(&key).map_or(&[], Vec::as_slice)
+    }
+
+    fn remove(&mut self, server: &Server, key: Key) {
+        let Some(servers) = self.0.get_mut(&key) else {
+            return;
+        };
+        servers.retain(|other| other != server);
+        if servers.is_empty() {
+            self.0.remove(&key);
+        }
+    }
+}
+
 /// How many adapters lie beside each engine of a service, as learnt from how fast they came back.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Beside {
--- a/crates/gateway/src/desk/spread.rs
+++ b/crates/gateway/src/desk/spread.rs
@@ -11,6 +11,8 @@
 /// Where one adapter is.
 #[derive(Debug, Default)]
 pub(crate) struct Spot {
+    /// The engines where it is or will be, in any version and stage.
+    pub(crate) holders: Vec<Server>,
     /// The engines that take requests and hold it in a version that may be used.
     pub(crate) ready: Vec<Server>,
     /// When it is there next, where it is on its way to an engine that takes requests.
@@ -36,6 +38,11 @@
         self.spots.get(&key)
     }
 
+    /// The engines where an adapter is or will be.
+    pub(crate) fn holders(&self, key: Key) -> &[Server] {
+        self.spot(key).map_or(&[], |spot| &spot.holders)
+    }
+
     /// The engines that take requests and hold an adapter in a version that may be used.
     pub(crate) fn ready(&self, key: Key) -> &[Server] {
         self.spot(key).map_or(&[], |spot| &spot.ready)
@@ -55,6 +62,22 @@
         spread
     }
 
+    /// Looks again at where one adapter is, now that an engine has to do with it in another way.
+    pub(crate) fn look_at(&self, now: Instant, key: Key, changed: &Server, spread: &mut Spread) {
+        let old = spread.spots.remove(&key).unwrap_or_default();
+        let others = old.holders.iter().filter(|server| *server != changed);
+        let mut servers: Vec<&Server> = others.chain([changed]).collect();
+        servers.sort_unstable();
+        let mut spot = Spot::default();
+        for server in servers {
+            let engine = self.engines.get(server);
+            if let Some((engine, place)) = engine.and_then(|e| Some((e, e.places.get(&key)?))) {
+                self.count(now, &mut spot, server, engine, (key, place));
+            }
+        }
+        spread.spots.insert(key, spot);
+    }
+
     fn count(
         &self,
         now: Instant,
@@ -63,6 +86,7 @@
         engine: &Engine,
         (key, place): (Key, &Place),
     ) {
+        spot.holders.push(server.clone());
         let usable = place.version >= self.keys.least(key, now);
         spot.current |= place.version >= self.keys.newest(key);
         spot.copies += u32::from(place.stage == Stage::Ready);
