--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -18,6 +18,7 @@
 use crate::message::{Holding, Message, Progress, Running, Want};
 use crate::node::Gateway;
 use crate::timer::Timer;
+use crate::turn::SETTLED;
 
 /// The time without any word of the holder after which this VM goes on by itself: three of the holder's digests.
 pub(crate) const SILENCE: Span = Span::from_millis(900);
@@ -326,6 +327,8 @@
             format!("service={service} vm={:?} why={why}", agent.holder),
         );
         self.go_alone(service, out);
+        let settled = self.seats.changed(service) + SETTLED;
+        self.timers.set(settled, Timer::Seat);
         self.seats_changed(out);
     }
 
--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -203,3 +203,13 @@
         changes.filter(|change| change.fact.is_some())
     }
 }
+
+/// A fact that this VM writes; the key-value service gives it its revision.
+pub(crate) fn own(subject: Subject, fact: Fact) -> Change {
+    Change {
+        subject,
+        revision: 0,
+        created: 0,
+        fact: Some(fact),
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -316,6 +316,7 @@
             self.follow.back = Some(self.now);
             let away = self.now.since(since);
             Self::log(out, Code::PlatformBack, format!("away={away}"));
+            self.entry_back();
         }
     }
 
@@ -442,6 +443,7 @@
                 self.holder_named(&service, &holder, change.revision, out);
             }
             (Subject::Holder(service), _) => self.holder_gone(&service, out),
+            (Subject::Member(vm), None) if vm == self.settings.vm => self.entry_gone(),
             (Subject::Member(vm), Some(Fact::Member(member))) => self.book.listed(&vm, &member),
             (Subject::Member(vm), _) if self.book.unlisted(&vm) => self.desk_vm_gone(&vm),
             _ => {}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,8 @@
 //! * [`desk`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
 //!   on the one VM that holds the service's lease.
 //! * `run`: when it runs, and what becomes of its decisions.
-//! * `seat`: that lease, and the fencing number of orders.
+//! * `entry`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
+//! * `seat`: the lease of the service's seat, and the fencing number of orders; `turn`: whose turn it is to take one.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
 //! * [`mechanism`]: what of all that can be switched off.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
@@ -26,12 +27,14 @@
 pub mod desk;
 mod early;
 pub mod effect;
+mod entry;
 pub mod event;
 pub mod fact;
 mod flow;
 mod follow;
 pub mod health;
 mod host;
+mod lease;
 mod measure;
 pub mod mechanism;
 pub mod message;
@@ -42,5 +45,6 @@
 mod seat;
 pub mod settings;
 mod timer;
+mod turn;
 
 pub use node::Gateway;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
 use crate::desk::Desk;
 use crate::early;
 use crate::effect::{Effect, Effects, Op, OpId};
+use crate::entry;
 use crate::event::{Event, RequestId};
 use crate::fact::{Member, Table};
 use crate::flow::Flow;
@@ -58,7 +59,9 @@
     pub(crate) agents: BTreeMap<Service, agent::State>,
     /// The schedulers that run on this VM.
     pub(crate) desks: BTreeMap<Service, Desk>,
-    /// This VM's lease and the seats it holds or wants.
+    /// This VM's own entry.
+    pub(crate) entry: entry::State,
+    /// The seats it holds or wants, and their lease.
     pub(crate) seats: seat::State,
     /// Pledges given and had.
     pub(crate) pledges: pledge::State,
@@ -92,6 +95,7 @@
             budgets: BTreeMap::new(),
             agents: BTreeMap::new(),
             desks: BTreeMap::new(),
+            entry: entry::State::default(),
             seats: seat::State::default(),
             pledges: pledge::State::default(),
             follow: follow::State::default(),
@@ -240,12 +244,15 @@
     fn start(&mut self, out: &mut Effects) {
         self.early_start();
         self.follow_start(out);
-        self.seat_start(out);
+        self.seat_start();
+        self.entry_due(out);
     }
 
     fn answered(&mut self, op: OpId, outcome: crate::event::Outcome, out: &mut Effects) {
         if self.follow.op == Some(op) {
             self.followed(outcome, out);
+        } else if self.entry.owns(op) {
+            self.entry_answered(op, outcome, out);
         } else {
             self.seated(op, outcome, out);
         }
@@ -312,12 +319,14 @@
         self.stopping = true;
         Self::log(out, Code::Draining, format!("open={}", self.open()));
         self.leave_seats(out);
+        self.leave_entry(out);
     }
 
     fn run_timers(&mut self, out: &mut Effects) {
         while let Some(timer) = self.timers.due(self.now) {
             match timer {
                 Timer::Flow(request) => self.flow_due(request, out),
+                Timer::Entry => self.entry_due(out),
                 Timer::Seat => self.seat_due(out),
                 Timer::Follow => self.follow_due(out),
                 Timer::Early => self.early_due(out),
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/pledge.rs
@@ -56,6 +56,11 @@
         self.given.get(service).copied().unwrap_or_default()
     }
 
+    /// Until when a write of a seat may be carried out that had no answer.
+    pub(crate) fn unsure(&self) -> Instant {
+        self.unsure
+    }
+
     /// A write of a seat came back.
     pub(crate) fn seat_written(&mut self, now: Instant, outcome: &Outcome) {
         if matches!(outcome, Outcome::Unknown) {
@@ -65,11 +70,7 @@
 }
 
 impl Gateway {
-    /// Whether this VM's renewals have had no answer for a while.
-    fn renewal_overdue(&self) -> bool {
-        self.now >= self.overdue_at()
-    }
-
+    /// When the renewals of this VM's seats have had no answer for a while.
     fn overdue_at(&self) -> Instant {
         self.seats.renewed() + self.settings.tuning.renew + OVERDUE
     }
@@ -102,8 +103,15 @@
         from: &Vm,
         out: &mut Effects,
     ) {
-        let may = self.renewal_overdue() && self.now >= self.pledges.unsure;
-        if !may || self.seats.writes(service) || self.desks.contains_key(service) {
+        if !self.entry.unanswered(self.now) {
+            // The holder has no answer. This VM learns whether it has any, and says so when it is asked again.
+            self.probe_by_entry(out);
+            return;
+        }
+        if self.now < self.pledges.unsure
+            || self.seats.writes(service)
+            || self.desks.contains_key(service)
+        {
             return;
         }
         let until = self.now + PLEDGE;
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -1,29 +1,27 @@
-//! This VM's lease in the key-value service, and the seats under it: the right to schedule a service's engines.
+//! The seats: the right to schedule a service's engines, under a lease that only their holder has.
 //!
 //! The revision at which a seat's key was written is the fencing number of its holder's orders. The holder renews its
 //! lease; when that ends, the key goes and another VM writes it anew, with a higher number. Servers that check
 //! fencing numbers refuse the older holder from the newer one's first order on, so an older holder may go on while
 //! the key-value service is away. Where servers don't check, it stops before its lease can end.
+//!
+//! The lease is granted when a seat is to be taken, and kept as long as a seat is held or may yet be written: so a quick end of
+//! a holder that is gone costs the calls of one VM, however many there are.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use dahliastile_core::id::{Service, Vm};
+use dahliastile_core::id::Service;
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::book;
 use crate::desk::Desk;
 use crate::effect::{Effects, Op, OpId};
-use crate::event::{Lease, Outcome};
-use crate::fact::{Change, Fact, Holder, Subject, Way};
+use crate::event::Outcome;
+use crate::fact::{Change, Fact, Holder, Subject, Way, own};
+use crate::lease::{Due, Kept, Terms};
 use crate::node::Gateway;
-use crate::pledge::PLEDGE;
 use crate::timer::Timer;
-
-/// The time that a VM waits for each VM before it in the order of candidates before it takes a free seat: some calls
-/// of the key-value service.
-const CANDIDATE_GAP: Span = Span::from_millis(120);
+use crate::turn::{SETTLED, Turn};
 
 /// How long a VM that has just started waits for the entries of others before it counts those before it: all VMs of a
 /// deployment start within 0.3 s of each other, and small ones need as long to write their entries.
@@ -32,57 +30,14 @@
 /// What a call of the key-value service was for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Purpose {
-    /// A lease.
-    Grant,
-    /// A renewal.
-    Renew,
-    /// This VM's own entry.
-    Member,
+    /// The lease.
+    Lease,
     /// A seat.
     Seat(Service),
     /// Something that nothing depends on.
     Other,
 }
 
-/// A VM's turn for a seat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Turn {
-    /// It looks then who is there, and waits for those before it.
-    Look(Instant),
-    /// It takes the seat then.
-    Take(Instant),
-}
-
-impl Turn {
-    /// When it comes.
-    fn at(self) -> Instant {
-        match self {
-            Self::Look(at) | Self::Take(at) => at,
-        }
-    }
-}
-
-/// Whether this VM may take a seat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Vacancy {
-    /// Another VM holds it, or this one does.
-    Held,
-    /// Nobody holds it.
-    Free,
-    /// An earlier start of this VM held it, or this one, which stopped before its lease could end.
-    Mine,
-    /// Another VM may take it, and this one later: it held the seat a moment ago.
-    Resting,
-    /// It is this VM's, which has stopped to schedule twice in a short time: another one is to have it.
-    Weary,
-    /// Its holder is silent, and engines refuse that holder's orders from the next one's first on.
-    Silent,
-}
-
-/// How long a seat stays with a holder that seems silent to this VM: orders of two holders in turn within three seconds
-/// are not wanted, even where fencing numbers keep them harmless.
-const SETTLED: Span = Span::from_millis(3_500);
-
 /// How soon after one loss of a seat the next one shows that this VM can't hold it: five leases. What passes by itself, such as an
 /// outage, ends its scheduling once. A VM with an eighth of a core at 60 engines lost its seat every 0.6 to 2 s, and took it again
 /// each time with a scheduler that knew nothing: half of the answers' worth on two heavy days (0.28 and 0.34, 0.53 where a strong
@@ -101,22 +56,16 @@
 /// The lease and the seats.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// The lease.
-    lease: Option<Lease>,
-    /// When the lease was last granted or renewed, counted from when the call was sent.
-    renewed: Instant,
-    /// When the lease was granted.
-    granted: Instant,
-    /// When the next call on the lease is due.
-    next: Instant,
-    /// Whether this VM's own entry has been written under the lease.
-    entered: bool,
+    /// The lease of the seats that this VM holds.
+    lease: Kept,
+    /// The seats that this VM takes once it has a lease.
+    asked: BTreeSet<Service>,
     /// Calls in progress, with the time at which each was sent.
     calls: BTreeMap<OpId, (Purpose, Instant)>,
     /// This VM's turns for free seats.
-    turns: BTreeMap<Service, Turn>,
+    pub(crate) turns: BTreeMap<Service, Turn>,
     /// Until when other VMs that start beside this one may still write their entries.
-    meets: Instant,
+    pub(crate) meets: Instant,
     /// When the holder of a seat last changed, as far as this VM saw it.
     changes: BTreeMap<Service, Instant>,
     /// When this VM ceased to hold a seat.
@@ -125,13 +74,13 @@
 
 impl State {
     /// When the holder of a seat last changed; the start of time where this VM has seen no change.
-    fn changed(&self, service: &Service) -> Instant {
+    pub(crate) fn changed(&self, service: &Service) -> Instant {
         self.changes.get(service).copied().unwrap_or_default()
     }
 
     /// From when on this VM may hold a seat again that it held before: a holder in between must not find itself between two
     /// of this VM's orders within three seconds.
-    fn rested(&self, service: &Service) -> Instant {
+    pub(crate) fn rested(&self, service: &Service) -> Instant {
         let lost = self.lost.get(service);
         lost.map_or(Instant::default(), |lost| lost.at + SETTLED)
     }
@@ -144,14 +93,14 @@
     }
 
     /// Whether this VM has lost a seat twice in a short time, and a moment ago.
-    fn weary(&self, service: &Service, now: Instant) -> bool {
+    pub(crate) fn weary(&self, service: &Service, now: Instant) -> bool {
         let lost = self.lost.get(service);
         lost.is_some_and(|lost| lost.again && now < lost.at + SETTLED)
     }
 
     /// When the lease was last renewed.
     pub(crate) fn renewed(&self) -> Instant {
-        self.renewed
+        self.lease.renewed()
     }
 
     /// Whether this VM is about to write itself into a seat.
@@ -160,6 +109,11 @@
         purposes.any(|purpose| *purpose == Purpose::Seat(service.clone()))
     }
 
+    /// Whether this VM has the lease of its seats.
+    pub(crate) fn leased(&self) -> bool {
+        self.lease.id().is_some()
+    }
+
     /// The holder of a seat changed.
     pub(crate) fn note_change(&mut self, service: &Service, now: Instant) {
         self.changes.insert(service.clone(), now);
@@ -167,14 +121,18 @@
 }
 
 impl Gateway {
-    pub(crate) fn seat_start(&mut self, out: &mut Effects) {
+    pub(crate) fn seat_start(&mut self) {
         self.seats.meets = self.now + MEETING;
-        self.grant(out);
     }
 
-    fn grant(&mut self, out: &mut Effects) {
-        let ttl = self.settings.tuning.lease;
-        self.seat_call(Purpose::Grant, Op::Grant(ttl), out);
+    fn seat_terms(&self) -> Terms {
+        let tuning = &self.settings.tuning;
+        Terms {
+            ttl: tuning.lease,
+            renew: tuning.renew,
+            retry: tuning.store_retry,
+            longest: tuning.store_retry,
+        }
     }
 
     /// A call on the lease or a seat came back.
@@ -185,32 +143,30 @@
         if let Purpose::Seat(_) = &purpose {
             self.pledges.seat_written(self.now, &outcome);
         }
+        let (now, terms) = (self.now, self.seat_terms());
         match (purpose, outcome) {
-            (Purpose::Grant, Outcome::Granted(lease, _)) => {
-                self.seats.lease = Some(lease);
-                self.seats.granted = self.now;
-                self.seats.renewed = sent;
-                self.seats.entered = false;
-                self.enter(out);
+            (Purpose::Lease, Outcome::Granted(id, _)) => {
+                self.seats.lease.was_granted(now, sent, id, terms);
+                for service in std::mem::take(&mut self.seats.asked) {
+                    self.set_turn(service, Turn::Take(now), out);
+                }
                 self.seats_changed(out);
             }
-            (Purpose::Renew, Outcome::Renewed(_)) => {
-                self.seats.renewed = sent;
+            (Purpose::Lease, Outcome::Renewed(_)) => {
+                self.seats.lease.was_renewed(sent, terms);
                 self.seats_changed(out);
             }
-            (Purpose::Member, Outcome::Written(_)) => self.seats.entered = true,
             (Purpose::Seat(service), Outcome::Written(revision)) => {
                 self.seat_written(&service, revision, out);
             }
             (Purpose::Seat(_), Outcome::Conflict(changes)) => {
                 self.take_changes(changes, Way::Told, false, out);
             }
-            (Purpose::Renew | Purpose::Member | Purpose::Seat(_), Outcome::NoLease) => {
-                self.lease_lost(out);
-            }
+            (Purpose::Lease | Purpose::Seat(_), Outcome::NoLease) => self.lease_lost(out),
+            (Purpose::Lease, _) => self.seats.lease.failed(now, terms, &mut self.rng),
             _ => {}
         }
-        self.plan_renewal();
+        self.keep_lease(out);
     }
 
     pub(crate) fn seat_due(&mut self, out: &mut Effects) {
@@ -218,98 +174,13 @@
         self.ask_pledges(out);
         self.stop_in_time(out);
         self.keep_lease(out);
-        self.take_seats(out);
-    }
-
-    /// The configuration, a holder or what is known of it changed.
-    pub(crate) fn seats_changed(&mut self, out: &mut Effects) {
-        let services: Vec<Service> = self.index.engines().map(|s| s.name.clone()).collect();
-        for service in services {
-            let vacancy = self.vacancy(&service);
-            let waits = self.seats.turns.get(&service).map(|turn| turn.at());
-            let turn = match vacancy {
-                Vacancy::Held => continue,
-                // Nobody else may have it, so it waits for nobody's turn.
-                Vacancy::Mine | Vacancy::Weary if waits.is_none_or(|at| at > self.now) => {
-                    Turn::Take(self.now)
-                }
-                _ if waits.is_some() => continue,
-                _ if self.now < self.seats.meets => Turn::Look(self.seats.meets),
-                _ => self.turn(&service),
-            };
-            self.set_turn(service, turn, out);
-        }
-        self.take_seats(out);
-    }
-
-    /// From when on this VM may take a seat: where engines don't check fencing numbers not before its pledge is over, nor, where
-    /// it has just got a lease, before the pledges of others that it does not know of. At once where it knows no other VM.
-    fn rested(&self, service: &Service) -> Instant {
-        let rested = self.seats.rested(service);
-        if self.peers().next().is_none() {
-            return Instant::default();
-        }
-        if self.settings.tuning.fencing {
-            return rested;
-        }
-        let others = self.seats.granted + (PLEDGE + self.settings.tuning.lease_guard);
-        rested.max(self.pledges.given(service)).max(others)
-    }
-
-    fn set_turn(&mut self, service: Service, turn: Turn, out: &mut Effects) {
-        let act = match turn {
-            Turn::Look(_) => "look",
-            Turn::Take(_) => "take",
-        };
-        let (after, vms) = (turn.at().since(self.now), self.peers().count());
-        let lease = self.now.since(self.seats.granted);
-        let detail =
-            format!("service={service} act={act} after={after} vms={vms} lease_age={lease}");
-        Self::log(out, Code::SeatAwaited, detail);
-        self.timers.set(turn.at(), Timer::Seat);
-        self.seats.turns.insert(service, turn);
-    }
-
-    /// Whether this VM may take a seat.
-    fn vacancy(&self, service: &Service) -> Vacancy {
-        let vacancy = self.vacancy_for_any(service);
-        let resting = self.now < self.rested(service);
-        match vacancy {
-            Vacancy::Free | Vacancy::Silent if resting => Vacancy::Resting,
-            vacancy => vacancy,
+        if self.awaits_no_turn() {
+            self.seats_changed(out);
+        } else {
+            self.take_seats(out);
         }
     }
 
-    /// Whether a seat can be taken by any VM, as far as this one knows.
-    fn vacancy_for_any(&self, service: &Service) -> Vacancy {
-        let change = self.facts.get(&Subject::Holder(service.clone()));
-        let Some(Fact::Holder(holder)) = change.and_then(|change| change.fact.as_ref()) else {
-            return Vacancy::Free;
-        };
-        let fencing = self.settings.tuning.fencing;
-        let silent = self.agents.get(service).is_some_and(|agent| agent.silent);
-        let settled = self.now.since(self.seats.changed(service)) >= SETTLED;
-        match holder.vm == self.settings.vm {
-            true if holder.incarnation != self.settings.incarnation => Vacancy::Mine,
-            true if self.idle_seat(service) && self.weary(service) => Vacancy::Weary,
-            true if self.idle_seat(service) => Vacancy::Mine,
-            false if fencing && silent && settled => Vacancy::Silent,
-            _ => Vacancy::Held,
-        }
-    }
-
-    /// Whether a seat is this VM's, though it has stopped to schedule: its lease could have ended, and did not. Nobody else may
-    /// take the seat as long as the lease goes on, so this VM writes it anew, under a new number.
-    fn idle_seat(&self, service: &Service) -> bool {
-        let sure = self.seats.lease.is_some() && self.now < self.lease_sure();
-        sure && !self.stopping && !self.desks.contains_key(service)
-    }
-
-    /// Whether this VM is to leave a seat to another one.
-    fn weary(&self, service: &Service) -> bool {
-        self.peers().next().is_some() && self.seats.weary(service, self.now)
-    }
-
     /// This VM holds a seat.
     pub(crate) fn seat_won(&mut self, service: &Service, fence: u64, out: &mut Effects) {
         let Some(application) = self.index.service(service.as_str()).cloned() else {
@@ -387,7 +258,7 @@
     }
 
     /// Takes this VM out of a seat, unless somebody else has it by now.
-    fn give_seat_up(&mut self, service: &Service, out: &mut Effects) {
+    pub(crate) fn give_seat_up(&mut self, service: &Service, out: &mut Effects) {
         let subject = Subject::Holder(service.clone());
         if let Some(revision) = self.facts.get(&subject).map(|c| c.revision) {
             Self::log(
@@ -399,21 +270,19 @@
         }
     }
 
+    /// Whether a change says that this VM, in this start, holds a seat.
+    fn is_holder(&self, change: &Change) -> bool {
+        let me = &self.settings;
+        matches!(&change.fact, Some(Fact::Holder(holder))
+            if holder.vm == me.vm && holder.incarnation == me.incarnation)
+    }
+
     fn seat_call(&mut self, purpose: Purpose, op: Op, out: &mut Effects) {
         let now = self.now;
         let id = self.store(op, out);
         self.seats.calls.insert(id, (purpose, now));
     }
 
-    fn enter(&mut self, out: &mut Effects) {
-        let Some(lease) = self.seats.lease else {
-            return;
-        };
-        let fact = Fact::Member(self.member());
-        let change = own(Subject::Member(self.settings.vm.clone()), fact);
-        self.seat_call(Purpose::Member, Op::Put(change, lease, None), out);
-    }
-
     fn seat_written(&mut self, service: &Service, revision: u64, out: &mut Effects) {
         let holder = Holder {
             vm: self.settings.vm.clone(),
@@ -426,9 +295,9 @@
     }
 
     fn lease_lost(&mut self, out: &mut Effects) {
-        self.seats.lease = None;
-        self.seats.entered = false;
-        Self::log(out, Code::StoreLeaseLost, "next=grant".to_owned());
+        self.seats.lease.ended(self.now);
+        let detail = "of=seats next=grant".to_owned();
+        Self::log(out, Code::StoreLeaseLost, detail);
         if !self.settings.tuning.fencing {
             self.lose_seats(out);
         }
@@ -459,9 +328,9 @@
     }
 
     /// Until when the lease certainly holds, with the time that an order may be on its way.
-    fn lease_sure(&self) -> Instant {
+    pub(crate) fn lease_sure(&self) -> Instant {
         let tuning = &self.settings.tuning;
-        self.seats.renewed + (tuning.lease - tuning.lease_guard)
+        self.seats.renewed() + (tuning.lease - tuning.lease_guard)
     }
 
     fn lose_seats(&mut self, out: &mut Effects) {
@@ -471,72 +340,52 @@
         }
     }
 
-    /// Sets the time of the next call on the lease.
-    fn plan_renewal(&mut self) {
-        let tuning = &self.settings.tuning;
-        let pause = match self.seats.lease {
-            Some(_) => tuning.renew,
-            None => tuning.store_retry,
-        };
-        let next = (self.seats.renewed + pause).max(self.now + tuning.store_retry);
-        self.seats.next = next;
-        self.timers.set(next, Timer::Seat);
+    /// Whether the lease is wanted: a seat is held or to be taken, or may yet be written by a call that had no answer.
+    fn wants_lease(&self) -> bool {
+        let engines = self.index.engines();
+        let mut held = engines.filter_map(|s| self.facts.get(&Subject::Holder(s.name.clone())));
+        !self.desks.is_empty()
+            || !self.seats.asked.is_empty()
+            || !self.seats.calls.is_empty()
+            || self.now < self.pledges.unsure()
+            || held.any(|change| self.is_holder(change))
     }
 
     /// Renews the lease, or gets a new one, when it is time.
     fn keep_lease(&mut self, out: &mut Effects) {
-        let busy = self
-            .seats
-            .calls
-            .values()
-            .any(|(p, _)| matches!(p, Purpose::Grant | Purpose::Renew));
-        if busy || self.now < self.seats.next || self.stopping {
+        if self.stopping {
             return;
         }
-        match self.seats.lease {
-            None => self.grant(out),
-            Some(lease) => self.seat_call(Purpose::Renew, Op::Renew(lease), out),
-        }
-        if self.seats.lease.is_some() && !self.seats.entered {
-            self.enter(out);
+        if !self.wants_lease() {
+            self.seats.lease.drop_it();
+            return;
         }
-    }
-
-    /// Tries to take the seats whose turn has come.
-    fn take_seats(&mut self, out: &mut Effects) {
-        let turns = self.seats.turns.iter();
-        let due = turns.filter(|(_, turn)| turn.at() <= self.now);
-        let due: Vec<Service> = due.map(|(service, _)| service.clone()).collect();
-        for service in due {
-            let turn = self.seats.turns.remove(&service);
-            let next = match (self.vacancy(&service), turn) {
-                (Vacancy::Held, _) => continue,
-                // Then it is still the turn of those before it.
-                (Vacancy::Resting, _) => Turn::Look(self.rested(&service)),
-                (Vacancy::Free, Some(Turn::Look(_))) => self.turn(&service),
-                (Vacancy::Weary, _) => {
-                    self.give_seat_up(&service, out);
-                    Turn::Look(self.now + self.settings.tuning.renew)
-                }
-                _ => {
-                    self.take_seat(service.clone(), out);
-                    Turn::Take(self.now + self.settings.tuning.renew)
-                }
+        if let Some(due) = self.seats.lease.due(self.now) {
+            let op = match due {
+                Due::Grant => Op::Grant(self.seat_terms().ttl),
+                Due::Renew(lease) => Op::Renew(lease),
             };
-            self.set_turn(service, next, out);
+            self.seats.lease.called();
+            self.seat_call(Purpose::Lease, op, out);
+        }
+        if let Some(next) = self.seats.lease.next() {
+            self.timers.set_once(next, Timer::Seat);
         }
     }
 
     /// Writes this VM into a seat, if nobody else did since.
-    fn take_seat(&mut self, service: Service, out: &mut Effects) {
+    pub(crate) fn take_seat(&mut self, service: Service, out: &mut Effects) {
         let purpose = Purpose::Seat(service.clone());
         let asked = self.seats.writes(&service);
         let away = self.follow.away.is_some();
-        let Some(lease) = self
-            .seats
-            .lease
-            .filter(|_| !asked && !away && !self.stopping)
-        else {
+        // Others must know of this VM first, so that whoever asks for pledges asks it too.
+        let entered = self.entry.granted().is_some();
+        if asked || away || self.stopping || !entered {
+            return;
+        }
+        let Some(lease) = self.seats.lease.id() else {
+            self.seats.asked.insert(service);
+            self.keep_lease(out);
             return;
         };
         let holder = Holder {
@@ -552,29 +401,4 @@
         let change = own(subject, Fact::Holder(holder));
         self.seat_call(purpose, Op::Put(change, lease, Some(expected)), out);
     }
-
-    /// This VM's turn for a seat that is free from now on: after the live VMs that stand before it in the order of
-    /// candidates, the strongest first. Counted from when this VM may take it, as the others count theirs: a weak VM whose turn
-    /// was counted from before that took the seat in the moment in which the strongest were allowed to look at it.
-    fn turn(&self, service: &Service) -> Turn {
-        let mine = self.rank(service, &self.settings.vm);
-        let before = self.peers().filter(|vm| self.rank(service, vm) < mine);
-        let from = self.now.max(self.rested(service));
-        Turn::Take(from + CANDIDATE_GAP.times(before.count() as u64))
-    }
-
-    fn rank(&self, service: &Service, vm: &Vm) -> (Reverse<u32>, u64) {
-        let score = book::score(&(service.as_str(), vm.as_str()));
-        (Reverse(self.strength(vm)), score)
-    }
-}
-
-/// A fact that this VM writes; the key-value service gives it its revision.
-fn own(subject: Subject, fact: Fact) -> Change {
-    Change {
-        subject,
-        revision: 0,
-        created: 0,
-        fact: Some(fact),
-    }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,8 +42,13 @@
 /// The figures behind the decisions, each with where it comes from.
 #[derive(Clone, Debug)]
 pub struct Tuning {
-    /// How long this VM's lease in the key-value service lives without a renewal. Twice the shortest that the
-    /// service grants: one lost renewal must not end it.
+    /// How long the lease of this VM's own entry lives without a renewal: longer than any outage of the key-value service that
+    /// was seen (9 s), so that none ends it, and than three renewals that fail.
+    pub entry_lease: Span,
+    /// The time between renewals of it: three fit into the lease. It is what an idle VM costs the service.
+    pub entry_renew: Span,
+    /// How long the lease of a seat lives without a renewal. Twice the shortest that the service grants: one lost renewal must
+    /// not end it.
     pub lease: Span,
     /// The time between renewals: four fit into a lease.
     pub renew: Span,
@@ -99,6 +104,8 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
+            entry_lease: Span::from_secs(16),
+            entry_renew: Span::from_secs(5),
             lease: Span::from_millis(2_000),
             renew: Span::from_millis(500),
             lease_guard: Span::from_millis(300),
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -13,7 +13,9 @@
 pub(crate) enum Timer {
     /// A request's time is over.
     Flow(RequestId),
-    /// The lease and the seats.
+    /// This VM's own entry.
+    Entry,
+    /// The seats and their lease.
     Seat,
     /// The key-value service.
     Follow,
--- /dev/null
+++ b/crates/gateway/src/turn.rs
@@ -0,0 +1,198 @@
+//! Who may take a seat, and when: this VM's turn among those that could.
+
+use std::cmp::Reverse;
+
+use dahliastile_core::id::{Service, Vm};
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+
+use crate::book;
+use crate::effect::Effects;
+use crate::fact::{Fact, Subject};
+use crate::node::Gateway;
+use crate::pledge::PLEDGE;
+use crate::timer::Timer;
+
+/// The time that a VM waits for each VM before it in the order of candidates before it takes a free seat: some calls
+/// of the key-value service.
+const CANDIDATE_GAP: Span = Span::from_millis(120);
+
+/// A VM's turn for a seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// It looks then who is there, and waits for those before it.
+    Look(Instant),
+    /// It takes the seat then.
+    Take(Instant),
+}
+
+impl Turn {
+    /// When it comes.
+    pub(crate) fn at(self) -> Instant {
+        match self {
+            Self::Look(at) | Self::Take(at) => at,
+        }
+    }
+}
+
+/// Whether this VM may take a seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Vacancy {
+    /// Another VM holds it, or this one does.
+    Held,
+    /// Nobody holds it.
+    Free,
+    /// An earlier start of this VM held it, or this one, which stopped before its lease could end.
+    Mine,
+    /// Another VM may take it, and this one later: it held the seat a moment ago.
+    Resting,
+    /// It is this VM's, which has stopped to schedule twice in a short time: another one is to have it.
+    Weary,
+    /// Its holder is silent, and engines refuse that holder's orders from the next one's first on.
+    Silent,
+}
+
+/// How long a seat stays with a holder that seems silent to this VM: orders of two holders in turn within three seconds
+/// are not wanted, even where fencing numbers keep them harmless.
+pub(crate) const SETTLED: Span = Span::from_millis(3_500);
+
+impl Gateway {
+    /// Whether a seat became free by time alone, and this VM does not wait for its turn yet.
+    pub(crate) fn awaits_no_turn(&self) -> bool {
+        let mut engines = self.index.engines().map(|service| &service.name);
+        engines.any(|service| {
+            let free = matches!(self.vacancy(service), Vacancy::Free | Vacancy::Silent);
+            free && !self.seats.turns.contains_key(service)
+        })
+    }
+
+    /// The configuration, a holder or what is known of it changed.
+    pub(crate) fn seats_changed(&mut self, out: &mut Effects) {
+        let services: Vec<Service> = self.index.engines().map(|s| s.name.clone()).collect();
+        for service in services {
+            let vacancy = self.vacancy(&service);
+            let waits = self.seats.turns.get(&service).map(|turn| turn.at());
+            let turn = match vacancy {
+                Vacancy::Held => continue,
+                // Nobody else may have it, so it waits for nobody's turn.
+                Vacancy::Mine | Vacancy::Weary if waits.is_none_or(|at| at > self.now) => {
+                    Turn::Take(self.now)
+                }
+                _ if waits.is_some() => continue,
+                _ if self.now < self.seats.meets => Turn::Look(self.seats.meets),
+                _ => self.turn(&service),
+            };
+            self.set_turn(service, turn, out);
+        }
+        self.take_seats(out);
+    }
+
+    /// From when on this VM may take a seat: where engines don't check fencing numbers not before its pledge is over, nor, where
+    /// it has just got a lease, before the pledges of others that it does not know of. At once where it knows no other VM.
+    fn rested(&self, service: &Service) -> Instant {
+        let rested = self.seats.rested(service);
+        if self.peers().next().is_none() {
+            return Instant::default();
+        }
+        if self.settings.tuning.fencing {
+            return rested;
+        }
+        let known = self.entry.granted().unwrap_or_default();
+        let others = known + (PLEDGE + self.settings.tuning.lease_guard);
+        rested.max(self.pledges.given(service)).max(others)
+    }
+
+    pub(crate) fn set_turn(&mut self, service: Service, turn: Turn, out: &mut Effects) {
+        let act = match turn {
+            Turn::Look(_) => "look",
+            Turn::Take(_) => "take",
+        };
+        let (after, vms) = (turn.at().since(self.now), self.peers().count());
+        let lease = self.now.since(self.entry.granted().unwrap_or_default());
+        let detail =
+            format!("service={service} act={act} after={after} vms={vms} entry_age={lease}");
+        Self::log(out, Code::SeatAwaited, detail);
+        self.timers.set(turn.at(), Timer::Seat);
+        self.seats.turns.insert(service, turn);
+    }
+
+    /// Whether this VM may take a seat.
+    fn vacancy(&self, service: &Service) -> Vacancy {
+        let vacancy = self.vacancy_for_any(service);
+        let resting = self.now < self.rested(service);
+        match vacancy {
+            Vacancy::Free | Vacancy::Silent if resting => Vacancy::Resting,
+            vacancy => vacancy,
+        }
+    }
+
+    /// Whether a seat can be taken by any VM, as far as this one knows.
+    fn vacancy_for_any(&self, service: &Service) -> Vacancy {
+        let change = self.facts.get(&Subject::Holder(service.clone()));
+        let Some(Fact::Holder(holder)) = change.and_then(|change| change.fact.as_ref()) else {
+            return Vacancy::Free;
+        };
+        let fencing = self.settings.tuning.fencing;
+        let silent = self.agents.get(service).is_some_and(|agent| agent.silent);
+        let settled = self.now.since(self.seats.changed(service)) >= SETTLED;
+        match holder.vm == self.settings.vm {
+            true if holder.incarnation != self.settings.incarnation => Vacancy::Mine,
+            true if self.idle_seat(service) && self.weary(service) => Vacancy::Weary,
+            true if self.idle_seat(service) => Vacancy::Mine,
+            false if fencing && silent && settled => Vacancy::Silent,
+            _ => Vacancy::Held,
+        }
+    }
+
+    /// Whether a seat is this VM's, though it has stopped to schedule: its lease could have ended, and did not. Nobody else may
+    /// take the seat as long as the lease goes on, so this VM writes it anew, under a new number.
+    fn idle_seat(&self, service: &Service) -> bool {
+        let sure = self.seats.leased() && self.now < self.lease_sure();
+        sure && !self.stopping && !self.desks.contains_key(service)
+    }
+
+    /// Whether this VM is to leave a seat to another one.
+    fn weary(&self, service: &Service) -> bool {
+        self.peers().next().is_some() && self.seats.weary(service, self.now)
+    }
+
+    /// Tries to take the seats whose turn has come.
+    pub(crate) fn take_seats(&mut self, out: &mut Effects) {
+        let turns = self.seats.turns.iter();
+        let due = turns.filter(|(_, turn)| turn.at() <= self.now);
+        let due: Vec<Service> = due.map(|(service, _)| service.clone()).collect();
+        for service in due {
+            let turn = self.seats.turns.remove(&service);
+            let next = match (self.vacancy(&service), turn) {
+                (Vacancy::Held, _) => continue,
+                // Then it is still the turn of those before it.
+                (Vacancy::Resting, _) => Turn::Look(self.rested(&service)),
+                (Vacancy::Free, Some(Turn::Look(_))) => self.turn(&service),
+                (Vacancy::Weary, _) => {
+                    self.give_seat_up(&service, out);
+                    Turn::Look(self.now + self.settings.tuning.renew)
+                }
+                _ => {
+                    self.take_seat(service.clone(), out);
+                    Turn::Take(self.now + self.settings.tuning.renew)
+                }
+            };
+            self.set_turn(service, next, out);
+        }
+    }
+
+    /// This VM's turn for a seat that is free from now on: after the live VMs that stand before it in the order of
+    /// candidates, the strongest first. Counted from when this VM may take it, as the others count theirs: a weak VM whose turn
+    /// was counted from before that took the seat in the moment in which the strongest were allowed to look at it.
+    fn turn(&self, service: &Service) -> Turn {
+        let mine = self.rank(service, &self.settings.vm);
+        let before = self.peers().filter(|vm| self.rank(service, vm) < mine);
+        let from = self.now.max(self.rested(service));
+        Turn::Take(from + CANDIDATE_GAP.times(before.count() as u64))
+    }
+
+    fn rank(&self, service: &Service, vm: &Vm) -> (Reverse<u32>, u64) {
+        let score = book::score(&(service.as_str(), vm.as_str()));
+        (Reverse(self.strength(vm)), score)
+    }
+}
