--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -44,6 +44,8 @@
 pub(crate) struct Book {
     /// By name.
     rows: BTreeMap<Vm, Row>,
+    /// When an entry last went; none where none ever did.
+    left: Option<Instant>,
 }
 
 impl Book {
@@ -54,8 +56,14 @@
         row.down = None;
     }
 
+    /// When an entry of another VM last went; none where none ever did.
+    pub(crate) fn left(&self) -> Option<Instant> {
+        self.left
+    }
+
     /// A VM's entry is gone. Says whether the VM counts as gone.
-    pub(crate) fn unlisted(&mut self, vm: &Vm) -> bool {
+    pub(crate) fn unlisted(&mut self, vm: &Vm, now: Instant) -> bool {
+        self.left = Some(now);
         self.rows.get_mut(vm).is_none_or(|row| {
             row.listed = false;
             row.down.is_some()
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -18,9 +18,9 @@
 use crate::timer::Timer;
 
 /// The pause after the first call that failed.
-const RETRY: Span = Span::from_millis(500);
+const RETRY: Span = Span::from_secs(1);
 
-/// The longest pause after calls that failed: four of them fit into what is left of the lease when it is to be renewed.
+/// The longest pause after calls that failed: three such calls fit into what is left of the lease when it is to be renewed.
 const RETRY_LONGEST: Span = Span::from_secs(4);
 
 /// The time within which all VMs call again when the key-value service is back: 195 VMs make 400 calls a second then, an
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -52,11 +52,11 @@
 
 /// How long ago the key-value service may have answered a VM that is followed, as far as that VM knows: a watch's length, the
 /// pause after it, a question and some. An older answer says that the VM's way to the service is not good.
-const FRESH: Span = Span::from_millis(1_200);
+const FRESH: Span = Span::from_millis(1_100);
 
-/// The same for a VM that tells its availability zone, which hears of the answers from another one: time for it to find a better one
-/// by itself.
-const FRESH_IN_ZONE: Span = Span::from_millis(1_700);
+/// The same for a VM that tells its availability zone, which hears of the answers from another one: a question more. Then its zone
+/// turns to the next one, which has [`SECOND_SILENCE`] to reach the service, two seconds being what a configuration has.
+const FRESH_IN_ZONE: Span = Span::from_millis(1_400);
 
 /// How long this VM then watches by itself before it follows another VM again, and how long it does not follow one that was
 /// silent.
@@ -94,10 +94,12 @@
     heard: Instant,
     /// How long it may be silent.
     patience: Span,
-    /// Whether the key-value service has not answered it for long, by its own word.
-    stale: bool,
-    /// The last one that was silent, and until when it is not followed again.
-    passed: Option<(Vm, Instant)>,
+    /// Since when it is followed.
+    begun: Instant,
+    /// When the key-value service last answered it, by its own word.
+    vouched: Instant,
+    /// Those that were silent or could not reach the key-value service, and until when each is not followed again.
+    passed: Vec<(Vm, Instant)>,
     /// Until when this VM watches by itself whatever its turn.
     alone: Instant,
     /// When the VM that is followed, or peers, are asked next.
@@ -173,7 +175,8 @@
         if self.follow.leader.as_ref() == Some(from) {
             self.follow.heard = self.now;
             self.follow.patience = SILENCE;
-            self.follow.stale = !fresh;
+            self.follow.vouched = answered;
+            self.timers.set(answered + self.fresh(from), Timer::Follow);
         }
         if fresh {
             self.store_answers(answered, from, out);
@@ -249,11 +252,13 @@
         if let Some(leader) = leader.filter(|_| self.now >= self.follow.alone) {
             Self::log(out, Code::Following, format!("vm={leader}"));
             self.follow.leader = Some(leader);
+            self.follow.begun = self.now;
+            self.follow.vouched = Instant::default();
             self.follow.heard = self.now;
-            self.follow.stale = false;
-            self.follow.patience = match self.passed() {
-                Some(_) => SECOND_SILENCE,
-                None => SILENCE,
+            self.follow.patience = if self.passes_by() {
+                SECOND_SILENCE
+            } else {
+                SILENCE
             };
             let silent = self.now + self.follow.patience;
             self.timers.set(silent, Timer::Follow);
@@ -269,49 +274,75 @@
         self.follow.op = Some(self.store(op, out));
     }
 
-    /// The VM that was silent a moment ago.
-    fn passed(&self) -> Option<&Vm> {
-        let passed = self.follow.passed.as_ref();
-        passed
-            .filter(|(_, until)| self.now < *until)
-            .map(|(vm, _)| vm)
+    /// Whether a VM was silent a moment ago.
+    fn is_passed(&self, vm: &Vm) -> bool {
+        let mut passed = self.follow.passed.iter();
+        passed.any(|(other, until)| other == vm && self.now < *until)
     }
 
-    /// The VM that this one follows: the one that tells its availability zone, else, by hashing, one of those that watch for all.
-    /// None where this VM is one of those.
+    /// Whether any VM was.
+    fn passes_by(&self) -> bool {
+        let mut passed = self.follow.passed.iter();
+        passed.any(|(_, until)| self.now < *until)
+    }
+
+    /// Passes a VM by for a while.
+    fn pass_by(&mut self, vm: Vm) {
+        let now = self.now;
+        self.follow.passed.retain(|(_, until)| *until > now);
+        self.follow.passed.push((vm, now + ALONE));
+    }
+
+    /// The VM that this one follows: the one that tells its availability zone, or, where that is this one, one of those that watch for
+    /// all, by hashing. None where this VM is one of those.
     fn leader(&self) -> Option<Vm> {
         let me = &self.settings.vm;
         let watchers = self.watchers();
         if watchers.contains(&me) {
             return None;
         }
-        let passed = self.passed();
-        let teller = self.teller();
-        if passed.is_none() && teller != me {
+        let teller = self.teller(|vm| !self.is_passed(vm));
+        if teller != me {
             return Some(teller.clone());
         }
         let choice = watchers
             .into_iter()
-            .filter(|vm| Some(*vm) != passed)
+            .filter(|vm| !self.is_passed(vm))
             .min_by_key(|vm| book::score(&(me.as_str(), vm.as_str())));
         choice.cloned()
     }
 
+    /// Whether the key-value service has not answered the VM that is followed for long. One that watches for all is passed by as soon
+    /// as it says so; one that tells the zone may just be finding out, and has a moment.
+    fn is_stale(&self, leader: &Vm) -> bool {
+        let told = if self.watchers().contains(&leader) {
+            self.follow.heard > self.follow.begun
+        } else {
+            self.now.since(self.follow.begun) >= SECOND_SILENCE
+        };
+        told && self.now >= self.follow.vouched + self.fresh(leader)
+    }
+
     /// Asks the VM that is followed again, unless it is silent, the key-value service has not answered it for long, or this VM's
     /// turn has changed.
     fn keep_following(&mut self, out: &mut Effects) {
         let quiet = self.now.since(self.follow.heard) >= self.follow.patience;
-        let silent = quiet || self.follow.stale;
-        if silent || self.leader() != self.follow.leader {
+        let stale = self
+            .follow
+            .leader
+            .as_ref()
+            .is_some_and(|vm| self.is_stale(vm));
+        if quiet || stale || self.leader() != self.follow.leader {
             let leader = self.follow.leader.take();
-            let detail = format!("vm={leader:?} silent={quiet} stale={}", self.follow.stale);
+            let detail = format!("vm={leader:?} silent={quiet} stale={stale}");
             Self::log(out, Code::FollowingEnded, detail);
-            match leader.filter(|_| silent) {
-                Some(leader) if self.passed().is_none() => {
-                    self.follow.passed = Some((leader, self.now + ALONE));
+            if let Some(leader) = leader.filter(|_| quiet || stale) {
+                // One that watches for all and says that it gets no answers costs no time: others are asked as well.
+                let second = self.passes_by() && (quiet || !self.watchers().contains(&&leader));
+                if second {
+                    self.follow.alone = self.now + ALONE;
                 }
-                Some(_) => self.follow.alone = self.now + ALONE,
-                None => {}
+                self.pass_by(leader);
             }
             self.watch(out);
             return;
@@ -496,7 +527,7 @@
             (Subject::Holder(service), _) => self.holder_gone(&service, out),
             (Subject::Member(vm), None) if vm == self.settings.vm => self.entry_gone(),
             (Subject::Member(vm), Some(Fact::Member(member))) => self.book.listed(&vm, &member),
-            (Subject::Member(vm), _) if self.book.unlisted(&vm) => self.desk_vm_gone(&vm),
+            (Subject::Member(vm), _) if self.book.unlisted(&vm, self.now) => self.desk_vm_gone(&vm),
             _ => {}
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,10 +38,12 @@
         self.watchers().contains(&&self.settings.vm)
     }
 
-    /// The VM that tells this VM's availability zone.
-    pub(crate) fn teller(&self) -> &Vm {
+    /// The VM that tells this VM's availability zone, of those that will do.
+    pub(crate) fn teller(&self, will_do: impl Fn(&Vm) -> bool) -> &Vm {
         let zone = &self.settings.zone;
-        let peers = self.peers().filter(|vm| self.book.zone(vm) == Some(zone));
+        let peers = self
+            .peers()
+            .filter(|vm| self.book.zone(vm) == Some(zone) && will_do(vm));
         let vms = peers.chain([&self.settings.vm]);
         let first = vms.min_by_key(|vm| self.rank_for_all(vm));
         first.unwrap_or(&self.settings.vm)
@@ -49,7 +51,7 @@
 
     /// Whether this VM tells its availability zone.
     fn tells(&self) -> bool {
-        self.teller() == &self.settings.vm
+        self.teller(|_| true) == &self.settings.vm
     }
 
     /// The VMs that tell the other availability zones, as far as this VM reaches them.
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -146,6 +146,8 @@
     pub lines: Vec<String>,
     /// Messages that VMs sent to each other.
     pub messages: u64,
+    /// Calls of the key-value service that VMs made, whether or not it answers.
+    pub tried: u64,
     tuning: Tuning,
     without: Without,
     queue: BinaryHeap<Reverse<(Instant, u64)>>,
@@ -218,6 +220,7 @@
             asked: BTreeMap::new(),
             lines: Vec::new(),
             messages: 0,
+            tried: 0,
             tuning,
             without,
             queue: BinaryHeap::new(),
@@ -342,6 +345,13 @@
         self.wake_watchers();
     }
 
+    /// A server rewrites its entry as it is.
+    pub fn rewrite(&mut self, id: &str) {
+        let id: Server = name(id);
+        let fact = Fact::Server(self.servers[&id].1.clone());
+        self.write(Subject::Server(id), fact);
+    }
+
     /// A server's entry goes.
     pub fn unlist(&mut self, id: &str) {
         self.store.remove(&Subject::Server(name(id)));
