--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/desk/load.rs
@@ -11,7 +11,7 @@
 use super::engine::{Engine, Intent, Place, Stage, place};
 use super::forecast::{For, Wait};
 use super::key::Key;
-use super::rooms::{Floor, Room, Rooms};
+use super::rooms::{Floor, Room, Rooms, busy_for};
 use super::spread::{Spot, Spread};
 use super::{Decision, Desk};
 use crate::mechanism::Mechanism;
@@ -172,8 +172,8 @@
                 let others = choice
                     .victim
                     .map_or(&[][..], |victim| spread.holders(victim));
-                let changed = others.iter().chain([&choice.server]);
-                self.look_again(now, changed, &claims, &spread, &mut floor);
+                let changed: Vec<&Server> = others.iter().chain([&choice.server]).collect();
+                self.look_again(now, &changed, &claims, &spread, &mut floor);
             }
         }
     }
@@ -281,12 +281,11 @@
         };
         for (server, engine, depth) in self.beside_engines(look, key) {
             let load = self.back_time();
-            match look.rooms.at(server) {
-                Some(room) => offer(choice(server, room, Some(depth), load)),
-                None => {
-                    let busy = self.busy_for(look.now, engine, look.claims, None, look.spread);
-                    later = later.min(load + busy + ROOM_SOON);
-                }
+            if let Some(room) = look.rooms.at(server) {
+                offer(choice(server, room, Some(depth), load));
+            } else {
+                let busy = busy_for(look.now, engine, look.claims, None, look.spread);
+                later = later.min(load + busy + ROOM_SOON);
             }
         }
         if store {
@@ -338,7 +337,7 @@
                 None if store => self.load_time + FETCH,
                 None => return None,
             };
-            let busy = self.busy_for(look.now, engine, look.claims, Some(key), look.spread);
+            let busy = busy_for(look.now, engine, look.claims, Some(key), look.spread);
             Some(Choice {
                 server: server.clone(),
                 victim: None,
--- a/crates/gateway/src/desk/rooms.rs
+++ b/crates/gateway/src/desk/rooms.rs
@@ -95,17 +95,17 @@
     }
 
     /// Looks again at the rooms of some engines.
-    pub(crate) fn look_again<'a>(
+    pub(crate) fn look_again(
         &self,
         now: Instant,
-        servers: impl Iterator<Item = &'a Server> + Clone,
+        servers: &[&Server],
         claims: &Claims,
         spread: &Spread,
         floor: &mut Floor,
     ) {
         for (model, rooms) in &mut floor.models {
-            for server in servers.clone() {
-                let engine = self.engines.get(server);
+            for server in servers {
+                let engine = self.engines.get(*server);
                 let room = engine.and_then(|e| self.room(now, e, model, claims, spread));
                 rooms.set(server, room);
             }
@@ -140,23 +140,10 @@
             let (victim, loss) = self.victim(now, engine, claims, spread)?;
             (Some(victim), loss)
         };
-        let cost = self.busy_for(now, engine, claims, None, spread) + loss;
+        let cost = busy_for(now, engine, claims, None, spread) + loss;
         Some(Room { victim, cost })
     }
 
-    /// The time until the prompts are read that an engine was given, and those that are claimed of it for adapters other than
-    /// one.
-    pub(crate) fn busy_for(
-        &self,
-        now: Instant,
-        engine: &Engine,
-        claims: &Claims,
-        except: Option<Key>,
-        spread: &Spread,
-    ) -> Span {
-        engine.backlog(now) + reading(claims.at(engine, except, spread), engine.rate)
-    }
-
     /// The adapter at an engine that makes room at the least loss, of those that nobody uses or waits for.
     fn victim(
         &self,
@@ -191,3 +178,14 @@
         bases + adapters + more <= self.shape.memory_mb
     }
 }
+
+/// The time until the prompts are read that an engine was given, and those that are claimed of it for adapters other than one.
+pub(crate) fn busy_for(
+    now: Instant,
+    engine: &Engine,
+    claims: &Claims,
+    except: Option<Key>,
+    spread: &Spread,
+) -> Span {
+    engine.backlog(now) + reading(claims.at(engine, except, spread), engine.rate)
+}
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -119,6 +119,26 @@
     }
 }
 
+/// How far a message to another VM goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reach {
+    /// It stays in this VM's availability zone.
+    Zone,
+    /// It leaves it, or may.
+    Beyond,
+}
+
+impl Reach {
+    /// Its name, for figures.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Zone => "zone",
+            Self::Beyond => "beyond",
+        }
+    }
+}
+
 /// Something to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
@@ -131,7 +151,7 @@
     /// Asks a server for its report.
     Report(Server, SocketAddr),
     /// Sends a message to the VM at an address.
-    Peer(SocketAddr, Message),
+    Peer(SocketAddr, Reach, Message),
     /// Writes a log event.
     Log(Record),
     /// Counts or observes a figure.
--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -1,6 +1,6 @@
 //! Facts of the key-value service, each with the revision of its last change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -130,6 +130,8 @@
     change: Change,
     /// The revision of its last change that says anything new to VMs that follow this one.
     news: Revision,
+    /// Whether it is gone, and only not taken for gone yet: that it is back then says something new.
+    lapsed: bool,
 }
 
 /// How a change came.
@@ -154,7 +156,8 @@
         match self.rows.get_mut(&change.subject) {
             Some(known) if known.change.revision >= change.revision => false,
             Some(known) => {
-                if way == Way::Told || known.change.fact != change.fact {
+                let lapsed = std::mem::take(&mut known.lapsed);
+                if way == Way::Told || lapsed || known.change.fact != change.fact {
                     known.news = change.revision;
                 }
                 known.change = change;
@@ -162,8 +165,14 @@
             }
             None => {
                 let news = change.revision;
-                self.rows
-                    .insert(change.subject.clone(), Row { change, news });
+                self.rows.insert(
+                    change.subject.clone(),
+                    Row {
+                        change,
+                        news,
+                        lapsed: false,
+                    },
+                );
                 true
             }
         }
@@ -181,7 +190,31 @@
     #[must_use]
     pub fn is_news(&self, change: &Change, since: Revision) -> bool {
         let known = self.rows.get(&change.subject);
-        known.is_none_or(|known| known.news > since || known.change.fact != change.fact)
+        known.is_none_or(|known| {
+            known.news > since || known.lapsed || known.change.fact != change.fact
+        })
+    }
+
+    /// The watched changes that tell such a VM anything. Where one of a subject does, all later ones of it do: an entry that goes
+    /// and is back as it was says nothing new only to those who did not hear that it went.
+    #[must_use]
+    pub fn news_among(&self, changes: &[Change], since: Revision) -> Vec<Change> {
+        let mut told: BTreeSet<&Subject> = BTreeSet::new();
+        let mut news = Vec::new();
+        for change in changes {
+            if told.contains(&change.subject) || self.is_news(change, since) {
+                told.insert(&change.subject);
+                news.push(change.clone());
+            }
+        }
+        news
+    }
+
+    /// A subject is gone, but is not taken for gone yet.
+    pub fn lapse(&mut self, subject: &Subject) {
+        if let Some(row) = self.rows.get_mut(subject) {
+            row.lapsed = true;
+        }
     }
 
     /// Takes a subject as gone without a change that says so; any later change brings it back.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,7 +16,7 @@
 
 use crate::book;
 use crate::config::{Config, Index};
-use crate::effect::{Effect, Effects, Op, OpId};
+use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::event::Outcome;
 use crate::fact::{Backend, Change, Fact, Revision, Subject, Way};
 use crate::message::{Message, News};
@@ -231,8 +231,10 @@
         for change in changes {
             match &change.subject {
                 Subject::Server(server) if recovering && change.fact.is_none() => {
-                    let server = server.clone();
-                    self.lapse(server, out);
+                    // It may be told late, and the server be back by now.
+                    if self.facts.lacks(&change) {
+                        self.lapse(server.clone(), out);
+                    }
                 }
                 _ => self.take(change, way, out),
             }
@@ -396,32 +398,34 @@
         if self.follow.away.is_none() || self.now < self.follow.ask {
             return;
         }
-        let known = self.peers().filter_map(|vm| self.book.address(vm));
-        let mut addresses: Vec<SocketAddr> = known.collect();
-        if addresses.is_empty() {
-            // Nobody was ever heard of: the settings name some that may be there.
-            let own = self.settings.address;
-            addresses.extend(self.settings.seeds.iter().filter(|seed| **seed != own));
-        }
-        if !addresses.is_empty() {
-            let address = addresses[self.rng.random_range(0..addresses.len())];
-            let revision = self.follow.cursor.unwrap_or(0);
-            out.push(Effect::Peer(
-                address,
-                Message::Follow(self.member(), revision),
-            ));
+        let question = Message::Follow(self.member(), self.follow.cursor.unwrap_or(0));
+        let peers: Vec<Vm> = self.peers().cloned().collect();
+        if peers.is_empty() {
+            self.ask_a_seed(question, out);
+        } else {
+            let peer = &peers[self.rng.random_range(0..peers.len())];
+            self.send(peer, question, out);
         }
         self.follow.ask = self.now + ASK_EVERY;
         self.timers.set(self.follow.ask, Timer::Follow);
     }
 
+    /// Asks one of the VMs that the settings name: nobody was ever heard of, and they may be there.
+    fn ask_a_seed(&mut self, question: Message, out: &mut Effects) {
+        let own = self.settings.address;
+        let seeds = self.settings.seeds.iter().filter(|seed| **seed != own);
+        let seeds: Vec<SocketAddr> = seeds.copied().collect();
+        if !seeds.is_empty() {
+            let seed = seeds[self.rng.random_range(0..seeds.len())];
+            out.push(Effect::Peer(seed, Reach::Beyond, question));
+        }
+    }
+
     /// Passes changes on that this VM's watch shows, and that have come after all that is known.
     fn tell_followers(&mut self, changes: &[Change], revision: Revision, out: &mut Effects) {
         let since = self.follow.cursor.unwrap_or(0);
-        let changes = changes
-            .iter()
-            .filter(|change| self.facts.is_news(change, since));
-        self.pass_on(changes.cloned().collect(), since, revision, out);
+        let changes = self.facts.news_among(changes, since);
+        self.pass_on(changes, since, revision, out);
     }
 
     /// Tells the VMs that follow this one of changes after a revision and up to another one.
@@ -475,6 +479,7 @@
             Code::EntryLapsed,
             format!("server={server} until={until}"),
         );
+        self.facts.lapse(&Subject::Server(server.clone()));
         self.follow.lapsed.entry(server).or_insert(until);
         self.timers.set(until, Timer::Follow);
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -107,10 +107,43 @@
     News(News),
 }
 
+impl Message {
+    /// What kind of message it is, for figures.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Want(..) => "want",
+            Self::Progress(..) => "progress",
+            Self::Hello(..) => "hello",
+            Self::Place(..) => "place",
+            Self::Refuse(..) => "refuse",
+            Self::Residents(..) => "residents",
+            Self::Passed(..) => "passed",
+            Self::Alive(..) => "alive",
+            Self::Pledge(..) => "pledge",
+            Self::Pledged(..) => "pledged",
+            Self::Follow(..) => "follow",
+            Self::News(_) => "news",
+        }
+    }
+}
+
 /// Messages as bytes for another VM; none where they can't be written, which no message of this module is.
 #[must_use]
 pub fn encode(messages: &[Message]) -> Option<Vec<u8>> {
-    postcard::to_stdvec(messages).ok()
+    encode_each(messages, |_, _| {})
+}
+
+/// The same; `each` is given every message with its bytes.
+pub fn encode_each(messages: &[Message], mut each: impl FnMut(&Message, usize)) -> Option<Vec<u8>> {
+    // A list is written as its length and its items.
+    let mut bytes = postcard::to_stdvec(&messages.len()).ok()?;
+    for message in messages {
+        let before = bytes.len();
+        bytes = postcard::to_extend(message, bytes).ok()?;
+        each(message, bytes.len() - before);
+    }
+    Some(bytes)
 }
 
 /// Messages of another VM; none where the bytes are of a version that this one does not know.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,7 +17,7 @@
 use crate::config::{Config, Index, Limits};
 use crate::desk::Desk;
 use crate::early;
-use crate::effect::{Effect, Effects, Op, OpId};
+use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::entry;
 use crate::event::{Event, RequestId};
 use crate::fact::{Member, Table};
@@ -178,7 +178,11 @@
     /// Sends a message to another VM, if its address is known.
     pub(crate) fn send(&self, to: &Vm, message: Message, out: &mut Effects) {
         match self.book.address(to) {
-            Some(address) => out.push(Effect::Peer(address, message)),
+            Some(address) => {
+                let near = self.book.zone(to) == Some(&self.settings.zone);
+                let reach = if near { Reach::Zone } else { Reach::Beyond };
+                out.push(Effect::Peer(address, reach, message));
+            }
             None => measure::plain(out, Figure::Dropped, "peer_unknown"),
         }
     }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -91,15 +91,15 @@
     /// it has just got a lease, before the pledges of others that it does not know of. At once where it never knew another VM; where
     /// the last entry of one has just gone, as all go when the key-value service loses its leases, they may still act by them.
     fn rested(&self, service: &Service) -> Instant {
-        let rested = self.seats.rested(service);
-        let pledge = PLEDGE + self.settings.tuning.lease_guard;
         let fencing = self.settings.tuning.fencing;
-        match self.book.left() {
-            None if self.peers().next().is_none() => return Instant::default(),
-            Some(left) if !fencing && self.peers().next().is_none() => return left + pledge,
-            Some(_) if self.peers().next().is_none() => return Instant::default(),
-            Some(_) | None if fencing => return rested,
-            Some(_) | None => {}
+        let pledge = PLEDGE + self.settings.tuning.lease_guard;
+        if self.peers().next().is_none() {
+            let left = self.book.left().filter(|_| !fencing);
+            return left.map_or(Instant::default(), |left| left + pledge);
+        }
+        let rested = self.seats.rested(service);
+        if fencing {
+            return rested;
         }
         let others = self.entry.granted().unwrap_or_default() + pledge;
         rested.max(self.pledges.given(service)).max(others)
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -9,6 +9,7 @@
 mod support;
 
 use dahliastile_core::time::Span;
+use dahliastile_gateway::settings::Tuning;
 use support::World;
 use support::setup::config;
 
@@ -137,7 +138,7 @@
         for strong in strengths.iter_mut().take(6) {
             *strong = 50;
         }
-        let mut world = World::uneven(&strengths, 4, 1, Default::default());
+        let mut world = World::uneven(&strengths, 4, 1, Tuning::default());
         world.run(Span::from_secs(4));
         for vm in 0..6 {
             world.kill(vm, true);
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -280,3 +280,60 @@
     assert!(table.apply(entry(9, true), Way::Watched));
     assert_eq!(table.after(8).count(), 0);
 }
+
+/// Whether each VM has a plain request served.
+fn all_serve(world: &mut World) -> bool {
+    let vms = 0..world.hosts.len();
+    let asked: Vec<u64> = vms
+        .map(|vm| world.ask(vm, support::setup::call("q", "/query/x", 2_000, None)))
+        .collect();
+    world.run(Span::from_millis(400));
+    world.served_of(&asked) == asked.len()
+}
+
+/// A server's entry goes and is there again as it was, both between two watches: VMs that follow hear of both, or they take the
+/// server for gone until its entry says something else.
+#[test]
+fn entry_goneandbackatonceisknown() {
+    let mut world = calm(12);
+    let (subject, back) = (
+        Subject::Server(name("p0")),
+        world.servers[&name::<Server>("p0")].1.clone(),
+    );
+    // One such pair falls into a pause of each watcher.
+    for _ in 0..8 {
+        world.store.remove(&subject);
+        world
+            .store
+            .put(subject.clone(), Fact::Server(back.clone()), 0);
+        world.wake_watchers();
+        churn(&mut world, Span::from_millis(100));
+    }
+    world.run(Span::from_secs(1));
+    assert!(all_serve(&mut world));
+    world.check();
+}
+
+/// All entries lapse in an outage, and servers write theirs again a second after it, as they were: nobody takes them for gone
+/// after the two seconds that they have.
+#[test]
+fn entries_lapsedandbackareknown() {
+    for back in [100, 700, 1_300] {
+        let mut world = calm(12);
+        world.store_up = false;
+        world.wake_watchers();
+        world.run(Span::from_secs(4));
+        let ids = ["e0", "e1", "e2", "e3", "p0"];
+        for server in ids {
+            world.store.remove(&Subject::Server(name(server)));
+        }
+        world.store_up = true;
+        world.run(Span::from_millis(back));
+        for server in ids {
+            world.rewrite(server);
+        }
+        world.run(Span::from_secs(4));
+        assert!(all_serve(&mut world), "back after {back} ms");
+        world.check();
+    }
+}
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -349,7 +349,7 @@
                     Act::Event(vm, start, Event::Reported(server, None)),
                 );
             }
-            Effect::Peer(address, message) => {
+            Effect::Peer(address, _, message) => {
                 self.messages += 1;
                 let to = (0..self.hosts.len()).find(|to| setup::address(1, *to) == address);
                 if let Some(to) = to.filter(|_| net) {
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -46,7 +46,7 @@
     /// The log.
     pub(crate) journal: Journal,
     /// The figures.
-    pub(crate) figures: Figures,
+    pub(crate) figures: Rc<Figures>,
     /// The events.
     pub(crate) mailbox: flume::Receiver<Event>,
     /// Effects of the present step.
@@ -123,7 +123,7 @@
     fn perform(&mut self, now: Instant, effect: Effect) {
         match effect {
             Effect::Request(id, verdict) => self.hub.tell(id, verdict),
-            Effect::Peer(address, message) => self.peers.send(address, message),
+            Effect::Peer(address, reach, message) => self.peers.send(address, reach, message),
             Effect::Log(record) => self.journal.write(now, &record),
             Effect::Measure(sample) => self.figures.take(sample),
             Effect::Store(id, op) => self.call_store(id, op),
--- a/crates/shell/src/figures.rs
+++ b/crates/shell/src/figures.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Counts so many of a figure that belongs to no service.
+    pub(crate) fn count(&self, figure: Figure, count: u64, label: String) {
+        let key = Key::from_parts(figure.name(), vec![Label::new("label", label)]);
+        let counter = self.recorder.register_counter(&key, &METADATA);
+        counter.increment(count);
+    }
+
     /// A handle that renders the figures in Prometheus's text form.
     #[must_use]
     pub fn handle(&self) -> PrometheusHandle {
--- a/crates/shell/src/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -6,15 +6,18 @@
 use std::time::Duration;
 
 use dahliastile_core::id::{Incarnation, Vm};
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::Span;
+use dahliastile_gateway::effect::Reach;
 use dahliastile_gateway::event::{Event, Fault};
-use dahliastile_gateway::message::Message;
+use dahliastile_gateway::message::{Message, encode_each};
 use dahliastile_wire::exchange::{Sender, Sink, serve};
 use rustc_hash::FxHashMap;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
 use crate::dialect::Dialect;
+use crate::figures::Figures;
 use crate::hub::Hub;
 
 /// How long a connection may take to be made.
@@ -31,12 +34,13 @@
 const WAITING: usize = 4_096;
 
 /// The queue of messages to one address.
-#[derive(Default)]
 struct Queue {
     /// The messages.
     messages: RefCell<Vec<Message>>,
     /// Says that there are some.
     wake: Notify,
+    /// How far they go.
+    reach: Reach,
 }
 
 /// Links to other VMs, made when there is something to send.
@@ -49,22 +53,30 @@
     queues: RefCell<FxHashMap<SocketAddr, Rc<Queue>>>,
     /// Where events go.
     hub: Rc<Hub<D>>,
+    /// The figures.
+    figures: Rc<Figures>,
 }
 
 impl<D: Dialect> Peers<D> {
-    pub(crate) fn new(vm: Vm, incarnation: Incarnation, hub: Rc<Hub<D>>) -> Rc<Self> {
+    pub(crate) fn new(
+        vm: Vm,
+        incarnation: Incarnation,
+        hub: Rc<Hub<D>>,
+        figures: Rc<Figures>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             vm,
             incarnation,
             queues: RefCell::default(),
             hub,
+            figures,
         })
     }
 
     /// Sends a message without waiting. It may be lost.
-    pub(crate) fn send(self: &Rc<Self>, address: SocketAddr, message: Message) {
+    pub(crate) fn send(self: &Rc<Self>, address: SocketAddr, reach: Reach, message: Message) {
         let known = self.queues.borrow().get(&address).cloned();
-        let queue = known.unwrap_or_else(|| self.open(address));
+        let queue = known.unwrap_or_else(|| self.open(address, reach));
         let mut messages = queue.messages.borrow_mut();
         if messages.len() >= WAITING {
             messages.remove(0);
@@ -73,8 +85,12 @@
         queue.wake.notify_one();
     }
 
-    fn open(self: &Rc<Self>, address: SocketAddr) -> Rc<Queue> {
-        let queue = Rc::new(Queue::default());
+    fn open(self: &Rc<Self>, address: SocketAddr, reach: Reach) -> Rc<Queue> {
+        let queue = Rc::new(Queue {
+            messages: RefCell::default(),
+            wake: Notify::new(),
+            reach,
+        });
         self.queues.borrow_mut().insert(address, queue.clone());
         tokio::task::spawn_local(self.clone().carry(address, queue.clone()));
         queue
@@ -97,6 +113,15 @@
         }
     }
 
+    /// Messages as one batch, each counted.
+    fn encode(&self, messages: &[Message], reach: Reach) -> Option<Vec<u8>> {
+        encode_each(messages, |message, bytes| {
+            let label = format!("{}_{}", message.kind(), reach.name());
+            self.figures.count(Figure::PeerMessages, 1, label.clone());
+            self.figures.count(Figure::PeerBytes, bytes as u64, label);
+        })
+    }
+
     /// Delivers batches until one is not taken in, and says why. The next batch does not wait for the last one's answer.
     async fn deliver(&self, link: &Sender, queue: &Queue) -> Fault {
         let mut answers = futures::stream::FuturesUnordered::new();
@@ -104,7 +129,7 @@
             tokio::select! {
                 () = queue.wake.notified() => {
                     let messages = std::mem::take(&mut *queue.messages.borrow_mut());
-                    match dahliastile_gateway::message::encode(&messages) {
+                    match self.encode(&messages, queue.reach) {
                         Some(batch) if !messages.is_empty() => {
                             answers.push(link.deliver(&self.vm, self.incarnation, &batch, DELIVERY));
                         }
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -71,10 +71,12 @@
     );
     let (sender, mailbox) = flume::unbounded();
     let figures = Figures::new(settings.vm.as_str()).wrap_err("can't set the figures up")?;
+    let figures = Rc::new(figures);
     let hub = Hub::new(dialect, figures.handle(), sender);
     let (leave, leaving) = watch::channel(false);
     let (end, ending) = watch::channel(None);
-    let peers = Peers::new(settings.vm.clone(), settings.incarnation, hub.clone());
+    let (vm, start) = (settings.vm.clone(), settings.incarnation);
+    let peers = Peers::new(vm, start, hub.clone(), figures.clone());
     tokio::task::spawn_local(callers::listen(front, hub.clone(), leaving));
     tokio::task::spawn_local(probe::listen(ready, hub.clone()));
     tokio::task::spawn_local(probe::listen(bind(options.figures).await?, hub.clone()));
