--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -132,7 +132,7 @@
     SeatLeft = 326 Info "If it is not being stopped, it is too weak for the seat, or its way to the key-value service is.";
     /// An entry of the key-value service can't be read, and tells nothing of its subject.
     EntryUnreadable = 315 Warn "Look for another program that writes there.";
-    /// This VM's lease in the key-value service ended.
+    /// A lease of this VM in the key-value service ended: that of its entry or that of its seats.
     StoreLeaseLost = 312 Warn "Check the VM's way to the key-value service if it repeats.";
     /// This VM hears of the key-value service's changes from another VM.
     Following = 313 Info "Nothing.";
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -69,6 +69,11 @@
     /// Adds up where the time of requests goes.
     #[options(help = "say how requests ended and where their time went, from logs of VMs")]
     Budget(Log),
+    /// Adds up what VMs cost each other.
+    #[options(
+        help = "say what VMs ask of the key-value service and send each other, from their figures"
+    )]
+    Traffic(Figures),
     /// Shows the fleet.
     #[options(help = "show VMs, domains, servers and editions")]
     Status(Status),
@@ -112,6 +117,21 @@
     pub file: String,
 }
 
+/// A command that takes figures.
+#[derive(Debug, Options)]
+pub struct Figures {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The file.
+    #[options(
+        free,
+        required,
+        help = "pages of the VMs' figures, those of all VMs together"
+    )]
+    pub file: String,
+}
+
 /// Options of `status`.
 #[derive(Debug, Options)]
 pub struct Status {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -19,6 +19,7 @@
 mod revert;
 mod rules;
 mod session;
+mod traffic;
 mod tree;
 
 pub use apply::changes;
@@ -32,3 +33,4 @@
 pub use render::clash as clash_text;
 pub use revert::{around, opposite};
 pub use session::run;
+pub use traffic::{Traffic, traffic};
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -11,6 +11,7 @@
 use crate::error::{Error, Result};
 use crate::output::Output;
 use crate::progress::Progress;
+use crate::traffic;
 use crate::{apply, check, edit, file, render, rules};
 
 /// Time between two looks at the fleet.
@@ -37,6 +38,7 @@
     match command {
         Command::Check(options) => return check::run(&options.file),
         Command::Budget(options) => return budget::run(&options.file),
+        Command::Traffic(options) => return traffic::run(&options.file),
         Command::Demo(options) => return crate::demo::run(options),
         _ => {}
     }
@@ -50,7 +52,7 @@
             Some(command) => rules::run(&mut session, command),
             None => Err(Error::Usage("no command on rules is given".to_owned())),
         },
-        Command::Check(_) | Command::Budget(_) | Command::Demo(_) => {
+        Command::Check(_) | Command::Budget(_) | Command::Traffic(_) | Command::Demo(_) => {
             Ok(Output::new("", &json!(null)))
         }
     }
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -5,3 +5,4 @@
 mod diff;
 mod files;
 mod support;
+mod traffic;
