--- a/crates/gateway/benches/desk.rs
+++ b/crates/gateway/benches/desk.rs
@@ -5,7 +5,7 @@
 //! engine by Zipf's law, prompts of 1,800 tokens, answers of one second. More wait than can be served, so that some hundred
 //! requests are always there to be looked at.
 //!
-//! `cargo bench -p dahliastile-gateway --bench desk -- --engines 100,400`
+//! `cargo bench -p dahliastile-gateway --bench desk -- --engines 100,400 --rate 10`
 #![allow(missing_docs, unreachable_pub, clippy::pedantic)]
 
 use std::cmp::Reverse;
@@ -26,8 +26,8 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Zipf};
 
-/// Requests a second for each engine.
-const RATE: usize = 10;
+/// Requests a second for each engine, unless `--rate` says otherwise.
+const RATE: f64 = 10.0;
 /// Adapters for each engine.
 const ADAPTERS: usize = 100;
 /// Skew of the adapters' popularity.
@@ -61,6 +61,7 @@
     last: RequestId,
     owed: f64,
     engines: usize,
+    rate: f64,
 }
 
 #[derive(Default)]
@@ -107,7 +108,7 @@
 }
 
 impl Fleet {
-    fn new(engines: usize) -> Self {
+    fn new(engines: usize, rate: f64) -> Self {
         let now = Instant::default() + Span::from_secs(100);
         let mut desk = Desk::new(now, &application(), 1, settings());
         desk.audience(VMS);
@@ -123,6 +124,7 @@
             last: 0,
             owed: 0.0,
             engines,
+            rate,
             desk,
         };
         for number in 0..engines {
@@ -168,7 +170,7 @@
     }
 
     fn arrive(&mut self, cost: &mut Cost) {
-        self.owed += (self.engines * RATE) as f64 / 1_000.0;
+        self.owed += self.engines as f64 * self.rate / 1_000.0;
         while self.owed >= 1.0 {
             self.owed -= 1.0;
             self.last += 1;
@@ -255,12 +257,16 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let named = arguments.iter().position(|word| word == "--engines");
-    let sizes = named.and_then(|at| arguments.get(at + 1));
-    let sizes = sizes.map_or("78", String::as_str);
+    let value = |name: &str| {
+        let at = arguments.iter().position(|word| word == name)?;
+        arguments.get(at + 1)
+    };
+    let sizes = value("--engines").map_or("78", String::as_str);
+    let rate = value("--rate").and_then(|rate| rate.parse().ok());
+    let rate = rate.unwrap_or(RATE);
     let mut first = None;
     for engines in sizes.split(',').filter_map(|size| size.parse().ok()) {
-        let mut fleet = Fleet::new(engines);
+        let mut fleet = Fleet::new(engines, rate);
         fleet.run(SPAN);
         let cost = fleet.run(SPAN);
         let each = cost.running as f64 / cost.requests as f64;
--- a/crates/gateway/src/desk/rooms.rs
+++ b/crates/gateway/src/desk/rooms.rs
@@ -38,6 +38,17 @@
 }
 
 impl Rooms {
+    /// The rooms at some engines. Both orders are built at once: engine by engine a run at 3,000 engines took 2.3 ms instead of 1.2 (one run each).
+    fn new(rows: Vec<(Server, Room)>) -> Self {
+        let by_cost = rows
+            .iter()
+            .map(|(server, room)| (room.cost, server.clone()));
+        Self {
+            by_cost: by_cost.collect(),
+            by_server: rows.into_iter().collect(),
+        }
+    }
+
     /// The room at an engine.
     pub(crate) fn at(&self, server: &Server) -> Option<&Room> {
         self.by_server.get(server)
@@ -87,11 +98,13 @@
         if floor.models.contains_key(model) {
             return;
         }
-        let mut rooms = Rooms::default();
-        for (server, engine) in &self.engines {
-            rooms.set(server, self.room(now, engine, model, claims, spread));
-        }
-        floor.models.insert(model.clone(), rooms);
+        let rows = self.engines.iter().filter_map(|(server, engine)| {
+            let room = self.room(now, engine, model, claims, spread)?;
+            Some((server.clone(), room))
+        });
+        floor
+            .models
+            .insert(model.clone(), Rooms::new(rows.collect()));
     }
 
     /// Looks again at the rooms of some engines.
