--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -215,7 +215,10 @@
         } else {
             self.now.since(self.follow.begun) >= SECOND_SILENCE
         };
-        told && self.now >= self.follow.vouched + self.fresh(leader)
+        // Whoever has heard of an answer by another way, as by its own list at its start, waits so long for the one that it follows: after
+        // a start of all VMs those that come first would else each watch alone, and be sent all that servers rewrite.
+        let last = self.follow.vouched.max(self.follow.answered);
+        told && self.now >= last + self.fresh(leader)
     }
 
     /// Asks the VM that is followed again, unless it is silent, the key-value service has not answered it for long, or this VM's
