Log lines say which requests are the same

Sight for the incident of requests that crash servers: a repetition has an id of its own, so the log could not tell whether one request or many were at the servers that ended. The body is read before the head is judged, as both make the fingerprint. No decision changes.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -9,6 +9,7 @@
 
 use crate::effect::{OpId, OrderId};
 use crate::fact::{Base, Change, Revision};
+use crate::fingerprint::Fingerprint;
 use crate::message::Message;
 use crate::settings::Tuning;
 
@@ -55,6 +56,8 @@
     pub patience: Option<Span>,
     /// What it asks an engine for; none for a plain service.
     pub work: Option<Work>,
+    /// What it has in common with others that ask the same.
+    pub fingerprint: Fingerprint,
 }
 
 /// Whether a request has run at a server.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -208,8 +208,8 @@
         };
         let waited = self.now.since(flow.arrived);
         let detail = format!(
-            "id={} route={} config={config} server={server} send={} waited={waited} open={}",
-            flow.call.id, flow.route.name, flow.sends, row.open
+            "id={} call={} route={} config={config} server={server} send={} waited={waited} open={}",
+            flow.call.id, flow.call.fingerprint, flow.route.name, flow.sends, row.open
         );
         Self::log(out, Code::Sent, detail);
         let (first, service) = (flow.sends == 1, flow.service.clone());
@@ -304,8 +304,8 @@
             out,
             Code::SendFailed,
             format!(
-                "id={} server={server} ran={ran:?} cause={cause:?} begun={begun}",
-                flow.call.id
+                "id={} call={} server={server} ran={ran:?} cause={cause:?} begun={begun}",
+                flow.call.id, flow.call.fingerprint
             ),
         );
         self.tell_progress(request, Progress::Failed(ran, cause), out);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! # How the parts meet
 //! * [`config`], [`fact`]: what the key-value service says, each fact with its revision. A fact of a lower revision
 //!   never replaces a newer one, whatever way it came.
+//! * [`fingerprint`]: by what a request that comes again is known.
 //! * `flow`: the life of one caller's request on this VM, from arrival to its one final answer.
 //! * `early`: requests that come before the first configuration is known.
 //! * `plain`: which server a request of a plain service goes to.
@@ -32,6 +33,7 @@
 mod entry;
 pub mod event;
 pub mod fact;
+pub mod fingerprint;
 mod flow;
 mod follow;
 pub mod health;
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -10,6 +10,7 @@
 };
 use dahliastile_gateway::event::{Call, Report, Work};
 use dahliastile_gateway::fact::{Backend, Base, Resident};
+use dahliastile_gateway::fingerprint::Fingerprint;
 use dahliastile_gateway::mechanism::Without;
 use dahliastile_gateway::settings::{Settings, Tuning};
 
@@ -147,6 +148,7 @@
         path: path.to_owned(),
         patience: Some(Span::from_millis(patience)),
         work,
+        fingerprint: Fingerprint::of([path.as_bytes(), id.as_bytes()]),
     }
 }
 
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -42,7 +42,7 @@
     ///
     /// # Errors
     /// Where the head can't be served by any configuration.
-    fn call(&self, head: &request::Parts) -> Result<Call, Rejection>;
+    fn call(&self, head: &request::Parts, body: &[u8]) -> Result<Call, Rejection>;
 
     /// The answer to a request that was not taken in.
     fn rejected(&self, rejection: Rejection) -> Response<Bytes>;
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -32,14 +32,14 @@
 /// Serves one request.
 pub(crate) async fn serve<D: Dialect>(hub: Rc<Hub<D>>, request: Request<Incoming>) -> Answer {
     let (head, body) = request.into_parts();
-    let call = match hub.dialect.call(&head) {
-        Ok(call) => call,
-        Err(rejection) => return whole(hub.dialect.rejected(rejection)),
-    };
     let body = match read(body, hub.body_limit.get()).await {
         Ok(body) => body,
         Err(rejection) => return whole(hub.dialect.rejected(rejection)),
     };
+    let call = match hub.dialect.call(&head, &body) {
+        Ok(call) => call,
+        Err(rejection) => return whole(hub.dialect.rejected(rejection)),
+    };
     let (id, verdicts) = hub.open();
     let ticket = Ticket {
         hub: hub.clone(),
