--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -1,6 +1,7 @@
 //! The fleet and its clock.
 
 mod act;
+mod fall;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -13,12 +14,15 @@
 use dahliastile_gateway::effect::{Op, Order, Reason, Send};
 use dahliastile_gateway::event::{Call, Event};
 use dahliastile_gateway::fact::{Backend, Fact, Subject};
+use dahliastile_gateway::fingerprint::Fingerprint;
 use dahliastile_gateway::mechanism::Without;
 use dahliastile_gateway::message::Message;
 use dahliastile_gateway::settings::Tuning;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+pub use fall::Crashing;
+
 use super::engine::Engine;
 use super::setup::{self, ENGINES, MODEL, PLAIN, name};
 use super::store::Store;
@@ -117,6 +121,10 @@
     Expire,
     Thaw(usize),
     Free(usize, u64),
+    Answer(u64, Server, Event),
+    Fall(Server, Fingerprint),
+    Unlist(Server),
+    Succeed(String, bool, Arc<Backend>),
 }
 
 /// The strength of a VM of the smaller deployments.
@@ -140,6 +148,12 @@
     pub versions: BTreeMap<Arc<str>, u64>,
     /// All versions named, with the time of each.
     pub names: Vec<(Instant, Arc<str>, u64)>,
+    /// Requests that crash the servers that run them.
+    pub crashing: Crashing,
+    /// The requests at servers, by number.
+    running: BTreeMap<u64, fall::Run>,
+    /// How many servers have ended under requests.
+    fallen: u64,
     /// The requests, by number.
     pub asked: BTreeMap<u64, Asked>,
     /// The log lines.
@@ -217,6 +231,9 @@
             late_orders: 0.0,
             versions: BTreeMap::new(),
             names: Vec::new(),
+            crashing: Crashing::default(),
+            running: BTreeMap::new(),
+            fallen: 0,
             asked: BTreeMap::new(),
             lines: Vec::new(),
             messages: 0,
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -10,6 +10,7 @@
 use dahliastile_gateway::fact::{Change, Fact};
 use rand::Rng;
 
+use super::fall::{CRASHES_AFTER, Run};
 use super::{Act, Answer, PLAIN_WORK, SILENT_CALL, STORE_WAY, WAY, World};
 use crate::support::setup::{self, name};
 
@@ -90,6 +91,10 @@
                 }
             }
             Act::Free(..) => {}
+            Act::Answer(number, server, event) => self.answer_from(number, &server, event),
+            Act::Fall(server, fingerprint) => self.fall_under(&server, fingerprint),
+            Act::Unlist(server) => self.unlist_server(server),
+            Act::Succeed(id, engine, backend) => self.succeed(&id, engine, &backend),
             Act::Thaw(vm) => {
                 self.hosts[vm].frozen = None;
                 for event in std::mem::take(&mut self.hosts[vm].backlog) {
@@ -199,6 +204,10 @@
             );
             return;
         };
+        let crashes = self.crashing.fingerprints.contains(&call.fingerprint);
+        if crashes {
+            self.crashing.arrivals.push((now, call.fingerprint));
+        }
         let times = match &call.work {
             None => Some((now + PLAIN_WORK, now + PLAIN_WORK)),
             Some(work) => match &work.adapter {
@@ -234,11 +243,23 @@
                 .versions
                 .push((newest, ran));
         }
-        self.at(begun + WAY, Act::Event(vm, start, Event::Begun(number)));
-        self.at(
-            end + WAY,
-            Act::Event(vm, start, Event::Completed(number, Span::ZERO)),
-        );
+        let server = send.server.clone();
+        let run = Run {
+            vm: (vm, start),
+            server: server.clone(),
+        };
+        self.running.insert(number, run);
+        let answer = |event| Act::Answer(number, server.clone(), event);
+        let completed = answer(Event::Completed(number, Span::ZERO));
+        if call.work.is_some() || !crashes {
+            self.at(begun + WAY, answer(Event::Begun(number)));
+        }
+        if crashes {
+            let fall = Act::Fall(server, call.fingerprint);
+            self.at(begun + CRASHES_AFTER, fall);
+        } else {
+            self.at(end + WAY, completed);
+        }
     }
 
     pub(super) fn deliver(&mut self, vm: usize, event: Event) {
--- /dev/null
+++ b/crates/gateway/tests/support/world/fall.rs
@@ -0,0 +1,142 @@
+//! Servers that end under a request and come back: all that runs there breaks off, connections are refused, the entry goes after three
+//! heartbeats that don't come, and a new server is at the address under an id of its own.
+
+use dahliastile_core::id::Server;
+use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::event::{Cause, Event, Ran};
+use dahliastile_gateway::fact::Subject;
+use dahliastile_gateway::fingerprint::Fingerprint;
+
+use super::{Act, Answer, WAY, World};
+use crate::support::setup::name;
+
+/// How long a request that crashes its server runs there before.
+pub(super) const CRASHES_AFTER: Span = Span::from_millis(60);
+/// From a server's end until its entry goes.
+const ENTRY_GOES: Span = Span::from_millis(2_800);
+/// From a server's end until another one is there in its place.
+const BACK: Span = Span::from_millis(3_200);
+
+/// A request at a server.
+pub(super) struct Run {
+    /// The VM that sent it, and the start of that VM.
+    pub(super) vm: (usize, u64),
+    /// The server.
+    pub(super) server: Server,
+}
+
+/// Requests that crash servers, and what became of them.
+#[derive(Default)]
+pub struct Crashing {
+    /// The requests.
+    pub fingerprints: std::collections::BTreeSet<Fingerprint>,
+    /// When each reached a server.
+    pub arrivals: Vec<(Instant, Fingerprint)>,
+    /// When a server ended under each.
+    pub ends: Vec<(Instant, Fingerprint)>,
+}
+
+impl Crashing {
+    /// How often a request reached a server later than a span after the third server ended under it.
+    pub fn late_arrivals(&self, fingerprint: Fingerprint, span: Span) -> usize {
+        let mut ends = self.ends.iter().filter(|(_, of)| *of == fingerprint);
+        let Some((third, _)) = ends.nth(2) else {
+            return 0;
+        };
+        let late = |(at, of): &&(Instant, Fingerprint)| *of == fingerprint && *at > *third + span;
+        self.arrivals.iter().filter(late).count()
+    }
+
+    /// How many servers ended under a request.
+    pub fn ends_of(&self, fingerprint: Fingerprint) -> usize {
+        let ends = self.ends.iter();
+        ends.filter(|(_, of)| *of == fingerprint).count()
+    }
+}
+
+impl World {
+    /// A server's process ends, and another one comes in its place.
+    pub fn fall(&mut self, server: &Server) {
+        let now = self.now;
+        let Some((engine, backend)) = self.servers.get_mut(server).filter(|(e, _)| e.up) else {
+            return;
+        };
+        engine.up = false;
+        let successor = (engine.adapters, backend.clone());
+        let there = self.running.iter().filter(|(_, run)| run.server == *server);
+        let broken: Vec<u64> = there.map(|(number, _)| *number).collect();
+        for number in broken {
+            self.break_off(number);
+        }
+        self.at(now + ENTRY_GOES, Act::Unlist(server.clone()));
+        self.fallen += 1;
+        let id = format!("{server}.{}", self.fallen);
+        self.at(now + BACK, Act::Succeed(id, successor.0, successor.1));
+    }
+
+    /// A server ends under a request.
+    pub(super) fn fall_under(&mut self, server: &Server, fingerprint: Fingerprint) {
+        if self.servers[server].0.up {
+            self.crashing.ends.push((self.now, fingerprint));
+            self.fall(server);
+        }
+    }
+
+    fn break_off(&mut self, number: u64) {
+        let Some(run) = self.running.remove(&number) else {
+            return;
+        };
+        if let Some(asked) = self.asked.get_mut(&number) {
+            let resumable = asked.call.path.starts_with("/berth/");
+            if matches!(asked.ended, Some((_, Answer::Served(_)))) {
+                asked.ended = (!resumable).then_some((self.now, Answer::Cut));
+            }
+        }
+        let event = Event::Failed(number, Ran::Maybe, Cause::Broken);
+        self.at(self.now + WAY, Act::Event(run.vm.0, run.vm.1, event));
+    }
+
+    pub(super) fn unlist_server(&mut self, server: Server) {
+        self.store.remove(&Subject::Server(server));
+        self.wake_watchers();
+    }
+
+    /// An event of a request at a server comes, unless that server has ended meanwhile.
+    pub(super) fn answer_from(&mut self, number: u64, server: &Server, event: Event) {
+        let Some(run) = self.running.get(&number).filter(|r| r.server == *server) else {
+            return;
+        };
+        let (vm, start) = run.vm;
+        if matches!(event, Event::Completed(..)) {
+            self.running.remove(&number);
+        }
+        if self.hosts[vm].start == start {
+            self.deliver(vm, event);
+        }
+    }
+
+    /// The servers of a service that are up.
+    pub fn up(&self, engines: bool) -> Vec<Server> {
+        let up = self.servers.values();
+        let up = up.filter(|(e, _)| e.up && e.adapters == engines);
+        up.map(|(e, _)| e.id.clone()).collect()
+    }
+
+    pub(super) fn succeed(
+        &mut self,
+        id: &str,
+        engine: bool,
+        backend: &dahliastile_gateway::fact::Backend,
+    ) {
+        self.add_server(id, 0, engine);
+        let id: Server = name(id);
+        let (_, made) = self.servers.get_mut(&id).expect("just added");
+        let anew = dahliastile_gateway::fact::Backend {
+            bases: made.bases.clone(),
+            start: made.start,
+            ..backend.clone()
+        };
+        *made = std::sync::Arc::new(anew);
+        self.rewrite(id.as_str());
+    }
+}
