Requests that crash the servers that run them are refused after the third end

Cause: what had been at a server when it ended was forgotten with each request's failure and known to no other VM, so neither a caller's repetitions nor our own second sends were bounded by anything but the shared retry budget, which knows no request.

Ruled out: our second sends as the cause (10 of 74 requests that broke off had been sent before, and that route's are not sent again once they may have run); ends by our orders (they come between orders, within the places).

The mend: a VM whose connections to a server break asks whether it still listens; if it has ended, the requests there have a strike each. Three VMs count for a request's fingerprint, by rendezvous hashing; a strike counts only if the request was sent after the last server had ended, so many servers that end at one moment count once. From two strikes on any whole answer takes them away; with three the request is refused everywhere at once as not run, and recorded in the key-value service for ten minutes. Operators lift it by removing the record.

Why it holds: it needs no scheduler; the store only carries the record; a VM that was not told is told in answer to its first strike, one that starts by the list or by the VM that it follows.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -27,6 +27,8 @@
     NoConfig,
     /// No server could take it in time; it has not run.
     Overloaded,
+    /// Servers have ended, one after the other, while they ran it; this time it has not run.
+    Quarantined,
     /// A server may have run it, and no whole answer came.
     Failed,
     /// The route's time is over; it may have run.
@@ -150,6 +152,8 @@
     Order(OrderId, Server, SocketAddr, Order),
     /// Asks a server for its report.
     Report(Server, SocketAddr),
+    /// Makes a connection to a server, to see whether it takes any.
+    Probe(Server, SocketAddr),
     /// Sends a message to the VM at an address.
     Peer(SocketAddr, Reach, Message),
     /// Writes a log event.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -124,6 +124,17 @@
     pub start: Option<Incarnation>,
 }
 
+/// Whether a server takes connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It does.
+    Listens,
+    /// Nothing listens at its address.
+    Refuses,
+    /// There was no answer in time.
+    Silent,
+}
+
 /// How a call of the key-value service came out.
 #[derive(Clone, Debug)]
 pub enum Outcome {
@@ -181,6 +192,8 @@
     Ordered(OrderId, Ordered),
     /// A server's report, or none where it gave none.
     Reported(Server, Option<Report>),
+    /// A server was asked whether it takes connections.
+    Probed(Server, Presence),
     /// A call of the key-value service came back.
     Store(OpId, Outcome),
     /// A message from another VM.
--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Config;
+use crate::fingerprint::Fingerprint;
 
 /// The version of an adapter or a base model; higher is newer.
 pub type Version = u64;
@@ -28,6 +29,8 @@
     Member(Vm),
     /// The VM that schedules a service's engines.
     Holder(Service),
+    /// A request that crashes the servers that run it.
+    Quarantine(Fingerprint),
 }
 
 /// An adapter at a version that a server says it holds.
@@ -106,6 +109,8 @@
     Member(Member),
     /// The scheduler of a service.
     Holder(Holder),
+    /// The request is refused.
+    Quarantine,
     /// An entry that can't be read, as another program may have written it. It tells nothing of its subject.
     Unreadable,
 }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -36,6 +36,40 @@
 /// here never add up to more.
 const BUDGET_USED: f64 = 0.6;
 
+/// Why a request gets no server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Why {
+    /// No server takes work.
+    NoServer,
+    /// Its server failed it, and it is not sent again.
+    SendFailed,
+    /// The scheduler can't serve it in time.
+    Scheduler,
+    /// It crashes servers.
+    Quarantined,
+}
+
+impl Why {
+    /// Its name, for the log and figures.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::NoServer => "no_server",
+            Self::SendFailed => "send_failed",
+            Self::Scheduler => "scheduler",
+            Self::Quarantined => "quarantined",
+        }
+    }
+
+    /// What its caller is told where it may have run on so many servers.
+    const fn reason(self, ran: u32) -> Reason {
+        match self {
+            _ if ran > 0 => Reason::Failed,
+            Self::Quarantined => Reason::Quarantined,
+            Self::NoServer | Self::SendFailed | Self::Scheduler => Reason::Overloaded,
+        }
+    }
+}
+
 /// Where a request stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum State {
@@ -65,6 +99,8 @@
     pub(crate) ends: Instant,
     /// Where it stands.
     pub(crate) state: State,
+    /// When it was last sent; its arrival before.
+    pub(crate) sent: Instant,
     /// How often it was sent.
     sends: u32,
     /// On how many servers it has run or may have.
@@ -143,13 +179,18 @@
             arrived: came,
             ends,
             state: State::Waiting,
+            sent: came,
             sends: 0,
             ran: 0,
             first: None,
             failed: Vec::new(),
         };
+        let fingerprint = flow.call.fingerprint;
         self.flows.insert(request, flow);
-        self.seek(request, out);
+        match self.quarantine.left(fingerprint, self.now) {
+            Some(left) => self.give_up(request, Some(left), Why::Quarantined, out),
+            None => self.seek(request, out),
+        }
     }
 
     /// Looks for a server for a request that has none.
@@ -174,7 +215,7 @@
             .filter(|(_, row)| row.backend.service == service);
         match plain::choose(rows, &flow.failed, &self.settings, now, &mut self.rng) {
             Some(server) => self.send_to(request, &server, None, out),
-            None => self.give_up(request, Some(COME_BACK), "no_server", out),
+            None => self.give_up(request, Some(COME_BACK), Why::NoServer, out),
         }
     }
 
@@ -192,6 +233,7 @@
             return;
         };
         flow.sends += 1;
+        flow.sent = self.now;
         flow.state = State::Sent {
             server: server.clone(),
             begun: false,
@@ -265,6 +307,7 @@
         {
             row.health.good(self.now);
         }
+        self.answered_whole(request, out);
         self.end(request, Progress::Over, out);
     }
 
@@ -308,6 +351,10 @@
                 flow.call.id, flow.call.fingerprint
             ),
         );
+        if ran != Ran::No && cause == Cause::Broken {
+            let (fingerprint, sent) = (flow.call.fingerprint, flow.sent);
+            self.suspect(&server, fingerprint, sent, out);
+        }
         self.tell_progress(request, Progress::Failed(ran, cause), out);
         self.after_failure(request, ran, cause, begun, out);
     }
@@ -328,14 +375,18 @@
         let may = ran == Ran::No || kind.idempotent() && flow.ran < flow.route.attempts;
         let cut = begun && kind != Kind::Resumable && kind != Kind::Safe;
         let in_time = flow.ends.since(self.now) > TOO_LATE && flow.sends < MAX_SENDS;
+        let quarantined = self.quarantine.left(flow.call.fingerprint, self.now);
         match cause {
             _ if cut => self.end(request, Progress::Over, out),
+            _ if quarantined.is_some() => {
+                self.give_up(request, quarantined, Why::Quarantined, out);
+            }
             _ if may && in_time && self.spend(request) => self.seek(request, out),
             Cause::Status(_) => {
                 out.push(Effect::Request(request, Verdict::Deliver));
                 self.end(request, Progress::Over, out);
             }
-            _ => self.give_up(request, Some(COME_BACK), "send_failed", out),
+            _ => self.give_up(request, Some(COME_BACK), Why::SendFailed, out),
         }
     }
 
@@ -421,7 +472,7 @@
             .get(&request)
             .is_some_and(|flow| flow.state == State::Waiting)
         {
-            self.give_up(request, Some(after), "scheduler", out);
+            self.give_up(request, Some(after), Why::Scheduler, out);
         }
     }
 
@@ -430,7 +481,7 @@
         &mut self,
         request: RequestId,
         after: Option<Span>,
-        why: &'static str,
+        why: Why,
         out: &mut Effects,
     ) {
         let Some(flow) = self.flows.get(&request) else {
@@ -442,17 +493,19 @@
             out,
             Code::Refused,
             format!(
-                "id={} why={why} waited={waited} sends={} ran={ran}",
-                flow.call.id, flow.sends
+                "id={} call={} why={} waited={waited} sends={} ran={ran}",
+                flow.call.id,
+                flow.call.fingerprint,
+                why.name(),
+                flow.sends
             ),
         );
-        measure::count(out, Figure::Refused, &flow.service, why);
-        let reason = if ran > 0 {
-            Reason::Failed
-        } else {
-            Reason::Overloaded
-        };
-        out.push(refusal(request, reason, after.filter(|_| ran == 0)));
+        measure::count(out, Figure::Refused, &flow.service, why.name());
+        out.push(refusal(
+            request,
+            why.reason(ran),
+            after.filter(|_| ran == 0),
+        ));
         self.end(request, Progress::Over, out);
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -12,6 +12,7 @@
 use crate::fact::{Backend, Change, Fact, Revision, Subject, Way};
 use crate::node::Gateway;
 use crate::plain::Row;
+use crate::quarantine::LENGTH;
 use crate::timer::Timer;
 
 /// The least time between two lines on entries that can't be read.
@@ -130,6 +131,12 @@
                 self.holder_named(&service, &holder, change.revision, out);
             }
             (Subject::Holder(service), _) => self.holder_gone(&service, out),
+            (Subject::Quarantine(fingerprint), Some(_)) => {
+                self.quarantine(fingerprint, LENGTH, "record", out);
+            }
+            (Subject::Quarantine(fingerprint), None) => {
+                self.unquarantine(fingerprint, "record_gone", out);
+            }
             (Subject::Member(vm), None) if vm == self.settings.vm => self.entry_gone(),
             (Subject::Member(vm), Some(Fact::Member(member))) => self.book.listed(&vm, &member),
             (Subject::Member(vm), _) if self.book.unlisted(&vm, self.now) => self.desk_vm_gone(&vm),
@@ -192,6 +199,7 @@
                 let detail = format!("server={server} start={:?}", backend.start);
                 Self::log(out, Code::ServerRestarted, detail);
                 self.forget_residents(&backend.service, server);
+                self.server_ended(server, out);
             }
         } else {
             let (service, address) = (&backend.service, backend.address);
@@ -206,6 +214,10 @@
     fn lose_server(&mut self, server: &Server, out: &mut Effects) {
         if let Some(row) = self.servers.remove(server) {
             Self::log(out, Code::ServerGone, format!("server={server}"));
+            // The end of one that was leaving is its own.
+            if row.backend.ready {
+                self.server_ended(server, out);
+            }
             self.desk_server_gone(server, &row.backend.service);
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! * `seat`: the lease of the service's seat, and the fencing number of orders; `turn`: whose turn it is to take one.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
 //! * [`mechanism`]: what of all that can be switched off.
+//! * [`quarantine`]: requests that crash the servers that run them.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
 //! * `news`: what VMs tell each other of its changes; `intake`: what a change does here.
 //! * `relay`: which VMs tell others what all are told.
@@ -47,6 +48,7 @@
 mod node;
 mod plain;
 mod pledge;
+pub mod quarantine;
 mod relay;
 mod run;
 mod seat;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -7,6 +7,8 @@
 
 use crate::event::{Cause, Ran, RequestId, Work};
 use crate::fact::{Change, Member, Resident, Revision, Version};
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::{Standing, Strike};
 
 /// A request that wants a place at an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +107,10 @@
     Follow(Member, Revision),
     /// Changes of the key-value service.
     News(News),
+    /// To a VM that counts them: servers ended while they had these requests.
+    Struck(Vec<Strike>),
+    /// What is known of requests that servers have ended under.
+    Standings(Vec<(Fingerprint, Standing)>),
 }
 
 impl Message {
@@ -124,6 +130,8 @@
             Self::Pledged(..) => "pledged",
             Self::Follow(..) => "follow",
             Self::News(_) => "news",
+            Self::Struck(_) => "struck",
+            Self::Standings(_) => "standings",
         }
     }
 }
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -30,6 +30,9 @@
         let changes: Vec<Change> = self.facts.after(since).cloned().collect();
         let news = self.news(since, self.follow.cursor.unwrap_or(since), changes);
         self.send(from, Message::News(news), out);
+        if since == 0 {
+            self.tell_quarantines(from, out);
+        }
     }
 
     /// Takes changes in that another VM passes on.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -29,6 +29,7 @@
 use crate::message::Message;
 use crate::plain::Row;
 use crate::pledge;
+use crate::quarantine;
 use crate::seat;
 use crate::settings::{Settings, Tuning};
 use crate::timer::{Timer, Timers};
@@ -70,6 +71,8 @@
     pub(crate) follow: follow::State,
     /// What is noted beside the facts.
     pub(crate) intake: intake::State,
+    /// Requests that crash servers.
+    pub(crate) quarantine: quarantine::State,
     /// Requests that came before the first configuration.
     pub(crate) early: early::State,
     /// What is to be looked at later.
@@ -103,6 +106,7 @@
             pledges: pledge::State::default(),
             follow: follow::State::default(),
             intake: intake::State::default(),
+            quarantine: quarantine::State::default(),
             early: early::State::default(),
             timers: Timers::default(),
             last_id: 0,
@@ -241,6 +245,7 @@
             Event::Failed(request, ran, cause) => self.failed(request, ran, cause, out),
             Event::Ordered(order, outcome) => self.ordered(order, outcome, out),
             Event::Reported(server, report) => self.reported(&server, report.as_ref()),
+            Event::Probed(server, presence) => self.probed(&server, presence, out),
             Event::Store(op, outcome) => self.answered(op, outcome, out),
             Event::Peer(from, message) => self.heard(&from, message, out),
             Event::PeerDown(address, fault) => self.peer_down(address, fault, out),
@@ -261,6 +266,8 @@
             self.followed(outcome, out);
         } else if self.entry.owns(op) {
             self.entry_answered(op, outcome, out);
+        } else if self.quarantine.owns(op) {
+            self.recorded(outcome, out);
         } else {
             self.seated(op, outcome, out);
         }
@@ -310,6 +317,8 @@
                     self.keep_residents(&service, residents);
                 }
             }
+            Message::Struck(strikes) => self.struck(from, &strikes, out),
+            Message::Standings(told) => self.standings(told, out),
             Message::Passed(service, fence, residents) => {
                 let holder = self.agents.get(&service).map(|agent| agent.fence);
                 if holder == Some(fence) {
@@ -345,6 +354,7 @@
                 Timer::Seat => self.seat_due(out),
                 Timer::Follow => self.follow_due(out),
                 Timer::Early => self.early_due(out),
+                Timer::Quarantine => self.records_due(out),
                 // The schedulers run after each step, where one is due.
                 Timer::Desk(_) => {}
             }
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,310 @@
+//! Requests that crash the servers that run them, and how all VMs together stop sending them.
+//!
+//! Such a request comes again and again, at any VM, and each server it reaches ends with all that runs there. No VM sees more than a part
+//! of that, so what each has seen is put together:
+//! * `witness`: a VM that had requests at a server when their connections broke asks whether the server still listens. If it has ended, each
+//!   of them has a strike: it may be the cause, or have run beside it.
+//! * `ledger`: strikes go to the few VMs that count for a request's fingerprint, by rendezvous hashing, and cost no more with more
+//!   VMs. Only what was sent after the last server had ended counts anew, so a moment in which many servers end counts once.
+//! * From the second strike on all VMs watch for a whole answer to such a request, which takes its strikes away: what is asked for often
+//!   is often at a server that ends, and served most of the time.
+//! * With the third strike it is in quarantine: all VMs are told, and refuse it at once as not run. `record` keeps that in the key-value
+//!   service, for VMs that start later and for operators, who lift it by removing the key.
+//!
+//! None of it needs a scheduler, and but for the record none of it the key-value service. A VM that was not told causes one more strike,
+//! and is told in answer to it.
+
+mod aged;
+mod ledger;
+mod record;
+mod witness;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use dahliastile_core::id::{Server, Vm};
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+use serde::{Deserialize, Serialize};
+
+use self::aged::Aged;
+use self::ledger::Ledger;
+use crate::book;
+use crate::effect::{Effect, Effects, OpId};
+use crate::event::{Presence, RequestId};
+use crate::fingerprint::Fingerprint;
+use crate::flow::{self, Why};
+use crate::message::Message;
+use crate::node::Gateway;
+
+pub use self::ledger::Strike;
+
+/// How long a request is refused: the longest lease that the key-value service grants, under which its record lies. Then one more
+/// strike brings it back here.
+pub const LENGTH: Span = Span::from_secs(600);
+
+/// How long strikes are remembered: beyond a quarantine, so that a request that is tried after it needs no three servers again.
+const REMEMBERED: Span = Span::from_secs(1_800);
+
+/// VMs that count the strikes of one request: one may end, and one not be known to the VM that tells.
+const COUNTERS: usize = 3;
+
+/// Requests in quarantine, and such that are watched, that a VM knows at most; the oldest go first.
+const MOST: usize = 4_096;
+
+/// Requests that a VM tells another one of in one message.
+const TOLD_AT_ONCE: usize = 256;
+
+/// Servers' ends that a line of the log names requests of, at most.
+const NAMED: usize = 8;
+
+/// What is known of a request that servers have ended under.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It has strikes, and a whole answer takes them away.
+    Watched,
+    /// It is refused for so long.
+    Quarantined(Span),
+    /// It got a whole answer.
+    Cleared,
+}
+
+/// Requests that servers have ended under, as far as this VM knows.
+#[derive(Debug)]
+pub(crate) struct State {
+    /// Requests whose connections broke, by server.
+    witness: witness::State,
+    /// Strikes that this VM counts.
+    ledger: Ledger,
+    /// Requests whose whole answer takes their strikes away.
+    watched: Aged<()>,
+    /// Requests that are refused, each until when.
+    quarantined: Aged<Instant>,
+    /// What this VM writes to the key-value service.
+    records: record::State,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            witness: witness::State::default(),
+            ledger: Ledger::new(REMEMBERED),
+            watched: Aged::new(MOST, REMEMBERED),
+            quarantined: Aged::new(MOST, LENGTH),
+            records: record::State::default(),
+        }
+    }
+}
+
+impl State {
+    /// How long a request is still refused; none where it isn't.
+    pub(crate) fn left(&self, fingerprint: Fingerprint, now: Instant) -> Option<Span> {
+        let until = self.quarantined.get(&fingerprint)?;
+        Some(until.since(now)).filter(|left| *left > Span::ZERO)
+    }
+
+    /// Whether a call of the key-value service is one on records.
+    pub(crate) fn owns(&self, op: OpId) -> bool {
+        self.records.owns(op)
+    }
+
+    fn watches(&self, fingerprint: Fingerprint) -> bool {
+        self.watched.get(&fingerprint).is_some() || self.quarantined.get(&fingerprint).is_some()
+    }
+}
+
+impl Gateway {
+    /// A server has ended while requests ran there.
+    fn strike(&mut self, server: &Server, suspects: &[witness::Suspect], out: &mut Effects) {
+        let strikes: Vec<Strike> = suspects.iter().map(|s| s.strike(self.now)).collect();
+        let calls = strikes.iter().take(NAMED);
+        let calls: Vec<String> = calls.map(|s| s.fingerprint.to_string()).collect();
+        let detail = format!(
+            "server={server} requests={} calls={}",
+            strikes.len(),
+            calls.join(",")
+        );
+        Self::log(out, Code::ServerEnded, detail);
+        let mut told: BTreeMap<Vm, Vec<Strike>> = BTreeMap::new();
+        for strike in &strikes {
+            for vm in self.counters(strike.fingerprint) {
+                told.entry(vm.clone()).or_default().push(*strike);
+            }
+        }
+        told.remove(&self.settings.vm);
+        for (vm, strikes) in told {
+            self.send(&vm, Message::Struck(strikes), out);
+        }
+        // Whether or not it is one that counts: it may be parted from those.
+        self.count_strikes(&strikes, out);
+    }
+
+    /// The VMs that count the strikes of a request, the first of them first.
+    fn counters(&self, fingerprint: Fingerprint) -> Vec<&Vm> {
+        let mut vms: Vec<&Vm> = self.peers().chain([&self.settings.vm]).collect();
+        vms.sort_by_cached_key(|vm| Reverse(book::score(&(vm.as_str(), fingerprint))));
+        vms.truncate(COUNTERS);
+        vms
+    }
+
+    /// Another VM tells of strikes. What it does not know of their requests yet it is told in turn.
+    pub(crate) fn struck(&mut self, from: &Vm, strikes: &[Strike], out: &mut Effects) {
+        let now = self.now;
+        let known = strikes.iter().filter_map(|strike| {
+            let left = self.quarantine.left(strike.fingerprint, now)?;
+            Some((strike.fingerprint, Standing::Quarantined(left)))
+        });
+        let known: Vec<(Fingerprint, Standing)> = known.collect();
+        if !known.is_empty() {
+            self.send(from, Message::Standings(known), out);
+        }
+        self.count_strikes(strikes, out);
+    }
+
+    fn count_strikes(&mut self, strikes: &[Strike], out: &mut Effects) {
+        let mut news = Vec::new();
+        for strike in strikes {
+            let fingerprint = strike.fingerprint;
+            let counted = self.quarantine.ledger.strike(self.now, strike);
+            let known = self.quarantine.left(fingerprint, self.now).is_some();
+            match counted {
+                ledger::Count::Enough if !known => {
+                    self.quarantine(fingerprint, LENGTH, "strikes", out);
+                    self.record(fingerprint, out);
+                    news.push((fingerprint, Standing::Quarantined(LENGTH)));
+                }
+                ledger::Count::Suspect if !self.quarantine.watches(fingerprint) => {
+                    self.quarantine.watched.insert(self.now, fingerprint, ());
+                    news.push((fingerprint, Standing::Watched));
+                }
+                _ => {}
+            }
+        }
+        if !news.is_empty() {
+            self.tell_all(&Message::Standings(news), out);
+        }
+    }
+
+    /// Another VM tells what is known of requests.
+    pub(crate) fn standings(&mut self, told: Vec<(Fingerprint, Standing)>, out: &mut Effects) {
+        for (fingerprint, standing) in told {
+            match standing {
+                Standing::Watched => self.quarantine.watched.insert(self.now, fingerprint, ()),
+                Standing::Quarantined(left) => self.quarantine(fingerprint, left, "peer", out),
+                Standing::Cleared => self.lift(fingerprint, "answered_elsewhere", out),
+            }
+        }
+    }
+
+    /// Refuses a request from now on, for so long, and at once where it waits. What has been sent already is left to its server.
+    pub(crate) fn quarantine(
+        &mut self,
+        fingerprint: Fingerprint,
+        length: Span,
+        by: &str,
+        out: &mut Effects,
+    ) {
+        if self.quarantine.left(fingerprint, self.now).is_some() {
+            return;
+        }
+        let length = length.min(LENGTH);
+        let until = self.now + length;
+        self.quarantine
+            .quarantined
+            .insert(self.now, fingerprint, until);
+        let detail = format!("call={fingerprint} by={by} for={length}");
+        Self::log(out, Code::RequestQuarantined, detail);
+        let waits =
+            |f: &flow::Flow| f.call.fingerprint == fingerprint && f.state == flow::State::Waiting;
+        let waiting = self.flows.iter().filter(|(_, flow)| waits(flow));
+        let waiting: Vec<RequestId> = waiting.map(|(request, _)| *request).collect();
+        for request in waiting {
+            self.give_up(request, Some(length), Why::Quarantined, out);
+        }
+    }
+
+    /// Takes a request for good again.
+    pub(crate) fn lift(&mut self, fingerprint: Fingerprint, why: &str, out: &mut Effects) {
+        self.quarantine.ledger.clear(fingerprint);
+        self.quarantine.watched.remove(&fingerprint);
+        self.unquarantine(fingerprint, why, out);
+    }
+
+    /// The record of a request is gone: its lease has ended, or an operator has removed it. Its strikes but the last are remembered.
+    pub(crate) fn unquarantine(&mut self, fingerprint: Fingerprint, why: &str, out: &mut Effects) {
+        if self.quarantine.quarantined.remove(&fingerprint).is_some() {
+            self.quarantine.ledger.excuse(fingerprint);
+            let detail = format!("call={fingerprint} why={why}");
+            Self::log(out, Code::QuarantineLifted, detail);
+        }
+    }
+
+    /// A request got its whole answer: servers don't end because of it.
+    pub(crate) fn answered_whole(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let fingerprint = flow.call.fingerprint;
+        if let Some(server) = flow.server() {
+            self.quarantine.witness.lives(server, flow.sent);
+        }
+        if !self.quarantine.watches(fingerprint) {
+            return;
+        }
+        self.lift(fingerprint, "answered", out);
+        self.remove_record(fingerprint, out);
+        let news = vec![(fingerprint, Standing::Cleared)];
+        self.tell_all(&Message::Standings(news), out);
+    }
+
+    /// Tells a VM that knows nothing yet which requests are refused.
+    pub(crate) fn tell_quarantines(&self, vm: &Vm, out: &mut Effects) {
+        let now = self.now;
+        let rows = self.quarantine.quarantined.newest();
+        let left = rows.map(|(fingerprint, until)| (*fingerprint, until.since(now)));
+        let there = left.filter(|(_, left)| *left > Span::ZERO);
+        let told = there.map(|(fingerprint, left)| (fingerprint, Standing::Quarantined(left)));
+        let told: Vec<(Fingerprint, Standing)> = told.take(TOLD_AT_ONCE).collect();
+        if !told.is_empty() {
+            self.send(vm, Message::Standings(told), out);
+        }
+    }
+
+    /// A connection to a server broke on which a request was that may have run.
+    pub(crate) fn suspect(
+        &mut self,
+        server: &Server,
+        fingerprint: Fingerprint,
+        sent: Instant,
+        out: &mut Effects,
+    ) {
+        // The end of a server that leaves is planned, and of one that is gone nothing can be learnt.
+        let Some(row) = self.servers.get(server).filter(|row| row.backend.ready) else {
+            return;
+        };
+        let suspect = witness::Suspect {
+            fingerprint,
+            sent,
+            broke: self.now,
+        };
+        if self.quarantine.witness.suspect(server, suspect) {
+            out.push(Effect::Probe(server.clone(), row.backend.address));
+        }
+    }
+
+    /// A server was asked whether it takes connections.
+    pub(crate) fn probed(&mut self, server: &Server, presence: Presence, out: &mut Effects) {
+        self.quarantine.witness.probed(server);
+        if presence == Presence::Refuses {
+            self.server_ended(server, out);
+        }
+    }
+
+    /// A server is known to have ended.
+    pub(crate) fn server_ended(&mut self, server: &Server, out: &mut Effects) {
+        let suspects = self.quarantine.witness.ended(server, self.now);
+        if !suspects.is_empty() {
+            self.strike(server, &suspects, out);
+        }
+    }
+}
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -21,6 +21,8 @@
     Follow,
     /// The requests that came before the first configuration.
     Early,
+    /// The records of requests in quarantine.
+    Quarantine,
     /// The scheduler of a service.
     Desk(Service),
 }
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -14,6 +14,7 @@
 use crate::hub::Hub;
 use crate::journal::Journal;
 use crate::peers::Peers;
+use crate::pool;
 
 /// Events handled before other tasks get their turn.
 const BATCH: usize = 64;
@@ -134,6 +135,13 @@
                     .order(hub.client.clone(), server, address, order);
                 tokio::task::spawn_local(async move { hub.post(Event::Ordered(id, answer.await)) });
             }
+            Effect::Probe(server, address) => {
+                let hub = self.hub.clone();
+                tokio::task::spawn_local(async move {
+                    let presence = pool::probe(address).await;
+                    hub.post(Event::Probed(server, presence));
+                });
+            }
             Effect::Report(server, address) => {
                 let hub = self.hub.clone();
                 let answer = hub
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -1,11 +1,13 @@
 //! Connections to servers, kept between requests.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use dahliastile_gateway::event::Presence;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -152,6 +154,16 @@
     })
 }
 
+/// Whether a server takes connections.
+pub(crate) async fn probe(address: SocketAddr) -> Presence {
+    match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Presence::Listens,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Presence::Refuses,
+        // No way there, or too many connections here: it says nothing of the server.
+        Ok(Err(_)) | Err(_) => Presence::Silent,
+    }
+}
+
 /// Has a connection break soon when the other side is gone without a word. One that can't be set so still works.
 pub(crate) fn tune(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
