--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/ledger.rs
@@ -13,7 +13,7 @@
 /// with a whole answer between, are no accident.
 const ENOUGH: u32 = 3;
 
-/// Requests that are counted at most; 150 bytes each.
+/// Requests that are counted at most; some 100 bytes each.
 const MOST: usize = 10_000;
 
 /// A server ended while it had a request.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -411,3 +411,31 @@
     assert_eq!(late, 0);
     check(&world, "/plan/crash");
 }
+
+/// Three hundred VMs and forty such requests, which come to a dozen of them in turn: what each VM sends for it does not grow with how
+/// often the requests come, and the others are told of each a few times.
+#[test]
+fn crashing_manyatthreehundredvms() {
+    let mut world = World::new(300, 78, 4);
+    world.run(Span::from_secs(8));
+    let before = world.messages;
+    world.run(Span::from_secs(6));
+    let idle = world.messages - before;
+    let before = world.messages;
+    for at in 0..30 {
+        for kind in 0..40 {
+            let path = format!("/plan/crash{kind}");
+            let crashing = crashing(&mut world, &path, at);
+            world.ask((at * 7 + kind) % 300, crashing);
+        }
+        world.run(Span::from_millis(200));
+    }
+    for fingerprint in &world.crashing.fingerprints {
+        check_bound(&world, *fingerprint);
+    }
+    check_others(&world);
+    // Two news of each request from four VMs to all, and a dozen messages for each time it came.
+    let most = 40 * (2 * 4 * 300 + 30 * 12);
+    let more = world.messages - before - idle;
+    assert!(more <= most, "{more} messages more");
+}
