--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -9,16 +9,18 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::Reason;
 use dahliastile_gateway::event::Call;
 use dahliastile_gateway::fact::Subject;
 use dahliastile_gateway::fingerprint::Fingerprint;
-use support::setup::{call, work};
+use rand::Rng;
+use support::series::{CONTACT, Series, VMS, seeds};
+use support::setup::{call, draft, work};
 use support::{Answer, World};
 
-/// After so long all VMs that are well must know what has happened.
-const CONTACT: Span = Span::from_secs(3);
 /// Arrivals that are allowed from then on.
 const ALLOWED: usize = 3;
 /// The pause between two repetitions.
@@ -439,3 +441,61 @@
     let more = world.messages - before - idle;
     assert!(more <= most, "{more} messages more");
 }
+
+/// Random series of a minute: two such requests come again and again, at an engine's and a plain service's route, while VMs and the
+/// key-value service have faults, and servers end by themselves too. Each arrival counts that a VM sends which has been well for
+/// three seconds, also with the key-value service away.
+#[test]
+fn crashing_amongfaults() {
+    for seed in 0..seeds(10) {
+        let mut series = Series::new(seed);
+        let mut late: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+        let end = series.world.now + Span::from_secs(60);
+        let mut at = 0;
+        while series.world.now < end {
+            let seen = series.world.crashing.arrivals.len();
+            series.step();
+            for path in ["/plan/crash", "/query/crash"] {
+                at += 1;
+                let vm = series.rng.random_range(0..VMS);
+                if series.rng.random_bool(0.06) {
+                    let crashing = crashing(&mut series.world, path, at);
+                    series.world.ask(vm, crashing);
+                }
+            }
+            ordinary(&mut series, at);
+            let crashing = &series.world.crashing;
+            for arrival in &crashing.arrivals[seen..] {
+                let fingerprint = arrival.fingerprint;
+                let third = crashing.third_end(fingerprint);
+                let counts = third.is_some_and(|third| arrival.at > third + CONTACT);
+                if counts && series.was_well(arrival.vm, arrival.at) {
+                    *late.entry(fingerprint).or_default() += 1;
+                }
+            }
+        }
+        for (fingerprint, late) in &late {
+            let ends = series.world.crashing.ends_of(*fingerprint);
+            assert!(
+                *late <= ALLOWED,
+                "seed {seed}: {late} arrivals, {ends} servers ended"
+            );
+        }
+        check_others(&series.world);
+    }
+}
+
+/// A draft and a lookup at some VM, and now and then a server that ends by itself.
+fn ordinary(series: &mut Series, at: usize) {
+    let vm = series.rng.random_range(0..VMS);
+    let adapter = format!("a{}", series.rng.random_range(0..12));
+    series.world.ask(vm, draft(&format!("o{at}"), &adapter));
+    let lookup = format!("q{}", at % 4);
+    let lookup = call(&lookup, "/query/x", 2_000, None);
+    series.world.ask((vm + 1) % VMS, lookup);
+    if series.rng.random_bool(0.01) {
+        if let Some(server) = series.world.busiest().first() {
+            series.world.fall(&server.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/series.rs
@@ -0,0 +1,188 @@
+//! Random series of faults that overlap: VMs are killed, stopped, stand still, are cut off or turned away by the key-value service, first
+//! those that watch for all and those that tell their availability zone; the service answers nobody, or all VMs are killed at once.
+
+use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::settings::Tuning;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::World;
+
+/// After so long without a fault a VM counts as well.
+pub const CONTACT: Span = Span::from_secs(3);
+/// The time between two steps.
+const STEP: Span = Span::from_millis(50);
+/// VMs, in three availability zones.
+pub const VMS: usize = 24;
+/// The first of them are the strongest, two a zone.
+const STRONG: usize = 6;
+/// The engines.
+const ENGINES: usize = 16;
+
+/// A fault that is to end.
+struct Fault {
+    vm: usize,
+    ends: Instant,
+    end: fn(&mut World, usize),
+}
+
+/// A series of faults.
+pub struct Series {
+    /// The fleet.
+    pub world: World,
+    /// Random numbers of the series.
+    pub rng: ChaCha8Rng,
+    /// When each VM was last in trouble.
+    pub troubled: Vec<Instant>,
+    /// When the key-value service was.
+    pub store_troubled: Instant,
+    /// When it answers again.
+    store_back: Instant,
+    /// The faults.
+    faults: Vec<Fault>,
+    /// How likely one begins in a step.
+    faulty: f64,
+}
+
+impl Series {
+    /// A fleet that has started. With an odd seed processor time is charged.
+    pub fn new(seed: u64) -> Self {
+        let strength = |vm| if vm < STRONG { 50 } else { 12 };
+        let strengths: Vec<u32> = (0..VMS).map(strength).collect();
+        let mut world = World::uneven(&strengths, ENGINES, 4, Tuning::default());
+        if seed % 2 == 1 {
+            for (vm, host) in world.hosts.iter_mut().enumerate() {
+                let each = if vm < STRONG { 100 } else { 400 };
+                host.work = (Span(each), Span(each * 5));
+            }
+        }
+        world.run(Span::from_secs(8));
+        Self {
+            troubled: vec![world.now; VMS],
+            store_troubled: world.now,
+            store_back: world.now,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            faults: Vec::new(),
+            #[allow(clippy::cast_precision_loss)]
+            faulty: 0.04 + 0.04 * (seed % 5) as f64,
+            world,
+        }
+    }
+
+    /// Lets a step pass; faults begin and end.
+    pub fn step(&mut self) {
+        self.world.run(STEP);
+        self.end_faults();
+        if self.rng.random_bool(self.faulty) {
+            self.fault();
+        }
+        self.fault_of_all();
+    }
+
+    /// Whether a VM was well at a time, and all the while before that counts.
+    pub fn was_well(&self, vm: usize, at: Instant) -> bool {
+        at >= self.troubled[vm] + CONTACT
+    }
+
+    /// One of all VMs, more often than not one of those that others hear from.
+    fn draw(&mut self) -> usize {
+        let strong = self.rng.random_bool(0.7);
+        self.rng.random_range(0..if strong { STRONG } else { VMS })
+    }
+
+    fn span(&mut self, millis: std::ops::Range<u64>) -> Span {
+        Span::from_millis(self.rng.random_range(millis))
+    }
+
+    fn fault(&mut self) {
+        let vm = self.draw();
+        if self.faults.iter().any(|fault| fault.vm == vm) {
+            return;
+        }
+        let length = self.span(300..4_000);
+        let (length, end): (Span, fn(&mut World, usize)) = match self.rng.random_range(0..8) {
+            0 => {
+                self.world.kill(vm, false);
+                (Span::from_millis(500), |_, _| {})
+            }
+            1 => {
+                self.world.freeze(vm, length);
+                (length, |_, _| {})
+            }
+            2 => {
+                self.world.stop(vm);
+                (Span::from_millis(2_500), |world, vm| world.kill(vm, false))
+            }
+            3 => {
+                self.world.hosts[vm].peers = false;
+                (length, |world, vm| world.hosts[vm].peers = true)
+            }
+            4 => {
+                self.world.hosts[vm].net = false;
+                (length, |world, vm| world.hosts[vm].net = true)
+            }
+            5 => {
+                self.world.revoke(vm);
+                (length, |world, vm| world.hosts[vm].store = true)
+            }
+            6 => {
+                self.world.hosts[vm].store = false;
+                (length, |world, vm| world.hosts[vm].store = true)
+            }
+            _ => {
+                self.world.hosts[vm].silent = true;
+                (length, |world, vm| world.hosts[vm].silent = false)
+            }
+        };
+        self.troubled[vm] = self.world.now;
+        self.faults.push(Fault {
+            vm,
+            ends: self.world.now + length,
+            end,
+        });
+    }
+
+    /// The key-value service answers nobody for a while, or all VMs are killed at once.
+    fn fault_of_all(&mut self) {
+        let now = self.world.now;
+        match self.rng.random_range(0..600) {
+            0 if self.world.store_up => {
+                self.world.store_up = false;
+                self.world.wake_watchers();
+                self.store_back = now + self.span(500..5_000);
+            }
+            1 => {
+                for vm in 0..VMS {
+                    self.world.kill(vm, false);
+                }
+                self.troubled = vec![now; VMS];
+            }
+            _ if now >= self.store_back => self.world.store_up = true,
+            _ => {}
+        }
+        if !self.world.store_up {
+            self.store_troubled = now;
+        }
+    }
+
+    fn end_faults(&mut self) {
+        let now = self.world.now;
+        let (over, on) = self
+            .faults
+            .drain(..)
+            .partition(|fault: &Fault| fault.ends <= now);
+        self.faults = on;
+        for fault in &over {
+            (fault.end)(&mut self.world, fault.vm);
+        }
+        for fault in over.iter().chain(&self.faults) {
+            // A process that was killed is back after a while.
+            self.troubled[fault.vm] = now + Span::from_millis(500);
+        }
+    }
+}
+
+/// How many seeds are played: as many as the variable `SEEDS` says, or a few.
+pub fn seeds(few: u64) -> u64 {
+    std::env::var("SEEDS").map_or(few, |text| text.parse().expect("a number"))
+}
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -10,7 +10,7 @@
 use dahliastile_gateway::fact::{Change, Fact};
 use rand::Rng;
 
-use super::fall::{CRASHES_AFTER, Run};
+use super::fall::{Arrival, CRASHES_AFTER, Run};
 use super::{Act, Answer, PLAIN_WORK, SILENT_CALL, STORE_WAY, WAY, World};
 use crate::support::setup::{self, name};
 
@@ -144,11 +144,15 @@
     }
 
     pub(super) fn answer_store(&mut self, vm: usize, op: u64, outcome: Outcome) {
-        if self.hosts.get(vm).is_some_and(|host| host.silent) {
-            return;
-        }
         let start = self.hosts.get(vm).map_or(0, |host| host.start);
-        let at = self.now + STORE_WAY + self.lag(vm, &outcome);
+        let silent = self.hosts.get(vm).is_some_and(|host| host.silent);
+        let (outcome, at) = if silent {
+            // The caller's own limit ends its wait.
+            (Outcome::Unknown, self.now + SILENT_CALL)
+        } else {
+            let lag = self.lag(vm, &outcome);
+            (outcome, self.now + STORE_WAY + lag)
+        };
         self.at(at, Act::Event(vm, start, Event::Store(op, outcome)));
     }
 
@@ -206,7 +210,11 @@
         };
         let crashes = self.crashing.fingerprints.contains(&call.fingerprint);
         if crashes {
-            self.crashing.arrivals.push((now, call.fingerprint));
+            self.crashing.arrivals.push(Arrival {
+                at: now,
+                fingerprint: call.fingerprint,
+                vm,
+            });
         }
         let times = match &call.work {
             None => Some((now + PLAIN_WORK, now + PLAIN_WORK)),
--- a/crates/gateway/tests/support/world/fall.rs
+++ b/crates/gateway/tests/support/world/fall.rs
@@ -27,13 +27,23 @@
     pub(super) server: Server,
 }
 
+/// A request that crashes servers reached one.
+pub struct Arrival {
+    /// When.
+    pub at: Instant,
+    /// Which it is.
+    pub fingerprint: Fingerprint,
+    /// The VM that sent it.
+    pub vm: usize,
+}
+
 /// Requests that crash servers, and what became of them.
 #[derive(Default)]
 pub struct Crashing {
     /// The requests.
     pub fingerprints: BTreeSet<Fingerprint>,
-    /// When each reached a server.
-    pub arrivals: Vec<(Instant, Fingerprint)>,
+    /// Where each came from that reached a server.
+    pub arrivals: Vec<Arrival>,
     /// When a server ended under each.
     pub ends: Vec<(Instant, Fingerprint)>,
 }
@@ -41,14 +51,20 @@
 impl Crashing {
     /// How often a request reached a server later than a span after the third server ended under it.
     pub fn late_arrivals(&self, fingerprint: Fingerprint, span: Span) -> usize {
-        let mut ends = self.ends.iter().filter(|(_, of)| *of == fingerprint);
-        let Some((third, _)) = ends.nth(2) else {
+        let Some(third) = self.third_end(fingerprint) else {
             return 0;
         };
-        let late = |(at, of): &&(Instant, Fingerprint)| *of == fingerprint && *at > *third + span;
+        let from = third + span;
+        let late = |a: &&Arrival| a.fingerprint == fingerprint && a.at > from;
         self.arrivals.iter().filter(late).count()
     }
 
+    /// When the third server ended under a request.
+    pub fn third_end(&self, fingerprint: Fingerprint) -> Option<Instant> {
+        let mut ends = self.ends.iter().filter(|(_, of)| *of == fingerprint);
+        ends.nth(2).map(|(at, _)| *at)
+    }
+
     /// How many servers ended under a request.
     pub fn ends_of(&self, fingerprint: Fingerprint) -> usize {
         let ends = self.ends.iter();
