--- /dev/null
+++ b/crates/gateway/src/flow/failure.rs
@@ -0,0 +1,233 @@
+//! What becomes of a request whose server failed it, whose time is over, or that gets no server.
+
+use dahliastile_core::id::Server;
+use dahliastile_core::log::Code;
+use dahliastile_core::metric::Figure;
+use dahliastile_core::time::{Instant, Span};
+
+use super::State;
+use crate::agent::ASK_AGAIN;
+use crate::budget::Terms;
+use crate::config::Kind;
+use crate::effect::{Effect, Effects, Reason, Verdict};
+use crate::event::{Cause, Ran, RequestId};
+use crate::health::Health;
+use crate::measure;
+use crate::message::Progress;
+use crate::node::Gateway;
+
+/// Sends of one request at most, counting those that did not run: more only wear out the shared budget.
+const MAX_SENDS: u32 = 4;
+
+/// When a caller that was refused for want of room may come back: about the time of one answer of a plain service.
+pub(super) const COME_BACK: Span = Span::from_millis(300);
+
+/// What is left of a request's time below which it is not sent again: one round trip and the shortest work.
+const TOO_LATE: Span = Span::from_millis(30);
+
+/// The part of the shared budget of second sends that the VMs use, so that windows that slide differently elsewhere and
+/// here never add up to more.
+const BUDGET_USED: f64 = 0.6;
+
+/// Why a request gets no server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Why {
+    /// No server takes work.
+    NoServer,
+    /// Its server failed it, and it is not sent again.
+    SendFailed,
+    /// The scheduler can't serve it in time.
+    Scheduler,
+    /// It crashes servers.
+    Quarantined,
+}
+
+impl Why {
+    /// Its name, for the log and figures.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::NoServer => "no_server",
+            Self::SendFailed => "send_failed",
+            Self::Scheduler => "scheduler",
+            Self::Quarantined => "quarantined",
+        }
+    }
+
+    /// What its caller is told where it may have run on so many servers.
+    const fn reason(self, ran: u32) -> Reason {
+        match self {
+            _ if ran > 0 => Reason::Failed,
+            Self::Quarantined => Reason::Quarantined,
+            Self::NoServer | Self::SendFailed | Self::Scheduler => Reason::Overloaded,
+        }
+    }
+}
+
+impl Gateway {
+    /// A server did not answer a request well.
+    pub(crate) fn failed(&mut self, request: RequestId, ran: Ran, cause: Cause, out: &mut Effects) {
+        let now = self.now;
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        let State::Sent { server, begun } = flow.state.clone() else {
+            return;
+        };
+        flow.failed.push(server.clone());
+        flow.ran += u32::from(ran != Ran::No);
+        if let Some(row) = self.servers.get_mut(&server) {
+            row.open = row.open.saturating_sub(1);
+            judge(&mut row.health, cause, now);
+        }
+        Self::log(
+            out,
+            Code::SendFailed,
+            format!(
+                "id={} call={} server={server} ran={ran:?} cause={cause:?} begun={begun}",
+                flow.call.id, flow.call.fingerprint
+            ),
+        );
+        if ran != Ran::No && cause == Cause::Broken {
+            let (fingerprint, sent) = (flow.call.fingerprint, flow.sent);
+            self.suspect(&server, fingerprint, sent, out);
+        }
+        self.tell_progress(request, Progress::Failed(ran, cause), out);
+        self.after_failure(request, ran, cause, begun, out);
+    }
+
+    /// Sends a failed request again where that is allowed and of use, or gives it its final answer.
+    fn after_failure(
+        &mut self,
+        request: RequestId,
+        ran: Ran,
+        cause: Cause,
+        begun: bool,
+        out: &mut Effects,
+    ) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let kind = flow.route.kind;
+        let may = ran == Ran::No || kind.idempotent() && flow.ran < flow.route.attempts;
+        let cut = begun && kind != Kind::Resumable && kind != Kind::Safe;
+        let in_time = flow.ends.since(self.now) > TOO_LATE && flow.sends < MAX_SENDS;
+        let quarantined = self.quarantine.left(flow.call.fingerprint, self.now);
+        match cause {
+            _ if cut => self.end(request, Progress::Over, out),
+            _ if quarantined.is_some() => {
+                self.give_up(request, quarantined, Why::Quarantined, out);
+            }
+            _ if may && in_time && self.spend(request) => self.seek(request, out),
+            Cause::Status(_) => {
+                out.push(Effect::Request(request, Verdict::Deliver));
+                self.end(request, Progress::Over, out);
+            }
+            _ => self.give_up(request, Some(COME_BACK), Why::SendFailed, out),
+        }
+    }
+
+    fn spend(&mut self, request: RequestId) -> bool {
+        let Some(flow) = self.flows.get(&request) else {
+            return false;
+        };
+        let tuning = &self.settings.tuning;
+        let vms = self.peers().count() + 1;
+        let terms = Terms {
+            ratio: tuning.retry_ratio * BUDGET_USED,
+            #[allow(clippy::cast_precision_loss)]
+            extra: tuning.retry_extra * BUDGET_USED / vms as f64,
+            window: tuning.retry_window,
+        };
+        let budget = self.budgets.entry(flow.service.clone()).or_default();
+        budget.spend(self.now, terms)
+    }
+
+    /// A request's time is over.
+    pub(crate) fn flow_due(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        if flow.ends > self.now {
+            let unheard = flow.state == State::Waiting && flow.call.work.is_some();
+            if unheard && self.now.since(flow.arrived) >= ASK_AGAIN {
+                self.ask_place(request, out);
+            }
+            return;
+        }
+        measure::count(out, Figure::Refused, &flow.service, "timed_out");
+        let begun = matches!(flow.state, State::Sent { begun: true, .. });
+        let sent = matches!(flow.state, State::Sent { .. });
+        let (id, server) = (&flow.call.id, flow.server().map_or("-", Server::as_str));
+        Self::log(
+            out,
+            Code::TimedOut,
+            format!(
+                "id={id} server={server} begun={begun} timeout={}",
+                flow.route.timeout
+            ),
+        );
+        let effect = match sent || flow.ran > 0 {
+            _ if begun => Effect::Request(request, Verdict::Cut),
+            true => refusal(request, Reason::TimedOut, None),
+            false => refusal(request, Reason::Overloaded, Some(COME_BACK)),
+        };
+        out.push(effect);
+        self.end(request, Progress::Over, out);
+    }
+
+    /// The scheduler can't serve a request in time.
+    pub(crate) fn turned_away(&mut self, request: RequestId, after: Span, out: &mut Effects) {
+        if self
+            .flows
+            .get(&request)
+            .is_some_and(|flow| flow.state == State::Waiting)
+        {
+            self.give_up(request, Some(after), Why::Scheduler, out);
+        }
+    }
+
+    /// Gives a request that is at no server its final answer.
+    pub(crate) fn give_up(
+        &mut self,
+        request: RequestId,
+        after: Option<Span>,
+        why: Why,
+        out: &mut Effects,
+    ) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let waited = self.now.since(flow.arrived);
+        let ran = flow.ran;
+        Self::log(
+            out,
+            Code::Refused,
+            format!(
+                "id={} call={} why={} waited={waited} sends={} ran={ran}",
+                flow.call.id,
+                flow.call.fingerprint,
+                why.name(),
+                flow.sends
+            ),
+        );
+        measure::count(out, Figure::Refused, &flow.service, why.name());
+        out.push(refusal(
+            request,
+            why.reason(ran),
+            after.filter(|_| ran == 0),
+        ));
+        self.end(request, Progress::Over, out);
+    }
+}
+
+pub(crate) fn refusal(request: RequestId, reason: Reason, after: Option<Span>) -> Effect {
+    Effect::Request(request, Verdict::Refuse(reason, after))
+}
+
+fn judge(health: &mut Health, cause: Cause, now: Instant) {
+    match cause {
+        Cause::Unreachable | Cause::Broken => health.dead(now),
+        Cause::Malformed | Cause::Status(_) => health.bad(now),
+        Cause::Full | Cause::Missing => {}
+    }
+}
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -493,9 +493,9 @@
     let lookup = format!("q{}", at % 4);
     let lookup = call(&lookup, "/query/x", 2_000, None);
     series.world.ask((vm + 1) % VMS, lookup);
-    if series.rng.random_bool(0.01) {
-        if let Some(server) = series.world.busiest().first() {
-            series.world.fall(&server.clone());
-        }
+    let ends = series.rng.random_bool(0.01);
+    let busiest = series.world.busiest().first().cloned();
+    if let Some(server) = busiest.filter(|_| ends) {
+        series.world.fall(&server);
     }
 }
