A holder whose renewals get through takes its seat though its watches don't

Cause: the renewals of its lease got through in between, so the key stayed; its watches did not, so the service counted as away for it, and a VM that takes it for away writes no seat, not even its own idle one.

Ruled out: the pledges (none was asked for). The mend: a renewal that was answered since the watches failed shows that the service is reached. Why it holds: the seat is written under the same conditions as ever.

--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -385,12 +385,18 @@
         }
     }
 
+    /// Whether the key-value service has answered no call of this VM lately: neither a watch nor, since one failed, a renewal. A holder
+    /// whose renewals get through and whose watches don't would else keep its seat and not schedule.
+    fn is_unreached(&self) -> bool {
+        let away = self.follow.away;
+        away.is_some_and(|since| self.seats.renewed() < since)
+    }
+
     /// Writes this VM into a seat, if nobody else did since.
     pub(crate) fn take_seat(&mut self, service: Service, out: &mut Effects) {
         let purpose = Purpose::Seat(service.clone());
         let asked = self.seats.writes(&service);
-        let away = self.follow.away.is_some();
-        if asked || away || self.stopping {
+        if asked || self.is_unreached() || self.stopping {
             return;
         }
         // A seat is written only while this VM's entry is there: whoever asks all VMs for pledges must know of it.
