A request that got its whole answer is not refused by a record written late; clearer names

A call of the key-value service that had no answer may be carried out seconds later: the record of a request whose strikes a whole answer had taken away meanwhile would have it refused for ten minutes. Found by reading the code; the new test fails without the change. The VM that passed the answer on removes such a record for ten seconds.

Names: suspects, strikes and goals of records (were witness, ledger, wishes); the methods that begin and end a quarantine say so. All tests of the gateway pass.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -132,10 +132,10 @@
             }
             (Subject::Holder(service), _) => self.holder_gone(&service, out),
             (Subject::Quarantine(fingerprint), Some(_)) => {
-                self.quarantine(fingerprint, LENGTH, "record", out);
+                self.put_in_quarantine(fingerprint, LENGTH, "record", out);
             }
             (Subject::Quarantine(fingerprint), None) => {
-                self.unquarantine(fingerprint, "record_gone", out);
+                self.end_quarantine(fingerprint, "record_gone", out);
             }
             (Subject::Member(vm), None) if vm == self.settings.vm => self.entry_gone(),
             (Subject::Member(vm), Some(Fact::Member(member))) => self.book.listed(&vm, &member),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,9 +2,9 @@
 //!
 //! Such a request comes again and again, at any VM, and each server it reaches ends with all that runs there. No VM sees more than a part
 //! of that, so what each has seen is put together:
-//! * `witness`: a VM that had requests at a server when their connections broke asks whether the server still listens. If it has ended, each
+//! * `suspects`: a VM that had requests at a server when their connections broke asks whether the server still listens. If it has ended, each
 //!   of them has a strike: it may be the cause, or have run beside it.
-//! * `ledger`: strikes go to the few VMs that count for a request's fingerprint, by rendezvous hashing, and cost no more with more
+//! * `strikes`: they go to the few VMs that count for a request's fingerprint, by rendezvous hashing, and cost no more with more
 //!   VMs. Only what was sent after the last server had ended counts anew, so a moment in which many servers end counts once.
 //! * From the second strike on all VMs watch for a whole answer to such a request, which takes its strikes away: what is asked for often
 //!   is often at a server that ends, and served most of the time.
@@ -15,9 +15,9 @@
 //! and is told in answer to it.
 
 mod aged;
-mod ledger;
 mod record;
-mod witness;
+mod strikes;
+mod suspects;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -28,7 +28,8 @@
 use serde::{Deserialize, Serialize};
 
 use self::aged::Aged;
-use self::ledger::Ledger;
+use self::strikes::{Count, Tally};
+use self::suspects::Suspect;
 use crate::book;
 use crate::effect::{Effect, Effects, OpId};
 use crate::event::{Presence, RequestId};
@@ -37,10 +38,10 @@
 use crate::message::Message;
 use crate::node::Gateway;
 
-pub use self::ledger::Strike;
+pub use self::strikes::Strike;
 
-/// How long a request is refused: the longest lease that the key-value service grants, under which its record lies. Then one more
-/// strike brings it back here.
+/// How long a request is refused: the longest lease that the key-value service grants, under which its record lies. After that one
+/// more strike is enough.
 pub const LENGTH: Span = Span::from_secs(600);
 
 /// How long strikes are remembered: beyond a quarantine, so that a request that is tried after it needs no three servers again.
@@ -55,7 +56,7 @@
 /// Requests that a VM tells another one of in one message.
 const TOLD_AT_ONCE: usize = 256;
 
-/// Servers' ends that a line of the log names requests of, at most.
+/// Requests that the line on a server's end names at most.
 const NAMED: usize = 8;
 
 /// What is known of a request that servers have ended under.
@@ -73,9 +74,9 @@
 #[derive(Debug)]
 pub(crate) struct State {
     /// Requests whose connections broke, by server.
-    witness: witness::State,
+    suspects: suspects::State,
     /// Strikes that this VM counts.
-    ledger: Ledger,
+    tally: Tally,
     /// Requests whose whole answer takes their strikes away.
     watched: Aged<()>,
     /// Requests that are refused, each until when.
@@ -87,8 +88,8 @@
 impl Default for State {
     fn default() -> Self {
         Self {
-            witness: witness::State::default(),
-            ledger: Ledger::new(REMEMBERED),
+            suspects: suspects::State::default(),
+            tally: Tally::new(REMEMBERED),
             watched: Aged::new(MOST, REMEMBERED),
             quarantined: Aged::new(MOST, LENGTH),
             records: record::State::default(),
@@ -108,6 +109,7 @@
         self.records.owns(op)
     }
 
+    /// Whether a whole answer to a request is news.
     fn watches(&self, fingerprint: Fingerprint) -> bool {
         self.watched.get(&fingerprint).is_some() || self.quarantined.get(&fingerprint).is_some()
     }
@@ -115,7 +117,7 @@
 
 impl Gateway {
     /// A server has ended while requests ran there.
-    fn strike(&mut self, server: &Server, suspects: &[witness::Suspect], out: &mut Effects) {
+    fn strike(&mut self, server: &Server, suspects: &[Suspect], out: &mut Effects) {
         let strikes: Vec<Strike> = suspects.iter().map(|s| s.strike(self.now)).collect();
         let calls = strikes.iter().take(NAMED);
         let calls: Vec<String> = calls.map(|s| s.fingerprint.to_string()).collect();
@@ -165,15 +167,15 @@
         let mut news = Vec::new();
         for strike in strikes {
             let fingerprint = strike.fingerprint;
-            let counted = self.quarantine.ledger.strike(self.now, strike);
+            let counted = self.quarantine.tally.strike(self.now, strike);
             let known = self.quarantine.left(fingerprint, self.now).is_some();
             match counted {
-                ledger::Count::Enough if !known => {
-                    self.quarantine(fingerprint, LENGTH, "strikes", out);
+                Count::Enough if !known => {
+                    self.put_in_quarantine(fingerprint, LENGTH, "strikes", out);
                     self.record(fingerprint, out);
                     news.push((fingerprint, Standing::Quarantined(LENGTH)));
                 }
-                ledger::Count::Suspect if !self.quarantine.watches(fingerprint) => {
+                Count::Suspect if !self.quarantine.watches(fingerprint) => {
                     self.quarantine.watched.insert(self.now, fingerprint, ());
                     news.push((fingerprint, Standing::Watched));
                 }
@@ -190,14 +192,16 @@
         for (fingerprint, standing) in told {
             match standing {
                 Standing::Watched => self.quarantine.watched.insert(self.now, fingerprint, ()),
-                Standing::Quarantined(left) => self.quarantine(fingerprint, left, "peer", out),
-                Standing::Cleared => self.lift(fingerprint, "answered_elsewhere", out),
+                Standing::Quarantined(left) => {
+                    self.put_in_quarantine(fingerprint, left, "peer", out);
+                }
+                Standing::Cleared => self.clear(fingerprint, "answered_elsewhere", out),
             }
         }
     }
 
     /// Refuses a request from now on, for so long, and at once where it waits. What has been sent already is left to its server.
-    pub(crate) fn quarantine(
+    pub(crate) fn put_in_quarantine(
         &mut self,
         fingerprint: Fingerprint,
         length: Span,
@@ -223,17 +227,22 @@
         }
     }
 
-    /// Takes a request for good again.
-    pub(crate) fn lift(&mut self, fingerprint: Fingerprint, why: &str, out: &mut Effects) {
-        self.quarantine.ledger.clear(fingerprint);
+    /// Forgets all that speaks against a request.
+    fn clear(&mut self, fingerprint: Fingerprint, why: &str, out: &mut Effects) {
+        self.quarantine.tally.clear(fingerprint);
         self.quarantine.watched.remove(&fingerprint);
-        self.unquarantine(fingerprint, why, out);
+        self.end_quarantine(fingerprint, why, out);
     }
 
     /// The record of a request is gone: its lease has ended, or an operator has removed it. Its strikes but the last are remembered.
-    pub(crate) fn unquarantine(&mut self, fingerprint: Fingerprint, why: &str, out: &mut Effects) {
+    pub(crate) fn end_quarantine(
+        &mut self,
+        fingerprint: Fingerprint,
+        why: &str,
+        out: &mut Effects,
+    ) {
         if self.quarantine.quarantined.remove(&fingerprint).is_some() {
-            self.quarantine.ledger.excuse(fingerprint);
+            self.quarantine.tally.leave_one_short(fingerprint);
             let detail = format!("call={fingerprint} why={why}");
             Self::log(out, Code::QuarantineLifted, detail);
         }
@@ -246,12 +255,12 @@
         };
         let fingerprint = flow.call.fingerprint;
         if let Some(server) = flow.server() {
-            self.quarantine.witness.lives(server, flow.sent);
+            self.quarantine.suspects.lives(server, flow.sent);
         }
         if !self.quarantine.watches(fingerprint) {
             return;
         }
-        self.lift(fingerprint, "answered", out);
+        self.clear(fingerprint, "answered", out);
         self.remove_record(fingerprint, out);
         let news = vec![(fingerprint, Standing::Cleared)];
         self.tell_all(&Message::Standings(news), out);
@@ -282,19 +291,19 @@
         let Some(row) = self.servers.get(server).filter(|row| row.backend.ready) else {
             return;
         };
-        let suspect = witness::Suspect {
+        let suspect = Suspect {
             fingerprint,
             sent,
             broke: self.now,
         };
-        if self.quarantine.witness.suspect(server, suspect) {
+        if self.quarantine.suspects.suspect(server, suspect) {
             out.push(Effect::Probe(server.clone(), row.backend.address));
         }
     }
 
     /// A server was asked whether it takes connections.
     pub(crate) fn probed(&mut self, server: &Server, presence: Presence, out: &mut Effects) {
-        self.quarantine.witness.probed(server);
+        self.quarantine.suspects.probed(server);
         if presence == Presence::Refuses {
             self.server_ended(server, out);
         }
@@ -302,7 +311,7 @@
 
     /// A server is known to have ended.
     pub(crate) fn server_ended(&mut self, server: &Server, out: &mut Effects) {
-        let suspects = self.quarantine.witness.ended(server, self.now);
+        let suspects = self.quarantine.suspects.ended(server, self.now);
         if !suspects.is_empty() {
             self.strike(server, &suspects, out);
         }
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -20,19 +20,22 @@
 /// How long a lease takes further records: they go that much sooner.
 const LEASE_SHARED: Span = Span::from_secs(60);
 
+/// How long after a whole answer a record is removed that is written all the same: a write may be carried out seconds late.
+const LATE_WRITE: Span = Span::from_secs(10);
+
 /// The pause after a call that failed, doubled with each further one.
 const RETRY: Span = Span::from_secs(1);
 
 /// How often it is doubled.
 const DOUBLINGS: u32 = 3;
 
-/// What is wanted of a record.
+/// What a record is to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Wish {
-    /// That it is there.
-    There,
-    /// That it is gone.
-    Gone,
+enum Goal {
+    /// There.
+    Present,
+    /// Gone, also if it is written late, until then.
+    Absent(Instant),
 }
 
 /// What a call is for.
@@ -40,7 +43,7 @@
 enum Purpose {
     /// The lease.
     Lease,
-    /// What is wanted of a record.
+    /// What a record is to be.
     Record(Fingerprint),
 }
 
@@ -48,7 +51,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     /// Records that are not as they should be, each with when this VM sees to it.
-    wishes: BTreeMap<Fingerprint, (Wish, Instant)>,
+    goals: BTreeMap<Fingerprint, (Goal, Instant)>,
     /// The lease, with when it was granted.
     lease: Option<(Lease, Instant)>,
     /// The call in progress.
@@ -67,19 +70,27 @@
 
     /// When something is to be written.
     pub(super) fn next(&self) -> Option<Instant> {
-        let due = self.wishes.values().map(|(_, at)| *at).min();
+        let due = self.goals.values().map(|(_, at)| *at).min();
         let due = due.filter(|_| self.call.is_none());
         due.map(|at| at.max(self.pause))
     }
 
-    /// The wish that is due now.
-    fn due(&self, now: Instant) -> Option<(Fingerprint, Wish)> {
+    /// The goal that is to be worked on now.
+    fn due(&self, now: Instant) -> Option<(Fingerprint, Goal)> {
         if self.call.is_some() || now < self.pause {
             return None;
         }
-        let mut wishes = self.wishes.iter();
-        let due = wishes.find(|(_, (_, at))| *at <= now);
-        due.map(|(fingerprint, (wish, _))| (*fingerprint, *wish))
+        let mut goals = self.goals.iter();
+        let due = goals.find(|(_, (_, at))| *at <= now);
+        due.map(|(fingerprint, (goal, _))| (*fingerprint, *goal))
+    }
+
+    /// A call on a record was carried out. Whether one stays gone is looked at again.
+    fn written(&mut self, fingerprint: Fingerprint, now: Instant) {
+        match self.goals.get_mut(&fingerprint) {
+            Some((Goal::Absent(_), at)) => *at = now + TURN,
+            _ => drop(self.goals.remove(&fingerprint)),
+        }
     }
 
     /// The lease for a further record, if it has long enough to live.
@@ -97,17 +108,18 @@
         let turn = counters.iter().position(|vm| **vm == self.settings.vm);
         let turn = turn.unwrap_or(counters.len());
         let at = self.now + TURN.times(turn as u64);
-        self.wish(fingerprint, Wish::There, at, out);
+        self.set_goal(fingerprint, Goal::Present, at, out);
     }
 
-    /// A request got a whole answer: its record goes, if there is one.
+    /// A request got a whole answer: its record goes, if there is one or another VM is about to write it.
     pub(super) fn remove_record(&mut self, fingerprint: Fingerprint, out: &mut Effects) {
-        self.wish(fingerprint, Wish::Gone, self.now, out);
+        let until = self.now + LATE_WRITE;
+        self.set_goal(fingerprint, Goal::Absent(until), self.now, out);
     }
 
-    fn wish(&mut self, fingerprint: Fingerprint, wish: Wish, at: Instant, out: &mut Effects) {
-        let wishes = &mut self.quarantine.records.wishes;
-        wishes.insert(fingerprint, (wish, at));
+    fn set_goal(&mut self, fingerprint: Fingerprint, goal: Goal, at: Instant, out: &mut Effects) {
+        let goals = &mut self.quarantine.records.goals;
+        goals.insert(fingerprint, (goal, at));
         self.records_due(out);
     }
 
@@ -118,43 +130,48 @@
         there.map(|change| change.revision)
     }
 
-    /// Forgets the wishes that have come true, or for requests that are no longer refused.
-    fn drop_wishes(&mut self) {
-        let mut wishes = std::mem::take(&mut self.quarantine.records.wishes);
-        wishes.retain(|fingerprint, (wish, _)| {
+    /// Forgets the goals that are reached, or of requests that are no longer refused.
+    fn drop_goals(&mut self) {
+        let mut goals = std::mem::take(&mut self.quarantine.records.goals);
+        goals.retain(|fingerprint, (goal, _)| {
             let there = self.recorded_at(*fingerprint).is_some();
             let refused = self.quarantine.left(*fingerprint, self.now).is_some();
-            match wish {
-                Wish::There => refused && !there,
-                Wish::Gone => there,
+            match goal {
+                Goal::Present => refused && !there,
+                Goal::Absent(until) => there || self.now < *until,
             }
         });
-        self.quarantine.records.wishes = wishes;
+        self.quarantine.records.goals = goals;
     }
 
     /// Makes the next call on records that is due.
     pub(crate) fn records_due(&mut self, out: &mut Effects) {
-        self.drop_wishes();
-        if let Some((fingerprint, wish)) = self.quarantine.records.due(self.now) {
-            self.fulfil(fingerprint, wish, out);
+        self.drop_goals();
+        if let Some((fingerprint, goal)) = self.quarantine.records.due(self.now) {
+            self.pursue(fingerprint, goal, out);
         }
         if let Some(next) = self.quarantine.records.next() {
             self.timers.set_once(next, Timer::Quarantine);
         }
     }
 
-    fn fulfil(&mut self, fingerprint: Fingerprint, wish: Wish, out: &mut Effects) {
+    fn pursue(&mut self, fingerprint: Fingerprint, goal: Goal, out: &mut Effects) {
         let subject = Subject::Quarantine(fingerprint);
         let known = self.recorded_at(fingerprint);
         let lease = self.quarantine.records.lease(self.now);
         let purpose = Purpose::Record(fingerprint);
-        let (purpose, op) = match (wish, known, lease) {
-            (Wish::Gone, Some(revision), _) => (purpose, Op::Remove(subject, revision)),
-            (_, _, Some(lease)) => {
+        let (purpose, op) = match (goal, known, lease) {
+            (Goal::Absent(_), None, _) => {
+                let again = (goal, self.now + TURN);
+                self.quarantine.records.goals.insert(fingerprint, again);
+                return;
+            }
+            (Goal::Absent(_), Some(revision), _) => (purpose, Op::Remove(subject, revision)),
+            (Goal::Present, _, Some(lease)) => {
                 let change = own(subject.clone(), Fact::Quarantine);
                 (purpose, Op::Put(change, lease, vec![(subject, 0)]))
             }
-            (_, _, None) => (Purpose::Lease, Op::Grant(LENGTH)),
+            (Goal::Present, _, None) => (Purpose::Lease, Op::Grant(LENGTH)),
         };
         let id = self.store(op, out);
         self.quarantine.records.call = Some((id, purpose));
@@ -173,8 +190,8 @@
                 records.failures = 0;
             }
             (Purpose::Record(fingerprint), Outcome::Written(_)) => {
-                records.wishes.remove(&fingerprint);
                 records.failures = 0;
+                records.written(fingerprint, now);
             }
             (_, Outcome::Conflict(changes)) => {
                 records.pause = now + RETRY;
--- a/crates/gateway/src/quarantine/ledger.rs
+++ b/crates/gateway/src/quarantine/strikes.rs
@@ -49,12 +49,12 @@
 
 /// The requests that servers have ended under.
 #[derive(Debug)]
-pub(crate) struct Ledger {
+pub(crate) struct Tally {
     /// Their strikes.
     rows: Aged<Row>,
 }
 
-impl Ledger {
+impl Tally {
     pub(crate) fn new(remembered: Span) -> Self {
         Self {
             rows: Aged::new(MOST, remembered),
@@ -87,7 +87,7 @@
     }
 
     /// Leaves a request one strike short of being refused.
-    pub(crate) fn excuse(&mut self, fingerprint: Fingerprint) {
+    pub(crate) fn leave_one_short(&mut self, fingerprint: Fingerprint) {
         if let Some(row) = self.rows.get_mut(&fingerprint) {
             row.strikes = row.strikes.min(ENOUGH - 1);
         }
--- a/crates/gateway/src/quarantine/witness.rs
+++ b/crates/gateway/src/quarantine/suspects.rs
@@ -8,7 +8,7 @@
 use dahliastile_core::id::Server;
 use dahliastile_core::time::{Instant, Span};
 
-use super::ledger::Strike;
+use super::strikes::Strike;
 use crate::fingerprint::Fingerprint;
 
 /// How long after a connection broke the server's end is taken for its reason: three heartbeats that don't come, and some.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -14,7 +14,7 @@
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::Reason;
 use dahliastile_gateway::event::Call;
-use dahliastile_gateway::fact::Subject;
+use dahliastile_gateway::fact::{Fact, Subject};
 use dahliastile_gateway::fingerprint::Fingerprint;
 use rand::Rng;
 use support::series::{CONTACT, Series, VMS, seeds};
@@ -499,3 +499,29 @@
         series.world.fall(&server);
     }
 }
+
+/// A request that was at two servers that ended gets a whole answer, and a record of it is written seconds later, as by a call that had
+/// no answer: the record goes, and the request is served.
+#[test]
+fn record_writtenlateisremoved() {
+    let mut world = warm();
+    let id = "often";
+    let path = "/berth/x";
+    let long = |_| call(id, path, 8_000, Some(work("a1", 600, 200)));
+    for _ in 0..2 {
+        world.ask_all(1, Span::from_millis(600), long);
+        for server in world.busiest() {
+            world.fall(&server);
+        }
+        world.run(Span::from_millis(100));
+    }
+    world.run(Span::from_secs(6));
+    let fingerprint = Fingerprint::of([path.as_bytes(), id.as_bytes()]);
+    world.write(Subject::Quarantine(fingerprint), Fact::Quarantine);
+    world.run(Span::from_secs(2));
+    assert!(world.store.get(&Subject::Quarantine(fingerprint)).is_none());
+    let numbers = world.ask_all(6, Span::from_millis(100), long);
+    world.run(Span::from_secs(8));
+    assert_eq!(world.served_of(&numbers), numbers.len());
+    check_others(&world);
+}
