Test: real daemons refuse a request under which three servers have ended

Two VMs as processes, three servers that close their listener with the request unanswered, one after the other: the request is refused on both VMs with a time to come back, its record lies in the key-value service, other requests are served, and removing the record lifts it.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -6,11 +6,11 @@
 mod fleet;
 
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
 use dahliastile_standin::fleet::{Fault, Replica};
-use fleet::{Fleet, config, read, request, settings_text, until};
+use fleet::{Fleet, Vm, config, read, request, settings_text, until};
 
 fn ran(replicas: &[Replica], id: &str) -> usize {
     let runs = replicas.iter().flat_map(Replica::runs);
@@ -186,6 +186,58 @@
     }
 }
 
+/// A server that ends as soon as it has read one request: its connection breaks, and nothing listens at its address from then on.
+fn ends_atonce(fleet: &Fleet, number: u8) -> std::thread::JoinHandle<()> {
+    let address = fleet.address(30 + number, 8080);
+    let listener = TcpListener::bind(address).expect("it listens");
+    let entry = fleet.plain[0].entry("desk", address, "north", "ready");
+    fleet.store.put(&format!("servers/x{number}"), &entry);
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        // What it reads does not matter, only that there is something.
+        let _ = stream.read(&mut [0; 4_096]);
+    })
+}
+
+/// Three servers end, one after the other, under the same request at one VM or another: then it is refused on both, and recorded.
+#[test]
+fn request_crashingserversisrefused() {
+    let fleet = Fleet::start_ready(2);
+    for server in ["servers/p0", "servers/p1"] {
+        fleet.store.remove(server);
+    }
+    let gone = |vm: &Vm| vm.ask("other", "/query/other", None).status == 503;
+    until("no server is there", || fleet.vms.iter().all(gone));
+    for number in 0..3 {
+        let server = ends_atonce(&fleet, number);
+        let vm = &fleet.vms[usize::from(number % 2)];
+        until("the server has had the request", || {
+            vm.ask(&format!("c{number}"), "/post/crash", None).status == 502
+        });
+        server.join().expect("it ended");
+        fleet.store.remove(&format!("servers/x{number}"));
+    }
+    let records = || fleet.store.keys("dahliastile/quarantine/");
+    until("it is recorded", || records().len() == 1);
+    let back = fleet.plain[0].entry("desk", fleet.plain_address(0), "north", "ready");
+    fleet.store.put("servers/p0", &back);
+    for vm in &fleet.vms {
+        until("other requests are served", || {
+            vm.ask("other", "/post/other", None).status == 200
+        });
+        let answer = vm.ask("again", "/post/crash", None);
+        let comes_back = answer.text.to_lowercase().contains("retry-after: 5");
+        assert!(answer.status == 503 && comes_back, "{}", answer.text);
+    }
+    assert_eq!(ran(&fleet.plain, "again"), 0);
+    fleet.store.remove(&records()[0]);
+    for vm in &fleet.vms {
+        until("it is served again", || {
+            vm.ask("lifted", "/post/crash", None).status == 200
+        });
+    }
+}
+
 #[test]
 fn answer_ofanotherisneverpassedon() {
     let fleet = Fleet::start_ready(1);
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -84,6 +84,16 @@
         serde_json::from_slice(&state.items.get(key)?.value).ok()
     }
 
+    /// The keys that begin so.
+    #[must_use]
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state();
+        let keys = state.items.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         // A test that panicked with the lock held has failed already.
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
