--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -130,14 +130,12 @@
         }
     }
 
-    /// A call on it failed. The pause is drawn from half of its length on, so that VMs that failed together don't call together.
+    /// A call on it failed.
     pub(crate) fn failed(&mut self, now: Instant, terms: Terms, rng: &mut impl Rng) {
         self.calling = false;
         self.failing = true;
-        let doubled = terms.retry.times(1 << self.failures.min(10));
-        let pause = doubled.min(terms.longest.max(terms.retry));
+        self.next = now + backoff(terms.retry, terms.longest, self.failures, rng);
         self.failures += 1;
-        self.next = now + Span(rng.random_range(pause.0 / 2..=pause.0));
     }
 
     /// The service is there again, or has taken away what was under the lease: the next call comes within a while.
@@ -154,3 +152,11 @@
         self.failing = false;
     }
 }
+
+/// The pause after a call of the key-value service that failed, as did so many before it in a row: it is doubled with each, up to the
+/// longest, and drawn from half of its length on, so that VMs that failed together don't call together.
+pub(crate) fn backoff(first: Span, longest: Span, failures: u32, rng: &mut impl Rng) -> Span {
+    let doubled = first.times(1 << failures.min(10));
+    let pause = doubled.min(longest.max(first));
+    Span(rng.random_range(pause.0 / 2..=pause.0))
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -201,6 +201,14 @@
         self.book.present(self.now).filter(move |vm| *vm != me)
     }
 
+    /// So many of the VMs that are there, this one among them, the first by their place in an order.
+    pub(crate) fn first_vms<K: Ord>(&self, count: usize, place: impl Fn(&Vm) -> K) -> Vec<&Vm> {
+        let mut vms: Vec<&Vm> = self.peers().chain([&self.settings.vm]).collect();
+        vms.sort_by_cached_key(|vm| place(vm));
+        vms.truncate(count);
+        vms
+    }
+
     /// How much a VM can do for others.
     pub(crate) fn strength(&self, vm: &Vm) -> u32 {
         if !self.settings.uses(Mechanism::Strength) {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -143,23 +143,15 @@
 
     /// The VMs that count the strikes of a request, the first of them first.
     fn counters(&self, fingerprint: Fingerprint) -> Vec<&Vm> {
-        let mut vms: Vec<&Vm> = self.peers().chain([&self.settings.vm]).collect();
-        vms.sort_by_cached_key(|vm| Reverse(book::score(&(vm.as_str(), fingerprint))));
-        vms.truncate(COUNTERS);
-        vms
+        self.first_vms(COUNTERS, |vm| {
+            Reverse(book::score(&(vm.as_str(), fingerprint)))
+        })
     }
 
     /// Another VM tells of strikes. What it does not know of their requests yet it is told in turn.
     pub(crate) fn struck(&mut self, from: &Vm, strikes: &[Strike], out: &mut Effects) {
-        let now = self.now;
-        let known = strikes.iter().filter_map(|strike| {
-            let left = self.quarantine.left(strike.fingerprint, now)?;
-            Some((strike.fingerprint, Standing::Quarantined(left)))
-        });
-        let known: Vec<(Fingerprint, Standing)> = known.collect();
-        if !known.is_empty() {
-            self.send(from, Message::Standings(known), out);
-        }
+        let struck = strikes.iter().map(|strike| strike.fingerprint);
+        self.tell_refused(from, struck, out);
         self.count_strikes(strikes, out);
     }
 
@@ -268,12 +260,21 @@
 
     /// Tells a VM that knows nothing yet which requests are refused.
     pub(crate) fn tell_quarantines(&self, vm: &Vm, out: &mut Effects) {
-        let now = self.now;
-        let rows = self.quarantine.quarantined.newest();
-        let left = rows.map(|(fingerprint, until)| (*fingerprint, until.since(now)));
-        let there = left.filter(|(_, left)| *left > Span::ZERO);
-        let told = there.map(|(fingerprint, left)| (fingerprint, Standing::Quarantined(left)));
-        let told: Vec<(Fingerprint, Standing)> = told.take(TOLD_AT_ONCE).collect();
+        self.tell_refused(vm, self.quarantine.quarantined.newest(), out);
+    }
+
+    /// Tells a VM which of some requests are refused.
+    fn tell_refused(
+        &self,
+        vm: &Vm,
+        requests: impl Iterator<Item = Fingerprint>,
+        out: &mut Effects,
+    ) {
+        let refused = requests.filter_map(|fingerprint| {
+            let left = self.quarantine.left(fingerprint, self.now)?;
+            Some((fingerprint, Standing::Quarantined(left)))
+        });
+        let told: Vec<(Fingerprint, Standing)> = refused.take(TOLD_AT_ONCE).collect();
         if !told.is_empty() {
             self.send(vm, Message::Standings(told), out);
         }
--- a/crates/gateway/src/quarantine/aged.rs
+++ b/crates/gateway/src/quarantine/aged.rs
@@ -57,9 +57,8 @@
         Some(row)
     }
 
-    /// The rows, the newest first.
-    pub(crate) fn newest(&self) -> impl Iterator<Item = (&Fingerprint, &T)> {
-        let ages = self.ages.iter().rev();
-        ages.filter_map(|(_, fingerprint)| Some((fingerprint, self.get(fingerprint)?)))
+    /// What has a row, the newest first.
+    pub(crate) fn newest(&self) -> impl Iterator<Item = Fingerprint> {
+        self.ages.iter().rev().map(|(_, fingerprint)| *fingerprint)
     }
 }
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -4,13 +4,13 @@
 use std::collections::BTreeMap;
 
 use dahliastile_core::time::{Instant, Span};
-use rand::Rng;
 
 use super::LENGTH;
 use crate::effect::{Effects, Op, OpId};
 use crate::event::{Lease, Outcome};
 use crate::fact::{Fact, Revision, Subject, Way, own};
 use crate::fingerprint::Fingerprint;
+use crate::lease::backoff;
 use crate::node::Gateway;
 use crate::timer::Timer;
 
@@ -23,11 +23,11 @@
 /// How long after a whole answer a record is removed that is written all the same: a write may be carried out seconds late.
 const LATE_WRITE: Span = Span::from_secs(10);
 
-/// The pause after a call that failed, doubled with each further one.
+/// The pause after the first call that failed.
 const RETRY: Span = Span::from_secs(1);
 
-/// How often it is doubled.
-const DOUBLINGS: u32 = 3;
+/// The longest pause after calls that failed.
+const RETRY_LONGEST: Span = Span::from_secs(8);
 
 /// What a record is to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -201,9 +201,9 @@
                 if matches!(outcome, Outcome::NoLease) {
                     records.lease = None;
                 }
-                let pause = RETRY.times(1 << records.failures.min(DOUBLINGS));
+                let pause = backoff(RETRY, RETRY_LONGEST, records.failures, &mut self.rng);
+                records.pause = now + pause;
                 records.failures += 1;
-                records.pause = now + Span(self.rng.random_range(pause.0 / 2..=pause.0));
             }
         }
         self.records_due(out);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,10 +27,7 @@
 
     /// The VMs that watch for all.
     pub(crate) fn watchers(&self) -> Vec<&Vm> {
-        let mut watchers: Vec<&Vm> = self.peers().chain([&self.settings.vm]).collect();
-        watchers.sort_by_cached_key(|vm| self.rank_for_all(vm));
-        watchers.truncate(WATCHERS);
-        watchers
+        self.first_vms(WATCHERS, |vm| self.rank_for_all(vm))
     }
 
     /// Whether this VM is one of those that watch for all.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -87,6 +87,12 @@
     world.check();
 }
 
+/// One of so many requests for a long answer, which come again and again; it may go on at another server.
+fn long(at: usize, kinds: usize, adapters: usize) -> Call {
+    let (id, adapter) = (format!("l{}", at % kinds), format!("a{}", at % adapters));
+    call(&id, "/berth/x", 8_000, Some(work(&adapter, 600, 400)))
+}
+
 /// How often a line was written.
 fn lines(world: &World, code: &str) -> usize {
     let lines = world.lines.iter();
@@ -238,32 +244,37 @@
     check(&world, "/query/crash");
 }
 
-/// Twenty such requests at once: calls of the key-value service are three for each at most, and one lease takes many records.
-#[test]
-fn crashing_manyatonce() {
-    let mut world = World::new(12, 60, 4);
-    world.run(Span::from_secs(2));
+/// So many such requests come thirty times each, to VMs that follow each other by a stride. Holds the bound against each, and gives the
+/// messages that VMs sent beyond those of an idle span as long.
+fn many(world: &mut World, kinds: usize, stride: usize, pause: Span, idle: Span) -> u64 {
     let before = world.messages;
-    world.run(Span::from_secs(20));
+    world.run(idle);
     let idle = world.messages - before;
     let before = world.messages;
     for at in 0..30 {
-        for kind in 0..20 {
-            let path = format!("/plan/crash{kind}");
-            let crashing = crashing(&mut world, &path, at);
-            world.ask((at + kind) % 12, crashing);
+        for kind in 0..kinds {
+            let crashing = crashing(world, &format!("/plan/crash{kind}"), at);
+            world.ask((at * stride + kind) % world.hosts.len(), crashing);
         }
-        world.run(REPEATED);
+        world.run(pause);
     }
     // Some of them end a server together, which is then taken for one's.
     for fingerprint in &world.crashing.fingerprints {
-        check_bound(&world, *fingerprint);
+        check_bound(world, *fingerprint);
     }
-    check_others(&world);
+    check_others(world);
+    world.messages - before - idle
+}
+
+/// Twenty such requests at once: calls of the key-value service are three for each at most, and one lease takes many records.
+#[test]
+fn crashing_manyatonce() {
+    let mut world = World::new(12, 60, 4);
+    world.run(Span::from_secs(2));
+    let more = many(&mut world, 20, 1, REPEATED, Span::from_secs(20));
     let written = world.store.history.iter();
     let written = written.filter(|change| matches!(change.subject, Subject::Quarantine(_)));
     assert_eq!(written.count(), 20);
-    let more = world.messages - before - idle;
     // Each request, and what all are told of it, goes to a dozen VMs some times.
     assert!(more < 20 * (30 + 8 * 12 * 3), "{more} messages more");
 }
@@ -274,11 +285,7 @@
 fn ends_ofmanyatonce() {
     let mut world = World::new(6, 12, 4);
     world.run(Span::from_secs(2));
-    let long = |at: usize| {
-        // The same requests come again and again.
-        let (id, adapter) = (format!("l{}", at % 30), format!("a{}", at % 12));
-        call(&id, "/berth/x", 8_000, Some(work(&adapter, 600, 400)))
-    };
+    let long = |at| long(at, 30, 12);
     for _ in 0..5 {
         world.ask_all(60, Span::from_millis(40), long);
         for server in world.busiest().into_iter().take(3) {
@@ -315,10 +322,7 @@
 #[test]
 fn resets_strikenobody() {
     let mut world = warm();
-    let long = |at: usize| {
-        let (id, adapter) = (format!("l{}", at % 6), format!("a{}", at % 6));
-        call(&id, "/berth/x", 8_000, Some(work(&adapter, 600, 400)))
-    };
+    let long = |at| long(at, 6, 6);
     for _ in 0..8 {
         world.ask_all(12, Span::from_millis(40), long);
         for server in world.up(true) {
@@ -420,25 +424,15 @@
 fn crashing_manyatthreehundredvms() {
     let mut world = World::new(300, 78, 4);
     world.run(Span::from_secs(8));
-    let before = world.messages;
-    world.run(Span::from_secs(6));
-    let idle = world.messages - before;
-    let before = world.messages;
-    for at in 0..30 {
-        for kind in 0..40 {
-            let path = format!("/plan/crash{kind}");
-            let crashing = crashing(&mut world, &path, at);
-            world.ask((at * 7 + kind) % 300, crashing);
-        }
-        world.run(Span::from_millis(200));
-    }
-    for fingerprint in &world.crashing.fingerprints {
-        check_bound(&world, *fingerprint);
-    }
-    check_others(&world);
+    let more = many(
+        &mut world,
+        40,
+        7,
+        Span::from_millis(200),
+        Span::from_secs(6),
+    );
     // Two news of each request from four VMs to all, and a dozen messages for each time it came.
     let most = 40 * (2 * 4 * 300 + 30 * 12);
-    let more = world.messages - before - idle;
     assert!(more <= most, "{more} messages more");
 }
 
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -307,7 +307,7 @@
     /// A server registers.
     pub fn add_server(&mut self, id: &str, number: usize, engine: bool) {
         let made = Engine::new(id, engine, setup::engine_config().places);
-        let backend = Arc::new(Backend {
+        let backend = Backend {
             service: name(if engine { ENGINES } else { PLAIN }),
             address: setup::address(if engine { 2 } else { 3 }, number),
             zone: setup::zone(number),
@@ -320,12 +320,14 @@
                 .map(|base| base.model)
                 .collect(),
             start: Some(made.start),
-        });
-        self.servers
-            .insert(made.id.clone(), (made.clone(), backend.clone()));
-        self.store
-            .put(Subject::Server(made.id), Fact::Server(backend), 0);
-        self.wake_watchers();
+        };
+        self.register(made, backend);
+    }
+
+    fn register(&mut self, made: Engine, backend: Backend) {
+        let (id, backend) = (made.id.clone(), Arc::new(backend));
+        self.servers.insert(id.clone(), (made, backend.clone()));
+        self.write(Subject::Server(id), Fact::Server(backend));
     }
 
     /// A server says that it is leaving.
--- a/crates/gateway/tests/support/world/fall.rs
+++ b/crates/gateway/tests/support/world/fall.rs
@@ -1,16 +1,18 @@
 //! Servers that end under a request and come back: all that runs there breaks off, connections are refused, the entry goes after three
 //! heartbeats that don't come, and a new server is at the address under an id of its own.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use dahliastile_core::id::Server;
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::event::{Cause, Event, Presence, Ran};
-use dahliastile_gateway::fact::Subject;
+use dahliastile_gateway::fact::{Backend, Subject};
 use dahliastile_gateway::fingerprint::Fingerprint;
 
 use super::{Act, Answer, WAY, World};
-use crate::support::setup::name;
+use crate::support::engine::Engine;
+use crate::support::setup::engine_config;
 
 /// How long a request that crashes its server runs there before.
 pub(super) const CRASHES_AFTER: Span = Span::from_millis(60);
@@ -166,25 +168,17 @@
             *counts.entry(&run.server).or_default() += 1;
         }
         let mut servers: Vec<(&Server, usize)> = counts.into_iter().collect();
-        servers.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        servers.sort_by_key(|(_, count)| Reverse(*count));
         servers.into_iter().map(|(s, _)| s.clone()).collect()
     }
 
-    pub(super) fn succeed(
-        &mut self,
-        id: &str,
-        engine: bool,
-        backend: &dahliastile_gateway::fact::Backend,
-    ) {
-        self.add_server(id, 0, engine);
-        let id: Server = name(id);
-        let (_, made) = self.servers.get_mut(&id).expect("just added");
-        let anew = dahliastile_gateway::fact::Backend {
-            bases: made.bases.clone(),
-            start: made.start,
+    /// A new server is there in place of one that described itself so.
+    pub(super) fn succeed(&mut self, id: &str, engine: bool, backend: &Backend) {
+        let made = Engine::new(id, engine, engine_config().places);
+        let backend = Backend {
+            start: Some(made.start),
             ..backend.clone()
         };
-        *made = std::sync::Arc::new(anew);
-        self.rewrite(id.as_str());
+        self.register(made, backend);
     }
 }
