Limits of client accounts over all VMs: equal shares, and a pool of what others don't need

Cause: nothing counted what accounts use.

Ways weighed. One VM that counts for all needs to be the only one, and to remember over its own end. Kept: shares as above, and tokens that only move. A VM that runs short draws from the VM that keeps a pool; that one collects what VMs don't need that have no requests of the account. Tokens are lost where messages are, and never doubled: a draw and an answer to a collection each count once, by number. So it does not matter who keeps a pool, or how many do, and none needs the key-value service. A VM counts as one that has a share for a minute after its entry went; a start that finds no entry of an earlier one uses no share for a second, as it may not know the other VMs yet.

A limit binds windows, so what is given out is the window's limit spread evenly over it, and what may be there at once is its tolerance (or half of the burst, where that is more).

Tokens of a request that did not run are given back, also of one sent a second time; a second send costs nothing more. Beyond the limit a request is refused as not run (429), with the time at which its tokens will have come in after those of all refused before it, and a part drawn at random.

On the way two faults of this change were found by its tests: a VM counted itself twice, and a start took its part among VMs that it had not heard of yet.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -176,6 +176,10 @@
     RequestQuarantined = 518 Warn "Find its caller and what of it crashes servers; remove its record to lift it.";
     /// A request is no longer refused.
     QuarantineLifted = 519 Info "Nothing.";
+    /// A client account has used all that it may over all VMs.
+    LimitReached = 520 Info "If it lasts and is not a fault of the account's callers, raise its limit.";
+    /// The VM that lends tokens to this one did not answer, and another one is asked.
+    PoolSilent = 521 Warn "Check that VM.";
     /// An internal invariant does not hold.
     Broken = 900 Error "Report it with the log around it.";
 }
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -62,6 +62,8 @@
     Retries "dahliastile_retries_total" "1";
     /// Loads ordered.
     Loads "dahliastile_loads_total" "1";
+    /// Tokens of client accounts, admitted or refused.
+    AccountTokens "dahliastile_account_tokens_total" "1";
     /// Calls of the key-value service, by kind.
     PlatformCalls "dahliastile_outside_calls_total" "1";
     /// Bytes of messages sent to other VMs, by kind and by whether they leave the availability zone (`news_zone`, `news_beyond`).
--- a/crates/daemon/tests/accounts.rs
+++ b/crates/daemon/tests/accounts.rs
@@ -160,3 +160,25 @@
     assert!(answer.text.contains(" 401 "), "{}", answer.text);
     assert_eq!(sent(&fleet, "k2", "request-id"), None);
 }
+
+/// What is beyond the limit is refused as not run, with a time to come back; other accounts are served on.
+#[test]
+fn limit_refusesitsaccountonly() {
+    let fleet = start(2);
+    let answer = ask(&fleet, "s", &format!("X-Api-Key: {SOUTH}\r\n"));
+    assert_eq!(answer.status, 429, "{}", answer.text);
+    assert!(answer.text.to_lowercase().contains("retry-after: "));
+    assert_eq!(sent(&fleet, "s", "request-id"), None);
+    assert_eq!(
+        ask(&fleet, "n", &format!("X-Api-Key: {NORTH}\r\n")).status,
+        200
+    );
+    let figures = fleet.vms[0].figures();
+    let refused = figures.lines().find(|line| {
+        line.starts_with("dahliastile_account_tokens_total") && line.contains("refused")
+    });
+    assert!(
+        refused.is_some_and(|line| line.contains("south") && line.ends_with(" 200")),
+        "{figures}"
+    );
+}
--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -1,6 +1,7 @@
 //! Client accounts: whose request it is, by the key that it bears, and how much each account may use.
 
 pub mod key;
+pub mod quota;
 
 use std::fmt;
 use std::num::ParseIntError;
--- /dev/null
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -0,0 +1,241 @@
+//! A VM that charges requests to their accounts: from its own share, and from the pool where that is short.
+
+use std::cmp::Reverse;
+
+use dahliastile_core::id::{Tenant, Vm};
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+use rand::Rng;
+
+use super::{Draw, Grant, Waiting, pool};
+use crate::account::Tokens;
+use crate::book;
+use crate::effect::Effects;
+use crate::event::RequestId;
+use crate::flow::{State as Flow, Why};
+use crate::measure;
+use crate::mechanism::Mechanism;
+use crate::message::Message;
+use crate::node::Gateway;
+use crate::timer::Timer;
+
+/// How much longer than a pool has a draw may stay without an answer before another VM is asked.
+const ANSWER_MARGIN: Span = Span::from_millis(150);
+
+/// VMs that are asked before a request is refused.
+const TRIES: u32 = 2;
+
+/// How long a VM that did not answer is not asked again.
+const PASSED_BY: Span = Span::from_secs(4);
+
+/// How long the pool's word that an account has no tokens left counts for further requests.
+const CLOSED: Span = Span::from_millis(100);
+
+/// When a caller may come back if no pool answers.
+const COME_BACK: Span = Span::from_millis(500);
+
+/// How long after its last request an account counts as used at a VM.
+const IN_USE: Span = Span::from_millis(500);
+
+impl Gateway {
+    /// Charges a request to its account, if that has a limit, and goes on with it when there are tokens.
+    pub(crate) fn charge(&mut self, request: RequestId, out: &mut Effects) {
+        let now = self.now;
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let cost = flow.cost;
+        let account = flow.account.as_ref().map(|account| account.name.clone());
+        let Some(account) = account.filter(|name| self.quota.shares.contains_key(name)) else {
+            self.seek(request, out);
+            return;
+        };
+        let Some((share, _)) = self.share(&account) else {
+            return;
+        };
+        share.used = now;
+        let (closed, comes_back) = share.closed;
+        if share.bucket.take(cost) {
+            self.charged(request, out);
+        } else if now < closed {
+            self.over_limit(request, comes_back.since(now), out);
+        } else if self.settings.uses(Mechanism::TokenPool) {
+            self.draw(&account, request, 1, out);
+        } else {
+            self.over_limit(request, COME_BACK, out);
+        }
+    }
+
+    /// A request's tokens are taken.
+    fn charged(&mut self, request: RequestId, out: &mut Effects) {
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.charged = true;
+            let account = flow.account.as_ref().map(|account| &account.name);
+            measure::tokens(out, account, flow.cost, "admitted");
+        }
+        self.seek(request, out);
+    }
+
+    /// Gives the tokens of a request back that did not run.
+    pub(crate) fn refund(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        let charged = std::mem::take(&mut flow.charged);
+        let account = flow.account.as_ref().filter(|_| charged);
+        if let Some(share) = account.and_then(|a| self.quota.shares.get_mut(&a.name)) {
+            share.bucket.put(flow.cost, flow.cost.as_f64());
+        }
+    }
+
+    /// Draws the tokens of a request from the pool.
+    fn draw(&mut self, account: &Tenant, request: RequestId, tries: u32, out: &mut Effects) {
+        let until = self.now + pool::pause(self.fleet()) + ANSWER_MARGIN;
+        let (to, number) = (self.pool_keeper(), self.rng.random());
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        flow.state = Flow::Charging;
+        let tokens = flow.cost;
+        let Some((share, terms)) = self.share(account) else {
+            return;
+        };
+        let draw = Draw {
+            account: account.clone(),
+            number,
+            tokens,
+            room: share.bucket.room(terms),
+        };
+        let waiting = Waiting {
+            request,
+            to: to.clone(),
+            until,
+            tries,
+        };
+        share.waiting.insert(number, waiting);
+        if to == self.settings.vm {
+            self.drawn(&to, draw, out);
+        } else {
+            self.timers.set_once(until, Timer::Quota);
+            self.send(&to, Message::Draw(draw), out);
+        }
+    }
+
+    /// The VM that keeps the pool, as this one sees it: a strong one that is there and schedules nothing.
+    fn pool_keeper(&self) -> Vm {
+        let now = self.now;
+        let passed = |vm: &Vm| {
+            let mut passed = self.quota.passed.iter();
+            passed.any(|(other, until)| other == vm && now < *until)
+        };
+        let schedules = |vm: &Vm| self.agents.values().any(|a| a.holder.as_ref() == Some(vm));
+        let me = &self.settings.vm;
+        let peers = self.peers();
+        let peers = peers.filter(|vm| !self.book.is_down(vm) && !passed(vm));
+        let rank = |vm: &Vm| {
+            let strength = Reverse(self.strength(vm));
+            (schedules(vm), strength, book::score(&("pool", vm.as_str())))
+        };
+        let keeper = peers.chain([me]).min_by_key(|vm| rank(vm));
+        keeper.unwrap_or(me).clone()
+    }
+
+    /// The VM that keeps the pool collects.
+    pub(crate) fn collected(
+        &mut self,
+        from: &Vm,
+        number: u64,
+        accounts: &[Tenant],
+        out: &mut Effects,
+    ) {
+        let surplus = self.surplus(accounts);
+        if !surplus.is_empty() {
+            self.send(from, Message::Deposit(number, surplus), out);
+        }
+    }
+
+    /// Takes out what this VM does not need of some accounts: all that is here, where no request has come for a while.
+    pub(super) fn surplus(&mut self, accounts: &[Tenant]) -> Vec<(Tenant, Tokens)> {
+        let now = self.now;
+        let mut surplus = Vec::new();
+        for account in accounts {
+            let Some((share, _)) = self.share(account) else {
+                continue;
+            };
+            if now.since(share.used) < IN_USE {
+                continue;
+            }
+            let tokens = share.bucket.take_beyond(0.0, Tokens(u64::MAX));
+            if tokens > Tokens(0) {
+                surplus.push((account.clone(), tokens));
+            }
+        }
+        surplus
+    }
+
+    /// The pool answers a draw of this VM.
+    pub(crate) fn granted(&mut self, grant: &Grant, out: &mut Effects) {
+        let now = self.now;
+        let Some((share, terms)) = self.share(&grant.account) else {
+            return;
+        };
+        let Some(Waiting { request, .. }) = share.waiting.remove(&grant.number) else {
+            return;
+        };
+        match grant.answer {
+            Ok(more) => {
+                share.bucket.put(more, terms.most);
+                self.charged(request, out);
+            }
+            Err(after) => {
+                share.closed = (now + CLOSED.min(after), now + after);
+                self.over_limit(request, after, out);
+            }
+        }
+    }
+
+    /// Refuses a request that its account has no tokens for. Callers are told times that differ, so that they don't come back together.
+    fn over_limit(&mut self, request: RequestId, after: Span, out: &mut Effects) {
+        let spread = Span(self.rng.random_range(0..=after.0 / 2));
+        if let Some(flow) = self.flows.get(&request) {
+            let account = flow.account.as_ref().map(|account| &account.name);
+            measure::tokens(out, account, flow.cost, "refused");
+        }
+        self.give_up(request, Some(after + spread), Why::OverLimit, out);
+    }
+
+    /// Has another VM asked for what some draws are to bring, or refuses the requests that wait for them.
+    pub(super) fn draw_elsewhere(&mut self, which: impl Fn(&Waiting) -> bool, out: &mut Effects) {
+        let mut failed: Vec<(Tenant, Waiting)> = Vec::new();
+        let mut next = Instant::NEVER;
+        for (account, share) in &mut self.quota.shares {
+            let unanswered = share.waiting.extract_if(.., |_, waiting| which(waiting));
+            failed.extend(unanswered.map(|(_, waiting)| (account.clone(), waiting)));
+            let ends = share.waiting.values().map(|w| w.until);
+            next = ends.fold(next, Instant::min);
+        }
+        if next < Instant::NEVER {
+            self.timers.set_once(next, Timer::Quota);
+        }
+        for (account, waiting) in failed {
+            self.pass_keeper_by(&account, &waiting.to, out);
+            if waiting.tries < TRIES {
+                self.draw(&account, waiting.request, waiting.tries + 1, out);
+            } else {
+                self.over_limit(waiting.request, COME_BACK, out);
+            }
+        }
+    }
+
+    /// A VM that kept the pool did not answer.
+    fn pass_keeper_by(&mut self, account: &Tenant, vm: &Vm, out: &mut Effects) {
+        let now = self.now;
+        self.quota.passed.retain(|(_, until)| *until > now);
+        let known = self.quota.passed.iter().any(|(other, _)| other == vm);
+        if !known && *vm != self.settings.vm {
+            let detail = format!("vm={vm} account={account}");
+            Self::log(out, Code::PoolSilent, detail);
+            self.quota.passed.push((vm.clone(), now + PASSED_BY));
+        }
+    }
+}
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -289,6 +289,7 @@
         if gone {
             self.desk_vm_gone(&vm);
         }
+        self.quota_vm_down(&vm, out);
         // A holder whose word still comes is busy, not gone.
         let busy = |agent: &State| fault == Fault::Late && now.since(agent.heard) < SILENCE;
         let holds = |agent: &State| agent.holder.as_ref() == Some(&vm) && !busy(agent);
@@ -372,7 +373,8 @@
     pub(crate) fn state_for(&self, service: &Service) -> (Vec<Running>, Vec<Want>) {
         let mut running = Vec::new();
         let mut wants = Vec::new();
-        for (request, flow) in self.flows.iter().filter(|(_, f)| f.service == *service) {
+        let asked = |f: &crate::flow::Flow| f.service == *service && f.state != Flow::Charging;
+        for (request, flow) in self.flows.iter().filter(|(_, flow)| asked(flow)) {
             match (flow.server(), &flow.call.work) {
                 (Some(server), Some(work)) => running.push(Running {
                     request: *request,
--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -22,6 +22,10 @@
 /// that, and it says all of it anew when it is heard again.
 const UNREACHABLE: Span = Span::from_millis(600);
 
+/// How long a VM that is gone is still counted among those that were there lately: it may only be cut off, and go on with what it
+/// has for as long.
+const LATELY: Span = Span::from_secs(60);
+
 /// One VM.
 #[derive(Clone, Debug)]
 struct Row {
@@ -33,6 +37,8 @@
     strength: u32,
     /// Whether it has an entry in the key-value service.
     listed: bool,
+    /// When its entry last went.
+    unlisted: Instant,
     /// When it was last heard.
     heard: Instant,
     /// When its link first failed since then.
@@ -66,6 +72,7 @@
         self.left = Some(now);
         self.rows.get_mut(vm).is_none_or(|row| {
             row.listed = false;
+            row.unlisted = now;
             row.down.is_some()
         })
     }
@@ -127,12 +134,23 @@
             .map(|(vm, _)| vm)
     }
 
+    /// How many VMs are there, or were until a while ago, besides one.
+    pub(crate) fn lately(&self, now: Instant, besides: &Vm) -> usize {
+        let there = |row: &Row| {
+            let seen = row.unlisted.max(row.heard);
+            row.listed || seen > Instant::default() && now.since(seen) < LATELY
+        };
+        let others = self.rows.iter().filter(|(vm, _)| *vm != besides);
+        others.filter(|(_, row)| there(row)).count()
+    }
+
     fn row(&mut self, vm: &Vm, member: &Member) -> &mut Row {
         let row = self.rows.entry(vm.clone()).or_insert(Row {
             address: member.address,
             zone: member.zone.clone(),
             strength: member.strength,
             listed: false,
+            unlisted: Instant::default(),
             heard: Instant::default(),
             down: None,
         });
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -29,6 +29,8 @@
     UnknownKey,
     /// No account that this VM knows holds its key, and the VM may not know the newest configuration; it has not run.
     UnconfirmedKey,
+    /// Its account has used what it may; it has not run.
+    OverLimit,
     /// No server could take it in time; it has not run.
     Overloaded,
     /// Servers have ended, one after the other, while they ran it; this time it has not run.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -13,7 +13,7 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
-use crate::account::Account;
+use crate::account::{Account, Tokens};
 use crate::config::{Kind, Route, Target};
 use crate::effect::{Effect, Effects, Reason, Send, Verdict};
 use crate::event::{Call, Cause, Ran, RequestId};
@@ -30,6 +30,8 @@
 /// Where a request stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum State {
+    /// It waits for tokens of its account.
+    Charging,
     /// It waits for the scheduler's answer.
     Waiting,
     /// It was sent.
@@ -50,6 +52,10 @@
     pub(crate) route: Arc<Route>,
     /// The client account that it is for.
     pub(crate) account: Option<Arc<Account>>,
+    /// What it counts as there.
+    pub(crate) cost: Tokens,
+    /// Whether that was charged.
+    pub(crate) charged: bool,
     /// Its rank, 0 first.
     pub(crate) priority: u8,
     /// The service that it goes to.
@@ -92,7 +98,7 @@
     pub(crate) fn server(&self) -> Option<&Server> {
         match &self.state {
             State::Sent { server, .. } => Some(server),
-            State::Waiting => None,
+            State::Charging | State::Waiting => None,
         }
     }
 }
@@ -134,6 +140,7 @@
                 return;
             }
         };
+        let cost = account.as_ref().map(|account| account.cost(call.tokens));
         let priority = account.as_ref().and_then(|account| account.priority);
         let service = self.target(&route.targets);
         let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -144,6 +151,8 @@
         let flow = Flow {
             call,
             account,
+            cost: cost.unwrap_or_default(),
+            charged: false,
             priority: priority.unwrap_or(route.priority),
             route,
             service,
@@ -160,12 +169,12 @@
         self.flows.insert(request, flow);
         match self.quarantine.left(fingerprint, self.now) {
             Some(left) => self.give_up(request, Some(left), Why::Quarantined, out),
-            None => self.seek(request, out),
+            None => self.charge(request, out),
         }
     }
 
     /// Looks for a server for a request that has none.
-    fn seek(&mut self, request: RequestId, out: &mut Effects) {
+    pub(crate) fn seek(&mut self, request: RequestId, out: &mut Effects) {
         let Some(flow) = self.flows.get_mut(&request) else {
             return;
         };
@@ -291,6 +300,9 @@
         }
         if let Some(flow) = self.flows.get(&request) {
             self.log_left(&flow.call, flow.arrived, out);
+            if flow.server().is_none() && flow.ran == 0 {
+                self.refund(request);
+            }
             self.end(request, Progress::Over, out);
         }
     }
--- a/crates/gateway/src/flow/failure.rs
+++ b/crates/gateway/src/flow/failure.rs
@@ -40,6 +40,8 @@
     Scheduler,
     /// It crashes servers.
     Quarantined,
+    /// Its account has no tokens left.
+    OverLimit,
 }
 
 impl Why {
@@ -50,6 +52,7 @@
             Self::SendFailed => "send_failed",
             Self::Scheduler => "scheduler",
             Self::Quarantined => "quarantined",
+            Self::OverLimit => "over_limit",
         }
     }
 
@@ -58,6 +61,7 @@
         match self {
             _ if ran > 0 => Reason::Failed,
             Self::Quarantined => Reason::Quarantined,
+            Self::OverLimit => Reason::OverLimit,
             Self::NoServer | Self::SendFailed | Self::Scheduler => Reason::Overloaded,
         }
     }
@@ -171,7 +175,11 @@
             true => refusal(request, Reason::TimedOut, None),
             false => refusal(request, Reason::Overloaded, Some(COME_BACK)),
         };
+        let ran = sent || flow.ran > 0;
         out.push(effect);
+        if !ran {
+            self.refund(request);
+        }
         self.end(request, Progress::Over, out);
     }
 
@@ -205,9 +213,10 @@
             out,
             Code::Refused,
             format!(
-                "id={} call={} account={account} why={} waited={waited} sends={} ran={ran} after={back}",
+                "id={} call={} account={account} cost={} why={} waited={waited} sends={} ran={ran} after={back}",
                 flow.call.id,
                 flow.call.fingerprint,
+                flow.cost,
                 why.name(),
                 flow.sends
             ),
@@ -218,6 +227,9 @@
             why.reason(ran),
             after.filter(|_| ran == 0),
         ));
+        if ran == 0 {
+            self.refund(request);
+        }
         self.end(request, Progress::Over, out);
     }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -138,7 +138,12 @@
                 self.end_quarantine(fingerprint, "record_gone", out);
             }
             (Subject::Member(vm), None) if vm == self.settings.vm => self.entry_gone(),
-            (Subject::Member(vm), Some(Fact::Member(member))) => self.book.listed(&vm, &member),
+            (Subject::Member(vm), Some(Fact::Member(member))) => {
+                if vm == self.settings.vm && member.incarnation != self.settings.incarnation {
+                    self.quota_returned();
+                }
+                self.book.listed(&vm, &member);
+            }
             (Subject::Member(vm), _) if self.book.unlisted(&vm, self.now) => self.desk_vm_gone(&vm),
             _ => {}
         }
@@ -168,6 +173,7 @@
             format!("version={version} routes={routes}"),
         );
         self.config = Some(config);
+        self.limits_changed(out);
         self.seats_changed(out);
     }
 
--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -2,10 +2,11 @@
 
 use std::borrow::Cow;
 
-use dahliastile_core::id::{Class, Service};
+use dahliastile_core::id::{Class, Service, Tenant};
 use dahliastile_core::metric::{Figure, Sample};
 use dahliastile_core::time::Span;
 
+use crate::account::Tokens;
 use crate::effect::{Effect, Effects};
 
 /// Counts one of a figure for a service.
@@ -23,6 +24,22 @@
     put(out, figure, 1.0, None, Some(label));
 }
 
+/// Counts tokens of a client account.
+pub(crate) fn tokens(
+    out: &mut Effects,
+    account: Option<&Tenant>,
+    tokens: Tokens,
+    label: &'static str,
+) {
+    out.push(Effect::Measure(Sample {
+        figure: Figure::AccountTokens,
+        value: tokens.as_f64(),
+        tenant: account.cloned(),
+        class: None,
+        label: Some(Cow::Borrowed(label)),
+    }));
+}
+
 fn put(
     out: &mut Effects,
     figure: Figure,
--- a/crates/gateway/src/mechanism.rs
+++ b/crates/gateway/src/mechanism.rs
@@ -28,11 +28,13 @@
     Pledges,
     /// The strongest VMs schedule and watch for the others.
     Strength,
+    /// VMs that run short of an account's tokens draw from what others don't need.
+    TokenPool,
 }
 
 impl Mechanism {
     /// All of them, with the names that operators write.
-    pub const ALL: [(Self, &'static str); 10] = [
+    pub const ALL: [(Self, &'static str); 11] = [
         (Self::RecentAdapters, "recent-adapters"),
         (Self::RecentPatience, "recent-patience"),
         (Self::KeptParts, "kept-parts"),
@@ -43,6 +45,7 @@
         (Self::OldVersions, "old-versions"),
         (Self::Pledges, "pledges"),
         (Self::Strength, "strength"),
+        (Self::TokenPool, "token-pool"),
     ];
 
     const fn bit(self) -> u32 {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,10 +1,12 @@
 //! Messages between entry VMs. Each may be lost, late or doubled.
 
-use dahliastile_core::id::{Server, Service, Zone};
+use dahliastile_core::id::{Server, Service, Tenant, Zone};
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+use crate::account::Tokens;
+use crate::account::quota::{Draw, Grant};
 use crate::event::{Cause, Ran, RequestId, Work};
 use crate::fact::{Change, Member, Resident, Revision, Version};
 use crate::fingerprint::Fingerprint;
@@ -111,6 +113,14 @@
     Struck(Vec<Strike>),
     /// What is known of requests that servers have ended under.
     Standings(Vec<(Fingerprint, Standing)>),
+    /// To the VM that keeps the pool of tokens: a VM runs short.
+    Draw(Draw),
+    /// From the VM that keeps the pool: the answer to a draw.
+    Grant(Grant),
+    /// From the VM that keeps the pool: a collection with its number, for these accounts.
+    Collect(u64, Vec<Tenant>),
+    /// To the VM that keeps the pool: what this VM does not need, in answer to a collection.
+    Deposit(u64, Vec<(Tenant, Tokens)>),
 }
 
 impl Message {
@@ -132,6 +142,10 @@
             Self::News(_) => "news",
             Self::Struck(_) => "struck",
             Self::Standings(_) => "standings",
+            Self::Draw(_) => "draw",
+            Self::Grant(_) => "grant",
+            Self::Collect(..) => "collect",
+            Self::Deposit(..) => "deposit",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
+use crate::account::quota;
 use crate::agent;
 use crate::book::Book;
 use crate::budget::Budget;
@@ -73,6 +74,8 @@
     pub(crate) intake: intake::State,
     /// Requests that crash servers.
     pub(crate) quarantine: quarantine::State,
+    /// The limits of client accounts.
+    pub(crate) quota: quota::State,
     /// Requests that came before the first configuration.
     pub(crate) early: early::State,
     /// What is to be looked at later.
@@ -107,6 +110,7 @@
             follow: follow::State::default(),
             intake: intake::State::default(),
             quarantine: quarantine::State::default(),
+            quota: quota::State::default(),
             early: early::State::default(),
             timers: Timers::default(),
             last_id: 0,
@@ -264,6 +268,7 @@
 
     fn start(&mut self, out: &mut Effects) {
         self.early_start();
+        self.quota_start();
         self.follow_start(out);
         self.seat_start();
         self.entry_due(out);
@@ -327,6 +332,10 @@
             }
             Message::Struck(strikes) => self.struck(from, &strikes, out),
             Message::Standings(told) => self.standings(told, out),
+            Message::Draw(draw) => self.drawn(from, draw, out),
+            Message::Grant(grant) => self.granted(&grant, out),
+            Message::Collect(number, accounts) => self.collected(from, number, &accounts, out),
+            Message::Deposit(number, deposits) => self.deposited(from, number, &deposits, out),
             Message::Passed(service, fence, residents) => {
                 let holder = self.agents.get(&service).map(|agent| agent.fence);
                 if holder == Some(fence) {
@@ -363,6 +372,7 @@
                 Timer::Follow => self.follow_due(out),
                 Timer::Early => self.early_due(out),
                 Timer::Quarantine => self.records_due(out),
+                Timer::Quota => self.quota_due(out),
                 // The schedulers run after each step, where one is due.
                 Timer::Desk(_) => {}
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -95,6 +95,12 @@
     pub retry_extra: f64,
     /// The length of that window.
     pub retry_window: Span,
+    /// The window in which the use of client accounts is counted against their limits.
+    pub quota_window: Span,
+    /// The part of a limit by which a window may exceed it.
+    pub quota_overage: f64,
+    /// The tokens by which it may besides.
+    pub quota_slack: f64,
     /// How long the platform needs to see that a VM is leaving, before it may close connections.
     pub leave: Span,
     /// The longest a graceful stop may take.
@@ -123,6 +129,9 @@
             retry_ratio: 0.25,
             retry_extra: 50.0,
             retry_window: Span::from_secs(10),
+            quota_window: Span::from_secs(8),
+            quota_overage: 0.0,
+            quota_slack: 0.0,
             leave: Span::from_millis(2_500),
             grace: Span::from_secs(8),
         }
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -23,6 +23,8 @@
     Early,
     /// The records of requests in quarantine.
     Quarantine,
+    /// The limits of client accounts.
+    Quota,
     /// The scheduler of a service.
     Desk(Service),
 }
--- a/crates/gateway/tests/configs.rs
+++ b/crates/gateway/tests/configs.rs
@@ -5,10 +5,15 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::account::Account;
+use dahliastile_gateway::effect::Reason;
 use rand::Rng;
-use support::config;
 use support::series::{CONTACT, Series, VMS, seeds};
+use support::{Answer, accounts, config};
 
 /// Within so long a configuration is in force.
 const IN_FORCE: Span = Span::from_secs(2);
@@ -72,3 +77,118 @@
         }
     }
 }
+
+/// Keys of the random series.
+const KEYS: usize = 12;
+
+/// Who holds each key: the number of an account, by the number of the key.
+type Holders = BTreeMap<usize, usize>;
+
+/// The configurations written so far, each with its time.
+type Written = Vec<(Instant, Holders)>;
+
+fn key(number: usize) -> String {
+    format!("key{number}")
+}
+
+/// Three accounts with the keys that they hold.
+fn accounts_of(holders: &Holders) -> Vec<Arc<Account>> {
+    let account = |account: usize| {
+        let keys = holders.iter().filter(|(_, holder)| **holder == account);
+        let keys: Vec<String> = keys.map(|(number, _)| key(*number)).collect();
+        let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+        accounts::account(&format!("a{account}"), &keys, 0)
+    };
+    (0..3).map(account).collect()
+}
+
+/// The operator adds a key, moves one to another account or takes one away, if it can.
+fn change_keys(series: &mut Series, written: &mut Written) {
+    if !series.world.store_up {
+        return;
+    }
+    let (_, holders) = written.last().expect("one is written first");
+    let mut holders = holders.clone();
+    let key = series.rng.random_range(0..KEYS);
+    match series.rng.random_range(0..3) {
+        0 => {
+            holders.remove(&key);
+        }
+        _ => {
+            holders.insert(key, series.rng.random_range(0..3));
+        }
+    }
+    let version = u64::try_from(written.len()).expect("few") + 1;
+    let configured = accounts::config(version, accounts_of(&holders));
+    series.world.configure(configured);
+    written.push((series.world.now, holders));
+}
+
+/// What configurations that may be in force say of a key at a VM that is well: all written since the last one that must be.
+fn holders_inforce(written: &Written, at: Instant, key: usize) -> Vec<Option<usize>> {
+    let old = written.iter().rposition(|(when, _)| *when + IN_FORCE <= at);
+    let may_be = &written[old.unwrap_or(0)..];
+    may_be
+        .iter()
+        .map(|(_, holders)| holders.get(&key).copied())
+        .collect()
+}
+
+/// Requests with any of the keys, in random series of a minute: at a VM that is well one runs for the account that holds its key, and none
+/// is refused for good whose key is there.
+#[test]
+fn keys_inforceamongfaults() {
+    for seed in 0..seeds(10) {
+        let mut series = Series::new(seed);
+        let mut written: Written = vec![(series.world.now, Holders::new())];
+        let end = series.world.now + Span::from_secs(60);
+        let mut asked: Vec<(u64, usize, usize)> = Vec::new();
+        while series.world.now < end {
+            series.step();
+            churn(&mut series);
+            if series.rng.random_bool(0.1) {
+                change_keys(&mut series, &mut written);
+            }
+            let (vm, number) = (
+                series.rng.random_range(0..VMS),
+                series.rng.random_range(0..KEYS),
+            );
+            let calm = series.world.now >= series.store_troubled + CONTACT;
+            if calm && series.was_well(vm, series.world.now) && written.len() > 1 {
+                let call = accounts::call("r", &key(number));
+                asked.push((series.world.ask(vm, call), vm, number));
+            }
+        }
+        series.world.run(Span::from_secs(2));
+        let ran = asked
+            .iter()
+            .filter(|(n, _, _)| !series.world.asked[n].runs.is_empty());
+        assert!(ran.count() > 50, "seed {seed}: hardly any request ran");
+        for (request, vm, number) in asked {
+            let asked = &series.world.asked[&request];
+            let holders = holders_inforce(&written, asked.at, number);
+            let told = asked.accounts.first().cloned().flatten();
+            let names = holders
+                .iter()
+                .map(|h| h.map(|h| support::setup::name(&format!("a{h}"))));
+            if !asked.runs.is_empty() {
+                let runs_rightly = names.clone().any(|name| name == told) && told.is_some();
+                assert!(
+                    runs_rightly,
+                    "seed {seed}: at {} vm{vm} ran {number} for {told:?}",
+                    asked.at
+                );
+            }
+            let refused = matches!(
+                asked.ended,
+                Some((_, Answer::Refused(Reason::UnknownKey, _)))
+            );
+            let there = holders.iter().all(Option::is_some);
+            assert!(
+                !refused || !there,
+                "seed {seed}: at {} vm{vm} refused {number}",
+                asked.at
+            );
+        }
+    }
+}
--- a/crates/gateway/tests/support/series.rs
+++ b/crates/gateway/tests/support/series.rs
@@ -47,9 +47,14 @@
 impl Series {
     /// A fleet that has started. With an odd seed processor time is charged.
     pub fn new(seed: u64) -> Self {
+        Self::tuned(seed, Tuning::default())
+    }
+
+    /// The same with other figures.
+    pub fn tuned(seed: u64, tuning: Tuning) -> Self {
         let strength = |vm| if vm < STRONG { 50 } else { 12 };
         let strengths: Vec<u32> = (0..VMS).map(strength).collect();
-        let mut world = World::uneven(&strengths, ENGINES, 4, Tuning::default());
+        let mut world = World::uneven(&strengths, ENGINES, 4, tuning);
         if seed % 2 == 1 {
             for (vm, host) in world.hosts.iter_mut().enumerate() {
                 let each = if vm < STRONG { 100 } else { 400 };
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -102,6 +102,8 @@
     pub store_lag: Span,
     /// Whether it reaches other VMs.
     pub peers: bool,
+    /// VMs of different sides don't reach each other.
+    pub side: u8,
     /// Whether it reaches other VMs and servers.
     pub net: bool,
     /// The wake-up that is set.
@@ -166,6 +168,8 @@
     pub lines: Vec<String>,
     /// Messages that VMs sent to each other.
     pub messages: u64,
+    /// The same by kind.
+    pub sent: BTreeMap<&'static str, u64>,
     /// Calls of the key-value service that VMs made, whether or not it answers.
     pub tried: u64,
     tuning: Tuning,
@@ -244,6 +248,7 @@
             asked: BTreeMap::new(),
             lines: Vec::new(),
             messages: 0,
+            sent: BTreeMap::new(),
             tried: 0,
             tuning,
             without,
@@ -271,6 +276,7 @@
                 store: true,
                 silent: false,
                 peers: true,
+                side: 0,
                 store_lag: Span::ZERO,
                 net: true,
                 wake: Instant::NEVER,
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -67,6 +67,7 @@
             Act::Peer(from, to, message) => {
                 let sender: Vm = name(&format!("vm{from}"));
                 let linked = self.hosts[to].peers && self.hosts[from].peers;
+                let linked = linked && self.hosts[to].side == self.hosts[from].side;
                 if linked && self.hosts[to].net && self.hosts[to].gateway.is_some() {
                     self.deliver(to, Event::Peer(sender, message));
                 } else if self.hosts[from].net {
@@ -383,6 +384,7 @@
             }
             Effect::Peer(address, _, message) => {
                 self.messages += 1;
+                *self.sent.entry(message.kind()).or_default() += 1;
                 let to = (0..self.hosts.len()).find(|to| setup::address(1, *to) == address);
                 if let Some(to) = to.filter(|_| net) {
                     self.at(now + WAY, Act::Peer(vm, to, message));
