--- a/crates/gateway/benches/desk.rs
+++ b/crates/gateway/benches/scheduler.rs
@@ -5,7 +5,7 @@
 //! engine by Zipf's law, prompts of 1,800 tokens, answers of one second. More wait than can be served, so that some hundred
 //! requests are always there to be looked at.
 //!
-//! `cargo bench -p dahliastile-gateway --bench desk -- --engines 100,400 --rate 10`
+//! `cargo bench -p dahliastile-gateway --bench scheduler -- --engines 100,400 --rate 10`
 #![allow(missing_docs, unreachable_pub, clippy::pedantic)]
 
 use std::cmp::Reverse;
@@ -16,11 +16,11 @@
 use dahliastile_core::id::{Incarnation, Server, Vm};
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::config::{Application, Engine, Model};
-use dahliastile_gateway::desk::{Decision, Desk};
 use dahliastile_gateway::event::{Ordered, Report, RequestId, Work};
 use dahliastile_gateway::fact::{Backend, Base};
 use dahliastile_gateway::mechanism::Without;
 use dahliastile_gateway::message::{Progress, Want};
+use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::{Settings, Tuning};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -51,7 +51,7 @@
 }
 
 struct Fleet {
-    desk: Desk,
+    scheduler: Scheduler,
     now: Instant,
     rng: ChaCha8Rng,
     adapters: Zipf<f64>,
@@ -110,8 +110,8 @@
 impl Fleet {
     fn new(engines: usize, rate: f64) -> Self {
         let now = Instant::default() + Span::from_secs(100);
-        let mut desk = Desk::new(now, &application(), 1, settings());
-        desk.audience(VMS);
+        let mut scheduler = Scheduler::new(now, &application(), 1, settings());
+        scheduler.audience(VMS);
         let mut fleet = Self {
             now,
             rng: ChaCha8Rng::seed_from_u64(1),
@@ -125,7 +125,7 @@
             owed: 0.0,
             engines,
             rate,
-            desk,
+            scheduler,
         };
         for number in 0..engines {
             let server: Server = format!("engine{number}").parse().unwrap();
@@ -138,7 +138,7 @@
                 bases: vec!["base".into()],
                 start: None,
             };
-            fleet.desk.server(&server, &Arc::new(backend));
+            fleet.scheduler.server(&server, &Arc::new(backend));
         }
         fleet
     }
@@ -156,10 +156,10 @@
             self.now += Span::from_millis(1);
             self.arrive(&mut cost);
             self.happen(&mut cost);
-            let due = self.desk.wake() <= self.now;
+            let due = self.scheduler.wake() <= self.now;
             let mut out = Vec::new();
             let wall = Wall::now();
-            self.desk.run(self.now, &mut out);
+            self.scheduler.run(self.now, &mut out);
             cost.running += wall.elapsed().as_nanos() as u64;
             cost.runs += u64::from(due);
             for decision in out {
@@ -194,7 +194,7 @@
                 failed: Vec::new(),
             };
             let wall = Wall::now();
-            self.desk.want(self.now, &vm, want);
+            self.scheduler.want(self.now, &vm, want);
             cost.events += wall.elapsed().as_nanos() as u64;
             cost.requests += 1;
         }
@@ -210,13 +210,15 @@
             let wall = Wall::now();
             match next {
                 Some(Next::Begun(vm, request)) => {
-                    self.desk.progress(self.now, &vm, request, Progress::Begun);
+                    self.scheduler
+                        .progress(self.now, &vm, request, Progress::Begun);
                 }
                 Some(Next::Over(vm, request)) => {
-                    self.desk.progress(self.now, &vm, request, Progress::Over);
+                    self.scheduler
+                        .progress(self.now, &vm, request, Progress::Over);
                 }
                 Some(Next::Ordered(order)) => {
-                    self.desk.ordered(self.now, order, Ordered::Accepted);
+                    self.scheduler.ordered(self.now, order, Ordered::Accepted);
                 }
                 Some(Next::Reported(server)) => {
                     let report = Report {
@@ -230,7 +232,7 @@
                         orders: 0,
                         start: None,
                     };
-                    self.desk.reported(self.now, &server, Some(&report));
+                    self.scheduler.reported(self.now, &server, Some(&report));
                 }
                 None => {}
             }
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -57,8 +57,8 @@
         };
         let service = flow.service.clone();
         let me = self.settings.vm.clone();
-        if let Some(desk) = self.desks.get_mut(&service) {
-            desk.want(now, &me, want);
+        if let Some(scheduler) = self.schedulers.get_mut(&service) {
+            scheduler.want(now, &me, want);
             return;
         }
         self.timers.set(now + ASK_AGAIN, Timer::Flow(request));
@@ -125,8 +125,8 @@
         }
         let service = flow.service.clone();
         let me = self.settings.vm.clone();
-        if let Some(desk) = self.desks.get_mut(&service) {
-            desk.progress(self.now, &me, request, progress);
+        if let Some(scheduler) = self.schedulers.get_mut(&service) {
+            scheduler.progress(self.now, &me, request, progress);
             return;
         }
         let holder = self
@@ -287,7 +287,7 @@
             return;
         };
         if gone {
-            self.desk_vm_gone(&vm);
+            self.scheduler_vm_gone(&vm);
         }
         self.quota_vm_down(&vm, out);
         // A holder whose word still comes is busy, not gone.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -12,38 +12,38 @@
 
 impl Gateway {
     /// A server is listed or describes itself anew.
-    pub(crate) fn desk_server(&mut self, server: &Server, backend: &Arc<Backend>) {
-        if let Some(desk) = self.desks.get_mut(&backend.service) {
-            desk.server(server, backend);
+    pub(crate) fn scheduler_server(&mut self, server: &Server, backend: &Arc<Backend>) {
+        if let Some(scheduler) = self.schedulers.get_mut(&backend.service) {
+            scheduler.server(server, backend);
         }
     }
 
     /// A server is gone.
-    pub(crate) fn desk_server_gone(&mut self, server: &Server, service: &Service) {
-        if let Some(desk) = self.desks.get_mut(service) {
-            desk.server_gone(server);
+    pub(crate) fn scheduler_server_gone(&mut self, server: &Server, service: &Service) {
+        if let Some(scheduler) = self.schedulers.get_mut(service) {
+            scheduler.server_gone(server);
         }
     }
 
     /// A newer version of an adapter is named.
     pub(crate) fn newer_version(&mut self, model: &Arc<str>, adapter: &Arc<str>, version: Version) {
-        for desk in self.desks.values_mut() {
-            desk.newer(model, adapter, version, Some(self.now));
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.newer(model, adapter, version, Some(self.now));
         }
     }
 
     /// A VM is gone.
-    pub(crate) fn desk_vm_gone(&mut self, vm: &Vm) {
-        for desk in self.desks.values_mut() {
-            desk.vm_gone(vm);
+    pub(crate) fn scheduler_vm_gone(&mut self, vm: &Vm) {
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.vm_gone(vm);
         }
     }
 
     /// A VM wants a place for a request. Where this VM does not schedule the service, the VM that asks will hear of
     /// the one that does, and ask there.
     pub(crate) fn wanted(&mut self, service: &Service, from: &Vm, want: Want) {
-        if let Some(desk) = self.desks.get_mut(service) {
-            desk.want(self.now, from, want);
+        if let Some(scheduler) = self.schedulers.get_mut(service) {
+            scheduler.want(self.now, from, want);
         }
     }
 
@@ -55,8 +55,8 @@
         request: RequestId,
         progress: Progress,
     ) {
-        if let Some(desk) = self.desks.get_mut(service) {
-            desk.progress(self.now, from, request, progress);
+        if let Some(scheduler) = self.schedulers.get_mut(service) {
+            scheduler.progress(self.now, from, request, progress);
         }
     }
 
@@ -68,20 +68,23 @@
         running: &[Running],
         wants: Vec<Want>,
     ) {
-        if let Some(desk) = self.desks.get_mut(service) {
-            desk.hello(self.now, from, running, wants);
+        if let Some(scheduler) = self.schedulers.get_mut(service) {
+            scheduler.hello(self.now, from, running, wants);
         }
     }
 
     /// An order came back.
     pub(crate) fn ordered(&mut self, order: OrderId, outcome: Ordered, out: &mut Effects) {
         let now = self.now;
-        let owner = self.desks.iter_mut().find(|(_, desk)| desk.owns(order));
-        let Some((service, desk)) = owner else {
+        let owner = self
+            .schedulers
+            .iter_mut()
+            .find(|(_, scheduler)| scheduler.owns(order));
+        let Some((service, scheduler)) = owner else {
             return;
         };
         let service = service.clone();
-        if desk.ordered(now, order, outcome) {
+        if scheduler.ordered(now, order, outcome) {
             self.fenced_off(&service, out);
         }
     }
@@ -95,8 +98,8 @@
         else {
             return;
         };
-        if let Some(desk) = self.desks.get_mut(&service) {
-            desk.reported(self.now, server, report);
+        if let Some(scheduler) = self.schedulers.get_mut(&service) {
+            scheduler.reported(self.now, server, report);
         }
     }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -144,7 +144,9 @@
                 }
                 self.book.listed(&vm, &member);
             }
-            (Subject::Member(vm), _) if self.book.unlisted(&vm, self.now) => self.desk_vm_gone(&vm),
+            (Subject::Member(vm), _) if self.book.unlisted(&vm, self.now) => {
+                self.scheduler_vm_gone(&vm);
+            }
             _ => {}
         }
     }
@@ -214,7 +216,7 @@
             self.servers
                 .insert(server.clone(), Row::new(backend.clone()));
         }
-        self.desk_server(server, backend);
+        self.scheduler_server(server, backend);
     }
 
     fn lose_server(&mut self, server: &Server, out: &mut Effects) {
@@ -224,7 +226,7 @@
             if row.backend.ready {
                 self.server_ended(server, out);
             }
-            self.desk_server_gone(server, &row.backend.service);
+            self.scheduler_server_gone(server, &row.backend.service);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! * `early`: requests that come before the first configuration is known.
 //! * `plain`: which server a request of a plain service goes to.
 //! * `agent`: asks the scheduler of an engine service for a place, and goes on without one.
-//! * [`desk`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
+//! * [`scheduler`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
 //!   on the one VM that holds the service's lease.
 //! * `run`: when it runs, and what becomes of its decisions.
 //! * `entry`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
@@ -30,7 +30,6 @@
 mod book;
 pub mod budget;
 pub mod config;
-pub mod desk;
 mod early;
 pub mod effect;
 mod entry;
@@ -53,6 +52,7 @@
 pub mod quarantine;
 mod relay;
 mod run;
+pub mod scheduler;
 mod seat;
 pub mod settings;
 mod timer;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,7 +16,6 @@
 use crate::book::Book;
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
-use crate::desk::Desk;
 use crate::early;
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::entry;
@@ -31,6 +30,7 @@
 use crate::plain::Row;
 use crate::pledge;
 use crate::quarantine;
+use crate::scheduler::Scheduler;
 use crate::seat;
 use crate::settings::{Settings, Tuning};
 use crate::timer::{Timer, Timers};
@@ -61,7 +61,7 @@
     /// What this VM knows of the schedulers.
     pub(crate) agents: BTreeMap<Service, agent::State>,
     /// The schedulers that run on this VM.
-    pub(crate) desks: BTreeMap<Service, Desk>,
+    pub(crate) schedulers: BTreeMap<Service, Scheduler>,
     /// This VM's own entry.
     pub(crate) entry: entry::State,
     /// The seats it holds or wants, and their lease.
@@ -103,7 +103,7 @@
             flows: FxHashMap::default(),
             budgets: BTreeMap::new(),
             agents: BTreeMap::new(),
-            desks: BTreeMap::new(),
+            schedulers: BTreeMap::new(),
             entry: entry::State::default(),
             seats: seat::State::default(),
             pledges: pledge::State::default(),
@@ -127,7 +127,7 @@
         self.handle(event, out);
         self.release_early(out);
         self.run_timers(out);
-        self.run_desks(out);
+        self.run_schedulers(out);
     }
 
     /// Whether a scheduler ran in the last step, so that its length is to be told to [`Self::took`].
@@ -139,8 +139,8 @@
     /// The last step, in which a scheduler ran, took so long, with what was done for it: schedulers run no more often than their
     /// VM can bear.
     pub fn took(&mut self, span: Span) {
-        for desk in self.desks.values_mut() {
-            desk.took(span);
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.took(span);
         }
     }
 
@@ -179,7 +179,10 @@
     /// Everything that does not hold together, as readable text; empty where all is well.
     #[must_use]
     pub fn verify(&self) -> Vec<String> {
-        self.desks.values().flat_map(Desk::verify).collect()
+        self.schedulers
+            .values()
+            .flat_map(Scheduler::verify)
+            .collect()
     }
 
     pub(crate) fn next_id(&mut self) -> u64 {
@@ -374,7 +377,7 @@
                 Timer::Quarantine => self.records_due(out),
                 Timer::Quota => self.quota_due(out),
                 // The schedulers run after each step, where one is due.
-                Timer::Desk(_) => {}
+                Timer::Scheduler(_) => {}
             }
         }
     }
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/pledge.rs
@@ -78,7 +78,7 @@
     /// Asks all other VMs for their pledges, where this one schedules and its renewals have no answer.
     pub(crate) fn ask_pledges(&mut self, out: &mut Effects) {
         let used = self.settings.uses(Mechanism::Pledges);
-        if !used || self.settings.tuning.fencing || self.desks.is_empty() {
+        if !used || self.settings.tuning.fencing || self.schedulers.is_empty() {
             return;
         }
         let due = self.pledges.next.max(self.overdue_at());
@@ -88,8 +88,8 @@
         }
         self.pledges.next = self.now + ASK_EVERY;
         self.timers.set_once(self.pledges.next, Timer::Seat);
-        for (service, desk) in &self.desks {
-            let question = Message::Pledge(service.clone(), desk.fence(), self.now);
+        for (service, scheduler) in &self.schedulers {
+            let question = Message::Pledge(service.clone(), scheduler.fence(), self.now);
             self.tell_all(&question, out);
         }
     }
@@ -110,7 +110,7 @@
         }
         if self.now < self.pledges.unsure
             || self.seats.writes(service)
-            || self.desks.contains_key(service)
+            || self.schedulers.contains_key(service)
         {
             return;
         }
@@ -121,7 +121,10 @@
 
     /// A VM has given the pledge that this one asked for at a time.
     pub(crate) fn pledged(&mut self, service: &Service, fence: u64, asked: Instant, from: &Vm) {
-        let holds = self.desks.get(service).map(crate::desk::Desk::fence);
+        let holds = self
+            .schedulers
+            .get(service)
+            .map(crate::scheduler::Scheduler::fence);
         if holds != Some(fence) {
             return;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,39 +3,39 @@
 use dahliastile_core::id::Service;
 use dahliastile_core::metric::Figure;
 
-use crate::desk::{Decision, Desk};
 use crate::effect::{Effect, Effects};
 use crate::measure;
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::scheduler::{Decision, Scheduler};
 use crate::timer::Timer;
 
 impl Gateway {
     /// Runs the schedulers on this VM and passes on what they decided.
-    pub(crate) fn run_desks(&mut self, out: &mut Effects) {
-        let services: Vec<Service> = self.desks.keys().cloned().collect();
+    pub(crate) fn run_schedulers(&mut self, out: &mut Effects) {
+        let services: Vec<Service> = self.schedulers.keys().cloned().collect();
         for service in services {
             // Most steps find nothing due, and the VMs are counted only where something is.
-            let Some(wake) = self.desks.get(&service).map(Desk::wake) else {
+            let Some(wake) = self.schedulers.get(&service).map(Scheduler::wake) else {
                 continue;
             };
             if self.now < wake {
-                self.timers.set_once(wake, Timer::Desk(service));
+                self.timers.set_once(wake, Timer::Scheduler(service));
                 continue;
             }
             let vms = self.peers().count();
-            let Some(desk) = self.desks.get_mut(&service) else {
+            let Some(scheduler) = self.schedulers.get_mut(&service) else {
                 continue;
             };
             self.ran = true;
-            desk.audience(vms);
+            scheduler.audience(vms);
             let mut decisions = Vec::new();
-            desk.run(self.now, &mut decisions);
-            let (fence, wake) = (desk.fence(), desk.wake());
+            scheduler.run(self.now, &mut decisions);
+            let (fence, wake) = (scheduler.fence(), scheduler.wake());
             for decision in decisions {
                 self.carry_out(&service, fence, decision, out);
             }
-            self.timers.set_once(wake, Timer::Desk(service));
+            self.timers.set_once(wake, Timer::Scheduler(service));
         }
     }
 
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -84,7 +84,7 @@
 
 /// The scheduler of one service.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Scheduler {
     /// What its engines hold.
     pub(crate) shape: Shape,
     /// The fencing number of its orders.
@@ -127,7 +127,7 @@
     vms: usize,
 }
 
-impl Desk {
+impl Scheduler {
     /// A scheduler that knows no engine yet.
     #[must_use]
     pub fn new(now: Instant, application: &Application, fence: u64, settings: Settings) -> Self {
--- a/crates/gateway/src/desk/claims.rs
+++ b/crates/gateway/src/scheduler/claims.rs
@@ -8,7 +8,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::Desk;
+use super::Scheduler;
 use super::engine::Engine;
 use super::forecast::Wait;
 use super::key::Key;
@@ -42,7 +42,7 @@
     }
 }
 
-impl Desk {
+impl Scheduler {
     /// What the requests that wait claim.
     pub(crate) fn claims(&self, waits: &[Wait]) -> Claims {
         let mut claims = Claims::default();
--- a/crates/gateway/src/desk/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -7,7 +7,7 @@
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
-use super::Desk;
+use super::Scheduler;
 use super::engine::Engine;
 use super::job::{Job, JobId};
 use super::key::Key;
@@ -51,7 +51,7 @@
     slowest: f64,
 }
 
-impl Desk {
+impl Scheduler {
     /// The forecast of all waiting requests, in their order.
     pub(crate) fn forecast(&self, now: Instant, spread: &Spread) -> Vec<Wait> {
         let rates = self.engines.values().map(|engine| engine.rate);
--- a/crates/gateway/src/desk/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -13,7 +13,7 @@
 use super::key::Key;
 use super::rooms::{Floor, Room, Rooms, busy_for};
 use super::spread::{Spot, Spread};
-use super::{Decision, Desk};
+use super::{Decision, Scheduler};
 use crate::mechanism::Mechanism;
 
 /// The cost of taking away an adapter that one request asked for a moment ago, as a time: its next request waits for
@@ -129,7 +129,7 @@
     }
 }
 
-impl Desk {
+impl Scheduler {
     /// Plans loads for the requests that wait for an adapter, in their order.
     pub(crate) fn plan_loads(
         &mut self,
--- a/crates/gateway/src/desk/order.rs
+++ b/crates/gateway/src/scheduler/order.rs
@@ -9,7 +9,7 @@
 
 use super::engine::{Engine, Intent, Pending, REPORT_LAG, Stage};
 use super::key::Keys;
-use super::{Decision, Desk};
+use super::{Decision, Scheduler};
 use crate::effect::{Order, OrderId};
 use crate::event::{Ordered, Report};
 
@@ -23,7 +23,7 @@
 /// some milliseconds each, 3,000 engines have answered in half a second.
 const REPORTS_AT_ONCE: usize = 64;
 
-impl Desk {
+impl Scheduler {
     /// Moves on what time alone moves: adapters that are expected, reports that are due.
     pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Decision>) {
         let mut next = Instant::NEVER;
--- a/crates/gateway/src/desk/place.rs
+++ b/crates/gateway/src/scheduler/place.rs
@@ -7,7 +7,7 @@
 use super::engine::{Engine, Stage};
 use super::job::{Job, JobId, State};
 use super::spread::Spread;
-use super::{Decision, Desk};
+use super::{Decision, Scheduler};
 use crate::event::{Cause, Ran};
 use crate::mechanism::Mechanism;
 
@@ -39,7 +39,7 @@
 /// The longest pause between two looks at requests that wait for room.
 const LOOK_AGAIN: Span = Span::from_millis(25);
 
-impl Desk {
+impl Scheduler {
     /// Gives places to the requests that can have one now.
     pub(crate) fn place_jobs(&mut self, now: Instant, spread: &Spread, out: &mut Vec<Decision>) {
         for id in self.jobs.waiting(now) {
--- a/crates/gateway/src/desk/refuse.rs
+++ b/crates/gateway/src/scheduler/refuse.rs
@@ -5,7 +5,7 @@
 
 use super::forecast::{For, Wait};
 use super::job::Job;
-use super::{Decision, Desk};
+use super::{Decision, Scheduler};
 use crate::mechanism::Mechanism;
 
 /// The least time from a place to the first event: a short prompt and a few steps.
@@ -22,7 +22,7 @@
 /// a third of the shortest deadline, which is how long callers wait.
 const COME_BACK: (Span, Span) = (Span::from_millis(300), Span::from_millis(1_500));
 
-impl Desk {
+impl Scheduler {
     /// Refuses the waiting requests that can't be served in time, by the forecast.
     pub(crate) fn refuse_jobs(&mut self, now: Instant, waits: &[Wait], out: &mut Vec<Decision>) {
         if !self.settings.uses(Mechanism::ForecastRefusals) {
--- a/crates/gateway/src/desk/rooms.rs
+++ b/crates/gateway/src/scheduler/rooms.rs
@@ -3,7 +3,7 @@
 //!
 //! Before that each adapter that was waited for looked at all engines, their adapters and what is claimed of them, each run: with
 //! 100 engines and a thousand requests a second of which a third can be served, a run took 4.8 ms and a request 1.8 ms of
-//! processor time (`crates/gateway/benches/desk.rs`), so that a VM of half a core fell behind what it was told.
+//! processor time (`crates/gateway/benches/scheduler.rs`), so that a VM of half a core fell behind what it was told.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
-use super::Desk;
+use super::Scheduler;
 use super::claims::Claims;
 use super::engine::Engine;
 use super::forecast::reading;
@@ -85,7 +85,7 @@
     }
 }
 
-impl Desk {
+impl Scheduler {
     /// Looks at the rooms for adapters of a base model, unless that was done in this run.
     pub(crate) fn look_for_rooms(
         &self,
--- a/crates/gateway/src/desk/spread.rs
+++ b/crates/gateway/src/scheduler/spread.rs
@@ -4,7 +4,7 @@
 use dahliastile_core::time::Instant;
 use rustc_hash::FxHashMap;
 
-use super::Desk;
+use super::Scheduler;
 use super::engine::{Engine, Place, Stage};
 use super::key::Key;
 
@@ -49,7 +49,7 @@
     }
 }
 
-impl Desk {
+impl Scheduler {
     /// Looks at where all adapters are.
     pub(crate) fn spread(&self, now: Instant) -> Spread {
         let mut spread = Spread::default();
--- a/crates/gateway/src/desk/summary.rs
+++ b/crates/gateway/src/scheduler/summary.rs
@@ -3,7 +3,7 @@
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::Instant;
 
-use super::Desk;
+use super::Scheduler;
 use super::forecast::For;
 
 /// The requests that wait, by what they wait for.
@@ -17,7 +17,7 @@
     load: usize,
 }
 
-impl Desk {
+impl Scheduler {
     /// The state of all engines and of what waits.
     pub(crate) fn summary(&self, now: Instant) -> Record {
         let mut waiting = Waiting::default();
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -14,12 +14,12 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::desk::Desk;
 use crate::effect::{Effects, Op, OpId};
 use crate::event::Outcome;
 use crate::fact::{Change, Fact, Holder, Subject, Way, own};
 use crate::lease::{Kept, Terms};
 use crate::node::Gateway;
+use crate::scheduler::Scheduler;
 use crate::timer::Timer;
 use crate::turn::{SETTLED, Turn};
 
@@ -186,9 +186,9 @@
             return;
         };
         if self
-            .desks
+            .schedulers
             .get(service)
-            .is_some_and(|desk| desk.fence() == fence)
+            .is_some_and(|scheduler| scheduler.fence() == fence)
             || self.stopping
         {
             return;
@@ -198,29 +198,29 @@
             Code::LeaseTaken,
             format!("service={service} fence={fence}"),
         );
-        let mut desk = Desk::new(self.now, &application, fence, self.settings.clone());
+        let mut scheduler = Scheduler::new(self.now, &application, fence, self.settings.clone());
         for (server, row) in &self.servers {
             if row.backend.service == *service {
-                desk.server(server, &row.backend);
+                scheduler.server(server, &row.backend);
             }
         }
         for change in self.facts.present() {
             if let (Subject::Version(model, adapter), Some(Fact::Version(version))) =
                 (&change.subject, &change.fact)
             {
-                desk.newer(model, adapter, *version, None);
+                scheduler.newer(model, adapter, *version, None);
             }
         }
         let (running, wants) = self.state_for(service);
-        desk.hello(self.now, &self.settings.vm, &running, wants);
-        self.desks.insert(service.clone(), desk);
-        self.timers.set(self.now, Timer::Desk(service.clone()));
+        scheduler.hello(self.now, &self.settings.vm, &running, wants);
+        self.schedulers.insert(service.clone(), scheduler);
+        self.timers.set(self.now, Timer::Scheduler(service.clone()));
         self.timers.set(self.now, Timer::Seat);
     }
 
     /// Another VM holds a seat, or nobody does.
     pub(crate) fn seat_lost(&mut self, service: &Service, out: &mut Effects) {
-        if self.desks.remove(service).is_some() {
+        if self.schedulers.remove(service).is_some() {
             self.seats.note_loss(service, self.now);
             Self::log(out, Code::LeaseLost, format!("service={service}"));
         }
@@ -228,10 +228,10 @@
 
     /// A server has seen a higher fencing number than that of this VM's seat.
     pub(crate) fn fenced_off(&mut self, service: &Service, out: &mut Effects) {
-        let Some(desk) = self.desks.get(service) else {
+        let Some(scheduler) = self.schedulers.get(service) else {
             return;
         };
-        let fence = desk.fence();
+        let fence = scheduler.fence();
         Self::log(
             out,
             Code::Fenced,
@@ -246,7 +246,7 @@
 
     /// Gives all seats up, for a graceful stop.
     pub(crate) fn leave_seats(&mut self, out: &mut Effects) {
-        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        let services: Vec<Service> = self.schedulers.keys().cloned().collect();
         for service in services {
             self.seat_lost(&service, out);
             self.give_seat_up(&service, out);
@@ -315,7 +315,7 @@
             return;
         }
         let sure = self.lease_sure();
-        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        let services: Vec<Service> = self.schedulers.keys().cloned().collect();
         for service in services {
             let pledged = self.pledged_until(&service);
             match sure.max(pledged) {
@@ -339,7 +339,7 @@
     }
 
     fn lose_seats(&mut self, out: &mut Effects) {
-        let services: Vec<Service> = self.desks.keys().cloned().collect();
+        let services: Vec<Service> = self.schedulers.keys().cloned().collect();
         for service in services {
             self.seat_lost(&service, out);
         }
@@ -359,7 +359,7 @@
     fn wants_lease(&self) -> bool {
         let engines = self.index.engines();
         let mut held = engines.filter_map(|s| self.facts.get(&Subject::Holder(s.name.clone())));
-        !self.desks.is_empty()
+        !self.schedulers.is_empty()
             || !self.seats.asked.is_empty()
             || !self.seats.calls.is_empty()
             || self.now < self.pledges.unsure()
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -26,7 +26,7 @@
     /// The limits of client accounts.
     Quota,
     /// The scheduler of a service.
-    Desk(Service),
+    Scheduler(Service),
 }
 
 /// Timers by time. Setting one does not undo an earlier one: what is looked at too early changes nothing.
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -151,7 +151,7 @@
     /// take the seat as long as the lease goes on, so this VM writes it anew, under a new number.
     fn idle_seat(&self, service: &Service) -> bool {
         let sure = self.seats.leased() && self.now < self.lease_sure();
-        sure && !self.stopping && !self.desks.contains_key(service)
+        sure && !self.stopping && !self.schedulers.contains_key(service)
     }
 
     /// Whether this VM is to leave a seat to another one.
--- a/crates/gateway/tests/configs.rs
+++ b/crates/gateway/tests/configs.rs
@@ -153,8 +153,8 @@
                 series.rng.random_range(0..VMS),
                 series.rng.random_range(0..KEYS),
             );
-            let calm = series.world.now >= series.store_troubled + CONTACT;
-            if calm && series.was_well(vm, series.world.now) && written.len() > 1 {
+            let stable = series.world.now >= series.store_troubled + CONTACT;
+            if stable && series.was_well(vm, series.world.now) && written.len() > 1 {
                 let call = accounts::call("r", &key(number));
                 asked.push((series.world.ask(vm, call), vm, number));
             }
--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/scheduler.rs
@@ -7,10 +7,10 @@
 
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::desk::{Decision, Desk};
 use dahliastile_gateway::effect::Order;
 use dahliastile_gateway::event::{Cause, Ordered, Ran};
 use dahliastile_gateway::message::{Progress, Want};
+use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::Tuning;
 use support::setup::{self, name, work, zone};
 
@@ -41,8 +41,8 @@
 }
 
 /// A scheduler that knows its engines, and the time.
-struct Scheduler {
-    desk: Desk,
+struct Fixture {
+    scheduler: Scheduler,
     now: Instant,
     /// Runs of the scheduler that decided something on a request.
     deciding: usize,
@@ -66,13 +66,13 @@
     reports: usize,
 }
 
-impl Scheduler {
+impl Fixture {
     fn new(engines: usize) -> Self {
         let now = Instant::default() + Span::from_secs(1);
         let config = setup::config(1);
         let settings = setup::settings(0, 1, &Tuning::default());
         let mut scheduler = Self {
-            desk: Desk::new(now, &config.services[0], 1, settings),
+            scheduler: Scheduler::new(now, &config.services[0], 1, settings),
             now,
             deciding: 0,
             placed: Vec::new(),
@@ -87,7 +87,7 @@
         };
         for number in 0..engines {
             let server: Server = name(&format!("e{number}"));
-            scheduler.desk.server(&server, &setup::backend(number));
+            scheduler.scheduler.server(&server, &setup::backend(number));
         }
         scheduler.run(Span::from_secs(1));
         scheduler
@@ -98,7 +98,7 @@
         let end = self.now + span;
         while self.now < end {
             let answer = self.answers.iter().map(|(at, ..)| *at).min();
-            let wake = self.desk.wake().min(answer.unwrap_or(Instant::NEVER));
+            let wake = self.scheduler.wake().min(answer.unwrap_or(Instant::NEVER));
             self.now = wake.max(self.now + Span(100)).min(end);
             self.step();
         }
@@ -110,10 +110,10 @@
         let (due, rest) = self.answers.drain(..).partition(|(at, ..)| *at <= now);
         self.answers = rest;
         for (_, order, outcome) in due {
-            self.desk.ordered(now, order, outcome);
+            self.scheduler.ordered(now, order, outcome);
         }
         let mut out = Vec::new();
-        self.desk.run(self.now, &mut out);
+        self.scheduler.run(self.now, &mut out);
         let before = (self.placed.len(), self.refused);
         for decision in out {
             match decision {
@@ -121,7 +121,7 @@
                 Decision::Refuse(..) => self.refused += 1,
                 Decision::Report(server, _) => {
                     self.reports += 1;
-                    self.desk
+                    self.scheduler
                         .reported(self.now, &server, Some(&setup::report(Vec::new())));
                 }
                 Decision::Order(id, server, _, order) => self.carry_out(id, server, order),
@@ -130,7 +130,7 @@
             }
         }
         self.deciding += usize::from((self.placed.len(), self.refused) != before);
-        assert_eq!(self.desk.verify(), Vec::<String>::new());
+        assert_eq!(self.scheduler.verify(), Vec::<String>::new());
     }
 
     /// An order is accepted; an adapter that nothing uses is unloaded at once.
@@ -153,7 +153,7 @@
                 self.answers.push((self.now + self.late, id, outcome));
             }
             false => {
-                self.desk.ordered(self.now, id, outcome);
+                self.scheduler.ordered(self.now, id, outcome);
             }
         }
     }
@@ -168,19 +168,21 @@
         if store.ends[&(server, adapter)] > self.now {
             store.rejected += 1;
             let failed = Progress::Failed(Ran::No, Cause::Missing);
-            self.desk.progress(self.now, vm, request, failed);
+            self.scheduler.progress(self.now, vm, request, failed);
             let number = usize::try_from(request).expect("small");
             self.want(number, usize::MAX, 1);
         } else {
-            self.desk.progress(self.now, vm, request, Progress::Begun);
-            self.desk.progress(self.now, vm, request, Progress::Over);
+            self.scheduler
+                .progress(self.now, vm, request, Progress::Begun);
+            self.scheduler
+                .progress(self.now, vm, request, Progress::Over);
         }
     }
 
     /// The VM of a placed request says how it goes.
     fn tell(&mut self, at: usize, progress: Progress) {
         let (vm, request) = self.placed[at].clone();
-        self.desk.progress(self.now, &vm, request, progress);
+        self.scheduler.progress(self.now, &vm, request, progress);
         self.step();
     }
 
@@ -201,13 +203,13 @@
             zone: zone(number),
             failed: Vec::new(),
         };
-        self.desk.want(self.now, &vm, want);
+        self.scheduler.want(self.now, &vm, want);
     }
 }
 
 /// 1,000 requests, 400 a second, each with three messages, for so many adapters in turn.
-fn busy(adapters: usize) -> Scheduler {
-    let mut scheduler = Scheduler::new(ENGINES_LARGE);
+fn busy(adapters: usize) -> Fixture {
+    let mut scheduler = Fixture::new(ENGINES_LARGE);
     let (mut seen, mut over) = (0, 0);
     for number in 0..1_000 {
         scheduler.want(number, adapters, 1);
@@ -263,7 +265,7 @@
 /// Requests that come within one pause are placed by rank, then by age, whatever VM they are of.
 #[test]
 fn run_ordersbyrankthenage() {
-    let mut scheduler = Scheduler::new(1);
+    let mut scheduler = Fixture::new(1);
     scheduler.want(0, 1, 1);
     scheduler.run(Span::from_secs(1));
     assert_eq!(scheduler.placed.len(), 1);
@@ -285,8 +287,8 @@
 #[test]
 fn residents_toldlessoftentomany() {
     for (vms, least, most) in [(6, 9, 11), (90, 2, 4)] {
-        let mut scheduler = Scheduler::new(ENGINES_LARGE);
-        scheduler.desk.audience(vms);
+        let mut scheduler = Fixture::new(ENGINES_LARGE);
+        scheduler.scheduler.audience(vms);
         scheduler.digests = 0;
         scheduler.run(Span::from_secs(10));
         let told = scheduler.digests;
@@ -302,7 +304,7 @@
 /// engine counts as dead. With 150 ms for each copy all engines were forgotten and asked for their reports again and again.
 #[test]
 fn orders_lateareheard() {
-    let mut scheduler = Scheduler::new(ENGINES_LARGE);
+    let mut scheduler = Fixture::new(ENGINES_LARGE);
     scheduler.late = Span::from_millis(400);
     let reports = scheduler.reports;
     for number in 0..10 {
@@ -325,7 +327,7 @@
 /// begun.
 #[test]
 fn loads_keepthestorebusy() {
-    let mut scheduler = Scheduler::new(ENGINES_LARGE);
+    let mut scheduler = Fixture::new(ENGINES_LARGE);
     scheduler.store = Some(Store::default());
     scheduler.run(Span::from_secs(2));
     let begun = scheduler.now;
--- a/crates/gateway/tests/size.rs
+++ b/crates/gateway/tests/size.rs
@@ -10,10 +10,10 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::desk::{Decision, Desk};
 use dahliastile_gateway::event::Report;
 use dahliastile_gateway::fact::{Backend, Resident};
 use dahliastile_gateway::message::{Message, encode};
+use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::Tuning;
 use support::setup::{self, ENGINES, name};
 
@@ -25,7 +25,7 @@
 
 /// A scheduler of many engines, some of which never answer.
 struct Large {
-    desk: Desk,
+    scheduler: Scheduler,
     now: Instant,
     /// Reports that were asked for, with the time of their answers.
     asked: BTreeMap<Server, Instant>,
@@ -42,13 +42,13 @@
         let now = Instant::default() + Span::from_secs(1);
         let config = setup::config(1);
         let settings = setup::settings(0, 1, &Tuning::default());
-        let mut desk = Desk::new(now, &config.services[0], 1, settings);
-        desk.audience(VMS);
+        let mut scheduler = Scheduler::new(now, &config.services[0], 1, settings);
+        scheduler.audience(VMS);
         for number in 0..servers {
-            desk.server(&server(number), &setup::backend(number));
+            scheduler.server(&server(number), &setup::backend(number));
         }
         Self {
-            desk,
+            scheduler,
             now,
             asked: BTreeMap::new(),
             answered: BTreeSet::new(),
@@ -65,7 +65,7 @@
             self.now += Span::from_millis(1);
             self.answer(&silent);
             let mut out = Vec::new();
-            self.desk.run(self.now, &mut out);
+            self.scheduler.run(self.now, &mut out);
             for decision in out {
                 self.note(decision);
             }
@@ -84,7 +84,7 @@
         for server in ended {
             self.asked.remove(&server);
             let report = (!silent.contains(&server)).then(|| report(&server));
-            self.desk.reported(self.now, &server, report.as_ref());
+            self.scheduler.reported(self.now, &server, report.as_ref());
             if report.is_some() {
                 self.answered.insert(server);
             }
@@ -164,13 +164,13 @@
         bases: vec!["other".into()],
         ..(*setup::backend(0)).clone()
     };
-    large.desk.server(&lost, &Arc::new(other));
-    large.desk.reported(large.now, &lost, Some(&loading));
-    large.desk.server(&lost, &setup::backend(0));
+    large.scheduler.server(&lost, &Arc::new(other));
+    large.scheduler.reported(large.now, &lost, Some(&loading));
+    large.scheduler.server(&lost, &setup::backend(0));
     let began = large.now;
     for _ in 0..1_000 {
-        large.now = large.desk.wake().max(large.now);
-        large.desk.run(large.now, &mut Vec::new());
+        large.now = large.scheduler.wake().max(large.now);
+        large.scheduler.run(large.now, &mut Vec::new());
     }
     let took = large.now.since(began);
     assert!(took >= Span::from_secs(3), "1,000 runs in {took}");
