--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -66,7 +66,7 @@
     AccountTokens "dahliastile_account_tokens_total" "1";
     /// Calls of the key-value service, by kind.
     PlatformCalls "dahliastile_outside_calls_total" "1";
-    /// Bytes of messages sent to other VMs, by kind and by whether they leave the availability zone (`news_zone`, `news_beyond`).
+    /// Bytes of messages sent to other VMs, by kind and by whether they leave the availability zone (`replicate_zone`, `replicate_beyond`).
     PeerBytes "dahliastile_peer_sent_bytes_total" "bytes";
     /// Messages sent to other VMs, by the same.
     PeerMessages "dahliastile_peer_sent_messages_total" "1";
--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -21,7 +21,7 @@
 pub enum Subject {
     /// The operator's configuration.
     Config,
-    /// The newest version of an adapter of a base model.
+    /// The differing version of an adapter of a base model.
     Version(Arc<str>, Arc<str>),
     /// A backend server.
     Server(Server),
@@ -101,7 +101,7 @@
 pub enum Fact {
     /// The operator's configuration.
     Config(Arc<Config>),
-    /// The newest version of an adapter.
+    /// The differing version of an adapter.
     Version(Version),
     /// A backend server.
     Server(Arc<Backend>),
@@ -134,7 +134,7 @@
     /// Its last change.
     change: Change,
     /// The revision of its last change that says anything new to VMs that follow this one.
-    news: Revision,
+    changed: Revision,
     /// Whether it is gone, and only not taken for gone yet: that it is back then says something new.
     lapsed: bool,
 }
@@ -163,18 +163,18 @@
             Some(known) => {
                 let lapsed = std::mem::take(&mut known.lapsed);
                 if way == Way::Told || lapsed || known.change.fact != change.fact {
-                    known.news = change.revision;
+                    known.changed = change.revision;
                 }
                 known.change = change;
                 true
             }
             None => {
-                let news = change.revision;
+                let changed = change.revision;
                 self.rows.insert(
                     change.subject.clone(),
                     Row {
                         change,
-                        news,
+                        changed,
                         lapsed: false,
                     },
                 );
@@ -204,26 +204,26 @@
     /// Whether a watched change tells a VM that knows all up to a revision anything that matters to it. It does also where
     /// this VM was told of the change before, as the other one may not have been.
     #[must_use]
-    pub fn is_news(&self, change: &Change, since: Revision) -> bool {
+    pub fn is_change(&self, change: &Change, since: Revision) -> bool {
         let known = self.rows.get(&change.subject);
         known.is_none_or(|known| {
-            known.news > since || known.lapsed || known.change.fact != change.fact
+            known.changed > since || known.lapsed || known.change.fact != change.fact
         })
     }
 
     /// The watched changes that tell such a VM anything. Where one of a subject does, all later ones of it do: an entry that goes
     /// and is back as it was says nothing new only to those who did not hear that it went.
     #[must_use]
-    pub fn news_among(&self, changes: &[Change], since: Revision) -> Vec<Change> {
+    pub fn changes_among(&self, changes: &[Change], since: Revision) -> Vec<Change> {
         let mut told: BTreeSet<&Subject> = BTreeSet::new();
-        let mut news = Vec::new();
+        let mut differing = Vec::new();
         for change in changes {
-            if told.contains(&change.subject) || self.is_news(change, since) {
+            if told.contains(&change.subject) || self.is_change(change, since) {
                 told.insert(&change.subject);
-                news.push(change.clone());
+                differing.push(change.clone());
             }
         }
-        news
+        differing
     }
 
     /// A subject is gone, but is not taken for gone yet.
@@ -249,7 +249,7 @@
     /// The changes after a revision that matter to VMs that follow this one.
     pub fn after(&self, revision: Revision) -> impl Iterator<Item = &Change> {
         let rows = self.rows.values();
-        rows.filter(move |row| row.news > revision)
+        rows.filter(move |row| row.changed > revision)
             .map(|row| &row.change)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 //! * [`mechanism`]: what of all that can be switched off.
 //! * [`quarantine`]: requests that crash the servers that run them.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
-//! * `news`: what VMs tell each other of its changes; `intake`: what a change does here.
+//! * `replication`: what VMs tell each other of its changes; `intake`: what a change does here.
 //! * `relay`: which VMs tell others what all are told.
 
 pub mod account;
@@ -45,12 +45,12 @@
 mod measure;
 pub mod mechanism;
 pub mod message;
-mod news;
 mod node;
 mod plain;
 mod pledge;
 pub mod quarantine;
 mod relay;
+mod replication;
 mod run;
 pub mod scheduler;
 mod seat;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -57,7 +57,7 @@
 
 /// Changes of the key-value service, as one VM passes them on to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct News {
+pub struct Replication {
     /// All changes after this revision.
     pub since: Revision,
     /// Up to this one.
@@ -108,7 +108,7 @@
     /// later ones for a while.
     Follow(Member, Revision),
     /// Changes of the key-value service.
-    News(News),
+    Replicate(Replication),
     /// To a VM that counts them: servers ended while they had these requests.
     Struck(Vec<Strike>),
     /// What is known of requests that servers have ended under.
@@ -139,7 +139,7 @@
             Self::Pledge(..) => "pledge",
             Self::Pledged(..) => "pledged",
             Self::Follow(..) => "follow",
-            Self::News(_) => "news",
+            Self::Replicate(_) => "replicate",
             Self::Struck(_) => "struck",
             Self::Standings(_) => "standings",
             Self::Draw(_) => "draw",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -296,7 +296,7 @@
                 self.book.introduced(from, &member);
                 self.follow_asked(from, revision, out);
             }
-            Message::News(news) => self.take_news(from, news, out),
+            Message::Replicate(batch) => self.take_replicated(from, batch, out),
             Message::Want(service, want) => self.wanted(&service, from, want),
             Message::Progress(service, request, progress) => {
                 self.progressed(&service, from, request, progress);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -109,7 +109,7 @@
         self.records.owns(op)
     }
 
-    /// Whether a whole answer to a request is news.
+    /// Whether a whole answer to a request matters.
     fn watches(&self, fingerprint: Fingerprint) -> bool {
         self.watched.get(&fingerprint).is_some() || self.quarantined.get(&fingerprint).is_some()
     }
@@ -156,7 +156,7 @@
     }
 
     fn count_strikes(&mut self, strikes: &[Strike], out: &mut Effects) {
-        let mut news = Vec::new();
+        let mut told = Vec::new();
         for strike in strikes {
             let fingerprint = strike.fingerprint;
             let counted = self.quarantine.tally.strike(self.now, strike);
@@ -165,17 +165,17 @@
                 Count::Enough if !known => {
                     self.put_in_quarantine(fingerprint, LENGTH, "strikes", out);
                     self.record(fingerprint, out);
-                    news.push((fingerprint, Standing::Quarantined(LENGTH)));
+                    told.push((fingerprint, Standing::Quarantined(LENGTH)));
                 }
                 Count::Suspect if !self.quarantine.watches(fingerprint) => {
                     self.quarantine.watched.insert(self.now, fingerprint, ());
-                    news.push((fingerprint, Standing::Watched));
+                    told.push((fingerprint, Standing::Watched));
                 }
                 _ => {}
             }
         }
-        if !news.is_empty() {
-            self.tell_all(&Message::Standings(news), out);
+        if !told.is_empty() {
+            self.tell_all(&Message::Standings(told), out);
         }
     }
 
@@ -254,8 +254,8 @@
         }
         self.clear(fingerprint, "answered", out);
         self.remove_record(fingerprint, out);
-        let news = vec![(fingerprint, Standing::Cleared)];
-        self.tell_all(&Message::Standings(news), out);
+        let told = vec![(fingerprint, Standing::Cleared)];
+        self.tell_all(&Message::Standings(told), out);
     }
 
     /// Tells a VM that knows nothing yet which requests are refused.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/replication.rs
@@ -7,7 +7,7 @@
 use crate::effect::Effects;
 use crate::fact::{Change, Revision, Way};
 use crate::follow::{ALONE_GAP, SILENCE};
-use crate::message::{Message, News};
+use crate::message::{Message, Replication};
 use crate::node::Gateway;
 use crate::timer::Timer;
 
@@ -28,16 +28,16 @@
         let until = self.now + SUBSCRIPTION;
         self.follow.followers.insert(from.clone(), until);
         let changes: Vec<Change> = self.facts.after(since).cloned().collect();
-        let news = self.news(since, self.follow.cursor.unwrap_or(since), changes);
-        self.send(from, Message::News(news), out);
+        let batch = self.batch(since, self.follow.cursor.unwrap_or(since), changes);
+        self.send(from, Message::Replicate(batch), out);
         if since == 0 {
             self.tell_quarantines(from, out);
         }
     }
 
     /// Takes changes in that another VM passes on.
-    pub(crate) fn take_news(&mut self, from: &Vm, news: News, out: &mut Effects) {
-        let answered = self.now.back(news.age);
+    pub(crate) fn take_replicated(&mut self, from: &Vm, batch: Replication, out: &mut Effects) {
+        let answered = self.now.back(batch.age);
         let stale_at = answered + self.fresh(from);
         if self.follow.leader.as_ref() == Some(from) {
             self.follow.heard = self.now;
@@ -49,11 +49,14 @@
             self.store_answers(answered, from, out);
         }
         let since = self.follow.cursor;
-        let taken = news.changes.iter().any(|change| self.facts.differs(change));
-        self.take_changes(news.changes, Way::Told, news.recovering, out);
+        let taken = batch
+            .changes
+            .iter()
+            .any(|change| self.facts.differs(change));
+        self.take_changes(batch.changes, Way::Told, batch.recovering, out);
         match self.follow.cursor {
-            Some(cursor) if cursor >= news.since && news.until > cursor => {
-                self.follow.cursor = Some(news.until);
+            Some(cursor) if cursor >= batch.since && batch.until > cursor => {
+                self.follow.cursor = Some(batch.until);
             }
             _ => {}
         }
@@ -95,7 +98,7 @@
         out: &mut Effects,
     ) {
         let since = self.follow.cursor.unwrap_or(0);
-        let changes = self.facts.news_among(changes, since);
+        let changes = self.facts.changes_among(changes, since);
         self.pass_on(changes, since, revision, out);
     }
 
@@ -112,15 +115,15 @@
         if changes.is_empty() || self.follow.followers.is_empty() {
             return;
         }
-        let news = self.news(since, until, changes);
+        let batch = self.batch(since, until, changes);
         let followers: Vec<Vm> = self.follow.followers.keys().cloned().collect();
         for vm in followers {
-            self.send(&vm, Message::News(news.clone()), out);
+            self.send(&vm, Message::Replicate(batch.clone()), out);
         }
     }
 
-    fn news(&self, since: Revision, until: Revision, changes: Vec<Change>) -> News {
-        News {
+    fn batch(&self, since: Revision, until: Revision, changes: Vec<Change>) -> Replication {
+        Replication {
             since,
             until,
             age: self.now.since(self.follow.answered),
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -258,10 +258,13 @@
         fact: Some(fact),
     };
     let mut table = Table::default();
-    assert!(table.is_news(&config, 4));
+    assert!(table.is_change(&config, 4));
     assert!(table.apply(config.clone(), Way::Told));
-    assert!(table.is_news(&config, 4), "the followers know all up to 4");
-    assert!(!table.is_news(&config, 5), "they know it already");
+    assert!(
+        table.is_change(&config, 4),
+        "the followers know all up to 4"
+    );
+    assert!(!table.is_change(&config, 5), "they know it already");
     let entry = |revision: u64, ready: bool| {
         let mut backend = (*world.servers[&name::<Server>("e0")].1).clone();
         backend.ready = ready;
@@ -273,8 +276,8 @@
         }
     };
     assert!(table.apply(entry(6, true), Way::Watched));
-    assert!(!table.is_news(&entry(7, true), 6));
-    assert!(table.is_news(&entry(7, false), 6));
+    assert!(!table.is_change(&entry(7, true), 6));
+    assert!(table.is_change(&entry(7, false), 6));
     assert!(table.apply(entry(8, true), Way::Told));
     assert_eq!(table.after(6).count(), 1, "an entry of before may differ");
     assert!(table.apply(entry(9, true), Way::Watched));
