--- a/crates/gateway/src/account/quota.rs
+++ b/crates/gateway/src/account/quota.rs
@@ -218,7 +218,7 @@
         match self.quota.fleet {
             Some((vms, found)) if self.now.since(found) < FLEET_AGE => vms,
             _ => {
-                let vms = self.book.lately(self.now, &self.settings.vm) + 1;
+                let vms = self.membership.lately(self.now, &self.settings.vm) + 1;
                 self.quota.fleet = Some((vms, self.now));
                 vms
             }
--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -9,12 +9,12 @@
 
 use super::{Draw, Grant, Waiting, pool};
 use crate::account::Tokens;
-use crate::book;
 use crate::effect::Effects;
 use crate::event::RequestId;
 use crate::flow::{State as Flow, Why};
 use crate::measure;
 use crate::mechanism::Mechanism;
+use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -131,10 +131,14 @@
         let schedules = |vm: &Vm| self.agents.values().any(|a| a.holder.as_ref() == Some(vm));
         let me = &self.settings.vm;
         let peers = self.peers();
-        let peers = peers.filter(|vm| !self.book.is_down(vm) && !passed(vm));
+        let peers = peers.filter(|vm| !self.membership.is_down(vm) && !passed(vm));
         let rank = |vm: &Vm| {
             let strength = Reverse(self.strength(vm));
-            (schedules(vm), strength, book::score(&("pool", vm.as_str())))
+            (
+                schedules(vm),
+                strength,
+                membership::score(&("pool", vm.as_str())),
+            )
         };
         let keeper = peers.chain([me]).min_by_key(|vm| rank(vm));
         keeper.unwrap_or(me).clone()
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -210,7 +210,7 @@
             || agent.silent
             || !agent.met;
         // Where it is not known yet where the holder is, nothing can be told to it, and it is met at its next word.
-        agent.met = self.book.address(from).is_some();
+        agent.met = self.membership.address(from).is_some();
         agent.fence = fence;
         agent.holder = Some(from.clone());
         agent.heard = now;
@@ -283,7 +283,7 @@
     /// A link broke: where it led to a holder, this VM goes on alone until it hears of one again.
     pub(crate) fn peer_down(&mut self, address: SocketAddr, fault: Fault, out: &mut Effects) {
         let now = self.now;
-        let Some((vm, gone)) = self.book.down(address, fault, now) else {
+        let Some((vm, gone)) = self.membership.down(address, fault, now) else {
             return;
         };
         if gone {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,10 +13,10 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
-use crate::book;
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::event::Outcome;
 use crate::fact::{Revision, Way};
+use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -203,7 +203,7 @@
         let choice = watchers
             .into_iter()
             .filter(|vm| !self.is_passed(vm))
-            .min_by_key(|vm| book::score(&(me.as_str(), vm.as_str())));
+            .min_by_key(|vm| membership::score(&(me.as_str(), vm.as_str())));
         choice.cloned()
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -142,9 +142,9 @@
                 if vm == self.settings.vm && member.incarnation != self.settings.incarnation {
                     self.quota_returned();
                 }
-                self.book.listed(&vm, &member);
+                self.membership.listed(&vm, &member);
             }
-            (Subject::Member(vm), _) if self.book.unlisted(&vm, self.now) => {
+            (Subject::Member(vm), _) if self.membership.unlisted(&vm, self.now) => {
                 self.scheduler_vm_gone(&vm);
             }
             _ => {}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,6 @@
 
 pub mod account;
 mod agent;
-mod book;
 pub mod budget;
 pub mod config;
 mod early;
@@ -44,6 +43,7 @@
 mod lease;
 mod measure;
 pub mod mechanism;
+mod membership;
 pub mod message;
 mod node;
 mod plain;
--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/membership.rs
@@ -47,14 +47,14 @@
 
 /// The other VMs.
 #[derive(Debug, Default)]
-pub(crate) struct Book {
+pub(crate) struct Membership {
     /// By name.
     rows: BTreeMap<Vm, Row>,
     /// When an entry last went; none where none ever did.
     left: Option<Instant>,
 }
 
-impl Book {
+impl Membership {
     /// A VM has an entry.
     pub(crate) fn listed(&mut self, vm: &Vm, member: &Member) {
         let row = self.row(vm, member);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,7 +13,6 @@
 
 use crate::account::quota;
 use crate::agent;
-use crate::book::Book;
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
 use crate::early;
@@ -26,6 +25,7 @@
 use crate::intake;
 use crate::measure;
 use crate::mechanism::Mechanism;
+use crate::membership::Membership;
 use crate::message::Message;
 use crate::plain::Row;
 use crate::pledge;
@@ -51,7 +51,7 @@
     /// Its index.
     pub(crate) index: Index,
     /// The other entry VMs.
-    pub(crate) book: Book,
+    pub(crate) membership: Membership,
     /// The backend servers that take work, and what this VM knows of them.
     pub(crate) servers: BTreeMap<Server, Row>,
     /// The requests of this VM's callers.
@@ -98,7 +98,7 @@
             facts: Table::default(),
             config: None,
             index: Index::default(),
-            book: Book::default(),
+            membership: Membership::default(),
             servers: BTreeMap::new(),
             flows: FxHashMap::default(),
             budgets: BTreeMap::new(),
@@ -192,9 +192,9 @@
 
     /// Sends a message to another VM, if its address is known.
     pub(crate) fn send(&self, to: &Vm, message: Message, out: &mut Effects) {
-        match self.book.address(to) {
+        match self.membership.address(to) {
             Some(address) => {
-                let near = self.book.zone(to) == Some(&self.settings.zone);
+                let near = self.membership.zone(to) == Some(&self.settings.zone);
                 let reach = if near { Reach::Zone } else { Reach::Beyond };
                 out.push(Effect::Peer(address, reach, message));
             }
@@ -205,7 +205,9 @@
     /// The entry VMs that are there besides this one.
     pub(crate) fn peers(&self) -> impl Iterator<Item = &Vm> {
         let me = &self.settings.vm;
-        self.book.present(self.now).filter(move |vm| *vm != me)
+        self.membership
+            .present(self.now)
+            .filter(move |vm| *vm != me)
     }
 
     /// So many of the VMs that are there, this one among them, the first by their place in an order.
@@ -224,7 +226,7 @@
         if *vm == self.settings.vm {
             self.settings.strength
         } else {
-            self.book.strength(vm)
+            self.membership.strength(vm)
         }
     }
 
@@ -290,10 +292,10 @@
     }
 
     fn heard(&mut self, from: &Vm, message: Message, out: &mut Effects) {
-        self.book.heard(from, self.now);
+        self.membership.heard(from, self.now);
         match message {
             Message::Follow(member, revision) => {
-                self.book.introduced(from, &member);
+                self.membership.introduced(from, &member);
                 self.follow_asked(from, revision, out);
             }
             Message::Replicate(batch) => self.take_replicated(from, batch, out),
@@ -302,7 +304,7 @@
                 self.progressed(&service, from, request, progress);
             }
             Message::Hello(service, member, running, wants) => {
-                self.book.introduced(from, &member);
+                self.membership.introduced(from, &member);
                 self.introduced(&service, from, &running, wants);
             }
             Message::Place(service, fence, request, server, version) => {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -30,11 +30,11 @@
 use self::aged::Aged;
 use self::strikes::{Count, Tally};
 use self::suspects::Suspect;
-use crate::book;
 use crate::effect::{Effect, Effects, OpId};
 use crate::event::{Presence, RequestId};
 use crate::fingerprint::Fingerprint;
 use crate::flow::{self, Why};
+use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
 
@@ -144,7 +144,7 @@
     /// The VMs that count the strikes of a request, the first of them first.
     fn counters(&self, fingerprint: Fingerprint) -> Vec<&Vm> {
         self.first_vms(COUNTERS, |vm| {
-            Reverse(book::score(&(vm.as_str(), fingerprint)))
+            Reverse(membership::score(&(vm.as_str(), fingerprint)))
         })
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,8 +9,8 @@
 
 use dahliastile_core::id::{Service, Vm, Zone};
 
-use crate::book;
 use crate::effect::Effects;
+use crate::membership;
 use crate::message::{Holding, Message};
 use crate::node::Gateway;
 
@@ -22,7 +22,7 @@
 
 impl Gateway {
     fn rank_for_all(&self, vm: &Vm) -> Rank {
-        (Reverse(self.strength(vm)), book::score(vm.as_str()))
+        (Reverse(self.strength(vm)), membership::score(vm.as_str()))
     }
 
     /// The VMs that watch for all.
@@ -40,7 +40,7 @@
         let zone = &self.settings.zone;
         let peers = self
             .peers()
-            .filter(|vm| self.book.zone(vm) == Some(zone) && will_do(vm));
+            .filter(|vm| self.membership.zone(vm) == Some(zone) && will_do(vm));
         let vms = peers.chain([&self.settings.vm]);
         let first = vms.min_by_key(|vm| self.rank_for_all(vm));
         first.unwrap_or(&self.settings.vm)
@@ -54,8 +54,8 @@
     /// The VMs that tell the other availability zones, as far as this VM reaches them.
     fn relays(&self) -> Vec<&Vm> {
         let mut relays: BTreeMap<&Zone, &Vm> = BTreeMap::new();
-        for vm in self.peers().filter(|vm| !self.book.is_down(vm)) {
-            let Some(zone) = self.book.zone(vm) else {
+        for vm in self.peers().filter(|vm| !self.membership.is_down(vm)) {
+            let Some(zone) = self.membership.zone(vm) else {
                 continue;
             };
             let relay = relays.entry(zone).or_insert(vm);
@@ -100,7 +100,7 @@
     fn tell_zone(&self, service: &Service, fence: u64, residents: &[Holding], out: &mut Effects) {
         let message = Message::Passed(service.clone(), fence, residents.to_vec());
         let zone = Some(&self.settings.zone);
-        for vm in self.peers().filter(|vm| self.book.zone(vm) == zone) {
+        for vm in self.peers().filter(|vm| self.membership.zone(vm) == zone) {
             self.send(vm, message.clone(), out);
         }
     }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -6,9 +6,9 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::book;
 use crate::effect::Effects;
 use crate::fact::{Fact, Subject};
+use crate::membership;
 use crate::node::Gateway;
 use crate::pledge::PLEDGE;
 use crate::timer::Timer;
@@ -94,7 +94,7 @@
         let fencing = self.settings.tuning.fencing;
         let pledge = PLEDGE + self.settings.tuning.lease_guard;
         if self.peers().next().is_none() {
-            let left = self.book.left().filter(|_| !fencing);
+            let left = self.membership.left().filter(|_| !fencing);
             return left.map_or(Instant::default(), |left| left + pledge);
         }
         let rested = self.seats.rested(service);
@@ -195,7 +195,7 @@
     }
 
     fn rank(&self, service: &Service, vm: &Vm) -> (Reverse<u32>, u64) {
-        let score = book::score(&(service.as_str(), vm.as_str()));
+        let score = membership::score(&(service.as_str(), vm.as_str()));
         (Reverse(self.strength(vm)), score)
     }
 }
