The scheduler's passes and tables have the field's names

A rename, no behaviour: admission, dispatch, capacity, prefix_cache, adapter_cache, residency, popularity, run_interval, reservations.

--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/fact.rs
@@ -21,7 +21,7 @@
 pub enum Subject {
     /// The operator's configuration.
     Config,
-    /// The differing version of an adapter of a base model.
+    /// The newest version of an adapter of a base model.
     Version(Arc<str>, Arc<str>),
     /// A backend server.
     Server(Server),
@@ -101,7 +101,7 @@
 pub enum Fact {
     /// The operator's configuration.
     Config(Arc<Config>),
-    /// The differing version of an adapter.
+    /// The newest version of an adapter.
     Version(Version),
     /// A backend server.
     Server(Arc<Backend>),
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -4,21 +4,21 @@
 //! request goes, so it knows what runs where without asking the engines. An adapter that a request uses is never
 //! chosen to make room, and the engines themselves refuse what they can't run.
 
-mod claims;
-mod demand;
+mod adapter_cache;
+mod admission;
+mod capacity;
+mod dispatch;
 mod engine;
 mod forecast;
 mod job;
-mod kept;
 mod key;
 mod load;
 mod order;
-mod pace;
-mod place;
-mod recent;
-mod refuse;
-mod rooms;
-mod spread;
+mod popularity;
+mod prefix_cache;
+mod reservations;
+mod residency;
+mod run_interval;
 mod summary;
 
 use std::collections::BTreeMap;
@@ -39,12 +39,12 @@
 use crate::message::{Holding, Progress, Running, Want};
 use crate::settings::Settings;
 
+use self::adapter_cache::{Beside, Remembering};
 use self::engine::Engine;
 use self::job::{Job, JobId, Jobs};
 use self::key::{Key, Keys};
 use self::load::BaseRate;
-use self::pace::Pace;
-use self::recent::{Beside, Remembering};
+use self::run_interval::Pace;
 
 /// How often VMs are told that the scheduler is there: three fit into the silence after which they go on alone.
 const ALIVE_EVERY: Span = Span::from_millis(250);
--- a/crates/gateway/src/scheduler/rooms.rs
+++ b/crates/gateway/src/scheduler/capacity.rs
@@ -13,11 +13,11 @@
 use rustc_hash::FxHashMap;
 
 use super::Scheduler;
-use super::claims::Claims;
 use super::engine::Engine;
 use super::forecast::reading;
 use super::key::Key;
-use super::spread::Spread;
+use super::reservations::Claims;
+use super::residency::Spread;
 
 /// Room at an engine.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/scheduler/place.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::engine::{Engine, Stage};
 use super::job::{Job, JobId, State};
-use super::spread::Spread;
+use super::residency::Spread;
 use super::{Decision, Scheduler};
 use crate::event::{Cause, Ran};
 use crate::mechanism::Mechanism;
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -6,11 +6,11 @@
 use dahliastile_core::id::Incarnation;
 use dahliastile_core::time::{Instant, Span};
 
+use super::adapter_cache::Recent;
 use super::forecast::reading;
 use super::job::Job;
-use super::kept::Kept;
 use super::key::{Key, Keys};
-use super::recent::Recent;
+use super::prefix_cache::Kept;
 use crate::effect::OrderId;
 use crate::event::Report;
 use crate::fact::{Backend, Resident, Version};
--- a/crates/gateway/src/scheduler/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -12,7 +12,7 @@
 use super::job::{Job, JobId};
 use super::key::Key;
 use super::load::ROOM_SOON;
-use super::spread::Spread;
+use super::residency::Spread;
 
 /// What a request waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/scheduler/key.rs
+++ b/crates/gateway/src/scheduler/key.rs
@@ -6,7 +6,7 @@
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
-use super::demand::Demand;
+use super::popularity::Demand;
 use crate::fact::Version;
 
 /// How long the version before may still be used where the newest is not loaded yet, from when the scheduler hears of it: a
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -7,12 +7,12 @@
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
-use super::claims::Claims;
+use super::capacity::{Floor, Room, Rooms, busy_for};
 use super::engine::{Engine, Intent, Place, Stage, place};
 use super::forecast::{For, Wait};
 use super::key::Key;
-use super::rooms::{Floor, Room, Rooms, busy_for};
-use super::spread::{Spot, Spread};
+use super::reservations::Claims;
+use super::residency::{Spot, Spread};
 use super::{Decision, Scheduler};
 use crate::mechanism::Mechanism;
 
--- a/crates/gateway/src/scheduler/claims.rs
+++ b/crates/gateway/src/scheduler/reservations.rs
@@ -12,7 +12,7 @@
 use super::engine::Engine;
 use super::forecast::Wait;
 use super::key::Key;
-use super::spread::Spread;
+use super::residency::Spread;
 
 /// The adapters that requests wait for, with the prompt tokens of those requests.
 #[derive(Debug, Default)]
