A weak VM that starts anew leaves its seat to a stronger one

Cause: the key of a seat outlives a quick restart, and its VM takes it back at once; a weak VM, which had it from the outage before, began with nothing and never caught up.

Mend: where a VM with more strength has an entry, the one that starts anew takes its old key away, and turns decide. It costs at most the 0.6 s in which VMs that start wait for each other's entries; a holder that is as strong as any takes its seat back at once as before. Test: all_killedstrongschedules, failed before. The gateway's tests of holders, outages, restarts and followers pass.

--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -47,7 +47,8 @@
     Mine,
     /// Another VM may take it, and this one later: it held the seat a moment ago.
     Resting,
-    /// It is this VM's, which has stopped to schedule twice in a short time: another one is to have it.
+    /// It is this VM's, which another one is to have: it has stopped to schedule twice in a short time, or starts anew beside stronger
+    /// ones.
     Weary,
     /// Its holder is silent, and engines refuse that holder's orders from the next one's first on.
     Silent,
@@ -140,7 +141,13 @@
         let silent = self.agents.get(service).is_some_and(|agent| agent.silent);
         let settled = self.now.since(self.seats.changed(service)) >= SETTLED;
         match holder.vm == self.settings.vm {
-            true if holder.incarnation != self.settings.incarnation => Vacancy::Mine,
+            true if holder.incarnation != self.settings.incarnation => {
+                if self.is_stronger_there() {
+                    Vacancy::Weary
+                } else {
+                    Vacancy::Mine
+                }
+            }
             true if self.idle_seat(service) && self.weary(service) => Vacancy::Weary,
             true if self.idle_seat(service) => Vacancy::Mine,
             false if fencing && silent && settled => Vacancy::Silent,
@@ -160,6 +167,12 @@
         self.peers().next().is_some() && self.seats.weary(service, self.now)
     }
 
+    /// Whether a stronger VM has an entry.
+    fn is_stronger_there(&self) -> bool {
+        let mine = self.strength(&self.settings.vm);
+        self.peers().any(|vm| self.strength(vm) > mine)
+    }
+
     /// Tries to take the seats whose turn has come.
     pub(crate) fn take_seats(&mut self, out: &mut Effects) {
         let turns = self.seats.turns.iter();
--- a/crates/gateway/tests/strong.rs
+++ b/crates/gateway/tests/strong.rs
@@ -40,3 +40,23 @@
         world.check();
     }
 }
+
+/// A weak VM schedules because no strong one was there. When all VMs have lost power and are back, a strong one does, though the key
+/// of the weak one's earlier start is still there.
+#[test]
+fn all_killedstrongschedules() {
+    let mut world = fleet();
+    for vm in 0..STRONG {
+        world.kill(vm, true);
+    }
+    world.run(Span::from_secs(12));
+    let weak = world.holder().expect("a holder");
+    assert!(weak >= STRONG, "vm{weak} holds");
+    for vm in 0..VMS {
+        world.kill(vm, false);
+    }
+    world.run(Span::from_millis(1_800));
+    let holder = world.holder().expect("a holder");
+    assert!(holder < STRONG, "vm{holder} holds");
+    world.check();
+}
