A request that its server failed leaves that server once

What callers saw: where servers fail, requests gathered at those. Cause: a failure took the request off its server's count, and its end, as refused or with the server's own failure, took it off once more; each such failure hid one of the others there from whoever chose a server next. Mend: a failed request is at no server. Test: failed_countsonceasgone, failed before (open=1, 2 expected).

--- a/crates/gateway/src/flow/failure.rs
+++ b/crates/gateway/src/flow/failure.rs
@@ -96,6 +96,10 @@
             self.suspect(&server, fingerprint, sent, out);
         }
         self.tell_progress(request, Progress::Failed(ran, cause), out);
+        // It is at no server now, and its end must not count there once more.
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.state = State::Waiting;
+        }
         self.after_failure(request, ran, cause, begun, out);
     }
 
--- a/crates/gateway/tests/health.rs
+++ b/crates/gateway/tests/health.rs
@@ -77,3 +77,21 @@
     );
     world.check();
 }
+
+/// A request that its server failed leaves it once: the others there still count for whoever chooses a server.
+#[test]
+fn failed_countsonceasgone() {
+    let mut world = World::new(1, 0, 1);
+    world.run(Span::from_secs(2));
+    fail(&mut world, &["p0"], true);
+    let post = |id: &str| support::setup::call(id, "/post/x", 2_000, None);
+    world.ask(0, post("first"));
+    world.run(Span::from_millis(30));
+    world.ask(0, post("second"));
+    world.run(Span::from_millis(40));
+    world.ask(0, post("third"));
+    let mut lines = world.lines.iter();
+    let sent = lines.find(|line| line.contains("Sent") && line.contains("id=third"));
+    let sent = sent.expect("it was sent");
+    assert!(sent.ends_with("open=2"), "{sent}");
+}
