--- a/crates/gateway/src/early.rs
+++ b/crates/gateway/src/early.rs
@@ -2,8 +2,7 @@
 //!
 //! A process that starts again finds callers waiting: the platform goes on sending them to it, and what is to be in force is
 //! there a call of the key-value service later, some 30 ms. Until then they are held, so that a restart of all VMs refuses
-//! nobody who could be served: 115 callers on a heavy day that ends with one, within the first 6 ms. Where the configuration
-//! does not come soon they are refused together, and later ones at once.
+//! nobody who could be served. Where the configuration does not come soon they are refused together, and later ones at once.
 
 use std::collections::BTreeMap;
 
@@ -16,8 +15,7 @@
 use crate::node::Gateway;
 use crate::timer::Timer;
 
-/// How long after its start a VM holds requests: ten times what the first answer of the key-value service takes at the
-/// deployments, and as long as the shortest objective of a plain service leaves for it.
+/// How long after its start a VM holds requests: ten times what the first answer of the key-value service takes.
 const HELD: Span = Span::from_millis(300);
 
 /// When a caller may come back to a VM that knows no configuration: about a start's length.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -2,9 +2,7 @@
 //!
 //! That a VM is there is not urgent: who depends on another VM hears of its end by its link. So the lease is long and renewed
 //! seldom, and an outage of some seconds ends none. A VM with the lease of a seat renews that one quickly (`seat`), and it
-//! is the only one: with one quick lease for both, 195 VMs renewed 390 times a second though nothing happened, and called
-//! 1,300 times a second while the service answered nobody (worked out from its pauses). Days with outages of some seconds went from
-//! 13,140 and 20,018 calls to 6,018 and 9,021, which buys 0.04 of what answers are worth, a quiet one from 5,080 to 3,068.
+//! is the only one: so VMs to which nothing happens cost the service little, however many they are.
 
 use std::collections::BTreeMap;
 
@@ -24,8 +22,7 @@
 /// The longest pause after calls that failed: three such calls fit into what is left of the lease when it is to be renewed.
 const RETRY_LONGEST: Span = Span::from_secs(4);
 
-/// The time within which all VMs call again when the key-value service is back: 195 VMs make 400 calls a second then, an
-/// eighth of what its smallest deployment of that size bears.
+/// The time within which all VMs call again when the key-value service is back, so that they don't call all at once.
 const BACK_WITHIN: Span = Span::from_millis(500);
 
 /// The time within which an entry that was taken away is written anew.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -22,8 +22,7 @@
 use crate::timer::Timer;
 
 /// The pause between two watches, in which changes gather: servers rewrite their entries about once a second each, and each
-/// change would be a call. It delays a change by so much, of the two seconds within which one is to be in force. With 60 ms and
-/// 195 VMs a quiet day of 84 servers had 3,068 calls in all, with 200 ms 2,026: 0.016 of what answers are worth.
+/// change would be a call. It delays a change by so much, of the two seconds within which one is to be in force.
 const WATCH_GAP: Span = Span::from_millis(200);
 
 /// The same for a VM that watches only because those that watch for all are silent, and the least time between its calls
@@ -31,8 +30,7 @@
 /// below its rates (2,000 reads a second at the smaller deployments) also with some hundred of them.
 pub(crate) const ALONE_GAP: Span = Span::from_millis(400);
 
-/// How often that least time is doubled after calls that failed: to some three to six seconds, as 195 VMs would else make 1,600
-/// calls in an outage of five seconds (worked out). Who is told by another VM that the service is back calls it at once.
+/// How often that least time is doubled after calls that failed: to some three to six seconds. Who is told by another VM that the service is back calls it at once.
 const DOUBLINGS: u32 = 3;
 
 /// The time between two questions to the VM that is followed, or, while the key-value service is away, to peers: a
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/pledge.rs
@@ -7,8 +7,7 @@
 //! heard, is enough to have the holder stop; a VM that has just got a lease waits a pledge's length before it takes a seat.
 //!
 //! It buys the cold requests of an outage: without it none could be placed from 1.7 s on until the service was back, and
-//! each was held until its deadline. Two days with such outages earned 0.028 and 0.017 more of what their answers are worth
-//! (seven seeds each).
+//! each was held until its deadline.
 
 use std::collections::BTreeMap;
 
@@ -32,7 +31,7 @@
 /// usual time.
 const OVERDUE: Span = Span::from_millis(200);
 
-/// How long a write without an answer may still be carried out: the longest that was seen, and some.
+/// How long a write without an answer may still be carried out.
 const LATE_WRITE: Span = Span::from_secs(15);
 
 /// Pledges given and had.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -68,8 +68,7 @@
     }
 
     /// Tells all other VMs what engines hold: those of this VM's availability zone, and one of each other zone for its zone. Bytes
-    /// between zones cost the most of what the fleet says to itself: at 195 VMs in six zones five such messages cross a border for each
-    /// digest, and 160 would to each VM.
+    /// between zones cost the most of what the fleet says to itself; so one message crosses each border for a digest, whatever the number of VMs.
     pub(crate) fn tell_residents(
         &self,
         service: &Service,
--- a/crates/gateway/src/scheduler/adapter_cache.rs
+++ b/crates/gateway/src/scheduler/adapter_cache.rs
@@ -1,16 +1,14 @@
 //! Adapters that an engine held recently: copies of them lie beside the engine, so that they load about ten times as fast
 //! as from the weight store and take nothing from it.
 //!
-//! Sending them back there buys loads: 48 adapters in turn on four engines with five places each are fetched 48 times instead
-//! of 410 (`crates/gateway/tests/load.rs`), and answers earn 0.01 to 0.04 more of what they are worth at three deployments
-//! (three seeds of five heavy days each, with and without).
+//! Sending them back there buys loads from the weight store.
 
 use dahliastile_core::id::Server;
 use rustc_hash::FxHashMap;
 
 use super::key::Key;
 
-/// Adapters that are remembered of one engine at most: beyond any number that was seen to lie beside one (48).
+/// Adapters that are remembered of one engine at most.
 const REMEMBERED: usize = 128;
 
 /// The adapters that one engine held, by when each was last loaded or used there.
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -16,7 +16,7 @@
 use crate::fact::{Backend, Resident, Version};
 use crate::health::Health;
 
-/// Prompt tokens that an engine reads in a millisecond until some were measured: between the two deployments' figures.
+/// Prompt tokens that an engine reads in a millisecond until some were measured.
 const FIRST_RATE: f64 = 20.0;
 
 /// The weight of one measurement of that rate.
--- a/crates/gateway/src/scheduler/key.rs
+++ b/crates/gateway/src/scheduler/key.rs
@@ -11,8 +11,7 @@
 
 /// How long the version before may still be used where the newest is not loaded yet, from when the scheduler hears of it: a
 /// fifth of the five seconds within which a version is to be in force, the rest being for hearing of it and for queues.
-/// Versions that follow each other faster than an adapter loads would else leave no time in which any can be used: of 140
-/// requests for an adapter with a new version every 280 ms, 62 were served without it and 140 with it.
+/// Versions that follow each other faster than an adapter loads would else leave no time in which any can be used.
 const GRACE: Span = Span::from_millis(1_000);
 
 /// An adapter of a base model: a row of [`Keys`]. Rows are never taken away, so a reference stays good.
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -23,16 +23,14 @@
 /// The part of a load's time that an adapter takes that lies beside its engine: the engines' own figure.
 const BACK_PART: u64 = 10;
 
-/// What a load from the weight store costs besides its time, as a time: it takes from what all engines share. 200 and 800 ms
-/// earned 0.009 and 0.013 less of what answers are worth (four seeds of five heavy days).
+/// What a load from the weight store costs besides its time, as a time: it takes from what all engines share.
 const FETCH: Span = Span::from_millis(400);
 
 /// The time until an engine all of whose places are in use has room: eight places that are used for a second each.
 pub(crate) const ROOM_SOON: Span = Span::from_millis(120);
 
 /// How long after its arrival a request may wait for room at an engine beside which its adapter lies, though another engine
-/// has room. 300 ms would leave time for a load from the weight store within the objective, but room mostly comes sooner: with
-/// 600 ms answers earned 0.011 more of what they are worth (three seeds of five heavy days).
+/// has room. 300 ms would leave time for a load from the weight store within the objective, but room mostly comes sooner.
 const PATIENT: Span = Span::from_millis(600);
 
 /// The wait for an adapter's engines from which a further copy is worth a load: with it the first event still comes
--- a/crates/gateway/src/scheduler/prefix_cache.rs
+++ b/crates/gateway/src/scheduler/prefix_cache.rs
@@ -2,8 +2,7 @@
 //! the prompt are kept too. Nobody tells what is kept; this follows the engine's own rule, that the least recently used part
 //! yields, from what was given to it.
 //!
-//! It buys little: answers earn 0.010 more of what they are worth at one deployment, and as much as without at two others
-//! (three seeds of five heavy days each), where only 11 in 100 prompt tokens are read again though they were kept somewhere.
+//! It buys little where few prompts share more than their first part.
 
 use rustc_hash::FxHashMap;
 
--- a/crates/gateway/src/scheduler/reservations.rs
+++ b/crates/gateway/src/scheduler/reservations.rs
@@ -2,9 +2,8 @@
 //!
 //! An adapter for which a request waits makes room for no other, and an engine counts as busy with the prompts that wait for the
 //! adapters on their way to it. Without the first, adapters that were loaded for a request were taken away before it began, and
-//! loaded again: 892 loads from the weight store instead of 682 on a heavy day (478 adapters), 0.015 of what answers are
-//! worth. Without the second, adapters asked for together went to the same engine, which then read their prompts one after
-//! the other: 0.011 more (means of seven seeds of five heavy days each, at the longest prompts).
+//! loaded again. Without the second, adapters asked for together went to the same engine, which then read their prompts one after
+//! the other.
 
 use rustc_hash::FxHashMap;
 
--- a/crates/gateway/src/scheduler/run_interval.rs
+++ b/crates/gateway/src/scheduler/run_interval.rs
@@ -1,10 +1,8 @@
 //! How often the scheduler runs: as often as its VM can bear.
 //!
 //! What came in since the last run is decided together, so fewer runs decide as much, only later. A run that takes longer than the
-//! gap to the next one would follow each event that comes in meanwhile: a scheduler on half a core with 100 engines and 350
-//! requests that waited heard of a crash seconds late, its word came late too, and its peers took its seat from it by turns until
-//! the end of the day, long after the load had gone. With this and one look for room a run (`rooms`) a heavy day of 90 engines earned
-//! 0.64 to 0.67 of what its answers are worth in three runs, and 0.35 without both in one.
+//! gap to the next one would follow each event that comes in meanwhile: the scheduler would hear of crashes seconds late, its word would come late too, and its
+//! peers take its seat from it by turns, long after the load has gone.
 
 use dahliastile_core::time::{Instant, Span};
 
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -39,9 +39,8 @@
 }
 
 /// How soon after one loss of a seat the next one shows that this VM can't hold it: five leases. What passes by itself, such as an
-/// outage, ends its scheduling once. A VM with an eighth of a core at 60 engines lost its seat every 0.6 to 2 s, and took it again
-/// each time with a scheduler that knew nothing: half of the answers' worth on two heavy days (0.28 and 0.34, 0.53 where a strong
-/// VM held it).
+/// outage, ends its scheduling once. A VM that is too weak loses its seat every second or two, and would take it again each time with a scheduler
+/// that knows nothing.
 const AGAIN: Span = Span::from_secs(10);
 
 /// When this VM ceased to hold a seat.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,11 +39,11 @@
     }
 }
 
-/// The figures behind the decisions, each with where it comes from.
+/// The figures behind the decisions.
 #[derive(Clone, Debug)]
 pub struct Tuning {
-    /// How long the lease of this VM's own entry lives without a renewal: longer than any outage of the key-value service that
-    /// was seen (9 s), so that none ends it, and than three renewals that fail.
+    /// How long the lease of this VM's own entry lives without a renewal: longer than three renewals that fail, so that an outage of
+    /// seconds ends none.
     pub entry_lease: Span,
     /// The time between renewals of it: three fit into the lease. It is what an idle VM costs the service.
     pub entry_renew: Span,
@@ -52,8 +52,8 @@
     pub lease: Span,
     /// The time between renewals: four fit into a lease.
     pub renew: Span,
-    /// How long before the end of its lease a holder stops where servers don't check fencing numbers: the longest
-    /// time that an order has been seen on its way.
+    /// How long before the end of its lease a holder stops where servers don't check fencing numbers, for orders
+    /// that are on their way.
     pub lease_guard: Span,
     /// Whether servers refuse an order under an old fencing number.
     pub fencing: bool,
@@ -72,22 +72,17 @@
     /// How long an engine's report may take: less than the time after which it is asked for again, and twice that of an
     /// order, as a VM that has just taken its seat asks for all at once.
     pub report_timeout: Span,
-    /// Loads of adapters under way over all engines of a service, for each hundred engines: in the middle of what the
-    /// weight store gives at full speed at the deployments known (53, 67, 67 and 80). Beyond that each load takes
-    /// longer in proportion, and below it loads wait though they need not.
+    /// Loads of adapters under way over all engines of a service, for each hundred engines. Beyond what the weight
+    /// store gives at full speed each load takes longer in proportion, and below it loads wait though they need not.
     pub loads_per_hundred: usize,
     /// Adapters on their way to one server at most: a limit of the servers.
     pub loads_per_server: usize,
     /// Requests that the scheduler gives one engine at once. Fewer than the batch holds, since what waits at an
-    /// engine can't go elsewhere any more. With 16, 6 to 19 requests waited for room at engines that held their adapter on heavy
-    /// days of the deployment with the longest prompts; 24 instead earned 0.005 to 0.015 more of what its answers are worth
-    /// (three seeds of five days), 32 no more than 24.
+    /// engine can't go elsewhere any more.
     pub running_per_engine: u32,
     /// Prompt work that the scheduler gives one engine at once, the new request's included; a longer prompt goes to an engine that
     /// reads nothing. Prompts that follow each other without a gap hold up the streams of their engine, each step of which
-    /// reads a piece of them (deployments allow pauses of 400 and 500 ms), and what waits at an engine can't go elsewhere. 100 ms
-    /// instead of 250 earned 0.067, 0.048 and 0.000 more of what answers are worth at three deployments (five and seven seeds of
-    /// five heavy days); 140 ms 0.058, 0.045 and 0.004, 60 ms 0.066, 0.051 and -0.003.
+    /// reads a piece of them, and what waits at an engine can't go elsewhere.
     pub backlog: Span,
     /// The share of a service's requests that may be sent a second time, over all VMs.
     pub retry_ratio: f64,
