Tokens that were drawn for a caller who left serve the next requests at its VM

Found in reading: an answer to a draw whose caller had left was taken, and its tokens were lost to the account until they came in anew. Mend: they go into the VM's share, as those of a request that did not run. Test: caller_leavingcostsnotokens, failed before (1 of 2 served). The tests of limits play their loads through one function now.

--- a/crates/gateway/src/account/quota.rs
+++ b/crates/gateway/src/account/quota.rs
@@ -86,6 +86,8 @@
 struct Waiting {
     /// The request.
     request: RequestId,
+    /// What was drawn.
+    tokens: Tokens,
     /// The VM that was asked.
     to: Vm,
     /// Until when its answer is waited for.
--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -108,6 +108,7 @@
         };
         let waiting = Waiting {
             request,
+            tokens,
             to: to.clone(),
             until,
             tries,
@@ -183,13 +184,21 @@
         let Some((share, terms)) = self.share(&grant.account) else {
             return;
         };
-        let Some(Waiting { request, .. }) = share.waiting.remove(&grant.number) else {
+        let Some(waiting) = share.waiting.remove(&grant.number) else {
             return;
         };
+        let Waiting {
+            request, tokens, ..
+        } = waiting;
         match grant.answer {
             Ok(more) => {
                 share.bucket.put(more, terms.most);
-                self.charged(request, out);
+                // The caller may have left meanwhile.
+                if self.flows.contains_key(&request) {
+                    self.charged(request, out);
+                } else if let Some((share, terms)) = self.share(&grant.account) {
+                    share.bucket.put(tokens, terms.most.max(tokens.as_f64()));
+                }
             }
             Err(after) => {
                 share.closed = (now + CLOSED.min(after), now + after);
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -148,6 +148,16 @@
         }
     }
 
+    /// Has all callers send for a while, and checks all. Gives the part in a hundred that was refused of what was within its limit.
+    fn play(&mut self, span: Span) -> f64 {
+        let begin = self.world.now;
+        self.run(span);
+        let end = self.world.now;
+        self.world.run(Span::from_secs(1));
+        self.check();
+        self.refused(false, begin, end)
+    }
+
     /// Messages on tokens so far.
     fn messages(&self) -> u64 {
         let kinds = ["draw", "grant", "collect", "deposit"];
@@ -180,12 +190,7 @@
 fn quiet_nothingisrefused() {
     for (vms, seed) in [(6, 1), (70, 2), (70, 3), (300, 4)] {
         let mut load = Load::new(vms, seed);
-        let begin = load.world.now;
-        load.run(Span::from_secs(12));
-        let end = load.world.now;
-        load.world.run(Span::from_secs(1));
-        load.check();
-        let refused = load.refused(false, begin, end);
+        let refused = load.play(Span::from_secs(12));
         assert!(refused < 0.3, "{vms} VMs: {refused} in a hundred");
     }
 }
@@ -198,11 +203,8 @@
         load.run(Span::from_secs(4));
         let begin = load.world.now;
         load.flood(&[0, 8, 10]);
-        load.run(Span::from_secs(10));
-        let end = load.world.now;
-        load.world.run(Span::from_secs(1));
-        load.check();
-        let refused = load.refused(false, begin, end);
+        let refused = load.play(Span::from_secs(10));
+        let end = begin + Span::from_secs(10);
         assert!(refused < 1.0, "{vms} VMs: {refused} in a hundred");
         for at in [8, 10] {
             let got = load.got(at, begin, end);
@@ -295,13 +297,8 @@
     for account in [0, 8, 10] {
         let mut load = Load::new(70, 9);
         load.run(Span::from_secs(4));
-        let begin = load.world.now;
         load.callers[account].vms = vec![60];
-        load.run(Span::from_secs(8));
-        let end = load.world.now;
-        load.world.run(Span::from_secs(1));
-        load.check();
-        let refused = load.refused(false, begin, end);
+        let refused = load.play(Span::from_secs(8));
         assert!(refused < 1.0, "account {account}: {refused} in a hundred");
     }
 }
@@ -389,3 +386,23 @@
         load.world.check();
     }
 }
+
+/// Callers leave while they wait for tokens: what was drawn for them serves the next requests at their VMs.
+#[test]
+fn caller_leavingcostsnotokens() {
+    let mut load = Load::new(6, 12);
+    for vm in 0..2 {
+        let number = load.world.ask(vm, call(&format!("left-{vm}"), "a0"));
+        load.world.leave(number);
+        load.world.run(Span::from_millis(20));
+    }
+    let before = load.messages();
+    for vm in 0..2 {
+        load.world.ask(vm, call(&format!("a0-{vm}"), "a0"));
+    }
+    load.world.run(Span::from_secs(1));
+    load.check();
+    let all = shares(&load.world, Instant::default(), load.world.now);
+    assert_eq!(all["a0"], (2, 2));
+    assert_eq!(load.messages(), before);
+}
