--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -309,6 +309,15 @@
     }
 }
 
+/// The same with client accounts, each with the keys that it holds, which count requests, any number of them.
+pub(crate) fn config_with(version: u64, accounts: &[(&str, &[&str])]) -> Value {
+    let mut config = config(version);
+    let accounts = accounts.iter();
+    let accounts = accounts.map(|(name, keys)| json!({"name": name, "apiKeys": keys}));
+    config["tenants"] = accounts.collect();
+    config
+}
+
 /// A configuration with a route of each kind.
 pub(crate) fn config(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u64, resumable: bool| {
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -26,6 +26,10 @@
 /// Adapters that are asked for: more than the engines hold.
 const ADAPTERS: u64 = 6;
 
+/// The accounts of callers, each with its key.
+pub(crate) const ACCOUNTS: [(&str, &[&str]); 2] =
+    [("north", &["soaknorthkey1"]), ("south", &["soaksouthkey2"])];
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -87,6 +91,8 @@
     pub(crate) id: String,
     /// Its kind.
     pub(crate) kind: Kind,
+    /// The account whose key it bears.
+    pub(crate) account: &'static str,
     /// The position of its VM.
     pub(crate) vm: usize,
     /// The model that it names.
@@ -176,14 +182,17 @@
         kept: &mut Option<BufReader<TcpStream>>,
         leaves: bool,
     ) -> Asked {
-        let id = format!("r{}", self.ids.fetch_add(1, Ordering::Relaxed));
+        let number = self.ids.fetch_add(1, Ordering::Relaxed);
+        let id = format!("r{number}");
+        // Requests that follow each other on a connection differ in their keys.
+        let (account, keys) = ACCOUNTS[usize::from(number.is_multiple_of(2))];
         let model = kind.streams().then(|| format!("base/a{adapter}"));
         let sent = Instant::now();
         let connection = kept.take().or_else(|| open(self.vms[vm]));
         let mut answer = Answer::default();
         if let Some(mut stream) = connection {
-            let deadline = format!("Deadline-Ms: {DEADLINE_MS}\r\n");
-            let text = request_with(&id, kind.path(), model.as_deref(), &deadline);
+            let headers = format!("Deadline-Ms: {DEADLINE_MS}\r\nX-Api-Key: {}\r\n", keys[0]);
+            let text = request_with(&id, kind.path(), model.as_deref(), &headers);
             // A connection that takes nothing shows as one without an answer.
             let _ = stream.get_mut().write_all(text.as_bytes());
             if leaves {
@@ -195,6 +204,7 @@
         let asked = Asked {
             id,
             kind,
+            account,
             vm,
             model,
             sent,
--- a/crates/daemon/tests/soak/calm.rs
+++ b/crates/daemon/tests/soak/calm.rs
@@ -3,8 +3,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::callers::{Callers, Kind};
-use crate::fleet::config;
+use crate::callers::{ACCOUNTS, Callers, Kind};
+use crate::fleet::{config_with, request_with};
 use crate::stage::Stage;
 
 /// Within what a configuration is in force everywhere, as the users want it, and some for a busy machine.
@@ -23,6 +23,7 @@
     stage.settle();
     served(stage, callers);
     in_force(stage);
+    taken_away(stage);
     left(stage);
 }
 
@@ -47,7 +48,7 @@
 /// What is configured is in force on each VM: a route that was not there before.
 fn in_force(stage: &mut Stage) {
     stage.version += 1;
-    let mut changed = config(stage.version);
+    let mut changed = config_with(stage.version, &ACCOUNTS);
     let mut route = changed["routes"][0].clone();
     route["name"] = "late".into();
     route["prefix"] = "/late/".into();
@@ -69,6 +70,27 @@
     }
 }
 
+/// A key that is taken away is refused on each VM.
+fn taken_away(stage: &mut Stage) {
+    stage.version += 1;
+    let [(north, keys), (_, gone)] = ACCOUNTS;
+    let fewer = config_with(stage.version, &[(north, keys)]);
+    stage.fleet.store.put("op/config", &fewer);
+    let until = Instant::now() + IN_FORCE;
+    let headers = format!("X-Api-Key: {}\r\nConnection: close\r\n", gone[0]);
+    let request = request_with("gone", "/query/x", None, &headers);
+    for at in 0..stage.fleet.vms.len() {
+        let refused = |stage: &Stage| stage.fleet.vms[at].raw(&request).status == 401;
+        while !refused(stage) && Instant::now() < until {
+            thread::sleep(PAUSE);
+        }
+        if !refused(stage) {
+            let fault = format!("vm{} takes a key that is gone", at + 1);
+            stage.faults.push(fault);
+        }
+    }
+}
+
 /// A server that says that it is leaving gets no new work.
 fn left(stage: &mut Stage) {
     let last = stage.server_ways.len() - 1;
--- a/crates/daemon/tests/soak/promises.rs
+++ b/crates/daemon/tests/soak/promises.rs
@@ -6,7 +6,7 @@
 
 use dahliastile_standin::fleet::{Replica, Run};
 
-use crate::callers::{Answer, Asked, Kind};
+use crate::callers::{ACCOUNTS, Answer, Asked, Kind};
 use crate::stage::Stage;
 
 /// Events of a stream of the stand-ins.
@@ -27,6 +27,7 @@
             not_run(request, ran),
             right(request, ran),
             model(request, ran),
+            account(request, ran),
             uninterrupted(stage, request),
         ];
         let told = faults.into_iter().flatten();
@@ -92,6 +93,21 @@
     (!ran.iter().all(|(_, run)| same(run))).then_some("it ran on another adapter")
 }
 
+/// It runs for the account whose key it bears, and the key is not passed on.
+fn account(request: &Asked, ran: &[(String, Run)]) -> Option<&'static str> {
+    let of =
+        |run: &Run| run.asked.headers.get("tenant").map(String::as_str) == Some(request.account);
+    let mut runs = ran.iter().map(|(_, run)| run);
+    let told = runs
+        .clone()
+        .any(|run| run.asked.headers.contains_key("x-api-key"));
+    match runs.all(of) {
+        _ if told => Some("its key was passed on"),
+        true => None,
+        false => Some("it ran for another account"),
+    }
+}
+
 /// What runs on a VM that is told to end gets its answer, unless something else cut it.
 fn uninterrupted(stage: &Stage, request: &Asked) -> Option<&'static str> {
     let meets = |at: Instant| request.sent < at && at < request.ended;
@@ -110,7 +126,7 @@
     answer.status != 0 && answer.whole
 }
 
-/// No VM panics, and none goes back to an older configuration between a start and its end.
+/// No VM panics or writes a key, and none goes back to an older configuration between a start and its end.
 fn logged(logs: &Path) -> Vec<String> {
     let mut broken = Vec::new();
     let Ok(files) = std::fs::read_dir(logs) else {
@@ -122,6 +138,10 @@
         if let Some(line) = text.lines().find(|line| line.contains("panicked")) {
             broken.push(format!("{name}: {line}"));
         }
+        let mut keys = ACCOUNTS.iter().flat_map(|(_, keys)| keys.iter());
+        if keys.any(|key| text.contains(key)) {
+            broken.push(format!("{name}: it holds a key"));
+        }
         let mut last = 0;
         for line in text.lines() {
             if line.contains("Started") {
--- a/crates/daemon/tests/soak/stage.rs
+++ b/crates/daemon/tests/soak/stage.rs
@@ -6,8 +6,8 @@
 
 use dahliastile_standin::fleet::Replica;
 
-use crate::callers::Callers;
-use crate::fleet::{Fleet, config, settings_text, until};
+use crate::callers::{ACCOUNTS, Callers};
+use crate::fleet::{Fleet, config_with, settings_text, until};
 use crate::proxy::Proxy;
 
 /// The first host number of the proxies of servers, and of those between a VM and the key-value service.
@@ -88,7 +88,10 @@
             stage.server_ways.push(Proxy::start(from, to));
         }
         (0..targets.len()).for_each(|server| stage.list(server, "ready"));
-        stage.fleet.store.put("op/config", &config(1));
+        stage
+            .fleet
+            .store
+            .put("op/config", &config_with(1, &ACCOUNTS));
         for number in 1..=vms {
             let way = stage.fleet.address(STORE_WAYS + number, 8142);
             let store = stage.fleet.address(250, 8142);
--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::fleet::config;
+use crate::callers::ACCOUNTS;
+use crate::fleet::config_with;
 use crate::proxy::Mode;
 use crate::stage::Stage;
 
@@ -116,7 +117,10 @@
             Self::Leave(server) => stage.list(server, "draining"),
             Self::Configure => {
                 stage.version += 1;
-                stage.fleet.store.put("op/config", &config(stage.version));
+                stage
+                    .fleet
+                    .store
+                    .put("op/config", &config_with(stage.version, &ACCOUNTS));
             }
         }
     }
