A silent holder is no candidate for its own seat

So a killed holder was replaced 0.9 s after its last word, where a broken link had shown it at once. Mend: the silent holder does not count. Test: holder_killedisreplacedatonce, failed before.

--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -203,24 +203,23 @@
     /// was counted from before that took the seat in the moment in which the strongest were allowed to look at it.
     fn turn(&self, service: &Service) -> Turn {
         let mine = self.rank(service, &self.settings.vm);
-        let before = self.peers().filter(|vm| self.rank(service, vm) < mine);
+        let silent = self.silent_holder(service);
+        let others = self.peers().filter(|vm| Some(*vm) != silent);
+        let before = others.filter(|vm| self.rank(service, vm) < mine);
         let before = before.count() as u64;
-        let from = self.now.max(self.rested(service));
-        let from = if before > 0 {
-            from.max(self.noticed_by_all(service))
-        } else {
-            from
-        };
+        let mut from = self.now.max(self.rested(service));
+        if silent.is_some() && before > 0 {
+            // Some see its link break, the others only that its word does not come, and the turns of those before this VM begin then.
+            from = from.max(self.holder_heard(service) + SILENCE);
+        }
         Turn::Take(from + CANDIDATE_GAP.times(before))
     }
 
-    /// When all VMs have noticed that a holder is silent whose key is still there: some see its link break, the others only that its
-    /// word does not come, and the turns of those before this VM begin then.
-    fn noticed_by_all(&self, service: &Service) -> Instant {
-        match self.vacancy_for_any(service) {
-            Vacancy::Silent => self.holder_heard(service) + SILENCE,
-            _ => Instant::default(),
-        }
+    /// The holder whose key is still there, but whose word does not come.
+    fn silent_holder(&self, service: &Service) -> Option<&Vm> {
+        let silent = self.vacancy_for_any(service) == Vacancy::Silent;
+        let agent = self.agents.get(service).filter(|_| silent)?;
+        agent.holder.as_ref()
     }
 
     fn rank(&self, service: &Service, vm: &Vm) -> (Reverse<u32>, u64) {
--- a/crates/gateway/tests/strong.rs
+++ b/crates/gateway/tests/strong.rs
@@ -60,3 +60,25 @@
     assert!(holder < STRONG, "vm{holder} holds");
     world.check();
 }
+
+/// The strongest VMs see by their links that the holder is gone, before its silence is long enough for all: the first of them does not
+/// wait for the holder's own turn.
+#[test]
+fn holder_killedisreplacedatonce() {
+    let mut world = fleet();
+    let old = world.holder().expect("a holder");
+    let strong: Vec<usize> = (0..STRONG).filter(|vm| *vm != old).collect();
+    let ask = |world: &mut World, at: usize| {
+        for vm in &strong {
+            let call = support::setup::draft(&format!("r{at}"), "a1");
+            world.ask(*vm, call);
+        }
+        world.run(Span::from_millis(20));
+    };
+    (0..50).for_each(|at| ask(&mut world, at));
+    world.kill(old, true);
+    (50..70).for_each(|at| ask(&mut world, at));
+    let new = world.holder().expect("a holder");
+    assert!(strong.contains(&new), "vm{new} holds");
+    world.check();
+}
