--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -381,6 +381,7 @@
     pub(crate) fn state_for(&self, service: &Service) -> (Vec<Running>, Vec<Want>) {
         let mut running = Vec::new();
         let mut wants = Vec::new();
+        // What waits for tokens of its account wants no place yet.
         let asked = |f: &crate::flow::Flow| f.service == *service && f.state != Flow::Charging;
         for (request, flow) in self.flows.iter().filter(|(_, flow)| asked(flow)) {
             match (flow.server(), &flow.call.work) {
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -79,6 +79,35 @@
 }
 
 impl Flow {
+    fn new(
+        call: Call,
+        account: Option<Arc<Account>>,
+        route: Arc<Route>,
+        service: Service,
+        came: Instant,
+    ) -> Self {
+        let cost = account.as_ref().map(|account| account.cost(call.tokens));
+        let priority = account.as_ref().and_then(|account| account.priority);
+        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+        Self {
+            call,
+            account,
+            cost: cost.unwrap_or_default(),
+            charged: false,
+            priority: priority.unwrap_or(route.priority),
+            route,
+            service,
+            arrived: came,
+            ends: came + patience,
+            state: State::Waiting,
+            sent: came,
+            sends: 0,
+            ran: 0,
+            first: None,
+            failed: Vec::new(),
+        }
+    }
+
     /// What the scheduler is asked; none for a request of a plain service.
     pub(crate) fn want(&self, request: RequestId, zone: &Zone, now: Instant) -> Option<Want> {
         Some(Want {
@@ -121,16 +150,7 @@
         out: &mut Effects,
     ) {
         let Some(route) = self.index.find(&call.host, &call.path).cloned() else {
-            let version = self.version();
-            Self::log(
-                out,
-                Code::Refused,
-                format!(
-                    "id={} why=no_route config={version} host={} path={}",
-                    call.id, call.host, call.path
-                ),
-            );
-            out.push(refusal(request, Reason::NoRoute, None));
+            self.refuse_unrouted(request, &call, out);
             return;
         };
         let account = match self.identify(&route, &call) {
@@ -140,32 +160,12 @@
                 return;
             }
         };
-        let cost = account.as_ref().map(|account| account.cost(call.tokens));
-        let priority = account.as_ref().and_then(|account| account.priority);
         let service = self.target(&route.targets);
-        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
-        let ends = came + patience;
-        self.timers.set(ends, Timer::Flow(request));
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.request(self.now, self.settings.tuning.retry_window);
-        let flow = Flow {
-            call,
-            account,
-            cost: cost.unwrap_or_default(),
-            charged: false,
-            priority: priority.unwrap_or(route.priority),
-            route,
-            service,
-            arrived: came,
-            ends,
-            state: State::Waiting,
-            sent: came,
-            sends: 0,
-            ran: 0,
-            first: None,
-            failed: Vec::new(),
-        };
+        let flow = Flow::new(call, account, route, service, came);
         let fingerprint = flow.call.fingerprint;
+        self.timers.set(flow.ends, Timer::Flow(request));
         self.flows.insert(request, flow);
         match self.quarantine.left(fingerprint, self.now) {
             Some(left) => self.give_up(request, Some(left), Why::Quarantined, out),
@@ -173,6 +173,17 @@
         }
     }
 
+    /// Refuses a request that no route fits.
+    fn refuse_unrouted(&self, request: RequestId, call: &Call, out: &mut Effects) {
+        let version = self.version();
+        let detail = format!(
+            "id={} why=no_route config={version} host={} path={}",
+            call.id, call.host, call.path
+        );
+        Self::log(out, Code::Refused, detail);
+        out.push(refusal(request, Reason::NoRoute, None));
+    }
+
     /// Looks for a server for a request that has none.
     pub(crate) fn seek(&mut self, request: RequestId, out: &mut Effects) {
         let Some(flow) = self.flows.get_mut(&request) else {
