A strained scheduler leaves its seat to a much stronger VM that is back

Log: front-dordrecht-14, an eighth of a core, got the seat while strong VMs could not, and schedules 140 engines from then on; from 21 s on even its line of state does not get through.

Mend: a scheduler whose runs take so long that they come as seldom as they may, and that has run for five seconds, is left to a VM of twice its VM's strength that was heard in the last two. It costs a takeover. Test: strong_backgetstheseat, failed before.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -119,6 +119,12 @@
         self.rows.get(vm).map(|row| &row.zone)
     }
 
+    /// Whether a VM was heard since a time, and its link has not failed since.
+    pub(crate) fn is_heard(&self, vm: &Vm, since: Instant) -> bool {
+        let row = self.rows.get(vm);
+        row.is_some_and(|row| row.heard >= since && row.down.is_none())
+    }
+
     /// Whether this VM's link to another one has failed since that one was last heard.
     pub(crate) fn is_down(&self, vm: &Vm) -> bool {
         self.rows.get(vm).is_some_and(|row| row.down.is_some())
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -87,6 +87,8 @@
 pub struct Scheduler {
     /// What its engines hold.
     pub(crate) shape: Shape,
+    /// When it began.
+    began: Instant,
     /// The fencing number of its orders.
     fence: u64,
     /// What this VM was told.
@@ -145,6 +147,7 @@
             beside: Beside::default(),
             remembering: Remembering::default(),
             shape,
+            began: now,
             fence,
             engines: BTreeMap::new(),
             jobs: Jobs::default(),
@@ -186,6 +189,18 @@
         self.pace.took(span);
     }
 
+    /// When it began.
+    #[must_use]
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
+    /// Whether its VM is too weak for it.
+    #[must_use]
+    pub fn is_strained(&self) -> bool {
+        self.pace.is_strained()
+    }
+
     /// An engine is listed, or describes itself anew.
     pub fn server(&mut self, server: &Server, backend: &Arc<Backend>) {
         self.dirty = true;
--- a/crates/gateway/src/scheduler/run_interval.rs
+++ b/crates/gateway/src/scheduler/run_interval.rs
@@ -44,6 +44,11 @@
         self.length = span.max(eased);
     }
 
+    /// Whether runs take so long that they come no more often than the longest time between two of them allows.
+    pub(crate) fn is_strained(&self) -> bool {
+        self.length.times(LENGTHS) >= LONGEST
+    }
+
     /// When the next run may begin at the soonest, whatever is due.
     pub(crate) fn soonest(&self) -> Instant {
         let pause = self.length.times(LENGTHS).min(LONGEST);
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -177,6 +177,7 @@
         self.watch_holders(out);
         self.ask_pledges(out);
         self.stop_in_time(out);
+        self.leave_to_stronger(out);
         self.keep_lease(out);
         if self.awaits_no_turn() {
             self.seats_changed(out);
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -18,6 +18,15 @@
 /// of the key-value service.
 const CANDIDATE_GAP: Span = Span::from_millis(120);
 
+/// How long a VM holds a seat before it leaves it to a stronger one: a new scheduler asks all engines for reports first.
+const TRIED: Span = Span::from_secs(5);
+
+/// How many times stronger that one is.
+const MUCH: u32 = 2;
+
+/// How long ago it was heard at most.
+const HEARD: Span = Span::from_secs(2);
+
 /// A VM's turn for a seat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Turn {
@@ -173,6 +182,30 @@
         self.peers().any(|vm| self.strength(vm) > mine)
     }
 
+    /// Leaves seats that are too much for this VM, where one that is much stronger is heard: it took them while that one was away, and
+    /// would fall further behind with each request.
+    pub(crate) fn leave_to_stronger(&mut self, out: &mut Effects) {
+        let strained = self.schedulers.iter();
+        let strained = strained.filter(|(_, scheduler)| {
+            scheduler.is_strained() && self.now.since(scheduler.began()) >= TRIED
+        });
+        let strained: Vec<Service> = strained.map(|(service, _)| service.clone()).collect();
+        if strained.is_empty() || !self.is_much_stronger_heard() {
+            return;
+        }
+        for service in strained {
+            self.seat_lost(&service, out);
+            self.give_seat_up(&service, out);
+        }
+    }
+
+    fn is_much_stronger_heard(&self) -> bool {
+        let enough = self.strength(&self.settings.vm).saturating_mul(MUCH);
+        let since = self.now.back(HEARD);
+        let mut peers = self.peers();
+        peers.any(|vm| self.strength(vm) >= enough && self.membership.is_heard(vm, since))
+    }
+
     /// Tries to take the seats whose turn has come.
     pub(crate) fn take_seats(&mut self, out: &mut Effects) {
         let turns = self.seats.turns.iter();
--- a/crates/gateway/tests/strong.rs
+++ b/crates/gateway/tests/strong.rs
@@ -82,3 +82,26 @@
     assert!(strong.contains(&new), "vm{new} holds");
     world.check();
 }
+
+/// All strong VMs are away when the seat becomes free, and come back. The weak VM that has it falls behind, as each run takes it a
+/// fiftieth of a second, and leaves it to a strong one.
+#[test]
+fn strong_backgetstheseat() {
+    let mut world = fleet();
+    for host in &mut world.hosts[STRONG..] {
+        host.work = (Span(200), Span::from_millis(20));
+    }
+    for vm in 0..STRONG {
+        world.kill(vm, true);
+    }
+    world.quiet_night(Span::from_secs(10));
+    let weak = world.holder().expect("a holder");
+    assert!(weak >= STRONG, "vm{weak} holds");
+    for vm in 0..STRONG {
+        world.kill(vm, false);
+    }
+    world.quiet_night(Span::from_secs(10));
+    let holder = world.holder().expect("a holder");
+    assert!(holder < STRONG, "vm{holder} holds");
+    world.check();
+}
