Tokens of what did not run come back, through one function

Found in reading: two places put unused tokens into a VM's share, with bounds that differed. A request that did not run had its tokens bounded by its own cost, so they were lost where the share held more; the answer for a caller who had left was bounded by the share. Mend: both call give_back, bounded by what the share holds, or by the request where that is more. Test: tokens_ofwhatdidnotrunareback, failed before (530 messages to the pool where none is needed).

--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -82,9 +82,17 @@
             return;
         };
         let charged = std::mem::take(&mut flow.charged);
-        let account = flow.account.as_ref().filter(|_| charged);
-        if let Some(share) = account.and_then(|a| self.quota.shares.get_mut(&a.name)) {
-            share.bucket.put(flow.cost, flow.cost.as_f64());
+        let (cost, account) = (flow.cost, flow.account.clone());
+        if let Some(account) = account.filter(|_| charged) {
+            self.give_back(&account.name, cost);
+        }
+    }
+
+    /// Puts tokens that were not used into this VM's share, one request's even where it holds less.
+    fn give_back(&mut self, account: &Tenant, tokens: Tokens) {
+        if let Some((share, terms)) = self.share(account) {
+            let most = terms.most.max(tokens.as_f64());
+            share.bucket.put(tokens, most);
         }
     }
 
@@ -196,8 +204,8 @@
                 // The caller may have left meanwhile.
                 if self.flows.contains_key(&request) {
                     self.charged(request, out);
-                } else if let Some((share, terms)) = self.share(&grant.account) {
-                    share.bucket.put(tokens, terms.most.max(tokens.as_f64()));
+                } else {
+                    self.give_back(&grant.account, tokens);
                 }
             }
             Err(after) => {
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -406,3 +406,30 @@
     assert_eq!(all["a0"], (2, 2));
     assert_eq!(load.messages(), before);
 }
+
+/// Requests whose servers can't be reached don't run: each gives all its tokens back, also where its VM's share holds more than that.
+#[test]
+fn tokens_ofwhatdidnotrunareback() {
+    let mut load = Load::new(6, 13);
+    let before = load.messages();
+    let ask = |load: &mut Load, times: usize| {
+        for at in 0..times {
+            load.world.ask(at % 6, call(&format!("a10-{at}"), "a10"));
+        }
+        load.world.run(Span::from_millis(20));
+    };
+    let reach = |load: &mut Load, up: bool| {
+        for (server, _) in load.world.servers.values_mut() {
+            server.up = up;
+        }
+    };
+    reach(&mut load, false);
+    for _ in 0..6 {
+        ask(&mut load, 60);
+    }
+    reach(&mut load, true);
+    ask(&mut load, 60);
+    load.world.run(Span::from_secs(1));
+    load.check();
+    assert_eq!(load.messages(), before);
+}
