VMs that are passed by, and the age of the key-value service's word, stand once

Found in reading: the limits of accounts kept a list of VMs that did not answer, with the same three loops as following the key-value service; and the age that VMs tell each other was worked out a second time where keys are judged. Change: passed_by::List serves both, and word_age is the follower's. No behaviour.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -155,11 +155,6 @@
         }
     }
 
-    /// How long ago the key-value service last answered this VM, or one that told it so.
-    fn word_age(&self) -> Span {
-        self.now.since(self.follow.answered)
-    }
-
     /// Refuses a request that bears no key of an account.
     pub(crate) fn refuse_unidentified(
         &self,
--- a/crates/gateway/src/account/quota.rs
+++ b/crates/gateway/src/account/quota.rs
@@ -27,6 +27,7 @@
 use crate::effect::Effects;
 use crate::event::RequestId;
 use crate::node::Gateway;
+use crate::passed_by;
 use crate::settings::Tuning;
 
 /// The part of what may be used at once that a pool holds at most. Two pools, as while VMs disagree on who keeps it, and all shares
@@ -120,8 +121,8 @@
     shares: BTreeMap<Tenant, Share>,
     /// What it lends to others.
     pools: Pools,
-    /// VMs that did not answer, and until when each is passed by.
-    passed: Vec<(Vm, Instant)>,
+    /// VMs that kept the pool and did not answer.
+    passed: passed_by::List,
     /// The number of VMs, and when it was found.
     fleet: Option<(usize, Instant)>,
     /// When this VM started.
--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -133,10 +133,7 @@
     /// The VM that keeps the pool, as this one sees it: a strong one that is there and schedules nothing.
     fn pool_keeper(&self) -> Vm {
         let now = self.now;
-        let passed = |vm: &Vm| {
-            let mut passed = self.quota.passed.iter();
-            passed.any(|(other, until)| other == vm && now < *until)
-        };
+        let passed = |vm: &Vm| self.quota.passed.contains(vm, now);
         let schedules = |vm: &Vm| self.agents.values().any(|a| a.holder.as_ref() == Some(vm));
         let me = &self.settings.vm;
         let peers = self.peers();
@@ -251,12 +248,10 @@
     /// A VM that kept the pool did not answer.
     fn pass_keeper_by(&mut self, account: &Tenant, vm: &Vm, out: &mut Effects) {
         let now = self.now;
-        self.quota.passed.retain(|(_, until)| *until > now);
-        let known = self.quota.passed.iter().any(|(other, _)| other == vm);
-        if !known && *vm != self.settings.vm {
+        if !self.quota.passed.contains(vm, now) && *vm != self.settings.vm {
             let detail = format!("vm={vm} account={account}");
             Self::log(out, Code::PoolSilent, detail);
-            self.quota.passed.push((vm.clone(), now + PASSED_BY));
+            self.quota.passed.add(vm.clone(), now, now + PASSED_BY);
         }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,7 @@
 use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::passed_by;
 use crate::timer::Timer;
 
 /// The pause between two watches, in which changes gather: servers rewrite their entries about once a second each, and each
@@ -80,7 +81,7 @@
     /// When the key-value service last answered it, by its own word.
     pub(crate) vouched: Instant,
     /// Those that were silent or could not reach the key-value service, and until when each is not followed again.
-    pub(crate) passed: Vec<(Vm, Instant)>,
+    pub(crate) passed: passed_by::List,
     /// Until when this VM watches by itself whatever its turn.
     pub(crate) alone: Instant,
     /// When the VM that is followed, or peers, are asked next.
@@ -139,6 +140,11 @@
         self.follow.away.is_some() || back.is_some_and(|at| self.now.since(at) < grace)
     }
 
+    /// How long ago the key-value service last answered this VM, or one that told it so.
+    pub(crate) fn word_age(&self) -> Span {
+        self.now.since(self.follow.answered)
+    }
+
     /// Goes on: watches, or follows a VM that does.
     fn watch(&mut self, out: &mut Effects) {
         let leader = self.leader().filter(|_| self.follow.cursor.is_some());
@@ -169,21 +175,18 @@
 
     /// Whether a VM was silent a moment ago.
     fn is_passed(&self, vm: &Vm) -> bool {
-        let mut passed = self.follow.passed.iter();
-        passed.any(|(other, until)| other == vm && self.now < *until)
+        self.follow.passed.contains(vm, self.now)
     }
 
     /// Whether any VM was.
     fn passes_by(&self) -> bool {
-        let mut passed = self.follow.passed.iter();
-        passed.any(|(_, until)| self.now < *until)
+        !self.follow.passed.is_empty(self.now)
     }
 
     /// Passes a VM by for a while.
     fn pass_by(&mut self, vm: Vm) {
-        let now = self.now;
-        self.follow.passed.retain(|(_, until)| *until > now);
-        self.follow.passed.push((vm, now + ALONE));
+        let until = self.now + ALONE;
+        self.follow.passed.add(vm, self.now, until);
     }
 
     /// The VM that this one follows: the one that tells its availability zone, or, where that is this one, one of those that watch for
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`fingerprint`]: by what a request that comes again is known.
 //! * `flow`: the life of one caller's request on this VM, from arrival to its one final answer.
 //! * `early`: requests that come before the first configuration is known.
+//! * `passed_by`: VMs that did not do what was asked of them, and are not asked again for a while.
 //! * `plain`: which server a request of a plain service goes to.
 //! * `agent`: asks the scheduler of an engine service for a place, and goes on without one.
 //! * [`scheduler`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
@@ -46,6 +47,7 @@
 mod membership;
 pub mod message;
 mod node;
+mod passed_by;
 mod plain;
 mod pledge;
 pub mod quarantine;
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -126,7 +126,7 @@
         Replication {
             since,
             until,
-            age: self.now.since(self.follow.answered),
+            age: self.word_age(),
             recovering: self.recovering(),
             changes,
         }
