--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -156,6 +156,8 @@
     OrderAnswered = 426 Debug "Nothing.";
     /// What the scheduler of a service's engines sees, once a second.
     SchedulerState = 427 Info "Nothing.";
+    /// A backend server says something new of itself in its answers: the requests a second that it takes from all VMs.
+    ServerNotice = 428 Info "If it lasts, look why that server is in need.";
     /// A request was given a place at an engine.
     Placed = 510 Debug "Nothing.";
     /// The scheduler refused a request that can't be served in time.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -13,6 +13,7 @@
 use crate::fact::{Base, Change, Revision};
 use crate::fingerprint::Fingerprint;
 use crate::message::Message;
+use crate::notice::Notice;
 use crate::settings::Tuning;
 
 /// The number of a request on this VM, never used twice by one start.
@@ -196,6 +197,8 @@
     Failed(RequestId, Ran, Cause),
     /// An order came back.
     Ordered(OrderId, Ordered),
+    /// An answer says something of its server, or says no more what an earlier one did.
+    Noticed(Server, Notice),
     /// A server's report, or none where it gave none.
     Reported(Server, Option<Report>),
     /// A server was asked whether it takes connections.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -220,6 +220,7 @@
     }
 
     fn lose_server(&mut self, server: &Server, out: &mut Effects) {
+        self.notices.forget(server);
         if let Some(row) = self.servers.remove(server) {
             Self::log(out, Code::ServerGone, format!("server={server}"));
             // The end of one that was leaving is its own.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`fingerprint`]: by what a request that comes again is known.
 //! * `flow`: the life of one caller's request on this VM, from arrival to its one final answer.
 //! * `early`: requests that come before the first configuration is known.
+//! * [`notice`]: what servers say of themselves in their answers.
 //! * `passed_by`: VMs that did not do what was asked of them, and are not asked again for a while.
 //! * `plain`: which server a request of a plain service goes to.
 //! * `agent`: asks the scheduler of an engine service for a place, and goes on without one.
@@ -47,6 +48,7 @@
 mod membership;
 pub mod message;
 mod node;
+pub mod notice;
 mod passed_by;
 mod plain;
 mod pledge;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,6 +27,7 @@
 use crate::mechanism::Mechanism;
 use crate::membership::Membership;
 use crate::message::Message;
+use crate::notice;
 use crate::plain::Row;
 use crate::pledge;
 use crate::quarantine;
@@ -54,6 +55,8 @@
     pub(crate) membership: Membership,
     /// The backend servers that take work, and what this VM knows of them.
     pub(crate) servers: BTreeMap<Server, Row>,
+    /// What backend servers said of themselves.
+    pub(crate) notices: notice::Table,
     /// The requests of this VM's callers.
     pub(crate) flows: FxHashMap<RequestId, Flow>,
     /// The budgets of second sends.
@@ -100,6 +103,7 @@
             index: Index::default(),
             membership: Membership::default(),
             servers: BTreeMap::new(),
+            notices: notice::Table::default(),
             flows: FxHashMap::default(),
             budgets: BTreeMap::new(),
             agents: BTreeMap::new(),
@@ -261,6 +265,7 @@
             Event::Completed(request, pause) => self.completed(request, pause, out),
             Event::Failed(request, ran, cause) => self.failed(request, ran, cause, out),
             Event::Ordered(order, outcome) => self.ordered(order, outcome, out),
+            Event::Noticed(server, notice) => self.noticed(&server, notice, out),
             Event::Reported(server, report) => self.reported(&server, report.as_ref()),
             Event::Probed(server, presence) => self.probed(&server, presence, out),
             Event::Store(op, outcome) => self.answered(op, outcome, out),
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -6,6 +6,7 @@
 use http::{Response, request, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::dialect::{Dialect, Reply};
 use crate::hub::Hub;
@@ -36,6 +37,7 @@
         .dialect
         .request(head, body.clone(), send, after)
         .map(Full::new);
+    let at = Instant::now();
     let (response, connection) = match hub.pool.send(send.address, request).await {
         Ok(begun) => begun,
         Err(Fault::NotSent) => return Tried::Failed(Ran::No, Cause::Unreachable, None),
@@ -45,6 +47,7 @@
         }
     };
     let (answer, body) = response.into_parts();
+    hub.notice(&send.server, at, hub.dialect.notice(&answer));
     match hub.dialect.reply(head, &answer) {
         Reply::Foreign => Tried::Failed(Ran::Maybe, Cause::Malformed, None),
         Reply::Answer if send.stream => Tried::Stream(answer, body, connection),
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -7,6 +7,7 @@
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Op, Order, Reason, Send};
 use dahliastile_gateway::event::{Call, Cause, Ordered, Outcome, Report};
+use dahliastile_gateway::notice::Notice;
 use dahliastile_gateway::settings::Tuning;
 use http::{Request, Response, request, response};
 
@@ -62,6 +63,9 @@
     /// What the head of a server's answer to the request with this head says.
     fn reply(&self, asked: &request::Parts, answer: &response::Parts) -> Reply;
 
+    /// What the head of a server's answer says of the server.
+    fn notice(&self, answer: &response::Parts) -> Notice;
+
     /// The head of a server's answer as it is passed on.
     fn answer(&self, answer: &response::Parts) -> http::response::Builder;
 
@@ -77,20 +81,20 @@
     /// Calls the key-value service.
     fn store(&self, client: Client, op: Op) -> impl Future<Output = Outcome> + 'static;
 
-    /// Orders something of a server.
+    /// Orders something of a server; with what its answer says of it, where one came.
     fn order(
         &self,
         client: Client,
         server: Server,
         address: SocketAddr,
         order: Order,
-    ) -> impl Future<Output = Ordered> + 'static;
+    ) -> impl Future<Output = (Ordered, Option<Notice>)> + 'static;
 
-    /// Asks a server for its report; none where it gave none.
+    /// Asks a server for its report, none where it gave none; with what its answer says of it, where one came.
     fn report(
         &self,
         client: Client,
         server: Server,
         address: SocketAddr,
-    ) -> impl Future<Output = Option<Report>> + 'static;
+    ) -> impl Future<Output = (Option<Report>, Option<Notice>)> + 'static;
 }
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -132,8 +132,11 @@
                 let hub = self.hub.clone();
                 let answer = hub
                     .dialect
-                    .order(hub.client.clone(), server, address, order);
-                tokio::task::spawn_local(async move { hub.post(Event::Ordered(id, answer.await)) });
+                    .order(hub.client.clone(), server.clone(), address, order);
+                tokio::task::spawn_local(async move {
+                    let outcome = hub.heard(&server, answer).await;
+                    hub.post(Event::Ordered(id, outcome));
+                });
             }
             Effect::Probe(server, address) => {
                 let hub = self.hub.clone();
@@ -147,9 +150,10 @@
                 let answer = hub
                     .dialect
                     .report(hub.client.clone(), server.clone(), address);
-                tokio::task::spawn_local(
-                    async move { hub.post(Event::Reported(server, answer.await)) },
-                );
+                tokio::task::spawn_local(async move {
+                    let report = hub.heard(&server, answer).await;
+                    hub.post(Event::Reported(server, report));
+                });
             }
         }
     }
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -3,14 +3,20 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use dahliastile_core::id::Server;
 use dahliastile_gateway::effect::Verdict;
 use dahliastile_gateway::event::{Event, RequestId};
+use dahliastile_gateway::notice::Notice;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::pool::{Client, Pool};
 
+/// How long it counts that a server said something of itself.
+const NOTICE_AGE: std::time::Duration = std::time::Duration::from_mins(1);
+
 /// What all tasks share.
 pub(crate) struct Hub<D> {
     /// How the outside is spoken to.
@@ -23,6 +29,8 @@
     mailbox: flume::Sender<Event>,
     /// The requests in progress, each with what its task is told through.
     requests: RefCell<FxHashMap<RequestId, mpsc::UnboundedSender<Verdict>>>,
+    /// The servers that say something of themselves, and when each last did.
+    noticed: RefCell<FxHashMap<Server, Instant>>,
     /// The last number given to a request.
     last: Cell<RequestId>,
     /// Renders the figures.
@@ -53,6 +61,7 @@
             mailbox,
             figures,
             requests: RefCell::default(),
+            noticed: RefCell::default(),
             last: Cell::new(0),
             ready: Cell::new(false),
             body_limit: Cell::new(limits.body),
@@ -67,6 +76,37 @@
         let _ = self.mailbox.send(event);
     }
 
+    /// Hands on what the head of an answer says of its server, to what was sent at a time. That it says nothing means something only
+    /// after it said something, to what was sent since: answers overtake each other.
+    pub(crate) fn notice(&self, server: &Server, sent: Instant, notice: Notice) {
+        let mut noticed = self.noticed.borrow_mut();
+        let news = if notice.is_empty() {
+            let before = noticed.get(server).is_some_and(|last| *last <= sent);
+            before && noticed.remove(server).is_some()
+        } else {
+            noticed.retain(|_, last| last.elapsed() < NOTICE_AGE);
+            noticed.insert(server.clone(), Instant::now());
+            true
+        };
+        if news {
+            self.post(Event::Noticed(server.clone(), notice));
+        }
+    }
+
+    /// Awaits a server's answer to what is sent now, and hands on what it says of the server.
+    pub(crate) async fn heard<T>(
+        &self,
+        server: &Server,
+        answer: impl Future<Output = (T, Option<Notice>)>,
+    ) -> T {
+        let sent = Instant::now();
+        let (answer, notice) = answer.await;
+        if let Some(notice) = notice {
+            self.notice(server, sent, notice);
+        }
+        answer
+    }
+
     /// A new request, and what its task is told through.
     pub(crate) fn open(&self) -> (RequestId, mpsc::UnboundedReceiver<Verdict>) {
         let id = self.last.get() + 1;
