--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -2,6 +2,7 @@
 
 mod act;
 mod fall;
+mod notice;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -22,6 +23,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use fall::Crashing;
+pub use notice::Notices;
 
 use super::engine::Engine;
 use super::setup::{self, ENGINES, MODEL, PLAIN, name};
@@ -123,6 +125,7 @@
     Report(usize, u64, Server),
     Peer(usize, usize, Message),
     Arrive(usize, u64, u64, Send),
+    Head((usize, u64), Server, Instant),
     Restart(usize),
     Expire,
     Thaw(usize),
@@ -156,6 +159,8 @@
     pub names: Vec<(Instant, Arc<str>, u64)>,
     /// Requests that crash the servers that run them.
     pub crashing: Crashing,
+    /// What servers say of themselves in their answers.
+    pub notices: Notices,
     /// The requests at servers, by number.
     running: BTreeMap<u64, fall::Run>,
     /// How many servers have ended under requests.
@@ -242,6 +247,7 @@
             versions: BTreeMap::new(),
             names: Vec::new(),
             crashing: Crashing::default(),
+            notices: Notices::default(),
             running: BTreeMap::new(),
             fallen: 0,
             probes: 0,
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -54,11 +54,15 @@
             }
             Act::Report(vm, start, server) => {
                 let now = self.now;
+                self.reached(vm, &server);
                 let report = self
                     .servers
                     .get(&server)
                     .filter(|(e, _)| e.up)
                     .map(|(e, _)| e.report(now));
+                if report.is_some() {
+                    self.head_in(WAY, (vm, start), &server, now.back(WAY));
+                }
                 self.at(
                     now + WAY,
                     Act::Event(vm, start, Event::Reported(server, report)),
@@ -76,6 +80,7 @@
                 }
             }
             Act::Arrive(vm, start, number, send) => self.arrive(vm, start, number, &send),
+            Act::Head(to, server, sent) => self.head(to, server, sent),
             Act::Restart(vm) => self.start(vm),
             Act::Expire => {
                 if self.store_up {
@@ -176,6 +181,7 @@
         silent: bool,
     ) {
         let now = self.now;
+        self.reached(vm, server);
         let newest = order
             .adapter
             .as_ref()
@@ -187,6 +193,9 @@
             _ => Ordered::Unknown,
         };
         if !silent {
+            if outcome != Ordered::Unknown {
+                self.head_in(WAY, (vm, start), server, now.back(WAY));
+            }
             self.at(
                 now + WAY,
                 Act::Event(vm, start, Event::Ordered(id, outcome)),
@@ -196,6 +205,9 @@
 
     pub(super) fn arrive(&mut self, vm: usize, start: u64, number: u64, send: &Send) {
         let now = self.now;
+        if self.servers.get(&send.server).is_some_and(|(e, _)| e.up) {
+            self.reached(vm, &send.server);
+        }
         let Some(asked) = self.asked.get_mut(&number) else {
             return;
         };
@@ -209,6 +221,7 @@
             );
             return;
         };
+        let (to, left) = ((vm, start), now.back(WAY));
         let crashes = self.crashing.fingerprints.contains(&call.fingerprint);
         if crashes {
             self.crashing.arrivals.push(Arrival {
@@ -225,6 +238,7 @@
             },
         };
         let Some((begun, end)) = times else {
+            self.head_in(WAY, to, &send.server, left);
             self.at(
                 now + WAY,
                 Act::Event(vm, start, failed(Ran::No, Cause::Missing)),
@@ -235,6 +249,7 @@
         asked.runs.push((now, send.server.clone()));
         asked.accounts.push(send.account.clone());
         asked.priorities.push(send.priority);
+        self.head_in(begun.since(now) + WAY, to, &send.server, left);
         if failing {
             self.at(
                 begun + WAY,
--- /dev/null
+++ b/crates/gateway/tests/support/world/notice.rs
@@ -0,0 +1,154 @@
+//! What servers say of themselves in their answers, and what they get from whom.
+
+use std::collections::BTreeMap;
+
+use dahliastile_core::id::Server;
+use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::event::Event;
+use dahliastile_gateway::notice::{Notice, Rate, Word};
+
+use super::{Act, World};
+use crate::support::setup::name;
+
+/// The window in which what a server gets is counted against the limit that it names.
+const WINDOW: Span = Span::from_secs(4);
+/// How long after a server first named a limit what it gets counts.
+const TOLD: Span = Span::from_millis(500);
+/// How long after that the limit holds.
+const CONTACT: Span = Span::from_secs(3);
+/// The part of a limit that a window may see, and the requests besides.
+const ALLOWED: (f64, u32) = (1.5, 5);
+
+/// Something that a server got: a request, an order or a question for its report.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When.
+    pub at: Instant,
+    /// The VM that sent it.
+    pub vm: usize,
+    /// The server.
+    pub server: Server,
+}
+
+/// What servers say of themselves.
+#[derive(Default)]
+pub struct Notices {
+    /// What each says now.
+    says: BTreeMap<Server, Notice>,
+    /// The limits that each has named, with the times.
+    limits: BTreeMap<Server, Vec<(Instant, Option<Rate>)>>,
+    /// When a start of a VM was last told something by a server.
+    told: BTreeMap<(usize, u64, Server), Instant>,
+    /// What servers got that have ever said something.
+    pub arrivals: Vec<Arrival>,
+}
+
+impl World {
+    /// A server names a limit in its answers from now on, or none any more.
+    pub fn name_limit(&mut self, id: &str, limit: Option<Rate>) {
+        let server: Server = name(id);
+        let limits = self.notices.limits.entry(server.clone()).or_default();
+        limits.push((self.now, limit));
+        self.notices.says.entry(server).or_default().limit = limit.map_or(Word::Unsaid, Word::Said);
+    }
+
+    /// Something reaches a server from a VM.
+    pub(super) fn reached(&mut self, vm: usize, server: &Server) {
+        if self.notices.says.contains_key(server) {
+            self.notices.arrivals.push(Arrival {
+                at: self.now,
+                vm,
+                server: server.clone(),
+            });
+        }
+    }
+
+    /// The head of a server's answer to what a VM sent at a time comes to that VM after a while.
+    pub(super) fn head_in(
+        &mut self,
+        after: Span,
+        to: (usize, u64),
+        server: &Server,
+        sent: Instant,
+    ) {
+        if self.notices.says.contains_key(server) {
+            let head = Act::Head(to, server.clone(), sent);
+            self.at(self.now + after, head);
+        }
+    }
+
+    /// The head of an answer comes.
+    pub(super) fn head(&mut self, (vm, start): (usize, u64), server: Server, sent: Instant) {
+        let notice = self.notices.says[&server];
+        let key = (vm, start, server.clone());
+        let told = self.notices.told.get(&key);
+        if notice.is_empty() && told.is_none_or(|told| *told > sent) {
+            return;
+        }
+        self.notices.told.insert(key, self.now);
+        if self.hosts[vm].start == start {
+            self.deliver(vm, Event::Noticed(server, notice));
+        }
+    }
+
+    /// What a server got in each of the windows that saw more of it than the limit allows that it named, with what was allowed.
+    /// Whichever VM was told, what any sends counts from half a second after the server first named it.
+    pub fn over_limit(&self, id: &str) -> Vec<(Instant, u32, f64)> {
+        let server: Server = name(id);
+        let limits = &self.notices.limits[&server];
+        let (from, holds) = (limits[0].0 + TOLD, limits[0].0 + CONTACT);
+        let got = self.notices.arrivals.iter();
+        let got: Vec<Instant> = got
+            .filter(|a| a.server == server && a.at >= from)
+            .map(|a| a.at)
+            .collect();
+        let mut over = Vec::new();
+        for (last, until) in got.iter().enumerate() {
+            let since = until.back(WINDOW);
+            let count = got[..=last].iter().filter(|at| **at > since).count();
+            let count = u32::try_from(count).expect("few");
+            let allowed =
+                named(limits, since, *until).map(|named| named * ALLOWED.0 + f64::from(ALLOWED.1));
+            match allowed.filter(|_| *until >= holds) {
+                Some(allowed) if f64::from(count) > allowed => over.push((*until, count, allowed)),
+                Some(_) | None => {}
+            }
+        }
+        over
+    }
+
+    /// That no server got more than it named a limit for.
+    pub fn check_limits(&self) {
+        for server in self.notices.limits.keys() {
+            let over = self.over_limit(server.as_str());
+            assert!(
+                over.is_empty(),
+                "{server}: {} windows, {:?}",
+                over.len(),
+                over[0]
+            );
+        }
+    }
+
+    /// How many requests, orders and questions a server got since a time.
+    pub fn arrivals_at(&self, id: &str, since: Instant) -> usize {
+        let got = self.notices.arrivals.iter();
+        got.filter(|a| a.server.as_str() == id && a.at >= since)
+            .count()
+    }
+}
+
+/// The requests that the limits named in a time allow, the first one as if it had always been; none where for a part of it none was.
+fn named(limits: &[(Instant, Option<Rate>)], since: Instant, until: Instant) -> Option<f64> {
+    let ends = limits.iter().skip(1).map(|(at, _)| *at);
+    let spans = limits.iter().zip(ends.chain([Instant::NEVER]));
+    let (first, limit) = limits.first()?;
+    let mut sum = limit.as_ref()?.as_f64() * first.since(since).as_secs_f64();
+    for ((begin, limit), end) in spans {
+        let (begin, end) = ((*begin).max(since), end.min(until));
+        if end > begin {
+            sum += limit.as_ref()?.as_f64() * end.since(begin).as_secs_f64();
+        }
+    }
+    Some(sum)
+}
