--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -365,6 +365,8 @@
     fn load(&mut self, now: Instant, key: Key, choice: &Choice, out: &mut Vec<Decision>) {
         let version = self.keys.newest(key);
         let demand = self.keys.demand(key, now);
+        // A VM without a scheduler may have sent requests there by itself.
+        let used = self.jobs.using(&choice.server, key);
         let keys = &self.keys;
         let Some(engine) = self.engines.get_mut(&choice.server) else {
             return;
@@ -389,6 +391,7 @@
         engine.places.insert(
             key,
             Place {
+                used,
                 depth: choice.depth,
                 ..place(version, Stage::Wanted)
             },
--- a/crates/gateway/tests/scheduler.rs
+++ b/crates/gateway/tests/scheduler.rs
@@ -9,7 +9,7 @@
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::effect::Order;
 use dahliastile_gateway::event::{Cause, Ordered, Ran};
-use dahliastile_gateway::message::{Progress, Want};
+use dahliastile_gateway::message::{Progress, Running, Want};
 use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::Tuning;
 use support::setup::{self, name, work, zone};
@@ -347,3 +347,21 @@
         "{rejected} rejected for {loads} loads"
     );
 }
+
+/// Guards against an adapter that counts as unused while a request runs on it: a VM that had placed the request by itself said so
+/// before the adapter was loaded there.
+#[test]
+fn loads_countwhatrunsalready() {
+    let mut fixture = Fixture::new(1);
+    let running = Running {
+        request: 1,
+        server: name("e0"),
+        work: work("a0", 600, 20),
+    };
+    fixture
+        .scheduler
+        .hello(fixture.now, &name("vm1"), &[running], Vec::new());
+    fixture.want(0, 1, 1);
+    fixture.run(Span::from_secs(1));
+    assert_eq!(fixture.placed.len(), 1);
+}
