--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -91,13 +91,14 @@
                     .any(|r| r.adapter == *adapter && r.version >= newest)
             }),
         };
+        let now = self.now;
         let rows = self.servers.iter();
-        let fit = rows.filter(|(s, row)| row.backend.service == flow.service && holds(s));
+        let of = rows.filter(|(_, row)| row.backend.service == flow.service);
+        let fit = of.filter(|(s, _)| holds(s) && self.notices.open(s, now));
         let version = work.adapter.as_ref().map(|_| newest).filter(|v| *v > 0);
-        let choice =
-            crate::plain::choose(fit, &flow.failed, &self.settings, self.now, &mut self.rng);
+        let choice = crate::plain::choose(fit, &flow.failed, &self.settings, now, &mut self.rng);
         if let Some(server) = choice {
-            self.send_to(request, &server, version, out);
+            self.send_alone(request, &server, version, out);
         }
     }
 
@@ -230,6 +231,15 @@
         true
     }
 
+    /// The VM that schedules a service, as long as it is heard.
+    pub(crate) fn scheduler_of(&self, service: &Service) -> Option<Vm> {
+        if self.schedulers.contains_key(service) {
+            return Some(self.settings.vm.clone());
+        }
+        let agent = self.agents.get(service).filter(|agent| !agent.silent)?;
+        agent.holder.clone()
+    }
+
     /// When the holder of a service was last heard.
     pub(crate) fn holder_heard(&self, service: &Service) -> Instant {
         let agent = self.agents.get(service);
@@ -375,14 +385,19 @@
             Message::Hello(service.clone(), self.member(), running, wants),
             out,
         );
+        for (server, limit) in self.limits_of(service) {
+            self.send(&holder, Message::Limit(server, Some(limit)), out);
+        }
     }
 
     /// All that runs and waits on this VM for a service.
     pub(crate) fn state_for(&self, service: &Service) -> (Vec<Running>, Vec<Want>) {
         let mut running = Vec::new();
         let mut wants = Vec::new();
-        // What waits for tokens of its account wants no place yet.
-        let asked = |f: &crate::flow::Flow| f.service == *service && f.state != Flow::Charging;
+        // What waits for tokens of its account or for leave at a server wants no place yet.
+        let unasked =
+            |f: &crate::flow::Flow| matches!(f.state, Flow::Charging | Flow::Permit { .. });
+        let asked = |f: &crate::flow::Flow| f.service == *service && !unasked(f);
         for (request, flow) in self.flows.iter().filter(|(_, flow)| asked(flow)) {
             match (flow.server(), &flow.call.work) {
                 (Some(server), Some(work)) => running.push(Running {
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -162,6 +162,8 @@
     Report(Server, SocketAddr),
     /// Makes a connection to a server, to see whether it takes any.
     Probe(Server, SocketAddr),
+    /// Has all answers of a server told, also those that say nothing of it; or only those that do.
+    Track(Server, bool),
     /// Sends a message to the VM at an address.
     Peer(SocketAddr, Reach, Message),
     /// Writes a log event.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -34,6 +34,15 @@
     Charging,
     /// It waits for the scheduler's answer.
     Waiting,
+    /// It waits for leave to be sent to a server that names a limit.
+    Permit {
+        /// This server.
+        server: Server,
+        /// The version of the adapter that it must hold there.
+        version: Option<Version>,
+        /// Until when the answer is waited for.
+        until: Instant,
+    },
     /// It was sent.
     Sent {
         /// To this server.
@@ -127,7 +136,7 @@
     pub(crate) fn server(&self) -> Option<&Server> {
         match &self.state {
             State::Sent { server, .. } => Some(server),
-            State::Charging | State::Waiting => None,
+            State::Charging | State::Waiting | State::Permit { .. } => None,
         }
     }
 }
@@ -200,16 +209,26 @@
             return;
         }
         let now = self.now;
-        let rows = self
-            .servers
-            .iter()
-            .filter(|(_, row)| row.backend.service == service);
-        match plain::choose(rows, &flow.failed, &self.settings, now, &mut self.rng) {
-            Some(server) => self.send_to(request, &server, None, out),
-            None => self.give_up(request, Some(COME_BACK), Why::NoServer, out),
+        let of = |(_, row): &(&Server, &plain::Row)| row.backend.service == service;
+        let rows = self.servers.iter().filter(of);
+        let open = rows.filter(|(server, _)| self.notices.open(server, now));
+        let choice = plain::choose(open, &flow.failed, &self.settings, now, &mut self.rng);
+        if let Some(server) = choice {
+            self.send_alone(request, &server, None, out);
+        } else {
+            let opens = self.opens(&service).since(now);
+            self.give_up(request, Some(opens.max(COME_BACK)), Why::NoServer, out);
         }
     }
 
+    /// From when on this VM may send to some server of a service again.
+    fn opens(&self, service: &Service) -> Instant {
+        let rows = self.servers.iter();
+        let of = rows.filter(|(_, row)| row.backend.service == *service);
+        let opens = of.map(|(server, _)| self.notices.opens(server));
+        opens.min().unwrap_or_default()
+    }
+
     /// Sends a request to a server that is known to be listed.
     pub(crate) fn send_to(
         &mut self,
--- a/crates/gateway/src/flow/failure.rs
+++ b/crates/gateway/src/flow/failure.rs
@@ -160,6 +160,7 @@
             if unheard && self.now.since(flow.arrived) >= ASK_AGAIN {
                 self.ask_place(request, out);
             }
+            self.permit_due(request, out);
             return;
         }
         measure::count(out, Figure::Refused, &flow.service, "timed_out");
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -207,6 +207,7 @@
                 let detail = format!("server={server} start={:?}", backend.start);
                 Self::log(out, Code::ServerRestarted, detail);
                 self.forget_residents(&backend.service, server);
+                self.forget_notices(server, out);
                 self.server_ended(server, out);
             }
         } else {
@@ -220,7 +221,7 @@
     }
 
     fn lose_server(&mut self, server: &Server, out: &mut Effects) {
-        self.notices.forget(server);
+        self.forget_notices(server, out);
         if let Some(row) = self.servers.remove(server) {
             Self::log(out, Code::ServerGone, format!("server={server}"));
             // The end of one that was leaving is its own.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,6 +10,7 @@
 use crate::event::{Cause, Ran, RequestId, Work};
 use crate::fact::{Change, Member, Resident, Revision, Version};
 use crate::fingerprint::Fingerprint;
+use crate::notice::Rate;
 use crate::quarantine::{Standing, Strike};
 
 /// A request that wants a place at an engine.
@@ -121,6 +122,12 @@
     Collect(u64, Vec<Tenant>),
     /// To the VM that keeps the pool: what this VM does not need, in answer to a collection.
     Deposit(u64, Vec<(Tenant, Tokens)>),
+    /// A server names a limit to the requests a second that it takes from all VMs together, or none any more.
+    Limit(Server, Option<Rate>),
+    /// To the VM that counts what a server is sent: may this request go there?
+    Permit(RequestId, Server),
+    /// From that VM: it may, or when to ask again.
+    Permitted(RequestId, Server, Result<(), Span>),
 }
 
 impl Message {
@@ -146,6 +153,9 @@
             Self::Grant(_) => "grant",
             Self::Collect(..) => "collect",
             Self::Deposit(..) => "deposit",
+            Self::Limit(..) => "limit",
+            Self::Permit(..) => "permit",
+            Self::Permitted(..) => "permitted",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -342,6 +342,11 @@
             }
             Message::Struck(strikes) => self.struck(from, &strikes, out),
             Message::Standings(told) => self.standings(told, out),
+            Message::Limit(server, limit) => self.limit_named(from, &server, limit, out),
+            Message::Permit(request, server) => self.permit_asked(from, request, server, out),
+            Message::Permitted(request, server, answer) => {
+                self.permitted(request, &server, answer, out);
+            }
             Message::Draw(draw) => self.drawn(from, draw, out),
             Message::Grant(grant) => self.granted(&grant, out),
             Message::Collect(number, accounts) => self.collected(from, number, &accounts, out),
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,14 +1,24 @@
 //! What backend servers say of themselves in their answers, beside what they answer.
+//!
+//! It comes sooner than the key-value service's word, and to one VM. That VM tells the one that counts what the server is sent: the
+//! service's scheduler, or else the VM that hashing names ([`permit`]); and that one tells all, since each VM must know whose answers to
+//! look at for the end of a limit.
+
+pub(crate) mod meter;
+mod permit;
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 
-use dahliastile_core::id::Server;
+use dahliastile_core::id::{Server, Service, Vm};
 use dahliastile_core::log::Code;
+use dahliastile_core::time::Instant;
 use serde::{Deserialize, Serialize};
 
-use crate::effect::Effects;
+use self::meter::Meter;
+use crate::effect::{Effect, Effects};
+use crate::message::Message;
 use crate::node::Gateway;
 
 /// Requests a second, in thousandths.
@@ -87,28 +97,123 @@
 struct Row {
     /// The requests a second that it takes from all VMs together.
     limit: Option<Rate>,
+    /// What it may still be sent of that, where this VM counts it.
+    meter: Option<Meter>,
+    /// Until when this VM sends it nothing.
+    closed: Instant,
 }
 
 impl Table {
-    /// A server is gone.
-    pub(crate) fn forget(&mut self, server: &Server) {
-        self.rows.remove(server);
+    /// The limit that a server names.
+    pub(crate) fn limit(&self, server: &Server) -> Option<Rate> {
+        self.rows.get(server)?.limit
+    }
+
+    /// Whether this VM may send to a server.
+    pub(crate) fn open(&self, server: &Server, now: Instant) -> bool {
+        self.opens(server) <= now
+    }
+
+    /// From when on this VM may send to a server.
+    pub(crate) fn opens(&self, server: &Server) -> Instant {
+        self.rows
+            .get(server)
+            .map_or_else(Instant::default, |row| row.closed)
+    }
+
+    fn close(&mut self, server: &Server, until: Instant) {
+        if let Some(row) = self.rows.get_mut(server) {
+            row.closed = until;
+        }
     }
 }
 
 impl Gateway {
     /// An answer to this VM says something of its server, or says no more what an earlier one did.
     pub(crate) fn noticed(&mut self, server: &Server, notice: Notice, out: &mut Effects) {
-        let row = self.notices.rows.entry(server.clone()).or_default();
         let limit = match notice.limit {
             Word::Unsaid => None,
-            Word::Unreadable => row.limit,
             Word::Said(rate) => Some(rate),
+            Word::Unreadable => {
+                let detail = format!("server={server} limit=unreadable");
+                Self::log(out, Code::ServerNotice, detail);
+                return;
+            }
+        };
+        let me = self.settings.vm.clone();
+        self.limit_named(&me, server, limit, out);
+        let counts = self.counts(server);
+        if counts != me {
+            self.send(&counts, Message::Limit(server.clone(), limit), out);
+        }
+    }
+
+    /// A server names a limit or none any more, as an answer to a VM says.
+    pub(crate) fn limit_named(
+        &mut self,
+        by: &Vm,
+        server: &Server,
+        limit: Option<Rate>,
+        out: &mut Effects,
+    ) {
+        let now = self.now;
+        let Some(service) = self
+            .servers
+            .get(server)
+            .map(|row| row.backend.service.clone())
+        else {
+            return;
         };
-        if limit != row.limit || notice.limit == Word::Unreadable {
-            let detail = format!("server={server} limit={limit:?} was={:?}", row.limit);
-            row.limit = limit;
+        let row = self.notices.rows.entry(server.clone()).or_default();
+        let was = std::mem::replace(&mut row.limit, limit);
+        match (limit, &mut row.meter) {
+            (Some(rate), Some(meter)) => meter.renew(now, rate),
+            (Some(_), None) => {}
+            (None, _) => *row = Row::default(),
+        }
+        if let Some(scheduler) = self.schedulers.get_mut(&service) {
+            scheduler.limit(now, server, limit);
+        }
+        if limit != was {
+            let named =
+                |limit: Option<Rate>| limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string());
+            let detail = format!(
+                "server={server} limit={} was={} by={by}",
+                named(limit),
+                named(was)
+            );
             Self::log(out, Code::ServerNotice, detail);
         }
+        if limit.is_some() != was.is_some() {
+            out.push(Effect::Track(server.clone(), limit.is_some()));
+            if self.counts(server) == self.settings.vm {
+                self.tell_all(&Message::Limit(server.clone(), limit), out);
+            }
+        }
+    }
+
+    /// The VM that counts what a server is sent.
+    fn counts(&self, server: &Server) -> Vm {
+        let service = self.servers.get(server).map(|row| &row.backend.service);
+        let scheduler = service.and_then(|service| self.scheduler_of(service));
+        scheduler.unwrap_or_else(|| self.counter(server))
+    }
+
+    /// The limits that servers of a service name.
+    pub(crate) fn limits_of(&self, service: &Service) -> Vec<(Server, Rate)> {
+        let rows = self.notices.rows.iter();
+        let limits = rows.filter_map(|(server, row)| Some((server.clone(), row.limit?)));
+        let of = |server: &Server| {
+            let row = self.servers.get(server);
+            row.is_some_and(|row| row.backend.service == *service)
+        };
+        limits.filter(|(server, _)| of(server)).collect()
+    }
+
+    /// What a server said of itself is that of an earlier start, or the server is gone.
+    pub(crate) fn forget_notices(&mut self, server: &Server, out: &mut Effects) {
+        if self.notices.rows.remove(server).is_some() {
+            out.push(Effect::Track(server.clone(), false));
+        }
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -210,8 +210,11 @@
             .insert(self.now, fingerprint, until);
         let detail = format!("call={fingerprint} by={by} for={length}");
         Self::log(out, Code::RequestQuarantined, detail);
-        let waits =
-            |f: &flow::Flow| f.call.fingerprint == fingerprint && f.state == flow::State::Waiting;
+        let waits = |f: &flow::Flow| {
+            f.call.fingerprint == fingerprint
+                && f.server().is_none()
+                && f.state != flow::State::Charging
+        };
         let waiting = self.flows.iter().filter(|(_, flow)| waits(flow));
         let waiting: Vec<RequestId> = waiting.map(|(request, _)| *request).collect();
         for request in waiting {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -37,6 +37,8 @@
 use crate::health::{Health, last};
 use crate::mechanism::Mechanism;
 use crate::message::{Holding, Progress, Running, Want};
+use crate::notice::Rate;
+use crate::notice::meter::Meter;
 use crate::settings::Settings;
 
 use self::adapter_cache::{Beside, Remembering};
@@ -239,6 +241,19 @@
         }
     }
 
+    /// An engine names a limit to the requests a second that it takes from all VMs together, or none any more.
+    pub(crate) fn limit(&mut self, now: Instant, server: &Server, limit: Option<Rate>) {
+        self.dirty = true;
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        match (limit, &mut engine.meter) {
+            (Some(rate), Some(meter)) => meter.renew(now, rate),
+            (Some(rate), None) => engine.meter = Some(Meter::new(now, rate)),
+            (None, _) => engine.meter = None,
+        }
+    }
+
     /// A newer version of an adapter is named.
     /// Where it may have been named long ago, `at` is none.
     pub fn newer(
--- a/crates/gateway/src/scheduler/capacity.rs
+++ b/crates/gateway/src/scheduler/capacity.rs
@@ -19,6 +19,9 @@
 use super::reservations::Claims;
 use super::residency::Spread;
 
+/// What an engine gets for a load: two orders and the request that waits for the adapter.
+pub(crate) const FOR_A_LOAD: u32 = 3;
+
 /// Room at an engine.
 #[derive(Clone, Debug)]
 pub(crate) struct Room {
@@ -126,8 +129,9 @@
     }
 
     /// Whether an engine takes orders for adapters of a base model now.
-    pub(crate) fn takes_adapters(&self, engine: &Engine, model: &Arc<str>) -> bool {
+    pub(crate) fn takes_adapters(&self, now: Instant, engine: &Engine, model: &Arc<str>) -> bool {
         engine.usable()
+            && engine.may_get(FOR_A_LOAD, now)
             && !engine.last
             && !engine.stuck()
             && engine.coming() < self.settings.tuning.loads_per_server
@@ -143,7 +147,7 @@
         claims: &Claims,
         spread: &Spread,
     ) -> Option<Room> {
-        if !self.takes_adapters(engine, model) {
+        if !self.takes_adapters(now, engine, model) {
             return None;
         }
         let free = engine.places.len() < self.shape.places && self.fits(engine, model);
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -66,7 +66,7 @@
     fn best(&self, now: Instant, job: &Job, spread: &Spread) -> Option<(Server, Span)> {
         let zones = self.settings.uses(Mechanism::ZonePreference);
         let cost = |server: &Server, engine: &Engine| {
-            let fit = engine.usable() && !job.failed.contains(server);
+            let fit = engine.usable() && engine.may_get(1, now) && !job.failed.contains(server);
             fit.then(|| cost(engine, job, now, zones))
         };
         let ready = |key| spread.ready(key).iter();
@@ -95,16 +95,18 @@
         let version = version.filter(|version| *version > 0);
         self.occupy(&job, server);
         if let Some(engine) = self.engines.get_mut(server) {
+            engine.take_one(now);
             engine.add(now, job.reads);
             let waited = now.since(job.arrived);
             let adapter = job.work.adapter.as_deref().unwrap_or("-");
             let detail = format!(
-                "id={} vm={} adapter={adapter} version={version:?} server={server} waited={waited} reads={} running={} backlog={}",
+                "id={} vm={} adapter={adapter} version={version:?} server={server} waited={waited} reads={} running={} backlog={} limit={}",
                 job.id,
                 id.vm,
                 job.reads,
                 engine.running,
-                engine.backlog(now)
+                engine.backlog(now),
+                limit(engine, now)
             );
             out.push(Decision::Log(Record::new(Code::Placed, detail)));
         }
@@ -242,6 +244,17 @@
     }
 }
 
+/// The limit that an engine names and its age, for the log.
+fn limit(engine: &Engine, now: Instant) -> String {
+    engine.meter.as_ref().map_or_else(
+        || "-".to_owned(),
+        |meter| {
+            let (rate, age) = meter.limit(now);
+            format!("{rate},{age}")
+        },
+    )
+}
+
 /// What a request costs at an engine, as a time.
 fn cost(engine: &Engine, job: &Job, now: Instant, zones: bool) -> Span {
     let away = match &job.zone {
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -15,6 +15,7 @@
 use crate::event::Report;
 use crate::fact::{Backend, Resident, Version};
 use crate::health::Health;
+use crate::notice::meter::Meter;
 
 /// Prompt tokens that an engine reads in a millisecond until some were measured.
 const FIRST_RATE: f64 = 20.0;
@@ -133,6 +134,8 @@
     pub(crate) tries: u32,
     /// When it last took an order.
     pub(crate) last_order: Instant,
+    /// What it may still be sent, where it names a limit.
+    pub(crate) meter: Option<Meter>,
     /// What requests say of its health.
     pub(crate) health: Health,
     /// Whether it comes last for now.
@@ -163,6 +166,7 @@
             pending: None,
             tries: 0,
             last_order: Instant::default(),
+            meter: None,
             health: Health::default(),
             last: false,
         }
@@ -189,6 +193,7 @@
         self.base_due = None;
         self.places.clear();
         self.kept = Kept::default();
+        self.meter = None;
         self.health = Health::default();
         self.last_order = Instant::default();
     }
@@ -207,6 +212,18 @@
         self.known && self.backend.ready
     }
 
+    /// Whether its limit leaves room for so many requests and orders now.
+    pub(crate) fn may_get(&self, count: u32, now: Instant) -> bool {
+        self.meter
+            .as_ref()
+            .is_none_or(|meter| meter.left(now) >= f64::from(count))
+    }
+
+    /// Counts a request or an order against its limit, if that leaves room for it.
+    pub(crate) fn take_one(&mut self, now: Instant) -> bool {
+        self.meter.as_mut().is_none_or(|meter| meter.take(now))
+    }
+
     /// Whether it could load a base model and has none, nor one on its way.
     pub(crate) fn awaits_base(&self) -> bool {
         let none = self.bases.is_empty() && self.base_due.is_none();
--- a/crates/gateway/src/scheduler/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -8,11 +8,13 @@
 use rustc_hash::FxHashMap;
 
 use super::Scheduler;
+use super::capacity::FOR_A_LOAD;
 use super::engine::Engine;
 use super::job::{Job, JobId};
 use super::key::Key;
 use super::load::ROOM_SOON;
 use super::residency::Spread;
+use crate::account::quota::bucket::wait;
 
 /// What a request waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +51,28 @@
     loading: usize,
     /// The rate of the engine that reads slowest, in tokens a millisecond.
     slowest: f64,
+    /// What the engines may be sent; none where one of them names no limit.
+    limited: Option<Limited>,
+}
+
+/// What engines may be sent that all name limits.
+#[derive(Clone, Copy)]
+struct Limited {
+    /// Now.
+    left: f64,
+    /// A second.
+    rate: f64,
+}
+
+impl Limited {
+    /// Takes what is sent for the next request, and gives the time until it may be.
+    fn next(&mut self, what: For) -> Span {
+        self.left -= match what {
+            For::Room | For::Copy | For::Coming => 1.0,
+            For::Load => f64::from(FOR_A_LOAD),
+        };
+        wait(-self.left, self.rate)
+    }
 }
 
 impl Scheduler {
@@ -58,16 +82,34 @@
         let mut ahead = Ahead {
             loading: self.loading(),
             slowest: rates.fold(f64::MAX, f64::min),
+            limited: self.limited(now),
             ..Ahead::default()
         };
         let ids = self.jobs.waiting(now).into_iter();
         ids.filter_map(|id| {
             let (what, span) = self.wait_of(now, self.jobs.get(&id)?, spread, &mut ahead);
+            let limited = ahead.limited.as_mut().map(|limited| limited.next(what));
+            let span = span.max(limited.unwrap_or_default());
             Some(Wait { id, what, span })
         })
         .collect()
     }
 
+    /// What the engines may be sent, where all of them name limits.
+    fn limited(&self, now: Instant) -> Option<Limited> {
+        let mut limited = None;
+        for engine in self.engines.values().filter(|engine| engine.usable()) {
+            let meter = engine.meter.as_ref()?;
+            let sum: &mut Limited = limited.get_or_insert(Limited {
+                left: 0.0,
+                rate: 0.0,
+            });
+            sum.left += meter.left(now);
+            sum.rate += meter.rate();
+        }
+        limited
+    }
+
     fn wait_of(&self, now: Instant, job: &Job, spread: &Spread, ahead: &mut Ahead) -> (For, Span) {
         let Some(key) = job.key else {
             let backlogs = self.engines.values().filter(|engine| engine.usable());
@@ -94,7 +136,7 @@
         if let Some(at) = spread.spot(key).and_then(|spot| spot.coming) {
             return (For::Coming, at.since(now) + queued);
         }
-        if self.lies_beside_any(key) {
+        if self.lies_beside_any(now, key) {
             return (For::Load, ROOM_SOON + self.back_time() + queued);
         }
         ahead.loads += usize::from(first);
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -256,10 +256,11 @@
     }
 
     /// Whether an adapter lies beside any engine that takes requests.
-    pub(crate) fn lies_beside_any(&self, key: Key) -> bool {
+    pub(crate) fn lies_beside_any(&self, now: Instant, key: Key) -> bool {
         let servers = self.remembering.servers(key).iter();
-        let mut engines = servers.filter_map(|server| self.engines.get(server));
-        engines.any(|engine| engine.usable() && self.lies_beside(engine, key).is_some())
+        let engines = servers.filter_map(|server| self.engines.get(server));
+        let mut open = engines.filter(|engine| engine.usable() && engine.may_get(1, now));
+        open.any(|engine| self.lies_beside(engine, key).is_some())
     }
 
     /// The engine where an adapter is loaded at the least cost; none where there is no room, or where it is better to wait
@@ -313,7 +314,7 @@
         let servers = self.remembering.servers(key).iter();
         let servers = servers.filter(|server| !holders.contains(server));
         let engines = servers.filter_map(|server| Some((server, self.engines.get(server)?)));
-        let fit = engines.filter(|(_, engine)| self.takes_adapters(engine, model));
+        let fit = engines.filter(|(_, engine)| self.takes_adapters(look.now, engine, model));
         fit.filter_map(move |(server, engine)| {
             Some((server, engine, self.lies_beside(engine, key)?))
         })
@@ -326,7 +327,10 @@
         let choices = look.spread.holders(key).iter().filter_map(|server| {
             let engine = self.engines.get(server)?;
             let old = engine.places.get(&key)?;
-            if !old.idle() || old.version >= newest || !self.takes_adapters(engine, &name.model) {
+            if !old.idle()
+                || old.version >= newest
+                || !self.takes_adapters(look.now, engine, &name.model)
+            {
                 return None;
             }
             let depth = self.lies_beside(engine, key);
--- a/crates/gateway/src/scheduler/order.rs
+++ b/crates/gateway/src/scheduler/order.rs
@@ -54,7 +54,7 @@
     fn ask_reports(&mut self, now: Instant, out: &mut Vec<Decision>) {
         let unknown = self.engines.iter().filter(|(_, engine)| !engine.known);
         let (mut due, later): (Vec<_>, Vec<_>) = unknown
-            .map(|(server, engine)| (report_due(engine), server.clone()))
+            .map(|(server, engine)| (report_due(engine, now), server.clone()))
             .partition(|(at, _)| *at <= now);
         due.sort_unstable();
         let open = later
@@ -65,6 +65,7 @@
             let Some(engine) = self.engines.get_mut(&server) else {
                 continue;
             };
+            engine.take_one(now);
             engine.asked = Some(now);
             engine.reporting = true;
             out.push(Decision::Report(server, engine.backend.address));
@@ -111,12 +112,13 @@
     pub(crate) fn send_orders(&mut self, now: Instant, out: &mut Vec<Decision>) {
         let fence = self.fence();
         for (server, engine) in &mut self.engines {
-            if !engine.usable() || engine.pending.is_some() {
+            if !engine.usable() || engine.pending.is_some() || !engine.may_get(1, now) {
                 continue;
             }
             let Some(intent) = engine.queue.pop_front() else {
                 continue;
             };
+            engine.take_one(now);
             self.last_order += 1;
             let patience = self
                 .settings
@@ -220,9 +222,10 @@
 }
 
 /// When an engine of which nothing is known may be asked for its report.
-fn report_due(engine: &Engine) -> Instant {
+fn report_due(engine: &Engine, now: Instant) -> Instant {
     let never_ordered = engine.last_order == Instant::default();
     match engine.asked {
+        _ if !engine.may_get(1, now) => now + REPORT_AGAIN,
         Some(asked) => asked + REPORT_AGAIN,
         None if never_ordered => Instant::default(),
         None => engine.last_order + REPORT_LAG,
--- a/crates/gateway/src/scheduler/residency.rs
+++ b/crates/gateway/src/scheduler/residency.rs
@@ -90,7 +90,7 @@
         let usable = place.version >= self.keys.least(key, now);
         spot.current |= place.version >= self.keys.newest(key);
         spot.copies += u32::from(place.stage == Stage::Ready);
-        if !engine.usable() {
+        if !engine.usable() || !engine.may_get(1, now) {
             return;
         }
         match place.stage {
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -210,6 +210,9 @@
                 scheduler.server(server, &row.backend);
             }
         }
+        for (server, limit) in self.limits_of(service) {
+            scheduler.limit(self.now, &server, Some(limit));
+        }
         for change in self.facts.present() {
             if let (Subject::Version(model, adapter), Some(Fact::Version(version))) =
                 (&change.subject, &change.fact)
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -5,10 +5,12 @@
 
 mod support;
 
-use dahliastile_core::time::Span;
+use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::notice::Rate;
-use support::World;
+use rand::Rng;
+use support::series::{Series, VMS, seeds};
 use support::setup::{call, draft};
+use support::{Answer, World};
 
 /// A fleet after some seconds of a night.
 fn warm(vms: usize) -> World {
@@ -50,3 +52,219 @@
     world.check_limits();
     world.check();
 }
+
+/// Far fewer requests a second than there are VMs, of which each is told by itself.
+#[test]
+fn limit_belowoneforeachvm() {
+    for vms in [70, 300] {
+        let mut world = warm(vms);
+        world.name_limit("e0", Some(Rate(1_000)));
+        world.name_limit("p0", Some(Rate(1_000)));
+        night(&mut world, Span::from_secs(4));
+        let since = world.now;
+        night(&mut world, Span::from_secs(8));
+        world.check_limits();
+        world.check();
+        // What it would take is not left unused either.
+        let got = world.arrivals_at("p0", since);
+        assert!(got >= 5, "{vms} VMs: {got} arrivals in 8 s");
+    }
+}
+
+/// A limit that rises and falls, and is no more; then the server gets as much as others soon.
+#[test]
+fn limit_changesandends() {
+    let mut world = warm(6);
+    for limit in [2_000, 200, 5_000, 500] {
+        world.name_limit("e0", Some(Rate(limit)));
+        world.name_limit("p0", Some(Rate(limit)));
+        night(&mut world, Span::from_secs(6));
+    }
+    world.check_limits();
+    world.name_limit("e0", None);
+    world.name_limit("p0", None);
+    // It is in the same availability zone.
+    world.name_limit("p3", None);
+    night(&mut world, Span::from_secs(5));
+    let since = world.now;
+    night(&mut world, Span::from_secs(5));
+    let (freed, other) = (
+        world.arrivals_at("p0", since),
+        world.arrivals_at("p3", since),
+    );
+    assert!(freed * 2 >= other, "{freed} arrivals of {other}");
+    world.check();
+}
+
+/// A server that takes nothing at all is asked now and then whether that has ended.
+#[test]
+fn limit_nothingatall() {
+    let mut world = warm(6);
+    world.name_limit("e0", Some(Rate(0)));
+    world.name_limit("p0", Some(Rate(0)));
+    night(&mut world, Span::from_secs(10));
+    world.check_limits();
+    world.name_limit("e0", None);
+    world.name_limit("p0", None);
+    night(&mut world, Span::from_secs(15));
+    let since = world.now;
+    night(&mut world, Span::from_secs(5));
+    for server in ["e0", "p0"] {
+        let got = world.arrivals_at(server, since);
+        assert!(got >= 5, "{server}: {got} arrivals in 5 s");
+    }
+    world.check();
+}
+
+/// All servers of a service name a limit below the load: what they take is used, and the rest refused at once, at times that differ.
+#[test]
+fn limit_allplainservers() {
+    let mut world = warm(6);
+    for server in ["p0", "p1", "p2", "p3"] {
+        world.name_limit(server, Some(Rate(1_000)));
+    }
+    night(&mut world, Span::from_secs(2));
+    let before = world.served();
+    let since = world.now;
+    let asked = world.ask_all(200, Span::from_millis(40), |at| {
+        call(&format!("s{at}"), "/query/x", 2_000, None)
+    });
+    world.run(Span::from_secs(3));
+    world.check_limits();
+    world.check();
+    let served = world.served() - before;
+    assert!(
+        (24..=48).contains(&served),
+        "{served} served in 8 s at 4 a second"
+    );
+    let held = world.refused_of(&asked);
+    let longest = held.iter().max().copied().unwrap_or_default();
+    assert!(
+        longest <= Span::from_millis(300),
+        "one was held for {longest}"
+    );
+    let back: std::collections::BTreeSet<Span> = asked
+        .iter()
+        .filter_map(|number| match world.answer(*number) {
+            Some(Answer::Refused(_, after)) => *after,
+            _ => None,
+        })
+        .collect();
+    assert!(
+        back.len() * 4 >= held.len(),
+        "{} times for {} callers since {since}",
+        back.len(),
+        held.len()
+    );
+}
+
+/// All engines do.
+#[test]
+fn limit_allengines() {
+    let mut world = warm(6);
+    for server in 0..12 {
+        world.name_limit(&format!("e{server}"), Some(Rate(1_000)));
+    }
+    night(&mut world, Span::from_secs(3));
+    let asked = night(&mut world, Span::from_secs(8));
+    world.run(Span::from_secs(6));
+    world.check_limits();
+    world.check();
+    let served = world.served_of(&asked);
+    assert!(served >= 60, "{served} served in 8 s at 12 a second");
+    let held = world.refused_of(&asked);
+    let longest = held.iter().max().copied().unwrap_or_default();
+    assert!(
+        longest <= Span::from_millis(1_300),
+        "one was held for {longest}"
+    );
+}
+
+/// The scheduler's VM is killed, stands still, is cut off from the others, and none schedules while the key-value service is away.
+#[test]
+fn limit_schedulerchanges() {
+    let mut world = warm(6);
+    world.name_limit("e0", Some(Rate(1_000)));
+    world.name_limit("e5", Some(Rate(500)));
+    night(&mut world, Span::from_secs(3));
+    for round in 0..4 {
+        if let Some(holder) = world.holder() {
+            match round {
+                0 => world.kill(holder, false),
+                1 => world.freeze(holder, Span::from_secs(2)),
+                2 => world.hosts[holder].peers = false,
+                _ => world.store_up = false,
+            }
+        }
+        night(&mut world, Span::from_secs(4));
+        for host in &mut world.hosts {
+            host.peers = true;
+        }
+    }
+    world.store_up = true;
+    night(&mut world, Span::from_secs(3));
+    world.check_limits();
+    world.check();
+}
+
+/// Limits come, change and go in random series of faults; what VMs sent that were well and had been told counts.
+#[test]
+fn limit_amongfaults() {
+    for seed in 0..seeds(10) {
+        let mut series = Series::new(seed);
+        let end = series.world.now + Span::from_secs(40);
+        let mut asked = 0_usize;
+        let servers: Vec<String> = (0..16)
+            .map(|at| format!("e{at}"))
+            .chain((0..4).map(|at| format!("p{at}")))
+            .collect();
+        let mut limited: Vec<(Instant, String)> = Vec::new();
+        let mut well: Vec<(Instant, usize)> = Vec::new();
+        while series.world.now < end {
+            series.step();
+            let now = series.world.now;
+            for vm in (0..VMS).filter(|vm| series.was_well(*vm, now)) {
+                well.push((now, vm));
+            }
+            if series.rng.random_bool(0.03) {
+                let server = servers[series.rng.random_range(0..servers.len())].clone();
+                if limited.iter().all(|(_, known)| *known != server) {
+                    let rate = [0, 200, 1_000, 1_600, 3_000][series.rng.random_range(0..5)];
+                    series.world.name_limit(&server, Some(Rate(rate)));
+                    limited.push((now, server));
+                }
+            }
+            for _ in 0..3 {
+                asked += 1;
+                let vm = series.rng.random_range(0..VMS);
+                let call = match asked % 4 {
+                    0 => call(&format!("q{asked}"), "/query/x", 2_000, None),
+                    _ => draft(&format!("r{asked}"), &format!("a{}", asked * 7 % 60)),
+                };
+                if series.world.hosts[vm].gateway.is_some() {
+                    series.world.ask(vm, call);
+                }
+            }
+        }
+        for (_, server) in &limited {
+            let over = series.world.over_limit_of(server, |arrival| {
+                let last = arrival.at.back(Span::from_millis(60));
+                let mut around = well
+                    .iter()
+                    .filter(|(at, vm)| *vm == arrival.vm && *at >= last);
+                arrival.told
+                    && around
+                        .next()
+                        .is_some_and(|(at, _)| *at <= arrival.at + Span::from_millis(60))
+            });
+            assert!(
+                over.is_empty(),
+                "seed {seed} {server}: {} windows, {:?}",
+                over.len(),
+                over[0]
+            );
+        }
+        assert!(!limited.is_empty(), "seed {seed}: no limit was named");
+        series.world.check();
+    }
+}
--- a/crates/gateway/tests/support/world/notice.rs
+++ b/crates/gateway/tests/support/world/notice.rs
@@ -26,6 +26,8 @@
     pub at: Instant,
     /// The VM that sent it.
     pub vm: usize,
+    /// Whether the server had told that start of the VM of a limit for as long as counts.
+    pub told: bool,
     /// The server.
     pub server: Server,
 }
@@ -37,8 +39,10 @@
     says: BTreeMap<Server, Notice>,
     /// The limits that each has named, with the times.
     limits: BTreeMap<Server, Vec<(Instant, Option<Rate>)>>,
-    /// When a start of a VM was last told something by a server.
+    /// When a server first told a start of a VM of a limit.
     told: BTreeMap<(usize, u64, Server), Instant>,
+    /// The servers all of whose answers a start of a VM is told, and when each last said something of itself.
+    tracked: BTreeMap<(usize, u64, Server), Instant>,
     /// What servers got that have ever said something.
     pub arrivals: Vec<Arrival>,
 }
@@ -55,9 +59,12 @@
     /// Something reaches a server from a VM.
     pub(super) fn reached(&mut self, vm: usize, server: &Server) {
         if self.notices.says.contains_key(server) {
+            let key = (vm, self.hosts[vm].start, server.clone());
+            let told = self.notices.told.get(&key);
             self.notices.arrivals.push(Arrival {
                 at: self.now,
                 vm,
+                told: told.is_some_and(|at| *at + TOLD <= self.now),
                 server: server.clone(),
             });
         }
@@ -81,25 +88,51 @@
     pub(super) fn head(&mut self, (vm, start): (usize, u64), server: Server, sent: Instant) {
         let notice = self.notices.says[&server];
         let key = (vm, start, server.clone());
-        let told = self.notices.told.get(&key);
-        if notice.is_empty() && told.is_none_or(|told| *told > sent) {
-            return;
+        if matches!(notice.limit, Word::Said(_)) {
+            self.notices.told.entry(key.clone()).or_insert(self.now);
         }
-        self.notices.told.insert(key, self.now);
-        if self.hosts[vm].start == start {
+        let last = self.notices.tracked.get_mut(&key);
+        let told = match last {
+            Some(last) if !notice.is_empty() => {
+                *last = self.now;
+                true
+            }
+            Some(last) => *last <= sent,
+            None => !notice.is_empty(),
+        };
+        if told && self.hosts[vm].start == start {
             self.deliver(vm, Event::Noticed(server, notice));
         }
     }
 
+    /// A VM wants all answers of a server told, or only those that say something of it.
+    pub(super) fn track(&mut self, vm: usize, server: Server, all: bool) {
+        let key = (vm, self.hosts[vm].start, server);
+        if all {
+            self.notices.tracked.entry(key).or_insert(self.now);
+        } else {
+            self.notices.tracked.remove(&key);
+        }
+    }
+
     /// What a server got in each of the windows that saw more of it than the limit allows that it named, with what was allowed.
     /// Whichever VM was told, what any sends counts from half a second after the server first named it.
     pub fn over_limit(&self, id: &str) -> Vec<(Instant, u32, f64)> {
+        self.over_limit_of(id, |_| true)
+    }
+
+    /// The same of some of what the server got.
+    pub fn over_limit_of(
+        &self,
+        id: &str,
+        counts: impl Fn(&Arrival) -> bool,
+    ) -> Vec<(Instant, u32, f64)> {
         let server: Server = name(id);
         let limits = &self.notices.limits[&server];
         let (from, holds) = (limits[0].0 + TOLD, limits[0].0 + CONTACT);
         let got = self.notices.arrivals.iter();
         let got: Vec<Instant> = got
-            .filter(|a| a.server == server && a.at >= from)
+            .filter(|a| a.server == server && a.at >= from && counts(a))
             .map(|a| a.at)
             .collect();
         let mut over = Vec::new();
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -14,9 +14,6 @@
 
 use crate::pool::{Client, Pool};
 
-/// How long it counts that a server said something of itself.
-const NOTICE_AGE: std::time::Duration = std::time::Duration::from_mins(1);
-
 /// What all tasks share.
 pub(crate) struct Hub<D> {
     /// How the outside is spoken to.
@@ -29,8 +26,8 @@
     mailbox: flume::Sender<Event>,
     /// The requests in progress, each with what its task is told through.
     requests: RefCell<FxHashMap<RequestId, mpsc::UnboundedSender<Verdict>>>,
-    /// The servers that say something of themselves, and when each last did.
-    noticed: RefCell<FxHashMap<Server, Instant>>,
+    /// The servers all of whose answers are told, and when each last said something of itself.
+    tracked: RefCell<FxHashMap<Server, Instant>>,
     /// The last number given to a request.
     last: Cell<RequestId>,
     /// Renders the figures.
@@ -61,7 +58,7 @@
             mailbox,
             figures,
             requests: RefCell::default(),
-            noticed: RefCell::default(),
+            tracked: RefCell::default(),
             last: Cell::new(0),
             ready: Cell::new(false),
             body_limit: Cell::new(limits.body),
@@ -76,23 +73,34 @@
         let _ = self.mailbox.send(event);
     }
 
-    /// Hands on what the head of an answer says of its server, to what was sent at a time. That it says nothing means something only
-    /// after it said something, to what was sent since: answers overtake each other.
+    /// Hands on what the head of an answer says of its server, to what was sent at a time. That it says nothing counts for servers that
+    /// are tracked, where it was sent since one said something: answers overtake each other.
     pub(crate) fn notice(&self, server: &Server, sent: Instant, notice: Notice) {
-        let mut noticed = self.noticed.borrow_mut();
-        let news = if notice.is_empty() {
-            let before = noticed.get(server).is_some_and(|last| *last <= sent);
-            before && noticed.remove(server).is_some()
-        } else {
-            noticed.retain(|_, last| last.elapsed() < NOTICE_AGE);
-            noticed.insert(server.clone(), Instant::now());
-            true
+        let mut tracked = self.tracked.borrow_mut();
+        let says = !notice.is_empty();
+        let told = match tracked.get_mut(server) {
+            Some(last) if says => {
+                *last = Instant::now();
+                true
+            }
+            Some(last) => *last <= sent,
+            None => says,
         };
-        if news {
+        if told {
             self.post(Event::Noticed(server.clone(), notice));
         }
     }
 
+    /// Has all answers of a server told, or only those that say something of it.
+    pub(crate) fn track(&self, server: Server, all: bool) {
+        let mut tracked = self.tracked.borrow_mut();
+        if all {
+            tracked.entry(server).or_insert_with(Instant::now);
+        } else {
+            tracked.remove(&server);
+        }
+    }
+
     /// Awaits a server's answer to what is sent now, and hands on what it says of the server.
     pub(crate) async fn heard<T>(
         &self,
