--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -156,7 +156,7 @@
     OrderAnswered = 426 Debug "Nothing.";
     /// What the scheduler of a service's engines sees, once a second.
     SchedulerState = 427 Info "Nothing.";
-    /// A backend server says something new of itself in its answers: the requests a second that it takes from all VMs.
+    /// A backend server says something new of itself in its answers: the requests a second that it takes from all VMs, that it is leaving, or how long it wants nothing.
     ServerNotice = 428 Info "If it lasts, look why that server is in need.";
     /// A request was given a place at an engine.
     Placed = 510 Debug "Nothing.";
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -4,6 +4,7 @@
 //! service's scheduler, or else the VM that hashing names ([`permit`]); and that one tells all, since each VM must know whose answers to
 //! look at for the end of a limit.
 
+mod limit;
 pub(crate) mod meter;
 mod permit;
 
@@ -11,14 +12,13 @@
 use std::fmt;
 use std::str::FromStr;
 
-use dahliastile_core::id::{Server, Service, Vm};
+use dahliastile_core::id::Server;
 use dahliastile_core::log::Code;
-use dahliastile_core::time::Instant;
+use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 
 use self::meter::Meter;
 use crate::effect::{Effect, Effects};
-use crate::message::Message;
 use crate::node::Gateway;
 
 /// Requests a second, in thousandths.
@@ -75,6 +75,10 @@
 pub struct Notice {
     /// The requests a second that the server takes from all VMs together, for as long as it says so.
     pub limit: Word<Rate>,
+    /// Whether the server is leaving.
+    pub leaving: bool,
+    /// How long the server, which turns a request away, wants nothing more of the VM that sent it.
+    pub rest: Word<Span>,
 }
 
 impl Notice {
@@ -101,6 +105,8 @@
     meter: Option<Meter>,
     /// Until when this VM sends it nothing.
     closed: Instant,
+    /// Whether it has said that it is leaving.
+    leaving: bool,
 }
 
 impl Table {
@@ -131,83 +137,37 @@
 impl Gateway {
     /// An answer to this VM says something of its server, or says no more what an earlier one did.
     pub(crate) fn noticed(&mut self, server: &Server, notice: Notice, out: &mut Effects) {
-        let limit = match notice.limit {
-            Word::Unsaid => None,
-            Word::Said(rate) => Some(rate),
-            Word::Unreadable => {
-                let detail = format!("server={server} limit=unreadable");
-                Self::log(out, Code::ServerNotice, detail);
-                return;
-            }
-        };
-        let me = self.settings.vm.clone();
-        self.limit_named(&me, server, limit, out);
-        let counts = self.counts(server);
-        if counts != me {
-            self.send(&counts, Message::Limit(server.clone(), limit), out);
-        }
-    }
-
-    /// A server names a limit or none any more, as an answer to a VM says.
-    pub(crate) fn limit_named(
-        &mut self,
-        by: &Vm,
-        server: &Server,
-        limit: Option<Rate>,
-        out: &mut Effects,
-    ) {
-        let now = self.now;
-        let Some(service) = self
-            .servers
-            .get(server)
-            .map(|row| row.backend.service.clone())
-        else {
+        if !self.servers.contains_key(server) {
             return;
-        };
-        let row = self.notices.rows.entry(server.clone()).or_default();
-        let was = std::mem::replace(&mut row.limit, limit);
-        match (limit, &mut row.meter) {
-            (Some(rate), Some(meter)) => meter.renew(now, rate),
-            (Some(_), None) => {}
-            (None, _) => *row = Row::default(),
         }
-        if let Some(scheduler) = self.schedulers.get_mut(&service) {
-            scheduler.limit(now, server, limit);
+        Self::note_unreadable_word(server, notice, out);
+        let row = self.notices.rows.entry(server.clone()).or_default();
+        if notice.leaving && !row.leaving {
+            row.leaving = true;
+            let detail = format!("server={server} leaving=true");
+            Self::log(out, Code::ServerNotice, detail);
         }
-        if limit != was {
-            let named =
-                |limit: Option<Rate>| limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string());
-            let detail = format!(
-                "server={server} limit={} was={} by={by}",
-                named(limit),
-                named(was)
-            );
+        if let Word::Said(rest) = notice.rest {
+            let detail = format!("server={server} rest={rest}");
             Self::log(out, Code::ServerNotice, detail);
         }
-        if limit.is_some() != was.is_some() {
-            out.push(Effect::Track(server.clone(), limit.is_some()));
-            if self.counts(server) == self.settings.vm {
-                self.tell_all(&Message::Limit(server.clone(), limit), out);
-            }
+        match notice.limit {
+            Word::Unsaid => self.limit_said(server, None, out),
+            Word::Said(rate) => self.limit_said(server, Some(rate), out),
+            Word::Unreadable => {}
         }
     }
 
-    /// The VM that counts what a server is sent.
-    fn counts(&self, server: &Server) -> Vm {
-        let service = self.servers.get(server).map(|row| &row.backend.service);
-        let scheduler = service.and_then(|service| self.scheduler_of(service));
-        scheduler.unwrap_or_else(|| self.counter(server))
-    }
-
-    /// The limits that servers of a service name.
-    pub(crate) fn limits_of(&self, service: &Service) -> Vec<(Server, Rate)> {
-        let rows = self.notices.rows.iter();
-        let limits = rows.filter_map(|(server, row)| Some((server.clone(), row.limit?)));
-        let of = |server: &Server| {
-            let row = self.servers.get(server);
-            row.is_some_and(|row| row.backend.service == *service)
-        };
-        limits.filter(|(server, _)| of(server)).collect()
+    /// Writes a line on what can't be read. Nothing is changed by it: what the server said before holds on.
+    fn note_unreadable_word(server: &Server, notice: Notice, out: &mut Effects) {
+        let words = [
+            ("limit", notice.limit == Word::Unreadable),
+            ("rest", notice.rest == Word::Unreadable),
+        ];
+        for (word, _) in words.iter().filter(|(_, unreadable)| *unreadable) {
+            let detail = format!("server={server} {word}=unreadable");
+            Self::log(out, Code::ServerNotice, detail);
+        }
     }
 
     /// What a server said of itself is that of an earlier start, or the server is gone.
--- /dev/null
+++ b/crates/gateway/src/notice/limit.rs
@@ -0,0 +1,88 @@
+//! The limits that servers name: who counts what each is sent, and who is told.
+
+use dahliastile_core::id::{Server, Service, Vm};
+use dahliastile_core::log::Code;
+
+use super::{Rate, Row};
+use crate::effect::{Effect, Effects};
+use crate::message::Message;
+use crate::node::Gateway;
+
+impl Gateway {
+    /// An answer to this VM names its server's limit, or none.
+    pub(super) fn limit_said(&mut self, server: &Server, limit: Option<Rate>, out: &mut Effects) {
+        let me = self.settings.vm.clone();
+        self.limit_named(&me, server, limit, out);
+        let counts = self.counts(server);
+        if counts != me {
+            self.send(&counts, Message::Limit(server.clone(), limit), out);
+        }
+    }
+
+    /// A server names a limit or none any more, as an answer to a VM says.
+    pub(crate) fn limit_named(
+        &mut self,
+        by: &Vm,
+        server: &Server,
+        limit: Option<Rate>,
+        out: &mut Effects,
+    ) {
+        let now = self.now;
+        let Some(service) = self
+            .servers
+            .get(server)
+            .map(|row| row.backend.service.clone())
+        else {
+            return;
+        };
+        let row = self.notices.rows.entry(server.clone()).or_default();
+        let was = std::mem::replace(&mut row.limit, limit);
+        match (limit, &mut row.meter) {
+            (Some(rate), Some(meter)) => meter.renew(now, rate),
+            (Some(_), None) => {}
+            (None, _) => {
+                *row = Row {
+                    leaving: row.leaving,
+                    ..Row::default()
+                };
+            }
+        }
+        if let Some(scheduler) = self.schedulers.get_mut(&service) {
+            scheduler.limit(now, server, limit);
+        }
+        if limit != was {
+            let named =
+                |limit: Option<Rate>| limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string());
+            let detail = format!(
+                "server={server} limit={} was={} by={by}",
+                named(limit),
+                named(was)
+            );
+            Self::log(out, Code::ServerNotice, detail);
+        }
+        if limit.is_some() != was.is_some() {
+            out.push(Effect::Track(server.clone(), limit.is_some()));
+            if self.counts(server) == self.settings.vm {
+                self.tell_all(&Message::Limit(server.clone(), limit), out);
+            }
+        }
+    }
+
+    /// The VM that counts what a server is sent.
+    fn counts(&self, server: &Server) -> Vm {
+        let service = self.servers.get(server).map(|row| &row.backend.service);
+        let scheduler = service.and_then(|service| self.scheduler_of(service));
+        scheduler.unwrap_or_else(|| self.counter(server))
+    }
+
+    /// The limits that servers of a service name.
+    pub(crate) fn limits_of(&self, service: &Service) -> Vec<(Server, Rate)> {
+        let rows = self.notices.rows.iter();
+        let limits = rows.filter_map(|(server, row)| Some((server.clone(), row.limit?)));
+        let of = |server: &Server| {
+            let row = self.servers.get(server);
+            row.is_some_and(|row| row.backend.service == *service)
+        };
+        limits.filter(|(server, _)| of(server)).collect()
+    }
+}
