--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -9,35 +9,16 @@
 use dahliastile_gateway::notice::Rate;
 use rand::Rng;
 use support::series::{Series, VMS, seeds};
-use support::setup::{call, draft};
+use support::setup::{call, mixed};
 use support::{Answer, World};
 
-/// A fleet after some seconds of a night.
-fn warm(vms: usize) -> World {
-    let mut world = World::new(vms, 12, 4);
-    world.run(Span::from_secs(2));
-    night(&mut world, Span::from_secs(2));
-    world
-}
-
-/// The load of a night: each 20 ms a request for one of sixty adapters in turn, and each fourth time one to a plain service.
-fn night(world: &mut World, span: Span) -> Vec<u64> {
-    let pause = Span::from_millis(20);
-    let count = usize::try_from(span.0 / pause.0).expect("small");
-    let ask = |at: usize| match at % 4 {
-        0 => call(&format!("q{at}"), "/query/x", 2_000, None),
-        _ => draft(&format!("r{at}"), &format!("a{}", at * 7 % 60)),
-    };
-    world.ask_all(count, pause, ask)
-}
-
 /// Guards against a fleet whose VMs don't read the limit that an engine names.
 #[test]
 fn limit_namedbyengines() {
-    let mut world = warm(6);
+    let mut world = World::warm(6);
     world.name_limit("e0", Some(Rate(1_000)));
     world.name_limit("e1", Some(Rate(1_900)));
-    night(&mut world, Span::from_secs(10));
+    world.busy_night(Span::from_secs(10));
     world.check_limits();
     world.check();
 }
@@ -45,10 +26,10 @@
 /// The same for a plain service, for which each VM chooses by itself.
 #[test]
 fn limit_namedbyplainservers() {
-    let mut world = warm(6);
+    let mut world = World::warm(6);
     world.name_limit("p0", Some(Rate(1_000)));
     world.name_limit("p1", Some(Rate(200)));
-    night(&mut world, Span::from_secs(10));
+    world.busy_night(Span::from_secs(10));
     world.check_limits();
     world.check();
 }
@@ -57,12 +38,12 @@
 #[test]
 fn limit_belowoneforeachvm() {
     for vms in [70, 300] {
-        let mut world = warm(vms);
+        let mut world = World::warm(vms);
         world.name_limit("e0", Some(Rate(1_000)));
         world.name_limit("p0", Some(Rate(1_000)));
-        night(&mut world, Span::from_secs(4));
+        world.busy_night(Span::from_secs(4));
         let since = world.now;
-        night(&mut world, Span::from_secs(8));
+        world.busy_night(Span::from_secs(8));
         world.check_limits();
         world.check();
         // What it would take is not left unused either.
@@ -74,20 +55,20 @@
 /// A limit that rises and falls, and is no more; then the server gets as much as others soon.
 #[test]
 fn limit_changesandends() {
-    let mut world = warm(6);
+    let mut world = World::warm(6);
     for limit in [2_000, 200, 5_000, 500] {
         world.name_limit("e0", Some(Rate(limit)));
         world.name_limit("p0", Some(Rate(limit)));
-        night(&mut world, Span::from_secs(6));
+        world.busy_night(Span::from_secs(6));
     }
     world.check_limits();
     world.name_limit("e0", None);
     world.name_limit("p0", None);
     // It is in the same availability zone.
     world.name_limit("p3", None);
-    night(&mut world, Span::from_secs(5));
+    world.busy_night(Span::from_secs(5));
     let since = world.now;
-    night(&mut world, Span::from_secs(5));
+    world.busy_night(Span::from_secs(5));
     let (freed, other) = (
         world.arrivals_at("p0", since),
         world.arrivals_at("p3", since),
@@ -99,16 +80,16 @@
 /// A server that takes nothing at all is asked now and then whether that has ended.
 #[test]
 fn limit_nothingatall() {
-    let mut world = warm(6);
+    let mut world = World::warm(6);
     world.name_limit("e0", Some(Rate(0)));
     world.name_limit("p0", Some(Rate(0)));
-    night(&mut world, Span::from_secs(10));
+    world.busy_night(Span::from_secs(10));
     world.check_limits();
     world.name_limit("e0", None);
     world.name_limit("p0", None);
-    night(&mut world, Span::from_secs(15));
+    world.busy_night(Span::from_secs(15));
     let since = world.now;
-    night(&mut world, Span::from_secs(5));
+    world.busy_night(Span::from_secs(5));
     for server in ["e0", "p0"] {
         let got = world.arrivals_at(server, since);
         assert!(got >= 5, "{server}: {got} arrivals in 5 s");
@@ -119,11 +100,11 @@
 /// All servers of a service name a limit below the load: what they take is used, and the rest refused at once, at times that differ.
 #[test]
 fn limit_allplainservers() {
-    let mut world = warm(6);
+    let mut world = World::warm(6);
     for server in ["p0", "p1", "p2", "p3"] {
         world.name_limit(server, Some(Rate(1_000)));
     }
-    night(&mut world, Span::from_secs(2));
+    world.busy_night(Span::from_secs(2));
     let before = world.served();
     let since = world.now;
     let asked = world.ask_all(200, Span::from_millis(40), |at| {
@@ -161,12 +142,12 @@
 /// All engines do.
 #[test]
 fn limit_allengines() {
-    let mut world = warm(6);
+    let mut world = World::warm(6);
     for server in 0..12 {
         world.name_limit(&format!("e{server}"), Some(Rate(1_000)));
     }
-    night(&mut world, Span::from_secs(3));
-    let asked = night(&mut world, Span::from_secs(8));
+    world.busy_night(Span::from_secs(3));
+    let asked = world.busy_night(Span::from_secs(8));
     world.run(Span::from_secs(6));
     world.check_limits();
     world.check();
@@ -183,10 +164,10 @@
 /// The scheduler's VM is killed, stands still, is cut off from the others, and none schedules while the key-value service is away.
 #[test]
 fn limit_schedulerchanges() {
-    let mut world = warm(6);
+    let mut world = World::warm(6);
     world.name_limit("e0", Some(Rate(1_000)));
     world.name_limit("e5", Some(Rate(500)));
-    night(&mut world, Span::from_secs(3));
+    world.busy_night(Span::from_secs(3));
     for round in 0..4 {
         if let Some(holder) = world.holder() {
             match round {
@@ -196,13 +177,13 @@
                 _ => world.store_up = false,
             }
         }
-        night(&mut world, Span::from_secs(4));
+        world.busy_night(Span::from_secs(4));
         for host in &mut world.hosts {
             host.peers = true;
         }
     }
     world.store_up = true;
-    night(&mut world, Span::from_secs(3));
+    world.busy_night(Span::from_secs(3));
     world.check_limits();
     world.check();
 }
@@ -237,12 +218,8 @@
             for _ in 0..3 {
                 asked += 1;
                 let vm = series.rng.random_range(0..VMS);
-                let call = match asked % 4 {
-                    0 => call(&format!("q{asked}"), "/query/x", 2_000, None),
-                    _ => draft(&format!("r{asked}"), &format!("a{}", asked * 7 % 60)),
-                };
                 if series.world.hosts[vm].gateway.is_some() {
-                    series.world.ask(vm, call);
+                    series.world.ask(vm, mixed(asked));
                 }
             }
         }
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -32,6 +32,8 @@
 }
 
 /// A server.
+// Its faults are set one by one.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Debug)]
 pub struct Engine {
     /// Its id.
@@ -60,6 +62,8 @@
     pub fences: Vec<(Instant, u64)>,
     /// The last order under a lower number than one before, and when it came.
     pub late_fence: Option<(Instant, u64)>,
+    /// Whether it turns requests away.
+    pub resting: bool,
     /// Whether it fails what it runs.
     pub failing: bool,
     /// Adapters loaded.
@@ -91,6 +95,7 @@
             crash: None,
             fences: Vec::new(),
             late_fence: None,
+            resting: false,
             failing: false,
             loads: 0,
             fetches: 0,
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -143,6 +143,14 @@
     call(id, "/plan/x", 5_000, Some(work(adapter, 600, 15)))
 }
 
+/// One of many requests: three in four are drafts by sixty adapters in turn, the others for the plain service.
+pub fn mixed(at: usize) -> Call {
+    match at % 4 {
+        0 => call(&format!("q{at}"), "/query/x", 2_000, None),
+        _ => draft(&format!("r{at}"), &format!("a{}", at * 7 % 60)),
+    }
+}
+
 /// A request.
 pub fn call(id: &str, path: &str, patience: u64, work: Option<Work>) -> Call {
     Call {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -31,6 +31,8 @@
 
 /// The pause between two requests of a quiet night.
 const QUIET_PAUSE: Span = Span::from_millis(40);
+/// The pause between two requests of a busy one.
+const BUSY_PAUSE: Span = Span::from_millis(20);
 /// How long after a version was named no request may begin on an older one.
 const IN_FORCE: Span = Span::from_secs(5);
 /// One way between two zones.
@@ -125,7 +127,7 @@
     Report(usize, u64, Server),
     Peer(usize, usize, Message),
     Arrive(usize, u64, u64, Send),
-    Head((usize, u64), Server, Instant),
+    Head(notice::Head),
     Restart(usize),
     Expire,
     Thaw(usize),
@@ -489,6 +491,21 @@
         self.ask_all(count, QUIET_PAUSE, call)
     }
 
+    /// A fleet of 12 engines and 4 plain servers after some seconds of a busy night.
+    pub fn warm(vms: usize) -> Self {
+        let mut world = Self::new(vms, 12, 4);
+        world.run(Span::from_secs(2));
+        world.busy_night(Span::from_secs(2));
+        world
+    }
+
+    /// The load of a busy night for the span: each 20 ms a request for one of sixty adapters in turn, and each fourth time one to a
+    /// plain service; their numbers.
+    pub fn busy_night(&mut self, span: Span) -> Vec<u64> {
+        let count = usize::try_from(span.0 / BUSY_PAUSE.0).expect("small");
+        self.ask_all(count, BUSY_PAUSE, setup::mixed)
+    }
+
     /// How long each of these requests was held that was refused.
     pub fn refused_of(&self, numbers: &[u64]) -> Vec<Span> {
         let held = |number: &u64| {
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -54,7 +54,7 @@
             }
             Act::Report(vm, start, server) => {
                 let now = self.now;
-                self.reached(vm, &server);
+                self.reached(vm, &server, false);
                 let report = self
                     .servers
                     .get(&server)
@@ -80,7 +80,7 @@
                 }
             }
             Act::Arrive(vm, start, number, send) => self.arrive(vm, start, number, &send),
-            Act::Head(to, server, sent) => self.head(to, server, sent),
+            Act::Head(head) => self.head(head),
             Act::Restart(vm) => self.start(vm),
             Act::Expire => {
                 if self.store_up {
@@ -181,7 +181,7 @@
         silent: bool,
     ) {
         let now = self.now;
-        self.reached(vm, server);
+        self.reached(vm, server, false);
         let newest = order
             .adapter
             .as_ref()
@@ -206,7 +206,7 @@
     pub(super) fn arrive(&mut self, vm: usize, start: u64, number: u64, send: &Send) {
         let now = self.now;
         if self.servers.get(&send.server).is_some_and(|(e, _)| e.up) {
-            self.reached(vm, &send.server);
+            self.reached(vm, &send.server, true);
         }
         let Some(asked) = self.asked.get_mut(&number) else {
             return;
@@ -230,6 +230,12 @@
                 vm,
             });
         }
+        if engine.resting {
+            self.refusal_in(WAY, to, &send.server, left);
+            let refused = failed(Ran::No, Cause::Full);
+            self.at(now + WAY, Act::Event(vm, start, refused));
+            return;
+        }
         let times = match &call.work {
             None => Some((now + PLAIN_WORK, now + PLAIN_WORK)),
             Some(work) => match &work.adapter {
--- a/crates/gateway/tests/support/world/notice.rs
+++ b/crates/gateway/tests/support/world/notice.rs
@@ -24,17 +24,52 @@
 pub struct Arrival {
     /// When.
     pub at: Instant,
+    /// Whether it is a request of a caller.
+    pub request: bool,
     /// The VM that sent it.
     pub vm: usize,
+    /// The number of that VM's start.
+    pub start: u64,
+    /// When the server first told that start that it leaves.
+    pub leaving: Option<Instant>,
     /// Whether the server had told that start of the VM of a limit for as long as counts.
     pub told: bool,
     /// The server.
     pub server: Server,
 }
 
+/// A server has asked a VM for rest.
+#[derive(Clone, Debug)]
+pub struct Rest {
+    /// When the VM was told.
+    pub at: Instant,
+    /// For how long.
+    pub span: Span,
+    /// The VM and the number of its start.
+    pub vm: (usize, u64),
+    /// The server.
+    pub server: Server,
+}
+
+/// The head of an answer.
+pub(super) struct Head {
+    /// The VM that it comes to, and the number of its start.
+    to: (usize, u64),
+    /// The server.
+    server: Server,
+    /// When what it answers was sent.
+    sent: Instant,
+    /// Whether the request was turned away.
+    turned_away: bool,
+}
+
 /// What servers say of themselves.
 #[derive(Default)]
 pub struct Notices {
+    /// When a server first told a start of a VM that it leaves.
+    left: BTreeMap<(usize, u64, Server), Instant>,
+    /// The rests that servers asked for.
+    pub rests: Vec<Rest>,
     /// What each says now.
     says: BTreeMap<Server, Notice>,
     /// The limits that each has named, with the times.
@@ -57,13 +92,17 @@
     }
 
     /// Something reaches a server from a VM.
-    pub(super) fn reached(&mut self, vm: usize, server: &Server) {
+    pub(super) fn reached(&mut self, vm: usize, server: &Server, request: bool) {
         if self.notices.says.contains_key(server) {
-            let key = (vm, self.hosts[vm].start, server.clone());
+            let start = self.hosts[vm].start;
+            let key = (vm, start, server.clone());
             let told = self.notices.told.get(&key);
             self.notices.arrivals.push(Arrival {
                 at: self.now,
+                request,
                 vm,
+                start,
+                leaving: self.notices.left.get(&key).copied(),
                 told: told.is_some_and(|at| *at + TOLD <= self.now),
                 server: server.clone(),
             });
@@ -78,16 +117,62 @@
         server: &Server,
         sent: Instant,
     ) {
-        if self.notices.says.contains_key(server) {
-            let head = Act::Head(to, server.clone(), sent);
-            self.at(self.now + after, head);
+        let head = Head {
+            to,
+            server: server.clone(),
+            sent,
+            turned_away: false,
+        };
+        self.head_later(after, head);
+    }
+
+    /// The same of an answer that turns a request away.
+    pub(super) fn refusal_in(
+        &mut self,
+        after: Span,
+        to: (usize, u64),
+        server: &Server,
+        sent: Instant,
+    ) {
+        let head = Head {
+            to,
+            server: server.clone(),
+            sent,
+            turned_away: true,
+        };
+        self.head_later(after, head);
+    }
+
+    fn head_later(&mut self, after: Span, head: Head) {
+        if self.notices.says.contains_key(&head.server) {
+            self.at(self.now + after, Act::Head(head));
         }
     }
 
     /// The head of an answer comes.
-    pub(super) fn head(&mut self, (vm, start): (usize, u64), server: Server, sent: Instant) {
-        let notice = self.notices.says[&server];
+    pub(super) fn head(&mut self, head: Head) {
+        let Head {
+            to: (vm, start),
+            server,
+            sent,
+            turned_away,
+        } = head;
+        let mut notice = self.notices.says[&server];
+        if !turned_away {
+            notice.rest = Word::Unsaid;
+        }
         let key = (vm, start, server.clone());
+        if notice.leaving {
+            self.notices.left.entry(key.clone()).or_insert(self.now);
+        }
+        if let Word::Said(span) = notice.rest {
+            self.notices.rests.push(Rest {
+                at: self.now,
+                span,
+                vm: (vm, start),
+                server: server.clone(),
+            });
+        }
         if matches!(notice.limit, Word::Said(_)) {
             self.notices.told.entry(key.clone()).or_insert(self.now);
         }
@@ -185,3 +270,47 @@
     }
     Some(sum)
 }
+
+impl World {
+    /// A server says that it is leaving in its answers from now on, and nowhere else.
+    pub fn say_leaving(&mut self, id: &str) {
+        let server: Server = name(id);
+        self.notices.says.entry(server).or_default().leaving = true;
+    }
+
+    /// A server turns all requests away from now on and asks each VM for so much rest; or takes them again.
+    pub fn ask_rest(&mut self, id: &str, rest: Option<Span>) {
+        let server: Server = name(id);
+        let (engine, _) = self.servers.get_mut(&server).expect("a server");
+        engine.resting = rest.is_some();
+        self.notices.says.entry(server).or_default().rest = rest.map_or(Word::Unsaid, Word::Said);
+    }
+
+    /// The requests that reached a server from a VM later than a span after that VM was told that it leaves, with the times since.
+    pub fn after_leaving(&self, id: &str, bound: Span) -> Vec<(usize, Span)> {
+        let got = self.notices.arrivals.iter();
+        let late = got.filter_map(|arrival| {
+            let since = arrival.at.since(arrival.leaving?);
+            let late = arrival.request && arrival.server.as_str() == id && since > bound;
+            late.then_some((arrival.vm, since))
+        });
+        late.collect()
+    }
+
+    /// How many requests and orders reached a server from a VM in the longest of its rests, from half a second on.
+    pub fn most_in_rest(&self, id: &str) -> usize {
+        let server: Server = name(id);
+        let rests = self
+            .notices
+            .rests
+            .iter()
+            .filter(|rest| rest.server == server);
+        let got = |rest: &Rest| {
+            let (from, until) = (rest.at + TOLD, rest.at + rest.span);
+            let got = self.notices.arrivals.iter();
+            let got = got.filter(|a| a.server == server && (a.vm, a.start) == rest.vm);
+            got.filter(|a| a.at >= from && a.at < until).count()
+        };
+        rests.map(got).max().unwrap_or_default()
+    }
+}
