--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -81,22 +81,23 @@
             .adapter
             .as_ref()
             .map_or(0, |a| self.newest(&work.model, a));
-        let Some(agent) = self.agents.get(&flow.service) else {
+        let version = work.adapter.as_ref().map(|_| newest).filter(|v| *v > 0);
+        let (service, failed) = (flow.service.clone(), flow.failed.clone());
+        let adapter = work.adapter.clone();
+        let Some(agent) = self.agents.get(&service) else {
             return;
         };
-        let holds = |server: &Server| match &work.adapter {
-            None => true,
-            Some(adapter) => agent.residents.get(server).is_some_and(|held| {
-                held.iter()
-                    .any(|r| r.adapter == *adapter && r.version >= newest)
-            }),
+        let holding = |server: &Server| {
+            let held = agent.residents.get(server)?;
+            let fits = |r: &Resident| Some(&r.adapter) == adapter.as_ref() && r.version >= newest;
+            held.iter().find(|resident| fits(resident))
         };
-        let now = self.now;
-        let rows = self.servers.iter();
-        let of = rows.filter(|(_, row)| row.backend.service == flow.service);
-        let fit = of.filter(|(s, _)| holds(s) && self.notices.open(s, now));
-        let version = work.adapter.as_ref().map(|_| newest).filter(|v| *v > 0);
-        let choice = crate::plain::choose(fit, &flow.failed, &self.settings, now, &mut self.rng);
+        let servers = self.servers.keys();
+        let holders: Vec<Server> = servers
+            .filter(|server| adapter.is_none() || holding(server).is_some())
+            .cloned()
+            .collect();
+        let choice = self.choose(&service, &failed, |server| holders.contains(server));
         if let Some(server) = choice {
             self.send_alone(request, &server, version, out);
         }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -21,7 +21,6 @@
 use crate::measure;
 use crate::message::{Progress, Want};
 use crate::node::Gateway;
-use crate::plain;
 use crate::timer::Timer;
 
 use self::failure::COME_BACK;
@@ -208,15 +207,12 @@
             self.ask_place(request, out);
             return;
         }
-        let now = self.now;
-        let of = |(_, row): &(&Server, &plain::Row)| row.backend.service == service;
-        let rows = self.servers.iter().filter(of);
-        let open = rows.filter(|(server, _)| self.notices.open(server, now));
-        let choice = plain::choose(open, &flow.failed, &self.settings, now, &mut self.rng);
+        let failed = flow.failed.clone();
+        let choice = self.choose(&service, &failed, |_| true);
         if let Some(server) = choice {
             self.send_alone(request, &server, None, out);
         } else {
-            let opens = self.opens(&service).since(now);
+            let opens = self.opens(&service).since(self.now);
             self.give_up(request, Some(opens.max(COME_BACK)), Why::NoServer, out);
         }
     }
@@ -355,10 +351,7 @@
             .flows
             .get(&request)
             .is_some_and(|flow| flow.state == State::Waiting);
-        let listed = self
-            .servers
-            .get(server)
-            .is_some_and(|row| row.backend.ready);
+        let listed = self.takes_work(server);
         match waiting {
             true if listed => self.send_to(request, server, version, out),
             true => {
@@ -369,6 +362,13 @@
         }
     }
 
+    /// Whether a server takes requests of this VM.
+    pub(crate) fn takes_work(&self, server: &Server) -> bool {
+        let left = self.notices.has_left(server, self.now, self.last_resort());
+        let row = self.servers.get(server);
+        row.is_some_and(|row| row.backend.ready && !left)
+    }
+
     /// Forgets a request that has its final answer.
     fn end(&mut self, request: RequestId, progress: Progress, out: &mut Effects) {
         self.tell_progress(request, progress, out);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -13,8 +13,13 @@
 impl Gateway {
     /// A server is listed or describes itself anew.
     pub(crate) fn scheduler_server(&mut self, server: &Server, backend: &Arc<Backend>) {
-        if let Some(scheduler) = self.schedulers.get_mut(&backend.service) {
-            scheduler.server(server, backend);
+        let Some(scheduler) = self.schedulers.get_mut(&backend.service) else {
+            return;
+        };
+        let known = scheduler.engines.contains_key(server);
+        scheduler.server(server, backend);
+        if !known {
+            self.notices.brief(self.now, scheduler, server);
         }
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -8,7 +8,7 @@
 use dahliastile_core::time::{Instant, Span};
 
 use crate::config::{Config, Index};
-use crate::effect::Effects;
+use crate::effect::{Effect, Effects};
 use crate::fact::{Backend, Change, Fact, Revision, Subject, Way};
 use crate::node::Gateway;
 use crate::plain::Row;
@@ -214,6 +214,7 @@
             let (service, address) = (&backend.service, backend.address);
             let detail = format!("server={server} service={service} address={address}");
             Self::log(out, Code::ServerListed, detail);
+            self.notices.listed(server, backend.start);
             self.servers
                 .insert(server.clone(), Row::new(backend.clone()));
         }
@@ -221,11 +222,13 @@
     }
 
     fn lose_server(&mut self, server: &Server, out: &mut Effects) {
-        self.forget_notices(server, out);
         if let Some(row) = self.servers.remove(server) {
             Self::log(out, Code::ServerGone, format!("server={server}"));
+            let leaving = self.notices.leaving(server).is_some();
+            self.notices.unlisted(server, self.now);
+            out.push(Effect::Track(server.clone(), false));
             // The end of one that was leaving is its own.
-            if row.backend.ready {
+            if row.backend.ready && !leaving {
                 self.server_ended(server, out);
             }
             self.scheduler_server_gone(server, &row.backend.service);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between entry VMs. Each may be lost, late or doubled.
 
-use dahliastile_core::id::{Server, Service, Tenant, Zone};
+use dahliastile_core::id::{Incarnation, Server, Service, Tenant, Zone};
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -124,6 +124,8 @@
     Deposit(u64, Vec<(Tenant, Tokens)>),
     /// A server names a limit to the requests a second that it takes from all VMs together, or none any more.
     Limit(Server, Option<Rate>),
+    /// A server is leaving, as this start of it says.
+    Leaving(Server, Option<Incarnation>),
     /// To the VM that counts what a server is sent: may this request go there?
     Permit(RequestId, Server),
     /// From that VM: it may, or when to ask again.
@@ -154,6 +156,7 @@
             Self::Collect(..) => "collect",
             Self::Deposit(..) => "deposit",
             Self::Limit(..) => "limit",
+            Self::Leaving(..) => "leaving",
             Self::Permit(..) => "permit",
             Self::Permitted(..) => "permitted",
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -343,6 +343,9 @@
             Message::Struck(strikes) => self.struck(from, &strikes, out),
             Message::Standings(told) => self.standings(told, out),
             Message::Limit(server, limit) => self.limit_named(from, &server, limit, out),
+            Message::Leaving(server, start) => {
+                self.leaving_told(from, &server, start, out);
+            }
             Message::Permit(request, server) => self.permit_asked(from, request, server, out),
             Message::Permitted(request, server, answer) => {
                 self.permitted(request, &server, answer, out);
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,9 +1,10 @@
 //! What backend servers say of themselves in their answers, beside what they answer.
 //!
 //! It comes sooner than the key-value service's word, and to one VM. That VM tells the one that counts what the server is sent: the
-//! service's scheduler, or else the VM that hashing names ([`permit`]); and that one tells all, since each VM must know whose answers to
-//! look at for the end of a limit.
+//! service's scheduler, or else the VM that hashing names ([`permit`]); and that one tells all. Each VM must know whose answers to look at
+//! for the end of a limit, and which servers leave.
 
+pub(crate) mod leaving;
 mod limit;
 pub(crate) mod meter;
 mod permit;
@@ -12,7 +13,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use dahliastile_core::id::Server;
+use dahliastile_core::id::{Incarnation, Server};
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
@@ -105,8 +106,10 @@
     meter: Option<Meter>,
     /// Until when this VM sends it nothing.
     closed: Instant,
-    /// Whether it has said that it is leaving.
-    leaving: bool,
+    /// When it was first heard to say that it is leaving.
+    leaving: Option<Instant>,
+    /// The start of which that was heard.
+    start: Option<Incarnation>,
 }
 
 impl Table {
@@ -141,11 +144,8 @@
             return;
         }
         Self::note_unreadable_word(server, notice, out);
-        let row = self.notices.rows.entry(server.clone()).or_default();
-        if notice.leaving && !row.leaving {
-            row.leaving = true;
-            let detail = format!("server={server} leaving=true");
-            Self::log(out, Code::ServerNotice, detail);
+        if notice.leaving {
+            self.leaving_said(server, out);
         }
         if let Word::Said(rest) = notice.rest {
             let detail = format!("server={server} rest={rest}");
@@ -170,7 +170,7 @@
         }
     }
 
-    /// What a server said of itself is that of an earlier start, or the server is gone.
+    /// What a server said of itself is that of an earlier start.
     pub(crate) fn forget_notices(&mut self, server: &Server, out: &mut Effects) {
         if self.notices.rows.remove(server).is_some() {
             out.push(Effect::Track(server.clone(), false));
--- a/crates/gateway/src/notice/limit.rs
+++ b/crates/gateway/src/notice/limit.rs
@@ -2,8 +2,9 @@
 
 use dahliastile_core::id::{Server, Service, Vm};
 use dahliastile_core::log::Code;
+use dahliastile_core::time::Instant;
 
-use super::{Rate, Row};
+use super::Rate;
 use crate::effect::{Effect, Effects};
 use crate::message::Message;
 use crate::node::Gateway;
@@ -40,12 +41,7 @@
         match (limit, &mut row.meter) {
             (Some(rate), Some(meter)) => meter.renew(now, rate),
             (Some(_), None) => {}
-            (None, _) => {
-                *row = Row {
-                    leaving: row.leaving,
-                    ..Row::default()
-                };
-            }
+            (None, _) => (row.meter, row.closed) = (None, Instant::default()),
         }
         if let Some(scheduler) = self.schedulers.get_mut(&service) {
             scheduler.limit(now, server, limit);
@@ -69,7 +65,7 @@
     }
 
     /// The VM that counts what a server is sent.
-    fn counts(&self, server: &Server) -> Vm {
+    pub(super) fn counts(&self, server: &Server) -> Vm {
         let service = self.servers.get(server).map(|row| &row.backend.service);
         let scheduler = service.and_then(|service| self.scheduler_of(service));
         scheduler.unwrap_or_else(|| self.counter(server))
--- a/crates/gateway/src/notice/permit.rs
+++ b/crates/gateway/src/notice/permit.rs
@@ -110,10 +110,7 @@
             }) if of == server => *version,
             _ => return,
         };
-        let listed = self
-            .servers
-            .get(server)
-            .is_some_and(|row| row.backend.ready);
+        let listed = self.takes_work(server);
         match answer {
             Ok(()) if listed => self.send_to(request, server, version, out),
             Ok(()) => self.seek(request, out),
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -38,11 +38,12 @@
 use crate::mechanism::Mechanism;
 use crate::message::{Holding, Progress, Running, Want};
 use crate::notice::Rate;
+use crate::notice::leaving::last_resort;
 use crate::notice::meter::Meter;
 use crate::settings::Settings;
 
 use self::adapter_cache::{Beside, Remembering};
-use self::engine::Engine;
+use self::engine::{Engine, Leaving};
 use self::job::{Job, JobId, Jobs};
 use self::key::{Key, Keys};
 use self::load::BaseRate;
@@ -254,6 +255,32 @@
         }
     }
 
+    /// An engine says that it is leaving, as was first heard at a time.
+    pub(crate) fn leaving(&mut self, server: &Server, at: Instant) {
+        self.dirty = true;
+        match self.engines.get_mut(server) {
+            Some(engine) if engine.leaving == Leaving::No => engine.leaving = Leaving::Since(at),
+            Some(_) | None => {}
+        }
+    }
+
+    /// Closes the engines that leave. Where no other one is there they are used for a while.
+    fn close_leaving(&mut self, now: Instant) {
+        let last = last_resort(self.settings.tuning.drain);
+        let stays =
+            |engine: &Engine| engine.known && engine.backend.ready && engine.leaving == Leaving::No;
+        let any = self.engines.values().any(stays);
+        for engine in self.engines.values_mut() {
+            engine.leaving = match engine.leaving {
+                Leaving::Since(at) | Leaving::Closed(at) if any || now.since(at) >= last => {
+                    Leaving::Closed(at)
+                }
+                Leaving::Since(at) | Leaving::Closed(at) => Leaving::Since(at),
+                Leaving::No => Leaving::No,
+            };
+        }
+    }
+
     /// A newer version of an adapter is named.
     /// Where it may have been named long ago, `at` is none.
     pub fn newer(
@@ -360,6 +387,7 @@
         out.extend(self.notes.drain(..).map(Decision::Log));
         self.settle(now, out);
         self.judge(now);
+        self.close_leaving(now);
         let spread = self.spread(now);
         self.place_jobs(now, &spread, out);
         let waits = self.forecast(now, &spread);
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -86,6 +86,17 @@
     Base(Arc<str>),
 }
 
+/// Whether an engine is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Leaving {
+    /// It does not say so.
+    No,
+    /// It was first heard to say so then, and is used for a while, as no other one is there.
+    Since(Instant),
+    /// It was first heard to say so then, and is not used any more.
+    Closed(Instant),
+}
+
 /// An order that has no answer yet.
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
@@ -134,6 +145,8 @@
     pub(crate) tries: u32,
     /// When it last took an order.
     pub(crate) last_order: Instant,
+    /// Whether it is leaving, as it says.
+    pub(crate) leaving: Leaving,
     /// What it may still be sent, where it names a limit.
     pub(crate) meter: Option<Meter>,
     /// What requests say of its health.
@@ -166,6 +179,7 @@
             pending: None,
             tries: 0,
             last_order: Instant::default(),
+            leaving: Leaving::No,
             meter: None,
             health: Health::default(),
             last: false,
@@ -193,6 +207,7 @@
         self.base_due = None;
         self.places.clear();
         self.kept = Kept::default();
+        self.leaving = Leaving::No;
         self.meter = None;
         self.health = Health::default();
         self.last_order = Instant::default();
@@ -209,7 +224,7 @@
 
     /// Whether it takes requests and orders.
     pub(crate) fn usable(&self) -> bool {
-        self.known && self.backend.ready
+        self.known && self.backend.ready && !matches!(self.leaving, Leaving::Closed(_))
     }
 
     /// Whether its limit leaves room for so many requests and orders now.
--- a/crates/gateway/src/scheduler/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -9,13 +9,16 @@
 
 use super::Scheduler;
 use super::capacity::FOR_A_LOAD;
-use super::engine::Engine;
+use super::engine::{Engine, Leaving};
 use super::job::{Job, JobId};
 use super::key::Key;
 use super::load::ROOM_SOON;
 use super::residency::Spread;
 use crate::account::quota::bucket::wait;
 
+/// A wait that no request has time for.
+const FOREVER: Span = Span::from_secs(3_600);
+
 /// What a request waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum For {
@@ -85,16 +88,28 @@
             limited: self.limited(now),
             ..Ahead::default()
         };
+        let closed = if self.all_leave() {
+            FOREVER
+        } else {
+            Span::ZERO
+        };
         let ids = self.jobs.waiting(now).into_iter();
         ids.filter_map(|id| {
             let (what, span) = self.wait_of(now, self.jobs.get(&id)?, spread, &mut ahead);
             let limited = ahead.limited.as_mut().map(|limited| limited.next(what));
-            let span = span.max(limited.unwrap_or_default());
+            let span = span.max(limited.unwrap_or_default()).max(closed);
             Some(Wait { id, what, span })
         })
         .collect()
     }
 
+    /// Whether there are engines, and all of them leave.
+    fn all_leave(&self) -> bool {
+        let leaves =
+            |engine: &Engine| !engine.backend.ready || matches!(engine.leaving, Leaving::Closed(_));
+        !self.engines.is_empty() && self.engines.values().all(leaves)
+    }
+
     /// What the engines may be sent, where all of them name limits.
     fn limited(&self, now: Instant) -> Option<Limited> {
         let mut limited = None;
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -208,11 +208,9 @@
         for (server, row) in &self.servers {
             if row.backend.service == *service {
                 scheduler.server(server, &row.backend);
+                self.notices.brief(self.now, &mut scheduler, server);
             }
         }
-        for (server, limit) in self.limits_of(service) {
-            scheduler.limit(self.now, &server, Some(limit));
-        }
         for change in self.facts.present() {
             if let (Subject::Version(model, adapter), Some(Fact::Version(version))) =
                 (&change.subject, &change.fact)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -96,6 +96,8 @@
     pub quota_overage: f64,
     /// The tokens by which it may besides.
     pub quota_slack: f64,
+    /// How long a server that leaves takes requests of VMs that know of it.
+    pub drain: Span,
     /// How long the platform needs to see that a VM is leaving, before it may close connections.
     pub leave: Span,
     /// The longest a graceful stop may take.
@@ -127,6 +129,7 @@
             quota_window: Span::from_secs(8),
             quota_overage: 0.0,
             quota_slack: 0.0,
+            drain: Span::from_secs(2),
             leave: Span::from_millis(2_500),
             grace: Span::from_secs(8),
         }
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -5,28 +5,26 @@
 
 mod support;
 
-use dahliastile_core::time::Span;
+use dahliastile_core::time::{Instant, Span};
+use rand::Rng;
 use support::World;
+use support::series::{Series, VMS, seeds};
+use support::setup::{draft, mixed};
+use support::world::Arrival;
 
 /// How long after a VM was told requests may still come from it: they may have been on their way.
 const BOUND: Span = Span::from_millis(500);
 
-fn check(world: &World, server: &str) {
-    let late = world.after_leaving(server, BOUND);
+/// That no request came later than a span after its VM was told.
+fn check(world: &World, server: &str, bound: Span) {
+    let late = world.after_leaving(server, bound);
+    let last = late.last();
     assert!(
         late.is_empty(),
-        "{server}: {} requests, {:?}",
-        late.len(),
-        late.last()
-    );
-    assert!(
-        world
-            .notices
-            .arrivals
-            .iter()
-            .any(|a| a.leaving.is_some() || a.server.as_str() == server),
-        "{server} told nobody"
+        "{server}: {} requests, {last:?}",
+        late.len()
     );
+    assert!(world.told_leaving(server), "{server} told nobody");
     world.check();
 }
 
@@ -39,7 +37,7 @@
     world.run(Span::from_millis(900));
     world.say_leaving("e3");
     world.busy_night(Span::from_secs(12));
-    check(&world, "e3");
+    check(&world, "e3", BOUND);
 }
 
 /// The same for a plain service, for which each VM chooses by itself.
@@ -51,5 +49,179 @@
     world.run(Span::from_millis(900));
     world.say_leaving("p0");
     world.busy_night(Span::from_secs(12));
-    check(&world, "p0");
+    check(&world, "p0", BOUND);
+}
+
+/// The requests that reached a server since a time.
+fn requests_since(world: &World, server: &str, since: Instant) -> usize {
+    let got = world.notices.arrivals.iter();
+    got.filter(|a| a.request && a.server.as_str() == server && a.at >= since)
+        .count()
+}
+
+/// What one VM heard, the others take note of before each is told by itself.
+#[test]
+fn leaving_onevmtellsall() {
+    let mut world = World::warm(24);
+    for server in ["e3", "p0"] {
+        world.say_leaving(server);
+    }
+    world.busy_night(Span::from_secs(2));
+    assert!(world.told_leaving("e3") && world.told_leaving("p0"));
+    let since = world.now;
+    world.busy_night(Span::from_secs(6));
+    for server in ["e3", "p0"] {
+        let got = requests_since(&world, server, since);
+        assert_eq!(got, 0, "{server} got {got} requests");
+    }
+    world.check();
+}
+
+/// An entry that is written anew as it was, or lapses and is back, says nothing newer than the server itself.
+#[test]
+fn leaving_olderwordundoesnothing() {
+    let mut world = World::warm(6);
+    world.say_leaving("e3");
+    world.say_leaving("p0");
+    world.busy_night(Span::from_secs(3));
+    let since = world.now;
+    for server in ["e3", "p0"] {
+        world.rewrite(server);
+    }
+    world.busy_night(Span::from_secs(2));
+    for server in ["e3", "p0"] {
+        world.unlist(server);
+    }
+    world.busy_night(Span::from_secs(1));
+    for server in ["e3", "p0"] {
+        world.rewrite(server);
+    }
+    world.busy_night(Span::from_secs(4));
+    for server in ["e3", "p0"] {
+        let got = requests_since(&world, server, since);
+        assert_eq!(got, 0, "{server} got {got} requests");
+    }
+    world.check();
+}
+
+/// A server that starts again under the id that it had is as good as any.
+#[test]
+fn leaving_startsagain() {
+    let mut world = World::warm(6);
+    world.say_leaving("e3");
+    world.say_leaving("p0");
+    world.busy_night(Span::from_secs(3));
+    world.stay("e3");
+    world.stay("p0");
+    world.restart_server("e3", 2);
+    world.restart_server("p0", 2);
+    world.busy_night(Span::from_secs(3));
+    let since = world.now;
+    world.busy_night(Span::from_secs(4));
+    // Adapters that no engine holds go where there is room.
+    world.ask_all(100, Span::from_millis(20), |at| {
+        draft(&format!("n{at}"), &format!("b{}", at % 20))
+    });
+    for server in ["e3", "p0"] {
+        let got = requests_since(&world, server, since);
+        assert!(got >= 5, "{server} got {got} requests");
+    }
+    world.check();
+}
+
+/// All servers of both services leave at once: until others come they are used for a while, and then callers are refused at once.
+#[test]
+fn leaving_allatonce() {
+    let mut world = World::warm(6);
+    for server in 0..12 {
+        world.say_leaving(&format!("e{server}"));
+    }
+    for server in 0..4 {
+        world.say_leaving(&format!("p{server}"));
+    }
+    let first = world.busy_night(Span::from_millis(900));
+    world.run(Span::from_secs(1));
+    world.check_served(&first, 90);
+    // By then each of them was asked and has told a VM.
+    world.busy_night(Span::from_secs(2));
+    world.run(Span::from_secs(1));
+    let late = world.busy_night(Span::from_secs(2));
+    world.run(Span::from_secs(2));
+    for server in ["e0", "e7", "p0", "p3"] {
+        check(&world, server, Span::from_millis(1_200));
+    }
+    let held = world.refused_of(&late);
+    let longest = held.iter().max().copied().unwrap_or_default();
+    assert_eq!(held.len(), late.len(), "some were not refused");
+    assert!(
+        longest <= Span::from_millis(300),
+        "one was held for {longest}"
+    );
+    for number in 12..20 {
+        world.add_server(&format!("e{number}"), number, true);
+    }
+    world.add_server("p4", 4, false);
+    world.busy_night(Span::from_secs(2));
+    let back = world.busy_night(Span::from_secs(2));
+    world.run(Span::from_secs(2));
+    world.check_served(&back, 90);
+    world.check();
+}
+
+/// The scheduler's VM is killed, stands still, is cut off from the others, and none schedules.
+#[test]
+fn leaving_schedulerchanges() {
+    let mut world = World::warm(6);
+    world.store_up = false;
+    world.wake_watchers();
+    world.busy_night(Span::from_secs(1));
+    world.say_leaving("e3");
+    world.busy_night(Span::from_secs(2));
+    for round in 0..3 {
+        let holder = world.holder().unwrap_or(round);
+        match round {
+            0 => world.freeze(holder, Span::from_secs(2)),
+            1 => world.hosts[holder].peers = false,
+            _ => world.kill(holder, false),
+        }
+        world.busy_night(Span::from_secs(4));
+        world.hosts[holder].peers = true;
+    }
+    check(&world, "e3", BOUND);
+}
+
+/// Servers say so in random series of faults. What a VM was told holds for it whatever happens.
+#[test]
+fn leaving_amongfaults() {
+    for seed in 0..seeds(10) {
+        let mut series = Series::new(seed);
+        let end = series.world.now + Span::from_secs(40);
+        let (mut asked, mut leaving) = (0_usize, Vec::new());
+        while series.world.now < end {
+            series.step();
+            if series.rng.random_bool(0.01) && leaving.len() < 8 {
+                let server = match leaving.len() {
+                    at @ (1 | 5) => format!("p{}", at / 4),
+                    at => format!("e{at}"),
+                };
+                series.world.say_leaving(&server);
+                leaving.push(server);
+            }
+            for _ in 0..3 {
+                asked += 1;
+                let vm = series.rng.random_range(0..VMS);
+                if series.world.hosts[vm].gateway.is_some() {
+                    series.world.ask(vm, mixed(asked));
+                }
+            }
+        }
+        for server in &leaving {
+            let late = series.world.after_leaving(server, Span::from_secs(2));
+            let counts = |arrival: &&&Arrival| series.had_been_well(arrival.vm, arrival.at);
+            let late: Vec<_> = late.iter().filter(counts).collect();
+            assert!(late.is_empty(), "seed {seed} {server}: {late:?}");
+        }
+        assert!(!leaving.is_empty(), "seed {seed}: no server left");
+        series.world.check();
+    }
 }
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -200,13 +200,9 @@
             .chain((0..4).map(|at| format!("p{at}")))
             .collect();
         let mut limited: Vec<(Instant, String)> = Vec::new();
-        let mut well: Vec<(Instant, usize)> = Vec::new();
         while series.world.now < end {
             series.step();
             let now = series.world.now;
-            for vm in (0..VMS).filter(|vm| series.was_well(*vm, now)) {
-                well.push((now, vm));
-            }
             if series.rng.random_bool(0.03) {
                 let server = servers[series.rng.random_range(0..servers.len())].clone();
                 if limited.iter().all(|(_, known)| *known != server) {
@@ -225,14 +221,7 @@
         }
         for (_, server) in &limited {
             let over = series.world.over_limit_of(server, |arrival| {
-                let last = arrival.at.back(Span::from_millis(60));
-                let mut around = well
-                    .iter()
-                    .filter(|(at, vm)| *vm == arrival.vm && *at >= last);
-                arrival.told
-                    && around
-                        .next()
-                        .is_some_and(|(at, _)| *at <= arrival.at + Span::from_millis(60))
+                arrival.told && series.had_been_well(arrival.vm, arrival.at)
             });
             assert!(
                 over.is_empty(),
--- a/crates/gateway/tests/support/series.rs
+++ b/crates/gateway/tests/support/series.rs
@@ -34,6 +34,8 @@
     pub rng: ChaCha8Rng,
     /// When each VM was last in trouble.
     pub troubled: Vec<Instant>,
+    /// The same after each step, with its time.
+    history: Vec<(Instant, Vec<Instant>)>,
     /// When the key-value service was.
     pub store_troubled: Instant,
     /// When it answers again.
@@ -64,6 +66,7 @@
         world.run(Span::from_secs(8));
         Self {
             troubled: vec![world.now; VMS],
+            history: vec![(world.now, vec![world.now; VMS])],
             store_troubled: world.now,
             store_back: world.now,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -82,6 +85,7 @@
             self.fault();
         }
         self.fault_of_all();
+        self.history.push((self.world.now, self.troubled.clone()));
     }
 
     /// Whether a VM was well at a time, and all the while before that counts.
@@ -89,6 +93,15 @@
         at >= self.troubled[vm] + CONTACT
     }
 
+    /// The same for a time that has passed.
+    pub fn had_been_well(&self, vm: usize, at: Instant) -> bool {
+        let after = self.history.partition_point(|(time, _)| *time < at);
+        let around = &self.history[after.saturating_sub(1)..(after + 1).min(self.history.len())];
+        around
+            .iter()
+            .all(|(_, troubled)| at >= troubled[vm] + CONTACT)
+    }
+
     /// One of all VMs, more often than not one of those that others hear from.
     fn draw(&mut self) -> usize {
         let strong = self.rng.random_bool(0.7);
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -23,7 +23,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use fall::Crashing;
-pub use notice::Notices;
+pub use notice::{Arrival, Notices};
 
 use super::engine::Engine;
 use super::setup::{self, ENGINES, MODEL, PLAIN, name};
--- a/crates/gateway/tests/support/world/notice.rs
+++ b/crates/gateway/tests/support/world/notice.rs
@@ -278,6 +278,18 @@
         self.notices.says.entry(server).or_default().leaving = true;
     }
 
+    /// A server no longer says so.
+    pub fn stay(&mut self, id: &str) {
+        let server: Server = name(id);
+        self.notices.says.entry(server).or_default().leaving = false;
+    }
+
+    /// Whether a VM was told that a server leaves.
+    pub fn told_leaving(&self, id: &str) -> bool {
+        let mut told = self.notices.left.keys();
+        told.any(|(_, _, server)| server.as_str() == id)
+    }
+
     /// A server turns all requests away from now on and asks each VM for so much rest; or takes them again.
     pub fn ask_rest(&mut self, id: &str, rest: Option<Span>) {
         let server: Server = name(id);
@@ -286,15 +298,13 @@
         self.notices.says.entry(server).or_default().rest = rest.map_or(Word::Unsaid, Word::Said);
     }
 
-    /// The requests that reached a server from a VM later than a span after that VM was told that it leaves, with the times since.
-    pub fn after_leaving(&self, id: &str, bound: Span) -> Vec<(usize, Span)> {
-        let got = self.notices.arrivals.iter();
-        let late = got.filter_map(|arrival| {
-            let since = arrival.at.since(arrival.leaving?);
-            let late = arrival.request && arrival.server.as_str() == id && since > bound;
-            late.then_some((arrival.vm, since))
-        });
-        late.collect()
+    /// The requests that reached a server from a VM later than a span after that VM was told that it leaves.
+    pub fn after_leaving(&self, id: &str, bound: Span) -> Vec<&Arrival> {
+        let late = |a: &&Arrival| {
+            let told = a.leaving.is_some_and(|told| a.at.since(told) > bound);
+            told && a.request && a.server.as_str() == id
+        };
+        self.notices.arrivals.iter().filter(late).collect()
     }
 
     /// How many requests and orders reached a server from a VM in the longest of its rests, from half a second on.
