--- /dev/null
+++ b/crates/gateway/src/notice/rest.rs
@@ -0,0 +1,74 @@
+//! Servers that turn requests away and ask this VM for rest.
+
+use dahliastile_core::id::{Server, Vm};
+use dahliastile_core::log::Code;
+use dahliastile_core::time::{Instant, Span};
+use rand::Rng;
+
+use crate::effect::Effects;
+use crate::event::{Cause, Ran, RequestId};
+use crate::message::{Message, Progress};
+use crate::node::Gateway;
+
+impl Gateway {
+    /// An answer asks this VM for rest.
+    pub(super) fn rest_said(&mut self, server: &Server, span: Span, out: &mut Effects) {
+        let until = self.now + span;
+        let row = self.notices.rows.entry(server.clone()).or_default();
+        row.rests = row.rests.max(until);
+        Self::log(
+            out,
+            Code::ServerNotice,
+            format!("server={server} rest={span}"),
+        );
+        self.tell_rest(server, span, out);
+    }
+
+    /// Tells the scheduler of a server that it asked this VM for rest.
+    fn tell_rest(&mut self, server: &Server, span: Span, out: &mut Effects) {
+        let row = self.servers.get(server);
+        let Some(service) = row.map(|row| row.backend.service.clone()) else {
+            return;
+        };
+        let me = self.settings.vm.clone();
+        match self.scheduler_of(&service) {
+            Some(vm) if vm == me => self.rest_told(&me, server, span),
+            Some(vm) => self.send(&vm, Message::Rest(server.clone(), span), out),
+            None => {}
+        }
+    }
+
+    /// A server has asked a VM for rest.
+    pub(crate) fn rest_told(&mut self, vm: &Vm, server: &Server, span: Span) {
+        let row = self.servers.get(server);
+        let scheduler = row.and_then(|row| self.schedulers.get_mut(&row.backend.service));
+        if let Some(scheduler) = scheduler {
+            scheduler.rest(self.now, vm, server, span);
+        }
+    }
+
+    /// Declines the place that the scheduler found for a request, and tells it why once more: it may not have heard.
+    pub(crate) fn decline_place(&mut self, request: RequestId, server: &Server, out: &mut Effects) {
+        let rest = self.notices.rests(server).since(self.now);
+        if rest > Span::ZERO {
+            self.tell_rest(server, rest, out);
+        }
+        self.tell_progress(request, Progress::Failed(Ran::No, Cause::Declined), out);
+        self.ask_place(request, out);
+    }
+
+    /// When callers may come back to a service all of whose servers are closed to this VM until a time. They are told times that differ.
+    pub(crate) fn comes_back(&mut self, opens: Instant) -> Span {
+        let wait = opens.since(self.now);
+        wait + Span(self.rng.random_range(0..=wait.0 / 4))
+    }
+}
+
+impl super::Table {
+    /// Until when a server wants nothing of this VM.
+    pub(crate) fn rests(&self, server: &Server) -> Instant {
+        self.rows
+            .get(server)
+            .map_or_else(Instant::default, |row| row.rests)
+    }
+}
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -213,6 +213,8 @@
             Cause::Missing | Cause::Full if ran == Ran::No => {
                 let place = key.and_then(|key| engine.places.get_mut(&key));
                 match place {
+                    // It was rejected before the order that is to bring the adapter, or after the one that takes it away.
+                    Some(place) if matches!(place.stage, Stage::Wanted | Stage::Leaving) => {}
                     // It was not beside the engine any more, and comes from the weight store.
                     Some(place) if place.depth.is_some() && place.refusals == 0 => {
                         place.refusals = 1;
--- a/crates/gateway/tests/scheduler.rs
+++ b/crates/gateway/tests/scheduler.rs
@@ -365,3 +365,32 @@
     fixture.run(Span::from_secs(1));
     assert_eq!(fixture.placed.len(), 1);
 }
+
+/// Guards against an adapter that counts as on its way before its load is accepted, in a place that another one has still: a request that
+/// its VM had sent there by itself is rejected meanwhile.
+#[test]
+fn loads_rejectionbeforetheorder() {
+    let mut fixture = Fixture::new(1);
+    for number in 1..=5 {
+        fixture.want(number, 6, 1);
+        fixture.run(Span::from_secs(1));
+        fixture.tell(number - 1, Progress::Begun);
+        fixture.tell(number - 1, Progress::Over);
+    }
+    let running = Running {
+        request: 1,
+        server: name("e0"),
+        work: work("a0", 600, 20),
+    };
+    let vm: Vm = name("vm1");
+    fixture
+        .scheduler
+        .hello(fixture.now, &vm, &[running], Vec::new());
+    fixture.late = Span::from_millis(100);
+    fixture.want(6, 6, 1);
+    fixture.run(Span::from_millis(50));
+    let failed = Progress::Failed(Ran::No, Cause::Missing);
+    fixture.scheduler.progress(fixture.now, &vm, 1, failed);
+    fixture.run(Span::from_secs(1));
+    assert_eq!(fixture.placed.len(), 6);
+}
