--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/agent.rs
@@ -386,8 +386,8 @@
             Message::Hello(service.clone(), self.member(), running, wants),
             out,
         );
-        for (server, limit) in self.limits_of(service) {
-            self.send(&holder, Message::Limit(server, Some(limit)), out);
+        for message in self.notices_of(service) {
+            self.send(&holder, message, out);
         }
     }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -93,6 +93,8 @@
     Missing,
     /// The server answered with this status of its own.
     Status(u16),
+    /// This VM sends nothing to the server now.
+    Declined,
 }
 
 /// How an order came out.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -16,7 +16,7 @@
 use crate::account::{Account, Tokens};
 use crate::config::{Kind, Route, Target};
 use crate::effect::{Effect, Effects, Reason, Send, Verdict};
-use crate::event::{Call, Cause, Ran, RequestId};
+use crate::event::{Call, RequestId};
 use crate::fact::Version;
 use crate::measure;
 use crate::message::{Progress, Want};
@@ -212,8 +212,9 @@
         if let Some(server) = choice {
             self.send_alone(request, &server, None, out);
         } else {
-            let opens = self.opens(&service).since(self.now);
-            self.give_up(request, Some(opens.max(COME_BACK)), Why::NoServer, out);
+            let opens = self.opens(&service);
+            let after = self.comes_back(opens).max(COME_BACK);
+            self.give_up(request, Some(after), Why::NoServer, out);
         }
     }
 
@@ -354,10 +355,7 @@
         let listed = self.takes_work(server);
         match waiting {
             true if listed => self.send_to(request, server, version, out),
-            true => {
-                self.tell_progress(request, Progress::Failed(Ran::No, Cause::Missing), out);
-                self.ask_place(request, out);
-            }
+            true => self.decline_place(request, server, out),
             false => {}
         }
     }
@@ -365,8 +363,9 @@
     /// Whether a server takes requests of this VM.
     pub(crate) fn takes_work(&self, server: &Server) -> bool {
         let left = self.notices.has_left(server, self.now, self.last_resort());
+        let rests = self.notices.rests(server) > self.now;
         let row = self.servers.get(server);
-        row.is_some_and(|row| row.backend.ready && !left)
+        row.is_some_and(|row| row.backend.ready && !left && !rests)
     }
 
     /// Forgets a request that has its final answer.
--- a/crates/gateway/src/flow/failure.rs
+++ b/crates/gateway/src/flow/failure.rs
@@ -247,6 +247,6 @@
     match cause {
         Cause::Unreachable | Cause::Broken => health.dead(now),
         Cause::Malformed | Cause::Status(_) => health.bad(now),
-        Cause::Full | Cause::Missing => {}
+        Cause::Full | Cause::Missing | Cause::Declined => {}
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -19,7 +19,8 @@
         let known = scheduler.engines.contains_key(server);
         scheduler.server(server, backend);
         if !known {
-            self.notices.brief(self.now, scheduler, server);
+            self.notices
+                .brief(self.now, &self.settings.vm, scheduler, server);
         }
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -126,6 +126,8 @@
     Limit(Server, Option<Rate>),
     /// A server is leaving, as this start of it says.
     Leaving(Server, Option<Incarnation>),
+    /// To the scheduler: a server has asked the sender for so much rest.
+    Rest(Server, Span),
     /// To the VM that counts what a server is sent: may this request go there?
     Permit(RequestId, Server),
     /// From that VM: it may, or when to ask again.
@@ -157,6 +159,7 @@
             Self::Deposit(..) => "deposit",
             Self::Limit(..) => "limit",
             Self::Leaving(..) => "leaving",
+            Self::Rest(..) => "rest",
             Self::Permit(..) => "permit",
             Self::Permitted(..) => "permitted",
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -346,6 +346,7 @@
             Message::Leaving(server, start) => {
                 self.leaving_told(from, &server, start, out);
             }
+            Message::Rest(server, span) => self.rest_told(from, &server, span),
             Message::Permit(request, server) => self.permit_asked(from, request, server, out),
             Message::Permitted(request, server, answer) => {
                 self.permitted(request, &server, answer, out);
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -8,18 +8,20 @@
 mod limit;
 pub(crate) mod meter;
 mod permit;
+mod rest;
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 
-use dahliastile_core::id::{Incarnation, Server};
+use dahliastile_core::id::{Incarnation, Server, Service};
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 
 use self::meter::Meter;
 use crate::effect::{Effect, Effects};
+use crate::message::Message;
 use crate::node::Gateway;
 
 /// Requests a second, in thousandths.
@@ -106,6 +108,8 @@
     meter: Option<Meter>,
     /// Until when this VM sends it nothing.
     closed: Instant,
+    /// Until when it wants nothing of this VM.
+    rests: Instant,
     /// When it was first heard to say that it is leaving.
     leaving: Option<Instant>,
     /// The start of which that was heard.
@@ -127,7 +131,7 @@
     pub(crate) fn opens(&self, server: &Server) -> Instant {
         self.rows
             .get(server)
-            .map_or_else(Instant::default, |row| row.closed)
+            .map_or_else(Instant::default, |row| row.closed.max(row.rests))
     }
 
     fn close(&mut self, server: &Server, until: Instant) {
@@ -148,8 +152,7 @@
             self.leaving_said(server, out);
         }
         if let Word::Said(rest) = notice.rest {
-            let detail = format!("server={server} rest={rest}");
-            Self::log(out, Code::ServerNotice, detail);
+            self.rest_said(server, rest, out);
         }
         match notice.limit {
             Word::Unsaid => self.limit_said(server, None, out),
@@ -170,6 +173,25 @@
         }
     }
 
+    /// All that servers of a service have said to this VM or others, as messages to a new scheduler of it.
+    pub(crate) fn notices_of(&self, service: &Service) -> Vec<Message> {
+        let mut messages = Vec::new();
+        for (server, row) in &self.notices.rows {
+            let listed = self.servers.get(server);
+            if listed.is_none_or(|listed| listed.backend.service != *service) {
+                continue;
+            }
+            let limit = row.limit.map(|_| Message::Limit(server.clone(), row.limit));
+            let leaving = row
+                .leaving
+                .map(|_| Message::Leaving(server.clone(), row.start));
+            let rest = row.rests.since(self.now);
+            let rest = (rest > Span::ZERO).then(|| Message::Rest(server.clone(), rest));
+            messages.extend(limit.into_iter().chain(leaving).chain(rest));
+        }
+        messages
+    }
+
     /// What a server said of itself is that of an earlier start.
     pub(crate) fn forget_notices(&mut self, server: &Server, out: &mut Effects) {
         if self.notices.rows.remove(server).is_some() {
--- a/crates/gateway/src/notice/leaving.rs
+++ b/crates/gateway/src/notice/leaving.rs
@@ -93,13 +93,17 @@
 
 impl super::Table {
     /// Tells a scheduler what an engine has said of itself.
-    pub(crate) fn brief(&self, now: Instant, scheduler: &mut Scheduler, server: &Server) {
+    pub(crate) fn brief(&self, now: Instant, me: &Vm, scheduler: &mut Scheduler, server: &Server) {
         if let Some(limit) = self.limit(server) {
             scheduler.limit(now, server, Some(limit));
         }
         if let Some(at) = self.leaving(server) {
             scheduler.leaving(server, at);
         }
+        let rest = self.rests(server).since(now);
+        if rest > Span::ZERO {
+            scheduler.rest(now, me, server, rest);
+        }
     }
 
     /// When a server was first heard to say that it is leaving.
--- a/crates/gateway/src/notice/limit.rs
+++ b/crates/gateway/src/notice/limit.rs
@@ -1,6 +1,6 @@
 //! The limits that servers name: who counts what each is sent, and who is told.
 
-use dahliastile_core::id::{Server, Service, Vm};
+use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::log::Code;
 use dahliastile_core::time::Instant;
 
@@ -70,15 +70,4 @@
         let scheduler = service.and_then(|service| self.scheduler_of(service));
         scheduler.unwrap_or_else(|| self.counter(server))
     }
-
-    /// The limits that servers of a service name.
-    pub(crate) fn limits_of(&self, service: &Service) -> Vec<(Server, Rate)> {
-        let rows = self.notices.rows.iter();
-        let limits = rows.filter_map(|(server, row)| Some((server.clone(), row.limit?)));
-        let of = |server: &Server| {
-            let row = self.servers.get(server);
-            row.is_some_and(|row| row.backend.service == *service)
-        };
-        limits.filter(|(server, _)| of(server)).collect()
-    }
 }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -18,6 +18,7 @@
 mod prefix_cache;
 mod reservations;
 mod residency;
+mod rest;
 mod run_interval;
 mod summary;
 
@@ -264,6 +265,14 @@
         }
     }
 
+    /// An engine has turned a request of a VM away and asked for rest.
+    pub(crate) fn rest(&mut self, now: Instant, vm: &Vm, server: &Server, span: Span) {
+        self.dirty = true;
+        if let Some(engine) = self.engines.get_mut(server) {
+            engine.rest.ask(now, vm, span);
+        }
+    }
+
     /// Closes the engines that leave. Where no other one is there they are used for a while.
     fn close_leaving(&mut self, now: Instant) {
         let last = last_resort(self.settings.tuning.drain);
--- a/crates/gateway/src/scheduler/admission.rs
+++ b/crates/gateway/src/scheduler/admission.rs
@@ -59,10 +59,12 @@
     let fresh = now.since(job.arrived) <= FRESH;
     let late = now > job.due;
     let first = match wait.what {
-        For::Room | For::Load => SHORTEST,
+        For::Room | For::Load | For::Engine => SHORTEST,
         For::Copy | For::Coming => Span::ZERO,
     };
-    now + wait.span + SHORTEST > job.ends
+    let closed = wait.what == For::Engine;
+    closed && now + wait.span + first > job.due
+        || now + wait.span + SHORTEST > job.ends
         || fresh && wait.span + first > objective
         || late && wait.span > LATE_WAIT
 }
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -1,6 +1,6 @@
 //! Which request goes to which engine, and what its way there tells.
 
-use dahliastile_core::id::Server;
+use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::{Instant, Span};
 
@@ -46,7 +46,7 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            let Some((server, cost)) = self.best(now, job, spread) else {
+            let Some((server, cost)) = self.best(now, &id.vm, job, spread) else {
                 continue;
             };
             let engine = &self.engines[&server];
@@ -63,10 +63,11 @@
     }
 
     /// The engine that could run a request at the least cost, of those that hold what it needs.
-    fn best(&self, now: Instant, job: &Job, spread: &Spread) -> Option<(Server, Span)> {
+    fn best(&self, now: Instant, vm: &Vm, job: &Job, spread: &Spread) -> Option<(Server, Span)> {
         let zones = self.settings.uses(Mechanism::ZonePreference);
         let cost = |server: &Server, engine: &Engine| {
-            let fit = engine.usable() && engine.may_get(1, now) && !job.failed.contains(server);
+            let open = engine.usable() && engine.may_get(1, now) && engine.rest.allows(now, vm);
+            let fit = open && !job.failed.contains(server);
             fit.then(|| cost(engine, job, now, zones))
         };
         let ready = |key| spread.ready(key).iter();
@@ -96,6 +97,7 @@
         self.occupy(&job, server);
         if let Some(engine) = self.engines.get_mut(server) {
             engine.take_one(now);
+            engine.rest.give(now);
             engine.add(now, job.reads);
             let waited = now.since(job.arrived);
             let adapter = job.work.adapter.as_deref().unwrap_or("-");
@@ -174,6 +176,7 @@
         };
         engine.read(now, reads, since);
         engine.health.good(now);
+        engine.rest.begin();
         let place = key.and_then(|key| engine.places.get_mut(&key));
         if let Some(place) = place {
             let first = std::mem::replace(&mut place.fresh, false);
@@ -210,6 +213,8 @@
             return;
         };
         match cause {
+            // It says nothing of its adapters.
+            Cause::Full if engine.rest.turns_away() => {}
             Cause::Missing | Cause::Full if ran == Ran::No => {
                 let place = key.and_then(|key| engine.places.get_mut(&key));
                 match place {
@@ -234,7 +239,7 @@
                     _ => engine.forget(),
                 }
             }
-            Cause::Missing | Cause::Full => {}
+            Cause::Missing | Cause::Full | Cause::Declined => {}
             Cause::Unreachable | Cause::Broken => engine.health.dead(now),
             Cause::Malformed | Cause::Status(_) => engine.health.bad(now),
         }
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -11,6 +11,7 @@
 use super::job::Job;
 use super::key::{Key, Keys};
 use super::prefix_cache::Kept;
+use super::rest::Rest;
 use crate::effect::OrderId;
 use crate::event::Report;
 use crate::fact::{Backend, Resident, Version};
@@ -147,6 +148,8 @@
     pub(crate) last_order: Instant,
     /// Whether it is leaving, as it says.
     pub(crate) leaving: Leaving,
+    /// The rest that it asked for.
+    pub(crate) rest: Rest,
     /// What it may still be sent, where it names a limit.
     pub(crate) meter: Option<Meter>,
     /// What requests say of its health.
@@ -180,6 +183,7 @@
             tries: 0,
             last_order: Instant::default(),
             leaving: Leaving::No,
+            rest: Rest::default(),
             meter: None,
             health: Health::default(),
             last: false,
@@ -208,6 +212,7 @@
         self.places.clear();
         self.kept = Kept::default();
         self.leaving = Leaving::No;
+        self.rest = Rest::default();
         self.meter = None;
         self.health = Health::default();
         self.last_order = Instant::default();
--- a/crates/gateway/src/scheduler/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -4,6 +4,7 @@
 //! go before it at the engines that hold the adapter; one whose adapter is on its way, for that too; one whose adapter
 //! must be loaded first, for the loads that go before it.
 
+use dahliastile_core::id::Vm;
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
@@ -19,6 +20,9 @@
 /// A wait that no request has time for.
 const FOREVER: Span = Span::from_secs(3_600);
 
+/// How long no adapter is loaded where all engines turn requests away: until a request that tries one has begun there.
+const NO_LOADS: Span = Span::from_millis(1_500);
+
 /// What a request waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum For {
@@ -30,6 +34,8 @@
     Coming,
     /// A load that has not begun.
     Load,
+    /// Any engine to take requests again.
+    Engine,
 }
 
 /// The forecast of one waiting request.
@@ -56,6 +62,26 @@
     slowest: f64,
     /// What the engines may be sent; none where one of them names no limit.
     limited: Option<Limited>,
+    /// How long each engine wants nothing of a VM, the shortest first; none where no engine rests.
+    rests: Option<FxHashMap<Vm, Vec<Span>>>,
+    /// Requests that wait for an engine's rest to end.
+    resting: usize,
+}
+
+impl Ahead {
+    /// How long the next request of a VM waits for an engine's rest to end: one each tries an engine.
+    fn next_end(&mut self, vm: &Vm, look: impl FnOnce(&Vm) -> Vec<Span>) -> Span {
+        let Some(rests) = &mut self.rests else {
+            return Span::ZERO;
+        };
+        let ends = rests.entry(vm.clone()).or_insert_with(|| look(vm));
+        if ends.first().is_none_or(|first| *first == Span::ZERO) {
+            return Span::ZERO;
+        }
+        self.resting += 1;
+        let end = ends.get(self.resting - 1).or(ends.last());
+        end.copied().unwrap_or_default()
+    }
 }
 
 /// What engines may be sent that all name limits.
@@ -72,7 +98,7 @@
     fn next(&mut self, what: For) -> Span {
         self.left -= match what {
             For::Room | For::Copy | For::Coming => 1.0,
-            For::Load => f64::from(FOR_A_LOAD),
+            For::Load | For::Engine => f64::from(FOR_A_LOAD),
         };
         wait(-self.left, self.rate)
     }
@@ -82,12 +108,19 @@
     /// The forecast of all waiting requests, in their order.
     pub(crate) fn forecast(&self, now: Instant, spread: &Spread) -> Vec<Wait> {
         let rates = self.engines.values().map(|engine| engine.rate);
+        let rests = self.engines.values().any(|e| e.rest.is_asked(now));
         let mut ahead = Ahead {
             loading: self.loading(),
             slowest: rates.fold(f64::MAX, f64::min),
             limited: self.limited(now),
+            rests: rests.then(FxHashMap::default),
             ..Ahead::default()
         };
+        let no_loads = if self.all_turn_away() {
+            NO_LOADS
+        } else {
+            Span::ZERO
+        };
         let closed = if self.all_leave() {
             FOREVER
         } else {
@@ -95,9 +128,20 @@
         };
         let ids = self.jobs.waiting(now).into_iter();
         ids.filter_map(|id| {
-            let (what, span) = self.wait_of(now, self.jobs.get(&id)?, spread, &mut ahead);
+            let (what, span) = self.wait_of(now, &id, self.jobs.get(&id)?, spread, &mut ahead);
             let limited = ahead.limited.as_mut().map(|limited| limited.next(what));
-            let span = span.max(limited.unwrap_or_default()).max(closed);
+            let rest = ahead.next_end(&id.vm, |vm| self.rest_ends(now, vm));
+            let loads = if what == For::Load {
+                no_loads
+            } else {
+                Span::ZERO
+            };
+            let engine = limited.unwrap_or_default().max(rest).max(closed).max(loads);
+            let (what, span) = if engine > span {
+                (For::Engine, engine)
+            } else {
+                (what, span)
+            };
             Some(Wait { id, what, span })
         })
         .collect()
@@ -110,6 +154,13 @@
         !self.engines.is_empty() && self.engines.values().all(leaves)
     }
 
+    /// Whether all engines turn requests away, and so are ordered no loads.
+    fn all_turn_away(&self) -> bool {
+        let usable = self.engines.values().filter(|engine| engine.usable());
+        let turns_away = usable.map(|engine| engine.rest.turns_away());
+        turns_away.reduce(|all, one| all && one).unwrap_or(false)
+    }
+
     /// What the engines may be sent, where all of them name limits.
     fn limited(&self, now: Instant) -> Option<Limited> {
         let mut limited = None;
@@ -125,13 +176,31 @@
         limited
     }
 
-    fn wait_of(&self, now: Instant, job: &Job, spread: &Spread, ahead: &mut Ahead) -> (For, Span) {
+    /// How long each engine wants nothing of a VM, the shortest first.
+    fn rest_ends(&self, now: Instant, vm: &Vm) -> Vec<Span> {
+        let usable = self.engines.values().filter(|engine| engine.usable());
+        let ends = usable.map(|engine| engine.rest.ends(vm).since(now));
+        let mut ends: Vec<Span> = ends.collect();
+        ends.sort_unstable();
+        ends
+    }
+
+    fn wait_of(
+        &self,
+        now: Instant,
+        id: &JobId,
+        job: &Job,
+        spread: &Spread,
+        ahead: &mut Ahead,
+    ) -> (For, Span) {
         let Some(key) = job.key else {
             let backlogs = self.engines.values().filter(|engine| engine.usable());
             let least = backlogs.map(|engine| engine.backlog(now)).min();
             return (For::Room, least.unwrap_or(Span::ZERO));
         };
-        let holders: Vec<&Engine> = self.holders(job, key, spread).collect();
+        let holders = self.holders(job, key, spread);
+        let open = |engine: &&Engine| engine.rest.allows(now, &id.vm);
+        let holders: Vec<&Engine> = holders.filter(open).collect();
         let least = holders.iter().map(|engine| engine.reads(job)).min();
         let reads = least.unwrap_or(job.work.prompt);
         let first = !ahead.tokens.contains_key(&key);
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -192,7 +192,7 @@
             let copy = match wait.what {
                 For::Load => None,
                 For::Room if copies && wait.span > COPY_FROM => Some(wait.span),
-                For::Room | For::Copy | For::Coming => continue,
+                For::Room | For::Copy | For::Coming | For::Engine => continue,
             };
             match rows.get(&key) {
                 Some(row) => {
@@ -259,7 +259,10 @@
     pub(crate) fn lies_beside_any(&self, now: Instant, key: Key) -> bool {
         let servers = self.remembering.servers(key).iter();
         let engines = servers.filter_map(|server| self.engines.get(server));
-        let mut open = engines.filter(|engine| engine.usable() && engine.may_get(1, now));
+        let open = |engine: &&Engine| {
+            engine.usable() && engine.may_get(1, now) && !engine.rest.turns_away()
+        };
+        let mut open = engines.filter(open);
         open.any(|engine| self.lies_beside(engine, key).is_some())
     }
 
--- a/crates/gateway/src/scheduler/order.rs
+++ b/crates/gateway/src/scheduler/order.rs
@@ -28,6 +28,7 @@
     pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Decision>) {
         let mut next = Instant::NEVER;
         for engine in self.engines.values_mut() {
+            engine.rest.forget_ended(now);
             for place in engine.places.values_mut() {
                 match place.stage {
                     Stage::Coming(at) if at <= now => place.stage = Stage::Ready,
@@ -54,7 +55,10 @@
     fn ask_reports(&mut self, now: Instant, out: &mut Vec<Decision>) {
         let unknown = self.engines.iter().filter(|(_, engine)| !engine.known);
         let (mut due, later): (Vec<_>, Vec<_>) = unknown
-            .map(|(server, engine)| (report_due(engine, now), server.clone()))
+            .map(|(server, engine)| {
+                let open = engine.rest.ends(&self.settings.vm);
+                (report_due(engine, now).max(open), server.clone())
+            })
             .partition(|(at, _)| *at <= now);
         due.sort_unstable();
         let open = later
@@ -110,9 +114,10 @@
 
     /// Sends each engine the order that is next.
     pub(crate) fn send_orders(&mut self, now: Instant, out: &mut Vec<Decision>) {
-        let fence = self.fence();
+        let (fence, me) = (self.fence(), &self.settings.vm);
         for (server, engine) in &mut self.engines {
-            if !engine.usable() || engine.pending.is_some() || !engine.may_get(1, now) {
+            let open = engine.usable() && engine.may_get(1, now) && engine.rest.allows(now, me);
+            if !open || engine.pending.is_some() {
                 continue;
             }
             let Some(intent) = engine.queue.pop_front() else {
--- a/crates/gateway/src/scheduler/summary.rs
+++ b/crates/gateway/src/scheduler/summary.rs
@@ -25,7 +25,7 @@
             match wait.what {
                 For::Room | For::Copy => waiting.room += 1,
                 For::Coming => waiting.coming += 1,
-                For::Load => waiting.load += 1,
+                For::Load | For::Engine => waiting.load += 1,
             }
         }
         let engines = self.engines.values();
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -208,7 +208,8 @@
         for (server, row) in &self.servers {
             if row.backend.service == *service {
                 scheduler.server(server, &row.backend);
-                self.notices.brief(self.now, &mut scheduler, server);
+                self.notices
+                    .brief(self.now, &self.settings.vm, &mut scheduler, server);
             }
         }
         for change in self.facts.present() {
