--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -134,7 +134,11 @@
     fn pool_keeper(&self) -> Vm {
         let now = self.now;
         let passed = |vm: &Vm| self.quota.passed.contains(vm, now);
-        let schedules = |vm: &Vm| self.agents.values().any(|a| a.holder.as_ref() == Some(vm));
+        let schedules = |vm: &Vm| {
+            self.scheduler_clients
+                .values()
+                .any(|a| a.holder.as_ref() == Some(vm))
+        };
         let me = &self.settings.vm;
         let peers = self.peers();
         let peers = peers.filter(|vm| !self.membership.is_down(vm) && !passed(vm));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //! * [`notice`]: what servers say of themselves in their answers.
 //! * `passed_by`: VMs that did not do what was asked of them, and are not asked again for a while.
 //! * `plain`: which server a request of a plain service goes to.
-//! * `agent`: asks the scheduler of an engine service for a place, and goes on without one.
+//! * `scheduler_client`: asks the scheduler of an engine service for a place, and goes on without one.
 //! * [`scheduler`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
 //!   on the one VM that holds the service's lease.
 //! * `run`: when it runs, and what becomes of its decisions.
@@ -28,7 +28,6 @@
 //! * `relay`: which VMs tell others what all are told.
 
 pub mod account;
-mod agent;
 pub mod budget;
 pub mod config;
 mod early;
@@ -57,6 +56,7 @@
 mod replication;
 mod run;
 pub mod scheduler;
+mod scheduler_client;
 mod seat;
 pub mod settings;
 mod timer;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,7 +12,6 @@
 use rustc_hash::FxHashMap;
 
 use crate::account::quota;
-use crate::agent;
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
 use crate::early;
@@ -32,6 +31,7 @@
 use crate::pledge;
 use crate::quarantine;
 use crate::scheduler::Scheduler;
+use crate::scheduler_client;
 use crate::seat;
 use crate::settings::{Settings, Tuning};
 use crate::timer::{Timer, Timers};
@@ -62,7 +62,7 @@
     /// The budgets of second sends.
     pub(crate) budgets: BTreeMap<Service, Budget>,
     /// What this VM knows of the schedulers.
-    pub(crate) agents: BTreeMap<Service, agent::State>,
+    pub(crate) scheduler_clients: BTreeMap<Service, scheduler_client::State>,
     /// The schedulers that run on this VM.
     pub(crate) schedulers: BTreeMap<Service, Scheduler>,
     /// This VM's own entry.
@@ -106,7 +106,7 @@
             notices: notice::Table::default(),
             flows: FxHashMap::default(),
             budgets: BTreeMap::new(),
-            agents: BTreeMap::new(),
+            scheduler_clients: BTreeMap::new(),
             schedulers: BTreeMap::new(),
             entry: entry::State::default(),
             seats: seat::State::default(),
@@ -356,7 +356,10 @@
             Message::Collect(number, accounts) => self.collected(from, number, &accounts, out),
             Message::Deposit(number, deposits) => self.deposited(from, number, &deposits, out),
             Message::Passed(service, fence, residents) => {
-                let holder = self.agents.get(&service).map(|agent| agent.fence);
+                let holder = self
+                    .scheduler_clients
+                    .get(&service)
+                    .map(|client| client.fence);
                 if holder == Some(fence) {
                     self.keep_residents(&service, residents);
                 }
--- a/crates/gateway/src/agent.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -62,9 +62,9 @@
             return;
         }
         self.timers.set(now + ASK_AGAIN, Timer::Flow(request));
-        let agent = self.agents.entry(service.clone()).or_default();
-        match agent.holder.clone() {
-            Some(holder) if !agent.silent => self.send(&holder, Message::Want(service, want), out),
+        let client = self.scheduler_clients.entry(service.clone()).or_default();
+        match client.holder.clone() {
+            Some(holder) if !client.silent => self.send(&holder, Message::Want(service, want), out),
             _ => self.place_alone(request, out),
         }
     }
@@ -84,11 +84,11 @@
         let version = work.adapter.as_ref().map(|_| newest).filter(|v| *v > 0);
         let (service, failed) = (flow.service.clone(), flow.failed.clone());
         let adapter = work.adapter.clone();
-        let Some(agent) = self.agents.get(&service) else {
+        let Some(client) = self.scheduler_clients.get(&service) else {
             return;
         };
         let holding = |server: &Server| {
-            let held = agent.residents.get(server)?;
+            let held = client.residents.get(server)?;
             let fits = |r: &Resident| Some(&r.adapter) == adapter.as_ref() && r.version >= newest;
             held.iter().find(|resident| fits(resident))
         };
@@ -132,9 +132,9 @@
             return;
         }
         let holder = self
-            .agents
+            .scheduler_clients
             .get(&service)
-            .and_then(|agent| agent.holder.clone());
+            .and_then(|client| client.holder.clone());
         if let Some(holder) = holder {
             self.send(&holder, Message::Progress(service, request, progress), out);
         }
@@ -148,15 +148,15 @@
         fence: Revision,
         out: &mut Effects,
     ) {
-        let agent = self.agents.entry(service.clone()).or_default();
-        if fence < agent.fence {
+        let client = self.scheduler_clients.entry(service.clone()).or_default();
+        if fence < client.fence {
             return;
         }
-        let changed = agent.fence != fence || agent.holder.as_ref() != Some(&holder.vm);
-        let known = agent.holder.is_some();
-        agent.met = !changed && agent.met;
-        agent.fence = fence;
-        agent.holder = Some(holder.vm.clone());
+        let changed = client.fence != fence || client.holder.as_ref() != Some(&holder.vm);
+        let known = client.holder.is_some();
+        client.met = !changed && client.met;
+        client.fence = fence;
+        client.holder = Some(holder.vm.clone());
         if !changed {
             return;
         }
@@ -180,12 +180,12 @@
 
     /// The seat is free.
     pub(crate) fn holder_gone(&mut self, service: &Service, out: &mut Effects) {
-        let agent = self.agents.entry(service.clone()).or_default();
-        let old = agent.holder.take();
+        let client = self.scheduler_clients.entry(service.clone()).or_default();
+        let old = client.holder.take();
         Self::log(
             out,
             Code::HolderGone,
-            format!("service={service} fence={} was={old:?}", agent.fence),
+            format!("service={service} fence={} was={old:?}", client.fence),
         );
         if old.as_ref() == Some(&self.settings.vm) {
             self.seat_lost(service, out);
@@ -203,21 +203,21 @@
         out: &mut Effects,
     ) -> bool {
         let now = self.now;
-        let agent = self.agents.entry(service.clone()).or_default();
-        if fence < agent.fence {
+        let client = self.scheduler_clients.entry(service.clone()).or_default();
+        if fence < client.fence {
             measure::count(out, Figure::Dropped, service, "old_scheduler");
             return false;
         }
-        let changed = fence > agent.fence
-            || agent.holder.as_ref() != Some(from)
-            || agent.silent
-            || !agent.met;
+        let changed = fence > client.fence
+            || client.holder.as_ref() != Some(from)
+            || client.silent
+            || !client.met;
         // Where it is not known yet where the holder is, nothing can be told to it, and it is met at its next word.
-        agent.met = self.membership.address(from).is_some();
-        agent.fence = fence;
-        agent.holder = Some(from.clone());
-        agent.heard = now;
-        agent.silent = false;
+        client.met = self.membership.address(from).is_some();
+        client.fence = fence;
+        client.holder = Some(from.clone());
+        client.heard = now;
+        client.silent = false;
         self.timers.set(now + SILENCE, Timer::Seat);
         if changed {
             self.seats.end_wait(service);
@@ -237,32 +237,35 @@
         if self.schedulers.contains_key(service) {
             return Some(self.settings.vm.clone());
         }
-        let agent = self.agents.get(service).filter(|agent| !agent.silent)?;
-        agent.holder.clone()
+        let client = self
+            .scheduler_clients
+            .get(service)
+            .filter(|client| !client.silent)?;
+        client.holder.clone()
     }
 
     /// When the holder of a service was last heard.
     pub(crate) fn holder_heard(&self, service: &Service) -> Instant {
-        let agent = self.agents.get(service);
-        agent.map_or(Instant::default(), |agent| agent.heard)
+        let client = self.scheduler_clients.get(service);
+        client.map_or(Instant::default(), |client| client.heard)
     }
 
     /// Keeps what the scheduler says some engines hold.
     pub(crate) fn keep_residents(&mut self, service: &Service, residents: Vec<Holding>) {
         let servers = &self.servers;
-        let agent = self.agents.entry(service.clone()).or_default();
-        agent
+        let client = self.scheduler_clients.entry(service.clone()).or_default();
+        client
             .residents
             .retain(|server, _| servers.contains_key(server));
         for holding in residents {
-            agent.residents.insert(holding.server, holding.adapters);
+            client.residents.insert(holding.server, holding.adapters);
         }
     }
 
     /// A server has started again and holds nothing of what it held.
     pub(crate) fn forget_residents(&mut self, service: &Service, server: &Server) {
-        if let Some(agent) = self.agents.get_mut(service) {
-            agent.residents.remove(server);
+        if let Some(client) = self.scheduler_clients.get_mut(service) {
+            client.residents.remove(server);
         }
     }
 
@@ -288,10 +291,10 @@
             .service(flow.service.as_str())
             .and_then(|application| application.engine.as_ref());
         let places = shape.map_or(0, |shape| shape.places);
-        let Some(agent) = self.agents.get_mut(&flow.service) else {
+        let Some(client) = self.scheduler_clients.get_mut(&flow.service) else {
             return;
         };
-        let row = agent.residents.entry(server.clone()).or_default();
+        let row = client.residents.entry(server.clone()).or_default();
         row.retain(|resident| resident.adapter != adapter);
         if row.len() >= places.max(1) {
             row.remove(0);
@@ -310,9 +313,12 @@
         }
         self.quota_vm_down(&vm, out);
         // A holder whose word still comes is busy, not gone.
-        let busy = |agent: &State| fault == Fault::Late && now.since(agent.heard) < SILENCE;
-        let holds = |agent: &State| agent.holder.as_ref() == Some(&vm) && !busy(agent);
-        let led = self.agents.iter().filter(|(_, agent)| holds(agent));
+        let busy = |client: &State| fault == Fault::Late && now.since(client.heard) < SILENCE;
+        let holds = |client: &State| client.holder.as_ref() == Some(&vm) && !busy(client);
+        let led = self
+            .scheduler_clients
+            .iter()
+            .filter(|(_, client)| holds(client));
         let services: Vec<Service> = led.map(|(service, _)| service.clone()).collect();
         for service in services {
             self.holder_silent(&service, "link_down", out);
@@ -327,7 +333,7 @@
             !a.silent && a.holder.as_ref().is_some_and(|h| h != me) && now.since(a.heard) >= SILENCE
         };
         let services: Vec<Service> = self
-            .agents
+            .scheduler_clients
             .iter()
             .filter(|(_, a)| silent(a))
             .map(|(s, _)| s.clone())
@@ -338,17 +344,17 @@
     }
 
     fn holder_silent(&mut self, service: &Service, why: &str, out: &mut Effects) {
-        let Some(agent) = self.agents.get_mut(service) else {
+        let Some(client) = self.scheduler_clients.get_mut(service) else {
             return;
         };
-        if agent.silent {
+        if client.silent {
             return;
         }
-        agent.silent = true;
+        client.silent = true;
         Self::log(
             out,
             Code::HolderSilent,
-            format!("service={service} vm={:?} why={why}", agent.holder),
+            format!("service={service} vm={:?} why={why}", client.holder),
         );
         self.go_alone(service, out);
         let settled = self.seats.changed(service) + SETTLED;
@@ -371,12 +377,12 @@
 
     /// Tells a new scheduler all that runs and waits here.
     fn introduce(&mut self, service: &Service, out: &mut Effects) {
-        let Some(agent) = self.agents.get_mut(service) else {
+        let Some(client) = self.scheduler_clients.get_mut(service) else {
             return;
         };
-        agent.silent = false;
-        agent.heard = self.now;
-        let Some(holder) = agent.holder.clone().filter(|vm| *vm != self.settings.vm) else {
+        client.silent = false;
+        client.heard = self.now;
+        let Some(holder) = client.holder.clone().filter(|vm| *vm != self.settings.vm) else {
             return;
         };
         let (running, wants) = self.state_for(service);
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -258,8 +258,8 @@
         for service in services {
             self.seat_lost(&service, out);
             self.give_seat_up(&service, out);
-            if let Some(agent) = self.agents.get_mut(&service) {
-                agent.holder = None;
+            if let Some(client) = self.scheduler_clients.get_mut(&service) {
+                client.holder = None;
             }
         }
     }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -6,12 +6,12 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::agent::SILENCE;
 use crate::effect::Effects;
 use crate::fact::{Fact, Subject};
 use crate::membership;
 use crate::node::Gateway;
 use crate::pledge::PLEDGE;
+use crate::scheduler_client::SILENCE;
 use crate::timer::Timer;
 
 /// The time that a VM waits for each VM before it in the order of candidates before it takes a free seat: some calls
@@ -147,7 +147,10 @@
             return Vacancy::Free;
         };
         let fencing = self.settings.tuning.fencing;
-        let silent = self.agents.get(service).is_some_and(|agent| agent.silent);
+        let silent = self
+            .scheduler_clients
+            .get(service)
+            .is_some_and(|client| client.silent);
         let settled = self.now.since(self.seats.changed(service)) >= SETTLED;
         match holder.vm == self.settings.vm {
             true if holder.incarnation != self.settings.incarnation => {
@@ -251,8 +254,8 @@
     /// The holder whose key is still there, but whose word does not come.
     fn silent_holder(&self, service: &Service) -> Option<&Vm> {
         let silent = self.vacancy_for_any(service) == Vacancy::Silent;
-        let agent = self.agents.get(service).filter(|_| silent)?;
-        agent.holder.as_ref()
+        let client = self.scheduler_clients.get(service).filter(|_| silent)?;
+        client.holder.as_ref()
     }
 
     fn rank(&self, service: &Service, vm: &Vm) -> (Reverse<u32>, u64) {
