--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -10,8 +10,8 @@
 use crate::config::{Config, Index};
 use crate::effect::{Effect, Effects};
 use crate::fact::{Backend, Change, Fact, Revision, Subject, Way};
+use crate::load_balancer::Row;
 use crate::node::Gateway;
-use crate::plain::Row;
 use crate::quarantine::LENGTH;
 use crate::timer::Timer;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! * `early`: requests that come before the first configuration is known.
 //! * [`notice`]: what servers say of themselves in their answers.
 //! * `passed_by`: VMs that did not do what was asked of them, and are not asked again for a while.
-//! * `plain`: which server a request of a plain service goes to.
+//! * `load_balancer`: which server a request of a plain service goes to.
 //! * `scheduler_client`: asks the scheduler of an engine service for a place, and goes on without one.
 //! * [`scheduler`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
 //!   on the one VM that holds the service's lease.
@@ -41,6 +41,7 @@
 pub mod health;
 mod intake;
 mod lease;
+mod load_balancer;
 mod measure;
 pub mod mechanism;
 mod membership;
@@ -48,7 +49,6 @@
 mod node;
 pub mod notice;
 mod passed_by;
-mod plain;
 mod pledge;
 pub mod quarantine;
 mod relay;
--- a/crates/gateway/src/notice/leaving.rs
+++ b/crates/gateway/src/notice/leaving.rs
@@ -7,9 +7,9 @@
 use dahliastile_core::time::{Instant, Span};
 
 use crate::effect::Effects;
+use crate::load_balancer;
 use crate::message::Message;
 use crate::node::Gateway;
-use crate::plain;
 use crate::scheduler::Scheduler;
 
 /// How long it is remembered of a server without an entry, which may come back as it was.
@@ -72,7 +72,7 @@
         fits: impl Fn(&Server) -> bool,
     ) -> Option<Server> {
         let (now, last) = (self.now, self.last_resort());
-        let of = |(server, row): &(&Server, &plain::Row)| {
+        let of = |(server, row): &(&Server, &load_balancer::Row)| {
             row.backend.service == *service && fits(server) && self.notices.open(server, now)
         };
         let rows = self.servers.iter().filter(of);
@@ -81,8 +81,8 @@
             .filter(|(server, _)| self.notices.leaving(server).is_none());
         let leaves = rows.filter(|(server, _)| !self.notices.has_left(server, now, last));
         let (settings, rng) = (&self.settings, &mut self.rng);
-        plain::choose(stays, failed, settings, now, rng)
-            .or_else(|| plain::choose(leaves, failed, settings, now, rng))
+        load_balancer::choose(stays, failed, settings, now, rng)
+            .or_else(|| load_balancer::choose(leaves, failed, settings, now, rng))
     }
 }
 
