--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -145,7 +145,7 @@
     pub(crate) fn arrived(&mut self, request: RequestId, call: Call, out: &mut Effects) {
         match self.config {
             Some(_) => self.admit(request, call, self.now, out),
-            None => self.came_early(request, call, out),
+            None => self.queue_at_startup(request, call, out),
         }
     }
 
@@ -322,7 +322,7 @@
 
     /// The caller has left.
     pub(crate) fn gone(&mut self, request: RequestId, out: &mut Effects) {
-        if let Some((came, call)) = self.early.remove(request) {
+        if let Some((came, call)) = self.startup_queue.remove(request) {
             self.log_left(&call, came, out);
         }
         if let Some(flow) = self.flows.get(&request) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! * [`account`]: whose request it is, and how much each client account may use over all VMs.
 //! * [`fingerprint`]: by what a request that comes again is known.
 //! * `flow`: the life of one caller's request on this VM, from arrival to its one final answer.
-//! * `early`: requests that come before the first configuration is known.
+//! * `startup_queue`: requests that come before the first configuration is known.
 //! * [`notice`]: what servers say of themselves in their answers.
 //! * `passed_by`: VMs that did not do what was asked of them, and are not asked again for a while.
 //! * `load_balancer`: which server a request of a plain service goes to.
@@ -30,7 +30,6 @@
 pub mod account;
 pub mod budget;
 pub mod config;
-mod early;
 pub mod effect;
 mod entry;
 pub mod event;
@@ -59,6 +58,7 @@
 mod scheduler_host;
 mod seat;
 pub mod settings;
+mod startup_queue;
 mod timer;
 mod turn;
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,7 +14,6 @@
 use crate::account::quota;
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
-use crate::early;
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::entry;
 use crate::event::{Event, RequestId};
@@ -34,6 +33,7 @@
 use crate::scheduler_client;
 use crate::seat;
 use crate::settings::{Settings, Tuning};
+use crate::startup_queue;
 use crate::timer::{Timer, Timers};
 
 /// Everything that one entry VM knows.
@@ -80,7 +80,7 @@
     /// The limits of client accounts.
     pub(crate) quota: quota::State,
     /// Requests that came before the first configuration.
-    pub(crate) early: early::State,
+    pub(crate) startup_queue: startup_queue::State,
     /// What is to be looked at later.
     pub(crate) timers: Timers,
     /// The last number given to a call or order.
@@ -115,7 +115,7 @@
             intake: intake::State::default(),
             quarantine: quarantine::State::default(),
             quota: quota::State::default(),
-            early: early::State::default(),
+            startup_queue: startup_queue::State::default(),
             timers: Timers::default(),
             last_id: 0,
             stopping: false,
@@ -129,7 +129,7 @@
         self.now = self.now.max(now);
         self.ran = false;
         self.handle(event, out);
-        self.release_early(out);
+        self.release_startup_queue(out);
         self.run_timers(out);
         self.run_schedulers(out);
     }
@@ -177,7 +177,7 @@
     /// The requests in progress.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.flows.len() + self.early.len()
+        self.flows.len() + self.startup_queue.len()
     }
 
     /// Everything that does not hold together, as readable text; empty where all is well.
@@ -277,7 +277,7 @@
     }
 
     fn start(&mut self, out: &mut Effects) {
-        self.early_start();
+        self.startup_queue_start();
         self.quota_start();
         self.follow_start(out);
         self.seat_start();
@@ -392,7 +392,7 @@
                 Timer::Entry => self.entry_due(out),
                 Timer::Seat => self.seat_due(out),
                 Timer::Follow => self.follow_due(out),
-                Timer::Early => self.early_due(out),
+                Timer::StartupQueue => self.startup_queue_due(out),
                 Timer::Quarantine => self.records_due(out),
                 Timer::Quota => self.quota_due(out),
                 // The schedulers run after each step, where one is due.
--- a/crates/gateway/src/early.rs
+++ b/crates/gateway/src/startup_queue.rs
@@ -15,10 +15,10 @@
 use crate::node::Gateway;
 use crate::timer::Timer;
 
-/// How long after its start a VM holds requests: ten times what the first answer of the key-value service takes.
+/// How long after its start a VM holds requests.
 const HELD: Span = Span::from_millis(300);
 
-/// When a caller may come back to a VM that knows no configuration: about a start's length.
+/// When a caller may come back to a VM that knows no configuration.
 const COME_BACK: Span = Span::from_millis(500);
 
 /// The requests that are held.
@@ -43,41 +43,42 @@
 }
 
 impl Gateway {
-    pub(crate) fn early_start(&mut self) {
-        self.early.until = self.now + HELD;
-        self.timers.set(self.early.until, Timer::Early);
+    pub(crate) fn startup_queue_start(&mut self) {
+        self.startup_queue.until = self.now + HELD;
+        self.timers
+            .set(self.startup_queue.until, Timer::StartupQueue);
     }
 
     /// A request came, and no configuration is known.
-    pub(crate) fn came_early(&mut self, request: RequestId, call: Call, out: &mut Effects) {
-        if self.now < self.early.until {
-            self.early.calls.insert(request, (self.now, call));
+    pub(crate) fn queue_at_startup(&mut self, request: RequestId, call: Call, out: &mut Effects) {
+        if self.now < self.startup_queue.until {
+            self.startup_queue.calls.insert(request, (self.now, call));
         } else {
-            Self::refuse_early(request, &call, out);
+            Self::refuse_unconfigured(request, &call, out);
         }
     }
 
     /// Goes on with the requests that are held, once a configuration is known and the servers that came with it.
-    pub(crate) fn release_early(&mut self, out: &mut Effects) {
-        if self.config.is_none() || self.early.calls.is_empty() {
+    pub(crate) fn release_startup_queue(&mut self, out: &mut Effects) {
+        if self.config.is_none() || self.startup_queue.calls.is_empty() {
             return;
         }
-        for (request, (at, call)) in std::mem::take(&mut self.early.calls) {
+        for (request, (at, call)) in std::mem::take(&mut self.startup_queue.calls) {
             self.admit(request, call, at, out);
         }
     }
 
     /// The time is over for which requests are held.
-    pub(crate) fn early_due(&mut self, out: &mut Effects) {
-        if self.now < self.early.until {
+    pub(crate) fn startup_queue_due(&mut self, out: &mut Effects) {
+        if self.now < self.startup_queue.until {
             return;
         }
-        for (request, (_, call)) in std::mem::take(&mut self.early.calls) {
-            Self::refuse_early(request, &call, out);
+        for (request, (_, call)) in std::mem::take(&mut self.startup_queue.calls) {
+            Self::refuse_unconfigured(request, &call, out);
         }
     }
 
-    fn refuse_early(request: RequestId, call: &Call, out: &mut Effects) {
+    fn refuse_unconfigured(request: RequestId, call: &Call, out: &mut Effects) {
         Self::log(out, Code::Refused, format!("id={} why=no_config", call.id));
         out.push(refusal(request, Reason::NoConfig, Some(COME_BACK)));
     }
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -20,7 +20,7 @@
     /// The key-value service.
     Follow,
     /// The requests that came before the first configuration.
-    Early,
+    StartupQueue,
     /// The records of requests in quarantine.
     Quarantine,
     /// The limits of client accounts.
