--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/apply.rs
@@ -34,7 +34,7 @@
 impl Gateway {
     /// Takes changes in. Where the key-value service was away until a moment ago, servers whose entries are gone may
     /// still come back.
-    pub(crate) fn take_changes(
+    pub(crate) fn apply_changes(
         &mut self,
         changes: Vec<Change>,
         way: Way,
@@ -49,13 +49,13 @@
                         self.lapse(server.clone(), out);
                     }
                 }
-                _ => self.take(change, way, out),
+                _ => self.apply(change, way, out),
             }
         }
     }
 
     /// Takes a whole list in. What it lacks is gone, but for servers while the key-value service comes back.
-    pub(crate) fn take_list(
+    pub(crate) fn apply_list(
         &mut self,
         changes: Vec<Change>,
         revision: Revision,
@@ -63,12 +63,12 @@
     ) {
         let known: Vec<Subject> = self.facts.present().map(|c| c.subject.clone()).collect();
         let listed: BTreeSet<Subject> = changes.iter().map(|c| c.subject.clone()).collect();
-        self.take_changes(changes, Way::Told, false, out);
+        self.apply_changes(changes, Way::Told, false, out);
         for subject in known.into_iter().filter(|s| !listed.contains(s)) {
             match subject {
                 Subject::Config | Subject::Version(..) => {}
                 Subject::Server(server) if self.recovering() => self.lapse(server, out),
-                subject => self.take(removal(subject, revision), Way::Told, out),
+                subject => self.apply(removal(subject, revision), Way::Told, out),
             }
         }
     }
@@ -81,27 +81,27 @@
             format!("server={server} until={until}"),
         );
         self.facts.lapse(&Subject::Server(server.clone()));
-        self.intake.lapsed.entry(server).or_insert(until);
+        self.applied.lapsed.entry(server).or_insert(until);
         self.timers.set(until, Timer::Follow);
     }
 
     pub(crate) fn drop_lapsed(&mut self, out: &mut Effects) {
         let due: Vec<Server> = self
-            .intake
+            .applied
             .lapsed
             .iter()
             .filter(|(_, at)| **at <= self.now)
             .map(|(s, _)| s.clone())
             .collect();
         for server in due {
-            self.intake.lapsed.remove(&server);
+            self.applied.lapsed.remove(&server);
             self.facts.forget(&Subject::Server(server.clone()));
             self.lose_server(&server, out);
         }
     }
 
     /// Takes one change in, unless a newer one of its subject is known.
-    fn take(&mut self, change: Change, way: Way, out: &mut Effects) {
+    fn apply(&mut self, change: Change, way: Way, out: &mut Effects) {
         if change.fact == Some(Fact::Unreadable) {
             self.note_unreadable(&change.subject, out);
             // What the operator wrote stays in force until it writes anew.
@@ -113,7 +113,7 @@
             return;
         }
         match (change.subject, change.fact) {
-            (Subject::Config, Some(Fact::Config(config))) => self.take_config(config, out),
+            (Subject::Config, Some(Fact::Config(config))) => self.apply_config(config, out),
             (Subject::Version(model, adapter), Some(Fact::Version(version))) => {
                 self.newer_version(&model, &adapter, version);
                 Self::log(
@@ -123,8 +123,8 @@
                 );
             }
             (Subject::Server(server), Some(Fact::Server(backend))) => {
-                self.intake.lapsed.remove(&server);
-                self.take_server(&server, &backend, out);
+                self.applied.lapsed.remove(&server);
+                self.apply_server(&server, &backend, out);
             }
             (Subject::Server(server), _) => self.lose_server(&server, out),
             (Subject::Holder(service), Some(Fact::Holder(holder))) => {
@@ -153,17 +153,17 @@
 
     /// Writes a line on an entry that can't be read. A writer of such entries may write any number of them.
     fn note_unreadable(&mut self, subject: &Subject, out: &mut Effects) {
-        self.intake.unreadable += 1;
-        if self.now < self.intake.told + UNREADABLE_AGAIN {
+        self.applied.unreadable += 1;
+        if self.now < self.applied.told + UNREADABLE_AGAIN {
             return;
         }
-        let since = std::mem::take(&mut self.intake.unreadable);
-        self.intake.told = self.now;
+        let since = std::mem::take(&mut self.applied.unreadable);
+        self.applied.told = self.now;
         let detail = format!("subject={subject:?} since_last={since}");
         Self::log(out, Code::EntryUnreadable, detail);
     }
 
-    fn take_config(&mut self, config: Arc<Config>, out: &mut Effects) {
+    fn apply_config(&mut self, config: Arc<Config>, out: &mut Effects) {
         if config.version <= self.version() {
             return;
         }
@@ -180,10 +180,10 @@
     }
 
     /// Takes a server's entry in. Where any server tells its start all do, so that one that does not is another program's.
-    fn take_server(&mut self, server: &Server, backend: &Arc<Backend>, out: &mut Effects) {
+    fn apply_server(&mut self, server: &Server, backend: &Arc<Backend>, out: &mut Effects) {
         match backend.start {
-            Some(_) if !self.intake.starts => {
-                self.intake.starts = true;
+            Some(_) if !self.applied.starts => {
+                self.applied.starts = true;
                 let rows = self.servers.iter();
                 let without = rows.filter(|(_, row)| row.backend.start.is_none());
                 let without: Vec<Server> = without.map(|(server, _)| server.clone()).collect();
@@ -191,7 +191,7 @@
                     self.lose_server(&server, out);
                 }
             }
-            None if self.intake.starts => {
+            None if self.applied.starts => {
                 self.note_unreadable(&Subject::Server(server.clone()), out);
                 self.lose_server(server, out);
                 return;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -101,7 +101,7 @@
         match outcome {
             Outcome::Listed(changes, revision) => {
                 self.store_back(self.now, out);
-                self.take_list(changes, revision, out);
+                self.apply_list(changes, revision, out);
                 self.follow.cursor = Some(revision);
                 self.watch(out);
             }
@@ -109,7 +109,7 @@
                 self.store_back(self.now, out);
                 self.tell_followers(&changes, revision, out);
                 let recovering = self.recovering();
-                self.take_changes(changes, Way::Watched, recovering, out);
+                self.apply_changes(changes, Way::Watched, recovering, out);
                 self.follow.cursor = Some(revision);
                 let gap = if self.watches() { WATCH_GAP } else { ALONE_GAP };
                 self.call_in(gap);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,10 +24,11 @@
 //! * [`mechanism`]: what of all that can be switched off.
 //! * [`quarantine`]: requests that crash the servers that run them.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
-//! * `replication`: what VMs tell each other of its changes; `intake`: what a change does here.
+//! * `replication`: what VMs tell each other of its changes; `apply`: what a change does here.
 //! * `relay`: which VMs tell others what all are told.
 
 pub mod account;
+mod apply;
 pub mod budget;
 pub mod config;
 pub mod effect;
@@ -38,7 +39,6 @@
 mod flow;
 mod follow;
 pub mod health;
-mod intake;
 mod lease;
 mod load_balancer;
 mod measure;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::account::quota;
+use crate::apply;
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
@@ -20,7 +21,6 @@
 use crate::fact::{Member, Table};
 use crate::flow::Flow;
 use crate::follow;
-use crate::intake;
 use crate::load_balancer::Row;
 use crate::measure;
 use crate::mechanism::Mechanism;
@@ -74,7 +74,7 @@
     /// How the key-value service is followed.
     pub(crate) follow: follow::State,
     /// What is noted beside the facts.
-    pub(crate) intake: intake::State,
+    pub(crate) applied: apply::State,
     /// Requests that crash servers.
     pub(crate) quarantine: quarantine::State,
     /// The limits of client accounts.
@@ -112,7 +112,7 @@
             seats: seat::State::default(),
             pledges: pledge::State::default(),
             follow: follow::State::default(),
-            intake: intake::State::default(),
+            applied: apply::State::default(),
             quarantine: quarantine::State::default(),
             quota: quota::State::default(),
             startup_queue: startup_queue::State::default(),
@@ -303,7 +303,7 @@
                 self.membership.introduced(from, &member);
                 self.follow_asked(from, revision, out);
             }
-            Message::Replicate(batch) => self.take_replicated(from, batch, out),
+            Message::Replicate(batch) => self.apply_replicated(from, batch, out),
             Message::Want(service, want) => self.wanted(&service, from, want),
             Message::Progress(service, request, progress) => {
                 self.progressed(&service, from, request, progress);
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -195,7 +195,7 @@
             }
             (_, Outcome::Conflict(changes)) => {
                 records.pause = now + RETRY;
-                self.take_changes(changes, Way::Told, false, out);
+                self.apply_changes(changes, Way::Told, false, out);
             }
             (_, outcome) => {
                 if matches!(outcome, Outcome::NoLease) {
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -36,7 +36,7 @@
     }
 
     /// Takes changes in that another VM passes on.
-    pub(crate) fn take_replicated(&mut self, from: &Vm, batch: Replication, out: &mut Effects) {
+    pub(crate) fn apply_replicated(&mut self, from: &Vm, batch: Replication, out: &mut Effects) {
         let answered = self.now.back(batch.age);
         let stale_at = answered + self.fresh(from);
         if self.follow.leader.as_ref() == Some(from) {
@@ -53,7 +53,7 @@
             .changes
             .iter()
             .any(|change| self.facts.differs(change));
-        self.take_changes(batch.changes, Way::Told, batch.recovering, out);
+        self.apply_changes(batch.changes, Way::Told, batch.recovering, out);
         match self.follow.cursor {
             Some(cursor) if cursor >= batch.since && batch.until > cursor => {
                 self.follow.cursor = Some(batch.until);
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -162,7 +162,7 @@
                 self.seat_written(&service, revision, out);
             }
             (Purpose::Seat(_), Outcome::Conflict(changes)) => {
-                self.take_changes(changes, Way::Told, false, out);
+                self.apply_changes(changes, Way::Told, false, out);
                 // It may be the entry that is gone.
                 self.probe_by_entry(out);
             }
@@ -303,7 +303,7 @@
         );
         change.revision = revision;
         change.created = revision;
-        self.take_changes(vec![change], Way::Told, false, out);
+        self.apply_changes(vec![change], Way::Told, false, out);
     }
 
     fn lease_lost(&mut self, out: &mut Effects) {
