--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -137,7 +137,7 @@
             (Subject::Quarantine(fingerprint), None) => {
                 self.end_quarantine(fingerprint, "record_gone", out);
             }
-            (Subject::Member(vm), None) if vm == self.settings.vm => self.entry_gone(),
+            (Subject::Member(vm), None) if vm == self.settings.vm => self.registration_gone(),
             (Subject::Member(vm), Some(Fact::Member(member))) => {
                 if vm == self.settings.vm && member.incarnation != self.settings.incarnation {
                     self.quota_returned();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -287,7 +287,7 @@
             self.follow.back = Some(self.now);
             let away = self.now.since(since);
             Self::log(out, Code::PlatformBack, format!("away={away}"));
-            self.entry_back();
+            self.registration_back();
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! * [`scheduler`]: the scheduler itself: which adapter is loaded where, and which request goes to which engine. It runs
 //!   on the one VM that holds the service's lease.
 //! * `run`: when it runs, and what becomes of its decisions.
-//! * `entry`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
+//! * `registration`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
 //! * `seat`: the lease of the service's seat, and the fencing number of orders; `turn`: whose turn it is to take one.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
 //! * [`mechanism`]: what of all that can be switched off.
@@ -32,7 +32,6 @@
 pub mod budget;
 pub mod config;
 pub mod effect;
-mod entry;
 pub mod event;
 pub mod fact;
 pub mod fingerprint;
@@ -50,6 +49,7 @@
 mod passed_by;
 mod pledge;
 pub mod quarantine;
+mod registration;
 mod relay;
 mod replication;
 mod run;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,7 +16,6 @@
 use crate::budget::Budget;
 use crate::config::{Config, Index, Limits};
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
-use crate::entry;
 use crate::event::{Event, RequestId};
 use crate::fact::{Member, Table};
 use crate::flow::Flow;
@@ -29,6 +28,7 @@
 use crate::notice;
 use crate::pledge;
 use crate::quarantine;
+use crate::registration;
 use crate::scheduler::Scheduler;
 use crate::scheduler_client;
 use crate::seat;
@@ -66,7 +66,7 @@
     /// The schedulers that run on this VM.
     pub(crate) schedulers: BTreeMap<Service, Scheduler>,
     /// This VM's own entry.
-    pub(crate) entry: entry::State,
+    pub(crate) registration: registration::State,
     /// The seats it holds or wants, and their lease.
     pub(crate) seats: seat::State,
     /// Pledges given and had.
@@ -108,7 +108,7 @@
             budgets: BTreeMap::new(),
             scheduler_clients: BTreeMap::new(),
             schedulers: BTreeMap::new(),
-            entry: entry::State::default(),
+            registration: registration::State::default(),
             seats: seat::State::default(),
             pledges: pledge::State::default(),
             follow: follow::State::default(),
@@ -281,14 +281,14 @@
         self.quota_start();
         self.follow_start(out);
         self.seat_start();
-        self.entry_due(out);
+        self.registration_due(out);
     }
 
     fn answered(&mut self, op: OpId, outcome: crate::event::Outcome, out: &mut Effects) {
         if self.follow.op == Some(op) {
             self.followed(outcome, out);
-        } else if self.entry.owns(op) {
-            self.entry_answered(op, outcome, out);
+        } else if self.registration.owns(op) {
+            self.registration_answered(op, outcome, out);
         } else if self.quarantine.owns(op) {
             self.recorded(outcome, out);
         } else {
@@ -382,14 +382,14 @@
         self.stopping = true;
         Self::log(out, Code::Draining, format!("open={}", self.open()));
         self.leave_seats(out);
-        self.leave_entry(out);
+        self.deregister(out);
     }
 
     fn run_timers(&mut self, out: &mut Effects) {
         while let Some(timer) = self.timers.due(self.now) {
             match timer {
                 Timer::Flow(request) => self.flow_due(request, out),
-                Timer::Entry => self.entry_due(out),
+                Timer::Registration => self.registration_due(out),
                 Timer::Seat => self.seat_due(out),
                 Timer::Follow => self.follow_due(out),
                 Timer::StartupQueue => self.startup_queue_due(out),
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/pledge.rs
@@ -102,9 +102,9 @@
         from: &Vm,
         out: &mut Effects,
     ) {
-        if !self.entry.unanswered(self.now) {
+        if !self.registration.unanswered(self.now) {
             // The holder has no answer. This VM learns whether it has any, and says so when it is asked again.
-            self.probe_by_entry(out);
+            self.probe_by_registration(out);
             return;
         }
         if self.now < self.pledges.unsure
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/registration.rs
@@ -77,7 +77,7 @@
 }
 
 impl Gateway {
-    fn entry_terms(&self) -> Terms {
+    fn registration_terms(&self) -> Terms {
         Terms {
             ttl: self.settings.tuning.entry_lease,
             renew: self.settings.tuning.entry_renew,
@@ -87,106 +87,110 @@
     }
 
     /// Calls on the entry, where one is due.
-    pub(crate) fn entry_due(&mut self, out: &mut Effects) {
+    pub(crate) fn registration_due(&mut self, out: &mut Effects) {
         if self.stopping {
             return;
         }
-        if let Some(due) = self.entry.lease.due(self.now) {
-            let op = due.op(self.entry_terms().ttl);
-            self.entry.lease.called();
-            self.entry_call(Purpose::Lease, op, out);
+        if let Some(due) = self.registration.lease.due(self.now) {
+            let op = due.op(self.registration_terms().ttl);
+            self.registration.lease.called();
+            self.registration_call(Purpose::Lease, op, out);
         }
-        self.await_entry();
+        self.await_registration();
     }
 
-    fn await_entry(&mut self) {
-        if let Some(next) = self.entry.lease.next() {
-            self.timers.set_once(next, Timer::Entry);
+    fn await_registration(&mut self) {
+        if let Some(next) = self.registration.lease.next() {
+            self.timers.set_once(next, Timer::Registration);
         }
     }
 
     /// A call on the entry came back.
-    pub(crate) fn entry_answered(&mut self, op: OpId, outcome: Outcome, out: &mut Effects) {
-        let Some((purpose, sent)) = self.entry.calls.remove(&op) else {
+    pub(crate) fn registration_answered(&mut self, op: OpId, outcome: Outcome, out: &mut Effects) {
+        let Some((purpose, sent)) = self.registration.calls.remove(&op) else {
             return;
         };
-        let (now, terms) = (self.now, self.entry_terms());
+        let (now, terms) = (self.now, self.registration_terms());
         match (purpose, outcome) {
             (Purpose::Lease, Outcome::Granted(id, _)) => {
-                self.entry.lease.was_granted(now, sent, id, terms);
-                self.entry.written = None;
-                self.write_entry(out);
+                self.registration.lease.was_granted(now, sent, id, terms);
+                self.registration.written = None;
+                self.register(out);
                 self.seats_changed(out);
             }
             (Purpose::Lease, Outcome::Renewed(_)) => {
-                self.entry.lease.was_renewed(sent, terms);
-                if self.entry.written.is_none() {
-                    self.write_entry(out);
+                self.registration.lease.was_renewed(sent, terms);
+                if self.registration.written.is_none() {
+                    self.register(out);
                 }
             }
             (Purpose::Write, Outcome::Written(revision)) => {
-                self.entry.written = Some(revision);
+                self.registration.written = Some(revision);
                 self.take_asked(out);
             }
             (Purpose::Lease | Purpose::Write, Outcome::NoLease) => {
-                self.entry.lease.ended(now, terms, &mut self.rng);
-                self.entry.written = None;
+                self.registration.lease.ended(now, terms, &mut self.rng);
+                self.registration.written = None;
                 let detail = "of=entry next=grant".to_owned();
                 Self::log(out, Code::StoreLeaseLost, detail);
             }
-            (Purpose::Lease, _) => self.entry.lease.failed(now, terms, &mut self.rng),
-            (Purpose::Write, _) => self.entry.lease.hurry(now, RETRY, &mut self.rng),
+            (Purpose::Lease, _) => self.registration.lease.failed(now, terms, &mut self.rng),
+            (Purpose::Write, _) => self.registration.lease.hurry(now, RETRY, &mut self.rng),
             (Purpose::End, _) => {}
         }
-        self.entry_due(out);
+        self.registration_due(out);
     }
 
     /// The key-value service answers again: what failed meanwhile is tried again.
-    pub(crate) fn entry_back(&mut self) {
-        if self.entry.lease.failing() {
-            self.hurry_entry(BACK_WITHIN);
+    pub(crate) fn registration_back(&mut self) {
+        if self.registration.lease.failing() {
+            self.expedite_registration(BACK_WITHIN);
         }
     }
 
     /// This VM's entry was taken away, though it lives.
-    pub(crate) fn entry_gone(&mut self) {
+    pub(crate) fn registration_gone(&mut self) {
         if !self.stopping {
-            self.entry.written = None;
-            self.hurry_entry(REWRITE_WITHIN);
+            self.registration.written = None;
+            self.expedite_registration(REWRITE_WITHIN);
         }
     }
 
     /// Calls the key-value service at once, to learn whether it answers.
-    pub(crate) fn probe_by_entry(&mut self, out: &mut Effects) {
-        self.entry.lease.hurry(self.now, Span::ZERO, &mut self.rng);
-        self.entry_due(out);
+    pub(crate) fn probe_by_registration(&mut self, out: &mut Effects) {
+        self.registration
+            .lease
+            .hurry(self.now, Span::ZERO, &mut self.rng);
+        self.registration_due(out);
     }
 
     /// Takes the entry away, for a graceful stop: nobody has to wait for the end of its lease.
-    pub(crate) fn leave_entry(&mut self, out: &mut Effects) {
-        if let Some(lease) = self.entry.lease.id() {
-            self.entry.lease.drop_it();
-            self.entry_call(Purpose::End, Op::End(lease), out);
+    pub(crate) fn deregister(&mut self, out: &mut Effects) {
+        if let Some(lease) = self.registration.lease.id() {
+            self.registration.lease.drop_it();
+            self.registration_call(Purpose::End, Op::End(lease), out);
         }
     }
 
-    fn hurry_entry(&mut self, within: Span) {
-        self.entry.lease.hurry(self.now, within, &mut self.rng);
-        self.await_entry();
+    fn expedite_registration(&mut self, within: Span) {
+        self.registration
+            .lease
+            .hurry(self.now, within, &mut self.rng);
+        self.await_registration();
     }
 
-    fn write_entry(&mut self, out: &mut Effects) {
-        let Some(lease) = self.entry.lease.id() else {
+    fn register(&mut self, out: &mut Effects) {
+        let Some(lease) = self.registration.lease.id() else {
             return;
         };
         let fact = Fact::Member(self.member());
         let change = own(Subject::Member(self.settings.vm.clone()), fact);
-        self.entry_call(Purpose::Write, Op::Put(change, lease, Vec::new()), out);
+        self.registration_call(Purpose::Write, Op::Put(change, lease, Vec::new()), out);
     }
 
-    fn entry_call(&mut self, purpose: Purpose, op: Op, out: &mut Effects) {
+    fn registration_call(&mut self, purpose: Purpose, op: Op, out: &mut Effects) {
         let now = self.now;
         let id = self.store(op, out);
-        self.entry.calls.insert(id, (purpose, now));
+        self.registration.calls.insert(id, (purpose, now));
     }
 }
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -164,7 +164,7 @@
             (Purpose::Seat(_), Outcome::Conflict(changes)) => {
                 self.apply_changes(changes, Way::Told, false, out);
                 // It may be the entry that is gone.
-                self.probe_by_entry(out);
+                self.probe_by_registration(out);
             }
             (Purpose::Lease | Purpose::Seat(_), Outcome::NoLease) => self.lease_lost(out),
             (Purpose::Lease, _) => self.seats.lease.failed(now, terms, &mut self.rng),
@@ -355,7 +355,7 @@
 
     /// The lease was granted or the entry written: takes the seats whose turn came before that.
     pub(crate) fn take_asked(&mut self, out: &mut Effects) {
-        if self.seats.leased() && self.entry.written().is_some() {
+        if self.seats.leased() && self.registration.written().is_some() {
             for service in std::mem::take(&mut self.seats.asked) {
                 self.set_turn(service, Turn::Take(self.now), out);
             }
@@ -408,7 +408,8 @@
             return;
         }
         // A seat is written only while this VM's entry is there: whoever asks all VMs for pledges must know of it.
-        let (Some(lease), Some(entry)) = (self.seats.lease.id(), self.entry.written()) else {
+        let (Some(lease), Some(entry)) = (self.seats.lease.id(), self.registration.written())
+        else {
             self.seats.asked.insert(service);
             self.keep_lease(out);
             return;
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -14,7 +14,7 @@
     /// A request's time is over.
     Flow(RequestId),
     /// This VM's own entry.
-    Entry,
+    Registration,
     /// The seats and their lease.
     Seat,
     /// The key-value service.
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -112,7 +112,7 @@
         if fencing {
             return rested;
         }
-        let others = self.entry.granted().unwrap_or_default() + pledge;
+        let others = self.registration.granted().unwrap_or_default() + pledge;
         rested.max(self.pledges.given(service)).max(others)
     }
 
@@ -122,7 +122,9 @@
             Turn::Take(_) => "take",
         };
         let (after, vms) = (turn.at().since(self.now), self.peers().count());
-        let lease = self.now.since(self.entry.granted().unwrap_or_default());
+        let lease = self
+            .now
+            .since(self.registration.granted().unwrap_or_default());
         let detail =
             format!("service={service} act={act} after={after} vms={vms} entry_age={lease}");
         Self::log(out, Code::SeatAwaited, detail);
