--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 use std::thread;
 
-use dahliastile_platform::{Mechanism, Without};
+use dahliastile_platform::{Feature, Without};
 use eyre::Context;
 use gumdrop::Options;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -42,10 +42,10 @@
 
     #[options(
         no_short,
-        help = "on the platform, do without a mechanism of the decisions; may be given several times",
+        help = "on the platform, do without a feature of the decisions; may be given several times",
         meta = "NAME"
     )]
-    without: Vec<Mechanism>,
+    without: Vec<Feature>,
 
     #[options(no_short, help = "check a settings file and exit", meta = "FILE")]
     check: Option<String>,
--- a/crates/gateway/benches/scheduler.rs
+++ b/crates/gateway/benches/scheduler.rs
@@ -18,7 +18,7 @@
 use dahliastile_gateway::config::{Application, Engine, Model};
 use dahliastile_gateway::event::{Ordered, Report, RequestId, Work};
 use dahliastile_gateway::fact::{Backend, Base};
-use dahliastile_gateway::mechanism::Without;
+use dahliastile_gateway::feature::Without;
 use dahliastile_gateway::message::{Progress, Want};
 use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::{Settings, Tuning};
--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -11,9 +11,9 @@
 use crate::account::Tokens;
 use crate::effect::Effects;
 use crate::event::RequestId;
+use crate::feature::Feature;
 use crate::flow::{State as Flow, Why};
 use crate::measure;
-use crate::mechanism::Mechanism;
 use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
@@ -59,7 +59,7 @@
             self.charged(request, out);
         } else if now < closed {
             self.over_limit(request, comes_back.since(now), out);
-        } else if self.settings.uses(Mechanism::TokenPool) {
+        } else if self.settings.uses(Feature::TokenPool) {
             self.draw(&account, request, 1, out);
         } else {
             self.over_limit(request, COME_BACK, out);
--- a/crates/gateway/src/mechanism.rs
+++ b/crates/gateway/src/feature.rs
@@ -7,7 +7,7 @@
 
 /// Something that the decisions can do without.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mechanism {
+pub enum Feature {
     /// Adapters come back to the engine beside which copies of them lie.
     RecentAdapters,
     /// A request waits for room at such an engine, though another one has room.
@@ -32,7 +32,7 @@
     TokenPool,
 }
 
-impl Mechanism {
+impl Feature {
     /// All of them, with the names that operators write.
     pub const ALL: [(Self, &'static str); 11] = [
         (Self::RecentAdapters, "recent-adapters"),
@@ -53,50 +53,50 @@
     }
 }
 
-impl fmt::Display for Mechanism {
+impl fmt::Display for Feature {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let names = Self::ALL.iter();
-        let name = names.filter(|(mechanism, _)| mechanism == self);
+        let name = names.filter(|(feature, _)| feature == self);
         f.write_str(name.map(|(_, name)| *name).next().unwrap_or_default())
     }
 }
 
-/// A name that is none of a mechanism.
+/// A name that is none of a feature.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{0:?} is no mechanism; there are: {names}", names = names())]
+#[error("{0:?} is no feature; there are: {names}", names = names())]
 pub struct Unknown(String);
 
 fn names() -> String {
-    let names: Vec<&str> = Mechanism::ALL.iter().map(|(_, name)| *name).collect();
+    let names: Vec<&str> = Feature::ALL.iter().map(|(_, name)| *name).collect();
     names.join(", ")
 }
 
-impl FromStr for Mechanism {
+impl FromStr for Feature {
     type Err = Unknown;
 
     fn from_str(text: &str) -> Result<Self, Unknown> {
         let mut all = Self::ALL.iter();
         let found = all.find(|(_, name)| *name == text);
-        let found = found.map(|(mechanism, _)| *mechanism);
+        let found = found.map(|(feature, _)| *feature);
         found.ok_or_else(|| Unknown(text.to_owned()))
     }
 }
 
-/// The mechanisms that are switched off.
+/// The features that are switched off.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Without(u32);
 
 impl Without {
-    /// Whether a mechanism is in use.
+    /// Whether a feature is in use.
     #[must_use]
-    pub const fn uses(self, mechanism: Mechanism) -> bool {
-        self.0 & mechanism.bit() == 0
+    pub const fn uses(self, feature: Feature) -> bool {
+        self.0 & feature.bit() == 0
     }
 }
 
-impl FromIterator<Mechanism> for Without {
-    fn from_iter<T: IntoIterator<Item = Mechanism>>(mechanisms: T) -> Self {
-        let bits = mechanisms.into_iter().map(Mechanism::bit);
+impl FromIterator<Feature> for Without {
+    fn from_iter<T: IntoIterator<Item = Feature>>(features: T) -> Self {
+        let bits = features.into_iter().map(Feature::bit);
         Self(bits.fold(0, |all, bit| all | bit))
     }
 }
@@ -104,9 +104,9 @@
 /// The names with commas between; `-` where none is switched off.
 impl fmt::Display for Without {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let off = Mechanism::ALL
+        let off = Feature::ALL
             .iter()
-            .filter(|(mechanism, _)| !self.uses(*mechanism));
+            .filter(|(feature, _)| !self.uses(*feature));
         let names: Vec<&str> = off.map(|(_, name)| *name).collect();
         match names.as_slice() {
             [] => f.write_str("-"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 //! * `registration`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
 //! * `seat`: the lease of the service's seat, and the fencing number of orders; `turn`: whose turn it is to take one.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
-//! * [`mechanism`]: what of all that can be switched off.
+//! * [`feature`]: what of all that can be switched off.
 //! * [`quarantine`]: requests that crash the servers that run them.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
 //! * `replication`: what VMs tell each other of its changes; `apply`: what a change does here.
@@ -34,6 +34,7 @@
 pub mod effect;
 pub mod event;
 pub mod fact;
+pub mod feature;
 pub mod fingerprint;
 mod flow;
 mod follow;
@@ -41,7 +42,6 @@
 mod lease;
 mod load_balancer;
 mod measure;
-pub mod mechanism;
 mod membership;
 pub mod message;
 mod node;
--- a/crates/gateway/src/load_balancer.rs
+++ b/crates/gateway/src/load_balancer.rs
@@ -8,8 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::fact::Backend;
+use crate::feature::{Feature, Without};
 use crate::health::Health;
-use crate::mechanism::{Mechanism, Without};
 use crate::settings::Settings;
 
 /// How many requests more a server of the VM's own zone may have than another one before that is taken instead: bytes
@@ -56,13 +56,13 @@
     fn cost(&self, zone: &Zone, now: Instant, without: Without) -> f64 {
         let slots = f64::from(self.backend.slots.max(1));
         let load = f64::from(self.open) / slots;
-        let zones = without.uses(Mechanism::ZonePreference);
+        let zones = without.uses(Feature::ZonePreference);
         let away = if !zones || self.backend.zone == *zone {
             0.0
         } else {
             ZONE_WORTH
         };
-        let failing = match without.uses(Mechanism::HealthRanking) {
+        let failing = match without.uses(Feature::HealthRanking) {
             true if self.health.shunned(now) => SHUNNED + self.health.failures(now),
             true => self.health.failures(now),
             false => 0.0,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,11 +18,11 @@
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::event::{Event, RequestId};
 use crate::fact::{Member, Table};
+use crate::feature::Feature;
 use crate::flow::Flow;
 use crate::follow;
 use crate::load_balancer::Row;
 use crate::measure;
-use crate::mechanism::Mechanism;
 use crate::membership::Membership;
 use crate::message::Message;
 use crate::notice;
@@ -224,7 +224,7 @@
 
     /// How much a VM can do for others.
     pub(crate) fn strength(&self, vm: &Vm) -> u32 {
-        if !self.settings.uses(Mechanism::Strength) {
+        if !self.settings.uses(Feature::Strength) {
             return 0;
         }
         if *vm == self.settings.vm {
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/pledge.rs
@@ -16,7 +16,7 @@
 
 use crate::effect::Effects;
 use crate::event::Outcome;
-use crate::mechanism::Mechanism;
+use crate::feature::Feature;
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -76,7 +76,7 @@
 
     /// Asks all other VMs for their pledges, where this one schedules and its renewals have no answer.
     pub(crate) fn ask_pledges(&mut self, out: &mut Effects) {
-        let used = self.settings.uses(Mechanism::Pledges);
+        let used = self.settings.uses(Feature::Pledges);
         if !used || self.settings.tuning.fencing || self.schedulers.is_empty() {
             return;
         }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -35,8 +35,8 @@
 use crate::effect::{Order, OrderId};
 use crate::event::{Ordered, Report, RequestId, Work};
 use crate::fact::{Backend, Version};
+use crate::feature::Feature;
 use crate::health::{Health, last};
-use crate::mechanism::Mechanism;
 use crate::message::{Holding, Progress, Running, Want};
 use crate::notice::Rate;
 use crate::notice::leaving::last_resort;
@@ -301,7 +301,7 @@
     ) {
         self.dirty = true;
         let key = self.keys.key(model, adapter);
-        let at = at.filter(|_| self.settings.uses(Mechanism::OldVersions));
+        let at = at.filter(|_| self.settings.uses(Feature::OldVersions));
         self.keys.named(key, version, at);
     }
 
@@ -415,7 +415,7 @@
     /// Has the engines that fail most come last for now.
     fn judge(&mut self, now: Instant) {
         let health: Vec<&Health> = self.engines.values().map(|engine| &engine.health).collect();
-        let used = self.settings.uses(Mechanism::HealthRanking);
+        let used = self.settings.uses(Feature::HealthRanking);
         let last = if used { last(now, &health) } else { Vec::new() };
         for (at, engine) in self.engines.values_mut().enumerate() {
             engine.last = last.contains(&at);
--- a/crates/gateway/src/scheduler/admission.rs
+++ b/crates/gateway/src/scheduler/admission.rs
@@ -6,7 +6,7 @@
 use super::forecast::{For, Wait};
 use super::job::Job;
 use super::{Decision, Scheduler};
-use crate::mechanism::Mechanism;
+use crate::feature::Feature;
 
 /// The least time from a place to the first event: a short prompt and a few steps.
 const SHORTEST: Span = Span::from_millis(150);
@@ -25,7 +25,7 @@
 impl Scheduler {
     /// Refuses the waiting requests that can't be served in time, by the forecast.
     pub(crate) fn refuse_jobs(&mut self, now: Instant, waits: &[Wait], out: &mut Vec<Decision>) {
-        if !self.settings.uses(Mechanism::ForecastRefusals) {
+        if !self.settings.uses(Feature::ForecastRefusals) {
             return;
         }
         for wait in waits {
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -9,7 +9,7 @@
 use super::residency::Spread;
 use super::{Decision, Scheduler};
 use crate::event::{Cause, Ran};
-use crate::mechanism::Mechanism;
+use crate::feature::Feature;
 
 /// The cost of another availability zone, as a time: bytes between zones cost about a twentieth of a plan's worth, which
 /// a wait of this length costs too.
@@ -64,7 +64,7 @@
 
     /// The engine that could run a request at the least cost, of those that hold what it needs.
     fn best(&self, now: Instant, vm: &Vm, job: &Job, spread: &Spread) -> Option<(Server, Span)> {
-        let zones = self.settings.uses(Mechanism::ZonePreference);
+        let zones = self.settings.uses(Feature::ZonePreference);
         let cost = |server: &Server, engine: &Engine| {
             let open = engine.usable() && engine.may_get(1, now) && engine.rest.allows(now, vm);
             let fit = open && !job.failed.contains(server);
@@ -129,7 +129,7 @@
         let Some(key) = job.key else {
             return;
         };
-        if self.settings.uses(Mechanism::KeptParts) {
+        if self.settings.uses(Feature::KeptParts) {
             let kept = &mut engine.kept;
             kept.read(key, &job.work.parts, self.shape.tokens);
         }
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -14,7 +14,7 @@
 use super::reservations::Claims;
 use super::residency::{Spot, Spread};
 use super::{Decision, Scheduler};
-use crate::mechanism::Mechanism;
+use crate::feature::Feature;
 
 /// The cost of taking away an adapter that one request asked for a moment ago, as a time: its next request waits for
 /// a load.
@@ -180,7 +180,7 @@
     /// wait at the engines that hold it already, where it is long enough for a copy.
     fn wanted(&self, waits: &[Wait], spread: &Spread) -> Vec<Wanted> {
         let mut wanted: Vec<Wanted> = Vec::new();
-        let copies = self.settings.uses(Mechanism::Copies);
+        let copies = self.settings.uses(Feature::Copies);
         let mut rows: FxHashMap<Key, usize> = FxHashMap::default();
         for wait in waits {
             let Some(job) = self.jobs.get(&wait.id).filter(|job| job.waits()) else {
@@ -250,7 +250,7 @@
 
     /// Where an adapter lies beside an engine, how many others were held there since it was.
     pub(crate) fn lies_beside(&self, engine: &Engine, key: Key) -> Option<usize> {
-        let used = self.settings.uses(Mechanism::RecentAdapters);
+        let used = self.settings.uses(Feature::RecentAdapters);
         let depth = engine.recent.depth(key).filter(|_| used);
         depth.filter(|depth| self.beside.holds(*depth))
     }
@@ -302,7 +302,7 @@
                 offer(choice(server, room, None, self.load_time + FETCH));
             }
         }
-        let patient = self.settings.uses(Mechanism::RecentPatience) && look.now < wanted.patient;
+        let patient = self.settings.uses(Feature::RecentPatience) && look.now < wanted.patient;
         best.filter(|best| !patient || best.cost <= later)
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use dahliastile_core::id::{Incarnation, Vm, Zone};
 use dahliastile_core::time::Span;
 
-use crate::mechanism::{Mechanism, Without};
+use crate::feature::{Feature, Without};
 
 /// What one entry VM is told.
 #[derive(Clone, Debug)]
@@ -27,15 +27,15 @@
     pub seeds: Vec<SocketAddr>,
     /// The figures.
     pub tuning: Tuning,
-    /// The mechanisms that are switched off.
+    /// The features that are switched off.
     pub without: Without,
 }
 
 impl Settings {
-    /// Whether a mechanism is in use.
+    /// Whether a feature is in use.
     #[must_use]
-    pub fn uses(&self, mechanism: Mechanism) -> bool {
-        self.without.uses(mechanism)
+    pub fn uses(&self, feature: Feature) -> bool {
+        self.without.uses(feature)
     }
 }
 
--- a/crates/gateway/tests/mechanism.rs
+++ b/crates/gateway/tests/feature.rs
@@ -3,42 +3,37 @@
 mod support;
 
 use dahliastile_core::time::Span;
-use dahliastile_gateway::mechanism::{Mechanism, Without};
+use dahliastile_gateway::feature::{Feature, Without};
 use dahliastile_gateway::settings::Tuning;
 use support::World;
 use support::setup::draft;
 
 #[test]
 fn name_isreadback() {
-    for (mechanism, name) in Mechanism::ALL {
-        assert_eq!(mechanism.to_string(), name);
-        assert_eq!(name.parse(), Ok(mechanism));
+    for (feature, name) in Feature::ALL {
+        assert_eq!(feature.to_string(), name);
+        assert_eq!(name.parse(), Ok(feature));
     }
-    let error = "copy".parse::<Mechanism>().expect_err("no mechanism");
+    let error = "copy".parse::<Feature>().expect_err("no feature");
     assert!(error.to_string().contains("copies"), "{error}");
 }
 
 #[test]
 fn without_namesthem() {
     assert_eq!(Without::default().to_string(), "-");
-    let without: Without = [Mechanism::Pledges, Mechanism::Copies]
-        .into_iter()
-        .collect();
+    let without: Without = [Feature::Pledges, Feature::Copies].into_iter().collect();
     assert_eq!(without.to_string(), "copies,pledges");
-    assert!(!without.uses(Mechanism::Copies) && without.uses(Mechanism::Strength));
+    assert!(!without.uses(Feature::Copies) && without.uses(Feature::Strength));
 }
 
 /// Without any one of them, and without all, what is promised holds under an outage, a lost engine, a lost holder and new
 /// versions, and most of a quiet night is served. Engines don't check fencing numbers.
 #[test]
 fn without_anypromisesarekept() {
-    let each = Mechanism::ALL
+    let each = Feature::ALL
         .iter()
-        .map(|(mechanism, _)| [*mechanism].into_iter().collect());
-    let all = Mechanism::ALL
-        .iter()
-        .map(|(mechanism, _)| *mechanism)
-        .collect();
+        .map(|(feature, _)| [*feature].into_iter().collect());
+    let all = Feature::ALL.iter().map(|(feature, _)| *feature).collect();
     for without in each.chain([all]) {
         let tuning = Tuning {
             fencing: false,
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -11,8 +11,8 @@
 };
 use dahliastile_gateway::event::{Call, Report, Work};
 use dahliastile_gateway::fact::{Backend, Base, Resident};
+use dahliastile_gateway::feature::Without;
 use dahliastile_gateway::fingerprint::Fingerprint;
-use dahliastile_gateway::mechanism::Without;
 use dahliastile_gateway::settings::{Settings, Tuning};
 
 /// The service with engines.
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -15,8 +15,8 @@
 use dahliastile_gateway::effect::{Op, Order, Reason, Send};
 use dahliastile_gateway::event::{Call, Event};
 use dahliastile_gateway::fact::{Backend, Fact, Subject};
+use dahliastile_gateway::feature::Without;
 use dahliastile_gateway::fingerprint::Fingerprint;
-use dahliastile_gateway::mechanism::Without;
 use dahliastile_gateway::message::Message;
 use dahliastile_gateway::settings::Tuning;
 use rand::SeedableRng;
@@ -199,7 +199,7 @@
         Self::uneven(&vec![USUAL; vms], engines, plain, tuning)
     }
 
-    /// The same without some mechanisms.
+    /// The same without some features.
     pub fn without(
         vms: usize,
         engines: usize,
