--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/candidacy.rs
@@ -1,4 +1,4 @@
-//! Who may take a seat, and when: this VM's turn among those that could.
+//! Who may take a seat, and when: this VM's candidacy among those that could.
 
 use std::cmp::Reverse;
 
@@ -27,16 +27,16 @@
 /// How long ago it was heard at most.
 const HEARD: Span = Span::from_secs(2);
 
-/// A VM's turn for a seat.
+/// A VM's candidacy for a seat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Turn {
+pub(crate) enum Candidacy {
     /// It looks then who is there, and waits for those before it.
     Look(Instant),
     /// It takes the seat then.
     Take(Instant),
 }
 
-impl Turn {
+impl Candidacy {
     /// When it comes.
     pub(crate) fn at(self) -> Instant {
         match self {
@@ -68,12 +68,12 @@
 pub(crate) const SETTLED: Span = Span::from_millis(3_500);
 
 impl Gateway {
-    /// Whether a seat became free by time alone, and this VM does not wait for its turn yet.
-    pub(crate) fn awaits_no_turn(&self) -> bool {
+    /// Whether a seat became free by time alone, and this VM does not wait for its candidacy yet.
+    pub(crate) fn lacks_candidacy(&self) -> bool {
         let mut engines = self.index.engines().map(|service| &service.name);
         engines.any(|service| {
             let free = matches!(self.vacancy(service), Vacancy::Free | Vacancy::Silent);
-            free && !self.seats.turns.contains_key(service)
+            free && !self.seats.candidacies.contains_key(service)
         })
     }
 
@@ -82,18 +82,22 @@
         let services: Vec<Service> = self.index.engines().map(|s| s.name.clone()).collect();
         for service in services {
             let vacancy = self.vacancy(&service);
-            let waits = self.seats.turns.get(&service).map(|turn| turn.at());
-            let turn = match vacancy {
+            let waits = self
+                .seats
+                .candidacies
+                .get(&service)
+                .map(|candidacy| candidacy.at());
+            let candidacy = match vacancy {
                 Vacancy::Held => continue,
-                // Nobody else may have it, so it waits for nobody's turn.
+                // Nobody else may have it, so it waits for nobody's candidacy.
                 Vacancy::Mine | Vacancy::Weary if waits.is_none_or(|at| at > self.now) => {
-                    Turn::Take(self.now)
+                    Candidacy::Take(self.now)
                 }
                 _ if waits.is_some() => continue,
-                _ if self.now < self.seats.meets => Turn::Look(self.seats.meets),
-                _ => self.turn(&service),
+                _ if self.now < self.seats.meets => Candidacy::Look(self.seats.meets),
+                _ => self.candidacy(&service),
             };
-            self.set_turn(service, turn, out);
+            self.set_candidacy(service, candidacy, out);
         }
         self.take_seats(out);
     }
@@ -116,20 +120,25 @@
         rested.max(self.pledges.given(service)).max(others)
     }
 
-    pub(crate) fn set_turn(&mut self, service: Service, turn: Turn, out: &mut Effects) {
-        let act = match turn {
-            Turn::Look(_) => "look",
-            Turn::Take(_) => "take",
+    pub(crate) fn set_candidacy(
+        &mut self,
+        service: Service,
+        candidacy: Candidacy,
+        out: &mut Effects,
+    ) {
+        let act = match candidacy {
+            Candidacy::Look(_) => "look",
+            Candidacy::Take(_) => "take",
         };
-        let (after, vms) = (turn.at().since(self.now), self.peers().count());
+        let (after, vms) = (candidacy.at().since(self.now), self.peers().count());
         let lease = self
             .now
             .since(self.registration.granted().unwrap_or_default());
         let detail =
             format!("service={service} act={act} after={after} vms={vms} entry_age={lease}");
         Self::log(out, Code::SeatAwaited, detail);
-        self.timers.set(turn.at(), Timer::Seat);
-        self.seats.turns.insert(service, turn);
+        self.timers.set(candidacy.at(), Timer::Seat);
+        self.seats.candidacies.insert(service, candidacy);
     }
 
     /// Whether this VM may take a seat.
@@ -211,35 +220,35 @@
         peers.any(|vm| self.strength(vm) >= enough && self.membership.is_heard(vm, since))
     }
 
-    /// Tries to take the seats whose turn has come.
+    /// Tries to take the seats whose candidacy has come.
     pub(crate) fn take_seats(&mut self, out: &mut Effects) {
-        let turns = self.seats.turns.iter();
-        let due = turns.filter(|(_, turn)| turn.at() <= self.now);
+        let candidacies = self.seats.candidacies.iter();
+        let due = candidacies.filter(|(_, candidacy)| candidacy.at() <= self.now);
         let due: Vec<Service> = due.map(|(service, _)| service.clone()).collect();
         for service in due {
-            let turn = self.seats.turns.remove(&service);
-            let next = match (self.vacancy(&service), turn) {
+            let candidacy = self.seats.candidacies.remove(&service);
+            let next = match (self.vacancy(&service), candidacy) {
                 (Vacancy::Held, _) => continue,
-                // Then it is still the turn of those before it.
-                (Vacancy::Resting, _) => Turn::Look(self.rested(&service)),
-                (Vacancy::Free, Some(Turn::Look(_))) => self.turn(&service),
+                // Then it is still the candidacy of those before it.
+                (Vacancy::Resting, _) => Candidacy::Look(self.rested(&service)),
+                (Vacancy::Free, Some(Candidacy::Look(_))) => self.candidacy(&service),
                 (Vacancy::Weary, _) => {
                     self.give_seat_up(&service, out);
-                    Turn::Look(self.now + self.settings.tuning.renew)
+                    Candidacy::Look(self.now + self.settings.tuning.renew)
                 }
                 _ => {
                     self.take_seat(service.clone(), out);
-                    Turn::Take(self.now + self.settings.tuning.renew)
+                    Candidacy::Take(self.now + self.settings.tuning.renew)
                 }
             };
-            self.set_turn(service, next, out);
+            self.set_candidacy(service, next, out);
         }
     }
 
-    /// This VM's turn for a seat that is free from now on: after the live VMs that stand before it in the order of
-    /// candidates, the strongest first. Counted from when this VM may take it, as the others count theirs: a weak VM whose turn
+    /// This VM's candidacy for a seat that is free from now on: after the live VMs that stand before it in the order of
+    /// candidates, the strongest first. Counted from when this VM may take it, as the others count theirs: a weak VM whose candidacy
     /// was counted from before that took the seat in the moment in which the strongest were allowed to look at it.
-    fn turn(&self, service: &Service) -> Turn {
+    fn candidacy(&self, service: &Service) -> Candidacy {
         let mine = self.rank(service, &self.settings.vm);
         let silent = self.silent_holder(service);
         let others = self.peers().filter(|vm| Some(*vm) != silent);
@@ -247,10 +256,10 @@
         let before = before.count() as u64;
         let mut from = self.now.max(self.rested(service));
         if silent.is_some() && before > 0 {
-            // Some see its link break, the others only that its word does not come, and the turns of those before this VM begin then.
+            // Some see its link break, the others only that its word does not come, and the candidacies of those before this VM begin then.
             from = from.max(self.holder_heard(service) + SILENCE);
         }
-        Turn::Take(from + CANDIDATE_GAP.times(before))
+        Candidacy::Take(from + CANDIDATE_GAP.times(before))
     }
 
     /// The holder whose key is still there, but whose word does not come.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //!   on the one VM that holds the service's lease.
 //! * `run`: when it runs, and what becomes of its decisions.
 //! * `registration`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
-//! * `seat`: the lease of the service's seat, and the fencing number of orders; `turn`: whose turn it is to take one.
+//! * `seat`: the lease of the service's seat, and the fencing number of orders; `candidacy`: who may take one, and when.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
 //! * [`feature`]: what of all that can be switched off.
 //! * [`quarantine`]: requests that crash the servers that run them.
@@ -30,6 +30,7 @@
 pub mod account;
 mod apply;
 pub mod budget;
+mod candidacy;
 pub mod config;
 pub mod effect;
 pub mod event;
@@ -60,6 +61,5 @@
 pub mod settings;
 mod startup_queue;
 mod timer;
-mod turn;
 
 pub use node::Gateway;
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -10,6 +10,7 @@
 use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 
+use crate::candidacy::SETTLED;
 use crate::effect::Effects;
 use crate::event::{Fault, RequestId};
 use crate::fact::{Fact, Holder, Resident, Revision, Subject, Version};
@@ -18,7 +19,6 @@
 use crate::message::{Holding, Message, Progress, Running, Want};
 use crate::node::Gateway;
 use crate::timer::Timer;
-use crate::turn::SETTLED;
 
 /// The time without any word of the holder after which this VM goes on by itself: three of the holder's digests.
 pub(crate) const SILENCE: Span = Span::from_millis(900);
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -14,6 +14,7 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
+use crate::candidacy::{Candidacy, SETTLED};
 use crate::effect::{Effects, Op, OpId};
 use crate::event::Outcome;
 use crate::fact::{Change, Fact, Holder, Subject, Way, own};
@@ -21,7 +22,6 @@
 use crate::node::Gateway;
 use crate::scheduler::Scheduler;
 use crate::timer::Timer;
-use crate::turn::{SETTLED, Turn};
 
 /// How long a VM that has just started waits for the entries of others before it counts those before it: all VMs of a
 /// deployment start within 0.3 s of each other, and small ones need as long to write their entries.
@@ -61,8 +61,8 @@
     asked: BTreeSet<Service>,
     /// Calls in progress, with the time at which each was sent.
     calls: BTreeMap<OpId, (Purpose, Instant)>,
-    /// This VM's turns for free seats.
-    pub(crate) turns: BTreeMap<Service, Turn>,
+    /// This VM's candidacies for free seats.
+    pub(crate) candidacies: BTreeMap<Service, Candidacy>,
     /// Until when other VMs that start beside this one may still write their entries.
     pub(crate) meets: Instant,
     /// When the holder of a seat last changed, as far as this VM saw it.
@@ -113,10 +113,10 @@
         self.lease.id().is_some()
     }
 
-    /// Another VM schedules: a turn that waits was one for the vacancy before. Kept, it would come at once in the next one, and a weak VM
+    /// Another VM schedules: a candidacy that waits was one for the vacancy before. Kept, it would come at once in the next one, and a weak VM
     /// go before strong ones.
     pub(crate) fn end_wait(&mut self, service: &Service) {
-        self.turns.remove(service);
+        self.candidacies.remove(service);
     }
 
     /// The holder of a seat changed.
@@ -179,7 +179,7 @@
         self.stop_in_time(out);
         self.leave_to_stronger(out);
         self.keep_lease(out);
-        if self.awaits_no_turn() {
+        if self.lacks_candidacy() {
             self.seats_changed(out);
         } else {
             self.take_seats(out);
@@ -353,11 +353,11 @@
         }
     }
 
-    /// The lease was granted or the entry written: takes the seats whose turn came before that.
+    /// The lease was granted or the entry written: takes the seats whose candidacy came before that.
     pub(crate) fn take_asked(&mut self, out: &mut Effects) {
         if self.seats.leased() && self.registration.written().is_some() {
             for service in std::mem::take(&mut self.seats.asked) {
-                self.set_turn(service, Turn::Take(self.now), out);
+                self.set_candidacy(service, Candidacy::Take(self.now), out);
             }
         }
         self.seats_changed(out);
