--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -124,15 +124,15 @@
     StoreCompacted = 310 Info "Nothing.";
     /// The entry of a backend server lapsed while the key-value service was away.
     EntryLapsed = 311 Info "Nothing; it counts as gone if it does not come back.";
-    /// This VM schedules on though its lease may have ended, as all other VMs have pledged to take no seat meanwhile.
+    /// This VM schedules on though its lease may have ended, as all other VMs have pledged to take no leadership meanwhile.
     HeldByPledges = 324 Warn "Check the key-value service.";
-    /// This VM waits for its turn to take a free seat.
+    /// This VM waits for its turn to take a free leadership.
     SeatAwaited = 325 Debug "Nothing.";
-    /// This VM leaves a seat to another one.
-    SeatLeft = 326 Info "If it is not being stopped, it is too weak for the seat, or its way to the key-value service is.";
+    /// This VM leaves a leadership to another one.
+    SeatLeft = 326 Info "If it is not being stopped, it is too weak for the leadership, or its way to the key-value service is.";
     /// An entry of the key-value service can't be read, and tells nothing of its subject.
     EntryUnreadable = 315 Warn "Look for another program that writes there.";
-    /// A lease of this VM in the key-value service ended: that of its entry or that of its seats.
+    /// A lease of this VM in the key-value service ended: that of its entry or that of its leaderships.
     StoreLeaseLost = 312 Warn "Check the VM's way to the key-value service if it repeats.";
     /// This VM hears of the key-value service's changes from another VM.
     Following = 313 Info "Nothing.";
@@ -145,7 +145,7 @@
     /// The VM that schedules a service's engines does not answer.
     HolderSilent = 322 Warn "Check that VM; what is resident is served on.";
     /// A backend server has seen a higher fencing number than this VM's.
-    Fenced = 323 Warn "Nothing; this VM gave the seat up.";
+    Fenced = 323 Warn "Nothing; this VM gave the leadership up.";
     /// A backend server is listed.
     ServerListed = 423 Info "Nothing.";
     /// A backend server is no longer listed.
--- a/crates/gateway/src/candidacy.rs
+++ b/crates/gateway/src/candidacy.rs
@@ -1,4 +1,4 @@
-//! Who may take a seat, and when: this VM's candidacy among those that could.
+//! Who may take a leadership, and when: this VM's candidacy among those that could.
 
 use std::cmp::Reverse;
 
@@ -14,11 +14,11 @@
 use crate::scheduler_client::SILENCE;
 use crate::timer::Timer;
 
-/// The time that a VM waits for each VM before it in the order of candidates before it takes a free seat: some calls
+/// The time that a VM waits for each VM before it in the order of candidates before it takes a free leadership: some calls
 /// of the key-value service.
 const CANDIDATE_GAP: Span = Span::from_millis(120);
 
-/// How long a VM holds a seat before it leaves it to a stronger one: a new scheduler asks all engines for reports first.
+/// How long a VM holds a leadership before it leaves it to a stronger one: a new scheduler asks all engines for reports first.
 const TRIED: Span = Span::from_secs(5);
 
 /// How many times stronger that one is.
@@ -27,12 +27,12 @@
 /// How long ago it was heard at most.
 const HEARD: Span = Span::from_secs(2);
 
-/// A VM's candidacy for a seat.
+/// A VM's candidacy for a leadership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Candidacy {
     /// It looks then who is there, and waits for those before it.
     Look(Instant),
-    /// It takes the seat then.
+    /// It takes the leadership then.
     Take(Instant),
 }
 
@@ -45,7 +45,7 @@
     }
 }
 
-/// Whether this VM may take a seat.
+/// Whether this VM may take a leadership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Vacancy {
     /// Another VM holds it, or this one does.
@@ -54,7 +54,7 @@
     Free,
     /// An earlier start of this VM held it, or this one, which stopped before its lease could end.
     Mine,
-    /// Another VM may take it, and this one later: it held the seat a moment ago.
+    /// Another VM may take it, and this one later: it held the leadership a moment ago.
     Resting,
     /// It is this VM's, which another one is to have: it has stopped to schedule twice in a short time, or starts anew beside stronger
     /// ones.
@@ -63,27 +63,27 @@
     Silent,
 }
 
-/// How long a seat stays with a holder that seems silent to this VM: orders of two holders in turn within three seconds
+/// How long a leadership stays with a holder that seems silent to this VM: orders of two holders in turn within three seconds
 /// are not wanted, even where fencing numbers keep them harmless.
 pub(crate) const SETTLED: Span = Span::from_millis(3_500);
 
 impl Gateway {
-    /// Whether a seat became free by time alone, and this VM does not wait for its candidacy yet.
+    /// Whether a leadership became free by time alone, and this VM does not wait for its candidacy yet.
     pub(crate) fn lacks_candidacy(&self) -> bool {
         let mut engines = self.index.engines().map(|service| &service.name);
         engines.any(|service| {
             let free = matches!(self.vacancy(service), Vacancy::Free | Vacancy::Silent);
-            free && !self.seats.candidacies.contains_key(service)
+            free && !self.leaderships.candidacies.contains_key(service)
         })
     }
 
     /// The configuration, a holder or what is known of it changed.
-    pub(crate) fn seats_changed(&mut self, out: &mut Effects) {
+    pub(crate) fn leaderships_changed(&mut self, out: &mut Effects) {
         let services: Vec<Service> = self.index.engines().map(|s| s.name.clone()).collect();
         for service in services {
             let vacancy = self.vacancy(&service);
             let waits = self
-                .seats
+                .leaderships
                 .candidacies
                 .get(&service)
                 .map(|candidacy| candidacy.at());
@@ -94,15 +94,15 @@
                     Candidacy::Take(self.now)
                 }
                 _ if waits.is_some() => continue,
-                _ if self.now < self.seats.meets => Candidacy::Look(self.seats.meets),
+                _ if self.now < self.leaderships.meets => Candidacy::Look(self.leaderships.meets),
                 _ => self.candidacy(&service),
             };
             self.set_candidacy(service, candidacy, out);
         }
-        self.take_seats(out);
+        self.take_leaderships(out);
     }
 
-    /// From when on this VM may take a seat: where engines don't check fencing numbers not before its pledge is over, nor, where
+    /// From when on this VM may take a leadership: where engines don't check fencing numbers not before its pledge is over, nor, where
     /// it has just got a lease, before the pledges of others that it does not know of. At once where it never knew another VM; where
     /// the last entry of one has just gone, as all go when the key-value service loses its leases, they may still act by them.
     fn rested(&self, service: &Service) -> Instant {
@@ -112,7 +112,7 @@
             let left = self.membership.left().filter(|_| !fencing);
             return left.map_or(Instant::default(), |left| left + pledge);
         }
-        let rested = self.seats.rested(service);
+        let rested = self.leaderships.rested(service);
         if fencing {
             return rested;
         }
@@ -137,11 +137,11 @@
         let detail =
             format!("service={service} act={act} after={after} vms={vms} entry_age={lease}");
         Self::log(out, Code::SeatAwaited, detail);
-        self.timers.set(candidacy.at(), Timer::Seat);
-        self.seats.candidacies.insert(service, candidacy);
+        self.timers.set(candidacy.at(), Timer::Leadership);
+        self.leaderships.candidacies.insert(service, candidacy);
     }
 
-    /// Whether this VM may take a seat.
+    /// Whether this VM may take a leadership.
     fn vacancy(&self, service: &Service) -> Vacancy {
         let vacancy = self.vacancy_for_any(service);
         let resting = self.now < self.rested(service);
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Whether a seat can be taken by any VM, as far as this one knows.
+    /// Whether a leadership can be taken by any VM, as far as this one knows.
     fn vacancy_for_any(&self, service: &Service) -> Vacancy {
         let change = self.facts.get(&Subject::Holder(service.clone()));
         let Some(Fact::Holder(holder)) = change.and_then(|change| change.fact.as_ref()) else {
@@ -162,7 +162,7 @@
             .scheduler_clients
             .get(service)
             .is_some_and(|client| client.silent);
-        let settled = self.now.since(self.seats.changed(service)) >= SETTLED;
+        let settled = self.now.since(self.leaderships.changed(service)) >= SETTLED;
         match holder.vm == self.settings.vm {
             true if holder.incarnation != self.settings.incarnation => {
                 if self.is_stronger_there() {
@@ -171,23 +171,23 @@
                     Vacancy::Mine
                 }
             }
-            true if self.idle_seat(service) && self.weary(service) => Vacancy::Weary,
-            true if self.idle_seat(service) => Vacancy::Mine,
+            true if self.idle_leadership(service) && self.weary(service) => Vacancy::Weary,
+            true if self.idle_leadership(service) => Vacancy::Mine,
             false if fencing && silent && settled => Vacancy::Silent,
             _ => Vacancy::Held,
         }
     }
 
-    /// Whether a seat is this VM's, though it has stopped to schedule: its lease could have ended, and did not. Nobody else may
-    /// take the seat as long as the lease goes on, so this VM writes it anew, under a new number.
-    fn idle_seat(&self, service: &Service) -> bool {
-        let sure = self.seats.leased() && self.now < self.lease_sure();
+    /// Whether a leadership is this VM's, though it has stopped to schedule: its lease could have ended, and did not. Nobody else may
+    /// take the leadership as long as the lease goes on, so this VM writes it anew, under a new number.
+    fn idle_leadership(&self, service: &Service) -> bool {
+        let sure = self.leaderships.leased() && self.now < self.lease_sure();
         sure && !self.stopping && !self.schedulers.contains_key(service)
     }
 
-    /// Whether this VM is to leave a seat to another one.
+    /// Whether this VM is to leave a leadership to another one.
     fn weary(&self, service: &Service) -> bool {
-        self.peers().next().is_some() && self.seats.weary(service, self.now)
+        self.peers().next().is_some() && self.leaderships.weary(service, self.now)
     }
 
     /// Whether a stronger VM has an entry.
@@ -196,7 +196,7 @@
         self.peers().any(|vm| self.strength(vm) > mine)
     }
 
-    /// Leaves seats that are too much for this VM, where one that is much stronger is heard: it took them while that one was away, and
+    /// Leaves leaderships that are too much for this VM, where one that is much stronger is heard: it took them while that one was away, and
     /// would fall further behind with each request.
     pub(crate) fn leave_to_stronger(&mut self, out: &mut Effects) {
         let strained = self.schedulers.iter();
@@ -208,8 +208,8 @@
             return;
         }
         for service in strained {
-            self.seat_lost(&service, out);
-            self.give_seat_up(&service, out);
+            self.leadership_lost(&service, out);
+            self.resign(&service, out);
         }
     }
 
@@ -220,24 +220,24 @@
         peers.any(|vm| self.strength(vm) >= enough && self.membership.is_heard(vm, since))
     }
 
-    /// Tries to take the seats whose candidacy has come.
-    pub(crate) fn take_seats(&mut self, out: &mut Effects) {
-        let candidacies = self.seats.candidacies.iter();
+    /// Tries to take the leaderships whose candidacy has come.
+    pub(crate) fn take_leaderships(&mut self, out: &mut Effects) {
+        let candidacies = self.leaderships.candidacies.iter();
         let due = candidacies.filter(|(_, candidacy)| candidacy.at() <= self.now);
         let due: Vec<Service> = due.map(|(service, _)| service.clone()).collect();
         for service in due {
-            let candidacy = self.seats.candidacies.remove(&service);
+            let candidacy = self.leaderships.candidacies.remove(&service);
             let next = match (self.vacancy(&service), candidacy) {
                 (Vacancy::Held, _) => continue,
                 // Then it is still the candidacy of those before it.
                 (Vacancy::Resting, _) => Candidacy::Look(self.rested(&service)),
                 (Vacancy::Free, Some(Candidacy::Look(_))) => self.candidacy(&service),
                 (Vacancy::Weary, _) => {
-                    self.give_seat_up(&service, out);
+                    self.resign(&service, out);
                     Candidacy::Look(self.now + self.settings.tuning.renew)
                 }
                 _ => {
-                    self.take_seat(service.clone(), out);
+                    self.take_leadership(service.clone(), out);
                     Candidacy::Take(self.now + self.settings.tuning.renew)
                 }
             };
@@ -245,9 +245,9 @@
         }
     }
 
-    /// This VM's candidacy for a seat that is free from now on: after the live VMs that stand before it in the order of
+    /// This VM's candidacy for a leadership that is free from now on: after the live VMs that stand before it in the order of
     /// candidates, the strongest first. Counted from when this VM may take it, as the others count theirs: a weak VM whose candidacy
-    /// was counted from before that took the seat in the moment in which the strongest were allowed to look at it.
+    /// was counted from before that took the leadership in the moment in which the strongest were allowed to look at it.
     fn candidacy(&self, service: &Service) -> Candidacy {
         let mine = self.rank(service, &self.settings.vm);
         let silent = self.silent_holder(service);
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/leadership.rs
@@ -1,11 +1,11 @@
-//! The seats: the right to schedule a service's engines, under a lease that only their holder has.
+//! The leaderships: the right to schedule a service's engines, under a lease that only their holder has.
 //!
-//! The revision at which a seat's key was written is the fencing number of its holder's orders. The holder renews its
+//! The revision at which a leadership's key was written is the fencing number of its holder's orders. The holder renews its
 //! lease; when that ends, the key goes and another VM writes it anew, with a higher number. Servers that check
 //! fencing numbers refuse the older holder from the newer one's first order on, so an older holder may go on while
 //! the key-value service is away. Where servers don't check, it stops before its lease can end.
 //!
-//! The lease is granted when a seat is to be taken, and kept as long as a seat is held or may yet be written: so a quick end of
+//! The lease is granted when a leadership is to be taken, and kept as long as a leadership is held or may yet be written: so a quick end of
 //! a holder that is gone costs the calls of one VM, however many there are.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,18 +32,18 @@
 enum Purpose {
     /// The lease.
     Lease,
-    /// A seat.
-    Seat(Service),
+    /// A leadership.
+    Leadership(Service),
     /// Something that nothing depends on.
     Other,
 }
 
-/// How soon after one loss of a seat the next one shows that this VM can't hold it: five leases. What passes by itself, such as an
-/// outage, ends its scheduling once. A VM that is too weak loses its seat every second or two, and would take it again each time with a scheduler
+/// How soon after one loss of a leadership the next one shows that this VM can't hold it: five leases. What passes by itself, such as an
+/// outage, ends its scheduling once. A VM that is too weak loses its leadership every second or two, and would take it again each time with a scheduler
 /// that knows nothing.
 const AGAIN: Span = Span::from_secs(10);
 
-/// When this VM ceased to hold a seat.
+/// When this VM ceased to hold a leadership.
 #[derive(Clone, Copy, Debug)]
 struct Loss {
     /// The last time.
@@ -52,46 +52,46 @@
     again: bool,
 }
 
-/// The lease and the seats.
+/// The lease and the leaderships.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// The lease of the seats that this VM holds.
+    /// The lease of the leaderships that this VM holds.
     lease: Kept,
-    /// The seats that this VM takes once it has a lease.
+    /// The leaderships that this VM takes once it has a lease.
     asked: BTreeSet<Service>,
     /// Calls in progress, with the time at which each was sent.
     calls: BTreeMap<OpId, (Purpose, Instant)>,
-    /// This VM's candidacies for free seats.
+    /// This VM's candidacies for free leaderships.
     pub(crate) candidacies: BTreeMap<Service, Candidacy>,
     /// Until when other VMs that start beside this one may still write their entries.
     pub(crate) meets: Instant,
-    /// When the holder of a seat last changed, as far as this VM saw it.
+    /// When the holder of a leadership last changed, as far as this VM saw it.
     changes: BTreeMap<Service, Instant>,
-    /// When this VM ceased to hold a seat.
+    /// When this VM ceased to hold a leadership.
     lost: BTreeMap<Service, Loss>,
 }
 
 impl State {
-    /// When the holder of a seat last changed; the start of time where this VM has seen no change.
+    /// When the holder of a leadership last changed; the start of time where this VM has seen no change.
     pub(crate) fn changed(&self, service: &Service) -> Instant {
         self.changes.get(service).copied().unwrap_or_default()
     }
 
-    /// From when on this VM may hold a seat again that it held before: a holder in between must not find itself between two
+    /// From when on this VM may hold a leadership again that it held before: a holder in between must not find itself between two
     /// of this VM's orders within three seconds.
     pub(crate) fn rested(&self, service: &Service) -> Instant {
         let lost = self.lost.get(service);
         lost.map_or(Instant::default(), |lost| lost.at + SETTLED)
     }
 
-    /// This VM ceases to hold a seat.
+    /// This VM ceases to hold a leadership.
     fn note_loss(&mut self, service: &Service, now: Instant) {
         let before = self.lost.get(service);
         let again = before.is_some_and(|before| now.since(before.at) < AGAIN);
         self.lost.insert(service.clone(), Loss { at: now, again });
     }
 
-    /// Whether this VM has lost a seat twice in a short time, and a moment ago.
+    /// Whether this VM has lost a leadership twice in a short time, and a moment ago.
     pub(crate) fn weary(&self, service: &Service, now: Instant) -> bool {
         let lost = self.lost.get(service);
         lost.is_some_and(|lost| lost.again && now < lost.at + SETTLED)
@@ -102,13 +102,13 @@
         self.lease.renewed()
     }
 
-    /// Whether this VM is about to write itself into a seat.
+    /// Whether this VM is about to write itself into a leadership.
     pub(crate) fn writes(&self, service: &Service) -> bool {
         let mut purposes = self.calls.values().map(|(purpose, _)| purpose);
-        purposes.any(|purpose| *purpose == Purpose::Seat(service.clone()))
+        purposes.any(|purpose| *purpose == Purpose::Leadership(service.clone()))
     }
 
-    /// Whether this VM has the lease of its seats.
+    /// Whether this VM has the lease of its leaderships.
     pub(crate) fn leased(&self) -> bool {
         self.lease.id().is_some()
     }
@@ -119,18 +119,18 @@
         self.candidacies.remove(service);
     }
 
-    /// The holder of a seat changed.
+    /// The holder of a leadership changed.
     pub(crate) fn note_change(&mut self, service: &Service, now: Instant) {
         self.changes.insert(service.clone(), now);
     }
 }
 
 impl Gateway {
-    pub(crate) fn seat_start(&mut self) {
-        self.seats.meets = self.now + MEETING;
+    pub(crate) fn leadership_start(&mut self) {
+        self.leaderships.meets = self.now + MEETING;
     }
 
-    fn seat_terms(&self) -> Terms {
+    fn leadership_terms(&self) -> Terms {
         let tuning = &self.settings.tuning;
         Terms {
             ttl: tuning.lease,
@@ -140,54 +140,54 @@
         }
     }
 
-    /// A call on the lease or a seat came back.
-    pub(crate) fn seated(&mut self, op: OpId, outcome: Outcome, out: &mut Effects) {
-        let Some((purpose, sent)) = self.seats.calls.remove(&op) else {
+    /// A call on the lease or a leadership came back.
+    pub(crate) fn leadership_answered(&mut self, op: OpId, outcome: Outcome, out: &mut Effects) {
+        let Some((purpose, sent)) = self.leaderships.calls.remove(&op) else {
             return;
         };
-        if let Purpose::Seat(_) = &purpose {
-            self.pledges.seat_written(self.now, &outcome);
+        if let Purpose::Leadership(_) = &purpose {
+            self.pledges.leadership_written(self.now, &outcome);
         }
-        let (now, terms) = (self.now, self.seat_terms());
+        let (now, terms) = (self.now, self.leadership_terms());
         match (purpose, outcome) {
             (Purpose::Lease, Outcome::Granted(id, _)) => {
-                self.seats.lease.was_granted(now, sent, id, terms);
+                self.leaderships.lease.was_granted(now, sent, id, terms);
                 self.take_asked(out);
             }
             (Purpose::Lease, Outcome::Renewed(_)) => {
-                self.seats.lease.was_renewed(sent, terms);
-                self.seats_changed(out);
+                self.leaderships.lease.was_renewed(sent, terms);
+                self.leaderships_changed(out);
             }
-            (Purpose::Seat(service), Outcome::Written(revision)) => {
-                self.seat_written(&service, revision, out);
+            (Purpose::Leadership(service), Outcome::Written(revision)) => {
+                self.leadership_written(&service, revision, out);
             }
-            (Purpose::Seat(_), Outcome::Conflict(changes)) => {
+            (Purpose::Leadership(_), Outcome::Conflict(changes)) => {
                 self.apply_changes(changes, Way::Told, false, out);
                 // It may be the entry that is gone.
                 self.probe_by_registration(out);
             }
-            (Purpose::Lease | Purpose::Seat(_), Outcome::NoLease) => self.lease_lost(out),
-            (Purpose::Lease, _) => self.seats.lease.failed(now, terms, &mut self.rng),
+            (Purpose::Lease | Purpose::Leadership(_), Outcome::NoLease) => self.lease_lost(out),
+            (Purpose::Lease, _) => self.leaderships.lease.failed(now, terms, &mut self.rng),
             _ => {}
         }
         self.keep_lease(out);
     }
 
-    pub(crate) fn seat_due(&mut self, out: &mut Effects) {
+    pub(crate) fn leadership_due(&mut self, out: &mut Effects) {
         self.watch_holders(out);
         self.ask_pledges(out);
         self.stop_in_time(out);
         self.leave_to_stronger(out);
         self.keep_lease(out);
         if self.lacks_candidacy() {
-            self.seats_changed(out);
+            self.leaderships_changed(out);
         } else {
-            self.take_seats(out);
+            self.take_leaderships(out);
         }
     }
 
-    /// This VM holds a seat.
-    pub(crate) fn seat_won(&mut self, service: &Service, fence: u64, out: &mut Effects) {
+    /// This VM holds a leadership.
+    pub(crate) fn leadership_won(&mut self, service: &Service, fence: u64, out: &mut Effects) {
         let Some(application) = self.index.service(service.as_str()).cloned() else {
             return;
         };
@@ -223,18 +223,18 @@
         scheduler.hello(self.now, &self.settings.vm, &running, wants);
         self.schedulers.insert(service.clone(), scheduler);
         self.timers.set(self.now, Timer::Scheduler(service.clone()));
-        self.timers.set(self.now, Timer::Seat);
+        self.timers.set(self.now, Timer::Leadership);
     }
 
-    /// Another VM holds a seat, or nobody does.
-    pub(crate) fn seat_lost(&mut self, service: &Service, out: &mut Effects) {
+    /// Another VM holds a leadership, or nobody does.
+    pub(crate) fn leadership_lost(&mut self, service: &Service, out: &mut Effects) {
         if self.schedulers.remove(service).is_some() {
-            self.seats.note_loss(service, self.now);
+            self.leaderships.note_loss(service, self.now);
             Self::log(out, Code::LeaseLost, format!("service={service}"));
         }
     }
 
-    /// A server has seen a higher fencing number than that of this VM's seat.
+    /// A server has seen a higher fencing number than that of this VM's leadership.
     pub(crate) fn fenced_off(&mut self, service: &Service, out: &mut Effects) {
         let Some(scheduler) = self.schedulers.get(service) else {
             return;
@@ -245,27 +245,27 @@
             Code::Fenced,
             format!("service={service} fence={fence}"),
         );
-        self.seat_lost(service, out);
+        self.leadership_lost(service, out);
         let known = self.facts.get(&Subject::Holder(service.clone()));
         if known.is_some_and(|change| change.revision == fence) {
-            self.give_seat_up(service, out);
+            self.resign(service, out);
         }
     }
 
-    /// Gives all seats up, for a graceful stop.
-    pub(crate) fn leave_seats(&mut self, out: &mut Effects) {
+    /// Gives all leaderships up, for a graceful stop.
+    pub(crate) fn resign_all(&mut self, out: &mut Effects) {
         let services: Vec<Service> = self.schedulers.keys().cloned().collect();
         for service in services {
-            self.seat_lost(&service, out);
-            self.give_seat_up(&service, out);
+            self.leadership_lost(&service, out);
+            self.resign(&service, out);
             if let Some(client) = self.scheduler_clients.get_mut(&service) {
                 client.holder = None;
             }
         }
     }
 
-    /// Takes this VM out of a seat, unless somebody else has it by now.
-    pub(crate) fn give_seat_up(&mut self, service: &Service, out: &mut Effects) {
+    /// Takes this VM out of a leadership, unless somebody else has it by now.
+    pub(crate) fn resign(&mut self, service: &Service, out: &mut Effects) {
         let subject = Subject::Holder(service.clone());
         if let Some(revision) = self.facts.get(&subject).map(|c| c.revision) {
             Self::log(
@@ -273,11 +273,11 @@
                 Code::SeatLeft,
                 format!("service={service} fence={revision}"),
             );
-            self.seat_call(Purpose::Other, Op::Remove(subject, revision), out);
+            self.leadership_call(Purpose::Other, Op::Remove(subject, revision), out);
         }
     }
 
-    /// This VM, in this start, as the holder of a seat.
+    /// This VM, in this start, as the holder of a leadership.
     pub(crate) fn as_holder(&self) -> Holder {
         Holder {
             vm: self.settings.vm.clone(),
@@ -285,18 +285,18 @@
         }
     }
 
-    /// Whether a change says that this VM, in this start, holds a seat.
+    /// Whether a change says that this VM, in this start, holds a leadership.
     fn is_holder(&self, change: &Change) -> bool {
         change.fact == Some(Fact::Holder(self.as_holder()))
     }
 
-    fn seat_call(&mut self, purpose: Purpose, op: Op, out: &mut Effects) {
+    fn leadership_call(&mut self, purpose: Purpose, op: Op, out: &mut Effects) {
         let now = self.now;
         let id = self.store(op, out);
-        self.seats.calls.insert(id, (purpose, now));
+        self.leaderships.calls.insert(id, (purpose, now));
     }
 
-    fn seat_written(&mut self, service: &Service, revision: u64, out: &mut Effects) {
+    fn leadership_written(&mut self, service: &Service, revision: u64, out: &mut Effects) {
         let mut change = own(
             Subject::Holder(service.clone()),
             Fact::Holder(self.as_holder()),
@@ -307,17 +307,17 @@
     }
 
     fn lease_lost(&mut self, out: &mut Effects) {
-        let (now, terms) = (self.now, self.seat_terms());
-        self.seats.lease.ended(now, terms, &mut self.rng);
-        let detail = "of=seats next=grant".to_owned();
+        let (now, terms) = (self.now, self.leadership_terms());
+        self.leaderships.lease.ended(now, terms, &mut self.rng);
+        let detail = "of=leaderships next=grant".to_owned();
         Self::log(out, Code::StoreLeaseLost, detail);
         if !self.settings.tuning.fencing {
-            self.lose_seats(out);
+            self.lose_leaderships(out);
         }
     }
 
     /// Stops scheduling before the lease can end, where engines would take the orders of two holders, unless all other VMs have
-    /// pledged to take no seat meanwhile.
+    /// pledged to take no leadership meanwhile.
     fn stop_in_time(&mut self, out: &mut Effects) {
         if self.settings.tuning.fencing {
             return;
@@ -327,8 +327,8 @@
         for service in services {
             let pledged = self.pledged_until(&service);
             match sure.max(pledged) {
-                last if self.now >= last => self.seat_lost(&service, out),
-                last => self.timers.set_once(last, Timer::Seat),
+                last if self.now >= last => self.leadership_lost(&service, out),
+                last => self.timers.set_once(last, Timer::Leadership),
             }
             let alone = self.now >= sure && self.now < pledged;
             if alone && !self.pledges.holds {
@@ -343,33 +343,33 @@
     /// Until when the lease certainly holds, with the time that an order may be on its way.
     pub(crate) fn lease_sure(&self) -> Instant {
         let tuning = &self.settings.tuning;
-        self.seats.renewed() + (tuning.lease - tuning.lease_guard)
+        self.leaderships.renewed() + (tuning.lease - tuning.lease_guard)
     }
 
-    fn lose_seats(&mut self, out: &mut Effects) {
+    fn lose_leaderships(&mut self, out: &mut Effects) {
         let services: Vec<Service> = self.schedulers.keys().cloned().collect();
         for service in services {
-            self.seat_lost(&service, out);
+            self.leadership_lost(&service, out);
         }
     }
 
-    /// The lease was granted or the entry written: takes the seats whose candidacy came before that.
+    /// The lease was granted or the entry written: takes the leaderships whose candidacy came before that.
     pub(crate) fn take_asked(&mut self, out: &mut Effects) {
-        if self.seats.leased() && self.registration.written().is_some() {
-            for service in std::mem::take(&mut self.seats.asked) {
+        if self.leaderships.leased() && self.registration.written().is_some() {
+            for service in std::mem::take(&mut self.leaderships.asked) {
                 self.set_candidacy(service, Candidacy::Take(self.now), out);
             }
         }
-        self.seats_changed(out);
+        self.leaderships_changed(out);
     }
 
-    /// Whether the lease is wanted: a seat is held or to be taken, or may yet be written by a call that had no answer.
+    /// Whether the lease is wanted: a leadership is held or to be taken, or may yet be written by a call that had no answer.
     fn wants_lease(&self) -> bool {
         let engines = self.index.engines();
         let mut held = engines.filter_map(|s| self.facts.get(&Subject::Holder(s.name.clone())));
         !self.schedulers.is_empty()
-            || !self.seats.asked.is_empty()
-            || !self.seats.calls.is_empty()
+            || !self.leaderships.asked.is_empty()
+            || !self.leaderships.calls.is_empty()
             || self.now < self.pledges.unsure()
             || held.any(|change| self.is_holder(change))
     }
@@ -380,37 +380,37 @@
             return;
         }
         if !self.wants_lease() {
-            self.seats.lease.drop_it();
+            self.leaderships.lease.drop_it();
             return;
         }
-        if let Some(due) = self.seats.lease.due(self.now) {
-            let op = due.op(self.seat_terms().ttl);
-            self.seats.lease.called();
-            self.seat_call(Purpose::Lease, op, out);
+        if let Some(due) = self.leaderships.lease.due(self.now) {
+            let op = due.op(self.leadership_terms().ttl);
+            self.leaderships.lease.called();
+            self.leadership_call(Purpose::Lease, op, out);
         }
-        if let Some(next) = self.seats.lease.next() {
-            self.timers.set_once(next, Timer::Seat);
+        if let Some(next) = self.leaderships.lease.next() {
+            self.timers.set_once(next, Timer::Leadership);
         }
     }
 
     /// Whether the key-value service has answered no call of this VM lately: neither a watch nor, since one failed, a renewal. A holder
-    /// whose renewals get through and whose watches don't would else keep its seat and not schedule.
+    /// whose renewals get through and whose watches don't would else keep its leadership and not schedule.
     fn is_unreached(&self) -> bool {
         let away = self.follow.away;
-        away.is_some_and(|since| self.seats.renewed() < since)
+        away.is_some_and(|since| self.leaderships.renewed() < since)
     }
 
-    /// Writes this VM into a seat, if nobody else did since.
-    pub(crate) fn take_seat(&mut self, service: Service, out: &mut Effects) {
-        let purpose = Purpose::Seat(service.clone());
-        let asked = self.seats.writes(&service);
+    /// Writes this VM into a leadership, if nobody else did since.
+    pub(crate) fn take_leadership(&mut self, service: Service, out: &mut Effects) {
+        let purpose = Purpose::Leadership(service.clone());
+        let asked = self.leaderships.writes(&service);
         if asked || self.is_unreached() || self.stopping {
             return;
         }
-        // A seat is written only while this VM's entry is there: whoever asks all VMs for pledges must know of it.
-        let (Some(lease), Some(entry)) = (self.seats.lease.id(), self.registration.written())
+        // A leadership is written only while this VM's entry is there: whoever asks all VMs for pledges must know of it.
+        let (Some(lease), Some(entry)) = (self.leaderships.lease.id(), self.registration.written())
         else {
-            self.seats.asked.insert(service);
+            self.leaderships.asked.insert(service);
             self.keep_lease(out);
             return;
         };
@@ -423,6 +423,6 @@
         let member = Subject::Member(self.settings.vm.clone());
         let conditions = vec![(subject.clone(), expected), (member, entry)];
         let change = own(subject, Fact::Holder(self.as_holder()));
-        self.seat_call(purpose, Op::Put(change, lease, conditions), out);
+        self.leadership_call(purpose, Op::Put(change, lease, conditions), out);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //!   on the one VM that holds the service's lease.
 //! * `run`: when it runs, and what becomes of its decisions.
 //! * `registration`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
-//! * `seat`: the lease of the service's seat, and the fencing number of orders; `candidacy`: who may take one, and when.
+//! * `leadership`: the lease of the service's leadership, and the fencing number of orders; `candidacy`: who may take one, and when.
 //! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
 //! * [`feature`]: what of all that can be switched off.
 //! * [`quarantine`]: requests that crash the servers that run them.
@@ -40,6 +40,7 @@
 mod flow;
 mod follow;
 pub mod health;
+mod leadership;
 mod lease;
 mod load_balancer;
 mod measure;
@@ -57,7 +58,6 @@
 pub mod scheduler;
 mod scheduler_client;
 mod scheduler_host;
-mod seat;
 pub mod settings;
 mod startup_queue;
 mod timer;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -101,7 +101,7 @@
     Passed(Service, u64, Vec<Holding>),
     /// From the scheduler: it is there.
     Alive(Service, u64),
-    /// From the scheduler, at a time of its own clock: will this VM take no seat for a while?
+    /// From the scheduler, at a time of its own clock: will this VM take no leadership for a while?
     Pledge(Service, u64, Instant),
     /// To the scheduler that asked so at a time of its clock: it will take none.
     Pledged(Service, u64, Instant),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use crate::feature::Feature;
 use crate::flow::Flow;
 use crate::follow;
+use crate::leadership;
 use crate::load_balancer::Row;
 use crate::measure;
 use crate::membership::Membership;
@@ -31,7 +32,6 @@
 use crate::registration;
 use crate::scheduler::Scheduler;
 use crate::scheduler_client;
-use crate::seat;
 use crate::settings::{Settings, Tuning};
 use crate::startup_queue;
 use crate::timer::{Timer, Timers};
@@ -67,8 +67,8 @@
     pub(crate) schedulers: BTreeMap<Service, Scheduler>,
     /// This VM's own entry.
     pub(crate) registration: registration::State,
-    /// The seats it holds or wants, and their lease.
-    pub(crate) seats: seat::State,
+    /// The leaderships it holds or wants, and their lease.
+    pub(crate) leaderships: leadership::State,
     /// Pledges given and had.
     pub(crate) pledges: pledge::State,
     /// How the key-value service is followed.
@@ -109,7 +109,7 @@
             scheduler_clients: BTreeMap::new(),
             schedulers: BTreeMap::new(),
             registration: registration::State::default(),
-            seats: seat::State::default(),
+            leaderships: leadership::State::default(),
             pledges: pledge::State::default(),
             follow: follow::State::default(),
             applied: apply::State::default(),
@@ -280,7 +280,7 @@
         self.startup_queue_start();
         self.quota_start();
         self.follow_start(out);
-        self.seat_start();
+        self.leadership_start();
         self.registration_due(out);
     }
 
@@ -292,7 +292,7 @@
         } else if self.quarantine.owns(op) {
             self.recorded(outcome, out);
         } else {
-            self.seated(op, outcome, out);
+            self.leadership_answered(op, outcome, out);
         }
     }
 
@@ -381,7 +381,7 @@
     fn stop(&mut self, out: &mut Effects) {
         self.stopping = true;
         Self::log(out, Code::Draining, format!("open={}", self.open()));
-        self.leave_seats(out);
+        self.resign_all(out);
         self.deregister(out);
     }
 
@@ -390,7 +390,7 @@
             match timer {
                 Timer::Flow(request) => self.flow_due(request, out),
                 Timer::Registration => self.registration_due(out),
-                Timer::Seat => self.seat_due(out),
+                Timer::Leadership => self.leadership_due(out),
                 Timer::Follow => self.follow_due(out),
                 Timer::StartupQueue => self.startup_queue_due(out),
                 Timer::Quarantine => self.records_due(out),
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/pledge.rs
@@ -1,10 +1,10 @@
 //! A scheduler that goes on without the key-value service, where engines don't check fencing numbers.
 //!
-//! There a holder must stop before its lease can end, as another VM may take its seat from then on. While the key-value
+//! There a holder must stop before its lease can end, as another VM may take its leadership from then on. While the key-value
 //! service answers nobody, nobody can take it, and the holder asks all other VMs to say so: a VM that has had no answer
-//! itself for a while pledges not to take the seat for [`PLEDGE`] from when it hears the question. The holder goes on as
+//! itself for a while pledges not to take the leadership for [`PLEDGE`] from when it hears the question. The holder goes on as
 //! long as it has a pledge of each VM that it knows, counted from when it asked. One VM that reaches the service, or is not
-//! heard, is enough to have the holder stop; a VM that has just got a lease waits a pledge's length before it takes a seat.
+//! heard, is enough to have the holder stop; a VM that has just got a lease waits a pledge's length before it takes a leadership.
 //!
 //! It buys the cold requests of an outage: without it none could be placed from 1.7 s on until the service was back, and
 //! each was held until its deadline.
@@ -37,31 +37,31 @@
 /// Pledges given and had.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// Until when this VM takes no seat of a service.
+    /// Until when this VM takes no leadership of a service.
     given: BTreeMap<Service, Instant>,
     /// The pledges that this VM had, each with when it asked for it.
     had: BTreeMap<(Service, Vm), Instant>,
     /// When it asks next.
     next: Instant,
-    /// Until when a write of a seat may be carried out that had no answer.
+    /// Until when a write of a leadership may be carried out that had no answer.
     unsure: Instant,
     /// Whether this VM schedules by pledges alone.
     pub(crate) holds: bool,
 }
 
 impl State {
-    /// Until when this VM has said that it takes no seat of a service.
+    /// Until when this VM has said that it takes no leadership of a service.
     pub(crate) fn given(&self, service: &Service) -> Instant {
         self.given.get(service).copied().unwrap_or_default()
     }
 
-    /// Until when a write of a seat may be carried out that had no answer.
+    /// Until when a write of a leadership may be carried out that had no answer.
     pub(crate) fn unsure(&self) -> Instant {
         self.unsure
     }
 
-    /// A write of a seat came back.
-    pub(crate) fn seat_written(&mut self, now: Instant, outcome: &Outcome) {
+    /// A write of a leadership came back.
+    pub(crate) fn leadership_written(&mut self, now: Instant, outcome: &Outcome) {
         if matches!(outcome, Outcome::Unknown) {
             self.unsure = now + LATE_WRITE;
         }
@@ -69,9 +69,9 @@
 }
 
 impl Gateway {
-    /// When the renewals of this VM's seats have had no answer for a while.
+    /// When the renewals of this VM's leaderships have had no answer for a while.
     fn overdue_at(&self) -> Instant {
-        self.seats.renewed() + self.settings.tuning.renew + OVERDUE
+        self.leaderships.renewed() + self.settings.tuning.renew + OVERDUE
     }
 
     /// Asks all other VMs for their pledges, where this one schedules and its renewals have no answer.
@@ -82,18 +82,18 @@
         }
         let due = self.pledges.next.max(self.overdue_at());
         if self.now < due {
-            self.timers.set_once(due, Timer::Seat);
+            self.timers.set_once(due, Timer::Leadership);
             return;
         }
         self.pledges.next = self.now + ASK_EVERY;
-        self.timers.set_once(self.pledges.next, Timer::Seat);
+        self.timers.set_once(self.pledges.next, Timer::Leadership);
         for (service, scheduler) in &self.schedulers {
             let question = Message::Pledge(service.clone(), scheduler.fence(), self.now);
             self.tell_all(&question, out);
         }
     }
 
-    /// The holder of a seat asks for a pledge. It came from the one that this VM takes for the holder.
+    /// The holder of a leadership asks for a pledge. It came from the one that this VM takes for the holder.
     pub(crate) fn pledge_asked(
         &mut self,
         service: &Service,
@@ -108,7 +108,7 @@
             return;
         }
         if self.now < self.pledges.unsure
-            || self.seats.writes(service)
+            || self.leaderships.writes(service)
             || self.schedulers.contains_key(service)
         {
             return;
@@ -132,7 +132,7 @@
         *had = (*had).max(asked);
     }
 
-    /// Until when all other VMs take no seat of a service, with the time that an order may be on its way.
+    /// Until when all other VMs take no leadership of a service, with the time that an order may be on its way.
     pub(crate) fn pledged_until(&self, service: &Service) -> Instant {
         let had = |vm: &Vm| self.pledges.had.get(&(service.clone(), vm.clone()));
         let asked = self.peers().map(|vm| had(vm).copied().unwrap_or_default());
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -1,7 +1,7 @@
 //! This VM's own entry in the key-value service, by which others find it, under a slow lease.
 //!
 //! That a VM is there is not urgent: who depends on another VM hears of its end by its link. So the lease is long and renewed
-//! seldom, and an outage of some seconds ends none. A VM with the lease of a seat renews that one quickly (`seat`), and it
+//! seldom, and an outage of some seconds ends none. A VM with the lease of a leadership renews that one quickly (`leadership`), and it
 //! is the only one: so VMs to which nothing happens cost the service little, however many they are.
 
 use std::collections::BTreeMap;
@@ -116,7 +116,7 @@
                 self.registration.lease.was_granted(now, sent, id, terms);
                 self.registration.written = None;
                 self.register(out);
-                self.seats_changed(out);
+                self.leaderships_changed(out);
             }
             (Purpose::Lease, Outcome::Renewed(_)) => {
                 self.registration.lease.was_renewed(sent, terms);
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -1,6 +1,6 @@
 //! The scheduler of one service's engines: which adapter is loaded where, and which request goes to which engine.
 //!
-//! It runs on the VM that holds the service's seat. VMs ask it for a place for each request and tell it how the
+//! It runs on the VM that holds the service's leadership. VMs ask it for a place for each request and tell it how the
 //! request goes, so it knows what runs where without asking the engines. An adapter that a request uses is never
 //! chosen to make room, and the engines themselves refuse what they can't run.
 
--- a/crates/gateway/src/scheduler/order.rs
+++ b/crates/gateway/src/scheduler/order.rs
@@ -19,7 +19,7 @@
 /// The pause between two requests for a report that did not come.
 const REPORT_AGAIN: Span = Span::from_millis(400);
 
-/// Reports that are waited for at once: each is a connection, and a VM that has just taken its seat makes them all anew. At
+/// Reports that are waited for at once: each is a connection, and a VM that has just taken its leadership makes them all anew. At
 /// some milliseconds each, 3,000 engines have answered in half a second.
 const REPORTS_AT_ONCE: usize = 64;
 
--- a/crates/gateway/src/scheduler/run_interval.rs
+++ b/crates/gateway/src/scheduler/run_interval.rs
@@ -2,7 +2,7 @@
 //!
 //! What came in since the last run is decided together, so fewer runs decide as much, only later. A run that takes longer than the
 //! gap to the next one would follow each event that comes in meanwhile: the scheduler would hear of crashes seconds late, its word would come late too, and its
-//! peers take its seat from it by turns, long after the load has gone.
+//! peers take its leadership from it by turns, long after the load has gone.
 
 use dahliastile_core::time::{Instant, Span};
 
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -30,14 +30,14 @@
 /// What this VM knows of a service's scheduler.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// The VM that holds the seat, as far as is known.
+    /// The VM that holds the leadership, as far as is known.
     pub(crate) holder: Option<Vm>,
     /// The highest fencing number heard of.
     pub(crate) fence: u64,
     /// When the holder was last heard.
     heard: Instant,
     /// Whether it was heard under the present fencing number. What it was sent before that may have come before it knew
-    /// that it holds the seat, and is told again.
+    /// that it holds the leadership, and is told again.
     met: bool,
     /// Whether it counts as silent.
     pub(crate) silent: bool,
@@ -140,7 +140,7 @@
         }
     }
 
-    /// The key-value service names the holder of a seat.
+    /// The key-value service names the holder of a leadership.
     pub(crate) fn holder_named(
         &mut self,
         service: &Service,
@@ -161,7 +161,7 @@
             return;
         }
         if known {
-            self.seats.note_change(service, self.now);
+            self.leaderships.note_change(service, self.now);
         }
         Self::log(
             out,
@@ -169,16 +169,16 @@
             format!("service={service} vm={} fence={fence}", holder.vm),
         );
         if *holder == self.as_holder() {
-            self.seat_won(service, fence, out);
+            self.leadership_won(service, fence, out);
         } else {
-            self.seats.end_wait(service);
-            self.seat_lost(service, out);
+            self.leaderships.end_wait(service);
+            self.leadership_lost(service, out);
             self.introduce(service, out);
-            self.seats_changed(out);
+            self.leaderships_changed(out);
         }
     }
 
-    /// The seat is free.
+    /// The leadership is free.
     pub(crate) fn holder_gone(&mut self, service: &Service, out: &mut Effects) {
         let client = self.scheduler_clients.entry(service.clone()).or_default();
         let old = client.holder.take();
@@ -188,10 +188,10 @@
             format!("service={service} fence={} was={old:?}", client.fence),
         );
         if old.as_ref() == Some(&self.settings.vm) {
-            self.seat_lost(service, out);
+            self.leadership_lost(service, out);
         }
         self.go_alone(service, out);
-        self.seats_changed(out);
+        self.leaderships_changed(out);
     }
 
     /// Whether a message of a scheduler counts: it does unless a newer one is known.
@@ -218,15 +218,15 @@
         client.holder = Some(from.clone());
         client.heard = now;
         client.silent = false;
-        self.timers.set(now + SILENCE, Timer::Seat);
+        self.timers.set(now + SILENCE, Timer::Leadership);
         if changed {
-            self.seats.end_wait(service);
+            self.leaderships.end_wait(service);
             Self::log(
                 out,
                 Code::HolderNamed,
                 format!("service={service} vm={from} fence={fence} by=peer"),
             );
-            self.seat_lost(service, out);
+            self.leadership_lost(service, out);
             self.introduce(service, out);
         }
         true
@@ -357,9 +357,9 @@
             format!("service={service} vm={:?} why={why}", client.holder),
         );
         self.go_alone(service, out);
-        let settled = self.seats.changed(service) + SETTLED;
-        self.timers.set(settled, Timer::Seat);
-        self.seats_changed(out);
+        let settled = self.leaderships.changed(service) + SETTLED;
+        self.timers.set(settled, Timer::Leadership);
+        self.leaderships_changed(out);
     }
 
     /// Places what waits without the scheduler, as far as its adapters are resident.
@@ -386,7 +386,7 @@
             return;
         };
         let (running, wants) = self.state_for(service);
-        self.timers.set(self.now + SILENCE, Timer::Seat);
+        self.timers.set(self.now + SILENCE, Timer::Leadership);
         self.send(
             &holder,
             Message::Hello(service.clone(), self.member(), running, wants),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -47,7 +47,7 @@
     pub entry_lease: Span,
     /// The time between renewals of it: three fit into the lease. It is what an idle VM costs the service.
     pub entry_renew: Span,
-    /// How long the lease of a seat lives without a renewal. Twice the shortest that the service grants: one lost renewal must
+    /// How long the lease of a leadership lives without a renewal. Twice the shortest that the service grants: one lost renewal must
     /// not end it.
     pub lease: Span,
     /// The time between renewals: four fit into a lease.
@@ -70,7 +70,7 @@
     /// copy has twice the time of the one before, since a VM that is busy hears answers late.
     pub order_timeout: Span,
     /// How long an engine's report may take: less than the time after which it is asked for again, and twice that of an
-    /// order, as a VM that has just taken its seat asks for all at once.
+    /// order, as a VM that has just taken its leadership asks for all at once.
     pub report_timeout: Span,
     /// Loads of adapters under way over all engines of a service, for each hundred engines. Beyond what the weight
     /// store gives at full speed each load takes longer in proportion, and below it loads wait though they need not.
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -15,8 +15,8 @@
     Flow(RequestId),
     /// This VM's own entry.
     Registration,
-    /// The seats and their lease.
-    Seat,
+    /// The leaderships and their lease.
+    Leadership,
     /// The key-value service.
     Follow,
     /// The requests that came before the first configuration.
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -1,7 +1,7 @@
 //! What all VMs together ask of the key-value service, at 7, 61 and 195 VMs: while nothing happens, at a start, in an outage for all or
 //! for a third of them, at its end, and when all are killed.
 //!
-//! The pattern is that of every deployment: each VM pays for being there. Before an entry and a seat had leases of their own, 195
+//! The pattern is that of every deployment: each VM pays for being there. Before an entry and a leadership had leases of their own, 195
 //! VMs made 440 calls a second in a calm night and 1,600 in an outage (20,000 on a day with one of 8 s), which cost a twentieth to a
 //! seventh of what the answers of a day are worth. The bounds: in calm two calls in ten seconds a VM, besides what the few
 //! make that watch and schedule; in an outage one a second a VM, a third of the service's smallest rate at that size.
@@ -59,7 +59,7 @@
     for vms in FLEETS {
         let mut world = World::new(vms, 4, 1);
         let made = calls(&mut world, Span::from_secs(3));
-        // A list, a lease and an entry each, and a lease and a seat of some.
+        // A list, a lease and an entry each, and a lease and a leadership of some.
         let most = FEW * 3 + 4 * vms as u64 + 20;
         assert!(made <= most, "{vms} VMs made {made} calls");
     }
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -167,7 +167,7 @@
         world.wake_watchers();
         world.run(step);
     }
-    // The renewals of each VM's entry and of the seat come on top.
+    // The renewals of each VM's entry and of the leadership come on top.
     let calls = world.store.calls - calls;
     assert!(calls <= 3 * 5_000 / 200 + 12 * 2 + 10 + 10, "{calls} calls");
     // Each VM that follows asks and is answered each 300 ms, and the scheduler speaks to all five times a second.
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -1,4 +1,4 @@
-//! The scheduler's seat under trouble: its VM is killed, stopped, frozen, cut off, or loses only the key-value service.
+//! The scheduler's leadership under trouble: its VM is killed, stopped, frozen, cut off, or loses only the key-value service.
 //!
 //! The load in these tests is that of a quiet night: a request every 40 ms over a few warm adapters and some cold ones.
 
@@ -221,7 +221,7 @@
 }
 
 /// The holder's VM is gone without a word: its silence is noticed before its lease ends, and since engines check fencing
-/// numbers another VM takes the seat at once.
+/// numbers another VM takes the leadership at once.
 #[test]
 fn holder_gonecoldwaitsonesecond() {
     let mut world = warm();
@@ -263,7 +263,7 @@
     assert!(late_held > 0);
 }
 
-/// A seat that is taken away from one VM and right afterwards from the next, as when small VMs lose their leases under load:
+/// A leadership that is taken away from one VM and right afterwards from the next, as when small VMs lose their leases under load:
 /// no VM holds it again within three seconds of having lost it, so that its orders and another's don't come in turn.
 #[test]
 fn holder_restsbeforeitholdsagain() {
@@ -278,7 +278,7 @@
             world.hosts.iter_mut().for_each(|host| host.store = true);
         }
         if step % 20 == 0 && step < 200 {
-            // Its way to the key-value service is cut for a moment, so that another VM takes the seat.
+            // Its way to the key-value service is cut for a moment, so that another VM takes the leadership.
             if let Some(vm) = holder {
                 world.hosts[vm].store = false;
             }
--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Engines that don't check fencing numbers: nobody takes the seat before the lease has ended, and the old holder stops
+/// Engines that don't check fencing numbers: nobody takes the leadership before the lease has ended, and the old holder stops
 /// before that.
 #[test]
 fn holder_unfencedwaitsforthelease() {
@@ -104,7 +104,7 @@
 
 /// Engines that don't check fencing numbers, and the key-value service is away for five seconds: the holder stops in time, its
 /// lease goes on afterwards and so does its key. It schedules again under a new number as soon as its lease is sure, though
-/// nobody else may take its seat. Leases that lapse meanwhile are the other case.
+/// nobody else may take its leadership. Leases that lapse meanwhile are the other case.
 #[test]
 fn holder_unfencedschedulesagain() {
     for lapse in [false, true] {
@@ -129,7 +129,7 @@
 }
 
 /// After an outage each VM knows that the key-value service is back, also one that watches nothing but follows another VM: it
-/// would else never take a seat again.
+/// would else never take a leadership again.
 #[test]
 fn outage_isoverforall() {
     for away in [2, 4, 6, 8] {
@@ -164,7 +164,7 @@
 }
 
 /// Engines that don't check fencing numbers, and the key-value service answers nobody for eight seconds: cold requests are
-/// served all the while, since all VMs pledge to leave the seat to its holder. Without pledges none was from 1.7 s on.
+/// served all the while, since all VMs pledge to leave the leadership to its holder. Without pledges none was from 1.7 s on.
 #[test]
 fn outage_unfencedservescold() {
     let mut world = unfenced();
@@ -211,7 +211,7 @@
 }
 
 /// The holder alone does not reach the key-value service, and a moment later the other VMs neither: they reach the service, so it
-/// has no pledge of them, and stops before another VM takes its seat.
+/// has no pledge of them, and stops before another VM takes its leadership.
 #[test]
 fn holder_cutoffhasnopledges() {
     for cut in [1_400, 1_600, 1_800, 2_000, 2_200] {
@@ -251,7 +251,7 @@
 }
 
 /// VMs of the larger deployments have from an eighth of a core and 10 Mbit/s up. All wait a pledge's length with their new leases,
-/// and then it is still the strongest that takes the seat: a weak one lost its lease every two seconds under the load of 60
+/// and then it is still the strongest that takes the leadership: a weak one lost its lease every two seconds under the load of 60
 /// engines, and nine tenths of the long prompts were not served.
 #[test]
 fn holder_isthestrongestalsohere() {
@@ -271,7 +271,7 @@
 }
 
 /// The same where the strong VMs are 0.2 s behind the others with their leases, and the first configuration comes a moment later: weak
-/// VMs count their turns from when they may take the seat, as stronger ones do.
+/// VMs count their turns from when they may take the leadership, as stronger ones do.
 #[test]
 fn holder_isnoweakonewithalateconfiguration() {
     let strengths = [12, 10, 25, 12, 50, 10, 25, 12];
@@ -293,7 +293,7 @@
     }
 }
 
-/// A holder that can't renew its lease in time, again and again, with a moment in between: the first time it takes its seat again,
+/// A holder that can't renew its lease in time, again and again, with a moment in between: the first time it takes its leadership again,
 /// the second time it leaves it, and the next strongest VM schedules.
 #[test]
 fn holder_losingagainleavesitsseat() {
--- a/crates/gateway/tests/pace.rs
+++ b/crates/gateway/tests/pace.rs
@@ -38,7 +38,7 @@
         .count()
 }
 
-/// It keeps its seat and its word: nobody takes it for silent, and requests are served.
+/// It keeps its leadership and its word: nobody takes it for silent, and requests are served.
 #[test]
 fn runs_onaslowvmkeepitsword() {
     let mut world = slow(WORK);
--- a/crates/gateway/tests/restart.rs
+++ b/crates/gateway/tests/restart.rs
@@ -169,7 +169,7 @@
     world.check();
 }
 
-/// A seat's entry that can't be read is taken like a free one, and the operator's words stay in force.
+/// A leadership's entry that can't be read is taken like a free one, and the operator's words stay in force.
 #[test]
 fn entry_unreadablefreestheseat() {
     let mut world = warm();
--- a/crates/gateway/tests/scheduler.rs
+++ b/crates/gateway/tests/scheduler.rs
@@ -229,7 +229,7 @@
 
 /// What changes within a few milliseconds is decided together. The figure is a run each 3 ms; before, each message was a
 /// run of its own over all requests and engines, which took the processor of a small VM whole, so that its peers took
-/// the seat from it.
+/// the leadership from it.
 #[test]
 fn run_costdoesnotgrowwithmessages() {
     let scheduler = busy(20);
@@ -299,7 +299,7 @@
     }
 }
 
-/// A scheduler that has just taken its seat on a busy VM hears the answers to its orders 400 ms late, as in trouble-3 of the
+/// A scheduler that has just taken its leadership on a busy VM hears the answers to its orders 400 ms late, as in trouble-3 of the
 /// larger deployment: it waits longer for an order that it repeats, so that each order is heard at its third copy and no
 /// engine counts as dead. With 150 ms for each copy all engines were forgotten and asked for their reports again and again.
 #[test]
--- a/crates/gateway/tests/size.rs
+++ b/crates/gateway/tests/size.rs
@@ -120,7 +120,7 @@
     setup::report((0..4).map(resident).collect())
 }
 
-/// A scheduler that has just taken its seat hears of all its engines within a second, though a hundred of them never
+/// A scheduler that has just taken its leadership hears of all its engines within a second, though a hundred of them never
 /// answer and it waits for 64 at a time: one that asked all at once had as many connections to make, and its first
 /// answers came later than it waited for them.
 #[test]
--- a/crates/gateway/tests/strong.rs
+++ b/crates/gateway/tests/strong.rs
@@ -1,5 +1,5 @@
 //! Which VM schedules, where a few are strong and most are weak, as on each of the larger deployments: a VM with an eighth of a core
-//! can't carry a hundred engines, falls behind, and holds on. On a day on which it got the seat after an outage, and again after all VMs
+//! can't carry a hundred engines, falls behind, and holds on. On a day on which it got the leadership after an outage, and again after all VMs
 //! had lost power, a fifth of the requests was served.
 
 mod support;
@@ -83,7 +83,7 @@
     world.check();
 }
 
-/// All strong VMs are away when the seat becomes free, and come back. The weak VM that has it falls behind, as each run takes it a
+/// All strong VMs are away when the leadership becomes free, and come back. The weak VM that has it falls behind, as each run takes it a
 /// fiftieth of a second, and leaves it to a strong one.
 #[test]
 fn strong_backgetstheseat() {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -102,7 +102,7 @@
     pub strength: u32,
     /// Whether the key-value service leaves its calls without an answer.
     pub silent: bool,
-    /// How much longer the key-value service's answers take to it that say that it holds the seat.
+    /// How much longer the key-value service's answers take to it that say that it holds the leadership.
     pub store_lag: Span,
     /// Whether it reaches other VMs.
     pub peers: bool,
@@ -398,7 +398,7 @@
         self.wake_watchers();
     }
 
-    /// The VM that holds the seat of the engines, by the key-value service.
+    /// The VM that holds the leadership of the engines, by the key-value service.
     pub fn holder(&self) -> Option<usize> {
         let change = self.store.get(&Subject::Holder(name(ENGINES)))?;
         match change.fact.as_ref()? {
--- a/crates/gateway/tests/support/world/act.rs
+++ b/crates/gateway/tests/support/world/act.rs
@@ -163,10 +163,12 @@
     }
 
     pub(super) fn lag(&self, vm: usize, outcome: &Outcome) -> Span {
-        let seat = |change: &Change| matches!(change.fact, Some(Fact::Holder(_)));
+        let leadership = |change: &Change| matches!(change.fact, Some(Fact::Holder(_)));
         match outcome {
             Outcome::Written(_) => self.hosts[vm].store_lag,
-            Outcome::Watched(changes, _) if changes.iter().any(seat) => self.hosts[vm].store_lag,
+            Outcome::Watched(changes, _) if changes.iter().any(leadership) => {
+                self.hosts[vm].store_lag
+            }
             _ => Span::ZERO,
         }
     }
