--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -124,7 +124,7 @@
     StoreCompacted = 310 Info "Nothing.";
     /// The entry of a backend server lapsed while the key-value service was away.
     EntryLapsed = 311 Info "Nothing; it counts as gone if it does not come back.";
-    /// This VM schedules on though its lease may have ended, as all other VMs have pledged to take no leadership meanwhile.
+    /// This VM schedules on though its lease may have ended, as all other VMs have given it their lease votes.
     HeldByPledges = 324 Warn "Check the key-value service.";
     /// This VM waits for its turn to take a free leadership.
     SeatAwaited = 325 Debug "Nothing.";
--- a/crates/gateway/src/candidacy.rs
+++ b/crates/gateway/src/candidacy.rs
@@ -8,9 +8,9 @@
 
 use crate::effect::Effects;
 use crate::fact::{Fact, Subject};
+use crate::lease_vote::VOTE;
 use crate::membership;
 use crate::node::Gateway;
-use crate::pledge::PLEDGE;
 use crate::scheduler_client::SILENCE;
 use crate::timer::Timer;
 
@@ -102,22 +102,22 @@
         self.take_leaderships(out);
     }
 
-    /// From when on this VM may take a leadership: where engines don't check fencing numbers not before its pledge is over, nor, where
-    /// it has just got a lease, before the pledges of others that it does not know of. At once where it never knew another VM; where
+    /// From when on this VM may take a leadership: where engines don't check fencing numbers not before its vote is over, nor, where
+    /// it has just got a lease, before the votes of others that it does not know of. At once where it never knew another VM; where
     /// the last entry of one has just gone, as all go when the key-value service loses its leases, they may still act by them.
     fn rested(&self, service: &Service) -> Instant {
         let fencing = self.settings.tuning.fencing;
-        let pledge = PLEDGE + self.settings.tuning.lease_guard;
+        let vote = VOTE + self.settings.tuning.lease_guard;
         if self.peers().next().is_none() {
             let left = self.membership.left().filter(|_| !fencing);
-            return left.map_or(Instant::default(), |left| left + pledge);
+            return left.map_or(Instant::default(), |left| left + vote);
         }
         let rested = self.leaderships.rested(service);
         if fencing {
             return rested;
         }
-        let others = self.registration.granted().unwrap_or_default() + pledge;
-        rested.max(self.pledges.given(service)).max(others)
+        let others = self.registration.granted().unwrap_or_default() + vote;
+        rested.max(self.votes.given(service)).max(others)
     }
 
     pub(crate) fn set_candidacy(
--- a/crates/gateway/src/feature.rs
+++ b/crates/gateway/src/feature.rs
@@ -24,8 +24,8 @@
     HealthRanking,
     /// The version before is used for a moment while the newest one loads.
     OldVersions,
-    /// A scheduler goes on through an outage by the pledges of the other VMs.
-    Pledges,
+    /// A scheduler goes on through an outage by the votes of the other VMs.
+    LeaseVotes,
     /// The strongest VMs schedule and watch for the others.
     Strength,
     /// VMs that run short of an account's tokens draw from what others don't need.
@@ -43,7 +43,7 @@
         (Self::ForecastRefusals, "forecast-refusals"),
         (Self::HealthRanking, "health-ranking"),
         (Self::OldVersions, "old-versions"),
-        (Self::Pledges, "pledges"),
+        (Self::LeaseVotes, "pledges"),
         (Self::Strength, "strength"),
         (Self::TokenPool, "token-pool"),
     ];
--- a/crates/gateway/src/leadership.rs
+++ b/crates/gateway/src/leadership.rs
@@ -146,7 +146,7 @@
             return;
         };
         if let Purpose::Leadership(_) = &purpose {
-            self.pledges.leadership_written(self.now, &outcome);
+            self.votes.leadership_written(self.now, &outcome);
         }
         let (now, terms) = (self.now, self.leadership_terms());
         match (purpose, outcome) {
@@ -175,7 +175,7 @@
 
     pub(crate) fn leadership_due(&mut self, out: &mut Effects) {
         self.watch_holders(out);
-        self.ask_pledges(out);
+        self.request_votes(out);
         self.stop_in_time(out);
         self.leave_to_stronger(out);
         self.keep_lease(out);
@@ -317,7 +317,7 @@
     }
 
     /// Stops scheduling before the lease can end, where engines would take the orders of two holders, unless all other VMs have
-    /// pledged to take no leadership meanwhile.
+    /// voted to take no leadership meanwhile.
     fn stop_in_time(&mut self, out: &mut Effects) {
         if self.settings.tuning.fencing {
             return;
@@ -325,18 +325,18 @@
         let sure = self.lease_sure();
         let services: Vec<Service> = self.schedulers.keys().cloned().collect();
         for service in services {
-            let pledged = self.pledged_until(&service);
-            match sure.max(pledged) {
+            let voted = self.voted_until(&service);
+            match sure.max(voted) {
                 last if self.now >= last => self.leadership_lost(&service, out),
                 last => self.timers.set_once(last, Timer::Leadership),
             }
-            let alone = self.now >= sure && self.now < pledged;
-            if alone && !self.pledges.holds {
+            let alone = self.now >= sure && self.now < voted;
+            if alone && !self.votes.holds {
                 let vms = self.peers().count();
-                let detail = format!("service={service} vms={vms} until={pledged}");
+                let detail = format!("service={service} vms={vms} until={voted}");
                 Self::log(out, Code::HeldByPledges, detail);
             }
-            self.pledges.holds = alone;
+            self.votes.holds = alone;
         }
     }
 
@@ -370,7 +370,7 @@
         !self.schedulers.is_empty()
             || !self.leaderships.asked.is_empty()
             || !self.leaderships.calls.is_empty()
-            || self.now < self.pledges.unsure()
+            || self.now < self.votes.unsure()
             || held.any(|change| self.is_holder(change))
     }
 
@@ -407,7 +407,7 @@
         if asked || self.is_unreached() || self.stopping {
             return;
         }
-        // A leadership is written only while this VM's entry is there: whoever asks all VMs for pledges must know of it.
+        // A leadership is written only while this VM's entry is there: whoever asks all VMs for votes must know of it.
         let (Some(lease), Some(entry)) = (self.leaderships.lease.id(), self.registration.written())
         else {
             self.leaderships.asked.insert(service);
--- a/crates/gateway/src/pledge.rs
+++ b/crates/gateway/src/lease_vote.rs
@@ -2,12 +2,9 @@
 //!
 //! There a holder must stop before its lease can end, as another VM may take its leadership from then on. While the key-value
 //! service answers nobody, nobody can take it, and the holder asks all other VMs to say so: a VM that has had no answer
-//! itself for a while pledges not to take the leadership for [`PLEDGE`] from when it hears the question. The holder goes on as
-//! long as it has a pledge of each VM that it knows, counted from when it asked. One VM that reaches the service, or is not
-//! heard, is enough to have the holder stop; a VM that has just got a lease waits a pledge's length before it takes a leadership.
-//!
-//! It buys the cold requests of an outage: without it none could be placed from 1.7 s on until the service was back, and
-//! each was held until its deadline.
+//! itself for a while gives its lease vote, not to take the leadership for [`VOTE`] from when it hears the question. The holder goes on as
+//! long as it has a vote of each VM that it knows, counted from when it asked. One VM that reaches the service, or is not
+//! heard, is enough to have the holder stop; a VM that has just got a lease waits a vote's length before it takes a leadership.
 
 use std::collections::BTreeMap;
 
@@ -21,8 +18,8 @@
 use crate::node::Gateway;
 use crate::timer::Timer;
 
-/// How long a pledge holds. The holder asks four times within it, and an order may be on its way for 300 ms of it.
-pub(crate) const PLEDGE: Span = Span::from_millis(1_000);
+/// How long a lease vote holds. The holder asks four times within it, and an order may be on its way for 300 ms of it.
+pub(crate) const VOTE: Span = Span::from_millis(1_000);
 
 /// The time between two questions.
 const ASK_EVERY: Span = Span::from_millis(200);
@@ -34,18 +31,18 @@
 /// How long a write without an answer may still be carried out.
 const LATE_WRITE: Span = Span::from_secs(15);
 
-/// Pledges given and had.
+/// Lease votes given and had.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     /// Until when this VM takes no leadership of a service.
     given: BTreeMap<Service, Instant>,
-    /// The pledges that this VM had, each with when it asked for it.
+    /// The votes that this VM had, each with when it asked for it.
     had: BTreeMap<(Service, Vm), Instant>,
     /// When it asks next.
     next: Instant,
     /// Until when a write of a leadership may be carried out that had no answer.
     unsure: Instant,
-    /// Whether this VM schedules by pledges alone.
+    /// Whether this VM schedules by votes alone.
     pub(crate) holds: bool,
 }
 
@@ -74,27 +71,27 @@
         self.leaderships.renewed() + self.settings.tuning.renew + OVERDUE
     }
 
-    /// Asks all other VMs for their pledges, where this one schedules and its renewals have no answer.
-    pub(crate) fn ask_pledges(&mut self, out: &mut Effects) {
-        let used = self.settings.uses(Feature::Pledges);
+    /// Asks all other VMs for their votes, where this one schedules and its renewals have no answer.
+    pub(crate) fn request_votes(&mut self, out: &mut Effects) {
+        let used = self.settings.uses(Feature::LeaseVotes);
         if !used || self.settings.tuning.fencing || self.schedulers.is_empty() {
             return;
         }
-        let due = self.pledges.next.max(self.overdue_at());
+        let due = self.votes.next.max(self.overdue_at());
         if self.now < due {
             self.timers.set_once(due, Timer::Leadership);
             return;
         }
-        self.pledges.next = self.now + ASK_EVERY;
-        self.timers.set_once(self.pledges.next, Timer::Leadership);
+        self.votes.next = self.now + ASK_EVERY;
+        self.timers.set_once(self.votes.next, Timer::Leadership);
         for (service, scheduler) in &self.schedulers {
-            let question = Message::Pledge(service.clone(), scheduler.fence(), self.now);
+            let question = Message::RequestLeaseVote(service.clone(), scheduler.fence(), self.now);
             self.tell_all(&question, out);
         }
     }
 
-    /// The holder of a leadership asks for a pledge. It came from the one that this VM takes for the holder.
-    pub(crate) fn pledge_asked(
+    /// The holder of a leadership asks for a vote. It came from the one that this VM takes for the holder.
+    pub(crate) fn vote_requested(
         &mut self,
         service: &Service,
         fence: u64,
@@ -107,19 +104,19 @@
             self.probe_by_registration(out);
             return;
         }
-        if self.now < self.pledges.unsure
+        if self.now < self.votes.unsure
             || self.leaderships.writes(service)
             || self.schedulers.contains_key(service)
         {
             return;
         }
-        let until = self.now + PLEDGE;
-        self.pledges.given.insert(service.clone(), until);
-        self.send(from, Message::Pledged(service.clone(), fence, asked), out);
+        let until = self.now + VOTE;
+        self.votes.given.insert(service.clone(), until);
+        self.send(from, Message::LeaseVote(service.clone(), fence, asked), out);
     }
 
-    /// A VM has given the pledge that this one asked for at a time.
-    pub(crate) fn pledged(&mut self, service: &Service, fence: u64, asked: Instant, from: &Vm) {
+    /// A VM has given the vote that this one asked for at a time.
+    pub(crate) fn voted(&mut self, service: &Service, fence: u64, asked: Instant, from: &Vm) {
         let holds = self
             .schedulers
             .get(service)
@@ -127,19 +124,19 @@
         if holds != Some(fence) {
             return;
         }
-        let had = self.pledges.had.entry((service.clone(), from.clone()));
+        let had = self.votes.had.entry((service.clone(), from.clone()));
         let had = had.or_default();
         *had = (*had).max(asked);
     }
 
     /// Until when all other VMs take no leadership of a service, with the time that an order may be on its way.
-    pub(crate) fn pledged_until(&self, service: &Service) -> Instant {
-        let had = |vm: &Vm| self.pledges.had.get(&(service.clone(), vm.clone()));
+    pub(crate) fn voted_until(&self, service: &Service) -> Instant {
+        let had = |vm: &Vm| self.votes.had.get(&(service.clone(), vm.clone()));
         let asked = self.peers().map(|vm| had(vm).copied().unwrap_or_default());
         let first = asked.min().unwrap_or_default();
         if first == Instant::default() {
             return first;
         }
-        first + (PLEDGE - self.settings.tuning.lease_guard)
+        first + (VOTE - self.settings.tuning.lease_guard)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 //! * `run`: when it runs, and what becomes of its decisions.
 //! * `registration`: this VM's own entry, by which others find it; `lease`: how a lease is kept.
 //! * `leadership`: the lease of the service's leadership, and the fencing number of orders; `candidacy`: who may take one, and when.
-//! * `pledge`: how a scheduler goes on while the key-value service answers nobody.
+//! * `lease_vote`: how a scheduler goes on while the key-value service answers nobody.
 //! * [`feature`]: what of all that can be switched off.
 //! * [`quarantine`]: requests that crash the servers that run them.
 //! * `follow`: reading and watching the key-value service, and peers when it is away.
@@ -42,6 +42,7 @@
 pub mod health;
 mod leadership;
 mod lease;
+mod lease_vote;
 mod load_balancer;
 mod measure;
 mod membership;
@@ -49,7 +50,6 @@
 mod node;
 pub mod notice;
 mod passed_by;
-mod pledge;
 pub mod quarantine;
 mod registration;
 mod relay;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -102,9 +102,9 @@
     /// From the scheduler: it is there.
     Alive(Service, u64),
     /// From the scheduler, at a time of its own clock: will this VM take no leadership for a while?
-    Pledge(Service, u64, Instant),
+    RequestLeaseVote(Service, u64, Instant),
     /// To the scheduler that asked so at a time of its clock: it will take none.
-    Pledged(Service, u64, Instant),
+    LeaseVote(Service, u64, Instant),
     /// This VM, which is there, knows all changes of the key-value service up to the revision, and wants to be told of
     /// later ones for a while.
     Follow(Member, Revision),
@@ -147,8 +147,8 @@
             Self::Residents(..) => "residents",
             Self::Passed(..) => "passed",
             Self::Alive(..) => "alive",
-            Self::Pledge(..) => "pledge",
-            Self::Pledged(..) => "pledged",
+            Self::RequestLeaseVote(..) => "request_lease_vote",
+            Self::LeaseVote(..) => "lease_vote",
             Self::Follow(..) => "follow",
             Self::Replicate(_) => "replicate",
             Self::Struck(_) => "struck",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,12 +22,12 @@
 use crate::flow::Flow;
 use crate::follow;
 use crate::leadership;
+use crate::lease_vote;
 use crate::load_balancer::Row;
 use crate::measure;
 use crate::membership::Membership;
 use crate::message::Message;
 use crate::notice;
-use crate::pledge;
 use crate::quarantine;
 use crate::registration;
 use crate::scheduler::Scheduler;
@@ -69,8 +69,8 @@
     pub(crate) registration: registration::State,
     /// The leaderships it holds or wants, and their lease.
     pub(crate) leaderships: leadership::State,
-    /// Pledges given and had.
-    pub(crate) pledges: pledge::State,
+    /// Lease votes given and had.
+    pub(crate) votes: lease_vote::State,
     /// How the key-value service is followed.
     pub(crate) follow: follow::State,
     /// What is noted beside the facts.
@@ -110,7 +110,7 @@
             schedulers: BTreeMap::new(),
             registration: registration::State::default(),
             leaderships: leadership::State::default(),
-            pledges: pledge::State::default(),
+            votes: lease_vote::State::default(),
             follow: follow::State::default(),
             applied: apply::State::default(),
             quarantine: quarantine::State::default(),
@@ -326,13 +326,13 @@
             Message::Alive(service, fence) => {
                 self.follows(&service, fence, from, out);
             }
-            Message::Pledge(service, fence, asked) => {
+            Message::RequestLeaseVote(service, fence, asked) => {
                 if self.follows(&service, fence, from, out) {
-                    self.pledge_asked(&service, fence, asked, from, out);
+                    self.vote_requested(&service, fence, asked, from, out);
                 }
             }
-            Message::Pledged(service, fence, asked) => {
-                self.pledged(&service, fence, asked, from);
+            Message::LeaseVote(service, fence, asked) => {
+                self.voted(&service, fence, asked, from);
             }
             Message::Residents(service, fence, residents) => {
                 if self.follows(&service, fence, from, out) {
--- a/crates/gateway/tests/feature.rs
+++ b/crates/gateway/tests/feature.rs
@@ -21,7 +21,7 @@
 #[test]
 fn without_namesthem() {
     assert_eq!(Without::default().to_string(), "-");
-    let without: Without = [Feature::Pledges, Feature::Copies].into_iter().collect();
+    let without: Without = [Feature::LeaseVotes, Feature::Copies].into_iter().collect();
     assert_eq!(without.to_string(), "copies,pledges");
     assert!(!without.uses(Feature::Copies) && without.uses(Feature::Strength));
 }
