--- a/crates/gateway/src/account/quota.rs
+++ b/crates/gateway/src/account/quota.rs
@@ -24,10 +24,10 @@
 use self::bucket::{Bucket, Terms};
 use self::pool::Pools;
 use super::{Limit, Tokens};
+use crate::cluster::passed_by;
 use crate::effect::Effects;
 use crate::event::RequestId;
 use crate::node::Gateway;
-use crate::passed_by;
 use crate::settings::Tuning;
 
 /// The part of what may be used at once that a pool holds at most. Two pools, as while VMs disagree on who keeps it, and all shares
--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -9,14 +9,14 @@
 
 use super::{Draw, Grant, Waiting, pool};
 use crate::account::Tokens;
+use crate::cluster::membership;
 use crate::effect::Effects;
 use crate::event::RequestId;
 use crate::feature::Feature;
-use crate::flow::{State as Flow, Why};
 use crate::measure;
-use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::request::flow::{State as Flow, Why};
 use crate::timer::Timer;
 
 /// How much longer than a pool has a draw may stay without an answer before another VM is asked.
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -7,12 +7,12 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
+use crate::cluster::fact::{Backend, Change, Fact, Revision, Subject, Way};
 use crate::config::{Config, Index};
 use crate::effect::{Effect, Effects};
-use crate::fact::{Backend, Change, Fact, Revision, Subject, Way};
-use crate::load_balancer::Row;
 use crate::node::Gateway;
-use crate::quarantine::LENGTH;
+use crate::request::load_balancer::Row;
+use crate::request::quarantine::LENGTH;
 use crate::timer::Timer;
 
 /// The least time between two lines on entries that can't be read.
--- a/crates/gateway/src/candidacy.rs
+++ b/crates/gateway/src/cluster/candidacy.rs
@@ -6,12 +6,12 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
+use crate::cluster::fact::{Fact, Subject};
+use crate::cluster::lease_vote::VOTE;
+use crate::cluster::membership;
 use crate::effect::Effects;
-use crate::fact::{Fact, Subject};
-use crate::lease_vote::VOTE;
-use crate::membership;
 use crate::node::Gateway;
-use crate::scheduler_client::SILENCE;
+use crate::scheduler::client::SILENCE;
 use crate::timer::Timer;
 
 /// The time that a VM waits for each VM before it in the order of candidates before it takes a free leadership: some calls
--- a/crates/gateway/src/fact.rs
+++ b/crates/gateway/src/cluster/fact.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Config;
-use crate::fingerprint::Fingerprint;
+use crate::request::fingerprint::Fingerprint;
 
 /// The version of an adapter or a base model; higher is newer.
 pub type Version = u64;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/cluster/follow.rs
@@ -13,13 +13,13 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
+use crate::cluster::fact::{Revision, Way};
+use crate::cluster::membership;
+use crate::cluster::passed_by;
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::event::Outcome;
-use crate::fact::{Revision, Way};
-use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
-use crate::passed_by;
 use crate::timer::Timer;
 
 /// The pause between two watches, in which changes gather: servers rewrite their entries about once a second each, and each
--- a/crates/gateway/src/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -14,11 +14,11 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::candidacy::{Candidacy, SETTLED};
+use crate::cluster::candidacy::{Candidacy, SETTLED};
+use crate::cluster::fact::{Change, Fact, Holder, Subject, Way, own};
+use crate::cluster::lease::{Kept, Terms};
 use crate::effect::{Effects, Op, OpId};
 use crate::event::Outcome;
-use crate::fact::{Change, Fact, Holder, Subject, Way, own};
-use crate::lease::{Kept, Terms};
 use crate::node::Gateway;
 use crate::scheduler::Scheduler;
 use crate::timer::Timer;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/cluster/membership.rs
@@ -12,8 +12,8 @@
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHasher;
 
+use crate::cluster::fact::Member;
 use crate::event::Fault;
-use crate::fact::Member;
 
 /// How long a VM without an entry is still spoken to after it was last heard.
 const KEPT: Span = Span::from_secs(10);
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/cluster/registration.rs
@@ -9,10 +9,10 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
+use crate::cluster::fact::{Fact, Revision, Subject, own};
+use crate::cluster::lease::{Kept, Terms};
 use crate::effect::{Effects, Op, OpId};
 use crate::event::Outcome;
-use crate::fact::{Fact, Revision, Subject, own};
-use crate::lease::{Kept, Terms};
 use crate::node::Gateway;
 use crate::timer::Timer;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/cluster/relay.rs
@@ -9,8 +9,8 @@
 
 use dahliastile_core::id::{Service, Vm, Zone};
 
+use crate::cluster::membership;
 use crate::effect::Effects;
-use crate::membership;
 use crate::message::{Holding, Message};
 use crate::node::Gateway;
 
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -4,9 +4,9 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
+use crate::cluster::fact::{Change, Revision, Way};
+use crate::cluster::follow::{ALONE_GAP, SILENCE};
 use crate::effect::Effects;
-use crate::fact::{Change, Revision, Way};
-use crate::follow::{ALONE_GAP, SILENCE};
 use crate::message::{Message, Replication};
 use crate::node::Gateway;
 use crate::timer::Timer;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,7 @@
 //! The operator's configuration: routes, services, limits; and the index that finds a request's route.
 
+pub(crate) mod startup_queue;
+
 use std::sync::Arc;
 
 use dahliastile_core::id::Service;
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -8,8 +8,8 @@
 use dahliastile_core::metric::Sample;
 use dahliastile_core::time::Span;
 
+use crate::cluster::fact::{Change, Revision, Subject, Version};
 use crate::event::{Lease, RequestId};
-use crate::fact::{Change, Revision, Subject, Version};
 use crate::message::Message;
 
 /// The number of a call of the key-value service.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -9,11 +9,11 @@
 
 use crate::account::Tokens;
 use crate::account::key::Key;
+use crate::cluster::fact::{Base, Change, Revision};
 use crate::effect::{OpId, OrderId};
-use crate::fact::{Base, Change, Revision};
-use crate::fingerprint::Fingerprint;
 use crate::message::Message;
-use crate::notice::Notice;
+use crate::request::fingerprint::Fingerprint;
+use crate::request::notice::Notice;
 use crate::settings::Tuning;
 
 /// The number of a request on this VM, never used twice by one start.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -7,11 +7,11 @@
 
 use crate::account::Tokens;
 use crate::account::quota::{Draw, Grant};
+use crate::cluster::fact::{Change, Member, Resident, Revision, Version};
 use crate::event::{Cause, Ran, RequestId, Work};
-use crate::fact::{Change, Member, Resident, Revision, Version};
-use crate::fingerprint::Fingerprint;
-use crate::notice::Rate;
-use crate::quarantine::{Standing, Strike};
+use crate::request::fingerprint::Fingerprint;
+use crate::request::notice::Rate;
+use crate::request::quarantine::{Standing, Strike};
 
 /// A request that wants a place at an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,28 +12,28 @@
 use rustc_hash::FxHashMap;
 
 use crate::account::quota;
-use crate::apply;
-use crate::budget::Budget;
+use crate::cluster::apply;
+use crate::cluster::fact::{Member, Table};
+use crate::cluster::follow;
+use crate::cluster::leadership;
+use crate::cluster::lease_vote;
+use crate::cluster::membership::Membership;
+use crate::cluster::registration;
+use crate::config::startup_queue;
 use crate::config::{Config, Index, Limits};
 use crate::effect::{Effect, Effects, Op, OpId, Reach};
 use crate::event::{Event, RequestId};
-use crate::fact::{Member, Table};
 use crate::feature::Feature;
-use crate::flow::Flow;
-use crate::follow;
-use crate::leadership;
-use crate::lease_vote;
-use crate::load_balancer::Row;
 use crate::measure;
-use crate::membership::Membership;
 use crate::message::Message;
-use crate::notice;
-use crate::quarantine;
-use crate::registration;
+use crate::request::budget::Budget;
+use crate::request::flow::Flow;
+use crate::request::load_balancer::Row;
+use crate::request::notice;
+use crate::request::quarantine;
 use crate::scheduler::Scheduler;
-use crate::scheduler_client;
+use crate::scheduler::client;
 use crate::settings::{Settings, Tuning};
-use crate::startup_queue;
 use crate::timer::{Timer, Timers};
 
 /// Everything that one entry VM knows.
@@ -62,7 +62,7 @@
     /// The budgets of second sends.
     pub(crate) budgets: BTreeMap<Service, Budget>,
     /// What this VM knows of the schedulers.
-    pub(crate) scheduler_clients: BTreeMap<Service, scheduler_client::State>,
+    pub(crate) scheduler_clients: BTreeMap<Service, client::State>,
     /// The schedulers that run on this VM.
     pub(crate) schedulers: BTreeMap<Service, Scheduler>,
     /// This VM's own entry.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/request/flow.rs
@@ -14,10 +14,10 @@
 use rand::Rng;
 
 use crate::account::{Account, Tokens};
+use crate::cluster::fact::Version;
 use crate::config::{Kind, Route, Target};
 use crate::effect::{Effect, Effects, Reason, Send, Verdict};
 use crate::event::{Call, RequestId};
-use crate::fact::Version;
 use crate::measure;
 use crate::message::{Progress, Want};
 use crate::node::Gateway;
--- a/crates/gateway/src/flow/failure.rs
+++ b/crates/gateway/src/request/flow/failure.rs
@@ -6,15 +6,15 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::State;
-use crate::budget::Terms;
 use crate::config::Kind;
 use crate::effect::{Effect, Effects, Reason, Verdict};
 use crate::event::{Cause, Ran, RequestId};
-use crate::health::Health;
 use crate::measure;
 use crate::message::Progress;
 use crate::node::Gateway;
-use crate::scheduler_client::ASK_AGAIN;
+use crate::request::budget::Terms;
+use crate::request::health::Health;
+use crate::scheduler::client::ASK_AGAIN;
 
 /// Sends of one request at most, counting those that did not run: more only wear out the shared budget.
 const MAX_SENDS: u32 = 4;
--- a/crates/gateway/src/load_balancer.rs
+++ b/crates/gateway/src/request/load_balancer.rs
@@ -7,9 +7,9 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::fact::Backend;
+use crate::cluster::fact::Backend;
 use crate::feature::{Feature, Without};
-use crate::health::Health;
+use crate::request::health::Health;
 use crate::settings::Settings;
 
 /// How many requests more a server of the VM's own zone may have than another one before that is taken instead: bytes
--- a/crates/gateway/src/notice/leaving.rs
+++ b/crates/gateway/src/request/notice/leaving.rs
@@ -7,9 +7,9 @@
 use dahliastile_core::time::{Instant, Span};
 
 use crate::effect::Effects;
-use crate::load_balancer;
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::request::load_balancer;
 use crate::scheduler::Scheduler;
 
 /// How long it is remembered of a server without an entry, which may come back as it was.
--- a/crates/gateway/src/notice/permit.rs
+++ b/crates/gateway/src/request/notice/permit.rs
@@ -9,13 +9,13 @@
 use dahliastile_core::time::Span;
 
 use super::meter::Meter;
+use crate::cluster::fact::Version;
+use crate::cluster::membership;
 use crate::effect::Effects;
 use crate::event::RequestId;
-use crate::fact::Version;
-use crate::flow::State;
-use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::request::flow::State;
 use crate::timer::Timer;
 
 /// How long a permit is waited for: some round trips between availability zones.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/request/quarantine.rs
@@ -30,13 +30,13 @@
 use self::aged::Aged;
 use self::strikes::{Count, Tally};
 use self::suspects::Suspect;
+use crate::cluster::membership;
 use crate::effect::{Effect, Effects, OpId};
 use crate::event::{Presence, RequestId};
-use crate::fingerprint::Fingerprint;
-use crate::flow::{self, Why};
-use crate::membership;
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::request::fingerprint::Fingerprint;
+use crate::request::flow::{self, Why};
 
 pub use self::strikes::Strike;
 
--- a/crates/gateway/src/quarantine/aged.rs
+++ b/crates/gateway/src/request/quarantine/aged.rs
@@ -4,7 +4,7 @@
 
 use dahliastile_core::time::{Instant, Span};
 
-use crate::fingerprint::Fingerprint;
+use crate::request::fingerprint::Fingerprint;
 
 /// Rows by fingerprint, each with when it was last put in.
 #[derive(Debug)]
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/request/quarantine/record.rs
@@ -6,12 +6,12 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::LENGTH;
+use crate::cluster::fact::{Fact, Revision, Subject, Way, own};
+use crate::cluster::lease::backoff;
 use crate::effect::{Effects, Op, OpId};
 use crate::event::{Lease, Outcome};
-use crate::fact::{Fact, Revision, Subject, Way, own};
-use crate::fingerprint::Fingerprint;
-use crate::lease::backoff;
 use crate::node::Gateway;
+use crate::request::fingerprint::Fingerprint;
 use crate::timer::Timer;
 
 /// How much later than the first VM that counts a request's strikes the next one writes, where the record is not there by then.
--- a/crates/gateway/src/quarantine/strikes.rs
+++ b/crates/gateway/src/request/quarantine/strikes.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::aged::Aged;
-use crate::fingerprint::Fingerprint;
+use crate::request::fingerprint::Fingerprint;
 
 /// Strikes from which a request is watched by all: one more than a server's end by itself gives each request there.
 const SUSPECT: u32 = 2;
--- a/crates/gateway/src/quarantine/suspects.rs
+++ b/crates/gateway/src/request/quarantine/suspects.rs
@@ -9,7 +9,7 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::strikes::Strike;
-use crate::fingerprint::Fingerprint;
+use crate::request::fingerprint::Fingerprint;
 
 /// How long after a connection broke the server's end is taken for its reason: three heartbeats that don't come, and some.
 const KEPT: Span = Span::from_secs(6);
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -7,9 +7,11 @@
 mod adapter_cache;
 mod admission;
 mod capacity;
+pub(crate) mod client;
 mod dispatch;
 mod engine;
 mod forecast;
+mod host;
 mod job;
 mod key;
 mod load;
@@ -19,6 +21,7 @@
 mod reservations;
 mod residency;
 mod rest;
+mod run;
 mod run_interval;
 mod summary;
 
@@ -31,16 +34,16 @@
 use dahliastile_core::log::Record;
 use dahliastile_core::time::{Instant, Span};
 
+use crate::cluster::fact::{Backend, Version};
 use crate::config::{Application, Engine as Shape};
 use crate::effect::{Order, OrderId};
 use crate::event::{Ordered, Report, RequestId, Work};
-use crate::fact::{Backend, Version};
 use crate::feature::Feature;
-use crate::health::{Health, last};
 use crate::message::{Holding, Progress, Running, Want};
-use crate::notice::Rate;
-use crate::notice::leaving::last_resort;
-use crate::notice::meter::Meter;
+use crate::request::health::{Health, last};
+use crate::request::notice::Rate;
+use crate::request::notice::leaving::last_resort;
+use crate::request::notice::meter::Meter;
 use crate::settings::Settings;
 
 use self::adapter_cache::{Beside, Remembering};
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -10,14 +10,14 @@
 use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::candidacy::SETTLED;
+use crate::cluster::candidacy::SETTLED;
+use crate::cluster::fact::{Fact, Holder, Resident, Revision, Subject, Version};
 use crate::effect::Effects;
 use crate::event::{Fault, RequestId};
-use crate::fact::{Fact, Holder, Resident, Revision, Subject, Version};
-use crate::flow::State as Flow;
 use crate::measure;
 use crate::message::{Holding, Message, Progress, Running, Want};
 use crate::node::Gateway;
+use crate::request::flow::State as Flow;
 use crate::timer::Timer;
 
 /// The time without any word of the holder after which this VM goes on by itself: three of the holder's digests.
@@ -402,9 +402,10 @@
         let mut running = Vec::new();
         let mut wants = Vec::new();
         // What waits for tokens of its account or for leave at a server wants no place yet.
-        let unasked =
-            |f: &crate::flow::Flow| matches!(f.state, Flow::Charging | Flow::Permit { .. });
-        let asked = |f: &crate::flow::Flow| f.service == *service && !unasked(f);
+        let unasked = |f: &crate::request::flow::Flow| {
+            matches!(f.state, Flow::Charging | Flow::Permit { .. })
+        };
+        let asked = |f: &crate::request::flow::Flow| f.service == *service && !unasked(f);
         for (request, flow) in self.flows.iter().filter(|(_, flow)| asked(flow)) {
             match (flow.server(), &flow.call.work) {
                 (Some(server), Some(work)) => running.push(Running {
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -12,11 +12,11 @@
 use super::key::{Key, Keys};
 use super::prefix_cache::Kept;
 use super::rest::Rest;
+use crate::cluster::fact::{Backend, Resident, Version};
 use crate::effect::OrderId;
 use crate::event::Report;
-use crate::fact::{Backend, Resident, Version};
-use crate::health::Health;
-use crate::notice::meter::Meter;
+use crate::request::health::Health;
+use crate::request::notice::meter::Meter;
 
 /// Prompt tokens that an engine reads in a millisecond until some were measured.
 const FIRST_RATE: f64 = 20.0;
--- a/crates/gateway/src/scheduler_host.rs
+++ b/crates/gateway/src/scheduler/host.rs
@@ -4,9 +4,9 @@
 
 use dahliastile_core::id::{Server, Service, Vm};
 
+use crate::cluster::fact::{Backend, Version};
 use crate::effect::{Effects, OrderId};
 use crate::event::{Ordered, Report, RequestId};
-use crate::fact::{Backend, Version};
 use crate::message::{Progress, Running, Want};
 use crate::node::Gateway;
 
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -4,7 +4,7 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::budget::Budget;
+use dahliastile_gateway::request::budget::Budget;
 use dahliastile_gateway::settings::Tuning;
 use support::World;
 use support::setup::{call, name};
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -12,10 +12,10 @@
 use std::collections::BTreeMap;
 
 use dahliastile_core::time::Span;
+use dahliastile_gateway::cluster::fact::{Fact, Subject};
 use dahliastile_gateway::effect::Reason;
 use dahliastile_gateway::event::Call;
-use dahliastile_gateway::fact::{Fact, Subject};
-use dahliastile_gateway::fingerprint::Fingerprint;
+use dahliastile_gateway::request::fingerprint::Fingerprint;
 use rand::Rng;
 use support::series::{CONTACT, Series, VMS, seeds};
 use support::setup::{call, draft, work};
--- a/crates/gateway/tests/fingerprint.rs
+++ b/crates/gateway/tests/fingerprint.rs
@@ -1,6 +1,6 @@
 //! By what a request that comes again is known.
 
-use dahliastile_gateway::fingerprint::Fingerprint;
+use dahliastile_gateway::request::fingerprint::Fingerprint;
 use quickcheck::{Gen, QuickCheck};
 
 fn check(property: fn(Vec<Vec<u8>>, Vec<Vec<u8>>) -> bool) {
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::notice::Rate;
+use dahliastile_gateway::request::notice::Rate;
 use rand::Rng;
 use support::series::{Series, VMS, seeds};
 use support::setup::{call, mixed};
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -6,13 +6,13 @@
 use dahliastile_core::id::{Incarnation, Server, Service, Vm, Zone};
 use dahliastile_core::time::Span;
 use dahliastile_gateway::account::Tokens;
+use dahliastile_gateway::cluster::fact::{Backend, Base, Resident};
 use dahliastile_gateway::config::{
     Application, Config, Engine, Kind, Limits, Model, Route, Target,
 };
 use dahliastile_gateway::event::{Call, Report, Work};
-use dahliastile_gateway::fact::{Backend, Base, Resident};
 use dahliastile_gateway::feature::Without;
-use dahliastile_gateway::fingerprint::Fingerprint;
+use dahliastile_gateway::request::fingerprint::Fingerprint;
 use dahliastile_gateway::settings::{Settings, Tuning};
 
 /// The service with engines.
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::cluster::fact::{Change, Fact, Revision, Subject};
 use dahliastile_gateway::effect::Op;
 use dahliastile_gateway::event::{Lease, Outcome};
-use dahliastile_gateway::fact::{Change, Fact, Revision, Subject};
 
 /// One call that waits for changes.
 pub struct Waiter {
--- a/crates/gateway/tests/support/world/fall.rs
+++ b/crates/gateway/tests/support/world/fall.rs
@@ -6,9 +6,9 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::cluster::fact::{Backend, Subject};
 use dahliastile_gateway::event::{Cause, Event, Presence, Ran};
-use dahliastile_gateway::fact::{Backend, Subject};
-use dahliastile_gateway::fingerprint::Fingerprint;
+use dahliastile_gateway::request::fingerprint::Fingerprint;
 
 use super::{Act, Answer, WAY, World};
 use crate::support::engine::Engine;
--- a/crates/gateway/tests/support/world/notice.rs
+++ b/crates/gateway/tests/support/world/notice.rs
@@ -5,7 +5,7 @@
 use dahliastile_core::id::Server;
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::event::Event;
-use dahliastile_gateway::notice::{Notice, Rate, Word};
+use dahliastile_gateway::request::notice::{Notice, Rate, Word};
 
 use super::{Act, World};
 use crate::support::setup::name;
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -7,7 +7,7 @@
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Op, Order, Reason, Send};
 use dahliastile_gateway::event::{Call, Cause, Ordered, Outcome, Report};
-use dahliastile_gateway::notice::Notice;
+use dahliastile_gateway::request::notice::Notice;
 use dahliastile_gateway::settings::Tuning;
 use http::{Request, Response, request, response};
 
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -6,7 +6,7 @@
 use dahliastile_core::id::Server;
 use dahliastile_gateway::effect::Verdict;
 use dahliastile_gateway::event::{Event, RequestId};
-use dahliastile_gateway::notice::Notice;
+use dahliastile_gateway::request::notice::Notice;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
