--- a/crates/gateway/src/request/notice/rest.rs
+++ b/crates/gateway/src/request/notice/rest.rs
@@ -47,12 +47,16 @@
         }
     }
 
-    /// Declines the place that the scheduler found for a request, and tells it why once more: it may not have heard.
+    /// Declines the place that the scheduler found for a request, and tells it why once more: it may not have heard. The request goes
+    /// elsewhere, as the scheduler may think otherwise of the server for a while.
     pub(crate) fn decline_place(&mut self, request: RequestId, server: &Server, out: &mut Effects) {
         let rest = self.notices.rests(server).since(self.now);
         if rest > Span::ZERO {
             self.tell_rest(server, rest, out);
         }
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.failed.push(server.clone());
+        }
         self.tell_progress(request, Progress::Failed(Ran::No, Cause::Declined), out);
         self.ask_place(request, out);
     }
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use dahliastile_core::time::{Instant, Span};
+use dahliastile_gateway::settings::Tuning;
 use rand::Rng;
 use support::World;
 use support::series::{Series, VMS, seeds};
@@ -225,3 +226,32 @@
         series.world.check();
     }
 }
+
+/// Guards against a scheduler that gives a request the same place again and again: it has heard later than the request's VM that all
+/// engines leave, and still uses them.
+#[test]
+fn leaving_declinedplaceisnotgivenagain() {
+    let weak = 5;
+    let mut world = World::uneven(&[25, 25, 25, 25, 25, weak], 12, 4, Tuning::default());
+    world.run(Span::from_secs(2));
+    world.busy_night(Span::from_secs(2));
+    for server in 0..12 {
+        world.say_leaving(&format!("e{server}"));
+    }
+    world.busy_night(Span::from_millis(1_500));
+    // The weak VM knows of it, and tells the scheduler that comes after all others were killed.
+    let knows = 5;
+    for vm in (0..6).filter(|vm| *vm != knows) {
+        world.kill(vm, false);
+    }
+    let before = world.sent["place"];
+    let mut asked = 0;
+    for at in 0..150 {
+        world.ask(knows, draft(&format!("d{at}"), &format!("a{}", at % 12)));
+        world.run(Span::from_millis(20));
+        asked += 1;
+    }
+    let given = world.sent["place"] - before;
+    assert!(given <= asked * 2, "{given} places for {asked} requests");
+    world.check();
+}
