--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -32,6 +32,7 @@
         self.send(from, Message::Replicate(batch), out);
         if since == 0 {
             self.tell_quarantines(from, out);
+            self.tell_notices(from, out);
         }
     }
 
--- a/crates/gateway/src/request/notice.rs
+++ b/crates/gateway/src/request/notice.rs
@@ -14,7 +14,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use dahliastile_core::id::{Incarnation, Server, Service};
+use dahliastile_core::id::{Incarnation, Server, Service, Vm};
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
@@ -116,6 +116,19 @@
     start: Option<Incarnation>,
 }
 
+impl Row {
+    /// What holds for all VMs of what the server said.
+    fn for_all(&self, server: &Server) -> impl Iterator<Item = Message> {
+        let limit = self
+            .limit
+            .map(|_| Message::Limit(server.clone(), self.limit));
+        let leaving = self
+            .leaving
+            .map(|_| Message::Leaving(server.clone(), self.start));
+        limit.into_iter().chain(leaving)
+    }
+}
+
 impl Table {
     /// The limit that a server names.
     pub(crate) fn limit(&self, server: &Server) -> Option<Rate> {
@@ -173,23 +186,28 @@
         }
     }
 
-    /// All that servers of a service have said to this VM or others, as messages to a new scheduler of it.
-    pub(crate) fn notices_of(&self, service: &Service) -> Vec<Message> {
-        let mut messages = Vec::new();
+    /// Tells a VM that starts what servers have said that holds for all VMs.
+    pub(crate) fn tell_notices(&self, to: &Vm, out: &mut Effects) {
         for (server, row) in &self.notices.rows {
-            let listed = self.servers.get(server);
-            if listed.is_none_or(|listed| listed.backend.service != *service) {
-                continue;
+            for message in row.for_all(server) {
+                self.send(to, message, out);
             }
-            let limit = row.limit.map(|_| Message::Limit(server.clone(), row.limit));
-            let leaving = row
-                .leaving
-                .map(|_| Message::Leaving(server.clone(), row.start));
+        }
+    }
+
+    /// All that servers of a service have said to this VM or others, as messages to a new scheduler of it.
+    pub(crate) fn notices_of(&self, service: &Service) -> Vec<Message> {
+        let of = |server: &Server| {
+            let row = self.servers.get(server);
+            row.is_some_and(|row| row.backend.service == *service)
+        };
+        let rows = self.notices.rows.iter().filter(|(server, _)| of(server));
+        let messages = rows.flat_map(|(server, row)| {
             let rest = row.rests.since(self.now);
             let rest = (rest > Span::ZERO).then(|| Message::Rest(server.clone(), rest));
-            messages.extend(limit.into_iter().chain(leaving).chain(rest));
-        }
-        messages
+            row.for_all(server).chain(rest)
+        });
+        messages.collect()
     }
 
     /// What a server said of itself is that of an earlier start.
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -255,3 +255,20 @@
     assert!(given <= asked * 2, "{given} places for {asked} requests");
     world.check();
 }
+
+/// A VM that starts hears what servers said to others before it sends them anything.
+#[test]
+fn leaving_newvmistold() {
+    let mut world = World::warm(6);
+    world.store_up = false;
+    world.wake_watchers();
+    world.say_leaving("p0");
+    world.busy_night(Span::from_secs(2));
+    // The only one in the availability zone of that server that is asked for plain services.
+    world.kill(0, false);
+    world.run(Span::from_secs(1));
+    let since = world.now;
+    world.busy_night(Span::from_secs(4));
+    assert_eq!(requests_since(&world, "p0", since), 0);
+    world.check();
+}
