--- a/crates/gateway/src/request/load_balancer.rs
+++ b/crates/gateway/src/request/load_balancer.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
-use dahliastile_core::id::{Server, Zone};
+use dahliastile_core::id::{Server, Service, Zone};
 use dahliastile_core::time::Instant;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::cluster::fact::Backend;
 use crate::feature::{Feature, Without};
+use crate::node::Gateway;
 use crate::request::health::Health;
 use crate::settings::Settings;
 
@@ -71,8 +72,31 @@
     }
 }
 
+impl Gateway {
+    /// The server that a request goes to which no scheduler places: one that leaves only where there is no other.
+    pub(crate) fn choose(
+        &mut self,
+        service: &Service,
+        failed: &[Server],
+        fits: impl Fn(&Server) -> bool,
+    ) -> Option<Server> {
+        let (now, last) = (self.now, self.last_resort());
+        let of = |(server, row): &(&Server, &Row)| {
+            row.backend.service == *service && fits(server) && self.notices.open(server, now)
+        };
+        let rows = self.servers.iter().filter(of);
+        let stays = rows
+            .clone()
+            .filter(|(server, _)| self.notices.leaving(server).is_none());
+        let leaves = rows.filter(|(server, _)| !self.notices.has_left(server, now, last));
+        let (settings, rng) = (&self.settings, &mut self.rng);
+        cheapest(stays, failed, settings, now, rng)
+            .or_else(|| cheapest(leaves, failed, settings, now, rng))
+    }
+}
+
 /// The server that a request goes to: the one that costs least among those that take work and have not failed it.
-pub(crate) fn choose<'a>(
+fn cheapest<'a>(
     rows: impl Iterator<Item = (&'a Server, &'a Row)>,
     failed: &[Server],
     settings: &Settings,
--- a/crates/gateway/src/request/notice/leaving.rs
+++ b/crates/gateway/src/request/notice/leaving.rs
@@ -2,14 +2,13 @@
 //!
 //! It holds for the server's present start, whatever the key-value service says of it: that may not know yet, or be away.
 
-use dahliastile_core::id::{Incarnation, Server, Service, Vm};
+use dahliastile_core::id::{Incarnation, Server, Vm};
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
 use crate::effect::Effects;
 use crate::message::Message;
 use crate::node::Gateway;
-use crate::request::load_balancer;
 use crate::scheduler::Scheduler;
 
 /// How long it is remembered of a server without an entry, which may come back as it was.
@@ -63,27 +62,6 @@
     pub(crate) fn last_resort(&self) -> Span {
         last_resort(self.settings.tuning.drain)
     }
-
-    /// The server that a request goes to which no scheduler places: one that leaves only where there is no other.
-    pub(crate) fn choose(
-        &mut self,
-        service: &Service,
-        failed: &[Server],
-        fits: impl Fn(&Server) -> bool,
-    ) -> Option<Server> {
-        let (now, last) = (self.now, self.last_resort());
-        let of = |(server, row): &(&Server, &load_balancer::Row)| {
-            row.backend.service == *service && fits(server) && self.notices.open(server, now)
-        };
-        let rows = self.servers.iter().filter(of);
-        let stays = rows
-            .clone()
-            .filter(|(server, _)| self.notices.leaving(server).is_none());
-        let leaves = rows.filter(|(server, _)| !self.notices.has_left(server, now, last));
-        let (settings, rng) = (&self.settings, &mut self.rng);
-        load_balancer::choose(stays, failed, settings, now, rng)
-            .or_else(|| load_balancer::choose(leaves, failed, settings, now, rng))
-    }
 }
 
 /// The part of the time that leaving servers take requests for in which they are used where no other is there.
