--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -54,11 +54,11 @@
             return;
         };
         share.used = now;
-        let (closed, comes_back) = share.closed;
+        let (closed, retry_after) = share.closed;
         if share.bucket.take(cost) {
             self.charged(request, out);
         } else if now < closed {
-            self.over_limit(request, comes_back.since(now), out);
+            self.over_limit(request, retry_after.since(now), out);
         } else if self.settings.uses(Feature::TokenPool) {
             self.draw(&account, request, 1, out);
         } else {
--- a/crates/gateway/src/cluster/candidacy.rs
+++ b/crates/gateway/src/cluster/candidacy.rs
@@ -58,7 +58,7 @@
     Resting,
     /// It is this VM's, which another one is to have: it has stopped to schedule twice in a short time, or starts anew beside stronger
     /// ones.
-    Weary,
+    Yielded,
     /// Its holder is silent, and engines refuse that holder's orders from the next one's first on.
     Silent,
 }
@@ -90,7 +90,7 @@
             let candidacy = match vacancy {
                 Vacancy::Held => continue,
                 // Nobody else may have it, so it waits for nobody's candidacy.
-                Vacancy::Mine | Vacancy::Weary if waits.is_none_or(|at| at > self.now) => {
+                Vacancy::Mine | Vacancy::Yielded if waits.is_none_or(|at| at > self.now) => {
                     Candidacy::Take(self.now)
                 }
                 _ if waits.is_some() => continue,
@@ -166,12 +166,12 @@
         match holder.vm == self.settings.vm {
             true if holder.incarnation != self.settings.incarnation => {
                 if self.is_stronger_there() {
-                    Vacancy::Weary
+                    Vacancy::Yielded
                 } else {
                     Vacancy::Mine
                 }
             }
-            true if self.idle_leadership(service) && self.weary(service) => Vacancy::Weary,
+            true if self.idle_leadership(service) && self.should_yield(service) => Vacancy::Yielded,
             true if self.idle_leadership(service) => Vacancy::Mine,
             false if fencing && silent && settled => Vacancy::Silent,
             _ => Vacancy::Held,
@@ -186,8 +186,8 @@
     }
 
     /// Whether this VM is to leave a leadership to another one.
-    fn weary(&self, service: &Service) -> bool {
-        self.peers().next().is_some() && self.leaderships.weary(service, self.now)
+    fn should_yield(&self, service: &Service) -> bool {
+        self.peers().next().is_some() && self.leaderships.should_yield(service, self.now)
     }
 
     /// Whether a stronger VM has an entry.
@@ -232,7 +232,7 @@
                 // Then it is still the candidacy of those before it.
                 (Vacancy::Resting, _) => Candidacy::Look(self.rested(&service)),
                 (Vacancy::Free, Some(Candidacy::Look(_))) => self.candidacy(&service),
-                (Vacancy::Weary, _) => {
+                (Vacancy::Yielded, _) => {
                     self.resign(&service, out);
                     Candidacy::Look(self.now + self.settings.tuning.renew)
                 }
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -92,7 +92,7 @@
     }
 
     /// Whether this VM has lost a leadership twice in a short time, and a moment ago.
-    pub(crate) fn weary(&self, service: &Service, now: Instant) -> bool {
+    pub(crate) fn should_yield(&self, service: &Service, now: Instant) -> bool {
         let lost = self.lost.get(service);
         lost.is_some_and(|lost| lost.again && now < lost.at + SETTLED)
     }
--- a/crates/gateway/src/cluster/lease.rs
+++ b/crates/gateway/src/cluster/lease.rs
@@ -139,7 +139,7 @@
     }
 
     /// The service is there again, or has taken away what was under the lease: the next call comes within a while.
-    pub(crate) fn hurry(&mut self, now: Instant, within: Span, rng: &mut impl Rng) {
+    pub(crate) fn expedite(&mut self, now: Instant, within: Span, rng: &mut impl Rng) {
         let soon = now + Span(rng.random_range(0..=within.0));
         self.next = self.next.min(soon);
     }
--- a/crates/gateway/src/cluster/registration.rs
+++ b/crates/gateway/src/cluster/registration.rs
@@ -135,7 +135,7 @@
                 Self::log(out, Code::StoreLeaseLost, detail);
             }
             (Purpose::Lease, _) => self.registration.lease.failed(now, terms, &mut self.rng),
-            (Purpose::Write, _) => self.registration.lease.hurry(now, RETRY, &mut self.rng),
+            (Purpose::Write, _) => self.registration.lease.expedite(now, RETRY, &mut self.rng),
             (Purpose::End, _) => {}
         }
         self.registration_due(out);
@@ -160,7 +160,7 @@
     pub(crate) fn probe_by_registration(&mut self, out: &mut Effects) {
         self.registration
             .lease
-            .hurry(self.now, Span::ZERO, &mut self.rng);
+            .expedite(self.now, Span::ZERO, &mut self.rng);
         self.registration_due(out);
     }
 
@@ -175,7 +175,7 @@
     fn expedite_registration(&mut self, within: Span) {
         self.registration
             .lease
-            .hurry(self.now, within, &mut self.rng);
+            .expedite(self.now, within, &mut self.rng);
         self.await_registration();
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -222,6 +222,13 @@
         vms
     }
 
+    /// The service of a server that is listed.
+    pub(crate) fn service_of(&self, server: &Server) -> Option<Service> {
+        self.servers
+            .get(server)
+            .map(|row| row.backend.service.clone())
+    }
+
     /// How much a VM can do for others.
     pub(crate) fn strength(&self, vm: &Vm) -> u32 {
         if !self.settings.uses(Feature::Strength) {
@@ -265,7 +272,7 @@
             Event::Completed(request, pause) => self.completed(request, pause, out),
             Event::Failed(request, ran, cause) => self.failed(request, ran, cause, out),
             Event::Ordered(order, outcome) => self.ordered(order, outcome, out),
-            Event::Noticed(server, notice) => self.noticed(&server, notice, out),
+            Event::Noticed(server, notice) => self.receive_notice(&server, notice, out),
             Event::Reported(server, report) => self.reported(&server, report.as_ref()),
             Event::Probed(server, presence) => self.probed(&server, presence, out),
             Event::Store(op, outcome) => self.answered(op, outcome, out),
@@ -340,13 +347,13 @@
                     self.keep_residents(&service, residents);
                 }
             }
-            Message::Struck(strikes) => self.struck(from, &strikes, out),
+            Message::Struck(strikes) => self.receive_strikes(from, &strikes, out),
             Message::Standings(told) => self.standings(told, out),
-            Message::Limit(server, limit) => self.limit_named(from, &server, limit, out),
+            Message::Limit(server, limit) => self.set_limit(from, &server, limit, out),
             Message::Leaving(server, start) => {
-                self.leaving_told(from, &server, start, out);
+                self.mark_leaving(from, &server, start, out);
             }
-            Message::Rest(server, span) => self.rest_told(from, &server, span),
+            Message::Rest(server, span) => self.hold_places(from, &server, span),
             Message::Permit(request, server) => self.permit_asked(from, request, server, out),
             Message::Permitted(request, server, answer) => {
                 self.permitted(request, &server, answer, out);
--- a/crates/gateway/src/request/flow.rs
+++ b/crates/gateway/src/request/flow.rs
@@ -213,7 +213,7 @@
             self.send_alone(request, &server, None, out);
         } else {
             let opens = self.opens(&service);
-            let after = self.comes_back(opens).max(COME_BACK);
+            let after = self.retry_after(opens).max(COME_BACK);
             self.give_up(request, Some(after), Why::NoServer, out);
         }
     }
--- a/crates/gateway/src/request/notice.rs
+++ b/crates/gateway/src/request/notice.rs
@@ -156,20 +156,20 @@
 
 impl Gateway {
     /// An answer to this VM says something of its server, or says no more what an earlier one did.
-    pub(crate) fn noticed(&mut self, server: &Server, notice: Notice, out: &mut Effects) {
+    pub(crate) fn receive_notice(&mut self, server: &Server, notice: Notice, out: &mut Effects) {
         if !self.servers.contains_key(server) {
             return;
         }
         Self::note_unreadable_word(server, notice, out);
         if notice.leaving {
-            self.leaving_said(server, out);
+            self.report_leaving(server, out);
         }
         if let Word::Said(rest) = notice.rest {
-            self.rest_said(server, rest, out);
+            self.report_rest(server, rest, out);
         }
         match notice.limit {
-            Word::Unsaid => self.limit_said(server, None, out),
-            Word::Said(rate) => self.limit_said(server, Some(rate), out),
+            Word::Unsaid => self.report_limit(server, None, out),
+            Word::Said(rate) => self.report_limit(server, Some(rate), out),
             Word::Unreadable => {}
         }
     }
@@ -197,10 +197,7 @@
 
     /// All that servers of a service have said to this VM or others, as messages to a new scheduler of it.
     pub(crate) fn notices_of(&self, service: &Service) -> Vec<Message> {
-        let of = |server: &Server| {
-            let row = self.servers.get(server);
-            row.is_some_and(|row| row.backend.service == *service)
-        };
+        let of = |server: &Server| self.service_of(server).as_ref() == Some(service);
         let rows = self.notices.rows.iter().filter(|(server, _)| of(server));
         let messages = rows.flat_map(|(server, row)| {
             let rest = row.rests.since(self.now);
--- a/crates/gateway/src/request/notice/leaving.rs
+++ b/crates/gateway/src/request/notice/leaving.rs
@@ -16,17 +16,17 @@
 
 impl Gateway {
     /// An answer to this VM says that its server is leaving.
-    pub(super) fn leaving_said(&mut self, server: &Server, out: &mut Effects) {
+    pub(super) fn report_leaving(&mut self, server: &Server, out: &mut Effects) {
         let me = self.settings.vm.clone();
         let start = self.servers.get(server).and_then(|row| row.backend.start);
         let counts = self.counts(server);
-        if self.leaving_told(&me, server, start, out) && counts != me {
+        if self.mark_leaving(&me, server, start, out) && counts != me {
             self.send(&counts, Message::Leaving(server.clone(), start), out);
         }
     }
 
     /// A server is leaving, as an answer of this start of it to a VM says. Says whether that is new.
-    pub(crate) fn leaving_told(
+    pub(crate) fn mark_leaving(
         &mut self,
         by: &Vm,
         server: &Server,
--- a/crates/gateway/src/request/notice/limit.rs
+++ b/crates/gateway/src/request/notice/limit.rs
@@ -11,9 +11,9 @@
 
 impl Gateway {
     /// An answer to this VM names its server's limit, or none.
-    pub(super) fn limit_said(&mut self, server: &Server, limit: Option<Rate>, out: &mut Effects) {
+    pub(super) fn report_limit(&mut self, server: &Server, limit: Option<Rate>, out: &mut Effects) {
         let me = self.settings.vm.clone();
-        self.limit_named(&me, server, limit, out);
+        self.set_limit(&me, server, limit, out);
         let counts = self.counts(server);
         if counts != me {
             self.send(&counts, Message::Limit(server.clone(), limit), out);
@@ -21,7 +21,7 @@
     }
 
     /// A server names a limit or none any more, as an answer to a VM says.
-    pub(crate) fn limit_named(
+    pub(crate) fn set_limit(
         &mut self,
         by: &Vm,
         server: &Server,
@@ -29,11 +29,7 @@
         out: &mut Effects,
     ) {
         let now = self.now;
-        let Some(service) = self
-            .servers
-            .get(server)
-            .map(|row| row.backend.service.clone())
-        else {
+        let Some(service) = self.service_of(server) else {
             return;
         };
         let row = self.notices.rows.entry(server.clone()).or_default();
@@ -66,8 +62,8 @@
 
     /// The VM that counts what a server is sent.
     pub(super) fn counts(&self, server: &Server) -> Vm {
-        let service = self.servers.get(server).map(|row| &row.backend.service);
-        let scheduler = service.and_then(|service| self.scheduler_of(service));
+        let service = self.service_of(server);
+        let scheduler = service.and_then(|service| self.scheduler_of(&service));
         scheduler.unwrap_or_else(|| self.counter(server))
     }
 }
--- a/crates/gateway/src/request/notice/rest.rs
+++ b/crates/gateway/src/request/notice/rest.rs
@@ -12,7 +12,7 @@
 
 impl Gateway {
     /// An answer asks this VM for rest.
-    pub(super) fn rest_said(&mut self, server: &Server, span: Span, out: &mut Effects) {
+    pub(super) fn report_rest(&mut self, server: &Server, span: Span, out: &mut Effects) {
         let until = self.now + span;
         let row = self.notices.rows.entry(server.clone()).or_default();
         row.rests = row.rests.max(until);
@@ -21,28 +21,26 @@
             Code::ServerNotice,
             format!("server={server} rest={span}"),
         );
-        self.tell_rest(server, span, out);
+        self.send_rest(server, span, out);
     }
 
     /// Tells the scheduler of a server that it asked this VM for rest.
-    fn tell_rest(&mut self, server: &Server, span: Span, out: &mut Effects) {
-        let row = self.servers.get(server);
-        let Some(service) = row.map(|row| row.backend.service.clone()) else {
+    fn send_rest(&mut self, server: &Server, span: Span, out: &mut Effects) {
+        let Some(service) = self.service_of(server) else {
             return;
         };
         let me = self.settings.vm.clone();
         match self.scheduler_of(&service) {
-            Some(vm) if vm == me => self.rest_told(&me, server, span),
+            Some(vm) if vm == me => self.hold_places(&me, server, span),
             Some(vm) => self.send(&vm, Message::Rest(server.clone(), span), out),
             None => {}
         }
     }
 
     /// A server has asked a VM for rest.
-    pub(crate) fn rest_told(&mut self, vm: &Vm, server: &Server, span: Span) {
-        let row = self.servers.get(server);
-        let scheduler = row.and_then(|row| self.schedulers.get_mut(&row.backend.service));
-        if let Some(scheduler) = scheduler {
+    pub(crate) fn hold_places(&mut self, vm: &Vm, server: &Server, span: Span) {
+        let service = self.service_of(server);
+        if let Some(scheduler) = service.and_then(|service| self.schedulers.get_mut(&service)) {
             scheduler.rest(self.now, vm, server, span);
         }
     }
@@ -52,7 +50,7 @@
     pub(crate) fn decline_place(&mut self, request: RequestId, server: &Server, out: &mut Effects) {
         let rest = self.notices.rests(server).since(self.now);
         if rest > Span::ZERO {
-            self.tell_rest(server, rest, out);
+            self.send_rest(server, rest, out);
         }
         if let Some(flow) = self.flows.get_mut(&request) {
             flow.failed.push(server.clone());
@@ -62,7 +60,7 @@
     }
 
     /// When callers may come back to a service all of whose servers are closed to this VM until a time. They are told times that differ.
-    pub(crate) fn comes_back(&mut self, opens: Instant) -> Span {
+    pub(crate) fn retry_after(&mut self, opens: Instant) -> Span {
         let wait = opens.since(self.now);
         wait + Span(self.rng.random_range(0..=wait.0 / 4))
     }
--- a/crates/gateway/src/request/quarantine.rs
+++ b/crates/gateway/src/request/quarantine.rs
@@ -149,7 +149,7 @@
     }
 
     /// Another VM tells of strikes. What it does not know of their requests yet it is told in turn.
-    pub(crate) fn struck(&mut self, from: &Vm, strikes: &[Strike], out: &mut Effects) {
+    pub(crate) fn receive_strikes(&mut self, from: &Vm, strikes: &[Strike], out: &mut Effects) {
         let struck = strikes.iter().map(|strike| strike.fingerprint);
         self.tell_refused(from, struck, out);
         self.count_strikes(strikes, out);
--- a/crates/gateway/src/scheduler/host.rs
+++ b/crates/gateway/src/scheduler/host.rs
@@ -97,11 +97,7 @@
 
     /// A server's report came, or it gave none.
     pub(crate) fn reported(&mut self, server: &Server, report: Option<&Report>) {
-        let Some(service) = self
-            .servers
-            .get(server)
-            .map(|row| row.backend.service.clone())
-        else {
+        let Some(service) = self.service_of(server) else {
             return;
         };
         if let Some(scheduler) = self.schedulers.get_mut(&service) {
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -152,7 +152,7 @@
         check(&world, server, Span::from_millis(1_200));
     }
     let held = world.refused_of(&late);
-    let longest = held.iter().max().copied().unwrap_or_default();
+    let longest = world.longest_refused(&late);
     assert_eq!(held.len(), late.len(), "some were not refused");
     assert!(
         longest <= Span::from_millis(300),
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -119,7 +119,7 @@
         "{served} served in 8 s at 4 a second"
     );
     let held = world.refused_of(&asked);
-    let longest = held.iter().max().copied().unwrap_or_default();
+    let longest = world.longest_refused(&asked);
     assert!(
         longest <= Span::from_millis(300),
         "one was held for {longest}"
@@ -153,8 +153,7 @@
     world.check();
     let served = world.served_of(&asked);
     assert!(served >= 60, "{served} served in 8 s at 12 a second");
-    let held = world.refused_of(&asked);
-    let longest = held.iter().max().copied().unwrap_or_default();
+    let longest = world.longest_refused(&asked);
     assert!(
         longest <= Span::from_millis(1_300),
         "one was held for {longest}"
--- a/crates/gateway/tests/rest.rs
+++ b/crates/gateway/tests/rest.rs
@@ -120,7 +120,7 @@
         check(&world, server);
     }
     let held = world.refused_of(&asked);
-    let longest = held.iter().max().copied().unwrap_or_default();
+    let longest = world.longest_refused(&asked);
     assert_eq!(held.len(), asked.len(), "some were not refused");
     assert!(
         longest <= Span::from_millis(1_200),
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -518,6 +518,12 @@
         numbers.iter().filter_map(held).collect()
     }
 
+    /// The longest time that one of these requests was held that was refused.
+    pub fn longest_refused(&self, numbers: &[u64]) -> Span {
+        let held = self.refused_of(numbers);
+        held.into_iter().max().unwrap_or_default()
+    }
+
     /// The caller of a request leaves.
     pub fn leave(&mut self, number: u64) {
         let vm = self.asked[&number].vm;
--- a/crates/gateway/tests/support/world/notice.rs
+++ b/crates/gateway/tests/support/world/notice.rs
@@ -63,6 +63,17 @@
     turned_away: bool,
 }
 
+impl Head {
+    fn new(to: (usize, u64), server: &Server, sent: Instant) -> Self {
+        Self {
+            to,
+            server: server.clone(),
+            sent,
+            turned_away: false,
+        }
+    }
+}
+
 /// What servers say of themselves.
 #[derive(Default)]
 pub struct Notices {
@@ -117,13 +128,7 @@
         server: &Server,
         sent: Instant,
     ) {
-        let head = Head {
-            to,
-            server: server.clone(),
-            sent,
-            turned_away: false,
-        };
-        self.head_later(after, head);
+        self.head_later(after, Head::new(to, server, sent));
     }
 
     /// The same of an answer that turns a request away.
@@ -135,10 +140,8 @@
         sent: Instant,
     ) {
         let head = Head {
-            to,
-            server: server.clone(),
-            sent,
             turned_away: true,
+            ..Head::new(to, server, sent)
         };
         self.head_later(after, head);
     }
