--- a/crates/gateway/src/request/notice/leaving.rs
+++ b/crates/gateway/src/request/notice/leaving.rs
@@ -19,9 +19,9 @@
     pub(super) fn report_leaving(&mut self, server: &Server, out: &mut Effects) {
         let me = self.settings.vm.clone();
         let start = self.servers.get(server).and_then(|row| row.backend.start);
-        let counts = self.counts(server);
-        if self.mark_leaving(&me, server, start, out) && counts != me {
-            self.send(&counts, Message::Leaving(server.clone(), start), out);
+        let counting = self.counting_vm(server);
+        if self.mark_leaving(&me, server, start, out) && counting != me {
+            self.send(&counting, Message::Leaving(server.clone(), start), out);
         }
     }
 
@@ -51,7 +51,7 @@
             Code::ServerNotice,
             format!("server={server} leaving=true by={by}"),
         );
-        if self.counts(server) == self.settings.vm {
+        if self.counting_vm(server) == self.settings.vm {
             self.tell_all(&Message::Leaving(server.clone(), start), out);
         }
         true
--- a/crates/gateway/src/request/notice/limit.rs
+++ b/crates/gateway/src/request/notice/limit.rs
@@ -14,9 +14,9 @@
     pub(super) fn report_limit(&mut self, server: &Server, limit: Option<Rate>, out: &mut Effects) {
         let me = self.settings.vm.clone();
         self.set_limit(&me, server, limit, out);
-        let counts = self.counts(server);
-        if counts != me {
-            self.send(&counts, Message::Limit(server.clone(), limit), out);
+        let counting = self.counting_vm(server);
+        if counting != me {
+            self.send(&counting, Message::Limit(server.clone(), limit), out);
         }
     }
 
@@ -54,16 +54,16 @@
         }
         if limit.is_some() != was.is_some() {
             out.push(Effect::Track(server.clone(), limit.is_some()));
-            if self.counts(server) == self.settings.vm {
+            if self.counting_vm(server) == self.settings.vm {
                 self.tell_all(&Message::Limit(server.clone(), limit), out);
             }
         }
     }
 
     /// The VM that counts what a server is sent.
-    pub(super) fn counts(&self, server: &Server) -> Vm {
+    pub(super) fn counting_vm(&self, server: &Server) -> Vm {
         let service = self.service_of(server);
         let scheduler = service.and_then(|service| self.scheduler_of(&service));
-        scheduler.unwrap_or_else(|| self.counter(server))
+        scheduler.unwrap_or_else(|| self.permit_issuer(server))
     }
 }
--- a/crates/gateway/src/request/notice/permit.rs
+++ b/crates/gateway/src/request/notice/permit.rs
@@ -46,19 +46,19 @@
             version,
             until,
         };
-        let counter = self.counter(server);
-        if counter == self.settings.vm {
+        let issuer = self.permit_issuer(server);
+        if issuer == self.settings.vm {
             let answer = self.permit(server);
             self.permitted(request, server, answer, out);
         } else {
             self.timers.set(until, Timer::Flow(request));
             let message = Message::Permit(request, server.clone());
-            self.send(&counter, message, out);
+            self.send(&issuer, message, out);
         }
     }
 
     /// The VM that counts what a server is sent without a scheduler.
-    pub(crate) fn counter(&self, server: &Server) -> Vm {
+    pub(crate) fn permit_issuer(&self, server: &Server) -> Vm {
         let me = &self.settings.vm;
         let vms = self.peers().chain([me]);
         let first = vms.min_by_key(|vm| Reverse(membership::score(&(*vm, server))));
