Eras, revisions and outdated changes of the key-value service are logged

Change: an answer of the service carries the era that its header Store-Era names, 0 without the header. E316 says that the era changed, with the cursor and the highest known revision; E317 says a list's revision beside the highest known one; E310 the cursor that was compacted; E318 and a counter a change that was dropped as older than the known one. Nothing is decided by any of these.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -122,6 +122,12 @@
     PeerGone = 602 Info "Nothing.";
     /// The key-value service no longer has the history that was asked for; everything is listed anew.
     StoreCompacted = 310 Info "Nothing.";
+    /// The key-value service has come back from a copy and forgot what was written after the copy was made.
+    StoreRestored = 316 Warn "Nothing; entries are written again. Check that the operator's last changes are there.";
+    /// All entries of the key-value service were listed.
+    StoreListed = 317 Info "Nothing.";
+    /// A change was not applied, since a later one of the same entry is known.
+    ChangeOutdated = 318 Info "If it lasts, compare the revisions with those of the key-value service.";
     /// The entry of a backend server lapsed while the key-value service was away.
     EntryLapsed = 311 Info "Nothing; it counts as gone if it does not come back.";
     /// This VM schedules on though its lease may have ended, as all other VMs have given it their lease votes.
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -66,6 +66,10 @@
     AccountTokens "dahliastile_account_tokens_total" "1";
     /// Calls of the key-value service, by kind.
     PlatformCalls "dahliastile_outside_calls_total" "1";
+    /// Copies from which the key-value service came back, as this VM noticed.
+    StoreRestores "dahliastile_store_restores_total" "1";
+    /// Changes of the key-value service's entries that were not applied as a later one is known, by the kind of entry.
+    OutdatedChanges "dahliastile_outdated_changes_total" "1";
     /// Bytes of messages sent to other VMs, by kind and by whether they leave the availability zone (`replicate_zone`, `replicate_beyond`).
     PeerBytes "dahliastile_peer_sent_bytes_total" "bytes";
     /// Messages sent to other VMs, by the same.
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -6,11 +6,13 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::log::Code;
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 
 use crate::cluster::snapshot::{Backend, Change, Delivery, EntryKey, EntryValue, Revision};
 use crate::config::{Config, RouteIndex};
 use crate::effect::{Effect, Effects};
+use crate::metrics;
 use crate::node::Gateway;
 use crate::request::load_balancer::ServerState;
 use crate::request::quarantine::QUARANTINE_DURATION;
@@ -19,6 +21,9 @@
 /// The minimum time between two log lines about unreadable entries.
 const UNREADABLE_LOG_INTERVAL: Span = Span::from_secs(1);
 
+/// The minimum time between two log lines about outdated changes.
+const OUTDATED_LOG_INTERVAL: Span = Span::from_millis(200);
+
 /// State kept beside the snapshot to apply changes.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -31,6 +36,8 @@
     unreadable_since_log: u64,
     /// When the last log line about an unreadable entry was written.
     last_unreadable_log: Instant,
+    /// When the last log line about an outdated change was written.
+    last_outdated_log: Instant,
 }
 
 impl Gateway {
@@ -120,6 +127,7 @@
             }
         }
         if !self.snapshot.apply(change.clone(), delivery) {
+            self.record_outdated(&change, out);
             return;
         }
         match (change.key, change.value) {
@@ -174,6 +182,28 @@
         Self::log(out, Code::EntryUnreadable, detail);
     }
 
+    /// Counts a change that is older than the known one of the same entry, and logs it unless a line of this kind
+    /// was written within [`OUTDATED_LOG_INTERVAL`]. A change that is known already counts as none.
+    fn record_outdated(&mut self, change: &Change, out: &mut Effects) {
+        let known = self.snapshot.get(&change.key);
+        let Some(known) = known.filter(|known| change.revision < known.revision) else {
+            return;
+        };
+        metrics::count_global(out, Figure::OutdatedChanges, change.key.kind());
+        if self.now < self.applied.last_outdated_log + OUTDATED_LOG_INTERVAL {
+            return;
+        }
+        let detail = format!(
+            "subject={:?} revision={} known={} same_value={}",
+            change.key,
+            change.revision,
+            known.revision,
+            change.value == known.value
+        );
+        self.applied.last_outdated_log = self.now;
+        Self::log(out, Code::ChangeOutdated, detail);
+    }
+
     fn apply_config(&mut self, config: Arc<Config>, out: &mut Effects) {
         if config.version <= self.config_version() {
             return;
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -2,7 +2,10 @@
 //! last change.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use dahliastile_core::id::{Incarnation, Server, Service, Vm, Zone};
@@ -17,6 +20,27 @@
 /// The number of a change in the key-value service; higher is later.
 pub type Revision = u64;
 
+/// The number of times that the key-value service has come back from a copy. The service states it in all its
+/// answers; 0 if it doesn't.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Era {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// The decoded key of an entry: what the entry is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum EntryKey {
@@ -98,6 +122,21 @@
     pub incarnation: Incarnation,
 }
 
+impl EntryKey {
+    /// Returns the kind of entry, used as a label of metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Version(..) => "version",
+            Self::Server(_) => "server",
+            Self::Member(_) => "member",
+            Self::Holder(_) => "holder",
+            Self::Quarantine(_) => "quarantine",
+        }
+    }
+}
+
 /// The decoded value of an entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum EntryValue {
@@ -251,6 +290,13 @@
         }
     }
 
+    /// Returns the highest revision of the known changes.
+    #[must_use]
+    pub fn last_revision(&self) -> Revision {
+        let changes = self.entries.values().map(|entry| entry.change.revision);
+        changes.max().unwrap_or_default()
+    }
+
     /// Returns the last change of an entry.
     #[must_use]
     pub fn get(&self, key: &EntryKey) -> Option<&Change> {
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -14,15 +14,17 @@
 
 use dahliastile_core::id::Vm;
 use dahliastile_core::log::Code;
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
 use crate::cluster::exclusion;
 use crate::cluster::membership;
-use crate::cluster::snapshot::{Delivery, Revision};
+use crate::cluster::snapshot::{Delivery, Era, Revision};
 use crate::effect::{Effect, Effects, KvOperation, KvOperationId, Locality};
 use crate::event::KvOutcome;
 use crate::message::Message;
+use crate::metrics;
 use crate::node::Gateway;
 use crate::timer::Timer;
 
@@ -65,6 +67,8 @@
 /// What this VM knows of the key-value service's availability, and how it receives the changes.
 #[derive(Debug, Default)]
 pub(crate) struct State {
+    /// The era that the key-value service's answers name; none before the first answer.
+    pub(crate) era: Option<Era>,
     /// The call in progress.
     pub(crate) op: Option<KvOperationId>,
     /// The revision up to which all changes are known; none before the first list.
@@ -111,6 +115,12 @@
         match outcome {
             KvOutcome::Listed(changes, revision) => {
                 self.record_kv_answer(self.now, out);
+                let known = self.snapshot.last_revision();
+                let detail = format!(
+                    "revision={revision} known={known} entries={}",
+                    changes.len()
+                );
+                Self::log(out, Code::StoreListed, detail);
                 self.apply_list(changes, revision, out);
                 self.watch.cursor = Some(revision);
                 self.continue_watching(out);
@@ -129,14 +139,29 @@
                 self.schedule_call(pause);
             }
             KvOutcome::Compacted => {
-                self.watch.cursor = None;
-                Self::log(out, Code::StoreCompacted, "next=list".to_owned());
+                let cursor = self.watch.cursor.take();
+                let detail = format!("cursor={} next=list", cursor.unwrap_or_default());
+                Self::log(out, Code::StoreCompacted, detail);
                 self.watch.op = Some(self.call_kv(KvOperation::List, out));
             }
             other => self.record_kv_failure(&other, out),
         }
     }
 
+    /// Records the era that an answer of the key-value service names.
+    pub(crate) fn record_era(&mut self, era: Era, out: &mut Effects) {
+        let before = self.watch.era.replace(era);
+        if let Some(before) = before.filter(|before| *before != era) {
+            metrics::count_global(out, Figure::StoreRestores, "answer");
+            let detail = format!(
+                "era={era} before={before} cursor={} known={}",
+                self.watch.cursor.unwrap_or_default(),
+                self.snapshot.last_revision()
+            );
+            Self::log(out, Code::StoreRestored, detail);
+        }
+    }
+
     pub(crate) fn handle_watch_timer(&mut self, out: &mut Effects) {
         self.remove_lapsed_servers(out);
         match self.watch.upstream {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -9,7 +9,7 @@
 
 use crate::account::Tokens;
 use crate::account::key::AccountKey;
-use crate::cluster::snapshot::{Change, ResidentModel, Revision};
+use crate::cluster::snapshot::{Change, Era, ResidentModel, Revision};
 use crate::effect::{KvOperationId, OrderId};
 use crate::message::Message;
 use crate::request::fingerprint::Fingerprint;
@@ -146,6 +146,15 @@
     Silent,
 }
 
+/// How a call of the key-value service ended.
+#[derive(Clone, Debug)]
+pub struct KvAnswer {
+    /// The era that the answer names; none if there was no answer.
+    pub era: Option<Era>,
+    /// The outcome of the call.
+    pub outcome: KvOutcome,
+}
+
 /// The outcome of a call of the key-value service.
 #[derive(Clone, Debug)]
 pub enum KvOutcome {
@@ -211,7 +220,7 @@
     /// The result of a probe of a server.
     Probed(Server, ProbeResult),
     /// A call of the key-value service was answered, or its timeout has passed.
-    KvAnswered(KvOperationId, KvOutcome),
+    KvAnswered(KvOperationId, KvAnswer),
     /// A message of another VM has arrived.
     PeerMessage(Vm, Message),
     /// The connection to the VM at this address could not be made, or failed.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,7 +22,7 @@
 use crate::config::startup_queue;
 use crate::config::{Config, HttpLimits, RouteIndex};
 use crate::effect::{Effect, Effects, KvOperation, KvOperationId, Locality};
-use crate::event::{Event, RequestId};
+use crate::event::{Event, KvAnswer, RequestId};
 use crate::feature::Feature;
 use crate::message::Message;
 use crate::metrics;
@@ -292,7 +292,7 @@
             Event::NoticeReceived(server, notice) => self.handle_notice(&server, notice, out),
             Event::ReportReceived(server, report) => self.handle_report(&server, report.as_ref()),
             Event::Probed(server, result) => self.handle_probe(&server, result, out),
-            Event::KvAnswered(op, outcome) => self.handle_kv_outcome(op, outcome, out),
+            Event::KvAnswered(op, answer) => self.handle_kv_answer(op, answer, out),
             Event::PeerMessage(from, message) => self.handle_message(&from, message, out),
             Event::PeerDown(address, fault) => self.peer_down(address, fault, out),
             Event::SettingsReloaded(tuning) => self.apply_reloaded_settings(tuning, out),
@@ -310,12 +310,11 @@
     }
 
     /// Passes the outcome of a call of the key-value service to the module that started the call.
-    fn handle_kv_outcome(
-        &mut self,
-        op: KvOperationId,
-        outcome: crate::event::KvOutcome,
-        out: &mut Effects,
-    ) {
+    fn handle_kv_answer(&mut self, op: KvOperationId, answer: KvAnswer, out: &mut Effects) {
+        if let Some(era) = answer.era {
+            self.record_era(era, out);
+        }
+        let outcome = answer.outcome;
         if self.watch.op == Some(op) {
             self.handle_watch_outcome(outcome, out);
         } else if self.registration.owns(op) {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::cluster::snapshot::{Change, EntryKey, EntryValue, Revision};
+use dahliastile_gateway::cluster::snapshot::{Change, EntryKey, EntryValue, Era, Revision};
 use dahliastile_gateway::effect::KvOperation;
 use dahliastile_gateway::event::{KvOutcome, Lease};
 
@@ -34,6 +34,8 @@
     pub pending_watches: Vec<PendingWatch>,
     /// Watches after a lower revision than this one fail, as their changes are compacted.
     pub compacted: Revision,
+    /// Number of times that the service has come back from a copy.
+    pub era: Era,
     /// Number of calls that the service handled.
     pub calls: u64,
     /// The VMs that have made a watch call.
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -9,7 +9,7 @@
 use dahliastile_gateway::cluster::snapshot::{Change, EntryValue};
 use dahliastile_gateway::effect::{Attempt, Effect, KvOperation, NextStep, Order};
 use dahliastile_gateway::event::{
-    Event, Execution, FailureCause, KvOutcome, LinkFault, OrderOutcome,
+    Event, Execution, FailureCause, KvAnswer, KvOutcome, LinkFault, OrderOutcome,
 };
 use rand::Rng;
 
@@ -134,7 +134,7 @@
         call: KvOperation,
     ) {
         if self.vms[vm].store_silent {
-            let event = Event::KvAnswered(op, KvOutcome::Unknown);
+            let event = Event::KvAnswered(op, self.kv_answer(KvOutcome::Unknown));
             self.schedule(
                 self.now + KV_CALL_TIMEOUT,
                 Action::Deliver(vm, incarnation, event),
@@ -149,10 +149,8 @@
         };
         if let Some(outcome) = outcome {
             let at = self.now + KV_LATENCY + self.added_kv_delay(vm, &outcome);
-            self.schedule(
-                at,
-                Action::Deliver(vm, incarnation, Event::KvAnswered(op, outcome)),
-            );
+            let event = Event::KvAnswered(op, self.kv_answer(outcome));
+            self.schedule(at, Action::Deliver(vm, incarnation, event));
         }
         self.wake_watchers();
     }
@@ -191,10 +189,17 @@
             let delay = self.added_kv_delay(vm, &outcome);
             (outcome, self.now + KV_LATENCY + delay)
         };
-        self.schedule(
-            at,
-            Action::Deliver(vm, incarnation, Event::KvAnswered(op, outcome)),
-        );
+        let event = Event::KvAnswered(op, self.kv_answer(outcome));
+        self.schedule(at, Action::Deliver(vm, incarnation, event));
+    }
+
+    /// Returns an outcome as the answer that a VM gets. Only an answer of the service names its era.
+    fn kv_answer(&self, outcome: KvOutcome) -> KvAnswer {
+        let era = match outcome {
+            KvOutcome::Unknown | KvOutcome::Refused => None,
+            _ => Some(self.store.era),
+        };
+        KvAnswer { era, outcome }
     }
 
     /// Returns the additional delay of an answer of the key-value service on its way to a VM.
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -6,7 +6,7 @@
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Attempt, KvOperation, Order, RefusalReason};
-use dahliastile_gateway::event::{CallerRequest, FailureCause, KvOutcome, OrderOutcome, Report};
+use dahliastile_gateway::event::{CallerRequest, FailureCause, KvAnswer, OrderOutcome, Report};
 use dahliastile_gateway::request::notice::Notice;
 use dahliastile_gateway::settings::Tuning;
 use http::{Request, Response, request, response};
@@ -79,7 +79,7 @@
     fn reload(&self) -> Result<Tuning, String>;
 
     /// Calls the key-value service.
-    fn store(&self, client: Client, op: KvOperation) -> impl Future<Output = KvOutcome> + 'static;
+    fn store(&self, client: Client, op: KvOperation) -> impl Future<Output = KvAnswer> + 'static;
 
     /// Orders something of a server; with what its answer says of it, where one came.
     fn order(
