--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -19,6 +19,19 @@
     pub ends_at: Instant,
 }
 
+/// A copy of the key-value service's contents, from which it may come back.
+#[derive(Clone)]
+struct Copy {
+    /// When the copy was made.
+    at: Instant,
+    /// The entries at that time.
+    entries: BTreeMap<EntryKey, (Change, Lease)>,
+    /// The leases at that time.
+    leases: BTreeMap<Lease, (Span, Instant)>,
+    /// The revision at that time.
+    revision: Revision,
+}
+
 /// The key-value service: its entries, leases, watches and the history of all changes.
 #[derive(Default)]
 pub struct Store {
@@ -36,6 +49,8 @@
     pub compacted: Revision,
     /// Number of times that the service has come back from a copy.
     pub era: Era,
+    /// The copy from which the service may come back.
+    copy: Option<Copy>,
     /// Number of calls that the service handled.
     pub calls: u64,
     /// The VMs that have made a watch call.
@@ -107,6 +122,38 @@
         }
     }
 
+    /// Makes a copy of the contents, which replaces the last one.
+    pub fn make_copy(&mut self, now: Instant) {
+        self.copy = Some(Copy {
+            at: now,
+            entries: self.entries.clone(),
+            leases: self.leases.clone(),
+            revision: self.revision,
+        });
+    }
+
+    /// Comes back from the last copy: what was written since is forgotten, and its revisions and lease ids are
+    /// given out again. Leases have as long to live as they had when the copy was made.
+    pub fn restore(&mut self, now: Instant) {
+        let copy = self.copy.clone().expect("a copy was made");
+        let age = now.since(copy.at);
+        self.era = Era(self.era.0 + 1);
+        self.entries = copy.entries;
+        self.leases = copy.leases;
+        for (_, end) in self.leases.values_mut() {
+            *end += age;
+        }
+        self.history
+            .retain(|change| change.revision <= copy.revision);
+        self.revision = copy.revision;
+        self.compacted = self.compacted.min(copy.revision);
+    }
+
+    /// Returns the keys of all entries.
+    pub fn keys(&self) -> Vec<EntryKey> {
+        self.entries.keys().cloned().collect()
+    }
+
     /// Extends every lease: leases don't expire while the service is unreachable.
     pub fn extend_leases(&mut self, by: Span) {
         for (_, end) in self.leases.values_mut() {
@@ -133,7 +180,9 @@
                     .collect();
                 Some(KvOutcome::Listed(entries, self.revision))
             }
-            KvOperation::Watch(after, _) if after < self.compacted => Some(KvOutcome::Compacted),
+            KvOperation::Watch(after, _) if after < self.compacted || after > self.revision => {
+                Some(KvOutcome::Compacted)
+            }
             KvOperation::Watch(after, wait) => {
                 self.watched_by.insert(vm);
                 self.pending_watches.push(PendingWatch {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod crash;
 mod notice;
+mod restore;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -173,6 +174,8 @@
     pub store: Store,
     /// Whether the key-value service answers any VM.
     pub store_up: bool,
+    /// The configuration that the operator wrote last.
+    pub operator_config: Option<Arc<Config>>,
     /// Share of orders that get no answer and are executed 2 s to 12 s later.
     pub delayed_order_share: f64,
     /// The newest published version of each adapter.
@@ -291,6 +294,7 @@
             servers: BTreeMap::new(),
             store: Store::default(),
             store_up: true,
+            operator_config: None,
             delayed_order_share: 0.0,
             versions: BTreeMap::new(),
             published_versions: Vec::new(),
@@ -346,9 +350,9 @@
 
     /// Writes a configuration, as the operator does.
     pub fn configure(&mut self, config: Config) {
-        self.store
-            .put(EntryKey::Config, EntryValue::Config(Arc::new(config)), 0);
-        self.wake_watchers();
+        let config = Arc::new(config);
+        self.operator_config = Some(config.clone());
+        self.write_entry(EntryKey::Config, EntryValue::Config(config));
     }
 
     /// Publishes a version of an adapter, as the operator does.
