Revisions of the key-value service are ordered across its eras

Cause: a change was taken only with a higher revision than the known one of its key. The service's count falls back to the copy's, so all changes were dropped until it had passed the old one: E318 in the failing tests says `revision=119 known=202`.

Change: `Revision` holds the era and the number and orders by era first. A list over pages of two eras begins anew; a watch that was asked in one era and answered in the next lists; a late answer of an earlier era counts as none; a VM's cursor of an earlier era brings it all that its upstream knows of the new one. Servers without an entry after a copy are kept for the same grace as after an outage. Order numbers keep apart the schedulers of two eras.

Why it holds: comparing across eras is decided by the type, in one place.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The coordination of the VMs of a deployment: membership, the scheduler's leadership, and the copy of the
 //! key-value service's entries that each VM keeps.
 //!
+//! * [`revision`]: the numbers of the key-value service's changes, and the eras in which it counts them.
 //! * [`snapshot`]: the entries of the key-value service that this VM knows, each with its revision.
 //! * `watch`: how this VM watches the key-value service, directly or through another VM; `relay`: which VMs
 //!   watch directly and which relay to their availability zone; `replication`: the changes that VMs send to
@@ -22,5 +23,6 @@
 pub(crate) mod registration;
 mod relay;
 mod replication;
+pub mod revision;
 pub mod snapshot;
 pub(crate) mod watch;
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -9,7 +9,8 @@
 use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::cluster::snapshot::{Backend, Change, Delivery, EntryKey, EntryValue, Revision};
+use crate::cluster::revision::Revision;
+use crate::cluster::snapshot::{Backend, Change, Delivery, EntryKey, EntryValue};
 use crate::config::{Config, RouteIndex};
 use crate::effect::{Effect, Effects};
 use crate::metrics;
@@ -283,7 +284,7 @@
     Change {
         key,
         revision,
-        created: 0,
+        created: Revision::default(),
         value: None,
     }
 }
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -18,6 +18,7 @@
 
 use crate::cluster::candidacy::{Candidacy, MIN_TENURE};
 use crate::cluster::lease::{LeaseKeeper, Terms};
+use crate::cluster::revision::Revision;
 use crate::cluster::snapshot::{Change, Delivery, EntryKey, EntryValue, Holder, proposed_change};
 use crate::effect::{Effects, KvOperation, KvOperationId};
 use crate::event::KvOutcome;
@@ -274,7 +275,7 @@
         );
         self.stop_scheduler(service, out);
         let known = self.snapshot.get(&EntryKey::Holder(service.clone()));
-        if known.is_some_and(|change| change.revision == fence) {
+        if known.is_some_and(|change| change.revision.fence() == fence) {
             self.resign(service, out);
         }
     }
@@ -298,7 +299,7 @@
             Self::log(
                 out,
                 Code::SeatLeft,
-                format!("service={service} fence={revision}"),
+                format!("service={service} fence={}", revision.fence()),
             );
             self.start_leadership_call(Purpose::Other, KvOperation::Remove(key, revision), out);
         }
@@ -323,7 +324,12 @@
         self.leaderships.calls.insert(id, (purpose, now));
     }
 
-    fn handle_leadership_written(&mut self, service: &Service, revision: u64, out: &mut Effects) {
+    fn handle_leadership_written(
+        &mut self,
+        service: &Service,
+        revision: Revision,
+        out: &mut Effects,
+    ) {
         let mut change = proposed_change(
             EntryKey::Holder(service.clone()),
             EntryValue::Holder(self.as_holder()),
@@ -452,7 +458,7 @@
             .snapshot
             .get(&key)
             .filter(|change| change.value.is_some());
-        let expected = known.map_or(0, |change| change.revision);
+        let expected = known.map_or(Revision::default(), |change| change.revision);
         let member = EntryKey::Member(self.settings.vm.clone());
         let conditions = vec![(key.clone(), expected), (member, entry)];
         let change = proposed_change(key, EntryValue::Holder(self.as_holder()));
--- a/crates/gateway/src/cluster/registration.rs
+++ b/crates/gateway/src/cluster/registration.rs
@@ -11,7 +11,8 @@
 use dahliastile_core::time::{Instant, Span};
 
 use crate::cluster::lease::{LeaseKeeper, Terms};
-use crate::cluster::snapshot::{EntryKey, EntryValue, Revision, proposed_change};
+use crate::cluster::revision::Revision;
+use crate::cluster::snapshot::{EntryKey, EntryValue, proposed_change};
 use crate::effect::{Effects, KvOperation, KvOperationId};
 use crate::event::KvOutcome;
 use crate::node::Gateway;
--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -4,7 +4,8 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
-use crate::cluster::snapshot::{Change, Delivery, Revision};
+use crate::cluster::revision::Revision;
+use crate::cluster::snapshot::{Change, Delivery};
 use crate::cluster::watch::{DIRECT_WATCH_PAUSE, UPSTREAM_TIMEOUT};
 use crate::effect::Effects;
 use crate::message::{Message, Replication};
@@ -34,7 +35,7 @@
         let changes: Vec<Change> = self.snapshot.changes_after(since).cloned().collect();
         let batch = self.new_batch(since, self.watch.cursor.unwrap_or(since), changes);
         self.send(from, Message::Replicate(batch), out);
-        if since == 0 {
+        if since == Revision::default() {
             self.send_quarantines(from, out);
             self.send_notices(from, out);
         }
@@ -53,6 +54,9 @@
         if self.now < stale_at {
             self.record_reported_answer(answered, from, out);
         }
+        if batch.until > Revision::default() {
+            self.record_era(batch.until.era(), out);
+        }
         let since = self.watch.cursor;
         let has_new_values = batch
             .changes
@@ -106,7 +110,7 @@
         revision: Revision,
         out: &mut Effects,
     ) {
-        let since = self.watch.cursor.unwrap_or(0);
+        let since = self.watch.cursor.unwrap_or_default();
         let changes = self.snapshot.relevant_changes(changes, since);
         self.send_to_subscribers(changes, since, revision, out);
     }
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -2,45 +2,19 @@
 //! last change.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::net::SocketAddr;
-use std::num::ParseIntError;
-use std::str::FromStr;
 use std::sync::Arc;
 
 use dahliastile_core::id::{Incarnation, Server, Service, Vm, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::cluster::revision::Revision;
 use crate::config::Config;
 use crate::request::fingerprint::Fingerprint;
 
 /// The version of an adapter or a base model; higher is newer.
 pub type Version = u64;
 
-/// The number of a change in the key-value service; higher is later.
-pub type Revision = u64;
-
-/// The number of times that the key-value service has come back from a copy. The service states it in all its
-/// answers; 0 if it doesn't.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Era(pub u64);
-
-impl fmt::Display for Era {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for Era {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
-
 /// The decoded key of an entry: what the entry is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum EntryKey {
@@ -322,8 +296,8 @@
 pub(crate) fn proposed_change(key: EntryKey, value: EntryValue) -> Change {
     Change {
         key,
-        revision: 0,
-        created: 0,
+        revision: Revision::default(),
+        created: Revision::default(),
         value: Some(value),
     }
 }
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -20,7 +20,8 @@
 
 use crate::cluster::exclusion;
 use crate::cluster::membership;
-use crate::cluster::snapshot::{Delivery, Era, Revision};
+use crate::cluster::revision::{Era, Revision};
+use crate::cluster::snapshot::Delivery;
 use crate::effect::{Effect, Effects, KvOperation, KvOperationId, Locality};
 use crate::event::KvOutcome;
 use crate::message::Message;
@@ -67,10 +68,14 @@
 /// What this VM knows of the key-value service's availability, and how it receives the changes.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// The era that the key-value service's answers name; none before the first answer.
+    /// The latest known era of the key-value service; none before its first answer.
     pub(crate) era: Option<Era>,
+    /// When this VM learnt that the key-value service came back from a copy; none if it has not.
+    pub(crate) era_began_at: Option<Instant>,
     /// The call in progress.
     pub(crate) op: Option<KvOperationId>,
+    /// The era of the revision after which the last watch was asked.
+    asked_era: Option<Era>,
     /// The revision up to which all changes are known; none before the first list.
     pub(crate) cursor: Option<Revision>,
     /// When the key-value service last answered this VM, or another VM that reported it.
@@ -113,11 +118,18 @@
     pub(crate) fn handle_watch_outcome(&mut self, outcome: KvOutcome, out: &mut Effects) {
         self.watch.op = None;
         match outcome {
+            // The key-value service came back from a copy while the watch waited, and has reached the revision
+            // again after which the watch was asked. The changes from the copy up to there are missing.
+            KvOutcome::Watched(_, revision) if self.watch.asked_era != Some(revision.era()) => {
+                self.record_kv_answer(self.now, out);
+                self.continue_watching(out);
+            }
             KvOutcome::Listed(changes, revision) => {
                 self.record_kv_answer(self.now, out);
                 let known = self.snapshot.last_revision();
                 let detail = format!(
-                    "revision={revision} known={known} entries={}",
+                    "revision={revision} era={} known={known} entries={}",
+                    revision.era(),
                     changes.len()
                 );
                 Self::log(out, Code::StoreListed, detail);
@@ -148,18 +160,24 @@
         }
     }
 
-    /// Records the era that an answer of the key-value service names.
+    /// Records an era of the key-value service that an answer of the service or another VM named.
     pub(crate) fn record_era(&mut self, era: Era, out: &mut Effects) {
-        let before = self.watch.era.replace(era);
-        if let Some(before) = before.filter(|before| *before != era) {
-            metrics::count_global(out, Figure::StoreRestores, "answer");
-            let detail = format!(
-                "era={era} before={before} cursor={} known={}",
-                self.watch.cursor.unwrap_or_default(),
-                self.snapshot.last_revision()
-            );
-            Self::log(out, Code::StoreRestored, detail);
+        let Some(before) = self.watch.era else {
+            self.watch.era = Some(era);
+            return;
+        };
+        if era <= before {
+            return;
         }
+        self.watch.era = Some(era);
+        self.watch.era_began_at = Some(self.now);
+        metrics::count_global(out, Figure::StoreRestores, "noticed");
+        let detail = format!(
+            "era={era} before={before} cursor={} known={}",
+            self.watch.cursor.unwrap_or_default(),
+            self.snapshot.last_revision()
+        );
+        Self::log(out, Code::StoreRestored, detail);
     }
 
     pub(crate) fn handle_watch_timer(&mut self, out: &mut Effects) {
@@ -174,11 +192,11 @@
         self.query_peers(out);
     }
 
-    /// Whether entries may be missing only because the key-value service is away, or was away until less than
-    /// `lapse_grace` ago.
+    /// Whether entries may be missing only because the key-value service is away, or because it was away or came
+    /// back from a copy less than `lapse_grace` ago.
     pub(crate) fn is_recovering(&self) -> bool {
         let grace = self.settings.tuning.lapse_grace;
-        let back = self.watch.back_at;
+        let back = self.watch.back_at.max(self.watch.era_began_at);
         self.watch.away_since.is_some() || back.is_some_and(|at| self.now.since(at) < grace)
     }
 
@@ -211,8 +229,11 @@
         }
         let wait = self.settings.tuning.watch;
         let op = match self.watch.cursor {
-            Some(revision) => KvOperation::Watch(revision, wait),
-            None => KvOperation::List,
+            Some(revision) if self.watch.era == Some(revision.era()) => {
+                self.watch.asked_era = self.watch.era;
+                KvOperation::Watch(revision, wait)
+            }
+            _ => KvOperation::List,
         };
         self.watch.op = Some(self.call_kv(op, out));
     }
@@ -298,7 +319,7 @@
             self.watch.next_subscribe = self.now + SUBSCRIBE_INTERVAL;
             self.timers.set(self.watch.next_subscribe, Timer::Watch);
             if let Some(upstream) = self.watch.upstream.clone() {
-                let revision = self.watch.cursor.unwrap_or(0);
+                let revision = self.watch.cursor.unwrap_or_default();
                 self.send(&upstream, Message::Subscribe(self.member(), revision), out);
             }
         }
@@ -346,7 +367,7 @@
         if self.watch.away_since.is_none() || self.now < self.watch.next_subscribe {
             return;
         }
-        let query = Message::Subscribe(self.member(), self.watch.cursor.unwrap_or(0));
+        let query = Message::Subscribe(self.member(), self.watch.cursor.unwrap_or_default());
         let peers: Vec<Vm> = self.peers().cloned().collect();
         if peers.is_empty() {
             self.query_seed(query, out);
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -8,7 +8,8 @@
 use dahliastile_core::metric::Sample;
 use dahliastile_core::time::Span;
 
-use crate::cluster::snapshot::{Change, EntryKey, Revision, Version};
+use crate::cluster::revision::Revision;
+use crate::cluster::snapshot::{Change, EntryKey, Version};
 use crate::event::{Lease, RequestId};
 use crate::message::Message;
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -9,7 +9,8 @@
 
 use crate::account::Tokens;
 use crate::account::key::AccountKey;
-use crate::cluster::snapshot::{Change, Era, ResidentModel, Revision};
+use crate::cluster::revision::{Era, Revision};
+use crate::cluster::snapshot::{Change, ResidentModel};
 use crate::effect::{KvOperationId, OrderId};
 use crate::message::Message;
 use crate::request::fingerprint::Fingerprint;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,7 +10,8 @@
 
 use crate::account::Tokens;
 use crate::account::quota::{TokenGrant, TokenRequest};
-use crate::cluster::snapshot::{Change, Member, Resident, Revision, Version};
+use crate::cluster::revision::Revision;
+use crate::cluster::snapshot::{Change, Member, Resident, Version};
 use crate::event::{Execution, FailureCause, InferenceSpec, RequestId};
 use crate::request::fingerprint::Fingerprint;
 use crate::request::notice::Rate;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,7 +22,7 @@
 use crate::config::startup_queue;
 use crate::config::{Config, HttpLimits, RouteIndex};
 use crate::effect::{Effect, Effects, KvOperation, KvOperationId, Locality};
-use crate::event::{Event, KvAnswer, RequestId};
+use crate::event::{Event, KvAnswer, KvOutcome, RequestId};
 use crate::feature::Feature;
 use crate::message::Message;
 use crate::metrics;
@@ -314,7 +314,12 @@
         if let Some(era) = answer.era {
             self.record_era(era, out);
         }
-        let outcome = answer.outcome;
+        // A late answer of an earlier era tells nothing of what the service holds now.
+        let is_outdated = answer.era.is_some() && answer.era < self.watch.era;
+        let outcome = match answer.outcome {
+            _ if is_outdated => KvOutcome::Unknown,
+            outcome => outcome,
+        };
         if self.watch.op == Some(op) {
             self.handle_watch_outcome(outcome, out);
         } else if self.registration.owns(op) {
--- a/crates/gateway/src/request/quarantine/record.rs
+++ b/crates/gateway/src/request/quarantine/record.rs
@@ -9,7 +9,8 @@
 
 use super::QUARANTINE_DURATION;
 use crate::cluster::lease::backoff;
-use crate::cluster::snapshot::{Delivery, EntryKey, EntryValue, Revision, proposed_change};
+use crate::cluster::revision::Revision;
+use crate::cluster::snapshot::{Delivery, EntryKey, EntryValue, proposed_change};
 use crate::effect::{Effects, KvOperation, KvOperationId};
 use crate::event::{KvOutcome, Lease};
 use crate::node::Gateway;
@@ -182,7 +183,10 @@
             (Goal::Absent(_), Some(revision), _) => (purpose, KvOperation::Remove(key, revision)),
             (Goal::Present, _, Some(lease)) => {
                 let change = proposed_change(key.clone(), EntryValue::Quarantine);
-                (purpose, KvOperation::Put(change, lease, vec![(key, 0)]))
+                (
+                    purpose,
+                    KvOperation::Put(change, lease, vec![(key, Revision::default())]),
+                )
             }
             (Goal::Present, _, None) => {
                 (Purpose::Lease, KvOperation::GrantLease(QUARANTINE_DURATION))
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -97,6 +97,16 @@
     Log(Record),
 }
 
+/// The number of low bits that distinguish the orders of one scheduler.
+const ORDER_BITS: u32 = 24;
+
+/// Returns the number before a scheduler's first order. Fencing tokens that differ in the low 32 bits of the
+/// revision or in the low 8 bits of its era give different numbers.
+const fn order_base(fence: u64) -> OrderId {
+    let era = fence >> 40;
+    (fence << ORDER_BITS) ^ (era << (u64::BITS - 8))
+}
+
 /// The scheduler of one service: its engines, its requests and when it next runs.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -169,7 +179,7 @@
             adapters: AdapterTable::default(),
             // An order's number contains the fencing token. Each later scheduler of the service has a higher
             // token, so no number is used twice.
-            last_order: fence << 24,
+            last_order: order_base(fence),
             pending_logs: Vec::new(),
             changed: true,
             run_interval: RunInterval::default(),
@@ -414,7 +424,7 @@
     /// Returns whether this scheduler sent the order.
     #[must_use]
     pub fn owns(&self, order: OrderId) -> bool {
-        order >> 24 == self.fence
+        order >> ORDER_BITS == order_base(self.fence) >> ORDER_BITS
     }
 
     /// Applies an engine's report; `None` if the engine did not answer.
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -11,7 +11,8 @@
 use dahliastile_core::time::{Instant, Span};
 
 use crate::cluster::candidacy::MIN_TENURE;
-use crate::cluster::snapshot::{EntryKey, EntryValue, Holder, Resident, Revision, Version};
+use crate::cluster::revision::Revision;
+use crate::cluster::snapshot::{EntryKey, EntryValue, Holder, Resident, Version};
 use crate::effect::Effects;
 use crate::event::{LinkFault, RequestId};
 use crate::message::{EngineResidents, Message, PlacementRequest, Progress, Running};
@@ -152,9 +153,10 @@
         &mut self,
         service: &Service,
         holder: &Holder,
-        fence: Revision,
+        revision: Revision,
         out: &mut Effects,
     ) {
+        let fence = revision.fence();
         let client = self.scheduler_clients.entry(service.clone()).or_default();
         if fence < client.fence {
             return;
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -8,6 +8,7 @@
 
 use dahliastile_core::id::{Server, Service, Vm};
 use dahliastile_core::time::Span;
+use dahliastile_gateway::cluster::revision::{Era, Revision};
 use dahliastile_gateway::cluster::snapshot::{Change, EntryKey};
 use dahliastile_gateway::effect::{KvOperation, Locality};
 use dahliastile_gateway::event::{Execution, FailureCause, KvOutcome, OrderOutcome};
@@ -138,6 +139,10 @@
     bytes.iter().flat_map(digits).flatten().collect()
 }
 
+fn revision(number: u64) -> Revision {
+    Revision::new(Era::default(), number)
+}
+
 /// The kinds of the messages that an encoded list holds, and the list encoded again.
 fn reencoded(hex: &str) -> (Vec<&'static str>, String) {
     let messages = decode(&bytes_of(hex)).unwrap_or_else(|| panic!("does not decode: {hex}"));
@@ -293,8 +298,11 @@
 #[test]
 fn kvoutcome_printedasbefore() {
     check_printed(&[
-        (KvOutcome::Listed(Vec::new(), 8), "Listed([], 8)"),
-        (KvOutcome::Watched(Vec::new(), 9), "Watched([], 9)"),
+        (KvOutcome::Listed(Vec::new(), revision(8)), "Listed([], 8)"),
+        (
+            KvOutcome::Watched(Vec::new(), revision(9)),
+            "Watched([], 9)",
+        ),
         (KvOutcome::Compacted, "Compacted"),
         (
             KvOutcome::Granted(4, Span(5_000_000)),
@@ -304,7 +312,7 @@
             KvOutcome::Renewed(Span(5_000_000)),
             "Renewed(Span(5000000))",
         ),
-        (KvOutcome::Written(10), "Written(10)"),
+        (KvOutcome::Written(revision(10)), "Written(10)"),
         (KvOutcome::Conflict(Vec::new()), "Conflict([])"),
         (KvOutcome::NoLease, "NoLease"),
         (KvOutcome::Refused, "Refused"),
@@ -339,18 +347,18 @@
 fn labels_asbefore() {
     let change = Change {
         key: EntryKey::Config,
-        revision: 0,
-        created: 0,
+        revision: Revision::default(),
+        created: Revision::default(),
         value: None,
     };
     for (op, name) in [
         (KvOperation::List, "list"),
-        (KvOperation::Watch(1, Span(2)), "watch"),
+        (KvOperation::Watch(revision(1), Span(2)), "watch"),
         (KvOperation::GrantLease(Span(1)), "lease_grant"),
         (KvOperation::RenewLease(1), "lease_renew"),
         (KvOperation::RevokeLease(1), "lease_end"),
         (KvOperation::Put(change, 1, Vec::new()), "put"),
-        (KvOperation::Remove(EntryKey::Config, 1), "remove"),
+        (KvOperation::Remove(EntryKey::Config, revision(1)), "remove"),
     ] {
         assert_eq!(op.name(), name);
     }
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -10,10 +10,15 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
+use dahliastile_gateway::cluster::revision::{Era, Revision};
 use dahliastile_gateway::cluster::snapshot::{Change, Delivery, EntryKey, EntryValue, Snapshot};
 use support::World;
 use support::setup::{config, name};
 
+fn revision(number: u64) -> Revision {
+    Revision::new(Era::default(), number)
+}
+
 /// Runs for `span` while servers rewrite their entries every 50 ms.
 fn run_with_rewrites(world: &mut World, span: Span) {
     let step = Span::from_millis(50);
@@ -264,42 +269,42 @@
     let (key, value) = (EntryKey::Config, EntryValue::Config(Arc::new(config(9))));
     let config = Change {
         key,
-        revision: 5,
-        created: 5,
+        revision: revision(5),
+        created: revision(5),
         value: Some(value),
     };
     let mut snapshot = Snapshot::default();
-    assert!(snapshot.is_relevant(&config, 4));
+    assert!(snapshot.is_relevant(&config, revision(4)));
     assert!(snapshot.apply(config.clone(), Delivery::LatestOnly));
     assert!(
-        snapshot.is_relevant(&config, 4),
+        snapshot.is_relevant(&config, revision(4)),
         "the subscribers know all changes up to 4"
     );
     assert!(
-        !snapshot.is_relevant(&config, 5),
+        !snapshot.is_relevant(&config, revision(5)),
         "the subscribers know it already"
     );
-    let entry = |revision: u64, ready: bool| {
+    let entry = |number: u64, ready: bool| {
         let mut backend = (*world.servers[&name::<Server>("e0")].1).clone();
         backend.ready = ready;
         Change {
             key: EntryKey::Server(name("e0")),
-            revision,
-            created: 1,
+            revision: revision(number),
+            created: revision(1),
             value: Some(EntryValue::Server(Arc::new(backend))),
         }
     };
     assert!(snapshot.apply(entry(6, true), Delivery::EveryChange));
-    assert!(!snapshot.is_relevant(&entry(7, true), 6));
-    assert!(snapshot.is_relevant(&entry(7, false), 6));
+    assert!(!snapshot.is_relevant(&entry(7, true), revision(6)));
+    assert!(snapshot.is_relevant(&entry(7, false), revision(6)));
     assert!(snapshot.apply(entry(8, true), Delivery::LatestOnly));
     assert_eq!(
-        snapshot.changes_after(6).count(),
+        snapshot.changes_after(revision(6)).count(),
         1,
         "an earlier change of the entry may be missing"
     );
     assert!(snapshot.apply(entry(9, true), Delivery::EveryChange));
-    assert_eq!(snapshot.changes_after(8).count(), 0);
+    assert_eq!(snapshot.changes_after(revision(8)).count(), 0);
 }
 
 /// Returns whether a request to each VM that needs no adapter is served.
@@ -365,10 +370,10 @@
 fn change_ofrevisiononlyisnotsenton() {
     let world = settled_world(1);
     let backend = world.servers[&name::<Server>("e0")].1.clone();
-    let entry = |revision: u64| Change {
+    let entry = |number: u64| Change {
         key: EntryKey::Server(name("e0")),
-        revision,
-        created: 1,
+        revision: revision(number),
+        created: revision(1),
         value: Some(EntryValue::Server(backend.clone())),
     };
     let mut snapshot = Snapshot::default();
@@ -382,7 +387,7 @@
     assert!(snapshot.is_new_value(&gone));
     assert!(
         !snapshot.is_new_value(&Change {
-            revision: 4,
+            revision: revision(4),
             ..gone
         }),
         "the change is older"
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::cluster::snapshot::{Change, EntryKey, EntryValue, Era, Revision};
+use dahliastile_gateway::cluster::revision::{Era, Revision};
+use dahliastile_gateway::cluster::snapshot::{Change, EntryKey, EntryValue};
 use dahliastile_gateway::effect::KvOperation;
 use dahliastile_gateway::event::{KvOutcome, Lease};
 
@@ -13,8 +14,8 @@
     pub vm: usize,
     /// The VM's number of the call.
     pub op: u64,
-    /// Changes after this revision complete the watch.
-    pub after: Revision,
+    /// Changes after this number complete the watch.
+    pub after: u64,
     /// When the watch ends without a change.
     pub ends_at: Instant,
 }
@@ -60,7 +61,7 @@
 impl Store {
     /// Writes an entry without a condition, as the operator or a server does, and returns its revision.
     pub fn put(&mut self, key: EntryKey, value: EntryValue, lease: Lease) -> Revision {
-        self.revision += 1;
+        self.advance();
         let created = self
             .entries
             .get(&key)
@@ -81,11 +82,11 @@
         if self.entries.remove(key).is_none() {
             return;
         }
-        self.revision += 1;
+        self.advance();
         self.history.push(Change {
             key: key.clone(),
             revision: self.revision,
-            created: 0,
+            created: Revision::default(),
             value: None,
         });
     }
@@ -137,16 +138,36 @@
     pub fn restore(&mut self, now: Instant) {
         let copy = self.copy.clone().expect("a copy was made");
         let age = now.since(copy.at);
-        self.era = Era(self.era.0 + 1);
+        self.era = self.era.next();
         self.entries = copy.entries;
         self.leases = copy.leases;
         for (_, end) in self.leases.values_mut() {
             *end += age;
         }
+        let era = self.era;
+        let renumber = |revision: &mut Revision| *revision = Revision::new(era, revision.number());
         self.history
-            .retain(|change| change.revision <= copy.revision);
+            .retain(|change| change.revision.number() <= copy.revision.number());
+        for change in &mut self.history {
+            renumber(&mut change.revision);
+        }
+        for (change, _) in self.entries.values_mut() {
+            renumber(&mut change.revision);
+            renumber(&mut change.created);
+        }
         self.revision = copy.revision;
-        self.compacted = self.compacted.min(copy.revision);
+        renumber(&mut self.revision);
+        self.compacted = Revision::new(era, self.compacted.number().min(copy.revision.number()));
+    }
+
+    /// Raises the revision by one.
+    fn advance(&mut self) {
+        self.revision = Revision::new(self.era, self.revision.number() + 1);
+    }
+
+    /// Whether the service can tell what has changed after a revision. It knows numbers only.
+    fn has_history_after(&self, after: Revision) -> bool {
+        (self.compacted.number()..=self.revision.number()).contains(&after.number())
     }
 
     /// Returns the keys of all entries.
@@ -180,7 +201,7 @@
                     .collect();
                 Some(KvOutcome::Listed(entries, self.revision))
             }
-            KvOperation::Watch(after, _) if after < self.compacted || after > self.revision => {
+            KvOperation::Watch(after, _) if !self.has_history_after(after) => {
                 Some(KvOutcome::Compacted)
             }
             KvOperation::Watch(after, wait) => {
@@ -188,15 +209,16 @@
                 self.pending_watches.push(PendingWatch {
                     vm,
                     op,
-                    after,
+                    after: after.number(),
                     ends_at: now + wait,
                 });
                 None
             }
             KvOperation::GrantLease(ttl) => {
-                self.revision += 1;
-                self.leases.insert(self.revision, (ttl, now + ttl));
-                Some(KvOutcome::Granted(self.revision, ttl))
+                self.advance();
+                let lease = self.revision.number();
+                self.leases.insert(lease, (ttl, now + ttl));
+                Some(KvOutcome::Granted(lease, ttl))
             }
             KvOperation::RenewLease(lease) => Some(match self.leases.get_mut(&lease) {
                 Some((ttl, end)) => {
@@ -213,7 +235,8 @@
                 Some(self.write_if_unchanged(change, lease, &conditions))
             }
             KvOperation::Remove(key, revision) => {
-                let unchanged = self.get(&key).is_some_and(|c| c.revision == revision);
+                let current = self.get(&key).map(|change| change.revision.number());
+                let unchanged = current == Some(revision.number());
                 if !unchanged {
                     return Some(self.conflict(&key));
                 }
@@ -232,7 +255,7 @@
         self.pending_watches.retain(|watch| {
             let changes: Vec<Change> = history
                 .iter()
-                .filter(|c| c.revision > watch.after)
+                .filter(|c| c.revision.number() > watch.after)
                 .cloned()
                 .collect();
             if changes.is_empty() && watch.ends_at > now {
@@ -252,10 +275,10 @@
         lease: Lease,
         conditions: &[(EntryKey, Revision)],
     ) -> KvOutcome {
-        let current_revision = |key: &EntryKey| self.get(key).map_or(0, |c| c.revision);
+        let current = |key: &EntryKey| self.get(key).map_or(0, |c| c.revision.number());
         let mut failed = conditions
             .iter()
-            .filter(|(s, revision)| current_revision(s) != *revision);
+            .filter(|(key, revision)| current(key) != revision.number());
         match (failed.next(), change.value) {
             (Some((key, _)), _) => self.conflict(key),
             _ if !self.leases.contains_key(&lease) => KvOutcome::NoLease,
