What a copy of the key-value service holds replaces nothing that is newer

What callers saw: a server that had said it leaves, or had ended, got requests again as the copy listed it as ready; quarantined requests ran again; a server that the copy lacked and that had ended was removed on 3 of 9 VMs only.

Cause: the first list of an era was applied like any other, though its values are as old as the copy.

Change: the operator's versions only rise, in whatever order they come. In the first list of an era a known server, VM or quarantine, or its end, outlasts what is listed, until its writer writes again; that a server leaves is always taken, and holds for its start. A quarantine whose record is forgotten goes on and is written again. A value that outlasts is marked, so that the next change is sent on even where it brings the same value.

--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -55,19 +55,18 @@
         for change in changes {
             match &change.key {
                 EntryKey::Server(server) if is_recovering && change.value.is_none() => {
-                    // The deletion may arrive late, after the server's entry has returned.
-                    if self.snapshot.is_newer(&change) {
-                        self.start_lapse_grace(server.clone(), out);
-                    }
+                    let server = server.clone();
+                    self.start_lapse_grace(server, change, delivery, out);
                 }
                 _ => self.apply(change, delivery, out),
             }
         }
     }
 
-    /// Applies a complete list. Entries that the list lacks are deleted, with two exceptions: the operator's
-    /// entries (configuration and versions) stay in force, and while the key-value service recovers, a server
-    /// without an entry is kept for a grace period.
+    /// Applies a complete list. Entries that the list lacks are deleted, with three exceptions. The operator's
+    /// entries (configuration and versions) stay in force. While the key-value service recovers, a server without
+    /// an entry is kept for a grace period. A quarantine that the service has forgotten goes on, and its record is
+    /// written again.
     pub(crate) fn apply_list(
         &mut self,
         changes: Vec<Change>,
@@ -76,44 +75,54 @@
     ) {
         let known: Vec<EntryKey> = self.snapshot.existing().map(|c| c.key.clone()).collect();
         let listed: BTreeSet<EntryKey> = changes.iter().map(|c| c.key.clone()).collect();
-        self.apply_changes(changes, Delivery::LatestOnly, false, out);
+        self.apply_changes(changes, Delivery::Listed, false, out);
         for key in known.into_iter().filter(|s| !listed.contains(s)) {
+            let change = self.snapshot.get(&key);
+            let is_forgotten = change.is_some_and(|change| change.revision.era() < revision.era());
             match key {
+                EntryKey::Quarantine(fingerprint) if is_forgotten => {
+                    self.snapshot.mark_unconfirmed(&key);
+                    self.schedule_write(fingerprint, out);
+                }
                 EntryKey::Config | EntryKey::Version(..) => {}
                 EntryKey::Server(server) if self.is_recovering() => {
-                    self.start_lapse_grace(server, out);
+                    let change = deletion(EntryKey::Server(server.clone()), revision);
+                    self.start_lapse_grace(server, change, Delivery::Listed, out);
                 }
-                key => self.apply(deletion(key, revision), Delivery::LatestOnly, out),
+                key => self.apply(deletion(key, revision), Delivery::Listed, out),
             }
         }
     }
 
-    /// Starts the grace period of a server whose entry disappeared while the key-value service was away.
-    fn start_lapse_grace(&mut self, server: Server, out: &mut Effects) {
+    /// Starts the grace period of a server whose entry was deleted while the key-value service was away: the
+    /// deletion is known, and sent on to subscribers, but the server is still used. A deletion that arrives late,
+    /// after the entry has returned, changes nothing.
+    fn start_lapse_grace(
+        &mut self,
+        server: Server,
+        deletion: Change,
+        delivery: Delivery,
+        out: &mut Effects,
+    ) {
+        if !self.snapshot.apply(deletion, delivery) {
+            return;
+        }
         let until = self.now + self.settings.tuning.lapse_grace;
         Self::log(
             out,
             Code::EntryLapsed,
             format!("server={server} until={until}"),
         );
-        self.snapshot.mark_lapsed(&EntryKey::Server(server.clone()));
         self.applied.lapsed_servers.entry(server).or_insert(until);
         self.timers.set(until, Timer::Watch);
     }
 
     /// Removes the servers whose grace period has ended without a return of their entries.
     pub(crate) fn remove_lapsed_servers(&mut self, out: &mut Effects) {
-        let due: Vec<Server> = self
-            .applied
-            .lapsed_servers
-            .iter()
-            .filter(|(_, at)| **at <= self.now)
-            .map(|(s, _)| s.clone())
-            .collect();
-        for server in due {
-            self.applied.lapsed_servers.remove(&server);
-            self.snapshot
-                .mark_deleted(&EntryKey::Server(server.clone()));
+        let now = self.now;
+        let lapsed = &mut self.applied.lapsed_servers;
+        let due: Vec<_> = lapsed.extract_if(.., |_, until| *until <= now).collect();
+        for (server, _) in due {
             self.remove_server(&server, out);
         }
     }
@@ -242,6 +251,11 @@
             Some(_) | None => {}
         }
         if let Some(state) = self.servers.get_mut(server) {
+            let has_left = !state.backend.ready && state.backend.start == backend.start;
+            if has_left && backend.ready {
+                // A server that leaves doesn't return with the same start: the entry is older.
+                return;
+            }
             if state.backend.ready && !backend.ready {
                 Self::log(out, Code::ServerLeaving, format!("server={server}"));
             }
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -183,7 +183,7 @@
                 self.handle_leadership_written(&service, revision, out);
             }
             (Purpose::Leadership(_), KvOutcome::Conflict(changes)) => {
-                self.apply_changes(changes, Delivery::LatestOnly, false, out);
+                self.apply_changes(changes, Delivery::Listed, false, out);
                 // The conflict may be about this VM's own entry, if it was deleted.
                 self.probe_by_registration(out);
             }
@@ -336,7 +336,7 @@
         );
         change.revision = revision;
         change.created = revision;
-        self.apply_changes(vec![change], Delivery::LatestOnly, false, out);
+        self.apply_changes(vec![change], Delivery::Known, false, out);
     }
 
     fn handle_lease_lost(&mut self, out: &mut Effects) {
--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -62,7 +62,7 @@
             .changes
             .iter()
             .any(|change| self.snapshot.is_new_value(change));
-        self.apply_changes(batch.changes, Delivery::LatestOnly, batch.recovering, out);
+        self.apply_changes(batch.changes, Delivery::Known, batch.recovering, out);
         match self.watch.cursor {
             Some(cursor) if cursor >= batch.since && batch.until > cursor => {
                 self.watch.cursor = Some(batch.until);
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -152,9 +152,38 @@
     /// The revision of the last change that is relevant to this VM's subscribers, i.e. that may change the
     /// value that they know.
     last_relevant: Revision,
-    /// Whether the entry has disappeared but its server is kept for a grace period. The entry's return is then
-    /// relevant to subscribers even with an unchanged value.
-    is_lapsed: bool,
+    /// Whether the key-value service held another value, or no entry, when it last told of it: some values outlast
+    /// a copy that lacks them. The next change is then relevant to subscribers even with an unchanged value.
+    is_unconfirmed: bool,
+}
+
+impl KnownEntry {
+    /// Whether the known value stays in force against a later change.
+    ///
+    /// The operator's versions only rise. An entry in the first list of an era may be as old as the copy from which
+    /// the key-value service came back; where its writer is alive, it writes again. That a server leaves is always
+    /// taken.
+    fn outlasts(&self, change: &Change, delivery: Delivery) -> bool {
+        let is_of_later_era = self.change.revision.era() < change.revision.era();
+        match (&self.change.value, &change.value) {
+            (Some(EntryValue::Config(known)), Some(EntryValue::Config(config))) => {
+                config.version < known.version
+            }
+            (Some(EntryValue::Version(known)), Some(EntryValue::Version(version))) => {
+                version < known
+            }
+            (Some(EntryValue::Server(known)), Some(EntryValue::Server(backend)))
+                if known.start == backend.start && !backend.ready =>
+            {
+                false
+            }
+            (_, Some(_)) if delivery == Delivery::Listed && is_of_later_era => matches!(
+                change.key,
+                EntryKey::Server(_) | EntryKey::Member(_) | EntryKey::Quarantine(_)
+            ),
+            _ => false,
+        }
+    }
 }
 
 /// Whether a change comes with all earlier changes of its entry.
@@ -162,9 +191,12 @@
 pub enum Delivery {
     /// Each change of the entry, in order. This VM's own watch delivers changes in this way.
     EveryChange,
-    /// The latest change of the entry; earlier ones may be missing. Lists, conflicts and other VMs deliver
-    /// changes in this way.
-    LatestOnly,
+    /// The latest change of the entry as the key-value service holds it; earlier ones may be missing. Lists and
+    /// conflicts deliver changes in this way.
+    Listed,
+    /// The latest change of the entry as another VM, or this one as its writer, knows it; earlier ones may be
+    /// missing.
+    Known,
 }
 
 /// All known entries, with the revision of the last change of each. Deleted entries are included.
@@ -176,20 +208,25 @@
 
 impl Snapshot {
     /// Applies a change, unless a change of the same key with the same or a higher revision is known. Returns
-    /// whether it was applied.
+    /// whether its value is now the known one: a value may outlast the change.
     pub fn apply(&mut self, change: Change, delivery: Delivery) -> bool {
         match self.entries.get_mut(&change.key) {
             Some(known) if known.change.revision >= change.revision => false,
             Some(known) => {
-                let is_lapsed = std::mem::take(&mut known.is_lapsed);
-                if delivery == Delivery::LatestOnly
-                    || is_lapsed
+                let outlasts = known.outlasts(&change, delivery);
+                let was_unconfirmed = std::mem::replace(&mut known.is_unconfirmed, outlasts);
+                if delivery != Delivery::EveryChange
+                    || was_unconfirmed
                     || known.change.value != change.value
                 {
                     known.last_relevant = change.revision;
                 }
-                known.change = change;
-                true
+                if outlasts {
+                    known.change.revision = change.revision;
+                } else {
+                    known.change = change;
+                }
+                !outlasts
             }
             None => {
                 let last_relevant = change.revision;
@@ -198,7 +235,7 @@
                     KnownEntry {
                         change,
                         last_relevant,
-                        is_lapsed: false,
+                        is_unconfirmed: false,
                     },
                 );
                 true
@@ -206,13 +243,6 @@
         }
     }
 
-    /// Whether a change is newer than the known change of its key.
-    #[must_use]
-    pub fn is_newer(&self, change: &Change) -> bool {
-        let known = self.entries.get(&change.key);
-        known.is_none_or(|known| known.change.revision < change.revision)
-    }
-
     /// Whether a change is newer than the known one of its key and changes the value. Each server rewrites its
     /// entry about once a second with the same value, and those changes need not be sent on.
     #[must_use]
@@ -220,7 +250,7 @@
         let known = self.entries.get(&change.key);
         known.is_none_or(|known| {
             let newer = known.change.revision < change.revision;
-            newer && (known.is_lapsed || known.change.value != change.value)
+            newer && (known.is_unconfirmed || known.change.value != change.value)
         })
     }
 
@@ -230,7 +260,9 @@
     pub fn is_relevant(&self, change: &Change, since: Revision) -> bool {
         let known = self.entries.get(&change.key);
         known.is_none_or(|known| {
-            known.last_relevant > since || known.is_lapsed || known.change.value != change.value
+            known.last_relevant > since
+                || known.is_unconfirmed
+                || known.change.value != change.value
         })
     }
 
@@ -250,17 +282,10 @@
         relevant
     }
 
-    /// Marks an entry as missing while its server is kept for a grace period.
-    pub fn mark_lapsed(&mut self, key: &EntryKey) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.is_lapsed = true;
-        }
-    }
-
-    /// Marks an entry as deleted without a change that says so; any later change restores it.
-    pub fn mark_deleted(&mut self, key: &EntryKey) {
+    /// Marks an entry as missing in the key-value service, while its value is kept.
+    pub fn mark_unconfirmed(&mut self, key: &EntryKey) {
         if let Some(entry) = self.entries.get_mut(key) {
-            entry.change.value = None;
+            entry.is_unconfirmed = true;
         }
     }
 
@@ -271,6 +296,14 @@
         changes.max().unwrap_or_default()
     }
 
+    /// Whether the key-value service held an entry, with the known value, when it last told of it.
+    #[must_use]
+    pub fn is_confirmed(&self, key: &EntryKey) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|entry| entry.change.value.is_some() && !entry.is_unconfirmed)
+    }
+
     /// Returns the last change of an entry.
     #[must_use]
     pub fn get(&self, key: &EntryKey) -> Option<&Change> {
--- a/crates/gateway/src/request/quarantine/record.rs
+++ b/crates/gateway/src/request/quarantine/record.rs
@@ -109,9 +109,10 @@
 }
 
 impl Gateway {
-    /// Schedules the write of a record, for a request that this VM's count has put in quarantine. The VMs
-    /// that count for the request try one after another, until one of them has written it.
-    pub(super) fn schedule_write(&mut self, fingerprint: Fingerprint, out: &mut Effects) {
+    /// Schedules the write of a record, for a request that this VM's count has put in quarantine, or whose record
+    /// the key-value service has forgotten. The VMs that count for the request try one after another, until one of
+    /// them has written it.
+    pub(crate) fn schedule_write(&mut self, fingerprint: Fingerprint, out: &mut Effects) {
         let crash_counting_vms = self.crash_counting_vms(fingerprint);
         let position = crash_counting_vms
             .iter()
@@ -136,8 +137,9 @@
 
     /// Returns the revision of a request's record, if the record exists.
     fn record_revision(&self, fingerprint: Fingerprint) -> Option<Revision> {
-        let change = self.snapshot.get(&EntryKey::Quarantine(fingerprint));
-        let existing = change.filter(|change| change.value.is_some());
+        let key = EntryKey::Quarantine(fingerprint);
+        let change = self.snapshot.get(&key);
+        let existing = change.filter(|_| self.snapshot.is_confirmed(&key));
         existing.map(|change| change.revision)
     }
 
@@ -214,7 +216,7 @@
             }
             (_, KvOutcome::Conflict(changes)) => {
                 records.paused_until = now + MIN_BACKOFF;
-                self.apply_changes(changes, Delivery::LatestOnly, false, out);
+                self.apply_changes(changes, Delivery::Listed, false, out);
             }
             (_, outcome) => {
                 if matches!(outcome, KvOutcome::NoLease) {
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -275,7 +275,7 @@
     };
     let mut snapshot = Snapshot::default();
     assert!(snapshot.is_relevant(&config, revision(4)));
-    assert!(snapshot.apply(config.clone(), Delivery::LatestOnly));
+    assert!(snapshot.apply(config.clone(), Delivery::Known));
     assert!(
         snapshot.is_relevant(&config, revision(4)),
         "the subscribers know all changes up to 4"
@@ -297,7 +297,7 @@
     assert!(snapshot.apply(entry(6, true), Delivery::EveryChange));
     assert!(!snapshot.is_relevant(&entry(7, true), revision(6)));
     assert!(snapshot.is_relevant(&entry(7, false), revision(6)));
-    assert!(snapshot.apply(entry(8, true), Delivery::LatestOnly));
+    assert!(snapshot.apply(entry(8, true), Delivery::Known));
     assert_eq!(
         snapshot.changes_after(revision(6)).count(),
         1,
@@ -378,7 +378,7 @@
     };
     let mut snapshot = Snapshot::default();
     assert!(snapshot.is_new_value(&entry(5)), "the entry is not known");
-    assert!(snapshot.apply(entry(5), Delivery::LatestOnly));
+    assert!(snapshot.apply(entry(5), Delivery::Known));
     assert!(!snapshot.is_new_value(&entry(6)));
     let gone = Change {
         value: None,
@@ -392,6 +392,6 @@
         }),
         "the change is older"
     );
-    snapshot.mark_lapsed(&EntryKey::Server(name("e0")));
+    snapshot.mark_unconfirmed(&EntryKey::Server(name("e0")));
     assert!(snapshot.is_new_value(&entry(8)), "the entry is back");
 }
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -6,10 +6,20 @@
 
 mod support;
 
+use std::sync::Arc;
+
+use dahliastile_core::id::Incarnation;
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::Gateway;
-use support::World;
-use support::setup::config;
+use dahliastile_gateway::cluster::revision::{Era, Revision};
+use dahliastile_gateway::cluster::snapshot::{
+    Backend, Change, Delivery, EntryKey, EntryValue, Snapshot,
+};
+use dahliastile_gateway::effect::RefusalReason;
+use dahliastile_gateway::event::CallerRequest;
+use dahliastile_gateway::request::fingerprint::Fingerprint;
+use support::setup::{PLAIN, adapter_request, address, config, name, zone};
+use support::{Answer, World};
 
 /// The time within which what the key-value service has acknowledged is in force.
 const BOUND: Span = Span::from_secs(2);
@@ -101,3 +111,171 @@
         world.check_invariants();
     }
 }
+
+/// Guards against servers that are used again since the copy has them as ready: `e3` and `p0` said that they leave, or
+/// ended, after the copy was made.
+#[test]
+fn server_thathaslefthasnomore() {
+    for away in AWAY {
+        for has_ended in [false, true] {
+            let mut world = copied_world();
+            for server in ["e3", "p0"] {
+                world.announce_limit(server, None);
+                if has_ended {
+                    world.crash_server(server);
+                    world.remove_server_entry(server);
+                } else {
+                    world.drain(server);
+                }
+            }
+            let left = world.now;
+            world.send_heavy_load(BOUND);
+            world.restore_store(away);
+            world.send_heavy_load(Span::from_millis(1_000));
+            run_with_rewrites(&mut world, Span::from_secs(4));
+            for server in ["e3", "p0"] {
+                let arrivals = world.notices.arrivals.iter();
+                let late = arrivals.filter(|arrival| {
+                    arrival.request
+                        && arrival.server.as_str() == server
+                        && arrival.at > left + BOUND
+                });
+                let late = late.count();
+                assert_eq!(
+                    late, 0,
+                    "away {away:?}, ended {has_ended}: {late} at {server}"
+                );
+            }
+            world.check_invariants();
+        }
+    }
+}
+
+/// Guards against the removal of servers that the copy lacks although they run: `e8` and `p8` exist only since the copy
+/// was made, and write their entries again a second and a half after the return.
+#[test]
+fn server_sincethecopyiskept() {
+    for away in AWAY {
+        let mut world = copied_world();
+        world.add_server("e8", 8, true);
+        world.add_server("p8", 8, false);
+        run_with_rewrites(&mut world, Span::from_secs(2));
+        world.restore_store(away);
+        let back = world.now;
+        world.send_heavy_load(Span::from_millis(1_500));
+        let runs = runs_since(&world, "p8", back);
+        assert_ne!(runs, 0, "away {away:?}");
+        run_with_rewrites(&mut world, Span::from_secs(2));
+        let gone = world.log_lines.iter();
+        assert_eq!(gone.filter(|line| line.contains("ServerGone")).count(), 0);
+        world.check_invariants();
+    }
+}
+
+/// Guards against VMs that never hear that a server which the copy lacks doesn't return: VMs that receive changes from
+/// others went on to send to it.
+#[test]
+fn server_forgottenandgoneisremoved() {
+    for away in AWAY {
+        let mut world = copied_world();
+        world.add_server("p8", 8, false);
+        run_with_rewrites(&mut world, Span::from_secs(2));
+        world.restore_store(away);
+        world.crash_server("p8");
+        run_with_rewrites(&mut world, Span::from_secs(6));
+        let gone = world.log_lines.iter();
+        let gone = gone.filter(|line| line.contains("ServerGone server=p8"));
+        assert_eq!(gone.count(), 9, "away {away:?}");
+        world.check_invariants();
+    }
+}
+
+/// Guards against a quarantine that ends since the key-value service has forgotten its record: it goes on, and the
+/// record is written again, also by VMs that start later.
+#[test]
+fn quarantine_outlastsacopy() {
+    for away in AWAY {
+        let mut world = copied_world();
+        let fingerprint = Fingerprint::of(["/plan/crash".as_bytes()]);
+        world.write_entry(EntryKey::Quarantine(fingerprint), EntryValue::Quarantine);
+        run_with_rewrites(&mut world, Span::from_secs(1));
+        world.restore_store(away);
+        run_with_rewrites(&mut world, Span::from_secs(8));
+        let record = world.store.get(&EntryKey::Quarantine(fingerprint));
+        assert!(record.is_some(), "away {away:?}");
+        let lifted = world.log_lines.iter();
+        assert_eq!(lifted.filter(|line| line.contains("Lifted")).count(), 0);
+        for vm in 0..9 {
+            let crashing = CallerRequest {
+                fingerprint,
+                ..adapter_request(&format!("q{vm}"), "a3")
+            };
+            let number = world.send_request(vm, crashing);
+            let answer = world.answer(number);
+            assert!(
+                matches!(answer, Some(Answer::Refused(RefusalReason::Quarantined, _))),
+                "away {away:?}, vm{vm}: {answer:?}"
+            );
+        }
+        world.check_invariants();
+    }
+}
+
+/// Applies a change of era 0 and then an older value that the first list of era 1 holds, and returns whether the latter
+/// is in force.
+fn is_replaced(key: &EntryKey, known: Option<EntryValue>, listed: EntryValue) -> bool {
+    let change = |era, value| Change {
+        key: key.clone(),
+        revision: Revision::new(Era::new(era).expect("an era"), 40),
+        created: Revision::default(),
+        value,
+    };
+    let mut snapshot = Snapshot::default();
+    assert!(snapshot.apply(change(0, known), Delivery::EveryChange));
+    let is_applied = snapshot.apply(change(1, Some(listed.clone())), Delivery::Listed);
+    let value = snapshot.get(key).and_then(|change| change.value.clone());
+    assert_eq!(is_applied, value == Some(listed));
+    is_applied
+}
+
+/// Guards against values of the copy that replace newer ones.
+#[test]
+fn value_ofthecopyreplacesnonewer() {
+    let config = |version| EntryValue::Config(Arc::new(config(version)));
+    let server = |ready, start| {
+        EntryValue::Server(Arc::new(Backend {
+            service: name(PLAIN),
+            address: address(3, 0),
+            zone: zone(0),
+            slots: 6,
+            ready,
+            base_models: Vec::new(),
+            start: Some(Incarnation(start)),
+        }))
+    };
+    let id = EntryKey::Server(name("p0"));
+    let version = EntryKey::Version("m".into(), "a".into());
+    for (key, known, listed, replaced) in [
+        (&EntryKey::Config, Some(config(3)), config(2), false),
+        (&EntryKey::Config, Some(config(2)), config(3), true),
+        (
+            &version,
+            Some(EntryValue::Version(3)),
+            EntryValue::Version(2),
+            false,
+        ),
+        (
+            &version,
+            Some(EntryValue::Version(2)),
+            EntryValue::Version(3),
+            true,
+        ),
+        (&id, Some(server(false, 1)), server(true, 1), false),
+        (&id, Some(server(true, 1)), server(false, 1), true),
+        (&id, Some(server(true, 2)), server(true, 1), false),
+        (&id, None, server(true, 1), false),
+    ] {
+        let text = format!("{key:?} {known:?} {listed:?}");
+        assert_eq!(is_replaced(key, known, listed), replaced, "{text}");
+    }
+}
