A scheduler outlasts a copy, and leases of an earlier era are void

Found in reading for the same cause: where the copy names an earlier holder or none, the scheduler stopped (vm6 to vm2 in the test) and another VM began with an empty one; where it names a VM that runs, two could schedule. Lease ids are given out again, so that a VM could renew or revoke another VM's lease.

Cause: entries and leases of this system were taken to last as long as their lease lives, and a leadership in a list to be written by its holder.

Change (`cluster/era`): a VM that learns of a new era discards its leases, asks for new ones, spread by the number of VMs, and writes its entry again. A scheduler goes on; its VM writes the leadership again, on condition of what the service holds, and raises the scheduler's fencing token, which is higher as its era is. The other VMs keep to the known holder for the lifetime of a lease, whatever the copy names. A VM that the copy names although it has stopped schedules only by a write of its own. Without fencing tokens a holder trusts only the lease of before the copy until its write is done, and VMs that started since wait for as long.

Without fencing tokens and with an ended VM that is still listed, a scheduler stops in an outage longer than its lease, as before: the ended VM gives no vote (trace of that case).

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -11,10 +11,12 @@
 //! * `leadership`: the right to run a service's scheduler, and the fencing token of its orders; `candidacy`:
 //!   which VM may take a leadership, and when; `lease_vote`: how the holder of a leadership goes on while the
 //!   key-value service answers no VM.
+//! * `era`: what changes when the key-value service comes back from a copy.
 //! * `exclusion`: VMs that are excluded from a role for a while, since they failed in it.
 
 pub(crate) mod apply;
 pub(crate) mod candidacy;
+pub(crate) mod era;
 pub(crate) mod exclusion;
 pub(crate) mod leadership;
 pub(crate) mod lease;
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -75,25 +75,38 @@
     ) {
         let known: Vec<EntryKey> = self.snapshot.existing().map(|c| c.key.clone()).collect();
         let listed: BTreeSet<EntryKey> = changes.iter().map(|c| c.key.clone()).collect();
+        let (holders, changes) = changes.into_iter().partition(|change| {
+            matches!(change.key, EntryKey::Holder(_)) && self.is_of_later_era(change)
+        });
         self.apply_changes(changes, Delivery::Listed, false, out);
+        for change in holders {
+            self.apply_listed_holder(change, out);
+        }
         for key in known.into_iter().filter(|s| !listed.contains(s)) {
-            let change = self.snapshot.get(&key);
-            let is_forgotten = change.is_some_and(|change| change.revision.era() < revision.era());
+            let change = deletion(key.clone(), revision);
             match key {
-                EntryKey::Quarantine(fingerprint) if is_forgotten => {
+                EntryKey::Quarantine(fingerprint) if self.is_of_later_era(&change) => {
                     self.snapshot.mark_unconfirmed(&key);
                     self.schedule_write(fingerprint, out);
                 }
+                EntryKey::Holder(_) if self.is_of_later_era(&change) => {
+                    self.apply_listed_holder(change, out);
+                }
                 EntryKey::Config | EntryKey::Version(..) => {}
                 EntryKey::Server(server) if self.is_recovering() => {
-                    let change = deletion(EntryKey::Server(server.clone()), revision);
                     self.start_lapse_grace(server, change, Delivery::Listed, out);
                 }
-                key => self.apply(deletion(key, revision), Delivery::Listed, out),
+                _ => self.apply(change, Delivery::Listed, out),
             }
         }
     }
 
+    /// Whether the last known change of an entry is of an earlier era than `change`.
+    pub(crate) fn is_of_later_era(&self, change: &Change) -> bool {
+        let known = self.snapshot.get(&change.key);
+        known.is_some_and(|known| known.revision.era() < change.revision.era())
+    }
+
     /// Starts the grace period of a server whose entry was deleted while the key-value service was away: the
     /// deletion is known, and sent on to subscribers, but the server is still used. A deletion that arrives late,
     /// after the entry has returned, changes nothing.
@@ -158,6 +171,10 @@
             (EntryKey::Holder(service), Some(EntryValue::Holder(holder))) => {
                 self.handle_new_holder(&service, &holder, change.revision, out);
             }
+            (EntryKey::Holder(service), None) if self.is_reclaiming(&service) => {
+                let change = deletion(EntryKey::Holder(service.clone()), change.revision);
+                self.record_holder_to_replace(&service, &change, out);
+            }
             (EntryKey::Holder(service), _) => self.handle_holder_gone(&service, out),
             (EntryKey::Quarantine(fingerprint), Some(_)) => {
                 self.put_in_quarantine(fingerprint, QUARANTINE_DURATION, "record", out);
--- a/crates/gateway/src/cluster/candidacy.rs
+++ b/crates/gateway/src/cluster/candidacy.rs
@@ -9,6 +9,7 @@
 
 use crate::cluster::lease_vote::VOTE_DURATION;
 use crate::cluster::membership;
+use crate::cluster::revision::Era;
 use crate::cluster::snapshot::{EntryKey, EntryValue};
 use crate::effect::Effects;
 use crate::node::Gateway;
@@ -55,7 +56,8 @@
     /// It has no holder.
     Free,
     /// Its entry names this VM, but no scheduler runs here: the entry is of an earlier start of this VM, or
-    /// this VM stopped scheduling because its lease could have ended.
+    /// this VM stopped scheduling because its lease could have ended. Or this VM schedules by an entry that the
+    /// key-value service may have forgotten.
     Own,
     /// Other VMs may take it. This VM may do so only later, because it held the leadership recently or because
     /// lease votes still bind it.
@@ -131,7 +133,12 @@
         if fencing {
             return earliest_take;
         }
-        let others = self.registration.granted_at().unwrap_or_default() + vote;
+        // A holder that the key-value service has forgotten trusts its lease for as long as the lease would live.
+        let trust = match self.watch.era {
+            Some(era) if era > Era::default() => vote.max(self.settings.tuning.lease),
+            _ => vote,
+        };
+        let others = self.registration.granted_at().unwrap_or_default() + trust;
         earliest_take
             .max(self.votes.given_until(service))
             .max(others)
@@ -171,6 +178,9 @@
 
     /// Returns the vacancy of a leadership, disregarding the waiting time that applies to this VM alone.
     fn vacancy_for_any(&self, service: &Service) -> Vacancy {
+        if self.is_reclaiming(service) {
+            return Vacancy::Own;
+        }
         let change = self.snapshot.get(&EntryKey::Holder(service.clone()));
         let Some(EntryValue::Holder(holder)) = change.and_then(|change| change.value.as_ref())
         else {
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -74,6 +74,9 @@
     holder_changes: BTreeMap<Service, Instant>,
     /// This VM's last loss of each leadership.
     losses: BTreeMap<Service, Loss>,
+    /// When the call was sent that last renewed the lease by which this VM holds leaderships, if the key-value
+    /// service may have forgotten them; none otherwise.
+    renewed_before_restore: Option<Instant>,
 }
 
 impl State {
@@ -182,8 +185,8 @@
             (Purpose::Leadership(service), KvOutcome::Written(revision)) => {
                 self.handle_leadership_written(&service, revision, out);
             }
-            (Purpose::Leadership(_), KvOutcome::Conflict(changes)) => {
-                self.apply_changes(changes, Delivery::Listed, false, out);
+            (Purpose::Leadership(service), KvOutcome::Conflict(changes)) => {
+                self.apply_conflict(&service, changes, out);
                 // The conflict may be about this VM's own entry, if it was deleted.
                 self.probe_by_registration(out);
             }
@@ -199,6 +202,42 @@
         self.maintain_lease(out);
     }
 
+    /// Applies the entries that made the write of a leadership fail. A scheduler goes on where the key-value service
+    /// holds an entry that may be as old as the copy, and its VM writes again, on condition of that entry.
+    fn apply_conflict(&mut self, service: &Service, changes: Vec<Change>, out: &mut Effects) {
+        let is_reclaiming = self.is_reclaiming(service);
+        for change in changes {
+            if is_reclaiming && change.key == EntryKey::Holder(service.clone()) {
+                self.record_holder_to_replace(service, &change, out);
+            } else {
+                self.apply_changes(vec![change], Delivery::Listed, false, out);
+            }
+        }
+    }
+
+    /// Requests a new lease, since the key-value service came back from a copy, to write the leaderships of the
+    /// schedulers that run on this VM again.
+    pub(crate) fn reclaim_leaderships(&mut self, out: &mut Effects) {
+        let renewed_at = self.leaderships.renewed_at();
+        let (now, rng) = (self.now, &mut self.rng);
+        self.leaderships.lease.invalidate(now, Span::ZERO, rng);
+        if !self.schedulers.is_empty() {
+            let before = &mut self.leaderships.renewed_before_restore;
+            before.get_or_insert(renewed_at);
+            let held = self.schedulers.keys().cloned();
+            self.leaderships.awaiting_lease.extend(held);
+        }
+        self.maintain_lease(out);
+    }
+
+    /// Whether all leaderships of the schedulers that run on this VM are written in the latest era.
+    fn has_reclaimed_all(&self) -> bool {
+        !self
+            .schedulers
+            .keys()
+            .any(|service| self.is_reclaiming(service))
+    }
+
     pub(crate) fn handle_leadership_timer(&mut self, out: &mut Effects) {
         self.check_holder_timeouts(out);
         self.request_votes(out);
@@ -213,7 +252,8 @@
     }
 
     /// Starts the scheduler of a service whose leadership this VM holds, unless it runs already with the
-    /// fencing token `fence` or this VM is stopping.
+    /// fencing token `fence` or this VM is stopping. A scheduler whose leadership this VM has written again after
+    /// the key-value service came back from a copy goes on with the new token.
     pub(crate) fn start_scheduler(&mut self, service: &Service, fence: u64, out: &mut Effects) {
         let Some(service_config) = self.index.service(service.as_str()).cloned() else {
             return;
@@ -231,6 +271,16 @@
             Code::LeaseTaken,
             format!("service={service} fence={fence}"),
         );
+        if self.is_reclaiming(service)
+            && let Some(scheduler) = self.schedulers.get_mut(service)
+        {
+            scheduler.raise_fence(self.now, fence);
+            self.timers.set(self.now, Timer::Scheduler(service.clone()));
+            if self.has_reclaimed_all() {
+                self.leaderships.renewed_before_restore = None;
+            }
+            return;
+        }
         let mut scheduler = Scheduler::new(self.now, &service_config, fence, self.settings.clone());
         for (server, state) in &self.servers {
             if state.backend.service == *service {
@@ -257,6 +307,9 @@
     pub(crate) fn stop_scheduler(&mut self, service: &Service, out: &mut Effects) {
         if self.schedulers.remove(service).is_some() {
             self.leaderships.record_loss(service, self.now);
+            if self.has_reclaimed_all() {
+                self.leaderships.renewed_before_restore = None;
+            }
             Self::log(out, Code::LeaseLost, format!("service={service}"));
         }
     }
@@ -296,15 +349,18 @@
     pub(crate) fn resign(&mut self, service: &Service, out: &mut Effects) {
         let key = EntryKey::Holder(service.clone());
         if let Some(revision) = self.snapshot.get(&key).map(|c| c.revision) {
-            Self::log(
-                out,
-                Code::SeatLeft,
-                format!("service={service} fence={}", revision.fence()),
-            );
-            self.start_leadership_call(Purpose::Other, KvOperation::Remove(key, revision), out);
+            self.resign_at(service, revision, out);
         }
     }
 
+    /// Deletes the entry of a leadership, unless it was written after `revision`.
+    pub(crate) fn resign_at(&mut self, service: &Service, revision: Revision, out: &mut Effects) {
+        let detail = format!("service={service} fence={}", revision.fence());
+        Self::log(out, Code::SeatLeft, detail);
+        let op = KvOperation::Remove(EntryKey::Holder(service.clone()), revision);
+        self.start_leadership_call(Purpose::Other, op, out);
+    }
+
     /// Returns this VM, with its incarnation, as the holder of a leadership.
     pub(crate) fn as_holder(&self) -> Holder {
         Holder {
@@ -340,8 +396,12 @@
     }
 
     fn handle_lease_lost(&mut self, out: &mut Effects) {
+        let had_lease = self.leaderships.has_lease();
         let (now, terms) = (self.now, self.leadership_terms());
         self.leaderships.lease.record_end(now, terms, &mut self.rng);
+        if !had_lease {
+            return;
+        }
         let detail = "of=leaderships next=grant".to_owned();
         Self::log(out, Code::StoreLeaseLost, detail);
         if !self.settings.tuning.fencing {
@@ -376,7 +436,9 @@
     /// Returns until when the lease is certain to live, less the time that an order may be in transit.
     pub(crate) fn lease_safe_until(&self) -> Instant {
         let tuning = &self.settings.tuning;
-        self.leaderships.renewed_at() + (tuning.lease - tuning.lease_guard)
+        let leaderships = &self.leaderships;
+        let renewed_at = leaderships.renewed_before_restore;
+        renewed_at.unwrap_or(leaderships.renewed_at()) + (tuning.lease - tuning.lease_guard)
     }
 
     fn stop_all_schedulers(&mut self, out: &mut Effects) {
@@ -453,12 +515,13 @@
             self.maintain_lease(out);
             return;
         };
-        let key = EntryKey::Holder(service);
+        let key = EntryKey::Holder(service.clone());
         let known = self
             .snapshot
             .get(&key)
             .filter(|change| change.value.is_some());
         let expected = known.map_or(Revision::default(), |change| change.revision);
+        let expected = self.holder_to_replace(&service).unwrap_or(expected);
         let member = EntryKey::Member(self.settings.vm.clone());
         let conditions = vec![(key.clone(), expected), (member, entry)];
         let change = proposed_change(key, EntryValue::Holder(self.as_holder()));
--- a/crates/gateway/src/cluster/lease.rs
+++ b/crates/gateway/src/cluster/lease.rs
@@ -105,8 +105,12 @@
         self.record_success(sent, terms);
     }
 
-    /// Records that a call sent at `sent` renewed the lease.
+    /// Records that a call sent at `sent` renewed the lease. A lease that was invalidated meanwhile stays invalid.
     pub(crate) fn record_renewal(&mut self, sent: Instant, terms: Terms) {
+        if self.id.is_none() {
+            self.is_calling = false;
+            return;
+        }
         self.failures = 0;
         self.record_success(sent, terms);
     }
@@ -120,9 +124,12 @@
 
     /// Records that the key-value service reported the end of the lease. A new lease is requested at once,
     /// unless the service ended the lease soon after granting it: then the pauses grow, as they do after
-    /// failures.
+    /// failures. Changes nothing if the lease was invalidated while the call was in progress.
     pub(crate) fn record_end(&mut self, now: Instant, terms: Terms, rng: &mut impl Rng) {
-        self.id = None;
+        self.is_calling = false;
+        if self.id.take().is_none() {
+            return;
+        }
         let has_lived = now.since(self.granted_at) >= terms.first_retry;
         self.record_failure(now, terms, rng);
         self.is_failing = false;
@@ -147,6 +154,15 @@
         self.next_call = self.next_call.min(soon);
     }
 
+    /// Discards the lease, since the key-value service came back from a copy: it may have forgotten the lease and
+    /// granted its ID to another VM. A new lease is requested within `within`. Returns whether there was a lease.
+    pub(crate) fn invalidate(&mut self, now: Instant, within: Span, rng: &mut impl Rng) -> bool {
+        let had_lease = self.id.take().is_some();
+        self.failures = 0;
+        self.next_call = now + Span(rng.random_range(0..=within.0));
+        had_lease
+    }
+
     /// Discards the lease. At the key-value service the lease expires, unless the caller revokes it.
     pub(crate) fn give_up(&mut self) {
         self.id = None;
--- a/crates/gateway/src/cluster/registration.rs
+++ b/crates/gateway/src/cluster/registration.rs
@@ -29,6 +29,10 @@
 /// all at once.
 const RECOVERY_SPREAD: Span = Span::from_millis(500);
 
+/// The time over which the VMs spread their calls after the key-value service came back from a copy, for each VM:
+/// each makes two writes, and all together use half of the smallest rate limit of 400 writes a second.
+const RESTORE_SPREAD_PER_VM: Span = Span::from_millis(10);
+
 /// The time within which a deleted entry is written again.
 const REWRITE_WITHIN: Span = Span::from_millis(100);
 
@@ -186,6 +190,24 @@
         self.handle_registration_timer(out);
     }
 
+    /// Requests a new lease for the entry, since the key-value service came back from a copy. The VMs spread their
+    /// calls over a time that grows with their number; a scheduler's VM goes first, as it can't write its
+    /// leadership without an entry.
+    pub(crate) fn renew_registration(&mut self, out: &mut Effects) {
+        let within = if self.schedulers.is_empty() {
+            RESTORE_SPREAD_PER_VM.times(self.peers().count() as u64)
+        } else {
+            Span::ZERO
+        };
+        let (now, rng) = (self.now, &mut self.rng);
+        if self.registration.lease.invalidate(now, within, rng) {
+            let detail = "of=entry next=grant why=restored".to_owned();
+            Self::log(out, Code::StoreLeaseLost, detail);
+        }
+        self.registration.written_revision = None;
+        self.handle_registration_timer(out);
+    }
+
     /// Deletes this VM's entry for a graceful stop by ending its lease, so that other VMs need not wait for the
     /// lease to expire.
     pub(crate) fn deregister(&mut self, out: &mut Effects) {
--- a/crates/gateway/src/cluster/revision.rs
+++ b/crates/gateway/src/cluster/revision.rs
@@ -104,6 +104,12 @@
         self.0 & ((1 << NUMBER_BITS) - 1)
     }
 
+    /// Returns the revision whose fencing token this is.
+    #[must_use]
+    pub const fn of_fence(fence: u64) -> Self {
+        Self(fence)
+    }
+
     /// Returns the revision of a leadership's entry as the fencing token of its holder's orders.
     #[must_use]
     pub const fn fence(self) -> u64 {
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -14,7 +14,6 @@
 
 use dahliastile_core::id::Vm;
 use dahliastile_core::log::Code;
-use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
@@ -25,7 +24,6 @@
 use crate::effect::{Effect, Effects, KvOperation, KvOperationId, Locality};
 use crate::event::KvOutcome;
 use crate::message::Message;
-use crate::metrics;
 use crate::node::Gateway;
 use crate::timer::Timer;
 
@@ -160,28 +158,9 @@
         }
     }
 
-    /// Records an era of the key-value service that an answer of the service or another VM named.
-    pub(crate) fn record_era(&mut self, era: Era, out: &mut Effects) {
-        let Some(before) = self.watch.era else {
-            self.watch.era = Some(era);
-            return;
-        };
-        if era <= before {
-            return;
-        }
-        self.watch.era = Some(era);
-        self.watch.era_began_at = Some(self.now);
-        metrics::count_global(out, Figure::StoreRestores, "noticed");
-        let detail = format!(
-            "era={era} before={before} cursor={} known={}",
-            self.watch.cursor.unwrap_or_default(),
-            self.snapshot.last_revision()
-        );
-        Self::log(out, Code::StoreRestored, detail);
-    }
-
     pub(crate) fn handle_watch_timer(&mut self, out: &mut Effects) {
         self.remove_lapsed_servers(out);
+        self.apply_forgotten_holders(out);
         match self.watch.upstream {
             Some(_) => self.maintain_subscription(out),
             None if self.watch.op.is_none() && self.now >= self.watch.next_call => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::account::quota;
 use crate::cluster::apply;
+use crate::cluster::era;
 use crate::cluster::leadership;
 use crate::cluster::lease_vote;
 use crate::cluster::membership::Membership;
@@ -75,6 +76,8 @@
     pub(crate) watch: watch::State,
     /// State kept while changes of entries are applied, such as servers whose entries have lapsed.
     pub(crate) applied: apply::State,
+    /// What the key-value service may have forgotten when it came back from a copy.
+    pub(crate) restored: era::State,
     /// Crash reports, and the quarantine of requests that crash servers.
     pub(crate) quarantine: quarantine::State,
     /// This VM's shares of the quotas of client accounts, and the token pool.
@@ -113,6 +116,7 @@
             votes: lease_vote::State::default(),
             watch: watch::State::default(),
             applied: apply::State::default(),
+            restored: era::State::default(),
             quarantine: quarantine::State::default(),
             quota: quota::State::default(),
             startup_queue: startup_queue::State::default(),
--- a/crates/gateway/src/request/quarantine.rs
+++ b/crates/gateway/src/request/quarantine.rs
@@ -112,6 +112,11 @@
         Some(until.since(now)).filter(|remaining| *remaining > Span::ZERO)
     }
 
+    /// Discards the lease for records, since the key-value service came back from a copy.
+    pub(crate) fn invalidate_lease(&mut self) {
+        self.records.invalidate_lease();
+    }
+
     /// Returns whether a call of the key-value service with this id concerns records.
     pub(crate) fn owns(&self, op: KvOperationId) -> bool {
         self.records.owns(op)
--- a/crates/gateway/src/request/quarantine/record.rs
+++ b/crates/gateway/src/request/quarantine/record.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Discards the lease, since the key-value service came back from a copy and may not know it.
+    pub(crate) fn invalidate_lease(&mut self) {
+        self.lease = None;
+    }
+
     /// Returns the lease to use for a further record, if it has enough time left.
     fn reusable_lease(&self, now: Instant) -> Option<Lease> {
         let lease = self.lease.as_ref();
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -116,6 +116,8 @@
     started_at: Instant,
     /// Fencing token that this scheduler's orders carry.
     fence: u64,
+    /// The number before this scheduler's first order.
+    order_base: OrderId,
     pub(crate) settings: Settings,
     /// The service's engines that the key-value service lists.
     pub(crate) engines: BTreeMap<Server, Engine>,
@@ -179,6 +181,7 @@
             adapters: AdapterTable::default(),
             // An order's number contains the fencing token. Each later scheduler of the service has a higher
             // token, so no number is used twice.
+            order_base: order_base(fence),
             last_order: order_base(fence),
             pending_logs: Vec::new(),
             changed: true,
@@ -199,6 +202,13 @@
         self.fence
     }
 
+    /// Replaces the fencing token by a higher one, since this VM has written its leadership again.
+    pub(crate) fn raise_fence(&mut self, now: Instant, fence: u64) {
+        self.fence = fence;
+        self.heartbeat_due = now;
+        self.changed = true;
+    }
+
     /// Returns when [`Self::run`] is next to be called: soon after a change, otherwise when the next timeout or
     /// periodic message is due.
     #[must_use]
@@ -424,7 +434,7 @@
     /// Returns whether this scheduler sent the order.
     #[must_use]
     pub fn owns(&self, order: OrderId) -> bool {
-        order >> ORDER_BITS == order_base(self.fence) >> ORDER_BITS
+        order >> ORDER_BITS == self.order_base >> ORDER_BITS
     }
 
     /// Applies an engine's report; `None` if the engine did not answer.
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -6,6 +6,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use dahliastile_core::id::Incarnation;
@@ -18,7 +19,8 @@
 use dahliastile_gateway::effect::RefusalReason;
 use dahliastile_gateway::event::CallerRequest;
 use dahliastile_gateway::request::fingerprint::Fingerprint;
-use support::setup::{PLAIN, adapter_request, address, config, name, zone};
+use dahliastile_gateway::settings::Tuning;
+use support::setup::{ENGINES, PLAIN, adapter_request, address, config, name, request, zone};
 use support::{Answer, World};
 
 /// The time within which what the key-value service has acknowledged is in force.
@@ -151,20 +153,26 @@
     }
 }
 
-/// Guards against the removal of servers that the copy lacks although they run: `e8` and `p8` exist only since the copy
+/// Guards against the removal of servers that the copy lacks although they run: `e12` and `p8` exist only since the copy
 /// was made, and write their entries again a second and a half after the return.
 #[test]
 fn server_sincethecopyiskept() {
     for away in AWAY {
         let mut world = copied_world();
-        world.add_server("e8", 8, true);
+        world.add_server("e12", 12, true);
         world.add_server("p8", 8, false);
         run_with_rewrites(&mut world, Span::from_secs(2));
         world.restore_store(away);
         let back = world.now;
-        world.send_heavy_load(Span::from_millis(1_500));
-        let runs = runs_since(&world, "p8", back);
-        assert_ne!(runs, 0, "away {away:?}");
+        let cold = |at: usize| match at % 2 {
+            0 => adapter_request(&format!("s{at}"), &format!("s{at}")),
+            _ => request(&format!("s{at}"), "/query/x", 2_000, None),
+        };
+        world.send_requests(75, Span::from_millis(20), cold);
+        for server in ["e12", "p8"] {
+            let runs = runs_since(&world, server, back);
+            assert_ne!(runs, 0, "away {away:?}: {server}");
+        }
         run_with_rewrites(&mut world, Span::from_secs(2));
         let gone = world.log_lines.iter();
         assert_eq!(gone.filter(|line| line.contains("ServerGone")).count(), 0);
@@ -279,3 +287,137 @@
         assert_eq!(is_replaced(key, known, listed), replaced, "{text}");
     }
 }
+
+/// Asserts that no engine accepted an order of an earlier holder after one of a later holder.
+fn check_fences(world: &World) {
+    for (engine, _) in world.servers.values() {
+        let fences: Vec<u64> = engine
+            .accepted_fences
+            .iter()
+            .map(|(_, fence)| *fence)
+            .collect();
+        assert!(fences.is_sorted(), "{}: {fences:?}", engine.id);
+        assert!(
+            engine.stale_fence.is_none(),
+            "{}: {:?}",
+            engine.id,
+            engine.stale_fence
+        );
+    }
+}
+
+/// Sends requests for adapters that are not resident, each to another VM, and returns how many are served.
+fn cold_requests_served(world: &mut World, prefix: &str) -> (usize, usize) {
+    let cold = |at: usize| adapter_request(&format!("{prefix}{at}"), &format!("{prefix}{at}"));
+    let numbers = world.send_requests(20, Span::from_millis(50), cold);
+    world.run(Span::from_secs(5));
+    (world.count_served(&numbers), numbers.len())
+}
+
+/// When the leadership was taken that is in force when the key-value service comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Taken {
+    /// Before the copy was made.
+    BeforeTheCopy,
+    /// After the copy, from a VM that has ended.
+    FromAnEndedVm,
+    /// After the copy, from a VM that runs on.
+    FromARunningVm,
+    /// After the copy, which has no holder.
+    FromNoVm,
+}
+
+/// Guards against schedulers that stop, or start beside another one, since the key-value service has forgotten the
+/// leadership or names an earlier holder: the scheduler goes on, with a higher fencing token.
+#[test]
+fn scheduler_outlastsacopy() {
+    use Taken::{BeforeTheCopy, FromARunningVm, FromAnEndedVm, FromNoVm};
+    for fencing in [true, false] {
+        for taken in [BeforeTheCopy, FromAnEndedVm, FromARunningVm, FromNoVm] {
+            for away in AWAY {
+                let tuning = Tuning {
+                    fencing,
+                    ..Tuning::default()
+                };
+                let mut world = World::with_tuning(9, 12, 4, tuning);
+                world.run(Span::from_secs(2));
+                world.send_heavy_load(Span::from_secs(2));
+                let first = world.holder().expect("a holder");
+                match taken {
+                    BeforeTheCopy | FromAnEndedVm | FromARunningVm => world.copy_store(),
+                    FromNoVm => {
+                        world.stop(first);
+                        world.run(Span::from_millis(5));
+                        assert_eq!(world.holder(), None);
+                        world.copy_store();
+                    }
+                }
+                match taken {
+                    BeforeTheCopy => {}
+                    FromARunningVm => {
+                        world.remove_entry(&EntryKey::Holder(name(ENGINES)));
+                    }
+                    FromAnEndedVm | FromNoVm => world.kill(first, true),
+                }
+                run_with_rewrites(&mut world, Span::from_secs(6));
+                let before = world.holder().expect("a holder");
+                let text = format!("fencing {fencing}, {taken:?}, away {away:?}, vm{before}");
+                assert_eq!(taken == BeforeTheCopy, before == first, "{text}");
+                world.restore_store(away);
+                let back = world.now;
+                world.rewrite_server_entries();
+                run_with_rewrites(&mut world, Span::from_secs(3));
+                // Without fencing tokens a scheduler outlasts its lease by the votes of all VMs that have an entry,
+                // and an ended VM, whose entry lives for sixteen seconds, gives none.
+                let ended = matches!(taken, FromAnEndedVm | FromNoVm);
+                if fencing || !ended || away < Some(Tuning::default().lease) {
+                    assert_eq!(world.holder(), Some(before), "{text}");
+                    let id = format!(" vm{before} LeaseLost ");
+                    let mut lines = world.log_lines.iter();
+                    assert!(!lines.any(|line| line.contains(&id)), "{text}");
+                }
+                let (served, sent) = cold_requests_served(&mut world, "c");
+                assert_eq!(served, sent, "{text}, since {back}");
+                check_fences(&world);
+                world.check_invariants();
+            }
+        }
+    }
+}
+
+/// Guards against VMs that trust a lease of before the copy, whose ID the key-value service gives to another VM: a VM
+/// renewed, or revoked at its stop, the lease of the other one.
+#[test]
+fn lease_isofonevm() {
+    for away in AWAY {
+        let mut world = World::under_load(9);
+        world.copy_store();
+        for vm in [2, 5, 8] {
+            world.kill(vm, false);
+            world.run(Span::from_millis(700));
+        }
+        run_with_rewrites(&mut world, Span::from_secs(1));
+        world.restore_store(away);
+        // VMs that start now get the lease IDs of those that started after the copy.
+        for vm in [0, 1, 3] {
+            world.kill(vm, false);
+        }
+        run_with_rewrites(&mut world, Span::from_secs(4));
+        let key = |vm: usize| EntryKey::Member(name(&format!("vm{vm}")));
+        let leases: BTreeSet<_> = (0..9)
+            .filter_map(|vm| world.store.lease(&key(vm)))
+            .collect();
+        assert_eq!(leases.len(), 9, "away {away:?}: {leases:?}");
+        for vm in [2, 5, 8] {
+            world.stop(vm);
+            world.run(Span::from_secs(1));
+            world.kill(vm, true);
+        }
+        run_with_rewrites(&mut world, Span::from_secs(3));
+        for vm in 0..9 {
+            let is_listed = world.store.get(&key(vm)).is_some();
+            assert_eq!(is_listed, ![2, 5, 8].contains(&vm), "away {away:?}: vm{vm}");
+        }
+        world.check_invariants();
+    }
+}
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -96,6 +96,11 @@
         self.entries.get(key).map(|(change, _)| change)
     }
 
+    /// Returns the lease that an entry is attached to, or `None` if the entry does not exist.
+    pub fn lease(&self, key: &EntryKey) -> Option<Lease> {
+        self.entries.get(key).map(|(_, lease)| *lease)
+    }
+
     /// Ends the leases that expire at `now` or before and removes their entries.
     pub fn expire(&mut self, now: Instant) {
         let expired: Vec<Lease> = self
@@ -289,6 +294,12 @@
 
     /// Returns the outcome of a failed condition on this key, with the key's entry.
     fn conflict(&self, key: &EntryKey) -> KvOutcome {
-        KvOutcome::Conflict(self.get(key).cloned().into_iter().collect())
+        let missing = Change {
+            key: key.clone(),
+            revision: Revision::new(self.era, 0),
+            created: Revision::default(),
+            value: None,
+        };
+        KvOutcome::Conflict(vec![self.get(key).cloned().unwrap_or(missing)])
     }
 }
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -445,6 +445,12 @@
         self.write_entry(EntryKey::Server(id), value);
     }
 
+    /// Removes an entry.
+    pub fn remove_entry(&mut self, key: &EntryKey) {
+        self.store.remove(key);
+        self.wake_watchers();
+    }
+
     /// Removes a server's entry.
     pub fn remove_server_entry(&mut self, id: &str) {
         self.store.remove(&EntryKey::Server(name(id)));
