Random series bring the key-value service back from a copy

Operator and servers write again within two seconds, in either order. It counts as a fault of the service until they have.

--- a/crates/gateway/tests/support/series.rs
+++ b/crates/gateway/tests/support/series.rs
@@ -2,8 +2,8 @@
 //!
 //! VMs are killed, stopped, frozen, cut off from the network or rejected by the key-value service. The
 //! strongest VMs are hit most often, because they watch the key-value service directly or relay its changes
-//! within their availability zone. At times the key-value service answers no VM, or all VMs are killed at
-//! once.
+//! within their availability zone. At times the key-value service answers no VM, or comes back from a copy that is
+//! some seconds old, or all VMs are killed at once.
 
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::settings::Tuning;
@@ -23,6 +23,11 @@
 /// Number of engines.
 const ENGINES: usize = 16;
 
+/// How old the copy is, at the most, from which the key-value service comes back.
+const COPY_AGE: Span = Span::from_secs(4);
+/// Time between two copies.
+const COPY_INTERVAL: Span = Span::from_millis(500);
+
 /// A fault of a VM, and how it ends.
 struct Fault {
     /// The VM that has the fault.
@@ -47,6 +52,12 @@
     pub last_store_fault: Instant,
     /// When the key-value service answers again.
     store_up_at: Instant,
+    /// Whether the key-value service comes back from a copy when it answers again.
+    is_restoring: bool,
+    /// When operator and servers write again what the key-value service has forgotten.
+    rewrite_at: Instant,
+    /// When the last copy was made.
+    copied_at: Instant,
     /// The faults that have not ended.
     faults: Vec<Fault>,
     /// Probability that the fault of a VM begins in a step.
@@ -76,6 +87,9 @@
             fault_history: vec![(world.now, vec![world.now; VMS])],
             last_store_fault: world.now,
             store_up_at: world.now,
+            is_restoring: false,
+            rewrite_at: Instant::NEVER,
+            copied_at: world.now,
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Vec::new(),
             #[allow(clippy::cast_precision_loss)]
@@ -92,6 +106,7 @@
             self.begin_fault();
         }
         self.update_fleet_faults();
+        self.update_store();
         self.fault_history
             .push((self.world.now, self.last_faults.clone()));
     }
@@ -189,10 +204,47 @@
                 }
                 self.last_faults = vec![now; VMS];
             }
-            _ if now >= self.store_up_at => self.world.store_up = true,
+            2 | 3 if !self.is_restoring => {
+                // In half of the cases the service is never away, and its watches stay pending.
+                if self.rng.random_bool(0.5) {
+                    self.world.store_up = false;
+                    self.world.wake_watchers();
+                    self.store_up_at = now + self.random_span(50..3_000);
+                }
+                self.is_restoring = true;
+            }
             _ => {}
         }
-        if !self.world.store_up {
+    }
+
+    /// Ends an outage of the key-value service, from a copy if the outage was one of that kind. Has operator and
+    /// servers write again, up to two seconds later, what the service has forgotten. Makes copies.
+    fn update_store(&mut self) {
+        let now = self.world.now;
+        if now >= self.store_up_at {
+            self.world.store_up = true;
+            if std::mem::take(&mut self.is_restoring) {
+                self.world.store.restore(now);
+                self.world.wake_watchers();
+                self.rewrite_at = now + self.random_span(0..2_000);
+            }
+        }
+        if self.world.store_up && now >= self.rewrite_at {
+            self.rewrite_at = Instant::NEVER;
+            // They come in any order.
+            if self.rng.random_bool(0.5) {
+                self.world.rewrite_operator_entries();
+                self.world.rewrite_server_entries();
+            } else {
+                self.world.rewrite_server_entries();
+                self.world.rewrite_operator_entries();
+            }
+        }
+        if self.world.store_up && now >= self.copied_at + COPY_INTERVAL {
+            self.copied_at = now;
+            self.world.store.make_copy(now, now.back(COPY_AGE));
+        }
+        if !self.world.store_up || self.rewrite_at < Instant::NEVER {
             self.last_store_fault = now;
         }
     }
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -1,6 +1,6 @@
 //! A fake of the platform's key-value service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::cluster::revision::{Era, Revision};
@@ -50,8 +50,8 @@
     pub compacted: Revision,
     /// Number of times that the service has come back from a copy.
     pub era: Era,
-    /// The copy from which the service may come back.
-    copy: Option<Copy>,
+    /// The copies from which the service may come back, the oldest first.
+    copies: VecDeque<Copy>,
     /// Number of calls that the service handled.
     pub calls: u64,
     /// The VMs that have made a watch call.
@@ -128,9 +128,10 @@
         }
     }
 
-    /// Makes a copy of the contents, which replaces the last one.
-    pub fn make_copy(&mut self, now: Instant) {
-        self.copy = Some(Copy {
+    /// Makes a copy of the contents and drops copies that were made before `since`.
+    pub fn make_copy(&mut self, now: Instant, since: Instant) {
+        self.copies.retain(|copy| copy.at >= since);
+        self.copies.push_back(Copy {
             at: now,
             entries: self.entries.clone(),
             leases: self.leases.clone(),
@@ -138,10 +139,12 @@
         });
     }
 
-    /// Comes back from the last copy: what was written since is forgotten, and its revisions and lease ids are
+    /// Comes back from the oldest copy: what was written since is forgotten, and its revisions and lease ids are
     /// given out again. Leases have as long to live as they had when the copy was made.
     pub fn restore(&mut self, now: Instant) {
-        let copy = self.copy.clone().expect("a copy was made");
+        let copy = self.copies.front().cloned().expect("a copy was made");
+        // Later copies are forgotten as well.
+        self.copies.truncate(1);
         let age = now.since(copy.at);
         self.era = self.era.next();
         self.entries = copy.entries;
--- a/crates/gateway/tests/support/world/restore.rs
+++ b/crates/gateway/tests/support/world/restore.rs
@@ -10,7 +10,7 @@
 impl World {
     /// Makes a copy of the key-value service's contents, from which it may come back.
     pub fn copy_store(&mut self) {
-        self.store.make_copy(self.now);
+        self.store.make_copy(self.now, self.now);
     }
 
     /// Takes the key-value service away for `away` and brings it back from its last copy. Without a time, the
