The stand-in of the store and the soak come back from a copy

The stand-in copies its contents, names its era in all answers, and comes back from its oldest copy; a watch after a revision that it lacks gets 410. The soak has that as a fault among the others, with copies of at most 3 s before, operator and servers writing again within 2 s; a test with processes does it once.

A server that has said it leaves and is listed as ready in a copy stays so until the next change of the new era. That it stays so for its start whatever comes, as the commit before had it, would have kept out a server of the soak that comes back with its start.

The check counts crashes anew where all VMs are killed within three seconds of a return from a copy, and no longer than that.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -164,6 +164,46 @@
     }
 }
 
+/// Guards against changes that are ignored since the key-value service came back from a copy and counts them from a
+/// lower number: a configuration and a server's word that it leaves.
+#[test]
+fn config_afterarestoreisinforce() {
+    let fleet = Fleet::start_ready(3);
+    fleet.store.copy(Duration::from_mins(1));
+    let ready = fleet.plain[0].entry("desk", fleet.plain_address(0), "north", "ready");
+    for version in 2..40 {
+        fleet.store.put("op/config", &config(version));
+        fleet.store.put("servers/p0", &ready);
+    }
+    for vm in &fleet.vms {
+        assert_eq!(vm.ask("a", "/post/x", None).status, 200);
+    }
+    fleet.store.set_down(true);
+    fleet.store.restore();
+    fleet.store.set_down(false);
+    let mut newer = config(40);
+    newer["routes"][2]["prefix"] = "/booking/".into();
+    fleet.store.put("op/config", &newer);
+    let leaving = fleet.plain[0].entry("desk", fleet.plain_address(0), "north", "draining");
+    fleet.store.put("servers/p0", &leaving);
+    for vm in &fleet.vms {
+        until("the new route is there", || {
+            vm.ask("n", "/booking/x", None).status == 200
+        });
+        assert_eq!(vm.ask("o", "/post/x", None).status, 404);
+    }
+    until("requests go to the other server only", || {
+        let before = fleet.plain[0].runs().len();
+        for number in 0..9 {
+            fleet.vms[number % 3].ask(&format!("d{number}"), "/query/x", None);
+        }
+        fleet.plain[0].runs().len() == before
+    });
+    until("cold requests are served", || {
+        fleet.vms[0].ask("k", "/plan/x", Some("base/a7")).status == 200
+    });
+}
+
 #[test]
 fn answer_lostisretriedonlywheresafe() {
     let fleet = Fleet::start_ready(1);
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -268,11 +268,6 @@
             Some(_) | None => {}
         }
         if let Some(state) = self.servers.get_mut(server) {
-            let has_left = !state.backend.ready && state.backend.start == backend.start;
-            if has_left && backend.ready {
-                // A server that leaves doesn't return with the same start: the entry is older.
-                return;
-            }
             if state.backend.ready && !backend.ready {
                 Self::log(out, Code::ServerLeaving, format!("server={server}"));
             }
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -162,7 +162,7 @@
     ///
     /// The operator's versions only rise. An entry in the first list of an era may be as old as the copy from which
     /// the key-value service came back; where its writer is alive, it writes again. That a server leaves is always
-    /// taken.
+    /// taken, and outlasts the first change of an era also where another VM sends it.
     fn outlasts(&self, change: &Change, delivery: Delivery) -> bool {
         let is_of_later_era = self.change.revision.era() < change.revision.era();
         match (&self.change.value, &change.value) {
@@ -173,9 +173,9 @@
                 version < known
             }
             (Some(EntryValue::Server(known)), Some(EntryValue::Server(backend)))
-                if known.start == backend.start && !backend.ready =>
+                if known.start == backend.start && known.ready != backend.ready =>
             {
-                false
+                is_of_later_era && backend.ready
             }
             (_, Some(_)) if delivery == Delivery::Listed && is_of_later_era => matches!(
                 change.key,
--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -203,13 +203,15 @@
 }
 
 /// Outages of the key-value service while VMs freeze, are cut off, are killed and restarted, or reach the
-/// service when the holder doesn't, and while leases expire. In all cases no engine takes alternating orders of
-/// two holders, nor an order with a lower fencing token after one with a higher.
+/// service when the holder doesn't, while leases expire, and while the service comes back from a copy. In all
+/// cases no engine takes alternating orders of two holders, nor an order with a lower fencing token after one with
+/// a higher.
 #[test]
 fn outage_unfencedhasoneholder() {
     for seed in 0..60_u64 {
         let mut world = unfenced_world();
         world.rng = ChaCha8Rng::seed_from_u64(seed);
+        world.copy_store();
         for step in 0..60 {
             let vm = world.rng.random_range(0..world.vms.len());
             match world.rng.random_range(0..24) {
@@ -220,6 +222,8 @@
                 5 => world.vms[vm].store_reachable = !world.vms[vm].store_reachable,
                 6 => world.vms[vm].peers_reachable = !world.vms[vm].peers_reachable,
                 7 => world.vms[vm].store_silent = !world.vms[vm].store_silent,
+                8 => world.copy_store(),
+                9 => world.restore_store(None),
                 _ => {}
             }
             world.wake_watchers();
--- a/crates/gateway/tests/support/series.rs
+++ b/crates/gateway/tests/support/series.rs
@@ -58,6 +58,13 @@
     rewrite_at: Instant,
     /// When the last copy was made.
     copied_at: Instant,
+    /// When all VMs were last killed.
+    all_killed_at: Instant,
+    /// When the key-value service last came back from a copy.
+    restored_at: Instant,
+    /// When all VMs were last killed at about the time at which the key-value service came back from a copy: what
+    /// was written since the copy is then known to nobody. The start of time if that never happened.
+    pub all_forgot_at: Instant,
     /// The faults that have not ended.
     faults: Vec<Fault>,
     /// Probability that the fault of a VM begins in a step.
@@ -82,6 +89,7 @@
             }
         }
         world.run(Span::from_secs(8));
+        world.copy_store();
         Self {
             last_faults: vec![world.now; VMS],
             fault_history: vec![(world.now, vec![world.now; VMS])],
@@ -90,6 +98,9 @@
             is_restoring: false,
             rewrite_at: Instant::NEVER,
             copied_at: world.now,
+            all_killed_at: Instant::default(),
+            restored_at: Instant::default(),
+            all_forgot_at: Instant::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Vec::new(),
             #[allow(clippy::cast_precision_loss)]
@@ -203,6 +214,10 @@
                     self.world.kill(vm, false);
                 }
                 self.last_faults = vec![now; VMS];
+                self.all_killed_at = now;
+                if self.is_restoring || now < self.restored_at + RECOVERY_TIME {
+                    self.all_forgot_at = now;
+                }
             }
             2 | 3 if !self.is_restoring => {
                 // In half of the cases the service is never away, and its watches stay pending.
@@ -226,6 +241,10 @@
             if std::mem::take(&mut self.is_restoring) {
                 self.world.store.restore(now);
                 self.world.wake_watchers();
+                self.restored_at = now;
+                if now < self.all_killed_at + RECOVERY_TIME {
+                    self.all_forgot_at = now;
+                }
                 self.rewrite_at = now + self.random_span(0..2_000);
             }
         }
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -1,6 +1,6 @@
 //! The platform's key-value service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -14,6 +14,17 @@
 /// How often leases are looked at.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// The header of all answers that names the era.
+const ERA: &str = "Store-Era";
+
+/// A copy of the contents, from which the service may come back.
+struct Copy {
+    made: Instant,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    revision: u64,
+}
+
 /// One item.
 #[derive(Clone)]
 struct Item {
@@ -32,6 +43,10 @@
     /// The leases with their lengths and ends.
     leases: BTreeMap<u64, (Duration, Instant)>,
     down: bool,
+    /// How many times the service has come back from a copy.
+    era: u64,
+    /// The copies, the oldest first.
+    copies: VecDeque<Copy>,
 }
 
 /// The service. Clones are the same one.
@@ -77,6 +92,43 @@
         self.shared.1.notify_all();
     }
 
+    /// Makes a copy of the contents and drops copies older than `age`.
+    pub fn copy(&self, age: Duration) {
+        let mut state = self.state();
+        state.copies.retain(|copy| copy.made.elapsed() <= age);
+        let copy = Copy {
+            made: Instant::now(),
+            items: state.items.clone(),
+            leases: state.leases.clone(),
+            revision: state.revision,
+        };
+        state.copies.push_back(copy);
+    }
+
+    /// Comes back from the oldest copy, in a new era: what was written since is forgotten, and its revisions and
+    /// the numbers of its leases are given out again. Leases have as long to live as they had at the copy. Without a
+    /// copy nothing happens.
+    pub fn restore(&self) {
+        let mut state = self.state();
+        let Some(copy) = state.copies.pop_front() else {
+            return;
+        };
+        let age = copy.made.elapsed();
+        state.copies.clear();
+        state.era += 1;
+        state.items = copy.items;
+        state.leases = copy.leases;
+        for (_, end) in state.leases.values_mut() {
+            *end += age;
+        }
+        state.revision = copy.revision;
+        state
+            .history
+            .retain(|(revision, _)| *revision <= copy.revision);
+        drop(state);
+        self.shared.1.notify_all();
+    }
+
     /// The value of an item.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<Value> {
@@ -124,7 +176,7 @@
 
     fn answer(&self, asked: &Asked) -> Reply {
         if self.state().down {
-            return Reply::Whole(503, Vec::new(), Vec::new());
+            return Reply::Whole(503, self.headers(), Vec::new());
         }
         let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
         let (status, value) = match asked.path.as_str() {
@@ -140,8 +192,14 @@
             _ => (404, json!({})),
         };
         self.shared.1.notify_all();
-        let headers = vec![("Content-Type".to_owned(), "application/json".to_owned())];
-        Reply::Whole(status, headers, value.to_string().into_bytes())
+        Reply::Whole(status, self.headers(), value.to_string().into_bytes())
+    }
+
+    fn headers(&self) -> Vec<(String, String)> {
+        vec![
+            ("Content-Type".to_owned(), "application/json".to_owned()),
+            (ERA.to_owned(), self.state().era.to_string()),
+        ]
     }
 
     fn range(&self, asked: &Asked) -> (u16, Value) {
@@ -169,7 +227,7 @@
         let after = field("after").unwrap_or(0);
         let wait = Duration::from_millis(field("waitMs").unwrap_or(0));
         let state = self.state();
-        let waits = |state: &mut State| !state.down && state.revision <= after;
+        let waits = |state: &mut State| !state.down && state.revision == after;
         let (state, _) = self
             .shared
             .1
@@ -178,6 +236,9 @@
         if state.down {
             return (503, json!({}));
         }
+        if after > state.revision {
+            return (410, json!({}));
+        }
         let changed = state
             .history
             .iter()
