Own interface: a key-value service that comes back from a copy, red

The same question at the own interface, which keeps its edits in the service itself: three VMs at edition 6, a copy with edition 3. No VM goes back, and an edit is refused, truthfully as not run: "the key-value service has ed3, but ed6 is in force on this VM". But nothing writes what was forgotten again, so that edits stay refused.

--- a/crates/core/tests/support/kv.rs
+++ b/crates/core/tests/support/kv.rs
@@ -53,6 +53,15 @@
     pair: Option<Pair>,
 }
 
+/// A copy of what the service holds, from which it may come back.
+#[derive(Debug)]
+pub struct Copy {
+    pairs: BTreeMap<String, (Pair, Option<Lease>)>,
+    leases: Vec<Lease>,
+    revision: u64,
+    last_lease: u64,
+}
+
 /// The service.
 #[derive(Debug)]
 pub struct Kv {
@@ -127,6 +136,29 @@
         self.history.clear();
     }
 
+    /// A copy of what the service holds.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            pairs: self.pairs.clone(),
+            leases: self.leases.keys().copied().collect(),
+            revision: self.revision,
+            last_lease: self.last_lease,
+        }
+    }
+
+    /// Comes back from a copy: what was written since is forgotten, and its revisions and lease ids are given out
+    /// again.
+    pub fn restore(&mut self, copy: Copy) {
+        self.leases.retain(|lease, _| copy.leases.contains(lease));
+        let alive = |lease: &Option<Lease>| lease.is_none_or(|l| self.leases.contains_key(&l));
+        self.pairs = copy.pairs;
+        self.pairs.retain(|_, (_, lease)| alive(lease));
+        self.revision = copy.revision;
+        self.last_lease = copy.last_lease;
+        self.history
+            .retain(|change| change.revision <= copy.revision);
+    }
+
     /// Ends every lease, as if each had lapsed.
     pub fn end_leases(&mut self) {
         let leases: Vec<Lease> = self.leases.keys().copied().collect();
@@ -274,7 +306,7 @@
     }
 
     fn watch(&mut self, origin: Origin, op: Op, prefix: String, from: Revision) {
-        if from.0 > 0 && from.0 < self.compacted {
+        if from.0 > 0 && (from.0 < self.compacted || from.0 > self.revision + 1) {
             self.notices.push((origin, op, Notice::Compacted));
             return;
         }
--- a/crates/core/tests/sync_read.rs
+++ b/crates/core/tests/sync_read.rs
@@ -320,3 +320,31 @@
     assert_eq!(accepted(&mut fleet, ticket).0, 2);
     assert_eq!(names(&mut fleet, 0), ["r"]);
 }
+
+/// Guards against edits that are accepted and not in force since the key-value service came back from a copy, and
+/// against VMs that go back to the copy's edition.
+#[test]
+fn restored_editsareinforce() {
+    let mut fleet = fleet(31, 3, 256);
+    edit_up_to(&mut fleet, 0, 3);
+    let copy = fleet.kv.copy();
+    edit_up_to(&mut fleet, 0, 6);
+    fleet.run_for(SEC);
+    fleet.kv_down(false);
+    fleet.run_for(SEC);
+    fleet.kv.restore(copy);
+    fleet.kv_up();
+    fleet.run_for(10 * SEC);
+    for vm in 0..3 {
+        assert!(edition(&mut fleet, vm) >= 6, "vm{vm} went back");
+    }
+    let ticket = give(&mut fleet, 1, edit("after", 6, vec![insert("after")]));
+    let after = accepted(&mut fleet, ticket).0;
+    assert!(after > 6, "edition {after} is accepted after edition 6");
+    fleet.run_for(4 * SEC);
+    for vm in 0..3 {
+        assert_eq!(edition(&mut fleet, vm), after, "vm{vm}");
+        let rules = names(&mut fleet, vm);
+        assert!(rules.contains(&"after".to_owned()), "vm{vm}: {rules:?}");
+    }
+}
