Eras in messages between VMs, fencing tokens and a kept holder in the log

A VM also learns of an era from the cursor of a subscriber. A refusal stays one whatever era it names. Log lines show a fencing token as era and number; E400 says where a scheduler goes on, and E327 that the known holder of a leadership is kept although a copy names another one or none.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -152,6 +152,8 @@
     HolderSilent = 322 Warn "Check that VM; what is resident is served on.";
     /// A backend server has seen a higher fencing number than this VM's.
     Fenced = 323 Warn "Nothing; this VM gave the leadership up.";
+    /// The key-value service came back from a copy, and the known holder of a leadership is kept while it may write it again.
+    HolderKept = 327 Info "Nothing; another VM takes over if it does not.";
     /// A backend server is listed.
     ServerListed = 423 Info "Nothing.";
     /// A backend server is no longer listed.
--- a/crates/gateway/src/cluster/era.rs
+++ b/crates/gateway/src/cluster/era.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Records the era of a revision up to which another VM knows all changes; 0 if it knows none.
+    pub(crate) fn record_era_of(&mut self, revision: Revision, out: &mut Effects) {
+        if revision > Revision::default() {
+            self.record_era(revision.era(), out);
+        }
+    }
+
     /// Whether this VM schedules a service by an entry of an earlier era and is to write the leadership again.
     pub(crate) fn is_reclaiming(&self, service: &Service) -> bool {
         let scheduler = self.schedulers.get(service);
@@ -107,6 +114,12 @@
             }
             Some(known) if known != me => {
                 let until = self.now + self.settings.tuning.lease;
+                let detail = format!(
+                    "service={service} known={} listed={} until={until}",
+                    holder_name(Some(&known)),
+                    holder_name(change.value.as_ref())
+                );
+                Self::log(out, Code::HolderKept, detail);
                 let forgotten = &mut self.restored.forgotten_holders;
                 forgotten.insert(service, (until, change));
                 self.timers.set(until, Timer::Watch);
@@ -143,3 +156,11 @@
         }
     }
 }
+
+/// Returns the VM that the entry of a leadership names, for log lines; a dash for none.
+fn holder_name(value: Option<&EntryValue>) -> &str {
+    match value {
+        Some(EntryValue::Holder(holder)) => holder.vm.as_str(),
+        _ => "-",
+    }
+}
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -269,12 +269,15 @@
         Self::log(
             out,
             Code::LeaseTaken,
-            format!("service={service} fence={fence}"),
+            format!("service={service} fence={}", Revision::of_fence(fence)),
         );
         if self.is_reclaiming(service)
             && let Some(scheduler) = self.schedulers.get_mut(service)
         {
             scheduler.raise_fence(self.now, fence);
+            let fence = Revision::of_fence(fence);
+            let detail = format!("service={service} fence={fence} goes_on=true");
+            Self::log(out, Code::LeaseTaken, detail);
             self.timers.set(self.now, Timer::Scheduler(service.clone()));
             if self.has_reclaimed_all() {
                 self.leaderships.renewed_before_restore = None;
@@ -324,7 +327,7 @@
         Self::log(
             out,
             Code::Fenced,
-            format!("service={service} fence={fence}"),
+            format!("service={service} fence={}", Revision::of_fence(fence)),
         );
         self.stop_scheduler(service, out);
         let known = self.snapshot.get(&EntryKey::Holder(service.clone()));
@@ -355,7 +358,7 @@
 
     /// Deletes the entry of a leadership, unless it was written after `revision`.
     pub(crate) fn resign_at(&mut self, service: &Service, revision: Revision, out: &mut Effects) {
-        let detail = format!("service={service} fence={}", revision.fence());
+        let detail = format!("service={service} fence={revision}");
         Self::log(out, Code::SeatLeft, detail);
         let op = KvOperation::Remove(EntryKey::Holder(service.clone()), revision);
         self.start_leadership_call(Purpose::Other, op, out);
--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -30,6 +30,7 @@
 impl Gateway {
     /// Handles a subscription: `from` wants the changes after the revision `since`.
     pub(crate) fn handle_subscribe(&mut self, from: &Vm, since: Revision, out: &mut Effects) {
+        self.record_era_of(since, out);
         let until = self.now + SUBSCRIPTION_DURATION;
         self.watch.subscribers.insert(from.clone(), until);
         let changes: Vec<Change> = self.snapshot.changes_after(since).cloned().collect();
@@ -54,9 +55,7 @@
         if self.now < stale_at {
             self.record_reported_answer(answered, from, out);
         }
-        if batch.until > Revision::default() {
-            self.record_era(batch.until.era(), out);
-        }
+        self.record_era_of(batch.until, out);
         let since = self.watch.cursor;
         let has_new_values = batch
             .changes
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -321,6 +321,7 @@
         // A late answer of an earlier era tells nothing of what the service holds now.
         let is_outdated = answer.era.is_some() && answer.era < self.watch.era;
         let outcome = match answer.outcome {
+            KvOutcome::Refused => KvOutcome::Refused,
             _ if is_outdated => KvOutcome::Unknown,
             outcome => outcome,
         };
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -175,7 +175,7 @@
         Self::log(
             out,
             Code::HolderNamed,
-            format!("service={service} vm={} fence={fence}", holder.vm),
+            format!("service={service} vm={} fence={revision}", holder.vm),
         );
         if *holder == self.as_holder() {
             self.start_scheduler(service, fence, out);
@@ -194,7 +194,10 @@
         Self::log(
             out,
             Code::HolderGone,
-            format!("service={service} fence={} was={previous:?}", client.fence),
+            format!(
+                "service={service} fence={} was={previous:?}",
+                Revision::of_fence(client.fence)
+            ),
         );
         if previous.as_ref() == Some(&self.settings.vm) {
             self.stop_scheduler(service, out);
@@ -235,7 +238,10 @@
             Self::log(
                 out,
                 Code::HolderNamed,
-                format!("service={service} vm={from} fence={fence} by=peer"),
+                format!(
+                    "service={service} vm={from} fence={} by=peer",
+                    Revision::of_fence(fence)
+                ),
             );
             self.stop_scheduler(service, out);
             self.resync(service, out);
