A VM that starts after a return from a copy is told the newer configuration

Found in reading, for the same cause: a VM that started before the operator had written again had the copy's configuration, version 1 in place of 6 in the test, until then.

Change: after a start in a later era than the first a VM queries random other VMs for 1.8 s; for 30 s after a return a VM sends a new subscriber the operator's entries that it knows; a newer version of these counts whatever its revision is, and is sent on.

Measured: config_isknowntovmsthatstart failed before (vm0 to vm2 at version 1) and passes: three of nine VMs restart, watchers or others, in the four ways in which the service is away, and have version 6 two seconds after their start. The gateway's 28 test files pass.

--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -1,6 +1,6 @@
 //! Replication of the key-value service's changes from VM to VM.
 
-use dahliastile_core::id::Vm;
+use dahliastile_core::id::{Incarnation, Vm};
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
@@ -27,13 +27,32 @@
 /// How long a subscription is valid: time for five messages that renew it.
 const SUBSCRIPTION_DURATION: Span = Span::from_millis(2_000);
 
+/// How long after the key-value service came back from a copy the operator may take to write again what it has
+/// forgotten.
+const OPERATOR_REWRITE: Span = Span::from_secs(30);
+
 impl Gateway {
-    /// Handles a subscription: `from` wants the changes after the revision `since`.
-    pub(crate) fn handle_subscribe(&mut self, from: &Vm, since: Revision, out: &mut Effects) {
+    /// Handles a subscription: the start `incarnation` of `from` wants the changes after the revision `since`. For
+    /// [`OPERATOR_REWRITE`] after the key-value service came back from a copy, a new subscriber is also sent all of
+    /// the operator's entries: the service may have forgotten their versions.
+    pub(crate) fn handle_subscribe(
+        &mut self,
+        from: &Vm,
+        incarnation: Incarnation,
+        since: Revision,
+        out: &mut Effects,
+    ) {
         self.record_era_of(since, out);
         let until = self.now + SUBSCRIPTION_DURATION;
-        self.watch.subscribers.insert(from.clone(), until);
-        let changes: Vec<Change> = self.snapshot.changes_after(since).cloned().collect();
+        let subscribers = &mut self.watch.subscribers;
+        let before = subscribers.insert(from.clone(), (incarnation, until));
+        let is_new =
+            before.is_none_or(|(before, until)| before != incarnation || until <= self.now);
+        let mut changes: Vec<Change> = self.snapshot.changes_after(since).cloned().collect();
+        let restored_at = self.watch.era_began_at;
+        if is_new && restored_at.is_some_and(|at| self.now < at + OPERATOR_REWRITE) {
+            changes.extend(self.snapshot.operator_entries().cloned());
+        }
         let batch = self.new_batch(since, self.watch.cursor.unwrap_or(since), changes);
         self.send(from, Message::Replicate(batch), out);
         if since == Revision::default() {
@@ -57,10 +76,11 @@
         }
         self.record_era_of(batch.until, out);
         let since = self.watch.cursor;
-        let has_new_values = batch
-            .changes
-            .iter()
-            .any(|change| self.snapshot.is_new_value(change));
+        let new_values = batch.changes.iter();
+        let new_values = new_values.filter(|change| self.snapshot.is_new_value(change));
+        // Versions that the sender kept have a revision up to the cursor, and are sent on by themselves.
+        let mut raised: Vec<Change> = new_values.cloned().collect();
+        let has_new_values = !raised.is_empty();
         self.apply_changes(batch.changes, Delivery::Known, batch.recovering, out);
         match self.watch.cursor {
             Some(cursor) if cursor >= batch.since && batch.until > cursor => {
@@ -72,8 +92,12 @@
         // Changes that only raise an entry's revision are not sent on: with 3,000 servers those would circulate
         // forever after a start of all VMs.
         if let (true, Some(since), Some(until)) = (has_new_values, since, self.watch.cursor) {
-            let changes = self.snapshot.changes_after(since).cloned().collect();
-            self.send_to_subscribers(changes, since, until, out);
+            raised.retain(|change| {
+                let known = self.snapshot.get(&change.key);
+                known.is_some_and(|known| known.revision <= since && known.value == change.value)
+            });
+            let changes = self.snapshot.changes_after(since).cloned();
+            self.send_to_subscribers(changes.chain(raised).collect(), since, until, out);
         }
     }
 
@@ -123,7 +147,7 @@
         out: &mut Effects,
     ) {
         let now = self.now;
-        self.watch.subscribers.retain(|_, until| *until > now);
+        self.watch.subscribers.retain(|_, (_, until)| *until > now);
         if changes.is_empty() || self.watch.subscribers.is_empty() {
             return;
         }
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -158,6 +158,20 @@
 }
 
 impl KnownEntry {
+    /// Whether a change that isn't later brings a newer version of the operator's: its sender has kept the version,
+    /// and the key-value service has forgotten it.
+    fn is_raised_by(&self, change: &Change) -> bool {
+        match (&self.change.value, &change.value) {
+            (Some(EntryValue::Config(known)), Some(EntryValue::Config(config))) => {
+                known.version < config.version
+            }
+            (Some(EntryValue::Version(known)), Some(EntryValue::Version(version))) => {
+                known < version
+            }
+            _ => false,
+        }
+    }
+
     /// Whether the known value stays in force against a later change.
     ///
     /// The operator's versions only rise. An entry in the first list of an era may be as old as the copy from which
@@ -211,7 +225,14 @@
     /// whether its value is now the known one: a value may outlast the change.
     pub fn apply(&mut self, change: Change, delivery: Delivery) -> bool {
         match self.entries.get_mut(&change.key) {
-            Some(known) if known.change.revision >= change.revision => false,
+            Some(known) if known.change.revision >= change.revision => {
+                let is_raised = known.is_raised_by(&change);
+                if is_raised {
+                    known.change.value = change.value;
+                    known.is_unconfirmed = true;
+                }
+                is_raised
+            }
             Some(known) => {
                 let outlasts = known.outlasts(&change, delivery);
                 let was_unconfirmed = std::mem::replace(&mut known.is_unconfirmed, outlasts);
@@ -250,7 +271,8 @@
         let known = self.entries.get(&change.key);
         known.is_none_or(|known| {
             let newer = known.change.revision < change.revision;
-            newer && (known.is_unconfirmed || known.change.value != change.value)
+            known.is_raised_by(change)
+                || newer && (known.is_unconfirmed || known.change.value != change.value)
         })
     }
 
@@ -318,6 +340,13 @@
             .map(|entry| &entry.change)
     }
 
+    /// Returns the operator's entries.
+    pub fn operator_entries(&self) -> impl Iterator<Item = &Change> {
+        let of_operator =
+            |change: &&Change| matches!(change.key, EntryKey::Config | EntryKey::Version(..));
+        self.existing().filter(of_operator)
+    }
+
     /// Returns the last changes of the entries that exist.
     pub fn existing(&self) -> impl Iterator<Item = &Change> {
         let changes = self.entries.values().map(|entry| &entry.change);
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use dahliastile_core::id::Vm;
+use dahliastile_core::id::{Incarnation, Vm};
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
@@ -63,6 +63,10 @@
 /// How long the key-value service may be away before peers are queried: time for two calls.
 const PEER_QUERY_DELAY: Span = Span::from_millis(400);
 
+/// How long a VM that starts queries peers for what the key-value service has forgotten: as some of them may have
+/// started too, six of them.
+const QUERY_DURATION: Span = Span::from_millis(1_800);
+
 /// What this VM knows of the key-value service's availability, and how it receives the changes.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -76,6 +80,8 @@
     asked_era: Option<Era>,
     /// The revision up to which all changes are known; none before the first list.
     pub(crate) cursor: Option<Revision>,
+    /// When this VM last listed the entries; none before its first list.
+    listed_at: Option<Instant>,
     /// When the key-value service last answered this VM, or another VM that reported it.
     pub(crate) answered_at: Instant,
     /// Since when the key-value service has not answered; none while it answers.
@@ -101,10 +107,13 @@
     pub(crate) excluded: exclusion::Exclusions,
     /// Until when this VM watches directly whatever its role.
     pub(crate) direct_until: Instant,
+    /// Until when peers are queried though the key-value service answers.
+    query_until: Instant,
     /// When to send the next subscription message to the upstream or to a peer.
     pub(crate) next_subscribe: Instant,
-    /// The VMs that receive changes from this one, each with the time at which its subscription ends.
-    pub(crate) subscribers: BTreeMap<Vm, Instant>,
+    /// The VMs that receive changes from this one, each with its incarnation and the time at which its subscription
+    /// ends.
+    pub(crate) subscribers: BTreeMap<Vm, (Incarnation, Instant)>,
 }
 
 impl Gateway {
@@ -132,7 +141,14 @@
                 );
                 Self::log(out, Code::StoreListed, detail);
                 self.apply_list(changes, revision, out);
+                let is_first = self.watch.listed_at.replace(self.now).is_none();
                 self.watch.cursor = Some(revision);
+                if is_first && revision.era() > Era::default() {
+                    // The list may be as old as a copy, and other VMs may know newer versions.
+                    self.watch.era_began_at.get_or_insert(self.now);
+                    self.watch.query_until = self.now + QUERY_DURATION;
+                    self.query_peers(out);
+                }
                 self.continue_watching(out);
             }
             KvOutcome::Watched(changes, revision) => {
@@ -341,11 +357,20 @@
     }
 
     /// Queries a random peer for the changes that it knows, or a seed address if there is no peer. Does so every
-    /// [`SUBSCRIBE_INTERVAL`] while the key-value service is away.
+    /// [`SUBSCRIBE_INTERVAL`] while the key-value service is away, and for [`QUERY_DURATION`] after a start that
+    /// follows a return of the service from a copy.
     fn query_peers(&mut self, out: &mut Effects) {
-        if self.watch.away_since.is_none() || self.now < self.watch.next_subscribe {
+        let is_wanted = self.watch.away_since.is_some() || self.now < self.watch.query_until;
+        if !is_wanted || self.now < self.watch.next_subscribe {
             return;
         }
+        self.query_peer(out);
+        self.watch.next_subscribe = self.now + SUBSCRIBE_INTERVAL;
+        self.timers.set(self.watch.next_subscribe, Timer::Watch);
+    }
+
+    /// Queries a random peer for the changes that it knows, or a seed address if there is no peer.
+    fn query_peer(&mut self, out: &mut Effects) {
         let query = Message::Subscribe(self.member(), self.watch.cursor.unwrap_or_default());
         let peers: Vec<Vm> = self.peers().cloned().collect();
         if peers.is_empty() {
@@ -354,8 +379,6 @@
             let peer = &peers[self.rng.random_range(0..peers.len())];
             self.send(peer, query, out);
         }
-        self.watch.next_subscribe = self.now + SUBSCRIBE_INTERVAL;
-        self.timers.set(self.watch.next_subscribe, Timer::Watch);
     }
 
     /// Sends a query to one of the seed addresses of the settings, since no other VM is known that could be
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -342,7 +342,7 @@
         match message {
             Message::Subscribe(member, revision) => {
                 self.membership.record_member(from, &member);
-                self.handle_subscribe(from, revision, out);
+                self.handle_subscribe(from, member.incarnation, revision, out);
             }
             Message::Replicate(batch) => self.apply_replicated(from, batch, out),
             Message::PlacementRequest(service, placement_request) => {
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -93,6 +93,40 @@
     }
 }
 
+/// Guards against VMs that start after the return with the configuration of the copy, although other VMs know the newer
+/// one: a third of the VMs restart, the strongest among them, before the operator has written again.
+#[test]
+fn config_isknowntovmsthatstart() {
+    for away in AWAY {
+        for restarted in [[0, 1, 2], [3, 4, 5], [6, 7, 8]] {
+            let mut world = copied_world();
+            world.publish_version("a1", 7);
+            world.run(Span::from_secs(1));
+            world.restore_store(away);
+            world.run(Span::from_millis(300));
+            for vm in restarted {
+                world.kill(vm, false);
+            }
+            world.run(Span::from_millis(400) + BOUND);
+            assert_eq!(
+                config_versions(&world),
+                vec![6; 9],
+                "away {away:?}, {restarted:?}"
+            );
+            run_with_rewrites(&mut world, Span::from_secs(1));
+            world.rewrite_operator_entries();
+            world.configure(config(7));
+            world.run(BOUND);
+            assert_eq!(
+                config_versions(&world),
+                vec![7; 9],
+                "away {away:?}, {restarted:?}"
+            );
+            world.check_invariants();
+        }
+    }
+}
+
 /// Guards against the same fault in the entries of servers: VMs that watch the key-value service dropped a server's
 /// word that it leaves, and the scheduler went on to place requests there.
 #[test]
