A later era forgets what an earlier list held of leaderships

Found in reading: an entry of a leadership that the first list of one era held, kept back for the lifetime of a lease, could be applied after the service had come back once more. It goes with the era now. Measured: restored, outage, holder, follow and configs pass.

--- a/crates/gateway/src/cluster/era.rs
+++ b/crates/gateway/src/cluster/era.rs
@@ -49,7 +49,7 @@
             self.snapshot.last_revision()
         );
         Self::log(out, Code::StoreRestored, detail);
-        self.restored.holders_to_replace.clear();
+        self.restored = State::default();
         if !self.stopping {
             self.renew_registration(out);
             self.quarantine.invalidate_lease();
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -175,8 +175,8 @@
     /// Whether the known value stays in force against a later change.
     ///
     /// The operator's versions only rise. An entry in the first list of an era may be as old as the copy from which
-    /// the key-value service came back; where its writer is alive, it writes again. That a server leaves is always
-    /// taken, and outlasts the first change of an era also where another VM sends it.
+    /// the key-value service came back; where its writer is alive, it writes again. An entry that says that its
+    /// server leaves always applies, and outlasts the first change of a later era, whoever delivers it.
     fn outlasts(&self, change: &Change, delivery: Delivery) -> bool {
         let is_of_later_era = self.change.revision.era() < change.revision.era();
         match (&self.change.value, &change.value) {
