--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -25,29 +25,6 @@
     world
 }
 
-/// Asserts that no engine accepted an order of an earlier holder after one of a later holder.
-fn assert_one_holder_at_a_time(world: &World) {
-    for (engine, _) in world.servers.values() {
-        let fences: Vec<u64> = engine
-            .accepted_fences
-            .iter()
-            .map(|(_, fence)| *fence)
-            .collect();
-        assert!(
-            fences.is_sorted(),
-            "{}: {:?}",
-            engine.id,
-            engine.accepted_fences
-        );
-        assert!(
-            engine.stale_fence.is_none(),
-            "{}: {:?}",
-            engine.id,
-            engine.stale_fence
-        );
-    }
-}
-
 /// Sends a request for another adapter that is not resident to each VM every 25 ms, for `times` times 100 ms.
 fn send_cold_requests(world: &mut World, times: usize) {
     for at in 0..times * 4 {
@@ -198,7 +175,7 @@
     world.run(Span::from_secs(5));
     assert_eq!(world.count_served(&numbers), numbers.len());
     assert_eq!(world.holder(), old);
-    assert_one_holder_at_a_time(&world);
+    world.check_one_holder_at_a_time();
     world.check_invariants();
 }
 
@@ -232,7 +209,7 @@
             };
             world.send_requests(2, Span::from_millis(100), cold);
         }
-        assert_one_holder_at_a_time(&world);
+        world.check_one_holder_at_a_time();
         world.check_invariants();
     }
 }
@@ -251,7 +228,7 @@
         world.vms[old].peers_reachable = false;
         send_cold_requests(&mut world, 40);
         assert_ne!(world.holder(), Some(old));
-        assert_one_holder_at_a_time(&world);
+        world.check_one_holder_at_a_time();
         world.check_invariants();
     }
 }
@@ -274,7 +251,7 @@
         world.wake_watchers();
         send_cold_requests(&mut world, 40);
         assert_ne!(world.holder(), Some(old));
-        assert_one_holder_at_a_time(&world);
+        world.check_one_holder_at_a_time();
         world.check_invariants();
     }
 }
@@ -296,7 +273,7 @@
     world.kill(4, true);
     world.send_light_load(Span::from_secs(6));
     assert!([Some(2), Some(6)].contains(&world.holder()));
-    assert_one_holder_at_a_time(&world);
+    world.check_one_holder_at_a_time();
     world.check_invariants();
 }
 
@@ -351,7 +328,7 @@
         .iter()
         .filter(|line| line.contains("LeaseTaken"));
     assert_eq!(taken.count(), 3);
-    assert_one_holder_at_a_time(&world);
+    world.check_one_holder_at_a_time();
     world.check_invariants();
 }
 
@@ -378,6 +355,6 @@
     world.run(Span::from_secs(4));
     let first = world.time_to_first_chunk(cold).expect("served");
     assert!(first < Span::from_millis(450), "{first}");
-    assert_one_holder_at_a_time(&world);
+    world.check_one_holder_at_a_time();
     world.check_invariants();
 }
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -322,24 +322,6 @@
     }
 }
 
-/// Asserts that no engine accepted an order of an earlier holder after one of a later holder.
-fn check_fences(world: &World) {
-    for (engine, _) in world.servers.values() {
-        let fences: Vec<u64> = engine
-            .accepted_fences
-            .iter()
-            .map(|(_, fence)| *fence)
-            .collect();
-        assert!(fences.is_sorted(), "{}: {fences:?}", engine.id);
-        assert!(
-            engine.stale_fence.is_none(),
-            "{}: {:?}",
-            engine.id,
-            engine.stale_fence
-        );
-    }
-}
-
 /// Sends requests for adapters that are not resident, each to another VM, and returns how many are served.
 fn cold_requests_served(world: &mut World, prefix: &str) -> (usize, usize) {
     let cold = |at: usize| adapter_request(&format!("{prefix}{at}"), &format!("{prefix}{at}"));
@@ -412,7 +394,7 @@
                 }
                 let (served, sent) = cold_requests_served(&mut world, "c");
                 assert_eq!(served, sent, "{text}, since {back}");
-                check_fences(&world);
+                world.check_one_holder_at_a_time();
                 world.check_invariants();
             }
         }
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -654,6 +654,29 @@
         }
     }
 
+    /// Asserts that no engine accepted an order of an earlier holder after one of a later holder.
+    pub fn check_one_holder_at_a_time(&self) {
+        for (engine, _) in self.servers.values() {
+            let fences: Vec<u64> = engine
+                .accepted_fences
+                .iter()
+                .map(|(_, fence)| *fence)
+                .collect();
+            assert!(
+                fences.is_sorted(),
+                "{}: {:?}",
+                engine.id,
+                engine.accepted_fences
+            );
+            assert!(
+                engine.stale_fence.is_none(),
+                "{}: {:?}",
+                engine.id,
+                engine.stale_fence
+            );
+        }
+    }
+
     /// Asserts what must always hold, on what the fakes recorded: only requests to `/query/` and `/berth/`
     /// ran more than once, requests that were refused as not run did not run, no request ran on an outdated
     /// adapter version, no engine crashed because of an order or accepted a stale fencing token. Also checks
