--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -16,6 +16,11 @@
 const LASTS: std::ops::Range<u64> = 200..2_500;
 /// The pause until the next one begins, in milliseconds: several run beside each other.
 const NEXT: std::ops::Range<u64> = 100..900;
+/// The pause until the key-value service next comes back from a copy, in milliseconds.
+const NEXT_RESTORE: std::ops::Range<u64> = 500..4_000;
+/// The stream of a round's seed from which returns from a copy are drawn: the other troubles of a seed stay as they are
+/// without them.
+const RESTORES: u64 = 1;
 /// After how long operator and servers write again what a copy lacks, in milliseconds.
 const WRITTEN_AGAIN: std::ops::Range<u64> = 0..2_000;
 /// How old the copy is, at the most, from which the key-value service comes back.
@@ -68,7 +73,7 @@
             Fault::Full,
             Fault::Fails,
         ];
-        match rng.random_range(0..16) {
+        match rng.random_range(0..14) {
             0 | 1 => Self::Pause(vm),
             2 | 3 => Self::Kill(vm),
             4 => Self::Terminate(vm),
@@ -79,11 +84,15 @@
             10 => Self::Server(server, faults[rng.random_range(0..faults.len())]),
             11 => Self::EngineRestart(server % engines),
             12 => Self::Leave(server),
-            13 | 14 => Self::StoreRestored(Duration::from_millis(rng.random_range(WRITTEN_AGAIN))),
             _ => Self::Configure,
         }
     }
 
+    /// Draws a return of the key-value service from a copy.
+    fn draw_restore(rng: &mut ChaCha8Rng) -> Self {
+        Self::StoreRestored(Duration::from_millis(rng.random_range(WRITTEN_AGAIN)))
+    }
+
     /// What it holds: nothing else happens to that meanwhile.
     fn holds(self) -> Held {
         match self {
@@ -181,6 +190,9 @@
     let mut history = Vec::new();
     let mut next = began;
     let mut next_copy = began;
+    let mut restores = rng.clone();
+    restores.set_stream(RESTORES);
+    let mut next_restore = began + Duration::from_millis(restores.random_range(NEXT_RESTORE));
     while began.elapsed() < span {
         let now = Instant::now();
         if next_copy <= now {
@@ -194,10 +206,19 @@
         for trouble in over {
             trouble.end(stage);
         }
+        let mut due = Vec::new();
         if next <= now {
             next = now + Duration::from_millis(rng.random_range(NEXT));
             let lasts = Duration::from_millis(rng.random_range(LASTS));
             let trouble = Trouble::draw(rng, vms, servers, engines);
+            due.push((trouble, lasts));
+        }
+        if next_restore <= now {
+            next_restore = now + Duration::from_millis(restores.random_range(NEXT_RESTORE));
+            let lasts = Duration::from_millis(restores.random_range(LASTS));
+            due.push((Trouble::draw_restore(&mut restores), lasts));
+        }
+        for (trouble, lasts) in due {
             if running
                 .iter()
                 .all(|(other, _)| other.holds() != trouble.holds())
