--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -172,8 +172,7 @@
                 self.handle_new_holder(&service, &holder, change.revision, out);
             }
             (EntryKey::Holder(service), None) if self.is_reclaiming(&service) => {
-                let change = deletion(EntryKey::Holder(service.clone()), change.revision);
-                self.record_holder_to_replace(&service, &change, out);
+                self.record_holder_to_replace(&service, Revision::default(), out);
             }
             (EntryKey::Holder(service), _) => self.handle_holder_gone(&service, out),
             (EntryKey::Quarantine(fingerprint), Some(_)) => {
--- a/crates/gateway/src/cluster/era.rs
+++ b/crates/gateway/src/cluster/era.rs
@@ -70,16 +70,14 @@
         scheduler.is_some_and(|s| Some(Revision::of_fence(s.fence()).era()) < self.watch.era)
     }
 
-    /// Records the entry, or its absence, that the key-value service holds of a leadership that this VM is to write
-    /// again. The entry may be as old as the copy and isn't sent on to other VMs.
+    /// Records the revision of the entry, 0 for none, that the key-value service holds of a leadership that this VM is
+    /// to write again. The entry may be as old as the copy and isn't sent on to other VMs.
     pub(crate) fn record_holder_to_replace(
         &mut self,
         service: &Service,
-        change: &Change,
+        revision: Revision,
         out: &mut Effects,
     ) {
-        let revision = change.value.as_ref().map(|_| change.revision);
-        let revision = revision.unwrap_or_default();
         let holders = &mut self.restored.holders_to_replace;
         if holders.insert(service.clone(), revision) != Some(revision) {
             self.set_candidacy(service.clone(), Candidacy::Take(self.now), out);
@@ -105,7 +103,7 @@
         let names_me = change.value.as_ref() == Some(&me);
         match known {
             _ if self.is_reclaiming(&service) => {
-                self.record_holder_to_replace(&service, &change, out);
+                self.record_holder_to_replace(&service, change.expected_revision(), out);
             }
             // This VM stopped its scheduler before, and may start another one only by a write of this era.
             Some(known) if known == me && names_me => {
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -208,7 +208,7 @@
         let is_reclaiming = self.is_reclaiming(service);
         for change in changes {
             if is_reclaiming && change.key == EntryKey::Holder(service.clone()) {
-                self.record_holder_to_replace(service, &change, out);
+                self.record_holder_to_replace(service, change.expected_revision(), out);
             } else {
                 self.apply_changes(vec![change], Delivery::Listed, false, out);
             }
@@ -230,12 +230,13 @@
         self.maintain_lease(out);
     }
 
-    /// Whether all leaderships of the schedulers that run on this VM are written in the latest era.
-    fn has_reclaimed_all(&self) -> bool {
-        !self
-            .schedulers
-            .keys()
-            .any(|service| self.is_reclaiming(service))
+    /// Trusts the present lease again once all leaderships of the schedulers that run on this VM are written in the
+    /// latest era.
+    fn end_reclaim(&mut self) {
+        let mut services = self.schedulers.keys();
+        if !services.any(|service| self.is_reclaiming(service)) {
+            self.leaderships.renewed_before_restore = None;
+        }
     }
 
     pub(crate) fn handle_leadership_timer(&mut self, out: &mut Effects) {
@@ -266,22 +267,14 @@
         {
             return;
         }
-        Self::log(
-            out,
-            Code::LeaseTaken,
-            format!("service={service} fence={}", Revision::of_fence(fence)),
-        );
-        if self.is_reclaiming(service)
-            && let Some(scheduler) = self.schedulers.get_mut(service)
-        {
+        let goes_on = self.is_reclaiming(service);
+        let revision = Revision::of_fence(fence);
+        let detail = format!("service={service} fence={revision} goes_on={goes_on}");
+        Self::log(out, Code::LeaseTaken, detail);
+        if goes_on && let Some(scheduler) = self.schedulers.get_mut(service) {
             scheduler.raise_fence(self.now, fence);
-            let fence = Revision::of_fence(fence);
-            let detail = format!("service={service} fence={fence} goes_on=true");
-            Self::log(out, Code::LeaseTaken, detail);
             self.timers.set(self.now, Timer::Scheduler(service.clone()));
-            if self.has_reclaimed_all() {
-                self.leaderships.renewed_before_restore = None;
-            }
+            self.end_reclaim();
             return;
         }
         let mut scheduler = Scheduler::new(self.now, &service_config, fence, self.settings.clone());
@@ -310,9 +303,7 @@
     pub(crate) fn stop_scheduler(&mut self, service: &Service, out: &mut Effects) {
         if self.schedulers.remove(service).is_some() {
             self.leaderships.record_loss(service, self.now);
-            if self.has_reclaimed_all() {
-                self.leaderships.renewed_before_restore = None;
-            }
+            self.end_reclaim();
             Self::log(out, Code::LeaseLost, format!("service={service}"));
         }
     }
@@ -519,11 +510,8 @@
             return;
         };
         let key = EntryKey::Holder(service.clone());
-        let known = self
-            .snapshot
-            .get(&key)
-            .filter(|change| change.value.is_some());
-        let expected = known.map_or(Revision::default(), |change| change.revision);
+        let known = self.snapshot.get(&key);
+        let expected = known.map_or(Revision::default(), Change::expected_revision);
         let expected = self.holder_to_replace(&service).unwrap_or(expected);
         let member = EntryKey::Member(self.settings.vm.clone());
         let conditions = vec![(key.clone(), expected), (member, entry)];
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -144,6 +144,17 @@
     pub value: Option<EntryValue>,
 }
 
+impl Change {
+    /// Returns the revision on which a write of the entry is to be conditional: 0 if the entry must not exist.
+    #[must_use]
+    pub fn expected_revision(&self) -> Revision {
+        match self.value {
+            Some(_) => self.revision,
+            None => Revision::default(),
+        }
+    }
+}
+
 /// What is known of one entry.
 #[derive(Debug)]
 struct KnownEntry {
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -80,8 +80,8 @@
     asked_era: Option<Era>,
     /// The revision up to which all changes are known; none before the first list.
     pub(crate) cursor: Option<Revision>,
-    /// When this VM last listed the entries; none before its first list.
-    listed_at: Option<Instant>,
+    /// Whether this VM has listed the entries since its start.
+    has_listed: bool,
     /// When the key-value service last answered this VM, or another VM that reported it.
     pub(crate) answered_at: Instant,
     /// Since when the key-value service has not answered; none while it answers.
@@ -141,7 +141,7 @@
                 );
                 Self::log(out, Code::StoreListed, detail);
                 self.apply_list(changes, revision, out);
-                let is_first = self.watch.listed_at.replace(self.now).is_none();
+                let is_first = !std::mem::replace(&mut self.watch.has_listed, true);
                 self.watch.cursor = Some(revision);
                 if is_first && revision.era() > Era::default() {
                     // The list may be as old as a copy, and other VMs may know newer versions.
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -10,7 +10,7 @@
 use dahliastile_gateway::cluster::snapshot::EntryKey;
 use dahliastile_gateway::settings::Tuning;
 use support::World;
-use support::setup::{ENGINES, inference_spec, name, request};
+use support::setup::{ENGINES, adapter_request, inference_spec, name, request};
 
 /// Returns a world of four VMs and four engines after two seconds of light load.
 fn warm_world() -> World {
@@ -73,15 +73,7 @@
     let new = world.holder().expect("a holder");
     assert_ne!(old, new);
     let vm = (old + 1) % 4;
-    let cold = world.send_request(
-        vm,
-        request(
-            "cold",
-            "/plan/x",
-            5_000,
-            Some(inference_spec("a77", 600, 15)),
-        ),
-    );
+    let cold = world.send_request(vm, adapter_request("cold", "a77"));
     world.run(Span::from_secs(2));
     assert!(world.time_to_first_chunk(cold).expect("served") < Span::from_millis(700));
     world.check_invariants();
@@ -123,15 +115,7 @@
     world.store_up = false;
     world.wake_watchers();
     let numbers = world.send_light_load(Span::from_secs(8));
-    let cold = world.send_request(
-        0,
-        request(
-            "cold",
-            "/plan/x",
-            5_000,
-            Some(inference_spec("a77", 600, 15)),
-        ),
-    );
+    let cold = world.send_request(0, adapter_request("cold", "a77"));
     world.run(Span::from_secs(2));
     assert!(world.time_to_first_chunk(cold).is_some());
     world.store_up = true;
@@ -189,15 +173,7 @@
     let vm = (world.holder().expect("a holder") + 1) % 4;
     world.revoke(vm);
     let numbers = world.send_light_load(Span::from_secs(5));
-    let cold = world.send_request(
-        vm,
-        request(
-            "cold",
-            "/plan/x",
-            5_000,
-            Some(inference_spec("a77", 600, 15)),
-        ),
-    );
+    let cold = world.send_request(vm, adapter_request("cold", "a77"));
     world.run(Span::from_secs(5));
     let mine: Vec<u64> = numbers
         .into_iter()
@@ -235,15 +211,7 @@
         world.kill(vm, false);
     }
     world.run(Span::from_millis(900));
-    let cold = world.send_request(
-        1,
-        request(
-            "cold",
-            "/plan/x",
-            5_000,
-            Some(inference_spec("a77", 600, 15)),
-        ),
-    );
+    let cold = world.send_request(1, adapter_request("cold", "a77"));
     world.run(Span::from_secs(4));
     let first = world.time_to_first_chunk(cold).expect("served");
     assert!(first < Span::from_millis(800), "{first}");
@@ -287,15 +255,7 @@
         }
         late_held += u32::from(world.holder() == Some(late));
         world.run(Span::from_millis(6));
-        let cold = world.send_request(
-            1 - late,
-            request(
-                "cold",
-                "/plan/x",
-                5_000,
-                Some(inference_spec("a77", 600, 15)),
-            ),
-        );
+        let cold = world.send_request(1 - late, adapter_request("cold", "a77"));
         world.run(Span::from_secs(4));
         let first = world.time_to_first_chunk(cold).expect("served");
         assert!(first < Span::from_millis(900), "{first}");
--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -109,15 +109,7 @@
         }
         world.store_up = true;
         world.run(Span::from_millis(1_000));
-        let cold = world.send_request(
-            0,
-            request(
-                "cold",
-                "/plan/x",
-                5_000,
-                Some(inference_spec("a77", 600, 15)),
-            ),
-        );
+        let cold = world.send_request(0, adapter_request("cold", "a77"));
         world.run(Span::from_secs(4));
         let first = world.time_to_first_chunk(cold).expect("served");
         assert!(first < Span::from_millis(1_500), "{first}, lapse {lapse}");
@@ -343,15 +335,7 @@
     }
     // The processes start again after 400 ms.
     world.run(Span::from_millis(410));
-    let cold = world.send_request(
-        (old + 1) % 4,
-        request(
-            "cold",
-            "/plan/x",
-            5_000,
-            Some(inference_spec("a77", 600, 15)),
-        ),
-    );
+    let cold = world.send_request((old + 1) % 4, adapter_request("cold", "a77"));
     world.run(Span::from_secs(4));
     let first = world.time_to_first_chunk(cold).expect("served");
     assert!(first < Span::from_millis(450), "{first}");
