Schedulers learn a request's account, its pause and the timing of its stream

Cause: a scheduler knows neither which account a request belongs to nor which pause its caller allows, and it never learns how fast an engine decodes. Fair shares between accounts, preference for callers that retry, and placement by measured speed need these.

Change: DetailedPlacementRequest and Progress::Streamed are appended to the messages, so that the encoding of existing messages does not change; they are sent only where an enabled feature uses them. Features are named for the parts of docs/design/contention.md. TurnedAway (E516) names the account.

--- a/crates/gateway/benches/scheduler.rs
+++ b/crates/gateway/benches/scheduler.rs
@@ -21,7 +21,7 @@
 use dahliastile_gateway::config::{EngineSpec, Model, ServiceConfig};
 use dahliastile_gateway::event::{InferenceSpec, OrderOutcome, Report, RequestId};
 use dahliastile_gateway::feature::DisabledFeatures;
-use dahliastile_gateway::message::{PlacementRequest, Progress};
+use dahliastile_gateway::message::{PlacementDetail, PlacementRequest, Progress};
 use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::{Settings, Tuning};
 use rand::{Rng, SeedableRng};
@@ -213,7 +213,8 @@
                 failed: Vec::new(),
             };
             let started = WallInstant::now();
-            self.scheduler.enqueue(self.now, &vm, placement_request);
+            self.scheduler
+                .enqueue(self.now, &vm, placement_request, PlacementDetail::default());
             cost.event_ns += started.elapsed().as_nanos() as u64;
             cost.requests += 1;
         }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -68,6 +68,17 @@
     pub fingerprint: Fingerprint,
 }
 
+/// The times at which the chunks of a stream came from its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamTiming {
+    /// The number of chunks.
+    pub chunks: u32,
+    /// The time from the first chunk to the last one.
+    pub decoding: Span,
+    /// The longest pause between two chunks.
+    pub longest_pause: Span,
+}
+
 /// Whether a server has executed a request that it did not answer successfully.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Execution {
@@ -206,9 +217,8 @@
     CallerLeft(RequestId),
     /// The first chunk of the answer has arrived from the server.
     AnswerStarted(RequestId),
-    /// The answer is complete. The span is the longest pause between two of its chunks, zero if the answer is no
-    /// stream.
-    AnswerCompleted(RequestId, Span),
+    /// The answer is complete. All times are zero if the answer is no stream.
+    AnswerCompleted(RequestId, StreamTiming),
     /// The attempt at a server failed. Tells whether the server executed the request, and the cause.
     AttemptFailed(RequestId, Execution, FailureCause),
     /// A server answered an order, or the order's timeout has passed.
--- a/crates/gateway/src/feature.rs
+++ b/crates/gateway/src/feature.rs
@@ -31,11 +31,25 @@
     Strength,
     /// A VM whose share of an account has too few tokens gets tokens that other VMs do not need.
     TokenPool,
+    /// An account's limit is counted over a sliding window, so that all that is within the limit is admitted.
+    WindowQuota,
+    /// Of an account that is short of tokens, the requests with the highest priority are admitted first.
+    QuotaPriority,
+    /// Engines are chosen by their measured speeds, where these differ.
+    EngineSpeed,
+    /// A prompt is read where it does not interrupt streams for longer than their callers allow.
+    StreamPauses,
+    /// Accounts whose requests wait for engines are served in proportion to their limits.
+    FairShares,
+    /// Capacity to load adapters is kept free for the requests with the highest priority.
+    UrgentReserve,
+    /// A caller that retries after a refusal keeps its place in the queue.
+    ReturningCallers,
 }
 
 impl Feature {
     /// All features with the names that operators use in the settings.
-    pub const ALL: [(Self, &'static str); 11] = [
+    pub const ALL: [(Self, &'static str); 18] = [
         (Self::CachedAdapters, "recent-adapters"),
         (Self::CachedAdapterWait, "recent-patience"),
         (Self::PrefixCache, "kept-parts"),
@@ -47,6 +61,13 @@
         (Self::LeaseVotes, "pledges"),
         (Self::Strength, "strength"),
         (Self::TokenPool, "token-pool"),
+        (Self::WindowQuota, "window-quota"),
+        (Self::QuotaPriority, "quota-priority"),
+        (Self::EngineSpeed, "engine-speed"),
+        (Self::StreamPauses, "stream-pauses"),
+        (Self::FairShares, "fair-shares"),
+        (Self::UrgentReserve, "urgent-reserve"),
+        (Self::ReturningCallers, "returning-callers"),
     ];
 
     /// Returns the feature's bit in [`DisabledFeatures`].
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,11 +8,11 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-use crate::account::Tokens;
 use crate::account::quota::{TokenGrant, TokenRequest};
+use crate::account::{TokenRate, Tokens};
 use crate::cluster::revision::Revision;
 use crate::cluster::snapshot::{Change, Member, Resident, Version};
-use crate::event::{Execution, FailureCause, InferenceSpec, RequestId};
+use crate::event::{Execution, FailureCause, InferenceSpec, RequestId, StreamTiming};
 use crate::request::fingerprint::Fingerprint;
 use crate::request::notice::Rate;
 use crate::request::quarantine::{CrashReport, QuarantineStatus};
@@ -40,6 +40,22 @@
     pub failed: Vec<Server>,
 }
 
+/// What a scheduler needs to know of a request besides its [`PlacementRequest`] where accounts compete for engines, or
+/// where callers limit the pauses of a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementDetail {
+    /// The client account; none if the request needs none.
+    pub account: Option<Tenant>,
+    /// The rate of the account's limit; 0 if the account has none.
+    pub weight: TokenRate,
+    /// The longest pause between two chunks of the answer after which the next chunk does not count as late; zero if
+    /// the route sets none.
+    pub pause: Span,
+    /// The fingerprint of the request, by which a retry of the caller is recognized; none for a request without an
+    /// account.
+    pub fingerprint: Option<Fingerprint>,
+}
+
 /// A request that was sent to an engine and is not finished.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
@@ -85,6 +101,8 @@
     Finished,
     /// The attempt at the request's server has failed. Tells whether the server ran the request, and the cause.
     Failed(Execution, FailureCause),
+    /// The request has its final answer, a stream that reached its caller in full.
+    Streamed(StreamTiming),
 }
 
 /// A message from one entry VM to another.
@@ -151,6 +169,8 @@
     /// The answer to [`Self::SendPermitRequest`]: `Ok` if the request may be sent, or the time after which to ask
     /// again.
     SendPermitReply(RequestId, Server, Result<(), Span>),
+    /// To the scheduler: asks for an engine for a request, as [`Self::PlacementRequest`] does, with details.
+    DetailedPlacementRequest(Service, PlacementRequest, PlacementDetail),
 }
 
 impl Message {
@@ -181,6 +201,7 @@
             Self::ServerCooldown(..) => "rest",
             Self::SendPermitRequest(..) => "permit",
             Self::SendPermitReply(..) => "permitted",
+            Self::DetailedPlacementRequest(..) => "want_detail",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,7 +25,7 @@
 use crate::effect::{Effect, Effects, KvOperation, KvOperationId, Locality};
 use crate::event::{Event, KvAnswer, KvOutcome, RequestId};
 use crate::feature::Feature;
-use crate::message::Message;
+use crate::message::{Message, PlacementDetail};
 use crate::metrics;
 use crate::request::budget::RetryBudget;
 use crate::request::load_balancer::ServerState;
@@ -286,8 +286,8 @@
             }
             Event::CallerLeft(request) => self.handle_caller_left(request, out),
             Event::AnswerStarted(request) => self.handle_answer_started(request, out),
-            Event::AnswerCompleted(request, pause) => {
-                self.handle_answer_completed(request, pause, out);
+            Event::AnswerCompleted(request, timing) => {
+                self.handle_answer_completed(request, timing, out);
             }
             Event::AttemptFailed(request, execution, cause) => {
                 self.handle_attempt_failed(request, execution, cause, out);
@@ -346,7 +346,11 @@
             }
             Message::Replicate(batch) => self.apply_replicated(from, batch, out),
             Message::PlacementRequest(service, placement_request) => {
-                self.handle_placement_request(&service, from, placement_request);
+                let detail = PlacementDetail::default();
+                self.handle_placement_request(&service, from, placement_request, detail);
+            }
+            Message::DetailedPlacementRequest(service, placement_request, detail) => {
+                self.handle_placement_request(&service, from, placement_request, detail);
             }
             Message::Progress(service, request, progress) => {
                 self.handle_progress(&service, from, request, progress);
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -17,7 +17,8 @@
 use crate::cluster::snapshot::Version;
 use crate::config::{Route, RouteKind, Target};
 use crate::effect::{Attempt, Effect, Effects, NextStep, RefusalReason};
-use crate::event::{CallerRequest, RequestId};
+use crate::event::{CallerRequest, RequestId, StreamTiming};
+use crate::feature::Feature;
 use crate::message::{PlacementRequest, Progress};
 use crate::metrics;
 use crate::node::Gateway;
@@ -325,18 +326,22 @@
         self.report_progress(request, Progress::AnswerStarted, out);
     }
 
-    /// Handles an answer that reached the caller in full; `pause` is the longest gap between two of its
-    /// chunks.
+    /// Handles an answer that reached the caller in full.
     pub(crate) fn handle_answer_completed(
         &mut self,
         request: RequestId,
-        pause: Span,
+        timing: StreamTiming,
         out: &mut Effects,
     ) {
         let Some(state) = self.in_flight.get(&request) else {
             return;
         };
         let took = self.now.since(state.arrived);
+        let pause = timing.longest_pause;
+        let reports_timing = state.route.pause > Span::ZERO
+            && timing.chunks > 0
+            && (self.settings.uses(Feature::EngineSpeed)
+                || self.settings.uses(Feature::StreamPauses));
         let server = state.server().map_or("-", Server::as_str);
         let first = state.time_to_first_chunk.unwrap_or(took);
         let missed = missed_objective(&state.route, first, pause);
@@ -354,7 +359,12 @@
             server_state.health.record_success(self.now);
         }
         self.record_complete_answer(request, out);
-        self.finish_request(request, Progress::Finished, out);
+        let progress = if reports_timing {
+            Progress::Streamed(timing)
+        } else {
+            Progress::Finished
+        };
+        self.finish_request(request, progress, out);
     }
 
     /// Handles a caller that disconnected before its answer was complete.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -41,7 +41,7 @@
 use crate::effect::{Order, OrderId};
 use crate::event::{InferenceSpec, OrderOutcome, Report, RequestId};
 use crate::feature::Feature;
-use crate::message::{EngineResidents, PlacementRequest, Progress, Running};
+use crate::message::{EngineResidents, PlacementDetail, PlacementRequest, Progress, Running};
 use crate::request::health::{Health, deprioritized};
 use crate::request::notice::Rate;
 use crate::request::notice::leaving::last_resort_period;
@@ -347,14 +347,20 @@
     }
 
     /// Adds a request of a VM that waits for a placement.
-    pub fn enqueue(&mut self, now: Instant, vm: &Vm, placement: PlacementRequest) {
+    pub fn enqueue(
+        &mut self,
+        now: Instant,
+        vm: &Vm,
+        placement: PlacementRequest,
+        detail: PlacementDetail,
+    ) {
         self.changed = true;
         let id = VmRequestId {
             vm: vm.clone(),
             request: placement.request,
         };
         let adapter = self.intern_adapter(&placement.work);
-        let request = ScheduledRequest::waiting(now, placement, adapter);
+        let request = ScheduledRequest::waiting(now, placement, detail, adapter);
         let is_new = request.failed.is_empty() && self.requests.get(&id).is_none();
         if let Some(adapter) = adapter.filter(|_| is_new) {
             self.adapters.record_request(adapter, now);
@@ -378,7 +384,7 @@
         };
         match progress {
             Progress::AnswerStarted => self.record_answer_started(now, &id),
-            Progress::Finished => self.remove_request(&id),
+            Progress::Finished | Progress::Streamed(_) => self.remove_request(&id),
             Progress::Failed(ran, cause) => self.record_attempt_failed(now, &id, ran, cause),
         }
     }
@@ -403,7 +409,7 @@
             self.requests.insert(id, request);
         }
         for placement in waiting {
-            self.enqueue(now, vm, placement);
+            self.enqueue(now, vm, placement, PlacementDetail::default());
         }
     }
 
--- a/crates/gateway/src/scheduler/admission.rs
+++ b/crates/gateway/src/scheduler/admission.rs
@@ -1,5 +1,6 @@
 //! Refuses requests as soon as the forecast shows that they cannot be served in time.
 
+use dahliastile_core::id::Tenant;
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::{Instant, Span};
 
@@ -45,8 +46,9 @@
                     .max(RETRY_AFTER_BOUNDS.0)
                     .min(RETRY_AFTER_BOUNDS.1);
                 let waited = now.since(request.arrived);
+                let account = request.detail.account.as_ref().map_or("-", Tenant::as_str);
                 let detail = format!(
-                    "id={} vm={} why={:?} forecast={} waited={waited} left={} after={after}",
+                    "id={} vm={} why={:?} forecast={} waited={waited} left={} after={after} account={account}",
                     request.id,
                     forecast.id.vm,
                     forecast.reason,
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -15,7 +15,10 @@
 use crate::cluster::snapshot::{EntryKey, EntryValue, Holder, Resident, Version};
 use crate::effect::Effects;
 use crate::event::{LinkFault, RequestId};
-use crate::message::{EngineResidents, Message, PlacementRequest, Progress, Running};
+use crate::feature::Feature;
+use crate::message::{
+    EngineResidents, Message, PlacementDetail, PlacementRequest, Progress, Running,
+};
 use crate::metrics;
 use crate::node::Gateway;
 use crate::request::state::{Phase, RequestState};
@@ -59,10 +62,11 @@
         let Some(placement) = state.want(request, &self.settings.zone, now) else {
             return;
         };
+        let detail = self.placement_detail(state);
         let service = state.service.clone();
         let me = self.settings.vm.clone();
         if let Some(scheduler) = self.schedulers.get_mut(&service) {
-            scheduler.enqueue(now, &me, placement);
+            scheduler.enqueue(now, &me, placement, detail);
             return;
         }
         self.timers
@@ -70,12 +74,42 @@
         let client = self.scheduler_clients.entry(service.clone()).or_default();
         match client.holder.clone() {
             Some(holder) if !client.silent => {
-                self.send(&holder, Message::PlacementRequest(service, placement), out);
+                let message = if detail == PlacementDetail::default() {
+                    Message::PlacementRequest(service, placement)
+                } else {
+                    Message::DetailedPlacementRequest(service, placement, detail)
+                };
+                self.send(&holder, message, out);
             }
             _ => self.place_unscheduled(request, out),
         }
     }
 
+    /// Returns the details of a request that enabled features of the scheduler use.
+    fn placement_detail(&self, state: &RequestState) -> PlacementDetail {
+        let uses = |feature| self.settings.uses(feature);
+        let competes = [
+            Feature::FairShares,
+            Feature::UrgentReserve,
+            Feature::ReturningCallers,
+        ];
+        let account = state
+            .account
+            .as_ref()
+            .filter(|_| competes.into_iter().any(uses));
+        let limit = account.and_then(|account| account.limit);
+        PlacementDetail {
+            account: account.map(|account| account.name.clone()),
+            weight: limit.map(|limit| limit.rate).unwrap_or_default(),
+            pause: if uses(Feature::StreamPauses) {
+                state.route.pause
+            } else {
+                Span::ZERO
+            },
+            fingerprint: account.map(|_| state.call.fingerprint),
+        }
+    }
+
     /// Places a request without the scheduler, at a server where its adapter was last known to be resident.
     fn place_unscheduled(&mut self, request: RequestId, out: &mut Effects) {
         let Some(state) = self.in_flight.get(&request) else {
--- a/crates/gateway/src/scheduler/host.rs
+++ b/crates/gateway/src/scheduler/host.rs
@@ -8,7 +8,7 @@
 use crate::cluster::snapshot::{Backend, Version};
 use crate::effect::{Effects, OrderId};
 use crate::event::{OrderOutcome, Report, RequestId};
-use crate::message::{PlacementRequest, Progress, Running};
+use crate::message::{PlacementDetail, PlacementRequest, Progress, Running};
 use crate::node::Gateway;
 
 impl Gateway {
@@ -58,9 +58,10 @@
         service: &Service,
         from: &Vm,
         placement: PlacementRequest,
+        detail: PlacementDetail,
     ) {
         if let Some(scheduler) = self.schedulers.get_mut(service) {
-            scheduler.enqueue(self.now, from, placement);
+            scheduler.enqueue(self.now, from, placement, detail);
         }
     }
 
--- a/crates/gateway/src/scheduler/scheduled_request.rs
+++ b/crates/gateway/src/scheduler/scheduled_request.rs
@@ -9,7 +9,7 @@
 
 use super::adapter::AdapterId;
 use crate::event::{InferenceSpec, RequestId};
-use crate::message::{PlacementRequest, Running};
+use crate::message::{PlacementDetail, PlacementRequest, Running};
 
 /// Identifies a request across all VMs.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -54,6 +54,8 @@
     pub(crate) zone: Option<Zone>,
     /// Servers that failed it.
     pub(crate) failed: Vec<Server>,
+    /// Its account and the pause that its caller allows, as far as its VM has sent them.
+    pub(crate) detail: PlacementDetail,
     /// Prompt tokens that its server had to read when it was placed.
     pub(crate) prefill_tokens: u32,
     state: State,
@@ -64,6 +66,7 @@
     pub(crate) fn waiting(
         now: Instant,
         placement: PlacementRequest,
+        detail: PlacementDetail,
         adapter: Option<AdapterId>,
     ) -> Self {
         let arrived = now.back(placement.waited);
@@ -77,6 +80,7 @@
             priority: placement.priority,
             zone: Some(placement.zone),
             failed: placement.failed,
+            detail,
             prefill_tokens: 0,
             state: State::Waiting,
         }
@@ -94,6 +98,7 @@
             priority: 0,
             zone: None,
             failed: Vec::new(),
+            detail: PlacementDetail::default(),
             prefill_tokens: 0,
             state: State::Running {
                 server: run.server.clone(),
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -18,11 +18,11 @@
 use serde::Serialize;
 
 /// Kinds of messages; their indexes are 0 up to this number.
-const KINDS: u8 = 23;
+const KINDS: u8 = 24;
 
 /// Lists of one message each, in hexadecimal, with the message's kind. Together they hold each variant and each state of an
 /// optional field that a message can carry.
-const MESSAGES: [(&str, &str); 38] = [
+const MESSAGES: [(&str, &str); 41] = [
     (
         "want",
         "0100096472616674732f6575e9070b63616c6c65722dc3bc2f3906626173652d37010561312f6672ad02f1a2040290e4\
@@ -118,6 +118,18 @@
     ("permit", "0115d70904692d3436"),
     ("permitted", "0116d80904692d343700"),
     ("permitted", "0116d90904692d34380191bf05"),
+    ("progress", "0101096472616674732f65759b0a032b809f4990bf05"),
+    (
+        "want_detail",
+        "0117096472616674732f6575ea070b63616c6c65722dc3bc2f3906626173652d3700ad02f1a2040290e4d0b287d3aeee\
+         fe0182014dab0193a10fe2c65bc3a8a504c9056e6f7274680203692d3405692d353535010461636d65e82080b51801ff\
+         01",
+    ),
+    (
+        "want_detail",
+        "0117096472616674732f6575ea070b63616c6c65722dc3bc2f3906626173652d3700ad02f1a2040290e4d0b287d3aeee\
+         fe0182014dab0193a10fe2c65bc3a8a504c9056e6f7274680203692d3405692d353535000080b51800",
+    ),
 ];
 
 /// A list of three messages, with their kinds.
@@ -334,6 +346,13 @@
         (Feature::LeaseVotes, "pledges"),
         (Feature::Strength, "strength"),
         (Feature::TokenPool, "token-pool"),
+        (Feature::WindowQuota, "window-quota"),
+        (Feature::QuotaPriority, "quota-priority"),
+        (Feature::EngineSpeed, "engine-speed"),
+        (Feature::StreamPauses, "stream-pauses"),
+        (Feature::FairShares, "fair-shares"),
+        (Feature::UrgentReserve, "urgent-reserve"),
+        (Feature::ReturningCallers, "returning-callers"),
     ];
     assert_eq!(Feature::ALL, names);
     for (feature, name) in names {
--- a/crates/gateway/tests/scheduler.rs
+++ b/crates/gateway/tests/scheduler.rs
@@ -10,7 +10,7 @@
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::effect::Order;
 use dahliastile_gateway::event::{Execution, FailureCause, OrderOutcome};
-use dahliastile_gateway::message::{PlacementRequest, Progress, Running};
+use dahliastile_gateway::message::{PlacementDetail, PlacementRequest, Progress, Running};
 use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::Tuning;
 use support::setup::{self, inference_spec, name, zone};
@@ -220,7 +220,8 @@
             zone: zone(number),
             failed: Vec::new(),
         };
-        self.scheduler.enqueue(self.now, &vm, placement);
+        self.scheduler
+            .enqueue(self.now, &vm, placement, PlacementDetail::default());
     }
 }
 
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -9,7 +9,7 @@
 use dahliastile_gateway::cluster::snapshot::{Change, EntryValue};
 use dahliastile_gateway::effect::{Attempt, Effect, KvOperation, NextStep, Order};
 use dahliastile_gateway::event::{
-    Event, Execution, FailureCause, KvAnswer, KvOutcome, LinkFault, OrderOutcome,
+    Event, Execution, FailureCause, KvAnswer, KvOutcome, LinkFault, OrderOutcome, StreamTiming,
 };
 use rand::Rng;
 
@@ -339,7 +339,7 @@
         };
         self.running.insert(number, run);
         let answer = |event| Action::DeliverFromServer(number, server.clone(), event);
-        let completed = answer(Event::AnswerCompleted(number, Span::ZERO));
+        let completed = answer(Event::AnswerCompleted(number, StreamTiming::default()));
         if request.work.is_some() || !crashes {
             self.schedule(starts + LATENCY, answer(Event::AnswerStarted(number)));
         }
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Attempt, NextStep, RefusalReason};
-use dahliastile_gateway::event::{Event, RequestId};
+use dahliastile_gateway::event::{Event, RequestId, StreamTiming};
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -111,7 +111,8 @@
         };
         match tried {
             Tried::Whole(response) => {
-                self.ticket.finish(Event::AnswerCompleted(id, Span::ZERO));
+                self.ticket
+                    .finish(Event::AnswerCompleted(id, StreamTiming::default()));
                 Step::Answer(response)
             }
             Tried::Stream(head, body, connection) => {
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Attempt, NextStep, RefusalReason};
-use dahliastile_gateway::event::{Event, Execution, FailureCause};
+use dahliastile_gateway::event::{Event, Execution, FailureCause, StreamTiming};
 use http::response;
 use http_body_util::{BodyExt, Either};
 use hyper::body::Incoming;
@@ -36,6 +36,10 @@
     last: Option<String>,
     /// When it came.
     came: Option<Instant>,
+    /// When the first one came.
+    first: Option<Instant>,
+    /// The number of them; those that came together count as one.
+    count: u32,
     /// The longest time between two of them.
     pause: Duration,
 }
@@ -50,6 +54,8 @@
             .rposition(|w| w == EVENT_END)?;
         let whole = self.rest.split_to(end + EVENT_END.len()).freeze();
         let now = Instant::now();
+        self.first.get_or_insert(now);
+        self.count = self.count.saturating_add(1);
         if let Some(came) = self.came.replace(now) {
             self.pause = self.pause.max(now - came);
         }
@@ -61,12 +67,21 @@
         Some(whole)
     }
 
-    /// The longest time between two events.
-    fn pause(&self) -> Span {
-        Span(u64::try_from(self.pause.as_micros()).unwrap_or(u64::MAX))
+    /// The times of the events.
+    fn timing(&self) -> StreamTiming {
+        let decoding = self.came.zip(self.first).map(|(last, first)| last - first);
+        StreamTiming {
+            chunks: self.count,
+            decoding: span(decoding.unwrap_or_default()),
+            longest_pause: span(self.pause),
+        }
     }
 }
 
+fn span(duration: Duration) -> Span {
+    Span(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+}
+
 /// How a server's part of a stream ended.
 enum Part {
     /// With the end of the stream.
@@ -125,7 +140,7 @@
                 let _ = pieces.send(Piece::End).await;
                 asked
                     .ticket
-                    .finish(Event::AnswerCompleted(id, events.pause()));
+                    .finish(Event::AnswerCompleted(id, events.timing()));
                 return;
             }
             Part::Left => return,
