An adapter with a long queue is loaded at several engines at once

Cause: after demand has moved to another adapter, the scheduler ordered one copy at a time. The most popular adapter of a Zipf distribution needs the prefill of several engines, so those that held it stayed behind for seconds while others were idle.

Feature parallel-copies.

--- a/crates/gateway/src/feature.rs
+++ b/crates/gateway/src/feature.rs
@@ -45,11 +45,13 @@
     UrgentReserve,
     /// A caller that retries after a refusal keeps its place in the queue.
     ReturningCallers,
+    /// An adapter with a queue that needs several more engines is loaded at all of them at once.
+    ParallelCopies,
 }
 
 impl Feature {
     /// All features with the names that operators use in the settings.
-    pub const ALL: [(Self, &'static str); 18] = [
+    pub const ALL: [(Self, &'static str); 19] = [
         (Self::CachedAdapters, "recent-adapters"),
         (Self::CachedAdapterWait, "recent-patience"),
         (Self::PrefixCache, "kept-parts"),
@@ -68,6 +70,7 @@
         (Self::FairShares, "fair-shares"),
         (Self::UrgentReserve, "urgent-reserve"),
         (Self::ReturningCallers, "returning-callers"),
+        (Self::ParallelCopies, "parallel-copies"),
     ];
 
     /// Returns the feature's bit in [`DisabledFeatures`].
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod capacity;
 pub(crate) mod client;
 mod cooldown;
+mod copies;
 mod dispatch;
 mod engine;
 mod forecast;
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -145,6 +145,14 @@
     ) {
         self.plan_base_loads(now);
         let mut needed = self.needed_loads(forecasts, &residency);
+        for extra in self.plan_copies(forecasts, &residency) {
+            let copy = |_| NeededLoad {
+                adapter: extra.adapter,
+                copy_wait: Some(extra.queue_time),
+                local_copy_until: now,
+            };
+            needed.extend((0..extra.count).map(copy));
+        }
         let mut reservations = self.reservations(forecasts);
         for outdated in self.outdated_adapters(now, &residency) {
             reservations.add(outdated.adapter, 0);
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -353,6 +353,7 @@
         (Feature::FairShares, "fair-shares"),
         (Feature::UrgentReserve, "urgent-reserve"),
         (Feature::ReturningCallers, "returning-callers"),
+        (Feature::ParallelCopies, "parallel-copies"),
     ];
     assert_eq!(Feature::ALL, names);
     for (feature, name) in names {
