Stand-ins shut their listening sockets down, so that copies don't listen on

Cause: request_crashingserversisrefused hung once beside load. A server of this test ended by dropping its listener, which closes one descriptor. A process that another thread had just forked held a copy until its exec, so the port took vm2's connection, which was reset at the exec: vm2 answered 502 to c1 without a connection at x1, and the test joined x1's thread for ever.

Change: the server is a stand-in of its own, fleet::Crash, which shuts its listener and its connection down. The test waits for its end for at most 20 s and fails with a message after that; its other checks are the same. The gate of the older stand-ins shuts its listener down too before an outage counts as in force.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -6,11 +6,11 @@
 mod fleet;
 
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use dahliastile_standin::fleet::{Fault, Replica};
-use fleet::{Fleet, Vm, config, read, request, settings_text, until};
+use dahliastile_standin::fleet::{Crash, Fault, Replica};
+use fleet::{Fleet, PATIENCE, Vm, config, read, request, settings_text, until};
 
 fn ran(replicas: &[Replica], id: &str) -> usize {
     let runs = replicas.iter().flat_map(Replica::runs);
@@ -226,17 +226,13 @@
     }
 }
 
-/// A server that ends as soon as it has read one request: its connection breaks, and nothing listens at its address from then on.
-fn ends_atonce(fleet: &Fleet, number: u8) -> std::thread::JoinHandle<()> {
+/// Lists a server that ends as soon as it has read one request.
+fn ends_atonce(fleet: &Fleet, number: u8) -> Crash {
     let address = fleet.address(30 + number, 8080);
-    let listener = TcpListener::bind(address).expect("it listens");
+    let server = Crash::start(address).expect("it listens");
     let entry = fleet.plain[0].entry("desk", address, "north", "ready");
     fleet.store.put(&format!("servers/x{number}"), &entry);
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        // What it reads does not matter, only that there is something.
-        let _ = stream.read(&mut [0; 4_096]);
-    })
+    server
 }
 
 /// Three servers end, one after the other, under the same request at one VM or another: then it is refused on both, and recorded.
@@ -254,7 +250,10 @@
         until("the server has had the request", || {
             vm.ask(&format!("c{number}"), "/post/crash", None).status == 502
         });
-        server.join().expect("it ended");
+        assert!(
+            server.ended(PATIENCE),
+            "c{number} was answered with 502, but x{number} had no connection"
+        );
         fleet.store.remove(&format!("servers/x{number}"));
     }
     let records = || fleet.store.keys("dahliastile/quarantine/");
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 /// The longest wait for a condition.
-const PATIENCE: Duration = Duration::from_secs(20);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 /// The pause between two looks.
 const LOOK: Duration = Duration::from_millis(10);
 /// The variable that names the settings file.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -3,10 +3,12 @@
 //! They speak what the platform's pages say, as far as one entry VM can see it, and keep a record of what reached them.
 //! Their faults are set while they run.
 
+mod crash;
 mod http;
 mod replica;
 mod store;
 
+pub use crash::Crash;
 pub use http::Asked;
 pub use replica::{Fault, Replica, Run};
 pub use store::Store;
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -14,6 +14,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::listener;
+
 /// Bytes relayed at a time.
 const BUFFER: usize = 16 * 1024;
 
@@ -232,7 +234,7 @@
     fn run(self: Arc<Self>, mut listener: TcpListener) {
         loop {
             self.accept(&listener);
-            drop(listener);
+            listener::close(listener);
             match self.rebind() {
                 Some(bound) => listener = bound,
                 None => return,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod gate;
 mod host;
 pub mod kv;
+mod listener;
 pub mod plain;
 pub mod vms;
 pub mod weights;
