Editions that the key-value service lost are written again

Cause: after the key-value service came back from a copy of edition 3 all VMs kept edition 6 in force, and each edit was refused as not run, since the head was lower and nothing wrote editions 4 to 6 again. The refusal is right: an edit built on that head would have been a second edition 4.

Change: any VM that has the edits writes them again as they were accepted (sync/rewrite.rs), up to 32 in a transaction that compares the head's revision and that none of these editions is there; before, it compares the hash of the edit that the head names with its own. A VM that watches the head does so unasked, others while an operator's edit waits; edits wait until it is done. Where the hashes differ, the edits don't reach back to the head, or the service holds edits after its head, nothing is written: E205, and edits are refused as before.

restored_platform_is_not_built_on asserted the old refusal. It now asserts that edits follow edition 6, and that the service holds editions 1 to 6 as they were.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -80,6 +80,10 @@
     EditAccepted = 202 Info "Nothing.";
     /// An operator's edit was refused.
     EditRefused = 203 Info "The operator sees both versions and decides.";
+    /// This VM wrote editions again that are in force and that the key-value service had lost.
+    EditionsWrittenAgain = 204 Warn "Check why the key-value service lost what it had acknowledged.";
+    /// The key-value service lacks editions that are in force here, and this VM can't write them again.
+    EditionsNotWritten = 205 Error "If no VM logs E204, see `docs/OPERATIONS.md`.";
     /// The key-value service stopped answering.
     PlatformLost = 300 Warn "Check the key-value service; what is resident is served on.";
     /// The key-value service answers again.
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -11,6 +11,7 @@
 mod log;
 mod read;
 mod reader;
+mod rewrite;
 mod snapshot;
 mod spread;
 mod store;
@@ -47,6 +48,8 @@
     history: history::Queue,
     /// A snapshot on its way into the platform.
     writer: snapshot::Writer,
+    /// What is written again that the platform has lost.
+    rewrite: rewrite::State,
     /// What is fetched from and served to peers.
     spread: spread::State,
     /// The time of the first tick.
@@ -71,6 +74,8 @@
         commit::answered(node, outcome, out);
     } else if node.sync.writer.waits_for(op) {
         snapshot::answered(node, outcome, out);
+    } else if node.sync.rewrite.waits_for(op) {
+        rewrite::answered(node, outcome, out);
     } else if node.sync.watch.is(op) {
         watch::lost(node);
     }
@@ -130,6 +135,7 @@
     read::tick(node, out);
     commit::tick(node, out);
     snapshot::tick(node, out);
+    rewrite::tick(node, out);
     spread::tick(node, out);
     history::tick(node, out);
     watch::tick(node, out);
@@ -145,6 +151,7 @@
             "{edition} is in force, but the last edit kept made {last}"
         ));
     }
+    rewrite::verify(node, broken);
     let mut before = None;
     for (edition, kept) in state.log.after(Edition(0)) {
         if before.is_some_and(|digest| digest != kept.prev) {
@@ -163,6 +170,7 @@
 
 /// Goes on with everything that waits for what was read.
 fn advance(node: &mut Node, out: &mut Effects) {
+    rewrite::advance(node, out);
     commit::advance(node, out);
     history::advance(node, out);
     snapshot::advance(node, out);
--- a/crates/core/src/sync/commit.rs
+++ b/crates/core/src/sync/commit.rs
@@ -8,7 +8,7 @@
 
 use super::draft::{self, Draft};
 use super::store::{self, Head};
-use super::{apply, call_timeout, edit_timeout, reader, snapshot};
+use super::{apply, call_timeout, edit_timeout, reader, rewrite, snapshot};
 use crate::Node;
 use crate::config::Edit;
 use crate::effect::{Effect, Effects};
@@ -160,15 +160,17 @@
     match head.cmp(&edition) {
         _ if reader.reads_head() => Step::Wait,
         std::cmp::Ordering::Greater => Step::Wait,
-        std::cmp::Ordering::Less if pending.lower >= MAX_LOWER => match pending.unsure {
-            None => Step::reply(lost_history(head, edition)),
-            Some(_) => Step::reply(unknown()),
-        },
-        std::cmp::Ordering::Less => {
+        std::cmp::Ordering::Less if pending.lower < MAX_LOWER => {
             pending.lower += 1;
             reader.want_head();
             Step::Wait
         }
+        // What the service has lost is written again first.
+        std::cmp::Ordering::Less if !rewrite::stuck(node) => Step::Wait,
+        std::cmp::Ordering::Less => match pending.unsure {
+            None => Step::reply(lost_history(head, edition)),
+            Some(_) => Step::reply(unknown()),
+        },
         std::cmp::Ordering::Equal => {
             pending.unsure = pending.unsure.filter(|unsure| *unsure == revision);
             rebased(node, pending)
@@ -176,7 +178,8 @@
     }
 }
 
-/// The key-value service has lost editions that are in force: nothing may be built on what it has left.
+/// The key-value service has lost editions that are in force, and this VM can't write them again: nothing may be built on
+/// what it has left.
 fn lost_history(head: Edition, edition: Edition) -> Reply {
     let detail = format!("the key-value service has {head}, but {edition} is in force on this VM");
     fail(Kind::PlatformDown, detail)
--- a/crates/core/src/sync/log.rs
+++ b/crates/core/src/sync/log.rs
@@ -101,6 +101,18 @@
         Some(Edition(self.first().0 + position as u64))
     }
 
+    /// The hash of the edit that made an edition, where that edit or the one after it is kept.
+    pub(crate) fn digest(&self, edition: Edition) -> Option<Digest> {
+        let next = edition.0 + 1;
+        match next.checked_sub(self.first().0)? {
+            0 => self.front().map(|kept| kept.prev),
+            number => {
+                let position = usize::try_from(number - 1).ok()?;
+                self.entries.get(position).map(|kept| kept.digest)
+            }
+        }
+    }
+
     /// The edits that made the editions after one, with their editions; those no longer kept are left out.
     pub(crate) fn after(
         &self,
--- a/crates/core/src/sync/read.rs
+++ b/crates/core/src/sync/read.rs
@@ -167,6 +167,7 @@
 
 fn head_read(node: &mut Node, pending: &Pending, reply: Reply, out: &mut Effects) {
     node.sync.reader.read_at = node.now;
+    node.sync.reader.read_sent = pending.sent;
     if reply.revision < pending.seen {
         // The service went back, as after a restore. What was known of it says nothing any more.
         node.sync.reader.known = None;
--- a/crates/core/src/sync/reader.rs
+++ b/crates/core/src/sync/reader.rs
@@ -47,6 +47,8 @@
     pub(super) known: Option<Known>,
     /// When the head was last read.
     pub(super) read_at: Instant,
+    /// When the last read of the head that was answered was sent.
+    pub(super) read_sent: Instant,
     /// Whether the head is to be read.
     pub(super) wanted: bool,
     /// The snapshot that is being read.
