Limits of accounts as sliding windows, with loans and a broker per account

Change: with `window-quota` on, each holder of a share counts it exactly over the window (account/quota/window/share.rs). A VM that runs short asks the account's broker, which passes on loans that expire. Within a window 0.4 of a share may be used at once and the rest in proportion to time; a new process may use that second part from its start on, which an earlier process cannot have used, so no record of it is needed. With the feature off the code of before decides.

--- a/crates/gateway/src/account/quota.rs
+++ b/crates/gateway/src/account/quota.rs
@@ -18,6 +18,7 @@
 mod charge;
 mod pool;
 mod pool_owner;
+pub mod window;
 
 use std::collections::BTreeMap;
 
@@ -26,6 +27,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::bucket::{Bucket, Params};
+use self::charge::{MAX_ATTEMPTS, RETRY_AFTER};
 use self::pool::Pools;
 use super::{TokenLimit, Tokens};
 use crate::cluster::exclusion;
@@ -142,6 +144,10 @@
     /// Whether the key-value service still had the entry of an earlier process of this VM. In that case it also has the
     /// entries of the other VMs, so that the number of VMs is known.
     restarted: bool,
+    /// The limits as sliding windows, used instead of the shares and pools if [`Feature::WindowQuota`] is enabled.
+    ///
+    /// [`Feature::WindowQuota`]: crate::feature::Feature::WindowQuota
+    window: window::State,
 }
 
 /// What a limit allows in a window: the tokens of the rate during the window, and the tokens in all buckets at its
@@ -202,6 +208,10 @@
     /// Applies the limits of a new configuration. New accounts get an empty share; the shares of other accounts keep
     /// the tokens that still fit. Waiting requests of accounts that no longer have a limit proceed without a charge.
     pub(crate) fn apply_account_limits(&mut self, out: &mut Effects) {
+        if self.uses_window() {
+            self.apply_window_limits(out);
+            return;
+        }
         let limits: BTreeMap<Tenant, TokenLimit> = self.limits_by_account().collect();
         let mut shares = std::mem::take(&mut self.quota.shares);
         for (account, limit) in &limits {
@@ -272,6 +282,10 @@
     /// Handles the quota timer: refuses token requests that waited in the pool for too long, collects tokens if a
     /// collection is due, and retries this VM's token requests whose answer is overdue.
     pub(crate) fn handle_quota_timer(&mut self, out: &mut Effects) {
+        if self.uses_window() {
+            self.handle_window_timer(out);
+            return;
+        }
         let now = self.now;
         let mut answers = Vec::new();
         self.quota.pools.expire(now, &mut answers);
@@ -283,6 +297,10 @@
     /// Handles the loss of the connection to a VM: drops the VM's token requests, and sends this VM's token requests to
     /// another pool owner if that VM was asked.
     pub(crate) fn quota_vm_down(&mut self, vm: &Vm, out: &mut Effects) {
+        if self.uses_window() {
+            self.window_vm_down(vm, out);
+            return;
+        }
         self.quota.pools.remove_vm(vm);
         self.retry_token_requests(|pending| pending.owner == *vm, out);
     }
--- a/crates/gateway/src/account/quota/charge.rs
+++ b/crates/gateway/src/account/quota/charge.rs
@@ -2,6 +2,7 @@
 //! few.
 
 use std::cmp::Reverse;
+use std::hash::Hash;
 
 use dahliastile_core::id::{Tenant, Vm};
 use dahliastile_core::log::Code;
@@ -25,7 +26,7 @@
 const ANSWER_MARGIN: Span = Span::from_millis(150);
 
 /// The number of VMs that are asked for tokens before a request is refused.
-const MAX_ATTEMPTS: u32 = 2;
+pub(super) const MAX_ATTEMPTS: u32 = 2;
 
 /// How long a VM that did not answer a token request is not used as the pool owner.
 const EXCLUSION_TIME: Span = Span::from_secs(4);
@@ -35,7 +36,7 @@
 const EXHAUSTED_TIME: Span = Span::from_millis(100);
 
 /// The time after which a caller may retry if no pool owner answers.
-const RETRY_AFTER: Span = Span::from_millis(500);
+pub(super) const RETRY_AFTER: Span = Span::from_millis(500);
 
 /// The time after its last request at a VM for which an account counts as in use there. A VM gives up no tokens of an
 /// account in use.
@@ -45,6 +46,10 @@
     /// Charges a request to its account, if the account has a limit. Looks for a server once the request is charged or
     /// if it needs no charge.
     pub(crate) fn charge(&mut self, request: RequestId, out: &mut Effects) {
+        if self.uses_window() {
+            self.charge_window(request, out);
+            return;
+        }
         let now = self.now;
         let Some(state) = self.in_flight.get(&request) else {
             return;
@@ -72,7 +77,7 @@
     }
 
     /// Marks a request as charged and looks for a server.
-    fn admit_charged(&mut self, request: RequestId, out: &mut Effects) {
+    pub(super) fn admit_charged(&mut self, request: RequestId, out: &mut Effects) {
         if let Some(state) = self.in_flight.get_mut(&request) {
             state.charged = true;
             let account = state.account.as_ref().map(|account| &account.name);
@@ -87,9 +92,12 @@
             return;
         };
         let charged = std::mem::take(&mut state.charged);
-        let (cost, account) = (state.cost, state.account.clone());
-        if let Some(account) = account.filter(|_| charged) {
-            self.return_tokens(&account.name, cost);
+        let (cost, charge) = (state.cost, std::mem::take(&mut state.charge));
+        let account = state.account.clone();
+        match account.filter(|_| charged) {
+            Some(account) if self.uses_window() => self.refund_window(&account.name, charge),
+            Some(account) => self.return_tokens(&account.name, cost),
+            None => {}
         }
     }
 
@@ -146,6 +154,12 @@
     /// Returns the pool owner, as this VM sees it: of the VMs that are present, VMs that run no scheduler come first,
     /// then those with the highest strength, then the first by rendezvous hashing.
     fn pool_owner(&self) -> Vm {
+        self.first_helper(|vm| ("pool", vm.as_str()))
+    }
+
+    /// Returns the VM that does a task for accounts, as this VM sees it: of the VMs that are present, VMs that run no
+    /// scheduler come first, then those with the highest strength, then the first by rendezvous hashing of `choice`.
+    pub(super) fn first_helper<'a, T: Hash>(&'a self, choice: impl Fn(&'a Vm) -> T) -> Vm {
         let now = self.now;
         let is_excluded = |vm: &Vm| self.quota.excluded.contains(vm, now);
         let runs_scheduler = |vm: &Vm| {
@@ -156,12 +170,12 @@
         let me = &self.settings.vm;
         let peers = self.peers();
         let peers = peers.filter(|vm| !self.membership.is_down(vm) && !is_excluded(vm));
-        let rank = |vm: &Vm| {
+        let rank = |vm: &'a Vm| {
             let strength = Reverse(self.strength(vm));
             (
                 runs_scheduler(vm),
                 strength,
-                membership::rendezvous_score(&("pool", vm.as_str())),
+                membership::rendezvous_score(&choice(vm)),
             )
         };
         let owner = peers.chain([me]).min_by_key(|vm| rank(vm));
@@ -233,7 +247,7 @@
 
     /// Refuses a request for which its account has too few tokens. Up to half of `after` is added at random, so that
     /// callers do not retry all at once.
-    fn refuse_over_limit(&mut self, request: RequestId, after: Span, out: &mut Effects) {
+    pub(super) fn refuse_over_limit(&mut self, request: RequestId, after: Span, out: &mut Effects) {
         let spread = Span(self.rng.random_range(0..=after.0 / 2));
         if let Some(state) = self.in_flight.get(&request) {
             let account = state.account.as_ref().map(|account| &account.name);
@@ -274,7 +288,7 @@
     }
 
     /// Excludes a VM that did not answer a token request from being the pool owner, unless it is this VM.
-    fn exclude_pool_owner(&mut self, account: &Tenant, vm: &Vm, out: &mut Effects) {
+    pub(super) fn exclude_pool_owner(&mut self, account: &Tenant, vm: &Vm, out: &mut Effects) {
         let now = self.now;
         if !self.quota.excluded.contains(vm, now) && *vm != self.settings.vm {
             let detail = format!("vm={vm} account={account}");
--- /dev/null
+++ b/crates/gateway/src/account/quota/window/holders.rs
@@ -0,0 +1,50 @@
+//! The VMs that have a share of an account.
+//!
+//! Designed for accounts of a few thousand to a million tokens per second over 70 to 720 VMs. If all VMs had a share of
+//! a small account, none could serve a request by itself and each loan would have many lenders.
+
+use dahliastile_core::id::{Tenant, Vm};
+
+use crate::account::{TokenLimit, Unit};
+use crate::cluster::membership::rendezvous_score;
+use crate::settings::Tuning;
+
+/// The number of usual requests that a share holds at least, where an account has fewer shares than there are VMs.
+const REQUESTS_PER_SHARE: f64 = 8.0;
+
+/// The least number of shares of an account, so that the loss of one VM leaves most of the account's tokens.
+const MIN_HOLDERS: usize = 3;
+
+/// The usual number of tokens of a request, which all VMs must agree on: the mean of the deployment with accounts.
+const USUAL_TOKENS: f64 = 2_400.0;
+
+/// What remains of the permitted tokens after a margin for requests that reach their servers up to some ten
+/// milliseconds after they are charged, and for VMs that learn a little late of a new VM.
+const MARGIN: f64 = 0.99;
+
+/// Returns the number of tokens that an account may use in a window over all VMs.
+pub(super) fn window_tokens(limit: TokenLimit, tuning: &Tuning) -> f64 {
+    let seconds = tuning.quota_window.as_secs_f64();
+    let window = limit.rate.as_f64() * seconds + limit.burst.as_f64();
+    (window * (1.0 + tuning.quota_overage) + tuning.quota_slack) * MARGIN
+}
+
+/// Returns the number of VMs that have a share of an account with `tokens` tokens per window.
+// The number is not negative, and only its comparison with a number of VMs matters.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(super) fn count(tokens: f64, unit: Unit, vms: usize) -> usize {
+    let usual = match unit {
+        Unit::Requests => 1.0,
+        Unit::Tokens(_) => USUAL_TOKENS,
+    };
+    let full_shares = (tokens / (REQUESTS_PER_SHARE * usual)) as usize;
+    full_shares.max(MIN_HOLDERS).min(vms)
+}
+
+/// Returns the rank of a VM among those that may hold a share of an account; the VMs with the lowest ranks do.
+pub(super) fn rank(account: &Tenant, vm: &Vm) -> (u64, Vm) {
+    (
+        rendezvous_score(&("share", account.as_str(), vm.as_str())),
+        vm.clone(),
+    )
+}
--- a/crates/gateway/src/cluster/membership.rs
+++ b/crates/gateway/src/cluster/membership.rs
@@ -149,12 +149,22 @@
 
     /// Returns the number of VMs that are alive or were so within [`RECENT_WINDOW`], without counting `except`.
     pub(crate) fn recent_count(&self, now: Instant, except: &Vm) -> usize {
-        let is_recent = |peer: &Peer| {
+        self.recent_vms(now, except).count()
+    }
+
+    /// Returns the VMs that are alive or were so within [`RECENT_WINDOW`], without `except`.
+    pub(crate) fn recent_vms<'a>(
+        &'a self,
+        now: Instant,
+        except: &'a Vm,
+    ) -> impl Iterator<Item = &'a Vm> {
+        let is_recent = move |peer: &Peer| {
             let seen = peer.unlisted_at.max(peer.heard_at);
             peer.is_listed || seen > Instant::default() && now.since(seen) < RECENT_WINDOW
         };
-        let others = self.peers.iter().filter(|(vm, _)| *vm != except);
-        others.filter(|(_, peer)| is_recent(peer)).count()
+        let others = self.peers.iter().filter(move |(vm, _)| *vm != except);
+        let recent = others.filter(move |(_, peer)| is_recent(peer));
+        recent.map(|(vm, _)| vm)
     }
 
     fn peer_mut(&mut self, vm: &Vm, member: &Member) -> &mut Peer {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+use crate::account::quota::window::loan::{LendAnswer, LendRequest, LoanAnswer, LoanRequest};
 use crate::account::quota::{TokenGrant, TokenRequest};
 use crate::account::{TokenRate, Tokens};
 use crate::cluster::revision::Revision;
@@ -171,6 +172,14 @@
     SendPermitReply(RequestId, Server, Result<(), Span>),
     /// To the scheduler: asks for an engine for a request, as [`Self::PlacementRequest`] does, with details.
     DetailedPlacementRequest(Service, PlacementRequest, PlacementDetail),
+    /// To the broker of an account: the sender has too few tokens for a request.
+    LoanRequest(LoanRequest),
+    /// From the broker: the answer to a loan request.
+    LoanAnswer(LoanAnswer),
+    /// From the broker to a VM with a share of an account: asks for tokens to pass on.
+    LendRequest(LendRequest),
+    /// To the broker: the answer to a request to lend.
+    LendAnswer(LendAnswer),
 }
 
 impl Message {
@@ -202,6 +211,10 @@
             Self::SendPermitRequest(..) => "permit",
             Self::SendPermitReply(..) => "permitted",
             Self::DetailedPlacementRequest(..) => "want_detail",
+            Self::LoanRequest(_) => "loan_request",
+            Self::LoanAnswer(_) => "loan_answer",
+            Self::LendRequest(_) => "lend_request",
+            Self::LendAnswer(_) => "lend_answer",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -406,6 +406,14 @@
                 self.handle_token_request(from, token_request, out);
             }
             Message::TokenGrant(grant) => self.handle_token_grant(&grant, out),
+            Message::LoanRequest(loan_request) => {
+                self.handle_loan_request(from, loan_request, out);
+            }
+            Message::LoanAnswer(answer) => self.handle_loan_answer(&answer, out),
+            Message::LendRequest(lend_request) => {
+                self.handle_lend_request(from, &lend_request, out);
+            }
+            Message::LendAnswer(answer) => self.handle_lend_answer(from, &answer, out),
             Message::CollectTokens(number, accounts) => {
                 self.handle_collect_tokens(from, number, &accounts, out);
             }
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -13,6 +13,7 @@
 use dahliastile_core::time::{Instant, Span};
 use rand::Rng;
 
+use crate::account::quota::window::Charge;
 use crate::account::{Account, Tokens};
 use crate::cluster::snapshot::Version;
 use crate::config::{Route, RouteKind, Target};
@@ -65,6 +66,8 @@
     pub(crate) cost: Tokens,
     /// Whether the account has been charged.
     pub(crate) charged: bool,
+    /// What was charged, where limits are sliding windows.
+    pub(crate) charge: Charge,
     /// Priority; 0 is the highest.
     pub(crate) priority: u8,
     /// The service that the request goes to.
@@ -106,6 +109,7 @@
             account,
             cost: cost.unwrap_or_default(),
             charged: false,
+            charge: Charge::default(),
             priority: priority.unwrap_or(route.priority),
             route,
             service,
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -182,7 +182,16 @@
 
     /// Returns the number of messages about tokens that VMs have sent.
     fn token_messages(&self) -> u64 {
-        let kinds = ["draw", "grant", "collect", "deposit"];
+        let kinds = [
+            "draw",
+            "grant",
+            "collect",
+            "deposit",
+            "loan_request",
+            "loan_answer",
+            "lend_request",
+            "lend_answer",
+        ];
         let sent = kinds
             .iter()
             .filter_map(|kind| self.world.messages_by_kind.get(kind));
