Withdraw requests from the queues of engines that have fallen behind

Cause: a request in the queue of an engine that stops or becomes slow stays there until its deadline, and new requests are placed there as well, since the estimated backlog of an engine shrinks with time whether it reads or not.

The VM declines if the answer has started, or if the route, the deadline or the retry budget do not allow another run. The task of the request closes the connection and confirms with Event::AttemptCancelled before a new placement is requested; it handles and posts in order, so no event of the cancelled attempt can be taken for one of the next. The head of a stream that may be withdrawn is held back until its first event, so that head and events are from one server. Feature StalledEngines switches it off; it takes effect only for services whose answers are all streams and some of which may run twice.

The tests of the task with real connections are not part of this commit.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -166,6 +166,8 @@
     SchedulerState = 427 Info "Nothing.";
     /// A backend server says something new of itself in its answers: the requests a second that it takes from all VMs, that it is leaving, or how long it wants nothing.
     ServerNotice = 428 Info "If it lasts, look why that server is in need.";
+    /// An engine has started no answer for much longer than forecast; it gets no new requests until it starts one.
+    EngineStalled = 429 Info "If it repeats for one engine, check that engine.";
     /// A request was given a place at an engine.
     Placed = 510 Debug "Nothing.";
     /// The scheduler refused a request that can't be served in time.
@@ -190,6 +192,10 @@
     LimitReached = 520 Info "If it lasts and is not a fault of the account's callers, raise its limit.";
     /// The VM that lends tokens to this one did not answer, and another one is asked.
     PoolSilent = 521 Warn "Check that VM.";
+    /// The scheduler asked a VM to withdraw a request from an engine that has fallen behind.
+    WithdrawalAsked = 525 Debug "Nothing.";
+    /// A request was withdrawn from an engine that has fallen behind, and waits for a place at another one.
+    Withdrawn = 526 Info "If it repeats for one engine, check that engine.";
     /// An internal invariant does not hold.
     Broken = 900 Error "Report it with the log around it.";
 }
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -76,6 +76,8 @@
     PeerMessages "dahliastile_peer_sent_messages_total" "1";
     /// Late, crossed or duplicated pieces of answers that were dropped.
     Dropped "dahliastile_dropped_pieces_total" "1";
+    /// Requests that were to be withdrawn from an engine that has fallen behind: `withdrawn`, or why they stayed (`started`, `not_repeatable`, `late`, `budget`).
+    Withdrawals "dahliastile_withdrawals_total" "1";
 }
 
 /// One value of a figure.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -7,7 +7,7 @@
 
 use dahliastile_core::id::Service;
 use dahliastile_core::time::Span;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 
 use crate::account::{Account, AccountIndex};
@@ -79,6 +79,16 @@
     pub targets: Vec<Target>,
 }
 
+impl Route {
+    /// Returns whether a request that `executions` servers may have run before its present server may be withdrawn from
+    /// that one and run on a further server. Requests without a stream are not withdrawn, since a VM does not observe
+    /// the start of their answers.
+    #[must_use]
+    pub fn is_withdrawable(&self, executions: u32) -> bool {
+        self.kind.is_stream() && self.kind.is_idempotent() && executions + 2 <= self.attempts
+    }
+}
+
 /// A base model of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Model {
@@ -166,6 +176,8 @@
     hosts: FxHashMap<String, Vec<Arc<Route>>>,
     /// The services by name.
     services: FxHashMap<Service, Arc<ServiceConfig>>,
+    /// The services of which requests may be withdrawn from a server.
+    withdrawable: FxHashSet<Service>,
     /// The client accounts by API key.
     accounts: AccountIndex,
 }
@@ -184,9 +196,12 @@
         }
         let services = config.services.iter();
         let services = services.map(|s| (s.name.clone(), s.clone())).collect();
+        let withdrawable = config.services.iter().map(|service| &service.name);
+        let withdrawable = withdrawable.filter(|service| allows_withdrawals(config, service));
         Self {
             hosts,
             services,
+            withdrawable: withdrawable.cloned().collect(),
             accounts: AccountIndex::new(config),
         }
     }
@@ -213,8 +228,22 @@
         self.services.get(name)
     }
 
+    /// Returns whether requests of a service may be withdrawn from a server: all of its answers are streams, whose
+    /// start a VM observes, and some of them may run on a second server.
+    #[must_use]
+    pub fn allows_withdrawals(&self, service: &Service) -> bool {
+        self.withdrawable.contains(service)
+    }
+
     /// Returns the services whose servers are engines.
     pub fn engines(&self) -> impl Iterator<Item = &Arc<ServiceConfig>> {
         self.services.values().filter(|s| s.engine.is_some())
     }
 }
+
+/// Computes [`RouteIndex::allows_withdrawals`] for a service.
+fn allows_withdrawals(config: &Config, service: &Service) -> bool {
+    let targets = |route: &&Arc<Route>| route.targets.iter().any(|t| t.service == *service);
+    let routes = || config.routes.iter().filter(targets);
+    routes().all(|route| route.kind.is_stream()) && routes().any(|route| route.is_withdrawable(0))
+}
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -63,6 +63,9 @@
     pub stream: bool,
     /// Whether a broken stream can be continued at another server.
     pub resumable: bool,
+    /// Whether the attempt may be cancelled by [`NextStep::CancelAttempt`]. The head of the answer is then held back
+    /// until the first event of the stream has arrived.
+    pub withdrawable: bool,
 }
 
 /// What the task that serves a caller's request has to do next.
@@ -76,6 +79,10 @@
     Refuse(RefusalReason, Option<Span>),
     /// Abort the answer: the request's deadline has passed while its answer was being sent.
     AbortAnswer,
+    /// Close the connection of the attempt in progress and confirm with
+    /// [`Event::AttemptCancelled`](crate::event::Event::AttemptCancelled), unless the attempt has ended or its first
+    /// event has been passed on to the caller.
+    CancelAttempt,
 }
 
 /// An order to an engine to load or unload a base model or an adapter.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -221,6 +221,9 @@
     AnswerCompleted(RequestId, StreamTiming),
     /// The attempt at a server failed. Tells whether the server executed the request, and the cause.
     AttemptFailed(RequestId, Execution, FailureCause),
+    /// The attempt in progress was cancelled by [`NextStep::CancelAttempt`](crate::effect::NextStep::CancelAttempt) and
+    /// its connection is closed. All events of the attempt precede this one.
+    AttemptCancelled(RequestId),
     /// A server answered an order, or the order's timeout has passed.
     OrderAnswered(OrderId, OrderOutcome),
     /// A server's answer carries a notice about the server (rate limit, shutdown, cooldown), or no longer carries the
--- a/crates/gateway/src/feature.rs
+++ b/crates/gateway/src/feature.rs
@@ -45,11 +45,13 @@
     UrgentReserve,
     /// A caller that retries after a refusal keeps its place in the queue.
     ReturningCallers,
+    /// A request in the queue of an engine that has fallen behind is withdrawn and served by another engine.
+    StalledEngines,
 }
 
 impl Feature {
     /// All features with the names that operators use in the settings.
-    pub const ALL: [(Self, &'static str); 18] = [
+    pub const ALL: [(Self, &'static str); 19] = [
         (Self::CachedAdapters, "recent-adapters"),
         (Self::CachedAdapterWait, "recent-patience"),
         (Self::PrefixCache, "kept-parts"),
@@ -68,6 +70,7 @@
         (Self::FairShares, "fair-shares"),
         (Self::UrgentReserve, "urgent-reserve"),
         (Self::ReturningCallers, "returning-callers"),
+        (Self::StalledEngines, "stalled-engines"),
     ];
 
     /// Returns the feature's bit in [`DisabledFeatures`].
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -171,6 +171,9 @@
     SendPermitReply(RequestId, Server, Result<(), Span>),
     /// To the scheduler: asks for an engine for a request, as [`Self::PlacementRequest`] does, with details.
     DetailedPlacementRequest(Service, PlacementRequest, PlacementDetail),
+    /// From the scheduler: a request is to be withdrawn from this server, which has fallen behind. The receiver does so
+    /// unless the answer has started or the request may not run on another server.
+    Withdraw(Service, u64, RequestId, Server),
 }
 
 impl Message {
@@ -202,6 +205,7 @@
             Self::SendPermitRequest(..) => "permit",
             Self::SendPermitReply(..) => "permitted",
             Self::DetailedPlacementRequest(..) => "want_detail",
+            Self::Withdraw(..) => "withdraw",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -292,6 +292,7 @@
             Event::AttemptFailed(request, execution, cause) => {
                 self.handle_attempt_failed(request, execution, cause, out);
             }
+            Event::AttemptCancelled(request) => self.handle_attempt_cancelled(request, out),
             Event::OrderAnswered(order, outcome) => self.handle_order_outcome(order, outcome, out),
             Event::NoticeReceived(server, notice) => self.handle_notice(&server, notice, out),
             Event::ReportReceived(server, report) => self.handle_report(&server, report.as_ref()),
@@ -370,6 +371,11 @@
                     self.handle_placement_refused(request, after, out);
                 }
             }
+            Message::Withdraw(service, fence, request, server) => {
+                if self.accept_scheduler_message(&service, fence, from, out) {
+                    self.handle_withdrawal(request, &server, out);
+                }
+            }
             Message::SchedulerHeartbeat(service, fence) => {
                 self.accept_scheduler_message(&service, fence, from, out);
             }
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -4,6 +4,7 @@
 //! run is sent again only if the kind of its route allows it, and to no more servers than its route allows.
 
 mod failure;
+mod withdrawal;
 
 use std::sync::Arc;
 
@@ -83,8 +84,12 @@
     execution_count: u32,
     /// Time from arrival to the first chunk of an answer.
     time_to_first_chunk: Option<Span>,
-    /// Servers that failed the request or whose placement this VM declined.
+    /// Servers that failed the request, whose placement this VM declined, or that the request was withdrawn from.
     pub(crate) failed: Vec<Server>,
+    /// Whether the current attempt may be cancelled, as the task that carries it out was told.
+    withdrawable: bool,
+    /// Whether the task was told to cancel the current attempt, and has not confirmed it.
+    cancelling: bool,
 }
 
 impl RequestState {
@@ -117,6 +122,8 @@
             execution_count: 0,
             time_to_first_chunk: None,
             failed: Vec::new(),
+            withdrawable: false,
+            cancelling: false,
         }
     }
 
@@ -271,6 +278,13 @@
             answer_started: false,
         };
         server_state.open += 1;
+        let has_answer = state.time_to_first_chunk.is_some();
+        state.cancelling = false;
+        state.withdrawable = self.settings.uses(Feature::StalledEngines)
+            && self.index.allows_withdrawals(&state.service)
+            && state.call.work.is_some()
+            && state.route.is_withdrawable(state.execution_count)
+            && !has_answer;
         let attempt = Attempt {
             server: server.clone(),
             address: server_state.backend.address,
@@ -280,6 +294,7 @@
             priority: state.priority,
             stream: state.route.kind.is_stream(),
             resumable: state.route.kind == RouteKind::Resumable,
+            withdrawable: state.withdrawable,
         };
         let waited = self.now.since(state.arrived);
         let account = state.account.as_ref().map_or("-", |a| a.name.as_str());
@@ -320,6 +335,7 @@
         if let Phase::Sent { answer_started, .. } = &mut state.phase {
             *answer_started = true;
         }
+        state.cancelling = false;
         let took = self.now.since(state.arrived);
         state.time_to_first_chunk.get_or_insert(took);
         metrics::observe_seconds(out, Figure::FirstToken, &state.service, took);
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -18,7 +18,7 @@
 
 /// Upper bound on the sends of one request, including those that did not run. More sends would only use up
 /// the retry budget that all requests of the service share.
-const MAX_SENDS: u32 = 4;
+pub(super) const MAX_SENDS: u32 = 4;
 
 /// Time after which a caller that was refused for lack of capacity may retry: about the time of one answer of
 /// a service without engines.
@@ -26,7 +26,7 @@
 
 /// A failed request is sent again only if more time than this is left until its deadline: one round trip and
 /// the shortest run.
-const MIN_TIME_TO_RETRY: Span = Span::from_millis(30);
+pub(super) const MIN_TIME_TO_RETRY: Span = Span::from_millis(30);
 
 /// Share of the fleet-wide retry budget that the VMs use. Their sliding windows do not coincide, and with the
 /// full budget the retries in some window could exceed it.
@@ -92,6 +92,7 @@
         else {
             return;
         };
+        state.cancelling = false;
         state.failed.push(server.clone());
         state.execution_count += u32::from(ran != Execution::No);
         if let Some(server_state) = self.servers.get_mut(&server) {
@@ -156,7 +157,7 @@
     }
 
     /// Takes one retry of the request from the retry budget of its service, and returns whether there was one.
-    fn spend_retry(&mut self, request: RequestId) -> bool {
+    pub(super) fn spend_retry(&mut self, request: RequestId) -> bool {
         let Some(state) = self.in_flight.get(&request) else {
             return false;
         };
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -25,6 +25,7 @@
 mod run;
 mod run_interval;
 mod scheduled_request;
+mod stalled;
 mod summary;
 
 use std::collections::BTreeMap;
@@ -54,6 +55,7 @@
 use self::load::BaseLoadBucket;
 use self::run_interval::RunInterval;
 use self::scheduled_request::{RequestTable, ScheduledRequest, VmRequestId};
+use self::stalled::StallTable;
 
 /// Interval of the heartbeats to all VMs. Three heartbeats fit into [`client::HOLDER_TIMEOUT`], after which a
 /// VM places requests without the scheduler.
@@ -85,6 +87,8 @@
     Place(Vm, RequestId, Server, Option<Version>),
     /// Refuses a request of a VM, because it cannot be served in time. The caller may retry after the span.
     Refuse(Vm, RequestId, Span),
+    /// Withdraws a request of a VM from the server where it was placed, which has fallen behind.
+    Withdraw(Vm, RequestId, Server),
     /// Sends an order to the server at this address.
     Order(OrderId, Server, SocketAddr, Order),
     /// Asks the server at this address for its report.
@@ -133,6 +137,8 @@
     pub(crate) recent_engines: RecentEngines,
     /// Limits the rate of base model loads from the weight store.
     pub(crate) base_load_bucket: BaseLoadBucket,
+    /// Engines that have fallen behind, and the requests withdrawn from them.
+    pub(crate) stalls: StallTable,
     /// Number of the last order that was sent.
     pub(crate) last_order: OrderId,
     /// Log events recorded since the last run, written by the next run.
@@ -179,6 +185,7 @@
             engines: BTreeMap::new(),
             requests: RequestTable::default(),
             adapters: AdapterTable::default(),
+            stalls: StallTable::default(),
             // An order's number contains the fencing token. Each later scheduler of the service has a higher
             // token, so no number is used twice.
             order_base: order_base(fence),
@@ -263,6 +270,7 @@
         for id in self.requests.at_server(server) {
             self.remove_request(&id);
         }
+        self.stalls.forget(server);
         if let Some(engine) = self.engines.get_mut(server) {
             engine.reset(incarnation);
             self.recent_engines
@@ -273,6 +281,7 @@
     /// Removes an engine whose entry is gone.
     pub fn remove_server(&mut self, server: &Server) {
         self.changed = true;
+        self.stalls.forget(server);
         if let Some(mut engine) = self.engines.remove(server) {
             self.recent_engines
                 .remove_engine(server, &mut engine.recent_adapters);
@@ -437,6 +446,12 @@
         self.vm_count = vm_count;
     }
 
+    /// Sets whether requests may be withdrawn from engines that have fallen behind, by the routes of the service.
+    pub(crate) fn set_allows_withdrawals(&mut self, allows: bool) {
+        self.stalls
+            .set_enabled(allows && self.settings.uses(Feature::StalledEngines));
+    }
+
     /// Returns whether this scheduler sent the order.
     #[must_use]
     pub fn owns(&self, order: OrderId) -> bool {
@@ -459,10 +474,12 @@
         self.due = now + HEARTBEAT_INTERVAL;
         out.extend(self.pending_logs.drain(..).map(Decision::Log));
         self.apply_elapsed_time(now, out);
+        let stalled = self.update_stalled(now, out);
         self.update_deprioritized(now);
         self.update_leaving(now);
         let residency = self.residency(now);
         self.place_requests(now, &residency, out);
+        self.withdraw_requests(now, &stalled, &residency, out);
         let forecasts = self.forecast(now, &residency);
         self.plan_loads(now, &forecasts, residency, out);
         self.refuse_unservable(now, &forecasts, out);
@@ -476,7 +493,7 @@
         Some(self.adapters.intern(&work.model, adapter))
     }
 
-    /// Updates which engines are deprioritized because they fail the most requests.
+    /// Updates which engines are deprioritized because they fail the most requests or have fallen behind.
     fn update_deprioritized(&mut self, now: Instant) {
         let health: Vec<&Health> = self.engines.values().map(|engine| &engine.health).collect();
         let enabled = self.settings.uses(Feature::HealthRanking);
@@ -485,8 +502,9 @@
         } else {
             Vec::new()
         };
-        for (index, engine) in self.engines.values_mut().enumerate() {
-            engine.deprioritized = deprioritized.contains(&index);
+        for (index, (server, engine)) in self.engines.iter_mut().enumerate() {
+            let is_stalled = self.stalls.excludes(now, server, engine);
+            engine.deprioritized = deprioritized.contains(&index) || is_stalled;
         }
     }
 
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -45,7 +45,7 @@
 const MAX_REJECTIONS: u32 = 3;
 
 /// Longest time between two attempts to place the waiting requests.
-const PLACEMENT_RETRY_INTERVAL: Span = Span::from_millis(25);
+pub(super) const PLACEMENT_RETRY_INTERVAL: Span = Span::from_millis(25);
 
 impl Scheduler {
     /// Places the waiting requests that an engine can start now.
@@ -62,13 +62,7 @@
             let Some((server, cost)) = self.cheapest_engine(now, &id.vm, request, residency) else {
                 continue;
             };
-            let engine = &self.engines[&server];
-            let tuning = &self.settings.tuning;
-            let has_batch_slot =
-                engine.running < tuning.running_per_engine.min(self.engine_spec.batch);
-            let ahead = engine.backlog_including(now, engine.tokens_to_read(request));
-            let starts_soon = engine.unread_tokens == 0 || ahead <= tuning.backlog;
-            if has_batch_slot && starts_soon && cost < DEPRIORITIZED_COST {
+            if self.starts_now(now, request, &self.engines[&server], cost) {
                 self.dispatch(now, &id, &server, out);
             } else {
                 self.run_by(now + PLACEMENT_RETRY_INTERVAL);
@@ -76,8 +70,23 @@
         }
     }
 
+    /// Returns whether an engine, where a request has this cost, has a batch slot for it and little to read before it.
+    pub(crate) fn starts_now(
+        &self,
+        now: Instant,
+        request: &ScheduledRequest,
+        engine: &Engine,
+        cost: Span,
+    ) -> bool {
+        let tuning = &self.settings.tuning;
+        let has_batch_slot = engine.running < tuning.running_per_engine.min(self.engine_spec.batch);
+        let ahead = engine.backlog_including(now, engine.tokens_to_read(request));
+        let starts_soon = engine.unread_tokens == 0 || ahead <= tuning.backlog;
+        has_batch_slot && starts_soon && cost < DEPRIORITIZED_COST
+    }
+
     /// Returns the engine that can run a request at the lowest cost, with that cost.
-    fn cheapest_engine(
+    pub(crate) fn cheapest_engine(
         &self,
         now: Instant,
         vm: &Vm,
@@ -220,6 +229,7 @@
         let Some(engine) = self.engines.get_mut(&server) else {
             return;
         };
+        self.stalls.record_answer_started(&server);
         engine.complete_prefill(now, tokens, since);
         engine.health.record_success(now);
         engine.cooldown.clear_rejections();
--- a/crates/gateway/src/scheduler/run.rs
+++ b/crates/gateway/src/scheduler/run.rs
@@ -29,6 +29,7 @@
             };
             self.scheduler_ran = true;
             scheduler.set_vm_count(vm_count);
+            scheduler.set_allows_withdrawals(self.index.allows_withdrawals(&service));
             let mut decisions = Vec::new();
             scheduler.run(self.now, &mut decisions);
             let (fence, next_run) = (scheduler.fence(), scheduler.next_run());
@@ -68,6 +69,13 @@
                     out,
                 );
             }
+            Decision::Withdraw(vm, request, server) if vm == me => {
+                self.handle_withdrawal(request, &server, out);
+            }
+            Decision::Withdraw(vm, request, server) => {
+                let message = Message::Withdraw(service.clone(), fence, request, server);
+                self.send(&vm, message, out);
+            }
             Decision::Order(id, server, address, order) => {
                 metrics::count_for_service(
                     out,
--- a/crates/gateway/src/scheduler/scheduled_request.rs
+++ b/crates/gateway/src/scheduler/scheduled_request.rs
@@ -1,6 +1,6 @@
 //! The requests of a scheduler, waiting or running.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use dahliastile_core::id::{Server, Vm, Zone};
@@ -117,6 +117,11 @@
         self.state == State::Waiting
     }
 
+    /// Returns whether the request was placed at this server and its answer has not started.
+    pub(crate) fn is_unstarted_at(&self, server: &Server) -> bool {
+        matches!(&self.state, State::Running { server: assigned, answer_started: false, .. } if assigned == server)
+    }
+
     /// Returns whether the request was placed at this server.
     fn is_at(&self, server: &Server) -> bool {
         matches!(&self.state, State::Running { server: assigned, .. } if assigned == server)
@@ -220,6 +225,30 @@
         ids
     }
 
+    /// Returns the requests at these servers whose answers have not started, each server's in the order in which they
+    /// were placed.
+    pub(crate) fn unstarted_at(
+        &self,
+        servers: &BTreeSet<&Server>,
+    ) -> BTreeMap<Server, Vec<VmRequestId>> {
+        let mut placed = BTreeSet::new();
+        for (id, request) in &self.by_id {
+            match &request.state {
+                State::Running {
+                    server,
+                    since,
+                    answer_started: false,
+                } if servers.contains(server) => placed.insert((server, *since, id)),
+                State::Running { .. } | State::Waiting => false,
+            };
+        }
+        let mut queues: BTreeMap<Server, Vec<VmRequestId>> = BTreeMap::new();
+        for (server, _, id) in placed {
+            queues.entry(server.clone()).or_default().push(id.clone());
+        }
+        queues
+    }
+
     /// Returns the waiting requests in the order in which they are served: first those whose objective has not
     /// passed, then the others, both by priority and arrival.
     pub(crate) fn waiting(&self, now: Instant) -> Vec<VmRequestId> {
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -18,11 +18,11 @@
 use serde::Serialize;
 
 /// Kinds of messages; their indexes are 0 up to this number.
-const KINDS: u8 = 24;
+const KINDS: u8 = 25;
 
 /// Lists of one message each, in hexadecimal, with the message's kind. Together they hold each variant and each state of an
 /// optional field that a message can carry.
-const MESSAGES: [(&str, &str); 41] = [
+const MESSAGES: [(&str, &str); 42] = [
     (
         "want",
         "0100096472616674732f6575e9070b63616c6c65722dc3bc2f3906626173652d37010561312f6672ad02f1a2040290e4\
@@ -130,6 +130,7 @@
         "0117096472616674732f6575ea070b63616c6c65722dc3bc2f3906626173652d3700ad02f1a2040290e4d0b287d3aeee\
          fe0182014dab0193a10fe2c65bc3a8a504c9056e6f7274680203692d3405692d353535000080b51800",
     ),
+    ("withdraw", "0118096472616674732f6575e8a304d70904692d3439"),
 ];
 
 /// A list of three messages, with their kinds.
@@ -353,6 +354,7 @@
         (Feature::FairShares, "fair-shares"),
         (Feature::UrgentReserve, "urgent-reserve"),
         (Feature::ReturningCallers, "returning-callers"),
+        (Feature::StalledEngines, "stalled-engines"),
     ];
     assert_eq!(Feature::ALL, names);
     for (feature, name) in names {
--- a/crates/gateway/tests/scheduler.rs
+++ b/crates/gateway/tests/scheduler.rs
@@ -138,7 +138,7 @@
                 }
                 Decision::Order(id, server, _, order) => self.execute_order(id, server, order),
                 Decision::Residents(_) => self.resident_messages += 1,
-                Decision::Heartbeat | Decision::Log(_) => {}
+                Decision::Heartbeat | Decision::Log(_) | Decision::Withdraw(..) => {}
             }
         }
         self.deciding_runs += usize::from((self.placed.len(), self.refused) != before);
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -76,6 +76,37 @@
     pub local_copy_capacity: usize,
     /// Incarnation of the server: a restart under the same ID changes it.
     pub incarnation: Incarnation,
+    /// The period in which prefill takes longer; `None` if it never does. Set before the period begins.
+    pub slow_period: Option<SlowPeriod>,
+}
+
+/// A period in which the prefill of an engine takes longer.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowPeriod {
+    /// When it begins.
+    pub from: Instant,
+    /// When it ends.
+    pub until: Instant,
+    /// How many times longer prefill takes; `None` if it makes no progress.
+    pub factor: Option<u64>,
+}
+
+impl SlowPeriod {
+    /// Returns when a prefill ends that begins at `start` and takes `span` at full speed.
+    fn prefill_end(&self, start: Instant, span: Span) -> Instant {
+        let before = self.from.since(start);
+        if start >= self.until || span <= before {
+            return start + span;
+        }
+        let (slow_start, rest) = (start.max(self.from), span - before);
+        let done = self.factor.map_or(Span::ZERO, |factor| {
+            Span(self.until.since(slow_start).0 / factor)
+        });
+        match self.factor {
+            Some(factor) if rest <= done => slow_start + rest.times(factor),
+            _ => self.until + (rest - done),
+        }
+    }
 }
 
 impl Engine {
@@ -103,6 +134,7 @@
             local_copies: Vec::new(),
             local_copy_capacity: LOCAL_COPIES,
             incarnation: Incarnation(1),
+            slow_period: None,
         }
     }
 
@@ -224,8 +256,11 @@
         if now > self.prefill_done_at {
             self.prefill_busy.0 = now;
         }
-        let answer_starts = self.prefill_done_at.max(now)
-            + Span::from_millis(u64::from(prompt) / PREFILL_TOKENS_PER_MS);
+        let begin = self.prefill_done_at.max(now);
+        let prefill = Span::from_millis(u64::from(prompt) / PREFILL_TOKENS_PER_MS);
+        let answer_starts = self
+            .slow_period
+            .map_or(begin + prefill, |slow| slow.prefill_end(begin, prefill));
         let answer_ends = answer_starts + DECODE_STEP.times(u64::from(output));
         self.prefill_done_at = answer_starts;
         self.prefill_busy.1 = self
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -6,7 +6,7 @@
 mod restore;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 use dahliastile_core::id::{Incarnation, Server, Tenant};
@@ -139,6 +139,8 @@
     DeliverMessage(usize, usize, Message),
     /// An attempt of the request with this number reaches a server.
     DeliverAttempt(usize, u64, u64, Attempt),
+    /// The task of the request with this number reads that its attempt is to be cancelled.
+    CancelAttempt(u64),
     /// The head of a server's answer reaches its VM.
     DeliverHead(notice::Head),
     /// Restarts the process of the VM.
@@ -200,6 +202,14 @@
     pub messages: u64,
     /// Number of these messages by kind.
     pub messages_by_kind: BTreeMap<&'static str, u64>,
+    /// Kinds of messages between VMs that are lost.
+    pub lost_kinds: BTreeSet<&'static str>,
+    /// Time after which the task of a request reads that its attempt is to be cancelled.
+    pub cancel_delay: Span,
+    /// Attempts that VMs cancelled: when, of which request, and at which server.
+    pub cancelled: Vec<(Instant, u64, Server)>,
+    /// Number of attempts that reached a server while another server ran the same request.
+    pub concurrent_runs: u32,
     /// Number of calls of the key-value service that VMs made, whether or not it answered.
     pub kv_calls: u64,
     /// Tuning of all VMs.
@@ -307,6 +317,10 @@
             log_lines: Vec::new(),
             messages: 0,
             messages_by_kind: BTreeMap::new(),
+            lost_kinds: BTreeSet::new(),
+            cancel_delay: Span::ZERO,
+            cancelled: Vec::new(),
+            concurrent_runs: 0,
             kv_calls: 0,
             tuning,
             without,
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -90,6 +90,7 @@
             Action::DeliverAttempt(vm, incarnation, number, attempt) => {
                 self.handle_attempt(vm, incarnation, number, &attempt);
             }
+            Action::CancelAttempt(number) => self.cancel_attempt(number),
             Action::DeliverHead(head) => self.deliver_head(head),
             Action::RestartVm(vm) => self.start_vm(vm),
             Action::ExpireLeases => {
@@ -336,8 +337,10 @@
         let run = RunningRequest {
             vm: (vm, incarnation),
             server: server.clone(),
+            answer_started: false,
         };
-        self.running.insert(number, run);
+        let previous = self.running.insert(number, run);
+        self.concurrent_runs += u32::from(previous.is_some());
         let answer = |event| Action::DeliverFromServer(number, server.clone(), event);
         let completed = answer(Event::AnswerCompleted(number, StreamTiming::default()));
         if request.work.is_some() || !crashes {
@@ -454,6 +457,9 @@
                     Action::Deliver(vm, incarnation, event),
                 );
             }
+            Effect::Request(number, NextStep::CancelAttempt) => {
+                self.schedule(now + self.cancel_delay, Action::CancelAttempt(number));
+            }
             Effect::Request(number, next_step) => {
                 let answer = match next_step {
                     NextStep::Refuse(reason, after) => Answer::Refused(reason, after),
@@ -484,7 +490,8 @@
                 self.messages += 1;
                 *self.messages_by_kind.entry(message.kind()).or_default() += 1;
                 let to = (0..self.vms.len()).find(|to| setup::address(1, *to) == address);
-                if let Some(to) = to.filter(|_| network_up) {
+                let is_lost = self.lost_kinds.contains(message.kind());
+                if let Some(to) = to.filter(|_| network_up && !is_lost) {
                     self.schedule(now + LATENCY, Action::DeliverMessage(vm, to, message));
                 }
             }
--- a/crates/gateway/tests/support/world/crash.rs
+++ b/crates/gateway/tests/support/world/crash.rs
@@ -29,6 +29,8 @@
     pub(super) vm: (usize, u64),
     /// The server that runs the request.
     pub(super) server: Server,
+    /// Whether the answer has started at the VM.
+    pub(super) answer_started: bool,
 }
 
 /// The arrival at a server of a request that crashes servers.
@@ -141,6 +143,19 @@
         );
     }
 
+    /// Cancels the attempt of a request, as the request's task does when its gateway says so. Does nothing if the
+    /// answer has started or the attempt has ended.
+    pub(super) fn cancel_attempt(&mut self, number: u64) {
+        let is_unstarted = |run: &&RunningRequest| !run.answer_started;
+        if self.running.get(&number).filter(is_unstarted).is_none() {
+            return;
+        }
+        let run = self.running.remove(&number).expect("the request runs");
+        self.cancelled.push((self.now, number, run.server));
+        let confirmed = Action::Deliver(run.vm.0, run.vm.1, Event::AttemptCancelled(number));
+        self.schedule(self.now, confirmed);
+    }
+
     /// Removes the entry of a crashed server.
     pub(super) fn remove_crashed_entry(&mut self, server: Server) {
         self.store.remove(&EntryKey::Server(server));
@@ -153,8 +168,13 @@
             return;
         };
         let (vm, incarnation) = run.vm;
-        if matches!(event, Event::AnswerCompleted(..)) {
-            self.running.remove(&number);
+        match event {
+            Event::AnswerStarted(_) => {
+                let run = self.running.get_mut(&number);
+                run.expect("the request runs").answer_started = true;
+            }
+            Event::AnswerCompleted(..) => drop(self.running.remove(&number)),
+            _ => {}
         }
         if self.vms[vm].incarnation == incarnation {
             self.deliver(vm, event);
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::dialect::{Dialect, Reply};
 use crate::hub::Hub;
 use crate::pool::{self, Connection, Fault};
+use crate::stream::Begun;
 
 /// The longest answer that is held whole, in bytes: many times the largest of a plain service.
 const LONGEST: usize = 1 << 20;
@@ -20,7 +21,7 @@
     /// A whole answer.
     Whole(Response<Bytes>),
     /// A stream has begun.
-    Stream(response::Parts, Incoming, Connection),
+    Stream(Box<Begun>),
     /// The server failed the request; with its own failure, where that can be passed on.
     Failed(Execution, FailureCause, Option<Response<Bytes>>),
 }
@@ -54,7 +55,9 @@
     hub.notice(&send.server, at, hub.dialect.notice(&answer));
     match hub.dialect.reply(head, &answer) {
         Reply::Foreign => Tried::Failed(Execution::Maybe, FailureCause::Malformed, None),
-        Reply::Answer if send.stream => Tried::Stream(answer, body, connection),
+        Reply::Answer if send.stream => {
+            Tried::Stream(Box::new(Begun::new(answer, body, connection)))
+        }
         reply => settle(hub, reply, answer, body, connection).await,
     }
 }
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -74,12 +74,20 @@
                 Some(NextStep::Attempt(send)) => match self.send(&send).await {
                     Step::Answer(answer) => return whole(answer),
                     Step::Stream(stream) => return stream::begin(self, *send, *stream),
+                    Step::Told(Some(NextStep::CancelAttempt)) => {
+                        self.ticket
+                            .hub
+                            .post(Event::AttemptCancelled(self.ticket.id));
+                        next = self.verdicts.recv().await;
+                    }
                     Step::Failed(response) => {
                         kept = response;
                         next = self.verdicts.recv().await;
                     }
                     Step::Told(verdict) => next = verdict,
                 },
+                // The attempt ended before the gateway's decision to cancel it was read.
+                Some(NextStep::CancelAttempt) => next = self.verdicts.recv().await,
                 Some(NextStep::ForwardFailure) => {
                     self.ticket.done = true;
                     return whole(kept.unwrap_or_else(|| self.refuse(RefusalReason::Failed, None)));
@@ -107,7 +115,12 @@
         let tried = tokio::select! {
             biased;
             verdict = self.verdicts.recv() => return Step::Told(verdict),
-            tried = attempt(&hub, &self.head, &self.body, send, None) => tried,
+            tried = async {
+                match attempt(&hub, &self.head, &self.body, send, None).await {
+                    Tried::Stream(begun) if send.withdrawable => begun.first_event().await,
+                    tried => tried,
+                }
+            } => tried,
         };
         match tried {
             Tried::Whole(response) => {
@@ -115,8 +128,11 @@
                     .finish(Event::AnswerCompleted(id, StreamTiming::default()));
                 Step::Answer(response)
             }
-            Tried::Stream(head, body, connection) => {
-                Step::Stream(Box::new((head, body, connection)))
+            Tried::Stream(begun) => {
+                if begun.has_event() {
+                    hub.post(Event::AnswerStarted(id));
+                }
+                Step::Stream(begun)
             }
             Tried::Failed(ran, cause, response) => {
                 hub.post(Event::AttemptFailed(id, ran, cause));
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -24,8 +24,49 @@
 /// The end of an event.
 const EVENT_END: &[u8] = b"\n\n";
 
-/// The head of a stream, its body and its connection.
-pub(crate) type Begun = (response::Parts, Incoming, Connection);
+/// A stream whose head has arrived.
+pub(crate) struct Begun {
+    head: response::Parts,
+    body: Incoming,
+    connection: Connection,
+    /// The events that were read before the head is passed on.
+    events: Events,
+    /// Their bytes; none if no event was read.
+    first: Option<Bytes>,
+}
+
+impl Begun {
+    pub(crate) fn new(head: response::Parts, body: Incoming, connection: Connection) -> Self {
+        Self {
+            head,
+            body,
+            connection,
+            events: Events::default(),
+            first: None,
+        }
+    }
+
+    /// Returns whether an event was read.
+    pub(crate) fn has_event(&self) -> bool {
+        self.first.is_some()
+    }
+
+    /// Reads up to the first event, or to the end of a stream without any. The stream can be given up until then,
+    /// because its head, which names the server, has not been passed on.
+    pub(crate) async fn first_event(mut self: Box<Self>) -> Tried {
+        while self.first.is_none() {
+            let data = match self.body.frame().await {
+                None => break,
+                Some(Err(_)) => {
+                    return Tried::Failed(Execution::Maybe, FailureCause::Broken, None);
+                }
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            self.first = self.events.add(&data);
+        }
+        Tried::Stream(self)
+    }
+}
 
 /// Events as they come, whole ones only.
 #[derive(Default)]
@@ -96,9 +137,8 @@
 
 /// Answers with a stream that a task of its own passes on.
 pub(crate) fn begin<D: Dialect>(asked: Asked<D>, send: Attempt, begun: Begun) -> Answer {
-    let (head, body, connection) = begun;
     let (pieces, receiver) = mpsc::channel(PIECES);
-    let builder = asked.ticket.hub.dialect.answer(&head);
+    let builder = asked.ticket.hub.dialect.answer(&begun.head);
     let piped = Piped {
         pieces: receiver,
         ended: false,
@@ -112,21 +152,30 @@
                 .refused(RefusalReason::Failed, None),
         );
     };
-    let keep = pool::keep(&head.headers);
-    tokio::task::spawn_local(pass(asked, send, body, connection, keep, pieces));
+    tokio::task::spawn_local(pass(asked, send, begun, pieces));
     answer
 }
 
 async fn pass<D: Dialect>(
     mut asked: Asked<D>,
     send: Attempt,
-    mut body: Incoming,
-    mut connection: Connection,
-    mut keep: Option<std::time::Duration>,
+    begun: Begun,
     pieces: mpsc::Sender<Piece>,
 ) {
-    let mut events = Events::default();
-    let mut begun = false;
+    let mut keep = pool::keep(&begun.head.headers);
+    let Begun {
+        mut body,
+        mut connection,
+        mut events,
+        first,
+        ..
+    } = begun;
+    let mut begun = first.is_some();
+    if let Some(first) = first
+        && pieces.send(Piece::Data(first)).await.is_err()
+    {
+        return;
+    }
     loop {
         let id = asked.ticket.id;
         let part = part(&mut asked, &mut body, &mut events, &mut begun, &pieces).await;
@@ -162,10 +211,10 @@
             return;
         }
         match go_on(&mut asked, events.last.as_deref()).await {
-            Some((head, next, link)) => {
-                keep = pool::keep(&head.headers);
-                body = next;
-                connection = link;
+            Some(next) => {
+                keep = pool::keep(&next.head.headers);
+                body = next.body;
+                connection = next.connection;
             }
             None => return,
         }
@@ -184,7 +233,11 @@
         let frame = tokio::select! {
             biased;
             () = pieces.closed() => return Part::Left,
-            _ = asked.verdicts.recv() => return Part::Cut,
+            verdict = asked.verdicts.recv() => match verdict {
+                // The answer began before the gateway's decision to cancel the attempt was read.
+                Some(NextStep::CancelAttempt) => continue,
+                _ => return Part::Cut,
+            },
             frame = body.frame() => frame,
         };
         let data = match frame {
@@ -206,13 +259,18 @@
 }
 
 /// Has a stream go on at another server after the last whole event, as the gateway says.
-async fn go_on<D: Dialect>(asked: &mut Asked<D>, after: Option<&str>) -> Option<Begun> {
+async fn go_on<D: Dialect>(asked: &mut Asked<D>, after: Option<&str>) -> Option<Box<Begun>> {
     let hub = asked.ticket.hub.clone();
     let id = asked.ticket.id;
     loop {
-        let Some(NextStep::Attempt(send)) = asked.verdicts.recv().await else {
-            asked.ticket.done = true;
-            return None;
+        let send = match asked.verdicts.recv().await {
+            Some(NextStep::Attempt(send)) => send,
+            // The stream broke before the gateway's decision to cancel the attempt was read.
+            Some(NextStep::CancelAttempt) => continue,
+            _ => {
+                asked.ticket.done = true;
+                return None;
+            }
         };
         let tried = tokio::select! {
             biased;
@@ -223,7 +281,7 @@
             tried = attempt(&hub, &asked.head, &asked.body, &send, after) => tried,
         };
         match tried {
-            Tried::Stream(head, body, connection) => return Some((head, body, connection)),
+            Tried::Stream(begun) => return Some(begun),
             Tried::Whole(_) => hub.post(Event::AttemptFailed(
                 id,
                 Execution::Yes,
