Withdraw requests that would be next, and test the task with real connections

Cause: only engines that could start a request at once were used. Under load the requests that arrive fill each engine up to its limit first, so of 16 requests at a stopped engine none was withdrawn.

Change: a request is withdrawn if it would be placed before all that wait for its adapter, also where the other engine has prompts to read before. A stand-in engine that sends the head of a stream and no event shows, over real connections, that the connection is closed, that the answer and its seal are from the other engine, and that a request that may run once stays.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -226,6 +226,71 @@
     }
 }
 
+/// Guards against a request that is held at an engine that has stalled after the head of its answer, against two engines
+/// that run it for longer than 400 ms, against an answer with the head of one engine and the events of another, and
+/// against a second run of a request that is not idempotent.
+#[test]
+fn request_iswithdrawnfromstalledengine() {
+    let fleet = Fleet::start_ready(2);
+    let [vm, other_vm] = &fleet.vms[..] else {
+        panic!("two VMs");
+    };
+    for engine in &fleet.engines {
+        engine.set_fault(Fault::Stalls);
+    }
+    let model = Some("base/a1");
+    let withdrawn = vm.open(&request("withdrawn", "/berth/x", model));
+    until("an engine runs it", || {
+        ran(&fleet.engines, "withdrawn") == 1
+    });
+    let stalled_first = ran(&fleet.engines[..1], "withdrawn") == 1;
+    let (stalled, healthy) = match stalled_first {
+        true => (&fleet.engines[0], &fleet.engines[1]),
+        false => (&fleet.engines[1], &fleet.engines[0]),
+    };
+    let once = vm.open(&request("once", "/plan/x", model));
+    until("an engine runs it", || ran(&fleet.engines, "once") == 1);
+    assert_eq!(healthy.runs().len(), 0, "the adapter is at one engine");
+    healthy.set_fault(Fault::None);
+    let mut later = Vec::new();
+    until("the adapter is at the other engine", || {
+        let id = format!("later{}", later.len());
+        later.push(other_vm.open(&request(&id, "/berth/x", model)));
+        std::thread::sleep(Duration::from_millis(200));
+        !healthy.runs().is_empty()
+    });
+    let answer = read(withdrawn.expect("a connection"));
+    assert_eq!((answer.status, answer.whole), (200, true));
+    let text = answer.text.to_lowercase();
+    let seal = format!("server-seal: seal-{}\r\n", healthy.id());
+    assert!(text.contains(&seal), "{text}");
+    assert_eq!(text.matches("server-seal:").count(), 1, "{text}");
+    let events = text.matches("data: token").count();
+    assert_eq!(events, 5, "{text}");
+    assert_eq!(ran(&fleet.engines, "withdrawn"), 2);
+    until("its connection is closed", || {
+        let cancelled = stalled.cancelled();
+        cancelled.iter().any(|(id, _)| id == "withdrawn")
+    });
+    let cancelled = stalled.cancelled();
+    let closed = cancelled.iter().find(|(id, _)| id == "withdrawn");
+    let runs = healthy.runs();
+    let run = runs
+        .iter()
+        .find(|run| run.asked.headers["request-id"] == "withdrawn");
+    let (closed, began) = (closed.expect("closed").1, run.expect("a run").at);
+    let both = closed.saturating_duration_since(began);
+    assert!(both < Duration::from_millis(400), "{both:?}");
+    assert!(cancelled.iter().all(|(id, _)| id != "once"));
+    assert_eq!(ran(&fleet.engines, "once"), 1);
+    let figures = vm.figures();
+    let mut figures = figures
+        .lines()
+        .filter(|l| l.starts_with("dahliastile_withdrawals_total"));
+    assert!(figures.any(|line| line.contains("withdrawn")));
+    drop(once);
+}
+
 /// A server that ends as soon as it has read one request: its connection breaks, and nothing listens at its address from then on.
 fn ends_atonce(fleet: &Fleet, number: u8) -> std::thread::JoinHandle<()> {
     let address = fleet.address(30 + number, 8080);
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -62,7 +62,11 @@
             let Some((server, cost)) = self.cheapest_engine(now, &id.vm, request, residency) else {
                 continue;
             };
-            if self.starts_now(now, request, &self.engines[&server], cost) {
+            let engine = &self.engines[&server];
+            let tuning = &self.settings.tuning;
+            let ahead = engine.backlog_including(now, engine.tokens_to_read(request));
+            let starts_soon = engine.unread_tokens == 0 || ahead <= tuning.backlog;
+            if starts_soon && self.has_room(engine, cost) {
                 self.dispatch(now, &id, &server, out);
             } else {
                 self.run_by(now + PLACEMENT_RETRY_INTERVAL);
@@ -70,19 +74,11 @@
         }
     }
 
-    /// Returns whether an engine, where a request has this cost, has a batch slot for it and little to read before it.
-    pub(crate) fn starts_now(
-        &self,
-        now: Instant,
-        request: &ScheduledRequest,
-        engine: &Engine,
-        cost: Span,
-    ) -> bool {
-        let tuning = &self.settings.tuning;
-        let has_batch_slot = engine.running < tuning.running_per_engine.min(self.engine_spec.batch);
-        let ahead = engine.backlog_including(now, engine.tokens_to_read(request));
-        let starts_soon = engine.unread_tokens == 0 || ahead <= tuning.backlog;
-        has_batch_slot && starts_soon && cost < DEPRIORITIZED_COST
+    /// Returns whether an engine, where a request has this cost, can take the request.
+    pub(crate) fn has_room(&self, engine: &Engine, cost: Span) -> bool {
+        let batch = self.engine_spec.batch;
+        let most = self.settings.tuning.running_per_engine.min(batch);
+        engine.running < most && cost < DEPRIORITIZED_COST
     }
 
     /// Returns the engine that can run a request at the lowest cost, with that cost.
--- a/crates/gateway/src/scheduler/stalled.rs
+++ b/crates/gateway/src/scheduler/stalled.rs
@@ -18,7 +18,7 @@
 use super::engine::Engine;
 use super::forecast::prefill_time;
 use super::residency::Residency;
-use super::scheduled_request::{RequestTable, VmRequestId};
+use super::scheduled_request::{RequestTable, ScheduledRequest, VmRequestId};
 use super::{Decision, HEARTBEAT_INTERVAL, Scheduler};
 
 /// Shortest time without the start of an answer after which an engine counts as stalled. Equals the pause that callers
@@ -199,8 +199,7 @@
         })
     }
 
-    /// Withdraws at most one request from each stalled engine. Called after the waiting requests are placed, so
-    /// that these get free engines first.
+    /// Withdraws at most one request from each stalled engine.
     pub(crate) fn withdraw_requests(
         &mut self,
         now: Instant,
@@ -284,7 +283,22 @@
         let tokens = engine.tokens_to_read(&request);
         let start = engine.backlog_including(now, tokens) + WITHDRAWAL_TIME;
         let is_sooner = start.times(MIN_GAIN) <= candidate.wait;
-        let is_useful = !is_taken && is_sooner && now + start < request.deadline;
-        (is_useful && self.starts_now(now, &request, engine, cost)).then_some((target, start))
+        let is_possible =
+            self.has_room(engine, cost) && !is_taken && now + start < request.deadline;
+        (is_possible && is_sooner && self.is_next(now, &request)).then_some((target, start))
+    }
+
+    /// Returns whether a withdrawn request would be placed before all waiting requests for its adapter.
+    fn is_next(&self, now: Instant, request: &ScheduledRequest) -> bool {
+        let position = |request: &ScheduledRequest| {
+            let is_late = request.first_chunk_due < now;
+            (is_late, request.priority, request.arrived)
+        };
+        let waiting = self.requests.waiting(now);
+        let waiting = waiting.iter().filter_map(|id| self.requests.get(id));
+        let mut competing = waiting.filter(|other| other.adapter == request.adapter);
+        competing
+            .next()
+            .is_none_or(|first| position(request) < position(first))
     }
 }
--- a/crates/gateway/tests/stalled.rs
+++ b/crates/gateway/tests/stalled.rs
@@ -2,13 +2,14 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
-use dahliastile_gateway::config::Route;
+use dahliastile_gateway::config::{Route, RouteKind};
 use dahliastile_gateway::event::CallerRequest;
 use dahliastile_gateway::feature::{DisabledFeatures, Feature};
 use dahliastile_gateway::settings::Tuning;
-use std::sync::Arc;
 use support::World;
 use support::engine::SlowPeriod;
 use support::setup::{self, inference_spec, name, request};
@@ -19,10 +20,10 @@
 /// Prompt of the route guidance deployment in tokens: 118 ms.
 const LONG: u32 = 2_368;
 
-/// Returns request number `at`. One in three may run only once.
-fn mixed(at: usize, prompt: u32) -> CallerRequest {
+/// Returns request number `at`, for one of `adapters` adapters. One in three may run only once.
+fn mixed(at: usize, prompt: u32, adapters: usize) -> CallerRequest {
     let path = ["/plan/x", "/berth/x", "/berth/x"][at % 3];
-    let work = inference_spec(&format!("a{}", at % 2), prompt, 8);
+    let work = inference_spec(&format!("a{}", at % adapters), prompt, 8);
     request(&format!("r{at}"), path, 5_000, Some(work))
 }
 
@@ -32,11 +33,17 @@
     request(&format!("r{at}"), "/berth/x", 5_000, Some(work))
 }
 
-/// Returns a fleet of six engines, five of which hold the adapter of [`repeatable`].
-fn fleet(without: &[Feature]) -> World {
+/// Returns a fleet of six engines without some features, after 2 s without load.
+fn world(without: &[Feature]) -> World {
     let without: DisabledFeatures = without.iter().copied().collect();
     let mut world = World::without_features(4, 6, 1, Tuning::default(), without);
     world.run(Span::from_secs(2));
+    world
+}
+
+/// Returns a fleet of six engines, five of which hold the adapter of [`repeatable`].
+fn fleet(without: &[Feature]) -> World {
+    let mut world = world(without);
     world.send_requests(200, Span::from_millis(24), repeatable);
     world.run(Span::from_secs(2));
     world
@@ -85,36 +92,34 @@
 }
 
 /// Guards against requests that wait in the queue of an engine that has stopped: without withdrawals, and with new
-/// requests placed there, those are late. Compared with the feature off, for an engine that stops and one that is 5
-/// times slower, with two adapters and three requests in a queue.
+/// requests placed there, those are late. Compared with the feature off, for an engine that stops with a queue of short
+/// prompts, and for each of four engines that are 5 times slower, with long prompts for an adapter that most of them
+/// hold.
 #[test]
 fn engine_stalledmakesfewlate() {
-    for (factor, most) in [(None, 50), (Some(5), 100)] {
+    let stopped: (_, _, &[&str]) = (None, (600, 8, 2), &["e1"]);
+    let slower: (_, _, &[&str]) = (Some(5), (LONG, 31, 1), &["e0", "e1", "e2", "e3"]);
+    for (factor, (prompt, millis, adapters), engines) in [stopped, slower] {
         let outcome = |without: &[Feature]| {
-            let without: DisabledFeatures = without.iter().copied().collect();
-            let mut world = World::without_features(4, 6, 1, Tuning::default(), without);
-            let request = |at| mixed(at, 600);
-            world.run(Span::from_secs(2));
-            world.send_requests(500, Span::from_millis(8), request);
-            slow_down(&mut world, "e1", factor);
-            let numbers = world.send_requests(375, Span::from_millis(8), request);
-            world.run(Span::from_secs(6));
-            check_withdrawals(&world);
-            (late_and_unserved(&world, &numbers), world.cancelled.len())
+            let (mut late, mut unserved) = (0, 0);
+            for engine in engines {
+                let mut world = world(without);
+                let interval = Span::from_millis(millis as u64);
+                let request = |at| mixed(at, prompt, adapters);
+                world.send_requests(4_000 / millis, interval, request);
+                slow_down(&mut world, engine, factor);
+                let numbers = world.send_requests(3_000 / millis, interval, request);
+                world.run(Span::from_secs(6));
+                check_withdrawals(&world);
+                let outcome = late_and_unserved(&world, &numbers);
+                (late, unserved) = (late + outcome.0, unserved + outcome.1);
+            }
+            (late, unserved)
         };
-        let ((late, unserved), withdrawn) = outcome(&[]);
-        let ((late_before, unserved_before), _) = outcome(&[Feature::StalledEngines]);
-        println!(
-            "{factor:?}: late {late}/{late_before} unserved {unserved}/{unserved_before} withdrawn {withdrawn}"
-        );
-        assert!(
-            late * 100 <= late_before * most,
-            "{late}, {late_before} without"
-        );
-        assert!(
-            unserved <= unserved_before,
-            "{unserved}, {unserved_before} without"
-        );
+        let (with, without) = (outcome(&[]), outcome(&[Feature::StalledEngines]));
+        println!("{factor:?}: (late, unserved) {with:?}, {without:?} without the feature");
+        assert!(with.0 * 2 <= without.0, "{with:?}, {without:?}");
+        assert!(with.1 <= without.1, "{with:?}, {without:?}");
     }
 }
 
@@ -189,12 +194,10 @@
 #[test]
 fn engine_healthydecidesasbefore() {
     let lines = |without: &[Feature]| {
-        let without: DisabledFeatures = without.iter().copied().collect();
-        let mut world = World::without_features(4, 6, 1, Tuning::default(), without);
-        world.run(Span::from_secs(2));
-        let request = |at| mixed(at, [600, LONG, 9_000, 20_000][at % 4]);
+        let mut world = world(without);
+        let request = |at| mixed(at, [600, LONG, 9_000, 20_000][at % 4], 2);
         world.send_requests(120, Span::from_millis(90), request);
-        world.send_requests(300, Span::from_millis(15), |at| mixed(at, 1_460));
+        world.send_requests(300, Span::from_millis(15), |at| mixed(at, 1_460, 2));
         world.run(Span::from_secs(6));
         world.check_invariants();
         let served = world.total_served();
@@ -210,11 +213,10 @@
 #[test]
 fn config_withoutrepeatsdecidesasbefore() {
     let attempts = |route: &mut Route| route.attempts = 1;
-    let kind = |route: &mut Route| route.kind = dahliastile_gateway::config::RouteKind::Safe;
+    let kind = |route: &mut Route| route.kind = RouteKind::Safe;
     for change in [attempts, kind] {
         let lines = |without: &[Feature]| {
-            let without: DisabledFeatures = without.iter().copied().collect();
-            let mut world = World::without_features(4, 6, 1, Tuning::default(), without);
+            let mut world = world(without);
             let mut config = setup::config(2);
             for route in config.routes.iter_mut().filter(|r| r.prefix == "/berth/") {
                 change(Arc::make_mut(route));
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -28,6 +28,9 @@
     Whole(u16, Vec<(String, String)>, Vec<u8>),
     /// A stream: headers, then pieces with a pause before each; and whether its end is sent.
     Stream(Vec<(String, String)>, Vec<(Duration, String)>, bool),
+    /// The head of a stream with these headers and no event. Calls the function when the other side closes the
+    /// connection.
+    Stalled(Vec<(String, String)>, Box<dyn FnOnce() + Send>),
     /// Nothing: the connection is closed.
     Nothing,
 }
@@ -106,10 +109,15 @@
             stream.write_all(head.as_bytes()).ok()?;
             stream.write_all(&body).ok()
         }
+        Reply::Stalled(headers, closed) => {
+            stream.write_all(stream_head(&headers).as_bytes()).ok()?;
+            // The caller sends nothing more, so that a read returns when the connection ends, with or without an error.
+            let _ = stream.read(&mut [0]);
+            closed();
+            None
+        }
         Reply::Stream(headers, pieces, ended) => {
-            let mut head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n".to_owned();
-            append(&mut head, &headers);
-            stream.write_all(head.as_bytes()).ok()?;
+            stream.write_all(stream_head(&headers).as_bytes()).ok()?;
             for (pause, piece) in pieces {
                 thread::sleep(pause);
                 let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
@@ -120,6 +128,15 @@
     }
 }
 
+/// Returns the head of a stream.
+fn stream_head(headers: &[(String, String)]) -> String {
+    let mut head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
+            .to_owned();
+    append(&mut head, headers);
+    head
+}
+
 fn append(head: &mut String, headers: &[(String, String)]) {
     for (name, value) in headers {
         for part in [name, ": ", value, "\r\n"] {
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -32,6 +32,8 @@
     Full,
     /// It runs them and fails.
     Fails,
+    /// It sends the head of a stream and no event.
+    Stalls,
 }
 
 /// A request that was run.
@@ -52,6 +54,7 @@
     fence: u64,
     fault: Fault,
     runs: Vec<Run>,
+    cancelled: Vec<(String, Instant)>,
     pace: Duration,
     overfull: usize,
 }
@@ -125,6 +128,12 @@
         self.state().runs.clone()
     }
 
+    /// Returns the ids of requests whose connection was closed while the replica stalled, with the times.
+    #[must_use]
+    pub fn cancelled(&self) -> Vec<(String, Instant)> {
+        self.state().cancelled.clone()
+    }
+
     /// Orders to load an adapter that would have been one too many.
     #[must_use]
     pub fn overfull(&self) -> usize {
@@ -243,6 +252,11 @@
         ];
         match state.fault {
             Fault::LosesAnswer => Reply::Nothing,
+            Fault::Stalls => {
+                let (replica, id) = (self.clone(), id.to_owned());
+                let closed = move || replica.state().cancelled.push((id, Instant::now()));
+                Reply::Stalled(headers, Box::new(closed))
+            }
             Fault::Fails => Reply::Whole(500, headers, b"failed".to_vec()),
             fault if self.model.is_some() => {
                 let ended = fault != Fault::CutsStream;
