Address Clippy's findings in the tests of withdrawals

Cause: cargo clippy with -D warnings named a filter before is_none and a match on a boolean. Change: both rewritten without a change of what is tested.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -244,10 +244,8 @@
         ran(&fleet.engines, "withdrawn") == 1
     });
     let stalled_first = ran(&fleet.engines[..1], "withdrawn") == 1;
-    let (stalled, healthy) = match stalled_first {
-        true => (&fleet.engines[0], &fleet.engines[1]),
-        false => (&fleet.engines[1], &fleet.engines[0]),
-    };
+    let first = usize::from(!stalled_first);
+    let (stalled, healthy) = (&fleet.engines[first], &fleet.engines[1 - first]);
     let once = vm.open(&request("once", "/plan/x", model));
     until("an engine runs it", || ran(&fleet.engines, "once") == 1);
     assert_eq!(healthy.runs().len(), 0, "the adapter is at one engine");
--- a/crates/gateway/tests/support/world/crash.rs
+++ b/crates/gateway/tests/support/world/crash.rs
@@ -146,11 +146,14 @@
     /// Cancels the attempt of a request, as the request's task does when its gateway says so. Does nothing if the
     /// answer has started or the attempt has ended.
     pub(super) fn cancel_attempt(&mut self, number: u64) {
-        let is_unstarted = |run: &&RunningRequest| !run.answer_started;
-        if self.running.get(&number).filter(is_unstarted).is_none() {
-            return;
-        }
-        let run = self.running.remove(&number).expect("the request runs");
+        let run = match self.running.remove(&number) {
+            Some(run) if !run.answer_started => run,
+            Some(run) => {
+                self.running.insert(number, run);
+                return;
+            }
+            None => return,
+        };
         self.cancelled.push((self.now, number, run.server));
         let confirmed = Action::Deliver(run.vm.0, run.vm.1, Event::AttemptCancelled(number));
         self.schedule(self.now, confirmed);
