Tests: routes with two attempts, so that only the kind forbids a withdrawal

Cause: the test routes that are not idempotent allow one attempt, so a withdrawal was forbidden by that number as well, whatever the check of the kind did. Change: all engine routes of these tests allow two attempts.

--- a/crates/gateway/tests/stalled.rs
+++ b/crates/gateway/tests/stalled.rs
@@ -6,13 +6,13 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
-use dahliastile_gateway::config::{Route, RouteKind};
+use dahliastile_gateway::config::{Config, Route, RouteKind};
 use dahliastile_gateway::event::CallerRequest;
 use dahliastile_gateway::feature::{DisabledFeatures, Feature};
 use dahliastile_gateway::settings::Tuning;
 use support::World;
 use support::engine::SlowPeriod;
-use support::setup::{self, inference_spec, name, request};
+use support::setup::{self, ENGINES, inference_spec, name, request};
 
 /// Objective of the requests.
 const OBJECTIVE: Span = Span::from_secs(1);
@@ -33,14 +33,26 @@
     request(&format!("r{at}"), "/berth/x", 5_000, Some(work))
 }
 
-/// Returns a fleet of six engines without some features, after 2 s without load.
+/// Returns a fleet of six engines without some features, after 2 s without load. Each route allows two attempts, so that
+/// only its kind decides whether a request may run twice.
 fn world(without: &[Feature]) -> World {
     let without: DisabledFeatures = without.iter().copied().collect();
     let mut world = World::without_features(4, 6, 1, Tuning::default(), without);
+    world.configure(config(2, |route| route.attempts = 2));
     world.run(Span::from_secs(2));
     world
 }
 
+/// Returns a configuration with a change of all routes to engines.
+fn config(version: u64, change: fn(&mut Route)) -> Config {
+    let mut config = setup::config(version);
+    let is_engine = |route: &&mut Arc<Route>| route.targets[0].service == name(ENGINES);
+    for route in config.routes.iter_mut().filter(is_engine) {
+        change(Arc::make_mut(route));
+    }
+    config
+}
+
 /// Returns a fleet of six engines, five of which hold the adapter of [`repeatable`].
 fn fleet(without: &[Feature]) -> World {
     let mut world = world(without);
@@ -212,16 +224,14 @@
 /// an answer of the service is no stream.
 #[test]
 fn config_withoutrepeatsdecidesasbefore() {
-    let attempts = |route: &mut Route| route.attempts = 1;
-    let kind = |route: &mut Route| route.kind = RouteKind::Safe;
-    for change in [attempts, kind] {
+    let changes: [fn(&mut Route); 2] = [
+        |route| route.attempts = 1,
+        |route| route.kind = RouteKind::Safe,
+    ];
+    for change in changes {
         let lines = |without: &[Feature]| {
             let mut world = world(without);
-            let mut config = setup::config(2);
-            for route in config.routes.iter_mut().filter(|r| r.prefix == "/berth/") {
-                change(Arc::make_mut(route));
-            }
-            world.configure(config);
+            world.configure(config(3, change));
             world.run(Span::from_secs(2));
             world.send_requests(200, Span::from_millis(24), repeatable);
             stall(&mut world, None);
