--- a/crates/gateway/src/feature.rs
+++ b/crates/gateway/src/feature.rs
@@ -47,11 +47,13 @@
     ReturningCallers,
     /// An adapter with a queue that needs several more engines is loaded at all of them at once.
     ParallelCopies,
+    /// A request in the queue of an engine that has fallen behind is withdrawn and served by another engine.
+    StalledEngines,
 }
 
 impl Feature {
     /// All features with the names that operators use in the settings.
-    pub const ALL: [(Self, &'static str); 19] = [
+    pub const ALL: [(Self, &'static str); 20] = [
         (Self::CachedAdapters, "recent-adapters"),
         (Self::CachedAdapterWait, "recent-patience"),
         (Self::PrefixCache, "kept-parts"),
@@ -71,6 +73,7 @@
         (Self::UrgentReserve, "urgent-reserve"),
         (Self::ReturningCallers, "returning-callers"),
         (Self::ParallelCopies, "parallel-copies"),
+        (Self::StalledEngines, "stalled-engines"),
     ];
 
     /// Returns the feature's bit in [`DisabledFeatures`].
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -180,6 +180,9 @@
     LendRequest(LendRequest),
     /// To the broker: the answer to a request to lend.
     LendAnswer(LendAnswer),
+    /// From the scheduler: a request is to be withdrawn from this server, which has fallen behind. The receiver does so
+    /// unless the answer has started or the request may not run on another server.
+    Withdraw(Service, u64, RequestId, Server),
 }
 
 impl Message {
@@ -215,6 +218,7 @@
             Self::LoanAnswer(_) => "loan_answer",
             Self::LendRequest(_) => "lend_request",
             Self::LendAnswer(_) => "lend_answer",
+            Self::Withdraw(..) => "withdraw",
         }
     }
 }
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -18,11 +18,11 @@
 use serde::Serialize;
 
 /// Kinds of messages; their indexes are 0 up to this number.
-const KINDS: u8 = 28;
+const KINDS: u8 = 29;
 
 /// Lists of one message each, in hexadecimal, with the message's kind. Together they hold each variant and each state of an
 /// optional field that a message can carry.
-const MESSAGES: [(&str, &str); 46] = [
+const MESSAGES: [(&str, &str); 47] = [
     (
         "want",
         "0100096472616674732f6575e9070b63616c6c65722dc3bc2f3906626173652d37010561312f6672ad02f1a2040290e4\
@@ -135,6 +135,7 @@
     ("loan_answer", "01190461636d65bb0201d0860390a10f01"),
     ("lend_request", "011a0461636d65bc02e012"),
     ("lend_answer", "011b0461636d65bc02e012dc0ba90b"),
+    ("withdraw", "011c096472616674732f6575e8a304d70904692d3439"),
 ];
 
 /// A list of three messages, with their kinds.
@@ -359,6 +360,7 @@
         (Feature::UrgentReserve, "urgent-reserve"),
         (Feature::ReturningCallers, "returning-callers"),
         (Feature::ParallelCopies, "parallel-copies"),
+        (Feature::StalledEngines, "stalled-engines"),
     ];
     assert_eq!(Feature::ALL, names);
     for (feature, name) in names {
