Soak: accounts with limits, floods, and engines of different speed

Accounts have limits in tokens and routes have priorities. A third account floods, and engines have 0.7 and 1.7 times the nominal speed of their streams and are 2.5 times slower at times; both are drawn from a stream of their own, so that seeds draw the other troubles as before. The stand-in replica has a speed factor.

A new check: in no window of 2 s, over all VMs, does an account use more than (rate x window + burst) x (1 + overage) + slack. It is made from the servers' record; a request counts in a window that holds both its sending and its first run, since it may have been charged at any time in between. That each request ran under the account that holds its key was checked before, and is for the flood's.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -23,12 +23,20 @@
 const PAUSE: Duration = Duration::from_millis(25);
 /// How long one that leaves has waited.
 const LEAVES: Duration = Duration::from_millis(30);
+/// Callers of the account that floods, and the pause between two requests of one.
+const FLOOD_CALLERS: u64 = 12;
+const FLOOD_PAUSE: Duration = Duration::from_millis(10);
+/// The position of the account that floods.
+const FLOODS: usize = 2;
 /// Adapters that are asked for: more than the engines hold.
 const ADAPTERS: u64 = 6;
 
 /// The accounts of callers, each with its key.
-pub(crate) const ACCOUNTS: [(&str, &[&str]); 2] =
-    [("north", &["soaknorthkey1"]), ("south", &["soaksouthkey2"])];
+pub(crate) const ACCOUNTS: [(&str, &[&str]); 3] = [
+    ("north", &["soaknorthkey1"]),
+    ("south", &["soaksouthkey2"]),
+    ("west", &["soakwestkey3"]),
+];
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,6 +121,7 @@
     vms: Arc<Vec<SocketAddr>>,
     ids: Arc<AtomicU64>,
     over: Arc<AtomicBool>,
+    flood: Arc<AtomicBool>,
     asked: Arc<Mutex<Vec<Asked>>>,
 }
 
@@ -123,6 +132,7 @@
             vms: Arc::new(vms),
             ids: Arc::default(),
             over: Arc::default(),
+            flood: Arc::default(),
             asked: Arc::default(),
         }
     }
@@ -134,7 +144,19 @@
             let rng = ChaCha8Rng::seed_from_u64(seed * CALLERS + number);
             thread::spawn(move || callers.run(rng, number.is_multiple_of(2)))
         };
-        (0..CALLERS).map(start).collect()
+        let start_flood = |number: u64| {
+            let callers = self.clone();
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            rng.set_stream(CALLERS + number);
+            thread::spawn(move || callers.run_flood(rng))
+        };
+        let usual = (0..CALLERS).map(start);
+        usual.chain((0..FLOOD_CALLERS).map(start_flood)).collect()
+    }
+
+    /// Begins or ends a flood of one account.
+    pub(crate) fn flood(&self, flood: bool) {
+        self.flood.store(flood, Ordering::Relaxed);
     }
 
     /// Has them end.
@@ -149,7 +171,7 @@
 
     /// Sends one request on a new connection and waits for its answer.
     pub(crate) fn ask(&self, vm: usize, kind: Kind, adapter: u64) -> Asked {
-        self.send(vm, kind, adapter, &mut None, false)
+        self.send(vm, kind, adapter, &mut None, false, None)
     }
 
     fn notes(&self) -> std::sync::MutexGuard<'_, Vec<Asked>> {
@@ -166,7 +188,8 @@
             }
             let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
             let leaves = rng.random_bool(0.05);
-            self.send(vm, kind, rng.random_range(0..ADAPTERS), &mut kept, leaves);
+            let adapter = rng.random_range(0..ADAPTERS);
+            self.send(vm, kind, adapter, &mut kept, leaves, None);
             if !keeps {
                 kept = None;
             }
@@ -174,6 +197,20 @@
         }
     }
 
+    fn run_flood(&self, mut rng: ChaCha8Rng) {
+        while !self.over.load(Ordering::Relaxed) {
+            if !self.flood.load(Ordering::Relaxed) {
+                thread::sleep(PAUSE);
+                continue;
+            }
+            let vm = rng.random_range(0..self.vms.len());
+            let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+            let adapter = rng.random_range(0..ADAPTERS);
+            self.send(vm, kind, adapter, &mut None, false, Some(FLOODS));
+            thread::sleep(FLOOD_PAUSE);
+        }
+    }
+
     fn send(
         &self,
         vm: usize,
@@ -181,11 +218,12 @@
         adapter: u64,
         kept: &mut Option<BufReader<TcpStream>>,
         leaves: bool,
+        account: Option<usize>,
     ) -> Asked {
         let number = self.ids.fetch_add(1, Ordering::Relaxed);
         let id = format!("r{number}");
         // Requests that follow each other on a connection differ in their keys.
-        let (account, keys) = ACCOUNTS[usize::from(number.is_multiple_of(2))];
+        let (account, keys) = ACCOUNTS[account.unwrap_or(usize::from(number.is_multiple_of(2)))];
         let model = kind.streams().then(|| format!("base/a{adapter}"));
         let sent = Instant::now();
         let connection = kept.take().or_else(|| open(self.vms[vm]));
--- a/crates/daemon/tests/soak/calm.rs
+++ b/crates/daemon/tests/soak/calm.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::callers::{ACCOUNTS, Callers, Kind};
-use crate::fleet::{config_with, request_with};
+use crate::fleet::request_with;
+use crate::limits;
 use crate::stage::Stage;
 
 /// Within what a configuration is in force everywhere, as the users want it, and some for a busy machine.
@@ -48,7 +49,7 @@
 /// What is configured is in force on each VM: a route that was not there before.
 fn in_force(stage: &mut Stage) {
     stage.version += 1;
-    let mut changed = config_with(stage.version, &ACCOUNTS);
+    let mut changed = limits::config(stage.version, &ACCOUNTS);
     let mut route = changed["routes"][0].clone();
     route["name"] = "late".into();
     route["prefix"] = "/late/".into();
@@ -73,8 +74,8 @@
 /// A key that is taken away is refused on each VM.
 fn taken_away(stage: &mut Stage) {
     stage.version += 1;
-    let [(north, keys), (_, gone)] = ACCOUNTS;
-    let fewer = config_with(stage.version, &[(north, keys)]);
+    let [(north, keys), (_, gone), _] = ACCOUNTS;
+    let fewer = limits::config(stage.version, &[(north, keys)]);
     stage.fleet.store.put("op/config", &fewer);
     let until = Instant::now() + IN_FORCE;
     let headers = format!("X-Api-Key: {}\r\nConnection: close\r\n", gone[0]);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod calm;
 #[path = "../platform/fleet.rs"]
 mod fleet;
+mod limits;
 mod promises;
 mod proxy;
 mod stage;
@@ -119,9 +120,12 @@
             broken,
             history,
             requests,
+            over_limit,
         } = round(seed, vms, span, &logs);
         let (troubles, faults) = (history.len(), broken.len());
-        println!("seed {seed}: {requests} requests, {troubles} troubles, {faults} broken");
+        println!(
+            "seed {seed}: {requests} requests, {over_limit} over a limit, {troubles} troubles, {faults} broken"
+        );
         if broken.is_empty() {
             // Logs that can't be removed do no harm.
             let _ = std::fs::remove_dir_all(&logs);
@@ -147,6 +151,8 @@
     history: Vec<String>,
     /// How many requests were sent.
     requests: usize,
+    /// How many of them were refused as over a limit.
+    over_limit: usize,
 }
 
 /// Plays one round.
@@ -155,7 +161,7 @@
     let mut stage = Stage::start(vms, logs);
     let callers = stage.callers();
     let threads = callers.start(seed);
-    let history = trouble::play(&mut stage, &mut rng, span);
+    let history = trouble::play(&mut stage, &callers, &mut rng, span);
     calm::check(&mut stage, &callers);
     callers.close();
     for thread in threads {
@@ -170,7 +176,9 @@
         stage.ended(vm);
     }
     let asked = callers.asked();
+    let over_limit = asked.iter().filter(|request| request.answer.status == 429);
     Round {
+        over_limit: over_limit.count(),
         broken: promises::broken(&stage, &asked, logs),
         history,
         requests: asked.len(),
--- a/crates/daemon/tests/soak/promises.rs
+++ b/crates/daemon/tests/soak/promises.rs
@@ -7,6 +7,7 @@
 use dahliastile_standin::fleet::{Replica, Run};
 
 use crate::callers::{ACCOUNTS, Answer, Asked, Kind};
+use crate::limits;
 use crate::stage::Stage;
 
 /// Events of a stream of the stand-ins.
@@ -37,6 +38,7 @@
     if overfull > 0 {
         broken.push(format!("{overfull} loads beyond the places of an engine"));
     }
+    broken.extend(limits::broken(asked, &runs));
     broken.extend(logged(logs));
     broken
 }
--- a/crates/daemon/tests/soak/stage.rs
+++ b/crates/daemon/tests/soak/stage.rs
@@ -7,7 +7,8 @@
 use dahliastile_standin::fleet::Replica;
 
 use crate::callers::{ACCOUNTS, Callers};
-use crate::fleet::{Fleet, config_with, settings_text, until};
+use crate::fleet::{Fleet, settings_text, until};
+use crate::limits;
 use crate::proxy::Proxy;
 
 /// The first host number of the proxies of servers, and of those between a VM and the key-value service.
@@ -21,6 +22,11 @@
 /// How the stand-ins' helper says that a process was ended by a signal.
 const BY_SIGNAL: i32 = -1;
 
+/// The pause before each event of a stream at an engine of nominal speed.
+const PACE: Duration = Duration::from_millis(5);
+/// The speeds of the engines.
+pub(crate) const SPEEDS: [f64; 2] = [0.7, 1.7];
+
 /// When something was disturbed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Disturbance {
@@ -93,6 +99,10 @@
             );
             stage.server_ways.push(Proxy::start(from, to));
         }
+        for (engine, speed) in stage.fleet.engines.iter().zip(SPEEDS) {
+            engine.set_pace(PACE);
+            engine.set_speed(speed);
+        }
         stage.states = vec!["ready"; targets.len()];
         stage.write_again();
         for number in 1..=vms {
@@ -100,7 +110,8 @@
             let store = stage.fleet.address(250, 8142);
             stage.store_ways.push(Proxy::start(way, store));
             let ip = stage.fleet.address(number, 0).ip();
-            stage.settings.push(settings_text(number, ip, way));
+            let text = settings_text(number, ip, way);
+            stage.settings.push(limits::settings(&text));
             let vm = stage
                 .fleet
                 .start(number, stage.settings.last().map(String::as_str));
@@ -140,7 +151,7 @@
 
     /// Writes what operator and servers have written last, as they do where the key-value service has forgotten it.
     pub(crate) fn write_again(&mut self) {
-        let config = config_with(self.version, &ACCOUNTS);
+        let config = limits::config(self.version, &ACCOUNTS);
         self.fleet.store.put("op/config", &config);
         for server in 0..self.states.len() {
             self.list(server, self.states[server]);
--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -7,10 +7,10 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::callers::ACCOUNTS;
-use crate::fleet::config_with;
+use crate::callers::{ACCOUNTS, Callers};
+use crate::limits;
 use crate::proxy::Mode;
-use crate::stage::Stage;
+use crate::stage::{SPEEDS, Stage};
 
 /// How long troubles last, in milliseconds.
 const LASTS: std::ops::Range<u64> = 200..2_500;
@@ -21,6 +21,12 @@
 /// The stream of a round's seed from which returns from a copy are drawn: the other troubles of a seed stay as they are
 /// without them.
 const RESTORES: u64 = 1;
+/// The pause until the next flood or slow engine, in milliseconds.
+const NEXT_CONTENTION: std::ops::Range<u64> = 500..2_500;
+/// The stream from which these are drawn, for the same reason.
+const CONTENTION: u64 = 2;
+/// How many times slower a slow engine is.
+const SLOWER: f64 = 2.5;
 /// After how long operator and servers write again what a copy lacks, in milliseconds.
 const WRITTEN_AGAIN: std::ops::Range<u64> = 0..2_000;
 /// How old the copy is, at the most, from which the key-value service comes back.
@@ -57,6 +63,10 @@
     Leave(usize),
     /// The operator writes a configuration.
     Configure,
+    /// An account sends many times its usual requests.
+    Flood,
+    /// An engine is slow.
+    Slow(usize),
 }
 
 impl Trouble {
@@ -93,6 +103,14 @@
         Self::StoreRestored(Duration::from_millis(rng.random_range(WRITTEN_AGAIN)))
     }
 
+    /// Draws a flood or a slow engine.
+    fn draw_contention(rng: &mut ChaCha8Rng, engines: usize) -> Self {
+        match rng.random_range(0..2 * engines) {
+            engine if engine < engines => Self::Slow(engine),
+            _ => Self::Flood,
+        }
+    }
+
     /// What it holds: nothing else happens to that meanwhile.
     fn holds(self) -> Held {
         match self {
@@ -106,10 +124,12 @@
                 Held::Server(server)
             }
             Self::Configure => Held::Configuration,
+            Self::Flood => Held::Account,
+            Self::Slow(engine) => Held::Speed(engine),
         }
     }
 
-    fn begin(self, stage: &mut Stage, lasts: Duration) {
+    fn begin(self, stage: &mut Stage, callers: &Callers, lasts: Duration) {
         match self {
             Self::Pause(vm) => {
                 stage.disturb(Some(vm), lasts);
@@ -132,18 +152,20 @@
                 replica(stage, server).set_fault(fault);
             }
             Self::EngineRestart(engine) => stage.fleet.engines[engine].restart(),
+            Self::Flood => callers.flood(true),
+            Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine] / SLOWER),
             Self::Leave(server) => stage.list(server, "draining"),
             Self::Configure => {
                 stage.version += 1;
                 stage
                     .fleet
                     .store
-                    .put("op/config", &config_with(stage.version, &ACCOUNTS));
+                    .put("op/config", &limits::config(stage.version, &ACCOUNTS));
             }
         }
     }
 
-    fn end(self, stage: &mut Stage) {
+    fn end(self, stage: &mut Stage, callers: &Callers) {
         match self {
             Self::Pause(vm) => stage.fleet.vms[vm].signal("-CONT"),
             Self::Kill(vm) => stage.restart(vm),
@@ -161,6 +183,8 @@
             Self::ServerWay(server, _) => stage.server_ways[server].set(Mode::Pass),
             Self::Server(server, _) => replica(stage, server).set_fault(Fault::None),
             Self::Leave(server) => stage.list(server, "ready"),
+            Self::Flood => callers.flood(false),
+            Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine]),
             Self::Reload(_) | Self::EngineRestart(_) | Self::Configure => {}
         }
     }
@@ -175,6 +199,8 @@
     ServerWay(usize),
     Server(usize),
     Configuration,
+    Account,
+    Speed(usize),
 }
 
 fn replica(stage: &Stage, server: usize) -> &dahliastile_standin::fleet::Replica {
@@ -182,7 +208,12 @@
 }
 
 /// Has troubles come for a while, then ends those that still last. Returns what happened, in order.
-pub(crate) fn play(stage: &mut Stage, rng: &mut ChaCha8Rng, span: Duration) -> Vec<String> {
+pub(crate) fn play(
+    stage: &mut Stage,
+    callers: &Callers,
+    rng: &mut ChaCha8Rng,
+    span: Duration,
+) -> Vec<String> {
     let began = Instant::now();
     let (vms, servers) = (stage.fleet.vms.len(), stage.server_ways.len());
     let engines = stage.fleet.engines.len();
@@ -193,6 +224,10 @@
     let mut restores = rng.clone();
     restores.set_stream(RESTORES);
     let mut next_restore = began + Duration::from_millis(restores.random_range(NEXT_RESTORE));
+    let mut contention = rng.clone();
+    contention.set_stream(CONTENTION);
+    let mut next_contention =
+        began + Duration::from_millis(contention.random_range(NEXT_CONTENTION));
     while began.elapsed() < span {
         let now = Instant::now();
         if next_copy <= now {
@@ -204,7 +239,7 @@
         let over: Vec<Trouble> = over.map(|(trouble, _)| *trouble).collect();
         running.retain(|(trouble, _)| !over.contains(trouble));
         for trouble in over {
-            trouble.end(stage);
+            trouble.end(stage, callers);
         }
         let mut due = Vec::new();
         if next <= now {
@@ -218,20 +253,25 @@
             let lasts = Duration::from_millis(restores.random_range(LASTS));
             due.push((Trouble::draw_restore(&mut restores), lasts));
         }
+        if next_contention <= now {
+            next_contention = now + Duration::from_millis(contention.random_range(NEXT_CONTENTION));
+            let lasts = Duration::from_millis(contention.random_range(LASTS));
+            due.push((Trouble::draw_contention(&mut contention, engines), lasts));
+        }
         for (trouble, lasts) in due {
             if running
                 .iter()
                 .all(|(other, _)| other.holds() != trouble.holds())
             {
                 history.push(format!("{:?} {trouble:?} for {lasts:?}", began.elapsed()));
-                trouble.begin(stage, lasts);
+                trouble.begin(stage, callers, lasts);
                 running.push((trouble, now + lasts));
             }
         }
         thread::sleep(LOOK);
     }
     for (trouble, _) in running {
-        trouble.end(stage);
+        trouble.end(stage, callers);
     }
     stage.write_again_if_due(Instant::now() + Duration::from_millis(WRITTEN_AGAIN.end));
     history
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -45,7 +45,6 @@
     pub at: Instant,
 }
 
-#[derive(Default)]
 struct State {
     adapters: BTreeMap<String, Instant>,
     orders: u64,
@@ -53,9 +52,25 @@
     fault: Fault,
     runs: Vec<Run>,
     pace: Duration,
+    speed: f64,
     overfull: usize,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            adapters: BTreeMap::new(),
+            orders: 0,
+            fence: 0,
+            fault: Fault::None,
+            runs: Vec::new(),
+            pace: Duration::ZERO,
+            speed: 1.0,
+            overfull: 0,
+        }
+    }
+}
+
 /// A backend server. Clones are the same one.
 #[derive(Clone)]
 pub struct Replica {
@@ -119,6 +134,15 @@
         self.state().pace = pace;
     }
 
+    /// How many times as fast as the pace of its streams it is.
+    ///
+    /// # Panics
+    /// Where the factor is not above 0.
+    pub fn set_speed(&self, speed: f64) {
+        assert!(speed > 0.0, "a speed of {speed}");
+        self.state().speed = speed;
+    }
+
     /// The requests that it ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -247,7 +271,7 @@
             fault if self.model.is_some() => {
                 let ended = fault != Fault::CutsStream;
                 let last = if ended { EVENTS } else { after + 2 };
-                let pace = state.pace;
+                let pace = state.pace.div_f64(state.speed);
                 let event = |number: u64| (pace, format!("id: {number}\ndata: token {number}\n\n"));
                 Reply::Stream(headers, (after + 1..=last).map(event).collect(), ended)
             }
