Test fleets pass over addresses that another test process has

Change: a fleet takes the next number where its store's address is in use. The store is bound first and until the process ends, so who has it has the others.

Shown: with the addresses of the first two fleets of all 200 numbers in use, kinds_areserved failed with that message before and passes now.

--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)] // Two test programs use it, each a part of it.
 
 use std::fmt::Write as _;
-use std::io::{Read, Write as _};
+use std::io::{ErrorKind, Read, Write as _};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -77,9 +77,16 @@
     /// A key-value service and servers, and no VM yet.
     pub(crate) fn servers() -> Self {
         let process = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
-        let net = (process, FLEETS.fetch_add(1, Ordering::Relaxed));
+        // Another test process may have the same number; who has the store's address has all of the fleet's.
+        let (net, store) = loop {
+            let net = (process, FLEETS.fetch_add(1, Ordering::Relaxed));
+            assert!(net.1 < u8::MAX, "no address is free");
+            match Store::start(SocketAddr::new(ip(net, 250), 8142)) {
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+                store => break (net, store.expect("the store listens")),
+            }
+        };
         let at = |host: u8, port: u16| SocketAddr::new(ip(net, host), port);
-        let store = Store::start(at(250, 8142)).expect("the store listens");
         let start = |host: u8, id: &str, model| {
             Replica::start(id, at(host, 8080), model, 2).expect("a replica listens")
         };
