Scheduler: returning callers keep their place, overtaken requests are refused early

Cause: a caller that was told to retry had no preference over one that came for the first time, and its retry got a new objective although its answer could no longer be in time. Requests that more urgent ones pass by were held until shortly before their deadlines, since the forecast counts loads but neither the wait for a slot nor the urgent requests still to come.

Change: the scheduler keeps a claim for each refused request with a fingerprint (at most 4,096, for 10 s). A retry after its time is queued by its first arrival, has the objective of its first try, and is refused only because of its deadline. Retry-After includes the claims that are served before. Requests are refused as overtaken if the loads or placements that their rank and later ones got in the last second do not suffice before the deadline, and they have waited half of their remaining time in the rank. Claims need fingerprints, and early refusals need different priorities within 10 s; otherwise decisions are as before.

Ruled out: early refusal of returning callers too.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -190,6 +190,8 @@
     LimitReached = 520 Info "If it lasts and is not a fault of the account's callers, raise its limit.";
     /// The VM that lends tokens to this one did not answer, and another one is asked.
     PoolSilent = 521 Warn "Check that VM.";
+    /// A caller that was refused came back after the time that it was given, and keeps the place of its first try.
+    CallerReturned = 530 Debug "Nothing.";
     /// An internal invariant does not hold.
     Broken = 900 Error "Report it with the log around it.";
 }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -18,14 +18,18 @@
 mod host;
 mod load;
 mod order;
+mod overtaken;
 mod popularity;
 mod prefix_cache;
 mod reservations;
+mod reserve;
 mod residency;
+mod returning;
 mod run;
 mod run_interval;
 mod scheduled_request;
 mod summary;
+mod throughput;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -52,8 +56,11 @@
 use self::adapter_cache::{LocalCopies, RecentEngines};
 use self::engine::{Engine, Leaving};
 use self::load::BaseLoadBucket;
+use self::reserve::Urgency;
+use self::returning::ClaimTable;
 use self::run_interval::RunInterval;
 use self::scheduled_request::{RequestTable, ScheduledRequest, VmRequestId};
+use self::throughput::Throughput;
 
 /// Interval of the heartbeats to all VMs. Three heartbeats fit into [`client::HOLDER_TIMEOUT`], after which a
 /// VM places requests without the scheduler.
@@ -133,6 +140,12 @@
     pub(crate) recent_engines: RecentEngines,
     /// Limits the rate of base model loads from the weight store.
     pub(crate) base_load_bucket: BaseLoadBucket,
+    /// Claims of callers that were refused.
+    pub(crate) claims: ClaimTable,
+    /// What requests of each priority needed recently.
+    pub(crate) urgency: Urgency,
+    /// Rates of placements and loads.
+    pub(crate) throughput: Throughput,
     /// Number of the last order that was sent.
     pub(crate) last_order: OrderId,
     /// Log events recorded since the last run, written by the next run.
@@ -179,6 +192,9 @@
             engines: BTreeMap::new(),
             requests: RequestTable::default(),
             adapters: AdapterTable::default(),
+            claims: ClaimTable::default(),
+            urgency: Urgency::default(),
+            throughput: Throughput::default(),
             // An order's number contains the fencing token. Each later scheduler of the service has a higher
             // token, so no number is used twice.
             order_base: order_base(fence),
@@ -360,7 +376,9 @@
             request: placement.request,
         };
         let adapter = self.intern_adapter(&placement.work);
-        let request = ScheduledRequest::waiting(now, placement, detail, adapter);
+        let mut request = ScheduledRequest::waiting(now, placement, detail, adapter);
+        self.apply_claim(now, &id, &mut request);
+        self.urgency.record_arrival(now, request.priority);
         let is_new = request.failed.is_empty() && self.requests.get(&id).is_none();
         if let Some(adapter) = adapter.filter(|_| is_new) {
             self.adapters.record_request(adapter, now);
--- a/crates/gateway/src/scheduler/admission.rs
+++ b/crates/gateway/src/scheduler/admission.rs
@@ -5,13 +5,14 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::forecast::{WaitForecast, WaitReason};
+use super::overtaken::QueuesByRank;
 use super::scheduled_request::ScheduledRequest;
 use super::{Decision, Scheduler};
 use crate::feature::Feature;
 
 /// Shortest time from the placement of a request to the first chunk of its answer: prefill of a short prompt
 /// and a few decoding steps.
-const MIN_TIME_TO_FIRST_CHUNK: Span = Span::from_millis(150);
+pub(crate) const MIN_TIME_TO_FIRST_CHUNK: Span = Span::from_millis(150);
 
 /// Age up to which a request counts as new and may still be refused because of its objective: an eighth of the
 /// objective that the deployments use.
@@ -36,39 +37,70 @@
         if !self.settings.uses(Feature::ForecastRefusals) {
             return;
         }
+        let refuses_overtaken = self.refuses_overtaken(now);
+        let mut queues = QueuesByRank::default();
         for forecast in forecasts {
             let Some(request) = self.requests.get(&forecast.id) else {
                 continue;
             };
-            if request.is_waiting() && cannot_be_served(now, request, forecast) {
-                let after = forecast
-                    .span
-                    .max(RETRY_AFTER_BOUNDS.0)
-                    .min(RETRY_AFTER_BOUNDS.1);
-                let waited = now.since(request.arrived);
-                let account = request.detail.account.as_ref().map_or("-", Tenant::as_str);
-                let detail = format!(
-                    "id={} vm={} why={:?} forecast={} waited={waited} left={} after={after} account={account}",
-                    request.id,
-                    forecast.id.vm,
-                    forecast.reason,
-                    forecast.span,
-                    request.deadline.since(now)
-                );
-                out.push(Decision::Log(Record::new(Code::TurnedAway, detail)));
-                out.push(Decision::Refuse(
-                    forecast.id.vm.clone(),
-                    forecast.id.request,
-                    after,
-                ));
-                self.requests.remove(&forecast.id);
+            if !request.is_waiting() {
+                continue;
+            }
+            if cannot_be_served(now, request, forecast) {
+                self.refuse(now, forecast, None, out);
+                continue;
+            }
+            let overtaken_wait = refuses_overtaken
+                .then(|| self.overtaken_wait(now, request, forecast, &mut queues))
+                .flatten();
+            if overtaken_wait.is_some() {
+                self.refuse(now, forecast, overtaken_wait, out);
             }
         }
     }
+
+    /// Refuses a waiting request, and keeps a claim for its caller. `overtaken_wait` is the time until the request
+    /// would be served, if it is refused because others overtake it.
+    fn refuse(
+        &mut self,
+        now: Instant,
+        forecast: &WaitForecast,
+        overtaken_wait: Option<Span>,
+        out: &mut Vec<Decision>,
+    ) {
+        let Some(request) = self.requests.remove(&forecast.id) else {
+            return;
+        };
+        let span = overtaken_wait.unwrap_or(forecast.span);
+        let reason = match overtaken_wait {
+            Some(_) => "Overtaken".to_owned(),
+            None => format!("{:?}", forecast.reason),
+        };
+        let after = self
+            .time_until_capacity(now, &request, span)
+            .max(RETRY_AFTER_BOUNDS.0)
+            .min(RETRY_AFTER_BOUNDS.1);
+        let waited = now.since(request.arrived);
+        let account = request.detail.account.as_ref().map_or("-", Tenant::as_str);
+        let detail = format!(
+            "id={} vm={} why={reason} forecast={span} waited={waited} left={} after={after} account={account}",
+            request.id,
+            forecast.id.vm,
+            request.deadline.since(now)
+        );
+        out.push(Decision::Log(Record::new(Code::TurnedAway, detail)));
+        out.push(Decision::Refuse(
+            forecast.id.vm.clone(),
+            forecast.id.request,
+            after,
+        ));
+        self.add_claim(now, &request, after);
+    }
 }
 
 /// Returns whether a request cannot be served in time: before its deadline, within its objective if it is new,
-/// or within [`MAX_LATE_WAIT`] if its objective has passed. The forecast rather underestimates how much a copy
+/// or within [`MAX_LATE_WAIT`] if its objective has passed. A caller that was refused before is not refused again
+/// because of its objective, since it does not come a third time. The forecast rather underestimates how much a copy
 /// that is being loaded shortens a queue, so [`MIN_TIME_TO_FIRST_CHUNK`] is not added in that case: a new
 /// request should not be refused for a small excess over its objective.
 fn cannot_be_served(now: Instant, request: &ScheduledRequest, forecast: &WaitForecast) -> bool {
@@ -80,8 +112,10 @@
         WaitReason::Copy | WaitReason::Coming => Span::ZERO,
     };
     let no_engine_accepts = forecast.reason == WaitReason::Engine;
-    no_engine_accepts && now + forecast.span + first_chunk > request.first_chunk_due
-        || now + forecast.span + MIN_TIME_TO_FIRST_CHUNK > request.deadline
+    let misses_objective = no_engine_accepts
+        && now + forecast.span + first_chunk > request.first_chunk_due
         || is_new && forecast.span + first_chunk > objective
-        || is_late && forecast.span > MAX_LATE_WAIT
+        || is_late && forecast.span > MAX_LATE_WAIT;
+    now + forecast.span + MIN_TIME_TO_FIRST_CHUNK > request.deadline
+        || misses_objective && !request.is_returning
 }
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -120,6 +120,8 @@
             .get(id)
             .map(|request| self.engines[server].tokens_to_read(request));
         self.requests.start(id, server, tokens.unwrap_or(0), now);
+        self.throughput.record_placement(now);
+        self.record_rank_served(now, id);
         let Some(request) = self.requests.get(id).cloned() else {
             return;
         };
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -13,6 +13,7 @@
 use super::forecast::{WaitForecast, WaitReason};
 use super::reservations::Reservations;
 use super::residency::{AdapterResidency, Residency};
+use super::throughput::Rank;
 use super::{Decision, Scheduler};
 use crate::feature::Feature;
 
@@ -107,6 +108,8 @@
     copy_wait: Option<Span>,
     /// Until when it may wait for a slot at an engine with a local copy.
     local_copy_until: Instant,
+    /// Rank of the request that is served first with it; `None` if no request waits for the load.
+    rank: Option<Rank>,
 }
 
 /// The inputs for choosing an engine for a load.
@@ -144,7 +147,7 @@
         out: &mut Vec<Decision>,
     ) {
         self.plan_base_loads(now);
-        let mut needed = self.needed_loads(forecasts, &residency);
+        let mut needed = self.needed_loads(now, forecasts, &residency);
         let mut reservations = self.reservations(forecasts);
         for outdated in self.outdated_adapters(now, &residency) {
             reservations.add(outdated.adapter, 0);
@@ -178,6 +181,9 @@
             if needed.copy_wait.is_none_or(|wait| choice.cost < wait) {
                 remaining_loads -= usize::from(choice.local_copy_distance.is_none());
                 self.order_load(now, needed.adapter, &choice, out);
+                if let Some(rank) = needed.rank.filter(|_| needed.copy_wait.is_none()) {
+                    self.throughput.record_load(now, rank);
+                }
                 for adapter in choice.victim.into_iter().chain([needed.adapter]) {
                     self.update_residency(now, adapter, &choice.server, &mut residency);
                 }
@@ -200,7 +206,12 @@
 
     /// Returns the adapters that requests wait for and that are not being loaded, in the order of the requests.
     /// For an adapter that engines already hold, it contains the longest wait if that justifies one more copy.
-    fn needed_loads(&self, forecasts: &[WaitForecast], residency: &Residency) -> Vec<NeededLoad> {
+    fn needed_loads(
+        &self,
+        now: Instant,
+        forecasts: &[WaitForecast],
+        residency: &Residency,
+    ) -> Vec<NeededLoad> {
         let mut needed: Vec<NeededLoad> = Vec::new();
         let copies = self.settings.uses(Feature::ExtraReplicas);
         let mut rows: FxHashMap<AdapterId, usize> = FxHashMap::default();
@@ -238,6 +249,7 @@
                         adapter,
                         copy_wait,
                         local_copy_until: request.arrived + MAX_LOCAL_COPY_WAIT,
+                        rank: Some(Rank::of(request, now)),
                     });
                 }
             }
@@ -263,6 +275,7 @@
             adapter,
             copy_wait: None,
             local_copy_until: now,
+            rank: None,
         };
         adapters.into_iter().map(needed).collect()
     }
--- a/crates/gateway/src/scheduler/scheduled_request.rs
+++ b/crates/gateway/src/scheduler/scheduled_request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use dahliastile_core::id::{Server, Vm, Zone};
-use dahliastile_core::time::Instant;
+use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
 use super::adapter::AdapterId;
@@ -44,6 +44,10 @@
     pub(crate) adapter: Option<AdapterId>,
     /// When it arrived at its VM.
     pub(crate) arrived: Instant,
+    /// When its caller's first try arrived: `arrived`, unless a claim shows that the caller was refused before.
+    pub(crate) first_arrived: Instant,
+    /// Whether its caller was refused before and came back with a claim.
+    pub(crate) is_returning: bool,
     /// When its objective ends: the time until which the first chunk of its answer is wanted.
     pub(crate) first_chunk_due: Instant,
     /// When its caller gives up, after which its answer is of no use.
@@ -75,6 +79,8 @@
             work: placement.work,
             adapter,
             arrived,
+            first_arrived: arrived,
+            is_returning: false,
             first_chunk_due: arrived + placement.objective,
             deadline: now + placement.left,
             priority: placement.priority,
@@ -93,6 +99,8 @@
             work: run.work.clone(),
             adapter,
             arrived: now,
+            first_arrived: now,
+            is_returning: false,
             first_chunk_due: now,
             deadline: Instant::NEVER,
             priority: 0,
@@ -117,6 +125,11 @@
         self.state == State::Waiting
     }
 
+    /// Returns its objective: the time from its first arrival until the first chunk of its answer is wanted.
+    pub(crate) fn objective(&self) -> Span {
+        self.first_chunk_due.since(self.first_arrived)
+    }
+
     /// Returns whether the request was placed at this server.
     fn is_at(&self, server: &Server) -> bool {
         matches!(&self.state, State::Running { server: assigned, .. } if assigned == server)
@@ -124,11 +137,11 @@
 
     /// Returns its position among the waiting requests.
     fn queue_position(&self, id: &VmRequestId) -> QueuePosition {
-        (self.priority, self.arrived, id.clone())
+        (self.priority, self.first_arrived, id.clone())
     }
 }
 
-/// Position of a waiting request: by priority, then by arrival.
+/// Position of a waiting request: by priority, then by first arrival.
 type QueuePosition = (u8, Instant, VmRequestId);
 
 /// All requests of a scheduler.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, unused_imports, unreachable_pub)]
 
 pub mod accounts;
+pub mod contention;
 pub mod engine;
 pub mod series;
 pub mod setup;
