Scheduler: loads leave a reserve for more urgent requests

Cause: summary drafts hold an adapter slot for over a second. When their burst coincides with one of notarial reviews, no slots were left for the urgent requests of the next second, although these go first among the waiting ones.

Change: a load for a request leaves as many concurrent loads and evictable slots free as all more urgent requests needed at once in the last second (in progress and waiting), at most half of the concurrent loads and of all slots. It takes effect while requests of different priorities arrive within 10 s. Event E531 says once a second, by priority, what was needed, started and put off.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -192,6 +192,8 @@
     PoolSilent = 521 Warn "Check that VM.";
     /// A caller that was refused came back after the time that it was given, and keeps the place of its first try.
     CallerReturned = 530 Debug "Nothing.";
+    /// Adapter loads for less urgent requests were put off in the last second, to leave loads and slots for more urgent ones.
+    LoadsReserved = 531 Info "If it lasts, the engines have too few adapter slots for the load.";
     /// An internal invariant does not hold.
     Broken = 900 Error "Report it with the log around it.";
 }
--- a/crates/gateway/src/scheduler/admission.rs
+++ b/crates/gateway/src/scheduler/admission.rs
@@ -37,7 +37,7 @@
         if !self.settings.uses(Feature::ForecastRefusals) {
             return;
         }
-        let refuses_overtaken = self.refuses_overtaken(now);
+        let refuses_overtaken = self.reserves(now);
         let mut queues = QueuesByRank::default();
         for forecast in forecasts {
             let Some(request) = self.requests.get(&forecast.id) else {
--- a/crates/gateway/src/scheduler/capacity.rs
+++ b/crates/gateway/src/scheduler/capacity.rs
@@ -32,6 +32,8 @@
     /// Time until the engine has finished the prefill of its prompts and of those reserved there, plus the cost
     /// of the eviction.
     pub(crate) cost: Span,
+    /// Number of slots that are free, or whose adapter can be evicted if none is free.
+    pub(crate) slots: usize,
 }
 
 /// The engines that could load an adapter of one base model.
@@ -40,6 +42,8 @@
     by_server: BTreeMap<Server, LoadCandidate>,
     /// The same engines, cheapest first.
     by_cost: BTreeSet<(Span, Server)>,
+    /// Slots of all candidates.
+    slots: usize,
 }
 
 impl LoadCandidates {
@@ -50,6 +54,7 @@
             .iter()
             .map(|(server, candidate)| (candidate.cost, server.clone()));
         Self {
+            slots: rows.iter().map(|(_, candidate)| candidate.slots).sum(),
             by_cost: by_cost.collect(),
             by_server: rows.into_iter().collect(),
         }
@@ -66,11 +71,18 @@
         servers.filter_map(|server| Some((server, self.by_server.get(server)?)))
     }
 
+    /// Returns the number of slots that are free, or whose adapter can be evicted, at all candidates.
+    pub(crate) fn slots(&self) -> usize {
+        self.slots
+    }
+
     fn set(&mut self, server: &Server, candidate: Option<LoadCandidate>) {
         if let Some(old) = self.by_server.remove(server) {
             self.by_cost.remove(&(old.cost, server.clone()));
+            self.slots -= old.slots;
         }
         if let Some(candidate) = candidate {
+            self.slots += candidate.slots;
             self.by_cost.insert((candidate.cost, server.clone()));
             self.by_server.insert(server.clone(), candidate);
         }
@@ -159,15 +171,23 @@
         }
         let has_free_slot = engine.slots.len() < self.engine_spec.adapter_slots
             && self.has_memory_for(engine, model);
-        let (victim, eviction_cost) = if has_free_slot {
-            (None, Span::ZERO)
+        let (victim, eviction_cost, slots) = if has_free_slot {
+            let free = self.engine_spec.adapter_slots - engine.slots.len();
+            (None, Span::ZERO, free)
         } else {
             let (victim, eviction_cost) =
                 self.choose_victim(now, engine, reservations, residency)?;
-            (Some(victim), eviction_cost)
+            let evictable = engine.slots.iter();
+            let evictable = evictable
+                .filter(|(adapter, slot)| slot.is_idle() && !reservations.is_reserved(**adapter));
+            (Some(victim), eviction_cost, evictable.count())
         };
         let cost = reserved_backlog(now, engine, reservations, None, residency) + eviction_cost;
-        Some(LoadCandidate { victim, cost })
+        Some(LoadCandidate {
+            victim,
+            cost,
+            slots,
+        })
     }
 
     /// Returns the adapter at an engine whose eviction costs least, with that cost, among the adapters that no
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -12,6 +12,7 @@
 use super::engine::{AdapterSlot, AdapterState, Engine, Intent, unused_slot};
 use super::forecast::{WaitForecast, WaitReason};
 use super::reservations::Reservations;
+use super::reserve::{LoadOutcome, Reserve};
 use super::residency::{AdapterResidency, Residency};
 use super::throughput::Rank;
 use super::{Decision, Scheduler};
@@ -112,6 +113,13 @@
     rank: Option<Rank>,
 }
 
+impl NeededLoad {
+    /// Returns the rank of the request that waits for this load; `None` if requests can be served without it.
+    fn waiting_rank(&self) -> Option<Rank> {
+        self.rank.filter(|_| self.copy_wait.is_none())
+    }
+}
+
 /// The inputs for choosing an engine for a load.
 struct LoadContext<'a> {
     now: Instant,
@@ -154,6 +162,7 @@
             needed.push(outdated);
         }
         let mut candidates_by_model = CandidatesByModel::default();
+        let reserves = self.reserves(now);
         let mut remaining_loads = self
             .max_concurrent_loads()
             .saturating_sub(self.weight_store_loads());
@@ -175,13 +184,27 @@
                 residency: &residency,
                 candidates,
             };
-            let Some(choice) = self.choose_engine(&context, &needed, remaining_loads > 0) else {
-                continue;
-            };
-            if needed.copy_wait.is_none_or(|wait| choice.cost < wait) {
+            let reserve = needed.rank.filter(|_| reserves);
+            let reserve = reserve.map_or_else(Reserve::default, |rank| self.reserve_before(rank));
+            let has_slots = reserve.slots == 0 || candidates.slots() > reserve.slots;
+            let from_store = remaining_loads > reserve.loads;
+            let choice = has_slots
+                .then(|| self.choose_engine(&context, &needed, from_store))
+                .flatten();
+            let choice =
+                choice.filter(|choice| needed.copy_wait.is_none_or(|wait| choice.cost < wait));
+            if let Some(rank) = needed.waiting_rank().filter(|_| reserves) {
+                let outcome = match choice {
+                    Some(_) => LoadOutcome::Started,
+                    None if !has_slots || !from_store && remaining_loads > 0 => LoadOutcome::PutOff,
+                    None => LoadOutcome::NoCapacity,
+                };
+                self.record_needed_load(now, rank, outcome);
+            }
+            if let Some(choice) = choice {
                 remaining_loads -= usize::from(choice.local_copy_distance.is_none());
                 self.order_load(now, needed.adapter, &choice, out);
-                if let Some(rank) = needed.rank.filter(|_| needed.copy_wait.is_none()) {
+                if let Some(rank) = needed.waiting_rank() {
                     self.throughput.record_load(now, rank);
                 }
                 for adapter in choice.victim.into_iter().chain([needed.adapter]) {
@@ -202,6 +225,9 @@
                 );
             }
         }
+        if reserves {
+            self.update_urgency(now, out);
+        }
     }
 
     /// Returns the adapters that requests wait for and that are not being loaded, in the order of the requests.
--- a/crates/gateway/src/scheduler/overtaken.rs
+++ b/crates/gateway/src/scheduler/overtaken.rs
@@ -16,7 +16,6 @@
 use super::forecast::{WaitForecast, WaitReason};
 use super::scheduled_request::{ScheduledRequest, VmRequestId};
 use super::throughput::Rank;
-use crate::feature::Feature;
 
 /// How long a request must have been waiting in its rank before the measured rate is held against it: half the time
 /// constant of the rate. A burst after a quiet time is refused by the forecast alone until loads were measured.
@@ -75,14 +74,9 @@
 }
 
 impl Scheduler {
-    /// Returns whether requests may be refused because others overtake them.
-    pub(crate) fn refuses_overtaken(&self, now: Instant) -> bool {
-        self.settings.uses(Feature::UrgentReserve) && self.urgency.priorities_differ(now)
-    }
-
     /// Counts a placement for the rank and the adapter of a request.
     pub(crate) fn record_rank_served(&mut self, now: Instant, id: &VmRequestId) {
-        if !self.refuses_overtaken(now) {
+        if !self.reserves(now) {
             return;
         }
         let request = self.requests.get(id);
--- a/crates/gateway/src/scheduler/throughput.rs
+++ b/crates/gateway/src/scheduler/throughput.rs
@@ -56,6 +56,10 @@
             priority: request.priority,
         }
     }
+
+    pub(crate) fn priority(self) -> u8 {
+        self.priority
+    }
 }
 
 /// The measured rates of a scheduler. They are bounded by the number of priorities, and of adapters in use.
--- a/crates/gateway/tests/scarce.rs
+++ b/crates/gateway/tests/scarce.rs
@@ -38,6 +38,8 @@
 
 static ONLY_RETURNING: LazyLock<Outcome> = LazyLock::new(|| play(&heavy_load(&FEATURES[..2])));
 
+static WITH_RESERVE: LazyLock<Outcome> = LazyLock::new(|| play(&heavy_load(&FEATURES[..1])));
+
 fn count(outcome: &Outcome, condition: impl Fn(&Caller) -> bool) -> usize {
     outcome.callers.iter().filter(|c| condition(c)).count()
 }
@@ -59,14 +61,26 @@
 /// ones pass by. At most three quarters as many are held as without early refusals, and the answers are worth as much.
 #[test]
 fn overtaken_refusedearly() {
-    let off = &ONLY_RETURNING;
-    let on = play(&heavy_load(&FEATURES[..1]));
+    let (off, on) = (&ONLY_RETURNING, &WITH_RESERVE);
     let figures = format!("off: {}\non: {}", off.table(), on.table());
     let held = |outcome| count(outcome, Caller::is_held);
-    assert!(held(&on) * 4 <= held(off) * 3, "{figures}");
+    assert!(held(on) * 4 <= held(off) * 3, "{figures}");
     assert!(on.value() >= off.value() - 0.01, "{figures}");
 }
 
+/// Guards against streams of the least urgent requests that occupy the slots which urgent requests need a moment later:
+/// at least 2 % more of the most urgent requests are served in time than without the reserve, and at least 90 % as many
+/// of the least urgent ones.
+#[test]
+fn reserve_usedbyurgent() {
+    let (off, on) = (&ONLY_RETURNING, &WITH_RESERVE);
+    let figures = format!("off: {}\non: {}", off.table(), on.table());
+    let on_time = |outcome: &Outcome, kind| outcome.count(kind, Caller::is_on_time);
+    assert!(on_time(on, 0) * 100 >= on_time(off, 0) * 102, "{figures}");
+    assert!(on_time(on, 2) * 100 >= on_time(off, 2) * 90, "{figures}");
+    assert!(on.events.contains_key(&531), "{figures}");
+}
+
 /// Guards against a new scheduler that cannot serve callers whose claims its predecessor had, or that places requests
 /// where others run that it was told of (the engines' fakes crash then). In the middle of the burst another scheduler
 /// takes over; the answers are worth nine tenths of what they are worth without that.
