--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -62,6 +62,8 @@
     Retries "dahliastile_retries_total" "1";
     /// Loads ordered.
     Loads "dahliastile_loads_total" "1";
+    /// Decisions of a scheduler because engine capacity is scarce: `returned`, `overtaken`, `loads_put_off`, `behind_share`.
+    Contention "dahliastile_contention_total" "1";
     /// Tokens of client accounts, admitted or refused.
     AccountTokens "dahliastile_account_tokens_total" "1";
     /// Calls of the key-value service, by kind.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,17 @@
     push_sample(out, figure, 1.0, Some(service), Some(label));
 }
 
+/// Adds a number to a counter, with the labels of a service and of a kind of event.
+pub(crate) fn add_for_service(
+    out: &mut Effects,
+    figure: Figure,
+    service: &Service,
+    count: u32,
+    label: &'static str,
+) {
+    push_sample(out, figure, f64::from(count), Some(service), Some(label));
+}
+
 /// Records a duration in seconds, with the label of a service.
 pub(crate) fn observe_seconds(out: &mut Effects, figure: Figure, service: &Service, span: Span) {
     push_sample(out, figure, span.as_secs_f64(), Some(service), None);
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod admission;
 mod capacity;
 pub(crate) mod client;
+mod contention;
 mod cooldown;
 mod dispatch;
 mod engine;
@@ -55,6 +56,7 @@
 
 use self::adapter::{AdapterId, AdapterTable};
 use self::adapter_cache::{LocalCopies, RecentEngines};
+use self::contention::ContentionCounts;
 use self::engine::{Engine, Leaving};
 use self::fair_share::ShareTable;
 use self::load::BaseLoadBucket;
@@ -144,6 +146,8 @@
     pub(crate) base_load_bucket: BaseLoadBucket,
     /// Claims of callers that were refused.
     pub(crate) claims: ClaimTable,
+    /// Decisions made because capacity is scarce, for the metrics.
+    pub(crate) contention: ContentionCounts,
     /// Shares of the accounts whose requests wait.
     pub(crate) shares: ShareTable,
     /// What requests of each priority needed recently.
@@ -197,6 +201,7 @@
             requests: RequestTable::default(),
             adapters: AdapterTable::default(),
             claims: ClaimTable::default(),
+            contention: ContentionCounts::default(),
             shares: ShareTable::default(),
             urgency: Urgency::default(),
             throughput: Throughput::default(),
--- a/crates/gateway/src/scheduler/admission.rs
+++ b/crates/gateway/src/scheduler/admission.rs
@@ -4,6 +4,7 @@
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::{Instant, Span};
 
+use super::contention::Contention;
 use super::forecast::{WaitForecast, WaitReason};
 use super::overtaken::QueuesByRank;
 use super::scheduled_request::ScheduledRequest;
@@ -54,6 +55,7 @@
                 .then(|| self.overtaken_wait(now, request, forecast, &mut queues))
                 .flatten();
             if overtaken_wait.is_some() {
+                self.contention.add(Contention::Overtaken);
                 self.refuse(now, forecast, overtaken_wait, out);
             }
         }
@@ -95,7 +97,7 @@
             after,
         ));
         self.refund_share(&request);
-        self.add_claim(now, &request, after);
+        self.add_claim(now, &forecast.id, &request, after);
     }
 }
 
--- a/crates/gateway/src/scheduler/fair_share.rs
+++ b/crates/gateway/src/scheduler/fair_share.rs
@@ -19,6 +19,7 @@
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
+use super::contention::Contention;
 use super::forecast::WaitForecast;
 use super::scheduled_request::{ScheduledRequest, VmRequestId};
 use super::{Decision, Scheduler};
@@ -133,7 +134,11 @@
             (Some(queued), _) => queued.tag,
             (None, is_returning) => {
                 let shares = self.shares.by_priority.entry(request.priority);
-                let tag = shares.or_default().charge(request);
+                let shares = shares.or_default();
+                let tag = shares.charge(request);
+                if tag.0 > shares.virtual_time.0 + LOGGED_LEAD.0 {
+                    self.contention.add(Contention::BehindShare);
+                }
                 if is_returning {
                     request.tag.min(tag)
                 } else {
--- a/crates/gateway/src/scheduler/reserve.rs
+++ b/crates/gateway/src/scheduler/reserve.rs
@@ -10,6 +10,7 @@
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::{Instant, Span};
 
+use super::contention::Contention;
 use super::throughput::Rank;
 use super::{Decision, Scheduler};
 use crate::feature::Feature;
@@ -71,8 +72,10 @@
     needed: MovingMax,
     /// Loads that were started since the last log line.
     started: usize,
-    /// Runs since the last log line in which a load was put off.
+    /// Loads that were put off in the current run.
     put_off: usize,
+    /// Most loads that were put off in one run since the last log line.
+    most_put_off: usize,
 }
 
 /// What is known of the requests of each priority. Bounded by the number of priorities.
@@ -98,11 +101,18 @@
     /// Returns how many more loads the requests that are more urgent than `priority` may need at once.
     fn needed_before(&self, priority: u8) -> usize {
         let more_urgent = || self.by_priority.range(..priority).map(|(_, loads)| loads);
-        let needed = more_urgent().last().map_or(0, |loads| loads.needed.value());
+        let needed = more_urgent()
+            .next_back()
+            .map_or(0, |loads| loads.needed.value());
         let in_progress: usize = more_urgent().map(|loads| loads.in_progress.len()).sum();
         needed.saturating_sub(in_progress)
     }
 
+    /// Returns whether a load was put off in the current run.
+    fn puts_off(&self) -> bool {
+        self.by_priority.values().any(|loads| loads.put_off > 0)
+    }
+
     /// Updates what each priority needs.
     fn update(&mut self, now: Instant) {
         let mut needed = 0;
@@ -112,6 +122,8 @@
             }
             needed += loads.in_progress.len() + std::mem::take(&mut loads.waiting);
             loads.needed.record(now, needed);
+            let put_off = std::mem::take(&mut loads.put_off);
+            loads.most_put_off = loads.most_put_off.max(put_off);
         }
     }
 
@@ -121,20 +133,20 @@
             return None;
         }
         self.logged_at = now;
-        let mut put_off = 0;
+        let mut any_put_off = false;
         let rows: Vec<String> = self
             .by_priority
             .iter_mut()
             .map(|(priority, loads)| {
-                put_off += loads.put_off;
+                any_put_off |= loads.most_put_off > 0;
                 let started = std::mem::take(&mut loads.started);
-                let put_off = std::mem::take(&mut loads.put_off);
+                let put_off = std::mem::take(&mut loads.most_put_off);
                 let needed = loads.needed.value();
                 format!("p{priority}=needed:{needed},started:{started},put_off:{put_off}")
             })
             .take(MAX_LOGGED_PRIORITIES)
             .collect();
-        (put_off > 0).then(|| rows.join(" "))
+        any_put_off.then(|| rows.join(" "))
     }
 }
 
@@ -184,6 +196,9 @@
 
     /// Updates what each priority needs, after the loads of a run were planned.
     pub(crate) fn update_urgency(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        if self.urgency.puts_off() {
+            self.contention.add(Contention::LoadsPutOff);
+        }
         self.urgency.update(now);
         if let Some(detail) = self.urgency.take_log(now) {
             out.push(Decision::Log(Record::new(Code::LoadsReserved, detail)));
--- a/crates/gateway/src/scheduler/returning.rs
+++ b/crates/gateway/src/scheduler/returning.rs
@@ -17,6 +17,7 @@
 use rustc_hash::FxHashMap;
 
 use super::Scheduler;
+use super::contention::Contention;
 use super::fair_share::Tag;
 use super::scheduled_request::{ScheduledRequest, VmRequestId};
 use crate::feature::Feature;
@@ -35,6 +36,8 @@
 /// The claim of a caller that was refused.
 #[derive(Clone, Debug)]
 struct Claim {
+    /// The refused request. Its VM asks again for its placement if the refusal was lost.
+    refused: VmRequestId,
     /// When the caller's first try arrived.
     first_arrived: Instant,
     /// Tag of the first try, by the share of its account.
@@ -62,7 +65,13 @@
 
 impl ClaimTable {
     /// Adds a claim for a refused request whose caller may retry at `retry_at`.
-    pub(crate) fn add(&mut self, now: Instant, request: &ScheduledRequest, retry_at: Instant) {
+    pub(crate) fn add(
+        &mut self,
+        now: Instant,
+        id: &VmRequestId,
+        request: &ScheduledRequest,
+        retry_at: Instant,
+    ) {
         let Some(fingerprint) = request.detail.fingerprint else {
             return;
         };
@@ -73,6 +82,7 @@
         self.by_age.push_back((now, fingerprint));
         *self.open.entry(request.priority).or_default() += 1;
         let claim = Claim {
+            refused: id.clone(),
             first_arrived: request.first_arrived,
             tag: request.tag,
             priority: request.priority,
@@ -91,7 +101,9 @@
         match &claim.used_by {
             Some(user) if user == id => Some((claim.first_arrived, claim.tag)),
             Some(_) => None,
-            None if request.arrived + RETRY_TIME_RESOLUTION < claim.retry_at => {
+            None if claim.refused != *id
+                && request.arrived + RETRY_TIME_RESOLUTION < claim.retry_at =>
+            {
                 self.remove(fingerprint);
                 None
             }
@@ -169,6 +181,7 @@
         if known.is_some() {
             return;
         }
+        self.contention.add(Contention::Returned);
         let detail = format!(
             "id={} vm={} first={} priority={} in_time={}",
             request.id,
@@ -182,9 +195,15 @@
     }
 
     /// Adds a claim for a refused request whose caller may retry after the span.
-    pub(crate) fn add_claim(&mut self, now: Instant, request: &ScheduledRequest, after: Span) {
+    pub(crate) fn add_claim(
+        &mut self,
+        now: Instant,
+        id: &VmRequestId,
+        request: &ScheduledRequest,
+        after: Span,
+    ) {
         if self.settings.uses(Feature::ReturningCallers) {
-            self.claims.add(now, request, now + after);
+            self.claims.add(now, id, request, now + after);
         }
     }
 
--- a/crates/gateway/src/scheduler/run.rs
+++ b/crates/gateway/src/scheduler/run.rs
@@ -32,6 +32,9 @@
             let mut decisions = Vec::new();
             scheduler.run(self.now, &mut decisions);
             let (fence, next_run) = (scheduler.fence(), scheduler.next_run());
+            for (label, count) in scheduler.take_contention() {
+                metrics::add_for_service(out, Figure::Contention, &service, count, label);
+            }
             for decision in decisions {
                 self.apply_decision(&service, fence, decision, out);
             }
--- a/crates/gateway/tests/scarce.rs
+++ b/crates/gateway/tests/scarce.rs
@@ -79,6 +79,9 @@
     assert!(on_time(on, 0) * 100 >= on_time(off, 0) * 102, "{figures}");
     assert!(on_time(on, 2) * 100 >= on_time(off, 2) * 90, "{figures}");
     assert!(on.events.contains_key(&531), "{figures}");
+    let labels: Vec<&str> = on.contention.keys().copied().collect();
+    assert_eq!(labels, ["loads_put_off", "overtaken", "returned"]);
+    assert_eq!(off.contention["returned"] as usize, off.events[&530]);
 }
 
 /// Guards against an account that takes engines from others of the same urgency: for five seconds one of 16 accounts
@@ -102,6 +105,7 @@
     let flood = count(&on, |c| c.account == 3);
     assert!(on_time(&on, true) * 4 >= flood, "{figures}");
     assert!(on.events.contains_key(&532), "{figures}");
+    assert!(on.contention["behind_share"] > 0, "{figures}");
 }
 
 /// Guards against a new scheduler that cannot serve callers whose claims its predecessor had, or that places requests
@@ -226,6 +230,21 @@
     }
 }
 
+/// Guards against a request that loses its place because the message with its refusal was lost: its VM asks again for a
+/// placement of the same request.
+#[test]
+fn claim_refusallost() {
+    let start = Instant::default() + Span::from_secs(1);
+    let mut scheduler = Refusing::new();
+    assert!(scheduler.send(start, "content").is_some());
+    scheduler.1 -= 1;
+    assert!(
+        scheduler
+            .send(start + Span::from_millis(20), "content")
+            .is_none()
+    );
+}
+
 /// Guards against claims that grow without bound: of 5,000 refused callers, the last 4,096 have a claim.
 #[test]
 fn claim_oldestdropped() {
--- a/crates/gateway/tests/support/contention.rs
+++ b/crates/gateway/tests/support/contention.rs
@@ -154,6 +154,8 @@
     pub decisions: Vec<String>,
     /// Number of log events of each kind.
     pub events: BTreeMap<u16, usize>,
+    /// Decisions made because capacity is scarce, by the label of the metric.
+    pub contention: BTreeMap<&'static str, u32>,
 }
 
 impl Outcome {
@@ -180,22 +182,20 @@
         self.callers.iter().map(Caller::value).sum::<f64>() / most
     }
 
-    /// Returns one line for each kind: callers, served on time, late, refused once and twice, expired.
+    /// Returns the value, and for each kind how its callers were served.
     pub fn table(&self) -> String {
-        let mut text = format!("value {:.3}", self.value());
-        for kind in 0..KINDS.len() {
-            text += &format!(
-                "\n  {kind}: {} callers, {} on time, {} late, {} refused, {} twice, {} expired, {} held",
-                self.count(kind, |_| true),
+        let rows = (0..KINDS.len()).map(|kind| {
+            let late = |c: &Caller| c.first_chunk.is_some() && !c.is_on_time();
+            format!(
+                "\n  {kind}: {} on time, {} late, {} refused, {} twice, {} held",
                 self.count(kind, Caller::is_on_time),
-                self.count(kind, |c| c.first_chunk.is_some() && !c.is_on_time()),
+                self.count(kind, late),
                 self.count(kind, |c| c.refusals > 0),
                 self.count(kind, |c| c.refusals > 1),
-                self.count(kind, |c| c.expired),
                 self.count(kind, Caller::is_held),
-            );
-        }
-        text
+            )
+        });
+        format!("value {:.3}{}", self.value(), rows.collect::<String>())
     }
 }
 
@@ -245,12 +245,23 @@
     Scheduler::new(now, &config, fence, settings)
 }
 
+/// Returns the caller of the request with this number.
+fn caller_of(request: u64) -> usize {
+    usize::try_from(request / 2).expect("small")
+}
+
 impl Simulation {
     fn push(&mut self, at: Instant, event: Event) {
         self.last_event += 1;
         self.events.insert((at, self.last_event), event);
     }
 
+    // Times, counts and ranks of the load are far below the range of each type.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
     fn plan_arrivals(&mut self) {
         let mut rng = ChaCha8Rng::seed_from_u64(self.load.seed);
         let adapters = Zipf::new(ADAPTERS as f64, ZIPF).expect("valid");
@@ -307,7 +318,7 @@
             }
             if at <= self.now {
                 let event = self.events.remove(&(at, number)).expect("an event");
-                self.handle(event);
+                self.handle(&event);
             }
             self.decide();
         }
@@ -348,9 +359,9 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
+    fn handle(&mut self, event: &Event) {
         let now = self.now;
-        match event {
+        match *event {
             Event::Arrival(caller) => {
                 self.outcome.callers[caller].arrived = now;
                 let deadline =
@@ -414,7 +425,7 @@
             objective: Span::from_millis(kind.objective),
             left: Span::from_millis(kind.deadline) - waited,
             priority: if self.load.priorities {
-                row.kind as u8
+                u8::try_from(row.kind).expect("small")
             } else {
                 0
             },
@@ -427,14 +438,14 @@
         let account = self.outcome.callers[caller].account;
         let has_account = self.load.accounts > 0;
         let detail = PlacementDetail {
-            account: has_account.then(|| name(&format!("account{}", account))),
+            account: has_account.then(|| name(&format!("account{account}"))),
             weight: TokenRate(if has_account {
-                10_000 / (account as u64 + 1)
+                225_000 / (account as u64 + 1)
             } else {
                 0
             }),
             pause: Span::ZERO,
-            fingerprint: has_account.then(|| Fingerprint::of([format!("{caller}").as_bytes()])),
+            fingerprint: has_account.then(|| Fingerprint::of([caller.to_string().as_bytes()])),
         };
         self.scheduler
             .enqueue(self.now, &self.vm(caller), self.placement(caller), detail);
@@ -443,6 +454,9 @@
     fn decide(&mut self) {
         let mut out = Vec::new();
         self.scheduler.run(self.now, &mut out);
+        for (label, count) in self.scheduler.take_contention() {
+            *self.outcome.contention.entry(label).or_default() += count;
+        }
         for decision in out {
             match &decision {
                 Decision::Log(record) => {
@@ -461,8 +475,8 @@
                     assert_eq!(engine.crash_reason, None);
                     self.scheduler.handle_order_outcome(self.now, *id, outcome);
                 }
-                Decision::Place(_, request, server, _) => self.send(*request as usize / 2, server),
-                Decision::Refuse(_, request, after) => self.refuse(*request as usize / 2, *after),
+                Decision::Place(_, request, server, _) => self.send(caller_of(*request), server),
+                Decision::Refuse(_, request, after) => self.refuse(caller_of(*request), *after),
             }
             self.outcome
                 .decisions
@@ -476,20 +490,16 @@
         let adapter = format!("a{}", self.outcome.callers[caller].adapter).into();
         let engine = self.engines.get_mut(server).expect("an engine");
         let output = kind.events * EVENT_TOKENS;
-        match engine.accept_request(self.now, &adapter, None, kind.prompt, output) {
-            Some((starts, ends)) => {
-                self.outcome.callers[caller].server = Some(server.clone());
-                self.push(starts, Event::Started(caller));
-                self.push(ends, Event::Ended(caller));
-            }
-            None => {
-                self.report(
-                    caller,
-                    Progress::Failed(Execution::No, FailureCause::Missing),
-                );
-                self.enqueue(caller);
-            }
-        }
+        let accepted = engine.accept_request(self.now, &adapter, None, kind.prompt, output);
+        let Some((starts, ends)) = accepted else {
+            let rejected = Progress::Failed(Execution::No, FailureCause::Missing);
+            self.report(caller, rejected);
+            self.enqueue(caller);
+            return;
+        };
+        self.outcome.callers[caller].server = Some(server.clone());
+        self.push(starts, Event::Started(caller));
+        self.push(ends, Event::Ended(caller));
     }
 
     fn refuse(&mut self, caller: usize, after: Span) {
