--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -11,23 +11,29 @@
 mod admission;
 mod capacity;
 pub(crate) mod client;
+mod contention;
 mod cooldown;
 mod copies;
 mod dispatch;
 mod engine;
+mod fair_share;
 mod forecast;
 mod host;
 mod load;
 mod order;
+mod overtaken;
 mod popularity;
 mod prefix_cache;
 mod reservations;
+mod reserve;
 mod residency;
+mod returning;
 mod run;
 mod run_interval;
 mod scheduled_request;
 mod stalled;
 mod summary;
+mod throughput;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -52,11 +58,16 @@
 
 use self::adapter::{AdapterId, AdapterTable};
 use self::adapter_cache::{LocalCopies, RecentEngines};
+use self::contention::ContentionCounts;
 use self::engine::{Engine, Leaving};
+use self::fair_share::ShareTable;
 use self::load::BaseLoadBucket;
+use self::reserve::Urgency;
+use self::returning::ClaimTable;
 use self::run_interval::RunInterval;
 use self::scheduled_request::{RequestTable, ScheduledRequest, VmRequestId};
 use self::stalled::StallTable;
+use self::throughput::Throughput;
 
 /// Interval of the heartbeats to all VMs. Three heartbeats fit into [`client::HOLDER_TIMEOUT`], after which a
 /// VM places requests without the scheduler.
@@ -140,6 +151,16 @@
     pub(crate) base_load_bucket: BaseLoadBucket,
     /// Engines that have fallen behind, and the requests withdrawn from them.
     pub(crate) stalls: StallTable,
+    /// Claims of callers that were refused.
+    pub(crate) claims: ClaimTable,
+    /// Decisions made because capacity is scarce, for the metrics.
+    pub(crate) contention: ContentionCounts,
+    /// Shares of the accounts whose requests wait.
+    pub(crate) shares: ShareTable,
+    /// What requests of each priority needed recently.
+    pub(crate) urgency: Urgency,
+    /// Rates of placements and loads.
+    pub(crate) throughput: Throughput,
     /// Number of the last order that was sent.
     pub(crate) last_order: OrderId,
     /// Log events recorded since the last run, written by the next run.
@@ -187,6 +208,11 @@
             requests: RequestTable::default(),
             adapters: AdapterTable::default(),
             stalls: StallTable::default(),
+            claims: ClaimTable::default(),
+            contention: ContentionCounts::default(),
+            shares: ShareTable::default(),
+            urgency: Urgency::default(),
+            throughput: Throughput::default(),
             // An order's number contains the fencing token. Each later scheduler of the service has a higher
             // token, so no number is used twice.
             order_base: order_base(fence),
@@ -370,7 +396,10 @@
             request: placement.request,
         };
         let adapter = self.intern_adapter(&placement.work);
-        let request = ScheduledRequest::waiting(now, placement, detail, adapter);
+        let mut request = ScheduledRequest::waiting(now, placement, detail, adapter);
+        self.apply_claim(now, &id, &mut request);
+        self.apply_share(&id, &mut request);
+        self.urgency.record_arrival(now, request.priority);
         let is_new = request.failed.is_empty() && self.requests.get(&id).is_none();
         if let Some(adapter) = adapter.filter(|_| is_new) {
             self.adapters.record_request(adapter, now);
@@ -484,6 +513,7 @@
         let forecasts = self.forecast(now, &residency);
         self.plan_loads(now, &forecasts, residency, out);
         self.refuse_unservable(now, &forecasts, out);
+        self.update_shares(now, &forecasts, out);
         self.send_orders(now, out);
         self.send_periodic(now, out);
     }
--- a/crates/gateway/src/scheduler/copies.rs
+++ b/crates/gateway/src/scheduler/copies.rs
@@ -5,13 +5,14 @@
 //! needs the prefill of several engines. With one copy at a time, each of which takes a load, the engines with the
 //! adapter fall behind for seconds while others are idle.
 
-use dahliastile_core::time::Span;
+use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
 use super::Scheduler;
 use super::adapter::AdapterId;
 use super::forecast::{WaitForecast, prefill_time};
 use super::residency::Residency;
+use super::throughput::Rank;
 use crate::feature::Feature;
 
 /// Longest time that the prompts waiting for an adapter should take to read, once its copies are loaded: what an
@@ -29,6 +30,8 @@
     pub(crate) count: u32,
     /// Time to read the waiting prompts with the present copies.
     pub(crate) queue_time: Span,
+    /// Rank of the first request that waits for it.
+    pub(crate) rank: Rank,
 }
 
 /// Returns how many engines besides `engines` have to read the waiting prompts, so that `tokens` are read within
@@ -48,6 +51,7 @@
     /// requests.
     pub(crate) fn plan_copies(
         &self,
+        now: Instant,
         forecasts: &[WaitForecast],
         residency: &Residency,
     ) -> Vec<ExtraCopies> {
@@ -55,7 +59,7 @@
         if !uses(Feature::ParallelCopies) || !uses(Feature::ExtraReplicas) {
             return Vec::new();
         }
-        let mut order: Vec<AdapterId> = Vec::new();
+        let mut order: Vec<(AdapterId, Rank)> = Vec::new();
         let mut tokens: FxHashMap<AdapterId, u64> = FxHashMap::default();
         for forecast in forecasts {
             let request = self.requests.get(&forecast.id);
@@ -64,7 +68,7 @@
                 continue;
             };
             let sum = tokens.entry(adapter).or_insert_with(|| {
-                order.push(adapter);
+                order.push((adapter, Rank::of(request, now)));
                 0
             });
             *sum += u64::from(request.work.prompt_tokens);
@@ -73,7 +77,7 @@
         let count = self.engines.len().max(1);
         #[allow(clippy::cast_precision_loss)]
         let rate = rates.sum::<f64>() / count as f64;
-        let rows = order.into_iter().filter_map(|adapter| {
+        let rows = order.into_iter().filter_map(|(adapter, rank)| {
             let held = residency.servers(adapter).len();
             let held = u32::try_from(held).unwrap_or(u32::MAX).max(1);
             let queue = tokens[&adapter];
@@ -82,6 +86,7 @@
                 adapter,
                 count,
                 queue_time: prefill_time(queue / u64::from(held), rate),
+                rank,
             })
         });
         rows.collect()
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -12,7 +12,9 @@
 use super::engine::{AdapterSlot, AdapterState, Engine, Intent, unused_slot};
 use super::forecast::{WaitForecast, WaitReason};
 use super::reservations::Reservations;
+use super::reserve::{LoadOutcome, Reserve};
 use super::residency::{AdapterResidency, Residency};
+use super::throughput::Rank;
 use super::{Decision, Scheduler};
 use crate::feature::Feature;
 
@@ -107,6 +109,15 @@
     copy_wait: Option<Span>,
     /// Until when it may wait for a slot at an engine with a local copy.
     local_copy_until: Instant,
+    /// Rank of the request that is served first with it; `None` if no request waits for the load.
+    rank: Option<Rank>,
+}
+
+impl NeededLoad {
+    /// Returns the rank of the request that waits for this load; `None` if requests can be served without it.
+    fn waiting_rank(&self) -> Option<Rank> {
+        self.rank.filter(|_| self.copy_wait.is_none())
+    }
 }
 
 /// The inputs for choosing an engine for a load.
@@ -144,12 +155,13 @@
         out: &mut Vec<Decision>,
     ) {
         self.plan_base_loads(now);
-        let mut needed = self.needed_loads(forecasts, &residency);
-        for extra in self.plan_copies(forecasts, &residency) {
+        let mut needed = self.needed_loads(now, forecasts, &residency);
+        for extra in self.plan_copies(now, forecasts, &residency) {
             let copy = |_| NeededLoad {
                 adapter: extra.adapter,
                 copy_wait: Some(extra.queue_time),
                 local_copy_until: now,
+                rank: Some(extra.rank),
             };
             needed.extend((0..extra.count).map(copy));
         }
@@ -159,6 +171,7 @@
             needed.push(outdated);
         }
         let mut candidates_by_model = CandidatesByModel::default();
+        let reserves = self.reserves(now);
         let mut remaining_loads = self
             .max_concurrent_loads()
             .saturating_sub(self.weight_store_loads());
@@ -180,12 +193,29 @@
                 residency: &residency,
                 candidates,
             };
-            let Some(choice) = self.choose_engine(&context, &needed, remaining_loads > 0) else {
-                continue;
-            };
-            if needed.copy_wait.is_none_or(|wait| choice.cost < wait) {
+            let reserve = needed.rank.filter(|_| reserves);
+            let reserve = reserve.map_or_else(Reserve::default, |rank| self.reserve_before(rank));
+            let has_slots = reserve.slots == 0 || candidates.slots() > reserve.slots;
+            let from_store = remaining_loads > reserve.loads;
+            let choice = has_slots
+                .then(|| self.choose_engine(&context, &needed, from_store))
+                .flatten();
+            let choice =
+                choice.filter(|choice| needed.copy_wait.is_none_or(|wait| choice.cost < wait));
+            if let Some(rank) = needed.waiting_rank().filter(|_| reserves) {
+                let outcome = match choice {
+                    Some(_) => LoadOutcome::Started,
+                    None if !has_slots || !from_store && remaining_loads > 0 => LoadOutcome::PutOff,
+                    None => LoadOutcome::NoCapacity,
+                };
+                self.record_needed_load(now, rank, outcome);
+            }
+            if let Some(choice) = choice {
                 remaining_loads -= usize::from(choice.local_copy_distance.is_none());
                 self.order_load(now, needed.adapter, &choice, out);
+                if let Some(rank) = needed.waiting_rank() {
+                    self.throughput.record_load(now, rank);
+                }
                 for adapter in choice.victim.into_iter().chain([needed.adapter]) {
                     self.update_residency(now, adapter, &choice.server, &mut residency);
                 }
@@ -204,11 +234,19 @@
                 );
             }
         }
+        if reserves {
+            self.update_urgency(now, out);
+        }
     }
 
     /// Returns the adapters that requests wait for and that are not being loaded, in the order of the requests.
     /// For an adapter that engines already hold, it contains the longest wait if that justifies one more copy.
-    fn needed_loads(&self, forecasts: &[WaitForecast], residency: &Residency) -> Vec<NeededLoad> {
+    fn needed_loads(
+        &self,
+        now: Instant,
+        forecasts: &[WaitForecast],
+        residency: &Residency,
+    ) -> Vec<NeededLoad> {
         let mut needed: Vec<NeededLoad> = Vec::new();
         let copies = self.settings.uses(Feature::ExtraReplicas);
         let mut rows: FxHashMap<AdapterId, usize> = FxHashMap::default();
@@ -246,6 +284,7 @@
                         adapter,
                         copy_wait,
                         local_copy_until: request.arrived + MAX_LOCAL_COPY_WAIT,
+                        rank: Some(Rank::of(request, now)),
                     });
                 }
             }
@@ -271,6 +310,7 @@
             adapter,
             copy_wait: None,
             local_copy_until: now,
+            rank: None,
         };
         adapters.into_iter().map(needed).collect()
     }
--- a/crates/gateway/src/scheduler/scheduled_request.rs
+++ b/crates/gateway/src/scheduler/scheduled_request.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use dahliastile_core::id::{Server, Vm, Zone};
-use dahliastile_core::time::Instant;
+use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
 use super::adapter::AdapterId;
+use super::fair_share::Tag;
 use crate::event::{InferenceSpec, RequestId};
 use crate::message::{PlacementDetail, PlacementRequest, Running};
 
@@ -44,6 +45,10 @@
     pub(crate) adapter: Option<AdapterId>,
     /// When it arrived at its VM.
     pub(crate) arrived: Instant,
+    /// When its caller's first try arrived: `arrived`, unless a claim shows that the caller was refused before.
+    pub(crate) first_arrived: Instant,
+    /// Whether its caller was refused before and came back with a claim.
+    pub(crate) is_returning: bool,
     /// When its objective ends: the time until which the first chunk of its answer is wanted.
     pub(crate) first_chunk_due: Instant,
     /// When its caller gives up, after which its answer is of no use.
@@ -56,6 +61,9 @@
     pub(crate) failed: Vec<Server>,
     /// Its account and the pause that its caller allows, as far as its VM has sent them.
     pub(crate) detail: PlacementDetail,
+    /// Its place among the requests of its priority by the share of its account; the same for all requests without
+    /// accounts.
+    pub(crate) tag: Tag,
     /// Prompt tokens that its server had to read when it was placed.
     pub(crate) prefill_tokens: u32,
     state: State,
@@ -75,12 +83,15 @@
             work: placement.work,
             adapter,
             arrived,
+            first_arrived: arrived,
+            is_returning: false,
             first_chunk_due: arrived + placement.objective,
             deadline: now + placement.left,
             priority: placement.priority,
             zone: Some(placement.zone),
             failed: placement.failed,
             detail,
+            tag: Tag::default(),
             prefill_tokens: 0,
             state: State::Waiting,
         }
@@ -93,12 +104,15 @@
             work: run.work.clone(),
             adapter,
             arrived: now,
+            first_arrived: now,
+            is_returning: false,
             first_chunk_due: now,
             deadline: Instant::NEVER,
             priority: 0,
             zone: None,
             failed: Vec::new(),
             detail: PlacementDetail::default(),
+            tag: Tag::default(),
             prefill_tokens: 0,
             state: State::Running {
                 server: run.server.clone(),
@@ -122,6 +136,11 @@
         matches!(&self.state, State::Running { server: assigned, answer_started: false, .. } if assigned == server)
     }
 
+    /// Returns its objective: the time from its first arrival until the first chunk of its answer is wanted.
+    pub(crate) fn objective(&self) -> Span {
+        self.first_chunk_due.since(self.first_arrived)
+    }
+
     /// Returns whether the request was placed at this server.
     fn is_at(&self, server: &Server) -> bool {
         matches!(&self.state, State::Running { server: assigned, .. } if assigned == server)
@@ -129,12 +148,12 @@
 
     /// Returns its position among the waiting requests.
     fn queue_position(&self, id: &VmRequestId) -> QueuePosition {
-        (self.priority, self.arrived, id.clone())
+        (self.priority, self.tag, self.first_arrived, id.clone())
     }
 }
 
-/// Position of a waiting request: by priority, then by arrival.
-type QueuePosition = (u8, Instant, VmRequestId);
+/// Position of a waiting request: by priority, then by the share of its account, then by first arrival.
+type QueuePosition = (u8, Tag, Instant, VmRequestId);
 
 /// All requests of a scheduler.
 #[derive(Debug, Default)]
@@ -257,7 +276,7 @@
                 .get(id)
                 .is_some_and(|request| request.first_chunk_due < now)
         };
-        let ids = self.waiting.iter().map(|(_, _, id)| id.clone());
+        let ids = self.waiting.iter().map(|(.., id)| id.clone());
         let (late, mut order): (Vec<VmRequestId>, Vec<VmRequestId>) = ids.partition(is_late);
         order.extend(late);
         order
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -67,6 +67,7 @@
             fence: 0,
             fault: Fault::None,
             runs: Vec::new(),
+            cancelled: Vec::new(),
             pace: Duration::ZERO,
             speed: 1.0,
             overfull: 0,
