--- a/crates/gateway/src/account/quota/window.rs
+++ b/crates/gateway/src/account/quota/window.rs
@@ -345,10 +345,12 @@
     /// Computes the size of this VM's share of an account, unless that was done within [`VM_COUNT_MAX_AGE`].
     fn resize_share(&mut self, name: &Tenant) {
         let now = self.now;
-        let started = match self.quota.restarted {
-            true => self.quota.started,
-            false => self.quota.started + STARTUP_DELAY,
+        let delay = if self.quota.restarted {
+            Span::ZERO
+        } else {
+            STARTUP_DELAY
         };
+        let started = self.quota.started + delay;
         let Some(account) = self.quota.window.accounts.get(name) else {
             return;
         };
