--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -25,6 +25,7 @@
 mod run;
 mod run_interval;
 mod scheduled_request;
+pub mod speed;
 mod summary;
 
 use std::collections::BTreeMap;
