Place requests by measured speed, and protect streams from pauses

Cause: engines at 0.7 and 1.7 times the nominal speed were judged by a slow moving average and by one constant for running requests; prompts were sent to engines whose streams then paused for longer than their callers allow.

Change: where the typical rates of the fastest and the slowest tenth differ by 1.5, the cost of a placement is the time to the first chunk at the rate of the last prompts plus the scaled cost of running requests, the next prompt may be sent while the answer to the one before is about to start, and a load costs what its requests will wait for at the engine's longer rate. A prompt that would push the expected pause of streams beyond what their callers allow costs 200 ms for each of them, at most 1 s; it goes elsewhere, is a reason for one more copy, or waits within its objective, but not while more than 5 % of the requests are refused. It is never refused for it.

A limit that was concluded from the rate alone changed decisions where chunks of 1,024 tokens fit into the pause; it is now also the longest observed pause.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -74,6 +74,8 @@
     PeerBytes "dahliastile_peer_sent_bytes_total" "bytes";
     /// Messages sent to other VMs, by the same.
     PeerMessages "dahliastile_peer_sent_messages_total" "1";
+    /// Streams that paused for longer than their route allows.
+    PausedStreams "dahliastile_paused_streams_total" "1";
     /// Late, crossed or duplicated pieces of answers that were dropped.
     Dropped "dahliastile_dropped_pieces_total" "1";
 }
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -352,6 +352,9 @@
         Self::log(out, Code::Served, detail);
         metrics::observe_seconds(out, Figure::WholeAnswer, &state.service, took);
         metrics::count_for_service(out, Figure::Answered, &state.service, "whole");
+        if state.route.pause > Span::ZERO && pause > state.route.pause {
+            metrics::count_for_service(out, Figure::PausedStreams, &state.service, "objective");
+        }
         if let Some(server_state) = state
             .server()
             .and_then(|server| self.servers.get_mut(server))
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -18,8 +18,11 @@
 mod host;
 mod load;
 mod order;
+
+pub mod pause;
 mod popularity;
 mod prefix_cache;
+mod rates;
 mod reservations;
 mod residency;
 mod run;
@@ -53,6 +56,8 @@
 use self::adapter_cache::{LocalCopies, RecentEngines};
 use self::engine::{Engine, Leaving};
 use self::load::BaseLoadBucket;
+use self::pause::{PauseHistory, Refusals};
+use self::rates::Comparison;
 use self::run_interval::RunInterval;
 use self::scheduled_request::{RequestTable, ScheduledRequest, VmRequestId};
 
@@ -132,6 +137,14 @@
     pub(crate) local_copies: LocalCopies,
     /// Index from each adapter to the engines that recently held it.
     pub(crate) recent_engines: RecentEngines,
+    /// The measured speeds of the engines, compared.
+    pub(crate) speeds: Comparison,
+    /// The longest pauses of streams.
+    pub(crate) pauses: PauseHistory,
+    /// The share of requests that were refused lately.
+    pub(crate) refusals: Refusals,
+    /// Number of streams that paused for longer than their callers allow, since the last log line with the state.
+    pub(crate) paused_streams: u32,
     /// Limits the rate of base model loads from the weight store.
     pub(crate) base_load_bucket: BaseLoadBucket,
     /// Number of the last order that was sent.
@@ -151,6 +164,9 @@
     /// Last engine of the previous message about resident adapters; `None` if the next message starts from the
     /// first engine.
     last_residents_server: Option<Server>,
+    /// Last engine whose speed the previous log line with the state contains; `None` if the next one starts from the
+    /// first engine.
+    last_speed_server: Option<Server>,
     /// When the next log line with the state is due.
     summary_due: Instant,
     /// Number of VMs that receive the heartbeats and the messages about resident adapters.
@@ -174,6 +190,10 @@
             load_time: settings.tuning.adapter_load,
             local_copies: LocalCopies::default(),
             recent_engines: RecentEngines::default(),
+            speeds: Comparison::default(),
+            pauses: PauseHistory::default(),
+            refusals: Refusals::default(),
+            paused_streams: 0,
             engine_spec,
             started_at: now,
             fence,
@@ -191,6 +211,7 @@
             heartbeat_due: now,
             residents_due: now,
             last_residents_server: None,
+            last_speed_server: None,
             summary_due: now,
             vm_count: 0,
             settings,
@@ -363,6 +384,9 @@
         let adapter = self.intern_adapter(&placement.work);
         let request = ScheduledRequest::waiting(now, placement, detail, adapter);
         let is_new = request.failed.is_empty() && self.requests.get(&id).is_none();
+        if is_new {
+            self.refusals.record_request(now);
+        }
         if let Some(adapter) = adapter.filter(|_| is_new) {
             self.adapters.record_request(adapter, now);
         }
@@ -385,7 +409,11 @@
         };
         match progress {
             Progress::AnswerStarted => self.record_answer_started(now, &id),
-            Progress::Finished | Progress::Streamed(_) => self.remove_request(&id),
+            Progress::Finished => self.remove_request(&id),
+            Progress::Streamed(timing) => {
+                self.record_stream(now, &id, &timing);
+                self.remove_request(&id);
+            }
             Progress::Failed(ran, cause) => self.record_attempt_failed(now, &id, ran, cause),
         }
     }
@@ -460,6 +488,7 @@
         self.due = now + HEARTBEAT_INTERVAL;
         out.extend(self.pending_logs.drain(..).map(Decision::Log));
         self.apply_elapsed_time(now, out);
+        self.update_rates(now);
         self.update_deprioritized(now);
         self.update_leaving(now);
         let residency = self.residency(now);
@@ -547,7 +576,8 @@
         }
         if now >= self.summary_due {
             self.summary_due = now + SUMMARY_INTERVAL;
-            out.push(Decision::Log(self.summary(now)));
+            let summary = self.summary(now);
+            out.push(Decision::Log(summary));
         }
         let next = self
             .heartbeat_due
--- a/crates/gateway/src/scheduler/admission.rs
+++ b/crates/gateway/src/scheduler/admission.rs
@@ -62,6 +62,7 @@
                     after,
                 ));
                 self.requests.remove(&forecast.id);
+                self.refusals.record_refusal(now);
             }
         }
     }
--- a/crates/gateway/src/scheduler/capacity.rs
+++ b/crates/gateway/src/scheduler/capacity.rs
@@ -30,7 +30,7 @@
     /// The adapter to evict; `None` if a slot is free.
     pub(crate) victim: Option<AdapterId>,
     /// Time until the engine has finished the prefill of its prompts and of those reserved there, plus the cost
-    /// of the eviction.
+    /// of the eviction and, where speeds are measured, of the engine's speed.
     pub(crate) cost: Span,
 }
 
@@ -166,7 +166,9 @@
                 self.choose_victim(now, engine, reservations, residency)?;
             (Some(victim), eviction_cost)
         };
-        let cost = reserved_backlog(now, engine, reservations, None, residency) + eviction_cost;
+        let cost = reserved_backlog(now, engine, reservations, None, residency)
+            + eviction_cost
+            + self.future_cost(now, engine, residency);
         Some(LoadCandidate { victim, cost })
     }
 
@@ -220,6 +222,6 @@
     engine.backlog(now)
         + prefill_time(
             reservations.tokens_at(engine, excluded, residency),
-            engine.prefill_rate,
+            engine.rates.long,
         )
 }
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -6,10 +6,12 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::engine::{AdapterState, Engine};
+use super::pause::Limit;
 use super::residency::Residency;
-use super::scheduled_request::{ScheduledRequest, State, VmRequestId};
+use super::scheduled_request::{ScheduledRequest, State, StreamStart, VmRequestId};
+use super::speed::{Decoding, Prefill};
 use super::{Decision, Scheduler};
-use crate::event::{Execution, FailureCause};
+use crate::event::{Execution, FailureCause, StreamTiming};
 use crate::feature::Feature;
 
 /// Cost of an engine in another availability zone than the request's VM, as a waiting time. The traffic of a
@@ -17,10 +19,6 @@
 /// this length costs as much.
 const CROSS_ZONE_COST: Span = Span::from_millis(15);
 
-/// Cost of each request that already runs at an engine, as a waiting time: its tokens lengthen every decoding
-/// step.
-const COST_PER_RUNNING: Span = Span::from_millis(4);
-
 /// Cost of an engine that is deprioritized for its failures, as a waiting time: longer than any backlog.
 const DEPRIORITIZED_COST: Span = Span::from_secs(60);
 
@@ -47,6 +45,15 @@
 /// Longest time between two attempts to place the waiting requests.
 const PLACEMENT_RETRY_INTERVAL: Span = Span::from_millis(25);
 
+/// An engine chosen for a request.
+struct Choice {
+    server: Server,
+    /// The cost of running the request there, as a waiting time.
+    cost: Span,
+    /// What streams that pause for too long add to the cost.
+    pause_cost: Span,
+}
+
 impl Scheduler {
     /// Places the waiting requests that an engine can start now.
     pub(crate) fn place_requests(
@@ -59,23 +66,32 @@
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
-            let Some((server, cost)) = self.cheapest_engine(now, &id.vm, request, residency) else {
+            let Some(choice) = self.cheapest_engine(now, &id.vm, request, residency) else {
                 continue;
             };
-            let engine = &self.engines[&server];
+            let engine = &self.engines[&choice.server];
             let tuning = &self.settings.tuning;
             let has_batch_slot =
                 engine.running < tuning.running_per_engine.min(self.engine_spec.batch);
-            let ahead = engine.backlog_including(now, engine.tokens_to_read(request));
-            let starts_soon = engine.unread_tokens == 0 || ahead <= tuning.backlog;
-            if has_batch_slot && starts_soon && cost < DEPRIORITIZED_COST {
-                self.dispatch(now, &id, &server, out);
+            let starts_soon = self.starts_soon(now, engine, request);
+            let has_room = has_batch_slot && starts_soon && choice.cost < DEPRIORITIZED_COST;
+            if has_room && !self.waits_for_streams(now, engine, request, choice.pause_cost) {
+                self.dispatch(now, &id, &choice.server, out);
             } else {
                 self.run_by(now + PLACEMENT_RETRY_INTERVAL);
             }
         }
     }
 
+    /// Returns whether an engine would soon start to read a request's prompt. A request that is queued at an engine
+    /// cannot be sent to another one. Where speeds are measured, the next prompt may be sent while the answer to the
+    /// one before is about to start, so that the engine does not wait for the messages in between.
+    fn starts_soon(&self, now: Instant, engine: &Engine, request: &ScheduledRequest) -> bool {
+        let ahead = engine.backlog_including(now, engine.tokens_to_read(request));
+        let is_next = engine.rates.is_measured && engine.backlog(now) <= engine.rates.chunk;
+        engine.unread_tokens == 0 || ahead <= self.settings.tuning.backlog || is_next
+    }
+
     /// Returns the engine that can run a request at the lowest cost, with that cost.
     fn cheapest_engine(
         &self,
@@ -83,14 +99,19 @@
         vm: &Vm,
         request: &ScheduledRequest,
         residency: &Residency,
-    ) -> Option<(Server, Span)> {
+    ) -> Option<Choice> {
         let prefers_own_zone = self.settings.uses(Feature::ZonePreference);
         let cost_at = |server: &Server, engine: &Engine| {
             let is_open = engine.is_usable()
                 && engine.is_within_rate_limit(1, now)
                 && engine.cooldown.allows(now, vm);
             let is_eligible = is_open && !request.failed.contains(server);
-            is_eligible.then(|| cost(engine, request, now, prefers_own_zone))
+            let pause_cost = self.pause_cost(now, engine, request);
+            is_eligible.then(|| Choice {
+                server: server.clone(),
+                cost: cost(engine, request, now, prefers_own_zone) + pause_cost,
+                pause_cost,
+            })
         };
         let ready = |adapter| residency.ready_servers(adapter).iter();
         let holding = request.adapter.into_iter().flat_map(ready);
@@ -102,9 +123,8 @@
             all.filter(|(_, engine)| engine.base_models.contains(&request.work.model));
         let costs = with_adapter
             .chain(with_base_model)
-            .filter_map(|(server, engine)| Some((server, cost_at(server, engine)?)));
-        let least = costs.min_by_key(|(_, cost)| *cost);
-        least.map(|(server, cost)| (server.clone(), cost))
+            .filter_map(|(server, engine)| cost_at(server, engine));
+        costs.min_by_key(|choice| choice.cost)
     }
 
     /// Places a request at a server, and appends the decision and its log event to `out`.
@@ -130,6 +150,7 @@
         let version = slot.map(|slot| slot.version);
         let version = version.filter(|version| *version > 0);
         self.occupy(&request, server);
+        self.speeds.record_prompt(request.prefill_tokens);
         if let Some(engine) = self.engines.get_mut(server) {
             engine.count_against_rate_limit(now);
             engine.cooldown.record_dispatch(now);
@@ -186,13 +207,16 @@
         else {
             return;
         };
-        let (adapter, tokens) = (request.adapter, u64::from(request.prefill_tokens));
+        let (adapter, tokens) = (request.adapter, request.prefill_tokens);
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
         engine.running = engine.running.saturating_sub(1);
         if !*answer_started {
-            engine.unread_tokens = engine.unread_tokens.saturating_sub(tokens);
+            engine.remove_prefill(tokens);
+        }
+        if request.stream_start.is_some() {
+            engine.allowances.remove(request.detail.pause);
         }
         let Some(adapter) = adapter else {
             return;
@@ -210,17 +234,25 @@
         let Some((server, since)) = self.requests.mark_answer_started(id) else {
             return;
         };
-        let Some((adapter, tokens)) = self
-            .requests
-            .get(id)
-            .map(|request| (request.adapter, request.prefill_tokens))
-        else {
+        let measures_speed = self.measures_speed();
+        let Some(request) = self.requests.get(id) else {
             return;
         };
+        let (adapter, tokens) = (request.adapter, request.prefill_tokens);
         let Some(engine) = self.engines.get_mut(&server) else {
             return;
         };
+        if measures_speed {
+            let prefill = completed_prefill(now, engine, request, since);
+            engine.speed.record_prefill(now, &prefill);
+        }
         engine.complete_prefill(now, tokens, since);
+        let stream_start = StreamStart {
+            read_tokens: engine.read_tokens,
+            running: engine.running,
+        };
+        engine.allowances.add(request.detail.pause);
+        self.requests.record_stream_start(id, stream_start);
         engine.health.record_success(now);
         engine.cooldown.clear_rejections();
         let slot = adapter.and_then(|adapter| engine.slots.get_mut(&adapter));
@@ -240,6 +272,35 @@
         }
     }
 
+    /// Records how fast an engine decoded a stream that has ended.
+    pub(crate) fn record_stream(&mut self, now: Instant, id: &VmRequestId, timing: &StreamTiming) {
+        let Some(request) = self.requests.get(id).filter(|_| self.measures_speed()) else {
+            return;
+        };
+        let (State::Running { server, .. }, Some(start)) = (request.state(), request.stream_start)
+        else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        let decoding = Decoding {
+            chunks: timing.chunks,
+            span: timing.decoding,
+            read_tokens: engine.read_tokens.saturating_sub(start.read_tokens),
+            batch: f64::from(start.running + engine.running) / 2.0,
+        };
+        engine.speed.record_stream(now, &decoding);
+        let chunk = engine.speed.chunk_span(now, engine.running);
+        let rate = engine.speed.long_rate(now).unwrap_or(engine.prefill_rate);
+        let pause = timing.longest_pause;
+        let tokens = (pause - chunk).as_secs_f64() * 1_000.0 * rate;
+        self.pauses.record(now, Limit { tokens, pause });
+        if request.detail.pause > Span::ZERO && timing.longest_pause > request.detail.pause {
+            self.paused_streams += 1;
+        }
+    }
+
     /// Removes a request that is over.
     pub(crate) fn remove_request(&mut self, id: &VmRequestId) {
         self.release(id);
@@ -327,7 +388,28 @@
     )
 }
 
-/// Returns the cost of running a request at an engine, as a waiting time.
+/// Describes the prefill of a request whose answer has started. It was sent at `since`.
+fn completed_prefill(
+    now: Instant,
+    engine: &Engine,
+    request: &ScheduledRequest,
+    since: Instant,
+) -> Prefill {
+    let slot = request
+        .adapter
+        .and_then(|adapter| engine.slots.get(&adapter));
+    Prefill {
+        tokens: request.prefill_tokens,
+        prompt_tokens: request.work.prompt_tokens,
+        span: now.since(engine.prefill_since.max(since)),
+        was_idle: since >= engine.prefill_since,
+        has_others: engine.unread_prompts > 1,
+        is_first_use: slot.is_some_and(|slot| slot.is_unused),
+    }
+}
+
+/// Returns the cost of running a request at an engine, as a waiting time: the time until its first chunk, and the time
+/// by which it delays the requests that run there.
 fn cost(engine: &Engine, request: &ScheduledRequest, now: Instant, prefers_own_zone: bool) -> Span {
     let zone_cost = match &request.zone {
         Some(zone) if prefers_own_zone && *zone != engine.backend.zone => CROSS_ZONE_COST,
@@ -339,7 +421,8 @@
         Span::ZERO
     };
     engine.backlog_including(now, engine.tokens_to_read(request))
-        + COST_PER_RUNNING.times(u64::from(engine.running))
+        + engine.rates.chunk
+        + engine.rates.per_running.times(u64::from(engine.running))
         + zone_cost
         + penalty
 }
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -10,8 +10,11 @@
 use super::adapter_cache::RecentAdapters;
 use super::cooldown::Cooldown;
 use super::forecast::prefill_time;
+use super::pause::Allowances;
 use super::prefix_cache::PrefixCache;
+use super::rates::Rates;
 use super::scheduled_request::ScheduledRequest;
+use super::speed::Speed;
 use crate::cluster::snapshot::{Backend, Resident, Version};
 use crate::effect::OrderId;
 use crate::event::Report;
@@ -32,6 +35,9 @@
 /// Bounds of a measured prefill rate, in tokens per millisecond.
 const PREFILL_RATE_BOUNDS: (f64, f64) = (3.0, 60.0);
 
+/// Bound of the slowdown that is concluded from a prompt that takes longer than expected: that of a slow phase.
+const MAX_SLOWDOWN: f64 = 2.5;
+
 /// Delay from the last order to the request for a report, because a report shows the state that the engine had some
 /// hundred milliseconds earlier.
 pub(crate) const REPORT_LAG: Span = Span::from_millis(250);
@@ -137,10 +143,20 @@
     pub(crate) running: u32,
     /// Prompt tokens that it has still to read, of the requests there whose answers have not started.
     pub(crate) unread_tokens: u64,
+    /// Number of these prompts.
+    pub(crate) unread_prompts: u32,
+    /// Prompt tokens of all answers that have started.
+    pub(crate) read_tokens: u64,
+    /// The pauses that the callers of its streams allow.
+    pub(crate) allowances: Allowances,
     /// Start of the current prefill: when the last answer started, or when a request came to the idle engine.
     pub(crate) prefill_since: Instant,
     /// Measured prefill rate, in prompt tokens per millisecond.
     pub(crate) prefill_rate: f64,
+    /// Measured speed of its current process.
+    pub(crate) speed: Speed,
+    /// The speed by which it is judged in the current run.
+    pub(crate) rates: Rates,
     /// Orders to be sent to it, in order.
     pub(crate) order_queue: VecDeque<Intent>,
     /// The order that has no outcome yet.
@@ -179,8 +195,13 @@
             prefix_cache: PrefixCache::default(),
             running: 0,
             unread_tokens: 0,
+            unread_prompts: 0,
+            read_tokens: 0,
+            allowances: Allowances::default(),
             prefill_since: Instant::default(),
             prefill_rate: INITIAL_PREFILL_RATE,
+            speed: Speed::default(),
+            rates: Rates::uniform(INITIAL_PREFILL_RATE),
             order_queue: VecDeque::new(),
             pending_order: None,
             order_attempts: 0,
@@ -208,8 +229,8 @@
         is_other_incarnation
     }
 
-    /// Resets an engine that has restarted: it holds nothing, has accepted no orders and counts as healthy. The
-    /// measured prefill rate stays; the caller clears `recent_adapters`.
+    /// Resets an engine that has restarted: it holds nothing, has accepted no orders and counts as healthy, and its
+    /// speed is not measured. The moving average of the prefill rate stays; the caller clears `recent_adapters`.
     pub(crate) fn reset(&mut self, incarnation: Option<Incarnation>) {
         self.invalidate();
         self.incarnation = incarnation;
@@ -222,6 +243,7 @@
         self.cooldown = Cooldown::default();
         self.rate_limiter = None;
         self.health = Health::default();
+        self.speed = Speed::default();
         self.last_order_at = Instant::default();
     }
 
@@ -261,7 +283,8 @@
 
     /// Returns the estimated time until the engine has read all of its prompts and `tokens` more.
     pub(crate) fn backlog_including(&self, now: Instant, tokens: u32) -> Span {
-        self.backlog(now) + prefill_time(u64::from(tokens), self.prefill_rate)
+        let rate = self.rates.now / self.slowdown(now);
+        self.backlog(now) + prefill_time(u64::from(tokens), rate)
     }
 
     /// Returns the prompt tokens of a request that are not in the engine's prefix cache.
@@ -275,7 +298,35 @@
 
     /// Returns the estimated time until the engine has read all of its prompts.
     pub(crate) fn backlog(&self, now: Instant) -> Span {
-        prefill_time(self.unread_tokens, self.prefill_rate) - now.since(self.prefill_since)
+        let all = prefill_time(self.unread_tokens, self.rates.now);
+        let elapsed = now.since(self.prefill_since);
+        let slowdown = self.slowdown(now);
+        if slowdown <= 1.0 {
+            return all - elapsed;
+        }
+        // The engine reads its first prompt for longer than expected. That says nothing about the others having
+        // been read, so only the first one is left out.
+        let first = self.first_prompt_time();
+        let overdue = (elapsed - first).min(first);
+        overdue + prefill_time(self.unread_tokens, self.rates.now / slowdown) - first
+    }
+
+    /// Returns how many times slower the engine is than measured, from the time that it has spent on its first
+    /// prompt; 1 unless measured speeds are used.
+    fn slowdown(&self, now: Instant) -> f64 {
+        let expected = self.first_prompt_time() + self.rates.chunk;
+        let elapsed = now.since(self.prefill_since);
+        if !self.rates.is_measured || self.unread_prompts == 0 || elapsed <= expected {
+            return 1.0;
+        }
+        let ratio = elapsed.as_secs_f64() / expected.as_secs_f64().max(f64::MIN_POSITIVE);
+        ratio.min(MAX_SLOWDOWN)
+    }
+
+    /// Returns the time to read a prompt of the mean length of those that are unread.
+    fn first_prompt_time(&self) -> Span {
+        let tokens = self.unread_tokens / u64::from(self.unread_prompts.max(1));
+        prefill_time(tokens, self.rates.now)
     }
 
     /// Adds a prompt to the backlog, of which `tokens` have to be read.
@@ -284,6 +335,7 @@
             self.prefill_since = now;
         }
         self.unread_tokens += u64::from(tokens);
+        self.unread_prompts += 1;
     }
 
     /// Removes a prompt whose answer has started from the backlog, and measures the prefill rate. The request
@@ -297,7 +349,14 @@
             self.prefill_rate += (rate - self.prefill_rate) * PREFILL_RATE_WEIGHT;
         }
         self.prefill_since = now;
+        self.remove_prefill(tokens);
+        self.read_tokens += u64::from(tokens);
+    }
+
+    /// Removes a prompt from the backlog.
+    pub(crate) fn remove_prefill(&mut self, tokens: u32) {
         self.unread_tokens = self.unread_tokens.saturating_sub(u64::from(tokens));
+        self.unread_prompts = self.unread_prompts.saturating_sub(1);
     }
 
     /// Returns whether the engine's current order was sent before and got no answer.
--- a/crates/gateway/src/scheduler/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -16,6 +16,7 @@
 use super::residency::Residency;
 use super::scheduled_request::{ScheduledRequest, VmRequestId};
 use crate::account::quota::bucket::time_until_available;
+use crate::feature::Feature;
 
 /// A wait that exceeds every deadline.
 const UNBOUNDED_WAIT: Span = Span::from_secs(3_600);
@@ -46,6 +47,9 @@
     pub(crate) reason: WaitReason,
     /// Time until the request can be placed.
     pub(crate) span: Span,
+    /// What streams lose wherever it is placed, as a waiting time: a reason for one more copy of its adapter, but not
+    /// for refusing it.
+    pub(crate) pause_cost: Span,
 }
 
 /// What is served before the next request in the queue.
@@ -113,7 +117,7 @@
 impl Scheduler {
     /// Returns the forecast of each waiting request, in the order in which they are served.
     pub(crate) fn forecast(&self, now: Instant, residency: &Residency) -> Vec<WaitForecast> {
-        let rates = self.engines.values().map(|engine| engine.prefill_rate);
+        let rates = self.engines.values().map(|engine| engine.rates.long);
         let cooldowns = self.engines.values().any(|e| e.cooldown.is_active(now));
         let mut ahead = QueueAhead {
             store_loads: self.weight_store_loads(),
@@ -156,11 +160,35 @@
             } else {
                 (reason, span)
             };
-            Some(WaitForecast { id, reason, span })
+            let pause_cost = self.least_pause_cost(now, self.requests.get(&id)?, residency);
+            Some(WaitForecast {
+                id,
+                reason,
+                span,
+                pause_cost,
+            })
         })
         .collect()
     }
 
+    /// Returns the least that streams lose at one of the engines that hold a request's adapter; zero under overload, in
+    /// which loads are needed for requests whose adapters no engine holds.
+    fn least_pause_cost(
+        &self,
+        now: Instant,
+        request: &ScheduledRequest,
+        residency: &Residency,
+    ) -> Span {
+        let Some(adapter) = request.adapter.filter(|_| {
+            self.settings.uses(Feature::StreamPauses) && !self.refusals.show_overload()
+        }) else {
+            return Span::ZERO;
+        };
+        let engines = self.ready_engines(request, adapter, residency);
+        let costs = engines.map(|engine| self.pause_cost(now, engine, request));
+        costs.min().unwrap_or_default()
+    }
+
     /// Returns whether there are engines and all of them shut down.
     fn all_leaving(&self) -> bool {
         let is_leaving = |engine: &Engine| {
@@ -228,7 +256,7 @@
         let tokens_before = std::mem::replace(tokens, *tokens + u64::from(unread));
         if !engines.is_empty() {
             let least = engines.iter().map(|engine| engine.backlog(now)).min();
-            let rate: f64 = engines.iter().map(|engine| engine.prefill_rate).sum();
+            let rate: f64 = engines.iter().map(|engine| engine.rates.now).sum();
             let queue_wait =
                 self.with_one_more_copy(prefill_time(tokens_before, rate), engines.len());
             let reason = match residency.get(adapter) {
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -217,8 +217,10 @@
             };
             let copy_wait = match forecast.reason {
                 WaitReason::Load => None,
-                WaitReason::Room if copies && forecast.span > MIN_WAIT_FOR_COPY => {
-                    Some(forecast.span)
+                WaitReason::Room
+                    if copies && forecast.span + forecast.pause_cost > MIN_WAIT_FOR_COPY =>
+                {
+                    Some(forecast.span + forecast.pause_cost)
                 }
                 WaitReason::Room | WaitReason::Copy | WaitReason::Coming | WaitReason::Engine => {
                     continue;
--- a/crates/gateway/src/scheduler/scheduled_request.rs
+++ b/crates/gateway/src/scheduler/scheduled_request.rs
@@ -33,6 +33,15 @@
     },
 }
 
+/// The state of an engine when an answer started there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StreamStart {
+    /// Prompt tokens that the engine had read until then.
+    pub(crate) read_tokens: u64,
+    /// Number of requests that ran there.
+    pub(crate) running: u32,
+}
+
 /// A request that waits for a placement or runs at an engine.
 #[derive(Clone, Debug)]
 pub(crate) struct ScheduledRequest {
@@ -58,6 +67,8 @@
     pub(crate) detail: PlacementDetail,
     /// Prompt tokens that its server had to read when it was placed.
     pub(crate) prefill_tokens: u32,
+    /// When its answer started; `None` before that, and for one that already ran when the scheduler started.
+    pub(crate) stream_start: Option<StreamStart>,
     state: State,
 }
 
@@ -82,6 +93,7 @@
             failed: placement.failed,
             detail,
             prefill_tokens: 0,
+            stream_start: None,
             state: State::Waiting,
         }
     }
@@ -100,6 +112,7 @@
             failed: Vec::new(),
             detail: PlacementDetail::default(),
             prefill_tokens: 0,
+            stream_start: None,
             state: State::Running {
                 server: run.server.clone(),
                 since: now,
@@ -197,6 +210,13 @@
         }
     }
 
+    /// Records the state of a request's engine when its answer started.
+    pub(crate) fn record_stream_start(&mut self, id: &VmRequestId, start: StreamStart) {
+        if let Some(request) = self.by_id.get_mut(id) {
+            request.stream_start = Some(start);
+        }
+    }
+
     /// Returns the requests of a VM, in ascending order.
     pub(crate) fn of_vm(&self, vm: &Vm) -> Vec<VmRequestId> {
         let mut ids: Vec<VmRequestId> = self
--- a/crates/gateway/tests/speed.rs
+++ b/crates/gateway/tests/speed.rs
@@ -1,7 +1,7 @@
 //! Tests the measurement of an engine's speed on its own, with prompts as route guidance sends them.
 
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::scheduler::speed::{Decoding, Prefill, Speed, differ, median};
+use dahliastile_gateway::scheduler::speed::{Decoding, Prefill, Spectrum, Speed};
 
 /// Prefill rate of an engine of nominal speed, in tokens per millisecond.
 const NOMINAL_RATE: f64 = 19.2;
@@ -45,6 +45,7 @@
             prompt_tokens: TOKENS,
             span,
             was_idle: false,
+            has_others: false,
             is_first_use: false,
         };
         change(&mut prefill);
@@ -81,11 +82,8 @@
         );
         rates.push(engine.speed.long_rate(engine.now).expect("a rate"));
     }
-    assert!(differ(&mut rates));
-    assert!(is_near(
-        median(&mut rates).expect("a median"),
-        NOMINAL_RATE * 0.7
-    ));
+    let spectrum = Spectrum::of(&mut rates).expect("rates");
+    assert!(spectrum.is_wide() && is_near(spectrum.median, NOMINAL_RATE * 0.7));
 }
 
 /// Guards against a slow phase that is taken for the engine's speed, and against one that placement does not notice or
@@ -189,14 +187,14 @@
 
 /// Guards against engines that count as different because of a few of them, or of slow phases of one engine.
 #[test]
-fn differ_tenths() {
+fn spectrum_tenths() {
+    let is_wide = |rates: &mut [f64]| Spectrum::of(rates).is_some_and(|s| s.is_wide());
     let mut rates = vec![20.0; 30];
-    assert!(!differ(&mut rates));
+    assert!(!is_wide(&mut rates));
     rates[3] = 5.0;
-    assert!(!differ(&mut rates), "one of thirty");
-    for rate in &mut rates[4..7] {
-        *rate = 13.0;
-    }
-    assert!(differ(&mut rates), "four of thirty");
-    assert!(!differ(&mut [20.0]) && !differ(&mut []));
+    assert!(!is_wide(&mut rates), "one of thirty");
+    let mut rates = vec![20.0; 30];
+    rates[4..8].fill(13.0);
+    assert!(is_wide(&mut rates), "four of thirty");
+    assert!(!is_wide(&mut [20.0]) && !is_wide(&mut []));
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 pub mod engine;
+pub mod fleet;
 pub mod series;
 pub mod setup;
 pub mod store;
