--- a/crates/gateway/src/scheduler/copies.rs
+++ b/crates/gateway/src/scheduler/copies.rs
@@ -47,6 +47,14 @@
 }
 
 impl Scheduler {
+    /// Returns whether several copies may be ordered at once: where requests of different priorities or engines of
+    /// different speeds make a queue at a few engines costly.
+    fn plans_copies(&self, now: Instant) -> bool {
+        let uses = |feature| self.settings.uses(feature);
+        let is_called_for = self.urgency.priorities_differ(now) || self.speeds.differ;
+        uses(Feature::ParallelCopies) && uses(Feature::ExtraReplicas) && is_called_for
+    }
+
     /// Returns the adapters for which more prompts wait than their engines can read soon, in the order of the
     /// requests.
     pub(crate) fn plan_copies(
@@ -55,8 +63,7 @@
         forecasts: &[WaitForecast],
         residency: &Residency,
     ) -> Vec<ExtraCopies> {
-        let uses = |feature| self.settings.uses(feature);
-        if !uses(Feature::ParallelCopies) || !uses(Feature::ExtraReplicas) {
+        if !self.plans_copies(now) {
             return Vec::new();
         }
         let mut order: Vec<(AdapterId, Rank)> = Vec::new();
--- a/crates/gateway/src/scheduler/stalled.rs
+++ b/crates/gateway/src/scheduler/stalled.rs
@@ -19,6 +19,7 @@
 use super::forecast::prefill_time;
 use super::residency::Residency;
 use super::scheduled_request::{RequestTable, ScheduledRequest, VmRequestId};
+use super::throughput::Rank;
 use super::{Decision, HEARTBEAT_INTERVAL, Scheduler};
 
 /// Shortest time without the start of an answer after which an engine counts as stalled. Equals the pause that callers
@@ -277,22 +278,22 @@
     ) -> Option<(Server, Span)> {
         let mut request = self.requests.get(candidate.id)?.clone();
         request.failed.push(stall.server.clone());
-        let (target, cost) = self.cheapest_engine(now, &candidate.id.vm, &request, residency)?;
+        let choice = self.cheapest_engine(now, &candidate.id.vm, &request, residency)?;
+        let target = choice.server;
         let engine = &self.engines[&target];
         let is_taken = self.stalls.pending.values().any(|w| w.target == target);
         let tokens = engine.tokens_to_read(&request);
         let start = engine.backlog_including(now, tokens) + WITHDRAWAL_TIME;
         let is_sooner = start.times(MIN_GAIN) <= candidate.wait;
         let is_possible =
-            self.has_room(engine, cost) && !is_taken && now + start < request.deadline;
+            self.has_room(engine, choice.cost) && !is_taken && now + start < request.deadline;
         (is_possible && is_sooner && self.is_next(now, &request)).then_some((target, start))
     }
 
     /// Returns whether a withdrawn request would be placed before all waiting requests for its adapter.
     fn is_next(&self, now: Instant, request: &ScheduledRequest) -> bool {
         let position = |request: &ScheduledRequest| {
-            let is_late = request.first_chunk_due < now;
-            (is_late, request.priority, request.arrived)
+            (Rank::of(request, now), request.tag, request.first_arrived)
         };
         let waiting = self.requests.waiting(now);
         let waiting = waiting.iter().filter_map(|id| self.requests.get(id));
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -29,11 +29,18 @@
     request(&format!("w{wave}-{at}"), "/plan/x", 5_000, Some(work))
 }
 
+/// Sends a request of another priority than the waves: several copies at once are for services with several priorities.
+fn send_urgent(world: &mut World, id: &str) {
+    let work = inference_spec("urgent", 400, 20);
+    world.send_request(0, request(id, "/brief/x", 5_000, Some(work)));
+}
+
 /// Sends three waves of two seconds, each with 70 requests per second for an adapter that no engine holds. Returns
 /// the number of requests whose first chunk came within the objective, and of all.
 fn served_in_time(world: &mut World) -> (usize, usize) {
     let mut numbers = Vec::new();
     for wave in 0..3 {
+        send_urgent(world, &format!("u{wave}"));
         let request = |at| wave_request(wave, at);
         numbers.extend(world.send_requests(140, Span(14_286), request));
     }
@@ -71,6 +78,7 @@
 #[test]
 fn shift_outlastscrashes() {
     let mut world = world(&[]);
+    send_urgent(&mut world, "u");
     let mut numbers = world.send_requests(20, Span(14_286), |at| wave_request(0, at));
     for engine in 0..ENGINES / 2 {
         world.crash_server(&format!("e{engine}"));
@@ -92,6 +100,7 @@
 fn calm_decidesasbefore() {
     let log = |without: &[Feature]| {
         let mut world = world(without);
+        send_urgent(&mut world, "u");
         let calm = |at: usize| {
             let work = inference_spec(&format!("a{}", at % 9), 800, 20);
             request(&format!("c{at}"), "/plan/x", 5_000, Some(work))
@@ -102,3 +111,16 @@
     };
     assert_eq!(log(&[]), log(&[Feature::ParallelCopies]));
 }
+
+/// Guards against several copies at once where nothing calls for them: with one priority and engines of one speed, the
+/// decisions under the waves are equal with the feature on and off.
+#[test]
+fn uncalled_decidesasbefore() {
+    let log = |without: &[Feature]| {
+        let mut world = world(without);
+        world.send_requests(140, Span(14_286), |at| wave_request(0, at));
+        world.run(Span::from_secs(3));
+        world.log_lines.clone()
+    };
+    assert_eq!(log(&[]), log(&[Feature::ParallelCopies]));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod accounts;
 pub mod contention;
 pub mod engine;
+pub mod fleet;
 pub mod series;
 pub mod setup;
 pub mod store;
