Priority within an account's limit counts among requests of one service

Cause: routes to a plain service with priority 2 lost their tokens to routes of an engine service with priority 0, though the two do not compete for servers and a plain request costs a tenth of a prompt.

Change: the priority in a limit is the level below the most urgent route of the same service. An account with a priority of its own has one level.

--- a/crates/gateway/src/account/quota/window.rs
+++ b/crates/gateway/src/account/quota/window.rs
@@ -33,7 +33,7 @@
 use crate::message::Message;
 use crate::metrics;
 use crate::node::Gateway;
-use crate::request::state::Phase;
+use crate::request::state::{Phase, RequestState};
 use crate::timer::Timer;
 
 /// The time for which a VM waits for the broker's answer before it asks another VM: the broker's rounds of questions and
@@ -281,11 +281,7 @@
         let waiting = Waiting {
             request,
             cost: state.cost,
-            priority: if self.settings.uses(Feature::QuotaPriority) {
-                state.priority
-            } else {
-                0
-            },
+            priority: self.charge_priority(state),
         };
         self.resize_share(&name);
         let borrows = self.settings.uses(Feature::TokenPool);
@@ -320,6 +316,21 @@
         }
     }
 
+    /// Returns the priority of a request among those of its account. It counts from the most urgent route of the
+    /// request's service: requests of different services do not compete for servers, and a request to a plain service
+    /// costs a small part of the tokens of a prompt.
+    fn charge_priority(&self, state: &RequestState) -> u8 {
+        let has_own = state
+            .account
+            .as_ref()
+            .is_some_and(|account| account.priority.is_some());
+        if has_own || !self.settings.uses(Feature::QuotaPriority) {
+            return 0;
+        }
+        self.index
+            .levels_below_first(&state.service, state.priority)
+    }
+
     /// Marks a request as charged and looks for a server.
     fn admit_window(&mut self, request: RequestId, charge: Charge, out: &mut Effects) {
         if let Some(state) = self.in_flight.get_mut(&request) {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -180,6 +180,8 @@
     withdrawable: FxHashSet<Service>,
     /// The client accounts by API key.
     accounts: AccountIndex,
+    /// The priority of the most urgent route to each service.
+    first_priorities: FxHashMap<Service, u8>,
 }
 
 impl RouteIndex {
@@ -198,7 +200,16 @@
         let services = services.map(|s| (s.name.clone(), s.clone())).collect();
         let withdrawable = config.services.iter().map(|service| &service.name);
         let withdrawable = withdrawable.filter(|service| allows_withdrawals(config, service));
+        let mut first_priorities: FxHashMap<Service, u8> = FxHashMap::default();
+        for route in &config.routes {
+            for target in &route.targets {
+                let first = first_priorities.entry(target.service.clone());
+                let first = first.or_insert(route.priority);
+                *first = route.priority.min(*first);
+            }
+        }
         Self {
+            first_priorities,
             hosts,
             services,
             withdrawable: withdrawable.cloned().collect(),
@@ -206,6 +217,13 @@
         }
     }
 
+    /// Returns how many levels a priority is below that of the most urgent route to a service.
+    #[must_use]
+    pub fn levels_below_first(&self, service: &Service, priority: u8) -> u8 {
+        let first = self.first_priorities.get(service).copied();
+        priority.saturating_sub(first.unwrap_or_default())
+    }
+
     /// Returns the client accounts by API key.
     #[must_use]
     pub fn accounts(&self) -> &AccountIndex {
--- a/crates/gateway/tests/quota_priority.rs
+++ b/crates/gateway/tests/quota_priority.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use dahliastile_core::time::Span;
-use dahliastile_gateway::config::{Config, Route};
+use dahliastile_gateway::config::{Config, Route, RouteIndex};
 use dahliastile_gateway::event::CallerRequest;
 use dahliastile_gateway::feature::{DisabledFeatures, Feature};
 use rand::{Rng, SeedableRng};
@@ -16,7 +16,7 @@
 use support::accounts::{
     account, allowed_in_window, config, peak_window_tokens, request, served_and_sent, tuning,
 };
-use support::{Answer, World};
+use support::{Answer, World, setup};
 
 /// The number of VMs.
 const VMS: usize = 70;
@@ -115,3 +115,16 @@
     let (urgent, other) = refused(40_000, (0.2, 0.3), DisabledFeatures::default());
     assert!(urgent < 0.5 && other < 0.5, "{urgent} % and {other} %");
 }
+
+/// Guards against requests to one service that are refused to keep tokens for urgent requests to another: a flood of
+/// urgent prompts used to refuse plain requests of a tenth of their cost.
+#[test]
+fn priority_countswithinaservice() {
+    let index = RouteIndex::new(&setup::config(1));
+    let level = |service: &str, priority| {
+        let service = service.parse().expect("a name");
+        index.levels_below_first(&service, priority)
+    };
+    assert_eq!((level(setup::ENGINES, 0), level(setup::ENGINES, 1)), (0, 1));
+    assert_eq!((level(setup::PLAIN, 2), level(setup::PLAIN, 3)), (0, 1));
+}
