--- a/crates/gateway/src/account/quota/window/holders.rs
+++ b/crates/gateway/src/account/quota/window/holders.rs
@@ -15,7 +15,8 @@
 /// The least number of shares of an account, so that the loss of one VM leaves most of the account's tokens.
 const MIN_HOLDERS: usize = 3;
 
-/// The usual number of tokens of a request, which all VMs must agree on: the mean of the deployment with accounts.
+/// The usual number of tokens of a request: a prompt of 2,000 tokens and a short answer. A constant, since all VMs must
+/// compute the same number of shares.
 const USUAL_TOKENS: f64 = 2_400.0;
 
 /// What remains of the permitted tokens after a margin for requests that reach their servers up to some ten
--- a/crates/gateway/src/scheduler/fair_share.rs
+++ b/crates/gateway/src/scheduler/fair_share.rs
@@ -26,8 +26,8 @@
 use crate::account::TokenRate;
 use crate::feature::Feature;
 
-/// Maximum number of accounts with a tag, for each priority. An account whose tag is not later than the virtual time needs none, so only
-/// accounts with requests that wait behind others count: 16 in the deployments.
+/// Maximum number of accounts with a tag, for each priority. An account whose tag is not later than the virtual time
+/// needs none, so only accounts with requests that wait behind others count.
 const MAX_ACCOUNTS: usize = 1_024;
 
 /// Weight of one request in the average weight of accounts with a limit, which accounts without one have.
--- a/crates/gateway/src/scheduler/reserve.rs
+++ b/crates/gateway/src/scheduler/reserve.rs
@@ -28,6 +28,9 @@
 /// Interval between two log lines about the reserve.
 const LOG_INTERVAL: Span = Span::from_millis(1_000);
 
+/// Maximum number of priorities in a log line.
+const MAX_LOGGED_PRIORITIES: usize = 8;
+
 /// Maximum of a number over the last second.
 #[derive(Clone, Copy, Debug, Default)]
 struct MovingMax {
@@ -150,9 +153,6 @@
     }
 }
 
-/// Maximum number of priorities in a log line.
-const MAX_LOGGED_PRIORITIES: usize = 8;
-
 /// The capacity that loads leave for more urgent requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Reserve {
--- a/crates/gateway/src/scheduler/stalled.rs
+++ b/crates/gateway/src/scheduler/stalled.rs
@@ -1,7 +1,7 @@
 //! Finds engines that have fallen behind, and withdraws requests from their queues that another engine can start.
 //!
-//! Designed for the route guidance deployment: 60 engines with prompts of 1,460 and 2,368 tokens (75 to 180 ms), which
-//! are 2.5 times slower for 0.6 s at a time, and engines that stop for seconds. The scheduler observes an engine only
+//! Designed for 60 engines with prompts of 1,460 and 2,368 tokens (75 to 180 ms), some of which are 2.5 times slower for
+//! 0.6 s at a time, and for engines that stop for seconds. The scheduler observes an engine only
 //! through the answers that start there. An engine without unread prompts can't be judged; one that reads a long prompt
 //! is judged by that prompt.
 //!
