One filter of evictable adapters; no cost of pauses for engines that can't take a request

Cause: the filter of the adapters that may be evicted stood twice in capacity.rs, and cheapest_engine computed the cost of pauses also for engines that are closed to the request, once for each waiting request and engine in a run.

Change: `evictable` serves both; the cost is computed for eligible engines only. Decisions are as before.

--- a/crates/gateway/src/scheduler/capacity.rs
+++ b/crates/gateway/src/scheduler/capacity.rs
@@ -177,10 +177,8 @@
         } else {
             let (victim, eviction_cost) =
                 self.choose_victim(now, engine, reservations, residency)?;
-            let evictable = engine.slots.iter();
-            let evictable = evictable
-                .filter(|(adapter, slot)| slot.is_idle() && !reservations.is_reserved(**adapter));
-            (Some(victim), eviction_cost, evictable.count())
+            let slots = evictable(engine, reservations).count();
+            (Some(victim), eviction_cost, slots)
         };
         let cost = reserved_backlog(now, engine, reservations, None, residency)
             + eviction_cost
@@ -201,11 +199,8 @@
         reservations: &Reservations,
         residency: &Residency,
     ) -> Option<(AdapterId, Span)> {
-        let slots = engine.slots.iter();
-        let idle =
-            slots.filter(|(adapter, slot)| slot.is_idle() && !reservations.is_reserved(**adapter));
-        let costs =
-            idle.map(|(adapter, _)| (*adapter, self.eviction_cost(now, *adapter, residency)));
+        let adapters = evictable(engine, reservations);
+        let costs = adapters.map(|adapter| (adapter, self.eviction_cost(now, adapter, residency)));
         costs.min_by_key(|(_, cost)| *cost)
     }
 
@@ -230,6 +225,14 @@
     }
 }
 
+/// Returns the adapters at an engine that no request uses or waits for.
+fn evictable(engine: &Engine, reservations: &Reservations) -> impl Iterator<Item = AdapterId> {
+    let slots = engine.slots.iter();
+    let idle =
+        slots.filter(|(adapter, slot)| slot.is_idle() && !reservations.is_reserved(**adapter));
+    idle.map(|(adapter, _)| *adapter)
+}
+
 /// Returns the time until an engine has finished the prefill of its prompts and of the prompts reserved there,
 /// except those reserved for the adapter `excluded`.
 pub(crate) fn reserved_backlog(
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -110,11 +110,13 @@
                 && engine.is_within_rate_limit(1, now)
                 && engine.cooldown.allows(now, vm);
             let is_eligible = is_open && !request.failed.contains(server);
-            let pause_cost = self.pause_cost(now, engine, request);
-            is_eligible.then(|| Choice {
-                server: server.clone(),
-                cost: cost(engine, request, now, prefers_own_zone) + pause_cost,
-                pause_cost,
+            is_eligible.then(|| {
+                let pause_cost = self.pause_cost(now, engine, request);
+                Choice {
+                    server: server.clone(),
+                    cost: cost(engine, request, now, prefers_own_zone) + pause_cost,
+                    pause_cost,
+                }
             })
         };
         let ready = |adapter| residency.ready_servers(adapter).iter();
