Loan requests are counted by cause, and borrowed tokens that lapse

Cause: the metrics could not tell apart the hypotheses on limits in floods: which VMs ask for loans, whether they ask again for the same callers, and what becomes of tokens that are lent.

Change: dahliastile_loan_requests_total (no_share, short, again, unanswered) and the label lapsed of dahliastile_account_tokens_total, for borrowers and brokers. The fake fleet sums up metrics. No decision has changed.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -64,8 +64,10 @@
     Loads "dahliastile_loads_total" "1";
     /// Decisions of a scheduler because engine capacity is scarce: `returned`, `overtaken`, `loads_put_off`, `behind_share`.
     Contention "dahliastile_contention_total" "1";
-    /// Tokens of client accounts: admitted or refused, and of these borrowed, or refused to keep them for more urgent requests (`reserved`); and lent to other VMs.
+    /// Tokens of client accounts: admitted or refused, and of these borrowed, or refused to keep them for more urgent requests (`reserved`); and lent to other VMs, or borrowed and not used in time (`lapsed`).
     AccountTokens "dahliastile_account_tokens_total" "1";
+    /// Requests of this VM for loans of tokens, by account and cause: no share of the account here (`no_share`), too few tokens in it (`short`), too few in an earlier loan (`again`), no answer (`unanswered`).
+    LoanRequests "dahliastile_loan_requests_total" "1";
     /// Calls of the key-value service, by kind.
     PlatformCalls "dahliastile_outside_calls_total" "1";
     /// Copies from which the key-value service came back, as this VM noticed.
--- a/crates/gateway/src/account/quota/window.rs
+++ b/crates/gateway/src/account/quota/window.rs
@@ -98,6 +98,17 @@
     attempts: u32,
 }
 
+/// What a VM asks for a loan after.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trigger {
+    /// A caller's request.
+    Arrival,
+    /// The broker's answer to the loan request before, which did not suffice for all that waited.
+    Answer,
+    /// A loan request without an answer, the last of so many.
+    Silence(u32),
+}
+
 /// A refusal of the broker, and for how long it holds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Refused {
@@ -297,6 +308,7 @@
             };
         }
         let refused = account.refused;
+        metrics::count_lapsed(out, &name, account.purse.take_lapsed());
         match account.pay(now, waiting.cost, waiting.priority) {
             Some(charge) => self.admit_window(request, charge, out),
             None if now < refused.until && waiting.priority >= refused.priority => {
@@ -311,7 +323,7 @@
                 if let Some(state) = self.in_flight.get_mut(&request) {
                     state.phase = Phase::Charging;
                 }
-                self.borrow_tokens(&name, 1, out);
+                self.borrow_tokens(&name, Trigger::Arrival, out);
             }
         }
     }
@@ -401,7 +413,7 @@
 
     /// Asks the broker for the tokens of the most urgent waiting requests, unless a request for a loan is in progress.
     /// Admits those that can be paid in the meantime.
-    fn borrow_tokens(&mut self, name: &Tenant, attempts: u32, out: &mut Effects) {
+    fn borrow_tokens(&mut self, name: &Tenant, trigger: Trigger, out: &mut Effects) {
         self.admit_waiting(name, out);
         let (now, number) = (self.now, self.rng.random());
         let broker = self.broker(name);
@@ -421,6 +433,12 @@
         let needed: u64 = same.map(|w| w.cost.0).sum();
         let reserve = account.demand.more_urgent(now, first.priority).0;
         let available = account.available(now);
+        let (cause, attempts) = match trigger {
+            Trigger::Arrival if account.share.size(now) < 1.0 => ("no_share", 1),
+            Trigger::Arrival => ("short", 1),
+            Trigger::Answer => ("again", 1),
+            Trigger::Silence(attempts) => ("unanswered", attempts + 1),
+        };
         let loan_request = LoanRequest {
             account: name.clone(),
             number,
@@ -435,6 +453,7 @@
             priority: first.priority,
             attempts,
         });
+        metrics::count_loan_request(out, name, cause);
         if broker == self.settings.vm {
             self.handle_loan_request(&broker, loan_request, out);
         } else {
@@ -479,7 +498,7 @@
                 account.refused.duration = Span::ZERO;
                 account.counts.borrowed += tokens.0;
                 account.purse.add(now, asked.at + usable, tokens);
-                self.borrow_tokens(&answer.account, 1, out);
+                self.borrow_tokens(&answer.account, Trigger::Answer, out);
             }
             Err(shortage) => {
                 let doubled = account.refused.duration.times(2);
@@ -491,7 +510,7 @@
                     duration,
                 };
                 self.refuse_waiting(&answer.account, asked.priority, shortage, out);
-                self.borrow_tokens(&answer.account, 1, out);
+                self.borrow_tokens(&answer.account, Trigger::Answer, out);
             }
         }
     }
@@ -566,6 +585,7 @@
                 return;
             };
             let lenders = broker.start_round(now, number, &holders, &terms, &mut answers);
+            metrics::count_lapsed(out, name, broker.take_lapsed());
             if let Some(deadline) = broker.deadline() {
                 self.timers.set_once(deadline, Timer::Quota);
             }
@@ -745,7 +765,7 @@
         for (name, asked) in failed {
             self.exclude_pool_owner(&name, &asked.broker, out);
             if asked.attempts < max_attempts {
-                self.borrow_tokens(&name, asked.attempts + 1, out);
+                self.borrow_tokens(&name, Trigger::Silence(asked.attempts), out);
                 continue;
             }
             let shortage = Shortage {
--- a/crates/gateway/src/account/quota/window/broker.rs
+++ b/crates/gateway/src/account/quota/window/broker.rs
@@ -249,6 +249,11 @@
         asked
     }
 
+    /// Returns the number of tokens that were lent and not passed on in time, since the last call.
+    pub(super) fn take_lapsed(&mut self) -> Tokens {
+        self.pool.take_lapsed()
+    }
+
     /// Handles a lender's answer. Each answer to the present round counts once.
     pub(super) fn lent(
         &mut self,
--- a/crates/gateway/src/account/quota/window/loan.rs
+++ b/crates/gateway/src/account/quota/window/loan.rs
@@ -82,12 +82,16 @@
 pub struct Purse {
     /// The loans, the one that ends first at the front.
     loans: VecDeque<(Instant, Tokens)>,
+    /// The tokens whose time ended before they were used, since the last [`Self::take_lapsed`].
+    lapsed: Tokens,
 }
 
 impl Purse {
     /// Adds tokens that can be used before `until`.
     pub fn add(&mut self, now: Instant, until: Instant, tokens: Tokens) {
-        if until > now && tokens > Tokens(0) {
+        if until <= now {
+            self.lapsed.0 += tokens.0;
+        } else if tokens > Tokens(0) {
             let at = self.loans.partition_point(|(end, _)| *end <= until);
             self.loans.insert(at, (until, tokens));
         }
@@ -95,11 +99,9 @@
 
     /// Returns the number of tokens that can still be used. Drops the others.
     pub fn total(&mut self, now: Instant) -> Tokens {
-        while self
-            .loans
-            .pop_front_if(|(until, _)| *until <= now)
-            .is_some()
-        {}
+        while let Some((_, tokens)) = self.loans.pop_front_if(|(until, _)| *until <= now) {
+            self.lapsed.0 += tokens.0;
+        }
         Tokens(self.loans.iter().map(|(_, tokens)| tokens.0).sum())
     }
 
@@ -116,6 +118,7 @@
                 taken += part;
                 until = until.min(*end);
             } else {
+                self.lapsed.0 += tokens.0;
                 tokens.0 = 0;
             }
             if tokens.0 == 0 {
@@ -124,4 +127,9 @@
         }
         (Tokens(taken), until)
     }
+
+    /// Returns the number of tokens whose time ended before they were used, since the last call.
+    pub fn take_lapsed(&mut self) -> Tokens {
+        std::mem::take(&mut self.lapsed)
+    }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,24 @@
     }));
 }
 
+/// Adds borrowed tokens that were not used in time to the token counter of a client account, if there are any.
+pub(crate) fn count_lapsed(out: &mut Effects, account: &Tenant, tokens: Tokens) {
+    if tokens > Tokens(0) {
+        count_tokens(out, Some(account), tokens, "lapsed");
+    }
+}
+
+/// Adds one to the counter of loan requests of a client account.
+pub(crate) fn count_loan_request(out: &mut Effects, account: &Tenant, cause: &'static str) {
+    out.push(Effect::Measure(Sample {
+        figure: Figure::LoanRequests,
+        value: 1.0,
+        tenant: Some(account.clone()),
+        class: None,
+        label: Some(Cow::Borrowed(cause)),
+    }));
+}
+
 /// Appends a sample with the labels that are given.
 fn push_sample(
     out: &mut Effects,
--- a/crates/gateway/tests/quota_share.rs
+++ b/crates/gateway/tests/quota_share.rs
@@ -129,6 +129,23 @@
     assert_eq!(purse.total(now), Tokens(0));
 }
 
+/// Guards against borrowed tokens that are lost without a metric that shows it.
+#[test]
+fn loan_lapsedcounts() {
+    let now = Instant(1_000_000);
+    let (soon, late) = (now + Span::from_millis(100), now + Span::from_millis(300));
+    let mut purse = Purse::default();
+    purse.add(now, soon, Tokens(30));
+    purse.add(now, late, Tokens(50));
+    purse.add(soon, now, Tokens(7));
+    assert_eq!(purse.take(now, Tokens(10)).0, Tokens(10));
+    assert_eq!(purse.take_lapsed(), Tokens(7));
+    assert_eq!(purse.total(soon), Tokens(50));
+    assert_eq!(purse.take(late, Tokens(10)).0, Tokens(0));
+    assert_eq!(purse.take_lapsed(), Tokens(20 + 50));
+    assert_eq!(purse.take_lapsed(), Tokens(0));
+}
+
 /// Guards against tokens kept for urgent requests that no longer come, or for less urgent ones.
 #[test]
 fn demand_isofthelastsecond() {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use dahliastile_core::id::{Incarnation, Server, Tenant};
+use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::Gateway;
 use dahliastile_gateway::cluster::snapshot::{Backend, EntryKey, EntryValue};
@@ -202,6 +203,8 @@
     pub messages: u64,
     /// Number of these messages by kind.
     pub messages_by_kind: BTreeMap<&'static str, u64>,
+    /// The sums of the metrics' values by metric and label.
+    pub figures: BTreeMap<(Figure, String), f64>,
     /// Kinds of messages between VMs that are lost.
     pub lost_kinds: BTreeSet<&'static str>,
     /// Time after which the task of a request reads that its attempt is to be cancelled.
@@ -317,6 +320,7 @@
             log_lines: Vec::new(),
             messages: 0,
             messages_by_kind: BTreeMap::new(),
+            figures: BTreeMap::new(),
             lost_kinds: BTreeSet::new(),
             cancel_delay: Span::ZERO,
             cancelled: Vec::new(),
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -498,7 +498,11 @@
             Effect::Log(record) => self
                 .log_lines
                 .push(format!("{now} vm{vm} {:?} {}", record.code, record.detail)),
-            Effect::Measure(_) => {}
+            Effect::Measure(sample) => {
+                let label = sample.label.unwrap_or_default().into_owned();
+                let sum = self.figures.entry((sample.figure, label)).or_default();
+                *sum += sample.value;
+            }
         }
     }
 
