Shares hold several groups of requests, so that a flood finds them usable

Cause: half of a share can be used at once, the rest in proportion to time, which is what a restart may use again. Of 8.7 requests that half is 4.3, and a group takes 3: when the flood began, 0.21 of the window was neither used nor free.

Change: a share holds 32 usual requests, or 16 as long as an account has fewer than 64 shares. At 70 VMs the largest accounts have shares everywhere as before. Larger shares for small accounts were weighed against VMs that are cut off (docs/design/quota-window.md).

--- a/crates/gateway/src/account/quota/window/holders.rs
+++ b/crates/gateway/src/account/quota/window/holders.rs
@@ -9,8 +9,17 @@
 use crate::cluster::membership::rendezvous_score;
 use crate::settings::Tuning;
 
-/// The number of usual requests that a share holds at least, where an account has fewer shares than there are VMs.
-const REQUESTS_PER_SHARE: f64 = 8.0;
+/// The number of usual requests that a share holds. Half of a share can be used at once: several groups of requests that
+/// callers send together. Where one group takes most of that half, the share permits next to nothing for seconds, though
+/// most of its tokens are unused.
+const REQUESTS_PER_SHARE: f64 = 32.0;
+
+/// The number of usual requests that a share holds at least, where [`REQUESTS_PER_SHARE`] would make fewer shares than
+/// [`AMPLE_HOLDERS`]: two groups at once.
+const MIN_REQUESTS_PER_SHARE: f64 = 16.0;
+
+/// The number of shares from which on a part of the VMs that is cut off from the others has its part of the tokens too.
+const AMPLE_HOLDERS: usize = 64;
 
 /// The least number of shares of an account, so that the loss of one VM leaves most of the account's tokens.
 const MIN_HOLDERS: usize = 3;
@@ -38,8 +47,9 @@
         Unit::Requests => 1.0,
         Unit::Tokens(_) => USUAL_TOKENS,
     };
-    let full_shares = (tokens / (REQUESTS_PER_SHARE * usual)) as usize;
-    full_shares.max(MIN_HOLDERS).min(vms)
+    let shares_of = |requests: f64| (tokens / (requests * usual)) as usize;
+    let least = shares_of(MIN_REQUESTS_PER_SHARE).clamp(MIN_HOLDERS, AMPLE_HOLDERS);
+    shares_of(REQUESTS_PER_SHARE).max(least).min(vms)
 }
 
 /// Returns the rank of a VM among those that may hold a share of an account; the VMs with the lowest ranks do.
