A VM that leaves serves the connections that the system has accepted for it

What callers saw: a connection made just before a VM ended its listener was reset with the request on it, and a request whose body was still being read did not keep the process from ending.

Cause: the listener was dropped without taking in what the system had accepted; closing it resets these. The own interface takes them in (accept_rest), the event loop of the platform path did not. It is the class of the hang of request_crashingserversisrefused: a listening socket ends with connections in it. A connection without a request yet was closed when the VM left, and the process ended as soon as no request that had been read was in progress.

Change: the rest is taken in; a new connection is kept for its first request for up to 500 ms; requests that are read or expected count as in progress.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -554,3 +554,28 @@
         assert!(figures.contains(name), "{name} is missing in {figures}");
     }
 }
+
+/// Guards against connections that the system has taken in and that are reset, with the requests on them, when a VM that
+/// leaves ends its listener: its process stands still until its time for new connections is over.
+#[test]
+fn shutdown_servesconnectionstakenin() {
+    let mut fleet = Fleet::start_ready(1);
+    let vm = &fleet.vms[0];
+    vm.signal("-TERM");
+    until("it leaves", || !vm.ready());
+    vm.signal("-STOP");
+    let open = |number| vm.open(&request(&format!("late{number}"), "/post/late", None));
+    let streams: Vec<_> = (0..12).map(open).collect();
+    std::thread::sleep(Duration::from_secs(3));
+    vm.signal("-CONT");
+    for stream in streams {
+        let answer = read(stream.expect("the system takes connections in"));
+        assert_eq!(
+            (answer.status, answer.whole),
+            (200, true),
+            "{}",
+            answer.text
+        );
+    }
+    until("it ends", || !fleet.vms[0].runs());
+}
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers' connections.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,8 +26,11 @@
 /// How much longer than callers are told an idle connection is kept, so that a request never crosses its end.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Takes callers' connections in. When `leaving` turns true, none is taken in any more, and each is closed after its
-/// request in progress: by then the platform sends callers elsewhere, and one that still comes here is better told at
+/// The time for which a new connection is kept for its first request when this VM leaves.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
+/// Takes callers' connections in. When `leaving` turns true, only those are taken in that the system has accepted, and
+/// each is closed after its request in progress, a new one after its first request: by then the platform sends callers elsewhere, and one that still comes here is better told at
 /// once than cut off at the end of the grace.
 pub(crate) async fn listen<D: Dialect>(
     listener: TcpListener,
@@ -37,7 +41,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|leaving| *leaving) => return,
+            _ = stop.wait_for(|leaving| *leaving) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -46,16 +50,32 @@
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
+    // The system resets the connections that nobody has taken in when the listener ends. The event loop may not have
+    // been told of them yet, so the listener itself is asked.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            tokio::task::spawn_local(serve(stream, hub.clone(), leaving.clone()));
+        }
+    }
 }
 
 async fn serve<D: Dialect>(stream: TcpStream, hub: Rc<Hub<D>>, mut leaving: watch::Receiver<bool>) {
     pool::tune(&stream);
     let head = Rc::new(Head::default());
+    let first = Cell::new(Some(hub.expect_request()));
     let service = service_fn(|request| {
         let (hub, head) = (hub.clone(), head.clone());
         head.come();
+        let reading = first.take().unwrap_or_else(|| hub.expect_request());
         async move {
             let answer = request::serve(hub, request).await;
+            drop(reading);
             head.answered();
             Ok::<_, Infallible>(answer)
         }
@@ -69,12 +89,17 @@
     let stream = TokioIo::new(Watched::new(stream, head.clone()));
     let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
+    let leave = async {
+        // The sender lives as long as the process.
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+        head.used(FIRST_REQUEST_TIME).await;
+    };
     // An error is the caller's doing, or a body that broke off and was told as that.
     tokio::select! {
         _ = connection.as_mut() => return,
         // Nothing of the request was read whole, so its caller may send it elsewhere.
         () = head.late(|| hub.head_time.get()) => return,
-        _ = leaving.wait_for(|leaving| *leaving) => connection.as_mut().graceful_shutdown(),
+        () = leave => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
--- a/crates/shell/src/head.rs
+++ b/crates/shell/src/head.rs
@@ -10,8 +10,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// The head that a caller is sending.
 #[derive(Default)]
@@ -22,6 +22,8 @@
     serving: Cell<bool>,
     /// Told when a head begins.
     begun: Notify,
+    /// Whether anything has come on the connection.
+    used: watch::Sender<bool>,
 }
 
 impl Head {
@@ -50,7 +52,14 @@
         }
     }
 
+    /// Returns when anything has come on the connection, or after a time.
+    pub(crate) async fn used(&self, limit: Duration) {
+        // The sender lives as long as `self`.
+        let _ = timeout(limit, self.used.subscribe().wait_for(|used| *used)).await;
+    }
+
     fn bytes(&self) {
+        self.used.send_replace(true);
         if !self.serving.get() && self.since.get().is_none() {
             self.since.set(Some(Instant::now()));
             self.begun.notify_one();
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -28,6 +28,8 @@
     requests: RefCell<FxHashMap<RequestId, mpsc::UnboundedSender<NextStep>>>,
     /// The servers all of whose answers are told, and when each last said something of itself.
     tracked: RefCell<FxHashMap<Server, Instant>>,
+    /// The number of requests that are being read, or that will be the first of a new connection.
+    expected: Cell<usize>,
     /// The last number given to a request.
     last: Cell<RequestId>,
     /// Renders the figures.
@@ -59,6 +61,7 @@
             figures,
             requests: RefCell::default(),
             tracked: RefCell::default(),
+            expected: Cell::new(0),
             last: Cell::new(0),
             ready: Cell::new(false),
             body_limit: Cell::new(limits.body),
@@ -124,9 +127,15 @@
         (id, receiver)
     }
 
-    /// Whether requests are in progress.
+    /// Whether requests are in progress or expected.
     pub(crate) fn busy(&self) -> bool {
-        !self.requests.borrow().is_empty()
+        !self.requests.borrow().is_empty() || self.expected.get() > 0
+    }
+
+    /// Counts a request as expected for as long as the returned value lives.
+    pub(crate) fn expect_request(self: &Rc<Self>) -> Expected<D> {
+        self.expected.set(self.expected.get() + 1);
+        Expected { hub: self.clone() }
     }
 
     /// Forgets a request.
@@ -142,6 +151,18 @@
     }
 }
 
+/// Keeps the process from ending while a request is expected.
+pub(crate) struct Expected<D> {
+    /// The hub that counts it.
+    hub: Rc<Hub<D>>,
+}
+
+impl<D> Drop for Expected<D> {
+    fn drop(&mut self) {
+        self.hub.expected.set(self.hub.expected.get() - 1);
+    }
+}
+
 /// A request's entry in the hub. Dropping it says that the caller has left, unless its end was told.
 pub(crate) struct Ticket<D> {
     /// The hub.
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -109,6 +109,8 @@
         // The receivers live as long as the process.
         let _ = leave.send(true);
         let last = stop + (tuning.grace - BEFORE_KILL);
+        // By then the connections that the system has accepted are counted.
+        tokio::time::sleep_until(clock.at(clock.now() + LOOK)).await;
         while stopper.busy() && clock.now() < last {
             tokio::time::sleep_until(clock.at(clock.now() + LOOK)).await;
         }
