--- a/crates/gateway/src/account/quota/window.rs
+++ b/crates/gateway/src/account/quota/window.rs
@@ -98,14 +98,14 @@
     attempts: u32,
 }
 
-/// What a VM asks for a loan after.
+/// The event after which a VM asks for a loan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trigger {
     /// A caller's request.
     Arrival,
     /// The broker's answer to the loan request before, which did not suffice for all that waited.
     Answer,
-    /// A loan request without an answer, the last of so many.
+    /// A loan request without an answer, with the number of VMs that were asked by then.
     Silence(u32),
 }
 
--- a/crates/gateway/tests/quota_loans.rs
+++ b/crates/gateway/tests/quota_loans.rs
@@ -43,7 +43,7 @@
 }
 
 /// Guards against tokens of a whole request that come to nothing, because the requests that arrived together need more
-/// than are left: of twelve that can be used at once, the last two of eleven serve two of a group of three.
+/// than are left: of the twelve requests that can be served at once, two remain for a group of three.
 #[test]
 fn loan_ofapart() {
     let mut world = fleet();
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -30,8 +30,8 @@
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
 /// Takes callers' connections in. When `leaving` turns true, only those are taken in that the system has accepted, and
-/// each is closed after its request in progress, a new one after its first request: by then the platform sends callers elsewhere, and one that still comes here is better told at
-/// once than cut off at the end of the grace.
+/// each is closed after its request in progress, a new one after its first request: by then the platform sends callers
+/// elsewhere, and one that still comes here is better told at once than cut off at the end of the grace.
 pub(crate) async fn listen<D: Dialect>(
     listener: TcpListener,
     hub: Rc<Hub<D>>,
@@ -53,12 +53,14 @@
     // The system resets the connections that nobody has taken in when the listener ends. The event loop may not have
     // been told of them yet, so the listener itself is asked.
     let Ok(listener) = listener.into_std() else {
+        // It fails only where the event loop ends.
         return;
     };
     while let Ok((stream, _)) = listener.accept() {
         let stream = stream
             .set_nonblocking(true)
             .and_then(|()| TcpStream::from_std(stream));
+        // One that fails at once is its caller's to notice.
         if let Ok(stream) = stream {
             tokio::task::spawn_local(serve(stream, hub.clone(), leaving.clone()));
         }
