Log the build of servers, and what callers say of a stream that they resume

Neither was decoded, so that no line told a resumed stream from a new one, or at which version of a server's software it went on. E423, E421 and E511 name the build, E511 also the request that began the stream, and a metric counts attempts that continue one. No decision uses any of it; a VM that has an entry from another VM logs no build, as the encoding of entries leaves it out.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -103,6 +103,8 @@
     Service;
     /// The name of a backend server.
     Server;
+    /// The build of a backend server: the version of its software. Builds have no order.
+    Build;
     /// The name of a control domain: backend servers that one lease covers.
     Domain;
     /// The name of a rule.
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -88,6 +88,8 @@
     ServerConnections "dahliastile_server_connections_total" "1";
     /// Attempts that went over another VM (`sent`), and attempts of other VMs that this one took (`carried`) or did not (`refused`).
     Relayed "dahliastile_relayed_total" "1";
+    /// Attempts that continue a stream, by who resumes it: its caller (`caller`), or this VM within one answer (`answer`).
+    Resumed "dahliastile_resumed_total" "1";
 }
 
 /// One value of a figure.
--- a/crates/gateway/benches/scheduler.rs
+++ b/crates/gateway/benches/scheduler.rs
@@ -17,7 +17,7 @@
 
 use dahliastile_core::id::{Incarnation, Server, Vm};
 use dahliastile_core::time::{Instant, Span};
-use dahliastile_gateway::cluster::snapshot::{Backend, ResidentModel};
+use dahliastile_gateway::cluster::snapshot::{Backend, KnownBuild, ResidentModel};
 use dahliastile_gateway::config::{EngineSpec, Model, ServiceConfig};
 use dahliastile_gateway::event::{InferenceSpec, OrderOutcome, Report, RequestId};
 use dahliastile_gateway::feature::DisabledFeatures;
@@ -157,6 +157,7 @@
                 ready: true,
                 base_models: vec!["base".into()],
                 start: None,
+                build: KnownBuild::default(),
             };
             fleet.scheduler.update_server(&server, &Arc::new(backend));
         }
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -272,7 +272,10 @@
             }
             let restarted = state.update_backend(backend);
             if restarted {
-                let detail = format!("server={server} start={:?}", backend.start);
+                let detail = format!(
+                    "server={server} start={:?} build={}",
+                    backend.start, backend.build
+                );
                 Self::log(out, Code::ServerRestarted, detail);
                 self.clear_residents(&backend.service, server);
                 self.forget_notices(server, out);
@@ -280,7 +283,10 @@
             }
         } else {
             let (service, address) = (&backend.service, backend.address);
-            let detail = format!("server={server} service={service} address={address}");
+            let detail = format!(
+                "server={server} service={service} address={address} build={}",
+                backend.build
+            );
             Self::log(out, Code::ServerListed, detail);
             self.notices.server_listed(server, backend.start);
             self.servers
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -2,10 +2,11 @@
 //! last change.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use dahliastile_core::id::{Incarnation, Server, Service, Vm, Zone};
+use dahliastile_core::id::{Build, Incarnation, Server, Service, Vm, Zone};
 use serde::{Deserialize, Serialize};
 
 use crate::cluster::revision::Revision;
@@ -52,6 +53,26 @@
     pub adapters: Vec<Resident>,
 }
 
+/// The build of a server, as far as this VM knows it. The encoding of an entry leaves it out, so a VM that has the entry from
+/// another VM does not know it. Entries that differ only in it are equal.
+#[derive(Clone, Debug, Default)]
+pub struct KnownBuild(pub Option<Build>);
+
+impl PartialEq for KnownBuild {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for KnownBuild {}
+
+/// Writes the build, or `-` if it is not known.
+impl fmt::Display for KnownBuild {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0.as_ref().map_or("-", Build::as_str))
+    }
+}
+
 /// A backend server's description of itself, as far as VMs that send work to it need it. Its resident adapters
 /// and the number of orders that it has accepted are left out: they change all the time, and its scheduler
 /// knows them better.
@@ -72,6 +93,9 @@
     /// The incarnation of its process, if the deployment reports incarnations. A later start may have a lower
     /// number, since clocks step: numbers only distinguish starts.
     pub start: Option<Incarnation>,
+    /// The build of its software.
+    #[serde(skip)]
+    pub build: KnownBuild,
 }
 
 /// An entry VM's description of itself.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -67,6 +67,18 @@
     pub tokens: Option<Tokens>,
     /// A hash of the method, host, path, query and body; equal for repetitions of the same request.
     pub fingerprint: Fingerprint,
+    /// The stream that the request resumes; none for a new one.
+    pub resumes: Option<Resumption>,
+}
+
+/// What a caller says of a stream that it resumes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// The id of the caller's request that brought the stream's first event; none if the caller does not name it, or
+    /// names none that can be an id.
+    pub first_request: Option<Arc<str>>,
+    /// The id of the last event that the caller has; none if the caller does not name it.
+    pub last_event: Option<Arc<str>>,
 }
 
 /// The times at which the chunks of a stream came from its server.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -334,15 +334,28 @@
         };
         let waited = self.now.since(state.arrived);
         let account = state.account.as_ref().map_or("-", |a| a.name.as_str());
+        let resumes = if has_answer {
+            "answer"
+        } else {
+            state.call.resumes.as_ref().map_or("-", |stream| {
+                stream.first_request.as_deref().unwrap_or("unnamed")
+            })
+        };
         let detail = format!(
-            "id={} call={} account={account} route={} config={config} server={server} send={} waited={waited} via={} open={}",
+            "id={} call={} account={account} route={} config={config} server={server} send={} waited={waited} via={} open={} build={} resumes={resumes}",
             state.call.id,
             state.call.fingerprint,
             state.route.name,
             state.send_count,
             relay.as_ref().map_or("-", Vm::as_str),
-            server_state.open
+            server_state.open,
+            server_state.backend.build
         );
+        let resumed_by = match &state.call.resumes {
+            _ if has_answer => Some("answer"),
+            Some(_) => Some("caller"),
+            None => None,
+        };
         state.relay = relay;
         Self::log(out, Code::Sent, detail);
         let (is_first_send, service) = (state.send_count == 1, state.service.clone());
@@ -359,6 +372,9 @@
         if is_first_send {
             metrics::observe_seconds(out, Figure::QueueWait, &service, waited);
         }
+        if let Some(resumed_by) = resumed_by {
+            metrics::count_for_service(out, Figure::Resumed, &service, resumed_by);
+        }
         out.push(Effect::Request(
             request,
             NextStep::Attempt(Box::new(attempt)),
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -14,7 +14,7 @@
 use dahliastile_gateway::Gateway;
 use dahliastile_gateway::cluster::revision::{Era, Revision};
 use dahliastile_gateway::cluster::snapshot::{
-    Backend, Change, Delivery, EntryKey, EntryValue, Snapshot,
+    Backend, Change, Delivery, EntryKey, EntryValue, KnownBuild, Snapshot,
 };
 use dahliastile_gateway::effect::RefusalReason;
 use dahliastile_gateway::event::CallerRequest;
@@ -293,6 +293,7 @@
             ready,
             base_models: Vec::new(),
             start: Some(Incarnation(start)),
+            build: KnownBuild::default(),
         }))
     };
     let id = EntryKey::Server(name("p0"));
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -6,7 +6,7 @@
 use dahliastile_core::id::{Incarnation, Server, Service, Vm, Zone};
 use dahliastile_core::time::Span;
 use dahliastile_gateway::account::Tokens;
-use dahliastile_gateway::cluster::snapshot::{Backend, Resident, ResidentModel};
+use dahliastile_gateway::cluster::snapshot::{Backend, KnownBuild, Resident, ResidentModel};
 use dahliastile_gateway::config::{
     Config, EngineSpec, HttpLimits, Model, Route, RouteKind, ServiceConfig, Target,
 };
@@ -176,6 +176,7 @@
             .map(|w| Tokens(u64::from(w.prompt_tokens + w.max_output_tokens))),
         work,
         fingerprint: Fingerprint::of([path.as_bytes(), id.as_bytes()]),
+        resumes: None,
     }
 }
 
@@ -190,6 +191,7 @@
         ready: true,
         base_models: Vec::new(),
         start: Some(Incarnation(1)),
+        build: KnownBuild::default(),
     })
 }
 
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -15,7 +15,7 @@
 use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::Gateway;
-use dahliastile_gateway::cluster::snapshot::{Backend, EntryKey, EntryValue};
+use dahliastile_gateway::cluster::snapshot::{Backend, EntryKey, EntryValue, KnownBuild};
 use dahliastile_gateway::config::Config;
 use dahliastile_gateway::effect::{Attempt, KvOperation, Order, RefusalReason};
 use dahliastile_gateway::event::{CallerRequest, Event};
@@ -433,6 +433,7 @@
                 .map(|base| base.model)
                 .collect(),
             start: Some(engine.incarnation),
+            build: KnownBuild::default(),
         };
         self.register(engine, backend);
     }
