Tests of streams that go on at another build of the servers' software, which fail

What callers see: a stream of which the first events are of one build and the rest of another. In virtual time (builds), with processes (resumed_streams) and in the soak engines of several builds follow each other, while streams break within an answer and callers resume them at any VM.

The soak's engines get another id when they are replaced, and the run of a request keeps the id that its server had.

--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -150,6 +150,27 @@
         }
     }
 
+    /// Adds an engine with a build of its software.
+    pub(crate) fn add_engine(&mut self, build: &str) -> usize {
+        let number = self.engines.len();
+        let host = 10 + u8::try_from(number).expect("few engines");
+        assert!(host < 20, "hosts from 20 on are plain servers");
+        let address = self.address(host, 8080);
+        let id = format!("e{number}");
+        let engine = Replica::start(&id, address, Some("base"), 2).expect("a replica listens");
+        engine.set_build(build);
+        self.engines.push(engine);
+        self.list_engine(number, "ready");
+        number
+    }
+
+    /// Writes the entry of an engine.
+    pub(crate) fn list_engine(&self, number: usize, state: &str) {
+        let host = 10 + u8::try_from(number).expect("few engines");
+        let entry = self.engines[number].entry("drafts", self.address(host, 8080), "north", state);
+        self.store.put(&format!("servers/e{number}"), &entry);
+    }
+
     /// An address of this fleet.
     pub(crate) fn address(&self, host: u8, port: u16) -> SocketAddr {
         SocketAddr::new(ip(self.net, host), port)
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -26,6 +26,11 @@
 /// Callers of the account that floods, and the pause between two requests of one.
 const FLOOD_CALLERS: u64 = 12;
 const FLOOD_PAUSE: Duration = Duration::from_millis(10);
+/// Callers that leave their streams after some events and resume them, after how many events, and how long they are away, in
+/// milliseconds.
+const RESUMING_CALLERS: u64 = 3;
+pub(crate) const RESUMED_AFTER: u64 = 2;
+const AWAY: std::ops::Range<u64> = 0..400;
 /// The position of the account that floods.
 const FLOODS: usize = 2;
 /// Adapters that are asked for: more than the engines hold.
@@ -117,6 +122,22 @@
     pub(crate) left: bool,
 }
 
+/// A stream that its caller left after some events and resumed at another VM.
+#[derive(Clone, Debug)]
+#[allow(dead_code)] // All of it is printed where the stream is broken.
+pub(crate) struct Resumed {
+    /// The id of the request that brought its first event.
+    pub(crate) id: String,
+    /// What came of it first, up to its last whole event.
+    pub(crate) begun: String,
+    /// The answer to the request that resumed it.
+    pub(crate) again: Answer,
+    /// When that was sent.
+    pub(crate) sent: Instant,
+    /// The positions of both VMs.
+    pub(crate) vms: (usize, usize),
+}
+
 /// All callers of a round.
 #[derive(Clone)]
 pub(crate) struct Callers {
@@ -125,6 +146,7 @@
     over: Arc<AtomicBool>,
     flood: Arc<AtomicBool>,
     asked: Arc<Mutex<Vec<Asked>>>,
+    resumed: Arc<Mutex<Vec<Resumed>>>,
 }
 
 impl Callers {
@@ -136,6 +158,7 @@
             over: Arc::default(),
             flood: Arc::default(),
             asked: Arc::default(),
+            resumed: Arc::default(),
         }
     }
 
@@ -152,8 +175,16 @@
             rng.set_stream(CALLERS + number);
             thread::spawn(move || callers.run_flood(rng))
         };
+        let start_resuming = |number: u64| {
+            let callers = self.clone();
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            rng.set_stream(CALLERS + FLOOD_CALLERS + number);
+            thread::spawn(move || callers.run_resuming(rng))
+        };
         let usual = (0..CALLERS).map(start);
-        usual.chain((0..FLOOD_CALLERS).map(start_flood)).collect()
+        let floods = (0..FLOOD_CALLERS).map(start_flood);
+        let resuming = (0..RESUMING_CALLERS).map(start_resuming);
+        usual.chain(floods).chain(resuming).collect()
     }
 
     /// Begins or ends a flood of one account.
@@ -171,6 +202,12 @@
         self.notes().clone()
     }
 
+    /// All streams that were resumed so far.
+    pub(crate) fn resumed(&self) -> Vec<Resumed> {
+        let resumed = self.resumed.lock();
+        resumed.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Sends one request on a new connection and waits for its answer.
     pub(crate) fn ask(&self, vm: usize, kind: Kind, adapter: u64) -> Asked {
         self.send(vm, kind, adapter, &mut None, false, None)
@@ -199,6 +236,59 @@
         }
     }
 
+    fn run_resuming(&self, mut rng: ChaCha8Rng) {
+        while !self.over.load(Ordering::Relaxed) {
+            let vms = self.vms.len();
+            let at = (rng.random_range(0..vms), rng.random_range(0..vms));
+            let adapter = rng.random_range(0..ADAPTERS);
+            let pause = Duration::from_millis(rng.random_range(AWAY));
+            if let Some(stream) = self.resume(at, adapter, pause) {
+                let resumed = self.resumed.lock();
+                resumed.unwrap_or_else(PoisonError::into_inner).push(stream);
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+
+    /// Reads the first events of a stream at one VM, leaves, and resumes it at the other. None where it brought too few.
+    pub(crate) fn resume(
+        &self,
+        vms: (usize, usize),
+        adapter: u64,
+        pause: Duration,
+    ) -> Option<Resumed> {
+        let id = format!("r{}", self.ids.fetch_add(1, Ordering::Relaxed));
+        let model = format!("base/a{adapter}");
+        let headers = format!(
+            "Deadline-Ms: {DEADLINE_MS}\r\nX-Api-Key: {}\r\n",
+            ACCOUNTS[0].1[0]
+        );
+        let path = Kind::Berth.path();
+        let text = request_with(&id, path, Some(&model), &headers);
+        let mut stream = open(self.vms[vms.0])?;
+        stream.get_mut().write_all(text.as_bytes()).ok()?;
+        let begun = read_events(&mut stream)?;
+        drop(stream);
+        thread::sleep(pause);
+        let again = format!("r{}", self.ids.fetch_add(1, Ordering::Relaxed));
+        let headers = format!("{headers}Last-Event-Id: {RESUMED_AFTER}\r\nResumes: {id}\r\n");
+        let text = request_with(&again, path, Some(&model), &headers);
+        let sent = Instant::now();
+        let mut answer = Answer::default();
+        if let Some(mut stream) = open(self.vms[vms.1]) {
+            // A connection that takes nothing shows as one without an answer.
+            let _ = stream.get_mut().write_all(text.as_bytes());
+            read(&mut stream, &mut answer);
+        }
+        Some(Resumed {
+            id,
+            begun,
+            again: answer,
+            sent,
+            vms,
+        })
+    }
+
     fn run_flood(&self, mut rng: ChaCha8Rng) {
         while !self.over.load(Ordering::Relaxed) {
             if !self.flood.load(Ordering::Relaxed) {
@@ -257,6 +347,28 @@
     }
 }
 
+/// Reads a stream up to the end of the event after which its caller leaves; none where it ends before, or is none.
+fn read_events(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let last = format!("data: token {RESUMED_AFTER}");
+    let mut events = String::new();
+    let mut is_last = false;
+    loop {
+        let mut line = String::new();
+        stream
+            .read_line(&mut line)
+            .ok()
+            .filter(|count| *count > 0)?;
+        if line.starts_with("HTTP/1.1 ") && !line.contains(" 200 ") {
+            return None;
+        }
+        is_last |= line.starts_with(&last);
+        events.push_str(&line);
+        if is_last && line == "\n" {
+            return Some(events);
+        }
+    }
+}
+
 fn open(address: SocketAddr) -> Option<BufReader<TcpStream>> {
     let stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
     stream.set_read_timeout(Some(PATIENCE)).ok()?;
--- a/crates/daemon/tests/soak/calm.rs
+++ b/crates/daemon/tests/soak/calm.rs
@@ -6,7 +6,7 @@
 use crate::callers::{ACCOUNTS, Callers, Kind};
 use crate::fleet::request_with;
 use crate::limits;
-use crate::stage::Stage;
+use crate::stage::{BUILDS, Stage};
 
 /// Within what a configuration is in force everywhere, as the users want it, and some for a busy machine.
 const IN_FORCE: Duration = Duration::from_secs(4);
@@ -23,6 +23,7 @@
 pub(crate) fn check(stage: &mut Stage, callers: &Callers) {
     stage.settle();
     served(stage, callers);
+    resumed(stage, callers);
     in_force(stage);
     taken_away(stage);
     left(stage);
@@ -46,6 +47,31 @@
     }
 }
 
+/// A stream that was begun at one VM is resumed at each other, while two engines of its build serve.
+fn resumed(stage: &mut Stage, callers: &Callers) {
+    for engine in 0..stage.fleet.engines.len() {
+        stage.release(engine, BUILDS[0]);
+    }
+    let until = Instant::now() + SERVED;
+    let vms = stage.fleet.vms.len();
+    for vm in 0..vms {
+        let at = (vm, (vm + 1) % vms);
+        let goes_on = || {
+            let stream = callers.resume(at, 1, PAUSE);
+            stream.is_some_and(|stream| stream.again.status == 200)
+        };
+        let mut went_on = goes_on();
+        while !went_on && Instant::now() < until {
+            thread::sleep(PAUSE);
+            went_on = goes_on();
+        }
+        if !went_on {
+            let fault = format!("no stream of vm{} goes on at vm{}", at.0 + 1, at.1 + 1);
+            stage.faults.push(fault);
+        }
+    }
+}
+
 /// What is configured is in force on each VM: a route that was not there before.
 fn in_force(stage: &mut Stage) {
     stage.version += 1;
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -181,7 +181,7 @@
     let over_limit = asked.iter().filter(|request| request.answer.status == 429);
     Round {
         over_limit: over_limit.count(),
-        broken: promises::broken(&stage, &asked, logs),
+        broken: promises::broken(&stage, &asked, &callers.resumed(), logs),
         history,
         requests: asked.len(),
     }
--- a/crates/daemon/tests/soak/promises.rs
+++ b/crates/daemon/tests/soak/promises.rs
@@ -6,18 +6,27 @@
 
 use dahliastile_standin::fleet::{Replica, Run};
 
-use crate::callers::{ACCOUNTS, Answer, Asked, Kind};
+use crate::callers::RESUMED_AFTER;
+use crate::callers::{ACCOUNTS, Answer, Asked, Kind, Resumed};
 use crate::limits;
 use crate::stage::Stage;
 
 /// Events of a stream of the stand-ins.
 const EVENTS: u64 = 5;
 
+/// With what the line of an event begins that names the build.
+const BUILD: &str = "build: ";
+
 /// The runs of each request, with the server of each.
 type Runs = BTreeMap<String, Vec<(String, Run)>>;
 
 /// All that does not hold, as readable lines.
-pub(crate) fn broken(stage: &Stage, asked: &[Asked], logs: &Path) -> Vec<String> {
+pub(crate) fn broken(
+    stage: &Stage,
+    asked: &[Asked],
+    resumed: &[Resumed],
+    logs: &Path,
+) -> Vec<String> {
     let runs = runs(stage.servers());
     let mut broken = stage.faults.clone();
     for request in asked {
@@ -31,10 +40,17 @@
             model(request, ran),
             account(request, ran),
             uninterrupted(stage, request),
+            one_build(&request.answer.body),
         ];
         let told = faults.into_iter().flatten();
         broken.extend(told.map(|fault| format!("{fault}: {request:?} ran {ran:?}")));
     }
+    for stream in resumed {
+        let all = format!("{}{}", stream.begun, stream.again.body);
+        let faults = [one_build(&all), rest(&stream.again)];
+        let told = faults.into_iter().flatten();
+        broken.extend(told.map(|fault| format!("{fault}: {stream:?}")));
+    }
     let overfull: usize = stage.fleet.engines.iter().map(Replica::overfull).sum();
     if overfull > 0 {
         broken.push(format!("{overfull} loads beyond the places of an engine"));
@@ -50,7 +66,7 @@
         for run in server.runs() {
             let id = run.asked.headers.get("request-id").cloned();
             let row = all.entry(id.unwrap_or_default()).or_default();
-            row.push((server.id().to_owned(), run));
+            row.push((run.server.clone(), run));
         }
     }
     all
@@ -75,7 +91,7 @@
     }
     let fits = match request.kind {
         Kind::Post | Kind::Query => answer.body == format!("answer of {}", answer.seal),
-        Kind::Plan | Kind::Berth => answer.body == stream(),
+        Kind::Plan | Kind::Berth => without_builds(&answer.body) == stream(0),
     };
     let sealed = ran.iter().any(|(server, _)| *server == answer.seal);
     match (fits, sealed) {
@@ -96,16 +112,39 @@
         Kind::Post | Kind::Query => format!("answer of {}", answer.seal).starts_with(body),
         Kind::Plan | Kind::Berth => {
             let at_event_end = body.is_empty() || body.ends_with("\n\n");
-            at_event_end && stream().starts_with(body)
+            at_event_end && stream(0).starts_with(&without_builds(body))
         }
     };
     let sealed = ran.iter().any(|(server, _)| *server == answer.seal);
     (!fits || !sealed).then_some("its answer is not the beginning of the right one")
 }
 
-fn stream() -> String {
+/// The events of a stream after a number of them.
+fn stream(after: u64) -> String {
     let event = |number| format!("id: {number}\ndata: token {number}\n\n");
-    (1..=EVENTS).map(event).collect()
+    (after + 1..=EVENTS).map(event).collect()
+}
+
+/// The events of a stream without the lines that name the build that made them.
+fn without_builds(body: &str) -> String {
+    let lines = body.split_inclusive('\n');
+    lines.filter(|line| !line.starts_with(BUILD)).collect()
+}
+
+/// A stream is of one build of its servers' software.
+fn one_build(body: &str) -> Option<&'static str> {
+    let mut builds = body.lines().filter_map(|line| line.strip_prefix(BUILD));
+    let first = builds.next();
+    builds
+        .any(|build| Some(build) != first)
+        .then_some("its stream is of two builds")
+}
+
+/// What a resumed stream brings, if it is whole, are the events that its caller lacked.
+fn rest(again: &Answer) -> Option<&'static str> {
+    let claims = again.status == 200 && again.whole;
+    let is_rest = without_builds(&again.body) == stream(RESUMED_AFTER);
+    (claims && !is_rest).then_some("its resumed stream is not the rest of it")
 }
 
 /// It runs on the model and adapter that it named.
--- a/crates/daemon/tests/soak/stage.rs
+++ b/crates/daemon/tests/soak/stage.rs
@@ -25,6 +25,8 @@
 
 /// The pause before each event of a stream at an engine of nominal speed.
 const PACE: Duration = Duration::from_millis(5);
+/// The builds of the engines' software.
+pub(crate) const BUILDS: [&str; 3] = ["v1", "v2", "v3"];
 /// The speeds of the engines.
 pub(crate) const SPEEDS: [f64; 2] = [0.7, 1.7];
 
@@ -68,6 +70,8 @@
     pub(crate) faults: Vec<String>,
     /// The state that each server has said of itself, engines first.
     states: Vec<&'static str>,
+    /// Engines that were replaced.
+    releases: u32,
     settings: Vec<String>,
     /// When each VM was last started.
     started: Vec<Instant>,
@@ -88,6 +92,7 @@
             write_again_at: Vec::new(),
             faults: Vec::new(),
             states: Vec::new(),
+            releases: 0,
             settings: Vec::new(),
             started: Vec::new(),
             fleet,
@@ -101,6 +106,7 @@
             stage.server_ways.push(Proxy::start(from, to));
         }
         for (engine, speed) in stage.fleet.engines.iter().zip(SPEEDS) {
+            engine.set_build(BUILDS[0]);
             engine.set_pace(PACE);
             engine.set_speed(speed);
         }
@@ -140,16 +146,24 @@
         self.states[server] = state;
         let replica = self.servers().nth(server).expect("one of the servers");
         let engines = self.fleet.engines.len();
-        let (key, service) = match server.checked_sub(engines) {
-            Some(plain) => (format!("servers/p{plain}"), "desk"),
-            None => (format!("servers/e{server}"), "drafts"),
-        };
+        let service = if server < engines { "drafts" } else { "desk" };
+        let key = format!("servers/{}", replica.id());
         let way = SERVER_WAYS + u8::try_from(server).expect("few servers");
         let address = self.fleet.address(way, 8080);
         let entry = replica.entry(service, address, "north", state);
         self.fleet.store.put(&key, &entry);
     }
 
+    /// Replaces an engine by one with another build of its software, which has another id.
+    pub(crate) fn release(&mut self, engine: usize, build: &str) {
+        self.releases += 1;
+        let replica = &self.fleet.engines[engine];
+        let old = format!("servers/{}", replica.id());
+        replica.release(build, &format!("e{engine}.{}", self.releases));
+        self.fleet.store.remove(&old);
+        self.list(engine, self.states[engine]);
+    }
+
     /// Cuts those VMs off from all servers, and no others.
     pub(crate) fn cut_off(&self, is_cut: impl Fn(usize) -> bool) {
         let vms = (0..self.store_ways.len()).filter(|vm| is_cut(*vm));
--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -11,7 +11,7 @@
 use crate::callers::{ACCOUNTS, Callers};
 use crate::limits;
 use crate::proxy::Mode;
-use crate::stage::{SPEEDS, Stage};
+use crate::stage::{BUILDS, SPEEDS, Stage};
 
 /// How long troubles last, in milliseconds.
 const LASTS: std::ops::Range<u64> = 200..2_500;
@@ -34,6 +34,10 @@
 const NEXT_CUT: std::ops::Range<u64> = 500..4_000;
 /// The stream from which these are drawn.
 const CUTS: u64 = 4;
+/// The pause until an engine is next replaced by one with another build of its software, in milliseconds.
+const NEXT_RELEASE: std::ops::Range<u64> = 500..3_000;
+/// The stream from which these are drawn.
+const RELEASES: u64 = 5;
 /// How many times slower a slow engine is.
 const SLOWER: f64 = 2.5;
 /// After how long operator and servers write again what a copy lacks, in milliseconds.
@@ -80,6 +84,8 @@
     Flood,
     /// An engine is slow.
     Slow(usize),
+    /// An engine is replaced by one with another build of its software.
+    Release(usize, &'static str),
 }
 
 impl Trouble {
@@ -141,6 +147,12 @@
         Self::CutOff(rng.random_range(0..vms), rng.random_bool(0.3))
     }
 
+    /// Draws the replacement of an engine.
+    fn draw_release(rng: &mut ChaCha8Rng, engines: usize) -> Self {
+        let build = BUILDS[rng.random_range(0..BUILDS.len())];
+        Self::Release(rng.random_range(0..engines), build)
+    }
+
     /// What it holds: nothing else happens to that meanwhile.
     fn holds(self) -> Held {
         match self {
@@ -153,6 +165,7 @@
             Self::Server(server, _)
             | Self::Unframed(server, _)
             | Self::EngineRestart(server)
+            | Self::Release(server, _)
             | Self::Leave(server) => Held::Server(server),
             Self::CutOff(..) => Held::Paths,
             Self::Configure => Held::Configuration,
@@ -193,6 +206,7 @@
                 stage.cut_off(|other| (other == vm) != others);
             }
             Self::EngineRestart(engine) => stage.fleet.engines[engine].restart(),
+            Self::Release(engine, build) => stage.release(engine, build),
             Self::Flood => callers.flood(true),
             Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine] / SLOWER),
             Self::Leave(server) => stage.list(server, "draining"),
@@ -231,7 +245,7 @@
             Self::Leave(server) => stage.list(server, "ready"),
             Self::Flood => callers.flood(false),
             Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine]),
-            Self::Reload(_) | Self::EngineRestart(_) | Self::Configure => {}
+            Self::Reload(_) | Self::EngineRestart(_) | Self::Release(..) | Self::Configure => {}
         }
     }
 }
@@ -281,6 +295,9 @@
     let mut cuts = rng.clone();
     cuts.set_stream(CUTS);
     let mut next_cut = began + Duration::from_millis(cuts.random_range(NEXT_CUT));
+    let mut releases = rng.clone();
+    releases.set_stream(RELEASES);
+    let mut next_release = began + Duration::from_millis(releases.random_range(NEXT_RELEASE));
     while began.elapsed() < span {
         let now = Instant::now();
         if next_copy <= now {
@@ -321,6 +338,11 @@
             let lasts = Duration::from_millis(cuts.random_range(LASTS));
             due.push((Trouble::draw_cut(&mut cuts, vms), lasts));
         }
+        if next_release <= now {
+            next_release = now + Duration::from_millis(releases.random_range(NEXT_RELEASE));
+            let lasts = Duration::from_millis(releases.random_range(LASTS));
+            due.push((Trouble::draw_release(&mut releases, engines), lasts));
+        }
         for (trouble, lasts) in due {
             if running
                 .iter()
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod brittle;
+mod build;
 mod crash;
 mod notice;
 mod path;
@@ -26,6 +27,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+pub use build::Streams;
 pub use crash::CrashRecords;
 pub use notice::{Arrival, Notices};
 pub use path::ServerPath;
@@ -194,6 +196,8 @@
     pub published_versions: Vec<(Instant, Arc<str>, u64)>,
     /// Requests that crash the servers that run them.
     pub crashing: CrashRecords,
+    /// What callers hold of their streams.
+    pub streams: Streams,
     /// The notices that servers attach to their answers.
     pub notices: Notices,
     /// The requests that servers run, by number.
@@ -330,6 +334,7 @@
             versions: BTreeMap::new(),
             published_versions: Vec::new(),
             crashing: CrashRecords::default(),
+            streams: Streams::default(),
             notices: Notices::default(),
             running: BTreeMap::new(),
             replacements: 0,
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -502,6 +502,7 @@
                 let to = (0..self.vms.len()).find(|to| setup::address(1, *to) == address);
                 let is_lost = self.lost_kinds.contains(message.kind());
                 if let Some(to) = to.filter(|_| network_up && !is_lost) {
+                    let message = Self::received(message);
                     self.schedule(now + LATENCY, Action::DeliverMessage(vm, to, message));
                 }
             }
--- a/crates/gateway/tests/support/world/crash.rs
+++ b/crates/gateway/tests/support/world/crash.rs
@@ -152,6 +152,13 @@
         self.schedule(self.now + after, Action::Deliver(run.vm.0, run.vm.1, event));
     }
 
+    /// Ends the run of a request whose caller has left.
+    pub(super) fn forget_run(&mut self, number: u64) {
+        if self.running.remove(&number).is_some() {
+            self.end_carried(number);
+        }
+    }
+
     /// Cancels the attempt of a request, as the request's task does when its gateway says so. Does nothing if the
     /// answer has started or the attempt has ended.
     pub(super) fn cancel_attempt(&mut self, number: u64) {
@@ -185,6 +192,11 @@
             Event::AnswerStarted(_) => {
                 let run = self.running.get_mut(&number);
                 run.expect("the request runs").answer_started = true;
+                if self.vms[vm].incarnation == incarnation && self.vms[vm].gateway.is_some() {
+                    let build = &self.servers[server].1.build;
+                    let request = &self.requests[&number].request;
+                    self.streams.record_events(request, build);
+                }
             }
             Event::AnswerCompleted(..) => {
                 self.running.remove(&number);
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -10,7 +10,7 @@
 
 use super::http::{Asked, Finish, Reply, serve};
 
-/// When each of them started, a Unix time in milliseconds.
+/// When each of them first started, a Unix time in milliseconds.
 const BORN: u64 = 1_790_000_000_000;
 /// The time a load of an adapter takes.
 const LOAD: Duration = Duration::from_millis(50);
@@ -50,9 +50,12 @@
     pub after: u64,
     /// When it began.
     pub at: Instant,
+    /// The id that the server had.
+    pub server: String,
 }
 
 struct State {
+    id: String,
     adapters: BTreeMap<String, Instant>,
     orders: u64,
     fence: u64,
@@ -64,11 +67,14 @@
     pace: Duration,
     speed: f64,
     overfull: usize,
+    build: Option<String>,
+    born: u64,
 }
 
 impl Default for State {
     fn default() -> Self {
         Self {
+            id: String::new(),
             adapters: BTreeMap::new(),
             orders: 0,
             fence: 0,
@@ -80,6 +86,8 @@
             pace: Duration::ZERO,
             speed: 1.0,
             overfull: 0,
+            build: None,
+            born: BORN,
         }
     }
 }
@@ -87,7 +95,6 @@
 /// A backend server. Clones are the same one.
 #[derive(Clone)]
 pub struct Replica {
-    id: String,
     /// The base model, or none for a plain service.
     model: Option<String>,
     places: usize,
@@ -106,11 +113,11 @@
         places: usize,
     ) -> std::io::Result<Self> {
         let replica = Self {
-            id: id.to_owned(),
             model: model.map(str::to_owned),
             places,
             state: Arc::default(),
         };
+        id.clone_into(&mut replica.state().id);
         let served = replica.clone();
         serve(address, move |asked| served.answer(asked))?;
         Ok(replica)
@@ -118,8 +125,8 @@
 
     /// Its id.
     #[must_use]
-    pub fn id(&self) -> &str {
-        &self.id
+    pub fn id(&self) -> String {
+        self.state().id.clone()
     }
 
     /// The entry that it writes into the key-value service.
@@ -131,12 +138,33 @@
             .map(|m| json!({"name": m, "version": 1, "adapters": []}))
             .collect();
         json!({
-            "service": service, "address": address.to_string(), "zone": zone, "version": "v1", "slots": 8,
+            "service": service, "address": address.to_string(), "zone": zone, "slots": 8,
+            "version": self.build().as_deref().unwrap_or("v1"),
             "state": state, "coldRemainingMs": 0, "stage": "both", "models": models, "seq": 0,
-            "born": BORN,
+            "born": self.state().born,
         })
     }
 
+    /// The build of its software, which its events name from then on. What two builds write does not fit together.
+    pub fn set_build(&self, build: &str) {
+        self.state().build = Some(build.to_owned());
+    }
+
+    /// The build of its software, where one was set.
+    #[must_use]
+    pub fn build(&self) -> Option<String> {
+        self.state().build.clone()
+    }
+
+    /// It starts anew with a build of its software, under another id.
+    pub fn release(&self, build: &str, id: &str) {
+        self.restart();
+        let mut state = self.state();
+        state.build = Some(build.to_owned());
+        state.born += 1;
+        id.clone_into(&mut state.id);
+    }
+
     /// What it does with the next requests.
     pub fn set_fault(&self, fault: Fault) {
         self.state().fault = fault;
@@ -198,8 +226,11 @@
 
     fn answer(&self, asked: &Asked) -> Reply {
         let expected = asked.headers.get("expect-instance");
+        let id = self.id();
         match asked.path.as_str() {
-            _ if expected.is_some_and(|id| *id != self.id) => self.plainly(421, Vec::new(), ""),
+            _ if expected.is_some_and(|expected| *expected != id) => {
+                Self::plainly(id, 421, Vec::new(), "")
+            }
             "/dahliastile/report" => self.report(),
             "/dahliastile/order" => self.order(asked),
             _ => self.work(asked),
@@ -226,7 +257,7 @@
             .iter()
             .map(|m| json!({"name": m, "version": 1, "adapters": names(true)}))
             .collect();
-        let body = json!({"stage": "both", "models": models, "coming": coming, "busy": false, "seq": state.orders, "born": BORN});
+        let body = json!({"stage": "both", "models": models, "coming": coming, "busy": false, "seq": state.orders, "born": state.born});
         Reply::Whole(200, Vec::new(), body.to_string().into_bytes())
     }
 
@@ -255,7 +286,7 @@
             state.orders += 1;
             state.fence = fence;
         }
-        self.plainly(status, Vec::new(), "")
+        Self::plainly(state.id.clone(), status, Vec::new(), "")
     }
 
     fn work(&self, asked: &Asked) -> Reply {
@@ -271,20 +302,23 @@
                 .is_some_and(|ready| *ready <= Instant::now())
         });
         if !held {
-            return self.plainly(421, Vec::new(), "");
+            return Self::plainly(state.id.clone(), 421, Vec::new(), "");
         }
         if state.fault == Fault::Full {
-            return self.plainly(503, vec![("Not-Executed".to_owned(), "1".to_owned())], "");
+            let not_run = vec![("Not-Executed".to_owned(), "1".to_owned())];
+            return Self::plainly(state.id.clone(), 503, not_run, "");
         }
         let after = asked
             .headers
             .get("last-event-id")
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
+        let server = state.id.clone();
         state.runs.push(Run {
             asked: asked.clone(),
             after,
             at: Instant::now(),
+            server,
         });
         let id = match state.fault {
             Fault::AnswersAnother => "another",
@@ -292,7 +326,7 @@
         };
         let headers = vec![
             ("Request-Id".to_owned(), id.to_owned()),
-            ("Server-Seal".to_owned(), format!("seal-{}", self.id)),
+            ("Server-Seal".to_owned(), format!("seal-{}", state.id)),
         ];
         match state.fault {
             Fault::LosesAnswer => Reply::Nothing,
@@ -304,14 +338,14 @@
             Fault::Fails => Reply::Whole(500, headers, b"failed".to_vec()),
             fault if self.model.is_some() => stream(&state, headers, after, fault),
             fault => {
-                let body = format!("answer of {}", self.id).into_bytes();
+                let body = format!("answer of {}", state.id).into_bytes();
                 Reply::Framed(200, headers, body, state.framing, finish(fault))
             }
         }
     }
 
-    fn plainly(&self, status: u16, mut headers: Vec<(String, String)>, body: &str) -> Reply {
-        headers.push(("Instance-Id".to_owned(), self.id.clone()));
+    fn plainly(id: String, status: u16, mut headers: Vec<(String, String)>, body: &str) -> Reply {
+        headers.push(("Instance-Id".to_owned(), id));
         Reply::Whole(status, headers, body.as_bytes().to_vec())
     }
 }
@@ -330,12 +364,11 @@
     let pace = state.pace.div_f64(state.speed);
     let line_end = state.line_end;
     let event = |number: u64| {
-        let lines = [
-            format!("id: {number}"),
-            format!("data: token {number}"),
-            String::new(),
-        ];
-        lines.map(|line| line + line_end).concat()
+        let mut lines = vec![format!("id: {number}"), format!("data: token {number}")];
+        lines.extend(state.build.as_ref().map(|build| format!("build: {build}")));
+        lines.push(String::new());
+        let lines = lines.into_iter().map(|line| line + line_end);
+        lines.collect::<String>()
     };
     let last = match fault {
         Fault::CutsStream | Fault::CutsAnswer | Fault::ResetsAnswer => after + 2,
