Within one answer a stream goes on only at the build that began it

Callers saw a stream that broke at its server and went on, in the same answer, with events of another build. Cause: no part of the system knew builds, and the continuation was placed like a new request. Now the VM that passes the first event on keeps the build of its server, tells it to the scheduler with the request (or obeys it where it chooses by itself), and checks last, by the server's entry, before it sends. The scheduler loads the adapter at an engine of that build, and refuses the request at once where none is left. VMs that have entries from other VMs ask these for the builds, as the encoding of entries leaves them out. Where all servers are of one build nothing is told, and decisions are as before.

--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -15,6 +15,7 @@
 //! * `exclusion`: VMs that are excluded from a role for a while, since they failed in it.
 
 pub(crate) mod apply;
+pub(crate) mod builds;
 pub(crate) mod candidacy;
 pub(crate) mod era;
 pub(crate) mod exclusion;
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -266,6 +266,7 @@
             }
             Some(_) | None => {}
         }
+        let backend = &self.with_known_build(server, backend);
         if let Some(state) = self.servers.get_mut(server) {
             if state.backend.ready && !backend.ready {
                 Self::log(out, Code::ServerLeaving, format!("server={server}"));
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -294,6 +294,9 @@
         }
         let (running, waiting) = self.running_and_waiting(service);
         scheduler.resync_vm(self.now, &self.settings.vm, &running, waiting);
+        for (placement, detail) in self.bound_and_waiting(service) {
+            scheduler.enqueue(self.now, &self.settings.vm, placement, detail);
+        }
         self.schedulers.insert(service.clone(), scheduler);
         self.timers.set(self.now, Timer::Scheduler(service.clone()));
         self.timers.set(self.now, Timer::Leadership);
--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -82,6 +82,7 @@
         let mut raised: Vec<Change> = new_values.cloned().collect();
         let has_new_values = !raised.is_empty();
         self.apply_changes(batch.changes, Delivery::Known, batch.recovering, out);
+        self.request_builds(from, out);
         match self.watch.cursor {
             Some(cursor) if cursor >= batch.since && batch.until > cursor => {
                 self.watch.cursor = Some(batch.until);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,7 +3,7 @@
 //! Delivery is best effort: a message may be lost, delayed or delivered more than once. Variants and fields are
 //! encoded by position, so their order is part of the protocol.
 
-use dahliastile_core::id::{Incarnation, Server, Service, Tenant, Zone};
+use dahliastile_core::id::{Build, Incarnation, Server, Service, Tenant, Zone};
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use crate::account::quota::{TokenGrant, TokenRequest};
 use crate::account::{TokenRate, Tokens};
 use crate::cluster::revision::Revision;
-use crate::cluster::snapshot::{Change, Member, Resident, Version};
+use crate::cluster::snapshot::{Change, KnownBuild, Member, Resident, Version};
 use crate::event::{Execution, FailureCause, InferenceSpec, RequestId, StreamTiming};
 use crate::request::fingerprint::Fingerprint;
 use crate::request::notice::Rate;
@@ -55,6 +55,29 @@
     /// The fingerprint of the request, by which a retry of the caller is recognized; none for a request without an
     /// account.
     pub fingerprint: Option<Fingerprint>,
+    /// Which builds of the servers' software may run the request. Sent beside the other details, whose encoding predates it.
+    #[serde(skip)]
+    pub binding: Binding,
+}
+
+/// Which builds of its servers' software may run a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Binding {
+    /// Any.
+    #[default]
+    Any,
+    /// The one that began the stream that the request continues.
+    Continues(Build),
+}
+
+impl Binding {
+    /// Returns whether servers of a build may run the request. A build that is not known may be any.
+    pub(crate) fn allows(&self, build: &KnownBuild) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Continues(only) => build.0.as_ref() == Some(only),
+        }
+    }
 }
 
 /// A request that was sent to an engine and is not finished.
@@ -183,6 +206,14 @@
     /// From the scheduler: a request is to be withdrawn from this server, which has fallen behind. The receiver does so
     /// unless the answer has started or the request may not run on another server.
     Withdraw(Service, u64, RequestId, Server),
+    /// To the scheduler: asks for an engine for a request, as [`Self::DetailedPlacementRequest`] does, among those of some
+    /// builds.
+    BoundPlacementRequest(Service, PlacementRequest, PlacementDetail, Binding),
+    /// To any VM: asks for the builds of these servers, whose entries the sender has from other VMs.
+    BuildRequest(Vec<Server>),
+    /// The answer to [`Self::BuildRequest`], as far as the sender knows it: the build of each server's process with this
+    /// incarnation.
+    Builds(Vec<(Server, Option<Incarnation>, Build)>),
 }
 
 impl Message {
@@ -219,6 +250,9 @@
             Self::LendRequest(_) => "lend_request",
             Self::LendAnswer(_) => "lend_answer",
             Self::Withdraw(..) => "withdraw",
+            Self::BoundPlacementRequest(..) => "want_bound",
+            Self::BuildRequest(_) => "build_request",
+            Self::Builds(_) => "builds",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::account::quota;
 use crate::cluster::apply;
+use crate::cluster::builds;
 use crate::cluster::era;
 use crate::cluster::leadership;
 use crate::cluster::lease_vote;
@@ -77,6 +78,8 @@
     pub(crate) watch: watch::State,
     /// State kept while changes of entries are applied, such as servers whose entries have lapsed.
     pub(crate) applied: apply::State,
+    /// What this VM has asked others about the builds of servers.
+    pub(crate) builds: builds::State,
     /// What the key-value service may have forgotten when it came back from a copy.
     pub(crate) restored: era::State,
     /// Crash reports, and the quarantine of requests that crash servers.
@@ -119,6 +122,7 @@
             votes: lease_vote::State::default(),
             watch: watch::State::default(),
             applied: apply::State::default(),
+            builds: builds::State::default(),
             restored: era::State::default(),
             quarantine: quarantine::State::default(),
             quota: quota::State::default(),
@@ -367,6 +371,12 @@
             Message::DetailedPlacementRequest(service, placement_request, detail) => {
                 self.handle_placement_request(&service, from, placement_request, detail);
             }
+            Message::BoundPlacementRequest(service, placement_request, detail, binding) => {
+                let detail = PlacementDetail { binding, ..detail };
+                self.handle_placement_request(&service, from, placement_request, detail);
+            }
+            Message::BuildRequest(servers) => self.handle_build_request(from, &servers, out),
+            Message::Builds(builds) => self.handle_builds(builds),
             Message::Progress(service, request, progress) => {
                 self.handle_progress(&service, from, request, progress);
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
 //! * `load_balancer`: the choice of a server where no scheduler places requests.
 //! * [`health`]: the health of servers, derived from their answers.
 //! * [`notice`]: what servers say about themselves in their answers.
+//! * [`origin`]: where streams began, which binds where they may go on.
 //! * [`fingerprint`]: the hash by which repetitions of a request are recognized.
 //! * [`quarantine`]: requests that crash the servers that run them.
 
@@ -14,5 +15,6 @@
 pub mod health;
 pub(crate) mod load_balancer;
 pub mod notice;
+pub mod origin;
 pub mod quarantine;
 pub(crate) mod state;
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -17,7 +17,7 @@
 
 use crate::account::quota::window::Charge;
 use crate::account::{Account, Tokens};
-use crate::cluster::snapshot::Version;
+use crate::cluster::snapshot::{Backend, Version};
 use crate::config::{Route, RouteKind, Target};
 use crate::effect::{Attempt, Effect, Effects, NextStep, RefusalReason};
 use crate::event::{CallerRequest, RequestId, StreamTiming};
@@ -25,6 +25,7 @@
 use crate::message::{PlacementRequest, Progress};
 use crate::metrics;
 use crate::node::Gateway;
+use crate::request::origin::Origin;
 use crate::timer::Timer;
 
 use self::failure::RETRY_AFTER;
@@ -96,6 +97,11 @@
     version: Option<Version>,
     /// Number of attempts that were sent again only because the way to their server failed.
     path_retries: u32,
+    /// What began the stream of the request; `None` as long as none of its events has been passed on, if the build of the
+    /// server that made the first one is not known, and for requests whose answers can't be continued.
+    pub(crate) origin: Option<Origin>,
+    /// The entry of the server of the current attempt when the attempt was sent.
+    pub(crate) backend: Option<Arc<Backend>>,
     /// Whether the current attempt may be cancelled, as the task that carries it out was told.
     withdrawable: bool,
     /// Whether the task was told to cancel the current attempt, and has not confirmed it.
@@ -136,6 +142,8 @@
             relay: None,
             version: None,
             path_retries: 0,
+            origin: None,
+            backend: None,
             withdrawable: false,
             cancelling: false,
         }
@@ -251,7 +259,13 @@
             return;
         }
         let failed = state.failed.clone();
-        let choice = self.choose_server(&service, &failed, |_| true);
+        let allowed = self.allowed_servers(request);
+        let is_allowed = |server: &Server| {
+            allowed
+                .as_ref()
+                .is_none_or(|allowed| allowed.contains(server))
+        };
+        let choice = self.choose_server(&service, &failed, is_allowed);
         if let Some(server) = choice {
             self.send_unscheduled(request, &server, None, out);
         } else {
@@ -271,7 +285,7 @@
     }
 
     /// Sends a request to a server, over another VM while this VM's own path is not known to be open. Refuses it if there
-    /// is no way. Does nothing if the server has no entry.
+    /// is no way, or if the server may not continue its stream. Does nothing if the server has no entry.
     pub(crate) fn send_to(
         &mut self,
         request: RequestId,
@@ -279,6 +293,10 @@
         version: Option<Version>,
         out: &mut Effects,
     ) {
+        if !self.is_allowed_at(request, server) {
+            self.refuse_request(request, Some(RETRY_AFTER), RefusalDetail::NoBuild, out);
+            return;
+        }
         let config = self.config_version();
         let relay = if self.path.is_open() {
             None
@@ -307,6 +325,7 @@
         state.send_count += 1;
         state.sent = self.now;
         state.version = version;
+        state.backend = Some(server_state.backend.clone());
         state.phase = Phase::Sent {
             server: server.clone(),
             answer_started: false,
@@ -342,14 +361,14 @@
             })
         };
         let detail = format!(
-            "id={} call={} account={account} route={} config={config} server={server} send={} waited={waited} via={} open={} build={} resumes={resumes}",
+            "id={} call={} account={account} route={} config={config} server={server} build={} resumes={resumes} send={} waited={waited} via={} open={}",
             state.call.id,
             state.call.fingerprint,
             state.route.name,
+            server_state.backend.build,
             state.send_count,
             relay.as_ref().map_or("-", Vm::as_str),
-            server_state.open,
-            server_state.backend.build
+            server_state.open
         );
         let resumed_by = match &state.call.resumes {
             _ if has_answer => Some("answer"),
@@ -396,6 +415,7 @@
         let took = self.now.since(state.arrived);
         state.time_to_first_chunk.get_or_insert(took);
         metrics::observe_seconds(out, Figure::FirstToken, &state.service, took);
+        self.record_origin(request);
         self.report_progress(request, Progress::AnswerStarted, out);
         self.record_relay_worked(request);
         self.resign_without_path(request, out);
@@ -492,7 +512,9 @@
             .is_some_and(|state| state.phase == Phase::Waiting);
         let accepts = self.accepts_requests(server);
         match waiting {
-            true if accepts => self.send_to(request, server, version, out),
+            true if accepts && self.is_allowed_at(request, server) => {
+                self.send_to(request, server, version, out);
+            }
             true => self.decline_placement(request, server, out),
             false => {}
         }
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -55,6 +55,8 @@
     Quarantined,
     /// The client account of the request has no tokens left.
     OverLimit,
+    /// The request continues a stream, and no server of the build that began it is left.
+    NoBuild,
 }
 
 impl RefusalDetail {
@@ -67,6 +69,7 @@
             Self::NoPath => "no_path",
             Self::Quarantined => "quarantined",
             Self::OverLimit => "over_limit",
+            Self::NoBuild => "no_build",
         }
     }
 
@@ -77,7 +80,7 @@
             _ if ran > 0 => RefusalReason::Failed,
             Self::Quarantined => RefusalReason::Quarantined,
             Self::OverLimit => RefusalReason::OverLimit,
-            Self::NoServer | Self::SendFailed | Self::Scheduler | Self::NoPath => {
+            Self::NoServer | Self::SendFailed | Self::Scheduler | Self::NoPath | Self::NoBuild => {
                 RefusalReason::Overloaded
             }
         }
@@ -107,6 +110,9 @@
         };
         state.cancelling = false;
         let relay = state.relay.take();
+        if answer_started {
+            self.record_origin(request);
+        }
         if self.resend_another_way(request, &server, relay.as_ref(), ran, cause, out) {
             return;
         }
@@ -224,8 +230,11 @@
             return;
         };
         let kind = state.route.kind;
+        // An event of a build that is not known has been passed on, so that no server is known that fits.
+        let is_of_unknown_build = answer_started && state.origin.is_none();
         let may_rerun = ran == Execution::No
             || kind.is_idempotent() && state.execution_count < state.route.attempts;
+        let may_rerun = may_rerun && !(kind == RouteKind::Resumable && is_of_unknown_build);
         let answer_cut = answer_started && kind != RouteKind::Resumable && kind != RouteKind::Safe;
         let in_time =
             state.deadline.since(self.now) > MIN_TIME_TO_RETRY && state.send_count < MAX_SENDS;
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -17,11 +17,11 @@
 use crate::event::{LinkFault, RequestId};
 use crate::feature::Feature;
 use crate::message::{
-    EngineResidents, Message, PlacementDetail, PlacementRequest, Progress, Running,
+    Binding, EngineResidents, Message, PlacementDetail, PlacementRequest, Progress, Running,
 };
 use crate::metrics;
 use crate::node::Gateway;
-use crate::request::state::{Phase, RequestState};
+use crate::request::state::{Phase, RefusalDetail, RequestState};
 use crate::timer::Timer;
 
 /// Time without a message of the holder after which this VM places requests itself: three of the holder's
@@ -51,18 +51,37 @@
     residents: BTreeMap<Server, Vec<Resident>>,
 }
 
+/// Returns the message that asks for a placement: the shortest that holds the detail.
+fn placement_message(
+    service: Service,
+    placement: PlacementRequest,
+    detail: PlacementDetail,
+) -> Message {
+    match detail.binding.clone() {
+        Binding::Any if detail == PlacementDetail::default() => {
+            Message::PlacementRequest(service, placement)
+        }
+        Binding::Any => Message::DetailedPlacementRequest(service, placement, detail),
+        binding => Message::BoundPlacementRequest(service, placement, detail, binding),
+    }
+}
+
 impl Gateway {
     /// Asks the scheduler for a placement of a request. Places the request itself if the scheduler is unknown
     /// or silent.
     pub(crate) fn request_placement(&mut self, request: RequestId, out: &mut Effects) {
         let now = self.now;
+        if self.has_no_build_left(request) {
+            self.refuse_request(request, None, RefusalDetail::NoBuild, out);
+            return;
+        }
         let Some(state) = self.in_flight.get(&request) else {
             return;
         };
         let Some(placement) = state.want(request, &self.settings.zone, now) else {
             return;
         };
-        let detail = self.placement_detail(state);
+        let detail = self.placement_detail(request, state);
         let service = state.service.clone();
         let me = self.settings.vm.clone();
         if let Some(scheduler) = self.schedulers.get_mut(&service) {
@@ -74,11 +93,7 @@
         let client = self.scheduler_clients.entry(service.clone()).or_default();
         match client.holder.clone() {
             Some(holder) if !client.silent => {
-                let message = if detail == PlacementDetail::default() {
-                    Message::PlacementRequest(service, placement)
-                } else {
-                    Message::DetailedPlacementRequest(service, placement, detail)
-                };
+                let message = placement_message(service, placement, detail);
                 self.send(&holder, message, out);
             }
             _ => self.place_unscheduled(request, out),
@@ -86,7 +101,7 @@
     }
 
     /// Returns the details of a request that enabled features of the scheduler use.
-    fn placement_detail(&self, state: &RequestState) -> PlacementDetail {
+    fn placement_detail(&self, request: RequestId, state: &RequestState) -> PlacementDetail {
         let uses = |feature| self.settings.uses(feature);
         let competes = [
             Feature::FairShares,
@@ -107,6 +122,7 @@
                 Span::ZERO
             },
             fingerprint: account.map(|_| state.call.fingerprint),
+            binding: self.binding(request),
         }
     }
 
@@ -134,8 +150,11 @@
                 |r: &Resident| Some(&r.adapter) == adapter.as_ref() && r.version >= newest;
             residents.iter().find(|resident| matches_adapter(resident))
         };
-        let servers = self.servers.keys();
+        let servers = self.servers.iter();
+        let binding = self.binding(request);
         let candidates: Vec<Server> = servers
+            .filter(|(_, state)| binding.allows(&state.backend.build))
+            .map(|(server, _)| server)
             .filter(|server| adapter.is_none() || resident_at(server).is_some())
             .cloned()
             .collect();
@@ -453,12 +472,34 @@
             Message::Resync(service.clone(), self.member(), running, waiting),
             out,
         );
+        for (placement, detail) in self.bound_and_waiting(service) {
+            let message = placement_message(service.clone(), placement, detail);
+            self.send(&holder, message, out);
+        }
         for message in self.notice_messages(service) {
             self.send(&holder, message, out);
         }
     }
 
-    /// Returns the requests of a service that run at a server, and those that wait for a placement.
+    /// Returns the requests of a service that wait for a placement at one build. [`Message::Resync`] can't say which.
+    pub(crate) fn bound_and_waiting(
+        &self,
+        service: &Service,
+    ) -> Vec<(PlacementRequest, PlacementDetail)> {
+        let states = self.in_flight.iter();
+        let bound = states.filter(|(request, state)| {
+            state.service == *service
+                && state.phase == Phase::Waiting
+                && self.binding(**request) != Binding::Any
+        });
+        let placement = |(request, state): (&RequestId, &RequestState)| {
+            let placement = state.want(*request, &self.settings.zone, self.now)?;
+            Some((placement, self.placement_detail(*request, state)))
+        };
+        bound.filter_map(placement).collect()
+    }
+
+    /// Returns the requests of a service that run at a server, and those that wait for a placement at any.
     pub(crate) fn running_and_waiting(
         &self,
         service: &Service,
@@ -482,6 +523,7 @@
                     server: server.clone(),
                     work: work.clone(),
                 }),
+                _ if self.binding(*request) != Binding::Any => {}
                 _ => waiting.extend(state.want(*request, &self.settings.zone, self.now)),
             }
         }
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -109,7 +109,8 @@
             let is_open = engine.is_usable()
                 && engine.is_within_rate_limit(1, now)
                 && engine.cooldown.allows(now, vm);
-            let is_eligible = is_open && !request.failed.contains(server);
+            let is_eligible =
+                is_open && !request.failed.contains(server) && request.may_run_at(engine);
             is_eligible.then(|| {
                 let pause_cost = self.pause_cost(now, engine, request);
                 Choice {
--- a/crates/gateway/src/scheduler/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -238,11 +238,18 @@
         residency: &Residency,
         ahead: &mut QueueAhead,
     ) -> (WaitReason, Span) {
+        let usable = self.engines.values().filter(|engine| engine.is_usable());
+        let mut allowed = usable.filter(|engine| request.may_run_at(engine));
         let Some(adapter) = request.adapter else {
-            let backlogs = self.engines.values().filter(|engine| engine.is_usable());
-            let least = backlogs.map(|engine| engine.backlog(now)).min();
-            return (WaitReason::Room, least.unwrap_or(Span::ZERO));
+            let least = allowed.map(|engine| engine.backlog(now)).min();
+            return match least {
+                None if request.is_bound() => (WaitReason::Engine, UNBOUNDED_WAIT),
+                least => (WaitReason::Room, least.unwrap_or(Span::ZERO)),
+            };
         };
+        if request.is_bound() && allowed.next().is_none() {
+            return (WaitReason::Engine, UNBOUNDED_WAIT);
+        }
         let engines = self.ready_engines(request, adapter, residency);
         let is_allowed = |engine: &&Engine| engine.cooldown.allows(now, &id.vm);
         let engines: Vec<&Engine> = engines.filter(is_allowed).collect();
@@ -259,18 +266,16 @@
             let rate: f64 = engines.iter().map(|engine| engine.rates.now).sum();
             let queue_wait =
                 self.with_one_more_copy(prefill_time(tokens_before, rate), engines.len());
-            let reason = match residency.get(adapter) {
-                Some(location) if location.is_loading => WaitReason::Copy,
-                Some(_) | None => WaitReason::Room,
+            let reason = if self.is_loading(request, adapter, residency) {
+                WaitReason::Copy
+            } else {
+                WaitReason::Room
             };
             return (reason, least.unwrap_or(Span::ZERO) + queue_wait);
         }
         let queue_wait =
             self.with_one_more_copy(prefill_time(tokens_before, ahead.slowest_rate), 1);
-        if let Some(at) = residency
-            .get(adapter)
-            .and_then(|location| location.next_ready_at)
-        {
+        if let Some(at) = self.next_ready_at(request, adapter, residency) {
             return (WaitReason::Coming, at.since(now) + queue_wait);
         }
         if self.has_local_copy(now, adapter) {
@@ -310,7 +315,7 @@
         let ready = residency.ready_servers(adapter).iter();
         let eligible = ready.filter(|server| !request.failed.contains(server));
         let engines = eligible.filter_map(|server| self.engines.get(server));
-        engines.filter(|engine| !engine.deprioritized)
+        engines.filter(|engine| !engine.deprioritized && request.may_run_at(engine))
     }
 
     /// Returns the time until the load at this position of the queue is complete. The loads in progress have the
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -17,6 +17,7 @@
 use super::throughput::Rank;
 use super::{Decision, Scheduler};
 use crate::feature::Feature;
+use crate::message::Binding;
 
 /// Cost of evicting an adapter with a demand of one request, as a waiting time: its next request waits for a
 /// load.
@@ -111,6 +112,8 @@
     local_copy_until: Instant,
     /// Rank of the request that is served first with it; `None` if no request waits for the load.
     rank: Option<Rank>,
+    /// The builds where it is needed.
+    binding: Binding,
 }
 
 impl NeededLoad {
@@ -118,6 +121,11 @@
     fn waiting_rank(&self) -> Option<Rank> {
         self.rank.filter(|_| self.copy_wait.is_none())
     }
+
+    /// Returns whether a load at an engine serves the requests that need it.
+    fn is_served_at(&self, engine: &Engine) -> bool {
+        self.binding.allows(&engine.backend.build)
+    }
 }
 
 /// The inputs for choosing an engine for a load.
@@ -162,6 +170,7 @@
                 copy_wait: Some(extra.queue_time),
                 local_copy_until: now,
                 rank: Some(extra.rank),
+                binding: Binding::Any,
             };
             needed.extend((0..extra.count).map(copy));
         }
@@ -249,7 +258,7 @@
     ) -> Vec<NeededLoad> {
         let mut needed: Vec<NeededLoad> = Vec::new();
         let copies = self.settings.uses(Feature::ExtraReplicas);
-        let mut rows: FxHashMap<AdapterId, usize> = FxHashMap::default();
+        let mut rows: FxHashMap<(AdapterId, Binding), usize> = FxHashMap::default();
         for forecast in forecasts {
             let Some(request) = self
                 .requests
@@ -272,21 +281,21 @@
                     continue;
                 }
             };
-            match rows.get(&adapter) {
+            let binding = request.detail.binding.clone();
+            match rows.get(&(adapter, binding.clone())) {
                 Some(row) => {
                     let longest = &mut needed[*row].copy_wait;
                     *longest = copy_wait.max(*longest);
                 }
-                None if residency
-                    .get(adapter)
-                    .is_some_and(|location| location.is_loading) => {}
+                None if self.is_loading(request, adapter, residency) => {}
                 None => {
-                    rows.insert(adapter, needed.len());
+                    rows.insert((adapter, binding.clone()), needed.len());
                     needed.push(NeededLoad {
                         adapter,
                         copy_wait,
                         local_copy_until: request.arrived + MAX_LOCAL_COPY_WAIT,
                         rank: Some(Rank::of(request, now)),
+                        binding,
                     });
                 }
             }
@@ -313,6 +322,7 @@
             copy_wait: None,
             local_copy_until: now,
             rank: None,
+            binding: Binding::Any,
         };
         adapters.into_iter().map(needed).collect()
     }
@@ -373,7 +383,7 @@
     ) -> Option<LoadChoice> {
         let adapter = needed.adapter;
         let mut wait_cost = Span(u64::MAX);
-        let mut best = self.replace_old_version(context, adapter, from_store);
+        let mut best = self.replace_old_version(context, needed, from_store);
         let mut consider = |choice: LoadChoice| {
             let sort_key = |choice: &LoadChoice| (choice.cost, choice.server.clone());
             if best
@@ -383,7 +393,8 @@
                 best = Some(choice);
             }
         };
-        for (server, engine, distance) in self.engines_with_local_copy(context, adapter) {
+        let with_copy = self.engines_with_local_copy(context, adapter);
+        for (server, engine, distance) in with_copy.filter(|(_, e, _)| needed.is_served_at(e)) {
             let load_time = self.local_load_time();
             if let Some(candidate) = context.candidates.at(server) {
                 consider(load_choice(server, candidate, Some(distance), load_time));
@@ -402,7 +413,8 @@
             let has_no_copy = |server: &Server| {
                 let engine = self.engines.get(server);
                 engine.is_some_and(|e| {
-                    !e.slots.contains_key(&adapter)
+                    needed.is_served_at(e)
+                        && !e.slots.contains_key(&adapter)
                         && self.local_copy_distance(e, adapter).is_none()
                 })
             };
@@ -447,9 +459,10 @@
     fn replace_old_version(
         &self,
         context: &LoadContext,
-        adapter: AdapterId,
+        needed: &NeededLoad,
         from_store: bool,
     ) -> Option<LoadChoice> {
+        let adapter = needed.adapter;
         let name = self.adapters.name(adapter);
         let newest = self.adapters.newest(adapter);
         let choices = context
@@ -460,6 +473,7 @@
                 let engine = self.engines.get(server)?;
                 let old = engine.slots.get(&adapter)?;
                 if !old.is_idle()
+                    || !needed.is_served_at(engine)
                     || old.version >= newest
                     || !self.accepts_loads(context.now, engine, &name.model)
                 {
--- a/crates/gateway/src/scheduler/residency.rs
+++ b/crates/gateway/src/scheduler/residency.rs
@@ -8,6 +8,7 @@
 use super::Scheduler;
 use super::adapter::AdapterId;
 use super::engine::{AdapterSlot, AdapterState, Engine};
+use super::scheduled_request::ScheduledRequest;
 
 /// The engines that hold or load one adapter.
 #[derive(Debug, Default)]
@@ -85,6 +86,55 @@
         residency.adapters.insert(adapter, location);
     }
 
+    /// Returns whether an engine that may run a request loads its adapter or is to load it.
+    pub(crate) fn is_loading(
+        &self,
+        request: &ScheduledRequest,
+        adapter: AdapterId,
+        residency: &Residency,
+    ) -> bool {
+        let is_loading = residency
+            .get(adapter)
+            .is_some_and(|location| location.is_loading);
+        is_loading
+            && (!request.is_bound()
+                || self
+                    .bound_slots(request, adapter, residency)
+                    .any(AdapterSlot::is_loading))
+    }
+
+    /// Returns when the next load of a request's adapter completes, at an engine that may run the request.
+    pub(crate) fn next_ready_at(
+        &self,
+        request: &ScheduledRequest,
+        adapter: AdapterId,
+        residency: &Residency,
+    ) -> Option<Instant> {
+        let next = residency.get(adapter)?.next_ready_at;
+        if !request.is_bound() {
+            return next;
+        }
+        let slots = self.bound_slots(request, adapter, residency);
+        let ready = slots.filter_map(|slot| match slot.state {
+            AdapterState::Loading(at) => Some(at),
+            _ => None,
+        });
+        ready.min()
+    }
+
+    /// Returns the slots for a request's adapter at the usable engines of the build that the request is bound to.
+    fn bound_slots<'a>(
+        &'a self,
+        request: &'a ScheduledRequest,
+        adapter: AdapterId,
+        residency: &'a Residency,
+    ) -> impl Iterator<Item = &'a AdapterSlot> {
+        let servers = residency.servers(adapter).iter();
+        let engines = servers.filter_map(|server| self.engines.get(server));
+        let allowed = engines.filter(|engine| engine.is_usable() && request.may_run_at(engine));
+        allowed.filter_map(move |engine| engine.slots.get(&adapter))
+    }
+
     /// Adds an engine's slot for an adapter to the entry of the adapter.
     fn add_slot(
         &self,
--- a/crates/gateway/src/scheduler/scheduled_request.rs
+++ b/crates/gateway/src/scheduler/scheduled_request.rs
@@ -8,9 +8,10 @@
 use rustc_hash::FxHashMap;
 
 use super::adapter::AdapterId;
+use super::engine::Engine;
 use super::fair_share::Tag;
 use crate::event::{InferenceSpec, RequestId};
-use crate::message::{PlacementDetail, PlacementRequest, Running};
+use crate::message::{Binding, PlacementDetail, PlacementRequest, Running};
 
 /// Identifies a request across all VMs.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -139,6 +140,16 @@
         &self.state
     }
 
+    /// Returns whether the request may run only at engines of one build.
+    pub(crate) fn is_bound(&self) -> bool {
+        matches!(self.detail.binding, Binding::Continues(_))
+    }
+
+    /// Returns whether an engine is of a build that may run the request.
+    pub(crate) fn may_run_at(&self, engine: &Engine) -> bool {
+        self.detail.binding.allows(&engine.backend.build)
+    }
+
     /// Returns whether the request waits for a placement.
     pub(crate) fn is_waiting(&self) -> bool {
         self.state == State::Waiting
--- a/crates/gateway/tests/support/contention.rs
+++ b/crates/gateway/tests/support/contention.rs
@@ -446,6 +446,7 @@
             }),
             pause: Span::ZERO,
             fingerprint: has_account.then(|| Fingerprint::of([caller.to_string().as_bytes()])),
+            ..PlacementDetail::default()
         };
         self.scheduler
             .enqueue(self.now, &self.vm(caller), self.placement(caller), detail);
