A stream that its caller resumes goes on at the build that began it, or is refused

Callers saw streams that they resumed at any VM go on at another build: the request was placed like a new one. The class: work with a past is placed like new work. Now a VM looks up what began the stream, by the request that the caller names: in its own register, then at up to five VMs that keep the origins of all streams while several builds serve, the strongest ones, at most half of them of a zone. The origin is sent to them with the attempt that begins the stream, tens of milliseconds ahead of its first event. A VM that starts is told by them what they keep, and asks for it. Where one build has served for thirty seconds, as long as a stream and its resumption last, that is the build; a VM that has started or has missed changes takes it from the others, if all say the same. Where nobody knows, the request is refused at once, as not run.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -216,6 +216,8 @@
     LoadsReserved = 531 Info "If it lasts, the engines have too few adapter slots for the load.";
     /// Requests of some accounts wait behind those of others, as these accounts have used more than their shares of the engines.
     SharesExceeded = 532 Info "If it lasts, look why the account sends so much; a higher limit gives it a larger share.";
+    /// What began the stream that a caller resumes is known; the request goes on at servers of that build.
+    OriginFound = 540 Debug "Nothing.";
     /// An internal invariant does not hold.
     Broken = 900 Error "Report it with the log around it.";
 }
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -294,9 +294,11 @@
                 .insert(server.clone(), ServerState::new(backend.clone()));
         }
         self.update_scheduler_server(server, backend);
+        self.record_build(server, out);
     }
 
     fn remove_server(&mut self, server: &Server, out: &mut Effects) {
+        self.record_build(server, out);
         if let Some(state) = self.servers.remove(server) {
             Self::log(out, Code::ServerGone, format!("server={server}"));
             let leaving = self.notices.leaving(server).is_some();
--- a/crates/gateway/src/cluster/builds.rs
+++ b/crates/gateway/src/cluster/builds.rs
@@ -76,7 +76,11 @@
     }
 
     /// Records the builds that another VM knows, each of the start of a server that it names.
-    pub(crate) fn handle_builds(&mut self, builds: Vec<(Server, Option<Incarnation>, Build)>) {
+    pub(crate) fn handle_builds(
+        &mut self,
+        builds: Vec<(Server, Option<Incarnation>, Build)>,
+        out: &mut Effects,
+    ) {
         for (server, start, build) in builds {
             let Some(state) = self.servers.get_mut(&server) else {
                 continue;
@@ -90,6 +94,7 @@
             });
             state.backend = backend.clone();
             self.update_scheduler_server(&server, &backend);
+            self.record_build(&server, out);
         }
     }
 }
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -63,6 +63,9 @@
 /// How long the key-value service may be away before peers are queried: time for two calls.
 const PEER_QUERY_DELAY: Span = Span::from_millis(400);
 
+/// Age of the last answer from which on a list may lack servers that have come and gone meanwhile, and begun streams.
+const LIST_GAP: Span = Span::from_millis(1_500);
+
 /// How long a VM that starts queries peers for what the key-value service has forgotten: as some of them may have
 /// started too, six of them.
 const QUERY_DURATION: Span = Span::from_millis(1_800);
@@ -132,6 +135,9 @@
                 self.continue_watching(out);
             }
             KvOutcome::Listed(changes, revision) => {
+                if self.kv_answer_age() > LIST_GAP {
+                    self.record_build_gap();
+                }
                 self.record_kv_answer(self.now, out);
                 let known = self.snapshot.last_revision();
                 let detail = format!(
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -16,6 +16,7 @@
 use crate::event::{Execution, FailureCause, InferenceSpec, RequestId, StreamTiming};
 use crate::request::fingerprint::Fingerprint;
 use crate::request::notice::Rate;
+use crate::request::origin::{OriginAnswer, StreamId, StreamOrigin};
 use crate::request::quarantine::{CrashReport, QuarantineStatus};
 
 /// A request that waits for the scheduler to choose an engine for it.
@@ -214,6 +215,18 @@
     /// The answer to [`Self::BuildRequest`], as far as the sender knows it: the build of each server's process with this
     /// incarnation.
     Builds(Vec<(Server, Option<Incarnation>, Build)>),
+    /// To the VMs that keep the origins of streams: what began these streams.
+    StreamOrigins(Vec<StreamOrigin>),
+    /// To a VM that keeps origins: asks what began a stream that a request of the sender resumes, perhaps at this service.
+    OriginRequest(RequestId, StreamId, Service),
+    /// The answer to [`Self::OriginRequest`].
+    OriginReply(RequestId, OriginAnswer),
+    /// To a VM that keeps origins: the sender has just started, or has missed changes, and asks for what it lacks. The answer
+    /// is [`Self::BuildHistory`], after [`Self::StreamOrigins`] if the sender keeps origins too.
+    OriginsRequest,
+    /// The builds that have served each service lately, with the time since a server of each was last listed, and for how
+    /// long the sender knows all of them.
+    BuildHistory(Vec<(Service, Vec<(Build, Span)>)>, Span),
 }
 
 impl Message {
@@ -253,6 +266,11 @@
             Self::BoundPlacementRequest(..) => "want_bound",
             Self::BuildRequest(_) => "build_request",
             Self::Builds(_) => "builds",
+            Self::StreamOrigins(_) => "origins",
+            Self::OriginRequest(..) => "origin_request",
+            Self::OriginReply(..) => "origin_reply",
+            Self::OriginsRequest => "origins_request",
+            Self::BuildHistory(..) => "build_history",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -32,6 +32,7 @@
 use crate::request::budget::RetryBudget;
 use crate::request::load_balancer::ServerState;
 use crate::request::notice;
+use crate::request::origin;
 use crate::request::quarantine;
 use crate::request::state::RequestState;
 use crate::scheduler::Scheduler;
@@ -84,6 +85,8 @@
     pub(crate) restored: era::State,
     /// Crash reports, and the quarantine of requests that crash servers.
     pub(crate) quarantine: quarantine::State,
+    /// What this VM knows of the origins of streams.
+    pub(crate) origins: origin::State,
     /// This VM's shares of the quotas of client accounts, and the token pool.
     pub(crate) quota: quota::State,
     /// Requests that arrived before a configuration was known.
@@ -125,6 +128,7 @@
             builds: builds::State::default(),
             restored: era::State::default(),
             quarantine: quarantine::State::default(),
+            origins: origin::State::default(),
             quota: quota::State::default(),
             startup_queue: startup_queue::State::default(),
             path: path::State::default(),
@@ -329,6 +333,7 @@
         self.start_quota();
         self.start_watching(out);
         self.start_candidacy_delay();
+        self.record_build_gap();
         self.handle_registration_timer(out);
     }
 
@@ -376,7 +381,16 @@
                 self.handle_placement_request(&service, from, placement_request, detail);
             }
             Message::BuildRequest(servers) => self.handle_build_request(from, &servers, out),
-            Message::Builds(builds) => self.handle_builds(builds),
+            Message::Builds(builds) => self.handle_builds(builds, out),
+            Message::StreamOrigins(rows) => self.handle_stream_origins(rows),
+            Message::OriginRequest(request, stream, service) => {
+                self.handle_origin_request(from, request, stream, &service, out);
+            }
+            Message::OriginReply(request, answer) => {
+                self.handle_origin_reply(from, request, answer, out);
+            }
+            Message::OriginsRequest => self.handle_origins_request(from, out),
+            Message::BuildHistory(rows, known_for) => self.handle_build_history(rows, known_for),
             Message::Progress(service, request, progress) => {
                 self.handle_progress(&service, from, request, progress);
             }
@@ -498,6 +512,7 @@
                 Timer::Quarantine => self.handle_quarantine_timer(out),
                 Timer::Quota => self.handle_quota_timer(out),
                 Timer::Path => self.handle_path_timer(out),
+                Timer::Origins => self.handle_origin_timer(out),
                 // `run_schedulers` runs the schedulers that are due at the end of each step.
                 Timer::Scheduler(_) => {}
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,10 +7,12 @@
 //! * [`health`]: the health of servers, derived from their answers.
 //! * [`notice`]: what servers say about themselves in their answers.
 //! * [`origin`]: where streams began, which binds where they may go on.
+//! * `expiring_map`: a map of bounded size and age.
 //! * [`fingerprint`]: the hash by which repetitions of a request are recognized.
 //! * [`quarantine`]: requests that crash the servers that run them.
 
 pub mod budget;
+pub(crate) mod expiring_map;
 pub mod fingerprint;
 pub mod health;
 pub(crate) mod load_balancer;
--- /dev/null
+++ b/crates/gateway/src/request/origin/register.rs
@@ -0,0 +1,206 @@
+//! The register of origins: what began each stream that a caller may resume.
+//!
+//! The VM that begins a stream keeps its origin. While servers of several builds serve, it also sends the origin to a few VMs,
+//! the keepers, when it sends the request to a server: the record is there before the first event is.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use dahliastile_core::id::{Vm, Zone};
+use dahliastile_core::time::Span;
+use serde::{Deserialize, Serialize};
+
+use super::{Origin, RETENTION};
+use crate::cluster::membership;
+use crate::effect::Effects;
+use crate::event::RequestId;
+use crate::message::Message;
+use crate::node::Gateway;
+use crate::request::expiring_map::ExpiringMap;
+use crate::request::fingerprint::Fingerprint;
+
+/// Number of VMs that keep the origins of all streams: four of them may be gone or start again within seconds, two of one
+/// availability zone at once.
+pub(super) const KEEPERS: usize = 5;
+
+/// Upper bound on the origins that a VM keeps, the oldest go first: 500 streams a second for [`RETENTION`], some 150 bytes
+/// each.
+const MAX_ORIGINS: usize = 15_000;
+
+/// Upper bound on the origins in one message.
+const MAX_PER_MESSAGE: usize = 512;
+
+/// Identifies a stream on all VMs: a hash of the host and account of its requests, and of the id of the request that brought
+/// its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StreamId(Fingerprint);
+
+impl StreamId {
+    /// Returns the id of the stream that a request with this id begins.
+    #[must_use]
+    pub fn of(host: &str, account: Option<&str>, request: &str) -> Self {
+        let account = account.unwrap_or_default();
+        Self(Fingerprint::of([
+            host.as_bytes(),
+            account.as_bytes(),
+            request.as_bytes(),
+        ]))
+    }
+}
+
+/// The origin of one stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamId,
+    /// What began it; none if that is not certain, so that it can't go on.
+    pub origin: Option<Origin>,
+    /// The number of the attempt, of those to have a server begin the stream, that this is about. A later one replaces it.
+    pub attempt: u32,
+    /// Time since it was recorded.
+    pub age: Span,
+}
+
+/// What is kept of a stream.
+#[derive(Debug)]
+struct Entry {
+    origin: Option<Origin>,
+    attempt: u32,
+    /// Whether this VM sent the request that began the stream.
+    is_own: bool,
+}
+
+/// The origins that this VM keeps.
+#[derive(Debug)]
+pub(crate) struct Register {
+    entries: ExpiringMap<StreamId, Entry>,
+}
+
+impl Default for Register {
+    fn default() -> Self {
+        Self {
+            entries: ExpiringMap::new(MAX_ORIGINS, RETENTION),
+        }
+    }
+}
+
+impl Register {
+    /// Returns what began a stream; `None` if this VM does not know, `Some(None)` if it is not certain.
+    pub(super) fn get(&self, stream: StreamId) -> Option<Option<&Origin>> {
+        let entry = self.entries.get(&stream)?;
+        Some(entry.origin.as_ref())
+    }
+
+    /// Records the origin of a stream, unless a later attempt is known. Two origins of one attempt leave it uncertain.
+    fn record(&mut self, now: dahliastile_core::time::Instant, row: StreamOrigin, is_own: bool) {
+        let known = self.entries.get(&row.stream);
+        let is_own = is_own || known.is_some_and(|known| known.is_own);
+        let origin = match known {
+            Some(known) if known.attempt > row.attempt => return,
+            Some(known) if known.attempt == row.attempt && known.origin != row.origin => None,
+            _ => row.origin,
+        };
+        let entry = Entry {
+            origin,
+            attempt: row.attempt,
+            is_own,
+        };
+        self.entries.insert(now.back(row.age), row.stream, entry);
+    }
+}
+
+impl Gateway {
+    /// Returns the VMs that keep the origins of streams: the strongest, as they have work for all others, at most half of
+    /// them of one availability zone. Every VM computes the same ones.
+    pub(super) fn origin_keepers(&self) -> Vec<Vm> {
+        let me = &self.settings.vm;
+        let mut vms: Vec<&Vm> = self.peers().chain([me]).collect();
+        vms.sort_by_cached_key(|vm| {
+            let score = membership::rendezvous_score(&("origins", vm.as_str()));
+            (Reverse(self.strength(vm)), score)
+        });
+        let zone = |vm: &Vm| {
+            if vm == me {
+                Some(&self.settings.zone)
+            } else {
+                self.membership.zone(vm)
+            }
+        };
+        let mut by_zone: BTreeMap<Option<&Zone>, usize> = BTreeMap::new();
+        let (first, rest): (Vec<&Vm>, Vec<&Vm>) = vms.into_iter().partition(|vm| {
+            let count = by_zone.entry(zone(vm)).or_default();
+            *count += 1;
+            *count <= KEEPERS / 2
+        });
+        let keepers = first.into_iter().chain(rest).take(KEEPERS);
+        keepers.cloned().collect()
+    }
+
+    /// Records the origin of the stream that a request begins at the server of its present attempt, here and at the keepers.
+    pub(crate) fn register_stream(&mut self, request: RequestId, out: &mut Effects) {
+        let Some(state) = self.in_flight.get(&request) else {
+            return;
+        };
+        let (Some(stream), Some(backend)) = (state.stream, &state.backend) else {
+            return;
+        };
+        let origin = match (&state.origin, &backend.build.0) {
+            (Some(origin), _) => Some(origin.clone()),
+            (None, Some(build)) => Some(Origin {
+                service: state.service.clone(),
+                build: build.clone(),
+            }),
+            (None, None) => None,
+        };
+        let service = state.service.clone();
+        let row = StreamOrigin {
+            stream,
+            origin,
+            attempt: state.begin_attempts,
+            age: Span::ZERO,
+        };
+        let own = Self::is_first_request(state);
+        self.origins.register.record(self.now, row.clone(), own);
+        if self.origins.history.is_mixed(self.now, &service) {
+            self.send_origins(vec![row], out);
+        }
+    }
+
+    /// Sends origins to all keepers.
+    fn send_origins(&self, rows: Vec<StreamOrigin>, out: &mut Effects) {
+        for keeper in self.origin_keepers() {
+            if keeper != self.settings.vm {
+                self.send(&keeper, Message::StreamOrigins(rows.clone()), out);
+            }
+        }
+    }
+
+    /// Sends the origins that this VM keeps to all keepers: those of its own streams, or of all.
+    pub(super) fn send_known_origins(&self, only_own: bool, out: &mut Effects) {
+        for rows in self.known_origins(only_own) {
+            self.send_origins(rows, out);
+        }
+    }
+
+    /// Returns the origins that this VM keeps, as they fit into messages.
+    pub(super) fn known_origins(&self, only_own: bool) -> Vec<Vec<StreamOrigin>> {
+        let live = self.origins.register.entries.live(self.now);
+        let wanted = live.filter(|(_, _, entry)| entry.is_own || !only_own);
+        let rows: Vec<StreamOrigin> = wanted
+            .map(|(stream, at, entry)| StreamOrigin {
+                stream,
+                origin: entry.origin.clone(),
+                attempt: entry.attempt,
+                age: self.now.since(at),
+            })
+            .collect();
+        rows.chunks(MAX_PER_MESSAGE).map(<[_]>::to_vec).collect()
+    }
+
+    /// Records the origins that another VM has sent.
+    pub(crate) fn handle_stream_origins(&mut self, rows: Vec<StreamOrigin>) {
+        for row in rows {
+            self.origins.register.record(self.now, row, false);
+        }
+    }
+}
--- a/crates/gateway/src/request/quarantine.rs
+++ b/crates/gateway/src/request/quarantine.rs
@@ -22,7 +22,6 @@
 //! report.
 
 mod crash_counter;
-mod expiring_map;
 mod record;
 mod suspects;
 
@@ -35,13 +34,13 @@
 use serde::{Deserialize, Serialize};
 
 use self::crash_counter::{CrashCounter, CrashEffect};
-use self::expiring_map::ExpiringMap;
 use self::suspects::Suspect;
 use crate::cluster::membership;
 use crate::effect::{Effect, Effects, KvOperationId};
 use crate::event::{ProbeResult, RequestId};
 use crate::message::Message;
 use crate::node::Gateway;
+use crate::request::expiring_map::ExpiringMap;
 use crate::request::fingerprint::Fingerprint;
 use crate::request::state::{Phase, RefusalDetail, RequestState};
 
@@ -88,9 +87,9 @@
     /// Crashes that this VM counts.
     crash_counter: CrashCounter,
     /// Requests whose count is reset by a complete answer.
-    watched: ExpiringMap<()>,
+    watched: ExpiringMap<Fingerprint, ()>,
     /// Quarantined requests, each with the end of its quarantine.
-    quarantined: ExpiringMap<Instant>,
+    quarantined: ExpiringMap<Fingerprint, Instant>,
     /// Pending writes of records to the key-value service.
     records: record::State,
 }
--- a/crates/gateway/src/request/quarantine/crash_counter.rs
+++ b/crates/gateway/src/request/quarantine/crash_counter.rs
@@ -3,7 +3,7 @@
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 
-use super::expiring_map::ExpiringMap;
+use crate::request::expiring_map::ExpiringMap;
 use crate::request::fingerprint::Fingerprint;
 
 /// Number of counted crashes from which all VMs watch for a complete answer. One is not enough, since the
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct CrashCounter {
     /// The counts.
-    counts: ExpiringMap<CrashCount>,
+    counts: ExpiringMap<Fingerprint, CrashCount>,
 }
 
 impl CrashCounter {
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -25,15 +25,20 @@
 use crate::message::{PlacementRequest, Progress};
 use crate::metrics;
 use crate::node::Gateway;
-use crate::request::origin::Origin;
+use crate::request::origin::{Origin, StreamId};
 use crate::timer::Timer;
 
 use self::failure::RETRY_AFTER;
 pub(crate) use self::failure::{RefusalDetail, refusal};
 
+/// The id of a request whose caller gives it none.
+const NO_ID: &str = "-";
+
 /// Phase of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
+    /// Waits for other VMs to say what began the stream that it resumes.
+    Resolving,
     /// Waits for tokens of its account.
     Charging,
     /// Waits for the scheduler's placement.
@@ -97,6 +102,11 @@
     version: Option<Version>,
     /// Number of attempts that were sent again only because the way to their server failed.
     path_retries: u32,
+    /// The stream that the request begins or resumes; `None` if its route does not allow that, or if the caller names no
+    /// request by which it can be told.
+    pub(crate) stream: Option<StreamId>,
+    /// Number of attempts to have a server begin the stream.
+    pub(crate) begin_attempts: u32,
     /// What began the stream of the request; `None` as long as none of its events has been passed on, if the build of the
     /// server that made the first one is not known, and for requests whose answers can't be continued.
     pub(crate) origin: Option<Origin>,
@@ -142,6 +152,8 @@
             relay: None,
             version: None,
             path_retries: 0,
+            stream: None,
+            begin_attempts: 0,
             origin: None,
             backend: None,
             withdrawable: false,
@@ -172,12 +184,33 @@
         })
     }
 
+    /// Returns the stream that the request begins or resumes.
+    fn stream_id(&self) -> Option<StreamId> {
+        let first_request = match &self.call.resumes {
+            Some(resumption) => resumption.first_request.as_ref(),
+            None => Some(&self.call.id).filter(|id| &***id != NO_ID),
+        };
+        let account = self.account.as_ref().map(|account| account.name.as_str());
+        let id = |request: &Arc<str>| StreamId::of(&self.call.host, account, request);
+        first_request
+            .filter(|_| self.route.kind == RouteKind::Resumable)
+            .map(id)
+    }
+
+    /// Returns the request that began the stream, for the log.
+    pub(crate) fn stream_name(&self) -> &str {
+        let resumption = self.call.resumes.as_ref();
+        resumption.map_or(&*self.call.id, |resumption| {
+            resumption.first_request.as_deref().unwrap_or("unnamed")
+        })
+    }
+
     /// Returns the server that the request is at; `None` if it was not sent yet, or if its last server failed
     /// it.
     pub(crate) fn server(&self) -> Option<&Server> {
         match &self.phase {
             Phase::Sent { server, .. } => Some(server),
-            Phase::Charging | Phase::Waiting | Phase::Permit { .. } => None,
+            Phase::Resolving | Phase::Charging | Phase::Waiting | Phase::Permit { .. } => None,
         }
     }
 }
@@ -219,7 +252,9 @@
         let service = self.choose_target(&route.targets);
         let budget = self.retry_budgets.entry(service.clone()).or_default();
         budget.record_request(self.now, self.settings.tuning.retry_window);
-        let state = RequestState::new(call, account, route, service, arrived_at);
+        let mut state = RequestState::new(call, account, route, service, arrived_at);
+        state.stream = state.stream_id();
+        let resumes = state.call.resumes.is_some() && state.route.kind.is_stream();
         let fingerprint = state.call.fingerprint;
         self.timers.set(state.deadline, Timer::Request(request));
         self.in_flight.insert(request, state);
@@ -227,6 +262,7 @@
             Some(remaining) => {
                 self.refuse_request(request, Some(remaining), RefusalDetail::Quarantined, out);
             }
+            None if resumes => self.resolve_origin(request, out),
             None => self.charge(request, out),
         }
     }
@@ -332,6 +368,7 @@
         };
         server_state.open += 1;
         let has_answer = state.time_to_first_chunk.is_some();
+        state.begin_attempts += u32::from(!has_answer && state.call.resumes.is_none());
         state.cancelling = false;
         state.withdrawable = self.settings.uses(Feature::StalledEngines)
             && self.index.allows_withdrawals(&state.service)
@@ -356,9 +393,11 @@
         let resumes = if has_answer {
             "answer"
         } else {
-            state.call.resumes.as_ref().map_or("-", |stream| {
-                stream.first_request.as_deref().unwrap_or("unnamed")
-            })
+            state
+                .call
+                .resumes
+                .as_ref()
+                .map_or("-", |_| state.stream_name())
         };
         let detail = format!(
             "id={} call={} account={account} route={} config={config} server={server} build={} resumes={resumes} send={} waited={waited} via={} open={}",
@@ -398,6 +437,9 @@
             request,
             NextStep::Attempt(Box::new(attempt)),
         ));
+        if !has_answer {
+            self.register_stream(request, out);
+        }
     }
 
     /// Handles the first chunk of an answer.
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -57,6 +57,8 @@
     OverLimit,
     /// The request continues a stream, and no server of the build that began it is left.
     NoBuild,
+    /// The request resumes a stream of which nobody is known to know what began it.
+    UnknownOrigin,
 }
 
 impl RefusalDetail {
@@ -70,6 +72,7 @@
             Self::Quarantined => "quarantined",
             Self::OverLimit => "over_limit",
             Self::NoBuild => "no_build",
+            Self::UnknownOrigin => "unknown_origin",
         }
     }
 
@@ -80,9 +83,12 @@
             _ if ran > 0 => RefusalReason::Failed,
             Self::Quarantined => RefusalReason::Quarantined,
             Self::OverLimit => RefusalReason::OverLimit,
-            Self::NoServer | Self::SendFailed | Self::Scheduler | Self::NoPath | Self::NoBuild => {
-                RefusalReason::Overloaded
-            }
+            Self::NoServer
+            | Self::SendFailed
+            | Self::Scheduler
+            | Self::NoPath
+            | Self::NoBuild
+            | Self::UnknownOrigin => RefusalReason::Overloaded,
         }
     }
 }
@@ -283,6 +289,7 @@
                 self.request_placement(request, out);
             }
             self.handle_permit_timeout(request, out);
+            self.decide_lookup(request, out);
             return;
         }
         metrics::count_for_service(out, Figure::Refused, &state.service, "timed_out");
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -384,6 +384,7 @@
             self.remove_scheduler_vm(&vm);
         }
         self.quota_vm_down(&vm, out);
+        self.origin_keeper_down(&vm, out);
         // A holder whose messages still arrive is busy, not gone.
         let is_busy = |client: &State| {
             fault == LinkFault::Late && now.since(client.last_heard) < HOLDER_TIMEOUT
@@ -508,8 +509,12 @@
         let mut waiting = Vec::new();
         // A request that waits for its account's token quota or for a send permit does not need a placement
         // yet.
-        let is_held_back =
-            |state: &RequestState| matches!(state.phase, Phase::Charging | Phase::Permit { .. });
+        let is_held_back = |state: &RequestState| {
+            matches!(
+                state.phase,
+                Phase::Resolving | Phase::Charging | Phase::Permit { .. }
+            )
+        };
         let is_known_to_scheduler =
             |state: &RequestState| state.service == *service && !is_held_back(state);
         for (request, state) in self
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -27,6 +27,8 @@
     Quota,
     /// Probes of servers, and requests that wait at servers.
     Path,
+    /// Checks of which VMs keep the origins of streams.
+    Origins,
     /// The next run of the scheduler of a service, if it runs on this VM.
     Scheduler(Service),
 }
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -18,11 +18,11 @@
 use serde::Serialize;
 
 /// Kinds of messages; their indexes are 0 up to this number.
-const KINDS: u8 = 32;
+const KINDS: u8 = 37;
 
 /// Lists of one message each, in hexadecimal, with the message's kind. Together they hold each variant and each state of an
 /// optional field that a message can carry.
-const MESSAGES: [(&str, &str); 51] = [
+const MESSAGES: [(&str, &str); 59] = [
     (
         "want",
         "0100096472616674732f6575e9070b63616c6c65722dc3bc2f3906626173652d37010561312f6672ad02f1a2040290e4\
@@ -151,6 +151,24 @@
         "builds",
         "011f0204692d353101c1dac1a28c340476312e3204692d353200012d",
     ),
+    (
+        "origins",
+        "012002a3a093c1d1bbe4c783beeab0afa2acf4f45201066472616674730476312e3202d209a3a093c1d1bbe4c783beea\
+         b0afa2acf4f4520002d209",
+    ),
+    (
+        "origin_request",
+        "0121ed04a3a093c1d1bbe4c783beeab0afa2acf4f45206647261667473",
+    ),
+    ("origin_reply", "0122ee040001066472616674730476312e32"),
+    ("origin_reply", "0122ef040000"),
+    ("origin_reply", "0122f00401010476312e32"),
+    ("origin_reply", "0122f1040100"),
+    ("origins_request", "0123"),
+    (
+        "build_history",
+        "01240106647261667473020476312e3207027631a006a846",
+    ),
 ];
 
 /// A list of three messages, with their kinds.
