What began streams outlasts all VMs in the key-value service

Cause: origins were kept by VMs only. Now the first of the VMs that keep origins writes, for each service, the builds at which streams may have begun lately, whenever they change, and while several builds serve the origins of streams, in batches at most four times a second, to a ring of entries under a lease. A VM that starts reads both with its first list. One VM writes, so the calls do not grow with VMs or streams; a fleet of one build writes once.

--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -9,7 +9,7 @@
 use dahliastile_core::metric::Figure;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::cluster::revision::Revision;
+use crate::cluster::revision::{Era, Revision};
 use crate::cluster::snapshot::{Backend, Change, Delivery, EntryKey, EntryValue};
 use crate::config::{Config, RouteIndex};
 use crate::effect::{Effect, Effects};
@@ -181,6 +181,14 @@
             (EntryKey::Quarantine(fingerprint), None) => {
                 self.end_quarantine(fingerprint, "record_gone", out);
             }
+            (EntryKey::Builds(service), Some(EntryValue::Builds(builds))) => {
+                // The first list after the key-value service came back from a copy may lack what was written since.
+                let is_current = change.revision.era() == Era::default() || self.watch.has_listed;
+                self.apply_builds(&service, &builds, is_current, out);
+            }
+            (EntryKey::Streams(vm, _), Some(EntryValue::Streams(batch))) => {
+                self.apply_origin_batch(&vm, &batch);
+            }
             (EntryKey::Member(vm), None) if vm == self.settings.vm => self.rewrite_registration(),
             (EntryKey::Member(vm), Some(EntryValue::Member(member))) => {
                 if vm == self.settings.vm && member.incarnation != self.settings.incarnation {
--- a/crates/gateway/src/cluster/era.rs
+++ b/crates/gateway/src/cluster/era.rs
@@ -53,6 +53,7 @@
         if !self.stopping {
             self.renew_registration(out);
             self.quarantine.invalidate_lease();
+            self.invalidate_origin_lease();
             self.reclaim_leaderships(out);
         }
     }
--- a/crates/gateway/src/cluster/snapshot.rs
+++ b/crates/gateway/src/cluster/snapshot.rs
@@ -12,6 +12,7 @@
 use crate::cluster::revision::Revision;
 use crate::config::Config;
 use crate::request::fingerprint::Fingerprint;
+use crate::request::origin::OriginBatch;
 
 /// The version of an adapter or a base model; higher is newer.
 pub type Version = u64;
@@ -31,6 +32,10 @@
     Holder(Service),
     /// A request that crashes the servers that run it.
     Quarantine(Fingerprint),
+    /// The builds at which streams of a service may have begun lately.
+    Builds(Service),
+    /// Origins of streams, written by a VM, with their position in the ring of its entries.
+    Streams(Vm, u8),
 }
 
 /// An adapter version that a server reports as resident.
@@ -131,6 +136,8 @@
             Self::Member(_) => "member",
             Self::Holder(_) => "holder",
             Self::Quarantine(_) => "quarantine",
+            Self::Builds(_) => "builds",
+            Self::Streams(..) => "streams",
         }
     }
 }
@@ -153,6 +160,10 @@
     /// A value that can't be decoded, since another program may have written it. Such a value carries no
     /// information about its key.
     Unreadable,
+    /// The builds at which streams of a service may have begun lately, in order.
+    Builds(Arc<Vec<Build>>),
+    /// Origins of streams.
+    Streams(Arc<OriginBatch>),
 }
 
 /// A change of one entry.
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -84,7 +84,7 @@
     /// The revision up to which all changes are known; none before the first list.
     pub(crate) cursor: Option<Revision>,
     /// Whether this VM has listed the entries since its start.
-    has_listed: bool,
+    pub(crate) has_listed: bool,
     /// When the key-value service last answered this VM, or another VM that reported it.
     pub(crate) answered_at: Instant,
     /// Since when the key-value service has not answered; none while it answers.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -353,6 +353,8 @@
             self.handle_watch_outcome(outcome, out);
         } else if self.registration.owns(op) {
             self.handle_registration_outcome(op, outcome, out);
+        } else if self.owns_origin_call(op) {
+            self.handle_origin_outcome(outcome, out);
         } else if self.quarantine.owns(op) {
             self.handle_quarantine_outcome(outcome, out);
         } else {
@@ -382,7 +384,7 @@
             }
             Message::BuildRequest(servers) => self.handle_build_request(from, &servers, out),
             Message::Builds(builds) => self.handle_builds(builds, out),
-            Message::StreamOrigins(rows) => self.handle_stream_origins(rows),
+            Message::StreamOrigins(rows) => self.handle_sent_origins(rows),
             Message::OriginRequest(request, stream, service) => {
                 self.handle_origin_request(from, request, stream, &service, out);
             }
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -7,11 +7,13 @@
 //!   in its own `register`, then asks the VMs that keep the origins of all streams. A VM that has just started is told by
 //!   them what they keep.
 //! * Where only one build has served for as long as a stream may last (`history`), that is the build.
+//! * What has begun lately outlasts the loss of all VMs in the key-value service (`journal`).
 //! * Where the origin is not known, the request is refused at once, as not run. No VM guesses.
 //! * The scheduler is told the build with the request, and chooses among the engines of that build. A VM that chooses by
 //!   itself does the same. The VM that sends the request checks last, by the entry of the server.
 
 mod history;
+mod journal;
 mod register;
 
 use std::collections::BTreeSet;
@@ -24,6 +26,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::history::History;
+use self::journal::Journal;
 use self::register::Register;
 use crate::config::RouteKind;
 use crate::effect::Effects;
@@ -34,6 +37,7 @@
 use crate::request::state::{Phase, RefusalDetail, RequestState};
 use crate::timer::Timer;
 
+pub use self::journal::OriginBatch;
 pub use self::register::{StreamId, StreamOrigin};
 
 /// How long origins and builds are remembered: the longest timeout of a route at any deployment, for the stream and again for
@@ -92,6 +96,8 @@
     register: Register,
     /// The builds that have served.
     history: History,
+    /// What this VM writes to the key-value service.
+    journal: Journal,
     /// Origins that other VMs were asked for.
     lookups: FxHashMap<RequestId, Lookup>,
     /// The VMs that kept origins when this VM last checked.
@@ -358,6 +364,7 @@
     /// Records builds now and then, and asks the VMs that keep origins for what this VM lacks. Where other VMs keep them than
     /// before, sends them what this VM knows.
     pub(crate) fn handle_origin_timer(&mut self, out: &mut Effects) {
+        self.write_origins(out);
         if self.now < self.origins.next_check {
             return;
         }
@@ -365,6 +372,7 @@
         self.timers.set(self.origins.next_check, Timer::Origins);
         self.record_builds(out);
         self.origins.history.prune(self.now);
+        self.write_origins(out);
         let keepers = self.origin_keepers();
         let me = &self.settings.vm;
         let is_keeper = keepers.contains(me);
--- a/crates/gateway/src/request/origin/register.rs
+++ b/crates/gateway/src/request/origin/register.rs
@@ -162,6 +162,7 @@
         let own = Self::is_first_request(state);
         self.origins.register.record(self.now, row.clone(), own);
         if self.origins.history.is_mixed(self.now, &service) {
+            self.journal_origin(&row);
             self.send_origins(vec![row], out);
         }
     }
@@ -197,10 +198,21 @@
         rows.chunks(MAX_PER_MESSAGE).map(<[_]>::to_vec).collect()
     }
 
-    /// Records the origins that another VM has sent.
+    /// Records the origins that another VM has sent, or written.
     pub(crate) fn handle_stream_origins(&mut self, rows: Vec<StreamOrigin>) {
         for row in rows {
             self.origins.register.record(self.now, row, false);
         }
     }
+
+    /// Records the origins that another VM has sent, and has those written that are new.
+    pub(crate) fn handle_sent_origins(&mut self, rows: Vec<StreamOrigin>) {
+        for row in rows {
+            let known = self.origins.register.entries.get(&row.stream);
+            if known.is_none_or(|known| known.attempt < row.attempt) {
+                self.journal_origin(&row);
+            }
+            self.origins.register.record(self.now, row, false);
+        }
+    }
 }
