A server that starts again with another build leaves the streams there of unknown origin

Found by looking for the same cause elsewhere: a server may start again under its id with another build and write its entry late; requests that name that id run there, and their streams counted as of the build of the old entry.

--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -279,7 +279,11 @@
             if state.backend.ready && !backend.ready {
                 Self::log(out, Code::ServerLeaving, format!("server={server}"));
             }
+            let is_same_build = state.backend.build.0 == backend.build.0;
             let restarted = state.update_backend(backend);
+            if restarted && !is_same_build {
+                self.doubt_origins(server, out);
+            }
             if restarted {
                 let detail = format!(
                     "server={server} start={:?} build={}",
--- a/crates/gateway/src/request/origin/register.rs
+++ b/crates/gateway/src/request/origin/register.rs
@@ -6,7 +6,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use dahliastile_core::id::{Vm, Zone};
+use dahliastile_core::id::{Server, Vm, Zone};
 use dahliastile_core::time::Span;
 use serde::{Deserialize, Serialize};
 
@@ -167,6 +167,31 @@
         }
     }
 
+    /// Marks the origins of the streams at a server as uncertain, since the server has started anew with another build: which
+    /// of the two an attempt has reached is not known.
+    pub(crate) fn doubt_origins(&mut self, server: &Server, out: &mut Effects) {
+        let states = self.in_flight.values_mut();
+        let mut doubted = Vec::new();
+        for state in states.filter(|state| state.server() == Some(server)) {
+            state.origin = None;
+            state.backend = None;
+            state.begin_attempts += 1;
+            doubted.extend(state.stream.map(|stream| StreamOrigin {
+                stream,
+                origin: None,
+                attempt: state.begin_attempts,
+                age: Span::ZERO,
+            }));
+        }
+        for row in &doubted {
+            self.origins.register.record(self.now, row.clone(), true);
+            self.journal_origin(row);
+        }
+        if !doubted.is_empty() {
+            self.send_origins(doubted, out);
+        }
+    }
+
     /// Sends origins to all keepers.
     fn send_origins(&self, rows: Vec<StreamOrigin>, out: &mut Effects) {
         for keeper in self.origin_keepers() {
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -331,6 +331,30 @@
     assert_eq!(world.streams.mixed(), Vec::<&str>::new());
 }
 
+/// Guards against a build that is taken from an entry which its server no longer fits: it has started again under the same id
+/// with another build, and writes its entry late.
+#[test]
+fn resume_restartedunderitsid() {
+    let mut world = fleet(6, 12);
+    let servers = ["e0", "e1", "e2", "e3"];
+    for server in servers {
+        world.restart_as(server, 9, "v3");
+    }
+    let begun = world.send_requests(40, Span::from_millis(10), |at| stream(3_000 + at));
+    for server in servers {
+        world.rewrite_server_entry(server);
+    }
+    world.run(BEGUN);
+    for number in world.streaming(&begun) {
+        let vm = next_vm(number, &world);
+        world.resume(number, vm);
+        world.run(Span::from_millis(10));
+    }
+    world.run(Span::from_secs(3));
+    world.check_invariants();
+    assert_eq!(world.streams.mixed(), Vec::<&str>::new());
+}
+
 /// Guards against streams that can't go on because a release ends their build: as builds follow each other, one server
 /// after the other, new streams begin where others can go on.
 #[test]
--- a/crates/gateway/tests/support/world/build.rs
+++ b/crates/gateway/tests/support/world/build.rs
@@ -4,13 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use dahliastile_core::id::Build;
+use dahliastile_core::id::{Build, Incarnation, Server};
 use dahliastile_core::time::Instant;
 use dahliastile_gateway::cluster::snapshot::KnownBuild;
 use dahliastile_gateway::event::{CallerRequest, Resumption};
 use dahliastile_gateway::message::{Message, decode, encode};
 
 use super::{Answer, World};
+use crate::support::setup::name;
 
 /// What the callers of all streams hold of them.
 #[derive(Default)]
@@ -47,6 +48,20 @@
 }
 
 impl World {
+    /// Restarts a server under the same id with another build. Its entry stays as it is until it is written again.
+    pub fn restart_as(&mut self, id: &str, incarnation: u64, build: &str) {
+        let id: Server = name(id);
+        let (engine, backend) = self.servers.get_mut(&id).expect("the server exists");
+        let adapters = engine.slots.clone();
+        engine.restart(self.now, Incarnation(incarnation));
+        // As if it had loaded them at once, so that requests run there before its entry changes.
+        engine.slots = adapters;
+        let mut restarted = (**backend).clone();
+        restarted.start = Some(Incarnation(incarnation));
+        restarted.build = KnownBuild(Some(name(build)));
+        *backend = Arc::new(restarted);
+    }
+
     /// Replaces an engine by one of a build, as an operator does who releases it: the new one starts first, then the old
     /// one leaves and gets no new work.
     pub fn release(&mut self, old: &str, new: &str, build: &str) {
