New streams rather begin where they can go on; a large fleet in virtual time

A stream that began at the only server of its build could not go on once that server broke, though several servers of another build were there.

resume_largefleet replaces resume_seventyvms: at 70 VMs (VMS sets another number) half of the engines are replaced and all but one of the VMs that keep origins are killed; more than the test before asked for, which also passed by luck.

Long functions are split.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -16,7 +16,7 @@
 use crate::event::{Execution, FailureCause, InferenceSpec, RequestId, StreamTiming};
 use crate::request::fingerprint::Fingerprint;
 use crate::request::notice::Rate;
-use crate::request::origin::{OriginAnswer, StreamId, StreamOrigin};
+use crate::request::origin::{BuildAges, OriginAnswer, StreamId, StreamOrigin};
 use crate::request::quarantine::{CrashReport, QuarantineStatus};
 
 /// A request that waits for the scheduler to choose an engine for it.
@@ -69,13 +69,15 @@
     Any,
     /// The one that began the stream that the request continues.
     Continues(Build),
+    /// Any, best one of which several servers are there: the request begins a stream that others may have to continue.
+    Begins,
 }
 
 impl Binding {
     /// Returns whether servers of a build may run the request. A build that is not known may be any.
     pub(crate) fn allows(&self, build: &KnownBuild) -> bool {
         match self {
-            Self::Any => true,
+            Self::Any | Self::Begins => true,
             Self::Continues(only) => build.0.as_ref() == Some(only),
         }
     }
@@ -226,7 +228,7 @@
     OriginsRequest,
     /// The builds that have served each service lately, with the time since a server of each was last listed, and for how
     /// long the sender knows all of them.
-    BuildHistory(Vec<(Service, Vec<(Build, Span)>)>, Span),
+    BuildHistory(BuildAges, Span),
 }
 
 impl Message {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -382,17 +382,13 @@
                 let detail = PlacementDetail { binding, ..detail };
                 self.handle_placement_request(&service, from, placement_request, detail);
             }
-            Message::BuildRequest(servers) => self.handle_build_request(from, &servers, out),
-            Message::Builds(builds) => self.handle_builds(builds, out),
-            Message::StreamOrigins(rows) => self.handle_sent_origins(rows),
-            Message::OriginRequest(request, stream, service) => {
-                self.handle_origin_request(from, request, stream, &service, out);
-            }
-            Message::OriginReply(request, answer) => {
-                self.handle_origin_reply(from, request, answer, out);
-            }
-            Message::OriginsRequest => self.handle_origins_request(from, out),
-            Message::BuildHistory(rows, known_for) => self.handle_build_history(rows, known_for),
+            message @ (Message::BuildRequest(_)
+            | Message::Builds(_)
+            | Message::StreamOrigins(_)
+            | Message::OriginRequest(..)
+            | Message::OriginReply(..)
+            | Message::OriginsRequest
+            | Message::BuildHistory(..)) => self.handle_origin_message(from, message, out),
             Message::Progress(service, request, progress) => {
                 self.handle_progress(&service, from, request, progress);
             }
@@ -448,6 +444,29 @@
             Message::SendPermitReply(request, server, answer) => {
                 self.handle_permit_reply(request, &server, answer, out);
             }
+            message @ (Message::TokenRequest(_)
+            | Message::TokenGrant(_)
+            | Message::LoanRequest(_)
+            | Message::LoanAnswer(_)
+            | Message::LendRequest(_)
+            | Message::LendAnswer(_)
+            | Message::CollectTokens(..)
+            | Message::SurplusTokens(..)) => self.handle_quota_message(from, message, out),
+            Message::RelayedResidentAdapters(service, fence, residents) => {
+                let known_fence = self
+                    .scheduler_clients
+                    .get(&service)
+                    .map(|client| client.fence);
+                if known_fence == Some(fence) {
+                    self.record_residents(&service, residents);
+                }
+            }
+        }
+    }
+
+    /// Passes a message about the quotas of client accounts to its handler.
+    fn handle_quota_message(&mut self, from: &Vm, message: Message, out: &mut Effects) {
+        match message {
             Message::TokenRequest(token_request) => {
                 self.handle_token_request(from, token_request, out);
             }
@@ -466,15 +485,7 @@
             Message::SurplusTokens(number, surplus) => {
                 self.handle_surplus_tokens(from, number, &surplus, out);
             }
-            Message::RelayedResidentAdapters(service, fence, residents) => {
-                let known_fence = self
-                    .scheduler_clients
-                    .get(&service)
-                    .map(|client| client.fence);
-                if known_fence == Some(fence) {
-                    self.record_residents(&service, residents);
-                }
-            }
+            _ => {}
         }
     }
 
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -37,6 +37,7 @@
 use crate::request::state::{Phase, RefusalDetail, RequestState};
 use crate::timer::Timer;
 
+pub use self::history::BuildAges;
 pub use self::journal::OriginBatch;
 pub use self::register::{StreamId, StreamOrigin};
 
@@ -109,6 +110,24 @@
 }
 
 impl Gateway {
+    /// Passes a message about builds and origins to its handler.
+    pub(crate) fn handle_origin_message(&mut self, from: &Vm, message: Message, out: &mut Effects) {
+        match message {
+            Message::BuildRequest(servers) => self.handle_build_request(from, &servers, out),
+            Message::Builds(builds) => self.handle_builds(builds, out),
+            Message::StreamOrigins(rows) => self.handle_sent_origins(rows),
+            Message::OriginRequest(request, stream, service) => {
+                self.handle_origin_request(from, request, stream, &service, out);
+            }
+            Message::OriginReply(request, answer) => {
+                self.handle_origin_reply(from, request, answer, out);
+            }
+            Message::OriginsRequest => self.handle_origins_request(from, out),
+            Message::BuildHistory(rows, known_for) => self.handle_build_history(rows, known_for),
+            _ => {}
+        }
+    }
+
     /// Returns whether a request is the first one of its stream, and not one that resumes it.
     pub(super) fn is_first_request(state: &RequestState) -> bool {
         state.call.resumes.is_none()
@@ -143,7 +162,7 @@
         };
         let only = self.own_only_build(&state.service);
         let known = state.stream.and_then(|id| self.origins.register.get(id));
-        let known = known.map(|origin| origin.cloned());
+        let known = known.map(|entry| entry.origin.clone());
         match (known, state.stream) {
             (Some(origin), _) => self.continue_stream(request, origin, "register", out),
             (None, _) if only.is_some() && self.has_one_target(request) => {
@@ -211,7 +230,7 @@
         out: &mut Effects,
     ) {
         let answer = match self.origins.register.get(stream) {
-            Some(origin) => OriginAnswer::Known(origin.cloned()),
+            Some(entry) => OriginAnswer::Known(entry.origin.clone()),
             None => OriginAnswer::Unknown(self.origins.history.only(self.now, service).cloned()),
         };
         self.send(from, Message::OriginReply(request, answer), out);
@@ -410,21 +429,24 @@
     }
 
     /// Handles what another VM knows of the builds that have served.
-    pub(crate) fn handle_build_history(
-        &mut self,
-        rows: Vec<(Service, Vec<(Build, Span)>)>,
-        known_for: Span,
-    ) {
+    pub(crate) fn handle_build_history(&mut self, rows: BuildAges, known_for: Span) {
         self.origins.is_filled = true;
         self.origins.history.merge(self.now, rows, known_for);
     }
 
     /// Returns the builds whose servers may run a request: any, if all servers of its service are of the one build that
-    /// began its stream.
+    /// began its stream, or if it begins one where only one build has served lately.
     pub(crate) fn binding(&self, request: RequestId) -> Binding {
-        let Some(origin) = self.in_flight.get(&request).and_then(|s| s.origin.as_ref()) else {
+        let Some(state) = self.in_flight.get(&request) else {
             return Binding::Any;
         };
+        let Some(origin) = &state.origin else {
+            let is_mixed = || self.origins.history.is_mixed(self.now, &state.service);
+            return match state.stream {
+                Some(_) if is_mixed() => Binding::Begins,
+                _ => Binding::Any,
+            };
+        };
         let binding = Binding::Continues(origin.build.clone());
         let servers = self.servers.values().map(|state| &state.backend);
         let mut servers = servers.filter(|backend| backend.service == origin.service);
@@ -443,7 +465,7 @@
     /// Returns the servers at which a request may run; `None` if it may run at all of its service.
     pub(crate) fn allowed_servers(&self, request: RequestId) -> Option<BTreeSet<Server>> {
         let binding = self.binding(request);
-        if binding == Binding::Any {
+        if !matches!(binding, Binding::Continues(_)) {
             return None;
         }
         let servers = self.servers.iter();
--- a/crates/gateway/src/request/origin/history.rs
+++ b/crates/gateway/src/request/origin/history.rs
@@ -7,6 +7,9 @@
 
 use super::RETENTION;
 
+/// The builds that have served each service, with the time since a server of each was last listed.
+pub type BuildAges = Vec<(Service, Vec<(Build, Span)>)>;
+
 /// Builds by service.
 #[derive(Debug, Default)]
 pub(crate) struct History {
@@ -77,7 +80,7 @@
 
     /// Returns what this VM knows, for other VMs: the builds of each service with the time since each was last listed, and
     /// for how long all of them are known.
-    pub(crate) fn summary(&self, now: Instant) -> (Vec<(Service, Vec<(Build, Span)>)>, Span) {
+    pub(crate) fn summary(&self, now: Instant) -> (BuildAges, Span) {
         let row = |(service, builds): (&Service, &BTreeMap<Option<Build>, Instant>)| {
             let known = builds.iter().filter_map(|(build, seen)| {
                 Some((build.clone()?, now.since(*seen))).filter(|(_, age)| *age < RETENTION)
@@ -89,12 +92,7 @@
     }
 
     /// Adds what another VM knew until now.
-    pub(crate) fn merge(
-        &mut self,
-        now: Instant,
-        rows: Vec<(Service, Vec<(Build, Span)>)>,
-        known_for: Span,
-    ) {
+    pub(crate) fn merge(&mut self, now: Instant, rows: BuildAges, known_for: Span) {
         for (service, builds) in rows {
             let own = self.seen.entry(service).or_default();
             for (build, age) in builds {
--- a/crates/gateway/src/request/origin/journal.rs
+++ b/crates/gateway/src/request/origin/journal.rs
@@ -2,8 +2,8 @@
 //!
 //! The first of the VMs that keep origins writes them; the others follow it in that order. There are two kinds of entries:
 //! * One for each service lists the builds at which streams may have begun lately. It is written when a server of another
-//!   build is listed, before streams begin there if others can begin them, and when a build has not served for as long as a
-//!   stream may last. A VM that finds it knows of all builds that served before its start.
+//!   build is listed, and when a build has not served for as long as a stream may last. A VM that finds it knows of all builds
+//!   that served before its start.
 //! * Where servers of several builds serve, the origins of streams are written in batches, each to the next of a ring of
 //!   entries under a lease. What began within the last batch is lost with all VMs.
 
@@ -17,7 +17,7 @@
 use super::StreamOrigin;
 use crate::cluster::lease::backoff;
 use crate::cluster::revision::Revision;
-use crate::cluster::snapshot::{Delivery, EntryKey, EntryValue, proposed_change};
+use crate::cluster::snapshot::{Change, Delivery, EntryKey, EntryValue, proposed_change};
 use crate::effect::{Effects, KvOperation, KvOperationId};
 use crate::event::{KvOutcome, Lease};
 use crate::node::Gateway;
@@ -145,7 +145,7 @@
             let is_current = listed.is_some_and(|listed| **listed == builds);
             let key = EntryKey::Builds(service.clone());
             let change = self.snapshot.get(&key);
-            let revision = change.map_or_else(Revision::default, |c| c.expected_revision());
+            let revision = change.map_or_else(Revision::default, Change::expected_revision);
             (!is_current && !builds.is_empty()).then_some((key, builds, revision))
         })
     }
@@ -212,7 +212,9 @@
             }
             (purpose, outcome) => {
                 if let Purpose::Origins(rows) = purpose {
-                    rows.into_iter().for_each(|row| journal.add(row));
+                    for row in rows {
+                        journal.add(row);
+                    }
                 }
                 if matches!(outcome, KvOutcome::NoLease) {
                     journal.lease = None;
--- a/crates/gateway/src/request/origin/register.rs
+++ b/crates/gateway/src/request/origin/register.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use dahliastile_core::id::{Server, Vm, Zone};
-use dahliastile_core::time::Span;
+use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 
 use super::{Origin, RETENTION};
@@ -63,8 +63,9 @@
 
 /// What is kept of a stream.
 #[derive(Debug)]
-struct Entry {
-    origin: Option<Origin>,
+pub(super) struct Entry {
+    /// What began it; `None` if that is not certain.
+    pub(super) origin: Option<Origin>,
     attempt: u32,
     /// Whether this VM sent the request that began the stream.
     is_own: bool,
@@ -85,14 +86,13 @@
 }
 
 impl Register {
-    /// Returns what began a stream; `None` if this VM does not know, `Some(None)` if it is not certain.
-    pub(super) fn get(&self, stream: StreamId) -> Option<Option<&Origin>> {
-        let entry = self.entries.get(&stream)?;
-        Some(entry.origin.as_ref())
+    /// Returns what is kept of a stream; `None` if this VM does not know it.
+    pub(super) fn get(&self, stream: StreamId) -> Option<&Entry> {
+        self.entries.get(&stream)
     }
 
     /// Records the origin of a stream, unless a later attempt is known. Two origins of one attempt leave it uncertain.
-    fn record(&mut self, now: dahliastile_core::time::Instant, row: StreamOrigin, is_own: bool) {
+    fn record(&mut self, now: Instant, row: StreamOrigin, is_own: bool) {
         let known = self.entries.get(&row.stream);
         let is_own = is_own || known.is_some_and(|known| known.is_own);
         let origin = match known {
@@ -163,7 +163,7 @@
         self.origins.register.record(self.now, row.clone(), own);
         if self.origins.history.is_mixed(self.now, &service) {
             self.journal_origin(&row);
-            self.send_origins(vec![row], out);
+            self.send_origins(&[row], out);
         }
     }
 
@@ -188,15 +188,15 @@
             self.journal_origin(row);
         }
         if !doubted.is_empty() {
-            self.send_origins(doubted, out);
+            self.send_origins(&doubted, out);
         }
     }
 
     /// Sends origins to all keepers.
-    fn send_origins(&self, rows: Vec<StreamOrigin>, out: &mut Effects) {
+    fn send_origins(&self, rows: &[StreamOrigin], out: &mut Effects) {
         for keeper in self.origin_keepers() {
             if keeper != self.settings.vm {
-                self.send(&keeper, Message::StreamOrigins(rows.clone()), out);
+                self.send(&keeper, Message::StreamOrigins(rows.to_vec()), out);
             }
         }
     }
@@ -204,7 +204,7 @@
     /// Sends the origins that this VM keeps to all keepers: those of its own streams, or of all.
     pub(super) fn send_known_origins(&self, only_own: bool, out: &mut Effects) {
         for rows in self.known_origins(only_own) {
-            self.send_origins(rows, out);
+            self.send_origins(&rows, out);
         }
     }
 
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -333,7 +333,6 @@
             self.refuse_request(request, Some(RETRY_AFTER), RefusalDetail::NoBuild, out);
             return;
         }
-        let config = self.config_version();
         let relay = if self.path.is_open() {
             None
         } else {
@@ -388,17 +387,33 @@
             resumable: state.route.kind == RouteKind::Resumable,
             withdrawable: state.withdrawable,
         };
+        state.relay = relay;
+        self.record_sent(request, server, out);
+        out.push(Effect::Request(
+            request,
+            NextStep::Attempt(Box::new(attempt)),
+        ));
+        if !has_answer {
+            self.register_stream(request, out);
+        }
+    }
+
+    /// Logs and counts that a request was sent to a server.
+    fn record_sent(&self, request: RequestId, server: &Server, out: &mut Effects) {
+        let (Some(state), Some(server_state)) =
+            (self.in_flight.get(&request), self.servers.get(server))
+        else {
+            return;
+        };
+        let has_answer = state.time_to_first_chunk.is_some();
+        let (resumes, resumed_by) = match &state.call.resumes {
+            _ if has_answer => ("answer", Some("answer")),
+            Some(_) => (state.stream_name(), Some("caller")),
+            None => ("-", None),
+        };
         let waited = self.now.since(state.arrived);
         let account = state.account.as_ref().map_or("-", |a| a.name.as_str());
-        let resumes = if has_answer {
-            "answer"
-        } else {
-            state
-                .call
-                .resumes
-                .as_ref()
-                .map_or("-", |_| state.stream_name())
-        };
+        let config = self.config_version();
         let detail = format!(
             "id={} call={} account={account} route={} config={config} server={server} build={} resumes={resumes} send={} waited={waited} via={} open={}",
             state.call.id,
@@ -406,39 +421,22 @@
             state.route.name,
             server_state.backend.build,
             state.send_count,
-            relay.as_ref().map_or("-", Vm::as_str),
+            state.relay.as_ref().map_or("-", Vm::as_str),
             server_state.open
         );
-        let resumed_by = match &state.call.resumes {
-            _ if has_answer => Some("answer"),
-            Some(_) => Some("caller"),
-            None => None,
-        };
-        state.relay = relay;
         Self::log(out, Code::Sent, detail);
-        let (is_first_send, service) = (state.send_count == 1, state.service.clone());
-        metrics::count_for_service(
-            out,
-            if is_first_send {
-                Figure::Attempts
-            } else {
-                Figure::Retries
-            },
-            &service,
-            "send",
-        );
+        let is_first_send = state.send_count == 1;
+        let figure = if is_first_send {
+            Figure::Attempts
+        } else {
+            Figure::Retries
+        };
+        metrics::count_for_service(out, figure, &state.service, "send");
         if is_first_send {
-            metrics::observe_seconds(out, Figure::QueueWait, &service, waited);
+            metrics::observe_seconds(out, Figure::QueueWait, &state.service, waited);
         }
         if let Some(resumed_by) = resumed_by {
-            metrics::count_for_service(out, Figure::Resumed, &service, resumed_by);
-        }
-        out.push(Effect::Request(
-            request,
-            NextStep::Attempt(Box::new(attempt)),
-        ));
-        if !has_answer {
-            self.register_stream(request, out);
+            metrics::count_for_service(out, Figure::Resumed, &state.service, resumed_by);
         }
     }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -38,12 +38,12 @@
 mod summary;
 mod throughput;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Bound;
 use std::sync::Arc;
 
-use dahliastile_core::id::{Incarnation, Server, Vm};
+use dahliastile_core::id::{Build, Incarnation, Server, Vm};
 use dahliastile_core::log::Record;
 use dahliastile_core::time::{Instant, Span};
 
@@ -160,6 +160,8 @@
     pub(crate) refusals: Refusals,
     /// Number of streams that paused for longer than their callers allow, since the last log line with the state.
     pub(crate) paused_streams: u32,
+    /// Builds of which only one usable engine is there, while several engines of another build are.
+    pub(crate) lone_builds: BTreeSet<Option<Build>>,
     /// Limits the rate of base model loads from the weight store.
     pub(crate) base_load_bucket: BaseLoadBucket,
     /// Engines that have fallen behind, and the requests withdrawn from them.
@@ -221,6 +223,7 @@
             pauses: PauseHistory::default(),
             refusals: Refusals::default(),
             paused_streams: 0,
+            lone_builds: BTreeSet::new(),
             engine_spec,
             started_at: now,
             fence,
@@ -388,6 +391,20 @@
         }
     }
 
+    /// Finds the builds of which only one usable engine is there.
+    fn update_lone_builds(&mut self) {
+        let mut counts: BTreeMap<Option<Build>, usize> = BTreeMap::new();
+        for engine in self.engines.values().filter(|engine| engine.is_usable()) {
+            *counts.entry(engine.backend.build.0.clone()).or_default() += 1;
+        }
+        let has_lasting = counts.values().any(|count| *count > 1);
+        let lone = counts.into_iter().filter(|(_, count)| *count == 1);
+        self.lone_builds = lone
+            .filter(|_| has_lasting)
+            .map(|(build, _)| build)
+            .collect();
+    }
+
     /// Records that a newer version of an adapter was published at `at`; `None` if the time is unknown and may be
     /// long past.
     pub fn update_adapter_version(
@@ -536,6 +553,7 @@
         self.update_rates(now);
         self.update_deprioritized(now);
         self.update_leaving(now);
+        self.update_lone_builds();
         let residency = self.residency(now);
         self.place_requests(now, &residency, out);
         self.withdraw_requests(now, &stalled, &residency, out);
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -62,7 +62,9 @@
             Message::PlacementRequest(service, placement)
         }
         Binding::Any => Message::DetailedPlacementRequest(service, placement, detail),
-        binding => Message::BoundPlacementRequest(service, placement, detail, binding),
+        binding @ (Binding::Continues(_) | Binding::Begins) => {
+            Message::BoundPlacementRequest(service, placement, detail, binding)
+        }
     }
 }
 
--- a/crates/gateway/src/scheduler/dispatch.rs
+++ b/crates/gateway/src/scheduler/dispatch.rs
@@ -13,6 +13,7 @@
 use super::{Decision, Scheduler};
 use crate::event::{Execution, FailureCause, StreamTiming};
 use crate::feature::Feature;
+use crate::message::Binding;
 
 /// Cost of an engine in another availability zone than the request's VM, as a waiting time. The traffic of a
 /// request between zones costs about a twentieth of what the answer to one `/plan/` request is worth, and a wait of
@@ -22,6 +23,10 @@
 /// Cost of an engine that is deprioritized for its failures, as a waiting time: longer than any backlog.
 const DEPRIORITIZED_COST: Span = Span::from_secs(60);
 
+/// Cost of the only engine of its build for a request that begins a stream that others may have to continue, as a waiting
+/// time: what a load costs, so that another engine with the adapter is chosen unless it is far behind.
+const LONE_BUILD_COST: Span = Span::from_millis(250);
+
 /// How much longer to wait for an adapter whose load was expected to be complete when the engine rejected a
 /// request for it: a fifth of the usual load time.
 const EXTRA_LOAD_TIME: Span = Span::from_millis(50);
@@ -113,9 +118,10 @@
                 is_open && !request.failed.contains(server) && request.may_run_at(engine);
             is_eligible.then(|| {
                 let pause_cost = self.pause_cost(now, engine, request);
+                let build_cost = self.lone_build_cost(engine, request);
                 Choice {
                     server: server.clone(),
-                    cost: cost(engine, request, now, prefers_own_zone) + pause_cost,
+                    cost: cost(engine, request, now, prefers_own_zone) + pause_cost + build_cost,
                     pause_cost,
                 }
             })
@@ -134,6 +140,17 @@
         costs.min_by_key(|choice| choice.cost)
     }
 
+    /// Returns what an engine costs a request whose stream could not go on if the engine broke, as no other one of its build
+    /// is there.
+    fn lone_build_cost(&self, engine: &Engine, request: &ScheduledRequest) -> Span {
+        let begins = request.detail.binding == Binding::Begins;
+        if begins && self.lone_builds.contains(&engine.backend.build.0) {
+            LONE_BUILD_COST
+        } else {
+            Span::ZERO
+        }
+    }
+
     /// Places a request at a server, and appends the decision and its log event to `out`.
     fn dispatch(
         &mut self,
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -1,8 +1,9 @@
 //! Plans which adapter is loaded at which engine, and which adapter is evicted for it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use dahliastile_core::id::Server;
+use dahliastile_core::id::{Build, Server};
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::{Instant, Span};
 use rustc_hash::FxHashMap;
@@ -122,9 +123,12 @@
         self.rank.filter(|_| self.copy_wait.is_none())
     }
 
-    /// Returns whether a load at an engine serves the requests that need it.
-    fn is_served_at(&self, engine: &Engine) -> bool {
-        self.binding.allows(&engine.backend.build)
+    /// Returns whether a load at an engine serves the requests that need it, where these are the builds of which only one
+    /// engine is there.
+    fn is_served_at(&self, engine: &Engine, lone_builds: &BTreeSet<Option<Build>>) -> bool {
+        let build = &engine.backend.build;
+        let is_lone = self.binding == Binding::Begins && lone_builds.contains(&build.0);
+        self.binding.allows(build) && !is_lone
     }
 }
 
@@ -394,7 +398,9 @@
             }
         };
         let with_copy = self.engines_with_local_copy(context, adapter);
-        for (server, engine, distance) in with_copy.filter(|(_, e, _)| needed.is_served_at(e)) {
+        for (server, engine, distance) in
+            with_copy.filter(|(_, e, _)| needed.is_served_at(e, &self.lone_builds))
+        {
             let load_time = self.local_load_time();
             if let Some(candidate) = context.candidates.at(server) {
                 consider(load_choice(server, candidate, Some(distance), load_time));
@@ -413,7 +419,7 @@
             let has_no_copy = |server: &Server| {
                 let engine = self.engines.get(server);
                 engine.is_some_and(|e| {
-                    needed.is_served_at(e)
+                    needed.is_served_at(e, &self.lone_builds)
                         && !e.slots.contains_key(&adapter)
                         && self.local_copy_distance(e, adapter).is_none()
                 })
@@ -473,7 +479,7 @@
                 let engine = self.engines.get(server)?;
                 let old = engine.slots.get(&adapter)?;
                 if !old.is_idle()
-                    || !needed.is_served_at(engine)
+                    || !needed.is_served_at(engine, &self.lone_builds)
                     || old.version >= newest
                     || !self.accepts_loads(context.now, engine, &name.model)
                 {
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -378,13 +378,45 @@
     check_share(&world, &resumed, from);
 }
 
-/// Guards against a fleet of 70 VMs whose VMs don't find the build of a stream.
+/// Guards against new streams that begin at the lone server of a build, where they can't go on once it breaks, while two and
+/// more servers of another build are there.
 #[test]
-fn resume_seventyvms() {
-    let mut world = fleet(70, 60);
-    let streams = begin(&mut world, 210);
-    change_engines(&mut world);
-    check_resumed(&mut world, &streams, next_vm);
+fn begin_atlastingbuild() {
+    let mut world = fleet_of(6, 12, |number| if number == 11 { "v2" } else { "v1" });
+    let streams = begin(&mut world, 60);
+    let is_lone = |number: &&u64| {
+        let build = world.streams.build(&world.requests[*number].request.id);
+        build.is_some_and(|build| build.as_str() == "v2")
+    };
+    let lone = streams.iter().filter(is_lone).count();
+    assert_eq!(lone, 0, "of {} streams", streams.len());
+}
+
+/// Guards against a large fleet whose VMs don't find the build of a stream: half of the engines are replaced, and of the VMs
+/// that keep origins all but one are killed. `VMS` sets another number of VMs than 70.
+#[test]
+fn resume_largefleet() {
+    let vms = std::env::var("VMS").map_or(70, |text| text.parse().expect("VMS is a number"));
+    let mut world = fleet(vms, 24);
+    let streams = begin(&mut world, vms * 3);
+    for number in 0..12 {
+        let build = ["v1", "v2"][number % 2];
+        world.release(&format!("e{number}"), &format!("n{number}"), build);
+    }
+    world.run(Span::from_millis(600));
+    let sent = world.messages_by_kind.get("origins").copied();
+    assert!(sent.is_some(), "no origin was sent");
+    // All VMs are of one strength, so that those that get the origins show who keeps them.
+    let keepers: Vec<usize> = world.origin_receivers.iter().copied().collect();
+    for vm in keepers.iter().skip(1) {
+        world.kill(*vm, false);
+    }
+    world.run(Span::from_millis(900));
+    let left: Vec<u64> = streams
+        .into_iter()
+        .filter(|number| !keepers.contains(&world.requests[number].vm))
+        .collect();
+    check_resumed(&mut world, &left, next_vm);
 }
 
 /// Plays random faults of VMs and of the key-value service, while engines of three builds follow each other and callers
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -22,7 +22,7 @@
 
 /// Lists of one message each, in hexadecimal, with the message's kind. Together they hold each variant and each state of an
 /// optional field that a message can carry.
-const MESSAGES: [(&str, &str); 59] = [
+const MESSAGES: [(&str, &str); 60] = [
     (
         "want",
         "0100096472616674732f6575e9070b63616c6c65722dc3bc2f3906626173652d37010561312f6672ad02f1a2040290e4\
@@ -146,6 +146,11 @@
         "011d096472616674732f6575ea070b63616c6c65722dc3bc2f3906626173652d3700ad02f1a2040290e4d0b287d3aeee\
          fe0182014dab0193a10fe2c65bc3a8a504c9056e6f7274680203692d3405692d35353500000000010476312e32",
     ),
+    (
+        "want_bound",
+        "011d096472616674732f6575ea070b63616c6c65722dc3bc2f3906626173652d3700ad02f1a2040290e4d0b287d3aeee\
+         fe0182014dab0193a10fe2c65bc3a8a504c9056e6f7274680203692d3405692d3535350000000002",
+    ),
     ("build_request", "011e0204692d353104692d3532"),
     (
         "builds",
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -216,6 +216,8 @@
     pub messages_by_kind: BTreeMap<&'static str, u64>,
     /// The sums of the metrics' values by metric and label.
     pub figures: BTreeMap<(Figure, String), f64>,
+    /// VMs that were sent origins of streams.
+    pub origin_receivers: BTreeSet<usize>,
     /// Kinds of messages between VMs that are lost.
     pub lost_kinds: BTreeSet<&'static str>,
     /// Time after which the task of a request reads that its attempt is to be cancelled.
@@ -344,6 +346,7 @@
             messages: 0,
             messages_by_kind: BTreeMap::new(),
             figures: BTreeMap::new(),
+            origin_receivers: BTreeSet::new(),
             lost_kinds: BTreeSet::new(),
             cancel_delay: Span::ZERO,
             cancelled: Vec::new(),
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -12,6 +12,7 @@
 use dahliastile_gateway::event::{
     Event, Execution, FailureCause, KvAnswer, KvOutcome, LinkFault, OrderOutcome, StreamTiming,
 };
+use dahliastile_gateway::message::Message;
 use rand::Rng;
 
 use super::crash::{Arrival, CRASH_DELAY, RunningRequest};
@@ -501,6 +502,9 @@
                 *self.messages_by_kind.entry(message.kind()).or_default() += 1;
                 let to = (0..self.vms.len()).find(|to| setup::address(1, *to) == address);
                 let is_lost = self.lost_kinds.contains(message.kind());
+                if matches!(message, Message::StreamOrigins(_)) {
+                    self.origin_receivers.extend(to);
+                }
                 if let Some(to) = to.filter(|_| network_up && !is_lost) {
                     let message = Self::received(message);
                     self.schedule(now + LATENCY, Action::DeliverMessage(vm, to, message));
