Origins: lookups of requests that are over are forgotten, resumptions keep origins for longer

Found by reading the change as a newcomer: a request that ended while other VMs were asked for its stream's origin left its lookup behind; a resumption did not renew the origin, which callers may name a third time; a VM that had started took the word of others that had started just now for all that there is. Messages with a bound placement are boxed, as they made all events larger.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -83,6 +83,17 @@
     }
 }
 
+/// A request that waits for an engine of some builds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoundPlacement {
+    /// The request.
+    pub placement: PlacementRequest,
+    /// Its details.
+    pub detail: PlacementDetail,
+    /// The builds whose engines may run it.
+    pub binding: Binding,
+}
+
 /// A request that was sent to an engine and is not finished.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
@@ -211,7 +222,7 @@
     Withdraw(Service, u64, RequestId, Server),
     /// To the scheduler: asks for an engine for a request, as [`Self::DetailedPlacementRequest`] does, among those of some
     /// builds.
-    BoundPlacementRequest(Service, PlacementRequest, PlacementDetail, Binding),
+    BoundPlacementRequest(Service, Box<BoundPlacement>),
     /// To any VM: asks for the builds of these servers, whose entries the sender has from other VMs.
     BuildRequest(Vec<Server>),
     /// The answer to [`Self::BuildRequest`], as far as the sender knows it: the build of each server's process with this
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -378,9 +378,8 @@
             Message::DetailedPlacementRequest(service, placement_request, detail) => {
                 self.handle_placement_request(&service, from, placement_request, detail);
             }
-            Message::BoundPlacementRequest(service, placement_request, detail, binding) => {
-                let detail = PlacementDetail { binding, ..detail };
-                self.handle_placement_request(&service, from, placement_request, detail);
+            Message::BoundPlacementRequest(service, bound) => {
+                self.handle_bound_placement(&service, from, *bound);
             }
             message @ (Message::BuildRequest(_)
             | Message::Builds(_)
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -34,7 +34,7 @@
 use crate::message::{Binding, Message};
 use crate::metrics;
 use crate::node::Gateway;
-use crate::request::state::{Phase, RefusalDetail, RequestState};
+use crate::request::state::{Phase, RefusalDetail};
 use crate::timer::Timer;
 
 pub use self::history::BuildAges;
@@ -55,6 +55,10 @@
 /// Interval at which this VM checks who keeps origins, and asks again for what it lacks.
 const CHECK_INTERVAL: Span = Span::from_millis(500);
 
+/// How long a VM that has started, or missed changes, asks the VMs that keep origins for what it lacks, unless one that has run
+/// for as long answers.
+const FILL_TIME: Span = Span::from_secs(3);
+
 /// Time after which a caller may try again where another VM may know the origin of its stream.
 const RETRY_AFTER: Span = Span::from_millis(300);
 
@@ -128,11 +132,6 @@
         }
     }
 
-    /// Returns whether a request is the first one of its stream, and not one that resumes it.
-    pub(super) fn is_first_request(state: &RequestState) -> bool {
-        state.call.resumes.is_none()
-    }
-
     /// Records what began the stream of a request, the first event of which has been passed on: the build of the present
     /// server, unless the server has started anew since the attempt was sent.
     pub(crate) fn record_origin(&mut self, request: RequestId) {
@@ -275,6 +274,11 @@
         }
     }
 
+    /// Forgets that other VMs were asked for a request that is over.
+    pub(crate) fn end_lookup(&mut self, request: RequestId) {
+        self.origins.lookups.remove(&request);
+    }
+
     /// Decides on a request once all VMs that were asked have answered, or their time is over: none of them knows its stream.
     pub(crate) fn decide_lookup(&mut self, request: RequestId, out: &mut Effects) {
         let now = self.now;
@@ -403,6 +407,7 @@
         if has_new && self.is_any_mixed() {
             self.send_known_origins(!was_keeper, out);
         }
+        self.origins.is_filled |= self.origins.history.known_for(self.now) >= FILL_TIME;
         if !self.origins.is_filled {
             for keeper in keepers.iter().filter(|vm| *vm != me) {
                 self.send(keeper, Message::OriginsRequest, out);
@@ -430,7 +435,8 @@
 
     /// Handles what another VM knows of the builds that have served.
     pub(crate) fn handle_build_history(&mut self, rows: BuildAges, known_for: Span) {
-        self.origins.is_filled = true;
+        // The others may have started just now too.
+        self.origins.is_filled |= known_for >= FILL_TIME;
         self.origins.history.merge(self.now, rows, known_for);
     }
 
--- a/crates/gateway/src/request/origin/history.rs
+++ b/crates/gateway/src/request/origin/history.rs
@@ -42,6 +42,11 @@
         self.known_from = now;
     }
 
+    /// Returns for how long this VM, or one that has told it, knows of all servers.
+    pub(crate) fn known_for(&self, now: Instant) -> Span {
+        now.since(self.known_from)
+    }
+
     /// Records that this VM has read the builds of a service that the key-value service lists.
     pub(crate) fn record_listed(&mut self, service: &Service) {
         if !self.listed.contains(service) {
@@ -88,7 +93,7 @@
             (service.clone(), known.collect())
         };
         let rows = self.seen.iter().map(row).collect();
-        (rows, now.since(self.known_from))
+        (rows, self.known_for(now))
     }
 
     /// Adds what another VM knew until now.
--- a/crates/gateway/src/request/origin/register.rs
+++ b/crates/gateway/src/request/origin/register.rs
@@ -136,7 +136,8 @@
         keepers.cloned().collect()
     }
 
-    /// Records the origin of the stream that a request begins at the server of its present attempt, here and at the keepers.
+    /// Records the origin of the stream that a request begins at the server of its present attempt, here and at the keepers. A
+    /// request that resumes a stream has its origin kept for longer.
     pub(crate) fn register_stream(&mut self, request: RequestId, out: &mut Effects) {
         let Some(state) = self.in_flight.get(&request) else {
             return;
@@ -153,13 +154,17 @@
             (None, None) => None,
         };
         let service = state.service.clone();
+        let own = state.call.resumes.is_none();
+        let attempt = match self.origins.register.get(stream) {
+            _ if own => state.begin_attempts,
+            known => known.map_or(1, |entry| entry.attempt),
+        };
         let row = StreamOrigin {
             stream,
             origin,
-            attempt: state.begin_attempts,
+            attempt,
             age: Span::ZERO,
         };
-        let own = Self::is_first_request(state);
         self.origins.register.record(self.now, row.clone(), own);
         if self.origins.history.is_mixed(self.now, &service) {
             self.journal_origin(&row);
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -575,6 +575,7 @@
     /// Removes a request that has its final answer.
     fn finish_request(&mut self, request: RequestId, progress: Progress, out: &mut Effects) {
         self.report_progress(request, progress, out);
+        self.end_lookup(request);
         let Some(state) = self.in_flight.remove(&request) else {
             return;
         };
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -17,7 +17,8 @@
 use crate::event::{LinkFault, RequestId};
 use crate::feature::Feature;
 use crate::message::{
-    Binding, EngineResidents, Message, PlacementDetail, PlacementRequest, Progress, Running,
+    Binding, BoundPlacement, EngineResidents, Message, PlacementDetail, PlacementRequest, Progress,
+    Running,
 };
 use crate::metrics;
 use crate::node::Gateway;
@@ -63,7 +64,12 @@
         }
         Binding::Any => Message::DetailedPlacementRequest(service, placement, detail),
         binding @ (Binding::Continues(_) | Binding::Begins) => {
-            Message::BoundPlacementRequest(service, placement, detail, binding)
+            let bound = BoundPlacement {
+                placement,
+                detail,
+                binding,
+            };
+            Message::BoundPlacementRequest(service, Box::new(bound))
         }
     }
 }
--- a/crates/gateway/src/scheduler/host.rs
+++ b/crates/gateway/src/scheduler/host.rs
@@ -8,7 +8,7 @@
 use crate::cluster::snapshot::{Backend, Version};
 use crate::effect::{Effects, OrderId};
 use crate::event::{OrderOutcome, Report, RequestId};
-use crate::message::{PlacementDetail, PlacementRequest, Progress, Running};
+use crate::message::{BoundPlacement, PlacementDetail, PlacementRequest, Progress, Running};
 use crate::node::Gateway;
 
 impl Gateway {
@@ -65,6 +65,20 @@
         }
     }
 
+    /// Handles a VM's request for a placement at some builds.
+    pub(crate) fn handle_bound_placement(
+        &mut self,
+        service: &Service,
+        from: &Vm,
+        bound: BoundPlacement,
+    ) {
+        let detail = PlacementDetail {
+            binding: bound.binding,
+            ..bound.detail
+        };
+        self.handle_placement_request(service, from, bound.placement, detail);
+    }
+
     /// Handles a VM's report on the progress of a request.
     pub(crate) fn handle_progress(
         &mut self,
