--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -141,9 +141,9 @@
         let (Some(sent), Some(server)) = (&state.backend, state.server()) else {
             return;
         };
-        let now = self.servers.get(server).map(|state| &state.backend);
-        let build = match now {
-            Some(now) if now.start == sent.start => &now.build,
+        let listed = self.servers.get(server).map(|state| &state.backend);
+        let build = match listed {
+            Some(listed) if listed.start == sent.start => &listed.build,
             _ => &sent.build,
         };
         if state.route.kind == RouteKind::Resumable && state.origin.is_none() {
@@ -196,8 +196,8 @@
     /// Asks the VMs that keep origins what began a stream.
     fn ask_keepers(&mut self, request: RequestId, stream: StreamId, out: &mut Effects) {
         let me = &self.settings.vm;
-        let pending: Vec<Vm> = self.origin_keepers();
-        let pending: Vec<Vm> = pending.into_iter().filter(|vm| vm != me).collect();
+        let mut pending = self.origin_keepers();
+        pending.retain(|vm| vm != me);
         let Some(state) = self.in_flight.get_mut(&request) else {
             return;
         };
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -65,22 +65,33 @@
     streaming
 }
 
+/// Has callers resume their streams at VMs, and returns the numbers of their requests.
+fn resume_all(world: &mut World, streams: &[u64], vm: impl Fn(u64, &World) -> usize) -> Vec<u64> {
+    let resume = |number: &u64| {
+        let vm = vm(*number, world);
+        let again = world.resume(*number, vm);
+        world.run(Span::from_millis(10));
+        again
+    };
+    let resumed = streams.iter().map(resume).collect();
+    world.run(Span::from_secs(3));
+    resumed
+}
+
 /// Has callers resume their streams at VMs, and checks that these go on, each at its build.
 fn check_resumed(world: &mut World, streams: &[u64], vm: impl Fn(u64, &World) -> usize) {
     let from = world.now;
-    let resumed: Vec<u64> = streams
-        .iter()
-        .map(|number| {
-            let vm = vm(*number, world);
-            let again = world.resume(*number, vm);
-            world.run(Span::from_millis(10));
-            again
-        })
-        .collect();
-    world.run(Span::from_secs(3));
+    let resumed = resume_all(world, streams, vm);
     check_share(world, &resumed, from);
 }
 
+/// Has callers resume their streams at VMs, and checks that none goes on at another build.
+fn check_unmixed(world: &mut World, streams: &[u64], vm: impl Fn(u64, &World) -> usize) {
+    resume_all(world, streams, vm);
+    world.check_invariants();
+    assert_eq!(world.streams.mixed(), Vec::<&str>::new());
+}
+
 /// Checks that resumed streams go on, and that no stream is of two builds.
 fn check_share(world: &World, resumed: &[u64], from: dahliastile_core::time::Instant) {
     world.check_invariants();
@@ -248,13 +259,7 @@
     }
     world.kill(2, false);
     world.run(Span::from_secs(2));
-    for number in streams {
-        world.resume(number, 2);
-        world.run(Span::from_millis(10));
-    }
-    world.run(Span::from_secs(3));
-    world.check_invariants();
-    assert_eq!(world.streams.mixed(), Vec::<&str>::new());
+    check_unmixed(&mut world, &streams, |_, _| 2);
 }
 
 /// Guards against a stream of unknown origin that goes on somewhere, and one that waits for its deadline instead of being
@@ -322,13 +327,7 @@
     world.vms[2].peers_reachable = false;
     world.vms[2].store_reachable = false;
     world.run(Span::from_secs(2));
-    for number in streams {
-        world.resume(number, 2);
-        world.run(Span::from_millis(10));
-    }
-    world.run(Span::from_secs(3));
-    world.check_invariants();
-    assert_eq!(world.streams.mixed(), Vec::<&str>::new());
+    check_unmixed(&mut world, &streams, |_, _| 2);
 }
 
 /// Guards against a build that is taken from an entry which its server no longer fits: it has started again under the same id
@@ -345,14 +344,8 @@
         world.rewrite_server_entry(server);
     }
     world.run(BEGUN);
-    for number in world.streaming(&begun) {
-        let vm = next_vm(number, &world);
-        world.resume(number, vm);
-        world.run(Span::from_millis(10));
-    }
-    world.run(Span::from_secs(3));
-    world.check_invariants();
-    assert_eq!(world.streams.mixed(), Vec::<&str>::new());
+    let streams = world.streaming(&begun);
+    check_unmixed(&mut world, &streams, next_vm);
 }
 
 /// Guards against streams that can't go on because a release ends their build: as builds follow each other, one server
