The origin of a stream is recorded with its first event, not with the attempt

What callers would have seen: a stream that went on at another build. Now the origin is recorded as the first event is passed on, when it is certain, so that there is one record for each stream. A VM that ends within the time of one message after the first event leaves the stream unknown, and its resumption is refused.

--- a/crates/gateway/src/request/origin/journal.rs
+++ b/crates/gateway/src/request/origin/journal.rs
@@ -23,7 +23,7 @@
 use crate::node::Gateway;
 use crate::timer::Timer;
 
-/// Interval between two writes of origins: about the time from a request to the first event of its stream.
+/// Interval between two writes of origins. Streams that began within the last one are lost with all VMs.
 const WRITE_INTERVAL: Span = Span::from_millis(250);
 
 /// Number of entries in a VM's ring: as many as are written within [`super::RETENTION`].
--- a/crates/gateway/src/request/origin/register.rs
+++ b/crates/gateway/src/request/origin/register.rs
@@ -1,7 +1,8 @@
 //! The register of origins: what began each stream that a caller may resume.
 //!
 //! The VM that begins a stream keeps its origin. While servers of several builds serve, it also sends the origin to a few VMs,
-//! the keepers, when it sends the request to a server: the record is there before the first event is.
+//! the keepers, as it passes the first event on. Before that the origin is not certain: an attempt that fails may be followed
+//! by one at another build, and of two records the later one may be lost.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -55,8 +56,8 @@
     pub stream: StreamId,
     /// What began it; none if that is not certain, so that it can't go on.
     pub origin: Option<Origin>,
-    /// The number of the attempt, of those to have a server begin the stream, that this is about. A later one replaces it.
-    pub attempt: u32,
+    /// Counts what VMs have said of the stream: a statement with a higher number replaces it.
+    pub revision: u32,
     /// Time since it was recorded.
     pub age: Span,
 }
@@ -66,7 +67,7 @@
 pub(super) struct Entry {
     /// What began it; `None` if that is not certain.
     pub(super) origin: Option<Origin>,
-    attempt: u32,
+    revision: u32,
     /// Whether this VM sent the request that began the stream.
     is_own: bool,
 }
@@ -91,18 +92,19 @@
         self.entries.get(&stream)
     }
 
-    /// Records the origin of a stream, unless a later attempt is known. Two origins of one attempt leave it uncertain.
+    /// Records the origin of a stream, unless a later statement is known. Two statements with one number that differ leave it
+    /// uncertain.
     fn record(&mut self, now: Instant, row: StreamOrigin, is_own: bool) {
         let known = self.entries.get(&row.stream);
         let is_own = is_own || known.is_some_and(|known| known.is_own);
         let origin = match known {
-            Some(known) if known.attempt > row.attempt => return,
-            Some(known) if known.attempt == row.attempt && known.origin != row.origin => None,
+            Some(known) if known.revision > row.revision => return,
+            Some(known) if known.revision == row.revision && known.origin != row.origin => None,
             _ => row.origin,
         };
         let entry = Entry {
             origin,
-            attempt: row.attempt,
+            revision: row.revision,
             is_own,
         };
         self.entries.insert(now.back(row.age), row.stream, entry);
@@ -136,33 +138,22 @@
         keepers.cloned().collect()
     }
 
-    /// Records the origin of the stream that a request begins at the server of its present attempt, here and at the keepers. A
-    /// request that resumes a stream has its origin kept for longer.
+    /// Records the origin of the stream of a request, the first event of which is passed on, here and at the keepers. A request
+    /// that resumes a stream has its origin kept for longer.
     pub(crate) fn register_stream(&mut self, request: RequestId, out: &mut Effects) {
         let Some(state) = self.in_flight.get(&request) else {
             return;
         };
-        let (Some(stream), Some(backend)) = (state.stream, &state.backend) else {
+        let (Some(stream), Some(origin)) = (state.stream, state.origin.clone()) else {
             return;
         };
-        let origin = match (&state.origin, &backend.build.0) {
-            (Some(origin), _) => Some(origin.clone()),
-            (None, Some(build)) => Some(Origin {
-                service: state.service.clone(),
-                build: build.clone(),
-            }),
-            (None, None) => None,
-        };
         let service = state.service.clone();
         let own = state.call.resumes.is_none();
-        let attempt = match self.origins.register.get(stream) {
-            _ if own => state.begin_attempts,
-            known => known.map_or(1, |entry| entry.attempt),
-        };
+        let known = self.origins.register.get(stream).filter(|_| !own);
         let row = StreamOrigin {
             stream,
-            origin,
-            attempt,
+            origin: Some(origin),
+            revision: known.map_or(1, |entry| entry.revision),
             age: Span::ZERO,
         };
         self.origins.register.record(self.now, row.clone(), own);
@@ -176,15 +167,15 @@
     /// of the two an attempt has reached is not known.
     pub(crate) fn doubt_origins(&mut self, server: &Server, out: &mut Effects) {
         let states = self.in_flight.values_mut();
+        let register = &self.origins.register;
         let mut doubted = Vec::new();
         for state in states.filter(|state| state.server() == Some(server)) {
-            state.origin = None;
             state.backend = None;
-            state.begin_attempts += 1;
-            doubted.extend(state.stream.map(|stream| StreamOrigin {
+            let begun = state.origin.take().and(state.stream);
+            doubted.extend(begun.map(|stream| StreamOrigin {
                 stream,
                 origin: None,
-                attempt: state.begin_attempts,
+                revision: register.get(stream).map_or(1, |entry| entry.revision) + 1,
                 age: Span::ZERO,
             }));
         }
@@ -221,7 +212,7 @@
             .map(|(stream, at, entry)| StreamOrigin {
                 stream,
                 origin: entry.origin.clone(),
-                attempt: entry.attempt,
+                revision: entry.revision,
                 age: self.now.since(at),
             })
             .collect();
@@ -239,7 +230,7 @@
     pub(crate) fn handle_sent_origins(&mut self, rows: Vec<StreamOrigin>) {
         for row in rows {
             let known = self.origins.register.entries.get(&row.stream);
-            if known.is_none_or(|known| known.attempt < row.attempt) {
+            if known.is_none_or(|known| known.revision < row.revision) {
                 self.journal_origin(&row);
             }
             self.origins.register.record(self.now, row, false);
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -105,8 +105,6 @@
     /// The stream that the request begins or resumes; `None` if its route does not allow that, or if the caller names no
     /// request by which it can be told.
     pub(crate) stream: Option<StreamId>,
-    /// Number of attempts to have a server begin the stream.
-    pub(crate) begin_attempts: u32,
     /// What began the stream of the request; `None` as long as none of its events has been passed on, if the build of the
     /// server that made the first one is not known, and for requests whose answers can't be continued.
     pub(crate) origin: Option<Origin>,
@@ -153,7 +151,6 @@
             version: None,
             path_retries: 0,
             stream: None,
-            begin_attempts: 0,
             origin: None,
             backend: None,
             withdrawable: false,
@@ -367,7 +364,6 @@
         };
         server_state.open += 1;
         let has_answer = state.time_to_first_chunk.is_some();
-        state.begin_attempts += u32::from(!has_answer && state.call.resumes.is_none());
         state.cancelling = false;
         state.withdrawable = self.settings.uses(Feature::StalledEngines)
             && self.index.allows_withdrawals(&state.service)
@@ -393,9 +389,6 @@
             request,
             NextStep::Attempt(Box::new(attempt)),
         ));
-        if !has_answer {
-            self.register_stream(request, out);
-        }
     }
 
     /// Logs and counts that a request was sent to a server.
@@ -456,6 +449,7 @@
         state.time_to_first_chunk.get_or_insert(took);
         metrics::observe_seconds(out, Figure::FirstToken, &state.service, took);
         self.record_origin(request);
+        self.register_stream(request, out);
         self.report_progress(request, Progress::AnswerStarted, out);
         self.record_relay_worked(request);
         self.resign_without_path(request, out);
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -416,7 +416,8 @@
 /// resume their streams at any VM.
 #[test]
 fn resume_amongfaults() {
-    for seed in 0..seeds(2) {
+    // With 27 a VM loses its network between two attempts at different builds, before the first event.
+    for seed in (0..seeds(2)).chain([27]) {
         let mut series = FaultSeries::new(seed);
         let mut streams: Vec<u64> = Vec::new();
         for at in 0..600 {
