--- a/crates/daemon/tests/soak/calm.rs
+++ b/crates/daemon/tests/soak/calm.rs
@@ -50,6 +50,8 @@
 /// A stream that was begun at one VM is resumed at each other, while two engines of its build serve.
 fn resumed(stage: &mut Stage, callers: &Callers) {
     for engine in 0..stage.fleet.engines.len() {
+        stage.list(engine, "draining");
+        thread::sleep(LEFT);
         stage.release(engine, BUILDS[0]);
     }
     let until = Instant::now() + SERVED;
--- a/crates/daemon/tests/soak/stage.rs
+++ b/crates/daemon/tests/soak/stage.rs
@@ -154,14 +154,14 @@
         self.fleet.store.put(&key, &entry);
     }
 
-    /// Replaces an engine by one with another build of its software, which has another id.
+    /// Replaces an engine, which has said that it leaves, by one with another build of its software and another id.
     pub(crate) fn release(&mut self, engine: usize, build: &str) {
         self.releases += 1;
         let replica = &self.fleet.engines[engine];
         let old = format!("servers/{}", replica.id());
         replica.release(build, &format!("e{engine}.{}", self.releases));
         self.fleet.store.remove(&old);
-        self.list(engine, self.states[engine]);
+        self.list(engine, "ready");
     }
 
     /// Cuts those VMs off from all servers, and no others.
--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -84,7 +84,7 @@
     Flood,
     /// An engine is slow.
     Slow(usize),
-    /// An engine is replaced by one with another build of its software.
+    /// An engine leaves, and is replaced by one with another build of its software.
     Release(usize, &'static str),
 }
 
@@ -206,7 +206,7 @@
                 stage.cut_off(|other| (other == vm) != others);
             }
             Self::EngineRestart(engine) => stage.fleet.engines[engine].restart(),
-            Self::Release(engine, build) => stage.release(engine, build),
+            Self::Release(engine, _) => stage.list(engine, "draining"),
             Self::Flood => callers.flood(true),
             Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine] / SLOWER),
             Self::Leave(server) => stage.list(server, "draining"),
@@ -245,7 +245,8 @@
             Self::Leave(server) => stage.list(server, "ready"),
             Self::Flood => callers.flood(false),
             Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine]),
-            Self::Reload(_) | Self::EngineRestart(_) | Self::Release(..) | Self::Configure => {}
+            Self::Release(engine, build) => stage.release(engine, build),
+            Self::Reload(_) | Self::EngineRestart(_) | Self::Configure => {}
         }
     }
 }
