The VMs that keep origins are found once for a batch of origins, not once for each

Cause: a VM that is sent origins asked for each of them whether it is the one that writes them, which sorts all VMs; a VM that has started is sent up to 512 at a time. Change: origins are added to those to be written in one call, as the rows of one message come. What is recorded, sent and written stays the same. A comment said that streams don't begin at a server whose build is not known; they do, and can't be continued.

--- a/crates/gateway/src/cluster/builds.rs
+++ b/crates/gateway/src/cluster/builds.rs
@@ -1,8 +1,8 @@
 //! Builds of servers whose entries this VM has from other VMs.
 //!
 //! The encoding of an entry between VMs leaves the build out. A VM that follows another one asks that VM for the builds that
-//! it lacks, once for each start of a server. Until it knows one, it neither begins a stream there that others could continue
-//! nor continues any.
+//! it lacks, once for each start of a server. Until it knows one, it continues no stream at that server, and a stream that begins
+//! there can't be continued.
 
 use std::sync::Arc;
 
--- a/crates/gateway/src/request/origin/journal.rs
+++ b/crates/gateway/src/request/origin/journal.rs
@@ -110,13 +110,16 @@
         self.origin_keepers().first() == Some(&self.settings.vm)
     }
 
-    /// Adds an origin to those to be written, if this VM writes them.
-    pub(super) fn journal_origin(&mut self, row: &StreamOrigin) {
-        if self.is_origin_writer() {
+    /// Adds origins to those to be written, if this VM writes them.
+    pub(super) fn journal_origins(&mut self, rows: &[StreamOrigin]) {
+        if rows.is_empty() || !self.is_origin_writer() {
+            return;
+        }
+        for row in rows {
             self.origins.journal.add(row.clone());
-            let at = self.now.max(self.origins.journal.next_write);
-            self.timers.set_once(at, Timer::Origins);
         }
+        let at = self.now.max(self.origins.journal.next_write);
+        self.timers.set_once(at, Timer::Origins);
     }
 
     /// Returns the builds that the key-value service lists for a service; `None` if it lists none.
--- a/crates/gateway/src/request/origin/register.rs
+++ b/crates/gateway/src/request/origin/register.rs
@@ -158,7 +158,7 @@
         };
         self.origins.register.record(self.now, row.clone(), own);
         if self.origins.history.is_mixed(self.now, &service) {
-            self.journal_origin(&row);
+            self.journal_origins(std::slice::from_ref(&row));
             self.send_origins(&[row], out);
         }
     }
@@ -181,8 +181,8 @@
         }
         for row in &doubted {
             self.origins.register.record(self.now, row.clone(), true);
-            self.journal_origin(row);
         }
+        self.journal_origins(&doubted);
         if !doubted.is_empty() {
             self.send_origins(&doubted, out);
         }
@@ -228,12 +228,14 @@
 
     /// Records the origins that another VM has sent, and has those written that are new.
     pub(crate) fn handle_sent_origins(&mut self, rows: Vec<StreamOrigin>) {
+        let mut new = Vec::new();
         for row in rows {
-            let known = self.origins.register.entries.get(&row.stream);
+            let known = self.origins.register.get(row.stream);
             if known.is_none_or(|known| known.revision < row.revision) {
-                self.journal_origin(&row);
+                new.push(row.clone());
             }
             self.origins.register.record(self.now, row, false);
         }
+        self.journal_origins(&new);
     }
 }
