Log what each request waits for that is open when its process ends

Cause: a process that ends with requests open logs their number only, so that the hypotheses of requests without an answer at a graceful stop can't be told apart. Change: E108 Unanswered, one line for each open request, sixteen at most: its phase, the server that it is at, how long it has waited and been there, the time that is left of its own, the scheduler that the VM knows, and how long ago that was heard.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -72,6 +72,8 @@
     ReloadFailed = 106 Warn "Correct the file and have it read again.";
     /// The process came to what was due later than other VMs expect, with the events that wait for it.
     Late = 107 Warn "Look for a VM with too small a share of its processor, or with more work than the others.";
+    /// The process ended while a request had no final answer; what the request waited for.
+    Unanswered = 108 Warn "Look for what it waited for; its caller saw the connection end.";
     /// An edition of the configuration is in force on this VM.
     EditionInForce = 200 Info "Nothing.";
     /// A configuration that was read does not hold together and was not applied.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -10,6 +10,7 @@
 //! * `expiring_map`: a map of bounded size and age.
 //! * [`fingerprint`]: the hash by which repetitions of a request are recognized.
 //! * [`quarantine`]: requests that crash the servers that run them.
+//! * `shutdown`: requests at a graceful stop.
 
 pub mod budget;
 pub(crate) mod expiring_map;
@@ -19,4 +20,5 @@
 pub mod notice;
 pub mod origin;
 pub mod quarantine;
+pub(crate) mod shutdown;
 pub(crate) mod state;
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -89,7 +89,7 @@
     /// When the request was last sent to a server; its arrival time before the first send.
     pub(crate) sent: Instant,
     /// Number of sends.
-    send_count: u32,
+    pub(crate) send_count: u32,
     /// Number of servers that ran the request or may have run it.
     execution_count: u32,
     /// Time from arrival to the first chunk of an answer.
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -138,6 +138,9 @@
     };
     driver.run(ending).await;
     let open = driver.gateway.open_requests();
+    for record in driver.gateway.unanswered_requests() {
+        driver.journal.write(clock.now(), &record);
+    }
     driver.journal.write(
         clock.now(),
         &Record::new(Code::Stopped, format!("open={open}")),
