--- /dev/null
+++ b/crates/gateway/tests/shutdown.rs
@@ -0,0 +1,213 @@
+//! Graceful stops of VMs: each request that a VM has taken gets an answer or a refusal before the VM's process ends.
+
+mod support;
+
+use dahliastile_core::id::Server;
+use dahliastile_core::time::Span;
+use dahliastile_gateway::effect::RefusalReason;
+use dahliastile_gateway::event::CallerRequest;
+use dahliastile_gateway::settings::Tuning;
+use support::engine::SlowPeriod;
+use support::setup::{adapter_request, inference_spec, mixed_request, name, request};
+use support::{Answer, World};
+
+/// Longer than any stop.
+const PAST_THE_STOP: Span = Span::from_secs(9);
+/// When the requests of these tests come after the stop: connections are still accepted.
+const AFTER_STOP: Span = Span::from_millis(1_600);
+
+/// Returns a request whose caller waits for 15 s.
+fn patient_request(id: &str, adapter: &str, output: u32) -> CallerRequest {
+    let work = inference_spec(adapter, 600, output);
+    request(id, "/brief/x", 15_000, Some(work))
+}
+
+/// Returns a fleet of two VMs whose only engine runs streams of 20 s on an adapter in each of its five slots.
+fn world_without_slots() -> World {
+    let mut world = World::new(2, 1, 1);
+    world.run(Span::from_secs(2));
+    for slot in 0..5 {
+        let id = format!("long{slot}");
+        world.send_request(0, patient_request(&id, &format!("a{slot}"), 2_200));
+        world.run(Span::from_millis(300));
+    }
+    world
+}
+
+/// Asserts that each request that a stopped VM had taken was answered.
+fn check_answered(world: &World) {
+    assert!(!world.ends.is_empty(), "no VM has ended after a stop");
+    let unanswered = world.unanswered_at_stops();
+    assert!(unanswered.is_empty(), "unanswered: {unanswered:?}");
+    world.check_invariants();
+}
+
+/// Returns whether a request was refused as not run, with a time to come back.
+fn is_refused_as_not_run(world: &World, number: u64) -> bool {
+    matches!(
+        world.answer(number),
+        Some(Answer::Refused(reason, Some(_)))
+            if !matches!(reason, RefusalReason::Failed | RefusalReason::TimedOut)
+    )
+}
+
+/// Guards against the end of a process while requests wait for a placement: the scheduler has no slot for their adapter,
+/// and their own deadlines are later than the end of the process.
+#[test]
+fn stop_waitingforaplacement() {
+    let mut world = world_without_slots();
+    let before = world.send_request(1, patient_request("before", "a77", 15));
+    world.run(Span::from_millis(100));
+    world.stop_and_restart(1);
+    world.run(AFTER_STOP);
+    let after = world.send_request(1, patient_request("after", "a78", 15));
+    world.run(PAST_THE_STOP);
+    check_answered(&world);
+    for number in [before, after] {
+        assert!(
+            is_refused_as_not_run(&world, number),
+            "{:?}",
+            world.answer(number)
+        );
+    }
+}
+
+/// Guards against the end of a process while requests wait for a scheduler: none is there, and the key-value service, by
+/// which VMs take the leadership, is away.
+#[test]
+fn stop_withoutascheduler() {
+    let mut world = World::new(3, 2, 1);
+    world.run(Span::from_secs(2));
+    let holder = world.holder().expect("a scheduler");
+    let vm = (holder + 1) % 3;
+    world.store_up = false;
+    world.wake_watchers();
+    world.kill(holder, true);
+    world.run(Span::from_millis(500));
+    let before = world.send_request(vm, patient_request("before", "a77", 15));
+    world.stop_and_restart(vm);
+    world.run(AFTER_STOP);
+    let after = world.send_request(vm, patient_request("after", "a78", 15));
+    world.run(PAST_THE_STOP);
+    check_answered(&world);
+    for number in [before, after] {
+        assert!(
+            is_refused_as_not_run(&world, number),
+            "{:?}",
+            world.answer(number)
+        );
+    }
+}
+
+/// Guards against a request that is refused only when its VM ends, although it was clear long before that the VM can't
+/// serve it: its caller then has no time left for another VM.
+#[test]
+fn stop_leavestimeforanothervm() {
+    let mut world = world_without_slots();
+    world.stop_and_restart(1);
+    world.run(AFTER_STOP);
+    let number = world.send_request(1, patient_request("after", "a78", 15));
+    world.run(PAST_THE_STOP);
+    let (at, answer) = world.requests[&number].ended.clone().expect("an answer");
+    assert!(matches!(answer, Answer::Refused(..)), "{answer:?}");
+    let grace = Tuning::default().grace;
+    let waited = at.since(world.requests[&number].at);
+    assert!(AFTER_STOP + waited <= Span(grace.0 / 2), "{waited}");
+}
+
+/// Guards against the end of a process while a server has a request and does not begin it: whether it has run is then not
+/// known, and its caller is told that.
+#[test]
+fn stop_atasilentserver() {
+    let mut world = World::new(2, 2, 1);
+    world.run(Span::from_secs(2));
+    world.stop_and_restart(1);
+    world.run(AFTER_STOP);
+    let now = world.now;
+    for server in ["e0", "e1"] {
+        let (engine, _) = world
+            .servers
+            .get_mut(&name::<Server>(server))
+            .expect("an engine");
+        engine.slow_period = Some(SlowPeriod {
+            from: now,
+            until: now + Span::from_secs(30),
+            factor: None,
+        });
+    }
+    let number = world.send_request(1, patient_request("silent", "a1", 15));
+    world.run(PAST_THE_STOP);
+    check_answered(&world);
+    assert!(!world.requests[&number].runs.is_empty(), "it was not sent");
+    let answer = world.answer(number);
+    let may_have_run = matches!(
+        answer,
+        Some(Answer::Refused(
+            RefusalReason::TimedOut | RefusalReason::Failed,
+            None
+        ))
+    );
+    assert!(may_have_run, "{answer:?}");
+}
+
+/// Guards against requests whose placement does not reach a VM that stops, as schedulers that have started since don't know
+/// it, while the whole fleet is replaced, each VM 250 ms after the one before.
+#[test]
+fn stop_wholefleet() {
+    let mut world = World::new(24, 12, 4);
+    world.run(Span::from_secs(2));
+    world.send_heavy_load(Span::from_secs(2));
+    let leave = Tuning::default().leave;
+    let mut stopped = vec![None; 24];
+    let mut at_leaving = Vec::new();
+    for tick in 0..800_usize {
+        if tick % 25 == 0 && tick / 25 < 24 {
+            let vm = tick / 25;
+            world.stop_and_restart(vm);
+            stopped[vm] = Some(world.now);
+        }
+        let accepts = |vm: usize| stopped[vm].is_none_or(|at| world.now.since(at) < leave);
+        let vm = (0..24)
+            .map(|step| (tick * 7 + step) % 24)
+            .find(|vm| accepts(*vm));
+        if let Some(vm) = vm {
+            let is_leaving = stopped[vm].is_some();
+            let number = world.send_request(vm, mixed_request(tick));
+            at_leaving.extend(is_leaving.then_some(number));
+        }
+        world.run(Span::from_millis(10));
+        for (vm, at) in stopped.iter_mut().enumerate() {
+            let has_restarted = world
+                .ends
+                .iter()
+                .any(|(ended, end)| *ended == vm && world.now > end.at + Span::from_secs(1));
+            if has_restarted {
+                *at = None;
+            }
+        }
+    }
+    world.run(PAST_THE_STOP);
+    check_answered(&world);
+    assert!(at_leaving.len() > 50, "{} at leaving VMs", at_leaving.len());
+    world.check_served(&at_leaving, 95);
+    let cut = world.cut_at_stops();
+    assert!(cut.is_empty(), "streams were cut: {cut:?}");
+}
+
+/// Guards against a VM that takes requests after its stop without the time to serve them: a stream that begins is not broken off by the end
+/// of the process.
+#[test]
+fn stop_beginsnostreamthatitcuts() {
+    let mut world = World::new(2, 2, 1);
+    world.run(Span::from_secs(2));
+    world.send_light_load(Span::from_secs(2));
+    world.stop_and_restart(1);
+    let mut numbers = Vec::new();
+    for at in 0..25 {
+        numbers.push(world.send_request(1, adapter_request(&format!("s{at}"), "a5")));
+        world.run(Span::from_millis(100));
+    }
+    world.run(PAST_THE_STOP);
+    check_answered(&world);
+    world.check_served(&numbers, 95);
+}
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -7,6 +7,7 @@
 mod notice;
 mod path;
 mod restore;
+mod shutdown;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -31,6 +32,7 @@
 pub use crash::CrashRecords;
 pub use notice::{Arrival, Notices};
 pub use path::ServerPath;
+pub use shutdown::End;
 
 use super::engine::Engine;
 use super::setup::{self, ENGINES, MODEL, PLAIN, name};
@@ -155,6 +157,8 @@
     DeliverHead(notice::Head),
     /// Restarts the process of the VM.
     RestartVm(usize),
+    /// Looks whether the VM's process, which was told to stop at this time, can end.
+    EndStopped(usize, u64, Instant),
     /// Expires leases, and does so again 50 ms later.
     ExpireLeases,
     /// Ends the freeze of the VM.
@@ -239,6 +243,8 @@
     pub concurrent_runs: u32,
     /// Number of calls of the key-value service that VMs made, whether or not it answered.
     pub kv_calls: u64,
+    /// The VMs whose process ended after a graceful stop.
+    pub ends: Vec<(usize, End)>,
     /// Tuning of all VMs.
     tuning: Tuning,
     /// Features that all VMs run without.
@@ -357,6 +363,7 @@
             asked_relays: BTreeMap::new(),
             carried_by: BTreeMap::new(),
             kv_calls: 0,
+            ends: Vec::new(),
             tuning,
             without,
             queue: BinaryHeap::new(),
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -96,6 +96,9 @@
             Action::CancelAttempt(number) => self.cancel_attempt(number),
             Action::DeliverHead(head) => self.deliver_head(head),
             Action::RestartVm(vm) => self.start_vm(vm),
+            Action::EndStopped(vm, incarnation, stopped) => {
+                self.end_stopped(vm, incarnation, stopped);
+            }
             Action::ExpireLeases => {
                 if self.store_up {
                     self.store.expire(self.now);
