Requests at a VM that stops are answered before its process ends

What callers saw: the connection of a whole request, which came 1.6 s after the stop of its VM, ended 7.8 s after it without an answer or a refusal.

Cause: no wait of a request was bounded by the life of its VM. The shell ended the process at the end of the grace, whatever was open, and the gateway did not know of that end.

In a whole fleet that is replaced, VMs that stop get placements as fast as others, which rules out that schedulers don't know them.

Change: the gateway decides when the process ends, and the end is a deadline of each request. What is at no server at half of the grace is refused as not run, to be sent to another VM at once; schedulers are told of this bound. What is at a server is told shortly before the end that it may have run. A VM that stops and knows no scheduler does not wait for one. A simulated process that runs is not started a second time.

Why it works: each way to wait ends with the request's timer, which is set to both bounds at the stop and for each later request.

--- a/crates/gateway/src/cluster/candidacy.rs
+++ b/crates/gateway/src/cluster/candidacy.rs
@@ -219,7 +219,7 @@
     /// entry again, with a new fencing token.
     fn is_idle_holder(&self, service: &Service) -> bool {
         let has_safe_lease = self.leaderships.has_lease() && self.now < self.lease_safe_until();
-        has_safe_lease && !self.stopping && !self.schedulers.contains_key(service)
+        has_safe_lease && !self.is_stopping() && !self.schedulers.contains_key(service)
     }
 
     /// Whether this VM is to resign a leadership to another VM.
--- a/crates/gateway/src/cluster/era.rs
+++ b/crates/gateway/src/cluster/era.rs
@@ -50,7 +50,7 @@
         );
         Self::log(out, Code::StoreRestored, detail);
         self.restored = State::default();
-        if !self.stopping {
+        if !self.is_stopping() {
             self.renew_registration(out);
             self.quarantine.invalidate_lease();
             self.invalidate_origin_lease();
--- a/crates/gateway/src/cluster/leadership.rs
+++ b/crates/gateway/src/cluster/leadership.rs
@@ -263,7 +263,7 @@
             .schedulers
             .get(service)
             .is_some_and(|scheduler| scheduler.fence() == fence)
-            || self.stopping
+            || self.is_stopping()
         {
             return;
         }
@@ -470,7 +470,7 @@
 
     /// Renews the lease, or requests a new one, if it is time to.
     fn maintain_lease(&mut self, out: &mut Effects) {
-        if self.stopping {
+        if self.is_stopping() {
             return;
         }
         if !self.needs_lease() {
@@ -499,7 +499,7 @@
     pub(crate) fn take_leadership(&mut self, service: Service, out: &mut Effects) {
         let purpose = Purpose::Leadership(service.clone());
         let is_writing = self.leaderships.is_writing(&service);
-        if is_writing || self.is_kv_away() || self.stopping {
+        if is_writing || self.is_kv_away() || self.is_stopping() {
             return;
         }
         // A leadership is written only while this VM's own entry exists: a VM that requests votes of all VMs
--- a/crates/gateway/src/cluster/registration.rs
+++ b/crates/gateway/src/cluster/registration.rs
@@ -98,7 +98,7 @@
 
     /// Requests or renews the lease if that is due, and sets the timer for the next call.
     pub(crate) fn handle_registration_timer(&mut self, out: &mut Effects) {
-        if self.stopping {
+        if self.is_stopping() {
             return;
         }
         if let Some(due) = self.registration.lease.due_call(self.now) {
@@ -176,7 +176,7 @@
 
     /// Schedules a new write of this VM's entry, which was deleted although the VM is alive.
     pub(crate) fn rewrite_registration(&mut self) {
-        if !self.stopping {
+        if !self.is_stopping() {
             self.registration.written_revision = None;
             self.expedite_registration(REWRITE_WITHIN);
         }
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -39,6 +39,8 @@
     /// Several servers have crashed, one after the other, while they ran a request with the same fingerprint. No server
     /// has run this one.
     Quarantined,
+    /// The VM stops and has no time left to serve the request. No server has run it.
+    Stopping,
     /// A server may have run the request, and no complete answer arrived.
     Failed,
     /// The request's deadline has passed, and a server may have run the request.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,6 +34,7 @@
 use crate::request::notice;
 use crate::request::origin;
 use crate::request::quarantine;
+use crate::request::shutdown;
 use crate::request::state::RequestState;
 use crate::scheduler::Scheduler;
 use crate::scheduler::client;
@@ -97,8 +98,8 @@
     pub(crate) timers: Timers,
     /// The last number given to a call of the key-value service or to an order.
     last_id: u64,
-    /// Whether the process was asked to stop.
-    pub(crate) stopping: bool,
+    /// The bounds of the graceful stop; `None` if the process was not asked to stop.
+    pub(crate) shutdown: Option<shutdown::Bounds>,
     /// Whether a scheduler ran in the last step.
     pub(crate) scheduler_ran: bool,
 }
@@ -134,7 +135,7 @@
             path: path::State::default(),
             timers: Timers::default(),
             last_id: 0,
-            stopping: false,
+            shutdown: None,
             scheduler_ran: false,
             settings,
         }
@@ -175,7 +176,7 @@
     /// Returns whether the VM is ready for new connections: whether it knows a configuration and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && !self.stopping
+        self.config.is_some() && !self.is_stopping()
     }
 
     /// Returns the limits on callers' HTTP requests and connections.
@@ -500,16 +501,24 @@
     }
 
     /// Starts a graceful stop: gives up the leaderships and removes this VM's entry from the key-value service.
-    /// Requests without a final answer are still served.
+    /// Requests without a final answer are still served, within the bounds of the stop.
     fn stop(&mut self, out: &mut Effects) {
-        self.stopping = true;
-        Self::log(
-            out,
-            Code::Draining,
-            format!("open={}", self.open_requests()),
+        if self.is_stopping() {
+            return;
+        }
+        let bounds = shutdown::Bounds::new(self.now, &self.settings.tuning);
+        self.shutdown = Some(bounds);
+        let detail = format!(
+            "open={} start_by={} answer_by={} end_by={}",
+            self.open_requests(),
+            bounds.start_by.since(self.now),
+            bounds.answer_by.since(self.now),
+            bounds.end_by.since(self.now)
         );
+        Self::log(out, Code::Draining, detail);
         self.resign_all(out);
         self.deregister(out);
+        self.bound_requests(bounds, out);
     }
 
     /// Runs the handlers of the timers that are due.
--- a/crates/gateway/src/path/relay.rs
+++ b/crates/gateway/src/path/relay.rs
@@ -147,7 +147,7 @@
         let address = self.servers.get(&asked.server).map(|s| s.backend.address);
         let refusal = match address {
             _ if !self.knows_address(asked.from) => Some(RelayRefusal::UnknownVm),
-            _ if self.stopping => Some(RelayRefusal::Stopping),
+            _ if self.is_stopping() => Some(RelayRefusal::Stopping),
             None => Some(RelayRefusal::UnknownServer),
             // An attempt must not wait on a connection that may hang.
             Some(_) if !self.path.is_open() => Some(RelayRefusal::NoPath),
--- a/crates/gateway/src/request/shutdown.rs
+++ b/crates/gateway/src/request/shutdown.rs
@@ -1,15 +1,95 @@
-//! Requests of callers at a graceful stop.
+//! The bounds that a graceful stop sets to requests.
+//!
+//! The end of the process is a deadline of each request that it has taken. A request that is at no server at half of the
+//! grace is refused, as an answer that began later might be broken off and another VM still has time for it; the scheduler
+//! is told of this bound with each request that waits. What is left shortly before the end gets its final answer then.
 
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::log::{Code, Record};
+use dahliastile_core::time::{Instant, Span};
 
 use super::state::{Phase, RequestState};
+use crate::effect::Effects;
+use crate::event::RequestId;
 use crate::node::Gateway;
+use crate::settings::Tuning;
+use crate::timer::Timer;
+
+/// Time from the final answers of all requests to the end of the process, in which the answers are written.
+const WRITE_TIME: Span = Span::from_millis(100);
 
 /// Number of unanswered requests that are logged, so that the end of a busy process is not delayed.
 const MAX_LOGGED: usize = 16;
 
+/// By when requests are sent and answered at a VM that stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Bounds {
+    /// When requests that are at no server are refused.
+    pub(crate) start_by: Instant,
+    /// When requests that are at a server get their final answer.
+    pub(crate) answer_by: Instant,
+    /// When the process ends.
+    pub(crate) end_by: Instant,
+}
+
+impl Bounds {
+    /// Returns the bounds of a stop that begins now.
+    pub(crate) fn new(now: Instant, tuning: &Tuning) -> Self {
+        let end_by = now + (tuning.grace - tuning.end_margin);
+        Self {
+            start_by: now + Span(tuning.grace.0 / 2),
+            answer_by: end_by.back(WRITE_TIME),
+            end_by,
+        }
+    }
+}
+
 impl Gateway {
+    /// Whether the process was asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.shutdown.is_some()
+    }
+
+    /// Returns when the process ends at the latest; `None` if it was not asked to stop.
+    #[must_use]
+    pub fn end_by(&self) -> Option<Instant> {
+        self.shutdown.map(|bounds| bounds.end_by)
+    }
+
+    /// Bounds all requests of this VM, and asks the schedulers again for the placements that the bounds concern.
+    pub(crate) fn bound_requests(&mut self, bounds: Bounds, out: &mut Effects) {
+        let mut requests: Vec<RequestId> = self.in_flight.keys().copied().collect();
+        requests.sort_unstable();
+        for request in requests {
+            self.bound_request(request, bounds);
+            let waits = self
+                .in_flight
+                .get(&request)
+                .is_some_and(|state| state.phase == Phase::Waiting && state.call.work.is_some());
+            if waits {
+                self.request_placement(request, out);
+            }
+        }
+    }
+
+    /// Bounds a request.
+    pub(crate) fn bound_request(&mut self, request: RequestId, bounds: Bounds) {
+        let Some(state) = self.in_flight.get_mut(&request) else {
+            return;
+        };
+        state.start_by = bounds.start_by;
+        state.deadline = state.deadline.min(bounds.answer_by);
+        for at in [bounds.start_by, bounds.answer_by] {
+            self.timers.set(at, Timer::Request(request));
+        }
+    }
+
+    /// Whether a request has to be refused because this VM stops.
+    pub(crate) fn is_past_start(&self, request: RequestId) -> bool {
+        let state = self.in_flight.get(&request);
+        state.is_some_and(|state| state.is_past_start(self.now))
+    }
+
     /// Returns a log record for each request without a final answer, for [`MAX_LOGGED`] of them. Called when the process
     /// ends.
     #[must_use]
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -84,6 +84,8 @@
     pub(crate) arrived: Instant,
     /// Deadline of the final answer.
     pub(crate) deadline: Instant,
+    /// When the request is refused if it is at no server and none of its answer has been passed on.
+    pub(crate) start_by: Instant,
     /// Current phase.
     pub(crate) phase: Phase,
     /// When the request was last sent to a server; its arrival time before the first send.
@@ -141,6 +143,7 @@
             service,
             arrived: arrived_at,
             deadline: arrived_at + timeout,
+            start_by: Instant::NEVER,
             phase: Phase::Waiting,
             sent: arrived_at,
             send_count: 0,
@@ -174,6 +177,7 @@
             left: self
                 .deadline
                 .min(self.arrived + self.route.caller_timeout)
+                .min(self.start_by)
                 .since(now),
             priority: self.priority,
             zone: zone.clone(),
@@ -181,6 +185,17 @@
         })
     }
 
+    /// Whether the request should have been sent to a server by now and has to be refused: nothing of its answer has been
+    /// passed on.
+    pub(crate) fn is_past_start(&self, now: Instant) -> bool {
+        now >= self.start_by && self.server().is_none() && self.is_unanswered()
+    }
+
+    /// Whether nothing of an answer has been passed on.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        self.time_to_first_chunk.is_none()
+    }
+
     /// Returns the stream that the request begins or resumes.
     fn stream_id(&self) -> Option<StreamId> {
         let first_request = match &self.call.resumes {
@@ -255,10 +270,17 @@
         let fingerprint = state.call.fingerprint;
         self.timers.set(state.deadline, Timer::Request(request));
         self.in_flight.insert(request, state);
+        if let Some(bounds) = self.shutdown {
+            self.bound_request(request, bounds);
+        }
+        let is_past_start = self.is_past_start(request);
         match self.quarantine.remaining(fingerprint, self.now) {
             Some(remaining) => {
                 self.refuse_request(request, Some(remaining), RefusalDetail::Quarantined, out);
             }
+            None if is_past_start => {
+                self.refuse_request(request, Some(Span::ZERO), RefusalDetail::Stopping, out);
+            }
             None if resumes => self.resolve_origin(request, out),
             None => self.charge(request, out),
         }
@@ -282,6 +304,10 @@
             return;
         };
         state.phase = Phase::Waiting;
+        if state.is_past_start(self.now) && state.call.work.is_some() {
+            self.refuse_request(request, Some(Span::ZERO), RefusalDetail::Stopping, out);
+            return;
+        }
         let service = state.service.clone();
         let has_engines = self
             .index
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -59,6 +59,8 @@
     NoBuild,
     /// The request resumes a stream of which nobody is known to know what began it.
     UnknownOrigin,
+    /// This VM stops, and has no time left to serve the request.
+    Stopping,
 }
 
 impl RefusalDetail {
@@ -73,6 +75,7 @@
             Self::OverLimit => "over_limit",
             Self::NoBuild => "no_build",
             Self::UnknownOrigin => "unknown_origin",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -83,6 +86,7 @@
             _ if ran > 0 => RefusalReason::Failed,
             Self::Quarantined => RefusalReason::Quarantined,
             Self::OverLimit => RefusalReason::OverLimit,
+            Self::Stopping => RefusalReason::Stopping,
             Self::NoServer
             | Self::SendFailed
             | Self::Scheduler
@@ -285,7 +289,17 @@
         };
         if state.deadline > self.now {
             let unanswered = state.phase == Phase::Waiting && state.call.work.is_some();
-            if unanswered && self.now.since(state.arrived) >= PLACEMENT_RETRY_DELAY {
+            let is_overdue = unanswered && self.now.since(state.arrived) >= PLACEMENT_RETRY_DELAY;
+            // Another VM may know a scheduler, and has more time to wait for one.
+            let is_left_alone = is_overdue
+                && self.is_stopping()
+                && state.is_unanswered()
+                && self.scheduler_vm(&state.service).is_none();
+            if state.is_past_start(self.now) || is_left_alone {
+                self.refuse_request(request, Some(Span::ZERO), RefusalDetail::Stopping, out);
+                return;
+            }
+            if is_overdue {
                 self.request_placement(request, out);
             }
             self.handle_permit_timeout(request, out);
@@ -306,8 +320,10 @@
             out,
             Code::TimedOut,
             format!(
-                "id={id} server={server} begun={answer_started} timeout={}",
-                state.route.timeout
+                "id={id} server={server} begun={answer_started} timeout={} waited={} stopping={}",
+                state.route.timeout,
+                self.now.since(state.arrived),
+                self.is_stopping()
             ),
         );
         let effect = match sent || state.execution_count > 0 {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -110,8 +110,10 @@
     pub drain: Span,
     /// How long a VM that stops keeps accepting connections, so that the platform notices that it is not ready.
     pub leave: Span,
-    /// Limit on the duration of a graceful stop.
+    /// Limit on the duration of a graceful stop: the platform then kills the process.
     pub grace: Span,
+    /// How long before the end of `grace` the process of a VM that stops ends by itself.
+    pub end_margin: Span,
 }
 
 impl Default for Tuning {
@@ -142,6 +144,7 @@
             drain: Span::from_secs(2),
             leave: Span::from_millis(2_500),
             grace: Span::from_secs(8),
+            end_margin: Span::from_millis(300),
         }
     }
 }
--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -7,8 +7,11 @@
 use dahliastile_gateway::effect::RefusalReason;
 use dahliastile_gateway::event::CallerRequest;
 use dahliastile_gateway::settings::Tuning;
+use rand::Rng;
 use support::engine::SlowPeriod;
+use support::series::{FaultSeries, VMS, seeds};
 use support::setup::{adapter_request, inference_spec, mixed_request, name, request};
+use support::world::End;
 use support::{Answer, World};
 
 /// Longer than any stop.
@@ -99,6 +102,27 @@
     }
 }
 
+/// Guards against requests that wait for a scheduler at VMs that all stop, so that none of them takes the leadership, while
+/// engines are free and another VM could serve them: they are answered, or refused, without a long wait.
+#[test]
+fn stop_allvmsthatcouldschedule() {
+    let mut world = World::new(3, 2, 1);
+    world.run(Span::from_secs(2));
+    let holder = world.holder().expect("a scheduler");
+    let others = [(holder + 1) % 3, (holder + 2) % 3];
+    world.kill(others[1], true);
+    world.stop_and_restart(holder);
+    world.stop_and_restart(others[0]);
+    world.run(AFTER_STOP);
+    let number = world.send_request(others[0], patient_request("cold", "a77", 15));
+    world.run(PAST_THE_STOP);
+    check_answered(&world);
+    let (at, _) = world.requests[&number].ended.clone().expect("an answer");
+    let waited = at.since(world.requests[&number].at);
+    // The repetition of its question to a scheduler, which it does not wait for twice.
+    assert!(waited <= Span::from_millis(1_100), "{waited}");
+}
+
 /// Guards against a request that is refused only when its VM ends, although it was clear long before that the VM can't
 /// serve it: its caller then has no time left for another VM.
 #[test]
@@ -211,3 +235,70 @@
     check_answered(&world);
     world.check_served(&numbers, 95);
 }
+
+/// Steps of a random series: 30 s.
+const STEPS: usize = 600;
+
+/// Plays one random series of faults with graceful stops, and returns the number of stops that it checked.
+fn play_series(seed: u64) -> usize {
+    let mut series = FaultSeries::new(seed);
+    let mut checked = 0;
+    for step in 0..STEPS {
+        let vm = series.rng.random_range(0..VMS);
+        let stops = series.rng.random_bool(0.15);
+        if stops && series.world.vms[vm].gateway.is_some() {
+            series.world.stop_and_restart(vm);
+        }
+        let engine: Server = name(&format!("e{}", series.rng.random_range(0..16)));
+        if series.rng.random_bool(0.02) {
+            let now = series.world.now;
+            let (engine, _) = series.world.servers.get_mut(&engine).expect("an engine");
+            engine.slow_period = Some(SlowPeriod {
+                from: now,
+                until: now + Span::from_secs(10),
+                factor: None,
+            });
+        }
+        for number in 0..3 {
+            let at = step * 3 + number;
+            let vm = series.rng.random_range(0..VMS);
+            let request = match at % 3 {
+                0 => patient_request(&format!("p{at}"), &format!("a{}", at * 11 % 200), 300),
+                _ => mixed_request(at),
+            };
+            series.world.send_request(vm, request);
+        }
+        series.step();
+    }
+    series.world.run(PAST_THE_STOP);
+    let world = &series.world;
+    // A VM that is frozen when it is told to stop begins to stop later, but has no more time.
+    let undisturbed = |vm: usize, end: &End| {
+        let seconds = 0..=end.at.since(end.stopped).0 / 1_000_000;
+        let mut times = seconds.map(|second| end.stopped + Span::from_secs(second));
+        times.all(|at| series.was_fault_free(vm, at)) && series.was_fault_free(vm, end.at)
+    };
+    checked += world
+        .ends
+        .iter()
+        .filter(|(vm, end)| undisturbed(*vm, end))
+        .count();
+    let unanswered = world.unanswered_at_stops().into_iter();
+    let unanswered: Vec<_> = unanswered
+        .filter(|(number, end)| undisturbed(world.requests[number].vm, end))
+        .collect();
+    assert!(
+        unanswered.is_empty(),
+        "seed {seed}: unanswered: {unanswered:?}"
+    );
+    world.check_invariants();
+    checked
+}
+
+/// Guards against requests that are left without an answer or a refusal by the end of a process in any phase, among other
+/// faults: VMs that are killed, frozen and cut off, engines that fall silent, and a key-value service that is away.
+#[test]
+fn stop_amongfaults() {
+    let checked: usize = (0..seeds(8)).map(play_series).sum();
+    assert!(checked > 50, "only {checked} stops were undisturbed");
+}
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -95,6 +95,8 @@
             }
             Action::CancelAttempt(number) => self.cancel_attempt(number),
             Action::DeliverHead(head) => self.deliver_head(head),
+            // Two faults that end a process one after the other start it once.
+            Action::RestartVm(vm) if self.vms[vm].gateway.is_some() => {}
             Action::RestartVm(vm) => self.start_vm(vm),
             Action::EndStopped(vm, incarnation, stopped) => {
                 self.end_stopped(vm, incarnation, stopped);
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -115,6 +115,7 @@
         }
         let limits = self.gateway.limits();
         self.hub.ready.set(self.gateway.is_ready());
+        self.hub.end_by.set(self.gateway.end_by());
         self.hub.body_limit.set(limits.body);
         self.hub.head_limit.set(limits.head);
         self.hub.head_time.set(duration(limits.head_time));
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -44,6 +44,8 @@
     pub(crate) head_time: Cell<std::time::Duration>,
     /// How long a caller's connection may be idle.
     pub(crate) idle: Cell<std::time::Duration>,
+    /// When the process ends at the latest; none if it was not told to stop.
+    pub(crate) end_by: Cell<Option<dahliastile_core::time::Instant>>,
 }
 
 impl<D> Hub<D> {
@@ -69,6 +71,7 @@
             head_limit: Cell::new(limits.head),
             head_time: Cell::new(crate::clock::duration(limits.head_time)),
             idle: Cell::new(crate::clock::duration(limits.idle_time)),
+            end_by: Cell::new(None),
         })
     }
 
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -24,9 +24,6 @@
 use crate::peers::{self, Peers};
 use crate::probe;
 
-/// How long before the end of its grace the process ends by itself.
-const BEFORE_KILL: Span = Span::from_millis(300);
-
 /// How often a stopping process looks whether anything is still in progress.
 const LOOK: Span = Span::from_millis(50);
 
@@ -92,7 +89,7 @@
     tokio::task::spawn_local(keep_figures(hub.clone()));
     tokio::task::spawn_local(peers::listen(control, peers.clone()));
     let clock = Clock::new();
-    let tuning = settings.tuning.clone();
+    let leave_after = settings.tuning.leave;
     let mut journal = Journal::new(settings.vm.clone())?;
     let started = format!(
         "incarnation={} callers={} peers={} without={}",
@@ -114,13 +111,13 @@
         terminate.recv().await;
         stopper.post(Event::Stop);
         let stop = clock.now();
-        tokio::time::sleep_until(clock.at(stop + tuning.leave)).await;
+        tokio::time::sleep_until(clock.at(stop + leave_after)).await;
         // The receivers live as long as the process.
         let _ = leave.send(true);
-        let last = stop + (tuning.grace - BEFORE_KILL);
         // By then the connections that the system has accepted are counted.
         tokio::time::sleep_until(clock.at(clock.now() + LOOK)).await;
-        while stopper.busy() && clock.now() < last {
+        let has_time = || stopper.end_by.get().is_some_and(|end| clock.now() < end);
+        while stopper.busy() && has_time() {
             tokio::time::sleep_until(clock.at(clock.now() + LOOK)).await;
         }
         let _ = end.send(Some(clock.now() + LOOK));
