Tests of processes that end with requests open, four of which fail

The tests of graceful ends as processes had requests that a server serves, and callers that read at once. Now requests wait for a placement that no scheduler gives, are at servers that send nothing, run past the end of their process, or have answers that their caller reads slowly. Stand-ins may be silent, and their answers large; a slow caller asks for small segments, as the loopback interface otherwise holds megabytes.

Fail: waiting requests and those at silent servers get no answer. An answer of 900 kB that its server has completed, and the last events of a stream, are cut for a caller that reads 2 kB each 100 ms, as the process counts a request as over while its answer is still written. Pass: streams that run past the end are broken off visibly, with and without chunks, and a caller that reads too slowly does not keep its process from ending.

--- /dev/null
+++ b/crates/daemon/tests/graceful_stops.rs
@@ -0,0 +1,247 @@
+//! Entry VMs as processes that are told to end while requests wait, servers are silent, streams run and callers read slowly.
+
+#[path = "platform/fleet.rs"]
+mod fleet;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use dahliastile_body::Framing;
+use dahliastile_standin::fleet::Fault;
+use fleet::{Answer, Fleet, PATIENCE, parse, ran, read, read_until, request, settings_text, until};
+use socket2::{Domain, Socket, Type};
+
+/// The grace of VMs that are to end with requests open, in seconds: less than the time of a route.
+const GRACE: u64 = 5;
+/// How often a slow caller reads a part, and the pause after each: longer together than a VM still accepts connections after
+/// it was told to end, and shorter than its usual grace.
+const SLOW_READS: usize = 40;
+const SLOW_PAUSE: Duration = Duration::from_millis(100);
+/// The segment size and the receive buffer of a caller that reads slowly, in bytes. With the segments of the loopback
+/// interface the system would hold megabytes of an answer.
+const SEGMENT: u32 = 536;
+const RECEIVE_BUFFER: usize = 4_096;
+/// The size of a large answer, and that of each event of a large stream, in bytes: more than the system holds.
+const LARGE: usize = 900_000;
+const LARGE_EVENT: usize = 100_000;
+
+/// A fleet that is ready, whose VMs have a short grace.
+fn fleet(vms: u8) -> Fleet {
+    let mut fleet = Fleet::servers();
+    for number in 1..=vms {
+        let usual = settings_text(
+            number,
+            fleet.address(number, 0).ip(),
+            fleet.address(250, 8142),
+        );
+        let settings = usual.replace("graceS = 8", &format!("graceS = {GRACE}"));
+        let vm = fleet.start(number, Some(&settings));
+        fleet.vms.push(vm);
+    }
+    fleet.store.put("op/config", &fleet::config(1));
+    for vm in &fleet.vms {
+        until("a VM is ready", || vm.ready());
+    }
+    until("an engine service has a scheduler", || {
+        fleet.holder().is_some()
+    });
+    fleet
+}
+
+/// Waits until a VM has ended as it should.
+fn check_ended(fleet: &mut Fleet, vm: usize) {
+    until("it has ended", || !fleet.vms[vm].runs());
+    assert_eq!(fleet.vms[vm].ended(), Some(0));
+}
+
+/// A connection of a caller that lets the system hold little of its answer, with a request on it.
+fn open_slowly(address: SocketAddr, text: &str) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_tcp_mss(SEGMENT).expect("a segment size");
+    socket
+        .set_recv_buffer_size(RECEIVE_BUFFER)
+        .expect("a buffer size");
+    socket.connect(&address.into()).expect("it listens");
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    stream.write_all(text.as_bytes()).expect("it reads");
+    stream
+}
+
+/// Guards against a process that ends while requests wait for a placement: they were not run, and their callers are told so.
+#[test]
+fn terminate_waitingforaplacement() {
+    let mut fleet = fleet(3);
+    let holder = fleet.holder().expect("a holder");
+    let vm = (holder + 1) % 3;
+    // Without the key-value service no other VM becomes the scheduler.
+    fleet.store.set_down(true);
+    fleet.vms[holder].signal("-KILL");
+    until("it has ended", || !fleet.vms[holder].runs());
+    let open = |id| fleet.vms[vm].open(&request(id, "/plan/x", Some("base/a7")));
+    let before = open("before").expect("a connection");
+    fleet.vms[vm].signal("-TERM");
+    until("it says that it is leaving", || !fleet.vms[vm].ready());
+    let after = open("after").expect("a connection");
+    for (id, stream) in [("before", before), ("after", after)] {
+        let answer = read(stream);
+        assert_eq!(
+            (answer.status, answer.whole),
+            (503, true),
+            "{id}: {}",
+            answer.text
+        );
+        let text = answer.text.to_lowercase();
+        assert!(text.contains("retry-after: "), "{id}: {text}");
+        assert_eq!(ran(&fleet.engines, id), 0, "{id}");
+    }
+    check_ended(&mut fleet, vm);
+}
+
+/// Guards against a process that ends while servers have requests and send nothing: these may have run, and their callers
+/// are told so.
+#[test]
+fn terminate_atsilentservers() {
+    let mut fleet = fleet(1);
+    let warm = fleet.vms[0].ask("warm", "/plan/x", Some("base/a1"));
+    assert_eq!(warm.status, 200, "{}", warm.text);
+    for server in fleet.engines.iter().chain(&fleet.plain) {
+        server.set_fault(Fault::Silent);
+    }
+    let routes = [
+        ("post", None),
+        ("query", None),
+        ("plan", Some("base/a1")),
+        ("berth", Some("base/a1")),
+    ];
+    let runs = |id: &str| ran(&fleet.engines, id) + ran(&fleet.plain, id);
+    let open = |route: &str, model| {
+        let text = request(route, &format!("/{route}/x"), model);
+        fleet.vms[0].open(&text).expect("a connection")
+    };
+    let streams = routes.map(|(route, model)| (route, open(route, model)));
+    for (route, _) in routes {
+        until("a server has it", || runs(route) > 0);
+    }
+    fleet.vms[0].signal("-TERM");
+    for (route, stream) in streams {
+        let answer = read(stream);
+        assert!(
+            matches!(answer.status, 502 | 504) && answer.whole,
+            "{route}: {}",
+            answer.text
+        );
+    }
+    check_ended(&mut fleet, 0);
+}
+
+/// Guards against streams that look whole because their process ended in the middle of them, with and without chunks.
+#[test]
+fn terminate_breaksstreamsoffvisibly() {
+    let mut fleet = fleet(1);
+    for (number, framing) in [Framing::Chunked, Framing::Connection]
+        .into_iter()
+        .enumerate()
+    {
+        fleet.engines[number].set_framing(framing);
+        fleet.engines[number].set_pace(Duration::from_secs(2));
+    }
+    let mut streams = Vec::new();
+    for path in ["/plan/x", "/berth/x"] {
+        for adapter in 0..4 {
+            let id = format!("{path}{adapter}");
+            let text = request(&id, path, Some(&format!("base/a{adapter}")));
+            streams.push(fleet.vms[0].open(&text).expect("a connection"));
+        }
+    }
+    let begun = streams
+        .iter_mut()
+        .map(|stream| read_until(stream, "token 1"));
+    let in_chunks: Vec<bool> = begun.map(|text| text.contains("chunked")).collect();
+    assert!(in_chunks.contains(&true) && in_chunks.contains(&false));
+    fleet.vms[0].signal("-TERM");
+    for (stream, in_chunks) in streams.into_iter().zip(in_chunks) {
+        let answer = read(stream);
+        let has_end = answer.text.contains("token 5") || answer.text.ends_with("0\r\n\r\n");
+        // Without chunks only a reset shows that more was to come.
+        assert!(!has_end && (in_chunks || answer.reset), "{}", answer.text);
+    }
+    check_ended(&mut fleet, 0);
+}
+
+/// Reads a part of an answer and pauses.
+fn read_part(stream: &mut TcpStream, bytes: &mut Vec<u8>) {
+    let mut part = [0; RECEIVE_BUFFER / 2];
+    let count = stream.read(&mut part).expect("the answer goes on");
+    bytes.extend_from_slice(&part[..count]);
+    std::thread::sleep(SLOW_PAUSE);
+}
+
+/// Reads an answer that its server has completed slowly until a VM without requests in progress would have ended, then the rest.
+fn read_slowly(fleet: &mut Fleet, text: &str) -> Answer {
+    let mut stream = open_slowly(fleet.address(1, 8149), text);
+    until("the server has completed it", || {
+        let figures = fleet.vms[0].figures();
+        figures.contains("dahliastile_answered_total{")
+    });
+    fleet.vms[0].signal("-TERM");
+    let mut bytes = Vec::new();
+    for _ in 0..SLOW_READS {
+        read_part(&mut stream, &mut bytes);
+    }
+    let reset = stream.read_to_end(&mut bytes).is_err();
+    check_ended(fleet, 0);
+    parse(&bytes, reset)
+}
+
+/// Guards against a process that ends before its caller has read an answer that the server has completed.
+#[test]
+fn terminate_callerreadsalargeanswer() {
+    let mut fleet = Fleet::start_ready(1);
+    fleet
+        .plain
+        .iter()
+        .for_each(|server| server.set_padding(LARGE));
+    let answer = read_slowly(&mut fleet, &request("large", "/post/x", None));
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert!(answer.body().len() > LARGE, "{}", answer.body().len());
+}
+
+/// Guards against the same with a stream, whose last events wait in the VM for its caller.
+#[test]
+fn terminate_callerreadsalargestream() {
+    let mut fleet = Fleet::start_ready(1);
+    fleet
+        .engines
+        .iter()
+        .for_each(|engine| engine.set_padding(LARGE_EVENT));
+    let text = request("large", "/plan/x", Some("base/a1"));
+    let answer = read_slowly(&mut fleet, &text);
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert!(answer.text.contains("token 5"));
+}
+
+/// Guards against a process that waits past its grace for a caller that reads slowly, and an answer cut by its end that looks
+/// whole.
+#[test]
+fn terminate_callerreadstooslowly() {
+    let mut fleet = fleet(1);
+    fleet
+        .plain
+        .iter()
+        .for_each(|server| server.set_padding(LARGE));
+    let text = request("large", "/post/x", None);
+    let mut stream = open_slowly(fleet.address(1, 8149), &text);
+    until("the server has it", || ran(&fleet.plain, "large") == 1);
+    fleet.vms[0].signal("-TERM");
+    let mut bytes = Vec::new();
+    until("it has ended", || {
+        read_part(&mut stream, &mut bytes);
+        !fleet.vms[0].runs()
+    });
+    check_ended(&mut fleet, 0);
+    let reset = stream.read_to_end(&mut bytes).is_err();
+    let answer = parse(&bytes, reset);
+    assert_eq!((answer.status, answer.whole), (200, false));
+}
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -354,7 +354,12 @@
     let mut bytes = Vec::new();
     // What came before an error counts.
     let reset = stream.read_to_end(&mut bytes).is_err();
-    let text = String::from_utf8_lossy(&bytes).into_owned();
+    parse(&bytes, reset)
+}
+
+/// Takes the bytes of an answer apart, whose connection was reset or not.
+pub(crate) fn parse(bytes: &[u8], reset: bool) -> Answer {
+    let text = String::from_utf8_lossy(bytes).into_owned();
     let status = text
         .split(' ')
         .nth(1)
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -41,9 +41,9 @@
         Framing,
         Finish,
     ),
-    /// The head of a stream with these headers and no event. Calls the function when the other side closes the
-    /// connection.
-    Stalled(Vec<(String, String)>, Box<dyn FnOnce() + Send>),
+    /// The head of a stream with these headers and no event, or nothing at all. Calls the function when the other side
+    /// closes the connection.
+    Stalled(Option<Vec<(String, String)>>, Box<dyn FnOnce() + Send>),
     /// Nothing: the connection is closed.
     Nothing,
 }
@@ -134,7 +134,8 @@
             stream.write_all(&body).ok()
         }
         Reply::Stalled(headers, closed) => {
-            stream.write_all(stream_head(&headers).as_bytes()).ok()?;
+            let head = headers.as_deref().map(stream_head).unwrap_or_default();
+            stream.write_all(head.as_bytes()).ok()?;
             // The caller sends nothing more, so that a read returns when the connection ends, with or without an error.
             let _ = stream.read(&mut [0]);
             closed();
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -39,6 +39,8 @@
     Fails,
     /// It sends the head of a stream and no event.
     Stalls,
+    /// It takes them and sends nothing.
+    Silent,
 }
 
 /// A request that was run.
@@ -67,6 +69,7 @@
     pace: Duration,
     speed: f64,
     overfull: usize,
+    padding: usize,
     build: Option<String>,
     born: u64,
 }
@@ -86,6 +89,7 @@
             pace: Duration::ZERO,
             speed: 1.0,
             overfull: 0,
+            padding: 0,
             build: None,
             born: BORN,
         }
@@ -194,13 +198,18 @@
         self.state().speed = speed;
     }
 
+    /// The number of bytes that are added to each answer of a plain service and, as a comment, to each event.
+    pub fn set_padding(&self, padding: usize) {
+        self.state().padding = padding;
+    }
+
     /// The requests that it ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
     }
 
-    /// Returns the ids of requests whose connection was closed while the replica stalled, with the times.
+    /// Returns the ids of requests whose connection was closed while the replica stalled or was silent, with the times.
     #[must_use]
     pub fn cancelled(&self) -> Vec<(String, Instant)> {
         self.state().cancelled.clone()
@@ -330,15 +339,17 @@
         ];
         match state.fault {
             Fault::LosesAnswer => Reply::Nothing,
-            Fault::Stalls => {
+            Fault::Stalls | Fault::Silent => {
                 let (replica, id) = (self.clone(), id.to_owned());
                 let closed = move || replica.state().cancelled.push((id, Instant::now()));
-                Reply::Stalled(headers, Box::new(closed))
+                let sent = (state.fault == Fault::Stalls).then_some(headers);
+                Reply::Stalled(sent, Box::new(closed))
             }
             Fault::Fails => Reply::Whole(500, headers, b"failed".to_vec()),
             fault if self.model.is_some() => stream(&state, headers, after, fault),
             fault => {
-                let body = format!("answer of {}", state.id).into_bytes();
+                let body = format!("answer of {}{}", state.id, "x".repeat(state.padding));
+                let body = body.into_bytes();
                 Reply::Framed(200, headers, body, state.framing, finish(fault))
             }
         }
@@ -366,6 +377,7 @@
     let event = |number: u64| {
         let mut lines = vec![format!("id: {number}"), format!("data: token {number}")];
         lines.extend(state.build.as_ref().map(|build| format!("build: {build}")));
+        lines.extend((state.padding > 0).then(|| format!(": {}", "x".repeat(state.padding))));
         lines.push(String::new());
         let lines = lines.into_iter().map(|line| line + line_end);
         lines.collect::<String>()
