A process that ends waits for its connections, not for its requests

Cause: a request counted as over when its server's answer was complete, while up to 1 MB of it, or sixteen pieces of a stream, still waited in the process for its caller. 50 ms after the VM had left, the process ended and cut the answer.

Change: what keeps the process from ending, within its grace, are requests in progress and open connections. From when a VM leaves, each connection is closed after its answers, and an idle one at once. This takes the place of the count of requests that are being read or are the first of a connection, as these have a connection.

Ruled out: the time after which the system breaks a connection whose other side takes nothing, 2.5 s. It cuts a caller that does not read at all for that long, also at a VM that runs on; the callers of these tests read 2 kB each 100 ms.

`terminate_callerreadstooslowly` shows that the grace still ends the process.

--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -1,6 +1,5 @@
 //! Connections of callers, and of other VMs that ask this one to carry attempts.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,18 +85,17 @@
     hub: Rc<Hub<D>>,
     mut leaving: watch::Receiver<bool>,
 ) {
+    let _counted = hub.count_connection();
     pool::tune(&stream);
     let Ok(peer) = stream.peer_addr() else {
         // The connection is over.
         return;
     };
     let head = Rc::new(Head::default());
-    let first = Cell::new(Some(hub.expect_request()));
     let service = service_fn(|request| {
         let (hub, head) = (hub.clone(), head.clone());
         let speaks_chunks = request.version() > Version::HTTP_10;
         head.come();
-        let reading = first.take().unwrap_or_else(|| hub.expect_request());
         async move {
             let answer = match port {
                 Port::Callers => request::serve(hub, request).await,
@@ -107,7 +105,6 @@
             if !in_chunks && answer.body().size_hint().exact().is_none() {
                 head.end_answer();
             }
-            drop(reading);
             head.answered();
             Ok::<_, Infallible>(answer)
         }
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -28,8 +28,8 @@
     requests: RefCell<FxHashMap<RequestId, mpsc::UnboundedSender<NextStep>>>,
     /// The servers all of whose answers are told, and when each last said something of itself.
     tracked: RefCell<FxHashMap<Server, Instant>>,
-    /// The number of requests that are being read, or that will be the first of a new connection.
-    expected: Cell<usize>,
+    /// The number of open connections of callers, and of other VMs whose attempts this one carries.
+    connections: Cell<usize>,
     /// The last number given to a request.
     last: Cell<RequestId>,
     /// Renders the figures.
@@ -62,7 +62,7 @@
             figures,
             requests: RefCell::default(),
             tracked: RefCell::default(),
-            expected: Cell::new(0),
+            connections: Cell::new(0),
             last: Cell::new(0),
             ready: Cell::new(false),
             body_limit: Cell::new(limits.body),
@@ -128,15 +128,16 @@
         (id, receiver)
     }
 
-    /// Whether requests are in progress or expected.
+    /// Whether requests are in progress, are being read, may still come as the first of a connection, or have answers that
+    /// are not written to their end. Connections show the last three, as each is closed after its answers when this VM leaves.
     pub(crate) fn busy(&self) -> bool {
-        !self.requests.borrow().is_empty() || self.expected.get() > 0
+        !self.requests.borrow().is_empty() || self.connections.get() > 0
     }
 
-    /// Counts a request as expected for as long as the returned value lives.
-    pub(crate) fn expect_request(self: &Rc<Self>) -> Expected<D> {
-        self.expected.set(self.expected.get() + 1);
-        Expected { hub: self.clone() }
+    /// Counts a connection for as long as the returned value lives.
+    pub(crate) fn count_connection(self: &Rc<Self>) -> Count<D> {
+        self.connections.set(self.connections.get() + 1);
+        Count { hub: self.clone() }
     }
 
     /// Forgets a request.
@@ -152,15 +153,15 @@
     }
 }
 
-/// Keeps the process from ending while a request is expected.
-pub(crate) struct Expected<D> {
+/// Keeps the process from ending while a connection is open, within its grace.
+pub(crate) struct Count<D> {
     /// The hub that counts it.
     hub: Rc<Hub<D>>,
 }
 
-impl<D> Drop for Expected<D> {
+impl<D> Drop for Count<D> {
     fn drop(&mut self) {
-        self.hub.expected.set(self.hub.expected.get() - 1);
+        self.hub.connections.set(self.hub.connections.get() - 1);
     }
 }
 
