Soak: series of graceful ends, and each request that a VM took is answered

What the soak lacked: VMs had 8 s to end and callers waited 4 s, so that nothing was open at the end; only requests that were sent before SIGTERM counted, not those that came while the VM still took them; a disturbance of any server excused a request without any answer; and all other troubles stood still while a VM ended.

Now VMs have 5 s. A series tells all VMs to end, 250 ms apart, while engines hold nothing, are slow, and servers are silent; troubles go on meanwhile. A request that a VM took, as a server ran it or its connection stayed open for over 500 ms, is answered whatever the servers do; where an answer has begun, a disturbed server excuses its end as before.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -114,6 +114,8 @@
     pub(crate) model: Option<String>,
     /// When it was sent.
     pub(crate) sent: Instant,
+    /// When its last byte was sent; none where there was no connection.
+    pub(crate) written: Option<Instant>,
     /// When it ended.
     pub(crate) ended: Instant,
     /// The answer.
@@ -320,11 +322,13 @@
         let sent = Instant::now();
         let connection = kept.take().or_else(|| open(self.vms[vm]));
         let mut answer = Answer::default();
+        let mut written = None;
         if let Some(mut stream) = connection {
             let headers = format!("Deadline-Ms: {DEADLINE_MS}\r\nX-Api-Key: {}\r\n", keys[0]);
             let text = request_with(&id, kind.path(), model.as_deref(), &headers);
             // A connection that takes nothing shows as one without an answer.
             let _ = stream.get_mut().write_all(text.as_bytes());
+            written = Some(Instant::now());
             if leaves {
                 thread::sleep(LEAVES);
             } else if read(&mut stream, &mut answer).is_some_and(|stays| stays) {
@@ -338,6 +342,7 @@
             vm,
             model,
             sent,
+            written,
             ended: Instant::now(),
             answer,
             left: leaves,
--- a/crates/daemon/tests/soak/promises.rs
+++ b/crates/daemon/tests/soak/promises.rs
@@ -2,18 +2,22 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use dahliastile_standin::fleet::{Replica, Run};
 
 use crate::callers::RESUMED_AFTER;
 use crate::callers::{ACCOUNTS, Answer, Asked, Kind, Resumed};
 use crate::limits;
-use crate::stage::Stage;
+use crate::stage::{Stage, Told};
 
 /// Events of a stream of the stand-ins.
 const EVENTS: u64 = 5;
 
+/// How long the connection of a request stays open at the most that its VM does not read: a VM that leaves closes idle ones at
+/// once, and here the machine is busy.
+const UNREAD: Duration = Duration::from_millis(500);
+
 /// With what the line of an event begins that names the build.
 const BUILD: &str = "build: ";
 
@@ -39,7 +43,7 @@
             unproven(request, ran),
             model(request, ran),
             account(request, ran),
-            uninterrupted(stage, request),
+            uninterrupted(stage, request, ran),
             one_build(&request.answer.body),
         ];
         let told = faults.into_iter().flatten();
@@ -168,20 +172,32 @@
     }
 }
 
-/// What runs on a VM that is told to end gets its answer, unless something else cut it.
-fn uninterrupted(stage: &Stage, request: &Asked) -> Option<&'static str> {
-    let meets = |at: Instant| request.sent < at && at < request.ended;
-    let mut told = stage.told.iter();
-    let ended = told.any(|told| told.vm == request.vm && meets(told.at));
+/// What a VM that is told to end has taken gets its answer. Disturbances of the VM excuse it, and those of servers where an answer
+/// has begun.
+fn uninterrupted(stage: &Stage, request: &Asked, ran: &[(String, Run)]) -> Option<&'static str> {
+    let has_begun = request.answer.status != 0;
+    let meets = |told: &&Told| {
+        let is_gone = told.gone.is_some_and(|gone| gone <= request.sent);
+        told.vm == request.vm && told.at < request.ended && !is_gone
+    };
+    let mut told = stage.told.iter().filter(meets);
+    let ended =
+        told.any(|told| request.sent < told.at || has_begun || was_taken(request, !ran.is_empty()));
     let mut disturbances = stage.disturbances.iter();
     let disturbed = disturbances.any(|disturbance| {
-        let its = disturbance.vm.is_none_or(|vm| vm == request.vm);
+        let its = disturbance.vm.map_or(has_begun, |vm| vm == request.vm);
         its && disturbance.from < request.ended && request.sent < disturbance.to
     });
     let cut = !is_whole(&request.answer) && !request.left;
     (ended && cut && !disturbed).then_some("a graceful end cut it")
 }
 
+/// Whether a VM has read a request, as a server ran it or its connection stayed open.
+fn was_taken(request: &Asked, ran: bool) -> bool {
+    let stayed = |written: Instant| request.ended.duration_since(written) > UNREAD;
+    ran || request.written.is_some_and(stayed)
+}
+
 /// Whether all came as far as its caller can know.
 fn is_whole(answer: &Answer) -> bool {
     answer.status != 0 && (answer.whole || answer.unproven)
--- a/crates/daemon/tests/soak/stage.rs
+++ b/crates/daemon/tests/soak/stage.rs
@@ -15,11 +15,16 @@
 /// The first host number of the proxies of servers, and of those between a VM and the key-value service.
 const SERVER_WAYS: u8 = 100;
 const STORE_WAYS: u8 = 150;
+/// The grace of VMs, in seconds: requests that come before a VM refuses connections have more time than that, so that they are
+/// open when its process ends.
+const GRACE_S: u64 = 5;
 /// How long a VM may take to end after a signal: the grace of its settings, and some for a busy machine.
 const GRACE: Duration = Duration::from_secs(20);
 /// How long a process needs until it takes signals, on a busy machine. One that is told to end before is ended by the
 /// signal itself, with nothing in progress yet.
 const BORN: Duration = Duration::from_millis(500);
+/// The pause between two looks whether a VM has ended.
+const LOOK: Duration = Duration::from_millis(20);
 /// How the stand-ins' helper says that a process was ended by a signal.
 const BY_SIGNAL: i32 = -1;
 
@@ -48,6 +53,8 @@
     pub(crate) vm: usize,
     /// When it was told to end.
     pub(crate) at: Instant,
+    /// When it was seen to have ended.
+    pub(crate) gone: Option<Instant>,
 }
 
 /// A round's fleet.
@@ -118,6 +125,7 @@
             stage.store_ways.push(Proxy::start(way, store));
             let ip = stage.fleet.address(number, 0).ip();
             let text = settings_text(number, ip, way);
+            let text = text.replace("graceS = 8", &format!("graceS = {GRACE_S}"));
             stage.settings.push(limits::settings(&text));
             let vm = stage
                 .fleet
@@ -213,27 +221,33 @@
     /// Has a VM end gracefully. It is to end with 0 within its grace.
     pub(crate) fn terminate(&mut self, vm: usize) {
         let at = Instant::now();
-        self.told.push(Told { vm, at });
+        self.told.push(Told { vm, at, gone: None });
         self.fleet.vms[vm].signal("-TERM");
     }
 
+    /// Whether a VM that was told to end has ended, or has not within its time, which is a fault.
+    pub(crate) fn has_ended(&mut self, vm: usize) -> bool {
+        let code = self.fleet.vms[vm].ended();
+        let mut told = self.told.iter_mut().rev();
+        let Some(told) = told.find(|told| told.vm == vm) else {
+            return true;
+        };
+        let newborn = told.at < self.started[vm] + BORN;
+        match code {
+            None if told.at.elapsed() < GRACE => return false,
+            None => self.faults.push(format!("vm{} did not end", vm + 1)),
+            Some(0) => {}
+            Some(BY_SIGNAL) if newborn => {}
+            Some(code) => self.faults.push(format!("vm{} ended with {code}", vm + 1)),
+        }
+        told.gone = Some(Instant::now());
+        true
+    }
+
     /// Waits until a VM that was told to end has ended.
     pub(crate) fn ended(&mut self, vm: usize) {
-        let from = Instant::now();
-        let code = loop {
-            match self.fleet.vms[vm].ended() {
-                Some(code) => break code,
-                None if from.elapsed() > GRACE => {
-                    self.faults.push(format!("vm{} did not end", vm + 1));
-                    return;
-                }
-                None => thread::sleep(Duration::from_millis(20)),
-            }
-        };
-        let told = self.told.iter().rev().find(|told| told.vm == vm);
-        let newborn = told.is_some_and(|told| told.at < self.started[vm] + BORN);
-        if code != 0 && !(newborn && code == BY_SIGNAL) {
-            self.faults.push(format!("vm{} ended with {code}", vm + 1));
+        while !self.has_ended(vm) {
+            thread::sleep(LOOK);
         }
     }
 
--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -38,6 +38,16 @@
 const NEXT_RELEASE: std::ops::Range<u64> = 500..3_000;
 /// The stream from which these are drawn.
 const RELEASES: u64 = 5;
+/// The pause until the next series of graceful ends, in milliseconds.
+const NEXT_SERIES: std::ops::Range<u64> = 500..6_000;
+/// The stream from which these are drawn.
+const SERIES: u64 = 6;
+/// The time between two ends of a series.
+const SERIES_STEP: Duration = Duration::from_millis(250);
+/// How long servers are slow or silent in a series, in milliseconds: up to a little more than VMs take to end.
+const SERIES_LASTS: std::ops::Range<u64> = 1_000..6_000;
+/// How likely each server is silent in a series, and each engine slow.
+const LIKELY: f64 = 0.4;
 /// How many times slower a slow engine is.
 const SLOWER: f64 = 2.5;
 /// After how long operator and servers write again what a copy lacks, in milliseconds.
@@ -153,6 +163,42 @@
         Self::Release(rng.random_range(0..engines), build)
     }
 
+    /// Draws a series: engines that hold nothing, servers that are silent or slow, and all VMs told to end, one after the
+    /// other. Each comes with the pause until it begins and how long it lasts.
+    fn draw_series(
+        rng: &mut ChaCha8Rng,
+        vms: usize,
+        servers: usize,
+        engines: usize,
+    ) -> Vec<(Duration, Self, Duration)> {
+        let lasts = Duration::from_millis(rng.random_range(SERIES_LASTS));
+        let restarts = (0..engines).map(Self::EngineRestart);
+        let restarts = restarts.map(|restart| (Duration::ZERO, restart, Duration::ZERO));
+        let mut series: Vec<_> = restarts.collect();
+        let silent = (0..servers).map(|server| Self::Server(server, Fault::Silent));
+        for trouble in silent.chain((0..engines).map(Self::Slow)) {
+            if rng.random_bool(LIKELY) {
+                series.push((SERIES_STEP, trouble, lasts));
+            }
+        }
+        let first = rng.random_range(0..vms);
+        let order = (first..first + vms).map(|vm| Self::Terminate(vm % vms));
+        let mut at = SERIES_STEP;
+        for terminate in order {
+            at += SERIES_STEP;
+            series.push((at, terminate, Duration::ZERO));
+        }
+        series
+    }
+
+    /// Whether it is over once its time is.
+    fn is_over(self, stage: &mut Stage) -> bool {
+        match self {
+            Self::Terminate(vm) => stage.has_ended(vm),
+            _ => true,
+        }
+    }
+
     /// What it holds: nothing else happens to that meanwhile.
     fn holds(self) -> Held {
         match self {
@@ -223,11 +269,7 @@
     fn end(self, stage: &mut Stage, callers: &Callers) {
         match self {
             Self::Pause(vm) => stage.fleet.vms[vm].signal("-CONT"),
-            Self::Kill(vm) => stage.restart(vm),
-            Self::Terminate(vm) => {
-                stage.ended(vm);
-                stage.restart(vm);
-            }
+            Self::Kill(vm) | Self::Terminate(vm) => stage.restart(vm),
             Self::StoreWay(vm, _) => stage.store_ways[vm].set(Mode::Pass),
             Self::StoreDown => stage.fleet.store.set_down(false),
             Self::StoreRestored(after) => {
@@ -299,6 +341,10 @@
     let mut releases = rng.clone();
     releases.set_stream(RELEASES);
     let mut next_release = began + Duration::from_millis(releases.random_range(NEXT_RELEASE));
+    let mut series = rng.clone();
+    series.set_stream(SERIES);
+    let mut next_series = began + Duration::from_millis(series.random_range(NEXT_SERIES));
+    let mut planned: Vec<(Instant, Trouble, Duration)> = Vec::new();
     while began.elapsed() < span {
         let now = Instant::now();
         if next_copy <= now {
@@ -306,10 +352,9 @@
             stage.fleet.store.copy(COPY_AGE);
         }
         stage.write_again_if_due(now);
-        let over = running.iter().filter(|(_, to)| *to <= now);
-        let over: Vec<Trouble> = over.map(|(trouble, _)| *trouble).collect();
-        running.retain(|(trouble, _)| !over.contains(trouble));
-        for trouble in over {
+        let over = running.extract_if(.., |(trouble, to)| *to <= now && trouble.is_over(stage));
+        let over: Vec<_> = over.collect();
+        for (trouble, _) in over {
             trouble.end(stage, callers);
         }
         let mut due = Vec::new();
@@ -344,6 +389,13 @@
             let lasts = Duration::from_millis(releases.random_range(LASTS));
             due.push((Trouble::draw_release(&mut releases, engines), lasts));
         }
+        if next_series <= now {
+            next_series = now + Duration::from_millis(series.random_range(NEXT_SERIES));
+            let drawn = Trouble::draw_series(&mut series, vms, servers, engines).into_iter();
+            planned.extend(drawn.map(|(pause, trouble, lasts)| (now + pause, trouble, lasts)));
+        }
+        let begins = planned.extract_if(.., |(at, ..)| *at <= now);
+        due.extend(begins.map(|(_, trouble, lasts)| (trouble, lasts)));
         for (trouble, lasts) in due {
             if running
                 .iter()
@@ -357,6 +409,9 @@
         thread::sleep(LOOK);
     }
     for (trouble, _) in running {
+        while !trouble.is_over(stage) {
+            thread::sleep(LOOK);
+        }
         trouble.end(stage, callers);
     }
     stage.write_again_if_due(Instant::now() + Duration::from_millis(WRITTEN_AGAIN.end));
