--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -511,9 +511,9 @@
         let detail = format!(
             "open={} start_by={} answer_by={} end_by={}",
             self.open_requests(),
-            bounds.start_by.since(self.now),
-            bounds.answer_by.since(self.now),
-            bounds.end_by.since(self.now)
+            bounds.start.since(self.now),
+            bounds.answer.since(self.now),
+            bounds.end.since(self.now)
         );
         Self::log(out, Code::Draining, detail);
         self.resign_all(out);
--- a/crates/gateway/src/request/shutdown.rs
+++ b/crates/gateway/src/request/shutdown.rs
@@ -21,25 +21,25 @@
 /// Number of unanswered requests that are logged, so that the end of a busy process is not delayed.
 const MAX_LOGGED: usize = 16;
 
-/// By when requests are sent and answered at a VM that stops.
+/// The latest times of the steps of a request at a VM that stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Bounds {
     /// When requests that are at no server are refused.
-    pub(crate) start_by: Instant,
+    pub(crate) start: Instant,
     /// When requests that are at a server get their final answer.
-    pub(crate) answer_by: Instant,
+    pub(crate) answer: Instant,
     /// When the process ends.
-    pub(crate) end_by: Instant,
+    pub(crate) end: Instant,
 }
 
 impl Bounds {
     /// Returns the bounds of a stop that begins now.
     pub(crate) fn new(now: Instant, tuning: &Tuning) -> Self {
-        let end_by = now + (tuning.grace - tuning.end_margin);
+        let end = now + (tuning.grace - tuning.end_margin);
         Self {
-            start_by: now + Span(tuning.grace.0 / 2),
-            answer_by: end_by.back(WRITE_TIME),
-            end_by,
+            start: now + Span(tuning.grace.0 / 2),
+            answer: end.back(WRITE_TIME),
+            end,
         }
     }
 }
@@ -53,7 +53,7 @@
     /// Returns when the process ends at the latest; `None` if it was not asked to stop.
     #[must_use]
     pub fn end_by(&self) -> Option<Instant> {
-        self.shutdown.map(|bounds| bounds.end_by)
+        self.shutdown.map(|bounds| bounds.end)
     }
 
     /// Bounds all requests of this VM, and asks the schedulers again for the placements that the bounds concern.
@@ -77,9 +77,9 @@
         let Some(state) = self.in_flight.get_mut(&request) else {
             return;
         };
-        state.start_by = bounds.start_by;
-        state.deadline = state.deadline.min(bounds.answer_by);
-        for at in [bounds.start_by, bounds.answer_by] {
+        state.start_by = bounds.start;
+        state.deadline = state.deadline.min(bounds.answer);
+        for at in [bounds.start, bounds.answer] {
             self.timers.set(at, Timer::Request(request));
         }
     }
