Log the parts of prompts where requests are sent and where servers end

The logs could not tell which part of their prompts the requests at two engines had in common when these ended, nor which of these parts were in requests that were served: no line names the parts or, but for the scheduler's, the adapter. `E517` names fingerprints only, which differ from request to request.

`E511 Sent` has the adapter and the parts of the prompt, eight at most, which joins with `E513 Served` by the request's id. `E517 ServerEnded` has the parts of the requests there that others may have too, each with the number of requests that have it, sixteen at most, those of most requests first. A part that is in all these lines stands out without a join. A suspect keeps what the request asked for, from which this is taken; nothing is decided by it.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -197,7 +197,7 @@
     /// A request's time was over before its answer.
     TimedOut = 515 Info "Look at the lines of the same id for where it waited.";
     /// A backend server ended while it had requests.
-    ServerEnded = 517 Warn "Look which request it has in common with other servers that ended.";
+    ServerEnded = 517 Warn "Look which request, or which part of a prompt, it has in common with other servers that ended.";
     /// Servers have ended under a request, one after the other; it is refused from now on.
     RequestQuarantined = 518 Warn "Find its caller and what of it crashes servers; remove its record to lift it.";
     /// A request is no longer refused.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -39,6 +39,16 @@
     pub prompt_parts: Arc<[PromptPart]>,
 }
 
+impl InferenceSpec {
+    /// Returns the parts of the prompt that other requests may have too: all but the last.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt_parts
+            .split_last()
+            .map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A part of a prompt. Requests with a common prefix share parts; the last part is the request's or its session's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
--- a/crates/gateway/src/request/quarantine.rs
+++ b/crates/gateway/src/request/quarantine.rs
@@ -26,7 +26,7 @@
 mod suspects;
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::log::Code;
@@ -34,7 +34,6 @@
 use serde::{Deserialize, Serialize};
 
 use self::crash_counter::{CrashCounter, CrashEffect};
-use self::suspects::Suspect;
 use crate::cluster::membership;
 use crate::effect::{Effect, Effects, KvOperationId};
 use crate::event::{ProbeResult, RequestId};
@@ -45,6 +44,7 @@
 use crate::request::state::{Phase, RefusalDetail, RequestState};
 
 pub use self::crash_counter::CrashReport;
+pub(crate) use self::suspects::Suspect;
 
 /// Duration of a quarantine: the longest lease that the key-value service grants, since the record depends on
 /// one. After a quarantine one further counted crash starts a new one.
@@ -68,6 +68,9 @@
 /// Upper bound on the requests named in the log line about a server that ended.
 const MAX_LOGGED_REQUESTS: usize = 8;
 
+/// Upper bound on the prompt parts named in the log line about a server that ended.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Status of a request that was at servers when they crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuarantineStatus {
@@ -134,6 +137,28 @@
     }
 }
 
+/// Returns the prompt parts of requests that other requests may have too, each with the number of these requests that have
+/// it, those of most requests first; `-` if there is none.
+fn most_shared_parts(suspects: &[Suspect]) -> String {
+    let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+    for suspect in suspects {
+        let parts: BTreeSet<u64> = suspect.shared_parts().iter().map(|part| part.id).collect();
+        for part in parts {
+            *counts.entry(part).or_default() += 1;
+        }
+    }
+    let mut counts: Vec<(u64, usize)> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, count)| Reverse(*count));
+    let logged = counts.iter().take(MAX_LOGGED_PARTS);
+    let logged: Vec<String> = logged
+        .map(|(id, count)| format!("{id:08x}:{count}"))
+        .collect();
+    match logged.as_slice() {
+        [] => "-".to_owned(),
+        logged => logged.join(","),
+    }
+}
+
 impl Gateway {
     /// Reports the crash of a server for each request that ran there to the VMs that count for the request.
     fn report_crash(&mut self, server: &Server, suspects: &[Suspect], out: &mut Effects) {
@@ -141,9 +166,10 @@
         let fingerprints = reports.iter().take(MAX_LOGGED_REQUESTS);
         let fingerprints: Vec<String> = fingerprints.map(|s| s.fingerprint.to_string()).collect();
         let detail = format!(
-            "server={server} requests={} calls={}",
+            "server={server} requests={} calls={} parts={}",
             reports.len(),
-            fingerprints.join(",")
+            fingerprints.join(","),
+            most_shared_parts(suspects)
         );
         Self::log(out, Code::ServerEnded, detail);
         let mut reports_by_vm: BTreeMap<Vm, Vec<CrashReport>> = BTreeMap::new();
@@ -299,13 +325,15 @@
         let Some(state) = self.in_flight.get(&request) else {
             return;
         };
-        let (fingerprint, sent) = (state.call.fingerprint, state.sent);
         let Some(server) = state.server().cloned() else {
             return;
         };
+        let suspect = state.suspect(self.now, true);
         // It was alive when it got this request.
-        self.quarantine.suspects.record_answer(&server, sent);
-        self.record_suspect(&server, fingerprint, sent, true, out);
+        self.quarantine
+            .suspects
+            .record_answer(&server, suspect.sent);
+        self.record_suspect(&server, suspect, out);
     }
 
     /// Clears a request on all VMs, if this VM knows of crashes under it.
@@ -345,15 +373,8 @@
     }
 
     /// Records a request that may have run at a server when its connection broke, or ended an answer that nothing shows to
-    /// be whole (`has_answer`). Probes the server, for such an answer only if crashes under the request are counted.
-    pub(crate) fn record_suspect(
-        &mut self,
-        server: &Server,
-        fingerprint: Fingerprint,
-        sent: Instant,
-        has_answer: bool,
-        out: &mut Effects,
-    ) {
+    /// be whole. Probes the server, for such an answer only if crashes under the request are counted.
+    pub(crate) fn record_suspect(&mut self, server: &Server, suspect: Suspect, out: &mut Effects) {
         // A leaving server ends on purpose, and a server without an entry has no address to probe.
         let Some(server_state) = self
             .servers
@@ -362,15 +383,10 @@
         else {
             return;
         };
-        let suspect = Suspect {
-            fingerprint,
-            sent,
-            broke: self.now,
-            has_answer,
-        };
         let address = server_state.backend.address;
         let may_probe = !self.path.is_lost();
-        let probes = may_probe && (!has_answer || self.quarantine.is_tracked(fingerprint));
+        let is_tracked = self.quarantine.is_tracked(suspect.fingerprint);
+        let probes = may_probe && (!suspect.has_answer || is_tracked);
         self.quarantine.suspects.insert(server, suspect);
         if probes && self.quarantine.suspects.start_probe(server, self.now) {
             out.push(Effect::Probe(server.clone(), address));
--- a/crates/gateway/src/request/quarantine/suspects.rs
+++ b/crates/gateway/src/request/quarantine/suspects.rs
@@ -11,6 +11,7 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::crash_counter::CrashReport;
+use crate::event::{InferenceSpec, PromptPart};
 use crate::request::fingerprint::Fingerprint;
 
 /// How long after a connection broke the crash of its server still counts as the cause: three missed heartbeats
@@ -21,7 +22,7 @@
 const MAX_PER_SERVER: usize = 256;
 
 /// A request whose connection broke or ended its answer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Suspect {
     /// The request.
     pub(crate) fingerprint: Fingerprint,
@@ -31,6 +32,8 @@
     pub(crate) broke: Instant,
     /// Whether the connection ended an answer that nothing shows to be whole.
     pub(crate) has_answer: bool,
+    /// The inference that it asked for; `None` if it asked for none.
+    pub(crate) work: Option<InferenceSpec>,
 }
 
 impl Suspect {
@@ -43,6 +46,11 @@
             broke: now.since(self.broke),
         }
     }
+
+    /// Returns the parts of its prompt that other requests may have too.
+    pub(crate) fn shared_parts(&self) -> &[PromptPart] {
+        self.work.as_ref().map_or(&[], InferenceSpec::shared_parts)
+    }
 }
 
 /// The suspects of one server.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -26,6 +26,7 @@
 use crate::metrics;
 use crate::node::Gateway;
 use crate::request::origin::{Origin, StreamId};
+use crate::request::quarantine::Suspect;
 use crate::timer::Timer;
 
 use self::failure::RETRY_AFTER;
@@ -34,6 +35,9 @@
 /// The id of a request whose caller gives it none.
 const NO_ID: &str = "-";
 
+/// Upper bound on the prompt parts named in the log line about a request that is sent.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Phase of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -202,6 +206,40 @@
         })
     }
 
+    /// Returns the request as a suspect, whose connection broke or ended its answer (`has_answer`) at `now`.
+    pub(crate) fn suspect(&self, now: Instant, has_answer: bool) -> Suspect {
+        Suspect {
+            fingerprint: self.call.fingerprint,
+            sent: self.sent,
+            broke: now,
+            has_answer,
+            work: self.call.work.clone(),
+        }
+    }
+
+    /// Returns the adapter that the request asks for, for the log; `-` if it asks for none.
+    fn adapter_name(&self) -> &str {
+        let adapter = self
+            .call
+            .work
+            .as_ref()
+            .and_then(|work| work.adapter.as_ref());
+        adapter.map_or("-", |adapter| adapter)
+    }
+
+    /// Returns the ids of the prompt's first parts, for the log; `-` if there is none.
+    fn part_list(&self) -> String {
+        let parts = self.call.work.iter().flat_map(|work| &*work.prompt_parts);
+        let ids: Vec<String> = parts
+            .take(MAX_LOGGED_PARTS)
+            .map(|part| format!("{:08x}", part.id))
+            .collect();
+        match ids.as_slice() {
+            [] => "-".to_owned(),
+            ids => ids.join(","),
+        }
+    }
+
     /// Returns the server that the request is at; `None` if it was not sent yet, or if its last server failed
     /// it.
     pub(crate) fn server(&self) -> Option<&Server> {
@@ -408,14 +446,16 @@
         let account = state.account.as_ref().map_or("-", |a| a.name.as_str());
         let config = self.config_version();
         let detail = format!(
-            "id={} call={} account={account} route={} config={config} server={server} build={} resumes={resumes} send={} waited={waited} via={} open={}",
+            "id={} call={} account={account} route={} config={config} server={server} build={} resumes={resumes} send={} waited={waited} via={} open={} adapter={} parts={}",
             state.call.id,
             state.call.fingerprint,
             state.route.name,
             server_state.backend.build,
             state.send_count,
             state.relay.as_ref().map_or("-", Vm::as_str),
-            server_state.open
+            server_state.open,
+            state.adapter_name(),
+            state.part_list()
         );
         Self::log(out, Code::Sent, detail);
         let is_first_send = state.send_count == 1;
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -151,8 +151,8 @@
             self.path.record_heard(now);
         }
         if ran != Execution::No && cause == FailureCause::Broken && !is_path_fault {
-            let (fingerprint, sent) = (state.call.fingerprint, state.sent);
-            self.record_suspect(&server, fingerprint, sent, false, out);
+            let suspect = state.suspect(now, false);
+            self.record_suspect(&server, suspect, out);
         }
         let reported = if is_path_fault {
             FailureCause::Declined
