Quarantine of prompt parts that crash servers

What callers saw: engines ended one after the other, 32 and 38 in two series, under requests of which no two were alike but for one part of their prompts; the answers of all requests at these engines broke off.

Cause: crashes are counted by the fingerprint of the whole request, and each of these has another one.

Change: the parts of a prompt but for the last are counted and quarantined under fingerprints of their own. A part counts only where the server was beginning the answer and no quarantined cause explains the crash. At the second and third counted crash all VMs are asked which parts were in complete answers since the first. The fourth quarantines the part. While crashes are reported, servers of answers that end with their connection are probed at once. Two kinds of messages are new, at the end of the list; VMs whose program predates them drop the batches that hold these.

The tests of crashes (but for the one that is known to fail), restored, fingerprint and encoding pass.

Why it works: a part that crashes servers is in no complete answer after its first crash, and each other part that is asked for is in one soon.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -240,6 +240,11 @@
     /// The builds that have served each service lately, with the time since a server of each was last listed, and for how
     /// long the sender knows all of them.
     BuildHistory(BuildAges, Span),
+    /// To the VMs that count crashes by prompt part: servers have crashed while they ran requests with these parts.
+    PartCrashReports(Vec<CrashReport>),
+    /// To any VM: crashes are counted for these prompt parts, the first one this long ago. The receiver answers which of them
+    /// were in complete answers since, and watches for such answers to the others.
+    PartsWatched(Vec<(Fingerprint, Span)>),
 }
 
 impl Message {
@@ -284,6 +289,8 @@
             Self::OriginReply(..) => "origin_reply",
             Self::OriginsRequest => "origins_request",
             Self::BuildHistory(..) => "build_history",
+            Self::PartCrashReports(_) => "part_crash_reports",
+            Self::PartsWatched(_) => "parts_watched",
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -429,8 +429,10 @@
                     self.record_residents(&service, residents);
                 }
             }
-            Message::CrashReports(reports) => self.handle_crash_reports(from, &reports, out),
-            Message::QuarantineStatuses(statuses) => self.handle_quarantine_statuses(statuses, out),
+            message @ (Message::CrashReports(_)
+            | Message::QuarantineStatuses(_)
+            | Message::PartCrashReports(_)
+            | Message::PartsWatched(_)) => self.handle_quarantine_message(from, message, out),
             Message::ServerRateLimit(server, limit) => self.set_limit(from, &server, limit, out),
             Message::ServerLeaving(server, incarnation) => {
                 self.mark_leaving(from, &server, incarnation, out);
--- a/crates/gateway/src/request/expiring_map.rs
+++ b/crates/gateway/src/request/expiring_map.rs
@@ -36,6 +36,15 @@
         self.entries.get_mut(key).map(|(_, value)| value)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns when an entry was last inserted.
+    pub(crate) fn inserted_at(&self, key: &K) -> Option<Instant> {
+        self.entries.get(key).map(|(at, _)| *at)
+    }
+
     /// Inserts or replaces an entry. Removes expired entries, and the oldest ones if the map is full.
     pub(crate) fn insert(&mut self, now: Instant, key: K, value: T) {
         self.remove(&key);
--- a/crates/gateway/src/request/fingerprint.rs
+++ b/crates/gateway/src/request/fingerprint.rs
@@ -1,11 +1,14 @@
 //! Fingerprint of a request: a hash of its method, host, path, query and body. It identifies repetitions of a
-//! request, for which callers use a new request id each time.
+//! request, for which callers use a new request id each time. A part of a prompt has a fingerprint of the same form.
 
 use std::fmt;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
+/// What the hash of a prompt part begins with. A request's hash has more than two parts, so that the two never meet.
+const PROMPT_PART: &[u8] = b"prompt part";
+
 /// Hash of a request's content, the same on every VM. The hash is cryptographic, so that callers can't craft a
 /// request that has the fingerprint of another one.
 #[derive(
@@ -28,6 +31,12 @@
         hasher.finalize_xof().fill(&mut bytes);
         Self(u128::from_le_bytes(bytes))
     }
+
+    /// Computes the fingerprint of a part of prompts, by the id of its text.
+    #[must_use]
+    pub fn of_prompt_part(id: u64) -> Self {
+        Self::of([PROMPT_PART, &id.to_le_bytes()])
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/gateway/src/request/quarantine.rs
+++ b/crates/gateway/src/request/quarantine.rs
@@ -13,6 +13,8 @@
 //!   one.
 //! * From the second counted crash all VMs watch for a complete answer to the request, which resets its
 //!   count. A frequent request is often at a server that crashes, but is answered most of the time.
+//! * `cause`, `parts`: no two requests need to be alike to crash servers in the same way, as a part of their prompts may be
+//!   the cause. Parts are counted and quarantined too.
 //! * With the third counted crash the request is quarantined: all VMs are informed, and refuse it at once as
 //!   not run. `record` keeps this in the key-value service, for VMs that start later and for operators, who
 //!   end the quarantine by removing the record.
@@ -21,7 +23,9 @@
 //! informed of a quarantine causes the crash of one more server, and is informed in the reply to its crash
 //! report.
 
+mod cause;
 mod crash_counter;
+mod parts;
 mod record;
 mod suspects;
 
@@ -33,10 +37,10 @@
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
 
-use self::crash_counter::{CrashCounter, CrashEffect};
+use self::crash_counter::{CrashCounter, CrashEffect, REQUEST_THRESHOLD};
 use crate::cluster::membership;
 use crate::effect::{Effect, Effects, KvOperationId};
-use crate::event::{ProbeResult, RequestId};
+use crate::event::{CallerRequest, ProbeResult, PromptPart, RequestId};
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::request::expiring_map::ExpiringMap;
@@ -87,8 +91,10 @@
 pub(crate) struct State {
     /// Requests whose connections broke, by server.
     suspects: suspects::State,
-    /// Crashes that this VM counts.
+    /// Crashes that this VM counts, by request.
     crash_counter: CrashCounter,
+    /// What this VM knows of prompt parts.
+    parts: parts::State,
     /// Requests whose count is reset by a complete answer.
     watched: ExpiringMap<Fingerprint, ()>,
     /// Quarantined requests, each with the end of its quarantine.
@@ -101,7 +107,8 @@
     fn default() -> Self {
         Self {
             suspects: suspects::State::default(),
-            crash_counter: CrashCounter::new(CRASH_RETENTION),
+            crash_counter: CrashCounter::new(REQUEST_THRESHOLD, CRASH_RETENTION),
+            parts: parts::State::default(),
             watched: ExpiringMap::new(MAX_REQUESTS, CRASH_RETENTION),
             quarantined: ExpiringMap::new(MAX_REQUESTS, QUARANTINE_DURATION),
             records: record::State::default(),
@@ -116,6 +123,27 @@
         Some(until.since(now)).filter(|remaining| *remaining > Span::ZERO)
     }
 
+    /// Returns how much is left of the longest quarantine of a request and the parts of its prompt; `None` if none of them
+    /// is in quarantine.
+    pub(crate) fn remaining_for(&self, call: &CallerRequest, now: Instant) -> Option<Span> {
+        if self.quarantined.is_empty() {
+            return None;
+        }
+        let causes = call.causes();
+        causes.filter_map(|cause| self.remaining(cause, now)).max()
+    }
+
+    /// Returns the first part of a request's prompt that is in quarantine.
+    pub(crate) fn quarantined_part(&self, call: &CallerRequest, now: Instant) -> Option<u64> {
+        let work = call.work.as_ref()?;
+        let is_quarantined = |part: &&PromptPart| {
+            let fingerprint = Fingerprint::of_prompt_part(part.id);
+            self.remaining(fingerprint, now).is_some()
+        };
+        let part = work.shared_parts().iter().find(is_quarantined);
+        part.map(|part| part.id)
+    }
+
     /// Discards the lease for records, since the key-value service came back from a copy.
     pub(crate) fn invalidate_lease(&mut self) {
         self.records.invalidate_lease();
@@ -172,18 +200,29 @@
             most_shared_parts(suspects)
         );
         Self::log(out, Code::ServerEnded, detail);
+        self.send_crash_reports(&reports, Message::CrashReports, out);
+        // This VM counts its own reports even if it is not one of the counting VMs: those may be unreachable.
+        self.count_crash_reports(&reports, out);
+        self.report_parts(suspects, out);
+    }
+
+    /// Sends crash reports to the VMs that count them.
+    fn send_crash_reports(
+        &self,
+        reports: &[CrashReport],
+        message: impl Fn(Vec<CrashReport>) -> Message,
+        out: &mut Effects,
+    ) {
         let mut reports_by_vm: BTreeMap<Vm, Vec<CrashReport>> = BTreeMap::new();
-        for report in &reports {
+        for report in reports {
             for vm in self.crash_counting_vms(report.fingerprint) {
                 reports_by_vm.entry(vm.clone()).or_default().push(*report);
             }
         }
         reports_by_vm.remove(&self.settings.vm);
         for (vm, reports) in reports_by_vm {
-            self.send(&vm, Message::CrashReports(reports), out);
+            self.send(&vm, message(reports), out);
         }
-        // This VM counts its own reports even if it is not one of the counting VMs: those may be unreachable.
-        self.count_crash_reports(&reports, out);
     }
 
     /// Returns the VMs that count the crash reports of a request, in rendezvous order.
@@ -193,14 +232,27 @@
         })
     }
 
-    /// Handles crash reports of another VM. Replies with the reported requests that are already in
-    /// quarantine.
-    pub(crate) fn handle_crash_reports(
+    /// Passes a message about crashes and quarantines to its handler.
+    pub(crate) fn handle_quarantine_message(
         &mut self,
         from: &Vm,
-        reports: &[CrashReport],
+        message: Message,
         out: &mut Effects,
     ) {
+        match message {
+            Message::CrashReports(reports) => self.handle_crash_reports(from, &reports, out),
+            Message::QuarantineStatuses(statuses) => self.handle_quarantine_statuses(statuses, out),
+            Message::PartCrashReports(reports) => {
+                self.handle_part_crash_reports(from, &reports, out);
+            }
+            Message::PartsWatched(parts) => self.handle_parts_watched(from, &parts, out),
+            _ => {}
+        }
+    }
+
+    /// Handles crash reports of another VM. Replies with the reported requests that are already in
+    /// quarantine.
+    fn handle_crash_reports(&mut self, from: &Vm, reports: &[CrashReport], out: &mut Effects) {
         let reported = reports.iter().map(|report| report.fingerprint);
         self.send_quarantined(from, reported, out);
         self.count_crash_reports(reports, out);
@@ -214,7 +266,7 @@
             let counted = self.quarantine.crash_counter.count(self.now, report);
             let is_quarantined = self.quarantine.remaining(fingerprint, self.now).is_some();
             match counted {
-                CrashEffect::Quarantine if !is_quarantined => {
+                CrashEffect::Quarantine(_) if !is_quarantined => {
                     self.put_in_quarantine(fingerprint, QUARANTINE_DURATION, "strikes", out);
                     self.schedule_write(fingerprint, out);
                     statuses.push((
@@ -222,7 +274,7 @@
                         QuarantineStatus::Quarantined(QUARANTINE_DURATION),
                     ));
                 }
-                CrashEffect::Watch if !self.quarantine.is_tracked(fingerprint) => {
+                CrashEffect::Watch(_) if !self.quarantine.is_tracked(fingerprint) => {
                     self.quarantine.watched.insert(self.now, fingerprint, ());
                     statuses.push((fingerprint, QuarantineStatus::Watched));
                 }
@@ -234,8 +286,8 @@
         }
     }
 
-    /// Handles the status of requests as determined by another VM.
-    pub(crate) fn handle_quarantine_statuses(
+    /// Handles the status of requests and prompt parts as determined by another VM.
+    fn handle_quarantine_statuses(
         &mut self,
         statuses: Vec<(Fingerprint, QuarantineStatus)>,
         out: &mut Effects,
@@ -273,7 +325,7 @@
         let detail = format!("call={fingerprint} by={cause} for={duration}");
         Self::log(out, Code::RequestQuarantined, detail);
         let is_waiting = |state: &RequestState| {
-            state.call.fingerprint == fingerprint
+            state.call.causes().any(|cause| cause == fingerprint)
                 && state.server().is_none()
                 && state.phase != Phase::Charging
         };
@@ -287,6 +339,7 @@
     /// Removes the counted crashes of a request, stops watching it, and ends its quarantine.
     fn clear(&mut self, fingerprint: Fingerprint, cause: &str, out: &mut Effects) {
         self.quarantine.crash_counter.clear(fingerprint);
+        self.quarantine.parts.clear(fingerprint);
         self.quarantine.watched.remove(&fingerprint);
         self.end_quarantine(fingerprint, cause, out);
     }
@@ -303,6 +356,7 @@
             self.quarantine
                 .crash_counter
                 .cap_below_threshold(fingerprint);
+            self.quarantine.parts.cap_below_threshold(fingerprint);
             let detail = format!("call={fingerprint} why={cause}");
             Self::log(out, Code::QuarantineLifted, detail);
         }
@@ -313,11 +367,23 @@
         let Some(state) = self.in_flight.get(&request) else {
             return;
         };
-        let fingerprint = state.call.fingerprint;
+        let causes: Vec<Fingerprint> = state.call.causes().collect();
         if let Some(server) = state.server() {
             self.quarantine.suspects.record_answer(server, state.sent);
         }
-        self.clear_everywhere(fingerprint, out);
+        self.clear_causes(&causes, out);
+    }
+
+    /// Clears the causes of a request that got a complete answer: its own fingerprint, which comes first, and those of the
+    /// parts of its prompt.
+    fn clear_causes(&mut self, causes: &[Fingerprint], out: &mut Effects) {
+        let parts = causes.iter().skip(1);
+        self.quarantine
+            .parts
+            .record_answer(self.now, parts.copied());
+        for cause in causes {
+            self.clear_everywhere(*cause, out);
+        }
     }
 
     /// Handles an answer that ended with its connection: its server may have crashed under the request.
@@ -373,7 +439,8 @@
     }
 
     /// Records a request that may have run at a server when its connection broke, or ended an answer that nothing shows to
-    /// be whole. Probes the server, for such an answer only if crashes under the request are counted.
+    /// be whole. Probes the server, for such an answer only if crashes under the request or lately under others are
+    /// counted.
     pub(crate) fn record_suspect(&mut self, server: &Server, suspect: Suspect, out: &mut Effects) {
         // A leaving server ends on purpose, and a server without an entry has no address to probe.
         let Some(server_state) = self
@@ -385,8 +452,11 @@
         };
         let address = server_state.backend.address;
         let may_probe = !self.path.is_lost();
-        let is_tracked = self.quarantine.is_tracked(suspect.fingerprint);
-        let probes = may_probe && (!suspect.has_answer || is_tracked);
+        let mut causes = suspect.causes();
+        let is_tracked = causes.any(|cause| self.quarantine.is_tracked(cause));
+        drop(causes);
+        let is_suspicious = is_tracked || self.quarantine.parts.has_recent_reports(self.now);
+        let probes = may_probe && (!suspect.has_answer || is_suspicious);
         self.quarantine.suspects.insert(server, suspect);
         if probes && self.quarantine.suspects.start_probe(server, self.now) {
             out.push(Effect::Probe(server.clone(), address));
@@ -399,7 +469,8 @@
         let listens = result == ProbeResult::Listens;
         let suspects = &mut self.quarantine.suspects;
         for answered in suspects.handle_probe_ended(server, listens) {
-            self.clear_everywhere(answered.fingerprint, out);
+            let causes: Vec<Fingerprint> = answered.causes().collect();
+            self.clear_causes(&causes, out);
         }
         if result == ProbeResult::Refuses {
             self.handle_refused_probe(server, out);
--- a/crates/gateway/src/request/quarantine/crash_counter.rs
+++ b/crates/gateway/src/request/quarantine/crash_counter.rs
@@ -1,4 +1,4 @@
-//! Counts for each request how many servers crashed, one after another, while they ran it.
+//! Counts for each request, or prompt part, how many servers crashed, one after another, while they ran it.
 
 use dahliastile_core::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
@@ -13,7 +13,11 @@
 /// Number of counted crashes from which a request is quarantined. Three servers that crash under one request,
 /// each of which received it after the previous crash, without a complete answer in between, are no
 /// coincidence.
-const QUARANTINE_THRESHOLD: u32 = 3;
+pub(super) const REQUEST_THRESHOLD: u32 = 3;
+
+/// Number of counted crashes from which a prompt part is quarantined. Parts are at crashing servers more often than single
+/// requests are, and a quarantine refuses all requests that share the part.
+pub(super) const PART_THRESHOLD: u32 = 4;
 
 /// Upper bound on the requests that are counted, at about 100 bytes each.
 const MAX_REQUESTS: usize = 10_000;
@@ -35,10 +39,10 @@
 pub(crate) enum CrashEffect {
     /// Nothing that concerns other VMs.
     NoEffect,
-    /// All VMs should watch for a complete answer.
-    Watch,
-    /// The request should be quarantined.
-    Quarantine,
+    /// All VMs should watch for a complete answer. Tells when the first counted crash was.
+    Watch(Instant),
+    /// The request should be quarantined. Tells when the first counted crash was.
+    Quarantine(Instant),
 }
 
 /// The counted crashes of one request.
@@ -46,6 +50,8 @@
 struct CrashCount {
     /// Number of counted crashes.
     crashes: u32,
+    /// When the connection to the server that crashed first broke.
+    first: Instant,
     /// When the connection to the server that crashed last broke.
     broke: Instant,
 }
@@ -55,12 +61,15 @@
 pub(crate) struct CrashCounter {
     /// The counts.
     counts: ExpiringMap<Fingerprint, CrashCount>,
+    /// Number of counted crashes from which there is a quarantine.
+    threshold: u32,
 }
 
 impl CrashCounter {
-    pub(crate) fn new(retention: Span) -> Self {
+    pub(crate) fn new(threshold: u32, retention: Span) -> Self {
         Self {
             counts: ExpiringMap::new(MAX_REQUESTS, retention),
+            threshold,
         }
     }
 
@@ -74,13 +83,18 @@
             Some(count) => CrashCount {
                 crashes: count.crashes + 1,
                 broke,
+                ..*count
+            },
+            None => CrashCount {
+                crashes: 1,
+                first: broke,
+                broke,
             },
-            None => CrashCount { crashes: 1, broke },
         };
         self.counts.insert(now, report.fingerprint, count);
         match count.crashes {
-            QUARANTINE_THRESHOLD.. => CrashEffect::Quarantine,
-            WATCH_THRESHOLD => CrashEffect::Watch,
+            crashes if crashes >= self.threshold => CrashEffect::Quarantine(count.first),
+            crashes if crashes >= WATCH_THRESHOLD => CrashEffect::Watch(count.first),
             _ => CrashEffect::NoEffect,
         }
     }
@@ -93,7 +107,7 @@
     /// Limits the count of a request to one crash less than what quarantines it.
     pub(crate) fn cap_below_threshold(&mut self, fingerprint: Fingerprint) {
         if let Some(count) = self.counts.get_mut(&fingerprint) {
-            count.crashes = count.crashes.min(QUARANTINE_THRESHOLD - 1);
+            count.crashes = count.crashes.min(self.threshold - 1);
         }
     }
 }
--- a/crates/gateway/src/request/quarantine/suspects.rs
+++ b/crates/gateway/src/request/quarantine/suspects.rs
@@ -30,6 +30,8 @@
     pub(crate) sent: Instant,
     /// When its connection broke or ended.
     pub(crate) broke: Instant,
+    /// When its server's answer began; `None` if it had not.
+    pub(crate) begun: Option<Instant>,
     /// Whether the connection ended an answer that nothing shows to be whole.
     pub(crate) has_answer: bool,
     /// The inference that it asked for; `None` if it asked for none.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -94,6 +94,8 @@
     pub(crate) phase: Phase,
     /// When the request was last sent to a server; its arrival time before the first send.
     pub(crate) sent: Instant,
+    /// When the answer of the current attempt began; `None` if it has not.
+    begun: Option<Instant>,
     /// Number of sends.
     pub(crate) send_count: u32,
     /// Number of servers that ran the request or may have run it.
@@ -150,6 +152,7 @@
             start_by: Instant::NEVER,
             phase: Phase::Waiting,
             sent: arrived_at,
+            begun: None,
             send_count: 0,
             execution_count: 0,
             time_to_first_chunk: None,
@@ -227,6 +230,7 @@
             fingerprint: self.call.fingerprint,
             sent: self.sent,
             broke: now,
+            begun: self.begun,
             has_answer,
             work: self.call.work.clone(),
         }
@@ -305,14 +309,17 @@
         let mut state = RequestState::new(call, account, route, service, arrived_at);
         state.stream = state.stream_id();
         let resumes = state.call.resumes.is_some() && state.route.kind.is_stream();
-        let fingerprint = state.call.fingerprint;
         self.timers.set(state.deadline, Timer::Request(request));
         self.in_flight.insert(request, state);
         if let Some(bounds) = self.shutdown {
             self.bound_request(request, bounds);
         }
         let is_past_start = self.is_past_start(request);
-        match self.quarantine.remaining(fingerprint, self.now) {
+        let quarantined = self
+            .in_flight
+            .get(&request)
+            .and_then(|state| self.quarantine.remaining_for(&state.call, self.now));
+        match quarantined {
             Some(remaining) => {
                 self.refuse_request(request, Some(remaining), RefusalDetail::Quarantined, out);
             }
@@ -394,6 +401,13 @@
             self.refuse_request(request, Some(RETRY_AFTER), RefusalDetail::NoBuild, out);
             return;
         }
+        // It may have waited for tokens when its quarantine began.
+        let call = self.in_flight.get(&request).map(|state| &state.call);
+        let quarantined = call.and_then(|call| self.quarantine.remaining_for(call, self.now));
+        if quarantined.is_some() {
+            self.refuse_request(request, quarantined, RefusalDetail::Quarantined, out);
+            return;
+        }
         let relay = if self.path.is_open() {
             None
         } else {
@@ -420,6 +434,7 @@
         };
         state.send_count += 1;
         state.sent = self.now;
+        state.begun = None;
         state.version = version;
         state.backend = Some(server_state.backend.clone());
         state.phase = Phase::Sent {
@@ -507,6 +522,7 @@
         if let Phase::Sent { answer_started, .. } = &mut state.phase {
             *answer_started = true;
         }
+        state.begun.get_or_insert(self.now);
         state.cancelling = false;
         if state.relay.is_none() {
             self.path.record_heard(self.now);
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -248,7 +248,7 @@
         let answer_cut = answer_started && kind != RouteKind::Resumable && kind != RouteKind::Safe;
         let in_time =
             state.deadline.since(self.now) > MIN_TIME_TO_RETRY && state.send_count < MAX_SENDS;
-        let quarantined = self.quarantine.remaining(state.call.fingerprint, self.now);
+        let quarantined = self.quarantine.remaining_for(&state.call, self.now);
         match cause {
             _ if answer_cut => self.finish_request(request, Progress::Finished, out),
             _ if quarantined.is_some() => {
@@ -371,11 +371,13 @@
         let ran = state.execution_count;
         let account = state.account.as_ref().map_or("-", |a| a.name.as_str());
         let retry_after = after.unwrap_or_default();
+        let part = self.quarantine.quarantined_part(&state.call, self.now);
+        let part = part.map_or("-".to_owned(), |part| format!("{part:08x}"));
         Self::log(
             out,
             Code::Refused,
             format!(
-                "id={} call={} account={account} cost={} why={} waited={waited} sends={} ran={ran} after={retry_after}",
+                "id={} call={} account={account} cost={} why={} part={part} waited={waited} sends={} ran={ran} after={retry_after}",
                 state.call.id,
                 state.call.fingerprint,
                 state.cost,
--- a/crates/gateway/src/request/state/withdrawal.rs
+++ b/crates/gateway/src/request/state/withdrawal.rs
@@ -42,7 +42,7 @@
         let can_be_sent_again = self.can_be_sent_again(state);
         let is_quarantined = self
             .quarantine
-            .remaining(state.call.fingerprint, self.now)
+            .remaining_for(&state.call, self.now)
             .is_some();
         let kept = match withdrawable {
             _ if answer_started => Some("started"),
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -18,11 +18,11 @@
 use serde::Serialize;
 
 /// Kinds of messages; their indexes are 0 up to this number.
-const KINDS: u8 = 37;
+const KINDS: u8 = 39;
 
 /// Lists of one message each, in hexadecimal, with the message's kind. Together they hold each variant and each state of an
 /// optional field that a message can carry.
-const MESSAGES: [(&str, &str); 60] = [
+const MESSAGES: [(&str, &str); 62] = [
     (
         "want",
         "0100096472616674732f6575e9070b63616c6c65722dc3bc2f3906626173652d37010561312f6672ad02f1a2040290e4\
@@ -174,6 +174,14 @@
         "build_history",
         "01240106647261667473020476312e3207027631a006a846",
     ),
+    (
+        "part_crash_reports",
+        "01250283dcf7e6bcd7eacc88ef99abc5e88c911181ea30892784dcf7e6bcd7eacc88ef99abc5e88c911182ea308a27",
+    ),
+    (
+        "parts_watched",
+        "01260285dcf7e6bcd7eacc88ef99abc5e88c91110086dcf7e6bcd7eacc88ef99abc5e88c9111808c8d9e02",
+    ),
 ];
 
 /// A list of three messages, with their kinds.
