--- a/crates/daemon/tests/processes/shutdown.rs
+++ b/crates/daemon/tests/processes/shutdown.rs
@@ -83,6 +83,47 @@
     );
 }
 
+/// Guards against requests without an answer where a VM is told to stop twice while they wait for a load, for a claim, or
+/// for an engine that has gone silent.
+#[test]
+fn second_sigterm_answers_what_waits() {
+    let mut fleet = Fleet::start();
+    let (warm, cold) = (FENCED[0], FENCED[1]);
+    until("it is resident", || {
+        whole_or_not_run(&fleet.vms[1], &[warm], 3) == 1
+    });
+    fleet.fenced.outage("silent");
+    fleet.kv.outage("silent");
+    let vm = &fleet.vms[1];
+    let ask = |model| {
+        let request = vm.completion(model, "silence", 3);
+        thread::spawn(move || error(&request.send().unwrap()))
+    };
+    let (at_engine, for_load) = (ask(warm), ask(cold));
+    let callers = vm.callers;
+    let for_claim = thread::spawn(move || support::raw(callers, &fleet::booking("waits")).error());
+    until("all are in progress", || {
+        vm.status()["in_progress"].as_u64() >= Some(2)
+    });
+    let process = &mut fleet.vms[1].process;
+    process.signal("TERM");
+    process.wrote("draining");
+    process.signal("TERM");
+    assert_eq!(
+        at_engine.join().unwrap(),
+        ("cut".to_owned(), "unknown".to_owned())
+    );
+    assert_eq!(for_load.join().unwrap(), turned_away());
+    let (kind, ran) = for_claim.join().unwrap();
+    assert!(
+        ["shutting_down", "platform_down"].contains(&kind.as_str()),
+        "{kind}"
+    );
+    assert_eq!(ran, "no");
+    assert_eq!(process.end().0, Some(0));
+    assert_eq!(fleet.booked("waits"), 0);
+}
+
 /// What callers see while VMs are replaced.
 #[derive(Default)]
 struct Tally {
