Say when to come back wherever a VM that stops refuses a request

What callers saw: a request refused because its VM stopped at once, or that came after the VM had ended its work, had `retry_after_ms: null` and no `Retry-After`, though `shutting_down` is to be repeated after `retry_after_ms`. A request that came while the VM drained had 100 ms.

Cause: the time was added at two of the five places that make the answer. Now `Answer::shutting_down` makes it, with the time, at all of them.

The tests of the core pass.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -178,6 +178,9 @@
     pub detail: String,
 }
 
+/// How long a caller does well to wait before it sends to another VM what this one did not take.
+const ELSEWHERE: Span = Span::from_millis(100);
+
 impl Answer {
     /// An answer of a kind that fixes its `ran`; a kind that doesn't is answered with `unknown`.
     #[must_use]
@@ -194,6 +197,12 @@
         }
     }
 
+    /// The answer to a request that did not run because this VM stops.
+    #[must_use]
+    pub fn shutting_down(detail: impl Into<String>) -> Self {
+        Self::new(Kind::ShuttingDown, detail).after(ELSEWHERE)
+    }
+
     /// The same answer with `ran` as the case decides; kinds that fix theirs keep it.
     #[must_use]
     pub fn ran(mut self, ran: Ran) -> Self {
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -116,7 +116,7 @@
     for request in requests {
         let ran = end::ran(node, request);
         let answer = match ran {
-            Ran::No => Answer::new(Kind::ShuttingDown, "the VM was told to stop at once"),
+            Ran::No => Answer::shutting_down("the VM was told to stop at once"),
             Ran::Yes | Ran::Unknown => {
                 Answer::new(Kind::Cut, "the VM was told to stop at once").ran(ran)
             }
--- a/crates/core/src/traffic/arrive.rs
+++ b/crates/core/src/traffic/arrive.rs
@@ -45,8 +45,7 @@
     out: &mut Effects,
 ) -> Result<RequestRow, Answer> {
     if node.fleet.draining {
-        let answer = Answer::new(Kind::ShuttingDown, "this VM is shutting down");
-        return Err(answer.after(Span::from_millis(100)));
+        return Err(Answer::shutting_down("this VM is shutting down"));
     }
     if !sync::ready(node) {
         let answer = Answer::new(Kind::NotReady, "this VM has no configuration yet");
--- a/crates/daemon/src/driver/mailbox.rs
+++ b/crates/daemon/src/driver/mailbox.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use dahliastile_core::error::{Answer, Kind};
+use dahliastile_core::error::Answer;
 use dahliastile_core::event::Event;
 use dahliastile_core::operator::Reply;
 
@@ -102,7 +102,7 @@
 
 /// Answers a message that the node never saw.
 fn refuse(input: Input) {
-    let answer = || Answer::new(Kind::ShuttingDown, "this VM is shutting down");
+    let answer = || Answer::shutting_down("this VM is shutting down");
     // Who has hung up misses the answer.
     match input {
         Input::Arrived { answer: way, .. } => drop(way.try_send(Piece::Refuse(answer()))),
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -95,8 +95,8 @@
         match ask::read(&mut exchange.request, &self.shared.view()) {
             // The node may have stopped by now, and could not say that the request did not run.
             Ok(Ask::Work(..)) if self.draining.load(Ordering::SeqCst) => {
-                let answer = Answer::new(Kind::ShuttingDown, "this VM is shutting down");
-                self.refuse_with(exchange, request, &answer.after(Span::from_millis(100)));
+                let answer = Answer::shutting_down("this VM is shutting down");
+                self.refuse_with(exchange, request, &answer);
             }
             Ok(Ask::Work(call, body)) => self.work(exchange, request, call, body),
             Ok(Ask::Models(view)) => {
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -153,7 +153,7 @@
             Answer::new(Kind::EditUnknown, "the VM ended before the node replied")
         }
         (RecvTimeoutError::Disconnected, false) => {
-            Answer::new(Kind::ShuttingDown, "the VM ended before the node replied")
+            Answer::shutting_down("the VM ended before the node replied")
         }
     }
 }
