Test of a request whose head is still coming when its VM stops reading, which fails

What callers saw: a VM that is told to stop reads for 2 s more, then closes connections from which only a part of a head has come, without an answer. Whoever has sent a part of a request can't tell this from a VM that crashed.

--- a/crates/daemon/tests/processes/shutdown.rs
+++ b/crates/daemon/tests/processes/shutdown.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use crate::checks::{begin, broken, whole_or_not_run};
-use crate::fleet::{self, FENCED, Fleet, UNFENCED, error};
+use crate::fleet::{self, FENCED, Fleet, UNFENCED, Vm, error};
 use crate::process::until;
 use crate::support::{self, connect};
 
@@ -83,6 +83,27 @@
     );
 }
 
+/// Begins a booking that never ends, has the VM told to stop, and reads what comes.
+fn stopped_within(vm: &mut Vm, booking: &[u8]) -> Vec<u8> {
+    let mut caller = connect(vm.callers);
+    caller.write_all(booking).unwrap();
+    vm.process.signal("TERM");
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).unwrap();
+    assert_eq!(vm.process.end().0, Some(0));
+    answer
+}
+
+/// Guards against a connection that is closed without a word where the head of a request is still coming when the VM stops
+/// reading.
+#[test]
+fn sigterm_within_a_head() {
+    let mut fleet = Fleet::start();
+    let booking = fleet::booking("head");
+    let answer = stopped_within(&mut fleet.vms[0], &booking[..booking.len() / 2]);
+    assert_eq!(support::parse(&answer).error(), turned_away());
+}
+
 /// Guards against requests without an answer where a VM is told to stop twice while they wait for a load, for a claim, or
 /// for an engine that has gone silent.
 #[test]
