Refuse a request whose head is still coming when its VM stops reading

What callers saw: their connection was closed without an answer, 2 s after the VM was told to stop.

Cause: the end of the reading looked like the end of the caller's side, and a caller that ends within a head gets nothing. While the listener closes, it is now a refusal as any other: `shutting_down`, not run, in its turn behind the answers that the connection still owes. Connections on which nothing has come are closed as before.

The tests with processes that stop pass.

--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -89,8 +89,7 @@
             _ => None,
         };
         if let Some(refusal) = refusal {
-            let answer = Answer::new(refusal.kind, refusal.detail);
-            return self.refuse_with(exchange, request, &answer);
+            return self.refuse_with(exchange, request, &refusal.answer());
         }
         match ask::read(&mut exchange.request, &self.shared.view()) {
             // The node may have stopped by now, and could not say that the request did not run.
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -4,7 +4,7 @@
 //! memory as `Content-Length` announces when a body is not read to its end. So heads are held to the limits, and
 //! to the plain form of the standard, before they are passed on.
 
-use dahliastile_core::error::Kind;
+use dahliastile_core::error::{Answer, Kind};
 
 /// A request that is refused before the HTTP library sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +15,24 @@
     pub(crate) detail: String,
 }
 
+impl Refusal {
+    /// The refusal of a request of which the VM reads no more, as it stops.
+    pub(crate) fn stopping() -> Self {
+        Self {
+            kind: Kind::ShuttingDown,
+            detail: "this VM stopped before the request was whole".to_owned(),
+        }
+    }
+
+    /// What the caller is told.
+    pub(crate) fn answer(self) -> Answer {
+        match self.kind {
+            Kind::ShuttingDown => Answer::shutting_down(self.detail),
+            kind => Answer::new(kind, self.detail),
+        }
+    }
+}
+
 /// A head that is passed on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Head {
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -77,7 +77,7 @@
         if request.url() == relay::REFUSED
             && let Some(refusal) = exchange.connection.refusal()
         {
-            return Err(Answer::new(refusal.kind, refusal.detail));
+            return Err(refusal.answer());
         }
         // The platform's balancer asks for these two without a token; they tell nothing else.
         match (request.method(), request.url()) {
--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -117,6 +117,10 @@
         let late = !bytes.is_empty() && begun_at.elapsed() > shared.limits.idle;
         match read_more(connection, bytes) {
             _ if late => return Err(ErrorKind::TimedOut.into()),
+            // The gate ends the reading, and whoever has begun a request is told so.
+            Ok(0) if !bytes.is_empty() && shared.is_closing() => {
+                return Ok(Err(Refusal::stopping()));
+            }
             Ok(0) => return Ok(Ok(None)),
             Ok(_) => {}
             // A caller that waits for its answer has nothing to say.
