Test of a request whose body is still coming when its VM stops reading, which fails

What callers saw: with a body of at most 1 KB, their connection was closed without an answer; with a larger one, `bad_request` with `the body ends too early`, which says never to send the request again. It is the VM that stopped reading it.

--- a/crates/daemon/tests/processes/shutdown.rs
+++ b/crates/daemon/tests/processes/shutdown.rs
@@ -83,6 +83,18 @@
     );
 }
 
+/// A booking with a body of this many bytes.
+fn booking_of(key: &str, length: usize) -> Vec<u8> {
+    let headers = [support::bearer(), format!("Idempotency-Key: {key}")];
+    let headers = headers.each_ref().map(String::as_str);
+    support::request(
+        "POST",
+        "/services/berths/book",
+        &headers,
+        &"7".repeat(length),
+    )
+}
+
 /// Begins a booking that never ends, has the VM told to stop, and reads what comes.
 fn stopped_within(vm: &mut Vm, booking: &[u8]) -> Vec<u8> {
     let mut caller = connect(vm.callers);
@@ -104,6 +116,21 @@
     assert_eq!(support::parse(&answer).error(), turned_away());
 }
 
+/// Guards against a connection that is closed without a word, or a request that is refused as malformed, never to be repeated,
+/// where its body is still coming when the VM stops reading.
+#[test]
+fn sigterm_within_a_body() {
+    /// A body that the HTTP library reads before it hands the request on, and one that it doesn't.
+    const LENGTHS: [usize; 2] = [10, 5_000];
+    let mut fleet = Fleet::start();
+    for (vm, length) in fleet.vms.iter_mut().zip(LENGTHS) {
+        let booking = booking_of("body", length);
+        let answer = stopped_within(vm, &booking[..booking.len() - 2]);
+        assert_eq!(support::parse(&answer).error(), turned_away(), "{length}");
+    }
+    assert_eq!(fleet.booked("body"), 0);
+}
+
 /// Guards against requests without an answer where a VM is told to stop twice while they wait for a load, for a claim, or
 /// for an engine that has gone silent.
 #[test]
