Refuse a request whose body is still coming when its VM stops reading

What callers saw, 2 s after the VM was told to stop: with a body of at most 1 KB, a connection closed without an answer; with a larger one, `bad_request`, which says never to send the request again.

Cause: the HTTP library reads small bodies before it hands a request on, and drops the connection where one ends early, so that nothing could answer; a larger one ends early for whoever reads it, which looks like the caller's fault. Now a small body is passed on with its head when it is whole, and a listener that closes meanwhile refuses it as it does a head; for a larger one the connection says that it was the VM that stopped. Either is answered `shutting_down`, not run. Callers that wait to be told to continue are passed on as before: the library waits with them.

--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -14,6 +14,7 @@
 use super::Ids;
 use super::answer::{self, JSON, Stream};
 use super::ask::{self, Ask};
+use super::head::Refusal;
 use super::relay;
 use super::server::{Exchange, Service};
 use crate::driver::{Body, CHANNEL, Input, Mailbox, Piece, Shared};
@@ -102,6 +103,10 @@
                 let id = self.ids.text(request);
                 answer::whole(exchange.request, 200, JSON, models(&view), &id, &[]);
             }
+            // Its body was cut short by this VM, which says nothing against it.
+            Err(_) if exchange.connection.is_stopped() => {
+                self.refuse_with(exchange, request, &Refusal::stopping().answer());
+            }
             Err(answer) => self.refuse_with(exchange, request, &answer),
         }
     }
--- a/crates/daemon/src/http/gate.rs
+++ b/crates/daemon/src/http/gate.rs
@@ -54,6 +54,8 @@
     requests: Vec<Request>,
     /// Whether the caller has gone away.
     gone: bool,
+    /// Whether the VM stopped reading within a body.
+    stopped: bool,
     /// Why the next answer is a refusal; the connection ends with it.
     refusal: Option<Refusal>,
 }
@@ -116,6 +118,16 @@
         self.lock().refusal.clone()
     }
 
+    /// Notes that the VM stops reading within a body.
+    pub(super) fn stop(&self) {
+        self.lock().stopped = true;
+    }
+
+    /// Whether the VM stopped reading within a body.
+    pub(super) fn is_stopped(&self) -> bool {
+        self.lock().stopped
+    }
+
     /// Ties a request of the node to the connection, unless the caller has gone away already.
     pub(super) fn begin(&self, request: Request) -> bool {
         let mut state = self.lock();
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -40,6 +40,8 @@
     pub(crate) bytes: Vec<u8>,
     /// The length of the body that follows.
     pub(crate) body: usize,
+    /// Whether the caller may wait for a word before it sends the body.
+    pub(crate) expects: bool,
 }
 
 /// The size of a head and its closing empty line at the start of `bytes`, once it is there.
@@ -68,6 +70,7 @@
     request_line(request)?;
     let mut kept = format!("{request}\r\n");
     let mut length = None;
+    let mut expects = false;
     for line in lines {
         let (name, value) = header(line)?;
         match name.to_ascii_lowercase().as_str() {
@@ -86,6 +89,7 @@
             // The library would hand the rest of the connection over to a protocol that nobody speaks.
             "upgrade" => continue,
             "connection" if value.to_ascii_lowercase().contains("upgrade") => continue,
+            "expect" => expects = true,
             _ => {}
         }
         kept.push_str(line);
@@ -95,6 +99,7 @@
     Ok(Head {
         bytes: kept.into_bytes(),
         body: length.unwrap_or(0),
+        expects,
     })
 }
 
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -14,6 +14,7 @@
 
 use super::answer::{self, JSON};
 use super::ask;
+use super::head::Refusal;
 use super::relay;
 use super::server::{Exchange, Service};
 use crate::driver::{Input, Mailbox, Shared};
@@ -180,6 +181,9 @@
                     &[],
                 );
             }
+            Err(_) if exchange.connection.is_stopped() => {
+                answer::refuse(exchange.request, &Refusal::stopping().answer(), NO_ID);
+            }
             Err(refusal) => answer::refuse(exchange.request, &refusal, NO_ID),
         }
     }
--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -23,6 +23,10 @@
 /// Bytes of a refused request that are read and thrown away, so that its caller gets to read the answer.
 const LINGER: usize = 64 * 1024 * 1024;
 
+/// The largest body, in bytes, that the HTTP library reads before it hands its request on. It drops the connection where one
+/// is cut short, so that these are passed on only when they are whole.
+const READ_FIRST: usize = 1024;
+
 /// How long the caller of a refused request may stay silent before its connection is closed.
 const LINGER_SILENCE: Duration = Duration::from_secs(2);
 
@@ -79,9 +83,22 @@
             Err(refusal) => return refuse(connection, refusal),
         };
         bytes.drain(..size);
+        let whole = head.expects || head.body > READ_FIRST || {
+            await_body(connection, &mut bytes, head.body)?
+        };
+        if !whole {
+            return if shared.is_closing() {
+                refuse(connection, Refusal::stopping())
+            } else {
+                Ok(())
+            };
+        }
         connection.pass();
         (&connection.inner).write_all(&head.bytes)?;
         if !pass_body(connection, &mut bytes, head.body)? {
+            if shared.is_closing() {
+                connection.stop();
+            }
             return Ok(());
         }
         connection.passed();
@@ -150,6 +167,16 @@
     }
 }
 
+/// Reads until a body is there; says whether it is whole.
+fn await_body(connection: &Connection, bytes: &mut Vec<u8>, length: usize) -> io::Result<bool> {
+    while bytes.len() < length {
+        if read_more(connection, bytes)? == 0 {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Passes a body on; says whether it was whole.
 fn pass_body(connection: &Connection, bytes: &mut Vec<u8>, length: usize) -> io::Result<bool> {
     let mut left = length;
