Test of a caller that goes on writing to a VM that has stopped reading, which fails

What callers saw: `shutting_down` is written and the connection closed at once, so that the next write of a caller which is still sending its body fails. A caller that writes its whole request before it reads reports a broken connection, of which nobody knows whether the request ran.

--- a/crates/daemon/tests/processes/shutdown.rs
+++ b/crates/daemon/tests/processes/shutdown.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use dahliastile_standin::caller::Request;
 use serde_json::json;
@@ -131,6 +132,41 @@
     assert_eq!(fleet.booked("body"), 0);
 }
 
+/// Guards against an answer that is lost to a caller which writes its whole request before it reads, as the VM closes the
+/// connection under it.
+#[test]
+fn sigterm_while_a_body_comes() {
+    const PIECE: usize = 1_000;
+    const PAUSE: Duration = Duration::from_millis(20);
+    /// Pieces that still come after the answer.
+    const MORE: usize = 10;
+    let mut fleet = Fleet::start();
+    let booking = booking_of("long", 1_000_000);
+    let mut pieces = booking.chunks(PIECE);
+    let vm = &mut fleet.vms[0];
+    let mut caller = connect(vm.callers);
+    caller.set_nonblocking(true).unwrap();
+    vm.process.signal("TERM");
+    let mut write = |caller: &mut TcpStream| {
+        caller.write_all(pieces.next().expect("more of the body"))?;
+        thread::sleep(PAUSE);
+        Ok::<(), std::io::Error>(())
+    };
+    while caller.peek(&mut [0]).is_err() {
+        write(&mut caller).expect("nothing is closed before the answer");
+    }
+    for _ in 0..MORE {
+        write(&mut caller).expect("the rest is taken, too");
+    }
+    let mut answer = vec![0; PIECE];
+    let count = caller.read(&mut answer).expect("the answer");
+    answer.truncate(count);
+    assert_eq!(support::parse(&answer).error(), turned_away());
+    drop(caller);
+    assert_eq!(vm.process.end().0, Some(0));
+    assert_eq!(fleet.booked("long"), 0);
+}
+
 /// Guards against requests without an answer where a VM is told to stop twice while they wait for a load, for a claim, or
 /// for an engine that has gone silent.
 #[test]
