Read on for a while after refusing a request that a stopping VM cut short

What callers saw: the answer `shutting_down`, then a connection that was broken under the rest of the body which they still sent. Whoever writes the whole request before it reads saw only the break.

Cause: the connection was closed with both sides at once after the answer; what comes then is answered by a reset. Now what still comes is thrown away for 2 s, as for other refused requests, before the connection is closed. Its writing side stays open until then: the system resets a connection whose both sides are closed. A VM with such callers ends up to 2 s later; others end as before.

The tests with processes that stop pass.

--- a/crates/daemon/src/http/gate.rs
+++ b/crates/daemon/src/http/gate.rs
@@ -54,7 +54,7 @@
     requests: Vec<Request>,
     /// Whether the caller has gone away.
     gone: bool,
-    /// Whether the VM stopped reading within a body.
+    /// Whether the VM stopped reading within a request.
     stopped: bool,
     /// Why the next answer is a refusal; the connection ends with it.
     refusal: Option<Refusal>,
@@ -118,12 +118,12 @@
         self.lock().refusal.clone()
     }
 
-    /// Notes that the VM stops reading within a body.
+    /// Notes that the VM stops reading within a request.
     pub(super) fn stop(&self) {
         self.lock().stopped = true;
     }
 
-    /// Whether the VM stopped reading within a body.
+    /// Whether the VM stopped reading within a request.
     pub(super) fn is_stopped(&self) -> bool {
         self.lock().stopped
     }
--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -30,6 +30,9 @@
 /// How long the caller of a refused request may stay silent before its connection is closed.
 const LINGER_SILENCE: Duration = Duration::from_secs(2);
 
+/// The pause between two looks at what is still sent of a request of which the VM reads no more.
+const LINGER_PAUSE: Duration = Duration::from_millis(20);
+
 /// Runs a connection to its end.
 pub(super) fn run(shared: &Arc<Shared>, connection: &Arc<Connection>) {
     let outward = Arc::clone(connection);
@@ -49,6 +52,9 @@
     }
     // A panic of the thread has already ended the connection.
     let _ = answers.join();
+    if connection.is_stopped() {
+        discard(connection);
+    }
     connection.cut();
 }
 
@@ -88,7 +94,7 @@
         };
         if !whole {
             return if shared.is_closing() {
-                refuse(connection, Refusal::stopping())
+                stop(connection)
             } else {
                 Ok(())
             };
@@ -136,6 +142,7 @@
             _ if late => return Err(ErrorKind::TimedOut.into()),
             // The gate ends the reading, and whoever has begun a request is told so.
             Ok(0) if !bytes.is_empty() && shared.is_closing() => {
+                connection.stop();
                 return Ok(Err(Refusal::stopping()));
             }
             Ok(0) => return Ok(Ok(None)),
@@ -194,6 +201,27 @@
     }
 }
 
+/// Refuses a request of which the VM reads no more.
+fn stop(connection: &Connection) -> io::Result<()> {
+    connection.stop();
+    refuse(connection, Refusal::stopping())
+}
+
+/// Throws away, for a while after the answer, what is still sent of a request of which the VM reads no more. Closing at once
+/// would fail the writes of its caller, which then may not look for an answer.
+fn discard(connection: &Connection) {
+    let begun = Instant::now();
+    let mut buffer = [0; BUFFER];
+    while begun.elapsed() < LINGER_SILENCE {
+        match (&connection.caller).read(&mut buffer) {
+            // The reading side is closed: this says that nothing has come, not that the caller has closed.
+            Ok(0) => thread::sleep(LINGER_PAUSE),
+            Ok(_) => {}
+            Err(_) => return,
+        }
+    }
+}
+
 /// Passes a refused request on as such, and throws away what its caller still sends.
 fn refuse(connection: &Connection, refusal: Refusal) -> io::Result<()> {
     connection.refuse(refusal);
@@ -225,9 +253,10 @@
             return connection.lose();
         }
     }
-    if connection.is_refused() {
-        let _ = connection.caller.shutdown(Shutdown::Write);
-    } else {
-        connection.cut();
+    match connection.is_refused() {
+        // With both sides closed, the system would answer what still comes by a reset. The other thread closes.
+        _ if connection.is_stopped() => {}
+        true => drop(connection.caller.shutdown(Shutdown::Write)),
+        false => connection.cut(),
     }
 }
