Bound how long slow callers keep a daemon from ending

What an operator saw: after a second signal, or after `drain_ms`, the process went on for as long as one caller read its answer, 79 s in the test, and was killed by whoever waits for it, with what else it had open.

Cause: the node bounds requests, and a request is over for it when its answer is handed on; the writing was bounded only between two reads of the caller (`limits.slow_ms`). Now a caller has `limits.slow_ms` in all from the time at which requests are cut; then its connection is ended, which shows as an answer that is not whole. A drain that has time left waits as before.

`drain_waits_for_slow_callers` passes before and after.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use dahliastile_core::event::{Event, Listed};
 use dahliastile_core::id::Incarnation;
@@ -54,6 +54,25 @@
     mailbox: Mailbox,
     /// Wakes the thread that waits for the end.
     stop: flume::Sender<()>,
+    /// The way to the thread that bounds the writing of answers.
+    limit: flume::Sender<Limit>,
+}
+
+/// What the thread that bounds the writing of answers is told.
+enum Limit {
+    /// Requests in progress are cut.
+    Cut,
+    /// Every answer is written.
+    Over,
+}
+
+/// How long answers may be written.
+#[derive(Clone, Copy)]
+struct Patience {
+    /// From the beginning of the drain until requests are cut.
+    drain: Duration,
+    /// From then on.
+    cut: Duration,
 }
 
 impl Stopper {
@@ -62,6 +81,10 @@
     pub fn stop(&self, now: bool) {
         self.draining.store(true, Ordering::SeqCst);
         self.mailbox.event(Event::Shutdown { now });
+        if now {
+            // A daemon that has ended needs no bound.
+            let _ = self.limit.send(Limit::Cut);
+        }
         // The thread has been woken already where the channel is full.
         let _ = self.stop.try_send(());
     }
@@ -84,6 +107,10 @@
     stopper: Stopper,
     /// Says that it is told to stop, or that the node has stopped by itself.
     stopping: flume::Receiver<()>,
+    /// What the bound of the writing of answers is to follow.
+    limits: flume::Receiver<Limit>,
+    /// How long answers may be written.
+    patience: Patience,
     /// Callers' listener.
     callers: Server,
     /// Operators' listener.
@@ -168,6 +195,7 @@
             slow: settings.limits.slow,
         };
         let (stop, stopping) = flume::bounded(1);
+        let (limit, limits) = flume::unbounded();
         let ended = stop.clone();
         let driver = thread::Builder::new()
             .name("node".to_owned())
@@ -185,8 +213,14 @@
                 draining,
                 mailbox,
                 stop,
+                limit,
             },
             stopping,
+            limits,
+            patience: Patience {
+                drain: Duration::from_millis(settings.tuning.drain_ms),
+                cut: settings.limits.slow,
+            },
             callers,
             operators,
             driver,
@@ -207,16 +241,24 @@
         self.stopper.clone()
     }
 
-    /// Waits until it has been told to stop, the node has finished, and every answer is written.
+    /// Waits until it has been told to stop, the node has finished, and every answer is written or its time is over.
     ///
     /// # Errors
     /// [`Error::Panicked`] where the node did not stop by itself.
     pub fn wait(self) -> Result<()> {
         // Disconnected or not, the end has come.
         let _ = self.stopping.recv();
+        let cut = self.callers.cutter();
+        let (limits, patience) = (self.limits, self.patience);
+        let limiter = thread::Builder::new()
+            .name("limit".to_owned())
+            .spawn(move || bound(&limits, patience, cut));
         self.callers.close();
         let driver = self.driver.join();
         self.callers.finish();
+        let _ = self.stopper.limit.send(Limit::Over);
+        // Where the thread could not be started, answers were written without a bound; a panic has already ended it.
+        let _ = limiter.map(JoinHandle::join);
         self.operators.finish();
         let (cancel, pauses) = self.housekeeping;
         cancel.cancel();
@@ -235,6 +277,22 @@
     }
 }
 
+/// Cuts connections on which answers are still written when requests were cut some time ago: a caller that goes on reading, if
+/// slowly, would keep the daemon from ending.
+fn bound(limits: &flume::Receiver<Limit>, patience: Patience, cut: impl FnOnce()) {
+    if let Ok(Limit::Over) = limits.recv_timeout(patience.drain) {
+        return;
+    }
+    let end = Instant::now() + patience.cut;
+    while let Ok(limit) = limits.recv_deadline(end) {
+        match limit {
+            Limit::Cut => {}
+            Limit::Over => return,
+        }
+    }
+    cut();
+}
+
 /// The number of this start, higher than that of any earlier start as long as the wall clock is not set back by
 /// more than the pause between them.
 fn incarnation() -> Incarnation {
--- a/crates/daemon/src/http/gate.rs
+++ b/crates/daemon/src/http/gate.rs
@@ -294,6 +294,13 @@
         }
     }
 
+    /// Ends every connection, whatever is left of its answer.
+    pub(crate) fn cut(&self) {
+        for connection in self.shared.lock().connections.values() {
+            connection.cut();
+        }
+    }
+
     /// Waits until every connection has ended.
     pub(crate) fn drain(&self) {
         let mut open = self.shared.lock();
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -90,6 +90,12 @@
         self.gate.close();
     }
 
+    /// What ends every connection, from any thread.
+    pub(crate) fn cutter(&self) -> impl FnOnce() + Send + 'static {
+        let gate = Arc::clone(&self.gate);
+        move || gate.cut()
+    }
+
     /// Waits until every answer is written, and ends.
     pub(crate) fn finish(self) {
         self.gate.close();
