Tests of requests that wait for a load while no VM stays, two of which fail

What callers saw: where the only VM, or every VM, is told to stop, a request that waits for an adapter to be loaded is refused as `not_resident` at its own deadline, 30 s in the tests, though engines have free slots and the drain has time. Where others stay, they take the domain and the request is served: that passes.

--- a/crates/core/tests/shutdown.rs
+++ b/crates/core/tests/shutdown.rs
@@ -6,7 +6,7 @@
 use dahliastile_core::event::Call;
 use dahliastile_core::settings::Tuning;
 use dahliastile_core::time::Span;
-use support::callers::Ask;
+use support::callers::{Ask, Ending};
 use support::setup::{Size, booking_call, model, once};
 use support::{Fleet, MS, Micros, SEC};
 
@@ -152,3 +152,55 @@
     assert!(ends(&mut fleet, 20 * SEC));
     fleet.check();
 }
+
+/// Asks for more adapters than a fleet has loaded, at the given VMs, which are told to stop at once; says how the requests
+/// ended.
+fn cold_at(fleet: &mut Fleet, vms: &[usize]) -> Vec<Option<Ending>> {
+    let asks: Vec<usize> = (0..10)
+        .map(|turn| fleet.ask(vms[turn % vms.len()], model(turn, turn as u64, 50)))
+        .collect();
+    fleet.run_for(100 * MS);
+    for vm in vms {
+        fleet.shut_down(*vm, false);
+    }
+    assert!(fleet.finish_all(60 * SEC));
+    let up = |fleet: &Fleet| vms.iter().any(|vm| fleet.vms[*vm].node.is_some());
+    assert!(fleet.run_while(up, 30 * SEC), "they end");
+    fleet.check();
+    asks.iter()
+        .map(|ask| fleet.asks[*ask].ending.clone())
+        .collect()
+}
+
+/// Guards against requests that wait for a load until their own deadline, as the last VM gives its domains up to nobody while
+/// it drains.
+#[test]
+fn drain_ofthelastvmservescoldones() {
+    let size = Size {
+        vms: 1,
+        ..Size::small()
+    };
+    let endings = cold_at(&mut size.fleet(6), &[0]);
+    assert_eq!(endings, vec![Some(Ending::Finished); 10]);
+}
+
+/// Guards against the same where all VMs of a fleet are told to stop, and the holder of the domain is the first to be idle.
+#[test]
+fn drain_ofallvmsservescoldones() {
+    let mut fleet = Size::small().fleet(7);
+    let holder = fleet.holder("base").expect("a holder");
+    let others = [(holder + 1) % 3, (holder + 2) % 3];
+    fleet.shut_down(holder, false);
+    // The domain is with one of the others by now, or free.
+    let endings = cold_at(&mut fleet, &others);
+    assert_eq!(endings, vec![Some(Ending::Finished); 10]);
+}
+
+/// Guards against the same at a VM that holds the domain while others are there to take it.
+#[test]
+fn drain_ofaholderservescoldones() {
+    let mut fleet = Size::small().fleet(8);
+    let holder = fleet.holder("base").expect("a holder");
+    let endings = cold_at(&mut fleet, &[holder]);
+    assert_eq!(endings, vec![Some(Ending::Finished); 10]);
+}
