Keep domains while no VM that stays could take them and requests wait

What callers saw: when the only VM, or every VM, is told to stop, requests that wait for a load are refused as `not_resident` at their own deadline.

Cause: a VM that drains gives its domains up and takes none, whether another is there or not; without a holder nothing is loaded, and the end of the drain is far. Now it holds and takes domains as before while it is needed, by its own requests or by those of another that leaves, and no VM that stays is there. Once one is, or nothing waits, it hands over as before; the bounds of the drain are the same. Taking a domain is safe whoever does it, by compare-and-swap and fencing.

The tests of the core pass, those of random faults with stops among them.

--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -326,9 +326,23 @@
     ask::tick(node, out);
 }
 
+/// Whether this VM, which leaves, holds and takes domains as before: requests wait for what only a holder can do, and no VM
+/// that stays is there to become one.
+fn stays(node: &Node) -> bool {
+    let now = node.now;
+    let waited_for =
+        |held: &holder::Held| held.waiting.values().flatten().any(|row| row.until > now);
+    let needed = !traffic::idle(node) || node.domains.held.values().any(waited_for);
+    needed && node.fleet.live().next().is_none()
+}
+
 /// This VM is leaving: hands its domains over. Says whether all is handed over.
 pub(crate) fn hand_over(node: &mut Node, out: &mut Effects) -> bool {
     let now = node.now;
+    if stays(node) {
+        node.domains.closing = None;
+        return false;
+    }
     let since = *node.domains.closing.get_or_insert(now);
     if node.domains.held.is_empty() {
         return traffic::idle(node) && ask::leave(node, out);
--- a/crates/core/src/domain/seat.rs
+++ b/crates/core/src/domain/seat.rs
@@ -119,7 +119,7 @@
 /// Takes free domains, and gives some up where this VM holds more than its share.
 pub(crate) fn tick(node: &mut Node, out: &mut Effects) {
     let now = node.now;
-    if now < node.domains.spread.next || node.domains.closing.is_some() || node.fleet.draining {
+    if now < node.domains.spread.next || !takes(node) {
         return;
     }
     node.domains.spread.next = now + PASS;
@@ -141,6 +141,11 @@
     balance(node, out);
 }
 
+/// Whether this VM takes domains.
+fn takes(node: &Node) -> bool {
+    node.domains.closing.is_none() && (!node.fleet.draining || super::stays(node))
+}
+
 /// Computes the spread anew where the live VMs or the domains have changed.
 fn refresh(node: &mut Node) {
     let version = node.fleet.version;
@@ -238,7 +243,7 @@
         seat.empty = node.now;
     }
     holder::drop_domain(node, domain, "key_gone", out);
-    if taking && node.domains.closing.is_none() && !node.fleet.draining {
+    if taking && takes(node) {
         create(node, domain, out);
     }
 }
