--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -14,6 +14,7 @@
 use super::Ids;
 use super::answer::{self, JSON, Stream};
 use super::ask::{self, Ask};
+use super::head::Refusal;
 use super::relay;
 use super::server::{Exchange, Service};
 use crate::driver::{Body, CHANNEL, Input, Mailbox, Piece, Shared};
@@ -89,20 +90,23 @@
             _ => None,
         };
         if let Some(refusal) = refusal {
-            let answer = Answer::new(refusal.kind, refusal.detail);
-            return self.refuse_with(exchange, request, &answer);
+            return self.refuse_with(exchange, request, &refusal.answer());
         }
         match ask::read(&mut exchange.request, &self.shared.view()) {
             // The node may have stopped by now, and could not say that the request did not run.
             Ok(Ask::Work(..)) if self.draining.load(Ordering::SeqCst) => {
-                let answer = Answer::new(Kind::ShuttingDown, "this VM is shutting down");
-                self.refuse_with(exchange, request, &answer.after(Span::from_millis(100)));
+                let answer = Answer::shutting_down("this VM is shutting down");
+                self.refuse_with(exchange, request, &answer);
             }
             Ok(Ask::Work(call, body)) => self.work(exchange, request, call, body),
             Ok(Ask::Models(view)) => {
                 let id = self.ids.text(request);
                 answer::whole(exchange.request, 200, JSON, models(&view), &id, &[]);
             }
+            // Its body was cut short by this VM, which says nothing against it.
+            Err(_) if exchange.connection.is_stopped() => {
+                self.refuse_with(exchange, request, &Refusal::stopping().answer());
+            }
             Err(answer) => self.refuse_with(exchange, request, &answer),
         }
     }
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -4,7 +4,7 @@
 //! memory as `Content-Length` announces when a body is not read to its end. So heads are held to the limits, and
 //! to the plain form of the standard, before they are passed on.
 
-use dahliastile_core::error::Kind;
+use dahliastile_core::error::{Answer, Kind};
 
 /// A request that is refused before the HTTP library sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +15,24 @@
     pub(crate) detail: String,
 }
 
+impl Refusal {
+    /// The refusal of a request of which the VM reads no more, as it stops.
+    pub(crate) fn stopping() -> Self {
+        Self {
+            kind: Kind::ShuttingDown,
+            detail: "this VM stopped before the request was whole".to_owned(),
+        }
+    }
+
+    /// What the caller is told.
+    pub(crate) fn answer(self) -> Answer {
+        match self.kind {
+            Kind::ShuttingDown => Answer::shutting_down(self.detail),
+            kind => Answer::new(kind, self.detail),
+        }
+    }
+}
+
 /// A head that is passed on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Head {
@@ -22,6 +40,8 @@
     pub(crate) bytes: Vec<u8>,
     /// The length of the body that follows.
     pub(crate) body: usize,
+    /// Whether the caller may wait for a word before it sends the body.
+    pub(crate) expects: bool,
 }
 
 /// The size of a head and its closing empty line at the start of `bytes`, once it is there.
@@ -50,6 +70,7 @@
     request_line(request)?;
     let mut kept = format!("{request}\r\n");
     let mut length = None;
+    let mut expects = false;
     for line in lines {
         let (name, value) = header(line)?;
         match name.to_ascii_lowercase().as_str() {
@@ -68,6 +89,7 @@
             // The library would hand the rest of the connection over to a protocol that nobody speaks.
             "upgrade" => continue,
             "connection" if value.to_ascii_lowercase().contains("upgrade") => continue,
+            "expect" => expects = true,
             _ => {}
         }
         kept.push_str(line);
@@ -77,6 +99,7 @@
     Ok(Head {
         bytes: kept.into_bytes(),
         body: length.unwrap_or(0),
+        expects,
     })
 }
 
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -14,6 +14,7 @@
 
 use super::answer::{self, JSON};
 use super::ask;
+use super::head::Refusal;
 use super::relay;
 use super::server::{Exchange, Service};
 use crate::driver::{Input, Mailbox, Shared};
@@ -77,7 +78,7 @@
         if request.url() == relay::REFUSED
             && let Some(refusal) = exchange.connection.refusal()
         {
-            return Err(Answer::new(refusal.kind, refusal.detail));
+            return Err(refusal.answer());
         }
         // The platform's balancer asks for these two without a token; they tell nothing else.
         match (request.method(), request.url()) {
@@ -153,7 +154,7 @@
             Answer::new(Kind::EditUnknown, "the VM ended before the node replied")
         }
         (RecvTimeoutError::Disconnected, false) => {
-            Answer::new(Kind::ShuttingDown, "the VM ended before the node replied")
+            Answer::shutting_down("the VM ended before the node replied")
         }
     }
 }
@@ -180,6 +181,9 @@
                     &[],
                 );
             }
+            Err(_) if exchange.connection.is_stopped() => {
+                answer::refuse(exchange.request, &Refusal::stopping().answer(), NO_ID);
+            }
             Err(refusal) => answer::refuse(exchange.request, &refusal, NO_ID),
         }
     }
--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -23,9 +23,16 @@
 /// Bytes of a refused request that are read and thrown away, so that its caller gets to read the answer.
 const LINGER: usize = 64 * 1024 * 1024;
 
+/// The largest body, in bytes, that the HTTP library reads before it hands its request on. It drops the connection where one
+/// is cut short, so that these are passed on only when they are whole.
+const READ_FIRST: usize = 1024;
+
 /// How long the caller of a refused request may stay silent before its connection is closed.
 const LINGER_SILENCE: Duration = Duration::from_secs(2);
 
+/// The pause between two looks at what is still sent of a request of which the VM reads no more.
+const LINGER_PAUSE: Duration = Duration::from_millis(20);
+
 /// Runs a connection to its end.
 pub(super) fn run(shared: &Arc<Shared>, connection: &Arc<Connection>) {
     let outward = Arc::clone(connection);
@@ -45,6 +52,9 @@
     }
     // A panic of the thread has already ended the connection.
     let _ = answers.join();
+    if connection.is_stopped() {
+        discard(connection);
+    }
     connection.cut();
 }
 
@@ -79,9 +89,22 @@
             Err(refusal) => return refuse(connection, refusal),
         };
         bytes.drain(..size);
+        let whole = head.expects || head.body > READ_FIRST || {
+            await_body(connection, &mut bytes, head.body)?
+        };
+        if !whole {
+            return if shared.is_closing() {
+                stop(connection)
+            } else {
+                Ok(())
+            };
+        }
         connection.pass();
         (&connection.inner).write_all(&head.bytes)?;
         if !pass_body(connection, &mut bytes, head.body)? {
+            if shared.is_closing() {
+                connection.stop();
+            }
             return Ok(());
         }
         connection.passed();
@@ -117,6 +140,11 @@
         let late = !bytes.is_empty() && begun_at.elapsed() > shared.limits.idle;
         match read_more(connection, bytes) {
             _ if late => return Err(ErrorKind::TimedOut.into()),
+            // The gate ends the reading, and whoever has begun a request is told so.
+            Ok(0) if !bytes.is_empty() && shared.is_closing() => {
+                connection.stop();
+                return Ok(Err(Refusal::stopping()));
+            }
             Ok(0) => return Ok(Ok(None)),
             Ok(_) => {}
             // A caller that waits for its answer has nothing to say.
@@ -146,6 +174,16 @@
     }
 }
 
+/// Reads until a body is there; says whether it is whole.
+fn await_body(connection: &Connection, bytes: &mut Vec<u8>, length: usize) -> io::Result<bool> {
+    while bytes.len() < length {
+        if read_more(connection, bytes)? == 0 {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Passes a body on; says whether it was whole.
 fn pass_body(connection: &Connection, bytes: &mut Vec<u8>, length: usize) -> io::Result<bool> {
     let mut left = length;
@@ -163,6 +201,27 @@
     }
 }
 
+/// Refuses a request of which the VM reads no more.
+fn stop(connection: &Connection) -> io::Result<()> {
+    connection.stop();
+    refuse(connection, Refusal::stopping())
+}
+
+/// Throws away, for a while after the answer, what is still sent of a request of which the VM reads no more. Closing at once
+/// would fail the writes of its caller, which then may not look for an answer.
+fn discard(connection: &Connection) {
+    let begun = Instant::now();
+    let mut buffer = [0; BUFFER];
+    while begun.elapsed() < LINGER_SILENCE {
+        match (&connection.caller).read(&mut buffer) {
+            // The reading side is closed: this says that nothing has come, not that the caller has closed.
+            Ok(0) => thread::sleep(LINGER_PAUSE),
+            Ok(_) => {}
+            Err(_) => return,
+        }
+    }
+}
+
 /// Passes a refused request on as such, and throws away what its caller still sends.
 fn refuse(connection: &Connection, refusal: Refusal) -> io::Result<()> {
     connection.refuse(refusal);
@@ -194,9 +253,10 @@
             return connection.lose();
         }
     }
-    if connection.is_refused() {
-        let _ = connection.caller.shutdown(Shutdown::Write);
-    } else {
-        connection.cut();
+    match connection.is_refused() {
+        // With both sides closed, the system would answer what still comes by a reset. The other thread closes.
+        _ if connection.is_stopped() => {}
+        true => drop(connection.caller.shutdown(Shutdown::Write)),
+        false => connection.cut(),
     }
 }
