Tests of requests that a server has had at VMs that stop, three of which fail

Cause: a VM that stops refuses what is at no server at half of the grace, so that another VM takes it. A request that a server has run, or may have run, can't be sent to another VM: its refusal says that it failed. It is refused nevertheless, and its scheduler is told that it has no more time than one that has not run.

Seen: a resumable stream is broken off, a request that may run twice is refused after its first server, and 3 of 15 withdrawn requests are, each with engines free and seconds left.

--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -236,6 +236,106 @@
     world.check_served(&numbers, 95);
 }
 
+/// Has an engine that sends nothing from now on for a time.
+fn silence(world: &mut World, engine: &Server, span: Span) {
+    let (from, until) = (world.now, world.now + span);
+    let (engine, _) = world.servers.get_mut(engine).expect("an engine");
+    engine.slow_period = Some(SlowPeriod {
+        from,
+        until,
+        factor: None,
+    });
+}
+
+/// Returns a fleet of two VMs and six engines, the VM that does not schedule, which was told to stop a time ago, and a stream
+/// there that keeps its process from ending before its time.
+fn world_that_stops(ago: Span) -> (World, usize) {
+    let mut world = World::new(2, 6, 1);
+    world.run(Span::from_secs(2));
+    let vm = 1 - world.holder().expect("a scheduler");
+    world.send_request(vm, patient_request("long", "a9", 1_100));
+    world.run(Span::from_secs(1));
+    world.stop_and_restart(vm);
+    world.run(ago);
+    (world, vm)
+}
+
+/// Returns a request that may run on two servers, and the answer of which can be continued at another one.
+fn repeatable_request(id: &str, output: u32) -> CallerRequest {
+    let work = inference_spec("a1", 600, output);
+    request(id, "/berth/x", 8_000, Some(work))
+}
+
+/// Half of the time that a process has to stop: from then on a VM that stops refuses what has not run.
+fn half_of_the_grace() -> Span {
+    Span(Tuning::default().grace.0 / 2)
+}
+
+/// Guards against a stream that is broken off at a VM that stops, when its server fails after half of the grace: another
+/// engine goes on with it, as there is time left, and refusing it would not send it to another VM.
+#[test]
+fn stop_streamgoesonelsewhere() {
+    let (mut world, vm) = world_that_stops(half_of_the_grace() - Span::from_millis(1_700));
+    let number = world.send_request(vm, repeatable_request("stream", 200));
+    world.run(Span::from_millis(1_800));
+    assert!(matches!(world.answer(number), Some(Answer::Served(_))));
+    let (_, server) = world.requests[&number].runs[0].clone();
+    world.reset_connections(&server);
+    world.run(PAST_THE_STOP);
+    assert_eq!(world.requests[&number].runs.len(), 2);
+    check_answered(&world);
+    world.check_served(&[number], 100);
+}
+
+/// Guards against a request that is refused as failed at a VM that stops, although it may run twice, another engine is free
+/// and there is time left: its server failed it after half of the grace.
+#[test]
+fn stop_failedrequestrunsagain() {
+    let (mut world, vm) = world_that_stops(half_of_the_grace() - Span::from_millis(500));
+    let warm = world.send_request(vm, repeatable_request("warm", 15));
+    world.run(Span::from_millis(400));
+    let (_, server) = world.requests[&warm].runs[0].clone();
+    silence(&mut world, &server, Span::from_secs(1));
+    let number = world.send_request(vm, repeatable_request("failed", 15));
+    world.run(Span::from_millis(200));
+    assert!(world.answer(number).is_none(), "it was answered");
+    assert_eq!(world.requests[&number].runs.len(), 1);
+    world.reset_connections(&server);
+    world.run(PAST_THE_STOP);
+    check_answered(&world);
+    world.check_served(&[number], 100);
+}
+
+/// Guards against requests that are withdrawn from an engine that has stopped, and refused as failed as half of the grace is
+/// near: other engines take them, and there is time left.
+#[test]
+fn stop_withdrawnrequestsareserved() {
+    let (mut world, vm) = world_that_stops(half_of_the_grace() - Span::from_millis(1_500));
+    let warm = |at| repeatable_request(&format!("warm{at}"), 8);
+    let warm: Vec<u64> = (0..30)
+        .map(|at| {
+            let number = world.send_request(vm, warm(at));
+            world.run(Span::from_millis(16));
+            number
+        })
+        .collect();
+    let (_, engine) = world.requests[&warm[0]].runs[0].clone();
+    silence(&mut world, &engine, Span::from_secs(30));
+    for at in 0..60 {
+        world.send_request(vm, repeatable_request(&format!("w{at}"), 8));
+        world.run(Span::from_millis(16));
+    }
+    world.run(PAST_THE_STOP);
+    assert!(!world.cancelled.is_empty(), "none was withdrawn");
+    check_answered(&world);
+    let withdrawn: Vec<u64> = world
+        .cancelled
+        .iter()
+        .map(|(_, number, _)| *number)
+        .collect();
+    world.check_served(&withdrawn, 100);
+}
+
 /// Steps of a random series: 30 s.
 const STEPS: usize = 600;
 
