Requests that may have run go on at a VM that stops

Cause: half of the grace bounded each request that is at no server. The bound is there so that another VM takes what has not run. A request that may have run is refused as failed, which sends it nowhere; and a stream within its answer was asked for with no time left, so that its scheduler refused it.

Change: the bound holds for requests that are at no server and have not run. The others go on as their routes allow, until the end of the process, and their schedulers are told that time. The same holds for the wait of a second where no scheduler is known.

Requests at VMs that don't stop have no such bound, so nothing changes for them.

--- a/crates/gateway/src/request/shutdown.rs
+++ b/crates/gateway/src/request/shutdown.rs
@@ -1,8 +1,9 @@
 //! The bounds that a graceful stop sets to requests.
 //!
-//! The end of the process is a deadline of each request that it has taken. A request that is at no server at half of the
-//! grace is refused, as an answer that began later might be broken off and another VM still has time for it; the scheduler
-//! is told of this bound with each request that waits. What is left shortly before the end gets its final answer then.
+//! The end of the process is a deadline of each request that it has taken. A request that is at no server and has not run at
+//! half of the grace is refused, as an answer that began later might be broken off and another VM still has time for it;
+//! the scheduler is told of this bound with each such request that waits. One that may have run can't be sent to another
+//! VM, so it goes on here as its route allows. What is left shortly before the end gets its final answer then.
 
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::log::{Code, Record};
@@ -24,9 +25,9 @@
 /// The latest times of the steps of a request at a VM that stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Bounds {
-    /// When requests that are at no server are refused.
+    /// When requests that are at no server and have not run are refused.
     pub(crate) start: Instant,
-    /// When requests that are at a server get their final answer.
+    /// When all others get their final answer.
     pub(crate) answer: Instant,
     /// When the process ends.
     pub(crate) end: Instant,
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -84,7 +84,7 @@
     pub(crate) arrived: Instant,
     /// Deadline of the final answer.
     pub(crate) deadline: Instant,
-    /// When the request is refused if it is at no server and none of its answer has been passed on.
+    /// When the request is refused if it is at no server and has not run.
     pub(crate) start_by: Instant,
     /// Current phase.
     pub(crate) phase: Phase,
@@ -168,16 +168,19 @@
         zone: &Zone,
         now: Instant,
     ) -> Option<PlacementRequest> {
+        let end_of_wait = if self.has_not_run() {
+            self.deadline.min(self.start_by)
+        } else {
+            self.deadline
+        };
         Some(PlacementRequest {
             request,
             id: self.call.id.clone(),
             work: self.call.work.clone()?,
             waited: now.since(self.arrived),
             objective: self.route.objective,
-            left: self
-                .deadline
+            left: end_of_wait
                 .min(self.arrived + self.route.caller_timeout)
-                .min(self.start_by)
                 .since(now),
             priority: self.priority,
             zone: zone.clone(),
@@ -185,15 +188,15 @@
         })
     }
 
-    /// Whether the request should have been sent to a server by now and has to be refused: nothing of its answer has been
-    /// passed on.
+    /// Whether the request should have been sent to a server by now and has to be refused as not run.
     pub(crate) fn is_past_start(&self, now: Instant) -> bool {
-        now >= self.start_by && self.server().is_none() && self.is_unanswered()
+        now >= self.start_by && self.has_not_run()
     }
 
-    /// Whether nothing of an answer has been passed on.
-    pub(crate) fn is_unanswered(&self) -> bool {
-        self.time_to_first_chunk.is_none()
+    /// Whether no server has the request, and none has run it or may have run it: only then does a refusal send it to another
+    /// VM.
+    pub(crate) fn has_not_run(&self) -> bool {
+        self.server().is_none() && self.execution_count == 0
     }
 
     /// Returns the stream that the request begins or resumes.
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -293,7 +293,7 @@
             // Another VM may know a scheduler, and has more time to wait for one.
             let is_left_alone = is_overdue
                 && self.is_stopping()
-                && state.is_unanswered()
+                && state.has_not_run()
                 && self.scheduler_vm(&state.service).is_none();
             if state.is_past_start(self.now) || is_left_alone {
                 self.refuse_request(request, Some(Span::ZERO), RefusalDetail::Stopping, out);
