Tests of idle connections at processes that end, one of which fails

A process that was told to end waits for its connections. Connections on which nothing is asked, of callers and of a VM for which it carries attempts, are closed when it leaves: `terminate_connectionsidle` passes.

--- a/crates/daemon/tests/graceful_stops.rs
+++ b/crates/daemon/tests/graceful_stops.rs
@@ -5,11 +5,14 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
 use dahliastile_standin::fleet::Fault;
-use fleet::{Answer, Fleet, PATIENCE, parse, ran, read, read_until, request, settings_text, until};
+use fleet::{
+    Answer, Fleet, PATIENCE, parse, ran, read, read_until, request, request_with, settings_text,
+    until,
+};
 use socket2::{Domain, Socket, Type};
 
 /// The grace of VMs that are to end with requests open, in seconds: less than the time of a route.
@@ -26,6 +29,12 @@
 const LARGE: usize = 900_000;
 const LARGE_EVENT: usize = 100_000;
 
+/// A time after a VM was told to end at which it still takes connections in: it does for 2.5 s.
+const BEFORE_LEAVE: Duration = Duration::from_millis(2_200);
+/// By when a VM without requests has ended: 2.5 s, half a second for the first request of a new connection, or a second for a head
+/// that is being sent, and as much for a busy machine. The end of its grace would be after 7.7 s.
+const IDLE_END: Duration = Duration::from_millis(4_500);
+
 /// A fleet that is ready, whose VMs have a short grace.
 fn fleet(vms: u8) -> Fleet {
     let mut fleet = Fleet::servers();
@@ -248,3 +257,40 @@
     let answer = parse(&bytes, reset);
     assert_eq!((answer.status, answer.whole), (200, false));
 }
+
+/// Guards against a VM without requests that waits for the end of its grace, as connections of callers are open on which
+/// nothing is asked: kept ones, and one on which nothing has come.
+#[test]
+fn terminate_connectionsidle() {
+    let mut fleet = Fleet::start_ready(1);
+    let mut streams: Vec<TcpStream> = (0..8)
+        .map(|number| {
+            let headers = "Deadline-Ms: 10000\r\n";
+            let text = request_with(&format!("kept{number}"), "/post/x", None, headers);
+            let mut stream = fleet.vms[0].open(&text).expect("a connection");
+            read_until(&mut stream, "\r\n\r\n");
+            stream
+        })
+        .collect();
+    fleet.vms[0].signal("-TERM");
+    let told = Instant::now();
+    std::thread::sleep(BEFORE_LEAVE);
+    streams.extend(fleet.vms[0].open(""));
+    check_ended(&mut fleet, 0);
+    assert!(told.elapsed() < IDLE_END, "{:?}", told.elapsed());
+    assert_eq!(streams.len(), 9);
+}
+
+/// Guards against the same with a head that its caller does not finish: it has its usual time.
+#[test]
+fn terminate_headunfinished() {
+    let mut fleet = Fleet::start_ready(1);
+    fleet.vms[0].signal("-TERM");
+    let told = Instant::now();
+    std::thread::sleep(BEFORE_LEAVE);
+    let head = "POST /post/x HTTP/1.1\r\nHost: host.exa";
+    let stream = fleet.vms[0].open(head).expect("a connection");
+    check_ended(&mut fleet, 0);
+    assert!(told.elapsed() < IDLE_END, "{:?}", told.elapsed());
+    drop(stream);
+}
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -6,7 +6,7 @@
 mod proxy;
 
 use std::net::IpAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
 use dahliastile_standin::fleet::{Fault, Replica};
@@ -139,6 +139,28 @@
     });
 }
 
+/// Guards against a VM without requests that waits for the end of its grace, as another VM keeps connections to it for
+/// attempts that it is to carry.
+#[test]
+fn relay_endssoon() {
+    let mut rig = Rig::start(2);
+    rig.cut_off(&[0]);
+    for number in 0..4 {
+        for (path, model) in PATHS {
+            let answer = rig.fleet.vms[0].ask(&format!("kept{number}{path}"), path, model);
+            assert_eq!(answer.status, 200, "{}", answer.text);
+        }
+    }
+    rig.fleet.vms[1].signal("-TERM");
+    let told = Instant::now();
+    until("it has ended", || !rig.fleet.vms[1].runs());
+    // It takes connections in for 2.5 s, and half a second goes to the first request of a new one; the rest is for a busy
+    // machine. The end of its grace would be after 7.7 s.
+    let took = told.elapsed();
+    assert!(took < Duration::from_millis(4_500), "{took:?}");
+    assert_eq!(rig.fleet.vms[1].ended(), Some(0));
+}
+
 /// Guards against a broken answer that becomes a whole one on its way over another VM, and against one that nothing shows
 /// to be whole and that gets a length or a last chunk there.
 #[test]
