The time of a head holds after a VM leaves

Cause: a connection that is closed after its request was waited for without the limit on the time of its head, so that a part of a head kept it, and the process, until the end of the grace. Change: the limit holds until the connection ends.

--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -130,5 +130,8 @@
         () = head.late(|| hub.head_time.get()) => return,
         () = leave => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = head.late(|| hub.head_time.get()) => {}
+    }
 }
