Test of a grace shorter than the time in which connections are taken in, which fails

A VM takes connections in for 2.5 s after SIGTERM, whatever its grace is. With a grace of 2 s it ends after 2.6 s: the platform has killed it by then, with its listener open.

`stop_beginsnostreamthatitcuts` asked whether streams were served, not whether the end of the process cut them off; it asks both now.

--- a/crates/daemon/tests/graceful_stops.rs
+++ b/crates/daemon/tests/graceful_stops.rs
@@ -37,6 +37,11 @@
 
 /// A fleet that is ready, whose VMs have a short grace.
 fn fleet(vms: u8) -> Fleet {
+    fleet_with(vms, GRACE)
+}
+
+/// The same with a grace in seconds.
+fn fleet_with(vms: u8, grace: u64) -> Fleet {
     let mut fleet = Fleet::servers();
     for number in 1..=vms {
         let usual = settings_text(
@@ -44,7 +49,7 @@
             fleet.address(number, 0).ip(),
             fleet.address(250, 8142),
         );
-        let settings = usual.replace("graceS = 8", &format!("graceS = {GRACE}"));
+        let settings = usual.replace("graceS = 8", &format!("graceS = {grace}"));
         let vm = fleet.start(number, Some(&settings));
         fleet.vms.push(vm);
     }
@@ -294,3 +299,15 @@
     assert!(told.elapsed() < IDLE_END, "{:?}", told.elapsed());
     drop(stream);
 }
+
+/// Guards against a VM whose grace is shorter than the time in which it usually takes connections in: it takes them until it is
+/// killed, and cuts what is on them off.
+#[test]
+fn terminate_shortgrace() {
+    let grace = Duration::from_secs(2);
+    let mut fleet = fleet_with(1, grace.as_secs());
+    fleet.vms[0].signal("-TERM");
+    let told = Instant::now();
+    check_ended(&mut fleet, 0);
+    assert!(told.elapsed() < grace, "{:?}", told.elapsed());
+}
--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -234,6 +234,8 @@
     world.run(PAST_THE_STOP);
     check_answered(&world);
     world.check_served(&numbers, 95);
+    let cut = world.cut_at_stops();
+    assert!(cut.is_empty(), "streams were cut: {cut:?}");
 }
 
 /// Has an engine that sends nothing from now on for a time.
