--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -108,7 +108,8 @@
     pub quota_slack: f64,
     /// How long a server still accepts requests after it has announced that it shuts down.
     pub drain: Span,
-    /// How long a VM that stops keeps accepting connections, so that the platform notices that it is not ready.
+    /// How long a VM that stops keeps accepting connections, so that the platform notices that it is not ready; at most half of
+    /// `grace`.
     pub leave: Span,
     /// Limit on the duration of a graceful stop: the platform then kills the process.
     pub grace: Span,
