--- a/crates/daemon/tests/graceful_stops.rs
+++ b/crates/daemon/tests/graceful_stops.rs
@@ -3,14 +3,15 @@
 #[path = "platform/fleet.rs"]
 mod fleet;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::Read;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use dahliastile_body::Framing;
 use dahliastile_standin::fleet::Fault;
-use fleet::{Answer, Fleet, PATIENCE, parse, ran, read, read_until, request, settings_text, until};
-use socket2::{Domain, Socket, Type};
+use fleet::{
+    Answer, Fleet, RECEIVE_BUFFER, parse, ran, read, read_until, request, settings_text, until,
+};
 
 /// The grace of VMs that are to end with requests open, in seconds: less than the time of a route.
 const GRACE: u64 = 5;
@@ -18,10 +19,6 @@
 /// it was told to end, and shorter than its usual grace.
 const SLOW_READS: usize = 40;
 const SLOW_PAUSE: Duration = Duration::from_millis(100);
-/// The segment size and the receive buffer of a caller that reads slowly, in bytes. With the segments of the loopback
-/// interface the system would hold megabytes of an answer.
-const SEGMENT: u32 = 536;
-const RECEIVE_BUFFER: usize = 4_096;
 /// The size of a large answer, and that of each event of a large stream, in bytes: more than the system holds.
 const LARGE: usize = 900_000;
 const LARGE_EVENT: usize = 100_000;
@@ -55,20 +52,6 @@
     assert_eq!(fleet.vms[vm].ended(), Some(0));
 }
 
-/// A connection of a caller that lets the system hold little of its answer, with a request on it.
-fn open_slowly(address: SocketAddr, text: &str) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_tcp_mss(SEGMENT).expect("a segment size");
-    socket
-        .set_recv_buffer_size(RECEIVE_BUFFER)
-        .expect("a buffer size");
-    socket.connect(&address.into()).expect("it listens");
-    let mut stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
-    stream.write_all(text.as_bytes()).expect("it reads");
-    stream
-}
-
 /// Guards against a process that ends while requests wait for a placement: they were not run, and their callers are told so.
 #[test]
 fn terminate_waitingforaplacement() {
@@ -180,7 +163,7 @@
 
 /// Reads an answer that its server has completed slowly until a VM without requests in progress would have ended, then the rest.
 fn read_slowly(fleet: &mut Fleet, text: &str) -> Answer {
-    let mut stream = open_slowly(fleet.address(1, 8149), text);
+    let mut stream = fleet.vms[0].open_slowly(text);
     until("the server has completed it", || {
         let figures = fleet.vms[0].figures();
         figures.contains("dahliastile_answered_total{")
@@ -232,7 +215,7 @@
         .iter()
         .for_each(|server| server.set_padding(LARGE));
     let text = request("large", "/post/x", None);
-    let mut stream = open_slowly(fleet.address(1, 8149), &text);
+    let mut stream = fleet.vms[0].open_slowly(&text);
     until("the server has it", || ran(&fleet.plain, "large") == 1);
     fleet.vms[0].signal("-TERM");
     let mut bytes = Vec::new();
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -12,11 +12,16 @@
 use dahliastile_body::Framing;
 use dahliastile_standin::fleet::{Replica, Store};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 /// The longest wait for a condition.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 /// The pause between two looks.
 const LOOK: Duration = Duration::from_millis(10);
+/// The segment size and the receive buffer of a caller that reads slowly, in bytes. With the segments of the loopback
+/// interface the system would hold megabytes of an answer.
+const SEGMENT: u32 = 536;
+pub(crate) const RECEIVE_BUFFER: usize = 4_096;
 /// The variable that names the settings file.
 const VARIABLE: &str = "DAHLIASTILE_SETTINGS";
 
@@ -276,6 +281,21 @@
         Some(stream)
     }
 
+    /// Sends bytes on a new connection whose other side lets the system hold little of the answer.
+    pub(crate) fn open_slowly(&self, bytes: &str) -> TcpStream {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_tcp_mss(SEGMENT).expect("a segment size");
+        socket
+            .set_recv_buffer_size(RECEIVE_BUFFER)
+            .expect("a buffer size");
+        let address = SocketAddr::new(self.ip, 8149);
+        socket.connect(&address.into()).expect("it listens");
+        let mut stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        stream.write_all(bytes.as_bytes()).expect("it reads");
+        stream
+    }
+
     /// Sends it a signal by name.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.process.id().to_string();
