A caller may read as slowly as its connection may be idle

What callers saw: one that read nothing for 2.5 s lost its answer, and one that reads slowly at times, with a small window.

Cause: connections of callers had the time of connections to servers after which the system breaks one whose other side takes nothing. Change: for callers it is the time for which their connections may be idle.

--- a/crates/daemon/tests/graceful_stops.rs
+++ b/crates/daemon/tests/graceful_stops.rs
@@ -3,7 +3,7 @@
 #[path = "platform/fleet.rs"]
 mod fleet;
 
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -86,7 +86,12 @@
     mut leaving: watch::Receiver<bool>,
 ) {
     let _counted = hub.count_connection();
-    pool::tune(&stream);
+    let unacknowledged = match port {
+        // A caller may read as slowly as its connection may be idle.
+        Port::Callers => hub.idle.get() + IDLE_MARGIN,
+        Port::Relays => pool::UNACKNOWLEDGED,
+    };
+    pool::tune(&stream, unacknowledged);
     let Ok(peer) = stream.peer_addr() else {
         // The connection is over.
         return;
