A process waits for the gateway to say when it ends

Where the event loop had not come to the stop when connections are closed, the process took the end as over and ended at once. It now waits for the stop to be handled; no test shows the case, which was found by reading.

--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -118,7 +118,7 @@
         let _ = leave.send(true);
         // By then the connections that the system has accepted are counted.
         tokio::time::sleep_until(clock.at(clock.now() + LOOK)).await;
-        let has_time = || stopper.end_by.get().is_some_and(|end| clock.now() < end);
+        let has_time = || stopper.end_by.get().is_none_or(|end| clock.now() < end);
         while stopper.busy() && has_time() {
             tokio::time::sleep_until(clock.at(clock.now() + LOOK)).await;
         }
