A caller that reads slowly keeps its connection as long as an idle one

Cause: callers' connections had the limit of 2.5 s by which servers and VMs that are gone are noticed. The system applies it to a caller that takes nothing too, and now and then to one that reads a little all the time.

Connections to servers and between VMs keep 2.5 s. What was ruled out: no limit at all, as a caller that never reads would hold its connection for ever.

--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -86,7 +86,12 @@
     mut leaving: watch::Receiver<bool>,
 ) {
     let _counted = hub.count_connection();
-    pool::tune(&stream);
+    let patience = match port {
+        // A caller that reads slowly is no reason to break its answer off.
+        Port::Callers => hub.idle.get() + IDLE_MARGIN,
+        Port::Relays => pool::UNACKNOWLEDGED,
+    };
+    pool::tune(&stream, patience);
     let Ok(peer) = stream.peer_addr() else {
         // The connection is over.
         return;
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -29,8 +29,8 @@
 /// How much sooner than the server a connection is given up, so that a request never crosses its end.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
-/// How long the other side may leave bytes unacknowledged before the connection is broken.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// How long a server or another VM may take nothing, or leave bytes unacknowledged, before the connection is broken.
+pub(crate) const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
 
 /// How long a silent connection waits for its first keep-alive probe, and for each next one.
 const KEEPALIVE: Duration = Duration::from_secs(1);
@@ -207,7 +207,7 @@
 }
 
 async fn handshake(address: SocketAddr, stream: TcpStream) -> Result<Connection, Fault> {
-    tune(&stream);
+    tune(&stream, UNACKNOWLEDGED);
     let mut builder = http1::Builder::new();
     builder.title_case_headers(true);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -224,11 +224,12 @@
     })
 }
 
-/// Has a connection break soon when the other side is gone without a word. One that can't be set so still works.
-pub(crate) fn tune(stream: &TcpStream) {
+/// Has a connection break when the other side is gone without a word: after `patience` where it takes nothing of what is sent.
+/// The system does not tell a side that is gone from one that does not read. A connection that can't be set so still works.
+pub(crate) fn tune(stream: &TcpStream, patience: Duration) {
     let _ = stream.set_nodelay(true);
     let socket = SockRef::from(stream);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    let _ = socket.set_tcp_user_timeout(Some(patience));
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE)
