--- a/crates/daemon/tests/processes/shutdown.rs
+++ b/crates/daemon/tests/processes/shutdown.rs
@@ -5,12 +5,13 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use dahliastile_standin::caller::Request;
 use serde_json::json;
 
 use crate::checks::{begin, broken, whole_or_not_run};
-use crate::fleet::{self, FENCED, Fleet, UNFENCED, error};
+use crate::fleet::{self, FENCED, Fleet, UNFENCED, Vm, error};
 use crate::process::until;
 use crate::support::{self, connect};
 
@@ -83,6 +84,130 @@
     );
 }
 
+/// A booking with a body of this many bytes.
+fn booking_of(key: &str, length: usize) -> Vec<u8> {
+    let headers = [support::bearer(), format!("Idempotency-Key: {key}")];
+    let headers = headers.each_ref().map(String::as_str);
+    support::request(
+        "POST",
+        "/services/berths/book",
+        &headers,
+        &"7".repeat(length),
+    )
+}
+
+/// Begins a booking that never ends, has the VM told to stop, and reads what comes.
+fn stopped_within(vm: &mut Vm, booking: &[u8]) -> Vec<u8> {
+    let mut caller = connect(vm.callers);
+    caller.write_all(booking).unwrap();
+    vm.process.signal("TERM");
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).unwrap();
+    assert_eq!(vm.process.end().0, Some(0));
+    answer
+}
+
+/// Guards against a connection that is closed without a word where the head of a request is still coming when the VM stops
+/// reading.
+#[test]
+fn sigterm_within_a_head() {
+    let mut fleet = Fleet::start();
+    let booking = fleet::booking("head");
+    let answer = stopped_within(&mut fleet.vms[0], &booking[..booking.len() / 2]);
+    assert_eq!(support::parse(&answer).error(), turned_away());
+}
+
+/// Guards against a connection that is closed without a word, or a request that is refused as malformed, never to be repeated,
+/// where its body is still coming when the VM stops reading.
+#[test]
+fn sigterm_within_a_body() {
+    /// A body that the HTTP library reads before it hands the request on, and one that it doesn't.
+    const LENGTHS: [usize; 2] = [10, 5_000];
+    let mut fleet = Fleet::start();
+    for (vm, length) in fleet.vms.iter_mut().zip(LENGTHS) {
+        let booking = booking_of("body", length);
+        let answer = stopped_within(vm, &booking[..booking.len() - 2]);
+        assert_eq!(support::parse(&answer).error(), turned_away(), "{length}");
+    }
+    assert_eq!(fleet.booked("body"), 0);
+}
+
+/// Guards against an answer that is lost to a caller which writes its whole request before it reads, as the VM closes the
+/// connection under it.
+#[test]
+fn sigterm_while_a_body_comes() {
+    const PIECE: usize = 1_000;
+    const PAUSE: Duration = Duration::from_millis(20);
+    /// Pieces that still come after the answer.
+    const MORE: usize = 10;
+    let mut fleet = Fleet::start();
+    let booking = booking_of("long", 1_000_000);
+    let mut pieces = booking.chunks(PIECE);
+    let vm = &mut fleet.vms[0];
+    let mut caller = connect(vm.callers);
+    caller.set_nonblocking(true).unwrap();
+    vm.process.signal("TERM");
+    let mut write = |caller: &mut TcpStream| {
+        caller.write_all(pieces.next().expect("more of the body"))?;
+        thread::sleep(PAUSE);
+        Ok::<(), std::io::Error>(())
+    };
+    while caller.peek(&mut [0]).is_err() {
+        write(&mut caller).expect("nothing is closed before the answer");
+    }
+    for _ in 0..MORE {
+        write(&mut caller).expect("the rest is taken, too");
+    }
+    let mut answer = vec![0; PIECE];
+    let count = caller.read(&mut answer).expect("the answer");
+    answer.truncate(count);
+    assert_eq!(support::parse(&answer).error(), turned_away());
+    drop(caller);
+    assert_eq!(vm.process.end().0, Some(0));
+    assert_eq!(fleet.booked("long"), 0);
+}
+
+/// Guards against requests without an answer where a VM is told to stop twice while they wait for a load, for a claim, or
+/// for an engine that has gone silent.
+#[test]
+fn second_sigterm_answers_what_waits() {
+    let mut fleet = Fleet::start();
+    let (warm, cold) = (FENCED[0], FENCED[1]);
+    until("it is resident", || {
+        whole_or_not_run(&fleet.vms[1], &[warm], 3) == 1
+    });
+    fleet.fenced.outage("silent");
+    fleet.kv.outage("silent");
+    let vm = &fleet.vms[1];
+    let ask = |model| {
+        let request = vm.completion(model, "silence", 3);
+        thread::spawn(move || error(&request.send().unwrap()))
+    };
+    let (at_engine, for_load) = (ask(warm), ask(cold));
+    let callers = vm.callers;
+    let for_claim = thread::spawn(move || support::raw(callers, &fleet::booking("waits")).error());
+    until("all are in progress", || {
+        vm.status()["in_progress"].as_u64() >= Some(2)
+    });
+    let process = &mut fleet.vms[1].process;
+    process.signal("TERM");
+    process.wrote("draining");
+    process.signal("TERM");
+    assert_eq!(
+        at_engine.join().unwrap(),
+        ("cut".to_owned(), "unknown".to_owned())
+    );
+    assert_eq!(for_load.join().unwrap(), turned_away());
+    let (kind, ran) = for_claim.join().unwrap();
+    assert!(
+        ["shutting_down", "platform_down"].contains(&kind.as_str()),
+        "{kind}"
+    );
+    assert_eq!(ran, "no");
+    assert_eq!(process.end().0, Some(0));
+    assert_eq!(fleet.booked("waits"), 0);
+}
+
 /// What callers see while VMs are replaced.
 #[derive(Default)]
 struct Tally {
