--- a/crates/gateway/src/request/quarantine/parts.rs
+++ b/crates/gateway/src/request/quarantine/parts.rs
@@ -5,7 +5,7 @@
 //! * A part counts only if the server was beginning the answer, and if nothing else explains the crash: no request or part
 //!   that was there is in quarantine already.
 //! * A complete answer at any VM since the first counted crash clears its parts. VMs remember the parts of their answers, and
-//!   are asked for them at the second counted crash.
+//!   are asked for them at the second and third counted crash.
 //! * One more crash than for a request is needed.
 
 use dahliastile_core::id::Vm;
