Half of the grace is computed in one place; refusals hash no prompt parts in vain

Cause: the gateway and the shell each computed half of the grace, and each refusal hashed the parts of its prompt for the log also where nothing is in quarantine. Change: `Tuning::start_time` for both, and the early return that `remaining_for` has. No behaviour changes.

--- a/crates/gateway/src/request/quarantine.rs
+++ b/crates/gateway/src/request/quarantine.rs
@@ -135,6 +135,9 @@
 
     /// Returns the first part of a request's prompt that is in quarantine.
     pub(crate) fn quarantined_part(&self, call: &CallerRequest, now: Instant) -> Option<u64> {
+        if self.quarantined.is_empty() {
+            return None;
+        }
         let work = call.work.as_ref()?;
         let is_quarantined = |part: &&PromptPart| {
             let fingerprint = Fingerprint::of_prompt_part(part.id);
--- a/crates/gateway/src/request/shutdown.rs
+++ b/crates/gateway/src/request/shutdown.rs
@@ -38,7 +38,7 @@
     pub(crate) fn new(now: Instant, tuning: &Tuning) -> Self {
         let end = now + (tuning.grace - tuning.end_margin);
         Self {
-            start: now + Span(tuning.grace.0 / 2),
+            start: now + tuning.start_time(),
             answer: end.back(WRITE_TIME),
             end,
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -117,6 +117,14 @@
     pub end_margin: Span,
 }
 
+impl Tuning {
+    /// Returns how long after a stop requests are still sent to servers for the first time: half of the grace.
+    #[must_use]
+    pub fn start_time(&self) -> Span {
+        Span(self.grace.0 / 2)
+    }
+}
+
 impl Default for Tuning {
     fn default() -> Self {
         Self {
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -89,9 +89,8 @@
     tokio::task::spawn_local(keep_figures(hub.clone()));
     tokio::task::spawn_local(peers::listen(control, peers.clone()));
     let clock = Clock::new();
-    // What comes after half of the grace would be refused.
-    let half_of_grace = Span(settings.tuning.grace.0 / 2);
-    let leave_after = settings.tuning.leave.min(half_of_grace);
+    // What comes later would be refused.
+    let leave_after = settings.tuning.leave.min(settings.tuning.start_time());
     let mut journal = Journal::new(settings.vm.clone())?;
     let started = format!(
         "incarnation={} callers={} peers={} without={}",
