--- a/review/1/case.py
+++ b/review/1/case.py
@@ -108,7 +108,7 @@
     routes = [route("eta", "unsafe", "barge-desk", 1, 2000), route("slot", "safe", "barge-desk", 2, 2000)]
     fleet.store.put_json("op/config", config(1, routes))
     for number, zone in enumerate(ZONES[:3], 1):
-        fleet.start_vm(number, zone)
+        await fleet.start_vm(number, zone)
     await fleet.wait_ready()
     # Both disruptions are on one replica of four.
     replicas[0].is_faulty = trouble
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -118,11 +119,28 @@
         self.history = []
         self.revision = 1
         self.changed = asyncio.Event()
+        # The channels of each VM, the number of its watches, and the VMs that are cut off.
+        self.channels = {}
+        self.watches = {}
+        self.cut_off = set()
+        self.servers = []
 
-    async def start(self, ip, port):
-        self.server = await asyncio.start_server(self.serve, ip, port)
+    async def start(self):
         self.expirer = asyncio.ensure_future(self.expire())
 
+    async def listen(self, vm, ip, port):
+        """Takes the calls of one VM."""
+        serve = lambda reader, writer: self.serve(vm, reader, writer)
+        self.servers.append(await asyncio.start_server(serve, ip, port))
+
+    async def cut(self, vm, seconds):
+        """Cuts a VM off: its channels are reset, and each new one too, until the time is over."""
+        self.cut_off.add(vm)
+        for writer in list(self.channels.get(vm, ())):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        self.cut_off.discard(vm)
+
     def notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -166,17 +184,26 @@
         item = self.items.get(f"dahliastile/holder/{service}")
         return item and json.loads(base64.b64decode(item["value"]))["vm"]
 
-    async def serve(self, reader, writer):
+    async def serve(self, vm, reader, writer):
+        if vm in self.cut_off:
+            writer.transport.abort()
+            return
+        self.channels.setdefault(vm, set()).add(writer)
         try:
             while True:
                 request = await read_request(reader)
+                if request.target.startswith("/dahliastile/kv-watch"):
+                    self.watches[vm] = self.watches.get(vm, 0) + 1
                 status, value = await self.answer(request)
+                if writer.is_closing():
+                    return
                 body = json.dumps(value).encode()
                 writer.write(answer_bytes(status, [("Content-Type", "application/json")], body))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.channels[vm].discard(writer)
             writer.close()
 
     async def answer(self, request):
@@ -269,18 +296,17 @@
         return f"127.{self.net[0]}.{self.net[1]}.{host}"
 
     async def start_store(self):
-        await self.store.start(self.ip(250), 8142)
+        await self.store.start()
 
-    def start_vm(self, number, zone):
+    async def start_vm(self, number, zone):
         """Starts an entry VM with the command of the deploy file."""
         if not os.path.exists(DAEMON):
             raise CannotRun(f"{DAEMON} is not built")
+        await self.store.listen(number, self.ip(100 + number), 8142)
         path = os.path.join(self.folder, f"vm{number}.toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings(number, zone))
         log = open(os.path.join(self.folder, f"vm{number}.log"), "ab")
-        import subprocess
-
         process = subprocess.Popen(
             ["target/release/dahliastiled", "--platform", VARIABLE],
             cwd=ROOT,
@@ -352,7 +378,7 @@
 ceilingOverage = 1.1
 version_ms = 5000
 [platform]
-address = "{self.ip(250)}:8142"
+address = "{self.ip(100 + number)}:8142"
 form = "kv"
 writesPerS = 400
 readsPerS = 2000
