--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,21 +9,21 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standin"))
 from standin import CannotRun, Client, answer_bytes, config, new_id, read_request, route, run_case
 
-# The zones of the six VMs of the site, and of the four replicas.
-VM_ZONES = ["maasvlakte", "maasvlakte", "botlek", "botlek", "delft-zuid", "dordrecht"]
-ZONES = ["maasvlakte", "botlek", "delft-zuid", "dordrecht"]
+# The zones of the replicas, and of the nine VMs of the site.
+ZONES = ["jkt-hall", "sby-hall", "smg-hall"]
+VM_ZONES = [zone for zone in ZONES for _ in range(3)]
 SLOTS = 6
-WORK_S = 0.060
+WORK_S = 0.030
 # Requests a second of both kinds, as on the sheet of the site.
-UNSAFE_PER_S, SAFE_PER_S = 13.3, 9.19
+UNSAFE_PER_S, SAFE_PER_S = 17.5, 9.2
 PLAY_S = 95
 # The bound of the rule, and what this program may be late with the time of an arrival.
 DRAIN_S, MARGIN_S = 2.0, 0.02
 # One replica is replaced in each such time, and one VM is cut off from the store for so long.
-GAP_S, CUT_S = 4.0, 0.6
+GAP_S, CUT_S = 4.0, 0.9
 BEAT_S = 1.2
 # Channels of clients to each VM that watches the store, and to each of the others.
-CHANNELS, CHANNELS_CALM = 2, 12
+CHANNELS, CHANNELS_CALM = 3, 9
 
 
 class Replica:
@@ -55,7 +55,7 @@
 
     def entry(self, seq):
         return {
-            "service": "barge-desk",
+            "service": "plano-app",
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
@@ -119,7 +119,7 @@
 
 async def send(client, method, path, record, answers):
     request_id = new_id()
-    headers = [("Request-Id", request_id), ("Deadline-Ms", "4000")]
+    headers = [("Request-Id", request_id), ("Deadline-Ms", "1500")]
     answer = await client.ask(method, path, headers, b"x" * 600 if method == "POST" else b"")
     answers[request_id] = answer.status if answer else 0
     record.write(f"client gets {answers[request_id]} for {method} {request_id}")
@@ -146,12 +146,13 @@
 
 
 async def play(fleet, record, trouble):
+    fleet.region, fleet.zones = "jawa", ZONES
     replicas = [Replica(n, zone, fleet, record) for n, zone in enumerate(ZONES)]
     everyone = list(replicas)
     for replica in replicas:
         await replica.start()
-    routes = [route("eta", "unsafe", "barge-desk", 1, 2000), route("slot", "safe", "barge-desk", 2, 2000)]
-    fleet.store.put_json("op/config", config(1, routes))
+    routes = [route("query", "unsafe", "plano-app", 1, 1500), route("lookup", "safe", "plano-app", 2, 1500)]
+    fleet.store.put_json("op/config", config(1, routes, service="plano-app"))
     for number, zone in enumerate(VM_ZONES, 1):
         await fleet.start_vm(number, zone)
     await fleet.wait_ready()
@@ -176,7 +177,7 @@
             continue
         client = idle.pop(random.randrange(len(idle)))
         is_unsafe = random.random() < UNSAFE_PER_S / (UNSAFE_PER_S + SAFE_PER_S)
-        method, path = ("POST", "/eta/1") if is_unsafe else ("GET", "/slot/1")
+        method, path = ("POST", "/query/1") if is_unsafe else ("GET", "/lookup/1")
         task = asyncio.ensure_future(send(client, method, path, record, answers))
         task.add_done_callback(lambda _, client=client: idle.append(client))
         requests.append(task)
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -274,6 +274,8 @@
 
     def __init__(self, record):
         self.record = record
+        self.region = "nl-west"
+        self.zones = ["maasvlakte", "botlek", "delft-zuid", "dordrecht"]
         self.net = self.choose_net()
         self.vms = {}
         self.folder = tempfile.mkdtemp(prefix="dahliastile-case-")
@@ -320,13 +322,14 @@
 
     def settings(self, number, zone):
         ip = self.ip(number)
+        zones = "\n".join(f'{name} = "{self.region}"' for name in self.zones)
         return f"""nodeName = "vm{number}"
 role = "entry"
 machineClass = "front"
 serves = ["front","control"]
 ip = "{ip}"
 zone = "{zone}"
-region = "nl-west"
+region = "{self.region}"
 portRange = [7380,7395]
 seeds = ["{self.ip(1)}:8144","{self.ip(2)}:8144","{self.ip(3)}:8144"]
 bootstrap = true
@@ -334,10 +337,7 @@
 entry = "vip"
 heartbeatMs = 1200
 [zones]
-maasvlakte = "nl-west"
-botlek = "nl-west"
-delft-zuid = "nl-west"
-dordrecht = "nl-west"
+{zones}
 [listen]
 front = "{ip}:8149"
 ready = "{ip}:8141"
@@ -453,8 +453,8 @@
     }
 
 
-def config(version, routes, engine=None):
-    services = [{"name": "barge-desk", "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": False}]
+def config(version, routes, engine=None, service="barge-desk"):
+    services = [{"name": service, "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": False}]
     if engine:
         services.append(
             {
