--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,10 +15,10 @@
 WORK_S = 0.060
 # Requests a second of both kinds, as on the sheet of the site.
 UNSAFE_PER_S, SAFE_PER_S = 13.3, 9.19
-PLAY_S = 90
+PLAY_S = 60
 # The doses of the two disruptions, at most those of the site file: share x of the requests that the replica sheds,
 # share of its answers after which it sends one more.
-SHED, EXTRA = 0.45, 0.03
+SHED, EXTRA = 0.2, 0.03
 
 
 class Replica:
