Answers that bear another request's id are logged and counted

Change: E527 AnswerUnmatched with the id asked, the id answered, the status and what the answer claims, and dahliastile_unmatched_answers_total. Nothing else changes.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -188,6 +188,8 @@
     TurnedAway = 516 Info "If it lasts, the engines or the weight store have too little room for the load.";
     /// A request was sent to a backend server.
     Sent = 511 Debug "Nothing.";
+    /// A backend server's answer does not bear the id of the request that it came for.
+    AnswerUnmatched = 527 Warn "If it repeats for one server, check that server; its answers may be late copies of earlier ones.";
     /// A backend server did not answer a request well.
     SendFailed = 512 Info "If it repeats for one server, check that server.";
     /// A request got its whole answer.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -230,6 +230,19 @@
     pub id: Arc<str>,
 }
 
+/// An answer of a server that does not bear the id of the request that it came for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnmatchedAnswer {
+    /// The id of the request.
+    pub asked: Arc<str>,
+    /// The id that the answer bears, shortened; none if it bears none.
+    pub answered: Option<Arc<str>>,
+    /// Its HTTP status.
+    pub status: u16,
+    /// Whether it claims that the server did not run a request.
+    pub is_rejection: bool,
+}
+
 /// How a connection to another VM failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkFault {
@@ -267,6 +280,8 @@
     /// A server's answer carries a notice about the server (rate limit, shutdown, cooldown), or no longer carries the
     /// notice that an earlier answer carried.
     NoticeReceived(Server, Notice),
+    /// A server's answer does not bear the id of the request that it came for.
+    AnswerUnmatched(Server, Box<UnmatchedAnswer>),
     /// A server's report; none if the server gave no valid report in time.
     ReportReceived(Server, Option<Report>),
     /// A new connection to a server was made for an attempt, or could not be made.
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -8,7 +8,7 @@
 use super::Phase;
 use crate::config::RouteKind;
 use crate::effect::{Effect, Effects, NextStep, RefusalReason};
-use crate::event::{Execution, FailureCause, RequestId};
+use crate::event::{Execution, FailureCause, RequestId, UnmatchedAnswer};
 use crate::message::Progress;
 use crate::metrics;
 use crate::node::Gateway;
@@ -175,6 +175,28 @@
         self.retry_or_finish(request, ran, cause, answer_started, out);
     }
 
+    /// Logs and counts an answer that does not bear the id of the request that it came for. The attempt's own event says how
+    /// the attempt ended.
+    pub(crate) fn record_unmatched_answer(
+        server: &Server,
+        answer: &UnmatchedAnswer,
+        out: &mut Effects,
+    ) {
+        let claim = if answer.is_rejection {
+            "rejection"
+        } else {
+            "other"
+        };
+        metrics::count_global(out, Figure::UnmatchedAnswers, claim);
+        let detail = format!(
+            "id={} server={server} answered={} status={} claim={claim}",
+            answer.asked,
+            answer.answered.as_deref().unwrap_or("-"),
+            answer.status
+        );
+        Self::log(out, Code::AnswerUnmatched, detail);
+    }
+
     /// Sends a request to the same server another way if its attempt did not reach the server: this VM's own path is in
     /// doubt or lost, or the VM that was to carry the attempt did not. Returns whether it was sent, or refused for want of
     /// another way. Nothing has arrived at the server, so no retry is spent.
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -88,6 +88,12 @@
         }
         return Tried::Failed(ran, cause, None);
     }
+    if let Some(unmatched) = hub.dialect.unmatched(head, &answer) {
+        hub.post(Event::AnswerUnmatched(
+            send.server.clone(),
+            Box::new(unmatched),
+        ));
+    }
     let framing = framing(&head.method, &answer);
     hub.notice(&send.server, at, hub.dialect.notice(&answer));
     match hub.dialect.reply(head, &answer) {
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -6,7 +6,9 @@
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Attempt, KvOperation, Order, RefusalReason};
-use dahliastile_gateway::event::{CallerRequest, FailureCause, KvAnswer, OrderOutcome, Report};
+use dahliastile_gateway::event::{
+    CallerRequest, FailureCause, KvAnswer, OrderOutcome, Report, UnmatchedAnswer,
+};
 use dahliastile_gateway::request::notice::Notice;
 use dahliastile_gateway::settings::Tuning;
 use http::{Request, Response, request, response};
@@ -60,6 +62,13 @@
         after: Option<&str>,
     ) -> Request<Bytes>;
 
+    /// What tells a server's answer from the answer to the request with this head; none for the answer to it.
+    fn unmatched(
+        &self,
+        asked: &request::Parts,
+        answer: &response::Parts,
+    ) -> Option<UnmatchedAnswer>;
+
     /// What the head of a server's answer to the request with this head says.
     fn reply(&self, asked: &request::Parts, answer: &response::Parts) -> Reply;
 
