An answer is believed only once it is known to be the answer to the call

Cause: what an answer claims was read before whose answer it is. A server may send an answer once more when the next request of the connection has come. `reply` took 421 and Not-Executed for "not run" before it compared the ids, so the next request, which was running, was sent to another server. Notices (limit, cooldown, leaving) were taken from such answers too, a VM that carries a request for another one put the connection back on which the true answer was still due, and answers to orders and reports were compared with nothing.

Change: `Dialect::unmatched` is asked first, for attempts and for attempts carried for another VM; nothing else is read of an answer that is another request's, the attempt counts as one that may have run, and the connection is closed. An answer bears the id of its request and no other; a request without an id has an answer without one, so that its rejection stays one. Orders and questions for reports bear an id of their own. Servers need not echo it: an answer without an id is believed on a connection on which nothing was sent before, and that connection is not used again. The program's own interface makes a connection for each exchange and is not concerned.

--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
-use dahliastile_standin::fleet::{Fault, Replica};
+use dahliastile_standin::fleet::{Fault, Repeat, Replica};
 use fleet::{Fleet, config, ran, read_until, request, request_with, until};
 use proxy::Proxy;
 
@@ -197,6 +197,33 @@
     }
 }
 
+/// Guards against an unsafe request that runs twice, since a late copy of an earlier rejection was taken for its answer on the
+/// way over another VM.
+#[test]
+fn rejection_latecopyisnotbelieved() {
+    let rig = Rig::start(2);
+    rig.cut_off(&[0]);
+    rig.each_server(|server| server.set_repeat(Repeat::Rejections));
+    let p0 = &rig.fleet.plain[0];
+    for number in 0..40 {
+        p0.set_fault(if number % 2 == 0 {
+            Fault::Full
+        } else {
+            Fault::None
+        });
+        let id = format!("late{number}");
+        let answer = rig.fleet.vms[0].ask(&id, "/post/x", None);
+        let most = usize::from(!matches!(answer.status, 408 | 421 | 429 | 503));
+        let runs = rig.runs(&id);
+        assert!(runs <= most, "{id}: {runs} runs, {}", answer.text);
+    }
+    let figures = rig.fleet.vms[1].figures();
+    assert!(
+        figures.contains("dahliastile_unmatched_answers_total"),
+        "{figures}"
+    );
+}
+
 /// Guards against a run that goes on after its caller has left, and against one that is told as whole when the VM that
 /// carried it is gone.
 #[test]
--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
-use dahliastile_standin::fleet::Fault;
+use dahliastile_standin::fleet::{Fault, Repeat};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -30,6 +30,10 @@
 const NEXT_FRAMING: std::ops::Range<u64> = 500..2_500;
 /// The stream from which these are drawn.
 const FRAMINGS: u64 = 3;
+/// The pause until a server next answers once more, late, in milliseconds.
+const NEXT_LATE: std::ops::Range<u64> = 500..3_000;
+/// The stream from which these are drawn.
+const LATE: u64 = 7;
 /// The pause until a VM, or all but one, next lose their path to all servers, in milliseconds.
 const NEXT_CUT: std::ops::Range<u64> = 500..4_000;
 /// The stream from which these are drawn.
@@ -82,6 +86,8 @@
     Server(usize, Fault),
     /// A server's answers have neither length nor chunks, and it fails its requests in some way.
     Unframed(usize, Fault),
+    /// A server answers once more, late, and rejects requests or fails them in some way.
+    Late(usize, Repeat, Fault),
     /// A VM loses its path to all servers, or all others do.
     CutOff(usize, bool),
     /// An engine starts anew and holds nothing.
@@ -152,6 +158,15 @@
         Self::Unframed(server, faults[rng.random_range(0..faults.len())])
     }
 
+    /// Draws late answers.
+    fn draw_late(rng: &mut ChaCha8Rng, servers: usize) -> Self {
+        let repeats = [Repeat::Rejections, Repeat::RejectionsWithoutId, Repeat::All];
+        let faults = [Fault::None, Fault::Full, Fault::Misdirected];
+        let server = rng.random_range(0..servers);
+        let repeat = repeats[rng.random_range(0..repeats.len())];
+        Self::Late(server, repeat, faults[rng.random_range(0..faults.len())])
+    }
+
     /// Draws a lost path.
     fn draw_cut(rng: &mut ChaCha8Rng, vms: usize) -> Self {
         Self::CutOff(rng.random_range(0..vms), rng.random_bool(0.3))
@@ -210,6 +225,7 @@
             Self::ServerWay(server, _) => Held::ServerWay(server),
             Self::Server(server, _)
             | Self::Unframed(server, _)
+            | Self::Late(server, ..)
             | Self::EngineRestart(server)
             | Self::Release(server, _)
             | Self::Leave(server) => Held::Server(server),
@@ -247,6 +263,11 @@
                 replica(stage, server).set_framing(Framing::Connection);
                 replica(stage, server).set_fault(fault);
             }
+            Self::Late(server, repeat, fault) => {
+                stage.disturb(None, lasts);
+                replica(stage, server).set_repeat(repeat);
+                replica(stage, server).set_fault(fault);
+            }
             Self::CutOff(vm, others) => {
                 stage.disturb(None, lasts);
                 stage.cut_off(|other| (other == vm) != others);
@@ -283,6 +304,10 @@
                 replica(stage, server).set_fault(Fault::None);
                 replica(stage, server).set_framing(Framing::Length);
             }
+            Self::Late(server, ..) => {
+                replica(stage, server).set_fault(Fault::None);
+                replica(stage, server).set_repeat(Repeat::None);
+            }
             Self::CutOff(..) => stage.cut_off(|_| false),
             Self::Leave(server) => stage.list(server, "ready"),
             Self::Flood => callers.flood(false),
@@ -311,6 +336,40 @@
     stage.servers().nth(server).expect("one of the servers")
 }
 
+/// Draws troubles of one kind from a stream of the round's seed.
+struct Source {
+    /// The stream.
+    rng: ChaCha8Rng,
+    /// The pause until the next one, in milliseconds.
+    pause: std::ops::Range<u64>,
+    /// When the next one comes.
+    next: Instant,
+}
+
+impl Source {
+    fn new(rng: &ChaCha8Rng, stream: u64, pause: std::ops::Range<u64>, began: Instant) -> Self {
+        let mut rng = rng.clone();
+        rng.set_stream(stream);
+        let next = began + Duration::from_millis(rng.random_range(pause.clone()));
+        Self { rng, pause, next }
+    }
+
+    /// Whether one is due; the next one is then drawn.
+    fn is_due(&mut self, now: Instant) -> bool {
+        let is_due = self.next <= now;
+        if is_due {
+            self.next = now + Duration::from_millis(self.rng.random_range(self.pause.clone()));
+        }
+        is_due
+    }
+
+    /// How long one lasts that is due.
+    fn lasts_if_due(&mut self, now: Instant) -> Option<Duration> {
+        self.is_due(now)
+            .then(|| Duration::from_millis(self.rng.random_range(LASTS)))
+    }
+}
+
 /// Has troubles come for a while, then ends those that still last. Returns what happened, in order.
 pub(crate) fn play(
     stage: &mut Stage,
@@ -325,25 +384,13 @@
     let mut history = Vec::new();
     let mut next = began;
     let mut next_copy = began;
-    let mut restores = rng.clone();
-    restores.set_stream(RESTORES);
-    let mut next_restore = began + Duration::from_millis(restores.random_range(NEXT_RESTORE));
-    let mut contention = rng.clone();
-    contention.set_stream(CONTENTION);
-    let mut next_contention =
-        began + Duration::from_millis(contention.random_range(NEXT_CONTENTION));
-    let mut framings = rng.clone();
-    framings.set_stream(FRAMINGS);
-    let mut next_framing = began + Duration::from_millis(framings.random_range(NEXT_FRAMING));
-    let mut cuts = rng.clone();
-    cuts.set_stream(CUTS);
-    let mut next_cut = began + Duration::from_millis(cuts.random_range(NEXT_CUT));
-    let mut releases = rng.clone();
-    releases.set_stream(RELEASES);
-    let mut next_release = began + Duration::from_millis(releases.random_range(NEXT_RELEASE));
-    let mut series = rng.clone();
-    series.set_stream(SERIES);
-    let mut next_series = began + Duration::from_millis(series.random_range(NEXT_SERIES));
+    let mut restores = Source::new(rng, RESTORES, NEXT_RESTORE, began);
+    let mut contention = Source::new(rng, CONTENTION, NEXT_CONTENTION, began);
+    let mut framings = Source::new(rng, FRAMINGS, NEXT_FRAMING, began);
+    let mut late = Source::new(rng, LATE, NEXT_LATE, began);
+    let mut cuts = Source::new(rng, CUTS, NEXT_CUT, began);
+    let mut releases = Source::new(rng, RELEASES, NEXT_RELEASE, began);
+    let mut series = Source::new(rng, SERIES, NEXT_SERIES, began);
     let mut planned: Vec<(Instant, Trouble, Duration)> = Vec::new();
     while began.elapsed() < span {
         let now = Instant::now();
@@ -364,34 +411,27 @@
             let trouble = Trouble::draw(rng, vms, servers, engines);
             due.push((trouble, lasts));
         }
-        if next_restore <= now {
-            next_restore = now + Duration::from_millis(restores.random_range(NEXT_RESTORE));
-            let lasts = Duration::from_millis(restores.random_range(LASTS));
-            due.push((Trouble::draw_restore(&mut restores), lasts));
+        if let Some(lasts) = restores.lasts_if_due(now) {
+            due.push((Trouble::draw_restore(&mut restores.rng), lasts));
+        }
+        if let Some(lasts) = contention.lasts_if_due(now) {
+            let drawn = Trouble::draw_contention(&mut contention.rng, engines);
+            due.push((drawn, lasts));
         }
-        if next_contention <= now {
-            next_contention = now + Duration::from_millis(contention.random_range(NEXT_CONTENTION));
-            let lasts = Duration::from_millis(contention.random_range(LASTS));
-            due.push((Trouble::draw_contention(&mut contention, engines), lasts));
+        if let Some(lasts) = framings.lasts_if_due(now) {
+            due.push((Trouble::draw_framing(&mut framings.rng, servers), lasts));
         }
-        if next_framing <= now {
-            next_framing = now + Duration::from_millis(framings.random_range(NEXT_FRAMING));
-            let lasts = Duration::from_millis(framings.random_range(LASTS));
-            due.push((Trouble::draw_framing(&mut framings, servers), lasts));
+        if let Some(lasts) = late.lasts_if_due(now) {
+            due.push((Trouble::draw_late(&mut late.rng, servers), lasts));
         }
-        if next_cut <= now {
-            next_cut = now + Duration::from_millis(cuts.random_range(NEXT_CUT));
-            let lasts = Duration::from_millis(cuts.random_range(LASTS));
-            due.push((Trouble::draw_cut(&mut cuts, vms), lasts));
+        if let Some(lasts) = cuts.lasts_if_due(now) {
+            due.push((Trouble::draw_cut(&mut cuts.rng, vms), lasts));
         }
-        if next_release <= now {
-            next_release = now + Duration::from_millis(releases.random_range(NEXT_RELEASE));
-            let lasts = Duration::from_millis(releases.random_range(LASTS));
-            due.push((Trouble::draw_release(&mut releases, engines), lasts));
+        if let Some(lasts) = releases.lasts_if_due(now) {
+            due.push((Trouble::draw_release(&mut releases.rng, engines), lasts));
         }
-        if next_series <= now {
-            next_series = now + Duration::from_millis(series.random_range(NEXT_SERIES));
-            let drawn = Trouble::draw_series(&mut series, vms, servers, engines).into_iter();
+        if series.is_due(now) {
+            let drawn = Trouble::draw_series(&mut series.rng, vms, servers, engines).into_iter();
             planned.extend(drawn.map(|(pause, trouble, lasts)| (now + pause, trouble, lasts)));
         }
         let begins = planned.extract_if(.., |(at, ..)| *at <= now);
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -62,14 +62,16 @@
         Err(fault) if send.via.is_some() => {
             let ran = match fault {
                 Fault::NotSent => Execution::No,
-                Fault::Broken | Fault::Malformed | Fault::Timeout => Execution::Maybe,
+                Fault::Broken | Fault::Malformed | Fault::Timeout | Fault::Unmatched => {
+                    Execution::Maybe
+                }
             };
             return Tried::Failed(ran, FailureCause::NoPath, None);
         }
         Err(Fault::NotSent) => {
             return Tried::Failed(Execution::No, FailureCause::Unreachable, None);
         }
-        Err(Fault::Malformed) => {
+        Err(Fault::Malformed | Fault::Unmatched) => {
             return Tried::Failed(Execution::Maybe, FailureCause::Malformed, None);
         }
         Err(Fault::Broken | Fault::Timeout) => {
@@ -88,16 +90,19 @@
         }
         return Tried::Failed(ran, cause, None);
     }
-    if let Some(unmatched) = hub.dialect.unmatched(head, &answer) {
+    if let Some(unmatched) = hub.dialect.unmatched(&head.headers, &answer) {
         hub.post(Event::AnswerUnmatched(
             send.server.clone(),
             Box::new(unmatched),
         ));
+        // The answer to the request is still to come, on this connection, which is closed: nothing that this answer says is
+        // of the request, and perhaps not of the server as it is now.
+        return Tried::Failed(Execution::Maybe, FailureCause::Malformed, None);
     }
     let framing = framing(&head.method, &answer);
     hub.notice(&send.server, at, hub.dialect.notice(&answer));
-    match hub.dialect.reply(head, &answer) {
-        Reply::Foreign => Tried::Failed(Execution::Maybe, FailureCause::Malformed, None),
+    match hub.dialect.reply(&answer) {
+        Reply::Malformed => Tried::Failed(Execution::Maybe, FailureCause::Malformed, None),
         Reply::Answer if send.stream => {
             Tried::Stream(Box::new(Begun::new(answer, framing, body, connection)))
         }
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -11,7 +11,7 @@
 };
 use dahliastile_gateway::request::notice::Notice;
 use dahliastile_gateway::settings::Tuning;
-use http::{Request, Response, request, response};
+use http::{HeaderMap, Request, Response, request, response};
 
 use crate::pool::Client;
 
@@ -35,8 +35,30 @@
     NotRun(FailureCause),
     /// The server ran the request, or tried, and failed.
     Failure(u16),
-    /// No answer to this request.
-    Foreign,
+    /// No answer that a server gives.
+    Malformed,
+}
+
+/// What a server's answer to a call of this VM itself says.
+#[derive(Clone, Debug)]
+pub struct Heard<T> {
+    /// What was called for.
+    pub outcome: T,
+    /// What it says of the server; none where no answer to the call came.
+    pub notice: Option<Notice>,
+    /// An answer that came in its place.
+    pub unmatched: Option<UnmatchedAnswer>,
+}
+
+impl<T> Heard<T> {
+    /// No answer.
+    pub fn nothing(outcome: T) -> Self {
+        Self {
+            outcome,
+            notice: None,
+            unmatched: None,
+        }
+    }
 }
 
 /// Translates between the shell's types and what the outside systems speak. It decides nothing.
@@ -62,15 +84,12 @@
         after: Option<&str>,
     ) -> Request<Bytes>;
 
-    /// What tells a server's answer from the answer to the request with this head; none for the answer to it.
-    fn unmatched(
-        &self,
-        asked: &request::Parts,
-        answer: &response::Parts,
-    ) -> Option<UnmatchedAnswer>;
+    /// What tells a server's answer from the answer to the request with these headers; none for the answer to it. Nothing else
+    /// is read of an answer before.
+    fn unmatched(&self, asked: &HeaderMap, answer: &response::Parts) -> Option<UnmatchedAnswer>;
 
-    /// What the head of a server's answer to the request with this head says.
-    fn reply(&self, asked: &request::Parts, answer: &response::Parts) -> Reply;
+    /// What the head of a server's answer says of the request that it answers.
+    fn reply(&self, answer: &response::Parts) -> Reply;
 
     /// What the head of a server's answer says of the server.
     fn notice(&self, answer: &response::Parts) -> Notice;
@@ -90,20 +109,20 @@
     /// Calls the key-value service.
     fn store(&self, client: Client, op: KvOperation) -> impl Future<Output = KvAnswer> + 'static;
 
-    /// Orders something of a server; with what its answer says of it, where one came.
+    /// Orders something of a server.
     fn order(
         &self,
         client: Client,
         server: Server,
         address: SocketAddr,
         order: Order,
-    ) -> impl Future<Output = (OrderOutcome, Option<Notice>)> + 'static;
+    ) -> impl Future<Output = Heard<OrderOutcome>> + 'static;
 
-    /// Asks a server for its report, none where it gave none; with what its answer says of it, where one came.
+    /// Asks a server for its report, none where it gave none.
     fn report(
         &self,
         client: Client,
         server: Server,
         address: SocketAddr,
-    ) -> impl Future<Output = (Option<Report>, Option<Notice>)> + 'static;
+    ) -> impl Future<Output = Heard<Option<Report>>> + 'static;
 }
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::dialect::Heard;
 use crate::pool::{Client, Pool};
 
 /// What all tasks share.
@@ -112,14 +113,17 @@
     pub(crate) async fn heard<T>(
         &self,
         server: &Server,
-        answer: impl Future<Output = (T, Option<Notice>)>,
+        answer: impl Future<Output = Heard<T>>,
     ) -> T {
         let sent = Instant::now();
-        let (answer, notice) = answer.await;
-        if let Some(notice) = notice {
+        let heard = answer.await;
+        if let Some(notice) = heard.notice {
             self.notice(server, sent, notice);
         }
-        answer
+        if let Some(unmatched) = heard.unmatched {
+            self.post(Event::AnswerUnmatched(server.clone(), Box::new(unmatched)));
+        }
+        heard.outcome
     }
 
     /// A new request, and what its task is told through.
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -24,7 +24,7 @@
 mod run;
 mod stream;
 
-pub use dialect::{Dialect, Rejection, Reply};
+pub use dialect::{Dialect, Heard, Rejection, Reply};
 pub use figures::Figures;
-pub use pool::{Client, Fault, Pool};
+pub use pool::{Client, Fault, Owner, Pool};
 pub use run::{Options, run};
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to servers, kept between requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use dahliastile_gateway::event::ProbeResult;
-use http::{Request, Response};
+use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -49,6 +49,19 @@
     Malformed,
     /// No answer came in time.
     Timeout,
+    /// The answer is not to this call, as far as can be told.
+    Unmatched,
+}
+
+/// Which call an answer is to, as its head says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// The call that was sent last on its connection.
+    This,
+    /// Another call.
+    Other,
+    /// It does not say.
+    Unknown,
 }
 
 /// A connection that belongs to one request. Dropping it closes it, unless it is given back.
@@ -251,6 +264,8 @@
 pub struct Client {
     /// The connections.
     pool: Pool,
+    /// The last number given to a call.
+    last: Rc<Cell<u64>>,
 }
 
 impl Client {
@@ -259,9 +274,17 @@
     pub fn new() -> Self {
         Self {
             pool: Pool::default(),
+            last: Rc::default(),
         }
     }
 
+    /// A number that no other call of this client has.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.last.set(self.last.get() + 1);
+        self.last.get()
+    }
+
     /// Calls and reads the whole answer.
     ///
     /// # Errors
@@ -272,7 +295,24 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Bytes>, Fault> {
-        let call = self.exchange(address, request.map(Full::new));
+        self.call_owned(address, request, limit, |_| Owner::This)
+            .await
+    }
+
+    /// Calls and reads the whole answer, where the other side may answer an earlier call once more. `owner` reads which call
+    /// an answer is to. One that does not say is believed where nothing was sent on its connection before, and its connection
+    /// is not used again.
+    ///
+    /// # Errors
+    /// Where no whole answer to this call came within the limit.
+    pub async fn call_owned(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+        owner: impl Fn(&response::Parts) -> Owner,
+    ) -> Result<Response<Bytes>, Fault> {
+        let call = self.exchange(address, request.map(Full::new), owner);
         tokio::time::timeout(limit, call)
             .await
             .unwrap_or(Err(Fault::Timeout))
@@ -282,12 +322,20 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        owner: impl Fn(&response::Parts) -> Owner,
     ) -> Result<Response<Bytes>, Fault> {
         let target = Target::directly(address);
         let (response, connection) = self.pool.send(target, request, drop).await?;
         let (head, body) = response.into_parts();
+        let owner = match owner(&head) {
+            Owner::Other => return Err(Fault::Unmatched),
+            Owner::Unknown if connection.used => return Err(Fault::Unmatched),
+            owner => owner,
+        };
         let body = body.collect().await.map_err(|_| Fault::Broken)?.to_bytes();
-        self.pool.give(connection, keep(&head.headers));
+        if owner == Owner::This {
+            self.pool.give(connection, keep(&head.headers));
+        }
         Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -114,16 +114,22 @@
         Err(hint) => return no_answer(NOT_CARRIED, hint),
     };
     let target = Target::directly(address);
+    let headers = head.headers.clone();
     let request = Request::from_parts(head, Full::new(body.to_bytes()));
     let method = request.method().clone();
     let report = |result| hub.post(Event::ConnectionTried(server.clone(), result));
     let (response, connection) = match hub.pool.send(target, request, report).await {
         Ok(begun) => begun,
         Err(Fault::NotSent) => return no_answer(UNREACHABLE, None),
-        Err(Fault::Malformed) => return no_answer(MALFORMED, None),
+        Err(Fault::Malformed | Fault::Unmatched) => return no_answer(MALFORMED, None),
         Err(Fault::Broken | Fault::Timeout) => return no_answer(BROKEN, None),
     };
     let (answer, body) = response.into_parts();
+    if let Some(unmatched) = hub.dialect.unmatched(&headers, &answer) {
+        hub.post(Event::AnswerUnmatched(server, Box::new(unmatched)));
+        // The answer to the request is still to come, on this connection, which is closed.
+        return no_answer(MALFORMED, None);
+    }
     let framing = framing(&method, &answer);
     let (pieces, piped) = Piped::channel();
     let builder = hub.dialect.answer(&answer);
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -46,6 +46,20 @@
     Stalled(Option<Vec<(String, String)>>, Box<dyn FnOnce() + Send>),
     /// Nothing: the connection is closed.
     Nothing,
+    /// An answer, and bytes that follow it late: when the next request of the connection has come.
+    Followed(Box<Reply>, Vec<u8>),
+}
+
+impl Reply {
+    /// The bytes of an answer with a status, headers and a whole body.
+    pub(crate) fn bytes(status: u16, headers: &[(String, String)], body: &[u8]) -> Vec<u8> {
+        let mut head = format!(
+            "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+            body.len()
+        );
+        append(&mut head, headers);
+        [head.as_bytes(), body].concat()
+    }
 }
 
 /// How an answer ends.
@@ -78,8 +92,20 @@
 /// Answers requests on one connection until it ends. An error ends it, which the other side sees.
 fn converse<F: Fn(&Asked) -> Reply>(stream: &TcpStream, handler: &F) {
     let mut reader = BufReader::new(stream);
+    let mut late = Vec::new();
     while let Some(asked) = read(&mut reader) {
-        if answer(stream, handler(&asked)).is_none() {
+        let mut writer = stream;
+        if writer.write_all(&std::mem::take(&mut late)).is_err() {
+            return;
+        }
+        let reply = match handler(&asked) {
+            Reply::Followed(reply, bytes) => {
+                late = bytes;
+                *reply
+            }
+            reply => reply,
+        };
+        if answer(stream, reply).is_none() {
             return;
         }
     }
@@ -124,15 +150,11 @@
 fn answer(mut stream: &TcpStream, reply: Reply) -> Option<()> {
     match reply {
         Reply::Nothing => None,
-        Reply::Whole(status, headers, body) => {
-            let mut head = format!(
-                "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
-                body.len()
-            );
-            append(&mut head, &headers);
-            stream.write_all(head.as_bytes()).ok()?;
-            stream.write_all(&body).ok()
-        }
+        Reply::Whole(status, headers, body) => stream
+            .write_all(&Reply::bytes(status, &headers, &body))
+            .ok(),
+        // Its bytes were taken out before.
+        Reply::Followed(reply, _) => answer(stream, *reply),
         Reply::Stalled(headers, closed) => {
             let head = headers.as_deref().map(stream_head).unwrap_or_default();
             stream.write_all(head.as_bytes()).ok()?;
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -17,6 +17,9 @@
 /// Events of a stream, and the pause before each.
 const EVENTS: u64 = 5;
 
+/// The header that bears the id of a request.
+const REQUEST_ID: &str = "Request-Id";
+
 /// What a replica does with the next requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -35,6 +38,8 @@
     AnswersAnother,
     /// It takes no more work.
     Full,
+    /// It says that another server is meant.
+    Misdirected,
     /// It runs them and fails.
     Fails,
     /// It sends the head of a stream and no event.
@@ -43,6 +48,20 @@
     Silent,
 }
 
+/// Which answers a replica sends once more, late: when the next request of their connection has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Repeat {
+    /// None.
+    #[default]
+    None,
+    /// Rejections of requests.
+    Rejections,
+    /// Rejections of requests, the second time without an id.
+    RejectionsWithoutId,
+    /// All but streams.
+    All,
+}
+
 /// A request that was run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -62,6 +81,8 @@
     orders: u64,
     fence: u64,
     fault: Fault,
+    repeat: Repeat,
+    echoes_calls: bool,
     runs: Vec<Run>,
     cancelled: Vec<(String, Instant)>,
     framing: Framing,
@@ -82,6 +103,8 @@
             orders: 0,
             fence: 0,
             fault: Fault::None,
+            repeat: Repeat::None,
+            echoes_calls: true,
             runs: Vec::new(),
             cancelled: Vec::new(),
             framing: Framing::Length,
@@ -174,6 +197,16 @@
         self.state().fault = fault;
     }
 
+    /// Which answers it sends once more, late.
+    pub fn set_repeat(&self, repeat: Repeat) {
+        self.state().repeat = repeat;
+    }
+
+    /// Whether its answers to orders, and to questions for its report, bear their ids.
+    pub fn set_echoes_calls(&self, echoes: bool) {
+        self.state().echoes_calls = echoes;
+    }
+
     /// How its answers are framed; streams have no length and come in chunks instead.
     pub fn set_framing(&self, framing: Framing) {
         self.state().framing = framing;
@@ -234,6 +267,26 @@
     }
 
     fn answer(&self, asked: &Asked) -> Reply {
+        let (repeat, echoes_calls) = {
+            let state = self.state();
+            (state.repeat, state.echoes_calls)
+        };
+        let is_call = asked.path.starts_with("/dahliastile/");
+        let id = asked.headers.get("request-id");
+        let echoed = id.filter(|_| echoes_calls || !is_call);
+        let mut reply = self.reply(asked);
+        if let (Reply::Whole(_, headers, _), Some(id)) = (&mut reply, echoed)
+            && !headers.iter().any(|(name, _)| name == REQUEST_ID)
+        {
+            headers.push((REQUEST_ID.to_owned(), id.clone()));
+        }
+        match copy(&reply, repeat, is_call) {
+            Some(late) => Reply::Followed(Box::new(reply), late),
+            None => reply,
+        }
+    }
+
+    fn reply(&self, asked: &Asked) -> Reply {
         let expected = asked.headers.get("expect-instance");
         let id = self.id();
         match asked.path.as_str() {
@@ -313,6 +366,9 @@
         if !held {
             return Self::plainly(state.id.clone(), 421, Vec::new(), "");
         }
+        if state.fault == Fault::Misdirected {
+            return Self::plainly(state.id.clone(), 421, Vec::new(), "");
+        }
         if state.fault == Fault::Full {
             let not_run = vec![("Not-Executed".to_owned(), "1".to_owned())];
             return Self::plainly(state.id.clone(), 503, not_run, "");
@@ -334,7 +390,7 @@
             _ => asked.headers.get("request-id").map_or("", String::as_str),
         };
         let headers = vec![
-            ("Request-Id".to_owned(), id.to_owned()),
+            (REQUEST_ID.to_owned(), id.to_owned()),
             ("Server-Seal".to_owned(), format!("seal-{}", state.id)),
         ];
         match state.fault {
@@ -361,6 +417,28 @@
     }
 }
 
+/// The bytes that are sent late after an answer; none where it is sent once.
+fn copy(reply: &Reply, repeat: Repeat, is_call: bool) -> Option<Vec<u8>> {
+    let (status, headers, body) = match reply {
+        Reply::Whole(status, headers, body) => (*status, headers, body),
+        Reply::Framed(status, headers, body, Framing::Length, Finish::Whole) => {
+            (*status, headers, body)
+        }
+        _ => return None,
+    };
+    let is_rejection = !is_call && matches!(status, 421 | 503);
+    let without_id = headers.iter().filter(|(name, _)| name != REQUEST_ID);
+    let without_id: Vec<_> = without_id.cloned().collect();
+    match repeat {
+        Repeat::Rejections if is_rejection => Some(Reply::bytes(status, headers, body)),
+        Repeat::RejectionsWithoutId if is_rejection => {
+            Some(Reply::bytes(status, &without_id, body))
+        }
+        Repeat::All => Some(Reply::bytes(status, headers, body)),
+        _ => None,
+    }
+}
+
 /// How an answer ends where its server has a fault.
 fn finish(fault: Fault) -> Finish {
     match fault {
