--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -121,11 +121,13 @@
             return;
         }
         let until = self.now + self.settings.tuning.lapse_grace;
-        Self::log(
-            out,
-            Code::EntryLapsed,
-            format!("server={server} until={until}"),
+        let since = |at: Option<Instant>| at.map(|at| self.now.since(at));
+        let detail = format!(
+            "server={server} until={until} delivery={delivery:?} own_away={:?} own_back={:?}",
+            since(self.watch.away_since),
+            since(self.watch.back_at)
         );
+        Self::log(out, Code::EntryLapsed, detail);
         self.applied.lapsed_servers.entry(server).or_insert(until);
         self.timers.set(until, Timer::Watch);
     }
