A lost path to the key-value service is not taken for an outage of it

Cause: the state of the VM that tells was taken for the state of what it tells. A VM whose watch had failed counted as recovering, said so in each batch, and its subscribers kept a server whose entry was gone for two seconds from the batch's arrival, although nothing can lapse while one VM alone is cut off.

Change: cluster/outage. What counts is when the service answered any VM: VMs send the age of the last answer with each batch, and a VM without a path asks others. A VM keeps a server only where both its own knowledge and the sender's say so; a VM that knows as much and knows of no outage ends the grace (E319), and a VM that comes back asks one. The grace counts from the service's return, so that no hop adds its own.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -136,6 +136,8 @@
     ChangeOutdated = 318 Info "If it lasts, compare the revisions with those of the key-value service.";
     /// The entry of a backend server lapsed while the key-value service was away.
     EntryLapsed = 311 Info "Nothing; it counts as gone if it does not come back.";
+    /// Another VM knows that the key-value service was not away; servers whose entries seemed to have lapsed are gone.
+    OutageDismissed = 319 Info "Check this VM's way to the key-value service if it repeats.";
     /// This VM schedules on though its lease may have ended, as all other VMs have given it their lease votes.
     HeldByPledges = 324 Warn "Check the key-value service.";
     /// This VM waits for its turn to take a free leadership.
--- a/crates/gateway/src/cluster.rs
+++ b/crates/gateway/src/cluster.rs
@@ -23,6 +23,7 @@
 pub(crate) mod lease;
 pub(crate) mod lease_vote;
 pub(crate) mod membership;
+pub(crate) mod outage;
 pub(crate) mod registration;
 mod relay;
 mod replication;
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -42,9 +42,8 @@
 }
 
 impl Gateway {
-    /// Applies `changes`. If `is_recovering`, the key-value service is or was recently away, and a server whose
-    /// entry is gone is kept for a grace period (`lapse_grace` of the settings), since the server may still
-    /// write its entry again.
+    /// Applies `changes`. If `is_recovering`, entries may have lapsed in an outage of the key-value service, and a server
+    /// whose entry is gone is kept until [`Self::recovery_end`], since the server may still write its entry again.
     pub(crate) fn apply_changes(
         &mut self,
         changes: Vec<Change>,
@@ -120,13 +119,9 @@
         if !self.snapshot.apply(deletion, delivery) {
             return;
         }
-        let until = self.now + self.settings.tuning.lapse_grace;
-        let since = |at: Option<Instant>| at.map(|at| self.now.since(at));
-        let detail = format!(
-            "server={server} until={until} delivery={delivery:?} own_away={:?} own_back={:?}",
-            since(self.watch.away_since),
-            since(self.watch.back_at)
-        );
+        let until = self.recovery_end().unwrap_or(self.now);
+        let left = until.since(self.now);
+        let detail = format!("server={server} left={left} delivery={delivery:?}");
         Self::log(out, Code::EntryLapsed, detail);
         self.applied.lapsed_servers.entry(server).or_insert(until);
         self.timers.set(until, Timer::Watch);
@@ -142,6 +137,15 @@
         }
     }
 
+    /// Ends the grace periods, and returns their number.
+    pub(crate) fn end_lapse_graces(&mut self, out: &mut Effects) -> usize {
+        let lapsed = std::mem::take(&mut self.applied.lapsed_servers);
+        for server in lapsed.keys() {
+            self.remove_server(server, out);
+        }
+        lapsed.len()
+    }
+
     /// Applies one change, unless an equally new or newer one of the same key is known.
     fn apply(&mut self, change: Change, delivery: Delivery, out: &mut Effects) {
         if change.value == Some(EntryValue::Unreadable) {
--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -64,6 +64,7 @@
     /// Applies the changes that another VM sent.
     pub(crate) fn apply_replicated(&mut self, from: &Vm, batch: Replication, out: &mut Effects) {
         let answered = self.now.back(batch.age);
+        self.record_answer_to_any(answered);
         let stale_at = answered + self.freshness_limit(from);
         if self.watch.upstream.as_ref() == Some(from) {
             self.watch.upstream_heard_at = self.now;
@@ -81,7 +82,12 @@
         // Versions that the sender kept have a revision up to the cursor, and are sent on by themselves.
         let mut raised: Vec<Change> = new_values.cloned().collect();
         let has_new_values = !raised.is_empty();
-        self.apply_changes(batch.changes, Delivery::Known, batch.recovering, out);
+        let is_recovering = batch.recovering && self.is_recovering();
+        self.apply_changes(batch.changes, Delivery::Known, is_recovering, out);
+        let knows_as_much = since.is_none_or(|since| batch.until >= since);
+        if !batch.recovering && self.now < stale_at && knows_as_much {
+            self.dismiss_outage(out);
+        }
         self.request_builds(from, out);
         match self.watch.cursor {
             Some(cursor) if cursor >= batch.since && batch.until > cursor => {
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -89,8 +89,6 @@
     pub(crate) answered_at: Instant,
     /// Since when the key-value service has not answered; none while it answers.
     pub(crate) away_since: Option<Instant>,
-    /// When the key-value service last answered again after having been away.
-    pub(crate) back_at: Option<Instant>,
     /// When to make the next call if none is in progress.
     pub(crate) next_call: Instant,
     /// The number of consecutive failed calls.
@@ -193,14 +191,6 @@
         self.query_peers(out);
     }
 
-    /// Whether entries may be missing only because the key-value service is away, or because it was away or came
-    /// back from a copy less than `lapse_grace` ago.
-    pub(crate) fn is_recovering(&self) -> bool {
-        let grace = self.settings.tuning.lapse_grace;
-        let back = self.watch.back_at.max(self.watch.era_began_at);
-        self.watch.away_since.is_some() || back.is_some_and(|at| self.now.since(at) < grace)
-    }
-
     /// Returns the time since the key-value service last answered this VM, directly or through another VM.
     pub(crate) fn kv_answer_age(&self) -> Span {
         self.now.since(self.watch.answered_at)
@@ -355,10 +345,13 @@
         self.watch.answered_at = self.watch.answered_at.max(at);
         self.watch.failures = 0;
         if let Some(since) = self.watch.away_since.take() {
-            self.watch.back_at = Some(self.now);
             let away = self.now.since(since);
             Self::log(out, Code::PlatformBack, format!("away={away}"));
             self.retry_registration();
+            // Only another VM can tell that the service answered all the while.
+            if self.is_recovering() {
+                self.query_peer(out);
+            }
         }
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -123,8 +123,8 @@
     pub until: Revision,
     /// Time since the key-value service last answered the sender or the sender's upstream, as far as the sender knows.
     pub age: Span,
-    /// Whether the key-value service was unreachable until recently, so that entries may be missing although their
-    /// owners are alive.
+    /// Whether entries may be missing although their owners are alive, since the key-value service was away until
+    /// recently; `false` if the sender knows that it was not.
     pub recovering: bool,
     /// The last change of each changed entry.
     pub changes: Vec<Change>,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
 use crate::cluster::leadership;
 use crate::cluster::lease_vote;
 use crate::cluster::membership::Membership;
+use crate::cluster::outage;
 use crate::cluster::registration;
 use crate::cluster::snapshot::{Member, Snapshot};
 use crate::cluster::watch;
@@ -78,6 +79,8 @@
     pub(crate) votes: lease_vote::State,
     /// The watch of the key-value service, or the subscription at another VM.
     pub(crate) watch: watch::State,
+    /// When the key-value service was away.
+    pub(crate) outage: outage::State,
     /// State kept while changes of entries are applied, such as servers whose entries have lapsed.
     pub(crate) applied: apply::State,
     /// What this VM has asked others about the builds of servers.
@@ -125,6 +128,7 @@
             leaderships: leadership::State::default(),
             votes: lease_vote::State::default(),
             watch: watch::State::default(),
+            outage: outage::State::default(),
             applied: apply::State::default(),
             builds: builds::State::default(),
             restored: era::State::default(),
@@ -346,6 +350,9 @@
         if let Some(era) = answer.era {
             self.record_era(era, out);
         }
+        if answer.era.is_some() && !matches!(answer.outcome, KvOutcome::Refused) {
+            self.record_answer_to_any(self.now);
+        }
         // A late answer of an earlier era tells nothing of what the service holds now.
         let is_outdated = answer.era.is_some() && answer.era < self.watch.era;
         let outcome = match answer.outcome {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -69,9 +69,11 @@
     pub watch: Span,
     /// Delay before a failed call of the key-value service is retried.
     pub store_retry: Span,
-    /// How long a server whose entry is missing after an outage of the key-value service is still used, since its lease
+    /// How long after an outage of the key-value service a server whose entry is missing is still used, since its lease
     /// may have expired only because it could not be renewed.
     pub lapse_grace: Span,
+    /// Interval at which servers renew their entries in the key-value service.
+    pub report_interval: Span,
     /// The assumed time to load an adapter from the weight store until one has been measured.
     pub adapter_load: Span,
     /// Timeout of an order to a server, after which it is retried: several round trips between zones. The timeout
@@ -137,6 +139,7 @@
             watch: Span::from_millis(500),
             store_retry: Span::from_millis(150),
             lapse_grace: Span::from_millis(2_000),
+            report_interval: Span::from_millis(1_200),
             adapter_load: Span::from_millis(250),
             order_timeout: Span::from_millis(150),
             report_timeout: Span::from_millis(300),
