What is read of a server's answer is bounded in bytes, not in time alone

What callers saw: one server in trouble that sends bytes without end in place of answers took the event loop of each VM that talks to it, and up to 1.4 GB of its memory.

Cause: the HTTP library reads interim answers and sizes of chunks for as long as they come, and hands bodies on without a bound; reports, answers to orders and events of streams were collected until their time was over. What a fast server sends in that time counts.

Change: reader. Past a bound the connection is closed, E528 says of which server and part, and dahliastile_oversized_answers_total counts it. The attempt fails as one that may have run, a report is missing, an order's outcome is unknown. Attempts, streams, calls and what is carried for other VMs read through it.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -192,6 +192,8 @@
     Sent = 511 Debug "Nothing.";
     /// A backend server's answer does not bear the id of the request that it came for.
     AnswerUnmatched = 527 Warn "If it repeats for one server, check that server; its answers may be late copies of earlier ones.";
+    /// A backend server sent more bytes than an answer has, and its connection was closed.
+    AnswerOversized = 528 Warn "Check that server.";
     /// A backend server did not answer a request well.
     SendFailed = 512 Info "If it repeats for one server, check that server.";
     /// A request got its whole answer.
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -92,6 +92,8 @@
     Resumed "dahliastile_resumed_total" "1";
     /// Answers of backend servers that do not bear the id of the request that they came for, by what they claim: that the server did not run a request (`rejection`), or something else (`other`).
     UnmatchedAnswers "dahliastile_unmatched_answers_total" "1";
+    /// Answers of backend servers that were given up as they exceeded a limit in bytes, by the part of them: `head`, `body` or `event`.
+    OversizedAnswers "dahliastile_oversized_answers_total" "1";
     /// Streams that callers resumed, by how this VM learnt what began them: `register`, `keeper` (another VM), `only_build`, or not at all (`unknown`).
     Origins "dahliastile_origins_total" "1";
 }
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -296,6 +296,27 @@
         stream
     }
 
+    /// The most memory that it has used so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+        kilobytes
+            .and_then(|text| text.parse::<usize>().ok())
+            .expect("a number")
+            * 1_024
+    }
+
+    /// The processor time that it has used so far.
+    pub(crate) fn processor_time(&self) -> Duration {
+        let path = format!("/proc/{}/schedstat", self.process.id());
+        let text = std::fs::read_to_string(path).expect("the process runs");
+        let nanoseconds = text.split_whitespace().next();
+        let nanoseconds = nanoseconds.and_then(|text| text.parse().ok());
+        Duration::from_nanos(nanoseconds.expect("a number"))
+    }
+
     /// Sends it a signal by name.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.process.id().to_string();
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -243,6 +243,17 @@
     pub is_rejection: bool,
 }
 
+/// A part of a server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// What comes before the body, interim answers included.
+    Head,
+    /// The body.
+    Body,
+    /// An event of a stream.
+    Event,
+}
+
 /// How a connection to another VM failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkFault {
@@ -282,6 +293,9 @@
     NoticeReceived(Server, Notice),
     /// A server's answer does not bear the id of the request that it came for.
     AnswerUnmatched(Server, Box<UnmatchedAnswer>),
+    /// The bytes of a server for the request with this id exceeded the limit of this part of an answer, and its connection
+    /// was closed.
+    AnswerOversized(Server, Arc<str>, Part),
     /// A server's report; none if the server gave no valid report in time.
     ReportReceived(Server, Option<Report>),
     /// A new connection to a server was made for an attempt, or could not be made.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -315,6 +315,9 @@
             Event::AnswerUnmatched(server, answer) => {
                 Self::record_unmatched_answer(&server, &answer, out);
             }
+            Event::AnswerOversized(server, id, part) => {
+                Self::record_oversized_answer(&server, &id, part, out);
+            }
             Event::ReportReceived(server, report) => {
                 self.handle_report(&server, report.as_ref(), out);
             }
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -8,7 +8,7 @@
 use super::Phase;
 use crate::config::RouteKind;
 use crate::effect::{Effect, Effects, NextStep, RefusalReason};
-use crate::event::{Execution, FailureCause, RequestId, UnmatchedAnswer};
+use crate::event::{Execution, FailureCause, Part, RequestId, UnmatchedAnswer};
 use crate::message::Progress;
 use crate::metrics;
 use crate::node::Gateway;
@@ -197,6 +197,23 @@
         Self::log(out, Code::AnswerUnmatched, detail);
     }
 
+    /// Logs and counts an answer whose bytes exceeded a limit. The attempt's own event says how the attempt ended.
+    pub(crate) fn record_oversized_answer(
+        server: &Server,
+        id: &str,
+        part: Part,
+        out: &mut Effects,
+    ) {
+        let part = match part {
+            Part::Head => "head",
+            Part::Body => "body",
+            Part::Event => "event",
+        };
+        metrics::count_global(out, Figure::OversizedAnswers, part);
+        let detail = format!("id={id} server={server} part={part}");
+        Self::log(out, Code::AnswerOversized, detail);
+    }
+
     /// Sends a request to the same server another way if its attempt did not reach the server: this VM's own path is in
     /// doubt or lost, or the VM that was to carry the attempt did not. Returns whether it was sent, or refused for want of
     /// another way. Nothing has arrived at the server, so no retry is spent.
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -3,10 +3,9 @@
 use bytes::Bytes;
 use dahliastile_body::Framing;
 use dahliastile_gateway::effect::Attempt;
-use dahliastile_gateway::event::{Event, Execution, FailureCause};
+use dahliastile_gateway::event::{Event, Execution, FailureCause, Part};
 use http::{Method, Response, StatusCode, header, request, response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::dialect::{Dialect, Reply};
@@ -57,35 +56,27 @@
             hub.post(Event::ConnectionTried(send.server.clone(), result));
         }
     };
-    let (response, connection) = match hub.pool.send(target, request, report).await {
+    let (answer, body, connection) = match hub.pool.send(target, request, report).await {
         Ok(begun) => begun,
-        Err(fault) if send.via.is_some() => {
-            let ran = match fault {
-                Fault::NotSent => Execution::No,
-                Fault::Broken | Fault::Malformed | Fault::Timeout | Fault::Unmatched => {
-                    Execution::Maybe
-                }
+        Err(fault) => {
+            if fault == Fault::Oversized {
+                hub.record_oversized(send, Part::Head);
+            }
+            let (ran, cause) = match fault {
+                Fault::NotSent => (Execution::No, FailureCause::Unreachable),
+                fault => (Execution::Maybe, failure_cause(fault)),
             };
-            return Tried::Failed(ran, FailureCause::NoPath, None);
-        }
-        Err(Fault::NotSent) => {
-            return Tried::Failed(Execution::No, FailureCause::Unreachable, None);
-        }
-        Err(Fault::Malformed | Fault::Unmatched) => {
-            return Tried::Failed(Execution::Maybe, FailureCause::Malformed, None);
-        }
-        Err(Fault::Broken | Fault::Timeout) => {
-            return Tried::Failed(Execution::Maybe, FailureCause::Broken, None);
+            let cause = send.via.map_or(cause, |_| FailureCause::NoPath);
+            return Tried::Failed(ran, cause, None);
         }
     };
-    let (answer, body) = response.into_parts();
     let relay_failure = relay::failure(&answer.headers).filter(|_| send.via.is_some());
     if let Some((ran, cause, hint)) = relay_failure {
         if let Some(vm) = hint {
             hub.post(Event::RelayHint(vm));
         }
         // Its body is empty, so that the connection can be used again.
-        if body.collect().await.is_ok() {
+        if body.whole(0).await.is_ok() {
             hub.pool.give(connection, pool::keep(&answer.headers));
         }
         return Tried::Failed(ran, cause, None);
@@ -106,7 +97,21 @@
         Reply::Answer if send.stream => {
             Tried::Stream(Box::new(Begun::new(answer, framing, body, connection)))
         }
-        reply => settle(hub, reply, answer, framing, body, connection).await,
+        reply => {
+            let read = body.whole(LONGEST).await;
+            if read == Err(Fault::Oversized) {
+                hub.record_oversized(send, Part::Body);
+            }
+            settle(hub, reply, &answer, framing, read, connection)
+        }
+    }
+}
+
+/// What the failure of an attempt says of its server, where something was sent.
+pub(crate) fn failure_cause(fault: Fault) -> FailureCause {
+    match fault {
+        Fault::Malformed | Fault::Unmatched | Fault::Oversized => FailureCause::Malformed,
+        Fault::NotSent | Fault::Broken | Fault::Timeout => FailureCause::Broken,
     }
 }
 
@@ -125,24 +130,25 @@
     Framing::of(coding, answer.headers.contains_key(header::CONTENT_LENGTH))
 }
 
-/// Reads a whole answer.
-async fn settle<D: Dialect>(
+/// How a send came out whose answer was read whole, or not.
+fn settle<D: Dialect>(
     hub: &Hub<D>,
     reply: Reply,
-    answer: response::Parts,
+    answer: &response::Parts,
     framing: Framing,
-    body: Incoming,
+    read: Result<Bytes, Fault>,
     connection: Connection,
 ) -> Tried {
-    let read = Limited::new(body, LONGEST).collect().await;
     let whole = match (read, reply) {
-        (Ok(read), _) => {
+        (Ok(body), _) => {
             hub.pool.give(connection, pool::keep(&answer.headers));
-            let builder = hub.dialect.answer(&answer);
-            builder.body(read.to_bytes()).ok()
+            let builder = hub.dialect.answer(answer);
+            builder.body(body).ok()
         }
         (Err(_), Reply::NotRun(cause)) => return Tried::Failed(Execution::No, cause, None),
-        (Err(_), _) => return Tried::Failed(Execution::Maybe, FailureCause::Broken, None),
+        (Err(fault), _) => {
+            return Tried::Failed(Execution::Maybe, failure_cause(fault), None);
+        }
     };
     match (reply, whole) {
         (Reply::NotRun(cause), _) => Tried::Failed(Execution::No, cause, None),
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -48,6 +48,8 @@
     pub notice: Option<Notice>,
     /// An answer that came in its place.
     pub unmatched: Option<UnmatchedAnswer>,
+    /// Whether more bytes came than an answer has.
+    pub is_oversized: bool,
 }
 
 impl<T> Heard<T> {
@@ -57,6 +59,7 @@
             outcome,
             notice: None,
             unmatched: None,
+            is_oversized: false,
         }
     }
 }
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use dahliastile_core::id::Server;
-use dahliastile_gateway::effect::NextStep;
-use dahliastile_gateway::event::{Event, RequestId};
+use dahliastile_gateway::effect::{Attempt, NextStep};
+use dahliastile_gateway::event::{Event, Part, RequestId};
 use dahliastile_gateway::request::notice::Notice;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::FxHashMap;
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Hands on that the server of an attempt has sent more bytes than an answer has.
+    pub(crate) fn record_oversized(&self, send: &Attempt, part: Part) {
+        self.post(Event::AnswerOversized(
+            send.server.clone(),
+            send.id.clone(),
+            part,
+        ));
+    }
+
     /// Has all answers of a server told, or only those that say something of it.
     pub(crate) fn track(&self, server: Server, all: bool) {
         let mut tracked = self.tracked.borrow_mut();
@@ -123,6 +132,10 @@
         if let Some(unmatched) = heard.unmatched {
             self.post(Event::AnswerUnmatched(server.clone(), Box::new(unmatched)));
         }
+        if heard.is_oversized {
+            let call = "call".into();
+            self.post(Event::AnswerOversized(server.clone(), call, Part::Body));
+        }
         heard.outcome
     }
 
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod pool;
 mod probe;
+mod reader;
 mod relay;
 mod request;
 mod run;
@@ -26,5 +27,5 @@
 
 pub use dialect::{Dialect, Heard, Rejection, Reply};
 pub use figures::Figures;
-pub use pool::{Client, Fault, Owner, Pool};
+pub use pool::{Client, Fault, Limits, Owner, Pool};
 pub use run::{Options, run};
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -9,8 +9,7 @@
 use bytes::Bytes;
 use dahliastile_gateway::event::ProbeResult;
 use http::{Request, Response, response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
@@ -19,6 +18,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::reader::{Content, Meter, Metered};
+
 /// How long a connection may take to be made. A round trip between zones takes some milliseconds; a first packet that
 /// was lost is sent again after a second, which a caller can't wait for.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -38,6 +39,9 @@
 /// Keep-alive probes without an answer that break a connection.
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// The largest buffer that the HTTP library takes for what a connection brings, in bytes; no head of an answer is longer.
+const BUFFER: usize = 16 * 1024;
+
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -51,6 +55,8 @@
     Timeout,
     /// The answer is not to this call, as far as can be told.
     Unmatched,
+    /// More bytes came than an answer has.
+    Oversized,
 }
 
 /// Which call an answer is to, as its head says.
@@ -72,6 +78,8 @@
     driver: AbortHandle,
     /// Whether the task is ended when this is dropped.
     owned: bool,
+    /// What it brings.
+    meter: Rc<Meter>,
     /// Where it goes back to.
     address: SocketAddr,
     /// When it can no longer be used.
@@ -143,7 +151,7 @@
         target: Target,
         mut request: Request<Full<Bytes>>,
         report: impl Fn(ProbeResult),
-    ) -> Result<(Response<Incoming>, Connection), Fault> {
+    ) -> Result<(response::Parts, Content, Connection), Fault> {
         let address = target.next();
         loop {
             let mut connection = if let Some(connection) = self.take(address) {
@@ -153,8 +161,14 @@
                 report(accepted(&stream));
                 handshake(address, stream.map_err(|_| Fault::NotSent)?).await?
             };
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+            let meter = connection.meter.clone();
+            meter.reset();
+            let sent = connection.sender.try_send_request(request);
+            match meter.next(sent).await? {
+                Ok(response) => {
+                    let (head, body) = response.into_parts();
+                    return Ok((head, Content::new(body, meter), connection));
+                }
                 Err(mut error) => match error.take_message() {
                     // Nothing of it was written: another connection can have it.
                     Some(unsent) if connection.used => request = unsent,
@@ -221,9 +235,11 @@
 
 async fn handshake(address: SocketAddr, stream: TcpStream) -> Result<Connection, Fault> {
     tune(&stream, UNACKNOWLEDGED);
+    let meter = Rc::new(Meter::default());
     let mut builder = http1::Builder::new();
-    builder.title_case_headers(true);
-    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    builder.title_case_headers(true).max_buf_size(BUFFER);
+    let stream = TokioIo::new(Metered::new(stream, meter.clone()));
+    let handshake = builder.handshake(stream).await;
     let (sender, connection) = handshake.map_err(|_| Fault::NotSent)?;
     // An error of the connection reaches the request that uses it.
     let driver = tokio::task::spawn_local(async move { drop(connection.await) });
@@ -231,6 +247,7 @@
         sender,
         driver: driver.abort_handle(),
         owned: true,
+        meter,
         address,
         expires: Instant::now(),
         used: false,
@@ -259,7 +276,16 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// Calls with small bodies both ways.
+/// What the answer to a call may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The time until it is whole.
+    pub time: Duration,
+    /// The bytes of its body.
+    pub bytes: usize,
+}
+
+/// Calls with bodies that are read whole.
 #[derive(Clone)]
 pub struct Client {
     /// The connections.
@@ -288,14 +314,14 @@
     /// Calls and reads the whole answer.
     ///
     /// # Errors
-    /// Where no whole answer came within the limit.
+    /// Where no whole answer came within the limits.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        limit: Duration,
+        limits: Limits,
     ) -> Result<Response<Bytes>, Fault> {
-        self.call_owned(address, request, limit, |_| Owner::This)
+        self.call_owned(address, request, limits, |_| Owner::This)
             .await
     }
 
@@ -304,16 +330,16 @@
     /// is not used again.
     ///
     /// # Errors
-    /// Where no whole answer to this call came within the limit.
+    /// Where no whole answer to this call came within the limits.
     pub async fn call_owned(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        limit: Duration,
+        limits: Limits,
         owner: impl Fn(&response::Parts) -> Owner,
     ) -> Result<Response<Bytes>, Fault> {
-        let call = self.exchange(address, request.map(Full::new), owner);
-        tokio::time::timeout(limit, call)
+        let call = self.exchange(address, request.map(Full::new), limits.bytes, owner);
+        tokio::time::timeout(limits.time, call)
             .await
             .unwrap_or(Err(Fault::Timeout))
     }
@@ -322,17 +348,17 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        limit: usize,
         owner: impl Fn(&response::Parts) -> Owner,
     ) -> Result<Response<Bytes>, Fault> {
         let target = Target::directly(address);
-        let (response, connection) = self.pool.send(target, request, drop).await?;
-        let (head, body) = response.into_parts();
+        let (head, body, connection) = self.pool.send(target, request, drop).await?;
         let owner = match owner(&head) {
             Owner::Other => return Err(Fault::Unmatched),
             Owner::Unknown if connection.used => return Err(Fault::Unmatched),
             owner => owner,
         };
-        let body = body.collect().await.map_err(|_| Fault::Broken)?.to_bytes();
+        let body = body.whole(limit).await?;
         if owner == Owner::This {
             self.pool.give(connection, keep(&head.headers));
         }
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -7,11 +7,12 @@
 
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_gateway::effect::{Attempt, NextStep};
-use dahliastile_gateway::event::{Event, Execution, FailureCause, RelayRequest, RequestId};
+use dahliastile_gateway::event::{Event, Execution, FailureCause, Part, RelayRequest, RequestId};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::Incoming;
@@ -22,6 +23,7 @@
 use crate::dialect::Dialect;
 use crate::hub::Hub;
 use crate::pool::{self, Connection, Fault, Target};
+use crate::reader::Content;
 
 /// Header of a request: the server that it is for.
 const SERVER: &str = "dahliastile-relay-server";
@@ -103,10 +105,11 @@
         hub: hub.clone(),
         id,
     };
+    let asked_id: Arc<str> = request_id.unwrap_or_default().into();
     let asked = RelayRequest {
         from,
         server: server.clone(),
-        id: request_id.unwrap_or_default().into(),
+        id: asked_id.clone(),
     };
     hub.post(Event::RelayRequested(id, Box::new(asked)));
     let address = match decision(&mut verdicts).await {
@@ -118,13 +121,17 @@
     let request = Request::from_parts(head, Full::new(body.to_bytes()));
     let method = request.method().clone();
     let report = |result| hub.post(Event::ConnectionTried(server.clone(), result));
-    let (response, connection) = match hub.pool.send(target, request, report).await {
+    let (answer, body, connection) = match hub.pool.send(target, request, report).await {
         Ok(begun) => begun,
         Err(Fault::NotSent) => return no_answer(UNREACHABLE, None),
-        Err(Fault::Malformed | Fault::Unmatched) => return no_answer(MALFORMED, None),
+        Err(fault @ (Fault::Malformed | Fault::Unmatched | Fault::Oversized)) => {
+            if fault == Fault::Oversized {
+                hub.post(Event::AnswerOversized(server, asked_id, Part::Head));
+            }
+            return no_answer(MALFORMED, None);
+        }
         Err(Fault::Broken | Fault::Timeout) => return no_answer(BROKEN, None),
     };
-    let (answer, body) = response.into_parts();
     if let Some(unmatched) = hub.dialect.unmatched(&headers, &answer) {
         hub.post(Event::AnswerUnmatched(server, Box::new(unmatched)));
         // The answer to the request is still to come, on this connection, which is closed.
@@ -156,21 +163,21 @@
 async fn pass<D: Dialect>(
     carried: Carried<D>,
     head: response::Parts,
-    mut body: Incoming,
+    mut body: Content,
     connection: Connection,
     pieces: mpsc::Sender<Piece>,
 ) {
     loop {
-        let frame = tokio::select! {
+        let piece = tokio::select! {
             biased;
             () = pieces.closed() => return,
-            frame = body.frame() => frame,
+            piece = body.piece() => piece,
         };
-        let data = match frame {
-            None => break,
+        let data = match piece {
+            Ok(None) => break,
             // The body of the answer that is passed on breaks off with this task.
-            Some(Err(_)) => return,
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Err(_) => return,
+            Ok(Some(data)) => data,
         };
         if pieces.send(Piece::Data(data)).await.is_err() {
             return;
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -122,7 +122,7 @@
             verdict = self.verdicts.recv() => return Step::Told(verdict),
             tried = async {
                 match attempt(&hub, &self.head, &self.body, send, None).await {
-                    Tried::Stream(begun) if send.withdrawable => begun.first_event().await,
+                    Tried::Stream(begun) if send.withdrawable => begun.first_event(&hub, send).await,
                     tried => tried,
                 }
             } => tried,
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -6,25 +6,29 @@
 use dahliastile_body::{self as body, Ending, Framing};
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Attempt, NextStep, RefusalReason};
-use dahliastile_gateway::event::{Event, Execution, FailureCause, StreamTiming};
+use dahliastile_gateway::event::{self, Event, Execution, FailureCause, StreamTiming};
 use http::response;
-use http_body_util::{BodyExt, Either};
-use hyper::body::Incoming;
+use http_body_util::Either;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::answer::{self, Answer, Piece, Piped, whole};
-use crate::attempt::{Tried, attempt};
+use crate::attempt::{Tried, attempt, failure_cause};
 use crate::dialect::Dialect;
-use crate::pool::{self, Connection};
+use crate::hub::Hub;
+use crate::pool::{self, Connection, Fault};
+use crate::reader::{Budget, Content};
 use crate::request::Asked;
 
+/// The longest event of a stream, in bytes: many times the largest of a sound server, which has a few tokens.
+const EVENT_LIMIT: usize = 256 * 1024;
+
 /// A stream whose head has arrived.
 pub(crate) struct Begun {
     head: response::Parts,
     /// How it says where the body ends.
     framing: Framing,
-    body: Incoming,
+    body: Content,
     connection: Connection,
     /// The events that were read before the head is passed on.
     events: Events,
@@ -36,7 +40,7 @@
     pub(crate) fn new(
         head: response::Parts,
         framing: Framing,
-        body: Incoming,
+        body: Content,
         connection: Connection,
     ) -> Self {
         Self {
@@ -56,28 +60,39 @@
 
     /// Reads up to the first event, or to the end of a stream without any. The stream can be given up until then,
     /// because its head, which names the server, has not been passed on.
-    pub(crate) async fn first_event(mut self: Box<Self>) -> Tried {
-        const BROKEN: Tried = Tried::Failed(Execution::Maybe, FailureCause::Broken, None);
+    pub(crate) async fn first_event<D>(mut self: Box<Self>, hub: &Hub<D>, send: &Attempt) -> Tried {
+        let failed = |fault| {
+            if fault == Fault::Oversized {
+                hub.record_oversized(send, event::Part::Event);
+            }
+            Tried::Failed(Execution::Maybe, failure_cause(fault), None)
+        };
         while self.first.is_none() {
-            let data = match self.body.frame().await {
-                None if self.events.ending(self.framing) == Ending::Broken => return BROKEN,
-                None => break,
-                Some(Err(_)) => return BROKEN,
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            let data = match self.body.piece().await {
+                Ok(None) if self.events.ending(self.framing) == Ending::Broken => {
+                    return failed(Fault::Broken);
+                }
+                Ok(None) => break,
+                Err(fault) => return failed(fault),
+                Ok(Some(data)) => data,
+            };
+            self.first = match self.events.add(&data) {
+                Ok(first) => first,
+                Err(fault) => return failed(fault),
             };
-            self.first = self.events.add(&data);
         }
         Tried::Stream(self)
     }
 }
 
 /// Events as they come, whole ones only.
-#[derive(Default)]
 struct Events {
     /// Where events end in the bytes that came from the present server.
     ends: body::Events,
     /// Bytes that are no whole event yet.
     rest: BytesMut,
+    /// What may still come of that event.
+    budget: Budget,
     /// The id of the last whole event.
     last: Option<String>,
     /// When it came.
@@ -90,12 +105,34 @@
     pause: Duration,
 }
 
+impl Default for Events {
+    fn default() -> Self {
+        Self {
+            ends: body::Events::default(),
+            rest: BytesMut::new(),
+            budget: Budget::new(EVENT_LIMIT),
+            last: None,
+            came: None,
+            first: None,
+            count: 0,
+            pause: Duration::ZERO,
+        }
+    }
+}
+
 impl Events {
     /// Adds bytes and takes the whole events out.
-    fn add(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    /// Where an event is longer than [`EVENT_LIMIT`].
+    fn add(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, Fault> {
+        self.budget.take(bytes)?;
         let held = self.rest.len();
         self.rest.extend_from_slice(bytes);
-        let end = self.ends.push(bytes)?;
+        let Some(end) = self.ends.push(bytes) else {
+            return Ok(None);
+        };
+        self.budget = Budget::new(EVENT_LIMIT);
         let whole = self.rest.split_to(held + end).freeze();
         let now = Instant::now();
         self.first.get_or_insert(now);
@@ -109,7 +146,7 @@
         if let Some(id) = ids {
             self.last = Some(id.trim().to_owned());
         }
-        Some(whole)
+        Ok(Some(whole))
     }
 
     /// What is known of a stream whose body has ended without an error.
@@ -120,6 +157,7 @@
     /// Forgets what came of an event that its server did not end.
     fn drop_rest(&mut self) {
         self.rest.clear();
+        self.budget = Budget::new(EVENT_LIMIT);
         self.ends = body::Events::default();
     }
 
@@ -142,8 +180,8 @@
 enum Part {
     /// With its body, of which this is known.
     Ended(Ending),
-    /// With an error of its connection.
-    Broken,
+    /// With this fault of its connection or of what came on it.
+    Failed(Fault),
     /// The caller has left.
     Left,
     /// The gateway said that the time is over.
@@ -201,10 +239,11 @@
             &pieces,
         )
         .await;
-        match part {
+        let fault = match part {
             // The end of this answer would say more than that of the server's.
-            Part::Ended(Ending::Unproven) if claims_end => {}
-            Part::Ended(Ending::Broken) | Part::Broken => {}
+            Part::Ended(Ending::Unproven) if claims_end => Fault::Broken,
+            Part::Ended(Ending::Broken) => Fault::Broken,
+            Part::Failed(fault) => fault,
             Part::Ended(Ending::Whole | Ending::Unproven) => {
                 asked.ticket.hub.pool.give(connection, keep);
                 let rest = std::mem::take(&mut events.rest).freeze();
@@ -222,13 +261,16 @@
                 asked.ticket.done = true;
                 return;
             }
+        };
+        if fault == Fault::Oversized {
+            asked.ticket.hub.record_oversized(&send, event::Part::Event);
         }
         drop(connection);
         events.drop_rest();
         asked.ticket.hub.post(Event::AttemptFailed(
             id,
             Execution::Maybe,
-            FailureCause::Broken,
+            failure_cause(fault),
         ));
         if !send.resumable {
             asked.ticket.done = true;
@@ -249,14 +291,14 @@
 /// Passes on what comes from one server.
 async fn part<D: Dialect>(
     asked: &mut Asked<D>,
-    body: &mut Incoming,
+    body: &mut Content,
     framing: Framing,
     events: &mut Events,
     begun: &mut bool,
     pieces: &mpsc::Sender<Piece>,
 ) -> Part {
     loop {
-        let frame = tokio::select! {
+        let piece = tokio::select! {
             biased;
             () = pieces.closed() => return Part::Left,
             verdict = asked.verdicts.recv() => match verdict {
@@ -264,15 +306,17 @@
                 Some(NextStep::CancelAttempt) => continue,
                 _ => return Part::Cut,
             },
-            frame = body.frame() => frame,
+            piece = body.piece() => piece,
         };
-        let data = match frame {
-            None => return Part::Ended(events.ending(framing)),
-            Some(Err(_)) => return Part::Broken,
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        let data = match piece {
+            Ok(None) => return Part::Ended(events.ending(framing)),
+            Err(fault) => return Part::Failed(fault),
+            Ok(Some(data)) => data,
         };
-        let Some(whole) = events.add(&data) else {
-            continue;
+        let whole = match events.add(&data) {
+            Ok(Some(whole)) => whole,
+            Ok(None) => continue,
+            Err(fault) => return Part::Failed(fault),
         };
         if !*begun {
             *begun = true;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,5 +10,5 @@
 
 pub use crash::Crash;
 pub use http::Asked;
-pub use replica::{Fault, Repeat, Replica, Run};
+pub use replica::{Fault, Flood, Repeat, Replica, Run};
 pub use store::Store;
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -13,6 +13,9 @@
 /// The time from the last piece of an answer to the reset of its connection.
 const BEFORE_RESET: Duration = Duration::from_millis(20);
 
+/// Bytes that are written at once where there is no end to them.
+const ENDLESS_PIECE: usize = 16 * 1024;
+
 /// A request as it came.
 #[derive(Clone, Debug, Default)]
 pub struct Asked {
@@ -44,6 +47,8 @@
     /// The head of a stream with these headers and no event, or nothing at all. Calls the function when the other side
     /// closes the connection.
     Stalled(Option<Vec<(String, String)>>, Box<dyn FnOnce() + Send>),
+    /// Bytes, and then others again and again until the other side closes the connection.
+    Endless(Vec<u8>, Vec<u8>),
     /// Nothing: the connection is closed.
     Nothing,
     /// An answer, and bytes that follow it late: when the next request of the connection has come.
@@ -153,6 +158,13 @@
         Reply::Whole(status, headers, body) => stream
             .write_all(&Reply::bytes(status, &headers, &body))
             .ok(),
+        Reply::Endless(first, again) => {
+            let times = (ENDLESS_PIECE / again.len()).max(1);
+            let piece = again.repeat(times);
+            stream.write_all(&first).ok()?;
+            while stream.write_all(&piece).is_ok() {}
+            None
+        }
         // Its bytes were taken out before.
         Reply::Followed(reply, _) => answer(stream, *reply),
         Reply::Stalled(headers, closed) => {
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -40,6 +40,8 @@
     Full,
     /// It says that another server is meant.
     Misdirected,
+    /// It runs them and sends bytes without end.
+    Floods(Flood),
     /// It runs them and fails.
     Fails,
     /// It sends the head of a stream and no event.
@@ -48,6 +50,65 @@
     Silent,
 }
 
+/// What bytes without end are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flood {
+    /// Interim answers.
+    Interim,
+    /// One line of a head.
+    HeaderLine,
+    /// Lines of a head.
+    HeaderLines,
+    /// Bytes that are no HTTP.
+    Junk,
+    /// A body whose length is never reached.
+    Length,
+    /// Chunks of a body.
+    Chunks,
+    /// A body that would end with its connection.
+    Unframed,
+    /// The size of one chunk.
+    ChunkSize,
+    /// An event of a stream, in chunks.
+    Event,
+}
+
+impl Flood {
+    /// All of them.
+    pub const ALL: [Self; 9] = [
+        Self::Interim,
+        Self::HeaderLine,
+        Self::HeaderLines,
+        Self::Junk,
+        Self::Length,
+        Self::Chunks,
+        Self::Unframed,
+        Self::ChunkSize,
+        Self::Event,
+    ];
+
+    /// What comes first, where an answer has these headers, and what comes again and again.
+    fn reply(self, headers: &[(String, String)]) -> Reply {
+        let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
+        for (name, value) in headers {
+            head.extend([name, ": ", value, "\r\n"]);
+        }
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        let (first, again) = match self {
+            Self::Interim => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+            Self::HeaderLine => (format!("{head}X-Long: "), "x"),
+            Self::HeaderLines => (head, "X-Line: x\r\n"),
+            Self::Junk => (String::new(), "\u{7f}junk"),
+            Self::Length => (format!("{head}Content-Length: 1000000000000\r\n\r\n"), "x"),
+            Self::Chunks => (chunked, "4\r\nxxxx\r\n"),
+            Self::Unframed => (format!("{head}Connection: close\r\n\r\n"), "x"),
+            Self::ChunkSize => (chunked, "0"),
+            Self::Event => (chunked + "6\r\ndata: \r\n", "4\r\nxxxx\r\n"),
+        };
+        Reply::Endless(first.into_bytes(), again.as_bytes().to_vec())
+    }
+}
+
 /// Which answers a replica sends once more, late: when the next request of their connection has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
@@ -83,6 +144,7 @@
     fault: Fault,
     repeat: Repeat,
     echoes_calls: bool,
+    call_flood: Option<Flood>,
     runs: Vec<Run>,
     cancelled: Vec<(String, Instant)>,
     framing: Framing,
@@ -105,6 +167,7 @@
             fault: Fault::None,
             repeat: Repeat::None,
             echoes_calls: true,
+            call_flood: None,
             runs: Vec::new(),
             cancelled: Vec::new(),
             framing: Framing::Length,
@@ -207,6 +270,11 @@
         self.state().echoes_calls = echoes;
     }
 
+    /// Has it answer orders, and questions for its report, with bytes without end.
+    pub fn set_call_flood(&self, flood: Option<Flood>) {
+        self.state().call_flood = flood;
+    }
+
     /// How its answers are framed; streams have no length and come in chunks instead.
     pub fn set_framing(&self, framing: Framing) {
         self.state().framing = framing;
@@ -289,6 +357,11 @@
     fn reply(&self, asked: &Asked) -> Reply {
         let expected = asked.headers.get("expect-instance");
         let id = self.id();
+        let flood = self.state().call_flood;
+        if let Some(flood) = flood.filter(|_| asked.path.starts_with("/dahliastile/")) {
+            let echoed = asked.headers.get("request-id").cloned().unwrap_or_default();
+            return flood.reply(&[(REQUEST_ID.to_owned(), echoed)]);
+        }
         match asked.path.as_str() {
             _ if expected.is_some_and(|expected| *expected != id) => {
                 Self::plainly(id, 421, Vec::new(), "")
@@ -401,6 +474,7 @@
                 let sent = (state.fault == Fault::Stalls).then_some(headers);
                 Reply::Stalled(sent, Box::new(closed))
             }
+            Fault::Floods(flood) => flood.reply(&headers),
             Fault::Fails => Reply::Whole(500, headers, b"failed".to_vec()),
             fault if self.model.is_some() => stream(&state, headers, after, fault),
             fault => {
