--- a/crates/daemon/tests/late_answers.rs
+++ b/crates/daemon/tests/late_answers.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use dahliastile_standin::fleet::{Fault, Repeat};
-use fleet::{Fleet, ran, until};
+use fleet::{Fleet, ran, request, until};
 
 /// Requests of a round. Each second one is rejected, and the next one meets its late copy.
 const REQUESTS: usize = 40;
@@ -49,6 +49,20 @@
     }
 }
 
+/// Guards against a rejection that is taken for the answer to another request, since a request without an id has an answer
+/// without one.
+#[test]
+fn rejection_withoutanid() {
+    let fleet = Fleet::start_ready(1);
+    for server in &fleet.plain {
+        server.set_fault(Fault::Full);
+    }
+    let text = request("none", "/post/x", None).replace("Request-Id: none\r\n", "");
+    let answer = fleet.vms[0].raw(&text);
+    assert_eq!(answer.status, 503, "{}", answer.text);
+    assert_eq!(unmatched(&fleet.vms[0].figures()), 0);
+}
+
 /// Guards against an order that is believed carried out, or a report that is believed, since a late copy of another answer
 /// came in its place.
 #[test]
