--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
-use dahliastile_standin::fleet::{Fault, Repeat};
+use dahliastile_standin::fleet::{Fault, Flood, Repeat};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -86,7 +86,7 @@
     Server(usize, Fault),
     /// A server's answers have neither length nor chunks, and it fails its requests in some way.
     Unframed(usize, Fault),
-    /// A server answers once more, late, and rejects requests or fails them in some way.
+    /// A server answers once more, late, and rejects requests or sends bytes without end.
     Late(usize, Repeat, Fault),
     /// A VM loses its path to all servers, or all others do.
     CutOff(usize, bool),
@@ -158,10 +158,17 @@
         Self::Unframed(server, faults[rng.random_range(0..faults.len())])
     }
 
-    /// Draws late answers.
+    /// Draws late answers, or bytes without end.
     fn draw_late(rng: &mut ChaCha8Rng, servers: usize) -> Self {
         let repeats = [Repeat::Rejections, Repeat::RejectionsWithoutId, Repeat::All];
-        let faults = [Fault::None, Fault::Full, Fault::Misdirected];
+        let faults = [
+            Fault::None,
+            Fault::Full,
+            Fault::Misdirected,
+            Fault::Floods(Flood::Interim),
+            Fault::Floods(Flood::ChunkSize),
+            Fault::Floods(Flood::Event),
+        ];
         let server = rng.random_range(0..servers);
         let repeat = repeats[rng.random_range(0..repeats.len())];
         Self::Late(server, repeat, faults[rng.random_range(0..faults.len())])
--- a/crates/shell/src/reader.rs
+++ b/crates/shell/src/reader.rs
@@ -1,9 +1,9 @@
 //! Bounds on what is read from the connections that this VM makes.
 //!
 //! A server in trouble may send bytes that are no answer, without end and as fast as they are read. A bound in time alone does
-//! not help against them, so each connection has a [`Meter`] below the HTTP library: what it brings before the library hands
-//! something on, be it heads of interim answers, sizes of chunks or trailers, is bounded in bytes, and after each
-//! [`TURN`] of bytes other tasks get their turn. [`Content`] bounds what the library hands on.
+//! not help against them. So each connection has a [`Meter`] below the HTTP library: it bounds the bytes that the library reads
+//! before it hands something on, such as interim answers, sizes of chunks and trailers, and gives other tasks their turn after
+//! each [`TURN`] of bytes. A [`Budget`] bounds what the library hands on.
 
 use std::cell::{Cell, RefCell};
 use std::io;
