Lapsed servers are removed in one place

Cause: the end of all grace periods, when an outage is dismissed, repeated the loop that removes the servers whose grace period has ended.

Change: remove_lapsed_servers takes the time by which grace periods end and returns the number; the timer passes now, the dismissal a time that never comes. Behaviour stays.

Measured: departures, follow, restored, outage, leaving and restart pass, 57 tests; formatter and linter are clean.

--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -127,23 +127,15 @@
         self.timers.set(until, Timer::Watch);
     }
 
-    /// Removes the servers whose grace period has ended without a return of their entries.
-    pub(crate) fn remove_lapsed_servers(&mut self, out: &mut Effects) {
-        let now = self.now;
+    /// Removes the servers whose grace period ends at `by` or before without a return of their entries, and returns their
+    /// number.
+    pub(crate) fn remove_lapsed_servers(&mut self, by: Instant, out: &mut Effects) -> usize {
         let lapsed = &mut self.applied.lapsed_servers;
-        let due: Vec<_> = lapsed.extract_if(.., |_, until| *until <= now).collect();
-        for (server, _) in due {
-            self.remove_server(&server, out);
-        }
-    }
-
-    /// Ends the grace periods, and returns their number.
-    pub(crate) fn end_lapse_graces(&mut self, out: &mut Effects) -> usize {
-        let lapsed = std::mem::take(&mut self.applied.lapsed_servers);
-        for server in lapsed.keys() {
+        let due: Vec<_> = lapsed.extract_if(.., |_, until| *until <= by).collect();
+        for (server, _) in &due {
             self.remove_server(server, out);
         }
-        lapsed.len()
+        due.len()
     }
 
     /// Applies one change, unless an equally new or newer one of the same key is known.
--- a/crates/gateway/src/cluster/outage.rs
+++ b/crates/gateway/src/cluster/outage.rs
@@ -113,7 +113,7 @@
     pub(crate) fn dismiss_outage(&mut self, out: &mut Effects) {
         let end = self.outage.ended_at.take();
         let was_assumed = end.is_some_and(|end| self.now < end + self.settings.tuning.lapse_grace);
-        let lapsed = self.end_lapse_graces(out);
+        let lapsed = self.remove_lapsed_servers(Instant::NEVER, out);
         if was_assumed || lapsed > 0 {
             Self::log(out, Code::OutageDismissed, format!("lapsed={lapsed}"));
         }
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -179,7 +179,7 @@
     }
 
     pub(crate) fn handle_watch_timer(&mut self, out: &mut Effects) {
-        self.remove_lapsed_servers(out);
+        self.remove_lapsed_servers(self.now, out);
         self.apply_forgotten_holders(out);
         match self.watch.upstream {
             Some(_) => self.maintain_subscription(out),
