Promises that a request did not run are logged with what they rest on

Cause of the change: by the users' record the hypotheses can't be told apart. A rejection that was believed, a status that only looks like one, and an attempt that never left all read `ran=No` or `ran=0`.

Change: E529 PromiseReceived for each answer that promises so, stated or by its status alone, with the number of answers that its connection had brought before. E512 and E503 name the proof: never_sent, unsent, rejected, not_carried, or none. Decisions are as before.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -194,6 +194,8 @@
     AnswerUnmatched = 527 Warn "If it repeats for one server, check that server; its answers may be late copies of earlier ones.";
     /// A backend server sent more bytes than an answer has, and its connection was closed.
     AnswerOversized = 528 Warn "Check that server.";
+    /// A backend server's answer promises that its request did not run: it states so (`stated`), or only has a status by which callers take it so (`implied`). `exchanges` is the number of answers that its connection had brought before.
+    PromiseReceived = 529 Debug "Nothing; if a request ran all the same, its lines tell which answer was believed.";
     /// A backend server did not answer a request well.
     SendFailed = 512 Info "If it repeats for one server, check that server.";
     /// A request got its whole answer.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -254,6 +254,19 @@
     Event,
 }
 
+/// An answer of a server whose head promises that its request did not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Promise {
+    /// The id that the caller gave to the request.
+    pub id: Arc<str>,
+    /// Its HTTP status.
+    pub status: u16,
+    /// Whether it states so. One that does not has only a status by which callers take a request for not run.
+    pub is_stated: bool,
+    /// The number of answers that its connection had brought before.
+    pub exchanges: u32,
+}
+
 /// How a connection to another VM failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkFault {
@@ -293,6 +306,8 @@
     NoticeReceived(Server, Notice),
     /// A server's answer does not bear the id of the request that it came for.
     AnswerUnmatched(Server, Box<UnmatchedAnswer>),
+    /// A server's answer promises that its request did not run.
+    PromiseReceived(Server, Box<Promise>),
     /// The bytes of a server for the request with this id exceeded the limit of this part of an answer, and its connection
     /// was closed.
     AnswerOversized(Server, Arc<str>, Part),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -312,6 +312,9 @@
             Event::AttemptCancelled(request) => self.handle_attempt_cancelled(request, out),
             Event::OrderAnswered(order, outcome) => self.handle_order_outcome(order, outcome, out),
             Event::NoticeReceived(server, notice) => self.handle_notice(&server, notice, out),
+            Event::PromiseReceived(server, promise) => {
+                Self::record_promise(&server, &promise, out);
+            }
             Event::AnswerUnmatched(server, answer) => {
                 Self::record_unmatched_answer(&server, &answer, out);
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,6 +7,7 @@
 //! * [`health`]: the health of servers, derived from their answers.
 //! * [`notice`]: what servers say about themselves in their answers.
 //! * [`origin`]: where streams began, which binds where they may go on.
+//! * [`proof`]: what proves that no server has run a request.
 //! * `expiring_map`: a map of bounded size and age.
 //! * [`fingerprint`]: the hash by which repetitions of a request are recognized.
 //! * [`quarantine`]: requests that crash the servers that run them.
@@ -19,6 +20,7 @@
 pub(crate) mod load_balancer;
 pub mod notice;
 pub mod origin;
+pub mod proof;
 pub mod quarantine;
 pub(crate) mod shutdown;
 pub(crate) mod state;
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -26,6 +26,7 @@
 use crate::metrics;
 use crate::node::Gateway;
 use crate::request::origin::{Origin, StreamId};
+use crate::request::proof::Evidence;
 use crate::request::quarantine::Suspect;
 use crate::timer::Timer;
 
@@ -100,6 +101,8 @@
     pub(crate) send_count: u32,
     /// Number of servers that ran the request or may have run it.
     execution_count: u32,
+    /// What shows that the last attempt did not run; `None` while nothing does.
+    evidence: Option<Evidence>,
     /// Time from arrival to the first chunk of an answer.
     time_to_first_chunk: Option<Span>,
     /// Servers that failed the request, whose placement this VM declined, or that the request was withdrawn from.
@@ -155,6 +158,7 @@
             begun: None,
             send_count: 0,
             execution_count: 0,
+            evidence: Some(Evidence::NeverSent),
             time_to_first_chunk: None,
             failed: Vec::new(),
             relay: None,
@@ -436,6 +440,7 @@
             return;
         };
         state.send_count += 1;
+        state.evidence = None;
         state.sent = self.now;
         state.begun = None;
         state.version = version;
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -8,12 +8,13 @@
 use super::Phase;
 use crate::config::RouteKind;
 use crate::effect::{Effect, Effects, NextStep, RefusalReason};
-use crate::event::{Execution, FailureCause, Part, RequestId, UnmatchedAnswer};
+use crate::event::{Execution, FailureCause, Part, Promise, RequestId, UnmatchedAnswer};
 use crate::message::Progress;
 use crate::metrics;
 use crate::node::Gateway;
 use crate::request::budget::RetryLimits;
 use crate::request::health::Health;
+use crate::request::proof::Evidence;
 use crate::scheduler::client::PLACEMENT_RETRY_DELAY;
 
 /// Upper bound on the sends of one request, including those that did not run. More sends would only use up
@@ -119,6 +120,7 @@
             return;
         };
         state.cancelling = false;
+        state.evidence = Evidence::of(ran, cause);
         let relay = state.relay.take();
         if answer_started {
             self.record_origin(request);
@@ -146,8 +148,10 @@
             out,
             Code::SendFailed,
             format!(
-                "id={} call={} server={server} ran={ran:?} cause={cause:?} begun={answer_started}",
-                state.call.id, state.call.fingerprint
+                "id={} call={} server={server} ran={ran:?} cause={cause:?} begun={answer_started} proof={}",
+                state.call.id,
+                state.call.fingerprint,
+                state.evidence.map_or("-", Evidence::name)
             ),
         );
         let is_server_word = !matches!(cause, FailureCause::Unreachable | FailureCause::Broken);
@@ -197,6 +201,20 @@
         Self::log(out, Code::AnswerUnmatched, detail);
     }
 
+    /// Logs an answer of a server that promises that its request did not run.
+    pub(crate) fn record_promise(server: &Server, promise: &Promise, out: &mut Effects) {
+        let claim = if promise.is_stated {
+            "stated"
+        } else {
+            "implied"
+        };
+        let detail = format!(
+            "id={} server={server} status={} claim={claim} exchanges={}",
+            promise.id, promise.status, promise.exchanges
+        );
+        Self::log(out, Code::PromiseReceived, detail);
+    }
+
     /// Logs and counts an answer whose bytes exceeded a limit. The attempt's own event says how the attempt ended.
     pub(crate) fn record_oversized_answer(
         server: &Server,
@@ -408,6 +426,8 @@
         };
         let waited = self.now.since(state.arrived);
         let ran = state.execution_count;
+        let evidence = state.evidence.filter(|_| ran == 0);
+        let proof = evidence.map_or("-", Evidence::name);
         let account = state.account.as_ref().map_or("-", |a| a.name.as_str());
         let retry_after = after.unwrap_or_default();
         let part = self.quarantine.quarantined_part(&state.call, self.now);
@@ -416,7 +436,7 @@
             out,
             Code::Refused,
             format!(
-                "id={} call={} account={account} cost={} why={} part={part} waited={waited} sends={} ran={ran} after={retry_after}",
+                "id={} call={} account={account} cost={} why={} part={part} waited={waited} sends={} ran={ran} after={retry_after} proof={proof}",
                 state.call.id,
                 state.call.fingerprint,
                 state.cost,
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -90,6 +90,7 @@
         // of the request, and perhaps not of the server as it is now.
         return Tried::Failed(Execution::Maybe, FailureCause::Malformed, None);
     }
+    hub.record_claim(&send.server, &send.id, &answer, &connection);
     let framing = framing(&head.method, &answer);
     hub.notice(&send.server, at, hub.dialect.notice(&answer));
     match hub.dialect.reply(&answer) {
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -64,6 +64,15 @@
     }
 }
 
+/// How an answer promises that its request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// It states so.
+    Stated,
+    /// It has a status by which callers take a request for not run, and does not state it.
+    Implied,
+}
+
 /// Translates between the shell's types and what the outside systems speak. It decides nothing.
 pub trait Dialect: Clone + 'static {
     /// What a caller's request asks.
@@ -91,6 +100,9 @@
     /// is read of an answer before.
     fn unmatched(&self, asked: &HeaderMap, answer: &response::Parts) -> Option<UnmatchedAnswer>;
 
+    /// Whether the head of a server's answer promises that its request did not run.
+    fn claim(&self, answer: &response::Parts) -> Option<Claim>;
+
     /// What the head of a server's answer says of the request that it answers.
     fn reply(&self, answer: &response::Parts) -> Reply;
 
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -2,18 +2,20 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use dahliastile_core::id::Server;
 use dahliastile_gateway::effect::{Attempt, NextStep};
-use dahliastile_gateway::event::{Event, Part, RequestId};
+use dahliastile_gateway::event::{Event, Part, Promise, RequestId};
 use dahliastile_gateway::request::notice::Notice;
+use http::response;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::dialect::Heard;
-use crate::pool::{Client, Pool};
+use crate::dialect::{Claim, Dialect, Heard};
+use crate::pool::{Client, Connection, Pool};
 
 /// What all tasks share.
 pub(crate) struct Hub<D> {
@@ -99,6 +101,27 @@
         }
     }
 
+    /// Hands on whether the head of an answer to a request with this id promises that the request did not run.
+    pub(crate) fn record_claim(
+        &self,
+        server: &Server,
+        id: &Arc<str>,
+        answer: &response::Parts,
+        connection: &Connection,
+    ) where
+        D: Dialect,
+    {
+        if let Some(claim) = self.dialect.claim(answer) {
+            let promise = Promise {
+                id: id.clone(),
+                status: answer.status.as_u16(),
+                is_stated: claim == Claim::Stated,
+                exchanges: connection.exchanges(),
+            };
+            self.post(Event::PromiseReceived(server.clone(), Box::new(promise)));
+        }
+    }
+
     /// Hands on that the server of an attempt has sent more bytes than an answer has.
     pub(crate) fn record_oversized(&self, send: &Attempt, part: Part) {
         self.post(Event::AnswerOversized(
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -84,8 +84,15 @@
     address: SocketAddr,
     /// When it can no longer be used.
     expires: Instant,
-    /// Whether it has served a request before.
-    used: bool,
+    /// The number of answers that it has brought.
+    exchanges: u32,
+}
+
+impl Connection {
+    /// The number of answers that it has brought and that were read whole.
+    pub(crate) fn exchanges(&self) -> u32 {
+        self.exchanges
+    }
 }
 
 impl Drop for Connection {
@@ -171,7 +178,7 @@
                 }
                 Err(mut error) => match error.take_message() {
                     // Nothing of it was written: another connection can have it.
-                    Some(unsent) if connection.used => request = unsent,
+                    Some(unsent) if connection.exchanges > 0 => request = unsent,
                     Some(_) => return Err(Fault::NotSent),
                     None if error.error().is_parse() => return Err(Fault::Malformed),
                     None => return Err(Fault::Broken),
@@ -187,7 +194,7 @@
         }
         let keep = keep.map_or(IDLE, |keep| keep.saturating_sub(IDLE_MARGIN));
         connection.expires = Instant::now() + keep;
-        connection.used = true;
+        connection.exchanges = connection.exchanges.saturating_add(1);
         self.idle
             .borrow_mut()
             .entry(connection.address)
@@ -250,7 +257,7 @@
         meter,
         address,
         expires: Instant::now(),
-        used: false,
+        exchanges: 0,
     })
 }
 
@@ -355,7 +362,7 @@
         let (head, body, connection) = self.pool.send(target, request, drop).await?;
         let owner = match owner(&head) {
             Owner::Other => return Err(Fault::Unmatched),
-            Owner::Unknown if connection.used => return Err(Fault::Unmatched),
+            Owner::Unknown if connection.exchanges > 0 => return Err(Fault::Unmatched),
             owner => owner,
         };
         let body = body.whole(limit).await?;
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -137,6 +137,7 @@
         // The answer to the request is still to come, on this connection, which is closed.
         return no_answer(MALFORMED, None);
     }
+    hub.record_claim(&server, &asked_id, &answer, &connection);
     let framing = framing(&method, &answer);
     let (pieces, piped) = Piped::channel();
     let builder = hub.dialect.answer(&answer);
