--- a/crates/outside/tests/engine.rs
+++ b/crates/outside/tests/engine.rs
@@ -226,6 +226,67 @@
     }
 }
 
+/// Guards against work that is sent again, or refused as not run, on an answer that says both "not run" and that it ran.
+#[test]
+fn complete_contradictory_refusal() {
+    let vouched = r#"{"error":{"code":"overloaded","ran":"no"}}"#;
+    let served = format!(
+        "HTTP/1.1 503 Busy\r\nX-Served-Model: lock@3\r\nContent-Length: {}\r\n\r\n{vouched}",
+        vouched.len()
+    );
+    let part = |field: &str| {
+        let body = format!(r#"{{"error":{{"code":"overloaded","ran":"no"}},{field}}}"#);
+        answer("503 Busy", &body)
+    };
+    let cases = [
+        answer("307 Elsewhere", vouched),
+        served.into_bytes(),
+        part(r#""model":"lock@3""#),
+        part(r#""choices":[{"index":0,"text":"t"}]"#),
+        part(r#""usage":{"completion_tokens":1}"#),
+    ];
+    for case in cases {
+        let text = String::from_utf8_lossy(&case).into_owned();
+        for stream in [false, true] {
+            let error = play(closes(case.clone()), stream).1.unwrap_err();
+            assert!(!error.is_unsent(), "{text}: {error:?}");
+        }
+    }
+}
+
+/// Guards against work that is refused as not run on words that prove nothing: cut, doubled, or not the protocol's own.
+#[test]
+fn complete_unproved_refusal() {
+    let vouched = r#"{"error":{"code":"overloaded","ran":"no"}}"#;
+    let cut = answer("503 Busy", vouched);
+    let cases = [
+        cut[..cut.len() - 1].to_vec(),
+        format!("HTTP/1.1 503 Busy\r\n\r\n{}", &vouched[..vouched.len() - 1]).into_bytes(),
+        answer("503 Busy", &format!("{vouched}{vouched}")),
+        answer(
+            "503 Busy",
+            r#"{"error":{"code":"x","ran":"no","ran":"yes"}}"#,
+        ),
+        answer("503 Busy", r#"{"error":{"code":"x","ran":"No"}}"#),
+        answer("503 Busy", r#"{"error":{"code":"x","ran":false}}"#),
+        answer("503 Busy", r#"{"error":{"code":"x","ran":"unknown"}}"#),
+        answer("503 Busy", r#"{"error":{"kind":"overloaded","ran":"no"}}"#),
+        answer("200 OK", vouched),
+        format!(
+            "HTTP/1.1 100 Continue\r\n\r\n{}",
+            String::from_utf8_lossy(&cut)
+        )
+        .into_bytes(),
+    ];
+    for case in cases {
+        let text = String::from_utf8_lossy(&case).into_owned();
+        for stream in [false, true] {
+            let error = play(closes(case.clone()), stream).1.unwrap_err();
+            assert!(!error.is_unsent(), "{text}: {error:?}");
+        }
+    }
+}
+
 #[test]
 fn complete_redirect_not_followed() {
     let nobody = Nobody::new();
@@ -334,6 +395,16 @@
     assert_eq!(bodies, expected);
 }
 
+/// Guards against an order that counts as refused on an answer that is no error.
+#[test]
+fn order_redirected() {
+    let vouched = r#"{"error":{"code":"overloaded","ran":"no"}}"#;
+    let server = Server::start(vec![closes(answer("307 Elsewhere", vouched))]);
+    let result = client(server.endpoint).load("lock@3", "/w", Fence(9), AMPLE, &Cancel::new());
+    let error = result.unwrap_err();
+    assert!(!error.is_unsent(), "{error:?}");
+}
+
 #[test]
 fn report_and_cache_events() {
     let load = r#"{"boot":5,"ready":true,"slots":4,"adapters":[{"name":"a@1","in_flight":2}]}"#;
