An engine's "not run" is believed only in an error answer that shows no run

What callers saw: `server_refused` with `ran: no`, or work that must not run twice sent to a second engine, after an answer that named the model it was served by, held parts of an answer, or was a redirect.

Cause: `Error::from_answer` read `ran: "no"` in the body of any answer outside 2xx and held nothing else of the answer against it.

Change: a status below 400 proves no refusal, of work and of orders. For work, neither does an answer with `X-Served-Model`, nor a body with `model`, `choices` or `usage`, nor one of which that can't be told (a doubled field). Plain services keep their own bodies: a `model` there means nothing.

A refusal that holds none of these is believed as before (complete_error_answers).

--- a/crates/outside/src/engine/mod.rs
+++ b/crates/outside/src/engine/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::cancel::Cancel;
 use crate::error::{Error, Result};
-use crate::http::{self, Exchange, Request};
+use crate::http::{self, Exchange, Head, Request};
 use crate::sse::Parser;
 use crate::unit::{Endpoint, Fence, Size};
 use serde_json::json;
@@ -88,10 +88,9 @@
             ..Request::post(self.endpoint, work.route.path(), body, work.timeout)
         };
         let exchange = Exchange::open(request, cancel)?;
-        let status = exchange.head().status;
-        if !(200..300).contains(&status) {
-            let (_, body, _) = exchange.whole(self.limit.whole.0)?;
-            return Err(Error::from_answer(status, body));
+        if !(200..300).contains(&exchange.head().status) {
+            let (head, body, _) = exchange.whole(self.limit.whole.0)?;
+            return Err(refusal(&head, body));
         }
         let model = exchange.head().headers.get(SERVED_MODEL).cloned();
         emit(&mut sink, Event::Head { model })?;
@@ -215,6 +214,19 @@
     }
 }
 
+/// Classifies an answer to work that is no success. One that shows a run proves no refusal, whatever it says.
+fn refusal(head: &Head, body: Vec<u8>) -> Error {
+    let status = head.status;
+    if head.headers.contains_key(SERVED_MODEL) || work::shows_run(&body) {
+        return Error::Rejected {
+            status,
+            code: None,
+            body,
+        };
+    }
+    Error::from_answer(status, body)
+}
+
 fn emit(sink: &mut impl FnMut(Event) -> ControlFlow<()>, event: Event) -> Result<()> {
     match sink(event) {
         ControlFlow::Continue(()) => Ok(()),
--- a/crates/outside/src/engine/work.rs
+++ b/crates/outside/src/engine/work.rs
@@ -3,6 +3,7 @@
 use crate::error::{Error, Result};
 use crate::http;
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use serde_json::{Map, Value};
 use std::time::{Duration, Instant};
 
@@ -97,6 +98,17 @@
     error: Option<Value>,
 }
 
+/// The parts of an answer that only a run has.
+#[derive(Deserialize)]
+struct Parts {
+    /// The served model.
+    model: Option<IgnoredAny>,
+    /// What was generated.
+    choices: Option<IgnoredAny>,
+    /// What it took.
+    usage: Option<IgnoredAny>,
+}
+
 /// Reads the data of a stream's event.
 pub(crate) fn chunk(data: String) -> Result<Event> {
     let model = served_model(data.as_bytes())?;
@@ -109,6 +121,14 @@
     Ok(Event::Whole { model, body })
 }
 
+/// Whether a body holds parts of an answer, or may hold them, whatever else it says.
+pub(crate) fn shows_run(body: &[u8]) -> bool {
+    let parts = serde_json::from_slice::<Parts>(body);
+    !parts.is_ok_and(|parts| {
+        parts.model.is_none() && parts.choices.is_none() && parts.usage.is_none()
+    })
+}
+
 fn served_model(json: &[u8]) -> Result<Option<String>> {
     let tag: Tag = http::parse(json)?;
     match tag.error {
--- a/crates/outside/src/error.rs
+++ b/crates/outside/src/error.rs
@@ -66,15 +66,17 @@
         }
     }
 
-    /// Classifies the body of an answer whose status says that the request failed.
+    /// Classifies an answer that is no success. Only an error status with `ran: "no"` proves that nothing ran.
     pub(crate) fn from_answer(status: u16, body: Vec<u8>) -> Self {
         let detail = serde_json::from_slice::<Envelope>(&body).map(|envelope| envelope.error);
         match detail {
-            Ok(detail) if detail.ran.as_deref() == Some(RAN_NO) => Self::NotRun {
-                status,
-                code: detail.code,
-                message: detail.message,
-            },
+            Ok(detail) if status >= FIRST_ERROR && detail.ran.as_deref() == Some(RAN_NO) => {
+                Self::NotRun {
+                    status,
+                    code: detail.code,
+                    message: detail.message,
+                }
+            }
             Ok(detail) => Self::Rejected {
                 status,
                 code: Some(detail.code),
@@ -89,6 +91,9 @@
     }
 }
 
+/// The first status that says that a request failed.
+const FIRST_ERROR: u16 = 400;
+
 /// The value of `ran` with which a server vouches that nothing ran.
 const RAN_NO: &str = "no";
 
--- a/crates/outside/tests/engine.rs
+++ b/crates/outside/tests/engine.rs
@@ -242,6 +242,7 @@
         answer("307 Elsewhere", vouched),
         served.into_bytes(),
         part(r#""model":"lock@3""#),
+        part(r#""model":"lock@3","model":"tide@1""#),
         part(r#""choices":[{"index":0,"text":"t"}]"#),
         part(r#""usage":{"completion_tokens":1}"#),
     ];
