Test of a claim whose segment can't be read; it fails

Cause: a home reads a segment of a slot's log by `log::decode(..).unwrap_or_default()`, so one that can't be read counts as one that says nothing. Its keys are free, and what was claimed there runs again. A head that can't be read does deny every claim.

All VMs are replaced, since a home that has read the segment before remembers it.

Measured: fails with `"": vm 0 runs it`.

--- a/crates/core/tests/claim_faults.rs
+++ b/crates/core/tests/claim_faults.rs
@@ -510,6 +510,30 @@
     fleet.check();
 }
 
+/// Guards against a key that counts as free because the segment that says who holds it can't be read.
+#[test]
+fn segment_unreadable() {
+    for text in ["", "[{\"key\":0}]", "null"] {
+        let mut fleet = fleet(12);
+        let first = ask(&mut fleet, 0, "k");
+        assert!(fleet.finish(first, SEC).finished());
+        fleet.run_for(SEC);
+        let segments = fleet.kv.pairs.iter_mut();
+        let segments = segments.filter(|(key, _)| key.contains("/s/"));
+        segments.for_each(|(_, (pair, _))| pair.value = text.into());
+        // All VMs are replaced: what they remembered is gone.
+        (0..VMS).for_each(|vm| fleet.restart(vm, 10 * MS));
+        fleet.run_for(5 * SEC);
+        for vm in 0..VMS {
+            let again = ask(&mut fleet, vm, "k");
+            fleet.finish(again, 10 * SEC);
+            assert!(!fleet.asks[again].finished(), "{text:?}: vm {vm} runs it");
+        }
+        assert_eq!(runs(&fleet, "k"), 1, "{text:?}");
+        fleet.check();
+    }
+}
+
 #[test]
 fn cut_off_home_is_passed_by() {
     let home = home_of(9, 0, "k");
