--- a/crates/core/tests/claim_faults.rs
+++ b/crates/core/tests/claim_faults.rs
@@ -534,6 +534,32 @@
     }
 }
 
+/// Guards against a key that counts as free because the service came back from a copy made before it was claimed.
+#[test]
+fn service_restored_fromacopy() {
+    let mut fleet = fleet(13);
+    let before = ask(&mut fleet, 0, "before");
+    assert!(fleet.finish(before, SEC).finished());
+    fleet.run_for(SEC);
+    let copy = fleet.kv.copy();
+    let first = ask(&mut fleet, 0, "k");
+    assert!(fleet.finish(first, SEC).finished());
+    fleet.run_for(SEC);
+    fleet.kv_down(false);
+    fleet.kv.restore(copy);
+    fleet.kv_up();
+    fleet.run_for(5 * SEC);
+    let home = home_of(13, 0, "k");
+    fleet.restart(home, 10 * MS);
+    fleet.run_for(5 * SEC);
+    for vm in 0..VMS {
+        let again = ask(&mut fleet, vm, "k");
+        fleet.finish(again, 10 * SEC);
+    }
+    assert_eq!(runs(&fleet, "k"), 1);
+    fleet.check();
+}
+
 #[test]
 fn cut_off_home_is_passed_by() {
     let home = home_of(9, 0, "k");
