Nothing is claimed while a segment of the log of claims can't be read

What callers saw: a key that had run, in progress or ended, was taken as new and ran a second time.

Cause: a segment that can't be decoded (damaged, or written by a version that this one doesn't know) was taken as empty.

Change: a block that holds one is not taken in, and its claims are denied as those behind an unreadable head are: `platform_down`, `ran: no`. It ends with the segment's lease. A segment that is not there has ended with its lease, as before.

Measured: segment_unreadable failed before (`"": vm 0 runs it`) and passes.

--- a/crates/core/src/claim/home.rs
+++ b/crates/core/src/claim/home.rs
@@ -296,8 +296,11 @@
             },
             Outcome::Done(reply),
         ) => {
-            segments(slot, head, end, reply.pairs, now);
-            read_log(node, number, head, revision, out);
+            match segments(slot, head, end, reply.pairs, now) {
+                Some(()) => read_log(node, number, head, revision, out),
+                // The keys in it are claimed or not until its lease ends, and nothing may be claimed meanwhile.
+                None => deny(node, number, out),
+            }
         }
         (Phase::Write(_, batch), Outcome::Done(reply)) => {
             slot.revision = Some(reply.revision);
@@ -353,23 +356,24 @@
     read_log(node, number, head, revision, out);
 }
 
-/// A block of segments was read.
-fn segments(slot: &mut Slot, head: Head, end: u64, pairs: Vec<Pair>, now: Instant) {
+/// A block of segments was read. Takes in none of them where one can't be decoded.
+fn segments(slot: &mut Slot, head: Head, end: u64, pairs: Vec<Pair>, now: Instant) -> Option<()> {
     let from = slot.table.head().next;
     let until = end.min(head.next);
     let numbered = pairs.into_iter().filter_map(|pair| {
         let number = slot.names.number(&pair.key)?;
         Some((number, pair.value))
     });
-    let mut read: Vec<(u64, Vec<u8>)> = numbered
+    let mut read = numbered
         .filter(|(number, _)| (from..until).contains(number))
-        .collect();
+        .map(|(number, value)| Some((number, log::decode(&value)?)))
+        .collect::<Option<Vec<(u64, Vec<Entry>)>>>()?;
     read.sort_unstable_by_key(|(number, _)| *number);
-    for (number, value) in read {
-        let entries: Vec<Entry> = log::decode(&value).unwrap_or_default();
+    for (number, entries) in read {
         slot.table.apply(number, entries, now);
     }
     slot.table.advance(until, head.first);
+    Some(())
 }
 
 /// Time has passed.
