--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -144,7 +144,8 @@
 pub enum Ordered {
     /// Carried out.
     Done,
-    /// The server refused it and nothing changed.
+    /// The server refused it and nothing changed. A load that failed there may have had an effect all the same, which the
+    /// next report shows.
     Refused(Reason),
     /// It may have taken effect.
     Unknown,
--- a/crates/daemon/src/driver/outside.rs
+++ b/crates/daemon/src/driver/outside.rs
@@ -293,7 +293,7 @@
     });
 }
 
-/// The code with which an engine says that a load has failed and left nothing behind.
+/// The code with which an engine says that a load has failed. It does not vouch that nothing was left behind.
 const LOAD_FAILED: &str = "load_failed";
 
 fn give_order(command: &Command) -> Result<(), Error> {
