Stand-in servers are full, send copies in parts, and contradict themselves

Cause: the stand-ins rejected all requests or none, sent one copy of a rejection in one write, and had no answer whose status and promise disagree. The shapes in which refused requests may have run could not be played.

Change: a server takes a number of slots and a queue (Capacity), and rejects what exceeds them or whose deadline passes in the queue; faults meet a seeded share of the requests; an engine may reject with 503 while it loads; copies come more than once or in two segments (CopyForm); FailsAs runs a request and answers with a status that gives no promise, DeniesRun gives one with any status. A server records its rejections, the copies made and met, and the status of each run. A request whose connection is closed after the copy still runs, as its server has read it. Connections have TCP_NODELAY, as otherwise a body waits some 40 ms for its head to be acknowledged.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -6,9 +6,10 @@
 mod crash;
 mod http;
 mod replica;
+mod slots;
 mod store;
 
 pub use crash::Crash;
 pub use http::Asked;
-pub use replica::{Fault, Flood, Repeat, Replica, Run};
+pub use replica::{Capacity, CopyForm, Fault, Flood, Repeat, Replica, Run};
 pub use store::Store;
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -51,8 +52,37 @@
     Endless(Vec<u8>, Vec<u8>),
     /// Nothing: the connection is closed.
     Nothing,
-    /// An answer, and bytes that follow it late: when the next request of the connection has come.
-    Followed(Box<Reply>, Vec<u8>),
+    /// An answer, and a copy that follows it late.
+    Followed(Box<Reply>, Late),
+}
+
+/// Bytes that are written when the next request of their connection has come.
+#[derive(Default)]
+pub(crate) struct Late {
+    /// The bytes.
+    pub(crate) bytes: Vec<u8>,
+    /// The pause between their halves; none where they are written at once.
+    pub(crate) pause: Option<Duration>,
+    /// Counts the requests that they meet.
+    pub(crate) met: Arc<AtomicUsize>,
+}
+
+impl Late {
+    /// Writes them, where there are any. A connection that the other side has closed meanwhile shows at the answer.
+    fn write(&self, mut stream: &TcpStream) {
+        if self.bytes.is_empty() {
+            return;
+        }
+        self.met.fetch_add(1, Ordering::Relaxed);
+        let first = self
+            .pause
+            .map_or(self.bytes.len(), |_| self.bytes.len() / 2);
+        let _ = stream.write_all(&self.bytes[..first]);
+        if let Some(pause) = self.pause {
+            thread::sleep(pause);
+            let _ = stream.write_all(&self.bytes[first..]);
+        }
+    }
 }
 
 impl Reply {
@@ -97,15 +127,14 @@
 /// Answers requests on one connection until it ends. An error ends it, which the other side sees.
 fn converse<F: Fn(&Asked) -> Reply>(stream: &TcpStream, handler: &F) {
     let mut reader = BufReader::new(stream);
-    let mut late = Vec::new();
+    // Each write leaves at once: an answer's body does not wait until its head is acknowledged, nor half of a copy.
+    let _ = stream.set_nodelay(true);
+    let mut late = Late::default();
     while let Some(asked) = read(&mut reader) {
-        let mut writer = stream;
-        if writer.write_all(&std::mem::take(&mut late)).is_err() {
-            return;
-        }
+        std::mem::take(&mut late).write(stream);
         let reply = match handler(&asked) {
-            Reply::Followed(reply, bytes) => {
-                late = bytes;
+            Reply::Followed(reply, copy) => {
+                late = copy;
                 *reply
             }
             reply => reply,
@@ -165,7 +194,7 @@
             while stream.write_all(&piece).is_ok() {}
             None
         }
-        // Its bytes were taken out before.
+        // Its copy was taken out before.
         Reply::Followed(reply, _) => answer(stream, *reply),
         Reply::Stalled(headers, closed) => {
             let head = headers.as_deref().map(stream_head).unwrap_or_default();
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -2,13 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
 use serde_json::{Value, json};
 
-use super::http::{Asked, Finish, Reply, serve};
+use super::http::{Asked, Finish, Late, Reply, serve};
+use super::slots::{Slots, Taken};
 
 /// When each of them first started, a Unix time in milliseconds.
 const BORN: u64 = 1_790_000_000_000;
@@ -17,8 +19,13 @@
 /// Events of a stream, and the pause before each.
 const EVENTS: u64 = 5;
 
+/// The slots that its entry names where its capacity has no limit.
+const SLOTS: usize = 8;
+
 /// The header that bears the id of a request.
 const REQUEST_ID: &str = "Request-Id";
+/// The header that says that a request has not run.
+const NOT_RUN: &str = "Not-Executed";
 
 /// What a replica does with the next requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,6 +51,10 @@
     Floods(Flood),
     /// It runs them and fails.
     Fails,
+    /// It runs them and answers with a status that tells of no run, but does not say that it has not run them.
+    FailsAs(u16),
+    /// It runs them, answers with this status and says that it has not run them.
+    DeniesRun(u16),
     /// It sends the head of a stream and no event.
     Stalls,
     /// It takes them and sends nothing.
@@ -123,6 +134,62 @@
     All,
 }
 
+/// How a replica sends the copy of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyForm {
+    /// How many copies are sent, one right after the other.
+    pub count: usize,
+    /// The pause between the halves of what is sent; none where all of it is sent at once.
+    pub pause: Option<Duration>,
+}
+
+impl Default for CopyForm {
+    fn default() -> Self {
+        Self {
+            count: 1,
+            pause: None,
+        }
+    }
+}
+
+/// The work that a replica takes at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Requests that run at a time.
+    pub slots: usize,
+    /// Requests that wait for a slot.
+    pub queue: usize,
+    /// How long a request runs.
+    pub work: Duration,
+}
+
+/// Faults that meet some of the requests.
+struct Shares {
+    /// The faults with their shares of all requests.
+    faults: Vec<(Fault, f64)>,
+    /// The state of the generator that draws them.
+    random: u64,
+}
+
+impl Shares {
+    /// The fault of the next request, where one is drawn.
+    fn draw(&mut self) -> Option<Fault> {
+        // SplitMix64.
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.random ^ (self.random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        let high = u32::try_from((mixed ^ (mixed >> 31)) >> 32).unwrap_or_default();
+        let mut left = f64::from(high) / f64::from(u32::MAX);
+        for (fault, share) in &self.faults {
+            if left < *share {
+                return Some(*fault);
+            }
+            left -= share;
+        }
+        None
+    }
+}
+
 /// A request that was run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -134,6 +201,8 @@
     pub at: Instant,
     /// The id that the server had.
     pub server: String,
+    /// The status that it was answered with, 0 where there was no answer.
+    pub status: u16,
 }
 
 struct State {
@@ -142,7 +211,11 @@
     orders: u64,
     fence: u64,
     fault: Fault,
+    shares: Option<Shares>,
     repeat: Repeat,
+    copy_form: CopyForm,
+    rejects_loading: bool,
+    rejections: Vec<Asked>,
     echoes_calls: bool,
     call_flood: Option<Flood>,
     runs: Vec<Run>,
@@ -165,7 +238,11 @@
             orders: 0,
             fence: 0,
             fault: Fault::None,
+            shares: None,
             repeat: Repeat::None,
+            copy_form: CopyForm::default(),
+            rejects_loading: false,
+            rejections: Vec::new(),
             echoes_calls: true,
             call_flood: None,
             runs: Vec::new(),
@@ -189,6 +266,9 @@
     model: Option<String>,
     places: usize,
     state: Arc<Mutex<State>>,
+    slots: Slots,
+    copies_made: Arc<AtomicUsize>,
+    copies_met: Arc<AtomicUsize>,
 }
 
 impl Replica {
@@ -206,6 +286,9 @@
             model: model.map(str::to_owned),
             places,
             state: Arc::default(),
+            slots: Slots::default(),
+            copies_made: Arc::default(),
+            copies_met: Arc::default(),
         };
         id.clone_into(&mut replica.state().id);
         let served = replica.clone();
@@ -228,7 +311,8 @@
             .map(|m| json!({"name": m, "version": 1, "adapters": []}))
             .collect();
         json!({
-            "service": service, "address": address.to_string(), "zone": zone, "slots": 8,
+            "service": service, "address": address.to_string(), "zone": zone,
+            "slots": self.slots.capacity().map_or(SLOTS, |capacity| capacity.slots),
             "version": self.build().as_deref().unwrap_or("v1"),
             "state": state, "coldRemainingMs": 0, "stage": "both", "models": models, "seq": 0,
             "born": self.state().born,
@@ -260,6 +344,48 @@
         self.state().fault = fault;
     }
 
+    /// Has faults meet shares of the requests, drawn from a seed; the others meet the fault that is set.
+    pub fn set_fault_shares(&self, faults: &[(Fault, f64)], seed: u64) {
+        self.state().shares = Some(Shares {
+            faults: faults.to_vec(),
+            random: seed,
+        });
+    }
+
+    /// Limits the work that it takes at a time. What exceeds it is rejected.
+    pub fn set_capacity(&self, capacity: Capacity) {
+        self.slots.set(capacity);
+    }
+
+    /// Whether it says that it has not run the requests for an adapter that it loads, in place of that another server is
+    /// meant.
+    pub fn set_rejects_loading(&self, rejects: bool) {
+        self.state().rejects_loading = rejects;
+    }
+
+    /// How it sends copies.
+    pub fn set_copy_form(&self, form: CopyForm) {
+        self.state().copy_form = form;
+    }
+
+    /// Copies of answers that wait for the next request of their connection, or have met it.
+    #[must_use]
+    pub fn copies_made(&self) -> usize {
+        self.copies_made.load(Ordering::Relaxed)
+    }
+
+    /// Copies of answers that have met the next request of their connection.
+    #[must_use]
+    pub fn copies_met(&self) -> usize {
+        self.copies_met.load(Ordering::Relaxed)
+    }
+
+    /// Requests that it has not run and said so.
+    #[must_use]
+    pub fn rejections(&self) -> Vec<Asked> {
+        self.state().rejections.clone()
+    }
+
     /// Which answers it sends once more, late.
     pub fn set_repeat(&self, repeat: Repeat) {
         self.state().repeat = repeat;
@@ -335,9 +461,9 @@
     }
 
     fn answer(&self, asked: &Asked) -> Reply {
-        let (repeat, echoes_calls) = {
+        let (repeat, form, echoes_calls) = {
             let state = self.state();
-            (state.repeat, state.echoes_calls)
+            (state.repeat, state.copy_form, state.echoes_calls)
         };
         let is_call = asked.path.starts_with("/dahliastile/");
         let id = asked.headers.get("request-id");
@@ -349,7 +475,15 @@
             headers.push((REQUEST_ID.to_owned(), id.clone()));
         }
         match copy(&reply, repeat, is_call) {
-            Some(late) => Reply::Followed(Box::new(reply), late),
+            Some(bytes) => {
+                self.copies_made.fetch_add(1, Ordering::Relaxed);
+                let late = Late {
+                    bytes: bytes.repeat(form.count),
+                    pause: form.pause,
+                    met: self.copies_met.clone(),
+                };
+                Reply::Followed(Box::new(reply), late)
+            }
             None => reply,
         }
     }
@@ -425,27 +559,58 @@
     }
 
     fn work(&self, asked: &Asked) -> Reply {
-        let mut state = self.state();
+        let drawn = self.state().shares.as_mut().and_then(Shares::draw);
+        let fault = drawn.unwrap_or(self.state().fault);
+        if let Some(rejection) = self.rejection(asked, fault) {
+            return rejection;
+        }
+        let deadline = asked.headers.get("deadline-ms");
+        let deadline = deadline.and_then(|text| text.parse().ok());
+        let deadline = deadline.map(|left| Instant::now() + Duration::from_millis(left));
+        match self.slots.take(deadline) {
+            Some(taken) => self.run(asked, fault, &taken),
+            None => self.full(asked),
+        }
+    }
+
+    /// The answer to a request that is not run.
+    fn rejection(&self, asked: &Asked, fault: Fault) -> Option<Reply> {
         let named = asked
             .headers
             .get("model")
             .and_then(|model| model.split_once('/'));
-        let held = named.is_none_or(|(_, adapter)| {
-            state
-                .adapters
-                .get(adapter)
-                .is_some_and(|ready| *ready <= Instant::now())
-        });
-        if !held {
-            return Self::plainly(state.id.clone(), 421, Vec::new(), "");
-        }
-        if state.fault == Fault::Misdirected {
-            return Self::plainly(state.id.clone(), 421, Vec::new(), "");
-        }
-        if state.fault == Fault::Full {
-            let not_run = vec![("Not-Executed".to_owned(), "1".to_owned())];
-            return Self::plainly(state.id.clone(), 503, not_run, "");
+        let (ready, rejects_loading) = {
+            let state = self.state();
+            let ready = named.map(|(_, adapter)| state.adapters.get(adapter).copied());
+            (ready, state.rejects_loading)
+        };
+        match (ready, fault) {
+            (Some(None), _) | (_, Fault::Misdirected) => Some(self.misdirected(asked)),
+            (Some(Some(ready)), _) if ready > Instant::now() && rejects_loading => {
+                Some(self.full(asked))
+            }
+            (Some(Some(ready)), _) if ready > Instant::now() => Some(self.misdirected(asked)),
+            (_, Fault::Full) => Some(self.full(asked)),
+            _ => None,
         }
+    }
+
+    fn full(&self, asked: &Asked) -> Reply {
+        let mut state = self.state();
+        state.rejections.push(asked.clone());
+        let not_run = vec![(NOT_RUN.to_owned(), "1".to_owned())];
+        Self::plainly(state.id.clone(), 503, not_run, "")
+    }
+
+    fn misdirected(&self, asked: &Asked) -> Reply {
+        let mut state = self.state();
+        state.rejections.push(asked.clone());
+        Self::plainly(state.id.clone(), 421, Vec::new(), "")
+    }
+
+    /// Runs a request in the slot that it has taken.
+    fn run(&self, asked: &Asked, fault: Fault, taken: &Taken) -> Reply {
+        let mut state = self.state();
         let after = asked
             .headers
             .get("last-event-id")
@@ -457,32 +622,48 @@
             after,
             at: Instant::now(),
             server,
+            status: match fault {
+                Fault::LosesAnswer | Fault::Silent => 0,
+                Fault::Fails => 500,
+                Fault::FailsAs(status) | Fault::DeniesRun(status) => status,
+                _ => 200,
+            },
         });
-        let id = match state.fault {
+        let id = match fault {
             Fault::AnswersAnother => "another",
             _ => asked.headers.get("request-id").map_or("", String::as_str),
         };
-        let headers = vec![
-            (REQUEST_ID.to_owned(), id.to_owned()),
-            ("Server-Seal".to_owned(), format!("seal-{}", state.id)),
-        ];
-        match state.fault {
+        let mut headers = vec![("Server-Seal".to_owned(), format!("seal-{}", state.id))];
+        // A request without an id has an answer without one.
+        if !id.is_empty() {
+            headers.insert(0, (REQUEST_ID.to_owned(), id.to_owned()));
+        }
+        if matches!(fault, Fault::DeniesRun(_)) {
+            headers.push((NOT_RUN.to_owned(), "1".to_owned()));
+        }
+        let reply = match fault {
             Fault::LosesAnswer => Reply::Nothing,
             Fault::Stalls | Fault::Silent => {
                 let (replica, id) = (self.clone(), id.to_owned());
                 let closed = move || replica.state().cancelled.push((id, Instant::now()));
-                let sent = (state.fault == Fault::Stalls).then_some(headers);
+                let sent = (fault == Fault::Stalls).then_some(headers);
                 Reply::Stalled(sent, Box::new(closed))
             }
             Fault::Floods(flood) => flood.reply(&headers),
             Fault::Fails => Reply::Whole(500, headers, b"failed".to_vec()),
+            Fault::FailsAs(status) | Fault::DeniesRun(status) if status != 200 => {
+                Reply::Whole(status, headers, b"failed".to_vec())
+            }
             fault if self.model.is_some() => stream(&state, headers, after, fault),
             fault => {
                 let body = format!("answer of {}{}", state.id, "x".repeat(state.padding));
                 let body = body.into_bytes();
                 Reply::Framed(200, headers, body, state.framing, finish(fault))
             }
-        }
+        };
+        drop(state);
+        taken.work();
+        reply
     }
 
     fn plainly(id: String, status: u16, mut headers: Vec<(String, String)>, body: &str) -> Reply {
