--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -22,6 +22,10 @@
 /// interface the system would hold megabytes of an answer.
 const SEGMENT: u32 = 536;
 pub(crate) const RECEIVE_BUFFER: usize = 4_096;
+/// The VMs whose addresses come before those of servers; the next ones have addresses after them.
+const FIRST_VMS: u8 = 9;
+/// The first address after those of servers.
+const NEXT_VMS: u8 = 30;
 /// The variable that names the settings file.
 const VARIABLE: &str = "DAHLIASTILE_SETTINGS";
 
@@ -169,6 +173,24 @@
         number
     }
 
+    /// Adds a plain server.
+    pub(crate) fn add_plain(&mut self) -> usize {
+        let number = self.plain.len();
+        let address = self.plain_address(u8::try_from(number).expect("few servers"));
+        assert!(number < 10, "hosts from 30 on are VMs");
+        let server = Replica::start(&format!("p{number}"), address, None, 2);
+        self.plain.push(server.expect("a replica listens"));
+        self.list_plain(number);
+        number
+    }
+
+    /// Writes the entry of a plain server.
+    pub(crate) fn list_plain(&self, number: usize) {
+        let address = self.plain_address(u8::try_from(number).expect("few servers"));
+        let entry = self.plain[number].entry("desk", address, "north", "ready");
+        self.store.put(&format!("servers/p{number}"), &entry);
+    }
+
     /// Writes the entry of an engine.
     pub(crate) fn list_engine(&self, number: usize, state: &str) {
         let host = 10 + u8::try_from(number).expect("few engines");
@@ -212,7 +234,7 @@
 
     /// Starts a VM, with other settings than the usual ones where some are given.
     pub(crate) fn start(&self, number: u8, settings: Option<&str>) -> Vm {
-        let ip = ip(self.net, number);
+        let ip = ip(self.net, vm_host(number));
         let usual = settings_text(number, ip, SocketAddr::new(self::ip(self.net, 250), 8142));
         let file = std::env::temp_dir().join(format!(
             "dahliastile-{}-{}-{number}.toml",
@@ -478,6 +500,14 @@
     IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, host))
 }
 
+/// The last part of the address of a VM.
+fn vm_host(number: u8) -> u8 {
+    match number.checked_sub(FIRST_VMS + 1) {
+        None => number,
+        Some(further) => NEXT_VMS + further,
+    }
+}
+
 /// The settings file as the platform writes it.
 pub(crate) fn settings_text(number: u8, ip: IpAddr, store: SocketAddr) -> String {
     format!(
