A refusal that promises "not run" needs a proof

Callers who are told 503 or 429 send their request again. Where nothing was at hand that showed that it had not run, each of sixteen places that refuse a request saw to that in its own way: by a count of runs, which is 0 also while an attempt is under way, and by the phase.

Cause of the class: "not run" was a number that happened to be 0, and any code could say it.

Change: a Ledger keeps what became of each attempt of a request, and only it makes a Proof: while no attempt is under way, and each earlier one was never sent, not written, rejected, or not carried. A Refusal is built in one place; without a proof a reason that promises becomes "may have run". A failure whose cause can't show that nothing ran counts as a run, whatever it says. The shell has no way to a promise of its own. Gateway::verify, which all tests in virtual time call, compares the ledger with the phase.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -16,10 +16,11 @@
 
 use self::key::AccountKey;
 use crate::config::{Config, Route};
-use crate::effect::{Effects, RefusalReason};
+use crate::effect::{Effects, Refusal, RefusalReason};
 use crate::event::{CallerRequest, RequestId};
 use crate::node::Gateway;
-use crate::request::state::refusal;
+use crate::request::proof::Proof;
+use crate::request::state::refuse;
 
 /// The greatest age of the key-value service's last answer at which a key that is not in the configuration is refused
 /// as unknown. A healthy VM learns of an answer within 1.4 s; if the last answer is older, the VM may not know the
@@ -183,6 +184,7 @@
             caller_request.id
         );
         Self::log(out, Code::Refused, detail);
-        out.push(refusal(request, reason, after));
+        let refusal = Refusal::new(reason, Some(Proof::UNADMITTED), after);
+        out.push(refuse(request, refusal));
     }
 }
--- a/crates/gateway/src/config/startup_queue.rs
+++ b/crates/gateway/src/config/startup_queue.rs
@@ -10,10 +10,11 @@
 use dahliastile_core::log::Code;
 use dahliastile_core::time::{Instant, Span};
 
-use crate::effect::{Effects, RefusalReason};
+use crate::effect::{Effects, Refusal, RefusalReason};
 use crate::event::{CallerRequest, RequestId};
 use crate::node::Gateway;
-use crate::request::state::refusal;
+use crate::request::proof::Proof;
+use crate::request::state::refuse;
 use crate::timer::Timer;
 
 /// How long after its start a VM holds requests while it knows no configuration.
@@ -96,6 +97,8 @@
             Code::Refused,
             format!("id={} why=no_config", caller_request.id),
         );
-        out.push(refusal(request, RefusalReason::NoConfig, Some(RETRY_AFTER)));
+        let reason = RefusalReason::NoConfig;
+        let refusal = Refusal::new(reason, Some(Proof::UNADMITTED), Some(RETRY_AFTER));
+        out.push(refuse(request, refusal));
     }
 }
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -13,6 +13,7 @@
 use crate::event::{Lease, RequestId};
 use crate::message::Message;
 use crate::path::relay::RelayRefusal;
+use crate::request::proof::Proof;
 
 /// The number of a call of the key-value service; the event with the call's outcome has the same number.
 pub type KvOperationId = u64;
@@ -47,6 +48,72 @@
     TimedOut,
 }
 
+impl RefusalReason {
+    /// Returns whether the caller is told that no server has run the request and none will.
+    #[must_use]
+    pub const fn promises_not_run(self) -> bool {
+        match self {
+            Self::NoConfig
+            | Self::UnconfirmedKey
+            | Self::OverLimit
+            | Self::Overloaded
+            | Self::Quarantined
+            | Self::Stopping => true,
+            Self::NoRoute | Self::UnknownKey | Self::Failed | Self::TimedOut => false,
+        }
+    }
+}
+
+/// The final answer to a request that gets none of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    reason: RefusalReason,
+    retry_after: Option<Span>,
+    proof: Option<Proof>,
+}
+
+impl Refusal {
+    /// Returns a refusal for this reason. Without a proof, a reason that promises that no server has run the request becomes
+    /// [`RefusalReason::Failed`], and the caller is not told when to come back.
+    #[must_use]
+    pub const fn new(
+        reason: RefusalReason,
+        proof: Option<Proof>,
+        retry_after: Option<Span>,
+    ) -> Self {
+        match proof {
+            None if reason.promises_not_run() => Self {
+                reason: RefusalReason::Failed,
+                retry_after: None,
+                proof: None,
+            },
+            _ => Self {
+                reason,
+                retry_after,
+                proof,
+            },
+        }
+    }
+
+    /// Returns why the request is refused.
+    #[must_use]
+    pub const fn reason(self) -> RefusalReason {
+        self.reason
+    }
+
+    /// Returns the time after which the caller may retry; `None` if it is told none.
+    #[must_use]
+    pub const fn retry_after(self) -> Option<Span> {
+        self.retry_after
+    }
+
+    /// Returns the proof that no server has run the request, if there is one.
+    #[must_use]
+    pub const fn proof(self) -> Option<Proof> {
+        self.proof
+    }
+}
+
 /// One attempt to have a server answer a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
@@ -82,8 +149,8 @@
     Attempt(Box<Attempt>),
     /// Forward the server's own error answer to the caller.
     ForwardFailure,
-    /// Refuse the request; the caller is told that it may retry after the span, if one is given.
-    Refuse(RefusalReason, Option<Span>),
+    /// Refuse the request.
+    Refuse(Refusal),
     /// Abort the answer: the request's deadline has passed while its answer was being sent.
     AbortAnswer,
     /// Close the connection of the attempt in progress and confirm with
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -203,13 +203,16 @@
         self.in_flight.len() + self.startup_queue.len()
     }
 
-    /// Checks the invariants of the schedulers' state. Returns a description of each violation.
+    /// Checks the invariants of the requests in flight and of the schedulers' state. Returns a description of each violation.
     #[must_use]
     pub fn verify(&self) -> Vec<String> {
-        self.schedulers
-            .values()
-            .flat_map(Scheduler::verify)
-            .collect()
+        let ledger_fault = |(request, state): (&RequestId, &RequestState)| {
+            let fault = state.ledger_fault()?;
+            Some(format!("request {request} {fault}"))
+        };
+        let requests = self.in_flight.iter().filter_map(ledger_fault);
+        let schedulers = self.schedulers.values().flat_map(Scheduler::verify);
+        requests.chain(schedulers).collect()
     }
 
     /// Returns a new number for a call of the key-value service or an order.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -19,19 +19,19 @@
 use crate::account::{Account, Tokens};
 use crate::cluster::snapshot::{Backend, Version};
 use crate::config::{Route, RouteKind, Target};
-use crate::effect::{Attempt, Effect, Effects, NextStep, RefusalReason};
+use crate::effect::{Attempt, Effect, Effects, NextStep, Refusal, RefusalReason};
 use crate::event::{CallerRequest, RequestId, StreamTiming};
 use crate::feature::Feature;
 use crate::message::{PlacementRequest, Progress};
 use crate::metrics;
 use crate::node::Gateway;
 use crate::request::origin::{Origin, StreamId};
-use crate::request::proof::Evidence;
+use crate::request::proof::{Ledger, Proof};
 use crate::request::quarantine::Suspect;
 use crate::timer::Timer;
 
 use self::failure::RETRY_AFTER;
-pub(crate) use self::failure::{RefusalDetail, refusal};
+pub(crate) use self::failure::{RefusalDetail, refuse};
 
 /// The id of a request whose caller gives it none.
 const NO_ID: &str = "-";
@@ -99,10 +99,8 @@
     begun: Option<Instant>,
     /// Number of sends.
     pub(crate) send_count: u32,
-    /// Number of servers that ran the request or may have run it.
-    execution_count: u32,
-    /// What shows that the last attempt did not run; `None` while nothing does.
-    evidence: Option<Evidence>,
+    /// What is known of its attempts.
+    ledger: Ledger,
     /// Time from arrival to the first chunk of an answer.
     time_to_first_chunk: Option<Span>,
     /// Servers that failed the request, whose placement this VM declined, or that the request was withdrawn from.
@@ -157,8 +155,7 @@
             sent: arrived_at,
             begun: None,
             send_count: 0,
-            execution_count: 0,
-            evidence: Some(Evidence::NeverSent),
+            ledger: Ledger::default(),
             time_to_first_chunk: None,
             failed: Vec::new(),
             relay: None,
@@ -207,7 +204,21 @@
     /// Whether no server has the request, and none has run it or may have run it: only then does a refusal send it to another
     /// VM.
     pub(crate) fn has_not_run(&self) -> bool {
-        self.server().is_none() && self.execution_count == 0
+        self.proof().is_some()
+    }
+
+    /// Returns the proof that no server has run the request, and none has it; `None` if one may have run it.
+    pub(crate) const fn proof(&self) -> Option<Proof> {
+        self.ledger.proof()
+    }
+
+    /// Returns what is wrong with the record of its attempts, for [`Gateway::verify`].
+    pub(crate) fn ledger_fault(&self) -> Option<&'static str> {
+        match (self.server().is_some(), self.ledger.is_open()) {
+            (true, false) => Some("is at a server without an attempt under way"),
+            (false, true) => Some("is at no server with an attempt under way"),
+            _ => None,
+        }
     }
 
     /// Returns the stream that the request begins or resumes.
@@ -346,7 +357,10 @@
             call.id, call.host, call.path
         );
         Self::log(out, Code::Refused, detail);
-        out.push(refusal(request, RefusalReason::NoRoute, None));
+        out.push(refuse(
+            request,
+            Refusal::new(RefusalReason::NoRoute, None, None),
+        ));
     }
 
     /// Asks the scheduler to place a request that is at no server. Where no scheduler places it, chooses a
@@ -440,7 +454,7 @@
             return;
         };
         state.send_count += 1;
-        state.evidence = None;
+        state.ledger.open();
         state.sent = self.now;
         state.begun = None;
         state.version = version;
@@ -455,7 +469,7 @@
         state.withdrawable = self.settings.uses(Feature::StalledEngines)
             && self.index.allows_withdrawals(&state.service)
             && state.call.work.is_some()
-            && state.route.is_withdrawable(state.execution_count)
+            && state.route.is_withdrawable(state.ledger.executions())
             && !has_answer;
         let attempt = Attempt {
             id: state.call.id.clone(),
@@ -608,7 +622,7 @@
         }
         if let Some(state) = self.in_flight.get(&request) {
             self.log_caller_left(&state.call, state.arrived, out);
-            if state.server().is_none() && state.execution_count == 0 {
+            if state.has_not_run() {
                 self.refund(request);
             }
             self.finish_request(request, Progress::Finished, out);
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -7,7 +7,7 @@
 
 use super::Phase;
 use crate::config::RouteKind;
-use crate::effect::{Effect, Effects, NextStep, RefusalReason};
+use crate::effect::{Effect, Effects, NextStep, Refusal, RefusalReason};
 use crate::event::{Execution, FailureCause, Part, Promise, RequestId, UnmatchedAnswer};
 use crate::message::Progress;
 use crate::metrics;
@@ -80,11 +80,9 @@
         }
     }
 
-    /// Returns the reason that the caller is given. `ran` is the number of servers that ran the request or
-    /// may have run it.
-    const fn reason(self, ran: u32) -> RefusalReason {
+    /// Returns the reason that the caller is given if it is proven that no server has run the request.
+    const fn reason(self) -> RefusalReason {
         match self {
-            _ if ran > 0 => RefusalReason::Failed,
             Self::Quarantined => RefusalReason::Quarantined,
             Self::OverLimit => RefusalReason::OverLimit,
             Self::Stopping => RefusalReason::Stopping,
@@ -120,7 +118,7 @@
             return;
         };
         state.cancelling = false;
-        state.evidence = Evidence::of(ran, cause);
+        state.ledger.close(ran, cause);
         let relay = state.relay.take();
         if answer_started {
             self.record_origin(request);
@@ -137,7 +135,6 @@
             None => self.path.was_lost_since(state.sent),
         };
         state.failed.push(server.clone());
-        state.execution_count += u32::from(ran != Execution::No);
         if let Some(server_state) = self.servers.get_mut(&server) {
             server_state.open = server_state.open.saturating_sub(1);
             if !is_path_fault {
@@ -151,7 +148,7 @@
                 "id={} call={} server={server} ran={ran:?} cause={cause:?} begun={answer_started} proof={}",
                 state.call.id,
                 state.call.fingerprint,
-                state.evidence.map_or("-", Evidence::name)
+                state.proof().map_or("-", |proof| proof.evidence().name())
             ),
         );
         let is_server_word = !matches!(cause, FailureCause::Unreachable | FailureCause::Broken);
@@ -299,8 +296,10 @@
         let kind = state.route.kind;
         // An event of a build that is not known has been passed on, so that no server is known that fits.
         let is_of_unknown_build = answer_started && state.origin.is_none();
-        let may_rerun = ran == Execution::No
-            || kind.is_idempotent() && state.execution_count < state.route.attempts;
+        let may_rerun = state.proof().is_some()
+            || kind.is_idempotent()
+                && (Evidence::of(ran, cause).is_some()
+                    || state.ledger.executions() < state.route.attempts);
         let may_rerun = may_rerun && !(kind == RouteKind::Resumable && is_of_unknown_build);
         let answer_cut = answer_started && kind != RouteKind::Resumable && kind != RouteKind::Safe;
         let in_time =
@@ -371,7 +370,6 @@
                 ..
             }
         );
-        let sent = matches!(state.phase, Phase::Sent { .. });
         let (id, server) = (&state.call.id, state.server().map_or("-", Server::as_str));
         Self::log(
             out,
@@ -383,14 +381,17 @@
                 self.is_stopping()
             ),
         );
-        let effect = match sent || state.execution_count > 0 {
-            _ if answer_started => Effect::Request(request, NextStep::AbortAnswer),
-            true => refusal(request, RefusalReason::TimedOut, None),
-            false => refusal(request, RefusalReason::Overloaded, Some(RETRY_AFTER)),
+        let proof = state.proof();
+        let refusal = match proof {
+            Some(_) => Refusal::new(RefusalReason::Overloaded, proof, Some(RETRY_AFTER)),
+            None => Refusal::new(RefusalReason::TimedOut, None, None),
         };
-        let may_have_run = sent || state.execution_count > 0;
-        out.push(effect);
-        if !may_have_run {
+        out.push(if answer_started {
+            Effect::Request(request, NextStep::AbortAnswer)
+        } else {
+            refuse(request, refusal)
+        });
+        if proof.is_some() {
             self.refund(request);
         }
         self.finish_request(request, Progress::Finished, out);
@@ -412,8 +413,7 @@
         }
     }
 
-    /// Refuses a request that is at no server. The caller may retry after `after`; the refusal contains this
-    /// time only if the request has not run.
+    /// Refuses a request. Its caller is told that it has not run, and may retry after `after`, only if that is proven.
     pub(crate) fn refuse_request(
         &mut self,
         request: RequestId,
@@ -425,9 +425,9 @@
             return;
         };
         let waited = self.now.since(state.arrived);
-        let ran = state.execution_count;
-        let evidence = state.evidence.filter(|_| ran == 0);
-        let proof = evidence.map_or("-", Evidence::name);
+        let ran = state.ledger.executions();
+        let proof = state.proof();
+        let evidence = proof.map_or("-", |proof| proof.evidence().name());
         let account = state.account.as_ref().map_or("-", |a| a.name.as_str());
         let retry_after = after.unwrap_or_default();
         let part = self.quarantine.quarantined_part(&state.call, self.now);
@@ -436,7 +436,7 @@
             out,
             Code::Refused,
             format!(
-                "id={} call={} account={account} cost={} why={} part={part} waited={waited} sends={} ran={ran} after={retry_after} proof={proof}",
+                "id={} call={} account={account} cost={} why={} part={part} waited={waited} sends={} ran={ran} after={retry_after} proof={evidence}",
                 state.call.id,
                 state.call.fingerprint,
                 state.cost,
@@ -445,21 +445,17 @@
             ),
         );
         metrics::count_for_service(out, Figure::Refused, &state.service, detail.name());
-        out.push(refusal(
-            request,
-            detail.reason(ran),
-            after.filter(|_| ran == 0),
-        ));
-        if ran == 0 {
+        out.push(refuse(request, Refusal::new(detail.reason(), proof, after)));
+        if proof.is_some() {
             self.refund(request);
         }
         self.finish_request(request, Progress::Finished, out);
     }
 }
 
-/// Returns the effect that refuses a request. `after` is the time after which its caller may retry.
-pub(crate) fn refusal(request: RequestId, reason: RefusalReason, after: Option<Span>) -> Effect {
-    Effect::Request(request, NextStep::Refuse(reason, after))
+/// Returns the effect that refuses a request.
+pub(crate) fn refuse(request: RequestId, refusal: Refusal) -> Effect {
+    Effect::Request(request, NextStep::Refuse(refusal))
 }
 
 /// Records a failed send in the health of its server. A rejection is not a failure of the server.
--- a/crates/gateway/src/request/state/withdrawal.rs
+++ b/crates/gateway/src/request/state/withdrawal.rs
@@ -79,7 +79,7 @@
             _ => return,
         };
         state.cancelling = false;
-        state.execution_count += 1;
+        state.ledger.abandon();
         state.failed.push(server.clone());
         state.phase = Phase::Waiting;
         if let Some(server_state) = self.servers.get_mut(&server) {
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -475,7 +475,9 @@
             Effect::DropConnections => self.vms[vm].kept_connections.clear(),
             Effect::Request(number, next_step) => {
                 let answer = match next_step {
-                    NextStep::Refuse(reason, after) => Answer::Refused(reason, after),
+                    NextStep::Refuse(refusal) => {
+                        Answer::Refused(refusal.reason(), refusal.retry_after())
+                    }
                     NextStep::ForwardFailure => Answer::Failure,
                     _ => Answer::Cut,
                 };
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use dahliastile_core::id::Server;
-use dahliastile_core::time::Span;
-use dahliastile_gateway::effect::{Attempt, KvOperation, Order, RefusalReason};
+use dahliastile_gateway::effect::{Attempt, KvOperation, Order, Refusal};
 use dahliastile_gateway::event::{
     CallerRequest, FailureCause, KvAnswer, OrderOutcome, Report, UnmatchedAnswer,
 };
@@ -84,8 +83,8 @@
     /// The answer to a request that was not taken in.
     fn rejected(&self, rejection: Rejection) -> Response<Bytes>;
 
-    /// The answer to a request that no server answers, and when its caller may come back.
-    fn refused(&self, reason: RefusalReason, after: Option<Span>) -> Response<Bytes>;
+    /// The answer to a request that no server answers.
+    fn refused(&self, refusal: Refusal) -> Response<Bytes>;
 
     /// A caller's request as it is sent to a server; where a stream goes on, after the event with this id.
     fn request(
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use dahliastile_core::time::Span;
-use dahliastile_gateway::effect::{Attempt, NextStep, RefusalReason};
+use dahliastile_gateway::effect::{Attempt, NextStep, Refusal, RefusalReason};
 use dahliastile_gateway::event::{Event, RequestId, StreamTiming};
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -92,25 +91,25 @@
                     self.ticket.done = true;
                     return match kept {
                         Some((answer, framing)) => answer::read(answer, framing),
-                        None => whole(self.refuse(RefusalReason::Failed, None)),
+                        None => whole(self.refuse(unproven(RefusalReason::Failed))),
                     };
                 }
-                Some(NextStep::Refuse(reason, after)) => {
+                Some(NextStep::Refuse(refusal)) => {
                     self.ticket.done = true;
-                    return whole(self.refuse(reason, after));
+                    return whole(self.refuse(refusal));
                 }
                 // A decision on an attempt of another VM never reaches a caller's request.
                 Some(NextStep::AbortAnswer | NextStep::Carry(_) | NextStep::RefuseRelay(..))
                 | None => {
                     self.ticket.done = true;
-                    return whole(self.refuse(RefusalReason::TimedOut, None));
+                    return whole(self.refuse(unproven(RefusalReason::TimedOut)));
                 }
             }
         }
     }
 
-    fn refuse(&self, reason: RefusalReason, after: Option<Span>) -> Response<Bytes> {
-        self.ticket.hub.dialect.refused(reason, after)
+    fn refuse(&self, refusal: Refusal) -> Response<Bytes> {
+        self.ticket.hub.dialect.refused(refusal)
     }
 
     /// Sends the request once, unless the gateway says otherwise meanwhile.
@@ -147,6 +146,11 @@
     }
 }
 
+/// A refusal that promises nothing.
+pub(crate) fn unproven(reason: RefusalReason) -> Refusal {
+    Refusal::new(reason, None, None)
+}
+
 /// How a send came out.
 enum Step {
     /// An answer that has been read to its end.
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::hub::Hub;
 use crate::pool::{self, Connection, Fault};
 use crate::reader::{Budget, Content};
-use crate::request::Asked;
+use crate::request::{Asked, unproven};
 
 /// The longest event of a stream, in bytes: many times the largest of a sound server, which has a few tokens.
 const EVENT_LIMIT: usize = 256 * 1024;
@@ -199,7 +199,7 @@
                 .ticket
                 .hub
                 .dialect
-                .refused(RefusalReason::Failed, None),
+                .refused(unproven(RefusalReason::Failed)),
         );
     };
     tokio::task::spawn_local(pass(asked, send, begun, pieces));
