--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -84,6 +84,8 @@
     pub runs: Vec<(Instant, Server)>,
     /// Number of attempts that were sent to a server.
     pub arrivals: u32,
+    /// The servers that these reached, in order.
+    pub reached: Vec<Server>,
     /// The client account that each of `runs` was attributed to.
     pub accounts: Vec<Option<Tenant>>,
     /// The priority of each of `runs`, 0 being the highest.
@@ -584,6 +586,7 @@
                 accounts: Vec::new(),
                 priorities: Vec::new(),
                 arrivals: 0,
+                reached: Vec::new(),
                 versions: Vec::new(),
             },
         );
@@ -743,8 +746,8 @@
 
     /// Asserts what must always hold, on what the fakes recorded: only requests to `/query/` and `/berth/`
     /// ran more than once, requests that were refused as not run did not run, no request ran on an outdated
-    /// adapter version, no engine crashed because of an order or accepted a stale fencing token. Also checks
-    /// the gateways' own invariants.
+    /// adapter version, no request reached one server twice, no engine crashed because of an order or accepted a stale
+    /// fencing token. Also checks the gateways' own invariants.
     pub fn check_invariants(&self) {
         for (number, record) in &self.requests {
             let idempotent = record.request.path.starts_with("/query/")
@@ -763,6 +766,13 @@
                     "request {number} was refused as not run, but a server ran it"
                 );
             }
+            let servers: BTreeSet<&Server> = record.reached.iter().collect();
+            assert_eq!(
+                servers.len(),
+                record.reached.len(),
+                "request {number} reached a server twice: {:?}",
+                record.reached
+            );
             for (required, ran) in &record.versions {
                 assert!(
                     ran >= required,
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -284,6 +284,7 @@
             );
             return;
         };
+        record.reached.push(attempt.server.clone());
         let (to, sent) = ((vm, incarnation), now.back(LATENCY));
         let crash_cause = self.crashing.cause(&request);
         if let Some(cause) = crash_cause {
