An unknown reason of a relay: failing test

Cause: a VM that carries an attempt for another one says in a header why there is no answer of the server. The VM that asked takes each value that it does not know, such as one of another software version, for "not carried", which promises that nothing was sent.

Measured: failure_unknownreason fails at its first value, "interrupted": 503 "no server can take it in time; not run" for an unsafe request that ran once.

--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -5,13 +5,17 @@
 #[path = "soak/proxy.rs"]
 mod proxy;
 
-use std::net::IpAddr;
+use std::io::{Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
 use dahliastile_standin::fleet::{Fault, Flood, Repeat, Replica};
-use fleet::{Fleet, config, ran, read_until, request, request_with, until};
+use fleet::{Fleet, config, ran, read_until, request, request_with, settings_text, until};
 use proxy::Proxy;
+use socket2::{Domain, Socket, Type};
 
 /// The first host number of the ways to the servers.
 const WAYS: u8 = 100;
@@ -31,6 +35,11 @@
 
 impl Rig {
     fn start(vms: u8) -> Self {
+        Self::start_with(vms, |_, _| None)
+    }
+
+    /// Starts it with the settings of some VMs.
+    fn start_with(vms: u8, settings: impl Fn(&Fleet, u8) -> Option<String>) -> Self {
         let mut fleet = Fleet::servers();
         let mut ways = Vec::new();
         let servers = [
@@ -49,7 +58,7 @@
         }
         fleet.store.put("op/config", &config(1));
         for number in 1..=vms {
-            let vm = fleet.start(number, None);
+            let vm = fleet.start(number, settings(&fleet, number).as_deref());
             fleet.vms.push(vm);
         }
         for vm in &fleet.vms {
@@ -285,6 +294,94 @@
     assert_eq!(rig.runs("carried"), 1);
 }
 
+/// What stands before the port at which a VM takes attempts of others. It passes their answers on, or answers in their place
+/// with a header line.
+struct Middleman {
+    line: Arc<Mutex<Option<Vec<u8>>>>,
+}
+
+impl Middleman {
+    /// Listens at an address, and passes requests on to a VM from the address of the VM that asks.
+    fn start(address: SocketAddr, vm: SocketAddr, asking: IpAddr) -> Self {
+        let listener = TcpListener::bind(address).expect("it listens");
+        let line = Arc::new(Mutex::new(None));
+        let served = line.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || Self::pass(stream, vm, asking, &served));
+            }
+        });
+        Self { line }
+    }
+
+    /// Answers with this header line from now on.
+    fn answer_with(&self, line: &[u8]) {
+        *self.line.lock().expect("no thread panics") = Some(line.to_vec());
+    }
+
+    /// Passes one request on, and its answer or another one back.
+    fn pass(mut stream: TcpStream, vm: SocketAddr, asking: IpAddr, line: &Mutex<Option<Vec<u8>>>) {
+        let mut asked = Vec::new();
+        let mut buffer = [0; 1_024];
+        // The body of all requests.
+        while !asked.ends_with(b"hi") {
+            let count = stream.read(&mut buffer).unwrap_or(0);
+            if count == 0 {
+                return;
+            }
+            asked.extend_from_slice(&buffer[..count]);
+        }
+        let asked = String::from_utf8(asked).expect("it is text");
+        let asked = asked.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let from = SocketAddr::new(asking, 0);
+        socket.bind(&from.into()).expect("an address of this host");
+        socket.connect(&vm.into()).expect("the VM listens");
+        let mut relay = TcpStream::from(socket);
+        relay.write_all(asked.as_bytes()).expect("the VM reads");
+        let mut answer = Vec::new();
+        relay.read_to_end(&mut answer).expect("the VM answers");
+        if let Some(line) = line.lock().expect("no thread panics").as_ref() {
+            answer = b"HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\n".to_vec();
+            answer.extend_from_slice(line);
+            answer.extend_from_slice(b"\r\nContent-Length: 0\r\n\r\n");
+        }
+        // The VM that asked may have left.
+        let _ = stream.write_all(&answer);
+    }
+}
+
+/// Guards against an unsafe request that runs though it was refused, since the VM that carried it gave a reason for its
+/// missing answer that the other VM does not know, or can't read, and that was taken for "not carried".
+#[test]
+fn failure_unknownreason() {
+    let rig = Rig::start_with(2, |fleet, number| {
+        let (ip, store) = (fleet.address(number, 0).ip(), fleet.address(250, 8142));
+        let other_port = settings_text(number, ip, store).replace("[7380,", "[7381,");
+        Some(other_port).filter(|_| number == 1)
+    });
+    let (asking, vm) = (rig.ip(0), rig.ip(1));
+    let at = |port| SocketAddr::new(vm, port);
+    let middleman = Middleman::start(at(7381), at(7380), asking);
+    rig.cut_off(&[0]);
+    let reasons: [&[u8]; 4] = [b"interrupted", b"", b"\xff", b"not-carried, broken"];
+    for (number, reason) in reasons.into_iter().enumerate() {
+        middleman.answer_with(&[b"dahliastile-relay-failure: ", reason].concat());
+        let id = format!("reason{number}");
+        until("a VM is asked to carry it", || {
+            rig.runs(&id) > 0 || {
+                let answer = rig.fleet.vms[0].ask(&id, "/post/x", None);
+                let refused = matches!(answer.status, 408 | 421 | 429 | 503);
+                let runs = rig.runs(&id);
+                assert!(!refused || runs == 0, "{id}: {runs} runs, {}", answer.text);
+                runs > 0
+            }
+        });
+        assert_eq!(rig.runs(&id), 1, "{id}");
+    }
+}
+
 /// Guards against requests of strangers on the port that VMs have for each other.
 #[test]
 fn port_isforvmsonly() {
