Only known reasons of a relay say that it did not carry an attempt

Callers saw 503 "not run" for requests that had run, where the VM that carried the attempt named a reason for the missing answer that the other VM does not know or can't read.

Cause: relay::failure took each value but three for "not carried". The request was then also sent another way, which runs an unsafe request twice where another VM is left.

Change: only "not-carried" and "unreachable" prove that nothing was sent; all else counts as a connection that broke. A header whose bytes are no text is a reason too, and no longer the head of a server's answer.

--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -52,17 +52,15 @@
 
 /// Why the VM that was to carry a request has no answer of the server, and a VM that may; none for a server's answer.
 pub(crate) fn failure(headers: &HeaderMap) -> Option<(Execution, FailureCause, Option<Vm>)> {
-    let text = |name| {
-        headers
-            .get(name)
-            .and_then(|value: &HeaderValue| value.to_str().ok())
-    };
-    let hint = text(HINT).and_then(|vm| vm.parse().ok());
-    let (ran, cause) = match text(FAILURE)? {
-        UNREACHABLE => (Execution::No, FailureCause::Unreachable),
-        MALFORMED => (Execution::Maybe, FailureCause::Malformed),
-        BROKEN => (Execution::Maybe, FailureCause::Broken),
-        _ => (Execution::No, FailureCause::NoPath),
+    let failure = headers.get(FAILURE)?;
+    let hint = headers.get(HINT).and_then(|vm| vm.to_str().ok());
+    let hint = hint.and_then(|vm| vm.parse().ok());
+    let (ran, cause) = match failure.to_str() {
+        Ok(NOT_CARRIED) => (Execution::No, FailureCause::NoPath),
+        Ok(UNREACHABLE) => (Execution::No, FailureCause::Unreachable),
+        Ok(MALFORMED) => (Execution::Maybe, FailureCause::Malformed),
+        // `BROKEN`. A reason that this VM does not know or can't read proves nothing either.
+        _ => (Execution::Maybe, FailureCause::Broken),
     };
     Some((ran, cause, hint))
 }
