A placement at a server that has failed the request is dropped

Callers could see a request run that was refused, or run twice: it was sent to a server that had rejected it, once more and under the same id, where a late copy of the rejection passes for the second answer.

Cause: the scheduler decides on what it was asked. A placement that was decided before the server failed the request, or before it was withdrawn from there, arrives when the request waits again, and handle_placement looked only at that. The load balancer, the scheduler and the placement without a scheduler pass failed servers over; this was the only way back to one.

Change: such a placement is dropped. The newer question, which names the server as failed, is on its way, and is repeated after a second. Declining it instead would take the newer question out of the scheduler.

Measured: placement_olderthanafailure failed before (2 arrivals instead of 1) and passes, for a rejected stream that may run once, and for one that may go on, rejected and failed; stalled and shutdown pass.

--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -616,8 +616,9 @@
         Self::log(out, Code::CallerLeft, detail);
     }
 
-    /// Handles the scheduler's placement of a request on a server. Declines it if this VM may not send to
-    /// that server.
+    /// Handles the scheduler's placement of a request on a server. Declines it if this VM may not send to that server.
+    /// Drops it if the server has failed the request: the scheduler decided before it was asked anew, and a late copy of the
+    /// server's first answer would bear the id of the second send as well.
     pub(crate) fn handle_placement(
         &mut self,
         request: RequestId,
@@ -625,10 +626,9 @@
         version: Option<Version>,
         out: &mut Effects,
     ) {
-        let waiting = self
-            .in_flight
-            .get(&request)
-            .is_some_and(|state| state.phase == Phase::Waiting);
+        let is_due =
+            |state: &RequestState| state.phase == Phase::Waiting && !state.failed.contains(server);
+        let waiting = self.in_flight.get(&request).is_some_and(is_due);
         let accepts = self.accepts_requests(server);
         match waiting {
             true if accepts && self.is_allowed_at(request, server) => {
