A server's failure whose status is a promise: failing test

Cause: a server's own failure is passed on as it is. Where an unsafe request ran and its server says 503, 429, 408 or 421 without saying that it did not run it, the caller reads a promise that nobody gave.

The fakes' servers can fail requests with any status.

Measured: failure_whosestatusisapromise fails at its first case, 408: the failure is passed on.

--- a/crates/gateway/tests/not_run.rs
+++ b/crates/gateway/tests/not_run.rs
@@ -4,8 +4,9 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_core::time::Span;
-use support::World;
+use dahliastile_gateway::effect::RefusalReason;
 use support::setup::{inference_spec, request};
+use support::{Answer, World};
 
 /// How long the scheduler's VM is frozen: longer than the silence after which other VMs place requests themselves, and
 /// shorter than its lease.
@@ -38,3 +39,26 @@
         world.check_invariants();
     }
 }
+
+/// Guards against a request that ran and whose caller is promised that it did not: its server failed it with a status that
+/// says so to callers, without saying to this VM that it did not run the request.
+#[test]
+fn failure_whosestatusisapromise() {
+    let refused = Answer::Refused(RefusalReason::Failed, None);
+    let unsafe_cases = [408, 421, 429, 503].map(|status| ("/post/x", status, &refused));
+    // What may run again is told as the server told it.
+    let others = [("/post/x", 500), ("/post/x", 504), ("/query/x", 503)];
+    let others = others.map(|(path, status)| (path, status, &Answer::Failure));
+    for (path, status, expected) in unsafe_cases.into_iter().chain(others) {
+        let mut world = World::new(1, 1, 2);
+        world.run(Span::from_secs(2));
+        for (server, _) in world.servers.values_mut() {
+            (server.failing, server.failure_status) = (true, status);
+        }
+        let number = world.send_request(0, request("failed", path, 2_000, None));
+        world.run(Span::from_secs(1));
+        let runs = world.requests[&number].runs.len();
+        assert_eq!(runs, if path == "/post/x" { 1 } else { 2 }, "{status}");
+        assert_eq!(world.answer(number), Some(expected), "{path} {status}");
+    }
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -64,8 +64,10 @@
     pub stale_fence: Option<(Instant, u64)>,
     /// Whether the server rejects all requests.
     pub in_cooldown: bool,
-    /// Whether the server answers each request with status 500 after running it.
+    /// Whether the server answers each request with a failure after running it.
     pub failing: bool,
+    /// The status of that answer.
+    pub failure_status: u16,
     /// Number of adapter loads.
     pub loads: u32,
     /// Number of adapter loads from the weight store.
@@ -129,6 +131,7 @@
             stale_fence: None,
             in_cooldown: false,
             failing: false,
+            failure_status: 500,
             loads: 0,
             fetches: 0,
             local_copies: Vec::new(),
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -314,15 +314,15 @@
             self.schedule(now + LATENCY, failed(Execution::No, FailureCause::Missing));
             return;
         };
-        let failing = engine.failing;
+        let failure = engine.failing.then_some(engine.failure_status);
         record.runs.push((now, attempt.server.clone()));
         record.accounts.push(attempt.account.clone());
         record.priorities.push(attempt.priority);
         self.schedule_head(starts.since(now) + LATENCY, to, &attempt.server, sent);
-        if failing {
+        if let Some(status) = failure {
             self.schedule(
                 starts + LATENCY,
-                failed(Execution::Yes, FailureCause::Status(500)),
+                failed(Execution::Yes, FailureCause::Status(status)),
             );
             return;
         }
