A server's failure is not passed on where its status would be a promise

Callers saw 503, 429, 408 or 421 for an unsafe request that had run.

Cause: retry_or_finish passed each failure of a server on with its status. For callers these four say that the request has not run; the server had not said so, or the attempt would not count as run.

Change: for requests that may run once, such a failure ends with 502 of this VM's own, without the server's signature. For others it is passed on as before. Which answers count as failures of the server is decided where they are read (platform): today those of 5xx, so that 503 is the one that gets here.

--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -296,7 +296,7 @@
             _ if may_rerun && in_time && self.spend_retry(request) => {
                 self.find_server(request, out);
             }
-            FailureCause::Status(_) => {
+            FailureCause::Status(status) if kind.is_idempotent() || !is_promise(status) => {
                 out.push(Effect::Request(request, NextStep::ForwardFailure));
                 self.finish_request(request, Progress::Finished, out);
             }
@@ -437,6 +437,11 @@
     }
 }
 
+/// Returns whether callers take this status for a promise that the request has not run and never will.
+const fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Returns the effect that refuses a request. `after` is the time after which its caller may retry.
 pub(crate) fn refusal(request: RequestId, reason: RefusalReason, after: Option<Span>) -> Effect {
     Effect::Request(request, NextStep::Refuse(reason, after))
