The play of rejections counts broken rules by route

Change: REFUSED, TWICE and MIXED are printed for unsafe requests, safe ones and streams apart. What is checked stays.

--- a/crates/daemon/tests/rejections/play.rs
+++ b/crates/daemon/tests/rejections/play.rs
@@ -110,7 +110,7 @@
 }
 
 /// The route of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Route {
     Unsafe,
     Safe,
@@ -144,12 +144,25 @@
 /// A rule that was broken.
 struct Broken {
     rule: &'static str,
+    route: Route,
     what: String,
 }
 
 impl fmt::Display for Outcome {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let count = |rule| self.broken.iter().filter(|b| b.rule == rule).count();
+        let of = |rule, route: &Route| {
+            let broken = self.broken.iter();
+            broken
+                .filter(|b| b.rule == rule && b.route == *route)
+                .count()
+        };
+        let routes = [Route::Unsafe, Route::Safe, Route::Stream];
+        let count = |rule| {
+            let counts = routes.iter().map(|route| (route, of(rule, route)));
+            let counts: BTreeMap<_, _> = counts.filter(|(_, count)| *count > 0).collect();
+            let all: usize = counts.values().sum();
+            format!("{all} {counts:?}")
+        };
         write!(
             out,
             "requests {:?}, served {}, refused {}, statuses {:?}, rejections of servers {}, requests at a server once more {}, copies {} of which {} met a request, \
@@ -481,7 +494,11 @@
     let what = || format!("{mark} {id:?} {route:?}: runs answered with {runs:?}, {answer:?}");
     let broken = rules.into_iter().filter(|(_, is_broken)| *is_broken);
     broken
-        .map(|(rule, _)| Broken { rule, what: what() })
+        .map(|(rule, _)| Broken {
+            rule,
+            route: *route,
+            what: what(),
+        })
         .collect()
 }
 
