--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -32,7 +32,7 @@
     Answer,
     /// The server did not run the request and never will.
     NotRun(FailureCause),
-    /// The server ran the request, or tried, and failed.
+    /// The server ran the request, or tried, and failed; or it may have run it and only its status says otherwise.
     Failure(u16),
     /// No answer that a server gives.
     Malformed,
