A connection takes no two requests whose answers can't be told apart

What callers saw: an unsafe request or a stream ran at two servers, or got 503 though it had run, where another request with the same id, or also without one, had been rejected on its connection before. A sealed answer could reach another caller.

Cause: the id tells an answer from a late copy of an earlier one only if the two differ. Nothing kept two requests with one id, or without any, off a connection.

Change: a connection remembers digests of the ids that were sent on it, 256 at most, and takes no request with one of them; then it is not used again. A request without an id, or with several, has a connection of its own. Attempts that are carried for other VMs go the same way. Calls of the key-value service, orders and reports have ids or an order of their own and stay as they are.

--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::{Dialect, Reply};
 use crate::hub::Hub;
-use crate::pool::{self, Connection, Fault, Target};
+use crate::pool::{self, Connection, Fault, Mark, Target};
 use crate::relay;
 use crate::stream::Begun;
 
@@ -50,13 +50,14 @@
         address: send.address,
         via: send.via,
     };
+    let mark = Mark::of(hub.dialect.echo(&head.headers));
     let at = Instant::now();
     let report = |result| {
         if send.via.is_none() {
             hub.post(Event::ConnectionTried(send.server.clone(), result));
         }
     };
-    let (answer, body, connection) = match hub.pool.send(target, request, report).await {
+    let (answer, body, connection) = match hub.pool.send(target, mark, request, report).await {
         Ok(begun) => begun,
         Err(fault) => {
             if fault == Fault::Oversized {
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -10,7 +10,7 @@
 };
 use dahliastile_gateway::request::notice::Notice;
 use dahliastile_gateway::settings::Tuning;
-use http::{HeaderMap, Request, Response, request, response};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, request, response};
 
 use crate::pool::Client;
 
@@ -63,6 +63,15 @@
     }
 }
 
+/// What a server's answer repeats of its request, by which it is told from answers to other requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Echo {
+    /// The header.
+    pub header: HeaderName,
+    /// Its value.
+    pub value: HeaderValue,
+}
+
 /// How an answer promises that its request did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Claim {
@@ -95,6 +104,9 @@
         after: Option<&str>,
     ) -> Request<Bytes>;
 
+    /// What the answer to the request with these headers repeats of it; none where it has no id, or several.
+    fn echo(&self, asked: &HeaderMap) -> Option<Echo>;
+
     /// What tells a server's answer from the answer to the request with these headers; none for the answer to it. Nothing else
     /// is read of an answer before.
     fn unmatched(&self, asked: &HeaderMap, answer: &response::Parts) -> Option<UnmatchedAnswer>;
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -25,7 +25,7 @@
 mod run;
 mod stream;
 
-pub use dialect::{Claim, Dialect, Heard, Rejection, Reply};
+pub use dialect::{Claim, Dialect, Echo, Heard, Rejection, Reply};
 pub use figures::Figures;
 pub use pool::{Client, Fault, Limits, Owner, Pool};
 pub use run::{Options, run};
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to servers, kept between requests.
 
 use std::cell::{Cell, RefCell};
+use std::hash::Hasher;
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -12,12 +13,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHasher};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::dialect::Echo;
 use crate::reader::{Content, Meter, Metered};
 
 /// How long a connection may take to be made. A round trip between zones takes some milliseconds; a first packet that
@@ -42,6 +44,9 @@
 /// The largest buffer that the HTTP library takes for what a connection brings, in bytes; no head of an answer is longer.
 const BUFFER: usize = 16 * 1024;
 
+/// The most requests that one connection takes, so that what it remembers of them is bounded.
+const REQUESTS_PER_CONNECTION: usize = 256;
+
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -70,6 +75,31 @@
     Unknown,
 }
 
+/// How the answer to a request is told from other answers on its connection, where the other side may send an answer twice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Mark {
+    /// By what it repeats of the request. No connection takes two requests with the same mark.
+    Echo(Echo),
+    /// By nothing: the connection takes this request only.
+    None,
+    /// The other side answers each request once.
+    InOrder,
+}
+
+impl Mark {
+    /// The mark of a request of which the answer repeats this.
+    pub(crate) fn of(echo: Option<Echo>) -> Self {
+        echo.map_or(Self::None, Self::Echo)
+    }
+}
+
+/// A short form of what an answer repeats. Two that differ may have the same.
+fn digest(echo: &Echo) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write(echo.value.as_bytes());
+    hasher.finish()
+}
+
 /// A connection that belongs to one request. Dropping it closes it, unless it is given back.
 pub(crate) struct Connection {
     /// Sends requests.
@@ -86,6 +116,10 @@
     expires: Instant,
     /// The number of answers that it has brought.
     exchanges: u32,
+    /// Digests of what the answers to the requests that were sent on it repeat.
+    digests: Vec<u64>,
+    /// Whether it can take further requests.
+    is_reusable: bool,
 }
 
 impl Connection {
@@ -93,6 +127,26 @@
     pub(crate) fn exchanges(&self) -> u32 {
         self.exchanges
     }
+
+    /// Whether the answer to a request with this mark would be told from others on it.
+    fn takes(&self, mark: &Mark) -> bool {
+        match mark {
+            Mark::Echo(echo) => !self.digests.contains(&digest(echo)),
+            Mark::None => self.exchanges == 0,
+            Mark::InOrder => true,
+        }
+    }
+
+    /// Prepares it for a request with this mark.
+    fn prepare(&mut self, mark: &Mark) {
+        self.meter.reset();
+        match mark {
+            Mark::Echo(echo) => self.digests.push(digest(echo)),
+            Mark::None => self.is_reusable = false,
+            Mark::InOrder => {}
+        }
+        self.is_reusable &= self.digests.len() < REQUESTS_PER_CONNECTION;
+    }
 }
 
 impl Drop for Connection {
@@ -156,20 +210,21 @@
     pub(crate) async fn send(
         &self,
         target: Target,
+        mark: Mark,
         mut request: Request<Full<Bytes>>,
         report: impl Fn(ProbeResult),
     ) -> Result<(response::Parts, Content, Connection), Fault> {
         let address = target.next();
         loop {
-            let mut connection = if let Some(connection) = self.take(address) {
+            let mut connection = if let Some(connection) = self.take(address, &mark) {
                 connection
             } else {
                 let stream = open(address, self.source).await;
                 report(accepted(&stream));
                 handshake(address, stream.map_err(|_| Fault::NotSent)?).await?
             };
+            connection.prepare(&mark);
             let meter = connection.meter.clone();
-            meter.reset();
             let sent = connection.sender.try_send_request(request);
             match meter.next(sent).await? {
                 Ok(response) => {
@@ -189,7 +244,7 @@
 
     /// Gives a connection back whose answer has been read whole.
     pub(crate) fn give(&self, mut connection: Connection, keep: Option<Duration>) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || !connection.is_reusable {
             return;
         }
         let keep = keep.map_or(IDLE, |keep| keep.saturating_sub(IDLE_MARGIN));
@@ -202,12 +257,15 @@
             .push(connection);
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the idle connection that was used last of those that can have a request with this mark.
+    fn take(&self, address: SocketAddr, mark: &Mark) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|c| c.expires > now && !c.sender.is_closed());
-        let at = connections.iter().rposition(|c| c.sender.is_ready())?;
+        let at = connections
+            .iter()
+            .rposition(|c| c.sender.is_ready() && c.takes(mark))?;
         Some(connections.remove(at))
     }
 }
@@ -258,6 +316,8 @@
         address,
         expires: Instant::now(),
         exchanges: 0,
+        digests: Vec::new(),
+        is_reusable: true,
     })
 }
 
@@ -359,7 +419,7 @@
         owner: impl Fn(&response::Parts) -> Owner,
     ) -> Result<Response<Bytes>, Fault> {
         let target = Target::directly(address);
-        let (head, body, connection) = self.pool.send(target, request, drop).await?;
+        let (head, body, connection) = self.pool.send(target, Mark::InOrder, request, drop).await?;
         let owner = match owner(&head) {
             Owner::Other => return Err(Fault::Unmatched),
             Owner::Unknown if connection.exchanges > 0 => return Err(Fault::Unmatched),
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::attempt::framing;
 use crate::dialect::Dialect;
 use crate::hub::Hub;
-use crate::pool::{self, Connection, Fault, Target};
+use crate::pool::{self, Connection, Fault, Mark, Target};
 use crate::reader::Content;
 
 /// Header of a request: the server that it is for.
@@ -116,10 +116,11 @@
     };
     let target = Target::directly(address);
     let headers = head.headers.clone();
+    let mark = Mark::of(hub.dialect.echo(&headers));
     let request = Request::from_parts(head, Full::new(body.to_bytes()));
     let method = request.method().clone();
     let report = |result| hub.post(Event::ConnectionTried(server.clone(), result));
-    let (answer, body, connection) = match hub.pool.send(target, request, report).await {
+    let (answer, body, connection) = match hub.pool.send(target, mark, request, report).await {
         Ok(begun) => begun,
         Err(Fault::NotSent) => return no_answer(UNREACHABLE, None),
         Err(fault @ (Fault::Malformed | Fault::Unmatched | Fault::Oversized)) => {
