The answer behind a late copy reaches its caller

Cause: the HTTP library takes the first answer that comes for the one to its request. When that bore another id, the connection was closed, though the answer to the request came next on it.

Change: below the library a screen reads the heads that come before the answer to a request. Answers with other ids and a length are taken out of the bytes, logged (E527) and counted; nothing else is sent on such a connection. What has no length or no id, and what can't be read, is left to the library as before.

Evidence: late_answers answer_behindalatecopy failed before (502 at the first copy) and passes; the other tests of late_answers, and those of relay and rejections, pass.

--- a/crates/daemon/tests/late_answers.rs
+++ b/crates/daemon/tests/late_answers.rs
@@ -49,6 +49,30 @@
     }
 }
 
+/// Guards against a request that runs and whose caller is told that it may have failed, since the late copy of an earlier answer
+/// came before its own.
+#[test]
+fn answer_behindalatecopy() {
+    for repeat in [Repeat::Rejections, Repeat::All] {
+        let fleet = Fleet::start_ready(1);
+        for server in &fleet.plain {
+            server.set_repeat(repeat);
+        }
+        for number in 0..REQUESTS {
+            let rejects = number % 2 == 0 && repeat == Repeat::Rejections;
+            let fault = if rejects { Fault::Full } else { Fault::None };
+            fleet.plain[0].set_fault(fault);
+            let id = format!("{repeat:?}{number}");
+            let answer = fleet.vms[0].ask(&id, "/post/x", None);
+            assert_eq!(answer.status, 200, "{id}: {}", answer.text);
+            assert!(answer.text.contains(&id), "{id}: {}", answer.text);
+            assert_eq!(ran(&fleet.plain, &id), 1, "{id}");
+        }
+        let figures = fleet.vms[0].figures();
+        assert!(unmatched(&figures) > 0, "no late copy met a request");
+    }
+}
+
 /// Guards against a rejection that is taken for the answer to another request, since a request without an id has an answer
 /// without one.
 #[test]
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -57,7 +57,7 @@
             hub.post(Event::ConnectionTried(send.server.clone(), result));
         }
     };
-    let (answer, body, connection) = match hub.pool.send(target, mark, request, report).await {
+    let (answer, body, mut connection) = match hub.pool.send(target, mark, request, report).await {
         Ok(begun) => begun,
         Err(fault) => {
             if fault == Fault::Oversized {
@@ -82,6 +82,7 @@
         }
         return Tried::Failed(ran, cause, None);
     }
+    hub.record_passed_over(&send.server, &head.headers, &mut connection);
     if let Some(unmatched) = hub.dialect.unmatched(&head.headers, &answer) {
         hub.post(Event::AnswerUnmatched(
             send.server.clone(),
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -8,7 +8,7 @@
 use dahliastile_gateway::effect::{Attempt, NextStep};
 use dahliastile_gateway::event::{Event, Part, Promise, RequestId};
 use dahliastile_gateway::request::notice::Notice;
-use http::response;
+use http::{HeaderMap, response};
 use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
@@ -101,6 +101,23 @@
         }
     }
 
+    /// Hands on which answers to other requests came before the one to the request with these headers.
+    pub(crate) fn record_passed_over(
+        &self,
+        server: &Server,
+        asked: &HeaderMap,
+        connection: &mut Connection,
+    ) where
+        D: Dialect,
+    {
+        for head in connection.passed_over() {
+            if let Some(unmatched) = self.dialect.unmatched(asked, &head) {
+                let event = Event::AnswerUnmatched(server.clone(), Box::new(unmatched));
+                self.post(event);
+            }
+        }
+    }
+
     /// Hands on whether the head of an answer to a request with this id promises that the request did not run.
     pub(crate) fn record_claim(
         &self,
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod request;
 mod run;
+mod screen;
 mod stream;
 
 pub use dialect::{Claim, Dialect, Echo, Heard, Rejection, Reply};
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use dahliastile_gateway::event::ProbeResult;
-use http::{Request, Response, response};
+use http::{Method, Request, Response, response};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -138,15 +138,29 @@
     }
 
     /// Prepares it for a request with this mark.
-    fn prepare(&mut self, mark: &Mark) {
+    fn prepare(&mut self, mark: &Mark, method: &Method) {
         self.meter.reset();
         match mark {
-            Mark::Echo(echo) => self.digests.push(digest(echo)),
+            Mark::Echo(echo) => {
+                self.digests.push(digest(echo));
+                // The head of an answer to `HEAD` does not say whether a body follows if it is another request's.
+                if *method != Method::HEAD {
+                    self.meter.expect(echo.clone());
+                }
+            }
             Mark::None => self.is_reusable = false,
             Mark::InOrder => {}
         }
         self.is_reusable &= self.digests.len() < REQUESTS_PER_CONNECTION;
     }
+
+    /// The heads of answers to other requests that came before the one to the last request. No further request is sent on
+    /// a connection that has brought one.
+    pub(crate) fn passed_over(&mut self) -> Vec<response::Parts> {
+        let heads = self.meter.removed();
+        self.is_reusable &= heads.is_empty();
+        heads
+    }
 }
 
 impl Drop for Connection {
@@ -223,7 +237,7 @@
                 report(accepted(&stream));
                 handshake(address, stream.map_err(|_| Fault::NotSent)?).await?
             };
-            connection.prepare(&mark);
+            connection.prepare(&mark, request.method());
             let meter = connection.meter.clone();
             let sent = connection.sender.try_send_request(request);
             match meter.next(sent).await? {
--- a/crates/shell/src/reader.rs
+++ b/crates/shell/src/reader.rs
@@ -12,13 +12,16 @@
 use std::task::{Context, Poll, Waker};
 
 use bytes::{Bytes, BytesMut};
+use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::dialect::Echo;
 use crate::pool::Fault;
+use crate::screen::Screen;
 
 /// The most bytes of a connection that are read before the HTTP library hands on the head of an answer, or the next part of a
 /// body. Heads of sound servers have some hundred bytes.
@@ -31,6 +34,9 @@
 /// The number of pieces that a body may have whatever its limit in bytes.
 const LEAST_PIECES: usize = 512;
 
+/// Bytes that are read at once where an answer may be another request's.
+const SCREENED_PIECE: usize = 4 * 1024;
+
 /// Bytes of one connection that are read before other tasks get their turn.
 const TURN: usize = 64 * 1024;
 
@@ -45,6 +51,8 @@
     exhausted: Notify,
     /// The reader that waits until something is handed on.
     waiting: RefCell<Option<Waker>>,
+    /// Removes answers to other requests.
+    screen: RefCell<Screen>,
 }
 
 impl Meter {
@@ -72,6 +80,16 @@
         }
     }
 
+    /// Has the next answer be the one that repeats this, and passes over those to other requests.
+    pub(crate) fn expect(&self, echo: Echo) {
+        self.screen.borrow_mut().expect(echo);
+    }
+
+    /// The heads of the answers that were passed over since the last call.
+    pub(crate) fn removed(&self) -> Vec<response::Parts> {
+        self.screen.borrow_mut().removed()
+    }
+
     /// Returns when the connection has brought too much.
     async fn overrun(&self) {
         while !self.is_exhausted() {
@@ -105,6 +123,33 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let meter = self.meter.clone();
+        loop {
+            if meter.screen.borrow().is_open() {
+                return self.poll_stream(context, buffer);
+            }
+            let passed = meter.screen.borrow_mut().take(buffer.remaining());
+            if !passed.is_empty() {
+                buffer.put_slice(&passed);
+                return Poll::Ready(Ok(()));
+            }
+            let mut space = [0; SCREENED_PIECE];
+            let mut piece = ReadBuf::new(&mut space);
+            match self.poll_stream(context, &mut piece) {
+                Poll::Ready(Ok(())) => meter.screen.borrow_mut().add(piece.filled()),
+                other => return other,
+            }
+        }
+    }
+}
+
+impl Metered {
+    /// Reads what the connection has brought, unless that is too much or other tasks have their turn.
+    fn poll_stream(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let meter = &self.meter;
         if meter.is_exhausted() {
             meter.waiting.replace(Some(context.waker().clone()));
             meter.exhausted.notify_one();
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -120,7 +120,7 @@
     let request = Request::from_parts(head, Full::new(body.to_bytes()));
     let method = request.method().clone();
     let report = |result| hub.post(Event::ConnectionTried(server.clone(), result));
-    let (answer, body, connection) = match hub.pool.send(target, mark, request, report).await {
+    let (answer, body, mut connection) = match hub.pool.send(target, mark, request, report).await {
         Ok(begun) => begun,
         Err(Fault::NotSent) => return no_answer(UNREACHABLE, None),
         Err(fault @ (Fault::Malformed | Fault::Unmatched | Fault::Oversized)) => {
@@ -131,6 +131,7 @@
         }
         Err(Fault::Broken | Fault::Timeout) => return no_answer(BROKEN, None),
     };
+    hub.record_passed_over(&server, &headers, &mut connection);
     if let Some(unmatched) = hub.dialect.unmatched(&headers, &answer) {
         hub.post(Event::AnswerUnmatched(server, Box::new(unmatched)));
         // The answer to the request is still to come, on this connection, which is closed.
--- /dev/null
+++ b/crates/shell/src/screen.rs
@@ -0,0 +1,184 @@
+//! Passes over answers to other requests.
+//!
+//! A server may send an answer once more, late: where the next answer of the connection is due. The id that it bears tells it
+//! from the answer to the request that was sent last, which follows it. The HTTP library takes the first answer that comes for
+//! the one to its request, so a [`Screen`] removes such answers from the bytes that the library reads.
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::{Response, StatusCode, header, response};
+
+use crate::dialect::Echo;
+
+/// The most lines of a head that are looked at, as many as the HTTP library takes.
+const HEAD_LINES: usize = 100;
+
+/// Where the bytes of a connection stand.
+#[derive(Debug, Default)]
+enum Position {
+    /// In an answer that is passed on, or after it.
+    #[default]
+    Passed,
+    /// Before an answer to a request, or in its head.
+    Head(Echo),
+    /// In the body of an answer to another request, with this many bytes left.
+    Skipped(Echo, u64),
+}
+
+/// Removes answers to other requests from the bytes that a connection brings.
+#[derive(Debug, Default)]
+pub(crate) struct Screen {
+    position: Position,
+    /// The bytes that came and are not passed on yet.
+    held: BytesMut,
+    /// The bytes that can be passed on.
+    ready: Bytes,
+    /// The heads of the answers that were removed.
+    removed: Vec<response::Parts>,
+}
+
+impl Screen {
+    /// Has the next answer be the one that repeats this.
+    pub(crate) fn expect(&mut self, echo: Echo) {
+        self.position = Position::Head(echo);
+    }
+
+    /// Whether all that comes is passed on.
+    pub(crate) fn is_open(&self) -> bool {
+        matches!(self.position, Position::Passed) && self.ready.is_empty()
+    }
+
+    /// Takes bytes that can be passed on, at most so many.
+    pub(crate) fn take(&mut self, most: usize) -> Bytes {
+        self.ready.split_to(most.min(self.ready.len()))
+    }
+
+    /// Adds bytes that came; none where nothing more will come.
+    pub(crate) fn add(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+        if bytes.is_empty() {
+            self.open();
+        }
+        while self.advance() {}
+    }
+
+    /// The heads of the answers that were removed since the last call.
+    pub(crate) fn removed(&mut self) -> Vec<response::Parts> {
+        std::mem::take(&mut self.removed)
+    }
+
+    /// Passes on all that is held and all that comes.
+    fn open(&mut self) {
+        self.position = Position::Passed;
+        self.pass(self.held.len());
+    }
+
+    /// Passes on the first bytes of those held.
+    fn pass(&mut self, count: usize) {
+        let bytes = self.held.split_to(count);
+        if self.ready.is_empty() {
+            self.ready = bytes.freeze();
+        } else {
+            self.ready = [&self.ready[..], &bytes[..]].concat().into();
+        }
+    }
+
+    /// Takes one step through the bytes that are held, and returns whether there may be another.
+    fn advance(&mut self) -> bool {
+        match std::mem::take(&mut self.position) {
+            Position::Passed => {
+                self.open();
+                false
+            }
+            Position::Skipped(echo, left) => {
+                let count = left.min(self.held.len() as u64);
+                self.held
+                    .advance(usize::try_from(count).unwrap_or(usize::MAX));
+                let is_over = count == left;
+                self.position = if is_over {
+                    Position::Head(echo)
+                } else {
+                    Position::Skipped(echo, left - count)
+                };
+                is_over && !self.held.is_empty()
+            }
+            Position::Head(echo) => self.read_head(echo),
+        }
+    }
+
+    /// Reads a head, if it is there whole.
+    fn read_head(&mut self, echo: Echo) -> bool {
+        let (head, length) = match parse(&self.held) {
+            Parsed::Whole(head, length) => (head, length),
+            Parsed::Partial => {
+                self.position = Position::Head(echo);
+                return false;
+            }
+            // The HTTP library judges what can't be read here.
+            Parsed::Malformed => {
+                self.open();
+                return false;
+            }
+        };
+        let other_body = body_length(&head).filter(|_| is_other(&head, &echo));
+        match other_body {
+            // An answer that follows an interim one may still be another request's.
+            _ if head.status.is_informational() => {
+                self.pass(length);
+                self.position = Position::Head(echo);
+            }
+            Some(body) => {
+                self.held.advance(length);
+                self.removed.push(head);
+                self.position = Position::Skipped(echo, body);
+            }
+            None => self.open(),
+        }
+        true
+    }
+}
+
+/// What the first bytes of an answer are.
+enum Parsed {
+    /// A head, with its length in bytes.
+    Whole(response::Parts, usize),
+    /// The beginning of a head.
+    Partial,
+    /// No head.
+    Malformed,
+}
+
+fn parse(bytes: &[u8]) -> Parsed {
+    let mut lines = [httparse::EMPTY_HEADER; HEAD_LINES];
+    let mut head = httparse::Response::new(&mut lines);
+    let length = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        Err(_) => return Parsed::Malformed,
+    };
+    let mut builder = Response::builder().status(head.code.unwrap_or_default());
+    for line in head.headers.iter() {
+        builder = builder.header(line.name, line.value);
+    }
+    match builder.body(()) {
+        Ok(response) => Parsed::Whole(response.into_parts().0, length),
+        Err(_) => Parsed::Malformed,
+    }
+}
+
+/// Whether an answer bears ids, and none that was sent.
+fn is_other(head: &response::Parts, echo: &Echo) -> bool {
+    let mut ids = head.headers.get_all(&echo.header).iter().peekable();
+    ids.peek().is_some() && ids.all(|id| *id != echo.value)
+}
+
+/// The length of the body that follows a head, in bytes; none where the head does not say it.
+fn body_length(head: &response::Parts) -> Option<u64> {
+    if [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status) {
+        return Some(0);
+    }
+    let mut lengths = head.headers.get_all(header::CONTENT_LENGTH).iter();
+    let length = lengths.next()?.to_str().ok()?.parse().ok()?;
+    let is_clear =
+        lengths.next().is_none() && !head.headers.contains_key(header::TRANSFER_ENCODING);
+    is_clear.then_some(length)
+}
