A head that holds another status line is believed of neither answer

What callers saw: an unsafe request or a stream ran twice, or got 503 though it had run, where a server had broken a late copy off within its head: the answer to the request followed in the middle of a line, so that one head had the status, or the promise, of the copy and the id of the request.

Cause: the id was compared with that of the whole head, and a head that is of two answers has both.

Change: the reason and the values of a head are searched for a status line. One that is found shows that an answer was broken off there: the attempt may have run, the connection is closed, E527 tells it. This holds for each call that a VM makes, orders and the key-value service too. A copy that ends between two lines leaves a head that the library can't read.

--- a/crates/daemon/tests/rejections.rs
+++ b/crates/daemon/tests/rejections.rs
@@ -118,6 +118,32 @@
     play.check("play_copyintwosegments");
 }
 
+/// Plays copies that are broken off behind a text, so that the head that comes is of two answers.
+fn check_broken_off(name: &str, text: &'static str) {
+    let play = Play {
+        form: CopyForm {
+            ends_behind: Some(text),
+            ..CopyForm::default()
+        },
+        ..Play::default()
+    };
+    play.check(name);
+}
+
+/// Guards against a refusal made of the status of a copy that is broken off in its first line, with the headers of the answer to
+/// a request that ran.
+#[test]
+fn play_copybrokenoffinitsstatus() {
+    check_broken_off("play_copybrokenoffinitsstatus", " Stat");
+}
+
+/// Guards against a refusal, or a second run, made of the promise of a copy that is broken off in a header, with the id of a
+/// request that ran.
+#[test]
+fn play_copybrokenoffinitspromise() {
+    check_broken_off("play_copybrokenoffinitspromise", "Not-Executed: 1");
+}
+
 /// One VM, whose engines hold the adapter.
 fn fleet() -> Fleet {
     let fleet = Fleet::start_ready(1);
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -235,9 +235,9 @@
 pub struct UnmatchedAnswer {
     /// The id of the request.
     pub asked: Arc<str>,
-    /// The id that the answer bears, shortened; none if it bears none.
+    /// The id that the answer bears, shortened; none if it bears none, or if its head is of two answers.
     pub answered: Option<Arc<str>>,
-    /// Its HTTP status.
+    /// Its HTTP status; 0 if its head is of two answers.
     pub status: u16,
     /// Whether it claims that the server did not run a request.
     pub is_rejection: bool,
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -60,8 +60,10 @@
     let (answer, body, mut connection) = match hub.pool.send(target, mark, request, report).await {
         Ok(begun) => begun,
         Err(fault) => {
-            if fault == Fault::Oversized {
-                hub.record_oversized(send, Part::Head);
+            match fault {
+                Fault::Oversized => hub.record_oversized(send, Part::Head),
+                Fault::Unmatched => hub.record_spliced(&send.server, &send.id),
+                _ => {}
             }
             let (ran, cause) = match fault {
                 Fault::NotSent => (Execution::No, FailureCause::Unreachable),
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -6,7 +6,7 @@
 
 use dahliastile_core::id::Server;
 use dahliastile_gateway::effect::{Attempt, NextStep};
-use dahliastile_gateway::event::{Event, Part, Promise, RequestId};
+use dahliastile_gateway::event::{Event, Part, Promise, RequestId, UnmatchedAnswer};
 use dahliastile_gateway::request::notice::Notice;
 use http::{HeaderMap, response};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -118,6 +118,17 @@
         }
     }
 
+    /// Hands on that the head of the answer to a request is of two answers.
+    pub(crate) fn record_spliced(&self, server: &Server, id: &Arc<str>) {
+        let unmatched = UnmatchedAnswer {
+            asked: id.clone(),
+            answered: None,
+            status: 0,
+            is_rejection: false,
+        };
+        self.post(Event::AnswerUnmatched(server.clone(), Box::new(unmatched)));
+    }
+
     /// Hands on whether the head of an answer to a request with this id promises that the request did not run.
     pub(crate) fn record_claim(
         &self,
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -21,6 +21,7 @@
 
 use crate::dialect::Echo;
 use crate::reader::{Content, Meter, Metered};
+use crate::screen;
 
 /// How long a connection may take to be made. A round trip between zones takes some milliseconds; a first packet that
 /// was lost is sent again after a second, which a caller can't wait for.
@@ -243,6 +244,9 @@
             match meter.next(sent).await? {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
+                    if screen::is_spliced(&head) {
+                        return Err(Fault::Unmatched);
+                    }
                     return Ok((head, Content::new(body, meter), connection));
                 }
                 Err(mut error) => match error.take_message() {
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -124,8 +124,12 @@
         Ok(begun) => begun,
         Err(Fault::NotSent) => return no_answer(UNREACHABLE, None),
         Err(fault @ (Fault::Malformed | Fault::Unmatched | Fault::Oversized)) => {
-            if fault == Fault::Oversized {
-                hub.post(Event::AnswerOversized(server, asked_id, Part::Head));
+            match fault {
+                Fault::Oversized => {
+                    hub.post(Event::AnswerOversized(server, asked_id, Part::Head));
+                }
+                Fault::Unmatched => hub.record_spliced(&server, &asked_id),
+                _ => {}
             }
             return no_answer(MALFORMED, None);
         }
--- a/crates/shell/src/screen.rs
+++ b/crates/shell/src/screen.rs
@@ -1,17 +1,21 @@
-//! Passes over answers to other requests.
+//! Passes over answers to other requests, and finds heads that are of two answers.
 //!
 //! A server may send an answer once more, late: where the next answer of the connection is due. The id that it bears tells it
 //! from the answer to the request that was sent last, which follows it. The HTTP library takes the first answer that comes for
 //! the one to its request, so a [`Screen`] removes such answers from the bytes that the library reads.
 
 use bytes::{Buf, Bytes, BytesMut};
-use http::{Response, StatusCode, header, response};
+use http::{HeaderValue, Response, StatusCode, header, response};
+use hyper::ext::ReasonPhrase;
 
 use crate::dialect::Echo;
 
 /// The most lines of a head that are looked at, as many as the HTTP library takes.
 const HEAD_LINES: usize = 100;
 
+/// The length of a status line up to the end of its code, in bytes.
+const STATUS_LINE: usize = "HTTP/1.1 200".len();
+
 /// Where the bytes of a connection stand.
 #[derive(Debug, Default)]
 enum Position {
@@ -137,6 +141,35 @@
     }
 }
 
+/// Whether the head of an answer holds the status line of another one: its server broke an answer off within its head and sent
+/// the next one behind it. What such a head says is of two requests.
+pub(crate) fn is_spliced(head: &response::Parts) -> bool {
+    let reason = head.extensions.get::<ReasonPhrase>();
+    let reason = reason.map_or(&[][..], ReasonPhrase::as_bytes);
+    let mut values = head.headers.values().map(HeaderValue::as_bytes);
+    holds_status_line(reason) || values.any(holds_status_line)
+}
+
+/// Whether a status line of HTTP/1 begins anywhere in a text.
+fn holds_status_line(text: &[u8]) -> bool {
+    let is_status_line = |bytes: &[u8]| match bytes {
+        [
+            b'H',
+            b'T',
+            b'T',
+            b'P',
+            b'/',
+            b'1',
+            b'.',
+            minor,
+            b' ',
+            code @ ..,
+        ] => minor.is_ascii_digit() && code.iter().all(u8::is_ascii_digit),
+        _ => false,
+    };
+    text.windows(STATUS_LINE).any(is_status_line)
+}
+
 /// What the first bytes of an answer are.
 enum Parsed {
     /// A head, with its length in bytes.
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -141,6 +141,22 @@
     pub count: usize,
     /// The pause between the halves of what is sent; none where all of it is sent at once.
     pub pause: Option<Duration>,
+    /// The text behind which each copy is broken off, so that the next answer follows within its head; none where all of a copy
+    /// is sent, as it is where a copy lacks the text.
+    pub ends_behind: Option<&'static str>,
+}
+
+impl CopyForm {
+    /// The bytes of all copies of an answer.
+    fn bytes(self, whole: &[u8]) -> Vec<u8> {
+        let text = self.ends_behind.unwrap_or_default().as_bytes();
+        let is_text = |at: &usize| whole[*at..].starts_with(text);
+        let end = match text {
+            [] => None,
+            text => (0..whole.len()).find(is_text).map(|at| at + text.len()),
+        };
+        whole[..end.unwrap_or(whole.len())].repeat(self.count)
+    }
 }
 
 impl Default for CopyForm {
@@ -148,6 +164,7 @@
         Self {
             count: 1,
             pause: None,
+            ends_behind: None,
         }
     }
 }
@@ -478,7 +495,7 @@
             Some(bytes) => {
                 self.copies_made.fetch_add(1, Ordering::Relaxed);
                 let late = Late {
-                    bytes: bytes.repeat(form.count),
+                    bytes: form.bytes(&bytes),
                     pause: form.pause,
                     met: self.copies_met.clone(),
                 };
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -96,7 +96,11 @@
             for count in [1, 2] {
                 let (server, address) = server();
                 server.set_repeat(repeat);
-                server.set_copy_form(CopyForm { count, pause });
+                server.set_copy_form(CopyForm {
+                    count,
+                    pause,
+                    ..CopyForm::default()
+                });
                 let mut stream = TcpStream::connect(address).expect("it takes a connection");
                 stream
                     .set_read_timeout(Some(Duration::from_secs(20)))
