A VM takes signals before it does anything else

Callers saw a VM missing: one that was told to read its settings again, or to end, while it was still starting was ended by the signal itself, with no line in its log and no error, where it should have started and read them, or ended with 0. The soak saw it as a VM that was started again and not ready within 20 s.

Cause: the process said that it takes SIGHUP and SIGTERM only after it had read its settings, listened and logged its start; until then the system's default applies. With the own interface, SIGTERM and SIGINT were taken after the settings were read.

Evidence, on a machine with a load of 13 to 20, debug build: SIGHUP 0, 1, 2, 3 and 5 ms after the start ended 120 of 120 VMs, after 10, 20 and 50 ms 9 of 72, each with no line in its log and, at that moment, no handler. SIGTERM 0 and 2 ms after the start ended 24 of 24 VMs by the signal, after 5 ms 6 of 12.

The event loop takes the signals when it is made, which is the first thing that a VM does once its options are known; those that come before it runs are kept and obeyed then. The own interface takes them before it reads its settings. A trace of system calls shows nothing before that but the system's loading of the program, the language's runtime and the event loop's own files.

The tests hold the process in the middle of its start, by a pipe in place of its settings file, so that their verdicts don't depend on time.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -99,10 +99,7 @@
             }
             None => ExitCode::from(WRONG),
         },
-        (Some(file), None) => match load(file, &arguments.set) {
-            Some(settings) => serve(&settings),
-            None => ExitCode::from(WRONG),
-        },
+        (Some(file), None) => serve(file, &arguments.set),
         (None, None) => {
             eprintln!("dahliastiled: --settings FILE is required; see --help");
             ExitCode::from(WRONG)
@@ -149,8 +146,15 @@
     }
 }
 
-fn serve(settings: &Settings) -> ExitCode {
-    match start(settings).and_then(|daemon| Ok(daemon.wait()?)) {
+/// Runs with the own interface.
+fn serve(file: &str, assignments: &[String]) -> ExitCode {
+    // From here on signals no longer end the process; those that come while the settings are read are obeyed later.
+    let signals = Signals::new([SIGTERM, SIGINT]).wrap_err("can't listen for signals");
+    let Some(settings) = load(file, assignments) else {
+        return ExitCode::from(WRONG);
+    };
+    let daemon = signals.and_then(|signals| start(&settings, signals));
+    match daemon.and_then(|daemon| Ok(daemon.wait()?)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("dahliastiled: {report:#}");
@@ -159,8 +163,7 @@
     }
 }
 
-fn start(settings: &Settings) -> eyre::Result<Daemon> {
-    let signals = Signals::new([SIGTERM, SIGINT]).wrap_err("can't listen for signals")?;
+fn start(settings: &Settings, signals: Signals) -> eyre::Result<Daemon> {
     let daemon = Daemon::start(settings).wrap_err("can't start")?;
     let stopper = daemon.stopper();
     thread::Builder::new()
--- a/crates/daemon/tests/cli.rs
+++ b/crates/daemon/tests/cli.rs
@@ -1,10 +1,12 @@
 //! The program `dahliastiled` itself: its options, its exit codes and its signals.
 
+mod pipe;
 mod support;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::process::{Child, Command, Output, Stdio};
 
+use pipe::Pipe;
 use support::Site;
 
 fn program(arguments: &[&str]) -> Command {
@@ -143,3 +145,17 @@
     assert_eq!(events[0]["event"], 100);
     assert_eq!(events[0]["vm"], "entry-1");
 }
+
+/// Guards against a daemon that is ended by the signal itself, instead of with 0, where it comes before the settings are read.
+#[test]
+fn signal_early_ends_in_order() {
+    let site = Site::start();
+    let pipe = Pipe::new("early-own");
+    let arguments = ["--settings", pipe.path().to_str().unwrap()];
+    let mut child = program(&arguments).spawn().unwrap();
+    let reader = pipe.reader();
+    signal(&child, "-TERM");
+    pipe.release(reader, &site.text());
+    let status = child.wait().unwrap();
+    assert_eq!(status.code(), Some(0), "{status}");
+}
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -219,17 +219,22 @@
             self.net.0, self.net.1
         ));
         std::fs::write(&file, settings.unwrap_or(&usual)).expect("the settings are written");
+        self.start_from(number, file)
+    }
+
+    /// Starts a VM that reads its settings from a file, which may be a pipe.
+    pub(crate) fn start_from(&self, number: u8, settings: PathBuf) -> Vm {
         let process = Command::new(env!("CARGO_BIN_EXE_dahliastiled"))
             .args(["--platform", VARIABLE])
-            .env(VARIABLE, &file)
+            .env(VARIABLE, &settings)
             .stdout(self.output(number))
             .stderr(self.output(number))
             .spawn()
             .expect("the daemon starts");
         Vm {
             process,
-            ip,
-            settings: file,
+            ip: ip(self.net, number),
+            settings,
         }
     }
 }
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -28,4 +28,4 @@
 pub use dialect::{Dialect, Heard, Rejection, Reply};
 pub use figures::Figures;
 pub use pool::{Client, Fault, Limits, Owner, Pool};
-pub use run::{Options, run};
+pub use run::{EventLoop, Options};
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -10,7 +10,8 @@
 use dahliastile_gateway::settings::Settings;
 use eyre::Context;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -45,19 +46,67 @@
     pub figures: SocketAddr,
 }
 
-/// Runs an entry VM until it is told to stop.
+/// The event loop of an entry VM, and the signals that the process is sent.
 ///
-/// # Errors
-/// Where it can't listen or can't log.
-pub fn run<D: Dialect>(settings: Settings, options: &Options, dialect: D) -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .wrap_err("can't start the event loop")?;
-    LocalSet::new().block_on(&runtime, serve(settings, options, dialect))
+/// From its making on, signals no longer end the process; those that come before [`Self::run`] are obeyed there. So it is
+/// made before anything else.
+pub struct EventLoop {
+    /// Runs the tasks.
+    runtime: Runtime,
+    /// Says that the process is to end.
+    terminate: Signal,
+    /// Says that the settings are to be read again.
+    hangup: Signal,
 }
 
-async fn serve<D: Dialect>(settings: Settings, options: &Options, dialect: D) -> eyre::Result<()> {
+impl EventLoop {
+    /// Makes it.
+    ///
+    /// # Errors
+    /// Where the system lacks what it needs.
+    pub fn new() -> eyre::Result<Self> {
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .wrap_err("can't start the event loop")?;
+        // Signals are read by the event loop that is entered.
+        let entered = runtime.enter();
+        let terminate = signal(SignalKind::terminate()).wrap_err("can't listen for signals")?;
+        let hangup = signal(SignalKind::hangup()).wrap_err("can't listen for signals")?;
+        drop(entered);
+        Ok(Self {
+            runtime,
+            terminate,
+            hangup,
+        })
+    }
+
+    /// Runs an entry VM until it is told to stop.
+    ///
+    /// # Errors
+    /// Where it can't listen or can't log.
+    pub fn run<D: Dialect>(
+        self,
+        settings: Settings,
+        options: &Options,
+        dialect: D,
+    ) -> eyre::Result<()> {
+        let Self {
+            runtime,
+            terminate,
+            hangup,
+        } = self;
+        let serve = serve(settings, options, dialect, (terminate, hangup));
+        LocalSet::new().block_on(&runtime, serve)
+    }
+}
+
+async fn serve<D: Dialect>(
+    settings: Settings,
+    options: &Options,
+    dialect: D,
+    (mut terminate, mut hangup): (Signal, Signal),
+) -> eyre::Result<()> {
     let bind = async |address: SocketAddr| {
         TcpListener::bind(address)
             .await
@@ -97,8 +146,6 @@
         settings.incarnation.0, options.callers, options.peers, settings.without
     );
     journal.write(clock.now(), &Record::new(Code::Started, started));
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't listen for signals")?;
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("can't listen for signals")?;
     let reloader = hub.clone();
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
