A peak of memory that the system says is lower later counts as no growth

A run of `stream_endlessanswer` ended with "attempt to subtract with overflow": the peak of a VM's memory after a round was below that before it. The system sums its counts up roughly, so that VmHWM can fall a little: in one of two runs of this test, looked at every 10 ms, it fell once in 1,998 looks, from 18,648 to 18,412 KB. Such a round has not taken memory; the bound of 4 MB, which was compared with the same difference, stays.

--- a/crates/daemon/tests/endless_answers.rs
+++ b/crates/daemon/tests/endless_answers.rs
@@ -79,7 +79,7 @@
         set(Some(flood));
         let round = play(fleet, &format!("{flood:?}"), flooded, target);
         set(None);
-        let memory = fleet.vms[0].peak_memory() - memory;
+        let memory = fleet.vms[0].peak_memory().saturating_sub(memory);
         let processor = round.processor.saturating_sub(calm);
         let text = format!(
             "{flood:?}: {} of {REQUESTS} served, {memory} bytes, {processor:?} of {:?}",
