--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -241,17 +241,22 @@
             self.net.0, self.net.1
         ));
         std::fs::write(&file, settings.unwrap_or(&usual)).expect("the settings are written");
+        self.start_from(number, file)
+    }
+
+    /// Starts a VM that reads its settings from a file, which may be a pipe.
+    pub(crate) fn start_from(&self, number: u8, settings: PathBuf) -> Vm {
         let process = Command::new(env!("CARGO_BIN_EXE_dahliastiled"))
             .args(["--platform", VARIABLE])
-            .env(VARIABLE, &file)
+            .env(VARIABLE, &settings)
             .stdout(self.output(number))
             .stderr(self.output(number))
             .spawn()
             .expect("the daemon starts");
         Vm {
             process,
-            ip,
-            settings: file,
+            ip: ip(self.net, number),
+            settings,
         }
     }
 }
@@ -339,6 +344,20 @@
         Duration::from_nanos(nanoseconds.expect("a number"))
     }
 
+    /// Whether its process takes the signals to end and to read its settings again. Until its program is loaded, any signal
+    /// ends it, whatever the program does.
+    pub(crate) fn takes_signals(&self) -> bool {
+        // Bit n - 1 of the mask stands for signal n.
+        const HANGUP_AND_TERMINATE: u64 = 1 | 1 << 14;
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let mask = status
+            .lines()
+            .find_map(|line| line.strip_prefix("SigCgt:"))
+            .and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & HANGUP_AND_TERMINATE == HANGUP_AND_TERMINATE)
+    }
+
     /// Sends it a signal by name.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.process.id().to_string();
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -29,4 +29,4 @@
 pub use dialect::{Claim, Dialect, Echo, Heard, Rejection, Reply};
 pub use figures::Figures;
 pub use pool::{Client, Fault, Limits, Owner, Pool};
-pub use run::{Options, run};
+pub use run::{EventLoop, Options};
