VMs from the tenth on are asked at their own addresses

Cause: two changes of the tests' fleet met: settings may come from a file of the test, and VMs from the tenth on have addresses after those of servers. The first named the address by the number alone, so that a fleet of ten VMs was never ready.

--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -255,7 +255,7 @@
             .expect("the daemon starts");
         Vm {
             process,
-            ip: ip(self.net, number),
+            ip: ip(self.net, vm_host(number)),
             settings,
         }
     }
