Only a copy of an earlier answer of the connection is passed over

What callers saw, since the answer behind a late copy is read: a server that answers with an id that nobody sent it there had its request wait until the deadline and end with 504, where 502 came at once.

Cause: each answer with another id was passed over. A copy bears the id of an earlier request of its connection; any other answer has no true one behind it.

Change: the screen remembers the digests of what was sent, as the connection did before, and passes over answers to these only. Anything else ends the attempt at once, as it did.

--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -1,7 +1,6 @@
 //! Connections to servers, kept between requests.
 
 use std::cell::{Cell, RefCell};
-use std::hash::Hasher;
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -13,7 +12,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::FxHashMap;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
@@ -94,13 +93,6 @@
     }
 }
 
-/// A short form of what an answer repeats. Two that differ may have the same.
-fn digest(echo: &Echo) -> u64 {
-    let mut hasher = FxHasher::default();
-    hasher.write(echo.value.as_bytes());
-    hasher.finish()
-}
-
 /// A connection that belongs to one request. Dropping it closes it, unless it is given back.
 pub(crate) struct Connection {
     /// Sends requests.
@@ -117,8 +109,6 @@
     expires: Instant,
     /// The number of answers that it has brought.
     exchanges: u32,
-    /// Digests of what the answers to the requests that were sent on it repeat.
-    digests: Vec<u64>,
     /// Whether it can take further requests.
     is_reusable: bool,
 }
@@ -132,7 +122,7 @@
     /// Whether the answer to a request with this mark would be told from others on it.
     fn takes(&self, mark: &Mark) -> bool {
         match mark {
-            Mark::Echo(echo) => !self.digests.contains(&digest(echo)),
+            Mark::Echo(echo) => !self.meter.screen().borrow().has_sent(echo),
             Mark::None => self.exchanges == 0,
             Mark::InOrder => true,
         }
@@ -143,22 +133,23 @@
         self.meter.reset();
         match mark {
             Mark::Echo(echo) => {
-                self.digests.push(digest(echo));
                 // The head of an answer to `HEAD` does not say whether a body follows if it is another request's.
-                if *method != Method::HEAD {
-                    self.meter.expect(echo.clone());
-                }
+                let can_tell_copies = *method != Method::HEAD;
+                self.meter
+                    .screen()
+                    .borrow_mut()
+                    .record(echo, can_tell_copies);
             }
             Mark::None => self.is_reusable = false,
             Mark::InOrder => {}
         }
-        self.is_reusable &= self.digests.len() < REQUESTS_PER_CONNECTION;
+        self.is_reusable &= self.meter.screen().borrow().requests() < REQUESTS_PER_CONNECTION;
     }
 
-    /// The heads of answers to other requests that came before the one to the last request. No further request is sent on
+    /// The heads of late copies that came before the answer to the last request. No further request is sent on
     /// a connection that has brought one.
     pub(crate) fn passed_over(&mut self) -> Vec<response::Parts> {
-        let heads = self.meter.removed();
+        let heads = self.meter.screen().borrow_mut().removed();
         self.is_reusable &= heads.is_empty();
         heads
     }
@@ -334,7 +325,6 @@
         address,
         expires: Instant::now(),
         exchanges: 0,
-        digests: Vec::new(),
         is_reusable: true,
     })
 }
--- a/crates/shell/src/reader.rs
+++ b/crates/shell/src/reader.rs
@@ -12,14 +12,12 @@
 use std::task::{Context, Poll, Waker};
 
 use bytes::{Bytes, BytesMut};
-use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::dialect::Echo;
 use crate::pool::Fault;
 use crate::screen::Screen;
 
@@ -51,7 +49,7 @@
     exhausted: Notify,
     /// The reader that waits until something is handed on.
     waiting: RefCell<Option<Waker>>,
-    /// Removes answers to other requests.
+    /// Passes over late copies of answers.
     screen: RefCell<Screen>,
 }
 
@@ -80,14 +78,9 @@
         }
     }
 
-    /// Has the next answer be the one that repeats this, and passes over those to other requests.
-    pub(crate) fn expect(&self, echo: Echo) {
-        self.screen.borrow_mut().expect(echo);
-    }
-
-    /// The heads of the answers that were passed over since the last call.
-    pub(crate) fn removed(&self) -> Vec<response::Parts> {
-        self.screen.borrow_mut().removed()
+    /// What passes over late copies of answers.
+    pub(crate) fn screen(&self) -> &RefCell<Screen> {
+        &self.screen
     }
 
     /// Returns when the connection has brought too much.
--- a/crates/shell/src/screen.rs
+++ b/crates/shell/src/screen.rs
@@ -1,12 +1,15 @@
-//! Passes over answers to other requests, and finds heads that are of two answers.
+//! Passes over late copies of answers to earlier requests, and finds heads that are of two answers.
 //!
 //! A server may send an answer once more, late: where the next answer of the connection is due. The id that it bears tells it
 //! from the answer to the request that was sent last, which follows it. The HTTP library takes the first answer that comes for
 //! the one to its request, so a [`Screen`] removes such answers from the bytes that the library reads.
 
+use std::hash::Hasher;
+
 use bytes::{Buf, Bytes, BytesMut};
 use http::{HeaderValue, Response, StatusCode, header, response};
 use hyper::ext::ReasonPhrase;
+use rustc_hash::FxHasher;
 
 use crate::dialect::Echo;
 
@@ -28,10 +31,12 @@
     Skipped(Echo, u64),
 }
 
-/// Removes answers to other requests from the bytes that a connection brings.
+/// Removes late copies of answers to earlier requests from the bytes that a connection brings.
 #[derive(Debug, Default)]
 pub(crate) struct Screen {
     position: Position,
+    /// Digests of what the answers to the requests that were sent on the connection repeat.
+    sent: Vec<u64>,
     /// The bytes that came and are not passed on yet.
     held: BytesMut,
     /// The bytes that can be passed on.
@@ -41,9 +46,22 @@
 }
 
 impl Screen {
-    /// Has the next answer be the one that repeats this.
-    pub(crate) fn expect(&mut self, echo: Echo) {
-        self.position = Position::Head(echo);
+    /// Records that a request is sent whose answer repeats this. Where copies can be told, the next answer is the one to it.
+    pub(crate) fn record(&mut self, echo: &Echo, can_tell_copies: bool) {
+        self.sent.push(digest(&echo.value));
+        if can_tell_copies {
+            self.position = Position::Head(echo.clone());
+        }
+    }
+
+    /// Whether a request was sent whose answer repeats this, as far as digests tell.
+    pub(crate) fn has_sent(&self, echo: &Echo) -> bool {
+        self.sent.contains(&digest(&echo.value))
+    }
+
+    /// The number of requests that were sent and whose answers can be told.
+    pub(crate) fn requests(&self) -> usize {
+        self.sent.len()
     }
 
     /// Whether all that comes is passed on.
@@ -109,6 +127,14 @@
         }
     }
 
+    /// Whether an answer is one to an earlier request of the connection, which came before and is sent once more. One that was
+    /// never asked for here is no copy: the answer to the request would hardly follow it.
+    fn is_copy(&self, head: &response::Parts, echo: &Echo) -> bool {
+        let mut ids = head.headers.get_all(&echo.header).iter().peekable();
+        let is_earlier = |id: &HeaderValue| *id != echo.value && self.sent.contains(&digest(id));
+        ids.peek().is_some() && ids.all(is_earlier)
+    }
+
     /// Reads a head, if it is there whole.
     fn read_head(&mut self, echo: Echo) -> bool {
         let (head, length) = match parse(&self.held) {
@@ -123,7 +149,7 @@
                 return false;
             }
         };
-        let other_body = body_length(&head).filter(|_| is_other(&head, &echo));
+        let other_body = body_length(&head).filter(|_| self.is_copy(&head, &echo));
         match other_body {
             // An answer that follows an interim one may still be another request's.
             _ if head.status.is_informational() => {
@@ -198,10 +224,11 @@
     }
 }
 
-/// Whether an answer bears ids, and none that was sent.
-fn is_other(head: &response::Parts, echo: &Echo) -> bool {
-    let mut ids = head.headers.get_all(&echo.header).iter().peekable();
-    ids.peek().is_some() && ids.all(|id| *id != echo.value)
+/// A short form of what an answer repeats. Two that differ may have the same.
+fn digest(value: &HeaderValue) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write(value.as_bytes());
+    hasher.finish()
 }
 
 /// The length of the body that follows a head, in bytes; none where the head does not say it.
