A copy that is cut or long costs no more than its own request

What callers saw, by the runs of a second reader: an unsafe request that had run got 504 at its deadline, where a copy of an answer to HEAD, or one whose body was cut, swallowed its answer; 502 where copies of over 16 KB came before it; and a caller whose id is a status line had sound answers given up.

Cause: the length of a copy was believed with no body behind it; copies counted against the bound on what the library reads of a head; each value of a head was searched for a status line, the caller's own id too.

Change: a connection that took HEAD takes nothing else. A status line in a body that is passed over ends the attempt at once. Copies have a bound of their own, 1 MB a connection. What repeats the request is not searched, and a status line has a space or an end behind its code. Spliced heads are counted as such.

The cases of the second reader were runs of a scratch copy on the code before; no test of ours plays them yet.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -90,7 +90,7 @@
     Relayed "dahliastile_relayed_total" "1";
     /// Attempts that continue a stream, by who resumes it: its caller (`caller`), or this VM within one answer (`answer`).
     Resumed "dahliastile_resumed_total" "1";
-    /// Answers of backend servers that do not bear the id of the request that they came for, by what they claim: that the server did not run a request (`rejection`), or something else (`other`).
+    /// Answers of backend servers that do not bear the id of the request that they came for, by what they claim: that the server did not run a request (`rejection`), or something else (`other`); or with a head of two answers (`spliced`).
     UnmatchedAnswers "dahliastile_unmatched_answers_total" "1";
     /// Answers of backend servers that were given up as they exceeded a limit in bytes, by the part of them: `head`, `body` or `event`.
     OversizedAnswers "dahliastile_oversized_answers_total" "1";
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -183,10 +183,10 @@
         answer: &UnmatchedAnswer,
         out: &mut Effects,
     ) {
-        let claim = if answer.is_rejection {
-            "rejection"
-        } else {
-            "other"
+        let claim = match answer.status {
+            0 => "spliced",
+            _ if answer.is_rejection => "rejection",
+            _ => "other",
         };
         metrics::count_global(out, Figure::UnmatchedAnswers, claim);
         let detail = format!(
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -91,6 +91,14 @@
     pub(crate) fn of(echo: Option<Echo>) -> Self {
         echo.map_or(Self::None, Self::Echo)
     }
+
+    /// What the answer repeats.
+    fn echo(&self) -> Option<&Echo> {
+        match self {
+            Self::Echo(echo) => Some(echo),
+            Self::None | Self::InOrder => None,
+        }
+    }
 }
 
 /// A connection that belongs to one request. Dropping it closes it, unless it is given back.
@@ -133,8 +141,9 @@
         self.meter.reset();
         match mark {
             Mark::Echo(echo) => {
-                // The head of an answer to `HEAD` does not say whether a body follows if it is another request's.
+                // The head of an answer to `HEAD` has a length and no body, and so has a late copy of it.
                 let can_tell_copies = *method != Method::HEAD;
+                self.is_reusable &= can_tell_copies;
                 self.meter
                     .screen()
                     .borrow_mut()
@@ -235,7 +244,7 @@
             match meter.next(sent).await? {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
-                    if screen::is_spliced(&head) {
+                    if screen::is_spliced(&head, mark.echo()) {
                         return Err(Fault::Unmatched);
                     }
                     return Ok((head, Content::new(body, meter), connection));
@@ -253,7 +262,8 @@
 
     /// Gives a connection back whose answer has been read whole.
     pub(crate) fn give(&self, mut connection: Connection, keep: Option<Duration>) {
-        if connection.sender.is_closed() || !connection.is_reusable {
+        let has_copies = connection.meter.screen().borrow().has_removed();
+        if connection.sender.is_closed() || has_copies || !connection.is_reusable {
             return;
         }
         let keep = keep.map_or(IDLE, |keep| keep.saturating_sub(IDLE_MARGIN));
--- a/crates/shell/src/reader.rs
+++ b/crates/shell/src/reader.rs
@@ -32,6 +32,9 @@
 /// The number of pieces that a body may have whatever its limit in bytes.
 const LEAST_PIECES: usize = 512;
 
+/// The most bytes of late copies that a connection may bring, as many as the longest answer that is held whole.
+const COPIES_LIMIT: usize = 1 << 20;
+
 /// Bytes that are read at once where an answer may be another request's.
 const SCREENED_PIECE: usize = 4 * 1024;
 
@@ -49,6 +52,8 @@
     exhausted: Notify,
     /// The reader that waits until something is handed on.
     waiting: RefCell<Option<Waker>>,
+    /// The bytes of late copies that were passed over.
+    copies: Cell<usize>,
     /// Passes over late copies of answers.
     screen: RefCell<Screen>,
 }
@@ -78,6 +83,14 @@
         }
     }
 
+    /// Counts bytes as those of late copies, which are no part of what the library reads. Returns whether these are not too many.
+    fn move_to_copies(&self, count: usize) -> bool {
+        let unparsed = self.unparsed.get().saturating_sub(count);
+        self.unparsed.set(unparsed);
+        self.copies.set(self.copies.get().saturating_add(count));
+        self.copies.get() <= COPIES_LIMIT
+    }
+
     /// What passes over late copies of answers.
     pub(crate) fn screen(&self) -> &RefCell<Screen> {
         &self.screen
@@ -128,9 +141,15 @@
             let mut space = [0; SCREENED_PIECE];
             let mut piece = ReadBuf::new(&mut space);
             match self.poll_stream(context, &mut piece) {
-                Poll::Ready(Ok(())) => meter.screen.borrow_mut().add(piece.filled()),
+                Poll::Ready(Ok(())) => {}
                 other => return other,
             }
+            let mut screen = meter.screen.borrow_mut();
+            screen.add(piece.filled());
+            let is_counted = meter.move_to_copies(screen.removed_bytes());
+            if screen.is_lost() || !is_counted {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
         }
     }
 }
--- a/crates/shell/src/screen.rs
+++ b/crates/shell/src/screen.rs
@@ -27,8 +27,10 @@
     Passed,
     /// Before an answer to a request, or in its head.
     Head(Echo),
-    /// In the body of an answer to another request, with this many bytes left.
+    /// In the body of a copy, with this many bytes left.
     Skipped(Echo, u64),
+    /// In a body that holds a status line: its server may have broken it off there. What follows can't be told.
+    Lost,
 }
 
 /// Removes late copies of answers to earlier requests from the bytes that a connection brings.
@@ -41,8 +43,12 @@
     held: BytesMut,
     /// The bytes that can be passed on.
     ready: Bytes,
-    /// The heads of the answers that were removed.
+    /// The heads of the copies that were removed.
     removed: Vec<response::Parts>,
+    /// The bytes that were removed and not asked for yet.
+    removed_bytes: usize,
+    /// The last bytes of the body that is skipped, shorter than a status line.
+    tail: Vec<u8>,
 }
 
 impl Screen {
@@ -88,6 +94,21 @@
         std::mem::take(&mut self.removed)
     }
 
+    /// Whether a copy was removed since [`Self::removed`] was called last.
+    pub(crate) fn has_removed(&self) -> bool {
+        !self.removed.is_empty()
+    }
+
+    /// The number of bytes that were removed since the last call.
+    pub(crate) fn removed_bytes(&mut self) -> usize {
+        std::mem::take(&mut self.removed_bytes)
+    }
+
+    /// Whether it can no longer be told what comes.
+    pub(crate) fn is_lost(&self) -> bool {
+        matches!(self.position, Position::Lost)
+    }
+
     /// Passes on all that is held and all that comes.
     fn open(&mut self) {
         self.position = Position::Passed;
@@ -111,10 +132,23 @@
                 self.open();
                 false
             }
+            Position::Lost => {
+                self.position = Position::Lost;
+                self.held.clear();
+                false
+            }
             Position::Skipped(echo, left) => {
                 let count = left.min(self.held.len() as u64);
-                self.held
-                    .advance(usize::try_from(count).unwrap_or(usize::MAX));
+                let length = usize::try_from(count).unwrap_or(usize::MAX);
+                let body = self.held.split_to(length);
+                self.removed_bytes += length;
+                self.tail.extend_from_slice(&body);
+                if holds_status_line(&self.tail) {
+                    self.position = Position::Lost;
+                    return true;
+                }
+                let old = self.tail.len().saturating_sub(STATUS_LINE);
+                self.tail.drain(..old);
                 let is_over = count == left;
                 self.position = if is_over {
                     Position::Head(echo)
@@ -158,6 +192,8 @@
             }
             Some(body) => {
                 self.held.advance(length);
+                self.removed_bytes += length;
+                self.tail.clear();
                 self.removed.push(head);
                 self.position = Position::Skipped(echo, body);
             }
@@ -168,17 +204,18 @@
 }
 
 /// Whether the head of an answer holds the status line of another one: its server broke an answer off within its head and sent
-/// the next one behind it. What such a head says is of two requests.
-pub(crate) fn is_spliced(head: &response::Parts) -> bool {
+/// the next one behind it. What such a head says is of two requests. What it repeats of the request (`echo`) may hold anything.
+pub(crate) fn is_spliced(head: &response::Parts, echo: Option<&Echo>) -> bool {
     let reason = head.extensions.get::<ReasonPhrase>();
     let reason = reason.map_or(&[][..], ReasonPhrase::as_bytes);
-    let mut values = head.headers.values().map(HeaderValue::as_bytes);
-    holds_status_line(reason) || values.any(holds_status_line)
+    let is_repeated = |value: &HeaderValue| echo.is_some_and(|echo| echo.value == *value);
+    let mut values = head.headers.values().filter(|value| !is_repeated(value));
+    holds_status_line(reason) || values.any(|value| holds_status_line(value.as_bytes()))
 }
 
 /// Whether a status line of HTTP/1 begins anywhere in a text.
 fn holds_status_line(text: &[u8]) -> bool {
-    let is_status_line = |bytes: &[u8]| match bytes {
+    let is_status_line = |(at, bytes): (usize, &[u8])| match bytes {
         [
             b'H',
             b'T',
@@ -190,10 +227,15 @@
             minor,
             b' ',
             code @ ..,
-        ] => minor.is_ascii_digit() && code.iter().all(u8::is_ascii_digit),
+        ] => {
+            let next = text.get(at + STATUS_LINE);
+            minor.is_ascii_digit()
+                && code.iter().all(u8::is_ascii_digit)
+                && next.is_none_or(u8::is_ascii_whitespace)
+        }
         _ => false,
     };
-    text.windows(STATUS_LINE).any(is_status_line)
+    text.windows(STATUS_LINE).enumerate().any(is_status_line)
 }
 
 /// What the first bytes of an answer are.
