--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -323,6 +323,11 @@
         stream
     }
 
+    /// The id of its process.
+    pub(crate) fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// The most memory that it has used so far, in bytes.
     pub(crate) fn peak_memory(&self) -> usize {
         let path = format!("/proc/{}/status", self.process.id());
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -32,6 +32,8 @@
     Refuse(u64),
     /// The time of each run, in milliseconds.
     WorkMs(u64),
+    /// Bytes that each answer has besides.
+    Padding(usize),
 }
 
 /// How often each request ran.
@@ -60,6 +62,8 @@
     refuse: u64,
     /// See [`Fault::WorkMs`].
     work: Duration,
+    /// See [`Fault::Padding`].
+    padding: usize,
 }
 
 /// What happens to one request.
@@ -146,6 +150,7 @@
             "method": call.method().as_str(),
             "path": call.path(),
             "body_bytes": call.body().len(),
+            "padding": "p".repeat(self.padding),
         })
     }
 }
@@ -184,6 +189,7 @@
             Fault::ResetAfterRun(count) => state.reset_after = count,
             Fault::Refuse(count) => state.refuse = count,
             Fault::WorkMs(work) => state.work = Duration::from_millis(work),
+            Fault::Padding(bytes) => state.padding = bytes,
         }
     }
 
