What callers and other VMs send is counted over all connections, within the machine's memory and descriptors

Callers saw a process end, out of memory, when many of them sent bodies at once and stopped just short of their end.

Cause: a body was held to a limit of its own, but nothing counted all of them; nothing ended one that came no further; a body was held as the pieces that it came in, each of which kept the buffer of its read, so that a chunk of one byte took dozens; a length over the limit was read up to the limit all the same; the system let what was unread grow to megabytes a connection; connections were taken in until no descriptor was left. The machine's memory and descriptors were read nowhere.

Change: memoryMb and maxFds reach the ledger, which is checked at the start. Each connection at the callers' and the relays' port has a place in it, and takes room as bytes come, before they are kept, into one buffer that grows. Where there is none, stalled connections yield, else the request is refused: 503, not run, to come back after 0.5 s; at the relays' port not carried. A length over the limit is refused unread. A body that brings nothing for idleTimeoutMs, or less than 1 KiB a second beyond it, gets 408. What is refused is read on for a second at most, so that its caller can read the answer. Receive buffers are bounded. One line a second says what was turned away, with gauges of the ledger.

Why it works: the sum is checked before a byte is kept, and is given back when the last copy is dropped; who stops short neither keeps a place nor room that another one needs.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -74,6 +74,10 @@
     Late = 107 Warn "Look for a VM with too small a share of its processor, or with more work than the others.";
     /// The process ended while a request had no final answer; what the request waited for.
     Unanswered = 108 Warn "Look for what it waited for; its caller saw the connection end.";
+    /// Clients were turned away for want of room, in the last second at most: new connections, requests, and connections that ended for others; what clients make the process hold, and what they may.
+    ClientsShed = 109 Warn "Look whether `held` or the connections are at their bound, and whose they are; docs/OPERATIONS.md goes on from here.";
+    /// The configured limit on bodies is larger than what clients may make the process hold; bodies over `largest` are refused.
+    BodyLimitTooLarge = 110 Warn "Lower the limit on bodies, or give the VM more memory.";
     /// An edition of the configuration is in force on this VM.
     EditionInForce = 200 Info "Nothing.";
     /// A configuration that was read does not hold together and was not applied.
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -2,8 +2,10 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use dahliastile_intake::{self as intake, Phase};
 use http::Version;
 use hyper::body::Body;
 use hyper::server::conn::http1;
@@ -11,10 +13,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::dialect::Dialect;
 use crate::head::{Head, Watched};
 use crate::hub::Hub;
+use crate::intake::Slot;
 use crate::pool;
 use crate::relay;
 use crate::request;
@@ -31,6 +35,9 @@
 /// The time for which a new connection is kept for its first request when this VM leaves.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
+/// How long a connection that is to end may take to write the refusal of the request that is read on it.
+const YIELD_TIME: Duration = Duration::from_millis(500);
+
 /// Whose connections a port takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Port {
@@ -40,6 +47,16 @@
     Relays,
 }
 
+impl Port {
+    /// How the ledger counts it.
+    fn counted_as(self) -> intake::Port {
+        match self {
+            Self::Callers => intake::Port::Callers,
+            Self::Relays => intake::Port::Trusted,
+        }
+    }
+}
+
 /// Takes a port's connections in. When `leaving` turns true, only those are taken in that the system has accepted, and
 /// each is closed after its request in progress, a new one after its first request: by then the platform sends callers
 /// elsewhere, and one that still comes here is better told at once than cut off at the end of the grace.
@@ -57,7 +74,11 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(stream, port, hub.clone(), leaving.clone()));
+                // One for which there is no place is closed unread, and its caller may go elsewhere.
+                if let Some(slot) = hub.intake.open(port.counted_as()).await {
+                    let served = serve(stream, port, hub.clone(), slot, leaving.clone());
+                    tokio::task::spawn_local(served);
+                }
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
@@ -73,8 +94,11 @@
             .set_nonblocking(true)
             .and_then(|()| TcpStream::from_std(stream));
         // One that fails at once is its caller's to notice.
-        if let Ok(stream) = stream {
-            tokio::task::spawn_local(serve(stream, port, hub.clone(), leaving.clone()));
+        if let Ok(stream) = stream
+            && let Some(slot) = hub.intake.open(port.counted_as()).await
+        {
+            let served = serve(stream, port, hub.clone(), slot, leaving.clone());
+            tokio::task::spawn_local(served);
         }
     }
 }
@@ -83,6 +107,7 @@
     stream: TcpStream,
     port: Port,
     hub: Rc<Hub<D>>,
+    slot: Arc<Slot>,
     mut leaving: watch::Receiver<bool>,
 ) {
     let _counted = hub.count_connection();
@@ -98,14 +123,15 @@
     };
     let head = Rc::new(Head::default());
     let service = service_fn(|request| {
-        let (hub, head) = (hub.clone(), head.clone());
+        let (hub, head, slot) = (hub.clone(), head.clone(), slot.clone());
         let speaks_chunks = request.version() > Version::HTTP_10;
         head.come();
         async move {
             let answer = match port {
-                Port::Callers => request::serve(hub, request).await,
-                Port::Relays => relay::serve(hub, request, peer.ip()).await,
+                Port::Callers => request::serve(hub, &slot, &head, request).await,
+                Port::Relays => relay::serve(hub, &slot, &head, request, peer.ip()).await,
             };
+            slot.enter(Phase::Writing);
             let in_chunks = speaks_chunks && answer.version() > Version::HTTP_10;
             if !in_chunks && answer.body().size_hint().exact().is_none() {
                 head.end_answer();
@@ -120,7 +146,7 @@
         .header_read_timeout(hub.idle.get() + IDLE_MARGIN)
         .max_buf_size(hub.head_limit.get().max(LEAST_BUFFER))
         .title_case_headers(true);
-    let stream = TokioIo::new(Watched::new(stream, head.clone()));
+    let stream = TokioIo::new(Watched::new(stream, head.clone(), slot.clone()));
     let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
     let leave = async {
@@ -133,10 +159,18 @@
         _ = connection.as_mut() => return,
         // Nothing of the request was read whole, so its caller may send it elsewhere.
         () = head.late(|| hub.head_time.get()) => return,
+        () = slot.yields() => {
+            if head.reads_body() {
+                // Its end is the other side's to notice.
+                let _ = timeout(YIELD_TIME, connection).await;
+            }
+            return;
+        }
         () = leave => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         _ = connection => {}
         () = head.late(|| hub.head_time.get()) => {}
+        () = slot.yields() => {}
     }
 }
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -23,6 +23,10 @@
     TooLarge,
     /// Its body did not come whole.
     Truncated,
+    /// Its body comes too slowly, or no more.
+    Stalled,
+    /// There is no room for its body beside those of others; it has not run.
+    NoRoom,
 }
 
 /// What the head of a server's answer says.
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -8,6 +8,9 @@
 use dahliastile_gateway::effect::{Effect, Effects, KvOperation};
 use dahliastile_gateway::event::Event;
 
+use dahliastile_core::metric::Figure;
+use dahliastile_intake::Tally;
+
 use crate::clock::{Clock, duration};
 use crate::dialect::Dialect;
 use crate::figures::Figures;
@@ -33,6 +36,18 @@
     told: Instant,
 }
 
+/// The least time between two lines on clients that were refused or had to yield.
+const SHED_AGAIN: Span = Span::from_secs(1);
+
+/// What was refused to clients, and how full the ledger is.
+#[derive(Default)]
+pub(crate) struct Shedding {
+    /// When it was looked at last.
+    at: Instant,
+    /// The limit on bodies that is larger than what the ledger has room for, as last told.
+    oversized_limit: usize,
+}
+
 /// Owns the gateway.
 pub(crate) struct Driver<D> {
     /// The decisions.
@@ -53,6 +68,8 @@
     pub(crate) effects: Effects,
     /// How late it is.
     pub(crate) lateness: Lateness,
+    /// What was refused to clients.
+    pub(crate) shedding: Shedding,
 }
 
 impl<D: Dialect> Driver<D> {
@@ -61,6 +78,7 @@
         self.step(Event::Start);
         loop {
             self.note_lateness();
+            self.note_shedding();
             let wake = self.clock.at(self.gateway.next_wakeup());
             let deadline = *stop.borrow_and_update();
             let end = self
@@ -100,6 +118,64 @@
         };
     }
 
+    /// Shows how full the ledger is, and writes a line where clients were refused or had to yield.
+    fn note_shedding(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.shedding.at) < SHED_AGAIN {
+            return;
+        }
+        self.shedding.at = now;
+        let level = self.hub.intake.level();
+        let counts = [
+            (Figure::ClientMemory, "", level.held.0),
+            (Figure::ClientConnections, "callers", level.callers),
+            (Figure::ClientConnections, "vms", level.vms),
+        ];
+        for (figure, label, value) in counts {
+            self.figures.set(figure, value, label);
+        }
+        let tally = self.hub.intake.take_tally();
+        if tally == Tally::default() {
+            return;
+        }
+        let shed = [
+            ("connection", tally.connections),
+            ("request", tally.requests),
+            ("yielded", tally.yielded),
+        ];
+        for (label, count) in shed.into_iter().filter(|(_, count)| *count > 0) {
+            self.figures
+                .count(Figure::ClientsShed, count, label.to_owned());
+        }
+        let capacity = self.hub.intake.capacity();
+        let detail = format!(
+            "refused_connections={} refused_requests={} yielded={} held={} of={} callers={} of={} vms={}",
+            tally.connections,
+            tally.requests,
+            tally.yielded,
+            level.held,
+            capacity.memory,
+            level.callers,
+            capacity.callers,
+            level.vms,
+        );
+        self.journal
+            .write(now, &Record::new(Code::ClientsShed, detail));
+    }
+
+    /// The largest body that is taken in: that of the operator's limits, unless there is no room for one.
+    fn body_limit(&mut self, limit: usize) -> usize {
+        let largest = self.hub.intake.largest_body();
+        if limit > largest.0 && limit != self.shedding.oversized_limit {
+            self.shedding.oversized_limit = limit;
+            let detail = format!("limit={limit} largest={largest}");
+            let now = self.clock.now();
+            self.journal
+                .write(now, &Record::new(Code::BodyLimitTooLarge, detail));
+        }
+        limit.min(largest.0)
+    }
+
     fn step(&mut self, event: Event) {
         self.lateness.steps += 1;
         let now = self.clock.now();
@@ -116,7 +192,8 @@
         let limits = self.gateway.limits();
         self.hub.ready.set(self.gateway.is_ready());
         self.hub.end_by.set(self.gateway.end_by());
-        self.hub.body_limit.set(limits.body);
+        let body_limit = self.body_limit(limits.body);
+        self.hub.body_limit.set(body_limit);
         self.hub.head_limit.set(limits.head);
         self.hub.head_time.set(duration(limits.head_time));
         self.hub.idle.set(duration(limits.idle_time));
--- a/crates/shell/src/figures.rs
+++ b/crates/shell/src/figures.rs
@@ -74,6 +74,18 @@
         counter.increment(count);
     }
 
+    /// Shows the present value of a figure that goes up and down.
+    pub(crate) fn set(&self, figure: Figure, value: usize, label: &str) {
+        let labels = match label {
+            "" => Vec::new(),
+            label => vec![Label::new("label", label.to_owned())],
+        };
+        let key = Key::from_parts(figure.name(), labels);
+        let gauge = self.recorder.register_gauge(&key, &METADATA);
+        #[allow(clippy::cast_precision_loss)]
+        gauge.set(value as f64);
+    }
+
     /// A handle that renders the figures in Prometheus's text form.
     #[must_use]
     pub fn handle(&self) -> PrometheusHandle {
@@ -87,6 +99,8 @@
     match figure.unit() {
         "s" => recorder.describe_histogram(name, Some(Unit::Seconds), meaning),
         "ratio" => recorder.describe_histogram(name, None, meaning),
+        "bytes" => recorder.describe_gauge(name, Some(Unit::Bytes), meaning),
+        "connections" => recorder.describe_gauge(name, Some(Unit::Count), meaning),
         _ => recorder.describe_counter(name, Some(Unit::Count), meaning),
     }
 }
--- a/crates/shell/src/head.rs
+++ b/crates/shell/src/head.rs
@@ -3,19 +3,34 @@
 //! The library has one time for an idle connection and for a head, so the bytes of a connection are watched here: the time
 //! of a head runs from its first byte. And it ends a connection in the same way after a whole answer and after one that was
 //! broken off; where the end of the connection is the end of the answer, a broken one is reset here.
+//!
+//! A request that is refused before it has come whole is read on for a moment, since the system would otherwise reset the
+//! connection and take the refusal away from its client (RFC 9112, section 9.6).
 
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use dahliastile_intake::Phase;
+
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout};
+
+use crate::intake::Slot;
+
+/// How long a request that was refused before it came whole is read on, so that its client gets to read the refusal.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// How much of it is read on, in bytes, and how much at a time.
+const LINGER_BYTES: usize = 1 << 20;
+const LINGER_PIECE: usize = 8 * 1024;
 
 /// The head that a caller is sending.
 #[derive(Default)]
@@ -30,6 +45,10 @@
     used: watch::Sender<bool>,
     /// Whether the answer ends with the connection.
     ends_answer: Cell<bool>,
+    /// Whether the body of a request is read.
+    reads_body: Cell<bool>,
+    /// Whether a request was refused before it came whole.
+    refused_early: Cell<bool>,
 }
 
 impl Head {
@@ -39,6 +58,21 @@
         self.serving.set(true);
     }
 
+    /// The body of the request is read from now on, or no longer.
+    pub(crate) fn set_reads_body(&self, reads: bool) {
+        self.reads_body.set(reads);
+    }
+
+    /// Whether the body of a request is read.
+    pub(crate) fn reads_body(&self) -> bool {
+        self.reads_body.get()
+    }
+
+    /// The request is refused before it has come whole.
+    pub(crate) fn refuse_early(&self) {
+        self.refused_early.set(true);
+    }
+
     /// The request was answered.
     pub(crate) fn answered(&self) {
         self.serving.set(false);
@@ -69,12 +103,15 @@
         let _ = timeout(limit, self.used.subscribe().wait_for(|used| *used)).await;
     }
 
-    fn bytes(&self) {
+    /// Notes that bytes have come. Returns whether a head begins with them.
+    fn bytes(&self) -> bool {
         self.used.send_replace(true);
-        if !self.serving.get() && self.since.get().is_none() {
+        let begins = !self.serving.get() && self.since.get().is_none();
+        if begins {
             self.since.set(Some(Instant::now()));
             self.begun.notify_one();
         }
+        begins
     }
 }
 
@@ -84,16 +121,55 @@
     stream: TcpStream,
     /// The head that comes on it.
     head: Rc<Head>,
+    /// Its place in the ledger.
+    slot: Arc<Slot>,
     /// Whether the system resets the connection when it is closed.
     resets: bool,
+    /// What is still read after the last answer.
+    rest: Option<Rest>,
+}
+
+/// What is read and dropped after the last answer of a connection.
+struct Rest {
+    /// When that ends.
+    end: Pin<Box<Sleep>>,
+    /// Bytes that may still come.
+    bytes: usize,
 }
 
 impl Watched {
-    pub(crate) fn new(stream: TcpStream, head: Rc<Head>) -> Self {
+    pub(crate) fn new(stream: TcpStream, head: Rc<Head>, slot: Arc<Slot>) -> Self {
         Self {
             stream,
             head,
+            slot,
             resets: false,
+            rest: None,
+        }
+    }
+
+    /// Reads on and drops what comes, until the other side closes or that has gone on for long enough.
+    fn poll_rest(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some(rest) = &mut self.rest else {
+            return Poll::Ready(());
+        };
+        let mut space = [0; LINGER_PIECE];
+        while rest.bytes > 0 && rest.end.as_mut().poll(context).is_pending() {
+            let mut buffer = ReadBuf::new(&mut space);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer));
+            match buffer.filled().len() {
+                0 => break,
+                _ if read.is_err() => break,
+                count => rest.bytes = rest.bytes.saturating_sub(count),
+            }
+        }
+        Poll::Ready(())
+    }
+
+    /// Passes on how much was written.
+    fn note_written(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(count)) = written {
+            self.slot.progress(*count);
         }
     }
 
@@ -116,8 +192,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.head.bytes();
+        let count = buffer.filled().len() - before;
+        if count > 0 {
+            if self.head.bytes() {
+                self.slot.enter(Phase::Idle);
+            }
+            self.slot.progress(count);
         }
         read
     }
@@ -131,7 +211,9 @@
     ) -> Poll<io::Result<usize>> {
         let resets = self.head.ends_answer.get();
         self.set_resets(resets);
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -141,7 +223,9 @@
     ) -> Poll<io::Result<usize>> {
         let resets = self.head.ends_answer.get();
         self.set_resets(resets);
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -154,6 +238,16 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.set_resets(false);
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.rest.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+            if !self.head.refused_early.get() {
+                return Poll::Ready(Ok(()));
+            }
+            self.rest = Some(Rest {
+                end: Box::pin(sleep(LINGER)),
+                bytes: LINGER_BYTES,
+            });
+        }
+        self.poll_rest(context).map(Ok)
     }
 }
--- a/crates/shell/src/hub.rs
+++ b/crates/shell/src/hub.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::dialect::{Claim, Dialect, Heard};
+use crate::intake::Intake;
 use crate::pool::{Client, Connection, Pool};
 
 /// What all tasks share.
@@ -25,6 +26,8 @@
     pub(crate) pool: Pool,
     /// Calls to the key-value service, orders and reports.
     pub(crate) client: Client,
+    /// What clients make the process hold.
+    pub(crate) intake: Arc<Intake>,
     /// Where events go.
     mailbox: flume::Sender<Event>,
     /// The requests in progress, each with what its task is told through.
@@ -57,12 +60,14 @@
         figures: PrometheusHandle,
         mailbox: flume::Sender<Event>,
         source: Option<std::net::IpAddr>,
+        intake: Arc<Intake>,
     ) -> Rc<Self> {
         let limits = dahliastile_gateway::config::HttpLimits::default();
         Rc::new(Self {
             dialect,
             pool: Pool::from(source),
             client: Client::new(),
+            intake,
             mailbox,
             figures,
             requests: RefCell::default(),
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -15,6 +15,7 @@
 mod figures;
 mod head;
 mod hub;
+mod intake;
 mod journal;
 mod peers;
 mod pool;
@@ -26,6 +27,7 @@
 mod screen;
 mod stream;
 
+pub use dahliastile_intake::{Machine, Size};
 pub use dialect::{Claim, Dialect, Echo, Heard, Rejection, Reply};
 pub use figures::Figures;
 pub use pool::{Client, Fault, Limits, Owner, Pool};
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -14,16 +14,19 @@
 use dahliastile_gateway::effect::{Attempt, NextStep};
 use dahliastile_gateway::event::{Event, Execution, FailureCause, Part, RelayRequest, RequestId};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
-use http_body_util::{BodyExt, Either, Full, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 
 use crate::answer::{self, Answer, Piece, Piped, whole};
 use crate::attempt::framing;
 use crate::dialect::Dialect;
+use crate::head::Head;
 use crate::hub::Hub;
+use crate::intake::Slot;
 use crate::pool::{self, Connection, Fault, Mark, Target};
 use crate::reader::Content;
+use crate::request;
 
 /// Header of a request: the server that it is for.
 const SERVER: &str = "dahliastile-relay-server";
@@ -81,6 +84,8 @@
 /// Carries the request of another VM.
 pub(crate) async fn serve<D: Dialect>(
     hub: Rc<Hub<D>>,
+    slot: &Arc<Slot>,
+    progress: &Head,
     request: Request<Incoming>,
     from: IpAddr,
 ) -> Answer {
@@ -95,7 +100,7 @@
     let Some(server) = server.and_then(|name| name.parse::<Server>().ok()) else {
         return no_answer(NOT_CARRIED, None);
     };
-    let Ok(body) = Limited::new(body, hub.body_limit.get()).collect().await else {
+    let Ok(body) = request::read(&hub, slot, progress, body).await else {
         return no_answer(NOT_CARRIED, None);
     };
     let (id, mut verdicts) = hub.open();
@@ -117,7 +122,7 @@
     let target = Target::directly(address);
     let headers = head.headers.clone();
     let mark = Mark::of(hub.dialect.echo(&headers));
-    let request = Request::from_parts(head, Full::new(body.to_bytes()));
+    let request = Request::from_parts(head, Full::new(body));
     let method = request.method().clone();
     let report = |result| hub.post(Event::ConnectionTried(server.clone(), result));
     let (answer, body, mut connection) = match hub.pool.send(target, mark, request, report).await {
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -1,21 +1,31 @@
 //! The task of one caller's request: it reads it, does what the gateway says, and answers.
 
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dahliastile_gateway::effect::{Attempt, NextStep, Refusal, RefusalReason};
 use dahliastile_gateway::event::{Event, RequestId, StreamTiming};
+use dahliastile_intake::{Phase, Use};
 use http::{Request, Response, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, timeout};
 
 use crate::answer::{self, Answer, whole};
 use crate::attempt::{Passed, Tried, attempt};
 use crate::dialect::{Dialect, Rejection};
+use crate::head::Head;
 use crate::hub::{Hub, Ticket};
+use crate::intake::{Gathered, Slot};
 use crate::stream;
 
+/// The least rate at which the body of a request comes, in bytes per second, beyond the time for which a connection may be
+/// idle.
+const LEAST_RATE: u32 = 1_024;
+
 /// A caller's request that has been read whole.
 pub(crate) struct Asked<D> {
     /// Its entry in the hub.
@@ -29,9 +39,14 @@
 }
 
 /// Serves one request.
-pub(crate) async fn serve<D: Dialect>(hub: Rc<Hub<D>>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn serve<D: Dialect>(
+    hub: Rc<Hub<D>>,
+    slot: &Arc<Slot>,
+    progress: &Head,
+    request: Request<Incoming>,
+) -> Answer {
     let (head, body) = request.into_parts();
-    let body = match read(body, hub.body_limit.get()).await {
+    let body = match read(&hub, slot, progress, body).await {
         Ok(body) => body,
         Err(rejection) => return whole(hub.dialect.rejected(rejection)),
     };
@@ -55,11 +70,58 @@
     asked.run().await
 }
 
-async fn read(body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
-    match Limited::new(body, limit).collect().await {
-        Ok(read) => Ok(read.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Rejection::TooLarge),
-        Err(_) => Err(Rejection::Truncated),
+/// Reads the body of a request, unless it is too large, does not come, or there is no room for it.
+pub(crate) async fn read<D>(
+    hub: &Hub<D>,
+    slot: &Arc<Slot>,
+    progress: &Head,
+    body: Incoming,
+) -> Result<Bytes, Rejection> {
+    if body.is_end_stream() {
+        slot.enter(Phase::Running);
+        return Ok(Bytes::new());
+    }
+    slot.enter(Phase::Reading);
+    progress.set_reads_body(true);
+    let read = tokio::select! {
+        biased;
+        () = slot.yields() => Err(Rejection::NoRoom),
+        read = gather(hub, slot, body) => read,
+    };
+    progress.set_reads_body(false);
+    match read {
+        Ok(_) => slot.enter(Phase::Running),
+        Err(_) => progress.refuse_early(),
+    }
+    read
+}
+
+async fn gather<D>(hub: &Hub<D>, slot: &Arc<Slot>, mut body: Incoming) -> Result<Bytes, Rejection> {
+    let limit = hub.body_limit.get();
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
+        return Err(Rejection::TooLarge);
+    }
+    let announced = size.upper().and_then(|size| usize::try_from(size).ok());
+    let began = Instant::now();
+    let mut gathered = Gathered::new(slot.charge(Use::Request), announced.unwrap_or(limit));
+    let mut count = 0;
+    loop {
+        // A client inside the limits is not idle for longer, so that its body comes at some rate.
+        let earned = Duration::from_secs(count as u64) / LEAST_RATE;
+        let left = (hub.idle.get() + earned).saturating_sub(began.elapsed());
+        let frame = timeout(left.min(hub.idle.get()), body.frame()).await;
+        let data = match frame.map_err(|_| Rejection::Stalled)? {
+            None => return Ok(gathered.finish()),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(_)) => return Err(Rejection::Truncated),
+        };
+        count += data.len();
+        if count > limit {
+            return Err(Rejection::TooLarge);
+        }
+        let added = gathered.add(&data).await;
+        added.map_err(|_| Rejection::NoRoom)?;
     }
 }
 
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -8,8 +8,8 @@
 use dahliastile_gateway::Gateway;
 use dahliastile_gateway::event::Event;
 use dahliastile_gateway::settings::Settings;
+use dahliastile_intake::{Capacity, Machine};
 use eyre::Context;
-use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -18,9 +18,10 @@
 use crate::callers::{self, Port};
 use crate::clock::{Clock, duration};
 use crate::dialect::Dialect;
-use crate::driver::{Driver, Lateness};
+use crate::driver::{Driver, Lateness, Shedding};
 use crate::figures::Figures;
 use crate::hub::Hub;
+use crate::intake::{self, Intake};
 use crate::journal::Journal;
 use crate::peers::{self, Peers};
 use crate::probe;
@@ -44,6 +45,8 @@
     pub relays: Option<SocketAddr>,
     /// For whoever reads the figures.
     pub figures: SocketAddr,
+    /// What the machine gives to the process.
+    pub machine: Machine,
 }
 
 /// The event loop of an entry VM, and the signals that the process is sent.
@@ -107,34 +110,39 @@
     dialect: D,
     (mut terminate, mut hangup): (Signal, Signal),
 ) -> eyre::Result<()> {
-    let bind = async |address: SocketAddr| {
-        TcpListener::bind(address)
-            .await
-            .wrap_err_with(|| format!("can't listen on {address}"))
+    let capacity = Capacity::of(options.machine).wrap_err("can't serve on this machine")?;
+    let bind = |address: SocketAddr| {
+        intake::listen(address).wrap_err_with(|| format!("can't listen on {address}"))
     };
     let (front, ready, control) = (
-        bind(options.callers).await?,
-        bind(options.readiness).await?,
-        bind(options.peers).await?,
+        bind(options.callers)?,
+        bind(options.readiness)?,
+        bind(options.peers)?,
     );
     let source = options.relays.map(|address| address.ip());
     let (sender, mailbox) = flume::unbounded();
     let figures = Figures::new(settings.vm.as_str()).wrap_err("can't set the figures up")?;
     let figures = Rc::new(figures);
-    let hub = Hub::new(dialect, figures.handle(), sender, source);
+    let hub = Hub::new(
+        dialect,
+        figures.handle(),
+        sender,
+        source,
+        Intake::new(capacity),
+    );
     let (leave, leaving) = watch::channel(false);
     let (end, ending) = watch::channel(None);
     let (vm, start) = (settings.vm.clone(), settings.incarnation);
     let peers = Peers::new(vm, start, hub.clone(), figures.clone());
     if let Some(address) = options.relays {
-        let listener = bind(address).await?;
+        let listener = bind(address)?;
         let listen = callers::listen(listener, Port::Relays, hub.clone(), leaving.clone());
         tokio::task::spawn_local(listen);
     }
     let listen = callers::listen(front, Port::Callers, hub.clone(), leaving);
     tokio::task::spawn_local(listen);
     tokio::task::spawn_local(probe::listen(ready, hub.clone()));
-    tokio::task::spawn_local(probe::listen(bind(options.figures).await?, hub.clone()));
+    tokio::task::spawn_local(probe::listen(bind(options.figures)?, hub.clone()));
     tokio::task::spawn_local(keep_figures(hub.clone()));
     tokio::task::spawn_local(peers::listen(control, peers.clone()));
     let clock = Clock::new();
@@ -142,8 +150,15 @@
     let leave_after = settings.tuning.leave.min(settings.tuning.start_time());
     let mut journal = Journal::new(settings.vm.clone())?;
     let started = format!(
-        "incarnation={} callers={} peers={} without={}",
-        settings.incarnation.0, options.callers, options.peers, settings.without
+        "incarnation={} callers={} peers={} without={} memory={} descriptors={} client_memory={} client_connections={}",
+        settings.incarnation.0,
+        options.callers,
+        options.peers,
+        settings.without,
+        options.machine.memory,
+        options.machine.descriptors,
+        capacity.memory,
+        capacity.callers,
     );
     journal.write(clock.now(), &Record::new(Code::Started, started));
     let reloader = hub.clone();
@@ -180,6 +195,7 @@
         mailbox,
         effects: Vec::new(),
         lateness: Lateness::default(),
+        shedding: Shedding::default(),
     };
     driver.run(ending).await;
     let open = driver.gateway.open_requests();
