Answers that clients don't read are counted with what they send

Callers that asked for large answers and did not read them made the process hold up to 1 MB each; many of them took all of its memory.

Cause: an answer was read whole from its server, and up to sixteen pieces of a stream, whoever else's waited as well. What came from servers and was not read yet grew in the system.

Change: an answer takes room in the ledger before it is read from its server, all of it at once where its length is known, and keeps it until the HTTP library has written it. Without room its server is not read. Connections to servers have the same bound on what is unread.

--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -1,17 +1,22 @@
 //! One send of a request to a server, up to the head of a stream or the end of a whole answer.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use dahliastile_body::Framing;
 use dahliastile_gateway::effect::Attempt;
 use dahliastile_gateway::event::{Event, Execution, FailureCause, Part};
+use dahliastile_intake::Use;
 use http::{Method, Response, StatusCode, header, request, response};
 use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::dialect::{Dialect, Reply};
 use crate::hub::Hub;
+use crate::intake::{Gathered, Slot};
 use crate::pool::{self, Connection, Fault, Mark, Target};
 use crate::relay;
+use crate::screen;
 use crate::stream::Begun;
 
 /// The longest answer that is held whole, in bytes: many times the largest of a plain service. A longer one counts as
@@ -34,8 +39,8 @@
 /// Sends a request to a server; where a stream goes on, after the event with this id.
 pub(crate) async fn attempt<D: Dialect>(
     hub: &Hub<D>,
-    head: &request::Parts,
-    body: &Bytes,
+    slot: &Arc<Slot>,
+    (head, body): (&request::Parts, &Bytes),
     send: &Attempt,
     after: Option<&str>,
 ) -> Tried {
@@ -99,11 +104,20 @@
     hub.notice(&send.server, at, hub.dialect.notice(&answer));
     match hub.dialect.reply(&answer) {
         Reply::Malformed => Tried::Failed(Execution::Maybe, FailureCause::Malformed, None),
-        Reply::Answer if send.stream => {
-            Tried::Stream(Box::new(Begun::new(answer, framing, body, connection)))
-        }
+        Reply::Answer if send.stream => Tried::Stream(Box::new(Begun::new(
+            answer,
+            framing,
+            body,
+            connection,
+            slot.charge(Use::Answer),
+        ))),
         reply => {
-            let read = body.whole(LONGEST).await;
+            let mut gathered = Gathered::new(slot.charge(Use::Answer), LONGEST);
+            let length = screen::body_length(&answer).unwrap_or_default();
+            gathered
+                .await_all(usize::try_from(length).unwrap_or(LONGEST))
+                .await;
+            let read = body.gather(gathered, LONGEST).await;
             if read == Err(Fault::Oversized) {
                 hub.record_oversized(send, Part::Body);
             }
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::dialect::Echo;
+use crate::intake::RECEIVE_BUFFER;
 use crate::reader::{Content, Meter, Metered};
 use crate::screen;
 
@@ -42,7 +43,7 @@
 const KEEPALIVE_PROBES: u32 = 3;
 
 /// The largest buffer that the HTTP library takes for what a connection brings, in bytes; no head of an answer is longer.
-const BUFFER: usize = 16 * 1024;
+pub(crate) const BUFFER: usize = 16 * 1024;
 
 /// The most requests that one connection takes, so that what it remembers of them is bounded.
 const REQUESTS_PER_CONNECTION: usize = 256;
@@ -292,17 +293,15 @@
 /// Opens a connection.
 async fn open(address: SocketAddr, source: Option<IpAddr>) -> std::io::Result<TcpStream> {
     let connect = async {
-        match source {
-            Some(source) => {
-                let socket = match source {
-                    IpAddr::V4(_) => TcpSocket::new_v4()?,
-                    IpAddr::V6(_) => TcpSocket::new_v6()?,
-                };
-                socket.bind(SocketAddr::new(source, 0))?;
-                socket.connect(address).await
-            }
-            None => TcpStream::connect(address).await,
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+        if let Some(source) = source {
+            socket.bind(SocketAddr::new(source, 0))?;
         }
+        socket.connect(address).await
     };
     tokio::time::timeout(CONNECT, connect).await?
 }
--- a/crates/shell/src/reader.rs
+++ b/crates/shell/src/reader.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::intake::Gathered;
 use crate::pool::Fault;
 use crate::screen::Screen;
 
@@ -275,6 +276,23 @@
         }
     }
 
+    /// All of it, as [`Self::whole`], once there is room for each part of it.
+    ///
+    /// # Errors
+    /// As for [`Self::whole`].
+    pub(crate) async fn gather(
+        mut self,
+        mut gathered: Gathered,
+        limit: usize,
+    ) -> Result<Bytes, Fault> {
+        let mut budget = Budget::new(limit);
+        while let Some(piece) = self.piece().await? {
+            budget.take(&piece)?;
+            gathered.add_later(&piece).await;
+        }
+        Ok(gathered.finish())
+    }
+
     /// All of it, where it has at most `limit` bytes.
     ///
     /// # Errors
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -13,6 +13,7 @@
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_gateway::effect::{Attempt, NextStep};
 use dahliastile_gateway::event::{Event, Execution, FailureCause, Part, RelayRequest, RequestId};
+use dahliastile_intake::{Size, Use};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
@@ -154,7 +155,8 @@
         return no_answer(MALFORMED, None);
     };
     passed.headers_mut().remove(FAILURE);
-    tokio::task::spawn_local(pass(carried, answer, body, connection, pieces));
+    let passed_on = pass(carried, slot.clone(), answer, (body, connection), pieces);
+    tokio::task::spawn_local(passed_on);
     answer::frame(passed, framing)
 }
 
@@ -172,16 +174,20 @@
 /// Passes the body of an answer on until it or the connection to the other VM ends.
 async fn pass<D: Dialect>(
     carried: Carried<D>,
+    slot: Arc<Slot>,
     head: response::Parts,
-    mut body: Content,
-    connection: Connection,
+    (mut body, connection): (Content, Connection),
     pieces: mpsc::Sender<Piece>,
 ) {
+    let mut room = slot.charge(Use::Answer);
     loop {
         let piece = tokio::select! {
             biased;
             () = pieces.closed() => return,
-            piece = body.piece() => piece,
+            piece = async {
+                room.await_room(Size(pool::BUFFER)).await;
+                body.piece().await
+            } => piece,
         };
         let data = match piece {
             Ok(None) => break,
@@ -189,6 +195,10 @@
             Err(_) => return,
             Ok(Some(data)) => data,
         };
+        // A copy, as a small piece keeps the whole buffer that it came in.
+        let data = room
+            .split(Size(data.len()))
+            .hold(Bytes::copy_from_slice(&data));
         if pieces.send(Piece::Data(data)).await.is_err() {
             return;
         }
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -36,6 +36,8 @@
     pub(crate) body: Bytes,
     /// What the gateway says.
     pub(crate) verdicts: UnboundedReceiver<NextStep>,
+    /// The place of its connection in the ledger.
+    pub(crate) slot: Arc<Slot>,
 }
 
 /// Serves one request.
@@ -66,6 +68,7 @@
         head,
         body,
         verdicts,
+        slot: slot.clone(),
     };
     asked.run().await
 }
@@ -182,7 +185,7 @@
             biased;
             verdict = self.verdicts.recv() => return Step::Told(verdict),
             tried = async {
-                match attempt(&hub, &self.head, &self.body, send, None).await {
+                match attempt(&hub, &self.slot, (&self.head, &self.body), send, None).await {
                     Tried::Stream(begun) if send.withdrawable => begun.first_event(&hub, send).await,
                     tried => tried,
                 }
--- a/crates/shell/src/screen.rs
+++ b/crates/shell/src/screen.rs
@@ -274,7 +274,7 @@
 }
 
 /// The length of the body that follows a head, in bytes; none where the head does not say it.
-fn body_length(head: &response::Parts) -> Option<u64> {
+pub(crate) fn body_length(head: &response::Parts) -> Option<u64> {
     if [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status) {
         return Some(0);
     }
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -7,6 +7,7 @@
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Attempt, NextStep, RefusalReason};
 use dahliastile_gateway::event::{self, Event, Execution, FailureCause, StreamTiming};
+use dahliastile_intake::Size;
 use http::response;
 use http_body_util::Either;
 use tokio::sync::mpsc;
@@ -16,6 +17,7 @@
 use crate::attempt::{Tried, attempt, failure_cause};
 use crate::dialect::Dialect;
 use crate::hub::Hub;
+use crate::intake::Charge;
 use crate::pool::{self, Connection, Fault};
 use crate::reader::{Budget, Content};
 use crate::request::{Asked, unproven};
@@ -42,13 +44,14 @@
         framing: Framing,
         body: Content,
         connection: Connection,
+        room: Charge,
     ) -> Self {
         Self {
             head,
             framing,
             body,
             connection,
-            events: Events::default(),
+            events: Events::new(room),
             first: None,
         }
     }
@@ -68,6 +71,7 @@
             Tried::Failed(Execution::Maybe, failure_cause(fault), None)
         };
         while self.first.is_none() {
+            self.events.await_room().await;
             let data = match self.body.piece().await {
                 Ok(None) if self.events.ending(self.framing) == Ending::Broken => {
                     return failed(Fault::Broken);
@@ -103,10 +107,12 @@
     count: u32,
     /// The longest time between two of them.
     pause: Duration,
+    /// The room for `rest` and the next piece.
+    room: Charge,
 }
 
-impl Default for Events {
-    fn default() -> Self {
+impl Events {
+    fn new(room: Charge) -> Self {
         Self {
             ends: body::Events::default(),
             rest: BytesMut::new(),
@@ -116,11 +122,22 @@
             first: None,
             count: 0,
             pause: Duration::ZERO,
+            room,
         }
     }
-}
 
-impl Events {
+    /// Waits until there is room for a further piece.
+    async fn await_room(&mut self) {
+        let size = Size(self.rest.len() + pool::BUFFER);
+        self.room.await_room(size).await;
+    }
+
+    /// Takes out what is left of an event that its server did not end.
+    fn take_rest(&mut self) -> Bytes {
+        let rest = std::mem::take(&mut self.rest).freeze();
+        self.room.split(Size(rest.len())).hold(rest)
+    }
+
     /// Adds bytes and takes the whole events out.
     ///
     /// # Errors
@@ -134,6 +151,7 @@
         };
         self.budget = Budget::new(EVENT_LIMIT);
         let whole = self.rest.split_to(held + end).freeze();
+        let whole = self.room.split(Size(whole.len())).hold(whole);
         let now = Instant::now();
         self.first.get_or_insert(now);
         self.count = self.count.saturating_add(1);
@@ -156,7 +174,7 @@
 
     /// Forgets what came of an event that its server did not end.
     fn drop_rest(&mut self) {
-        self.rest.clear();
+        drop(self.take_rest());
         self.budget = Budget::new(EVENT_LIMIT);
         self.ends = body::Events::default();
     }
@@ -246,7 +264,7 @@
             Part::Failed(fault) => fault,
             Part::Ended(Ending::Whole | Ending::Unproven) => {
                 asked.ticket.hub.pool.give(connection, keep);
-                let rest = std::mem::take(&mut events.rest).freeze();
+                let rest = events.take_rest();
                 if !rest.is_empty() {
                     let _ = pieces.send(Piece::Data(rest)).await;
                 }
@@ -306,7 +324,10 @@
                 Some(NextStep::CancelAttempt) => continue,
                 _ => return Part::Cut,
             },
-            piece = body.piece() => piece,
+            piece = async {
+                events.await_room().await;
+                body.piece().await
+            } => piece,
         };
         let data = match piece {
             Ok(None) => return Part::Ended(events.ending(framing)),
@@ -348,7 +369,7 @@
                 asked.ticket.done = true;
                 return None;
             }
-            tried = attempt(&hub, &asked.head, &asked.body, &send, after) => tried,
+            tried = attempt(&hub, &asked.slot, (&asked.head, &asked.body), &send, after) => tried,
         };
         match tried {
             Tried::Stream(begun) => return Some(begun),
