A port for probes has sixteen connections at a time

Silent connections at the ports for readiness and figures took all descriptors.

Cause: these connections were not bounded in number or in time. Change: the oldest one ends for the seventeenth; whoever asks there is answered at once, so that a connection that stands is no probe.

--- a/crates/shell/src/probe.rs
+++ b/crates/shell/src/probe.rs
@@ -1,5 +1,6 @@
 //! The platform's question whether this VM is ready, and its figures.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 
@@ -11,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
 
 use crate::callers::ACCEPT_PAUSE;
 use crate::dialect::Dialect;
@@ -19,15 +21,27 @@
 /// The path of the figures.
 const FIGURES: &str = "/metrics";
 
+/// Connections at a time. The oldest one ends for a new one: whoever asks is answered at once.
+const CONNECTIONS: usize = 16;
+
 /// Answers both until the process ends.
 pub(crate) async fn listen<D: Dialect>(listener: TcpListener, hub: Rc<Hub<D>>) {
+    let mut tasks: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let hub = hub.clone();
-        tokio::task::spawn_local(async move {
+        tasks.retain(|task| !task.is_finished());
+        if tasks.len() >= CONNECTIONS
+            && let Some(oldest) = tasks.pop_front()
+        {
+            oldest.abort();
+            // It ends when its task is run next.
+            tokio::task::yield_now().await;
+        }
+        let task = tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
                 let hub = hub.clone();
                 async move { Ok::<_, Infallible>(answer(&hub, &request)) }
@@ -39,6 +53,7 @@
                     .await,
             );
         });
+        tasks.push_back(task.abort_handle());
     }
 }
 
