Links of other VMs are bounded, and silent ones yield

Silent connections at the port for links took all descriptors.

Cause: links were not bounded. One that has brought no message yields to a new one; one that has does not.

--- a/crates/shell/src/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dahliastile_core::id::{Incarnation, Vm};
@@ -11,6 +12,7 @@
 use dahliastile_gateway::effect::Locality;
 use dahliastile_gateway::event::{Event, LinkFault};
 use dahliastile_gateway::message::{Message, encode_each};
+use dahliastile_intake::{Phase, Port};
 use dahliastile_wire::exchange::{Sender, Sink, serve};
 use rustc_hash::FxHashMap;
 use tokio::net::TcpListener;
@@ -19,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::figures::Figures;
 use crate::hub::Hub;
+use crate::intake::Slot;
 
 /// How long a connection may take to be made.
 const CONNECT: Span = Span::from_millis(300);
@@ -149,10 +152,20 @@
     }
 }
 
-impl<D: Dialect> Sink for Peers<D> {
+/// A link that another VM made.
+struct Link<D> {
+    peers: Rc<Peers<D>>,
+    slot: Arc<Slot>,
+}
+
+impl<D: Dialect> Sink for Link<D> {
     fn take(&self, from: Vm, _: Incarnation, batch: &[u8]) {
+        // Only a link that has brought nothing ends for others.
+        self.slot.enter(Phase::Running);
         for message in dahliastile_gateway::message::decode(batch).unwrap_or_default() {
-            self.hub.post(Event::PeerMessage(from.clone(), message));
+            self.peers
+                .hub
+                .post(Event::PeerMessage(from.clone(), message));
         }
     }
 }
@@ -162,7 +175,20 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(stream, peers.clone()));
+                let Some(slot) = peers.hub.intake.open(Port::Links).await else {
+                    continue;
+                };
+                let peers = peers.clone();
+                tokio::task::spawn_local(async move {
+                    let link = Rc::new(Link {
+                        peers,
+                        slot: slot.clone(),
+                    });
+                    tokio::select! {
+                        () = serve(stream, link) => {}
+                        () = slot.yields() => {}
+                    }
+                });
             }
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
