Large heads are counted beyond what a connection takes anyway

Where the operator allows heads of a megabyte, many callers that stop short of the end of theirs took all memory.

Cause: a head was counted with its connection, at 16 KiB, whatever the operator's limit. Change: bytes of a head beyond that take room in the ledger as they come, until the next head; without room the connection is closed, as nothing of the request was read whole.

--- a/crates/daemon/tests/client_crowds.rs
+++ b/crates/daemon/tests/client_crowds.rs
@@ -22,10 +22,15 @@
 
 /// A VM on a machine with little memory and few descriptors.
 fn small_machine() -> Fleet {
+    small_machine_with(HEAD)
+}
+
+/// The same, with a limit on heads.
+fn small_machine_with(head: usize) -> Fleet {
     let mut fleet = Fleet::servers();
     let mut operators = config(1);
     operators["limits"]["maxBodyBytes"] = BODY.into();
-    operators["limits"]["maxHeaderBytes"] = HEAD.into();
+    operators["limits"]["maxHeaderBytes"] = head.into();
     operators["limits"]["headerTimeoutMs"] = HEAD_TIME_MS.into();
     fleet.store.put("op/config", &operators);
     let ip = fleet.address(1, 0).ip();
@@ -138,7 +143,16 @@
     check_callers(Kind::Heads);
 }
 
-/// The same with connections on which nothing comes.
+/// Guards against large heads without end that together take more memory than the machine has.
+#[test]
+fn callers_largeheads() {
+    let _alone = alone();
+    let mut fleet = small_machine_with(BODY);
+    let door = callers(&fleet, "/query/x");
+    check(&mut fleet, Kind::LargeHeads, &door);
+}
+
+/// Guards against connections on which nothing comes that take all descriptors.
 #[test]
 fn callers_silentconnections() {
     check_callers(Kind::Silence);
--- a/crates/daemon/tests/crowd/mod.rs
+++ b/crates/daemon/tests/crowd/mod.rs
@@ -66,6 +66,8 @@
     Unannounced,
     /// Heads at the limit.
     Heads,
+    /// Heads at a limit that is as large as that of bodies.
+    LargeHeads,
     /// Nothing.
     Silence,
     /// Whole small requests, whose answers they don't read.
@@ -158,7 +160,8 @@
     let sent = match kind {
         Kind::Silence => Ok(()),
         Kind::Unread => stream.write_all(format!("{head}Content-Length: 2\r\n\r\nhi").as_bytes()),
-        Kind::Heads => stream.write_all(long_head(&head, is_whole).as_bytes()),
+        Kind::Heads => stream.write_all(long_head(&head, HEAD, is_whole).as_bytes()),
+        Kind::LargeHeads => stream.write_all(long_head(&head, BODY, is_whole).as_bytes()),
         Kind::Whole => send_length(&mut stream, &head, BODY, BODY, is_whole),
         Kind::Pieces => send_length(&mut stream, &head, BODY, PIECE, is_whole),
         Kind::Announced => send_length(&mut stream, &head, BODY * OVERSIZE, PIECE, is_whole),
@@ -173,10 +176,11 @@
     (Some(stream), status.flatten())
 }
 
-fn long_head(head: &str, is_whole: bool) -> String {
+fn long_head(head: &str, size: usize, is_whole: bool) -> String {
     let mut text = head.to_owned();
-    while text.len() + 1_024 < HEAD {
-        let _ = write!(text, "X-Filling: {}\r\n", "f".repeat(960));
+    let line = size / 16;
+    while text.len() + line < size {
+        let _ = write!(text, "X-Filling: {}\r\n", "f".repeat(line - 64));
     }
     if is_whole {
         text.push_str("Content-Length: 2\r\n\r\nhi");
--- a/crates/shell/src/head.rs
+++ b/crates/shell/src/head.rs
@@ -15,7 +15,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use dahliastile_intake::Phase;
+use dahliastile_intake::{Phase, Size, Use};
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -23,7 +23,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout};
 
-use crate::intake::Slot;
+use crate::intake::{Charge, Slot, UNCOUNTED_HEAD};
 
 /// How long a request that was refused before it came whole is read on, so that its client gets to read the refusal.
 const LINGER: Duration = Duration::from_secs(1);
@@ -123,6 +123,8 @@
     head: Rc<Head>,
     /// Its place in the ledger.
     slot: Arc<Slot>,
+    /// The bytes of the head that comes, and the room that they take beyond that of the connection.
+    head_bytes: (usize, Charge),
     /// Whether the system resets the connection when it is closed.
     resets: bool,
     /// What is still read after the last answer.
@@ -139,10 +141,12 @@
 
 impl Watched {
     pub(crate) fn new(stream: TcpStream, head: Rc<Head>, slot: Arc<Slot>) -> Self {
+        let head_bytes = (0, slot.charge(Use::Request));
         Self {
             stream,
             head,
             slot,
+            head_bytes,
             resets: false,
             rest: None,
         }
@@ -166,6 +170,27 @@
         Poll::Ready(())
     }
 
+    /// Counts bytes of a head, or of what waits behind a request.
+    fn count_head(&mut self, count: usize) -> io::Result<()> {
+        let begins = self.head.bytes();
+        let (bytes, charge) = &mut self.head_bytes;
+        if begins {
+            self.slot.enter(Phase::Idle);
+            *bytes = 0;
+            drop(charge.split(Size(usize::MAX)));
+        }
+        if self.head.serving.get() {
+            return Ok(());
+        }
+        *bytes += count;
+        match Size(*bytes) {
+            size if size <= UNCOUNTED_HEAD => Ok(()),
+            size => charge
+                .try_extend_to(size)
+                .map_err(|_| io::Error::other("there is no room for the head")),
+        }
+    }
+
     /// Passes on how much was written.
     fn note_written(&self, written: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(count)) = written {
@@ -194,10 +219,10 @@
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         let count = buffer.filled().len() - before;
         if count > 0 {
-            if self.head.bytes() {
-                self.slot.enter(Phase::Idle);
-            }
             self.slot.progress(count);
+            if let Err(full) = self.count_head(count) {
+                return Poll::Ready(Err(full));
+            }
         }
         read
     }
--- a/crates/shell/src/intake.rs
+++ b/crates/shell/src/intake.rs
@@ -21,8 +21,11 @@
 /// without a bound, the system lets it grow to megabytes a connection.
 pub(crate) const RECEIVE_BUFFER: u32 = 32 * 1024;
 
+/// What of a head is counted with its connection.
+pub(crate) const UNCOUNTED_HEAD: Size = Size::kib(16);
+
 /// What a connection takes itself: its receive buffer, the buffers of the HTTP library and its task.
-const CONNECTION: Size = Size(RECEIVE_BUFFER as usize + 16 * 1024);
+const CONNECTION: Size = Size(RECEIVE_BUFFER as usize + UNCOUNTED_HEAD.0);
 
 /// A body or an answer up to this size is counted with its connection.
 const UNCOUNTED: Size = Size::kib(4);
@@ -212,6 +215,18 @@
         grant
     }
 
+    /// Takes room for `size` in all, where there is some at once.
+    ///
+    /// # Errors
+    /// Where there is none.
+    pub(crate) fn try_extend_to(&mut self, size: Size) -> Result<(), Full> {
+        match size.less(self.size) {
+            Size::ZERO => Ok(()),
+            extra if self.grow(extra) == Grant::Granted => Ok(()),
+            _ => Err(Full),
+        }
+    }
+
     /// Takes room for `size` in all, once others have yielded.
     ///
     /// # Errors
