--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -96,9 +96,9 @@
     OversizedAnswers "dahliastile_oversized_answers_total" "1";
     /// Streams that callers resumed, by how this VM learnt what began them: `register`, `keeper` (another VM), `only_build`, or not at all (`unknown`).
     Origins "dahliastile_origins_total" "1";
-    /// Memory that connections of clients make the process hold, as the ledger counts it.
+    /// Memory that connections of clients make the process hold (`held`), as the ledger counts it, and that they may (`most`).
     ClientMemory "dahliastile_client_memory_bytes" "bytes";
-    /// Open connections of callers (`callers`), and of other VMs or operators (`vms`).
+    /// Open connections of callers (`callers`), and of other VMs or operators (`others`).
     ClientConnections "dahliastile_client_connections" "connections";
     /// Clients that were turned away for want of room: new connections (`connection`), requests (`request`), and connections that ended for others (`yielded`).
     ClientsShed "dahliastile_clients_shed_total" "1";
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,12 +11,15 @@
 use dahliastile_core::id::Incarnation;
 use dahliastile_core::log::Code;
 use dahliastile_core::settings as core;
+use dahliastile_intake::{Capacity, Size};
 use dahliastile_outside::{Cancel, vms};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::driver::{Driver, Mailbox, Parts, Shared};
 use crate::error::{Error, Result};
-use crate::http::{Callers, Ids, Limits, Operators, Server};
+use crate::http::{
+    Admission, Callers, DESCRIPTORS, Ids, Intake, Limits, Operators, REQUEST_COPIES, Server,
+};
 use crate::logs::Journal;
 use crate::peers::Peers;
 use crate::settings::Settings;
@@ -145,18 +148,25 @@
         )?;
         let own = own_settings(settings, incarnation, peers.address());
         let ids = Ids::new(&own.vm, own.incarnation);
+        let capacity = Capacity::of(settings.limits.machine, DESCRIPTORS)?;
+        let intake = Intake::new(capacity);
         let callers = Server::start(
             settings.listen.callers,
             callers_limits(settings),
             settings.limits.requests,
             mailbox.clone(),
+            (Arc::clone(&intake), Admission::Callers(shared.clone())),
             Callers::new(ids, shared.clone(), Arc::clone(&draining), mailbox.clone()),
         )?;
         let operators = Server::start(
             settings.listen.operators,
-            operators_limits(settings),
+            operators_limits(settings, capacity),
             OPERATOR_CALLS,
             mailbox.clone(),
+            (
+                Arc::clone(&intake),
+                Admission::Operators(settings.operators),
+            ),
             Operators::new(
                 settings.operators,
                 shared.clone(),
@@ -193,6 +203,7 @@
             attempts: settings.limits.attempts,
             answer_bytes: settings.limits.answer_bytes,
             slow: settings.limits.slow,
+            intake,
         };
         let (stop, stopping) = flume::bounded(1);
         let (limit, limits) = flume::unbounded();
@@ -332,9 +343,10 @@
     }
 }
 
-fn operators_limits(settings: &Settings) -> Limits {
+fn operators_limits(settings: &Settings, capacity: Capacity) -> Limits {
+    let largest = capacity.largest(Size::ZERO);
     Limits {
-        body_bytes: OPERATOR_BODY,
+        body_bytes: OPERATOR_BODY.min(largest.0 / REQUEST_COPIES),
         connections: OPERATOR_CONNECTIONS,
         ..callers_limits(settings)
     }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -14,17 +14,19 @@
 use dahliastile_core::error::{Answer, Kind};
 use dahliastile_core::event::{Call, Event, Head};
 use dahliastile_core::id::{Edition, Request, Ticket};
+use dahliastile_core::log::{Code, Record};
 use dahliastile_core::metric::{Figure, Sample};
 use dahliastile_core::operator::{Command, Reply};
 use dahliastile_core::settings as core;
 use dahliastile_core::time;
 use dahliastile_core::{Node, View};
 
+use crate::http::Intake;
 use crate::logs::Journal;
 use crate::peers::Peers;
 use answers::Answers;
 pub(crate) use answers::CHANNEL;
-pub(crate) use attempt::Body;
+pub(crate) use attempt::{Body, Held};
 use dahliastile_shell::Figures;
 pub(crate) use mailbox::{Inbox, Mailbox};
 use outside::Outside;
@@ -32,6 +34,9 @@
 /// Messages handled between two looks at the clock.
 const BATCH: usize = 256;
 
+/// The pause between two reports on what clients make the process hold.
+const REPORT_PAUSE: Duration = Duration::from_secs(1);
+
 /// A piece of an answer, on its way to the thread that writes it.
 #[derive(Debug)]
 pub(crate) enum Piece {
@@ -61,7 +66,7 @@
         /// What it asks for.
         call: Box<Call>,
         /// What to send to a backend server.
-        body: Arc<Body>,
+        body: Arc<Held>,
         /// Where its answer goes.
         answer: flume::Sender<Piece>,
     },
@@ -115,6 +120,8 @@
     pub(crate) answer_bytes: usize,
     /// How long a caller may leave its answer unread.
     pub(crate) slow: Duration,
+    /// What clients make the process hold.
+    pub(crate) intake: Arc<Intake>,
 }
 
 /// The owner of the node.
@@ -132,6 +139,9 @@
     answers: Answers,
     replies: HashMap<Ticket, flume::Sender<Reply>>,
     shown: Edition,
+    intake: Arc<Intake>,
+    /// When the next report on it is due.
+    next_report: Instant,
     stopped: bool,
 }
 
@@ -155,6 +165,8 @@
             answers: Answers::new(parts.slow),
             replies: HashMap::new(),
             shown,
+            intake: parts.intake,
+            next_report: Instant::now(),
             stopped: false,
         }
     }
@@ -198,6 +210,7 @@
 
     fn tick(&mut self) {
         self.step(Event::Tick);
+        self.report_intake();
         for request in self.answers.overdue() {
             self.answers.remove(request);
             self.outside.forget(request);
@@ -205,6 +218,21 @@
         }
     }
 
+    /// Shows how full the ledger of clients is, and writes a line where some were turned away.
+    fn report_intake(&mut self) {
+        let now = Instant::now();
+        if now < self.next_report {
+            return;
+        }
+        self.next_report = now + REPORT_PAUSE;
+        let report = self.intake.take_report();
+        self.figures.show_intake(&report);
+        if !report.is_quiet() {
+            let record = Record::new(Code::ClientsShed, report.to_string());
+            self.journal.write(&record);
+        }
+    }
+
     /// Shows the listeners a configuration that has come in force.
     fn show(&mut self) {
         let edition = self.node.edition();
--- a/crates/daemon/src/driver/attempt.rs
+++ b/crates/daemon/src/driver/attempt.rs
@@ -13,6 +13,7 @@
 use serde_json::{Map, Value};
 
 use super::Mailbox;
+use crate::http::Charge;
 
 /// The time to tell an engine that an attempt is given up.
 const ABORT: Duration = Duration::from_secs(2);
@@ -39,13 +40,22 @@
     Plain(plain::Call),
 }
 
+/// A request's body with the room that it takes.
+#[derive(Debug)]
+pub(crate) struct Held {
+    /// The body.
+    pub(crate) body: Body,
+    /// The room.
+    pub(crate) charge: Charge,
+}
+
 /// An attempt to make.
 #[derive(Debug)]
 pub(super) struct Job {
     /// What the node wants sent, and where.
     pub(super) work: Work,
     /// The request's body.
-    pub(super) body: Arc<Body>,
+    pub(super) held: Arc<Held>,
     /// The time that is left.
     pub(super) left: Duration,
     /// Ends the attempt.
@@ -66,7 +76,7 @@
 /// Makes an attempt.
 pub(super) fn run(context: &Context, job: &Job) {
     let attempt = job.work.attempt;
-    let result = match (job.work.address.parse::<Endpoint>(), &*job.body) {
+    let result = match (job.work.address.parse::<Endpoint>(), &job.held.body) {
         (Err(error), _) => Err(Error::Unsent(error.to_string())),
         (Ok(endpoint), Body::Plain(call)) => forward(context, job, endpoint, call),
         (
@@ -114,10 +124,14 @@
         start_by: Instant::now().checked_add(job.left),
     };
     let attempt = job.work.attempt;
-    let result = client.complete(&work, &job.cancel, |event| {
+    let mut room = job.held.charge.answer_room();
+    let result = client.complete(&work, &job.cancel, &mut room, |event| {
         context.mailbox.event(translate(attempt, stream, event));
         ControlFlow::Continue(())
     });
+    if result.is_ok() {
+        room.keep();
+    }
     if let Err(error) = &result
         && !error.is_unsent()
     {
@@ -182,7 +196,8 @@
         start_by: Instant::now().checked_add(job.left),
         ..call.clone()
     };
-    let answer = client.forward(&call, job.left, &job.cancel)?;
+    let mut room = job.held.charge.answer_room();
+    let answer = client.forward(&call, job.left, &job.cancel, &mut room)?;
     match (answer.failure(), answer.framing.ending()) {
         (Some(error @ Error::NotRun { .. }), _) => return Err(error),
         (Some(error), _) if UNAVAILABLE.contains(&answer.status) => return Err(error),
@@ -192,6 +207,7 @@
             return Err(Error::Broken("no length of the body".to_owned()));
         }
     }
+    room.keep();
     let attempt = job.work.attempt;
     let content_type = answer.headers.get("content-type");
     context.mailbox.event(Event::Begun {
--- a/crates/daemon/src/driver/outside.rs
+++ b/crates/daemon/src/driver/outside.rs
@@ -14,7 +14,7 @@
 use dahliastile_outside::engine::{self, CacheKind, Client, Limit};
 use dahliastile_outside::{Cancel, Endpoint, Error, Fence};
 
-use super::attempt::{self, Body};
+use super::attempt::{self, Held};
 use super::{Mailbox, Parts, kv};
 use crate::pool::Pool;
 
@@ -49,7 +49,7 @@
 /// The work that is done outside.
 pub(super) struct Outside {
     mailbox: Mailbox,
-    bodies: HashMap<Request, Arc<Body>>,
+    bodies: HashMap<Request, Arc<Held>>,
     cancels: HashMap<Attempt, Cancel>,
     watches: HashMap<Op, Cancel>,
     attempts: Pool<attempt::Context, attempt::Job>,
@@ -101,8 +101,8 @@
     }
 
     /// Keeps a request's body until it is over.
-    pub(super) fn remember(&mut self, request: Request, body: Arc<Body>) {
-        self.bodies.insert(request, body);
+    pub(super) fn remember(&mut self, request: Request, held: Arc<Held>) {
+        self.bodies.insert(request, held);
     }
 
     /// A request is over.
@@ -117,7 +117,7 @@
 
     /// Sends a request to a backend server.
     pub(super) fn send(&mut self, work: Work, now: Instant) {
-        let Some(body) = self.bodies.get(&work.request) else {
+        let Some(held) = self.bodies.get(&work.request) else {
             // The caller went away in the same step; the node hears that nothing was sent.
             let attempt = work.attempt;
             self.answer_later(Event::Failed {
@@ -130,7 +130,7 @@
         self.cancels.insert(work.attempt, cancel.clone());
         let left = Duration::from_micros(work.deadline.since(now).0);
         self.attempts.give(attempt::Job {
-            body: Arc::clone(body),
+            held: Arc::clone(held),
             left,
             cancel,
             work,
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -29,6 +29,9 @@
     /// The link to other entry VMs can't be set up.
     #[error("can't set the link to other VMs up: {0}")]
     Link(String),
+    /// The machine is too small.
+    #[error("can't serve on this machine: {0}")]
+    Machine(#[from] dahliastile_intake::TooSmall),
     /// A thread of the daemon ended by a panic.
     #[error("a thread of the daemon panicked")]
     Panicked,
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,10 +1,12 @@
 //! The HTTP listeners: callers' and operators'.
 
+mod admission;
 mod answer;
 mod ask;
 mod callers;
 mod gate;
 mod head;
+mod intake;
 mod operators;
 mod relay;
 mod server;
@@ -13,9 +15,11 @@
 
 use dahliastile_core::id::{Incarnation, Request, Vm};
 
+pub(crate) use admission::Admission;
 pub(crate) use answer::sse;
 pub(crate) use callers::Callers;
 pub(crate) use gate::Limits;
+pub(crate) use intake::{ANSWER_COPIES, Charge, DESCRIPTORS, Intake, REQUEST_COPIES};
 pub(crate) use operators::Operators;
 pub(crate) use server::Server;
 
--- a/crates/daemon/src/http/ask.rs
+++ b/crates/daemon/src/http/ask.rs
@@ -12,6 +12,7 @@
 use serde_json::{Map, Value};
 use tiny_http::{Method, Request};
 
+use super::head;
 use crate::driver::Body;
 
 /// What a caller's request is.
@@ -49,7 +50,7 @@
 
 /// Reads a request.
 pub(super) fn read(request: &mut Request, view: &Arc<View>) -> Result<Ask, Answer> {
-    let caller = caller(request, view)?;
+    let caller = caller(bearer(request), view)?;
     let path = path(request)?;
     match path {
         Path::Models => Ok(Ask::Models(Arc::clone(view))),
@@ -59,9 +60,9 @@
 }
 
 /// The caller that the bearer token names. Whoever has none learns nothing else.
-fn caller(request: &Request, view: &View) -> Result<id::Caller, Answer> {
+pub(super) fn caller(token: Option<&str>, view: &View) -> Result<id::Caller, Answer> {
     let unauthorized = || Answer::new(Kind::Unauthorized, "send a bearer token");
-    let token = bearer(request).ok_or_else(unauthorized)?;
+    let token = token.ok_or_else(unauthorized)?;
     if !view.is_ready() {
         let answer = Answer::new(Kind::NotReady, "this VM has no configuration yet");
         return Err(answer.after(Span::from_secs(1)));
@@ -75,9 +76,7 @@
 
 /// The bearer token of a request.
 pub(super) fn bearer(request: &Request) -> Option<&str> {
-    let (scheme, token) = header(request, "Authorization")?.split_once(' ')?;
-    let token = token.trim();
-    (scheme.eq_ignore_ascii_case("bearer") && !token.is_empty()).then_some(token)
+    head::bearer(header(request, "Authorization")?)
 }
 
 fn header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -15,9 +15,10 @@
 use super::answer::{self, JSON, Stream};
 use super::ask::{self, Ask};
 use super::head::Refusal;
+use super::intake::Charge;
 use super::relay;
 use super::server::{Exchange, Service};
-use crate::driver::{Body, CHANNEL, Input, Mailbox, Piece, Shared};
+use crate::driver::{CHANNEL, Held, Input, Mailbox, Piece, Shared};
 
 /// Answers callers.
 pub(crate) struct Callers {
@@ -54,13 +55,13 @@
     }
 
     /// Has the node do the work and writes its answer.
-    fn work(&self, exchange: Exchange, request: id::Request, call: Box<Call>, body: Body) {
+    fn work(&self, exchange: Exchange, request: id::Request, call: Box<Call>, held: Held) {
         let (sender, pieces) = flume::bounded(CHANNEL);
         let stream = call.stream;
         self.mailbox.post(Input::Arrived {
             request,
             call,
-            body: Arc::new(body),
+            body: Arc::new(held),
             answer: sender,
         });
         let connection = Arc::clone(&exchange.connection);
@@ -98,7 +99,11 @@
                 let answer = Answer::shutting_down("this VM is shutting down");
                 self.refuse_with(exchange, request, &answer);
             }
-            Ok(Ask::Work(call, body)) => self.work(exchange, request, call, body),
+            Ok(Ask::Work(call, body)) => {
+                let charge = exchange.charge.take();
+                let charge = charge.unwrap_or_else(|| Charge::new(&exchange.connection));
+                self.work(exchange, request, call, Held { body, charge });
+            }
             Ok(Ask::Models(view)) => {
                 let id = self.ids.text(request);
                 answer::whole(exchange.request, 200, JSON, models(&view), &id, &[]);
--- a/crates/daemon/src/http/gate.rs
+++ b/crates/daemon/src/http/gate.rs
@@ -4,7 +4,7 @@
 //! goes unnoticed until something is written to it. A gate holds the callers' sockets, checks each head, and relays
 //! bytes to the library's own listener on the loopback interface.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -15,7 +15,11 @@
 use dahliastile_core::event::Event;
 use dahliastile_core::id::Request;
 
+use dahliastile_intake::{Phase, Port};
+
+use super::admission::Admission;
 use super::head::Refusal;
+use super::intake::{Charge, Intake, Slot};
 use super::relay;
 use crate::driver::{Input, Mailbox};
 
@@ -58,6 +62,8 @@
     stopped: bool,
     /// Why the next answer is a refusal; the connection ends with it.
     refusal: Option<Refusal>,
+    /// The room that requests take which were passed on and not yet taken up.
+    charges: VecDeque<Charge>,
 }
 
 /// One caller's connection.
@@ -69,6 +75,8 @@
     pub(super) inner: TcpStream,
     /// Where the node hears of callers that went away.
     mailbox: Mailbox,
+    /// Its place in the ledger.
+    pub(super) slot: Slot,
     /// What is known of it.
     state: Mutex<State>,
 }
@@ -78,11 +86,38 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that the head of a request is passed on.
-    pub(super) fn pass(&self) {
+    /// Notes that a request is passed on, with the room that it takes.
+    pub(super) fn pass(&self, charge: Charge) {
         let mut state = self.lock();
         state.pending += 1;
         state.partial = true;
+        state.charges.push_back(charge);
+    }
+
+    /// The room that the next request takes; none where it stands for a refused one.
+    pub(super) fn take_charge(&self) -> Option<Charge> {
+        self.lock().charges.pop_front()
+    }
+
+    /// Gives back the room of requests that nobody takes up any more.
+    pub(super) fn drop_charges(&self) {
+        let charges = std::mem::take(&mut self.lock().charges);
+        drop(charges);
+    }
+
+    /// Whether the caller has gone away.
+    pub(super) fn is_gone(&self) -> bool {
+        self.lock().gone
+    }
+
+    /// Notes what the connection waits for while nothing is written to its caller.
+    pub(super) fn rest(&self) {
+        let phase = if self.is_busy() {
+            Phase::Running
+        } else {
+            Phase::Idle
+        };
+        self.slot.enter(phase);
     }
 
     /// Notes that the rest of it is passed on, too.
@@ -146,15 +181,23 @@
     pub(super) fn answered(&self) {
         let mut state = self.lock();
         state.pending = state.pending.saturating_sub(1);
+        let is_last = state.pending == 0;
+        drop(state);
+        if is_last {
+            self.slot.release_answers();
+        }
     }
 
     /// The caller has gone away: its requests are given up and both sockets closed.
     pub(super) fn lose(&self) {
-        let requests = {
+        // The room is given back when the lock of the state is, as it needs that of the ledger.
+        let (requests, charges) = {
             let mut state = self.lock();
             state.gone = true;
-            std::mem::take(&mut state.requests)
+            let requests = std::mem::take(&mut state.requests);
+            (requests, std::mem::take(&mut state.charges))
         };
+        drop(charges);
         for request in requests {
             self.mailbox.post(Input::Event(Event::Gone { request }));
         }
@@ -187,6 +230,12 @@
     inner: SocketAddr,
     /// Where the node hears of callers that went away.
     mailbox: Mailbox,
+    /// What clients make the process hold.
+    intake: Arc<Intake>,
+    /// How the ledger counts the connections.
+    port: Port,
+    /// Whose bodies are read.
+    pub(super) admission: Admission,
     /// The connections.
     open: Mutex<Open>,
     /// Signalled when a connection ends, and when a request comes.
@@ -236,12 +285,16 @@
         inner: SocketAddr,
         limits: Limits,
         mailbox: Mailbox,
+        (intake, admission): (Arc<Intake>, Admission),
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             limits,
             inner,
             mailbox,
+            intake,
+            port: admission.port(),
+            admission,
             open: Mutex::default(),
             changed: Condvar::new(),
         });
@@ -351,6 +404,9 @@
     if shared.lock().connections.len() >= shared.limits.connections {
         return relay::turn_away(&caller);
     }
+    let Some(slot) = shared.intake.open(shared.port) else {
+        return relay::turn_away(&caller);
+    };
     let inner = TcpStream::connect(shared.inner)?;
     inner.set_nodelay(true)?;
     let key = inner.local_addr()?;
@@ -358,8 +414,10 @@
         caller,
         inner,
         mailbox: shared.mailbox.clone(),
+        slot,
         state: Mutex::default(),
     });
+    connection.slot.attach(&connection);
     let entry = Arc::clone(&connection);
     shared.lock().connections.insert(key, entry);
     let relaying = Arc::clone(shared);
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -5,6 +5,7 @@
 //! to the plain form of the standard, before they are passed on.
 
 use dahliastile_core::error::{Answer, Kind};
+use dahliastile_core::time::Span;
 
 /// A request that is refused before the HTTP library sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,10 +25,21 @@
         }
     }
 
+    /// The refusal of a request for which there is no room beside those of others.
+    pub(crate) fn no_room() -> Self {
+        Self {
+            kind: Kind::QueueFull,
+            detail: "too much is being sent at once".to_owned(),
+        }
+    }
+
     /// What the caller is told.
     pub(crate) fn answer(self) -> Answer {
         match self.kind {
             Kind::ShuttingDown => Answer::shutting_down(self.detail),
+            Kind::QueueFull | Kind::NotReady => {
+                Answer::new(self.kind, self.detail).after(Span::from_secs(1))
+            }
             kind => Answer::new(kind, self.detail),
         }
     }
@@ -42,6 +54,16 @@
     pub(crate) body: usize,
     /// Whether the caller may wait for a word before it sends the body.
     pub(crate) expects: bool,
+    /// Its bearer token.
+    pub(crate) token: Option<String>,
+}
+
+impl Head {
+    /// Whether its body is read as JSON.
+    pub(crate) fn is_json(&self) -> bool {
+        const COMPLETIONS: &[u8] = b"POST /v1/";
+        self.bytes.starts_with(COMPLETIONS)
+    }
 }
 
 /// The size of a head and its closing empty line at the start of `bytes`, once it is there.
@@ -71,6 +93,7 @@
     let mut kept = format!("{request}\r\n");
     let mut length = None;
     let mut expects = false;
+    let mut token = None;
     for line in lines {
         let (name, value) = header(line)?;
         match name.to_ascii_lowercase().as_str() {
@@ -89,7 +112,12 @@
             // The library would hand the rest of the connection over to a protocol that nobody speaks.
             "upgrade" => continue,
             "connection" if value.to_ascii_lowercase().contains("upgrade") => continue,
-            "expect" => expects = true,
+            // The gate gives the word itself.
+            "expect" => {
+                expects = true;
+                continue;
+            }
+            "authorization" if token.is_none() => token = bearer(value).map(str::to_owned),
             _ => {}
         }
         kept.push_str(line);
@@ -100,9 +128,17 @@
         bytes: kept.into_bytes(),
         body: length.unwrap_or(0),
         expects,
+        token,
     })
 }
 
+/// The token in the value of an `Authorization` header.
+pub(super) fn bearer(value: &str) -> Option<&str> {
+    let (scheme, token) = value.split_once(' ')?;
+    let token = token.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !token.is_empty()).then_some(token)
+}
+
 fn bad(detail: &str) -> Refusal {
     Refusal {
         kind: Kind::BadRequest,
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use tiny_http::Method;
 
+use super::admission;
 use super::answer::{self, JSON};
 use super::ask;
 use super::head::Refusal;
@@ -86,14 +87,7 @@
             (Method::Get, "/readyz") => return Ok(self.readiness()),
             _ => {}
         }
-        // Hashes are compared in constant time.
-        let known = |token: &str| blake3::hash(token.as_bytes()) == self.token;
-        if !ask::bearer(request).is_some_and(known) {
-            return Err(Answer::new(
-                Kind::Unauthorized,
-                "send the operators' bearer token",
-            ));
-        }
+        admission::operator(ask::bearer(request), self.token)?;
         match (request.method(), request.url()) {
             (Method::Get, "/metrics") => Ok(Page {
                 status: 200,
--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -7,9 +7,11 @@
 use std::time::{Duration, Instant};
 
 use dahliastile_core::error::Kind;
+use dahliastile_intake::{Phase, Size};
 
 use super::gate::{Connection, STACK, Shared};
-use super::head::{self, Refusal};
+use super::head::{self, Head, Refusal};
+use super::intake::{Charge, REQUEST_COPIES};
 
 /// Bytes moved at a time.
 const BUFFER: usize = 16 * 1024;
@@ -23,9 +25,14 @@
 /// Bytes of a refused request that are read and thrown away, so that its caller gets to read the answer.
 const LINGER: usize = 64 * 1024 * 1024;
 
-/// The largest body, in bytes, that the HTTP library reads before it hands its request on. It drops the connection where one
-/// is cut short, so that these are passed on only when they are whole.
-const READ_FIRST: usize = 1024;
+/// The answer to a caller that waits for a word before it sends the body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// The pause between two looks whether earlier answers are written, before that word is sent.
+const CONTINUE_PAUSE: Duration = Duration::from_millis(5);
+
+/// A head or a body up to this size is counted with its connection.
+const UNCOUNTED: usize = 16 * 1024;
 
 /// How long the caller of a refused request may stay silent before its connection is closed.
 const LINGER_SILENCE: Duration = Duration::from_secs(2);
@@ -56,6 +63,7 @@
         discard(connection);
     }
     connection.cut();
+    connection.drop_charges();
 }
 
 /// Tells a caller for whom there is no connection left.
@@ -72,7 +80,7 @@
 }
 
 /// Passes requests in until the caller closes or one is refused.
-fn pass_in(shared: &Shared, connection: &Connection) -> io::Result<()> {
+fn pass_in(shared: &Shared, connection: &Arc<Connection>) -> io::Result<()> {
     let mut bytes: Vec<u8> = Vec::new();
     loop {
         let size = match read_head(shared, connection, &mut bytes)? {
@@ -88,9 +96,17 @@
             Ok(head) => head,
             Err(refusal) => return refuse(connection, refusal),
         };
+        if head.body > 0
+            && let Err(refusal) = shared.admission.admit(&head)
+        {
+            return refuse(connection, refusal);
+        }
         bytes.drain(..size);
-        let whole = head.expects || head.body > READ_FIRST || {
-            await_body(connection, &mut bytes, head.body)?
+        connection.slot.enter(Phase::Reading);
+        let mut charge = Charge::new(connection);
+        let whole = match await_body(connection, &mut bytes, &head, &mut charge)? {
+            Ok(whole) => whole,
+            Err(refusal) => return refuse(connection, refusal),
         };
         if !whole {
             return if shared.is_closing() {
@@ -99,14 +115,11 @@
                 Ok(())
             };
         }
-        connection.pass();
+        connection.slot.enter(Phase::Running);
+        connection.pass(charge);
         (&connection.inner).write_all(&head.bytes)?;
-        if !pass_body(connection, &mut bytes, head.body)? {
-            if shared.is_closing() {
-                connection.stop();
-            }
-            return Ok(());
-        }
+        (&connection.inner).write_all(&bytes[..head.body])?;
+        bytes = bytes.split_off(head.body);
         connection.passed();
         shared.notify();
         if shared.is_closing() {
@@ -125,10 +138,11 @@
 /// Reads until a whole head is there and says how long it is; none where the caller has closed.
 fn read_head(
     shared: &Shared,
-    connection: &Connection,
+    connection: &Arc<Connection>,
     bytes: &mut Vec<u8>,
 ) -> io::Result<Result<Option<usize>, Refusal>> {
     let mut begun = None;
+    let mut charge = Charge::new(connection);
     loop {
         if let Some(size) = head::end(bytes) {
             return Ok(Ok(Some(size)));
@@ -136,6 +150,9 @@
         if bytes.len() > shared.limits.header_bytes {
             return Ok(Err(too_large(shared)));
         }
+        if bytes.len() > UNCOUNTED && !charge.extend_to(Size(bytes.len())) {
+            return Ok(Err(Refusal::no_room()));
+        }
         let begun_at = *begun.get_or_insert_with(Instant::now);
         let late = !bytes.is_empty() && begun_at.elapsed() > shared.limits.idle;
         match read_more(connection, bytes) {
@@ -166,6 +183,7 @@
         match (&connection.caller).read(&mut buffer) {
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             Ok(count) => {
+                connection.slot.progress(count);
                 bytes.extend_from_slice(&buffer[..count]);
                 return Ok(count);
             }
@@ -174,31 +192,34 @@
     }
 }
 
-/// Reads until a body is there; says whether it is whole.
-fn await_body(connection: &Connection, bytes: &mut Vec<u8>, length: usize) -> io::Result<bool> {
-    while bytes.len() < length {
-        if read_more(connection, bytes)? == 0 {
-            return Ok(false);
+/// Reads until a body is there, as there is room for it, so that no thread that answers requests waits for a caller. Says
+/// whether the body is whole.
+fn await_body(
+    connection: &Connection,
+    bytes: &mut Vec<u8>,
+    head: &Head,
+    charge: &mut Charge,
+) -> io::Result<Result<bool, Refusal>> {
+    if head.expects && bytes.len() < head.body {
+        // The word may not come within the answer to an earlier request.
+        while connection.is_busy() && !connection.is_gone() {
+            thread::sleep(CONTINUE_PAUSE);
         }
+        (&connection.caller).write_all(CONTINUE)?;
     }
-    Ok(true)
-}
-
-/// Passes a body on; says whether it was whole.
-fn pass_body(connection: &Connection, bytes: &mut Vec<u8>, length: usize) -> io::Result<bool> {
-    let mut left = length;
     loop {
-        let ready = left.min(bytes.len());
-        (&connection.inner).write_all(&bytes[..ready])?;
-        bytes.drain(..ready);
-        left -= ready;
-        if left == 0 {
-            return Ok(true);
+        let length = bytes.len().min(head.body);
+        if length > UNCOUNTED && !charge.extend_to(Size(length) * REQUEST_COPIES) {
+            return Ok(Err(Refusal::no_room()));
+        }
+        if length == head.body {
+            break;
         }
         if read_more(connection, bytes)? == 0 {
-            return Ok(false);
+            return Ok(Ok(false));
         }
     }
+    Ok(Ok(true))
 }
 
 /// Refuses a request of which the VM reads no more.
@@ -248,10 +269,12 @@
             Ok(0) | Err(_) => break,
             Ok(count) => count,
         };
+        connection.slot.enter(Phase::Writing);
         // A caller that does not read within its time counts as gone.
         if (&connection.caller).write_all(&buffer[..count]).is_err() {
             return connection.lose();
         }
+        connection.rest();
     }
     match connection.is_refused() {
         // With both sides closed, the system would answer what still comes by a reset. The other thread closes.
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -8,7 +8,10 @@
 
 use tiny_http::Request;
 
+use super::admission::Admission;
 use super::gate::{self, Connection, Gate, Limits};
+use super::intake::{self, Charge, Intake};
+use super::relay;
 use crate::driver::Mailbox;
 use crate::error::{Error, Result};
 use crate::pool::Pool;
@@ -22,6 +25,8 @@
     pub(super) request: Request,
     /// Its connection.
     pub(super) connection: Arc<Connection>,
+    /// The room that it takes; none where it stands for a refused one.
+    pub(super) charge: Option<Charge>,
 }
 
 /// Answers requests.
@@ -58,12 +63,14 @@
         limits: Limits,
         requests: usize,
         mailbox: Mailbox,
+        admission: (Arc<Intake>, Admission),
         service: S,
     ) -> Result<Self> {
         let listener =
             TcpListener::bind(address).map_err(|source| Error::Listen { address, source })?;
+        intake::bound_receive_buffer(&listener)?;
         let (library, inner) = library().map_err(|error| Error::Http(error.to_string()))?;
-        let gate = Arc::new(Gate::start(listener, inner, limits, mailbox)?);
+        let gate = Arc::new(Gate::start(listener, inner, limits, mailbox, admission)?);
         let dispatcher = Dispatcher {
             gate: Arc::clone(&gate),
             library: Arc::clone(&library),
@@ -141,9 +148,14 @@
             let Some(connection) = connection else {
                 continue;
             };
+            let charge = match request.url() {
+                relay::REFUSED => None,
+                _ => connection.take_charge(),
+            };
             let exchange = Exchange {
                 request,
                 connection,
+                charge,
             };
             if open.fetch_add(1, Ordering::SeqCst) < self.requests {
                 workers.give(exchange);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod fault;
+mod machine;
 mod table;
 mod tree;
 
@@ -12,12 +13,14 @@
 
 use dahliastile_core::id;
 use dahliastile_core::settings::Tuning;
+use dahliastile_intake::{Capacity, Machine, Size};
 use dahliastile_outside::Endpoint;
 use dahliastile_wire::Secret;
 
 pub use fault::{Fault, Place};
 pub use table::{Entry, Form, entries};
 
+use crate::http;
 use check::Check;
 
 /// Where the daemon listens. Port 0 lets the system choose.
@@ -53,6 +56,8 @@
     pub body_bytes: usize,
     /// The largest answer that is not streamed, in bytes.
     pub answer_bytes: usize,
+    /// What the machine gives to the process.
+    pub machine: Machine,
     /// Callers' connections at a time.
     pub connections: usize,
     /// Callers' requests in progress at a time.
@@ -185,6 +190,7 @@
 fn build(check: &mut Check) -> Option<Settings> {
     let secret = secret(check);
     let tuning = tuning(check);
+    let machine = machine(check);
     let check = &*check;
     let size = |name: &str| usize::try_from(check.number(name)).unwrap_or(usize::MAX);
     let span = |name: &str| Duration::from_millis(check.number(name));
@@ -209,6 +215,7 @@
             header_bytes: size("limits.header_bytes"),
             body_bytes: size("limits.body_bytes"),
             answer_bytes: size("limits.answer_bytes"),
+            machine,
             connections: size("limits.connections"),
             requests: size("limits.requests"),
             attempts: size("limits.attempts"),
@@ -220,6 +227,41 @@
     })
 }
 
+/// What the machine gives to the process, once it is checked that the process and one request at the limits fit.
+fn machine(check: &mut Check) -> Machine {
+    let size = |name: &str| usize::try_from(check.number(name)).unwrap_or(usize::MAX);
+    let machine = machine::machine(size("limits.memory_mb"), size("limits.descriptors"));
+    let (body, answer) = (size("limits.body_bytes"), size("limits.answer_bytes"));
+    let messages = match Capacity::of(machine, http::DESCRIPTORS) {
+        Err(too_small) => vec![format!("`limits`: {too_small}")],
+        Ok(capacity) => {
+            let parts = [
+                (
+                    "body",
+                    body,
+                    http::REQUEST_COPIES,
+                    capacity.largest(Size::ZERO),
+                ),
+                ("answer", answer, http::ANSWER_COPIES, capacity.memory),
+            ];
+            let too_large = parts
+                .into_iter()
+                .filter(|(_, bytes, copies, room)| Size(*bytes) * *copies > *room);
+            let message = |(name, bytes, copies, room): (&str, usize, usize, Size)| {
+                format!(
+                    "`limits.{name}_bytes` ({bytes}) does not fit {copies} times into the {} bytes that one client may take of `limits.memory_mb`",
+                    room.0
+                )
+            };
+            too_large.map(message).collect()
+        }
+    };
+    for message in messages {
+        check.fault(Place::File, message);
+    }
+    machine
+}
+
 fn parsed<T: FromStr>(check: &Check, name: &str) -> Option<T> {
     check.text(name)?.parse().ok()
 }
--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -169,11 +169,23 @@
         "16777216",
         "The largest answer that is not streamed.",
     ),
+    (
+        "limits.memory_mb",
+        number("MB", 0, 16_777_216),
+        "0",
+        "Memory of the machine for this process; 0 stands for all that the machine has. Three eighths of it are for what clients send and leave unread.",
+    ),
+    (
+        "limits.descriptors",
+        number("descriptors", 0, 16_777_216),
+        "0",
+        "Descriptors of this process; 0 stands for the limit that it was started with.",
+    ),
     (
         "limits.connections",
         number("connections", 1, 65_536),
         "4096",
-        "Callers' connections at a time.",
+        "Callers' connections at a time, where the descriptors are enough: each takes five, out of five eighths of those beyond 200.",
     ),
     (
         "limits.requests",
--- a/crates/daemon/tests/client_crowds.rs
+++ b/crates/daemon/tests/client_crowds.rs
@@ -283,3 +283,16 @@
         assert_eq!(fleet.vms[0].raw(&text).status, 200, "{framing}");
     }
 }
+
+/// Guards against a VM that starts on a machine that is too small for it, and ends later.
+#[test]
+fn start_machinetoosmall() {
+    let _alone = alone();
+    let fleet = Fleet::servers();
+    let ip = fleet.address(1, 0).ip();
+    let text = settings_text(1, ip, fleet.address(250, 8142));
+    let text = text.replace("[limits]\n", "[limits]\nmemoryMb = 16\n");
+    let mut vm = fleet.start(1, Some(&text));
+    until("it has ended", || !vm.runs());
+    assert_eq!(vm.ended(), Some(1));
+}
--- a/crates/daemon/tests/own_client_crowds.rs
+++ b/crates/daemon/tests/own_client_crowds.rs
@@ -25,7 +25,8 @@
 /// The size of an answer that nobody reads, in bytes.
 const ANSWER: usize = 900_000;
 /// What the machine has, and what clients may send.
-const LIMITS: &str = "limits: { body_bytes: 1048576, header_bytes: 16384 }\n";
+const LIMITS: &str = "limits: { body_bytes: 1048576, header_bytes: 16384, answer_bytes: 1048576, \
+     memory_mb: 80, descriptors: 600 }\n";
 
 /// An entry VM on a machine with little memory and few descriptors, among stand-ins.
 struct Stage {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -242,3 +242,31 @@
         .tests(300)
         .quickcheck(property as fn(Vec<(u8, String)>) -> bool);
 }
+
+#[test]
+fn parse_machinetoosmall() {
+    let limits = |text: &str| faults(&format!("{}limits: {{ {text} }}\n", good()));
+    assert_eq!(
+        limits("memory_mb: 128, descriptors: 1024"),
+        Vec::<String>::new()
+    );
+    let cases = [
+        ("memory_mb: 16", "16000000 bytes of memory are too few"),
+        ("descriptors: 100", "100 descriptors are too few"),
+        (
+            "memory_mb: 128, body_bytes: 16777216",
+            "`limits.body_bytes` (16777216) does not fit",
+        ),
+        (
+            "memory_mb: 64",
+            "`limits.answer_bytes` (16777216) does not fit",
+        ),
+    ];
+    for (text, expected) in cases {
+        let found = limits(text);
+        assert!(
+            found.iter().any(|fault| fault.contains(expected)),
+            "{text}: {found:?}"
+        );
+    }
+}
--- a/crates/intake/src/capacity.rs
+++ b/crates/intake/src/capacity.rs
@@ -83,12 +83,13 @@
     /// What clients may take of a machine.
     ///
     /// Three eighths of the memory are for clients; the rest is for the process at its largest fleet, and for what the
-    /// allocator keeps of what was released. Of the sockets, a connection of a caller or of another VM may take two, its own
-    /// and one to a server; an eighth is for links that come in and an eighth for everything else.
+    /// allocator keeps of what was released. Of the sockets, five eighths are for callers and an eighth for other VMs or
+    /// operators, each of whose connections takes `per_connection` with what it needs to be served; an eighth is for links that
+    /// come in and an eighth for everything else.
     ///
     /// # Errors
     /// Where the machine has too little for the process itself.
-    pub fn of(machine: Machine) -> Result<Self, TooSmall> {
+    pub fn of(machine: Machine, per_connection: usize) -> Result<Self, TooSmall> {
         if machine.memory < LEAST_MEMORY {
             let (have, least) = (machine.memory.0, LEAST_MEMORY.0);
             return Err(TooSmall::Memory { have, least });
@@ -98,13 +99,13 @@
             return Err(TooSmall::Descriptors { have, least });
         }
         let memory = machine.memory.fraction(3, 8);
-        let sixteenth = (machine.descriptors - FILES) / 16;
+        let eighth = (machine.descriptors - FILES) / 8;
         Ok(Self {
             memory,
             reserve: memory.fraction(1, 4),
-            callers: sixteenth * 5,
-            trusted: sixteenth,
-            links: sixteenth * 2,
+            callers: eighth * 5 / per_connection.max(1),
+            trusted: eighth / per_connection.max(1),
+            links: eighth,
         })
     }
 
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -6,6 +6,7 @@
 use dahliastile_core::time::{Instant, Span};
 
 use crate::capacity::{Capacity, Port};
+use crate::report::Report;
 use crate::size::Size;
 
 /// A request that makes the process hold no more than this, besides its connection, is small: it may use the reserve.
@@ -357,6 +358,19 @@
         }
     }
 
+    /// Gives back all that a connection's requests or answers take.
+    pub fn release(&mut self, holder: Holder, part: Use) {
+        if let Some(size) = self.entry_mut(holder).map(|entry| *entry.part(part)) {
+            self.shrink(holder, part, size);
+        }
+    }
+
+    /// Whether a connection was told to yield.
+    #[must_use]
+    pub fn is_yielding(&self, holder: Holder) -> bool {
+        self.entry(holder).is_some_and(|entry| entry.yields)
+    }
+
     /// Notes that the client of a connection sent or read bytes.
     pub fn progress(&mut self, holder: Holder, bytes: usize, now: Instant) {
         if let Some(entry) = self.entry_mut(holder) {
@@ -402,9 +416,16 @@
         std::mem::take(&mut self.yielded)
     }
 
-    /// What was decided since the last call.
-    pub fn take_tally(&mut self) -> Tally {
-        std::mem::take(&mut self.tally)
+    /// What was decided since the last call, and how full the ledger is.
+    pub fn take_report(&mut self) -> Report {
+        let others = [Port::Trusted, Port::Links].map(|port| self.connections(port));
+        Report {
+            tally: std::mem::take(&mut self.tally),
+            held: self.total(),
+            callers: self.connections(Port::Callers),
+            others: others.iter().sum(),
+            capacity: self.capacity,
+        }
     }
 
     /// The invariants that do not hold, in readable text.
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -10,9 +10,11 @@
 mod capacity;
 mod json;
 mod ledger;
+mod report;
 mod size;
 
 pub use capacity::{Capacity, Machine, Port, TooSmall};
 pub use json::json_weight;
 pub use ledger::{Grant, Holder, Ledger, Phase, SMALL, Tally, Use};
+pub use report::Report;
 pub use size::{Malformed, Size};
--- a/crates/intake/tests/ledger.rs
+++ b/crates/intake/tests/ledger.rs
@@ -11,7 +11,7 @@
         memory: Size::mib(64),
         descriptors: 680,
     };
-    Ledger::new(Capacity::of(machine).expect("it is large enough"))
+    Ledger::new(Capacity::of(machine, 2).expect("it is large enough"))
 }
 
 fn at(millis: u64) -> Instant {
@@ -185,10 +185,13 @@
 #[test]
 fn capacity_toosmall() {
     let of = |memory, descriptors| {
-        Capacity::of(Machine {
-            memory,
-            descriptors,
-        })
+        Capacity::of(
+            Machine {
+                memory,
+                descriptors,
+            },
+            2,
+        )
         .is_ok()
     };
     assert!(of(Size::megabytes(80), 600));
--- a/crates/intake/tests/random.rs
+++ b/crates/intake/tests/random.rs
@@ -55,7 +55,7 @@
         Self {
             random,
             now: Instant(1),
-            ledger: Ledger::new(Capacity::of(machine).expect("large enough")),
+            ledger: Ledger::new(Capacity::of(machine, 2).expect("large enough")),
             clients: BTreeMap::new(),
             rests: Vec::new(),
             is_crowd: seed.is_multiple_of(2),
--- a/crates/outside/src/engine/mod.rs
+++ b/crates/outside/src/engine/mod.rs
@@ -8,9 +8,10 @@
 
 use crate::cancel::Cancel;
 use crate::error::{Error, Result};
-use crate::http::{self, Exchange, Head, Request};
+use crate::http::{self, Exchange, Head, Request, Room};
 use crate::sse::Parser;
-use crate::unit::{Endpoint, Fence, Size};
+use crate::unit::{Endpoint, Fence};
+use dahliastile_intake::Size;
 use serde_json::json;
 use std::ops::ControlFlow;
 use std::time::Duration;
@@ -65,7 +66,7 @@
     }
 
     /// Sends work, once, and passes its answer to `sink` as it comes: the head, then each event of a
-    /// stream or the whole answer.
+    /// stream or the whole answer, which is read as there is `room` for it.
     ///
     /// Returns `Ok` only for a whole answer: a stream that ended with its end event, or a whole JSON
     /// body. A stream that the engine was told to abort may end so as well; its last event's finish
@@ -79,6 +80,7 @@
         &self,
         work: &Work,
         cancel: &Cancel,
+        room: &mut impl Room,
         mut sink: impl FnMut(Event) -> ControlFlow<()>,
     ) -> Result<()> {
         let body = work.body()?;
@@ -89,7 +91,7 @@
         };
         let exchange = Exchange::open(request, cancel)?;
         if !(200..300).contains(&exchange.head().status) {
-            let (head, body, _) = exchange.whole(self.limit.whole.0)?;
+            let (head, body, _) = exchange.whole(self.limit.whole.0, room)?;
             return Err(refusal(&head, body));
         }
         let model = exchange.head().headers.get(SERVED_MODEL).cloned();
@@ -97,7 +99,7 @@
         if work.stream {
             self.stream(exchange, &mut sink)
         } else {
-            self.whole(exchange, &mut sink)
+            self.whole(exchange, room, &mut sink)
         }
     }
 
@@ -126,9 +128,10 @@
     fn whole(
         &self,
         exchange: Exchange,
+        room: &mut impl Room,
         sink: &mut impl FnMut(Event) -> ControlFlow<()>,
     ) -> Result<()> {
-        let (_, body, _) = exchange.whole(self.limit.whole.0)?;
+        let (_, body, _) = exchange.whole(self.limit.whole.0, room)?;
         emit(sink, work::whole(body)?)
     }
 
--- a/crates/outside/src/http.rs
+++ b/crates/outside/src/http.rs
@@ -14,6 +14,19 @@
 /// Pieces of a body that may wait for the calling thread before the reader thread stops reading.
 const WAITING_PIECES: usize = 16;
 
+/// Room for an answer that is read as a whole.
+pub trait Room {
+    /// Takes room for `length` bytes in all, and waits for it until `end` at most. Returns whether there is any.
+    fn extend_to(&mut self, length: usize, end: Instant) -> bool;
+}
+
+/// As much as is asked for.
+impl Room for () {
+    fn extend_to(&mut self, _: usize, _: Instant) -> bool {
+        true
+    }
+}
+
 /// A request to one server.
 pub(crate) struct Request {
     /// The server.
@@ -133,13 +146,21 @@
         }
     }
 
-    /// Reads the rest of the body, up to a limit.
-    pub(crate) fn whole(mut self, limit: usize) -> Result<(Head, Vec<u8>, Framing)> {
+    /// Reads the rest of the body, up to a limit, as there is room for it.
+    pub(crate) fn whole(
+        mut self,
+        limit: usize,
+        room: &mut impl Room,
+    ) -> Result<(Head, Vec<u8>, Framing)> {
         let mut body = Vec::new();
         while let Some(piece) = self.piece()? {
-            if body.len() + piece.len() > limit {
+            let length = body.len() + piece.len();
+            if length > limit {
                 return Err(Error::Broken(format!("body longer than {limit} bytes")));
             }
+            if !room.extend_to(length, self.deadline) {
+                return Err(Error::Timeout);
+            }
             body.extend_from_slice(&piece);
         }
         let framing = self.framing.unwrap_or(Framing::Connection);
@@ -163,7 +184,7 @@
 
 /// Runs an exchange whose answer is read as a whole; a status of failure becomes an error.
 pub(crate) fn call(request: Request, limit: usize, cancel: &Cancel) -> Result<Vec<u8>> {
-    let (head, body, _) = Exchange::open(request, cancel)?.whole(limit)?;
+    let (head, body, _) = Exchange::open(request, cancel)?.whole(limit, &mut ())?;
     match head.status {
         200..=299 => Ok(body),
         status => Err(Error::from_answer(status, body)),
--- a/crates/outside/src/kv/watch.rs
+++ b/crates/outside/src/kv/watch.rs
@@ -62,7 +62,7 @@
                 lines: [].into(),
             }),
             status => {
-                let (_, body, _) = exchange.whole(LINE_BYTES)?;
+                let (_, body, _) = exchange.whole(LINE_BYTES, &mut ())?;
                 Err(Error::from_answer(status, body))
             }
         }
--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -35,6 +35,8 @@
 pub mod vms;
 
 pub use cancel::{Cancel, Wake};
+pub use dahliastile_intake::Size;
 pub use error::{Error, Result};
+pub use http::Room;
 pub use sse::{Event, Parser};
-pub use unit::{Endpoint, Fence, Lease, Revision, Size};
+pub use unit::{Endpoint, Fence, Lease, Revision};
--- a/crates/outside/src/plain.rs
+++ b/crates/outside/src/plain.rs
@@ -2,9 +2,10 @@
 
 use crate::cancel::Cancel;
 use crate::error::{Error, Result};
-use crate::http::{Exchange, Request};
-use crate::unit::{Endpoint, Size};
+use crate::http::{Exchange, Request, Room};
+use crate::unit::Endpoint;
 use dahliastile_body::Framing;
+use dahliastile_intake::Size;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -79,12 +80,18 @@
         Self { endpoint, limit }
     }
 
-    /// Forwards a call, once, and reads its answer as a whole.
+    /// Forwards a call, once, and reads its answer as a whole, as there is room for it.
     ///
     /// # Errors
     /// Any [`Error`] but [`Error::NotRun`] and [`Error::Rejected`], as every answer of the service is
     /// handed over. A call that would not be well formed is [`Error::Unsent`].
-    pub fn forward(&self, call: &Call, timeout: Duration, cancel: &Cancel) -> Result<Answer> {
+    pub fn forward(
+        &self,
+        call: &Call,
+        timeout: Duration,
+        cancel: &Cancel,
+        room: &mut impl Room,
+    ) -> Result<Answer> {
         check(call)?;
         let request = Request {
             method: call.method.clone(),
@@ -93,7 +100,7 @@
             start_by: call.start_by,
             ..Request::get(self.endpoint, &call.path, timeout)
         };
-        let (head, body, framing) = Exchange::open(request, cancel)?.whole(self.limit.0)?;
+        let (head, body, framing) = Exchange::open(request, cancel)?.whole(self.limit.0, room)?;
         let mut headers = head.headers;
         let nominated = headers.remove("connection").unwrap_or_default();
         headers.retain(|name, _| !is_own(name, &nominated));
--- a/crates/outside/src/unit.rs
+++ b/crates/outside/src/unit.rs
@@ -43,11 +43,6 @@
     Fence(u64)
 }
 
-number! {
-    /// A size in bytes.
-    Size(usize)
-}
-
 /// The address of a server: an IPv4 address and a port.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Endpoint(pub SocketAddrV4);
--- a/crates/outside/tests/engine.rs
+++ b/crates/outside/tests/engine.rs
@@ -38,7 +38,7 @@
 
 fn run(endpoint: Endpoint, work: &Work) -> (Vec<Event>, Result<(), Error>) {
     let mut events = Vec::new();
-    let result = client(endpoint).complete(work, &Cancel::new(), |event| {
+    let result = client(endpoint).complete(work, &Cancel::new(), &mut (), |event| {
         events.push(event);
         ControlFlow::Continue(())
     });
@@ -111,7 +111,7 @@
     }]);
     let cancel = Cancel::new();
     let mut seen = Vec::new();
-    let result = client(server.endpoint).complete(&work(true), &cancel, |event| {
+    let result = client(server.endpoint).complete(&work(true), &cancel, &mut (), |event| {
         if let Event::Chunk { .. } = event {
             cancel.cancel();
         }
@@ -125,8 +125,9 @@
 #[test]
 fn complete_sink_breaks() {
     let server = Server::start(vec![closes(stream_of(&[FIRST, SECOND, DONE]))]);
-    let result =
-        client(server.endpoint).complete(&work(true), &Cancel::new(), |_| ControlFlow::Break(()));
+    let result = client(server.endpoint).complete(&work(true), &Cancel::new(), &mut (), |_| {
+        ControlFlow::Break(())
+    });
     assert_eq!(result, Err(Error::Cancelled));
 }
 
@@ -364,8 +365,8 @@
     let cancel = Cancel::new();
     cancel.cancel();
     let nobody = Nobody::new();
-    let result =
-        client(nobody.endpoint).complete(&work(true), &cancel, |_| ControlFlow::Continue(()));
+    let result = client(nobody.endpoint)
+        .complete(&work(true), &cancel, &mut (), |_| ControlFlow::Continue(()));
     assert!(matches!(result, Err(Error::Unsent(_))), "{result:?}");
 }
 
@@ -401,7 +402,8 @@
 fn order_redirected() {
     let vouched = r#"{"error":{"code":"overloaded","ran":"no"}}"#;
     let server = Server::start(vec![closes(answer("307 Elsewhere", vouched))]);
-    let result = client(server.endpoint).load("lock@3", "/w", Fence(9), AMPLE, &Cancel::new());
+    let result =
+        client(server.endpoint).load("lock@3", "/w", Fence(9), AMPLE, &Cancel::new(), &mut ());
     let error = result.unwrap_err();
     assert!(!error.is_unsent(), "{error:?}");
 }
--- a/crates/outside/tests/plain.rs
+++ b/crates/outside/tests/plain.rs
@@ -19,7 +19,8 @@
 
 fn forward(script: Script, call: &Call) -> Result<(u16, Vec<u8>, Framing), Error> {
     let server = Server::start(vec![script]);
-    let answer = Client::new(server.endpoint, LIMIT).forward(call, AMPLE, &Cancel::new())?;
+    let answer =
+        Client::new(server.endpoint, LIMIT).forward(call, AMPLE, &Cancel::new(), &mut ())?;
     Ok((answer.status, answer.body, answer.framing))
 }
 
@@ -42,7 +43,9 @@
     };
     let server = Server::start(vec![closes(answer("207 Multi", "ok"))]);
     let client = Client::new(server.endpoint, LIMIT);
-    let answer = client.forward(&call, AMPLE, &Cancel::new()).unwrap();
+    let answer = client
+        .forward(&call, AMPLE, &Cancel::new(), &mut ())
+        .unwrap();
     assert_eq!((answer.status, answer.body), (207, b"ok".to_vec()));
     assert!(answer.headers.is_empty());
     let endpoint = server.endpoint;
@@ -81,7 +84,7 @@
     let nobody = Nobody::new();
     let client = Client::new(nobody.endpoint, LIMIT);
     for call in calls {
-        let result = client.forward(&call, AMPLE, &Cancel::new());
+        let result = client.forward(&call, AMPLE, &Cancel::new(), &mut ());
         assert!(matches!(result, Err(Error::Unsent(_))), "{call:?}");
     }
 }
@@ -126,7 +129,7 @@
 fn forward_refused() {
     let nobody = Nobody::new();
     let client = Client::new(nobody.endpoint, LIMIT);
-    let result = client.forward(&call("POST", "/"), AMPLE, &Cancel::new());
+    let result = client.forward(&call("POST", "/"), AMPLE, &Cancel::new(), &mut ());
     assert_eq!(result.unwrap_err(), Error::Refused);
 }
 
@@ -136,7 +139,7 @@
     let server = Server::start(vec![closes(answer("503 Busy", body))]);
     let client = Client::new(server.endpoint, LIMIT);
     let answer = client
-        .forward(&call("POST", "/"), AMPLE, &Cancel::new())
+        .forward(&call("POST", "/"), AMPLE, &Cancel::new(), &mut ())
         .unwrap();
     assert!(answer.failure().is_some_and(|failure| failure.is_unsent()));
     assert!(server.join()[0].contains("Content-Length: 0"));
--- a/crates/outside/tests/standin.rs
+++ b/crates/outside/tests/standin.rs
@@ -213,7 +213,7 @@
     let (host, endpoint) = start(Engine::new(settings));
     let client = Client::new(endpoint, AMPLE, Limit::default());
     client
-        .load(MODEL, "/weights", Fence(1), AMPLE, &Cancel::new())
+        .load(MODEL, "/weights", Fence(1), AMPLE, &Cancel::new(), &mut ())
         .unwrap();
     (host, client)
 }
@@ -236,7 +236,7 @@
 /// Runs work; gives the text, and fails on a model other than the one asked for.
 fn run(client: &Client, work: &Work) -> (String, Result<(), Error>) {
     let mut text = String::new();
-    let result = client.complete(work, &Cancel::new(), |event| {
+    let result = client.complete(work, &Cancel::new(), &mut (), |event| {
         let (model, data) = match event {
             Event::Head { model } => (model, "null".into()),
             Event::Chunk { model, data } => (model, data.into_bytes()),
@@ -348,7 +348,7 @@
     let mut work = work(true);
     work.body.insert("max_tokens".into(), 1_000_000.into());
     let mut aborted = false;
-    let result = client.complete(&work, &Cancel::new(), |event| {
+    let result = client.complete(&work, &Cancel::new(), &mut (), |event| {
         if let (Event::Chunk { .. }, false) = (event, aborted) {
             client.abort("r-1", &Cancel::new()).unwrap();
             aborted = true;
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -8,9 +8,6 @@
 use dahliastile_gateway::effect::{Effect, Effects, KvOperation};
 use dahliastile_gateway::event::Event;
 
-use dahliastile_core::metric::Figure;
-use dahliastile_intake::Tally;
-
 use crate::clock::{Clock, duration};
 use crate::dialect::Dialect;
 use crate::figures::Figures;
@@ -125,42 +122,12 @@
             return;
         }
         self.shedding.at = now;
-        let level = self.hub.intake.level();
-        let counts = [
-            (Figure::ClientMemory, "", level.held.0),
-            (Figure::ClientConnections, "callers", level.callers),
-            (Figure::ClientConnections, "vms", level.vms),
-        ];
-        for (figure, label, value) in counts {
-            self.figures.set(figure, value, label);
-        }
-        let tally = self.hub.intake.take_tally();
-        if tally == Tally::default() {
-            return;
-        }
-        let shed = [
-            ("connection", tally.connections),
-            ("request", tally.requests),
-            ("yielded", tally.yielded),
-        ];
-        for (label, count) in shed.into_iter().filter(|(_, count)| *count > 0) {
-            self.figures
-                .count(Figure::ClientsShed, count, label.to_owned());
+        let report = self.hub.intake.take_report();
+        self.figures.show_intake(&report);
+        if !report.is_quiet() {
+            let record = Record::new(Code::ClientsShed, report.to_string());
+            self.journal.write(now, &record);
         }
-        let capacity = self.hub.intake.capacity();
-        let detail = format!(
-            "refused_connections={} refused_requests={} yielded={} held={} of={} callers={} of={} vms={}",
-            tally.connections,
-            tally.requests,
-            tally.yielded,
-            level.held,
-            capacity.memory,
-            level.callers,
-            capacity.callers,
-            level.vms,
-        );
-        self.journal
-            .write(now, &Record::new(Code::ClientsShed, detail));
     }
 
     /// The largest body that is taken in: that of the operator's limits, unless there is no room for one.
--- a/crates/shell/src/figures.rs
+++ b/crates/shell/src/figures.rs
@@ -1,6 +1,7 @@
 //! The recorder of one daemon's figures. Several daemons live in one process, so none installs a global recorder.
 
 use dahliastile_core::metric::{Figure, Sample};
+use dahliastile_intake::Report;
 use metrics::{Key, Label, Level, Metadata, Recorder, SharedString, Unit};
 use metrics_exporter_prometheus::{
     BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
@@ -74,13 +75,25 @@
         counter.increment(count);
     }
 
+    /// Shows what clients make the process hold, and counts those that were turned away.
+    pub fn show_intake(&self, report: &Report) {
+        self.set(Figure::ClientMemory, report.held.0, "held");
+        self.set(Figure::ClientMemory, report.capacity.memory.0, "most");
+        self.set(Figure::ClientConnections, report.callers, "callers");
+        self.set(Figure::ClientConnections, report.others, "others");
+        let shed = [
+            ("connection", report.tally.connections),
+            ("request", report.tally.requests),
+            ("yielded", report.tally.yielded),
+        ];
+        for (label, count) in shed.into_iter().filter(|(_, count)| *count > 0) {
+            self.count(Figure::ClientsShed, count, label.to_owned());
+        }
+    }
+
     /// Shows the present value of a figure that goes up and down.
-    pub(crate) fn set(&self, figure: Figure, value: usize, label: &str) {
-        let labels = match label {
-            "" => Vec::new(),
-            label => vec![Label::new("label", label.to_owned())],
-        };
-        let key = Key::from_parts(figure.name(), labels);
+    fn set(&self, figure: Figure, value: usize, label: &'static str) {
+        let key = Key::from_parts(figure.name(), vec![Label::new("label", label)]);
         let gauge = self.recorder.register_gauge(&key, &METADATA);
         #[allow(clippy::cast_precision_loss)]
         gauge.set(value as f64);
--- a/crates/shell/src/intake.rs
+++ b/crates/shell/src/intake.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use dahliastile_core::time::Instant;
-use dahliastile_intake::{Capacity, Grant, Holder, Ledger, Phase, Port, Size, Tally, Use};
+use dahliastile_intake::{Capacity, Grant, Holder, Ledger, Phase, Port, Report, Size, Use};
 use rustc_hash::FxHashMap;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
@@ -27,6 +27,9 @@
 /// What a connection takes itself: its receive buffer, the buffers of the HTTP library and its task.
 const CONNECTION: Size = Size(RECEIVE_BUFFER as usize + UNCOUNTED_HEAD.0);
 
+/// Descriptors of a connection: its own, and one to a server.
+pub(crate) const DESCRIPTORS: usize = 2;
+
 /// A body or an answer up to this size is counted with its connection.
 const UNCOUNTED: Size = Size::kib(4);
 
@@ -60,17 +63,6 @@
     clock: Clock,
 }
 
-/// How full the ledger is.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Level {
-    /// What connections make the process hold.
-    pub(crate) held: Size,
-    /// Connections of callers.
-    pub(crate) callers: usize,
-    /// Connections of other VMs, with attempts and links.
-    pub(crate) vms: usize,
-}
-
 impl Intake {
     pub(crate) fn new(capacity: Capacity) -> Arc<Self> {
         let shared = Shared {
@@ -128,25 +120,9 @@
         self.lock().ledger.capacity().largest(CONNECTION)
     }
 
-    /// What clients may make the process hold.
-    pub(crate) fn capacity(&self) -> Capacity {
-        self.lock().ledger.capacity()
-    }
-
-    /// How full it is.
-    pub(crate) fn level(&self) -> Level {
-        let shared = self.lock();
-        let connections = |port| shared.ledger.connections(port);
-        Level {
-            held: shared.ledger.total(),
-            callers: connections(Port::Callers),
-            vms: connections(Port::Trusted) + connections(Port::Links),
-        }
-    }
-
-    /// What was decided since the last call.
-    pub(crate) fn take_tally(&self) -> Tally {
-        self.lock().ledger.take_tally()
+    /// What was decided since the last call, and how full it is.
+    pub(crate) fn take_report(&self) -> Report {
+        self.lock().ledger.take_report()
     }
 }
 
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -110,7 +110,8 @@
     dialect: D,
     (mut terminate, mut hangup): (Signal, Signal),
 ) -> eyre::Result<()> {
-    let capacity = Capacity::of(options.machine).wrap_err("can't serve on this machine")?;
+    let capacity = Capacity::of(options.machine, intake::DESCRIPTORS)
+        .wrap_err("can't serve on this machine")?;
     let bind = |address: SocketAddr| {
         intake::listen(address).wrap_err_with(|| format!("can't listen on {address}"))
     };
