Own interface: JSON is weighed before it is read

A chat of one megabyte with many small objects took 170 MB; twenty at once took 3.4 GB.

Cause: a body was read into a tree of values, where an object of eight bytes takes more than a kilobyte, for the node and once more where it is sent. Change: the structure of a JSON body is counted while it is bytes, and its weight takes room in the ledger as bytes do. Why it works: the weight is an upper bound of the tree (intake/tests/json.rs), so that no tree is made without room for it.

--- a/crates/daemon/src/http/relay.rs
+++ b/crates/daemon/src/http/relay.rs
@@ -219,6 +219,9 @@
             return Ok(Ok(false));
         }
     }
+    if head.is_json() && !charge.extend_by_json(&bytes[..head.body]) {
+        return Ok(Err(Refusal::no_room()));
+    }
     Ok(Ok(true))
 }
 
