A connection waits for its client only while that keeps an answer from being written

A stream whose server pauses for five seconds would have counted as one whose client does not read, and could have yielded to others.

Cause: the phase followed the head of the answer, not the writes. Change: a connection counts as writing from the first write that the system does not take until all is with the system; it waits for its client again when the library has taken all of the answer. Result: found by reading, with no test that fails before: among stalled connections such a stream yields last, since it holds least.

--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahliastile_intake::{self as intake, Phase};
+use dahliastile_intake as intake;
 use http::Version;
 use hyper::body::Body;
 use hyper::server::conn::http1;
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::dialect::Dialect;
-use crate::head::{Head, Watched};
+use crate::head::{Answered, Head, Watched};
 use crate::hub::Hub;
 use crate::intake::Slot;
 use crate::pool;
@@ -131,12 +131,12 @@
                 Port::Callers => request::serve(hub, &slot, &head, request).await,
                 Port::Relays => relay::serve(hub, &slot, &head, request, peer.ip()).await,
             };
-            slot.enter(Phase::Writing);
             let in_chunks = speaks_chunks && answer.version() > Version::HTTP_10;
             if !in_chunks && answer.body().size_hint().exact().is_none() {
                 head.end_answer();
             }
             head.answered();
+            let answer = answer.map(|body| Answered::new(body, head, slot));
             Ok::<_, Infallible>(answer)
         }
     });
--- a/crates/shell/src/head.rs
+++ b/crates/shell/src/head.rs
@@ -17,6 +17,7 @@
 
 use dahliastile_intake::{Phase, Size, Use};
 
+use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -49,6 +50,10 @@
     reads_body: Cell<bool>,
     /// Whether a request was refused before it came whole.
     refused_early: Cell<bool>,
+    /// Whether the library has taken all of the last answer.
+    answer_ended: Cell<bool>,
+    /// Whether the client does not take what is to be written.
+    is_blocked: Cell<bool>,
 }
 
 impl Head {
@@ -73,9 +78,19 @@
         self.refused_early.set(true);
     }
 
-    /// The request was answered.
+    /// The request was answered; the body of the answer may still come.
     pub(crate) fn answered(&self) {
         self.serving.set(false);
+        self.answer_ended.set(false);
+    }
+
+    /// What a connection waits for whose client takes what is written.
+    fn phase(&self) -> Phase {
+        if self.answer_ended.get() {
+            Phase::Idle
+        } else {
+            Phase::Running
+        }
     }
 
     /// The answer ends with the connection: any other end than an orderly one, also that of the process, resets it.
@@ -115,6 +130,56 @@
     }
 }
 
+/// The body of an answer. When the library has taken all of it, or drops it, the connection waits for its client.
+pub(crate) struct Answered<B> {
+    body: B,
+    _end: AnswerEnd,
+}
+
+/// Says that all of an answer is taken, when it is dropped.
+struct AnswerEnd {
+    head: Rc<Head>,
+    slot: Arc<Slot>,
+}
+
+impl Drop for AnswerEnd {
+    fn drop(&mut self) {
+        self.head.answer_ended.set(true);
+        if !self.head.is_blocked.get() {
+            self.slot.enter(Phase::Idle);
+        }
+    }
+}
+
+impl<B> Answered<B> {
+    pub(crate) fn new(body: B, head: Rc<Head>, slot: Arc<Slot>) -> Self {
+        Self {
+            body,
+            _end: AnswerEnd { head, slot },
+        }
+    }
+}
+
+impl<B: Body + Unpin> Body for Answered<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A connection whose bytes are watched.
 pub(crate) struct Watched {
     /// The connection.
@@ -191,10 +256,25 @@
         }
     }
 
-    /// Passes on how much was written.
+    /// Passes on how much was written, and whether the client keeps more from being written.
     fn note_written(&self, written: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(count)) = written {
-            self.slot.progress(*count);
+        match written {
+            Poll::Pending if !self.head.is_blocked.get() => {
+                self.head.is_blocked.set(true);
+                self.slot.enter(Phase::Writing);
+            }
+            Poll::Ready(Ok(count)) if self.head.is_blocked.get() => {
+                // It has only made some room: it still counts as blocked until all is written.
+                self.slot.progress(*count);
+            }
+            Poll::Pending | Poll::Ready(_) => {}
+        }
+    }
+
+    /// All that was to be written is with the system.
+    fn note_flushed(&self) {
+        if self.head.is_blocked.take() {
+            self.slot.enter(self.head.phase());
         }
     }
 
@@ -258,6 +338,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.note_flushed();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
