Own interface: room of an answer is given back once, and taken before any of the answer is read

Cause: when a connection ended, the room of its answers was given back whether they had come or not, and once more by the attempt that read them; a debug assertion ended that thread, and printing its backtrace read the debug information of the program, which is most of those megabytes. In a release build the ledger would have counted too little. Besides, answers waited for each other with a part of each in hand, and were copied once more when whole. Change: only answers that have come are given back with the connection's turn. An answer whose length is known takes its room before it is read, in one buffer, which is passed on without a copy.

--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -146,6 +146,7 @@
                 head = Some(begun);
                 body.clear();
             }
+            Ok(Piece::Data(data)) if body.is_empty() => body = data,
             Ok(Piece::Data(data)) => body.extend_from_slice(&data),
             Ok(Piece::Replay(head, data)) => {
                 let request = exchange.request;
--- a/crates/daemon/src/http/gate.rs
+++ b/crates/daemon/src/http/gate.rs
@@ -15,7 +15,7 @@
 use dahliastile_core::event::Event;
 use dahliastile_core::id::Request;
 
-use dahliastile_intake::{Phase, Port};
+use dahliastile_intake::{Phase, Port, Size, Use};
 
 use super::admission::Admission;
 use super::head::Refusal;
@@ -64,6 +64,8 @@
     refusal: Option<Refusal>,
     /// The room that requests take which were passed on and not yet taken up.
     charges: VecDeque<Charge>,
+    /// The room that answers take which have come whole and are not yet written.
+    answers: Size,
 }
 
 /// One caller's connection.
@@ -99,6 +101,11 @@
         self.lock().charges.pop_front()
     }
 
+    /// Notes the room that an answer takes until it is written.
+    pub(super) fn keep_answer(&self, size: Size) {
+        self.lock().answers += size;
+    }
+
     /// Gives back the room of requests that nobody takes up any more.
     pub(super) fn drop_charges(&self) {
         let charges = std::mem::take(&mut self.lock().charges);
@@ -181,11 +188,12 @@
     pub(super) fn answered(&self) {
         let mut state = self.lock();
         state.pending = state.pending.saturating_sub(1);
-        let is_last = state.pending == 0;
+        let written = match state.pending {
+            0 => std::mem::take(&mut state.answers),
+            _ => Size::ZERO,
+        };
         drop(state);
-        if is_last {
-            self.slot.release_answers();
-        }
+        self.slot.shrink(Use::Answer, written);
     }
 
     /// The caller has gone away: its requests are given up and both sockets closed.
--- a/crates/daemon/src/http/intake.rs
+++ b/crates/daemon/src/http/intake.rs
@@ -170,12 +170,12 @@
         self.intake.ask_for(patience, grow).is_some()
     }
 
-    /// Gives back what an answer took that has been written.
-    pub(super) fn release_answers(&self) {
-        let mut state = self.intake.lock();
-        state.ledger.release(self.holder, Use::Answer);
-        drop(state);
-        self.intake.released.notify_all();
+    /// Gives back room.
+    pub(super) fn shrink(&self, part: Use, size: Size) {
+        if size > Size::ZERO {
+            self.intake.lock().ledger.shrink(self.holder, part, size);
+            self.intake.released.notify_all();
+        }
     }
 }
 
@@ -229,19 +229,13 @@
         AnswerRoom {
             connection: Arc::clone(&self.connection),
             size: Size::ZERO,
-            is_kept: false,
         }
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        let Slot { intake, holder } = &self.connection.slot;
-        intake
-            .lock()
-            .ledger
-            .shrink(*holder, Use::Request, self.size);
-        intake.released.notify_all();
+        self.connection.slot.shrink(Use::Request, self.size);
     }
 }
 
@@ -250,14 +244,12 @@
 pub(crate) struct AnswerRoom {
     connection: Arc<Connection>,
     size: Size,
-    /// Whether the answer goes to its caller, and is over only when that has it.
-    is_kept: bool,
 }
 
 impl AnswerRoom {
     /// The answer has come, and keeps its room until its caller has it.
     pub(crate) fn keep(mut self) {
-        self.is_kept = true;
+        self.connection.keep_answer(std::mem::take(&mut self.size));
     }
 }
 
@@ -280,12 +272,7 @@
 
 impl Drop for AnswerRoom {
     fn drop(&mut self) {
-        if self.is_kept {
-            return;
-        }
-        let Slot { intake, holder } = &self.connection.slot;
-        intake.lock().ledger.shrink(*holder, Use::Answer, self.size);
-        intake.released.notify_all();
+        self.connection.slot.shrink(Use::Answer, self.size);
     }
 }
 
--- a/crates/outside/src/http.rs
+++ b/crates/outside/src/http.rs
@@ -153,6 +153,15 @@
         room: &mut impl Room,
     ) -> Result<(Head, Vec<u8>, Framing)> {
         let mut body = Vec::new();
+        // All of it at once where its length is known, so that answers don't wait for each other with a part of each in hand.
+        let announced = self.head.headers.get("content-length");
+        let announced = announced.and_then(|length| length.parse().ok());
+        if let Some(length) = announced.filter(|length| *length <= limit) {
+            if !room.extend_to(length, self.deadline) {
+                return Err(Error::Timeout);
+            }
+            body.reserve_exact(length);
+        }
         while let Some(piece) = self.piece()? {
             let length = body.len() + piece.len();
             if length > limit {
