Unread answers leave room for connections and small requests

While answers that nobody reads took all the room of the own interface, operators were turned away with 429, and could not see why.

Cause: answers could use all of the capacity, connections and small requests only seven eighths. Change: a quarter of the capacity is for connections and small requests only, an eighth for answers only, the rest for all. The first half of this, two equal parts, was not enough: fifty connections of the own interface take more than an eighth. Why it works: neither use reaches into the other's part, and who yields to a small request has held at least as much of its part and the common one as it asks for. Result: open_fullofanswers and operator_whileanswersunread failed before and pass.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -242,7 +242,12 @@
                     http::REQUEST_COPIES,
                     capacity.largest(Size::ZERO),
                 ),
-                ("answer", answer, http::ANSWER_COPIES, capacity.memory),
+                (
+                    "answer",
+                    answer,
+                    http::ANSWER_COPIES,
+                    capacity.largest_answer(),
+                ),
             ];
             let too_large = parts
                 .into_iter()
--- a/crates/daemon/tests/client_crowds.rs
+++ b/crates/daemon/tests/client_crowds.rs
@@ -296,3 +296,16 @@
     until("it has ended", || !vm.runs());
     assert_eq!(vm.ended(), Some(1));
 }
+
+/// Guards against small requests that find no room beside streams that nobody reads.
+#[test]
+fn smallrequest_whilestreamsunread() {
+    let _alone = alone();
+    let fleet = small_machine();
+    fleet.engines.iter().for_each(|e| e.set_padding(EVENT));
+    let crowd = Crowd::come(Kind::Unread, &callers(&fleet, "/plan/x"));
+    eventually("a small request is served", PATIENCE, || {
+        ordinary(&fleet, "small").status == 200
+    });
+    crowd.leave();
+}
--- a/crates/daemon/tests/own_client_crowds.rs
+++ b/crates/daemon/tests/own_client_crowds.rs
@@ -282,3 +282,17 @@
     let reply = exchange(stage.callers, &bytes).expect("an answer");
     assert_eq!(reply.status, 200, "{}", reply.text());
 }
+
+/// Guards against operators who are turned away while answers that nobody reads take all the room.
+#[test]
+fn operator_whileanswersunread() {
+    let _alone = alone();
+    let stage = Stage::start();
+    stage.site.plain.fault(plain::Fault::Padding(ANSWER));
+    let crowd = Crowd::come(Kind::Unread, &stage.callers());
+    let token = format!("Authorization: Bearer {}", support::OPERATOR);
+    let bytes = request("GET", "/metrics", &[&token], "");
+    let reply = exchange(stage.operators, &bytes);
+    assert_eq!(reply.map(|reply| reply.status), Some(200));
+    crowd.leave();
+}
--- a/crates/intake/src/capacity.rs
+++ b/crates/intake/src/capacity.rs
@@ -41,8 +41,10 @@
 pub struct Capacity {
     /// Memory for all that connections make the process hold.
     pub memory: Size,
-    /// The part of it that only small requests and new connections use.
-    pub reserve: Size,
+    /// The part of it that is for connections and small requests only.
+    pub small: Size,
+    /// The part of it that is for answers only.
+    pub answers: Size,
     /// Connections of callers.
     pub callers: usize,
     /// Connections of other VMs with attempts, or of operators.
@@ -102,18 +104,31 @@
         let eighth = (machine.descriptors - FILES) / 8;
         Ok(Self {
             memory,
-            reserve: memory.fraction(1, 4),
+            small: memory.fraction(1, 4),
+            answers: memory.fraction(1, 8),
             callers: eighth * 5 / per_connection.max(1),
             trusted: eighth / per_connection.max(1),
             links: eighth,
         })
     }
 
+    /// The part of the memory that is for all.
+    #[must_use]
+    pub fn shared(&self) -> Size {
+        self.memory.less(self.small).less(self.answers)
+    }
+
+    /// The most that one answer may make the process hold, where nobody else holds anything.
+    #[must_use]
+    pub fn largest_answer(&self) -> Size {
+        self.memory.less(self.small)
+    }
+
     /// The most that one request may make the process hold, where nobody else holds anything, on a connection that itself
     /// takes `connection`.
     #[must_use]
     pub fn largest(&self, connection: Size) -> Size {
-        self.memory.less(self.reserve).less(connection)
+        self.shared().less(connection)
     }
 
     /// The number of connections that a way in may have.
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -9,7 +9,8 @@
 use crate::report::Report;
 use crate::size::Size;
 
-/// A request that makes the process hold no more than this, besides its connection, is small: it may use the reserve.
+/// A request that makes the process hold no more than this, besides its connection, is small: it may use the part
+/// of the capacity that is kept for small ones.
 pub const SMALL: Size = Size::kib(64);
 
 /// How far behind the least rate a connection must be to yield while its client sends, or is between requests.
@@ -47,9 +48,9 @@
 /// What room is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Use {
-    /// A request. A large one leaves the reserve free.
+    /// A request. A large one uses only what is for all.
     Request,
-    /// An answer. It may use everything: a request that waits for room for its answer gives nothing back.
+    /// An answer. Part of the capacity is for answers only: a request that waits for room for its answer gives nothing back.
     Answer,
 }
 
@@ -125,30 +126,6 @@
     request: Size,
 }
 
-/// What there is too little of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Shortage {
-    /// In the part of the capacity that is for requests like this.
-    requests: Size,
-    /// In all of it.
-    all: Size,
-}
-
-impl Shortage {
-    const NONE: Self = Self {
-        requests: Size::ZERO,
-        all: Size::ZERO,
-    };
-
-    /// What is left of it when a connection ends that holds this.
-    fn less(self, sums: Sums) -> Self {
-        Self {
-            requests: self.requests.less(sums.requests),
-            all: self.all.less(sums.all()),
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Entry {
     generation: u64,
@@ -281,10 +258,10 @@
             extra: connection,
             request: Size::ZERO,
         };
-        let refusal = match self.shortage(need, self.sums) {
+        let refusal = match self.fits(need, self.sums) {
             _ if is_full => Some(self.make_place(port, now)),
-            Shortage::NONE => None,
-            _ => Some(self.make_room(need, None, now)),
+            true => None,
+            false => Some(self.make_room(need, None, now)),
         };
         if let Some(will_be) = refusal {
             self.tally.connections += u64::from(!will_be);
@@ -328,7 +305,7 @@
             extra,
             request: entry.request + extra,
         };
-        if self.shortage(need, self.sums) == Shortage::NONE {
+        if self.fits(need, self.sums) {
             if let Some(entry) = self.entry_mut(holder) {
                 *entry.part(part) += extra;
             }
@@ -468,29 +445,27 @@
         self.free.push(holder.index);
     }
 
-    /// What is missing where connections hold `sums`.
-    fn shortage(&self, need: Need, sums: Sums) -> Shortage {
-        let Capacity {
-            memory, reserve, ..
-        } = self.capacity;
-        let requests = match need.part {
-            Use::Answer => Size::ZERO,
+    /// Whether there is room where connections hold `sums`.
+    ///
+    /// What connections and small requests take beyond their own part of the capacity, and answers beyond theirs, is in the
+    /// part that is for all; a large request uses nothing else.
+    fn fits(&self, need: Need, sums: Sums) -> bool {
+        let Capacity { small, answers, .. } = self.capacity;
+        let used = match need.part {
             Use::Request if need.request <= SMALL => {
-                (sums.requests + need.extra).less(memory.less(reserve.fraction(1, 2)))
+                (sums.requests + need.extra).less(small) + sums.answers.less(answers)
             }
-            Use::Request => (sums.requests + need.extra).less(memory.less(reserve)),
+            Use::Request => sums.requests + need.extra + sums.answers.less(answers),
+            Use::Answer => sums.requests.less(small) + (sums.answers + need.extra).less(answers),
         };
-        Shortage {
-            requests,
-            all: (sums.all() + need.extra).less(memory),
-        }
+        used <= self.capacity.shared()
     }
 
     /// Has connections yield until there will be room for what is needed. Returns whether there will be; nobody yields in
     /// vain.
     fn make_room(&mut self, need: Need, asker: Option<Holder>, now: Instant) -> bool {
-        let mut left = self.shortage(need, self.sums.without(self.yielding));
-        if left == Shortage::NONE {
+        let mut rest = self.sums.without(self.yielding);
+        if self.fits(need, rest) {
             return true;
         }
         let is_small = need.part == Use::Request && need.request <= SMALL;
@@ -514,15 +489,16 @@
         });
         let mut candidates: Vec<_> = candidates.collect();
         let available = candidates.iter().map(|(_, sums, _)| *sums);
-        if left.less(available.fold(Sums::default(), Add::add)) != Shortage::NONE {
+        let available = available.fold(Sums::default(), Add::add);
+        if !self.fits(need, rest.without(available)) {
             return false;
         }
         candidates.sort_unstable_by_key(|(rank, ..)| Reverse(*rank));
         for (_, sums, holder) in candidates {
-            if left == Shortage::NONE {
+            if self.fits(need, rest) {
                 break;
             }
-            left = left.less(sums);
+            rest = rest.without(sums);
             self.have_yield(holder);
         }
         true
--- a/crates/intake/tests/ledger.rs
+++ b/crates/intake/tests/ledger.rs
@@ -47,7 +47,7 @@
     while more(&mut ledger) == Grant::Granted {}
     let small = reading(&mut ledger, at(0));
     let grant = ledger.grow(small, Use::Request, SMALL, at(0));
-    assert_eq!(grant, Grant::Granted, "the reserve is for small ones");
+    assert_eq!(grant, Grant::Granted, "part is kept for small ones");
 }
 
 #[test]
@@ -96,7 +96,7 @@
 }
 
 #[test]
-fn grow_answerusesreserve() {
+fn grow_answerhasitspart() {
     let mut ledger = ledger();
     let (holders, _) = fill(&mut ledger, at(0));
     for h in &holders {
@@ -198,3 +198,18 @@
     assert!(!of(Size::megabytes(8), 600));
     assert!(!of(Size::megabytes(80), 100));
 }
+
+#[test]
+fn open_fullofanswers() {
+    let mut ledger = ledger();
+    let holder = reading(&mut ledger, at(0));
+    ledger.enter(holder, Phase::Running, at(0));
+    while ledger.grow(holder, Use::Answer, Size::kib(1), at(0)) == Grant::Granted {}
+    let small = reading(&mut ledger, at(0));
+    let grant = ledger.grow(small, Use::Request, SMALL, at(0));
+    assert_eq!(
+        grant,
+        Grant::Granted,
+        "answers leave room for others to come"
+    );
+}
