--- a/crates/daemon/tests/client_crowds.rs
+++ b/crates/daemon/tests/client_crowds.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crowd::{BODY, Crowd, DESCRIPTORS, Door, HEAD, Kind, MEMORY_MB, Watch, alone, eventually};
-use fleet::{Answer, Fleet, config, request_with, settings_text, until};
+use fleet::{Answer, Fleet, config, ran, read, request_with, settings_text, until};
 
 /// The longest wait for an ordinary request to be served.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -309,3 +309,46 @@
     });
     crowd.leave();
 }
+
+/// Guards against a refusal beside a crowd that promises that a request has not run, though it has or does so later.
+#[test]
+fn refusal_isnotrun() {
+    let _alone = alone();
+    let fleet = small_machine();
+    let crowd = Crowd::come(Kind::Whole, &callers(&fleet, "/post/x"));
+    let statuses = crowd.statuses.clone();
+    crowd.leave();
+    eventually("an ordinary request is served", PATIENCE, || {
+        ordinary(&fleet, "after").status == 200
+    });
+    assert!(!statuses.is_empty());
+    for (number, status) in statuses {
+        let runs = ran(&fleet.plain, &format!("crowd-{number}"));
+        assert!([200, 503].contains(&status), "{status}");
+        assert_eq!(runs, usize::from(status == 200), "{number}: {status}");
+    }
+}
+
+/// Guards against a request that stays for ever as its body comes no further.
+#[test]
+fn body_comesnofurther() {
+    let _alone = alone();
+    let fleet = small_machine();
+    let mut operators = config(2);
+    operators["limits"]["idleTimeoutMs"] = 1_000.into();
+    fleet.store.put("op/config", &operators);
+    let door = callers(&fleet, "/post/x");
+    until("the body is given up", || {
+        let text = format!("{}Content-Length: 10\r\n\r\nhalf", door.head);
+        let stream = fleet.vms[0].open(&text).expect("it listens");
+        let patience = Duration::from_secs(3);
+        stream.set_read_timeout(Some(patience)).expect("a timeout");
+        let answer = read(stream);
+        answer.status == 408
+            && answer
+                .text
+                .to_ascii_lowercase()
+                .contains("connection: close")
+    });
+    assert_eq!(ran(&fleet.plain, "crowd-#"), 0);
+}
--- a/crates/daemon/tests/crowd/mod.rs
+++ b/crates/daemon/tests/crowd/mod.rs
@@ -102,8 +102,8 @@
 /// The clients of a crowd that are still connected.
 pub(crate) struct Crowd {
     streams: Vec<TcpStream>,
-    /// Statuses that clients read, those of refusals too.
-    pub(crate) statuses: Vec<u16>,
+    /// Numbers of clients that sent all and read an answer, and its status.
+    pub(crate) statuses: Vec<(usize, u16)>,
 }
 
 impl Crowd {
@@ -119,10 +119,10 @@
             streams: Vec::new(),
             statuses: Vec::new(),
         };
-        for client in clients {
+        for (number, client) in clients.into_iter().enumerate() {
             let (stream, status) = client.join().expect("clients don't panic");
             crowd.streams.extend(stream);
-            crowd.statuses.extend(status);
+            crowd.statuses.extend(status.map(|status| (number, status)));
         }
         thread::sleep(STAND);
         crowd
