--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -147,34 +147,11 @@
             mailbox.clone(),
         )?;
         let own = own_settings(settings, incarnation, peers.address());
-        let ids = Ids::new(&own.vm, own.incarnation);
-        let capacity = Capacity::of(settings.limits.machine, DESCRIPTORS)?;
-        let intake = Intake::new(capacity);
-        let callers = Server::start(
-            settings.listen.callers,
-            callers_limits(settings),
-            settings.limits.requests,
-            mailbox.clone(),
-            (Arc::clone(&intake), Admission::Callers(shared.clone())),
-            Callers::new(ids, shared.clone(), Arc::clone(&draining), mailbox.clone()),
-        )?;
-        let operators = Server::start(
-            settings.listen.operators,
-            operators_limits(settings, capacity),
-            OPERATOR_CALLS,
-            mailbox.clone(),
-            (
-                Arc::clone(&intake),
-                Admission::Operators(settings.operators),
-            ),
-            Operators::new(
-                settings.operators,
-                shared.clone(),
-                Arc::clone(&draining),
-                handle.clone(),
-                mailbox.clone(),
-            ),
-        )?;
+        let Listeners {
+            callers,
+            operators,
+            intake,
+        } = Listeners::start(settings, &own, (&shared, &draining), &handle, &mailbox)?;
         let addresses = Addresses {
             callers: callers.address(),
             operators: operators.address(),
@@ -304,6 +281,57 @@
     cut();
 }
 
+/// The listeners of callers and operators, and what both make the process hold.
+struct Listeners {
+    callers: Server,
+    operators: Server,
+    intake: Arc<Intake>,
+}
+
+impl Listeners {
+    fn start(
+        settings: &Settings,
+        own: &core::Settings,
+        (shared, draining): (&Shared, &Arc<AtomicBool>),
+        figures: &PrometheusHandle,
+        mailbox: &Mailbox,
+    ) -> Result<Self> {
+        let capacity = Capacity::of(settings.limits.machine, DESCRIPTORS)?;
+        let intake = Intake::new(capacity);
+        let ids = Ids::new(&own.vm, own.incarnation);
+        let callers = Server::start(
+            settings.listen.callers,
+            callers_limits(settings),
+            settings.limits.requests,
+            mailbox.clone(),
+            (Arc::clone(&intake), Admission::Callers(shared.clone())),
+            Callers::new(ids, shared.clone(), Arc::clone(draining), mailbox.clone()),
+        )?;
+        let operators = Server::start(
+            settings.listen.operators,
+            operators_limits(settings, capacity),
+            OPERATOR_CALLS,
+            mailbox.clone(),
+            (
+                Arc::clone(&intake),
+                Admission::Operators(settings.operators),
+            ),
+            Operators::new(
+                settings.operators,
+                shared.clone(),
+                Arc::clone(draining),
+                figures.clone(),
+                mailbox.clone(),
+            ),
+        )?;
+        Ok(Self {
+            callers,
+            operators,
+            intake,
+        })
+    }
+}
+
 /// The number of this start, higher than that of any earlier start as long as the wall clock is not set back by
 /// more than the pause between them.
 fn incarnation() -> Incarnation {
--- a/crates/outside/tests/engine.rs
+++ b/crates/outside/tests/engine.rs
@@ -402,8 +402,7 @@
 fn order_redirected() {
     let vouched = r#"{"error":{"code":"overloaded","ran":"no"}}"#;
     let server = Server::start(vec![closes(answer("307 Elsewhere", vouched))]);
-    let result =
-        client(server.endpoint).load("lock@3", "/w", Fence(9), AMPLE, &Cancel::new(), &mut ());
+    let result = client(server.endpoint).load("lock@3", "/w", Fence(9), AMPLE, &Cancel::new());
     let error = result.unwrap_err();
     assert!(!error.is_unsent(), "{error:?}");
 }
--- a/crates/outside/tests/standin.rs
+++ b/crates/outside/tests/standin.rs
@@ -213,7 +213,7 @@
     let (host, endpoint) = start(Engine::new(settings));
     let client = Client::new(endpoint, AMPLE, Limit::default());
     client
-        .load(MODEL, "/weights", Fence(1), AMPLE, &Cancel::new(), &mut ())
+        .load(MODEL, "/weights", Fence(1), AMPLE, &Cancel::new())
         .unwrap();
     (host, client)
 }
