A connection that was told to yield goes on where its request is passed on first

A connection that is chosen to end for others could get its whole request in the moment before it hears of that, and would have been closed with the request at a server.

Cause: the choice and the end are two steps, and nothing looked in between. Besides, the connection stayed for half a second to write its refusal, longer than a new one waits for its place. Change: a connection whose request is passed on no longer yields; who asked waits for the next one. The refusal has 50 ms. Result: enter_runningwhileityields and the random series pass; found by reading, no caller was seen to meet it.

--- a/crates/daemon/src/http/intake.rs
+++ b/crates/daemon/src/http/intake.rs
@@ -86,7 +86,10 @@
         let yielding: Vec<_> = yielding.iter().filter_map(connection).collect();
         drop(state);
         for connection in yielding {
-            connection.lose();
+            // A request may have been passed on since it was told.
+            if connection.slot.is_yielding() {
+                connection.lose();
+            }
         }
         answer
     }
@@ -150,6 +153,10 @@
         }
     }
 
+    fn is_yielding(&self) -> bool {
+        self.intake.lock().ledger.is_yielding(self.holder)
+    }
+
     /// Notes that the client sent or read bytes.
     pub(super) fn progress(&self, bytes: usize) {
         self.intake
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -357,14 +357,19 @@
         }
     }
 
-    /// Notes what a connection waits for from now on.
+    /// Notes what a connection waits for from now on. One whose request is passed on before it could yield goes on.
     pub fn enter(&mut self, holder: Holder, phase: Phase, now: Instant) {
-        if let Some(entry) = self.entry_mut(holder)
-            && entry.phase != phase
-        {
+        let Some(entry) = self.entry_mut(holder) else {
+            return;
+        };
+        if entry.phase != phase {
             entry.phase = phase;
             entry.kept_up_to = now;
         }
+        if phase == Phase::Running && std::mem::take(&mut entry.yields) {
+            let sums = entry.sums();
+            self.yielding = self.yielding.without(sums);
+        }
     }
 
     /// Notes that a connection has ended. What its requests and answers take counts until it is given back.
--- a/crates/intake/tests/ledger.rs
+++ b/crates/intake/tests/ledger.rs
@@ -68,6 +68,20 @@
     assert_eq!(grow(&mut ledger), Grant::Granted);
 }
 
+#[test]
+fn enter_runningwhileityields() {
+    let mut ledger = ledger();
+    let (holders, _) = fill(&mut ledger, at(0));
+    let newcomer = reading(&mut ledger, at(1_000));
+    let grow = |ledger: &mut Ledger| ledger.grow(newcomer, Use::Request, LARGE, at(1_000));
+    assert_eq!(grow(&mut ledger), Grant::Wait);
+    let yielding = ledger.take_yielding()[0];
+    ledger.enter(yielding, Phase::Running, at(1_000));
+    assert!(!ledger.is_yielding(yielding), "its request was passed on");
+    assert_eq!(grow(&mut ledger), Grant::Wait, "another one yields");
+    assert!(holders.contains(&yielding) && ledger.take_yielding() != [yielding]);
+}
+
 #[test]
 fn grow_trickledoesnotcount() {
     let mut ledger = ledger();
--- a/crates/intake/tests/random.rs
+++ b/crates/intake/tests/random.rs
@@ -178,6 +178,7 @@
                 client.active = self.now;
             }
             client.phase = phase;
+            client.yields &= phase != Phase::Running;
         }
     }
 
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -36,7 +36,7 @@
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
 /// How long a connection that is to end may take to write the refusal of the request that is read on it.
-const YIELD_TIME: Duration = Duration::from_millis(500);
+const YIELD_TIME: Duration = Duration::from_millis(50);
 
 /// Whose connections a port takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/shell/src/intake.rs
+++ b/crates/shell/src/intake.rs
@@ -149,7 +149,13 @@
 
     /// Returns when the connection is to end, for others.
     pub(crate) async fn yields(&self) {
-        self.signal.notified().await;
+        loop {
+            self.signal.notified().await;
+            // A request may have been passed on since it was told.
+            if self.intake.lock().ledger.is_yielding(self.holder) {
+                break;
+            }
+        }
         // Whoever else asks is told as well.
         self.signal.notify_one();
     }
