A request that comes behind one whose answer is on its way does not make its connection idle

Cause: the first byte of a head set the connection to idle, also while the answer to the request before was still written; such a connection could have yielded with its answer unfinished. Change: it is idle only when the library has taken all of that answer. Result: found by reading; no test that fails before.

--- a/crates/shell/src/head.rs
+++ b/crates/shell/src/head.rs
@@ -207,6 +207,7 @@
 impl Watched {
     pub(crate) fn new(stream: TcpStream, head: Rc<Head>, slot: Arc<Slot>) -> Self {
         let head_bytes = (0, slot.charge(Use::Request));
+        head.answer_ended.set(true);
         Self {
             stream,
             head,
@@ -235,12 +236,16 @@
         Poll::Ready(())
     }
 
-    /// Counts bytes of a head, or of what waits behind a request.
+    /// Counts bytes of a head.
+    ///
+    /// # Errors
+    /// Where there is no room for them.
     fn count_head(&mut self, count: usize) -> io::Result<()> {
         let begins = self.head.bytes();
         let (bytes, charge) = &mut self.head_bytes;
         if begins {
-            self.slot.enter(Phase::Idle);
+            // It may come behind a request whose answer is still on its way.
+            self.slot.enter(self.head.phase());
             *bytes = 0;
             drop(charge.split(Size(usize::MAX)));
         }
