Links of other VMs may take a quarter of the sockets

Cause: an eighth of the sockets of a VM with 4,100 descriptors are 487 links, and a scheduler has one from each VM; at 720 VMs it would have refused the rest. Change: half of the sockets are for callers, an eighth for other VMs' attempts, a quarter for links, an eighth for all else. Result: capacity_linksofalargefleet failed before and passes; the settings' pages and the cases of the ledger pass.

--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -185,7 +185,7 @@
         "limits.connections",
         number("connections", 1, 65_536),
         "4096",
-        "Callers' connections at a time, where the descriptors are enough: each takes five, out of five eighths of those beyond 200.",
+        "Callers' connections at a time, where the descriptors are enough: each takes five, out of half of those beyond 200.",
     ),
     (
         "limits.requests",
--- a/crates/intake/src/capacity.rs
+++ b/crates/intake/src/capacity.rs
@@ -85,9 +85,9 @@
     /// What clients may take of a machine.
     ///
     /// Three eighths of the memory are for clients; the rest is for the process at its largest fleet, and for what the
-    /// allocator keeps of what was released. Of the sockets, five eighths are for callers and an eighth for other VMs or
-    /// operators, each of whose connections takes `per_connection` with what it needs to be served; an eighth is for links that
-    /// come in and an eighth for everything else.
+    /// allocator keeps of what was released. Of the sockets, half are for callers and an eighth for other VMs or
+    /// operators, each of whose connections takes `per_connection` with what it needs to be served; a quarter is for links that
+    /// come in, of which a scheduler has one from each VM, and an eighth for everything else.
     ///
     /// # Errors
     /// Where the machine has too little for the process itself.
@@ -106,9 +106,9 @@
             memory,
             small: memory.fraction(1, 4),
             answers: memory.fraction(1, 8),
-            callers: eighth * 5 / per_connection.max(1),
+            callers: eighth * 4 / per_connection.max(1),
             trusted: eighth / per_connection.max(1),
-            links: eighth,
+            links: eighth * 2,
         })
     }
 
--- a/crates/intake/tests/ledger.rs
+++ b/crates/intake/tests/ledger.rs
@@ -227,3 +227,16 @@
         "answers leave room for others to come"
     );
 }
+
+#[test]
+fn capacity_linksofalargefleet() {
+    const VMS: usize = 720;
+    let machine = Machine {
+        memory: Size::megabytes(160),
+        descriptors: 4_100,
+    };
+    let capacity = Capacity::of(machine, 2).expect("it is large enough");
+    assert!(capacity.links >= VMS, "each VM has a link to a scheduler");
+    let sockets = (capacity.callers + capacity.trusted) * 2 + capacity.links;
+    assert!(sockets < machine.descriptors, "some are left");
+}
