One least rate for bodies and for the ledger; a field and a function that nothing needs are gone

Cause: the rate of 1 KiB a second stood in the ledger and again where a body is timed, so that the two could part; a gate kept the port that its admission says; Ledger::held had lost its last caller when the capacity got three parts. Change: the ledger's constant is public and serves both; the port is asked for; the function is gone. No behaviour changes.

--- a/crates/daemon/src/http/gate.rs
+++ b/crates/daemon/src/http/gate.rs
@@ -15,7 +15,7 @@
 use dahliastile_core::event::Event;
 use dahliastile_core::id::Request;
 
-use dahliastile_intake::{Phase, Port, Size, Use};
+use dahliastile_intake::{Phase, Size, Use};
 
 use super::admission::Admission;
 use super::head::Refusal;
@@ -240,8 +240,6 @@
     mailbox: Mailbox,
     /// What clients make the process hold.
     intake: Arc<Intake>,
-    /// How the ledger counts the connections.
-    port: Port,
     /// Whose bodies are read.
     pub(super) admission: Admission,
     /// The connections.
@@ -301,7 +299,6 @@
             inner,
             mailbox,
             intake,
-            port: admission.port(),
             admission,
             open: Mutex::default(),
             changed: Condvar::new(),
@@ -412,7 +409,7 @@
     if shared.lock().connections.len() >= shared.limits.connections {
         return relay::turn_away(&caller);
     }
-    let Some(slot) = shared.intake.open(shared.port) else {
+    let Some(slot) = shared.intake.open(shared.admission.port()) else {
         return relay::turn_away(&caller);
     };
     let inner = TcpStream::connect(shared.inner)?;
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -20,7 +20,7 @@
 const WRITING_LAG: Span = Span::from_secs(5);
 
 /// The least rate at which a client makes progress, in bytes per second.
-const LEAST_RATE: u64 = 1_024;
+pub const LEAST_RATE: u32 = 1_024;
 
 /// How much more than a small request a connection must hold to yield to that request although it makes progress.
 const OUTWEIGHS: usize = 2;
@@ -239,13 +239,6 @@
         self.connections[port.index()]
     }
 
-    /// What a connection's requests and answers take.
-    #[must_use]
-    pub fn held(&self, holder: Holder) -> Size {
-        self.entry(holder)
-            .map_or(Size::ZERO, |entry| entry.request + entry.answer)
-    }
-
     /// Takes a connection in, which takes `connection` itself. Where its way in has as many as it may, or there is no room,
     /// one that is stalled yields.
     ///
@@ -352,7 +345,7 @@
     pub fn progress(&mut self, holder: Holder, bytes: usize, now: Instant) {
         if let Some(entry) = self.entry_mut(holder) {
             let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-            let kept = Span(bytes.saturating_mul(1_000_000) / LEAST_RATE);
+            let kept = Span(bytes.saturating_mul(1_000_000) / u64::from(LEAST_RATE));
             entry.kept_up_to = now.min(entry.kept_up_to + kept);
         }
     }
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use capacity::{Capacity, Machine, Port, TooSmall};
 pub use json::json_weight;
-pub use ledger::{Grant, Holder, Ledger, Phase, SMALL, Tally, Use};
+pub use ledger::{Grant, Holder, LEAST_RATE, Ledger, Phase, SMALL, Tally, Use};
 pub use report::Report;
 pub use size::{Malformed, Size};
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use dahliastile_gateway::effect::{Attempt, NextStep, Refusal, RefusalReason};
 use dahliastile_gateway::event::{Event, RequestId, StreamTiming};
-use dahliastile_intake::{Phase, Use};
+use dahliastile_intake::{LEAST_RATE, Phase, Use};
 use http::{Request, Response, request};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -22,10 +22,6 @@
 use crate::intake::{Gathered, Slot};
 use crate::stream;
 
-/// The least rate at which the body of a request comes, in bytes per second, beyond the time for which a connection may be
-/// idle.
-const LEAST_RATE: u32 = 1_024;
-
 /// A caller's request that has been read whole.
 pub(crate) struct Asked<D> {
     /// Its entry in the hub.
@@ -110,7 +106,7 @@
     let mut gathered = Gathered::new(slot.charge(Use::Request), announced.unwrap_or(limit));
     let mut count = 0;
     loop {
-        // A client inside the limits is not idle for longer, so that its body comes at some rate.
+        // A client inside the limits is not idle for longer, so that its body comes at the least rate beyond that time.
         let earned = Duration::from_secs(count as u64) / LEAST_RATE;
         let left = (hub.idle.get() + earned).saturating_sub(began.elapsed());
         let frame = timeout(left.min(hub.idle.get()), body.frame()).await;
