A key is escaped where it becomes part of the call for the next page of a list

What callers saw: while an entry stood in the list of servers whose key held &, +, #, %, a blank or the like, and a page of the list ended at it, all VMs that started served next to nothing. Cause: the key went into the query of the call as it stood. The service understood another key, so the page behind it was another one, most often the same one again: the list had no end. Where the key held a blank or a control character, no call could be made of it. With '&after=zz' in it, half of a list counted as the whole. Change: escape::query_value, by the library percent-encoding. The stand-in gives pages of any size, reads queries as a server does, and takes keys and values of any bytes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod effect;
 pub mod entity;
 pub mod error;
+pub mod escape;
 pub mod event;
 mod fleet;
 pub mod id;
--- /dev/null
+++ b/crates/daemon/tests/odd_entries.rs
@@ -0,0 +1,86 @@
+//! Entries of other programs in the list of servers, under names of their own, where pages of the list end at any of them: such
+//! an entry names no server, the others hold, and VMs that start are ready and serve.
+
+#[path = "platform/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, until};
+use serde_json::json;
+
+/// Names of entries, each between those of engines and those of plain servers.
+const NAMES: [&str; 7] = [
+    "e1&x", "e1+x", "e1#x", "e1%x", "e1 x", "e1\u{e4}", "e1\r\nx",
+];
+/// Requests of a round.
+const REQUESTS: usize = 20;
+/// The share of requests that are served, in percent.
+const SERVED_PERCENT: usize = 95;
+
+/// Kills all VMs at once and starts them again.
+fn restart_all(fleet: &mut Fleet) {
+    for vm in &fleet.vms {
+        vm.signal("-KILL");
+    }
+    let count = u8::try_from(fleet.vms.len()).expect("few VMs");
+    fleet.vms.clear();
+    for number in 1..=count {
+        let vm = fleet.start(number, None);
+        fleet.vms.push(vm);
+    }
+}
+
+/// Checks that all VMs become ready and serve requests of all services.
+fn check_served(fleet: &Fleet, round: &str) {
+    for vm in &fleet.vms {
+        until(&format!("a VM is ready: {round}"), || vm.ready());
+    }
+    until(&format!("an adapter is served: {round}"), || {
+        let vm = &fleet.vms[0];
+        vm.ask("warm", "/berth/x", Some("base/a1")).status == 200
+    });
+    let mut served = 0;
+    for number in 0..REQUESTS {
+        let vm = &fleet.vms[number % fleet.vms.len()];
+        let (path, model) = [("/query/x", None), ("/berth/x", Some("base/a1"))][number / 2 % 2];
+        let answer = vm.ask(&format!("{round}{number}"), path, model);
+        served += usize::from(answer.status == 200 && answer.whole);
+    }
+    assert!(
+        served * 100 >= REQUESTS * SERVED_PERCENT,
+        "{round}: {served} of {REQUESTS} served"
+    );
+}
+
+/// Guards against VMs that can't read the list of servers since a page ends at an odd key.
+#[test]
+fn start_amongoddentries() {
+    let mut fleet = Fleet::start_ready(2);
+    fleet.store.set_page_items(1);
+    let address = fleet.plain_address(0);
+    let like_a_server = fleet.plain[0].entry("desk", address, "north", "ready");
+    for name in NAMES {
+        let key = format!("servers/{name}");
+        for value in [like_a_server.to_string(), "odd".to_owned()] {
+            fleet.store.put_bytes(&key, value.as_bytes());
+            restart_all(&mut fleet);
+            check_served(&fleet, &format!("{name:?} {}", &value[..3]));
+        }
+        fleet.store.remove(&key);
+    }
+}
+
+/// Guards against the same where many odd entries stand there, and against VMs that run and lose what they know when they come
+/// to list anew.
+#[test]
+fn list_anewamongoddentries() {
+    let mut fleet = Fleet::start_ready(2);
+    fleet.store.set_page_items(3);
+    for name in NAMES {
+        fleet.store.put(&format!("servers/{name}"), &json!(null));
+        fleet.store.put(&format!("op/version/{name}"), &json!({}));
+        fleet.store.put(&format!("{name}/x"), &json!([]));
+    }
+    check_served(&fleet, "running");
+    restart_all(&mut fleet);
+    check_served(&fleet, "started");
+}
--- a/crates/daemon/tests/resumed_streams.rs
+++ b/crates/daemon/tests/resumed_streams.rs
@@ -164,12 +164,8 @@
     check_resumed(&fleet, &streams, |left| if left.vm == 1 { 2 } else { 1 });
 }
 
-/// Guards against builds that are forgotten with all VMs.
-#[test]
-fn stream_afterallvmskilled() {
-    let mut fleet = fleet(3);
-    let streams = begin(&fleet);
-    change_engines(&mut fleet);
+/// Kills all VMs at once, and starts them again.
+fn restart_all(fleet: &mut Fleet) {
     for vm in &fleet.vms {
         vm.signal("-KILL");
     }
@@ -182,5 +178,32 @@
         until("a VM is ready", || vm.ready());
     }
     std::thread::sleep(SILENCE);
+}
+
+/// Guards against builds that are forgotten with all VMs.
+#[test]
+fn stream_afterallvmskilled() {
+    let mut fleet = fleet(3);
+    let streams = begin(&fleet);
+    change_engines(&mut fleet);
+    restart_all(&mut fleet);
+    check_resumed(&fleet, &streams, |left| (left.vm + 1) % 3);
+}
+
+/// Guards against the same among entries of other programs, where pages of the list end at any of them.
+#[test]
+fn stream_afterallvmskilledamongoddentries() {
+    let mut fleet = fleet(3);
+    let streams = begin(&fleet);
+    change_engines(&mut fleet);
+    fleet.store.set_page_items(1);
+    for name in [
+        "dahliastile/build/x&y",
+        "dahliastile/stream/a b/1",
+        "servers/e1#x",
+    ] {
+        fleet.store.put_bytes(name, b"odd");
+    }
+    restart_all(&mut fleet);
     check_resumed(&fleet, &streams, |left| (left.vm + 1) % 3);
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -12,4 +12,4 @@
 pub use crash::Crash;
 pub use http::Asked;
 pub use replica::{Capacity, CopyForm, Fault, Flood, Repeat, Replica, Run};
-pub use store::Store;
+pub use store::{ListFault, Store};
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -50,6 +50,8 @@
     Stalled(Option<Vec<(String, String)>>, Box<dyn FnOnce() + Send>),
     /// Bytes, and then others again and again until the other side closes the connection.
     Endless(Vec<u8>, Vec<u8>),
+    /// These bytes.
+    Bytes(Vec<u8>),
     /// Nothing: the connection is closed.
     Nothing,
     /// An answer, and a copy that follows it late.
@@ -108,12 +110,13 @@
     Reset,
 }
 
-/// Serves every connection to an address on a thread of its own until the process ends.
-pub(crate) fn serve<F>(address: SocketAddr, handler: F) -> std::io::Result<()>
+/// Serves every connection to an address on a thread of its own until the process ends. Returns where it listens.
+pub(crate) fn serve<F>(address: SocketAddr, handler: F) -> std::io::Result<SocketAddr>
 where
     F: Fn(&Asked) -> Reply + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -121,7 +124,7 @@
             thread::spawn(move || converse(&stream, handler.as_ref()));
         }
     });
-    Ok(())
+    Ok(address)
 }
 
 /// Answers requests on one connection until it ends. An error ends it, which the other side sees.
@@ -151,13 +154,11 @@
     let mut words = line.split_whitespace();
     let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-    let fields = query.split('&').filter_map(|field| field.split_once('='));
+    let fields = form_urlencoded::parse(query.as_bytes());
     let mut asked = Asked {
         method,
         path: path.to_owned(),
-        query: fields
-            .map(|(name, value)| (name.to_owned(), value.to_owned()))
-            .collect(),
+        query: fields.into_owned().collect(),
         ..Asked::default()
     };
     loop {
@@ -184,6 +185,7 @@
 fn answer(mut stream: &TcpStream, reply: Reply) -> Option<()> {
     match reply {
         Reply::Nothing => None,
+        Reply::Bytes(bytes) => stream.write_all(&bytes).ok(),
         Reply::Whole(status, headers, body) => stream
             .write_all(&Reply::bytes(status, &headers, &body))
             .ok(),
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -22,6 +22,9 @@
 /// The slots that its entry names where its capacity has no limit.
 const SLOTS: usize = 8;
 
+/// The body of an answer with an odd head: an event of a stream, for model replicas.
+const ODD_BODY: &str = "id: 1\ndata: odd\n\n";
+
 /// The header that bears the id of a request.
 const REQUEST_ID: &str = "Request-Id";
 /// The header that says that a request has not run.
@@ -55,6 +58,10 @@
     FailsAs(u16),
     /// It runs them, answers with this status and says that it has not run them.
     DeniesRun(u16),
+    /// It runs them and answers with this in the place of a status line.
+    StatusLine(&'static str),
+    /// It runs them and adds this line to the heads of its answers.
+    HeadLine(&'static str),
     /// It sends the head of a stream and no event.
     Stalls,
     /// It takes them and sends nothing.
@@ -99,7 +106,7 @@
     ];
 
     /// What comes first, where an answer has these headers, and what comes again and again.
-    fn reply(self, headers: &[(String, String)]) -> Reply {
+    pub(super) fn reply(self, headers: &[(String, String)]) -> Reply {
         let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
         for (name, value) in headers {
             head.extend([name, ": ", value, "\r\n"]);
@@ -667,6 +674,10 @@
                 Reply::Stalled(sent, Box::new(closed))
             }
             Fault::Floods(flood) => flood.reply(&headers),
+            Fault::StatusLine(line) => Reply::Bytes(with_lines(line, None, &headers)),
+            Fault::HeadLine(line) => {
+                Reply::Bytes(with_lines("HTTP/1.1 200 OK", Some(line), &headers))
+            }
             Fault::Fails => Reply::Whole(500, headers, b"failed".to_vec()),
             Fault::FailsAs(status) | Fault::DeniesRun(status) if status != 200 => {
                 Reply::Whole(status, headers, b"failed".to_vec())
@@ -689,6 +700,16 @@
     }
 }
 
+/// The bytes of an answer with this status line and, first of its fields, this line.
+fn with_lines(status_line: &str, head_line: Option<&str>, headers: &[(String, String)]) -> Vec<u8> {
+    let usual = Reply::bytes(200, headers, ODD_BODY.as_bytes());
+    let rest = usual.iter().position(|byte| *byte == b'\n');
+    let rest = &usual[rest.map_or(0, |end| end + 1)..];
+    let head_line = head_line.map(|line| format!("{line}\r\n"));
+    let lines = format!("{status_line}\r\n{}", head_line.unwrap_or_default());
+    [lines.as_bytes(), rest].concat()
+}
+
 /// The bytes that are sent late after an answer; none where it is sent once.
 fn copy(reply: &Reply, repeat: Repeat, is_call: bool) -> Option<Vec<u8>> {
     let (status, headers, body) = match reply {
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use super::http::{Asked, Reply, serve};
+use super::replica::Flood;
 
 /// How often leases are looked at.
 const LOOK: Duration = Duration::from_millis(20);
@@ -17,6 +18,23 @@
 /// The header of all answers that names the era.
 const ERA: &str = "Store-Era";
 
+/// Items of a page of a list, unless another number is set.
+const PAGE_ITEMS: usize = 500;
+
+/// What is wrong with the lists that the service gives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each page is the first one, and says that more follow.
+    Repeats,
+    /// The list has no end: behind its items come others.
+    Endless,
+    /// Each page says that more follow, and the second and later ones are empty.
+    Empty,
+}
+
 /// A copy of the contents, from which the service may come back.
 struct Copy {
     made: Instant,
@@ -47,12 +65,21 @@
     era: u64,
     /// The copies, the oldest first.
     copies: VecDeque<Copy>,
+    /// Items of a page; none for the usual number.
+    page_items: Option<usize>,
+    list_fault: ListFault,
+    /// Items added to lists that have no end.
+    made_up: u64,
+    flood: Option<Flood>,
+    /// Keys after which pages were asked for.
+    asked_after: Vec<String>,
 }
 
 /// The service. Clones are the same one.
 #[derive(Clone, Default)]
 pub struct Store {
     shared: Arc<(Mutex<State>, Condvar)>,
+    address: Option<SocketAddr>,
 }
 
 impl Store {
@@ -61,9 +88,9 @@
     /// # Errors
     /// Where it can't listen.
     pub fn start(address: SocketAddr) -> std::io::Result<Self> {
-        let store = Self::default();
+        let mut store = Self::default();
         let served = store.clone();
-        serve(address, move |asked| served.answer(asked))?;
+        store.address = Some(serve(address, move |asked| served.answer(asked))?);
         let watched = store.clone();
         std::thread::spawn(move || {
             loop {
@@ -74,12 +101,49 @@
         Ok(store)
     }
 
+    /// Where it listens; none if it does not.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address
+    }
+
     /// Writes an item as the operator or a server does.
     pub fn put(&self, key: &str, value: &Value) {
         self.state().put(key, value.to_string().into_bytes(), 0);
         self.shared.1.notify_all();
     }
 
+    /// Writes an item with any bytes, as another program may.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.state().put(key, value.to_vec(), 0);
+        self.shared.1.notify_all();
+    }
+
+    /// The number of items of a page.
+    ///
+    /// # Panics
+    /// Where it is 0.
+    pub fn set_page_items(&self, items: usize) {
+        assert!(items > 0, "pages without items");
+        self.state().page_items = Some(items);
+    }
+
+    /// What is wrong with its lists.
+    pub fn set_list_fault(&self, fault: ListFault) {
+        self.state().list_fault = fault;
+    }
+
+    /// Sends bytes without end in place of answers, or answers again.
+    pub fn set_flood(&self, flood: Option<Flood>) {
+        self.state().flood = flood;
+    }
+
+    /// The keys after which pages of lists were asked for, as they were understood.
+    #[must_use]
+    pub fn asked_after(&self) -> Vec<String> {
+        self.state().asked_after.clone()
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.state().remove(key);
@@ -178,6 +242,10 @@
         if self.state().down {
             return Reply::Whole(503, self.headers(), Vec::new());
         }
+        let flood = self.state().flood;
+        if let Some(flood) = flood {
+            return flood.reply(&self.headers());
+        }
         let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
         let (status, value) = match asked.path.as_str() {
             "/dahliastile/kv-range" => self.range(asked),
@@ -203,17 +271,43 @@
     }
 
     fn range(&self, asked: &Asked) -> (u16, Value) {
-        let state = self.state();
-        let prefix = asked.query.get("prefix").map_or("", String::as_str);
-        let items = state
-            .items
-            .keys()
-            .filter(|key| key.starts_with(prefix))
-            .map(|key| state.item(key));
-        let items: Vec<Value> = items.collect();
+        let mut state = self.state();
+        let text = |name: &str| asked.query.get(name).map_or("", String::as_str);
+        let (prefix, after) = (text("prefix"), text("after"));
+        if !after.is_empty() {
+            state.asked_after.push(after.to_owned());
+        }
+        let first = match state.list_fault {
+            ListFault::Repeats => "",
+            _ => after,
+        };
+        let limit = match state.list_fault {
+            ListFault::Empty if !after.is_empty() => 0,
+            _ => state.page_items.unwrap_or(PAGE_ITEMS),
+        };
+        let keys = state.items.keys();
+        let keys = keys.filter(|key| key.starts_with(prefix) && key.as_str() > first);
+        let page: Vec<&String> = keys.take(limit + 1).collect();
+        let mut items: Vec<Value> = page.iter().take(limit).map(|key| state.item(key)).collect();
+        let mut has_more = page.len() > limit;
+        match state.list_fault {
+            ListFault::None => {}
+            ListFault::Repeats | ListFault::Empty => has_more = true,
+            ListFault::Endless => {
+                if !has_more {
+                    state.made_up += 1;
+                    let key = format!("zz/{:020}", state.made_up);
+                    let value = STANDARD.encode("{}");
+                    items.push(
+                        json!({"key": key, "value": value, "revision": 1, "createRevision": 1}),
+                    );
+                }
+                has_more = true;
+            }
+        }
         (
             200,
-            json!({"items": items, "morePages": false, "storeRevision": state.revision}),
+            json!({"items": items, "morePages": has_more, "storeRevision": state.revision}),
         )
     }
 
