Tests of two reports that already hold: lines that are no fields, and streams of two builds when all VMs are killed

Cause: reports from other systems. Change: tests only. answer_linethatisnofield: 16 kinds of lines in the heads of answers, names with blanks, control bytes or none; callers get nothing of them. resume_afterallvmskilledatanymoment and resume_newbuildafterallvmskilled: two builds in service, or the servers of one have just left, or of half of them, and all VMs are killed 0 to 900 ms after the first events: no stream goes on at another build.

--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -8,7 +8,7 @@
 
 use dahliastile_body::Framing;
 use dahliastile_standin::fleet::Fault;
-use fleet::{Answer, Fleet, read_until, request, until};
+use fleet::{Answer, Fleet, ran, read_until, request, request_with, until};
 
 /// The paths of the routes, with the adapter that is asked for.
 const PATHS: [(&str, Option<&str>); 4] = [
@@ -153,3 +153,53 @@
         );
     }
 }
+
+/// Lines of a head whose fields are none: their names hold blanks, control bytes or other characters that names don't have,
+/// or their values hold control bytes.
+const HEAD_LINES: [&str; 16] = [
+    "X Odd: 1",
+    "X-Odd : 1",
+    "Content-Length : 3",
+    "Content-Length\t: 3",
+    "X\tOdd: 1",
+    "X\u{1}Odd: 1",
+    "X\u{7f}Odd: 1",
+    "X\u{0}Odd: 1",
+    "X-Odd\u{b}: 1",
+    "X\rOdd: 1",
+    "(X): 1",
+    "\u{c4}: 1",
+    ": 1",
+    "no field",
+    " X-Odd: 1",
+    "X-Odd: a\u{1}b",
+];
+
+/// Checks that callers get nothing of answers with these faults.
+fn check_noanswer(faults: impl Iterator<Item = Fault>) {
+    let fleet = fleet(Framing::Length);
+    let mut broken = Vec::new();
+    for (number, fault) in faults.enumerate() {
+        set_fault(&fleet, fault);
+        for (path, model) in PATHS {
+            let id = format!("odd{number}{path}");
+            let headers = "Deadline-Ms: 1500\r\nConnection: close\r\n";
+            let answer = fleet.vms[0].raw(&request_with(&id, path, model, headers));
+            let text = answer.text.to_ascii_lowercase();
+            let is_passed = text.contains("odd\n") || text.contains("server-seal");
+            if is_passed || !matches!(answer.status, 502 | 504) {
+                broken.push(format!("{fault:?} {path}: {text:?}"));
+            }
+            let runs = ran(&fleet.engines, &id) + ran(&fleet.plain, &id);
+            assert!(runs > 0, "{fault:?} {path}: it reached no server: {text}");
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Guards against an answer with a line in its head that is no field, which its caller gets with that line, or with a body that
+/// is not the server's.
+#[test]
+fn answer_linethatisnofield() {
+    check_noanswer(HEAD_LINES.into_iter().map(Fault::HeadLine));
+}
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -236,6 +236,58 @@
     check_resumed(&mut world, &streams, next_vm);
 }
 
+/// Guards against the same while both builds serve, while the servers of the first one have just left, and in the middle of a
+/// release; all VMs are killed at any moment after the first events, and callers resume their streams at once or later. What
+/// the key-value service was not told before may be refused, but goes on nowhere else.
+#[test]
+fn resume_afterallvmskilledatanymoment() {
+    for left in ["none", "first build", "half"] {
+        for pause in [0, 40, 130, 260, 900] {
+            for wait in [600, 4_000] {
+                let mut world = fleet(6, 12);
+                let streams = begin(&mut world, 30);
+                let leaving = match left {
+                    "none" => 0,
+                    "first build" => 12,
+                    _ => 6,
+                };
+                for number in (0..leaving).step_by(2) {
+                    world.remove_server_entry(&format!("e{number}"));
+                }
+                world.run(Span::from_millis(pause));
+                for vm in 0..6 {
+                    world.kill(vm, false);
+                }
+                world.run(Span::from_millis(wait));
+                check_unmixed(&mut world, &streams, next_vm);
+            }
+        }
+    }
+}
+
+/// Guards against a stream that began at the first server of a newer build, and goes on at the older one after all VMs were killed,
+/// since none of them had told the key-value service of the newer build.
+#[test]
+fn resume_newbuildafterallvmskilled() {
+    for pause in [0, 40, 130, 260, 900] {
+        let mut world = fleet_of_one_build();
+        for number in 0..6 {
+            world.release(&format!("e{number}"), &format!("n{number}"), "v2");
+            world.run(Span::from_millis(60));
+        }
+        let streams = begin(&mut world, 40);
+        for number in 0..6 {
+            world.remove_server_entry(&format!("n{number}"));
+        }
+        world.run(Span::from_millis(pause));
+        for vm in 0..6 {
+            world.kill(vm, false);
+        }
+        world.run(SILENCE);
+        check_unmixed(&mut world, &streams, next_vm);
+    }
+}
+
 /// Guards against a stream of the only build that is refused after all VMs were killed, though only one build served.
 #[test]
 fn resume_onebuildafterallvmskilled() {
