A list whose pages don't go forward, or have no end, is given up; what was read of it holds

A list whose page was not behind the one before it was read for ever, at the full speed of the key-value service, and a VM that started served nothing. Cause: a list ended where a page said that no more follow, and nowhere else; a list was all or nothing. The outcome ListedInPart has what was read and where it stopped. The gateway logs E328, applies it without deleting anything, asks other VMs, takes all that one of them knows for the list, and lists again after a pause that doubles from 0.4 s on. The key-value service does answer, so it does not count as away. Why it works: no loop is left whose length another program decides, and a part of a list is used for what it says only.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -136,6 +136,8 @@
     StoreRestored = 316 Warn "Nothing; entries are written again. Check that the operator's last changes are there.";
     /// All entries of the key-value service were listed.
     StoreListed = 317 Info "Nothing.";
+    /// A list of all entries could not be read to its end; `after` is the key behind which the next page would have begun. What was read is applied, other VMs are asked for the rest, and the list is read again after a pause that grows.
+    ListIncomplete = 328 Warn "Look at the entry with that key, and at the one behind it; docs/OPERATIONS.md goes on from here.";
     /// A change was not applied, since a later one of the same entry is known.
     ChangeOutdated = 318 Info "If it lasts, compare the revisions with those of the key-value service.";
     /// The entry of a backend server lapsed while the key-value service was away.
--- a/crates/daemon/tests/odd_entries.rs
+++ b/crates/daemon/tests/odd_entries.rs
@@ -4,6 +4,7 @@
 #[path = "platform/fleet.rs"]
 mod fleet;
 
+use dahliastile_standin::fleet::ListFault;
 use fleet::{Fleet, until};
 use serde_json::json;
 
@@ -84,3 +85,24 @@
     restart_all(&mut fleet);
     check_served(&fleet, "started");
 }
+
+/// Guards against a list that has no end: VMs that run serve on, and a VM that starts then serves by what it has read and by what
+/// the others know.
+#[test]
+fn start_withlistwithoutend() {
+    for fault in [ListFault::Repeats, ListFault::Empty, ListFault::Endless] {
+        let mut fleet = Fleet::start_ready(3);
+        fleet.store.set_page_items(4);
+        fleet.store.set_list_fault(fault);
+        let before = fleet.store.asked_after().len();
+        drop(fleet.vms.remove(2));
+        let vm = fleet.start(3, None);
+        fleet.vms.push(vm);
+        check_served(&fleet, &format!("{fault:?}"));
+        let pages = fleet.store.asked_after().len() - before;
+        assert!(pages <= MOST_PAGES, "{fault:?}: {pages} pages");
+    }
+}
+
+/// Pages that VMs read meanwhile: those of some lists that are given up, with pauses between them.
+const MOST_PAGES: usize = 5_000;
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -74,13 +74,7 @@
     ) {
         let known: Vec<EntryKey> = self.snapshot.existing().map(|c| c.key.clone()).collect();
         let listed: BTreeSet<EntryKey> = changes.iter().map(|c| c.key.clone()).collect();
-        let (holders, changes) = changes.into_iter().partition(|change| {
-            matches!(change.key, EntryKey::Holder(_)) && self.is_of_later_era(change)
-        });
-        self.apply_changes(changes, Delivery::Listed, false, out);
-        for change in holders {
-            self.apply_listed_holder(change, out);
-        }
+        self.apply_listed(changes, out);
         for key in known.into_iter().filter(|s| !listed.contains(s)) {
             let change = deletion(key.clone(), revision);
             match key {
@@ -100,6 +94,17 @@
         }
     }
 
+    /// Applies the entries of a list, or of a part of one.
+    pub(crate) fn apply_listed(&mut self, changes: Vec<Change>, out: &mut Effects) {
+        let (holders, changes) = changes.into_iter().partition(|change| {
+            matches!(change.key, EntryKey::Holder(_)) && self.is_of_later_era(change)
+        });
+        self.apply_changes(changes, Delivery::Listed, false, out);
+        for change in holders {
+            self.apply_listed_holder(change, out);
+        }
+    }
+
     /// Whether the last known change of an entry is of an earlier era than `change`.
     pub(crate) fn is_of_later_era(&self, change: &Change) -> bool {
         let known = self.snapshot.get(&change.key);
--- a/crates/gateway/src/cluster/replication.rs
+++ b/crates/gateway/src/cluster/replication.rs
@@ -93,6 +93,15 @@
             Some(cursor) if cursor >= batch.since && batch.until > cursor => {
                 self.watch.cursor = Some(batch.until);
             }
+            // All that the other VM knows, where this one can't read all entries itself.
+            None if self.watch.list_failures > 0
+                && batch.since == Revision::default()
+                && batch.until > batch.since =>
+            {
+                self.watch.cursor = Some(batch.until);
+                self.watch.list_failures = 0;
+                self.schedule_call(Span::ZERO);
+            }
             _ => {}
         }
         // Each VM sends a change on once, so that VMs that subscribe to each other don't repeat it endlessly.
--- a/crates/gateway/src/cluster/watch.rs
+++ b/crates/gateway/src/cluster/watch.rs
@@ -20,9 +20,9 @@
 use crate::cluster::exclusion;
 use crate::cluster::membership;
 use crate::cluster::revision::{Era, Revision};
-use crate::cluster::snapshot::Delivery;
+use crate::cluster::snapshot::{Change, Delivery};
 use crate::effect::{Effect, Effects, KvOperation, KvOperationId, Locality};
-use crate::event::KvOutcome;
+use crate::event::{KvOutcome, ListFailure};
 use crate::message::Message;
 use crate::node::Gateway;
 use crate::timer::Timer;
@@ -38,7 +38,7 @@
 /// reads a second in the smaller deployments).
 pub(crate) const DIRECT_WATCH_PAUSE: Span = Span::from_millis(400);
 
-/// How many times [`DIRECT_WATCH_PAUSE`] doubles after failed calls. The pause is drawn from between the
+/// How many times [`DIRECT_WATCH_PAUSE`] doubles after failed calls, and after lists that have no end. The pause is drawn from between the
 /// doubled time and twice that, so it grows to between three and six seconds. A VM that learns from another VM
 /// that the service is back calls it sooner.
 const MAX_PAUSE_DOUBLINGS: u32 = 3;
@@ -93,6 +93,8 @@
     pub(crate) next_call: Instant,
     /// The number of consecutive failed calls.
     pub(crate) failures: u32,
+    /// The number of consecutive lists that could not be read to their ends.
+    pub(crate) list_failures: u32,
     /// The VM from which this VM receives changes; none while it watches directly.
     pub(crate) upstream: Option<Vm>,
     /// When the upstream was last heard.
@@ -147,6 +149,7 @@
                 self.apply_list(changes, revision, out);
                 let is_first = !std::mem::replace(&mut self.watch.has_listed, true);
                 self.watch.cursor = Some(revision);
+                self.watch.list_failures = 0;
                 if is_first && revision.era() > Era::default() {
                     // The list may be as old as a copy, and other VMs may know newer versions.
                     self.watch.era_began_at.get_or_insert(self.now);
@@ -155,6 +158,9 @@
                 }
                 self.continue_watching(out);
             }
+            KvOutcome::ListedInPart(changes, failure) => {
+                self.handle_partial_list(changes, &failure, out);
+            }
             KvOutcome::Watched(changes, revision) => {
                 self.record_kv_answer(self.now, out);
                 self.send_watched_changes(&changes, revision, out);
@@ -316,6 +322,38 @@
         }
     }
 
+    /// Applies what was read of a list that has no end: it says nothing of entries that it lacks. Asks other VMs, which may know
+    /// all of them, and lists again after a pause. The key-value service does answer, so it does not count as away.
+    fn handle_partial_list(
+        &mut self,
+        changes: Vec<Change>,
+        failure: &ListFailure,
+        out: &mut Effects,
+    ) {
+        self.record_kv_answer(self.now, out);
+        let pause = self.growing_pause(self.watch.list_failures);
+        self.watch.list_failures += 1;
+        let detail = format!(
+            "why={:?} pages={} after={:?} entries={} failures={} again_in={pause}",
+            failure.cause,
+            failure.pages,
+            failure.after,
+            changes.len(),
+            self.watch.list_failures
+        );
+        Self::log(out, Code::ListIncomplete, detail);
+        self.apply_listed(changes, out);
+        self.watch.query_until = self.now + pause;
+        self.schedule_call(pause);
+        self.query_peers(out);
+    }
+
+    /// Draws a pause that doubles with each failure before it, up to [`MAX_PAUSE_DOUBLINGS`].
+    fn growing_pause(&mut self, failures: u32) -> Span {
+        let least = DIRECT_WATCH_PAUSE.times(1 << failures.min(MAX_PAUSE_DOUBLINGS));
+        Span(self.rng.random_range(least.0..least.times(2).0))
+    }
+
     /// Records that a list or watch failed, and schedules the next call.
     fn record_kv_failure(&mut self, outcome: &KvOutcome, out: &mut Effects) {
         if self.watch.away_since.is_none() {
@@ -327,8 +365,7 @@
         let pause = if self.is_watcher() {
             self.settings.tuning.store_retry
         } else {
-            let least = DIRECT_WATCH_PAUSE.times(1 << self.watch.failures.min(MAX_PAUSE_DOUBLINGS));
-            Span(self.rng.random_range(least.0..least.times(2).0))
+            self.growing_pause(self.watch.failures)
         };
         self.watch.failures += 1;
         self.schedule_call(pause);
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -198,6 +198,8 @@
 pub enum KvOutcome {
     /// All entries, and the revision of the list's first page, from which a watch continues.
     Listed(Vec<Change>, Revision),
+    /// A part of the entries: the list could not be read to its end.
+    ListedInPart(Vec<Change>, ListFailure),
     /// The changes after the requested revision, and the revision to continue the watch from.
     Watched(Vec<Change>, Revision),
     /// The requested revision has been compacted; the entries must be listed again.
@@ -219,6 +221,26 @@
     Unknown,
 }
 
+/// Where a list of all entries stopped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListFailure {
+    /// Why.
+    pub cause: ListFailureCause,
+    /// The number of pages that were read.
+    pub pages: usize,
+    /// The key behind which the next page would have begun.
+    pub after: Arc<str>,
+}
+
+/// Why a list of all entries has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListFailureCause {
+    /// A page was not behind the one before it.
+    NotForward,
+    /// It has more pages or bytes than any deployment's.
+    TooLong,
+}
+
 /// An attempt that another VM, which has lost its own path, asks this one to carry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayRequest {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -6,7 +6,7 @@
 use dahliastile_gateway::cluster::revision::{Era, Revision};
 use dahliastile_gateway::cluster::snapshot::{Change, EntryKey, EntryValue};
 use dahliastile_gateway::effect::KvOperation;
-use dahliastile_gateway::event::{KvOutcome, Lease};
+use dahliastile_gateway::event::{KvOutcome, Lease, ListFailure, ListFailureCause};
 
 /// A watch call that has not completed.
 pub struct PendingWatch {
@@ -54,6 +54,10 @@
     copies: VecDeque<Copy>,
     /// Number of calls that the service handled.
     pub calls: u64,
+    /// Number of entries after which lists have no end; `None` if they end.
+    pub list_breaks_after: Option<usize>,
+    /// Number of lists that were asked for.
+    pub lists: u64,
     /// The VMs that have made a watch call.
     pub watched_by: std::collections::BTreeSet<usize>,
 }
@@ -202,12 +206,19 @@
         self.calls += 1;
         match call {
             KvOperation::List => {
-                let entries = self
-                    .entries
-                    .values()
-                    .map(|(change, _)| change.clone())
-                    .collect();
-                Some(KvOutcome::Listed(entries, self.revision))
+                self.lists += 1;
+                let entries = self.entries.values().map(|(change, _)| change.clone());
+                Some(match self.list_breaks_after {
+                    None => KvOutcome::Listed(entries.collect(), self.revision),
+                    Some(count) => KvOutcome::ListedInPart(
+                        entries.take(count).collect(),
+                        ListFailure {
+                            cause: ListFailureCause::NotForward,
+                            pages: 2,
+                            after: "odd".into(),
+                        },
+                    ),
+                })
             }
             KvOperation::Watch(after, _) if !self.has_history_after(after) => {
                 Some(KvOutcome::Compacted)
