A status that is none, and a 205 with a body, are no answers of a server

What callers saw: a server in trouble answered with status 101, which nobody had asked for, with 600 or 999, or with 205 and a body, and callers got it as an answer, the server's signature with it. A client takes the connection of a 101 for another protocol's, and a 205 has no body by its definition, so that the bytes behind it count as the next answer. 000, 099, 20, 2000 and the like were no answers before either: the HTTP library takes three digits from 100 on.

--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -4,6 +4,7 @@
 #[path = "platform/fleet.rs"]
 mod fleet;
 
+use std::io::Write as _;
 use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
@@ -203,3 +204,70 @@
 fn answer_linethatisnofield() {
     check_noanswer(HEAD_LINES.into_iter().map(Fault::HeadLine));
 }
+
+/// First lines of what is no answer of a server.
+const STATUS_LINES: [&str; 14] = [
+    "HTTP/1.1 000 OK",
+    "HTTP/1.0 000 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 199 OK",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 +20 OK",
+    "HTTP/1.1 2OO OK",
+    "HTTP/1.1  200 OK",
+    "HTTP/9.9 200 OK",
+    "200 OK",
+];
+
+/// Guards against an answer whose status is none, and that its caller gets as an answer.
+#[test]
+fn answer_statusofnoanswer() {
+    check_noanswer(STATUS_LINES.into_iter().map(Fault::StatusLine));
+}
+
+/// Guards against bytes behind an answer that has no body, which its caller gets as one or takes for the next answer.
+#[test]
+fn answer_statuswithoutbody() {
+    let fleet = fleet(Framing::Length);
+    for (line, statuses) in [
+        ("HTTP/1.1 204 No Content", [204, 204]),
+        ("HTTP/1.1 304 Not Modified", [304, 304]),
+        ("HTTP/1.1 205 Reset Content", [502, 504]),
+    ] {
+        set_fault(&fleet, Fault::StatusLine(line));
+        for (path, model) in PATHS {
+            let headers = "Deadline-Ms: 1500\r\n";
+            let text = request_with(
+                &format!("{line}{path}").replace(' ', ""),
+                path,
+                model,
+                headers,
+            );
+            let mut stream = fleet.vms[0].open(&text).expect("a connection");
+            let head = read_until(&mut stream, "\r\n\r\n").to_ascii_lowercase();
+            let status = head
+                .split(' ')
+                .nth(1)
+                .and_then(|word| word.parse::<u16>().ok());
+            assert!(
+                status.is_some_and(|status| statuses.contains(&status)),
+                "{path}: {head}"
+            );
+            let claims_body = head.contains("chunked") || head.contains("content-length: 17");
+            assert!(!claims_body && !head.contains("odd"), "{path}: {head}");
+            if status != Some(502) {
+                // The next answer of the connection is the next request's.
+                set_fault(&fleet, Fault::None);
+                let next = request("next", "/query/x", None);
+                stream.write_all(next.as_bytes()).expect("it is kept");
+                let next = fleet::read(stream);
+                assert!(next.status == 200 && next.whole, "{path}: {}", next.text);
+                set_fault(&fleet, Fault::StatusLine(line));
+            }
+        }
+    }
+}
