A plain server that says that another one is meant is passed over for a while

What callers saw: refusals, while entries stood in the list that another program had copied from live servers, address and all. Cause: whoever listens at such an address answers 421, as the entry's name is not its own. That counted as no failure of the server, so it stayed as good a choice as the others, and each request sent there took a retry of the budget until it was empty. Change: for a plain service a 421 counts as a failed connection: no other thing than the server can be missing there. Why it works: the fault is now of the entry that is asked, and ends where that name answers well.

--- a/crates/daemon/tests/odd_entries.rs
+++ b/crates/daemon/tests/odd_entries.rs
@@ -4,7 +4,7 @@
 #[path = "platform/fleet.rs"]
 mod fleet;
 
-use dahliastile_standin::fleet::ListFault;
+use dahliastile_standin::fleet::{ListFault, Replica};
 use fleet::{Fleet, until};
 use serde_json::json;
 
@@ -106,3 +106,62 @@
 
 /// Pages that VMs read meanwhile: those of some lists that are given up, with pauses between them.
 const MOST_PAGES: usize = 5_000;
+
+/// Guards against entries that are copies of live servers' under names that servers may have: whoever listens at their
+/// addresses answers that another one is meant, again and again.
+#[test]
+fn serve_amongcopiedentries() {
+    let mut fleet = Fleet::start_ready(2);
+    for number in 0..2 {
+        let engine = fleet.address(10 + number, 8080);
+        let plain = fleet.plain_address(number);
+        let entry = fleet.engines[usize::from(number)].entry("drafts", engine, "north", "ready");
+        fleet.store.put(&format!("servers/copy-e{number}"), &entry);
+        let entry = fleet.plain[usize::from(number)].entry("desk", plain, "north", "ready");
+        fleet.store.put(&format!("servers/copy-p{number}"), &entry);
+    }
+    for round in ["running", "started"] {
+        let requests: Vec<_> = (0..160)
+            .map(|number| {
+                let routes = [
+                    ("/query/x", None),
+                    ("/berth/x", Some("base/a1")),
+                    ("/post/x", None),
+                    ("/plan/x", Some("base/a1")),
+                ];
+                let (path, model) = routes[number % routes.len()];
+                let answer =
+                    fleet.vms[number / 2 % 2].ask(&format!("{round}{number}"), path, model);
+                (path, answer.status, answer.whole)
+            })
+            .collect();
+        let is_served = |answer: &&(&str, u16, bool)| answer.1 == 200 && answer.2;
+        let served = requests.iter().filter(is_served).count();
+        let lost: Vec<_> = requests
+            .iter()
+            .filter(|answer| !is_served(answer))
+            .collect();
+        assert!(
+            served * 100 >= requests.len() * SERVED_PERCENT,
+            "{round}: {served} of {} served: {lost:?}",
+            requests.len()
+        );
+        let asked: usize = fleet
+            .engines
+            .iter()
+            .chain(&fleet.plain)
+            .map(Replica::asked_for_others)
+            .sum();
+        assert!(
+            asked <= MOST_MISDIRECTED,
+            "{round}: {asked} were sent to no server"
+        );
+        restart_all(&mut fleet);
+        for vm in &fleet.vms {
+            until("a VM is ready", || vm.ready());
+        }
+    }
+}
+
+/// Requests that servers may turn away as meant for others: a few for each entry and VM.
+const MOST_MISDIRECTED: usize = 40;
--- a/crates/gateway/src/request/state/failure.rs
+++ b/crates/gateway/src/request/state/failure.rs
@@ -135,10 +135,12 @@
             None => self.path.was_lost_since(state.sent),
         };
         state.failed.push(server.clone());
+        let application = self.index.service(state.service.as_str());
+        let is_plain = application.is_none_or(|service| service.engine.is_none());
         if let Some(server_state) = self.servers.get_mut(&server) {
             server_state.open = server_state.open.saturating_sub(1);
             if !is_path_fault {
-                record_health(&mut server_state.health, cause, now);
+                record_health(&mut server_state.health, cause, is_plain, now);
             }
         }
         Self::log(
@@ -463,9 +465,11 @@
     Effect::Request(request, NextStep::Refuse(refusal))
 }
 
-/// Records a failed send in the health of its server. A rejection is not a failure of the server.
-fn record_health(health: &mut Health, cause: FailureCause, now: Instant) {
+/// Records a failed send in the health of its server. A rejection is not a failure of the server, but who says for a plain service
+/// that another server is meant is not that server: nothing else can be missing there.
+fn record_health(health: &mut Health, cause: FailureCause, is_plain: bool, now: Instant) {
     match cause {
+        FailureCause::Missing if is_plain => health.record_connection_failure(now),
         FailureCause::Unreachable | FailureCause::Broken => health.record_connection_failure(now),
         FailureCause::Malformed | FailureCause::Status(_) => health.record_failure(now),
         FailureCause::Full
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -240,6 +240,7 @@
     copy_form: CopyForm,
     rejects_loading: bool,
     rejections: Vec<Asked>,
+    asked_for_others: usize,
     echoes_calls: bool,
     call_flood: Option<Flood>,
     runs: Vec<Run>,
@@ -267,6 +268,7 @@
             copy_form: CopyForm::default(),
             rejects_loading: false,
             rejections: Vec::new(),
+            asked_for_others: 0,
             echoes_calls: true,
             call_flood: None,
             runs: Vec::new(),
@@ -466,6 +468,12 @@
         self.state().cancelled.clone()
     }
 
+    /// The number of requests and calls that it answered as meant for another server.
+    #[must_use]
+    pub fn asked_for_others(&self) -> usize {
+        self.state().asked_for_others
+    }
+
     /// Orders to load an adapter that would have been one too many.
     #[must_use]
     pub fn overfull(&self) -> usize {
@@ -522,6 +530,7 @@
         }
         match asked.path.as_str() {
             _ if expected.is_some_and(|expected| *expected != id) => {
+                self.state().asked_for_others += 1;
                 Self::plainly(id, 421, Vec::new(), "")
             }
             "/dahliastile/report" => self.report(),
