A request that comes to a VM that stops, and can't be expected to end in time, is refused when it is read

What callers saw: in a planned stop in calm, requests that came late in the grace were passed on. At its end streams were broken off, and others got 504, among them such as may not be repeated. Cause: until half of the grace all that came was taken, whatever time it needs; what its route may take went into no decision. Change: a VM knows the mean time that requests of each route take there. One that arrives after the stop, and whose deadline is later than the end of the process, is refused as not run, with Retry-After 0, if that mean is longer than the time left; or if it is not known, connections are accepted no longer and the stream could not be resumed. What was sent at once after SIGTERM and takes as long is served. Why it works: the caller learns at once, with most of its time left for another VM, what would otherwise be known at the end.

--- a/crates/daemon/tests/graceful_stops.rs
+++ b/crates/daemon/tests/graceful_stops.rs
@@ -3,12 +3,12 @@
 #[path = "platform/fleet.rs"]
 mod fleet;
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use dahliastile_body::Framing;
-use dahliastile_standin::fleet::Fault;
+use dahliastile_standin::fleet::{Capacity, Fault};
 use fleet::{
     Answer, Fleet, RECEIVE_BUFFER, parse, ran, read, read_until, request, request_with,
     settings_text, until,
@@ -292,3 +292,104 @@
     check_ended(&mut fleet, 0);
     assert!(told.elapsed() < grace, "{:?}", told.elapsed());
 }
+
+/// A time after a VM was told to end when it takes no more connections in, and before half of its grace.
+const AFTER_LEAVE: Duration = Duration::from_millis(3_200);
+
+/// Guards against a request that comes late in the grace, as its body does on a connection that the VM has taken in before, and
+/// that is passed on though its server may work on it beyond the end of the process: it is refused as not run when it is read.
+#[test]
+fn terminate_requestcompletedlate() {
+    let mut fleet = Fleet::start_ready(2);
+    let vm = 1 - fleet.holder().expect("a holder");
+    for engine in &fleet.engines {
+        engine.set_pace(Duration::from_secs(1));
+    }
+    // From now on it is known that these streams take five seconds.
+    let warm = ["plan", "berth"].map(|route| {
+        let text = request(
+            &format!("warm-{route}"),
+            &format!("/{route}/x"),
+            Some("base/a1"),
+        );
+        fleet.vms[vm].open(&text).expect("a connection")
+    });
+    for stream in warm {
+        let answer = read(stream);
+        assert!(answer.status == 200 && answer.whole, "{}", answer.text);
+    }
+    for server in &fleet.plain {
+        server.set_fault(Fault::Silent);
+    }
+    fleet.vms[vm].signal("-TERM");
+    let told = Instant::now();
+    std::thread::sleep(BEFORE_LEAVE);
+    let routes = [
+        ("plan", Some("base/a1")),
+        ("berth", Some("base/a1")),
+        ("post", None),
+    ];
+    let mut streams = routes.map(|(route, model)| {
+        let text = request(route, &format!("/{route}/x"), model);
+        let (begin, rest) = text.split_at(text.len() - 1);
+        let stream = fleet.vms[vm].open(begin).expect("a connection");
+        (route, stream, rest.to_owned())
+    });
+    std::thread::sleep(AFTER_LEAVE.saturating_sub(told.elapsed()));
+    for (_, stream, rest) in &mut streams {
+        stream.write_all(rest.as_bytes()).expect("it is read");
+    }
+    let mut broken = Vec::new();
+    for (route, stream, _) in streams {
+        let answer = read(stream);
+        let runs = ran(&fleet.engines, route) + ran(&fleet.plain, route);
+        let is_refused = answer.text.to_lowercase().contains("retry-after: ");
+        if (answer.status, answer.whole, is_refused, runs) != (503, true, true, 0) {
+            broken.push(format!("{route} ran {runs} times: {:?}", answer.text));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+    check_ended(&mut fleet, vm);
+}
+
+/// How long a server works on a request, less than its route allows, and a time after a VM was told to end from which on such a
+/// request does not end before its process.
+const LONG_WORK: Duration = Duration::from_secs(6);
+const TOO_LATE: Duration = Duration::from_millis(2_000);
+
+/// Guards against requests that come while a VM still takes connections in, and are passed on though it is known how long such
+/// requests take, and that their process ends before: they are refused as not run when they are read, and others are served.
+#[test]
+fn terminate_requestthatcantend() {
+    let mut fleet = Fleet::start_ready(2);
+    for server in &fleet.plain {
+        server.set_capacity(Capacity {
+            slots: 8,
+            queue: 8,
+            work: LONG_WORK,
+        });
+    }
+    let ask = |id: &str| {
+        let headers = "Deadline-Ms: 10000\r\n";
+        fleet.vms[0]
+            .open(&request_with(id, "/post/x", None, headers))
+            .expect("a connection")
+    };
+    let mut before = ask("before");
+    read_until(&mut before, "answer of");
+    fleet.vms[0].signal("-TERM");
+    let early = ask("early");
+    std::thread::sleep(TOO_LATE);
+    let late = ask("late");
+    let late = read(late);
+    assert_eq!((late.status, late.whole), (503, true), "{}", late.text);
+    assert!(
+        late.text.to_lowercase().contains("retry-after: "),
+        "{}",
+        late.text
+    );
+    assert_eq!(ran(&fleet.plain, "late"), 0);
+    let early = read(early);
+    assert_eq!((early.status, early.whole), (200, true), "{}", early.text);
+    check_ended(&mut fleet, 0);
+}
--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -246,6 +246,8 @@
             return;
         }
         self.index = RouteIndex::new(&config);
+        let names: BTreeSet<&str> = config.routes.iter().map(|r| r.name.as_str()).collect();
+        self.durations.retain(|route| names.contains(route));
         let (version, routes) = (config.version, config.routes.len());
         Self::log(
             out,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,6 +31,7 @@
 use crate::metrics;
 use crate::path;
 use crate::request::budget::RetryBudget;
+use crate::request::duration::Durations;
 use crate::request::load_balancer::ServerState;
 use crate::request::notice;
 use crate::request::origin;
@@ -103,6 +104,8 @@
     last_id: u64,
     /// The bounds of the graceful stop; `None` if the process was not asked to stop.
     pub(crate) shutdown: Option<shutdown::Bounds>,
+    /// How long requests of each route take.
+    pub(crate) durations: Durations,
     /// Whether a scheduler ran in the last step.
     pub(crate) scheduler_ran: bool,
 }
@@ -140,6 +143,7 @@
             timers: Timers::default(),
             last_id: 0,
             shutdown: None,
+            durations: Durations::default(),
             scheduler_ran: false,
             settings,
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -8,12 +8,14 @@
 //! * [`notice`]: what servers say about themselves in their answers.
 //! * [`origin`]: where streams began, which binds where they may go on.
 //! * [`proof`]: what proves that no server has run a request.
+//! * `duration`: how long requests of each route take.
 //! * `expiring_map`: a map of bounded size and age.
 //! * [`fingerprint`]: the hash by which repetitions of a request are recognized.
 //! * [`quarantine`]: requests that crash the servers that run them.
 //! * `shutdown`: requests at a graceful stop.
 
 pub mod budget;
+pub(crate) mod duration;
 pub(crate) mod expiring_map;
 pub mod fingerprint;
 pub mod health;
--- a/crates/gateway/src/request/shutdown.rs
+++ b/crates/gateway/src/request/shutdown.rs
@@ -4,12 +4,15 @@
 //! half of the grace is refused, as an answer that began later might be broken off and another VM still has time for it;
 //! the scheduler is told of this bound with each such request that waits. One that may have run can't be sent to another
 //! VM, so it goes on here as its route allows. What is left shortly before the end gets its final answer then.
+//!
+//! A request that arrives after the stop and can't be expected to end in time is refused at once.
 
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::{Instant, Span};
 
 use super::state::{Phase, RequestState};
+use crate::config::RouteKind;
 use crate::effect::Effects;
 use crate::event::RequestId;
 use crate::node::Gateway;
@@ -25,6 +28,8 @@
 /// The latest times of the steps of a request at a VM that stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Bounds {
+    /// When connections are accepted no longer.
+    leave: Instant,
     /// When requests that are at no server and have not run are refused.
     pub(crate) start: Instant,
     /// When all others get their final answer.
@@ -38,6 +43,7 @@
     pub(crate) fn new(now: Instant, tuning: &Tuning) -> Self {
         let end = now + (tuning.grace - tuning.end_margin);
         Self {
+            leave: now + tuning.leave_time(),
             start: now + tuning.start_time(),
             answer: end.back(WRITE_TIME),
             end,
@@ -85,6 +91,19 @@
         }
     }
 
+    /// Whether a request that has just arrived is likely to be in progress at the end of the process: requests of its route
+    /// usually take longer than there is time. Where that is not known, and connections are accepted no longer, the caller has
+    /// most of its time for another VM; a stream that can be resumed is begun here all the same.
+    pub(crate) fn outlasts_stop(&self, request: RequestId) -> bool {
+        let (Some(bounds), Some(state)) = (self.shutdown, self.in_flight.get(&request)) else {
+            return false;
+        };
+        let left = bounds.answer.since(self.now);
+        let is_late = self.now >= bounds.leave && state.route.kind != RouteKind::Resumable;
+        let usual = self.durations.mean(&state.route.name);
+        state.deadline > bounds.answer && usual.map_or(is_late, |usual| usual > left)
+    }
+
     /// Whether a request has to be refused because this VM stops.
     pub(crate) fn is_past_start(&self, request: RequestId) -> bool {
         let state = self.in_flight.get(&request);
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -329,10 +329,12 @@
         let resumes = state.call.resumes.is_some() && state.route.kind.is_stream();
         self.timers.set(state.deadline, Timer::Request(request));
         self.in_flight.insert(request, state);
+        let outlasts_stop = self.outlasts_stop(request);
         if let Some(bounds) = self.shutdown {
             self.bound_request(request, bounds);
         }
         let is_past_start = self.is_past_start(request);
+        let is_too_late = is_past_start || outlasts_stop;
         let quarantined = self
             .in_flight
             .get(&request)
@@ -341,7 +343,7 @@
             Some(remaining) => {
                 self.refuse_request(request, Some(remaining), RefusalDetail::Quarantined, out);
             }
-            None if is_past_start => {
+            None if is_too_late => {
                 self.refuse_request(request, Some(Span::ZERO), RefusalDetail::Stopping, out);
             }
             None if resumes => self.resolve_origin(request, out),
@@ -574,6 +576,7 @@
             self.path.record_heard(self.now);
         }
         let took = self.now.since(state.arrived);
+        self.durations.record(&state.route.name, took);
         let pause = timing.longest_pause;
         let reports_timing = state.route.pause > Span::ZERO
             && timing.chunks > 0
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -120,6 +120,12 @@
 }
 
 impl Tuning {
+    /// Returns how long after a stop connections are still accepted.
+    #[must_use]
+    pub fn leave_time(&self) -> Span {
+        self.leave.min(self.start_time())
+    }
+
     /// Returns how long after a stop requests are still sent to servers for the first time: half of the grace.
     #[must_use]
     pub fn start_time(&self) -> Span {
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -148,7 +148,7 @@
     tokio::task::spawn_local(peers::listen(control, peers.clone()));
     let clock = Clock::new();
     // What comes later would be refused.
-    let leave_after = settings.tuning.leave.min(settings.tuning.start_time());
+    let leave_after = settings.tuning.leave_time();
     let mut journal = Journal::new(settings.vm.clone())?;
     let started = format!(
         "incarnation={} callers={} peers={} without={} memory={} descriptors={} client_memory={} client_connections={}",
