Own interface: a row of the list of VMs that can't be read does not cost the others

What callers saw: nothing yet; it is the class of the incident at the own interface. One odd row in the platform's list of VMs, and a VM that starts learnt of none, one that runs of no change. Cause: the list was parsed as a whole. Change: each row is parsed by itself; a VM logs E315 with the number of rows that it can't read when that grows. Evidence: list_vmsamongoddrows, nine kinds of rows before and behind a good one, failed on at the first; it passes. Why it works: a row says nothing of another one, so that what can be read of one can't depend on the others.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -194,7 +194,7 @@
         let housekeeping = Cancel::new();
         let (housekeeping_end, ended) = flume::bounded(0);
         let tokens = (housekeeping.clone(), ended);
-        let housekeeper = housekeeper(settings, handle, mailbox.clone(), tokens)?;
+        let housekeeper = housekeeper(settings, handle, mailbox.clone(), journal, tokens)?;
         Ok(Self {
             addresses,
             stopper: Stopper {
@@ -385,6 +385,7 @@
     settings: &Settings,
     figures: PrometheusHandle,
     mailbox: Mailbox,
+    journal: Journal,
     (cancel, ended): (Cancel, flume::Receiver<Infallible>),
 ) -> Result<JoinHandle<()>> {
     let client = vms::Client::new(settings.platform.vms, LIST_TIMEOUT);
@@ -393,9 +394,16 @@
         .name("housekeeping".to_owned())
         .spawn(move || {
             let mut turns = 1;
+            let mut known_unreadable = 0;
             while !cancel.is_cancelled() {
                 if let Ok(list) = client.list(&cancel) {
-                    let vms: Vec<Listed> = list.into_iter().filter_map(listed).collect();
+                    let rows = list.vms.len() + list.unreadable;
+                    let vms: Vec<Listed> = list.vms.into_iter().filter_map(listed).collect();
+                    let unreadable = rows - vms.len();
+                    if unreadable > std::mem::replace(&mut known_unreadable, unreadable) {
+                        let detail = format!("subject=vms rows={rows} unreadable={unreadable}");
+                        journal.event(Code::EntryUnreadable, detail);
+                    }
                     turns = turns_of(&vms);
                     mailbox.event(Event::List { vms });
                 }
--- a/crates/outside/src/vms.rs
+++ b/crates/outside/src/vms.rs
@@ -5,6 +5,7 @@
 use crate::http::{self, Request};
 use crate::unit::Endpoint;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::time::Duration;
 
 /// Longest list taken.
@@ -35,9 +36,18 @@
 
 /// The body of the answer.
 #[derive(Deserialize)]
-struct List {
+struct Body {
     /// The VMs.
-    vms: Vec<Vm>,
+    vms: Vec<Box<RawValue>>,
+}
+
+/// The VMs of a list.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct List {
+    /// Those whose rows can be read.
+    pub vms: Vec<Vm>,
+    /// The number of rows that can't be read, each of which tells nothing of the others.
+    pub unreadable: usize,
 }
 
 /// A client of the VM list.
@@ -60,10 +70,15 @@
     ///
     /// # Errors
     /// Any [`crate::Error`]; a list that is not whole or not well formed is [`crate::Error::Broken`].
-    pub fn list(&self, cancel: &Cancel) -> Result<Vec<Vm>> {
+    pub fn list(&self, cancel: &Cancel) -> Result<List> {
         let request = Request::get(self.endpoint, "/vms", self.timeout);
         let body = http::call(request, LIST_BYTES, cancel)?;
-        let list: List = http::parse(&body)?;
-        Ok(list.vms)
+        let body: Body = http::parse(&body)?;
+        let rows = body.vms.iter();
+        let vms: Vec<Vm> = rows
+            .flat_map(|row| serde_json::from_str(row.get()))
+            .collect();
+        let unreadable = body.vms.len() - vms.len();
+        Ok(List { vms, unreadable })
     }
 }
--- a/crates/outside/tests/plain.rs
+++ b/crates/outside/tests/plain.rs
@@ -154,8 +154,34 @@
     let client = vms::Client::new(server.endpoint, AMPLE);
     let list = client.list(&Cancel::new()).unwrap();
     assert_eq!(
-        (list[0].name.as_str(), list[0].state),
+        (list.vms[0].name.as_str(), list.vms[0].state),
         ("e1", vms::State::Leaving)
     );
     assert!(matches!(client.list(&Cancel::new()), Err(Error::Broken(_))));
 }
+
+/// Guards against a list of VMs that is lost for one odd row: the others hold.
+#[test]
+fn list_vmsamongoddrows() {
+    let good = r#"{"name":"e1","address":"10.0.0.1:80","zone":"delft-zuid","state":"live"}"#;
+    for odd in [
+        "null",
+        "7",
+        "[]",
+        "{}",
+        r#""e2""#,
+        r#"{"name":"e2"}"#,
+        r#"{"name":2,"address":"a","zone":"z","state":"live"}"#,
+        r#"{"name":"e2","address":"a","zone":"z","state":"gone"}"#,
+        r#"{"name":"\ud800","address":"a","zone":"z","state":"live"}"#,
+    ] {
+        for rows in [format!("{good},{odd}"), format!("{odd},{good}")] {
+            let body = format!(r#"{{"vms":[{rows}]}}"#);
+            let server = Server::start(vec![closes(answer("200 OK", &body))]);
+            let client = vms::Client::new(server.endpoint, AMPLE);
+            let list = client.list(&Cancel::new()).expect(odd);
+            let names: Vec<&str> = list.vms.iter().map(|vm| vm.name.as_str()).collect();
+            assert_eq!((&*names, list.unreadable), (&["e1"][..], 1), "{odd}");
+        }
+    }
+}
