A stream goes on after the event that its caller has, whatever that event's id is

A stream whose server broke it off began anew at another server, within one answer, where the id of its last event held letters beyond ASCII: events came twice. Cause: an id became a text, with replacements where it was none, and then a field's value where it fitted; where it did not, the field was left out and the request went without it. The same way the account, the server that is meant and the VM that a relay names were left out where their names hold letters beyond ASCII. Change: an id stays as its bytes came; a stream whose last id can't be a field's value does not go on. Names are fields' values as their bytes are. Why it works: nothing is left out any more: what can't be said is not asked.

--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -271,3 +271,33 @@
         }
     }
 }
+
+/// Guards against a stream that begins anew at another server, within one answer, since the id of its last event can't be
+/// named there as it is.
+#[test]
+fn stream_goesonafteranyid() {
+    let fleet = fleet(Framing::Chunked);
+    for (ids, least) in [("a b:", 5), ("\u{e4}\u{20ac}", 5), ("\u{1}", 2)] {
+        for engine in &fleet.engines {
+            engine.set_event_ids(ids);
+        }
+        for number in 0..4 {
+            fleet.engines[0].set_fault(Fault::CutsStream);
+            let answer = fleet.vms[0].ask(
+                &format!("{}{number}", ids.len()),
+                "/berth/x",
+                Some("base/a1"),
+            );
+            let body = answer.body();
+            let tokens: Vec<&str> = body
+                .lines()
+                .filter(|line| line.starts_with("data"))
+                .collect();
+            let expected: Vec<String> = (1..=5)
+                .map(|number| format!("data: token {number}"))
+                .collect();
+            assert_eq!(tokens, expected[..tokens.len()], "{ids:?}: {}", answer.text);
+            assert!(tokens.len() >= least, "{ids:?}: {}", answer.text);
+        }
+    }
+}
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -7,7 +7,7 @@
 use dahliastile_gateway::effect::Attempt;
 use dahliastile_gateway::event::{Event, Execution, FailureCause, Part};
 use dahliastile_intake::Use;
-use http::{Method, Response, StatusCode, header, request, response};
+use http::{HeaderValue, Method, Response, StatusCode, header, request, response};
 use http_body_util::Full;
 use tokio::time::Instant;
 
@@ -42,7 +42,7 @@
     slot: &Arc<Slot>,
     (head, body): (&request::Parts, &Bytes),
     send: &Attempt,
-    after: Option<&str>,
+    after: Option<&HeaderValue>,
 ) -> Tried {
     let mut request = hub
         .dialect
--- a/crates/shell/src/dialect.rs
+++ b/crates/shell/src/dialect.rs
@@ -105,7 +105,7 @@
         head: &request::Parts,
         body: Bytes,
         send: &Attempt,
-        after: Option<&str>,
+        after: Option<&HeaderValue>,
     ) -> Request<Bytes>;
 
     /// What the answer to the request with these headers repeats of it; none where it has no id, or several.
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -48,7 +48,7 @@
 pub(crate) fn address(headers: &mut HeaderMap, send: &Attempt) {
     for (name, value) in [(SERVER, send.server.as_str()), (REQUEST, &send.id)] {
         // A caller's id that can't be a header is left out: it is for the log only.
-        if let Ok(value) = HeaderValue::from_str(value) {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
             headers.insert(name, value);
         }
     }
@@ -57,7 +57,7 @@
 /// Why the VM that was to carry a request has no answer of the server, and a VM that may; none for a server's answer.
 pub(crate) fn failure(headers: &HeaderMap) -> Option<(Execution, FailureCause, Option<Vm>)> {
     let failure = headers.get(FAILURE)?;
-    let hint = headers.get(HINT).and_then(|vm| vm.to_str().ok());
+    let hint = headers.get(HINT).and_then(text);
     let hint = hint.and_then(|vm| vm.parse().ok());
     let (ran, cause) = match failure.to_str() {
         Ok(NOT_CARRIED) => (Execution::No, FailureCause::NoPath),
@@ -69,6 +69,11 @@
     Some((ran, cause, hint))
 }
 
+/// A name in a header, which may hold letters beyond ASCII.
+fn text(value: &HeaderValue) -> Option<&str> {
+    std::str::from_utf8(value.as_bytes()).ok()
+}
+
 /// An attempt that this VM carries. Dropping it ends it.
 struct Carried<D> {
     hub: Rc<Hub<D>>,
@@ -95,9 +100,9 @@
     for name in [header::CONNECTION, header::TRANSFER_ENCODING] {
         head.headers.remove(name);
     }
-    let text = |value: HeaderValue| value.to_str().map(str::to_owned).ok();
-    let server = head.headers.remove(SERVER).and_then(text);
-    let request_id = head.headers.remove(REQUEST).and_then(text);
+    let owned = |value: HeaderValue| text(&value).map(str::to_owned);
+    let server = head.headers.remove(SERVER).and_then(owned);
+    let request_id = head.headers.remove(REQUEST).and_then(owned);
     let Some(server) = server.and_then(|name| name.parse::<Server>().ok()) else {
         return no_answer(NOT_CARRIED, None);
     };
@@ -213,7 +218,7 @@
     *response.status_mut() = StatusCode::BAD_GATEWAY;
     let headers = response.headers_mut();
     headers.insert(FAILURE, HeaderValue::from_static(failure));
-    let hint = hint.and_then(|vm| HeaderValue::from_str(vm.as_str()).ok());
+    let hint = hint.and_then(|vm| HeaderValue::from_bytes(vm.as_str().as_bytes()).ok());
     if let Some(hint) = hint {
         headers.insert(HINT, hint);
     }
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -8,7 +8,7 @@
 use dahliastile_gateway::effect::{Attempt, NextStep, RefusalReason};
 use dahliastile_gateway::event::{self, Event, Execution, FailureCause, StreamTiming};
 use dahliastile_intake::Size;
-use http::response;
+use http::{HeaderValue, response};
 use http_body_util::Either;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -97,8 +97,10 @@
     rest: BytesMut,
     /// What may still come of that event.
     budget: Budget,
-    /// The id of the last whole event.
-    last: Option<String>,
+    /// The id of the last whole event that has one.
+    last: Option<HeaderValue>,
+    /// Whether that id can be named to another server.
+    is_last_known: bool,
     /// When it came.
     came: Option<Instant>,
     /// When the first one came.
@@ -118,6 +120,7 @@
             rest: BytesMut::new(),
             budget: Budget::new(EVENT_LIMIT),
             last: None,
+            is_last_known: true,
             came: None,
             first: None,
             count: 0,
@@ -158,11 +161,10 @@
         if let Some(came) = self.came.replace(now) {
             self.pause = self.pause.max(now - came);
         }
-        let text = String::from_utf8_lossy(&whole);
-        let mut lines = text.rsplit(['\r', '\n']);
-        let ids = lines.find_map(|line| line.strip_prefix("id:"));
-        if let Some(id) = ids {
-            self.last = Some(id.trim().to_owned());
+        let mut lines = whole.rsplit(|byte| matches!(byte, b'\r' | b'\n'));
+        if let Some(id) = lines.find_map(|line| line.strip_prefix(b"id:")) {
+            self.last = HeaderValue::from_bytes(id.trim_ascii()).ok();
+            self.is_last_known = self.last.is_some();
         }
         Ok(Some(whole))
     }
@@ -290,11 +292,11 @@
             Execution::Maybe,
             failure_cause(fault),
         ));
-        if !send.resumable {
+        if !send.resumable || !events.is_last_known {
             asked.ticket.done = true;
             return;
         }
-        match go_on(&mut asked, events.last.as_deref()).await {
+        match go_on(&mut asked, events.last.as_ref()).await {
             Some(next) => {
                 keep = pool::keep(&next.head.headers);
                 framing = next.framing;
@@ -350,7 +352,10 @@
 }
 
 /// Has a stream go on at another server after the last whole event, as the gateway says.
-async fn go_on<D: Dialect>(asked: &mut Asked<D>, after: Option<&str>) -> Option<Box<Begun>> {
+async fn go_on<D: Dialect>(
+    asked: &mut Asked<D>,
+    after: Option<&HeaderValue>,
+) -> Option<Box<Begun>> {
     let hub = asked.ticket.hub.clone();
     let id = asked.ticket.id;
     loop {
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -247,6 +247,7 @@
     cancelled: Vec<(String, Instant)>,
     framing: Framing,
     line_end: &'static str,
+    event_ids: &'static str,
     pace: Duration,
     speed: f64,
     overfull: usize,
@@ -275,6 +276,7 @@
             cancelled: Vec::new(),
             framing: Framing::Length,
             line_end: "\n",
+            event_ids: "",
             pace: Duration::ZERO,
             speed: 1.0,
             overfull: 0,
@@ -437,6 +439,11 @@
         self.state().line_end = line_end;
     }
 
+    /// What the ids of its events begin with.
+    pub fn set_event_ids(&self, begin: &'static str) {
+        self.state().event_ids = begin;
+    }
+
     /// The pause before each event of a stream.
     pub fn set_pace(&self, pace: Duration) {
         self.state().pace = pace;
@@ -647,7 +654,7 @@
         let after = asked
             .headers
             .get("last-event-id")
-            .and_then(|id| id.parse().ok())
+            .and_then(|id| id.strip_prefix(state.event_ids)?.parse().ok())
             .unwrap_or(0);
         let server = state.id.clone();
         state.runs.push(Run {
@@ -755,7 +762,10 @@
     let pace = state.pace.div_f64(state.speed);
     let line_end = state.line_end;
     let event = |number: u64| {
-        let mut lines = vec![format!("id: {number}"), format!("data: token {number}")];
+        let mut lines = vec![
+            format!("id: {}{number}", state.event_ids),
+            format!("data: token {number}"),
+        ];
         lines.extend(state.build.as_ref().map(|build| format!("build: {build}")));
         lines.extend((state.padding > 0).then(|| format!(": {}", "x".repeat(state.padding))));
         lines.push(String::new());
