A name can't end its line of the log

An entry whose key held a line feed made a line of its own, which could say anything. Change: both logs write a line's text by escape::Line: control characters, other ends of lines and what turns the direction of text are escaped, all else is as it was. JSON lines were quoted before. Why it works: it is done where lines are written, so that no event can forget it.

--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,5 +1,6 @@
 //! Numbered log events, as lines for people or as JSON lines, on the standard error stream.
 
+use dahliastile_core::escape::Line;
 use dahliastile_core::id;
 use dahliastile_core::log::{Code, Level, Record};
 use spdlog::formatter::{Formatter, PatternFormatter, pattern};
@@ -64,7 +65,7 @@
 
     fn text(&self, record: &Record) -> String {
         let (number, name) = (record.code.number(), name(record.code));
-        format!("{} E{number} {name} {}", self.vm, record.detail)
+        format!("{} E{number} {name} {}", self.vm, Line(&record.detail))
     }
 
     /// The members of the JSON line after those that the formatter writes.
--- a/crates/daemon/tests/odd_entries.rs
+++ b/crates/daemon/tests/odd_entries.rs
@@ -165,3 +165,30 @@
 
 /// Requests that servers may turn away as meant for others: a few for each entry and VM.
 const MOST_MISDIRECTED: usize = 40;
+
+/// Guards against names that end a line of the log, and begin another one that nobody wrote.
+#[test]
+fn log_linesofoddnames() {
+    let mut fleet = Fleet::servers();
+    let logs = std::env::temp_dir().join(format!("dahliastile-odd-{}", std::process::id()));
+    std::fs::create_dir_all(&logs).expect("a directory for logs");
+    fleet.logs = Some(logs.clone());
+    for (end, number) in ["\n", "\r", "\r\n", "\u{85}", "\u{2028}"].iter().zip(0..) {
+        let key = format!("op/version/x{end}FORGED line {number}.a1");
+        fleet.store.put(&key, &json!({"version": 7}));
+    }
+    fleet.store.put("op/config", &fleet::config(1));
+    let vm = fleet.start(1, None);
+    fleet.vms.push(vm);
+    until("a VM is ready", || fleet.vms[0].ready());
+    let log = || std::fs::read_to_string(logs.join("vm1.log")).unwrap_or_default();
+    until("the names are logged", || {
+        log().matches("FORGED line").count() >= 5
+    });
+    let is_forged = |line: &str| line.starts_with("FORGED");
+    let ends = ['\n', '\r', '\u{85}', '\u{2028}'];
+    let text = log();
+    assert!(!text.split(ends).any(is_forged), "{text}");
+    // A directory that stays does no harm.
+    let _ = std::fs::remove_dir_all(logs);
+}
--- a/crates/shell/src/journal.rs
+++ b/crates/shell/src/journal.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use dahliastile_core::escape::Line;
 use dahliastile_core::id::Vm;
 use dahliastile_core::log::{Level, Record};
 use dahliastile_core::time::{Instant, Span};
@@ -71,8 +72,12 @@
             self.left_out += 1;
             return;
         }
-        let (vm, number, code, detail) =
-            (&self.vm, record.code.number(), record.code, &record.detail);
+        let (vm, number, code, detail) = (
+            &self.vm,
+            record.code.number(),
+            record.code,
+            Line(&record.detail),
+        );
         let left_out = std::mem::take(&mut self.left_out);
         let more = if left_out > 0 {
             format!(" left_out={left_out}")
