--- a/crates/core/tests/escape.rs
+++ b/crates/core/tests/escape.rs
@@ -23,6 +23,7 @@
 /// Any text comes back as it went, and holds nothing but letters, digits and what a query may hold as it is.
 #[test]
 fn queryvalue_anytextcomesback() {
+    #[allow(clippy::needless_pass_by_value)] // The library passes values.
     fn comes_back(text: String) -> bool {
         let escaped = query_value(&text).to_string();
         let is_plain = |c: char| c.is_ascii_alphanumeric() || "-._~/%".contains(c);
@@ -51,6 +52,7 @@
 
 #[test]
 fn line_anytextisoneline() {
+    #[allow(clippy::needless_pass_by_value)] // The library passes values.
     fn is_one_line(text: String) -> bool {
         let line = Line(&text).to_string();
         !line.chars().any(char::is_control) && line.lines().count() <= 1
--- a/crates/daemon/tests/graceful_stops.rs
+++ b/crates/daemon/tests/graceful_stops.rs
@@ -355,7 +355,7 @@
 /// How long a server works on a request, less than its route allows, and a time after a VM was told to end from which on such a
 /// request does not end before its process.
 const LONG_WORK: Duration = Duration::from_secs(6);
-const TOO_LATE: Duration = Duration::from_millis(2_000);
+const TOO_LATE: Duration = Duration::from_secs(2);
 
 /// Guards against requests that come while a VM still takes connections in, and are passed on though it is known how long such
 /// requests take, and that their process ends before: they are refused as not run when they are read, and others are served.
--- a/crates/daemon/tests/soak/trouble.rs
+++ b/crates/daemon/tests/soak/trouble.rs
@@ -46,6 +46,25 @@
 const NEXT_SERIES: std::ops::Range<u64> = 500..6_000;
 /// The stream from which these are drawn.
 const SERIES: u64 = 6;
+/// The pause until another program next writes entries, in milliseconds.
+const NEXT_ODD: std::ops::Range<u64> = 300..1_500;
+/// The stream from which these, and the sizes of pages, are drawn.
+const ODD: u64 = 8;
+/// Keys that other programs write, before, among and behind those of this system.
+const ODD_KEYS: [&str; 10] = [
+    "a&b",
+    "dahliastile/vm/x+y",
+    "dahliastile/stream/a b/1",
+    "op/version/x#y.a1",
+    "servers/e0&after=zz",
+    "servers/e1 x",
+    "servers/p0+x",
+    "servers/p1%41",
+    "servers/\u{e4}",
+    "zz\r\n%",
+];
+/// Items of a page.
+const PAGE_ITEMS: std::ops::Range<usize> = 1..8;
 /// The time between two ends of a series.
 const SERIES_STEP: Duration = Duration::from_millis(250);
 /// How long servers are slow or silent in a series, in milliseconds: up to a little more than VMs take to end.
@@ -102,6 +121,8 @@
     Slow(usize),
     /// An engine leaves, and is replaced by one with another build of its software.
     Release(usize, &'static str),
+    /// Another program has an entry under this key, and pages have this many items.
+    OddEntry(&'static str, usize),
 }
 
 impl Trouble {
@@ -185,6 +206,12 @@
         Self::Release(rng.random_range(0..engines), build)
     }
 
+    /// Draws an entry of another program.
+    fn draw_odd(rng: &mut ChaCha8Rng) -> Self {
+        let key = ODD_KEYS[rng.random_range(0..ODD_KEYS.len())];
+        Self::OddEntry(key, rng.random_range(PAGE_ITEMS))
+    }
+
     /// Draws a series: engines that hold nothing, servers that are silent or slow, and all VMs told to end, one after the
     /// other. Each comes with the pause until it begins and how long it lasts.
     fn draw_series(
@@ -240,6 +267,7 @@
             Self::Configure => Held::Configuration,
             Self::Flood => Held::Account,
             Self::Slow(engine) => Held::Speed(engine),
+            Self::OddEntry(key, _) => Held::Entry(key),
         }
     }
 
@@ -284,6 +312,16 @@
             Self::Flood => callers.flood(true),
             Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine] / SLOWER),
             Self::Leave(server) => stage.list(server, "draining"),
+            Self::OddEntry(key, items) => {
+                let like_a_server = stage.fleet.plain[0].entry(
+                    "desk",
+                    stage.fleet.plain_address(0),
+                    "north",
+                    "ready",
+                );
+                stage.fleet.store.put(key, &like_a_server);
+                stage.fleet.store.set_page_items(items);
+            }
             Self::Configure => {
                 stage.version += 1;
                 stage
@@ -320,6 +358,7 @@
             Self::Flood => callers.flood(false),
             Self::Slow(engine) => stage.fleet.engines[engine].set_speed(SPEEDS[engine]),
             Self::Release(engine, build) => stage.release(engine, build),
+            Self::OddEntry(key, _) => stage.fleet.store.remove(key),
             Self::Reload(_) | Self::EngineRestart(_) | Self::Configure => {}
         }
     }
@@ -337,6 +376,7 @@
     Configuration,
     Account,
     Speed(usize),
+    Entry(&'static str),
 }
 
 fn replica(stage: &Stage, server: usize) -> &dahliastile_standin::fleet::Replica {
@@ -398,6 +438,7 @@
     let mut cuts = Source::new(rng, CUTS, NEXT_CUT, began);
     let mut releases = Source::new(rng, RELEASES, NEXT_RELEASE, began);
     let mut series = Source::new(rng, SERIES, NEXT_SERIES, began);
+    let mut odd = Source::new(rng, ODD, NEXT_ODD, began);
     let mut planned: Vec<(Instant, Trouble, Duration)> = Vec::new();
     while began.elapsed() < span {
         let now = Instant::now();
@@ -437,6 +478,9 @@
         if let Some(lasts) = releases.lasts_if_due(now) {
             due.push((Trouble::draw_release(&mut releases.rng, engines), lasts));
         }
+        if let Some(lasts) = odd.lasts_if_due(now) {
+            due.push((Trouble::draw_odd(&mut odd.rng), lasts));
+        }
         if series.is_due(now) {
             let drawn = Trouble::draw_series(&mut series.rng, vms, servers, engines).into_iter();
             planned.extend(drawn.map(|(pause, trouble, lasts)| (now + pause, trouble, lasts)));
--- a/crates/gateway/tests/lists.rs
+++ b/crates/gateway/tests/lists.rs
@@ -4,10 +4,15 @@
 mod support;
 
 use dahliastile_core::time::Span;
-use dahliastile_gateway::cluster::snapshot::EntryKey;
+use dahliastile_gateway::cluster::snapshot::{EntryKey, EntryValue};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use support::World;
-use support::setup::mixed_request;
+use support::series::{self, FaultSeries, seeds};
+use support::setup::{mixed_request, name};
 
+/// The stream of a series' seed from which odd entries and broken lists are drawn.
+const ODD_ENTRIES: u64 = 9;
 /// VMs of a fleet.
 const VMS: usize = 6;
 /// Percentage of requests that are served.
@@ -97,3 +102,43 @@
         "it is listed again though it was read"
     );
 }
+
+/// Steps of a random series: 30 s.
+const STEPS: usize = 600;
+
+/// Plays random faults of VMs and of the key-value service while other programs write entries that can't be read, before and
+/// among those of servers, and lists break off at any of them. Once both are over, all VMs serve.
+#[test]
+fn list_amongfaults() {
+    for seed in 0..seeds(2) {
+        let mut series = FaultSeries::new(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(ODD_ENTRIES);
+        for at in 0..STEPS {
+            series.step();
+            if rng.random_bool(0.1) {
+                let key = EntryKey::Server(name(&format!("e{}-odd", rng.random_range(0..6))));
+                if rng.random_bool(0.7) {
+                    series.world.write_entry(key, EntryValue::Unreadable);
+                } else {
+                    series.world.remove_entry(&key);
+                }
+            }
+            if rng.random_bool(0.05) {
+                let entries = series.world.store.keys().len();
+                let broken = rng.random_bool(0.5);
+                let count = rng.random_range(0..entries);
+                series.world.store.list_breaks_after = broken.then_some(count);
+            }
+            let vm = rng.random_range(0..series::VMS);
+            if at % 2 == 0 && series.world.vms[vm].gateway.is_some() {
+                series.world.send_request(vm, mixed_request(at));
+            }
+        }
+        series.world.store.list_breaks_after = None;
+        series.end();
+        for vm in 0..series::VMS {
+            check_served_at(&mut series.world, vm, SERVED);
+        }
+    }
+}
--- a/crates/gateway/tests/support/series.rs
+++ b/crates/gateway/tests/support/series.rs
@@ -141,6 +141,18 @@
             .push((self.world.now, self.last_faults.clone()));
     }
 
+    /// Ends all faults, and runs the fleet until it has recovered.
+    pub fn end(&mut self) {
+        for fault in std::mem::take(&mut self.faults) {
+            (fault.revert)(&mut self.world, fault.vm);
+        }
+        self.store_up_at = self.world.now;
+        self.update_store();
+        self.world.run(RECOVERY_TIME);
+        self.update_store();
+        self.world.run(RECOVERY_TIME);
+    }
+
     /// Cuts a VM, or the VMs of a zone, off from all servers.
     fn cut_paths(&mut self) {
         let rng = &mut self.path_rng;
