--- a/crates/daemon/tests/late_answers.rs
+++ b/crates/daemon/tests/late_answers.rs
@@ -31,9 +31,9 @@
     };
     for number in 0..REQUESTS {
         let rejects = if number % 2 == 0 { fault } else { Fault::None };
-        rejecting
-            .iter()
-            .for_each(|server| server.set_fault(rejects));
+        for server in rejecting {
+            server.set_fault(rejects);
+        }
         let id = format!("{fault:?}{repeat:?}{number}");
         let answer = fleet.vms[0].ask(&id, "/post/x", None);
         let runs = ran(&fleet.plain, &id);
