--- a/crates/gateway/src/request/shutdown.rs
+++ b/crates/gateway/src/request/shutdown.rs
@@ -12,7 +12,6 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::state::{Phase, RequestState};
-use crate::config::RouteKind;
 use crate::effect::Effects;
 use crate::event::RequestId;
 use crate::node::Gateway;
@@ -28,8 +27,6 @@
 /// The latest times of the steps of a request at a VM that stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Bounds {
-    /// When connections are accepted no longer.
-    leave: Instant,
     /// When requests that are at no server and have not run are refused.
     pub(crate) start: Instant,
     /// When all others get their final answer.
@@ -43,7 +40,6 @@
     pub(crate) fn new(now: Instant, tuning: &Tuning) -> Self {
         let end = now + (tuning.grace - tuning.end_margin);
         Self {
-            leave: now + tuning.leave_time(),
             start: now + tuning.start_time(),
             answer: end.back(WRITE_TIME),
             end,
@@ -92,16 +88,14 @@
     }
 
     /// Whether a request that has just arrived is likely to be in progress at the end of the process: requests of its route
-    /// usually take longer than there is time. Where that is not known, and connections are accepted no longer, the caller has
-    /// most of its time for another VM; a stream that can be resumed is begun here all the same.
+    /// usually take longer here than there is time.
     pub(crate) fn outlasts_stop(&self, request: RequestId) -> bool {
         let (Some(bounds), Some(state)) = (self.shutdown, self.in_flight.get(&request)) else {
             return false;
         };
         let left = bounds.answer.since(self.now);
-        let is_late = self.now >= bounds.leave && state.route.kind != RouteKind::Resumable;
         let usual = self.durations.mean(&state.route.name);
-        state.deadline > bounds.answer && usual.map_or(is_late, |usual| usual > left)
+        state.deadline > bounds.answer && usual.is_some_and(|usual| usual > left)
     }
 
     /// Whether a request has to be refused because this VM stops.
