--- a/crates/gateway/tests/scarce.rs
+++ b/crates/gateway/tests/scarce.rs
@@ -10,7 +10,7 @@
 use dahliastile_gateway::request::fingerprint::Fingerprint;
 use dahliastile_gateway::scheduler::{Decision, Scheduler};
 use dahliastile_gateway::settings::Tuning;
-use support::contention::{Caller, Load, Outcome, play};
+use support::contention::{Caller, Load, Outcome, REVIEWS, play};
 use support::setup::{self, inference_spec, name, zone};
 
 /// The features that take effect when capacity is scarce.
@@ -24,6 +24,11 @@
 /// times of the lowest and the highest priority together, all at 1.3 times the usual rates.
 fn heavy_load(without: &[Feature]) -> Load {
     Load {
+        deployment: REVIEWS,
+        length: 14_000,
+        burst: (4_000, 9_000),
+        shifts: Vec::new(),
+        losses: Vec::new(),
         without: without.to_vec(),
         scale: 1.3,
         accounts: 16,
