Summaries are written also when other lines are left out

Cause: a VM writes 300 lines a second over a while and leaves out what is not a warning beyond that. In a shortage hundreds of refusals a second are logged, and the scheduler's state, written once a second, was left out with them: an operator lacked it just then. Change: LineBudget decides by the event; those that sum up (E427, E522, E531 to E533) are written always, as their rate does not grow with the load.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -194,6 +194,8 @@
     Placed = 510 Debug "Nothing.";
     /// The scheduler refused a request that can't be served in time.
     TurnedAway = 516 Info "If it lasts, the engines or the weight store have too little room for the load.";
+    /// Adapters of which requests were refused and none was served since: how many, and for those unserved for longest their name, the number of requests, for how long, and why the last one was not served. Once a second.
+    AdaptersUnserved = 533 Info "Look at the lines with `adapter=` one of these; docs/OPERATIONS.md goes on from here.";
     /// A request was sent to a backend server.
     Sent = 511 Debug "Nothing.";
     /// A backend server's answer does not bear the id of the request that it came for.
@@ -238,6 +240,22 @@
     Broken = 900 Error "Report it with the log around it.";
 }
 
+impl Code {
+    /// Returns whether the event sums up what happened over a while, so that the rate of its lines does not grow with the
+    /// load.
+    #[must_use]
+    pub const fn is_summary(self) -> bool {
+        matches!(
+            self,
+            Self::SchedulerState
+                | Self::LoadsReserved
+                | Self::SharesExceeded
+                | Self::AdaptersUnserved
+                | Self::AccountShare
+        )
+    }
+}
+
 /// A log event.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
--- a/crates/shell/src/journal.rs
+++ b/crates/shell/src/journal.rs
@@ -4,14 +4,14 @@
 
 use dahliastile_core::escape::Line;
 use dahliastile_core::id::Vm;
-use dahliastile_core::log::{Level, Record};
+use dahliastile_core::log::{Code, Level, Record};
 use dahliastile_core::time::{Instant, Span};
 use spdlog::formatter::{PatternFormatter, pattern};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
 use spdlog::{LevelFilter, Logger, ThreadPool};
 
-/// Lines of a VM that are written a second over a while; beyond it only warnings and errors are, and what was left out
-/// is counted. Three lines a request at a hundred requests a second, which is more than a VM of a quarter core serves.
+/// Lines of a VM that are written a second over a while; beyond it only warnings, errors and summaries are, and what was left
+/// out is counted. Three lines a request at a hundred requests a second, which is more than a VM of a quarter core serves.
 const LINES_A_SECOND: u64 = 300;
 
 /// Lines that may be written at once.
@@ -20,16 +20,45 @@
 /// Lines that wait for the standard output; beyond it they are dropped.
 const WAITING: usize = 4_096;
 
+/// Decides which lines are written, so that a VM spends a bounded part of its time on them.
+#[derive(Debug)]
+pub struct LineBudget {
+    /// Lines that may be written now, in millionths.
+    saved: u64,
+    /// When that was computed.
+    at: Instant,
+}
+
+impl Default for LineBudget {
+    fn default() -> Self {
+        Self {
+            saved: BURST * 1_000_000,
+            at: Instant::default(),
+        }
+    }
+}
+
+impl LineBudget {
+    /// Returns whether the line of an event is to be written, and counts it.
+    pub fn try_spend(&mut self, now: Instant, code: Code) -> bool {
+        let passed: Span = now.since(self.at);
+        self.at = now;
+        self.saved = (self.saved + passed.0 * LINES_A_SECOND).min(BURST * 1_000_000);
+        if self.saved < 1_000_000 {
+            return code.level() >= Level::Warn || code.is_summary();
+        }
+        self.saved -= 1_000_000;
+        true
+    }
+}
+
 /// The log of one VM.
 pub(crate) struct Journal {
     /// Where lines go.
     logger: Logger,
     /// The VM, as each line names it.
     vm: Vm,
-    /// Lines that may be written now, in millionths.
-    saved: u64,
-    /// When that was computed.
-    at: Instant,
+    budget: LineBudget,
     /// Lines left out since the last one written.
     left_out: u64,
 }
@@ -59,8 +88,7 @@
         Ok(Self {
             logger,
             vm,
-            saved: BURST * 1_000_000,
-            at: Instant::default(),
+            budget: LineBudget::default(),
             left_out: 0,
         })
     }
@@ -68,7 +96,7 @@
     /// Writes an event.
     pub(crate) fn write(&mut self, now: Instant, record: &Record) {
         let level = record.code.level();
-        if !self.spend(now) && level < Level::Warn {
+        if !self.budget.try_spend(now, record.code) {
             self.left_out += 1;
             return;
         }
@@ -105,15 +133,4 @@
     pub(crate) fn flush(&self) {
         self.logger.flush();
     }
-
-    fn spend(&mut self, now: Instant) -> bool {
-        let passed: Span = now.since(self.at);
-        self.at = now;
-        self.saved = (self.saved + passed.0 * LINES_A_SECOND).min(BURST * 1_000_000);
-        if self.saved < 1_000_000 {
-            return false;
-        }
-        self.saved -= 1_000_000;
-        true
-    }
 }
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -30,5 +30,6 @@
 pub use dahliastile_intake::{Machine, Size};
 pub use dialect::{Claim, Dialect, Echo, Heard, Rejection, Reply};
 pub use figures::Figures;
+pub use journal::LineBudget;
 pub use pool::{Client, Fault, Limits, Owner, Pool};
 pub use run::{EventLoop, Options};
