Base models come from the weight store as many at a time as it serves at full speed

Callers saw: after many engines were replaced, requests were refused for tens of seconds while engines stood idle. Cause: all base models were ordered at once.

--- a/crates/gateway/benches/scheduler.rs
+++ b/crates/gateway/benches/scheduler.rs
@@ -251,6 +251,7 @@
                             adapters: Vec::new(),
                         }],
                         loading: Vec::new(),
+                        local_models: Vec::new(),
                         busy: false,
                         orders: 0,
                         start: None,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -165,6 +165,8 @@
     pub models: Vec<ResidentModel>,
     /// Adapters that are being loaded: base model, adapter, version.
     pub loading: Vec<(Arc<str>, Arc<str>, u64)>,
+    /// Base models of which the server's machine has a copy, so that their loads take nothing of the weight store's bandwidth.
+    pub local_models: Vec<Arc<str>>,
     /// Whether an order to load or unload a base model is in progress.
     pub busy: bool,
     /// The number of orders that the server has accepted since its start.
--- a/crates/gateway/src/feature.rs
+++ b/crates/gateway/src/feature.rs
@@ -51,11 +51,13 @@
     StalledEngines,
     /// A request for an adapter of which others were refused, and none was served since, is served before others.
     ExpeditedAdapters,
+    /// Base models are loaded from the weight store only as many at a time as it serves at full speed.
+    StagedBaseLoads,
 }
 
 impl Feature {
     /// All features with the names that operators use in the settings.
-    pub const ALL: [(Self, &'static str); 21] = [
+    pub const ALL: [(Self, &'static str); 22] = [
         (Self::CachedAdapters, "recent-adapters"),
         (Self::CachedAdapterWait, "recent-patience"),
         (Self::PrefixCache, "kept-parts"),
@@ -77,6 +79,7 @@
         (Self::ParallelCopies, "parallel-copies"),
         (Self::StalledEngines, "stalled-engines"),
         (Self::ExpeditedAdapters, "expedited-adapters"),
+        (Self::StagedBaseLoads, "staged-base-loads"),
     ];
 
     /// Returns the feature's bit in [`DisabledFeatures`].
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -9,6 +9,7 @@
 mod adapter;
 mod adapter_cache;
 mod admission;
+mod base_load;
 mod capacity;
 pub(crate) mod client;
 mod contention;
@@ -62,10 +63,10 @@
 
 use self::adapter::{AdapterId, AdapterTable};
 use self::adapter_cache::{LocalCopies, RecentEngines};
+use self::base_load::{BaseLoadBucket, BaseLoadLimit};
 use self::contention::ContentionCounts;
 use self::engine::{Engine, Leaving};
 use self::fair_share::ShareTable;
-use self::load::BaseLoadBucket;
 use self::pause::{PauseHistory, Refusals};
 use self::rates::Comparison;
 use self::reserve::Urgency;
@@ -166,6 +167,8 @@
     pub(crate) lone_builds: BTreeSet<Option<Build>>,
     /// Limits the rate of base model loads from the weight store.
     pub(crate) base_load_bucket: BaseLoadBucket,
+    /// Limits the number of base model loads from the weight store at once.
+    pub(crate) base_load_limit: BaseLoadLimit,
     /// Engines that have fallen behind, and the requests withdrawn from them.
     pub(crate) stalls: StallTable,
     /// Claims of callers that were refused.
@@ -220,6 +223,7 @@
         });
         Self {
             base_load_bucket: BaseLoadBucket::new(now, engine_spec.loads_per_s),
+            base_load_limit: BaseLoadLimit::default(),
             load_time: settings.tuning.adapter_load,
             local_copies: LocalCopies::default(),
             recent_engines: RecentEngines::default(),
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -8,6 +8,7 @@
 
 use super::adapter::{AdapterId, AdapterTable};
 use super::adapter_cache::RecentAdapters;
+use super::base_load::BaseLoad;
 use super::cooldown::Cooldown;
 use super::forecast::prefill_time;
 use super::pause::Allowances;
@@ -133,6 +134,10 @@
     pub(crate) base_models: Vec<Arc<str>>,
     /// When the base model that it loads is expected to be ready; `None` if it loads none.
     pub(crate) base_load_due: Option<Instant>,
+    /// The load of a base model that is in progress, if any.
+    pub(crate) base_load: Option<BaseLoad>,
+    /// Base models of which its machine has a copy.
+    pub(crate) local_models: Vec<Arc<str>>,
     /// Its adapters, including those to be loaded.
     pub(crate) slots: BTreeMap<AdapterId, AdapterSlot>,
     /// Adapters that it held recently.
@@ -190,6 +195,8 @@
             awaits_report: false,
             base_models: Vec::new(),
             base_load_due: None,
+            base_load: None,
+            local_models: Vec::new(),
             slots: BTreeMap::new(),
             recent_adapters: RecentAdapters::default(),
             prefix_cache: PrefixCache::default(),
@@ -237,6 +244,7 @@
         self.accepted_orders = 0;
         self.base_models.clear();
         self.base_load_due = None;
+        self.base_load = None;
         self.slots.clear();
         self.prefix_cache = PrefixCache::default();
         self.leaving = Leaving::No;
@@ -415,6 +423,7 @@
             .iter()
             .map(|base| base.model.clone())
             .collect();
+        self.local_models.clone_from(&report.local_models);
         self.slots.clear();
         for base in &report.models {
             for resident in &base.adapters {
--- a/crates/gateway/src/scheduler/load.rs
+++ b/crates/gateway/src/scheduler/load.rs
@@ -1,7 +1,6 @@
 //! Plans which adapter is loaded at which engine, and which adapter is evicted for it.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use dahliastile_core::id::{Build, Server};
 use dahliastile_core::log::{Code, Record};
@@ -53,46 +52,6 @@
 /// last ten seconds.
 const MIN_DEMAND_IN_USE: f64 = 0.5;
 
-/// Share of the weight store's rate that base model loads use. It leaves a margin because a scheduler that
-/// starts does not know which loads its predecessor began.
-const BASE_LOAD_RATE_SHARE: f64 = 0.8;
-
-/// Maximum number of base model loads that may start at once.
-const BASE_LOAD_BURST: f64 = 2.0;
-
-/// A token bucket for loads of base models from the weight store.
-#[derive(Clone, Debug)]
-pub(crate) struct BaseLoadBucket {
-    /// Loads per second.
-    per_s: f64,
-    /// Loads that may start, as of `at`.
-    available: f64,
-    /// When `available` was last computed.
-    at: Instant,
-}
-
-impl BaseLoadBucket {
-    pub(crate) fn new(now: Instant, per_s: f64) -> Self {
-        Self {
-            per_s: per_s * BASE_LOAD_RATE_SHARE,
-            available: BASE_LOAD_BURST,
-            at: now,
-        }
-    }
-
-    /// Takes a token for one load. Returns whether one was available.
-    pub(crate) fn try_take(&mut self, now: Instant) -> bool {
-        let earned = now.since(self.at).as_secs_f64() * self.per_s;
-        self.available = (self.available + earned).min(BASE_LOAD_BURST);
-        self.at = now;
-        if self.available < 1.0 {
-            return false;
-        }
-        self.available -= 1.0;
-        true
-    }
-}
-
 /// An engine chosen for a load, with the load's cost.
 struct LoadChoice {
     server: Server,
@@ -171,7 +130,7 @@
         out: &mut Vec<Decision>,
     ) -> FxHashMap<AdapterId, LoadBlock> {
         let mut blocks = FxHashMap::default();
-        self.plan_base_loads(now);
+        self.plan_base_loads(now, out);
         let mut needed = self.needed_loads(now, forecasts, &residency);
         for extra in self.plan_copies(now, forecasts, &residency) {
             let copy = |_| NeededLoad {
@@ -616,27 +575,4 @@
             .order_queue
             .push_back(Intent::Load(adapter, Some(version).filter(|v| *v > 0)));
     }
-
-    /// Plans loads of the base model that the fewest engines hold, at the engines that hold no base model.
-    fn plan_base_loads(&mut self, now: Instant) {
-        if !self.engines.values().any(Engine::needs_base_model) {
-            return;
-        }
-        let engine_count = |name: &Arc<str>| {
-            let engines = self.engines.values();
-            engines.filter(|e| e.base_models.contains(name)).count()
-        };
-        let models = self.engine_spec.models.iter();
-        let Some(model) = models.min_by_key(|m| (engine_count(&m.name), m.name.clone())) else {
-            return;
-        };
-        for engine in self.engines.values_mut() {
-            if engine.needs_base_model() && self.base_load_bucket.try_take(now) {
-                engine.base_load_due = Some(now + model.load);
-                engine
-                    .order_queue
-                    .push_back(Intent::Base(model.name.clone()));
-            }
-        }
-    }
 }
--- a/crates/gateway/src/scheduler/order.rs
+++ b/crates/gateway/src/scheduler/order.rs
@@ -9,6 +9,7 @@
 use dahliastile_core::time::{Instant, Span};
 
 use super::adapter::AdapterTable;
+use super::base_load::BaseLoad;
 use super::engine::{AdapterState, Engine, Intent, PendingOrder, REPORT_LAG};
 use super::{Decision, Scheduler};
 use crate::effect::{Order, OrderId};
@@ -18,7 +19,7 @@
 const MAX_ORDER_ATTEMPTS: u32 = 3;
 
 /// Time after which a report that did not come is requested again.
-const REPORT_RETRY_DELAY: Span = Span::from_millis(400);
+pub(crate) const REPORT_RETRY_DELAY: Span = Span::from_millis(400);
 
 /// Maximum number of reports requested at once. Each needs a connection, and a VM that has just become the
 /// scheduler opens all of them anew. At some milliseconds per report, 3,000 engines have answered within half a
@@ -91,6 +92,8 @@
     /// Applies an engine's report; `None` if the engine did not answer.
     pub(crate) fn apply_report(&mut self, now: Instant, server: &Server, report: Option<&Report>) {
         let load_time = self.load_time;
+        let models = self.engine_spec.models.iter();
+        let longest_base_load = models.map(|model| model.load).max().unwrap_or_default();
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
@@ -109,6 +112,22 @@
             return;
         };
         engine.apply_report(now, report, load_time, &mut self.adapters);
+        let base_load = match report.models.first() {
+            None if report.busy => {
+                let from_store = engine.local_models.is_empty();
+                let unknown = BaseLoad::unknown(now, longest_base_load, from_store);
+                engine.base_load = engine.base_load.or(Some(unknown));
+                None
+            }
+            None => {
+                engine.base_load = None;
+                None
+            }
+            Some(base) => engine
+                .base_load
+                .take()
+                .map(|load| (base.model.clone(), load)),
+        };
         if report.busy {
             engine.base_load_due = Some(now + REPORT_RETRY_DELAY);
         }
@@ -119,6 +138,9 @@
                     .record_use(server, &mut engine.recent_adapters, *adapter);
             }
         }
+        if let Some((model, load)) = base_load {
+            self.record_base_load(now, &model, &load);
+        }
     }
 
     /// Sends each engine its next order.
--- a/crates/gateway/tests/encoding.rs
+++ b/crates/gateway/tests/encoding.rs
@@ -408,6 +408,7 @@
         (Feature::ParallelCopies, "parallel-copies"),
         (Feature::StalledEngines, "stalled-engines"),
         (Feature::ExpeditedAdapters, "expedited-adapters"),
+        (Feature::StagedBaseLoads, "staged-base-loads"),
     ];
     assert_eq!(Feature::ALL, names);
     for (feature, name) in names {
--- a/crates/gateway/tests/support/contention.rs
+++ b/crates/gateway/tests/support/contention.rs
@@ -64,6 +64,17 @@
     verify_interval: Span,
 }
 
+impl Deployment {
+    /// Returns the same deployment with base models that take this time to load alone, while the weight store serves `at_once`
+    /// loads at full speed.
+    pub fn with_base_load(self, alone: Span, at_once: f64) -> Self {
+        Self {
+            base_load: (alone, at_once),
+            ..self
+        }
+    }
+}
+
 /// A third of the first deployment of `docs/design/contention.md`.
 pub const REVIEWS: Deployment = Deployment {
     engines: 30,
@@ -305,6 +316,8 @@
     pub events: BTreeMap<u16, usize>,
     /// Decisions made because capacity is scarce, by the label of the metric.
     pub contention: BTreeMap<&'static str, u32>,
+    /// Time from the arrival of empty engines until each holds its base model.
+    pub base_loads: Vec<Span>,
     /// Log lines that explain refusals and loads.
     pub lines: Vec<String>,
 }
@@ -391,6 +404,8 @@
     /// Engines that were ever there.
     engines_seen: usize,
     weight_store: WeightStore,
+    /// When engines last came in place of lost ones.
+    replaced_at: Instant,
     /// When the scheduler's invariants are next verified.
     verify_at: Instant,
     outcome: Outcome,
@@ -408,6 +423,7 @@
         last_event: 0,
         engines_seen: 0,
         weight_store: WeightStore::default(),
+        replaced_at: now,
         verify_at: now,
         outcome: Outcome::default(),
     };
@@ -593,6 +609,7 @@
             }
             Event::Loss(loss) => self.lose_engines(loss),
             Event::Replacement(engines) => {
+                self.replaced_at = self.now;
                 for _ in 0..engines {
                     self.add_engine(false);
                 }
@@ -653,6 +670,8 @@
         for server in self.weight_store.advance(self.now, at_once) {
             if let Some(engine) = self.engines.get_mut(&server) {
                 engine.base_ready_at = Some(self.now);
+                let since = self.now.since(self.replaced_at);
+                self.outcome.base_loads.push(since);
             }
         }
         if let Some(at) = self.weight_store.next(at_once) {
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -299,6 +299,7 @@
                 .into_iter()
                 .map(|(name, slot)| (MODEL.into(), name.clone(), slot.version))
                 .collect(),
+            local_models: Vec::new(),
             busy: self.base_ready_at.is_some_and(|at| at > now),
             orders: self.accepted_orders,
             start: Some(self.incarnation),
--- a/crates/gateway/tests/support/setup.rs
+++ b/crates/gateway/tests/support/setup.rs
@@ -204,6 +204,7 @@
             adapters,
         }],
         loading: Vec::new(),
+        local_models: Vec::new(),
         busy: false,
         orders: 0,
         start: Some(Incarnation(1)),
