A stream waits a moment for its build where the VM has not heard of it yet

Callers saw: streams that had begun at servers of a new software version were refused at once, and for good (no_build), by a VM that had stood still while those joined. Cause: such a VM learns from others where a stream began before it learns of the servers, or of their builds: it lists them first without a build and asks for that. It took what it had not heard for what is not there. A scheduler did the same with engines that are listed and whose report it has not read. Change: a request whose build was never listed here, or while builds of listed servers are not known, waits until a server is listed or a build is told, for a second at most; the forecast of a stream bound to a build counts engines whose report is about to come.

--- a/crates/gateway/src/cluster/apply.rs
+++ b/crates/gateway/src/cluster/apply.rs
@@ -312,6 +312,7 @@
         }
         self.update_scheduler_server(server, backend);
         self.record_build(server, out);
+        self.place_awaiting_build(out);
     }
 
     fn remove_server(&mut self, server: &Server, out: &mut Effects) {
--- a/crates/gateway/src/cluster/builds.rs
+++ b/crates/gateway/src/cluster/builds.rs
@@ -96,5 +96,6 @@
             self.update_scheduler_server(&server, &backend);
             self.record_build(&server, out);
         }
+        self.place_awaiting_build(out);
     }
 }
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -35,6 +35,7 @@
 use crate::metrics;
 use crate::node::Gateway;
 use crate::request::state::{Phase, RefusalDetail};
+use crate::scheduler::client::PLACEMENT_RETRY_DELAY;
 use crate::timer::Timer;
 
 pub use self::history::BuildAges;
@@ -105,6 +106,8 @@
     journal: Journal,
     /// Origins that other VMs were asked for.
     lookups: FxHashMap<RequestId, Lookup>,
+    /// Requests that wait until a server of their build is listed.
+    awaiting_build: BTreeSet<RequestId>,
     /// The VMs that kept origins when this VM last checked.
     keepers: Vec<Vm>,
     /// Whether another VM has told this one what it knew before this one started, or since a gap.
@@ -479,6 +482,37 @@
         Some(allowed.map(|(server, _)| server.clone()).collect())
     }
 
+    /// Has a request wait until a server of its build is listed, if this VM was never told of one, or does not know the
+    /// builds of some servers yet: a VM that stood still or was cut off hears of the stream before it hears of the server's
+    /// build. Returns whether it waits.
+    pub(crate) fn await_build(&mut self, request: RequestId) -> bool {
+        let Binding::Continues(build) = self.binding(request) else {
+            return false;
+        };
+        let Some(state) = self.in_flight.get(&request) else {
+            return false;
+        };
+        let wait_end = state.arrived + PLACEMENT_RETRY_DELAY;
+        let mut recent = self.origins.history.recent(self.now, &state.service);
+        let mut servers = self.servers.values().map(|server| &server.backend);
+        let may_be_listed = !recent.any(|recent| recent == Some(&build))
+            || servers.any(|s| s.service == state.service && s.build.0.is_none());
+        if self.now >= wait_end || !may_be_listed {
+            self.origins.awaiting_build.remove(&request);
+            return false;
+        }
+        self.origins.awaiting_build.insert(request);
+        self.timers.set(wait_end, Timer::Request(request));
+        true
+    }
+
+    /// Asks for placements of the requests that wait for a server of a build, as one was listed.
+    pub(crate) fn place_awaiting_build(&mut self, out: &mut Effects) {
+        for request in std::mem::take(&mut self.origins.awaiting_build) {
+            self.request_placement(request, out);
+        }
+    }
+
     /// Returns whether a request continues a stream that no server of its service can continue any more.
     pub(crate) fn has_no_build_left(&self, request: RequestId) -> bool {
         let Some(state) = self.in_flight.get(&request) else {
--- a/crates/gateway/src/scheduler/client.rs
+++ b/crates/gateway/src/scheduler/client.rs
@@ -80,6 +80,9 @@
     pub(crate) fn request_placement(&mut self, request: RequestId, out: &mut Effects) {
         let now = self.now;
         if self.has_no_build_left(request) {
+            if self.await_build(request) {
+                return;
+            }
             self.refuse_request(request, None, RefusalDetail::NoBuild, out);
             return;
         }
--- a/crates/gateway/src/scheduler/forecast.rs
+++ b/crates/gateway/src/scheduler/forecast.rs
@@ -11,7 +11,7 @@
 use super::Scheduler;
 use super::adapter::AdapterId;
 use super::capacity::REQUESTS_PER_LOAD;
-use super::engine::{Engine, Leaving};
+use super::engine::{Engine, Leaving, REPORT_LAG};
 use super::load::SLOT_WAIT;
 use super::residency::Residency;
 use super::scheduled_request::{ScheduledRequest, VmRequestId};
@@ -243,12 +243,12 @@
         let Some(adapter) = request.adapter else {
             let least = allowed.map(|engine| engine.backlog(now)).min();
             return match least {
-                None if request.is_bound() => (WaitReason::Engine, UNBOUNDED_WAIT),
+                None if request.is_bound() => (WaitReason::Engine, self.build_wait(request)),
                 least => (WaitReason::Room, least.unwrap_or(Span::ZERO)),
             };
         };
         if request.is_bound() && allowed.next().is_none() {
-            return (WaitReason::Engine, UNBOUNDED_WAIT);
+            return (WaitReason::Engine, self.build_wait(request));
         }
         let engines = self.ready_engines(request, adapter, residency);
         let is_allowed = |engine: &&Engine| engine.cooldown.allows(now, &id.vm);
@@ -291,6 +291,20 @@
         )
     }
 
+    /// Returns the expected time until an engine can be used that may run a request: until the report of one that has been
+    /// listed is read, if there is any.
+    fn build_wait(&self, request: &ScheduledRequest) -> Span {
+        let is_coming = |engine: &Engine| {
+            let is_leaving = matches!(engine.leaving, Leaving::Excluded(_));
+            engine.backend.ready && !engine.state_known && !is_leaving && request.may_run_at(engine)
+        };
+        if self.engines.values().any(is_coming) {
+            REPORT_LAG
+        } else {
+            UNBOUNDED_WAIT
+        }
+    }
+
     /// Returns the wait for a queue at `engines` engines if one more copy of the adapter is loaded: after the load
     /// time, the engine with the copy serves an equal share of the rest of the queue.
     #[allow(
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -10,7 +10,7 @@
 
 mod support;
 
-use dahliastile_core::time::Span;
+use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::effect::RefusalReason;
 use dahliastile_gateway::event::{CallerRequest, Resumption};
 use rand::Rng;
@@ -93,7 +93,7 @@
 }
 
 /// Checks that resumed streams go on, and that no stream is of two builds.
-fn check_share(world: &World, resumed: &[u64], from: dahliastile_core::time::Instant) {
+fn check_share(world: &World, resumed: &[u64], from: Instant) {
     world.check_invariants();
     let mixed = world.streams.mixed();
     assert!(
@@ -505,3 +505,65 @@
         series.world.check_invariants();
     }
 }
+
+/// Has a VM stand still, or be cut off from all others, for this time, while servers of a new build join and streams begin there
+/// at other VMs. Then all callers resume their streams at that VM at once. Returns the requests, and when they were sent.
+fn resume_after(world: &mut World, cut: bool, span: Span) -> (Vec<u64>, Instant) {
+    let holder = world.holder();
+    let vm = (0..6).find(|vm| holder != Some(*vm)).expect("a VM");
+    if cut {
+        world.vms[vm].network_up = false;
+        world.vms[vm].store_reachable = false;
+    } else {
+        world.freeze(vm, span);
+    }
+    for number in 0..6 {
+        world.release(&format!("e{number}"), &format!("n{number}"), "v2");
+    }
+    world.run(span - Span::from_secs(1));
+    let send = |at: usize| {
+        let number = world.send_request((vm + 1 + at % 5) % 6, stream(1_000 + at));
+        world.run(Span::from_millis(15));
+        number
+    };
+    let streams: Vec<u64> = (0..60).map(send).collect();
+    world.run(Span::from_millis(99));
+    world.vms[vm].network_up = true;
+    world.vms[vm].store_reachable = true;
+    world.run(Span::from_millis(1));
+    let streaming = world.streaming(&streams);
+    assert!(streaming.len() >= 20, "{} have begun", streaming.len());
+    let from = world.now;
+    let resumed = streaming.iter().map(|number| world.resume(*number, vm));
+    let resumed = resumed.collect();
+    world.run(Span::from_secs(3));
+    (resumed, from)
+}
+
+/// Guards against a VM that stood still while servers of a new build joined, and then continues streams that began there at
+/// another build, or refuses them though the servers are there, as it has not heard of their build yet.
+#[test]
+fn resume_atvmthatstoodstill() {
+    for span in [Span::from_millis(2_000), Span::from_millis(9_500)] {
+        let mut world = fleet_of_one_build();
+        let (resumed, from) = resume_after(&mut world, false, span);
+        check_share(&world, &resumed, from);
+    }
+}
+
+/// Guards against a VM that was cut off meanwhile and continues streams at another build.
+#[test]
+fn resume_atvmthatwascutoff() {
+    let mut world = fleet_of_one_build();
+    resume_after(&mut world, true, Span::from_millis(2_000));
+    world.check_invariants();
+    assert_eq!(world.streams.mixed(), Vec::<&str>::new());
+}
+
+/// Guards against a VM that was cut off meanwhile and refuses streams though servers of their build are there.
+#[test]
+fn resume_cutoff_share() {
+    let mut world = fleet_of_one_build();
+    let (resumed, from) = resume_after(&mut world, true, Span::from_millis(2_000));
+    check_share(&world, &resumed, from);
+}
