--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -342,3 +342,35 @@
     world.check_one_holder_at_a_time();
     world.check_invariants();
 }
+
+/// Guards against adapters that are never served while the key-value service is away and the VM that schedules is lost: of
+/// those that are asked for through 24 s, more than one and a tenth.
+#[test]
+fn outage_holderlost_servesall() {
+    const ADAPTERS: usize = 100;
+    let mut world = World::new(6, 12, 2);
+    world.run(Span::from_secs(2));
+    let request_to = |at: usize| {
+        let adapter = format!("a{}", at * 7 % ADAPTERS);
+        adapter_request(&format!("r{at}"), &adapter)
+    };
+    world.send_requests(160, Span::from_millis(25), request_to);
+    let holder = world.holder().expect("a holder");
+    world.store_up = false;
+    world.wake_watchers();
+    world.kill(holder, true);
+    let mut asked = vec![Vec::new(); ADAPTERS];
+    for at in 0..960 {
+        let vm = (0..6).cycle().skip(at).find(|vm| *vm != holder);
+        let number = world.send_request(vm.expect("a VM"), request_to(1_000 + at));
+        asked[(1_000 + at) * 7 % ADAPTERS].push(number);
+        world.run(Span::from_millis(25));
+    }
+    world.run(Span::from_secs(6));
+    let starved = asked
+        .iter()
+        .filter(|numbers| world.count_served(numbers) == 0);
+    let starved = starved.count();
+    assert!(starved <= 1 + ADAPTERS / 10, "{starved} of {ADAPTERS}");
+    world.check_invariants();
+}
