One slow load of a base model lowers the limit by half at most

Cause: the number of loads that the weight store serves at full speed was taken from each load that took longer than alone, so that one engine that is slow by itself could lower it to one, from where it grows by one at a time. Found by reading; no run has shown it. Change: one load lowers the limit by half at most. Measured: tests/base_loads.rs and tests/starvation.rs as before.

--- a/crates/gateway/src/scheduler/base_load.rs
+++ b/crates/gateway/src/scheduler/base_load.rs
@@ -129,8 +129,10 @@
         let full_speed = alone.as_secs_f64() * FULL_SPEED_FACTOR + resolution.as_secs_f64();
         if span.as_secs_f64() > full_speed {
             let served = concurrent as f64 * alone.as_secs_f64() / span.as_secs_f64();
+            // An engine may have been slow by itself, so one load lowers the limit by half at most.
+            let least = (self.loads / 2).max(1);
             *self = Self {
-                loads: (served.round() as usize).max(1),
+                loads: (served.round() as usize).max(least),
                 at_full_speed: 0,
                 is_measured: true,
             };
