An expedited request that is gone keeps no other one from being expedited

Cause: the table of unserved adapters kept the expedited request until it was served or refused. One that went with its VM, or failed at its engine, blocked its adapter for up to a minute. Found by reading; no play has shown it. The set of requests that wait for a build kept those that were over until a server was listed. Change: an expedited request counts only while the scheduler knows it; end_lookup forgets a request that waits for a build. Measured: expedited_vmgone, [Some(1), None] before, [Some(1), Some(1)] after.

--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -277,8 +277,9 @@
         }
     }
 
-    /// Forgets that other VMs were asked for a request that is over.
+    /// Forgets that other VMs were asked for a request that is over, and that it waits for a build.
     pub(crate) fn end_lookup(&mut self, request: RequestId) {
+        self.origins.awaiting_build.remove(&request);
         self.origins.lookups.remove(&request);
     }
 
--- a/crates/gateway/src/scheduler/unserved.rs
+++ b/crates/gateway/src/scheduler/unserved.rs
@@ -172,18 +172,25 @@
     }
 
     /// Returns whether a request is to be expedited: if its adapter is urgent enough and no other request for it is
-    /// expedited.
-    fn try_expedite(&mut self, now: Instant, adapter: AdapterId, id: &VmRequestId) -> bool {
+    /// expedited. A request that is not `is_known` has gone with its VM, or failed at its engine.
+    fn try_expedite(
+        &mut self,
+        now: Instant,
+        adapter: AdapterId,
+        id: &VmRequestId,
+        is_known: impl FnOnce(&VmRequestId) -> bool,
+    ) -> bool {
         let Some(row) = self.adapters.get_mut(&adapter) else {
             return false;
         };
         let used = EXPEDITED_BURST - self.allowance;
         let least_urgency = MIN_URGENCY + used * URGENCY_PER_EXPEDITED;
         match &row.expedited {
-            Some(expedited) => expedited == id,
-            None if row.urgency(now) < least_urgency => false,
-            None if self.allowance < 1.0 => false,
-            None => {
+            Some(expedited) if expedited == id => true,
+            Some(expedited) if is_known(expedited) => false,
+            _ if row.urgency(now) < least_urgency => false,
+            _ if self.allowance < 1.0 => false,
+            _ => {
                 self.allowance -= 1.0;
                 row.expedited = Some(id.clone());
                 true
@@ -229,7 +236,8 @@
             .requests
             .get(id)
             .is_some_and(|known| known.is_expedited);
-        request.is_expedited = self.unserved.try_expedite(now, adapter, id);
+        let is_known = |other: &VmRequestId| self.requests.get(other).is_some();
+        request.is_expedited = self.unserved.try_expedite(now, adapter, id, is_known);
         if request.is_expedited && !was_expedited {
             self.contention.add(Contention::Expedited);
         }
--- a/crates/gateway/tests/starvation.rs
+++ b/crates/gateway/tests/starvation.rs
@@ -5,8 +5,13 @@
 
 use std::collections::BTreeMap;
 
+use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::feature::Feature;
+use dahliastile_gateway::message::{PlacementDetail, PlacementRequest};
+use dahliastile_gateway::scheduler::Scheduler;
+use dahliastile_gateway::settings::Tuning;
 use support::contention::{Asked, Load, Loss, Outcome, PASSAGES, play};
+use support::setup;
 
 /// Time for which lost engines are not replaced in any test.
 const FOR_GOOD: u64 = 1_000_000;
@@ -113,6 +118,41 @@
     assert_eq!(play(&load).digest(), play(&off).digest());
 }
 
+/// Guards against an adapter whose requests are expedited no more, as the one that was has gone with its VM.
+#[test]
+fn expedited_vmgone() {
+    let settings = setup::settings(0, 1, &Tuning::default());
+    let config = setup::config(1);
+    let start = Instant::default() + Span::from_secs(1);
+    let mut scheduler = Scheduler::new(start, &config.services[0], 1, settings);
+    let enqueue = |scheduler: &mut Scheduler, now: Instant, vm: &str, request: u64| {
+        let placement = PlacementRequest {
+            request,
+            id: "r".into(),
+            work: setup::inference_spec("a1", 600, 20),
+            waited: Span::ZERO,
+            objective: Span::from_millis(300),
+            left: Span::from_secs(5),
+            priority: 1,
+            zone: setup::zone(0),
+            failed: Vec::new(),
+        };
+        scheduler.enqueue(now, &setup::name(vm), placement, PlacementDetail::default());
+    };
+    // No engine is there, so that all are refused.
+    (0..8).for_each(|request| enqueue(&mut scheduler, start, "vm1", request));
+    scheduler.run(start, &mut Vec::new());
+    let later = start + Span::from_secs(5);
+    let mut expedited = Vec::new();
+    for vm in ["vm1", "vm2"] {
+        enqueue(&mut scheduler, later, vm, 100);
+        let counts: BTreeMap<&str, u32> = scheduler.take_contention().collect();
+        expedited.push(counts.get("expedited").copied());
+        scheduler.remove_vm(&setup::name(vm));
+    }
+    assert_eq!(expedited, [Some(1), Some(1)]);
+}
+
 /// Returns the words `key=value` of a log line.
 fn words(line: &str) -> BTreeMap<&str, &str> {
     line.split(' ')
