--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -6,6 +6,7 @@
 mod store;
 mod vms;
 
+mod foreign;
 mod keep_alive;
 
 use std::process::exit;
@@ -19,6 +20,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "keep-alive" => keep_alive::run(trouble, &record),
+        "foreign" => foreign::run(trouble, &record),
         _ => Err(format!("no case {case}")),
     };
     match outcome {
