--- a/review/lab-2/foreign.rs
+++ b/review/lab-2/foreign.rs
@@ -16,7 +16,7 @@
 
 const SERVERS: u8 = 4;
 /// Entries of another writer.
-const FOREIGN: u8 = 100;
+const FOREIGN: u8 = 200;
 /// Clients, each of which sends ten requests a second at most.
 const CLIENTS: usize = 12;
 /// When the server is lost, and the length of the whole.
