--- a/review/lab-2/foreign.rs
+++ b/review/lab-2/foreign.rs
@@ -136,7 +136,7 @@
         let address = SocketAddr::from((Ipv4Addr::new(127, 0, 79, number), 1));
         store.put(&format!("servers/x-{number:08x}"), &entry("archive", address));
     }
-    let mut fleet = Fleet::start(3, &store)?;
+    let mut fleet = Fleet::start(3, &store, false)?;
     let begun = Instant::now();
     let sent: Arc<Sent> = Arc::default();
     let mut clients = Vec::new();
--- a/review/lab-2/keep_alive.rs
+++ b/review/lab-2/keep_alive.rs
@@ -123,7 +123,7 @@
     for number in 1..=SERVERS {
         servers.push(Server::start(number, "5", &runs, &store).map_err(text)?);
     }
-    let mut fleet = Fleet::start(2, &store)?;
+    let mut fleet = Fleet::start(2, &store, false)?;
     let (begun, end) = (Instant::now(), Arc::new(AtomicBool::new(false)));
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let mut clients = Vec::new();
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -8,6 +8,7 @@
 
 mod foreign;
 mod keep_alive;
+mod limit;
 
 use std::process::exit;
 
@@ -20,6 +21,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "keep-alive" => keep_alive::run(trouble, &record),
+        "limit" => limit::run(trouble, &record),
         "foreign" => foreign::run(trouble, &record),
         _ => Err(format!("no case {case}")),
     };
--- a/review/lab-2/vms.rs
+++ b/review/lab-2/vms.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,7 +11,9 @@
 use crate::store::Store;
 
 pub struct Vm {
+    pub name: String,
     pub front: SocketAddr,
+    file: PathBuf,
     ready: SocketAddr,
     child: Child,
 }
@@ -32,6 +34,18 @@
     }
 }
 
+fn spawn(file: &Path) -> Result<Child, String> {
+    let child = Command::new("target/release/dahliastiled")
+        .args(["--platform", "DAHLIASTILE_SETTINGS"])
+        .env_clear()
+        .env("DAHLIASTILE_SETTINGS", file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn();
+    child.map_err(|error| format!("target/release/dahliastiled: {error}"))
+}
+
 fn free_ports(ip: IpAddr, count: usize) -> Result<Vec<u16>, String> {
     let listeners: Result<Vec<_>, _> = (0..count).map(|_| TcpListener::bind((ip, 0))).collect();
     let listeners = listeners.map_err(|error| error.to_string())?;
@@ -40,8 +54,8 @@
 }
 
 impl Fleet {
-    /// Starts VMs at addresses of their own and waits until they are ready.
-    pub fn start(count: u8, store: &Store) -> Result<Self, String> {
+    /// Starts VMs at addresses of their own, all in one zone or each in a zone of its own, and waits until they are ready.
+    pub fn start(count: u8, store: &Store, is_zoned: bool) -> Result<Self, String> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let mut fleet = Self { vms: Vec::new(), folder };
@@ -49,20 +63,22 @@
             let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 77, number));
             let ports = free_ports(ip, 4)?;
             let at = |port: u16| SocketAddr::new(ip, port);
+            let zone = if is_zoned { format!("z{number}") } else { "z".to_owned() };
+            let name = if is_zoned { format!("front-{zone}-1") } else { format!("front-z-{number}") };
             let settings = format!(
-                r#"nodeName = "front-z-{number}"
+                r#"nodeName = "{name}"
 role = "entry"
 machineClass = "front"
 serves = ["front", "control"]
 ip = "{ip}"
-zone = "z"
+zone = "{zone}"
 region = "r"
 portRange = [{relay}, {relay}]
 seeds = []
 bootstrap = true
 heartbeatMs = 1200
 [zones]
-z = "r"
+{zone} = "r"
 [listen]
 front = "{front}"
 ready = "{ready}"
@@ -100,17 +116,9 @@
             );
             let file = fleet.folder.join(format!("{number}.toml"));
             fs::write(&file, settings).map_err(|error| error.to_string())?;
-            let child = Command::new("target/release/dahliastiled")
-                .args(["--platform", "DAHLIASTILE_SETTINGS"])
-                .env_clear()
-                .env("DAHLIASTILE_SETTINGS", &file)
-                .stdin(Stdio::null())
-                .stdout(Stdio::null())
-                .stderr(Stdio::null())
-                .spawn()
-                .map_err(|error| format!("target/release/dahliastiled: {error}"))?;
+            let child = spawn(&file)?;
             let (front, ready) = (at(ports[0]), at(ports[1]));
-            fleet.vms.push(Vm { front, ready, child });
+            fleet.vms.push(Vm { name, front, file, ready, child });
         }
         let end = Instant::now() + Duration::from_secs(20);
         while !fleet.vms.iter().all(Vm::is_ready) {
@@ -122,6 +130,18 @@
         Ok(fleet)
     }
 
+    /// Starts those again that have ended, and returns their names, each with how it ended.
+    pub fn restart_ended(&mut self) -> Result<Vec<(String, String)>, String> {
+        let mut ended = Vec::new();
+        for vm in &mut self.vms {
+            if let Ok(Some(status)) = vm.child.try_wait() {
+                ended.push((vm.name.clone(), status.to_string()));
+                vm.child = spawn(&vm.file)?;
+            }
+        }
+        Ok(ended)
+    }
+
     /// Whether all processes still run.
     pub fn is_alive(&mut self) -> bool {
         self.vms.iter_mut().all(|vm| matches!(vm.child.try_wait(), Ok(None)))
