--- a/review/lab-2/foreign.rs
+++ b/review/lab-2/foreign.rs
@@ -50,10 +50,17 @@
                 }
                 open.lock().unwrap().extend(stream.try_clone());
                 let own = own.clone();
-                thread::spawn(move || Channel::new(stream).and_then(|channel| serve(channel, &own)));
+                thread::spawn(move || {
+                    Channel::new(stream).and_then(|channel| serve(channel, &own))
+                });
             }
         });
-        Ok(Self { id, address, is_dead, channels })
+        Ok(Self {
+            id,
+            address,
+            is_dead,
+            channels,
+        })
     }
 
     fn key(&self) -> String {
@@ -74,12 +81,23 @@
 fn serve(mut channel: Channel, own: &str) -> io::Result<()> {
     while let Some(request) = channel.read()? {
         let id = request.header("request-id").unwrap_or_default().to_owned();
-        if request.header("expect-instance").is_some_and(|wanted| wanted != own) {
-            channel.write(&http::answer(421, &[("Request-Id", &id), ("Not-Executed", "1")], b""))?;
+        if request
+            .header("expect-instance")
+            .is_some_and(|wanted| wanted != own)
+        {
+            channel.write(&http::answer(
+                421,
+                &[("Request-Id", &id), ("Not-Executed", "1")],
+                b"",
+            ))?;
             continue;
         }
         thread::sleep(Duration::from_millis(20));
-        let headers = [("Request-Id", id.as_str()), ("Server-Seal", "3e1b.07"), ("Keep-Alive", "timeout=5")];
+        let headers = [
+            ("Request-Id", id.as_str()),
+            ("Server-Seal", "3e1b.07"),
+            ("Keep-Alive", "timeout=5"),
+        ];
         channel.write(&http::answer(200, &headers, &[b'x'; 800]))?;
     }
     Ok(())
@@ -102,9 +120,17 @@
             return;
         }
         let id = format!("{number:04x}{count:012x}");
-        let line = if count % 2 == 0 { "POST /lohu930/2f" } else { "GET /pufi791/2f" };
-        let request = format!("{line} HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n");
-        let opened = kept.take().map_or_else(|| Channel::connect(front, Duration::from_secs(5)), Ok);
+        let line = if count % 2 == 0 {
+            "POST /lohu930/2f"
+        } else {
+            "GET /pufi791/2f"
+        };
+        let request = format!(
+            "{line} HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
+        );
+        let opened = kept
+            .take()
+            .map_or_else(|| Channel::connect(front, Duration::from_secs(5)), Ok);
         let asked = opened.and_then(|mut channel| {
             channel.write(request.as_bytes())?;
             let answer = channel.read()?;
@@ -123,7 +149,10 @@
 pub fn run(trouble: bool, record: &str) -> Result<bool, String> {
     let text = |error: io::Error| error.to_string();
     // The same without the entries of another writer, for comparison.
-    let foreign = std::env::var("FOREIGN").ok().and_then(|count| count.parse().ok()).unwrap_or(FOREIGN);
+    let foreign = std::env::var("FOREIGN")
+        .ok()
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(FOREIGN);
     let store = Store::start(IpAddr::V4(Ipv4Addr::new(127, 0, 77, 200))).map_err(text)?;
     store.put("op/config", CONFIG);
     let mut servers = Vec::new();
@@ -134,7 +163,10 @@
     }
     for number in 1..=foreign {
         let address = SocketAddr::from((Ipv4Addr::new(127, 0, 79, number), 1));
-        store.put(&format!("servers/x-{number:08x}"), &entry("archive", address));
+        store.put(
+            &format!("servers/x-{number:08x}"),
+            &entry("archive", address),
+        );
     }
     let mut fleet = Fleet::start(3, &store, false)?;
     let begun = Instant::now();
@@ -159,21 +191,34 @@
     sent.sort_by_key(|(at, ..)| *at);
     let mut lines = format!("trouble={trouble} foreign={foreign} vms_alive={alive}\n");
     for (at, number, id, status) in sent.iter() {
-        let status = status.map_or("closed without an answer".to_owned(), |status| status.to_string());
-        let _ = writeln!(lines, "{:8.3} s  client {number} {id}: {status}", at.as_secs_f64());
+        let status = status.map_or("closed without an answer".to_owned(), |status| {
+            status.to_string()
+        });
+        let _ = writeln!(
+            lines,
+            "{:8.3} s  client {number} {id}: {status}",
+            at.as_secs_f64()
+        );
     }
     let is_failed = |status: &Option<u16>| *status != Some(200);
     let failed = sent.iter().filter(|(.., status)| is_failed(status)).count();
     let part = failed as f64 / sent.len().max(1) as f64;
-    let late = sent.iter().filter(|(at, ..)| *at > LOST_AT + SILENCE + Duration::from_secs(3));
-    let (late, late_failed) = late.fold((0, 0), |(all, bad), (.., status)| (all + 1, bad + usize::from(is_failed(status))));
+    let late = sent
+        .iter()
+        .filter(|(at, ..)| *at > LOST_AT + SILENCE + Duration::from_secs(3));
+    let (late, late_failed) = late.fold((0, 0), |(all, bad), (.., status)| {
+        (all + 1, bad + usize::from(is_failed(status)))
+    });
     let summary = format!(
         "{} requests, {failed} refused or failed ({part:.2}; {ALLOWED} is allowed); of those sent 3 s after the entry was removed or later, {late_failed} of {late}\n",
         sent.len()
     );
     print!("{summary}");
     fs::write(record, lines + &summary).map_err(|error| error.to_string())?;
-    let early = sent.iter().filter(|(at, _, _, status)| *at < LOST_AT && is_failed(status)).count();
+    let early = sent
+        .iter()
+        .filter(|(at, _, _, status)| *at < LOST_AT && is_failed(status))
+        .count();
     if early > 0 {
         return Err("requests failed before the disruption".to_owned());
     }
--- a/review/lab-2/http.rs
+++ b/review/lab-2/http.rs
@@ -21,7 +21,10 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.first.get(1).and_then(|word| word.parse().ok()).unwrap_or(0)
+        self.first
+            .get(1)
+            .and_then(|word| word.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -33,7 +36,9 @@
 impl Channel {
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Self { reader: BufReader::new(stream) })
+        Ok(Self {
+            reader: BufReader::new(stream),
+        })
     }
 
     pub fn connect(address: SocketAddr, patience: Duration) -> io::Result<Self> {
@@ -66,8 +71,14 @@
             let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
             headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
-        let mut message = Message { first, headers, body: Vec::new() };
-        let length = message.header("content-length").and_then(|value| value.parse().ok());
+        let mut message = Message {
+            first,
+            headers,
+            body: Vec::new(),
+        };
+        let length = message
+            .header("content-length")
+            .and_then(|value| value.parse().ok());
         message.body = vec![0; length.unwrap_or(0)];
         self.reader.read_exact(&mut message.body)?;
         Ok(Some(message))
--- a/review/lab-2/json.rs
+++ b/review/lab-2/json.rs
@@ -85,7 +85,10 @@
         }
         _ => {
             let begin = *at;
-            while text.get(*at).is_some_and(|b| b.is_ascii_alphanumeric() || b"+-.".contains(b)) {
+            while text
+                .get(*at)
+                .is_some_and(|b| b.is_ascii_alphanumeric() || b"+-.".contains(b))
+            {
                 *at += 1;
             }
             match std::str::from_utf8(&text[begin..*at]).ok()? {
@@ -132,7 +135,11 @@
         let bits = u32::from_be_bytes([0, padded[0], padded[1], padded[2]]);
         for place in 0..4 {
             let sign = SIGNS[(bits >> (18 - 6 * place)) as usize & 63];
-            text.push(if place <= group.len() { sign as char } else { '=' });
+            text.push(if place <= group.len() {
+                sign as char
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/lab-2/keep_alive.rs
+++ b/review/lab-2/keep_alive.rs
@@ -41,7 +41,12 @@
     fn start(number: usize, keep: &'static str, runs: &Runs, store: &Store) -> io::Result<Self> {
         let id = format!("i-{number:08x}");
         let (runs, own) = (runs.clone(), id.clone());
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 78, u8::try_from(number).unwrap_or(255)));
+        let ip = IpAddr::V4(Ipv4Addr::new(
+            127,
+            0,
+            78,
+            u8::try_from(number).unwrap_or(255),
+        ));
         let address = http::serve(ip, move |channel| serve(channel, &own, keep, &runs))?;
         let server = Self { id, address };
         server.report("ready", store);
@@ -60,14 +65,29 @@
 fn serve(mut channel: Channel, own: &str, keep: &str, runs: &Runs) -> io::Result<()> {
     while let Some(request) = channel.read()? {
         let id = request.header("request-id").unwrap_or_default().to_owned();
-        if request.header("expect-instance").is_some_and(|wanted| wanted != own) {
-            channel.write(&http::answer(421, &[("Request-Id", &id), ("Not-Executed", "1")], b""))?;
+        if request
+            .header("expect-instance")
+            .is_some_and(|wanted| wanted != own)
+        {
+            channel.write(&http::answer(
+                421,
+                &[("Request-Id", &id), ("Not-Executed", "1")],
+                b"",
+            ))?;
             continue;
         }
-        runs.lock().unwrap().entry(id.clone()).or_default().push(own.to_owned());
+        runs.lock()
+            .unwrap()
+            .entry(id.clone())
+            .or_default()
+            .push(own.to_owned());
         thread::sleep(Duration::from_millis(20));
         let timeout = format!("timeout={keep}");
-        let headers = [("Request-Id", id.as_str()), ("Server-Seal", "3e1b.07"), ("Keep-Alive", &timeout)];
+        let headers = [
+            ("Request-Id", id.as_str()),
+            ("Server-Seal", "3e1b.07"),
+            ("Keep-Alive", &timeout),
+        ];
         channel.write(&http::answer(200, &headers, &[b'x'; 800]))?;
     }
     Ok(())
@@ -83,13 +103,21 @@
     status: Option<u16>,
 }
 
-fn client(number: usize, front: SocketAddr, begun: Instant, end: &AtomicBool, sent: &Mutex<Vec<Sent>>) {
+fn client(
+    number: usize,
+    front: SocketAddr,
+    begun: Instant,
+    end: &AtomicBool,
+    sent: &Mutex<Vec<Sent>>,
+) {
     let mut kept: Option<(Channel, usize)> = None;
     for count in 0.. {
         if end.load(Ordering::Relaxed) {
             return;
         }
-        let opened = kept.take().or_else(|| Some((Channel::connect(front, Duration::from_secs(5)).ok()?, 0)));
+        let opened = kept
+            .take()
+            .or_else(|| Some((Channel::connect(front, Duration::from_secs(5)).ok()?, 0)));
         let Some((mut channel, before)) = opened else {
             thread::sleep(Duration::from_millis(100));
             continue;
@@ -99,9 +127,16 @@
         let request = format!(
             "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\nContent-Length: 5\r\n\r\nhello"
         );
-        let answer = channel.write(request.as_bytes()).and_then(|()| channel.read());
+        let answer = channel
+            .write(request.as_bytes())
+            .and_then(|()| channel.read());
         let status = answer.ok().flatten().map(|answer| answer.status());
-        sent.lock().unwrap().push(Sent { at, id, before, status });
+        sent.lock().unwrap().push(Sent {
+            at,
+            id,
+            before,
+            status,
+        });
         if status.is_some() {
             kept = Some((channel, before + 1));
         }
@@ -130,7 +165,9 @@
     for number in 0..CLIENTS {
         let front = fleet.vms[number % fleet.vms.len()].front;
         let (end, sent) = (end.clone(), sent.clone());
-        clients.push(thread::spawn(move || client(number, front, begun, &end, &sent)));
+        clients.push(thread::spawn(move || {
+            client(number, front, begun, &end, &sent)
+        }));
     }
     thread::sleep(BEFORE);
     if trouble {
@@ -162,14 +199,23 @@
         let is_lost = request.status.is_none() && !ran.is_empty();
         unanswered += usize::from(is_lost);
         lost += usize::from(is_lost && request.before > 0);
-        let status = request.status.map_or("closed without an answer".to_owned(), |status| status.to_string());
+        let status = request
+            .status
+            .map_or("closed without an answer".to_owned(), |status| {
+                status.to_string()
+            });
         let _ = writeln!(
             lines,
             "{:8.3} s  POST {} (number {} of its channel): {status}; ran at {ran:?}",
-            request.at.as_secs_f64(), request.id, request.before + 1
+            request.at.as_secs_f64(),
+            request.id,
+            request.before + 1
         );
     }
-    let ok = sent.iter().filter(|request| request.status == Some(200)).count();
+    let ok = sent
+        .iter()
+        .filter(|request| request.status == Some(200))
+        .count();
     let summary = format!(
         "{} requests, {ok} answered 200; {unanswered} ran and had no answer, {lost} of them on channels that had brought answers before; {ALLOWED} are allowed\n",
         sent.len()
--- a/review/lab-2/limit.rs
+++ b/review/lab-2/limit.rs
@@ -39,13 +39,24 @@
 fn serve(mut channel: Channel, own: &str, limit: &Limit, runs: &Runs) -> io::Result<()> {
     while let Some(request) = channel.read()? {
         let id = request.header("request-id").unwrap_or_default().to_owned();
-        if request.header("expect-instance").is_some_and(|wanted| wanted != own) {
-            channel.write(&http::answer(421, &[("Request-Id", &id), ("Not-Executed", "1")], b""))?;
+        if request
+            .header("expect-instance")
+            .is_some_and(|wanted| wanted != own)
+        {
+            channel.write(&http::answer(
+                421,
+                &[("Request-Id", &id), ("Not-Executed", "1")],
+                b"",
+            ))?;
             continue;
         }
         runs.lock().unwrap().insert(id.clone());
         thread::sleep(Duration::from_millis(60));
-        let mut headers = vec![("Request-Id", id.as_str()), ("Server-Seal", "3e1b.07"), ("Keep-Alive", "timeout=5")];
+        let mut headers = vec![
+            ("Request-Id", id.as_str()),
+            ("Server-Seal", "3e1b.07"),
+            ("Keep-Alive", "timeout=5"),
+        ];
         if limit.is_named.load(Ordering::Relaxed) {
             headers.push(("Server-Limit", limit.text));
         }
@@ -67,13 +78,20 @@
         if at > WHOLE {
             return;
         }
-        let Some(mut channel) = kept.take().or_else(|| Channel::connect(front, Duration::from_secs(5)).ok()) else {
+        let Some(mut channel) = kept
+            .take()
+            .or_else(|| Channel::connect(front, Duration::from_secs(5)).ok())
+        else {
             thread::sleep(Duration::from_millis(200));
             continue;
         };
         let id = format!("{number:04x}{count:012x}");
-        let request = format!("POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\nContent-Length: 5\r\n\r\nhello");
-        let answer = channel.write(request.as_bytes()).and_then(|()| channel.read());
+        let request = format!(
+            "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\nContent-Length: 5\r\n\r\nhello"
+        );
+        let answer = channel
+            .write(request.as_bytes())
+            .and_then(|()| channel.read());
         let status = answer.ok().flatten().map(|answer| answer.status());
         sent.lock().unwrap().push(Sent { at, id, status });
         kept = status.map(|_| channel);
@@ -94,7 +112,8 @@
     for (number, id) in (1..).zip(SERVERS) {
         let (limit, runs) = (limit.clone(), runs.clone());
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 78, number));
-        let address = http::serve(ip, move |channel| serve(channel, id, &limit, &runs)).map_err(text)?;
+        let address =
+            http::serve(ip, move |channel| serve(channel, id, &limit, &runs)).map_err(text)?;
         let value = format!(
             r#"{{"service":"desk","address":"{address}","zone":"z{number}","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"seq":0}}"#
         );
@@ -115,7 +134,11 @@
         let is_phase = begun.elapsed().as_secs() / PHASE.as_secs() % 2 == 1;
         limit.is_named.store(trouble && is_phase, Ordering::Relaxed);
         for (vm, how) in fleet.restart_ended()? {
-            let _ = writeln!(lines, "{:8.3} s  the process of {vm} has ended: {how}", begun.elapsed().as_secs_f64());
+            let _ = writeln!(
+                lines,
+                "{:8.3} s  the process of {vm} has ended: {how}",
+                begun.elapsed().as_secs_f64()
+            );
             *ends.entry(vm).or_default() += 1;
         }
     }
@@ -125,12 +148,24 @@
     drop(fleet);
     let (sent, runs) = (sent.lock().unwrap(), runs.lock().unwrap());
     for Sent { at, id, status } in sent.iter() {
-        let status = status.map_or("closed without an answer".to_owned(), |status| status.to_string());
+        let status = status.map_or("closed without an answer".to_owned(), |status| {
+            status.to_string()
+        });
         let ran = if runs.contains(id) { "ran" } else { "not run" };
-        let _ = writeln!(lines, "{:8.3} s  POST {id}: {status}; {ran}", at.as_secs_f64());
+        let _ = writeln!(
+            lines,
+            "{:8.3} s  POST {id}: {status}; {ran}",
+            at.as_secs_f64()
+        );
     }
-    let ok = sent.iter().filter(|request| request.status == Some(200)).count();
-    let lost = sent.iter().filter(|request| request.status.is_none() && runs.contains(&request.id)).count();
+    let ok = sent
+        .iter()
+        .filter(|request| request.status == Some(200))
+        .count();
+    let lost = sent
+        .iter()
+        .filter(|request| request.status.is_none() && runs.contains(&request.id))
+        .count();
     let summary = format!(
         "{} requests, {ok} answered 200, {lost} ran and had no answer; ends of processes by themselves: {ends:?}\n",
         sent.len()
--- a/review/lab-2/store.rs
+++ b/review/lab-2/store.rs
@@ -38,7 +38,11 @@
 fn row(key: &str, item: &Item) -> String {
     format!(
         "{{\"key\":{},\"value\":\"{}\",\"revision\":{},\"createRevision\":{},\"lease\":{}}}",
-        json::quoted(key), item.value, item.revision, item.created, item.lease
+        json::quoted(key),
+        item.value,
+        item.revision,
+        item.created,
+        item.lease
     )
 }
 
@@ -47,7 +51,12 @@
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.history.push((revision, row(key, &item)));
         self.items.insert(key.to_owned(), item);
     }
@@ -57,7 +66,8 @@
             self.revision += 1;
             let text = format!(
                 "{{\"key\":{},\"revision\":{},\"tombstone\":true}}",
-                json::quoted(key), self.revision
+                json::quoted(key),
+                self.revision
             );
             self.history.push((self.revision, text));
         }
@@ -75,14 +85,20 @@
     fn transact(&mut self, body: &Value) -> (u16, String) {
         let expected = body.list("expected");
         let known = |row: &Value| self.items.get(&row.text("key"));
-        let is_met = |row: &Value| known(row).map_or(0, |item| item.revision) == row.number("revision");
+        let is_met =
+            |row: &Value| known(row).map_or(0, |item| item.revision) == row.number("revision");
         if !expected.iter().all(is_met) {
-            let items = expected.iter().filter_map(|r| Some(row(&r.text("key"), known(r)?)));
+            let items = expected
+                .iter()
+                .filter_map(|r| Some(row(&r.text("key"), known(r)?)));
             let items: Vec<String> = items.collect();
             return (412, format!("{{\"items\":[{}]}}", items.join(",")));
         }
         let puts = body.list("puts");
-        if puts.iter().any(|put| put.number("lease") > 0 && !self.leases.contains_key(&put.number("lease"))) {
+        if puts
+            .iter()
+            .any(|put| put.number("lease") > 0 && !self.leases.contains_key(&put.number("lease")))
+        {
             return (404, "{}".to_owned());
         }
         for put in puts {
@@ -142,7 +158,9 @@
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
         let field = |name: &str| {
             let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-            let value = fields.find(|(other, _)| *other == name).map(|(_, value)| value);
+            let value = fields
+                .find(|(other, _)| *other == name)
+                .map(|(_, value)| value);
             value.unwrap_or("").replace("%2F", "/").replace("%2f", "/")
         };
         let body = Value::parse(&request.body).unwrap_or(Value::Null);
@@ -157,7 +175,8 @@
                 let items: Vec<String> = items.map(|(key, item)| row(key, item)).collect();
                 let text = format!(
                     "{{\"items\":[{}],\"morePages\":false,\"storeRevision\":{}}}",
-                    items.join(","), state.revision
+                    items.join(","),
+                    state.revision
                 );
                 (200, text)
             }
@@ -169,11 +188,15 @@
                     let left = until - Instant::now();
                     state = changed.wait_timeout(state, left).unwrap().0;
                 }
-                let events = state.history.iter().filter(|(revision, _)| *revision > after);
+                let events = state
+                    .history
+                    .iter()
+                    .filter(|(revision, _)| *revision > after);
                 let events: Vec<&str> = events.map(|(_, text)| text.as_str()).collect();
                 let text = format!(
                     "{{\"events\":[{}],\"storeRevision\":{}}}",
-                    events.join(","), state.revision
+                    events.join(","),
+                    state.revision
                 );
                 (200, text)
             }
@@ -181,10 +204,16 @@
             ("kv-lease", _) => {
                 state.last_lease += 1;
                 let (lease, ttl) = (state.last_lease, body.number("ttlMs"));
-                state.leases.insert(lease, (Instant::now() + Duration::from_millis(ttl), ttl));
+                state
+                    .leases
+                    .insert(lease, (Instant::now() + Duration::from_millis(ttl), ttl));
                 (200, format!("{{\"lease\":{lease},\"ttlMs\":{ttl}}}"))
             }
-            ("kv-keep", lease) => match lease.parse().ok().and_then(|lease| state.leases.get_mut(&lease)) {
+            ("kv-keep", lease) => match lease
+                .parse()
+                .ok()
+                .and_then(|lease| state.leases.get_mut(&lease))
+            {
                 Some((end, ttl)) => {
                     *end = Instant::now() + Duration::from_millis(*ttl);
                     (200, format!("{{\"ttlMs\":{ttl}}}"))
--- a/review/lab-2/vms.rs
+++ b/review/lab-2/vms.rs
@@ -49,8 +49,12 @@
 fn free_ports(ip: IpAddr, count: usize) -> Result<Vec<u16>, String> {
     let listeners: Result<Vec<_>, _> = (0..count).map(|_| TcpListener::bind((ip, 0))).collect();
     let listeners = listeners.map_err(|error| error.to_string())?;
-    let ports = listeners.iter().map(|listener| listener.local_addr().map(|a| a.port()));
-    ports.collect::<Result<_, _>>().map_err(|error| error.to_string())
+    let ports = listeners
+        .iter()
+        .map(|listener| listener.local_addr().map(|a| a.port()));
+    ports
+        .collect::<Result<_, _>>()
+        .map_err(|error| error.to_string())
 }
 
 impl Fleet {
@@ -58,13 +62,24 @@
     pub fn start(count: u8, store: &Store, is_zoned: bool) -> Result<Self, String> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let mut fleet = Self { vms: Vec::new(), folder };
+        let mut fleet = Self {
+            vms: Vec::new(),
+            folder,
+        };
         for number in 1..=count {
             let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 77, number));
             let ports = free_ports(ip, 4)?;
             let at = |port: u16| SocketAddr::new(ip, port);
-            let zone = if is_zoned { format!("z{number}") } else { "z".to_owned() };
-            let name = if is_zoned { format!("front-{zone}-1") } else { format!("front-z-{number}") };
+            let zone = if is_zoned {
+                format!("z{number}")
+            } else {
+                "z".to_owned()
+            };
+            let name = if is_zoned {
+                format!("front-{zone}-1")
+            } else {
+                format!("front-z-{number}")
+            };
             let settings = format!(
                 r#"nodeName = "{name}"
 role = "entry"
@@ -118,7 +133,13 @@
             fs::write(&file, settings).map_err(|error| error.to_string())?;
             let child = spawn(&file)?;
             let (front, ready) = (at(ports[0]), at(ports[1]));
-            fleet.vms.push(Vm { name, front, file, ready, child });
+            fleet.vms.push(Vm {
+                name,
+                front,
+                file,
+                ready,
+                child,
+            });
         }
         let end = Instant::now() + Duration::from_secs(20);
         while !fleet.vms.iter().all(Vm::is_ready) {
@@ -144,7 +165,9 @@
 
     /// Whether all processes still run.
     pub fn is_alive(&mut self) -> bool {
-        self.vms.iter_mut().all(|vm| matches!(vm.child.try_wait(), Ok(None)))
+        self.vms
+            .iter_mut()
+            .all(|vm| matches!(vm.child.try_wait(), Ok(None)))
     }
 }
 
@@ -152,7 +175,9 @@
     fn is_ready(&self) -> bool {
         let ask = || {
             let mut channel = Channel::connect(self.ready, Duration::from_secs(1)).ok()?;
-            channel.write(b"GET /dahliastile/readiness HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
+            channel
+                .write(b"GET /dahliastile/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                .ok()?;
             Some(channel.read().ok()??.status() == 200)
         };
         ask().unwrap_or(false)
