Offer a request to each server at most once in a step

Cause: a VM that issues the permits for a server itself closes it for the time until the next token and chooses anew, within the same step. Above 1,000,000 a second that time was rounded to zero, so that the same server was chosen again without end. The depth of calls grew with the number of closed servers as well.

Change: the choice ranks the servers once and passes over those without a permit, so that it ends by its form. A time until a missing token is rounded up. A server that refused a permit stays closed for the rest of the step.

Before: limit_fasterthantheclock and limit_manyservers ended with SIGABRT ("has overflowed its stack"); in virtual time a limit of 1,000,000 was served and one of 1,000,001 aborted.

--- a/crates/gateway/src/account/quota/bucket.rs
+++ b/crates/gateway/src/account/quota/bucket.rs
@@ -92,13 +92,13 @@
     Tokens(tokens.max(0.0) as u64)
 }
 
-/// Returns the time in which `tokens` tokens are added at `rate` tokens per second; the longest possible span for a
-/// rate of 0.
+/// Returns the time after which `tokens` tokens have been added at `rate` tokens per second: more than none for any
+/// missing token, and the longest possible span for a rate of 0.
 #[must_use]
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 pub fn time_until_available(tokens: f64, rate: f64) -> Span {
     if rate <= 0.0 {
         return Span(u64::MAX);
     }
-    Span((tokens.max(0.0) / rate * 1e6) as u64)
+    Span((tokens.max(0.0) / rate * 1e6).ceil() as u64)
 }
--- a/crates/gateway/src/request/load_balancer.rs
+++ b/crates/gateway/src/request/load_balancer.rs
@@ -1,5 +1,7 @@
 //! Servers as this VM sees them, and the choice of a server for requests that no scheduler places.
 
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
 use std::sync::Arc;
 
 use dahliastile_core::id::{Server, Service, Zone};
@@ -79,8 +81,11 @@
 }
 
 impl Gateway {
-    /// Chooses a server for a request that no scheduler places. A leaving server is chosen only if there is
-    /// no other, and only within the last-resort period after its announcement.
+    /// Chooses a server for a request that no scheduler places, among those to which this VM may send it now. A leaving
+    /// server is chosen only if there is no other, and only within the last-resort period after its announcement.
+    ///
+    /// A server for which this VM issues the permits and has none left is passed over and closed. Each server is
+    /// considered once, however many are closed.
     pub(crate) fn choose_server(
         &mut self,
         service: &Service,
@@ -91,36 +96,76 @@
         let vms = u32::try_from(self.peers().count() + 1).unwrap_or(u32::MAX);
         let is_candidate = |(server, state): &(&Server, &ServerState)| {
             state.backend.service == *service
+                && state.backend.ready
+                && !failed.contains(server)
                 && is_allowed(server)
                 && self.notices.is_open(server, now)
                 && self
                     .notices
                     .has_room(server, (state.open, state.backend.slots), vms, now)
         };
-        let servers = self.servers.iter().filter(is_candidate);
-        let staying = servers
-            .clone()
-            .filter(|(server, _)| self.notices.leaving(server).is_none());
-        let available =
-            servers.filter(|(server, _)| !self.notices.has_left(server, now, last_resort_period));
-        let (settings, rng) = (&self.settings, &mut self.rng);
-        cheapest(staying, failed, settings, now, rng)
-            .or_else(|| cheapest(available, failed, settings, now, rng))
+        let candidates = self.servers.iter().filter(is_candidate);
+        let (staying, leaving): (Vec<_>, Vec<_>) =
+            candidates.partition(|(server, _)| self.notices.leaving(server).is_none());
+        let last_resort = leaving
+            .into_iter()
+            .filter(|(server, _)| !self.notices.has_left(server, now, last_resort_period));
+        let mut without_permit = Vec::new();
+        let mut choice = None;
+        'choice: for candidates in [staying, last_resort.collect()] {
+            let mut ranked = rank(candidates, &self.settings, now, &mut self.rng);
+            while let Some(Ranked { server, .. }) = ranked.pop() {
+                if !self.lacks_permit(server) {
+                    choice = Some(server.clone());
+                    break 'choice;
+                }
+                without_permit.push(server.clone());
+            }
+        }
+        for server in without_permit {
+            self.close_without_permit(&server);
+        }
+        choice
+    }
+}
+
+/// A server with its cost; the greatest one has the lowest cost.
+struct Ranked<'a> {
+    cost: f64,
+    server: &'a Server,
+}
+
+impl Ord for Ranked<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.cost.total_cmp(&self.cost)
     }
 }
 
-/// Returns the server with the lowest cost of those that are ready and have not failed the request.
-fn cheapest<'a>(
-    servers: impl Iterator<Item = (&'a Server, &'a ServerState)>,
-    failed: &[Server],
+impl PartialOrd for Ranked<'_> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Ranked<'_> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Ranked<'_> {}
+
+/// Ranks servers by their cost.
+fn rank<'a>(
+    servers: Vec<(&'a Server, &'a ServerState)>,
     settings: &Settings,
     now: Instant,
     rng: &mut ChaCha8Rng,
-) -> Option<Server> {
-    let ready = servers.filter(|(server, state)| state.backend.ready && !failed.contains(server));
-    let cost = |state: &ServerState| state.cost(&settings.zone, now, settings.without);
-    let costs =
-        ready.map(|(server, state)| (server, cost(state) + rng.random_range(0.0..MAX_RANDOM_COST)));
-    let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
-    best.map(|(server, _)| server.clone())
+) -> BinaryHeap<Ranked<'a>> {
+    let ranked = servers.into_iter().map(|(server, state)| Ranked {
+        cost: state.cost(&settings.zone, now, settings.without)
+            + rng.random_range(0.0..MAX_RANDOM_COST),
+        server,
+    });
+    ranked.collect()
 }
--- a/crates/gateway/src/request/notice.rs
+++ b/crates/gateway/src/request/notice.rs
@@ -159,10 +159,11 @@
             })
     }
 
-    /// Closes a server to this VM until `until`.
-    fn close_until(&mut self, server: &Server, until: Instant) {
+    /// Closes a server to this VM for `span`, but at least until the next step: a request that could not be sent to the
+    /// server is not offered to it again in this one.
+    fn close_for(&mut self, server: &Server, span: Span, now: Instant) {
         if let Some(notice) = self.by_server.get_mut(server) {
-            notice.closed_until = until;
+            notice.closed_until = now + span.max(Span(1));
         }
     }
 }
--- a/crates/gateway/src/request/notice/permit.rs
+++ b/crates/gateway/src/request/notice/permit.rs
@@ -9,6 +9,7 @@
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_core::time::Span;
 
+use super::LatestNotice;
 use super::rate_limiter::RateLimiter;
 use crate::cluster::membership;
 use crate::cluster::snapshot::Version;
@@ -26,8 +27,8 @@
 const NO_REPLY_PAUSE: Span = Span::from_millis(500);
 
 impl Gateway {
-    /// Sends a request that no scheduler placed to a server. Obtains a permit first if the server has a rate
-    /// limit.
+    /// Sends a request that no scheduler placed to the server that [`Self::choose_server`] chose for it in this step.
+    /// Obtains a permit first if the server has a rate limit.
     pub(crate) fn send_unscheduled(
         &mut self,
         request: RequestId,
@@ -39,6 +40,13 @@
             self.send_to(request, server, version, out);
             return;
         }
+        let issuer = self.permit_issuer(server);
+        if issuer == self.settings.vm {
+            let permit = self.take_permit(server);
+            debug_assert!(permit.is_ok(), "a server without a permit was chosen");
+            self.send_to(request, server, version, out);
+            return;
+        }
         let until = self.now + PERMIT_TIMEOUT;
         let Some(state) = self.in_flight.get_mut(&request) else {
             return;
@@ -48,14 +56,27 @@
             version,
             until,
         };
-        let issuer = self.permit_issuer(server);
-        if issuer == self.settings.vm {
-            let reply = self.take_permit(server);
-            self.handle_permit_reply(request, server, reply, out);
-        } else {
-            self.timers.set(until, Timer::Request(request));
-            let message = Message::SendPermitRequest(request, server.clone());
-            self.send(&issuer, message, out);
+        self.timers.set(until, Timer::Request(request));
+        let message = Message::SendPermitRequest(request, server.clone());
+        self.send(&issuer, message, out);
+    }
+
+    /// Returns whether this VM issues the permits for a server and has none left.
+    pub(crate) fn lacks_permit(&self, server: &Server) -> bool {
+        let notice = self.notices.by_server.get(server);
+        let is_limited = |notice: &&LatestNotice| notice.limit.is_some();
+        notice.filter(is_limited).is_some_and(|notice| {
+            let has_token = notice
+                .rate_limiter
+                .is_some_and(|rate_limiter| rate_limiter.has_token(self.now));
+            !has_token && self.permit_issuer(server) == self.settings.vm
+        })
+    }
+
+    /// Closes a server, for which this VM issues the permits and has none left, until the next permit.
+    pub(crate) fn close_without_permit(&mut self, server: &Server) {
+        if let Err(after) = self.take_permit(server) {
+            self.notices.close_for(server, after, self.now);
         }
     }
 
@@ -121,7 +142,7 @@
             Ok(()) if accepts => self.send_to(request, server, version, out),
             Ok(()) => self.find_server(request, out),
             Err(after) => {
-                self.notices.close_until(server, self.now + after);
+                self.notices.close_for(server, after, self.now);
                 self.find_server(request, out);
             }
         }
@@ -132,7 +153,7 @@
         match self.in_flight.get(&request).map(|state| &state.phase) {
             Some(Phase::Permit { server, until, .. }) if *until <= self.now => {
                 let server = server.clone();
-                self.notices.close_until(&server, self.now + NO_REPLY_PAUSE);
+                self.notices.close_for(&server, NO_REPLY_PAUSE, self.now);
                 self.find_server(request, out);
             }
             _ => {}
--- a/crates/gateway/src/request/notice/rate_limiter.rs
+++ b/crates/gateway/src/request/notice/rate_limiter.rs
@@ -65,6 +65,11 @@
         bucket.balance()
     }
 
+    /// Returns whether there is a token.
+    pub(crate) fn has_token(&self, now: Instant) -> bool {
+        self.available(now) >= 1.0
+    }
+
     /// Takes a token, and returns whether there was one.
     pub(crate) fn try_take(&mut self, now: Instant) -> bool {
         self.bucket.refill(now, self.params());
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -102,6 +102,42 @@
     world.check_invariants();
 }
 
+/// Limits of more than one request per microsecond, which is the resolution of the clock. Guards against a VM that
+/// offers a request to the same server again and again, as the time until the next token is rounded to zero.
+#[test]
+fn limit_fasterthantheclock() {
+    for limit in [1_000_001_000, 2_000_000_000, u64::MAX] {
+        let mut world = World::under_load(6);
+        for server in ["p0", "p1", "p2", "p3", "e0", "e1"] {
+            world.announce_limit(server, Some(Rate(limit)));
+        }
+        let numbers = world.send_heavy_load(Span::from_secs(4));
+        world.run(Span::from_secs(3));
+        world.check_served(&numbers, 99);
+        world.check_invariants();
+    }
+}
+
+/// All of very many servers have a limit of zero. Guards against a VM that needs more stack, or more time, the more
+/// servers are closed to it.
+#[test]
+fn limit_manyservers() {
+    const SERVERS: usize = 5_000;
+    let mut world = World::new(1, 1, SERVERS);
+    world.run(Span::from_secs(3));
+    for server in 0..SERVERS {
+        world.announce_limit(&format!("p{server}"), Some(Rate(0)));
+    }
+    world.tell_notices(0);
+    let numbers = world.send_requests(20, Span::from_millis(100), |at| {
+        request(&format!("s{at}"), "/query/x", 2_000, None)
+    });
+    world.run(Span::from_secs(3));
+    let longest = world.longest_refusal_delay(&numbers);
+    assert!(longest <= Span::from_millis(10), "a refusal took {longest}");
+    world.check_invariants();
+}
+
 /// All servers of a service limit their requests below the load. The limits are used in full, and further
 /// callers are refused at once, with retry times that differ.
 #[test]
--- a/crates/gateway/tests/support/world/notice.rs
+++ b/crates/gateway/tests/support/world/notice.rs
@@ -113,6 +113,19 @@
             limit.map_or(NoticeField::Absent, NoticeField::Present);
     }
 
+    /// Tells a VM the notices of all servers at once.
+    pub fn tell_notices(&mut self, vm: usize) {
+        let notices: Vec<(Server, Notice)> = self
+            .notices
+            .announced
+            .iter()
+            .map(|(server, notice)| (server.clone(), *notice))
+            .collect();
+        for (server, notice) in notices {
+            self.deliver(vm, Event::NoticeReceived(server, notice));
+        }
+    }
+
     /// Records an arrival at a server that has ever announced something.
     pub(super) fn record_arrival(&mut self, vm: usize, server: &Server, request: bool) {
         if self.notices.announced.contains_key(server) {
