Bound the time for which idle connections are kept

Cause: the number went into an addition to the present time, which panics, in the task that had read the answer and not yet passed it on. Answers to orders, reports and calls of the key-value service are read by the same code.

Change: the time is a type of its own, read with a bound of ten minutes.

--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::dialect::{Dialect, Reply};
 use crate::hub::Hub;
 use crate::intake::{Gathered, Slot};
-use crate::pool::{self, Connection, Fault, Mark, Target};
+use crate::pool::{Connection, Fault, IdleTime, Mark, Target};
 use crate::relay;
 use crate::screen;
 use crate::stream::Begun;
@@ -85,7 +85,7 @@
         }
         // Its body is empty, so that the connection can be used again.
         if body.whole(0).await.is_ok() {
-            hub.pool.give(connection, pool::keep(&answer.headers));
+            hub.pool.give(connection, IdleTime::of(&answer.headers));
         }
         return Tried::Failed(ran, cause, None);
     }
@@ -160,7 +160,7 @@
 ) -> Tried {
     let whole = match (read, reply) {
         (Ok(body), _) => {
-            hub.pool.give(connection, pool::keep(&answer.headers));
+            hub.pool.give(connection, IdleTime::of(&answer.headers));
             let builder = hub.dialect.answer(answer);
             builder.body(body).ok()
         }
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -3,7 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
+use std::num::{IntErrorKind, ParseIntError};
 use std::rc::Rc;
+use std::str::FromStr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +32,9 @@
 /// How long an idle connection is kept where the server does not say how long it keeps it.
 const IDLE: Duration = Duration::from_secs(4);
 
+/// The longest time that an idle connection is kept, however long the server keeps it.
+const LONGEST_IDLE: Duration = Duration::from_mins(10);
+
 /// How much sooner than the server a connection is given up, so that a request never crosses its end.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -262,13 +267,13 @@
     }
 
     /// Gives a connection back whose answer has been read whole.
-    pub(crate) fn give(&self, mut connection: Connection, keep: Option<Duration>) {
+    pub(crate) fn give(&self, mut connection: Connection, idle: Option<IdleTime>) {
         let has_copies = connection.meter.screen().borrow().has_removed();
         if connection.sender.is_closed() || has_copies || !connection.is_reusable {
             return;
         }
-        let keep = keep.map_or(IDLE, |keep| keep.saturating_sub(IDLE_MARGIN));
-        connection.expires = Instant::now() + keep;
+        let kept = idle.map_or(IDLE, IdleTime::until_given_up);
+        connection.expires = Instant::now() + kept;
         connection.exchanges = connection.exchanges.saturating_add(1);
         self.idle
             .borrow_mut()
@@ -351,13 +356,37 @@
     let _ = socket.set_tcp_keepalive(&probes);
 }
 
-/// The time that a server says it keeps an idle connection.
-pub(crate) fn keep(headers: &http::HeaderMap) -> Option<Duration> {
-    let text = headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = text
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
+/// The time for which a server keeps an idle connection, at most [`LONGEST_IDLE`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct IdleTime(Duration);
+
+impl IdleTime {
+    /// The time that the head of an answer states; none where it states none that can be read.
+    pub(crate) fn of(headers: &http::HeaderMap) -> Option<Self> {
+        let text = headers.get("keep-alive")?.to_str().ok()?;
+        let timeout = text
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="))?;
+        timeout.parse().ok()
+    }
+
+    /// How long this side keeps the connection.
+    fn until_given_up(self) -> Duration {
+        self.0.saturating_sub(IDLE_MARGIN)
+    }
+}
+
+impl FromStr for IdleTime {
+    type Err = ParseIntError;
+
+    /// Reads whole seconds, of any number of digits.
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        match text.trim().parse() {
+            Ok(seconds) => Ok(Self(Duration::from_secs(seconds).min(LONGEST_IDLE))),
+            Err(error) if *error.kind() == IntErrorKind::PosOverflow => Ok(Self(LONGEST_IDLE)),
+            Err(error) => Err(error),
+        }
+    }
 }
 
 /// What the answer to a call may take.
@@ -444,7 +473,7 @@
         };
         let body = body.whole(limit).await?;
         if owner == Owner::This {
-            self.pool.give(connection, keep(&head.headers));
+            self.pool.give(connection, IdleTime::of(&head.headers));
         }
         Ok(Response::from_parts(head, body))
     }
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -25,7 +25,7 @@
 use crate::head::Head;
 use crate::hub::Hub;
 use crate::intake::Slot;
-use crate::pool::{self, Connection, Fault, Mark, Target};
+use crate::pool::{self, Connection, Fault, IdleTime, Mark, Target};
 use crate::reader::Content;
 use crate::request;
 
@@ -208,7 +208,10 @@
             return;
         }
     }
-    carried.hub.pool.give(connection, pool::keep(&head.headers));
+    carried
+        .hub
+        .pool
+        .give(connection, IdleTime::of(&head.headers));
     let _ = pieces.send(Piece::End).await;
 }
 
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::dialect::Dialect;
 use crate::hub::Hub;
 use crate::intake::Charge;
-use crate::pool::{self, Connection, Fault};
+use crate::pool::{self, Connection, Fault, IdleTime};
 use crate::reader::{Budget, Content};
 use crate::request::{Asked, unproven};
 
@@ -232,7 +232,7 @@
     begun: Begun,
     pieces: mpsc::Sender<Piece>,
 ) {
-    let mut keep = pool::keep(&begun.head.headers);
+    let mut idle = IdleTime::of(&begun.head.headers);
     let claims_end = begun.framing.ending() == Ending::Whole;
     let Begun {
         mut framing,
@@ -265,7 +265,7 @@
             Part::Ended(Ending::Broken) => Fault::Broken,
             Part::Failed(fault) => fault,
             Part::Ended(Ending::Whole | Ending::Unproven) => {
-                asked.ticket.hub.pool.give(connection, keep);
+                asked.ticket.hub.pool.give(connection, idle);
                 let rest = events.take_rest();
                 if !rest.is_empty() {
                     let _ = pieces.send(Piece::Data(rest)).await;
@@ -298,7 +298,7 @@
         }
         match go_on(&mut asked, events.last.as_ref()).await {
             Some(next) => {
-                keep = pool::keep(&next.head.headers);
+                idle = IdleTime::of(&next.head.headers);
                 framing = next.framing;
                 body = next.body;
                 connection = next.connection;
--- a/crates/standin/src/fleet/http.rs
+++ b/crates/standin/src/fleet/http.rs
@@ -89,7 +89,29 @@
     }
 }
 
+/// Headers as they are kept.
+pub(crate) fn owned(headers: &[(&str, &str)]) -> Vec<(String, String)> {
+    let owned = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
+    headers.iter().map(owned).collect()
+}
+
 impl Reply {
+    /// Adds headers to an answer that has a head of its own.
+    pub(crate) fn add_headers(&mut self, more: &[(String, String)]) {
+        match self {
+            Self::Whole(_, headers, _)
+            | Self::Framed(_, headers, ..)
+            | Self::Stream(headers, ..)
+            | Self::Stalled(Some(headers), _) => headers.extend_from_slice(more),
+            Self::Followed(reply, _) => reply.add_headers(more),
+            Self::Stalled(None, _)
+            | Self::Endless(..)
+            | Self::Bytes(_)
+            | Self::Part(_)
+            | Self::Nothing => {}
+        }
+    }
+
     /// The bytes of an answer with a status, headers and a whole body.
     pub(crate) fn bytes(status: u16, headers: &[(String, String)], body: &[u8]) -> Vec<u8> {
         let mut head = format!(
--- a/crates/standin/src/fleet/replica.rs
+++ b/crates/standin/src/fleet/replica.rs
@@ -256,6 +256,7 @@
     padding: usize,
     build: Option<String>,
     born: u64,
+    extra_headers: Vec<(String, String)>,
 }
 
 impl Default for State {
@@ -285,6 +286,7 @@
             padding: 0,
             build: None,
             born: BORN,
+            extra_headers: Vec::new(),
         }
     }
 }
@@ -431,6 +433,11 @@
         self.state().call_flood = flood;
     }
 
+    /// Adds headers to all its answers: to requests, to orders and to questions for its report.
+    pub fn set_extra_headers(&self, headers: &[(&str, &str)]) {
+        self.state().extra_headers = super::http::owned(headers);
+    }
+
     /// How its answers are framed; streams have no length and come in chunks instead.
     pub fn set_framing(&self, framing: Framing) {
         self.state().framing = framing;
@@ -502,9 +509,15 @@
     }
 
     fn answer(&self, asked: &Asked) -> Reply {
-        let (repeat, form, echoes_calls) = {
+        let (repeat, form, echoes_calls, extra_headers) = {
             let state = self.state();
-            (state.repeat, state.copy_form, state.echoes_calls)
+            let extra_headers = state.extra_headers.clone();
+            (
+                state.repeat,
+                state.copy_form,
+                state.echoes_calls,
+                extra_headers,
+            )
         };
         let is_call = asked.path.starts_with("/dahliastile/");
         let id = asked.headers.get("request-id");
@@ -515,6 +528,7 @@
         {
             headers.push((REQUEST_ID.to_owned(), id.clone()));
         }
+        reply.add_headers(&extra_headers);
         match copy(&reply, repeat, is_call) {
             Some(bytes) => {
                 self.copies_made.fetch_add(1, Ordering::Relaxed);
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -71,6 +71,7 @@
     /// Items added to lists that have no end.
     made_up: u64,
     flood: Option<Flood>,
+    extra_headers: Vec<(String, String)>,
     /// Keys after which pages were asked for.
     asked_after: Vec<String>,
 }
@@ -138,6 +139,11 @@
         self.state().flood = flood;
     }
 
+    /// Adds headers to all its answers.
+    pub fn set_extra_headers(&self, headers: &[(&str, &str)]) {
+        self.state().extra_headers = super::http::owned(headers);
+    }
+
     /// The keys after which pages of lists were asked for, as they were understood.
     #[must_use]
     pub fn asked_after(&self) -> Vec<String> {
@@ -264,10 +270,11 @@
     }
 
     fn headers(&self) -> Vec<(String, String)> {
-        vec![
-            ("Content-Type".to_owned(), "application/json".to_owned()),
-            (ERA.to_owned(), self.state().era.to_string()),
-        ]
+        let state = self.state();
+        let mut headers = state.extra_headers.clone();
+        headers.push(("Content-Type".to_owned(), "application/json".to_owned()));
+        headers.push((ERA.to_owned(), state.era.to_string()));
+        headers
     }
 
     fn range(&self, asked: &Asked) -> (u16, Value) {
