Tell the gateway and callers of tasks that panic

Seen: a panic in a task of the event loop left whoever waited for it without a word. On the code before, with each of 13 calls into the platform's translation made to panic for a second: callers' connections closed without an answer; after a call of the key-value service no later configuration came into force; after an order, requests for adapters that were not loaded were refused for good; after a reading of the settings no later signal was obeyed. Nothing was logged or counted.

Cause: a task posted the event that it owed the gateway as its last step.

Change: a task is started with the event that stands for its loss; attempts and requests that panic have an answer; tasks that are to last go on; E111 and dahliastile_task_panics_total tell of each.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -78,6 +78,8 @@
     ClientsShed = 109 Warn "Look whether `held` or the connections are at their bound, and whose they are; docs/OPERATIONS.md goes on from here.";
     /// The configured limit on bodies is larger than what clients may make the process hold; bodies over `largest` are refused.
     BodyLimitTooLarge = 110 Warn "Lower the limit on bodies, or give the VM more memory.";
+    /// A task of the process ended by a panic; what it does, and the message.
+    TaskPanicked = 111 Error "Report it with the log around it; what the task was for is told as lost, and the others go on.";
     /// An edition of the configuration is in force on this VM.
     EditionInForce = 200 Info "Nothing.";
     /// A configuration that was read does not hold together and was not applied.
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -100,6 +100,8 @@
     ClientMemory "dahliastile_client_memory_bytes" "bytes";
     /// Open connections of callers (`callers`), and of other VMs or operators (`others`).
     ClientConnections "dahliastile_client_connections" "connections";
+    /// Tasks of the process that ended by a panic, by what they do.
+    TaskPanics "dahliastile_task_panics_total" "1";
     /// Clients that were turned away for want of room: new connections (`connection`), requests (`request`), and connections that ended for others (`yielded`).
     ClientsShed "dahliastile_clients_shed_total" "1";
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -304,6 +304,65 @@
     Late,
 }
 
+/// A task of the process around the gateway, named by what it does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Task {
+    /// Calls the key-value service.
+    KvCall,
+    /// Sends an order to a server.
+    Order,
+    /// Asks a server for its report.
+    Report,
+    /// Probes a server.
+    Probe,
+    /// Serves a connection of a caller, or of another VM whose attempts this one carries.
+    Connection,
+    /// Reads a request and answers it.
+    Request,
+    /// Sends a request to a server.
+    Attempt,
+    /// Passes a stream on.
+    Stream,
+    /// Passes an answer on to another VM.
+    Relay,
+    /// Exchanges messages with another VM.
+    Link,
+    /// Answers whether the VM is ready, and what its figures are.
+    Probing,
+    /// Takes connections in.
+    Listener,
+    /// Sums figures up.
+    Figures,
+    /// Reads the settings file again.
+    Reload,
+    /// Waits for the graceful stop.
+    Stop,
+}
+
+impl Task {
+    /// Returns its name for the log and the metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::KvCall => "kv_call",
+            Self::Order => "order",
+            Self::Report => "report",
+            Self::Probe => "probe",
+            Self::Connection => "connection",
+            Self::Request => "request",
+            Self::Attempt => "attempt",
+            Self::Stream => "stream",
+            Self::Relay => "relay",
+            Self::Link => "link",
+            Self::Probing => "probing",
+            Self::Listener => "listener",
+            Self::Figures => "figures",
+            Self::Reload => "reload",
+            Self::Stop => "stop",
+        }
+    }
+}
+
 /// An input of the gateway's state machine, passed to [`Gateway::step`](crate::Gateway::step).
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -357,6 +416,8 @@
     PeerDown(SocketAddr, LinkFault),
     /// The settings file was read again: its tuning parameters, or the reason why the file can't be used.
     SettingsReloaded(Result<Box<Tuning>, String>),
+    /// A task of the process panicked with this message. What the task owed the gateway comes by another event.
+    TaskPanicked(Task, Arc<str>),
     /// The process was asked to stop gracefully.
     Stop,
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -344,6 +344,11 @@
             Event::PeerMessage(from, message) => self.handle_message(&from, message, out),
             Event::PeerDown(address, fault) => self.peer_down(address, fault, out),
             Event::SettingsReloaded(tuning) => self.apply_reloaded_settings(tuning, out),
+            Event::TaskPanicked(task, message) => {
+                metrics::count_global(out, Figure::TaskPanics, task.name());
+                let detail = format!("task={} message={message}", task.name());
+                Self::log(out, Code::TaskPanicked, detail);
+            }
             Event::Stop => self.stop(out),
         }
     }
--- a/crates/shell/src/attempt.rs
+++ b/crates/shell/src/attempt.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use dahliastile_body::Framing;
 use dahliastile_gateway::effect::Attempt;
-use dahliastile_gateway::event::{Event, Execution, FailureCause, Part};
+use dahliastile_gateway::event::{Event, Execution, FailureCause, Part, Task};
 use dahliastile_intake::Use;
+use futures::FutureExt;
 use http::{HeaderValue, Method, Response, StatusCode, header, request, response};
 use http_body_util::Full;
 use tokio::time::Instant;
@@ -18,6 +19,7 @@
 use crate::relay;
 use crate::screen;
 use crate::stream::Begun;
+use crate::task;
 
 /// The longest answer that is held whole, in bytes: many times the largest of a plain service. A longer one counts as
 /// broken off.
@@ -126,6 +128,15 @@
     }
 }
 
+/// Runs an attempt. The server may have run the request of one that panics.
+pub(crate) fn guard<D>(
+    hub: &Hub<D>,
+    attempt: impl Future<Output = Tried>,
+) -> impl Future<Output = Tried> {
+    let lost = Tried::Failed(Execution::Maybe, FailureCause::Malformed, None);
+    task::catch(hub, Task::Attempt, attempt).map(|tried| tried.unwrap_or(lost))
+}
+
 /// What the failure of an attempt says of its server, where something was sent.
 pub(crate) fn failure_cause(fault: Fault) -> FailureCause {
     match fault {
--- a/crates/shell/src/callers.rs
+++ b/crates/shell/src/callers.rs
@@ -5,23 +5,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dahliastile_gateway::effect::RefusalReason;
+use dahliastile_gateway::event::Task;
 use dahliastile_intake as intake;
-use http::Version;
+use http::{HeaderValue, Version, header};
 use hyper::body::Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::answer::{Answer, whole};
 use crate::dialect::Dialect;
 use crate::head::{Answered, Head, Watched};
 use crate::hub::Hub;
 use crate::intake::Slot;
 use crate::pool;
 use crate::relay;
-use crate::request;
+use crate::request::{self, unproven};
+use crate::task;
 
 /// The pause after a connection could not be taken in, mostly for want of file descriptors.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -61,7 +66,7 @@
 /// each is closed after its request in progress, a new one after its first request: by then the platform sends callers
 /// elsewhere, and one that still comes here is better told at once than cut off at the end of the grace.
 pub(crate) async fn listen<D: Dialect>(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     port: Port,
     hub: Rc<Hub<D>>,
     leaving: watch::Receiver<bool>,
@@ -77,7 +82,7 @@
                 // One for which there is no place is closed unread, and its caller may go elsewhere.
                 if let Some(slot) = hub.intake.open(port.counted_as()).await {
                     let served = serve(stream, port, hub.clone(), slot, leaving.clone());
-                    tokio::task::spawn_local(served);
+                    task::spawn(&hub, Task::Connection, served);
                 }
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -85,24 +90,32 @@
     }
     // The system resets the connections that nobody has taken in when the listener ends. The event loop may not have
     // been told of them yet, so the listener itself is asked.
-    let Ok(listener) = listener.into_std() else {
-        // It fails only where the event loop ends.
-        return;
-    };
-    while let Ok((stream, _)) = listener.accept() {
-        let stream = stream
+    let listener = SockRef::from(&*listener);
+    while let Ok((socket, _)) = listener.accept() {
+        let stream = socket
             .set_nonblocking(true)
-            .and_then(|()| TcpStream::from_std(stream));
+            .and_then(|()| TcpStream::from_std(socket.into()));
         // One that fails at once is its caller's to notice.
         if let Ok(stream) = stream
             && let Some(slot) = hub.intake.open(port.counted_as()).await
         {
             let served = serve(stream, port, hub.clone(), slot, leaving.clone());
-            tokio::task::spawn_local(served);
+            task::spawn(&hub, Task::Connection, served);
         }
     }
 }
 
+/// The answer to a request whose task panicked: it may have run. What is left of its body would be taken for the next one.
+fn lost<D: Dialect>(hub: &Hub<D>, port: Port) -> Answer {
+    let mut answer = match port {
+        Port::Callers => whole(hub.dialect.refused(unproven(RefusalReason::Failed))),
+        Port::Relays => relay::broken(),
+    };
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
+    answer
+}
+
 async fn serve<D: Dialect>(
     stream: TcpStream,
     port: Port,
@@ -127,10 +140,15 @@
         let speaks_chunks = request.version() > Version::HTTP_10;
         head.come();
         async move {
-            let answer = match port {
-                Port::Callers => request::serve(hub, &slot, &head, request).await,
-                Port::Relays => relay::serve(hub, &slot, &head, request, peer.ip()).await,
-            };
+            let answered = task::catch(&hub, Task::Request, async {
+                match port {
+                    Port::Callers => request::serve(hub.clone(), &slot, &head, request).await,
+                    Port::Relays => {
+                        relay::serve(hub.clone(), &slot, &head, request, peer.ip()).await
+                    }
+                }
+            });
+            let answer = answered.await.unwrap_or_else(|| lost(&hub, port));
             let in_chunks = speaks_chunks && answer.version() > Version::HTTP_10;
             if !in_chunks && answer.body().size_hint().exact().is_none() {
                 head.end_answer();
--- a/crates/shell/src/driver.rs
+++ b/crates/shell/src/driver.rs
@@ -6,7 +6,7 @@
 use dahliastile_core::time::{Instant, Span};
 use dahliastile_gateway::Gateway;
 use dahliastile_gateway::effect::{Effect, Effects, KvOperation};
-use dahliastile_gateway::event::Event;
+use dahliastile_gateway::event::{Event, KvAnswer, KvOutcome, OrderOutcome, ProbeResult, Task};
 
 use crate::clock::{Clock, duration};
 use crate::dialect::Dialect;
@@ -14,6 +14,7 @@
 use crate::hub::Hub;
 use crate::journal::Journal;
 use crate::peers::Peers;
+use crate::task;
 
 /// Events handled before other tasks get their turn.
 const BATCH: usize = 64;
@@ -176,40 +177,46 @@
             Effect::Measure(sample) => self.figures.take(sample),
             Effect::KvCall(id, op) => self.call_store(id, op),
             Effect::Order(id, server, address, order) => {
+                let lost = Event::OrderAnswered(id, OrderOutcome::Unknown);
                 let hub = self.hub.clone();
-                let answer = hub
-                    .dialect
-                    .order(hub.client.clone(), server.clone(), address, order);
-                tokio::task::spawn_local(async move {
-                    let outcome = hub.heard(&server, answer).await;
-                    hub.post(Event::OrderAnswered(id, outcome));
+                task::spawn_owing(&self.hub, Task::Order, lost, async move {
+                    let client = hub.client.clone();
+                    let answer = hub.dialect.order(client, server.clone(), address, order);
+                    Event::OrderAnswered(id, hub.heard(&server, answer).await)
                 });
             }
             Effect::Probe(server, address) => {
+                let lost = Event::Probed(server.clone(), ProbeResult::Silent);
                 let hub = self.hub.clone();
-                tokio::task::spawn_local(async move {
-                    let presence = hub.pool.probe(address).await;
-                    hub.post(Event::Probed(server, presence));
+                task::spawn_owing(&self.hub, Task::Probe, lost, async move {
+                    Event::Probed(server, hub.pool.probe(address).await)
                 });
             }
             Effect::DropConnections => self.hub.pool.clear(),
             Effect::TrackAnswers(server, all) => self.hub.track(server, all),
             Effect::Report(server, address) => {
+                let lost = Event::ReportReceived(server.clone(), None);
                 let hub = self.hub.clone();
-                let answer = hub
-                    .dialect
-                    .report(hub.client.clone(), server.clone(), address);
-                tokio::task::spawn_local(async move {
+                task::spawn_owing(&self.hub, Task::Report, lost, async move {
+                    let client = hub.client.clone();
+                    let answer = hub.dialect.report(client, server.clone(), address);
                     let report = hub.heard(&server, answer).await;
-                    hub.post(Event::ReportReceived(server, report));
+                    Event::ReportReceived(server, report)
                 });
             }
         }
     }
 
     fn call_store(&self, id: u64, op: KvOperation) {
+        let unknown = KvAnswer {
+            era: None,
+            outcome: KvOutcome::Unknown,
+        };
+        let lost = Event::KvAnswered(id, unknown);
         let hub = self.hub.clone();
-        let answer = hub.dialect.store(hub.client.clone(), op);
-        tokio::task::spawn_local(async move { hub.post(Event::KvAnswered(id, answer.await)) });
+        task::spawn_owing(&self.hub, Task::KvCall, lost, async move {
+            let answer = hub.dialect.store(hub.client.clone(), op);
+            Event::KvAnswered(id, answer.await)
+        });
     }
 }
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -26,6 +26,7 @@
 mod run;
 mod screen;
 mod stream;
+mod task;
 
 pub use dahliastile_intake::{Machine, Size};
 pub use dialect::{Claim, Dialect, Echo, Heard, Rejection, Reply};
--- a/crates/shell/src/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -10,7 +10,7 @@
 use dahliastile_core::metric::Figure;
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::Locality;
-use dahliastile_gateway::event::{Event, LinkFault};
+use dahliastile_gateway::event::{Event, LinkFault, Task};
 use dahliastile_gateway::message::{Message, encode_each};
 use dahliastile_intake::{Phase, Port};
 use dahliastile_wire::exchange::{Sender, Sink, serve};
@@ -22,6 +22,7 @@
 use crate::figures::Figures;
 use crate::hub::Hub;
 use crate::intake::Slot;
+use crate::task;
 
 /// How long a connection may take to be made.
 const CONNECT: Span = Span::from_millis(300);
@@ -95,7 +96,8 @@
             reach,
         });
         self.queues.borrow_mut().insert(address, queue.clone());
-        tokio::task::spawn_local(self.clone().carry(address, queue.clone()));
+        let carry = self.clone().carry(address, queue.clone());
+        task::spawn(&self.hub, Task::Link, carry);
         queue
     }
 
@@ -103,13 +105,16 @@
     async fn carry(self: Rc<Self>, address: SocketAddr, queue: Rc<Queue>) {
         loop {
             queue.wake.notified().await;
-            let fault = match Sender::open(address, CONNECT).await {
-                Ok(link) => {
-                    queue.wake.notify_one();
-                    self.deliver(&link, &queue).await
+            let carried = task::catch(&self.hub, Task::Link, async {
+                match Sender::open(address, CONNECT).await {
+                    Ok(link) => {
+                        queue.wake.notify_one();
+                        self.deliver(&link, &queue).await
+                    }
+                    Err(_) => LinkFault::Unreachable,
                 }
-                Err(_) => LinkFault::Unreachable,
-            };
+            });
+            let fault = carried.await.unwrap_or(LinkFault::Broken);
             queue.messages.borrow_mut().clear();
             self.hub.post(Event::PeerDown(address, fault));
             tokio::time::sleep(PAUSE).await;
@@ -171,15 +176,16 @@
 }
 
 /// Takes links in until the process ends.
-pub(crate) async fn listen<D: Dialect>(listener: TcpListener, peers: Rc<Peers<D>>) {
+pub(crate) async fn listen<D: Dialect>(listener: Rc<TcpListener>, peers: Rc<Peers<D>>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(slot) = peers.hub.intake.open(Port::Links).await else {
                     continue;
                 };
+                let hub = peers.hub.clone();
                 let peers = peers.clone();
-                tokio::task::spawn_local(async move {
+                task::spawn(&hub, Task::Link, async move {
                     let link = Rc::new(Link {
                         peers,
                         slot: slot.clone(),
--- a/crates/shell/src/probe.rs
+++ b/crates/shell/src/probe.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dahliastile_gateway::event::Task;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,6 +18,7 @@
 use crate::callers::ACCEPT_PAUSE;
 use crate::dialect::Dialect;
 use crate::hub::Hub;
+use crate::task;
 
 /// The path of the figures.
 const FIGURES: &str = "/metrics";
@@ -25,14 +27,13 @@
 const CONNECTIONS: usize = 16;
 
 /// Answers both until the process ends.
-pub(crate) async fn listen<D: Dialect>(listener: TcpListener, hub: Rc<Hub<D>>) {
+pub(crate) async fn listen<D: Dialect>(listener: Rc<TcpListener>, hub: Rc<Hub<D>>) {
     let mut tasks: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let hub = hub.clone();
         tasks.retain(|task| !task.is_finished());
         if tasks.len() >= CONNECTIONS
             && let Some(oldest) = tasks.pop_front()
@@ -41,9 +42,10 @@
             // It ends when its task is run next.
             tokio::task::yield_now().await;
         }
-        let task = tokio::task::spawn_local(async move {
+        let asked = hub.clone();
+        let task = task::spawn(&hub, Task::Probing, async move {
             let service = service_fn(|request| {
-                let hub = hub.clone();
+                let hub = asked.clone();
                 async move { Ok::<_, Infallible>(answer(&hub, &request)) }
             });
             // An error is the other side's doing: it asks again.
--- a/crates/shell/src/relay.rs
+++ b/crates/shell/src/relay.rs
@@ -12,7 +12,9 @@
 use bytes::Bytes;
 use dahliastile_core::id::{Server, Vm};
 use dahliastile_gateway::effect::{Attempt, NextStep};
-use dahliastile_gateway::event::{Event, Execution, FailureCause, Part, RelayRequest, RequestId};
+use dahliastile_gateway::event::{
+    Event, Execution, FailureCause, Part, RelayRequest, RequestId, Task,
+};
 use dahliastile_intake::{Size, Use};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{Either, Full};
@@ -28,6 +30,7 @@
 use crate::pool::{self, Connection, Fault, IdleTime, Mark, Target};
 use crate::reader::Content;
 use crate::request;
+use crate::task;
 
 /// Header of a request: the server that it is for.
 const SERVER: &str = "dahliastile-relay-server";
@@ -161,7 +164,7 @@
     };
     passed.headers_mut().remove(FAILURE);
     let passed_on = pass(carried, slot.clone(), answer, (body, connection), pieces);
-    tokio::task::spawn_local(passed_on);
+    task::spawn(&hub, Task::Relay, passed_on);
     answer::frame(passed, framing)
 }
 
@@ -215,6 +218,11 @@
     let _ = pieces.send(Piece::End).await;
 }
 
+/// Answers a VM that the attempt failed here, after it may have been sent.
+pub(crate) fn broken() -> Answer {
+    no_answer(BROKEN, None)
+}
+
 /// Answers a VM that there is no answer of the server.
 fn no_answer(failure: &'static str, hint: Option<Vm>) -> Answer {
     let mut response = Response::new(Bytes::new());
--- a/crates/shell/src/request.rs
+++ b/crates/shell/src/request.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::answer::{self, Answer, whole};
-use crate::attempt::{Passed, Tried, attempt};
+use crate::attempt::{Passed, Tried, attempt, guard};
 use crate::dialect::{Dialect, Rejection};
 use crate::head::Head;
 use crate::hub::{Hub, Ticket};
@@ -180,12 +180,12 @@
         let tried = tokio::select! {
             biased;
             verdict = self.verdicts.recv() => return Step::Told(verdict),
-            tried = async {
+            tried = guard(&hub, async {
                 match attempt(&hub, &self.slot, (&self.head, &self.body), send, None).await {
                     Tried::Stream(begun) if send.withdrawable => begun.first_event(&hub, send).await,
                     tried => tried,
                 }
-            } => tried,
+            }) => tried,
         };
         match tried {
             Tried::Whole(response, framing) => {
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -6,10 +6,11 @@
 use dahliastile_core::log::{Code, Record};
 use dahliastile_core::time::Span;
 use dahliastile_gateway::Gateway;
-use dahliastile_gateway::event::Event;
+use dahliastile_gateway::event::{Event, Task};
 use dahliastile_gateway::settings::Settings;
 use dahliastile_intake::{Capacity, Machine};
 use eyre::Context;
+use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -25,6 +26,7 @@
 use crate::journal::Journal;
 use crate::peers::{self, Peers};
 use crate::probe;
+use crate::task;
 
 /// How often a stopping process looks whether anything is still in progress.
 const LOOK: Span = Span::from_millis(50);
@@ -108,12 +110,14 @@
     settings: Settings,
     options: &Options,
     dialect: D,
-    (mut terminate, mut hangup): (Signal, Signal),
+    (mut terminate, hangup): (Signal, Signal),
 ) -> eyre::Result<()> {
     let capacity = Capacity::of(options.machine, intake::DESCRIPTORS)
         .wrap_err("can't serve on this machine")?;
     let bind = |address: SocketAddr| {
-        intake::listen(address).wrap_err_with(|| format!("can't listen on {address}"))
+        let listener = intake::listen(address);
+        let listener = listener.wrap_err_with(|| format!("can't listen on {address}"))?;
+        eyre::Ok(Rc::new(listener))
     };
     let (front, ready, control) = (
         bind(options.callers)?,
@@ -136,16 +140,21 @@
     let (vm, start) = (settings.vm.clone(), settings.incarnation);
     let peers = Peers::new(vm, start, hub.clone(), figures.clone());
     if let Some(address) = options.relays {
-        let listener = bind(address)?;
-        let listen = callers::listen(listener, Port::Relays, hub.clone(), leaving.clone());
-        tokio::task::spawn_local(listen);
+        take_connections(bind(address)?, Port::Relays, &hub, leaving.clone());
     }
-    let listen = callers::listen(front, Port::Callers, hub.clone(), leaving);
-    tokio::task::spawn_local(listen);
-    tokio::task::spawn_local(probe::listen(ready, hub.clone()));
-    tokio::task::spawn_local(probe::listen(bind(options.figures)?, hub.clone()));
-    tokio::task::spawn_local(keep_figures(hub.clone()));
-    tokio::task::spawn_local(peers::listen(control, peers.clone()));
+    take_connections(front, Port::Callers, &hub, leaving);
+    for listener in [ready, bind(options.figures)?] {
+        let asked = hub.clone();
+        task::spawn_lasting(&hub, Task::Listener, move || {
+            probe::listen(listener.clone(), asked.clone())
+        });
+    }
+    let summed = hub.clone();
+    task::spawn_lasting(&hub, Task::Figures, move || keep_figures(summed.clone()));
+    let linked = peers.clone();
+    task::spawn_lasting(&hub, Task::Listener, move || {
+        peers::listen(control.clone(), linked.clone())
+    });
     let clock = Clock::new();
     // What comes later would be refused.
     let leave_after = settings.tuning.leave_time();
@@ -162,16 +171,9 @@
         capacity.callers,
     );
     journal.write(clock.now(), &Record::new(Code::Started, started));
-    let reloader = hub.clone();
-    tokio::task::spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            reloader.post(Event::SettingsReloaded(
-                reloader.dialect.reload().map(Box::new),
-            ));
-        }
-    });
+    task::spawn(&hub, Task::Reload, reload_settings(hangup, hub.clone()));
     let stopper = hub.clone();
-    tokio::task::spawn_local(async move {
+    task::spawn(&hub, Task::Stop, async move {
         terminate.recv().await;
         stopper.post(Event::Stop);
         let stop = clock.now();
@@ -211,6 +213,29 @@
     Ok(())
 }
 
+/// Starts the task that takes the connections of a port in.
+fn take_connections<D: Dialect>(
+    listener: Rc<TcpListener>,
+    port: Port,
+    hub: &Rc<Hub<D>>,
+    leaving: watch::Receiver<bool>,
+) {
+    let served = hub.clone();
+    task::spawn_lasting(hub, Task::Listener, move || {
+        callers::listen(listener.clone(), port, served.clone(), leaving.clone())
+    });
+}
+
+/// Reads the settings file again at each signal.
+async fn reload_settings<D: Dialect>(mut hangup: Signal, hub: Rc<Hub<D>>) {
+    while hangup.recv().await.is_some() {
+        let reload = async { hub.dialect.reload().map(Box::new) };
+        let outcome = task::catch(&hub, Task::Reload, reload).await;
+        let outcome = outcome.unwrap_or_else(|| Err("it can't be read".to_owned()));
+        hub.post(Event::SettingsReloaded(outcome));
+    }
+}
+
 /// Sums up the values of histograms now and then, as the recorder keeps each until it is asked or told to.
 async fn keep_figures<D>(hub: Rc<Hub<D>>) {
     loop {
--- a/crates/shell/src/stream.rs
+++ b/crates/shell/src/stream.rs
@@ -6,7 +6,7 @@
 use dahliastile_body::{self as body, Ending, Framing};
 use dahliastile_core::time::Span;
 use dahliastile_gateway::effect::{Attempt, NextStep, RefusalReason};
-use dahliastile_gateway::event::{self, Event, Execution, FailureCause, StreamTiming};
+use dahliastile_gateway::event::{self, Event, Execution, FailureCause, StreamTiming, Task};
 use dahliastile_intake::Size;
 use http::{HeaderValue, response};
 use http_body_util::Either;
@@ -14,13 +14,14 @@
 use tokio::time::Instant;
 
 use crate::answer::{self, Answer, Piece, Piped, whole};
-use crate::attempt::{Tried, attempt, failure_cause};
+use crate::attempt::{Tried, attempt, failure_cause, guard};
 use crate::dialect::Dialect;
 use crate::hub::Hub;
 use crate::intake::Charge;
 use crate::pool::{self, Connection, Fault, IdleTime};
 use crate::reader::{Budget, Content};
 use crate::request::{Asked, unproven};
+use crate::task;
 
 /// The longest event of a stream, in bytes: many times the largest of a sound server, which has a few tokens.
 const EVENT_LIMIT: usize = 256 * 1024;
@@ -222,7 +223,8 @@
                 .refused(unproven(RefusalReason::Failed)),
         );
     };
-    tokio::task::spawn_local(pass(asked, send, begun, pieces));
+    let hub = asked.ticket.hub.clone();
+    task::spawn(&hub, Task::Stream, pass(asked, send, begun, pieces));
     answer::frame(answer, framing)
 }
 
@@ -368,13 +370,14 @@
                 return None;
             }
         };
+        let attempt = attempt(&hub, &asked.slot, (&asked.head, &asked.body), &send, after);
         let tried = tokio::select! {
             biased;
             _ = asked.verdicts.recv() => {
                 asked.ticket.done = true;
                 return None;
             }
-            tried = attempt(&hub, &asked.slot, (&asked.head, &asked.body), &send, after) => tried,
+            tried = guard(&hub, attempt) => tried,
         };
         match tried {
             Tried::Stream(begun) => return Some(begun),
