--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -35,9 +35,13 @@
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(from = "u64")]
         pub struct $name(pub u64);
 
         impl $name {
+            /// The largest number that is read: a million of them have a sum.
+            pub const MAX: Self = Self(1 << 40);
+
             /// Returns the number as a float, for arithmetic with fractions.
             #[must_use]
             #[allow(clippy::cast_precision_loss)]
@@ -52,11 +56,17 @@
             }
         }
 
+        impl From<u64> for $name {
+            fn from(number: u64) -> Self {
+                Self(number.min(Self::MAX.0))
+            }
+        }
+
         impl FromStr for $name {
             type Err = ParseIntError;
 
             fn from_str(text: &str) -> Result<Self, ParseIntError> {
-                text.parse().map(Self)
+                text.parse().map(|number: u64| number.into())
             }
         }
     )*};
--- a/crates/gateway/src/request/notice.rs
+++ b/crates/gateway/src/request/notice.rs
@@ -29,9 +29,19 @@
 
 /// Requests per second, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "u64")]
 pub struct Rate(pub u64);
 
+impl From<u64> for Rate {
+    fn from(thousandths: u64) -> Self {
+        Self(thousandths.min(Self::MAX.0))
+    }
+}
+
 impl Rate {
+    /// The largest rate that is read: a request per microsecond, the resolution of the clock.
+    pub const MAX: Self = Self(1_000_000_000);
+
     /// Requests per second.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
@@ -54,11 +64,11 @@
 impl FromStr for Rate {
     type Err = ParseRateError;
 
-    // The cast saturates: a rate that does not fit becomes the largest one.
+    // The cast saturates.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn from_str(text: &str) -> Result<Self, ParseRateError> {
         match text.trim().parse::<f64>() {
-            Ok(rate) if rate >= 0.0 => Ok(Self((rate * 1_000.0) as u64)),
+            Ok(rate) if rate >= 0.0 => Ok(((rate * 1_000.0) as u64).into()),
             Ok(_) | Err(_) => Err(ParseRateError(text.to_owned())),
         }
     }
--- a/crates/gateway/src/request/notice/permit.rs
+++ b/crates/gateway/src/request/notice/permit.rs
@@ -10,7 +10,7 @@
 use dahliastile_core::time::Span;
 
 use super::LatestNotice;
-use super::rate_limiter::RateLimiter;
+use super::rate_limiter::{self, RateLimiter};
 use crate::cluster::membership;
 use crate::cluster::snapshot::Version;
 use crate::effect::Effects;
@@ -142,6 +142,7 @@
             Ok(()) if accepts => self.send_to(request, server, version, out),
             Ok(()) => self.find_server(request, out),
             Err(after) => {
+                let after = after.min(rate_limiter::MAX_WAIT);
                 self.notices.close_for(server, after, self.now);
                 self.find_server(request, out);
             }
--- a/crates/gateway/src/request/notice/rate_limiter.rs
+++ b/crates/gateway/src/request/notice/rate_limiter.rs
@@ -15,7 +15,7 @@
 const MIN_RATE: Rate = Rate(100);
 
 /// Upper bound on the time that a VM is told to wait for a token.
-const MAX_WAIT: Span = Span::from_secs(5);
+pub(super) const MAX_WAIT: Span = Span::from_secs(5);
 
 /// Token bucket that fills at the rate of a server's limit, one token per request. It is empty at first,
 /// since requests that were sent before the limit was known count against it.
