Keep sums of outside numbers in their range

Cause: a prompt and its answer were added as 32-bit numbers, the weights of a split likewise, and a server's count of orders went up by one from any value that its report named. In a release build these wrap: a long request counts as a short one, a split goes to one target.

Change: the first is a sum of floats, as it was used as one; weights whose sum is too large lose their lowest bits; the count saturates.

Before: numbers_ofcallers, numbers_ofrouteconfigs and numbers_ofreports ended with "attempt to add with overflow". After: all nine tests of numbers.rs pass.

--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -690,13 +690,17 @@
 
     /// Picks a target at random, in proportion to the weights.
     fn choose_target(&mut self, targets: &[Target]) -> Service {
-        let total: u32 = targets.iter().map(|t| t.weight).sum();
+        let total: u64 = targets.iter().map(|t| u64::from(t.weight)).sum();
+        // Weights whose sum needs more bits lose their lowest ones.
+        let excess_bits = u32::BITS.saturating_sub(total.leading_zeros());
+        let weights = targets.iter().map(|target| target.weight >> excess_bits);
+        let total: u32 = weights.clone().sum();
         let mut draw = self.rng.random_range(0..total.max(1));
-        for target in targets {
-            if draw < target.weight {
+        for (target, weight) in targets.iter().zip(weights) {
+            if draw < weight {
                 return target.service.clone();
             }
-            draw -= target.weight;
+            draw -= weight;
         }
         targets[0].service.clone()
     }
--- a/crates/gateway/src/scheduler/fair_share.rs
+++ b/crates/gateway/src/scheduler/fair_share.rs
@@ -104,7 +104,8 @@
     /// Returns the virtual time that a request's tokens take at its account's weight.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn cost(&self, request: &ScheduledRequest) -> Span {
-        let tokens = f64::from(request.work.prompt_tokens + request.work.max_output_tokens);
+        let work = &request.work;
+        let tokens = f64::from(work.prompt_tokens) + f64::from(work.max_output_tokens);
         let weight = match request.detail.weight {
             TokenRate(0) => self.average_weight,
             weight => weight.as_f64(),
--- a/crates/gateway/src/scheduler/order.rs
+++ b/crates/gateway/src/scheduler/order.rs
@@ -217,7 +217,7 @@
         match (outcome, &pending.intent) {
             (OrderOutcome::Fenced, _) => return true,
             (OrderOutcome::Accepted, Intent::Load(adapter, _)) => {
-                engine.accepted_orders += 1;
+                engine.accepted_orders = engine.accepted_orders.saturating_add(1);
                 self.recent_engines
                     .record_use(server, &mut engine.recent_adapters, *adapter);
                 if let Some(slot) = engine.slots.get_mut(adapter) {
@@ -227,9 +227,11 @@
                     slot.state = AdapterState::Loading(now + time);
                 }
             }
-            (OrderOutcome::Accepted, Intent::Base(_)) => engine.accepted_orders += 1,
+            (OrderOutcome::Accepted, Intent::Base(_)) => {
+                engine.accepted_orders = engine.accepted_orders.saturating_add(1);
+            }
             (OrderOutcome::Holds, Intent::Unload(adapter)) => {
-                engine.accepted_orders += 1;
+                engine.accepted_orders = engine.accepted_orders.saturating_add(1);
                 engine.slots.remove(adapter);
                 engine.prefix_cache.remove_adapter(*adapter);
             }
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -164,7 +164,7 @@
             _ => self.highest_fence = order.fence,
         }
         let Some(adapter) = &order.adapter else {
-            self.accepted_orders += 1;
+            self.accepted_orders = self.accepted_orders.saturating_add(1);
             self.base_ready_at = Some(now + Span::from_millis(720));
             return OrderOutcome::Accepted;
         };
@@ -178,7 +178,7 @@
             self.unload(now, adapter)
         };
         if outcome != OrderOutcome::Conflict {
-            self.accepted_orders += 1;
+            self.accepted_orders = self.accepted_orders.saturating_add(1);
         }
         outcome
     }
--- a/crates/gateway/tests/support/world/actions.rs
+++ b/crates/gateway/tests/support/world/actions.rs
@@ -364,6 +364,11 @@
         }
     }
 
+    /// Hands a VM an event that nothing in the simulation has caused.
+    pub fn deliver_event(&mut self, vm: usize, event: Event) {
+        self.deliver(vm, event);
+    }
+
     /// Hands an event to a VM, or queues it while the VM is frozen or its processor is busy.
     pub(super) fn deliver(&mut self, vm: usize, event: Event) {
         let now = self.now;
