Bear any number of an engine's cache changes and reports on the own interface

Cause: the number of a cache change went into a sum with the allowed gap as it came. An engine that sends the largest number ended the node in a debug build; in a release build the sum wraps, and the cache counts as lost at each change.

Change: the sums saturate.

Before: numbers_anyareborne failed ("attempt to add with overflow" in domain/cache.rs). After: it passes.

--- a/crates/core/src/domain/cache.rs
+++ b/crates/core/src/domain/cache.rs
@@ -53,8 +53,8 @@
 impl Cache {
     fn apply(&mut self, change: &Cached) {
         // Numbers that go back far mean that the server has started anew with an empty cache.
-        let restarted = change.seq + GAP < self.seq;
-        let lost = change.seq > self.seq + GAP && self.seq > 0;
+        let restarted = change.seq.saturating_add(GAP) < self.seq;
+        let lost = change.seq > self.seq.saturating_add(GAP) && self.seq > 0;
         if restarted || lost {
             self.prefixes.clear();
             self.order.clear();
--- a/crates/core/src/domain/host.rs
+++ b/crates/core/src/domain/host.rs
@@ -179,7 +179,7 @@
     /// How full its batch is: above one where sequences wait.
     pub(crate) fn fill(&self) -> f64 {
         self.report.as_ref().map_or(0.0, |report| {
-            f64::from(report.running + report.waiting) / f64::from(report.batch.max(1))
+            (f64::from(report.running) + f64::from(report.waiting)) / f64::from(report.batch.max(1))
         })
     }
 
--- a/crates/core/tests/domain_messages.rs
+++ b/crates/core/tests/domain_messages.rs
@@ -5,7 +5,7 @@
 
 use dahliastile_core::Node;
 use dahliastile_core::effect::{Action, Command, Effect};
-use dahliastile_core::event::{Event, Ordered, Report, Resident};
+use dahliastile_core::event::{Cached, Event, Ordered, Report, Resident};
 use dahliastile_core::id::{self, Boot, Fence, Grant, Incarnation, Order, Request};
 use dahliastile_core::peer::{Ask, Granted, Held, Message, Update, Want};
 use dahliastile_core::platform::{Call, Outcome, Reply};
@@ -677,3 +677,74 @@
     hand.run(SEC);
     assert_eq!(hand.asks()[0].released, [Grant(1)]);
 }
+
+/// Guards against a node that ends, or decides by a sum that has left its range, as an engine or another VM sends a number as
+/// large as its type has.
+#[test]
+fn numbers_anyareborne() {
+    let mut hand = Hand::new(true, false);
+    hand.granted();
+    for (round, number) in (0..).zip([0, 1, u64::from(u32::MAX), 1 << 40, u64::MAX - 1, u64::MAX]) {
+        let narrow = u32::try_from(number).unwrap_or(u32::MAX);
+        let report = Report {
+            boot: Boot(1),
+            ready: true,
+            running: narrow,
+            waiting: narrow,
+            batch: narrow,
+            step: Span(number),
+            slots: narrow,
+            age: Span::ZERO,
+            residents: vec![Resident {
+                adapter: adapter(0),
+                in_flight: narrow,
+            }],
+        };
+        let server: id::Server = ENGINE.parse().unwrap();
+        let changes = [number, 0, number].map(|seq| Cached {
+            seq,
+            prefix: seq,
+            stored: true,
+        });
+        self::report(&mut hand, report, &server);
+        hand.step(Event::Cache {
+            server: server.clone(),
+            changes: changes.to_vec(),
+        });
+        let ask = Ask {
+            wants: vec![Want {
+                waiting: narrow,
+                weight: narrow,
+                left: Span(number),
+                waited: Span(number),
+                ..want(3)
+            }],
+            ..hand.ask(10 + round)
+        };
+        hand.hear(Message::Ask(ask));
+        hand.request(100 + round, 2);
+        hand.run(SEC);
+    }
+    hand.hear(Message::Ask(Ask {
+        full: true,
+        ..hand.ask(20)
+    }));
+    hand.run_reporting(20 * SEC, 1, &[1]);
+    assert!(!hand.loads(2).is_empty(), "nothing is loaded any more");
+}
+
+/// The engine's next answer to a poll.
+fn report(hand: &mut Hand, report: Report, server: &id::Server) {
+    for _ in 0..100 {
+        if hand.polled {
+            break;
+        }
+        hand.run(20_000);
+    }
+    assert!(hand.polled, "nobody asked for a report");
+    hand.polled = false;
+    hand.step(Event::Report {
+        server: server.clone(),
+        report: Some(report),
+    });
+}
