--- a/crates/gateway/tests/numbers.rs
+++ b/crates/gateway/tests/numbers.rs
@@ -73,12 +73,9 @@
     usize::try_from(number).unwrap_or(usize::MAX)
 }
 
-/// Asserts that a fleet serves as before.
-fn check_recovered(world: &mut World, case: &str) {
-    world.send_heavy_load(RECOVERY);
-    let numbers = world.send_heavy_load(Span::from_secs(2));
-    world.run(Span::from_secs(6));
-    let served = world.count_served(&numbers);
+/// Asserts that nearly all of these requests were served.
+fn check_served(world: &World, numbers: &[u64], case: &str) {
+    let served = world.count_served(numbers);
     assert!(
         served * 100 >= numbers.len() * SERVED_PERCENT,
         "{case}: {served} of {} served",
@@ -87,16 +84,24 @@
     world.check_invariants();
 }
 
+/// Asserts that a fleet serves as before.
+fn check_recovered(world: &mut World, case: &str) {
+    world.send_heavy_load(RECOVERY);
+    let numbers = world.send_heavy_load(Span::from_secs(2));
+    world.run(Span::from_secs(6));
+    check_served(world, &numbers, case);
+}
+
 /// Changes an engine specification by a number, or by one with a fraction.
 type ChangeEngine = fn(&mut EngineSpec, u64, f64);
 /// Changes a route likewise.
 type ChangeRoute = fn(&mut Route, u64, f64);
 
 /// Puts numbers into the configuration, one after the other, and takes each out again.
-fn play_configs(case: &str, count: usize, change: impl Fn(&mut Config, usize)) {
+fn play_configs(case: &str, change: impl Fn(&mut Config, usize)) {
     let mut world = World::under_load(3);
     let mut version = 1;
-    for at in 0..count {
+    for at in 0..NUMBERS.len() {
         for is_odd in [true, false] {
             version += 1;
             let mut config = support::setup::config(version);
@@ -132,7 +137,7 @@
         }),
     ];
     for (field, change) in fields {
-        play_configs(field, NUMBERS.len(), |config, at| {
+        play_configs(field, |config, at| {
             let service = Arc::make_mut(&mut config.services[0]);
             let spec = service.engine.as_mut().expect("a service with engines");
             change(spec, NUMBERS[at], FRACTIONS[at % FRACTIONS.len()]);
@@ -162,7 +167,7 @@
         }),
     ];
     for (field, change) in fields {
-        play_configs(field, NUMBERS.len(), |config, at| {
+        play_configs(field, |config, at| {
             for route in &mut config.routes {
                 let fraction = FRACTIONS[at % FRACTIONS.len()];
                 change(Arc::make_mut(route), NUMBERS[at], fraction);
@@ -212,13 +217,7 @@
             accounts::request(&format!("last{at}"), "k")
         });
         world.run(Span::from_secs(3));
-        let served = world.count_served(&numbers);
-        assert!(
-            served * 100 >= numbers.len() * SERVED_PERCENT,
-            "limited={is_limited}: {served} of {} served",
-            numbers.len()
-        );
-        world.check_invariants();
+        check_served(&world, &numbers, &format!("limited={is_limited}"));
     }
 }
 
