Ask a rate limiter for tokens in one place, and count accepted orders in one

Cause: reading the change once more showed a check for one token beside the engine's check for several, and the same saturating sum three times.

Change: RateLimiter::has_tokens serves both, Engine::count_accepted_order all three; the fields of a ranked server say what they hold. No behaviour changes.

--- a/crates/gateway/src/request/load_balancer.rs
+++ b/crates/gateway/src/request/load_balancer.rs
@@ -131,7 +131,9 @@
 
 /// A server with its cost; the greatest one has the lowest cost.
 struct Ranked<'a> {
+    /// The cost of sending it a request, with a random part.
     cost: f64,
+    /// The server.
     server: &'a Server,
 }
 
--- a/crates/gateway/src/request/notice/permit.rs
+++ b/crates/gateway/src/request/notice/permit.rs
@@ -68,7 +68,7 @@
         notice.filter(is_limited).is_some_and(|notice| {
             let has_token = notice
                 .rate_limiter
-                .is_some_and(|rate_limiter| rate_limiter.has_token(self.now));
+                .is_some_and(|rate_limiter| rate_limiter.has_tokens(1, self.now));
             !has_token && self.permit_issuer(server) == self.settings.vm
         })
     }
--- a/crates/gateway/src/request/notice/rate_limiter.rs
+++ b/crates/gateway/src/request/notice/rate_limiter.rs
@@ -65,9 +65,9 @@
         bucket.balance()
     }
 
-    /// Returns whether there is a token.
-    pub(crate) fn has_token(&self, now: Instant) -> bool {
-        self.available(now) >= 1.0
+    /// Returns whether there are `count` tokens.
+    pub(crate) fn has_tokens(&self, count: u32, now: Instant) -> bool {
+        self.available(now) >= f64::from(count)
     }
 
     /// Takes a token, and returns whether there was one.
--- a/crates/gateway/src/scheduler/engine.rs
+++ b/crates/gateway/src/scheduler/engine.rs
@@ -273,7 +273,7 @@
     pub(crate) fn is_within_rate_limit(&self, count: u32, now: Instant) -> bool {
         self.rate_limiter
             .as_ref()
-            .is_none_or(|rate_limiter| rate_limiter.available(now) >= f64::from(count))
+            .is_none_or(|rate_limiter| rate_limiter.has_tokens(count, now))
     }
 
     /// Counts a request or an order against the rate limit. Returns whether the limit allowed it.
@@ -394,6 +394,11 @@
             .count()
     }
 
+    /// Counts an order that the engine has accepted. An engine may report any count, also the largest.
+    pub(crate) fn count_accepted_order(&mut self) {
+        self.accepted_orders = self.accepted_orders.saturating_add(1);
+    }
+
     /// Returns the adapters that are ready.
     pub(crate) fn resident_adapters(&self, adapters: &AdapterTable) -> Vec<Resident> {
         let ready = self
--- a/crates/gateway/src/scheduler/order.rs
+++ b/crates/gateway/src/scheduler/order.rs
@@ -217,7 +217,7 @@
         match (outcome, &pending.intent) {
             (OrderOutcome::Fenced, _) => return true,
             (OrderOutcome::Accepted, Intent::Load(adapter, _)) => {
-                engine.accepted_orders = engine.accepted_orders.saturating_add(1);
+                engine.count_accepted_order();
                 self.recent_engines
                     .record_use(server, &mut engine.recent_adapters, *adapter);
                 if let Some(slot) = engine.slots.get_mut(adapter) {
@@ -228,10 +228,10 @@
                 }
             }
             (OrderOutcome::Accepted, Intent::Base(_)) => {
-                engine.accepted_orders = engine.accepted_orders.saturating_add(1);
+                engine.count_accepted_order();
             }
             (OrderOutcome::Holds, Intent::Unload(adapter)) => {
-                engine.accepted_orders = engine.accepted_orders.saturating_add(1);
+                engine.count_accepted_order();
                 engine.slots.remove(adapter);
                 engine.prefix_cache.remove_adapter(*adapter);
             }
